--- /dev/null
+++ b/packages-private/testkit/src/Caller.ts
@@ -0,0 +1,99 @@
+import type { Problem, RequestSpecification, RequestView } from '@toucanline/schema';
+
+/** Answer to a caller. */
+interface CallerAnswer {
+  readonly status: number;
+  readonly headers: Headers;
+  /** Present for states of requests. */
+  readonly view: RequestView;
+  /** Present for problems. */
+  readonly problem: Problem;
+}
+
+/** A caller that uses the HTTP interface of an entry. */
+export class Caller {
+  readonly #url: () => string;
+  readonly #key: string | undefined;
+
+  /**
+   * @param url - reads the base URL of the entry to use
+   * @param key - key to present, if any
+   */
+  public constructor(url: () => string, key?: string) {
+    this.#url = url;
+    this.#key = key;
+  }
+
+  /**
+   * Submits a request.
+   *
+   * @param queue - name of the queue
+   * @param specification - the request
+   * @param options - idempotency key and wait in seconds
+   * @returns the answer
+   */
+  public submit(
+    queue: string,
+    specification: RequestSpecification,
+    options: { readonly idempotencyKey?: string; readonly wait?: number } = {},
+  ): Promise<CallerAnswer> {
+    const { idempotencyKey, wait } = options;
+    const query = wait === undefined ? '' : `?wait=${wait}`;
+    return this.send(
+      'POST',
+      `/v1/queues/${queue}/requests${query}`,
+      JSON.stringify(specification),
+      {
+        ...(idempotencyKey === undefined ? {} : { 'idempotency-key': idempotencyKey }),
+      },
+    );
+  }
+
+  /**
+   * Waits for a request.
+   *
+   * @param id - identifier of the request
+   * @param wait - longest wait in seconds
+   * @returns the answer
+   */
+  public wait(id: string, wait: number): Promise<CallerAnswer> {
+    return this.send('GET', `/v1/requests/${id}?wait=${wait}`);
+  }
+
+  /**
+   * Cancels a request.
+   *
+   * @param id - identifier of the request
+   * @returns the answer
+   */
+  public cancel(id: string): Promise<CallerAnswer> {
+    return this.send('DELETE', `/v1/requests/${id}`);
+  }
+
+  /**
+   * Sends an HTTP request.
+   *
+   * @param method - HTTP method
+   * @param path - path with query
+   * @param body - text of the body
+   * @param headers - further headers
+   * @returns the answer
+   */
+  public async send(
+    method: string,
+    path: string,
+    body?: string,
+    headers: Readonly<Record<string, string>> = {},
+  ): Promise<CallerAnswer> {
+    const response = await fetch(this.#url() + path, {
+      method,
+      headers: {
+        ...(this.#key === undefined ? {} : { authorization: `Bearer ${this.#key}` }),
+        ...headers,
+      },
+      ...(body === undefined ? {} : { body }),
+    });
+    const content = (await response.json()) as RequestView & Problem;
+    return { status: response.status, headers: response.headers, view: content, problem: content };
+  }
+}
--- /dev/null
+++ b/packages-private/testkit/src/DaemonProcess.ts
@@ -0,0 +1,105 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createRequire } from 'node:module';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import type { ProcessSettings } from '@toucanline/schema';
+import { stringify } from 'smol-toml';
+
+const require = createRequire(import.meta.url);
+const programs = {
+  entry: require
+    .resolve('@toucanline/entry')
+    .replace(/index\.js$/, join('bin', 'toucanline-entry.js')),
+  scheduler: require
+    .resolve('@toucanline/scheduler')
+    .replace(/index\.js$/, join('bin', 'toucanline-scheduler.js')),
+};
+const maxLogLines = 5000;
+const startTimeoutMs = 15_000;
+
+/** A daemon as a real process. */
+export class DaemonProcess {
+  public readonly settings: ProcessSettings;
+  readonly #child: ChildProcess;
+  readonly #folder: string;
+  readonly #log: string[] = [];
+  readonly #exit: Promise<number | null>;
+
+  /**
+   * @param role - which daemon
+   * @param settings - its settings
+   */
+  public constructor(role: 'entry' | 'scheduler', settings: ProcessSettings) {
+    this.settings = settings;
+    this.#folder = mkdtempSync(join(tmpdir(), 'toucanline-'));
+    const file = join(this.#folder, 'settings.toml');
+    writeFileSync(file, stringify(settings));
+    this.#child = spawn(process.execPath, [programs[role], '--settings', file], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const note = (chunk: Buffer): void => {
+      this.#log.push(...chunk.toString('utf8').split('\n').filter(Boolean));
+      if (this.#log.length > maxLogLines) this.#log.splice(0, this.#log.length - maxLogLines);
+    };
+    this.#child.stdout?.on('data', note);
+    this.#child.stderr?.on('data', note);
+    this.#exit = new Promise((resolve) => {
+      this.#child.once('exit', (code) => {
+        rmSync(this.#folder, { recursive: true, force: true });
+        resolve(code);
+      });
+    });
+  }
+
+  /** Log lines, newest last. */
+  public get log(): readonly string[] {
+    return this.#log;
+  }
+
+  /** Base URL of the HTTP interface. */
+  public get url(): string {
+    const { host, port } = this.settings.http;
+    return `http://${host}:${port}`;
+  }
+
+  /** Process id. */
+  public get pid(): number {
+    return this.#child.pid ?? 0;
+  }
+
+  /** Exit code once the process ended; null if a signal ended it. */
+  public get exit(): Promise<number | null> {
+    return this.#exit;
+  }
+
+  /**
+   * Waits until the process answers a health endpoint with 200.
+   *
+   * @param path - path of the endpoint
+   * @throws Error if it does not within the start timeout
+   */
+  public async waitUntilHealthy(path = '/readyz'): Promise<void> {
+    const endsAt = performance.now() + startTimeoutMs;
+    while (performance.now() < endsAt) {
+      try {
+        const response = await fetch(this.url + path);
+        await response.text();
+        if (response.ok) return;
+      } catch {
+        // Not listening yet.
+      }
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+    throw new Error(`${this.settings.process} is not healthy:\n${this.#log.slice(-20).join('\n')}`);
+  }
+
+  /**
+   * Sends a signal.
+   *
+   * @param signal - SIGTERM stops gracefully, SIGKILL kills, SIGSTOP pauses, SIGCONT continues
+   */
+  public signal(signal: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'): void {
+    this.#child.kill(signal);
+  }
+}
--- /dev/null
+++ b/packages-private/testkit/src/HostListFake.ts
@@ -0,0 +1,57 @@
+import type { IncomingMessage } from 'node:http';
+import type { HostRecord } from '@toucanline/schema';
+import { HttpFake } from './HttpFake.js';
+
+/** The platform's host list in memory. Its readers see changes after a lag. */
+export class HostListFake extends HttpFake {
+  readonly #hosts = new Map<string, HostRecord>();
+  #visible: readonly HostRecord[] = [];
+  #lagMs = 0;
+
+  public constructor() {
+    super();
+  }
+
+  /**
+   * Sets the lag of further changes.
+   *
+   * @param lagMs - milliseconds
+   */
+  public setLag(lagMs: number): void {
+    this.#lagMs = lagMs;
+  }
+
+  /**
+   * Adds or changes a host.
+   *
+   * @param host - its record
+   */
+  public put(host: HostRecord): void {
+    this.#hosts.set(host.id, host);
+    this.#publish();
+  }
+
+  /**
+   * Removes a host.
+   *
+   * @param id - name of the host
+   */
+  public remove(id: string): void {
+    this.#hosts.delete(id);
+    this.#publish();
+  }
+
+  /** {@inheritDoc HttpFake.handle} */
+  protected override handle(
+    request: IncomingMessage,
+  ): Promise<{ readonly status: number; readonly body: unknown }> {
+    if (request.url !== '/v1/hosts') return Promise.resolve({ status: 404, body: {} });
+    return Promise.resolve({ status: 200, body: { hosts: this.#visible } });
+  }
+
+  #publish(): void {
+    const hosts = [...this.#hosts.values()];
+    if (this.#lagMs === 0) this.#visible = hosts;
+    else setTimeout(() => (this.#visible = hosts), this.#lagMs);
+  }
+}
--- /dev/null
+++ b/packages-private/testkit/src/HttpFake.ts
@@ -0,0 +1,91 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { HttpFault } from './HttpFault.js';
+import { sleep } from './sleep.js';
+
+/** An HTTP interface of the platform on loopback, with faults. */
+export abstract class HttpFake {
+  readonly #server: Server;
+  #port = 0;
+  #fault: HttpFault = 'none';
+  #delayMs = 0;
+  #calls = 0;
+
+  protected constructor() {
+    this.#server = createServer((request, response) => {
+      void this.#serve(request, response);
+    });
+  }
+
+  /** IP and port. */
+  public get address(): string {
+    return `127.0.0.1:${this.#port}`;
+  }
+
+  /** Base URL. */
+  public get url(): string {
+    return `http://${this.address}`;
+  }
+
+  /** Calls so far. */
+  public get calls(): number {
+    return this.#calls;
+  }
+
+  /**
+   * Sets the fault that each further call meets.
+   *
+   * @param fault - `down` closes connections, `hang` never answers, `loseAnswers` acts without answering
+   * @param delayMs - delay of each answer, in milliseconds
+   */
+  public setFault(fault: HttpFault, delayMs = 0): void {
+    this.#fault = fault;
+    this.#delayMs = delayMs;
+  }
+
+  /**
+   * Starts to listen on a free port of loopback.
+   *
+   * @returns once the port is bound
+   */
+  public start(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.listen(this.#port, '127.0.0.1', () => {
+        this.#port = (this.#server.address() as AddressInfo).port;
+        resolve();
+      });
+    });
+  }
+
+  /** Stops to listen and closes all connections. */
+  public stop(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  /**
+   * Handles one call.
+   *
+   * @param request - the HTTP request
+   * @returns status and JSON body
+   */
+  protected abstract handle(
+    request: IncomingMessage,
+  ): Promise<{ readonly status: number; readonly body: unknown }>;
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.#calls += 1;
+    const fault = this.#fault;
+    if (fault === 'down') request.socket.destroy();
+    if (fault === 'down' || fault === 'hang') return;
+    if (this.#delayMs > 0) await sleep(this.#delayMs);
+    const { status, body } = await this.handle(request);
+    if (fault === 'loseAnswers' && request.method !== 'GET') {
+      request.socket.destroy();
+      return;
+    }
+    if (response.destroyed) return;
+    response.writeHead(status, { 'content-type': 'application/json' });
+    response.end(JSON.stringify(body));
+  }
+}
--- /dev/null
+++ b/packages-private/testkit/src/Ledger.ts
@@ -0,0 +1,137 @@
+import { addResources, coversResources, subtractResources, zeroResources } from '@toucanline/core';
+import type { Assignment, Resources } from '@toucanline/schema';
+
+/** Time after which a leaving worker must get nothing new, in milliseconds. */
+const leavingGraceMs = 3000;
+
+/** A running task as the workers see it. */
+interface Running {
+  readonly worker: string;
+  readonly assignment: Assignment;
+}
+
+/** Checks the promises over all workers, from what the workers themselves see. */
+export class Ledger {
+  readonly #running = new Map<string, Running>();
+  readonly #started = new Map<string, number>();
+  readonly #use = new Map<string, Resources>();
+  readonly #leavingSince = new Map<string, number>();
+  readonly #violations: string[] = [];
+  #limits: ReadonlyMap<string, Resources> = new Map();
+
+  /** Broken promises, one sentence each. */
+  public get violations(): readonly string[] {
+    return this.#violations;
+  }
+
+  /** Tasks that run now. */
+  public get running(): readonly Running[] {
+    return [...this.#running.values()];
+  }
+
+  /**
+   * Sets the limit of each team over the whole fleet.
+   *
+   * @param limits - limit per team
+   */
+  public setLimits(limits: ReadonlyMap<string, Resources>): void {
+    this.#limits = limits;
+  }
+
+  /**
+   * Counts how often tasks of a request started.
+   *
+   * @param requestId - identifier of the request
+   * @returns number of starts
+   */
+  public countStarts(requestId: string): number {
+    let count = 0;
+    for (const [name, starts] of this.#started)
+      if (name.startsWith(`${requestId}/`)) count += starts;
+    return count;
+  }
+
+  /**
+   * Reads the running work of a team over all workers.
+   *
+   * @param team - name of the team
+   * @returns its declared size
+   */
+  public readUse(team: string): Resources {
+    return this.#use.get(team) ?? zeroResources;
+  }
+
+  /**
+   * Notes that a worker is leaving.
+   *
+   * @param worker - name of the worker
+   */
+  public noteLeaving(worker: string): void {
+    this.#leavingSince.set(worker, performance.now());
+  }
+
+  /**
+   * Notes a start and checks the promises that it may break.
+   *
+   * @param worker - name of the worker
+   * @param assignment - the task
+   */
+  public noteStart(worker: string, assignment: Assignment): void {
+    const { request, index } = assignment;
+    const name = `${request.id}/${index}`;
+    const other = this.#running.get(name);
+    if (other !== undefined) this.#report(`${name} runs on ${other.worker} and ${worker}`);
+    const starts = (this.#started.get(name) ?? 0) + 1;
+    this.#started.set(name, starts);
+    if (starts > 1 && !request.idempotent)
+      this.#report(`${name} is not idempotent and started twice`);
+    const leavingSince = this.#leavingSince.get(worker);
+    if (leavingSince !== undefined && performance.now() - leavingSince > leavingGraceMs) {
+      this.#report(`${name} started on leaving worker ${worker}`);
+    }
+    this.#running.set(name, { worker, assignment });
+    const use = addResources(this.readUse(request.team), request.size);
+    this.#use.set(request.team, use);
+    const limit = this.#limits.get(request.team);
+    if (limit !== undefined && !coversResources(limit, use)) {
+      this.#report(`team ${request.team} runs more than its limit: ${JSON.stringify(use)}`);
+    }
+  }
+
+  /**
+   * Notes that a task does not run any more.
+   *
+   * @param worker - name of the worker
+   * @param assignment - the task
+   */
+  public noteEnd(worker: string, assignment: Assignment): void {
+    const { request, index } = assignment;
+    const name = `${request.id}/${index}`;
+    if (this.#running.get(name)?.worker === worker) this.#running.delete(name);
+    this.#use.set(request.team, subtractResources(this.readUse(request.team), request.size));
+  }
+
+  /**
+   * Notes that a worker got more than it has room for.
+   *
+   * @param worker - name of the worker
+   * @param detail - what happened
+   */
+  public noteOverload(worker: string, detail: string): void {
+    this.#report(`worker ${worker} was given more than its room: ${detail}`);
+  }
+
+  /**
+   * Checks that a request, which was answered as not run, did not run.
+   *
+   * @param requestId - identifier of the request
+   */
+  public checkNotRun(requestId: string): void {
+    if (this.countStarts(requestId) > 0)
+      this.#report(`${requestId} was answered as not run but ran`);
+  }
+
+  #report(detail: string): void {
+    this.#violations.push(detail);
+  }
+}
--- /dev/null
+++ b/packages-private/testkit/src/ProxyFault.ts
@@ -0,0 +1,2 @@
+/** Faults of a TCP proxy. */
+export type ProxyFault = 'none' | 'cut' | 'silence' | 'blackhole';
--- /dev/null
+++ b/packages-private/testkit/src/Site.ts
@@ -0,0 +1,250 @@
+import { createHash } from 'node:crypto';
+import type { Key, Resources } from '@toucanline/schema';
+import { DaemonProcess } from './DaemonProcess.js';
+import { findFreePort } from './findFreePort.js';
+import { HostListFake } from './HostListFake.js';
+import { Ledger } from './Ledger.js';
+import { sleep } from './sleep.js';
+import { StoreFake } from './StoreFake.js';
+import { WorkerFake } from './WorkerFake.js';
+
+const environment = 'test';
+
+/** Key with all operator roles on every site of the testkit. */
+const operatorKey = 'operator-key-of-the-testkit';
+
+const hash = (text: string): string => createHash('sha256').update(text).digest('hex');
+
+/** What a site consists of. */
+interface SiteOptions {
+  /** Text of the configuration document. */
+  readonly document: string;
+  readonly dataCentres: readonly string[];
+  readonly entriesPerDataCentre: number;
+  readonly schedulersPerDataCentre: number;
+  readonly workersPerDataCentre: number;
+  readonly room?: Resources;
+  /** Teams that get a key with the name `key-TEAM`. */
+  readonly teams: readonly string[];
+  /** Addresses that the daemons use instead of those of the platform fakes. */
+  readonly platform?: { readonly store?: string; readonly hosts?: string };
+}
+
+/** A whole site on loopback: platform fakes in this process, daemons as real processes. */
+export class Site {
+  public readonly store = new StoreFake();
+  public readonly hosts = new HostListFake();
+  public readonly ledger = new Ledger();
+  readonly #options: SiteOptions;
+  readonly #workers: WorkerFake[] = [];
+  readonly #entries: DaemonProcess[] = [];
+  readonly #schedulers: DaemonProcess[] = [];
+
+  /** @param options - what the site consists of */
+  public constructor(options: SiteOptions) {
+    this.#options = options;
+  }
+
+  /** Workers of the site. */
+  public get workers(): readonly WorkerFake[] {
+    return this.#workers;
+  }
+
+  /** Entry processes, in the order of their start. */
+  public get entries(): readonly DaemonProcess[] {
+    return this.#entries;
+  }
+
+  /** Scheduler processes, in the order of their start. */
+  public get schedulers(): readonly DaemonProcess[] {
+    return this.#schedulers;
+  }
+
+  /** Headers of an operator. */
+  public get operatorHeaders(): Readonly<Record<string, string>> {
+    return { authorization: `Bearer ${operatorKey}` };
+  }
+
+  /**
+   * Starts everything.
+   *
+   * @returns once each shard has an owner and each entry is ready
+   */
+  public async start(): Promise<void> {
+    await Promise.all([this.store.start(), this.hosts.start()]);
+    this.putDocument(this.#options.document, 1);
+    this.putKeys(this.#options.teams, 1);
+    for (const dataCentre of this.#options.dataCentres) {
+      for (let index = 0; index < this.#options.workersPerDataCentre; index += 1) {
+        await this.addWorker(dataCentre, `w${index}-${dataCentre}`, `rack${index % 2}`);
+      }
+      for (let index = 0; index < this.#options.schedulersPerDataCentre; index += 1) {
+        await this.addScheduler(dataCentre, `s${index}-${dataCentre}`);
+      }
+      for (let index = 0; index < this.#options.entriesPerDataCentre; index += 1) {
+        await this.addEntry(dataCentre, `e${index}-${dataCentre}`);
+      }
+    }
+    const daemons = [...this.#schedulers, ...this.#entries];
+    await Promise.all(daemons.map((daemon) => daemon.waitUntilHealthy()));
+    await this.waitForOwners();
+  }
+
+  /** Ends all processes and fakes. */
+  public async stop(): Promise<void> {
+    const daemons = [...this.#entries, ...this.#schedulers];
+    for (const daemon of daemons) daemon.signal('SIGKILL');
+    await Promise.all(daemons.map((daemon) => daemon.exit));
+    for (const worker of this.#workers) worker.stop();
+    this.store.stop();
+    this.hosts.stop();
+  }
+
+  /**
+   * Puts a configuration document into the store.
+   *
+   * @param text - the document
+   * @param revision - its revision
+   */
+  public putDocument(text: string, revision: number): void {
+    const record = {
+      revision,
+      digest: hash(text),
+      author: 'testkit',
+      atMs: Date.now(),
+      token: `r${revision}`,
+      text,
+    };
+    this.store.put(`configuration/${environment}`, JSON.stringify(record));
+  }
+
+  /**
+   * Puts a key `key-TEAM` for each team into the store.
+   *
+   * @param teams - names of the teams
+   * @param revision - revision of the list
+   * @param withdrawn - teams whose key is withdrawn
+   */
+  public putKeys(
+    teams: readonly string[],
+    revision: number,
+    withdrawn: readonly string[] = [],
+  ): void {
+    const keys = teams.map((team): Key => ({
+      id: `k-${team}`,
+      hash: hash(`key-${team}`),
+      team,
+      roles: ['submit'],
+      grantedAtMs: 0,
+      ...(withdrawn.includes(team) ? { withdrawnAtMs: 1 } : {}),
+    }));
+    this.store.put(
+      `keys/${environment}`,
+      JSON.stringify({ revision, token: `k${revision}`, keys }),
+    );
+  }
+
+  /**
+   * Adds a worker.
+   *
+   * @param dataCentre - its data centre
+   * @param id - its name
+   * @param rack - its rack
+   * @param room - its capacity
+   * @returns the worker
+   */
+  public async addWorker(
+    dataCentre: string,
+    id: string,
+    rack: string,
+    room: Resources = this.#options.room ?? { processors: 16, memoryMb: 32_768, accelerators: 0 },
+  ): Promise<WorkerFake> {
+    const worker = new WorkerFake({ id, dataCentre, rack, room }, this.ledger);
+    await worker.start();
+    this.#workers.push(worker);
+    this.hosts.put(worker.host);
+    return worker;
+  }
+
+  /**
+   * Adds a scheduler process.
+   *
+   * @param dataCentre - its data centre
+   * @param process - its name
+   * @returns the process
+   */
+  public async addScheduler(dataCentre: string, process: string): Promise<DaemonProcess> {
+    const port = await findFreePort();
+    const address = `127.0.0.1:${port}`;
+    const daemon = new DaemonProcess('scheduler', {
+      ...(await this.#createSettings(dataCentre, process)),
+      link: { host: '127.0.0.1', port },
+    });
+    this.#schedulers.push(daemon);
+    this.hosts.put({ id: process, role: 'scheduler', state: 'live', dataCentre, address });
+    return daemon;
+  }
+
+  /**
+   * Adds an entry process.
+   *
+   * @param dataCentre - its data centre
+   * @param process - its name
+   * @returns the process
+   */
+  public async addEntry(dataCentre: string, process: string): Promise<DaemonProcess> {
+    const daemon = new DaemonProcess('entry', await this.#createSettings(dataCentre, process));
+    this.#entries.push(daemon);
+    return daemon;
+  }
+
+  /**
+   * Waits until a request to the first entry sees an owner for each shard.
+   *
+   * @param timeoutMs - longest wait in milliseconds
+   * @throws Error if an owner is missing when the time is over
+   */
+  public async waitForOwners(timeoutMs = 15_000): Promise<void> {
+    const endsAt = performance.now() + timeoutMs;
+    const wanted = this.#options.dataCentres.length;
+    while (performance.now() < endsAt) {
+      const status = (await this.readStatus()) as {
+        processes: readonly { shards: readonly { recovering: boolean }[] }[];
+      };
+      const shards = status.processes.flatMap((process) => process.shards);
+      if (shards.filter(({ recovering }) => !recovering).length >= wanted) return;
+      await sleep(100);
+    }
+    throw new Error('a shard has no owner');
+  }
+
+  /**
+   * Reads the status of the site from an entry.
+   *
+   * @param entry - the entry to ask; the first one if absent
+   * @returns the body of the response
+   */
+  public async readStatus(entry = this.#entries[0]): Promise<unknown> {
+    const response = await fetch(`${entry?.url ?? ''}/v1/status`, {
+      headers: this.operatorHeaders,
+    });
+    return response.json();
+  }
+
+  async #createSettings(
+    dataCentre: string,
+    process: string,
+  ): Promise<ConstructorParameters<typeof DaemonProcess>[1]> {
+    return {
+      environment,
+      process,
+      dataCentre,
+      http: { host: '127.0.0.1', port: await findFreePort() },
+      platform: {
+        store: this.#options.platform?.store ?? this.store.url,
+        hosts: this.#options.platform?.hosts ?? this.hosts.url,
+      },
+      operatorKeyHash: hash(operatorKey),
+    };
+  }
+}
--- /dev/null
+++ b/packages-private/testkit/src/WorkerFake.ts
@@ -0,0 +1,252 @@
+import { randomUUID } from 'node:crypto';
+import type { IncomingMessage } from 'node:http';
+import { addResources, coversResources } from '@toucanline/core';
+import {
+  validators,
+  type Authority,
+  type HostRecord,
+  type Renewal,
+  type Report,
+  type Resources,
+  type TaskCommand,
+  type TaskStart,
+  type WorkerRefusal,
+} from '@toucanline/schema';
+import { FakeTask } from './FakeTask.js';
+import { HttpFake } from './HttpFake.js';
+import type { Ledger } from './Ledger.js';
+import { readJson } from './readJson.js';
+
+/** Description of a worker of the testkit. */
+interface WorkerOptions {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly rack: string;
+  readonly room: Resources;
+  readonly acceleratorType?: string;
+  readonly speed?: number;
+}
+
+type Answer = Readonly<{ status: number; body: unknown }>;
+
+/** A worker of the platform in memory: runs tasks under a lease and fences by epoch. */
+export class WorkerFake extends HttpFake {
+  public readonly options: WorkerOptions;
+  readonly #ledger: Ledger;
+  readonly #tasks = new Map<string, FakeTask>();
+  readonly #pollers = new Set<() => void>();
+  readonly #timer: NodeJS.Timeout;
+  #bootId: string = randomUUID();
+  #bootedAt = performance.now();
+  #epoch = 0;
+  #owner = '';
+  #leaseUntil = 0;
+  #sequence = 1;
+  #leaving = false;
+  #failsAll = false;
+
+  /**
+   * @param options - the worker
+   * @param ledger - checks the promises over all workers
+   */
+  public constructor(options: WorkerOptions, ledger: Ledger) {
+    super();
+    this.options = options;
+    this.#ledger = ledger;
+    this.#timer = setInterval(() => {
+      this.#expireLease();
+    }, 50);
+  }
+
+  /** Record in the host list. */
+  public get host(): HostRecord {
+    const { id, dataCentre, rack } = this.options;
+    const state = this.#leaving ? 'leaving' : 'live';
+    return { id, role: 'worker', state, dataCentre, rack, address: this.address };
+  }
+
+  /** Number of running tasks. */
+  public get running(): number {
+    return this.#listRunning().length;
+  }
+
+  /** Makes the worker tell that it is leaving. */
+  public leave(): void {
+    this.#leaving = true;
+    this.#ledger.noteLeaving(this.options.id);
+    this.#wake();
+  }
+
+  /**
+   * Makes the worker fail every task that it starts.
+   *
+   * @param failsAll - whether tasks fail
+   */
+  public setFailsAll(failsAll: boolean): void {
+    this.#failsAll = failsAll;
+  }
+
+  /** Restarts the worker: its tasks are gone, its clock and boot id are new. */
+  public reboot(): void {
+    for (const task of this.#listRunning()) task.end('lapsed');
+    this.#tasks.clear();
+    this.#bootId = randomUUID();
+    this.#bootedAt = performance.now();
+    this.#epoch = 0;
+    this.#owner = '';
+    this.#leaseUntil = 0;
+    this.#sequence = 1;
+    this.#wake();
+  }
+
+  /** {@inheritDoc HttpFake.stop} */
+  public override stop(): void {
+    clearInterval(this.#timer);
+    for (const task of this.#listRunning()) task.end('lapsed');
+    super.stop();
+  }
+
+  /** {@inheritDoc HttpFake.handle} */
+  protected override async handle(request: IncomingMessage): Promise<Answer> {
+    const body = await readJson(request);
+    if (request.url === '/v1/tasks' && validators.TaskStart(body)) return this.#start(body);
+    if (request.url === '/v1/commands' && validators.TaskCommand(body)) return this.#command(body);
+    if (request.url === '/v1/renewals' && validators.Renewal(body)) return this.#renew(body);
+    return this.#refuse('malformed', 'invalid body');
+  }
+
+  get #now(): number {
+    return performance.now() - this.#bootedAt;
+  }
+
+  #listRunning(): readonly FakeTask[] {
+    return [...this.#tasks.values()].filter(({ state }) => state === 'running');
+  }
+
+  #refuse(refusal: WorkerRefusal['refusal'], detail: string): Answer {
+    const body: WorkerRefusal = { refusal, detail, epoch: this.#epoch, owner: this.#owner };
+    return { status: 409, body };
+  }
+
+  /** Fencing: accepts a higher epoch, or the same one from the same owner. */
+  #checkAuthority(authority: Authority): Answer | undefined {
+    const { epoch, owner, provisional, bootId } = authority;
+    const isSame = epoch === this.#epoch && owner === this.#owner;
+    if (epoch < this.#epoch || (epoch === this.#epoch && !isSame)) {
+      return this.#refuse('staleEpoch', `epoch ${epoch} of ${owner} is not above ${this.#epoch}`);
+    }
+    if (!isSame && provisional && this.#now < this.#leaseUntil) {
+      return this.#refuse('leaseHeld', `lease of ${this.#owner} has not expired`);
+    }
+    if (bootId !== '' && bootId !== this.#bootId) {
+      return this.#refuse('wrongBoot', 'the worker has restarted');
+    }
+    this.#epoch = epoch;
+    this.#owner = owner;
+    return undefined;
+  }
+
+  #start({ authority, assignment, latestStartAt, leaseUntil }: TaskStart): Answer {
+    const refused = this.#checkAuthority(authority);
+    if (refused !== undefined) return refused;
+    const { id, room } = this.options;
+    const { request, taskId } = assignment;
+    if (this.#tasks.has(taskId)) return this.#refuse('duplicate', `${taskId} is known`);
+    if (this.#now > latestStartAt) return this.#refuse('tooLate', 'the start window has passed');
+    if (this.#leaving) return this.#refuse('leaving', 'the worker is leaving');
+    if (this.#now >= Math.max(leaseUntil, this.#leaseUntil)) {
+      return this.#refuse('noLease', 'the worker has no valid lease');
+    }
+    let used = request.size;
+    for (const task of this.#listRunning()) used = addResources(used, task.assignment.request.size);
+    if (!coversResources(room, used)) {
+      this.#ledger.noteOverload(id, JSON.stringify(used));
+      return this.#refuse('noRoom', 'the worker is full');
+    }
+    const task = new FakeTask(assignment, this.options.speed ?? 1, () => {
+      if (task.state !== 'running') this.#ledger.noteEnd(id, assignment);
+      this.#noteChange(task);
+    });
+    this.#tasks.set(taskId, task);
+    this.#ledger.noteStart(id, assignment);
+    this.#noteChange(task);
+    if (this.#failsAll) task.end('failed', 'the worker is broken');
+    else task.run();
+    return { status: 200, body: {} };
+  }
+
+  #command({ authority, taskId, action }: TaskCommand): Answer {
+    const refused = this.#checkAuthority(authority);
+    if (refused !== undefined) return refused;
+    const task = this.#tasks.get(taskId);
+    if (task === undefined) return this.#refuse('unknownTask', `${taskId} is not known`);
+    if (action === 'stop') task.end('stopped');
+    else if (action === 'checkpoint') task.end('checkpointed');
+    else task.throttle();
+    return { status: 200, body: {} };
+  }
+
+  async #renew(renewal: Renewal): Promise<Answer> {
+    const refused = this.#checkAuthority(renewal.authority);
+    if (refused !== undefined) return refused;
+    this.#leaseUntil = Math.max(this.#leaseUntil, renewal.leaseUntil);
+    const isCurrent = this.#sequence <= renewal.acknowledged;
+    if (isCurrent && !renewal.full && renewal.waitMs > 0) await this.#waitForChange(renewal.waitMs);
+    return { status: 200, body: this.#report(renewal) };
+  }
+
+  #report({ acknowledged, full }: Renewal): Report {
+    const { id, dataCentre, rack, room, acceleratorType, speed } = this.options;
+    const tasks = [...this.#tasks.values()];
+    return {
+      worker: id,
+      bootId: this.#bootId,
+      clockMs: this.#now,
+      sequence: this.#sequence,
+      state: this.#leaving ? 'leaving' : 'live',
+      dataCentre,
+      rack,
+      room,
+      speed: speed ?? 1,
+      epoch: this.#epoch,
+      owner: this.#owner,
+      leaseUntil: this.#leaseUntil,
+      full,
+      tasks: full ? tasks.map((task) => task.describe()) : [],
+      changes: full
+        ? []
+        : tasks
+            .filter(({ sequence }) => sequence > acknowledged)
+            .map((task) => task.describeChange()),
+      ...(acceleratorType === undefined ? {} : { acceleratorType }),
+    };
+  }
+
+  #noteChange(task: FakeTask): void {
+    this.#sequence += 1;
+    task.setSequence(this.#sequence);
+    this.#wake();
+  }
+
+  #wake(): void {
+    for (const wake of [...this.#pollers]) wake();
+  }
+
+  #waitForChange(waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        clearTimeout(timer);
+        this.#pollers.delete(wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, waitMs);
+      this.#pollers.add(wake);
+    });
+  }
+
+  /** Tasks end with their lease. */
+  #expireLease(): void {
+    if (this.#now < this.#leaseUntil) return;
+    for (const task of this.#listRunning()) task.end('lapsed', 'the lease expired');
+  }
+}
--- /dev/null
+++ b/packages-private/testkit/src/index.ts
@@ -0,0 +1,16 @@
+/**
+ * Fakes of the platform, fault proxy, ledger and site launcher for tests.
+ *
+ * @packageDocumentation
+ */
+export { Caller } from './Caller.js';
+export { DaemonProcess } from './DaemonProcess.js';
+export { exampleDocument } from './exampleDocument.js';
+export { FaultProxy } from './FaultProxy.js';
+export { findFreePort } from './findFreePort.js';
+export { HostListFake } from './HostListFake.js';
+export { Ledger } from './Ledger.js';
+export { Site } from './Site.js';
+export { sleep } from './sleep.js';
+export { StoreFake } from './StoreFake.js';
+export { WorkerFake } from './WorkerFake.js';
--- /dev/null
+++ b/packages-private/testkit/src/sleep.ts
@@ -0,0 +1,10 @@
+/**
+ * Waits without blocking the loop.
+ *
+ * @param ms - duration in milliseconds
+ * @returns a promise that resolves after the duration
+ */
+export const sleep = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
--- /dev/null
+++ b/packages/core/src/EventRecorder.ts
@@ -0,0 +1,65 @@
+import type { Event, EventName } from '@toucanline/schema';
+import type { Clock } from './Clock.js';
+import type { EventDetail } from './EventDetail.js';
+import type { EventStream } from './EventStream.js';
+import { HybridClock } from './HybridClock.js';
+
+/** Events that a process keeps for the timeline. */
+const maxEvents = 20_000;
+
+/** Records the events of one process in a bounded ring buffer and emits them. */
+export class EventRecorder {
+  readonly #clock: HybridClock;
+  readonly #stream: EventStream;
+  readonly #process: string;
+  readonly #dataCentre: string;
+  readonly #events: Event[] = [];
+  #next = 0;
+
+  /**
+   * @param clock - source of the wall time
+   * @param stream - receives each event
+   * @param process - name of this process
+   * @param dataCentre - data centre of this process
+   */
+  public constructor(clock: Clock, stream: EventStream, process: string, dataCentre: string) {
+    this.#clock = new HybridClock(clock);
+    this.#stream = stream;
+    this.#process = process;
+    this.#dataCentre = dataCentre;
+  }
+
+  /**
+   * Records an event.
+   *
+   * @param name - what happened
+   * @param detail - the fields that apply
+   */
+  public record(name: EventName, detail: EventDetail = {}): void {
+    const event: Event = {
+      stamp: this.#clock.tick(),
+      process: this.#process,
+      dataCentre: this.#dataCentre,
+      name,
+      ...detail,
+    };
+    this.#events[this.#next] = event;
+    this.#next = (this.#next + 1) % maxEvents;
+    void this.#stream.emit('event', event);
+  }
+
+  /**
+   * Lists recorded events in the order of their stamps.
+   *
+   * @param sinceMs - wall time of the oldest event wanted, in milliseconds
+   * @param requestId - restricts the list to one request
+   * @returns the events that are still in the buffer
+   */
+  public list(sinceMs: number, requestId?: string): readonly Event[] {
+    const ordered = [...this.#events.slice(this.#next), ...this.#events.slice(0, this.#next)];
+    return ordered.filter(
+      (event) =>
+        event.stamp.wallMs >= sinceMs && (requestId === undefined || event.requestId === requestId),
+    );
+  }
+}
--- /dev/null
+++ b/packages/core/src/Fleet.ts
@@ -0,0 +1,127 @@
+import type { HostRecord, Report, Resources } from '@toucanline/schema';
+import { addResources } from './addResources.js';
+import type { ShardContext } from './ShardContext.js';
+import { WorkerRecord } from './WorkerRecord.js';
+import { zeroResources } from './zeroResources.js';
+
+/** All workers of a shard. */
+export class Fleet {
+  readonly #context: ShardContext;
+  readonly #workers = new Map<string, WorkerRecord>();
+  #version = 0;
+
+  /** @param context - what the parts of the shard share */
+  public constructor(context: ShardContext) {
+    this.#context = context;
+  }
+
+  /** Grows with each change that may let waiting work fit. */
+  public get version(): number {
+    return this.#version;
+  }
+
+  /** Known workers. */
+  public get workers(): readonly WorkerRecord[] {
+    return [...this.#workers.values()];
+  }
+
+  /** Capacity of all workers that reported. */
+  public get room(): Resources {
+    return this.#sum((worker) => (worker.isLapsed ? zeroResources : worker.room));
+  }
+
+  /** Free capacity of all workers that may take work. */
+  public get free(): Resources {
+    return this.#sum((worker) => (worker.isEligible ? worker.free : zeroResources));
+  }
+
+  /** Notes a change that may let waiting work fit. */
+  public touch(): void {
+    this.#version += 1;
+  }
+
+  /**
+   * Finds a worker.
+   *
+   * @param id - name of the worker
+   * @returns the worker, if known
+   */
+  public find(id: string): WorkerRecord | undefined {
+    return this.#workers.get(id);
+  }
+
+  /**
+   * Applies the host list. A worker that is no longer listed is kept until its lease has certainly
+   * expired, because the list lags.
+   *
+   * @param hosts - workers of this shard in the list
+   */
+  public applyHosts(hosts: readonly HostRecord[]): void {
+    const listed = new Set(hosts.map((host) => host.id));
+    for (const host of hosts) {
+      const known = this.#workers.get(host.id);
+      if (known === undefined) this.#addWorker(host);
+      else this.#updateWorker(known, host);
+    }
+    for (const worker of this.#workers.values()) {
+      const isGone = worker.isLapsed || !worker.hasReported;
+      if (listed.has(worker.id) || !isGone || worker.tasks.length > 0) continue;
+      this.#workers.delete(worker.id);
+      this.#context.recorder.record('workerLost', { worker: worker.id });
+    }
+  }
+
+  /**
+   * Applies the report of a worker to its record.
+   *
+   * @param worker - the worker
+   * @param report - its report
+   * @param sentAt - local monotonic time before the poll was sent, in milliseconds
+   */
+  public applyReport(worker: WorkerRecord, report: Report, sentAt: number): void {
+    const { recorder, clock, shard } = this.#context;
+    if (!worker.hasReported || worker.isLapsed) {
+      recorder.record('workerJoined', { worker: worker.id, shard });
+    }
+    const wasLeaving = worker.isLeaving;
+    worker.applyReport(report, sentAt, clock.now());
+    this.#noteLeaving(worker, wasLeaving, 'worker report');
+    this.touch();
+  }
+
+  /**
+   * Checks whether any known worker could run a task when empty.
+   *
+   * @param size - size of the task
+   * @param acceleratorType - required type of accelerator
+   * @returns true if one is large enough
+   */
+  public hasSuitableWorker(size: Resources, acceleratorType?: string): boolean {
+    for (const worker of this.#workers.values()) {
+      if (worker.isSuitable(size, acceleratorType)) return true;
+    }
+    return false;
+  }
+
+  #addWorker(host: HostRecord): void {
+    this.#workers.set(host.id, new WorkerRecord(host));
+    this.#context.emit({ effect: 'poll', worker: host.id });
+  }
+
+  #updateWorker(worker: WorkerRecord, host: HostRecord): void {
+    const wasLeaving = worker.isLeaving;
+    worker.setHost(host);
+    this.#noteLeaving(worker, wasLeaving, 'host list');
+  }
+
+  #noteLeaving(worker: WorkerRecord, wasLeaving: boolean, detail: string): void {
+    if (wasLeaving || !worker.isLeaving) return;
+    this.#context.recorder.record('workerLeaving', { worker: worker.id, detail });
+  }
+
+  #sum(read: (worker: WorkerRecord) => Resources): Resources {
+    let total = zeroResources;
+    for (const worker of this.#workers.values()) total = addResources(total, read(worker));
+    return total;
+  }
+}
--- /dev/null
+++ b/packages/core/src/Policy.ts
@@ -0,0 +1,120 @@
+import type { Document, QueueSection, Resources } from '@toucanline/schema';
+
+const defaultDeadlineSeconds = 600;
+const defaultRetries = 3;
+const defaultMaxWaiting = 10_000;
+
+/** The configuration document with its defaults filled in. */
+export class Policy {
+  readonly #document: Document;
+
+  /** @param document - a valid configuration document */
+  public constructor(document: Document) {
+    this.#document = document;
+  }
+
+  /** The document itself. */
+  public get document(): Document {
+    return this.#document;
+  }
+
+  /** Names of all shards, sorted. */
+  public get shards(): readonly string[] {
+    return Object.keys(this.#document.shards).sort();
+  }
+
+  /** Share of each team. */
+  public get weights(): ReadonlyMap<string, number> {
+    return new Map(Object.entries(this.#document.teams).map(([team, { share }]) => [team, share]));
+  }
+
+  /**
+   * Lists the shards of a data centre.
+   *
+   * @param dataCentre - name of the data centre
+   * @returns names of the shards
+   */
+  public listShards(dataCentre: string): readonly string[] {
+    return this.shards.filter((shard) => this.#document.shards[shard]?.dataCentre === dataCentre);
+  }
+
+  /**
+   * Finds the data centre of a shard.
+   *
+   * @param shard - name of the shard
+   * @returns name of the data centre, if the shard exists
+   */
+  public findDataCentre(shard: string): string | undefined {
+    return this.#document.shards[shard]?.dataCentre;
+  }
+
+  /**
+   * Finds a queue.
+   *
+   * @param queue - name of the queue
+   * @returns its section, if it exists
+   */
+  public findQueue(queue: string): QueueSection | undefined {
+    return Object.hasOwn(this.#document.queues, queue) ? this.#document.queues[queue] : undefined;
+  }
+
+  /**
+   * Reads the limit of a team over the whole fleet.
+   *
+   * @param team - name of the team
+   * @returns the limit; undefined if there is none
+   */
+  public findLimit(team: string): Resources | undefined {
+    return this.#document.teams[team]?.limit;
+  }
+
+  /**
+   * Reads the longest deadline of a queue.
+   *
+   * @param queue - name of the queue
+   * @returns milliseconds
+   */
+  public readDeadlineMs(queue: string): number {
+    return (this.findQueue(queue)?.deadlineSeconds ?? defaultDeadlineSeconds) * 1000;
+  }
+
+  /**
+   * Reads how often a task of a queue may be started again.
+   *
+   * @param queue - name of the queue
+   * @returns number of starts after the first one
+   */
+  public readRetries(queue: string): number {
+    return this.findQueue(queue)?.retries ?? defaultRetries;
+  }
+
+  /**
+   * Reads the bound on waiting requests per team and shard.
+   *
+   * @param queue - name of the queue
+   * @returns number of requests
+   */
+  public readMaxWaiting(queue: string): number {
+    return this.findQueue(queue)?.maxWaiting ?? defaultMaxWaiting;
+  }
+
+  /**
+   * Checks whether a task could run on any worker class of the document. Without classes nothing is
+   * known, and every size is possible.
+   *
+   * @param size - size of the task
+   * @param acceleratorType - required type of accelerator
+   * @returns true unless no class is large enough
+   */
+  public canEverFit(size: Resources, acceleratorType?: string): boolean {
+    const classes = Object.values(this.#document.workers ?? {});
+    if (classes.length === 0) return true;
+    return classes.some(
+      ({ room, acceleratorType: offered }) =>
+        (acceleratorType === undefined || acceleratorType === offered) &&
+        size.processors <= room.processors &&
+        size.memoryMb <= room.memoryMb &&
+        size.accelerators <= room.accelerators,
+    );
+  }
+}
--- /dev/null
+++ b/packages/core/src/Recovery.ts
@@ -0,0 +1,88 @@
+import type { Fleet } from './Fleet.js';
+import { periods } from './periods.js';
+import type { RequestRecord } from './RequestRecord.js';
+import type { ShardContext } from './ShardContext.js';
+
+/** Covers clock drift and the transport of the last lease that the previous owner granted. */
+const marginMs = 1000;
+
+/**
+ * The first phase of an ownership: until each worker has reported under the new epoch, or its lease to
+ * the previous owner has certainly expired, work that may be running already is held back.
+ */
+export class Recovery {
+  readonly #context: ShardContext;
+  readonly #fleet: Fleet;
+  readonly #startedAt: number;
+  readonly #held = new Set<RequestRecord>();
+  #hasHosts = false;
+  #complete = false;
+  #proven = false;
+
+  /**
+   * @param context - what the parts of the shard share
+   * @param fleet - workers of the shard
+   */
+  public constructor(context: ShardContext, fleet: Fleet) {
+    this.#context = context;
+    this.#fleet = fleet;
+    this.#startedAt = context.clock.now();
+  }
+
+  /** Whether the phase is over. */
+  public get isComplete(): boolean {
+    return this.#complete;
+  }
+
+  /**
+   * Whether every worker reported, so that whatever no worker reported was certainly not running when
+   * the ownership began.
+   */
+  public get isProven(): boolean {
+    return this.#proven;
+  }
+
+  /** Notes that the host list was read. */
+  public noteHosts(): void {
+    this.#hasHosts = true;
+  }
+
+  /**
+   * Holds a request back that an earlier owner may have started.
+   *
+   * @param record - the request
+   */
+  public hold(record: RequestRecord): void {
+    record.setReason('waits until the new owner of the shard knows what is running');
+    this.#held.add(record);
+  }
+
+  /**
+   * Ends the phase if all workers are accounted for.
+   *
+   * @returns the requests that were held back; undefined if the phase goes on or was over before
+   */
+  public finish(): readonly RequestRecord[] | undefined {
+    if (this.#complete || !this.#hasHosts) return undefined;
+    const missing = this.#fleet.workers.filter((worker) => !worker.hasReported);
+    const waitedMs = this.#context.clock.now() - this.#startedAt;
+    if (missing.length > 0 && waitedMs < periods.workerLeaseMs + marginMs) return undefined;
+    this.#complete = true;
+    this.#proven = missing.length === 0;
+    const { shard, epoch, recorder } = this.#context;
+    recorder.record('recoveryFinished', { shard, epoch, durationMs: waitedMs });
+    const held = [...this.#held];
+    this.#held.clear();
+    return held;
+  }
+
+  /**
+   * Stops holding a request back, because a worker reported it or it was cancelled.
+   *
+   * @param record - the request
+   * @returns true if it was held back
+   */
+  public release(record: RequestRecord): boolean {
+    return this.#held.delete(record);
+  }
+}
--- /dev/null
+++ b/packages/core/src/RequestLifecycle.ts
@@ -0,0 +1,281 @@
+import type { Failure, Request, RequestState, TaskCommand, TaskDelta } from '@toucanline/schema';
+import { createFailure } from './createFailure.js';
+import type { Fleet } from './Fleet.js';
+import { periods } from './periods.js';
+import type { Policy } from './Policy.js';
+import type { Recovery } from './Recovery.js';
+import { RequestRecord } from './RequestRecord.js';
+import type { RequestTable } from './RequestTable.js';
+import type { ShardContext } from './ShardContext.js';
+import type { StopPlan } from './StopPlan.js';
+import type { TaskRecord } from './TaskRecord.js';
+import type { WaitingQueue } from './WaitingQueue.js';
+import type { WorkerRecord } from './WorkerRecord.js';
+
+/** Parts of the shard that the lifecycle reads and changes. */
+interface LifecycleParts {
+  readonly fleet: Fleet;
+  readonly table: RequestTable;
+  readonly queue: WaitingQueue;
+  readonly recovery: Recovery;
+  readonly readPolicy: () => Policy;
+}
+
+/** Moves requests between their states: retries, ends, cancellations, deadlines. */
+export class RequestLifecycle {
+  readonly #context: ShardContext;
+  readonly #parts: LifecycleParts;
+
+  /**
+   * @param context - what the parts of the shard share
+   * @param parts - the parts to change
+   */
+  public constructor(context: ShardContext, parts: LifecycleParts) {
+    this.#context = context;
+    this.#parts = parts;
+  }
+
+  /**
+   * Adds a request that a worker reported and this owner does not know.
+   *
+   * @param request - the request as its task carries it
+   * @returns its record
+   */
+  public adoptRequest(request: Request): RequestRecord {
+    const record = new RequestRecord(request, this.#context.clock.now(), Infinity);
+    this.#parts.table.add(record);
+    return record;
+  }
+
+  /**
+   * Notes that a worker reported a task of a request.
+   *
+   * @param record - the request
+   */
+  public noteAdopted(record: RequestRecord): void {
+    this.#parts.recovery.release(record);
+    this.#parts.queue.remove(record);
+  }
+
+  /**
+   * Ends a request.
+   *
+   * @param record - the request
+   * @param state - final state
+   * @param failure - reason, unless it succeeded
+   */
+  public finish(record: RequestRecord, state: RequestState, failure?: Failure): void {
+    const { clock, invariant, recorder, emit } = this.#context;
+    if (record.isFinished) return;
+    this.#parts.queue.remove(record);
+    this.#parts.recovery.release(record);
+    record.finish(state, clock.now(), failure);
+    invariant.check(
+      record.activeTasks.length === 0,
+      () => `request ${record.id} ended as ${state} while a task was active`,
+    );
+    recorder.record('requestFinished', {
+      requestId: record.id,
+      team: record.request.team,
+      durationMs: clock.now() - record.arrivedAt,
+      detail: failure === undefined ? state : `${state}: ${failure.kind}: ${failure.detail}`,
+    });
+    emit({ effect: 'changed', requestId: record.id });
+    this.#writeFinish(record);
+  }
+
+  /**
+   * Cancels a request.
+   *
+   * @param record - the request
+   */
+  public cancel(record: RequestRecord): void {
+    if (record.isFinished) return;
+    this.#context.recorder.record('requestCancelled', { requestId: record.id });
+    this.stopRequest(record, {
+      next: 'cancelled',
+      failure: createFailure('cancelled', 'the request was cancelled'),
+    });
+  }
+
+  /**
+   * Stops all tasks of a request and then follows a plan.
+   *
+   * @param record - the request
+   * @param plan - what happens once all tasks have stopped
+   */
+  public stopRequest(record: RequestRecord, plan: StopPlan): void {
+    record.beginStop(plan);
+    this.#parts.queue.remove(record);
+    for (const task of record.activeTasks) {
+      const worker = this.#parts.fleet.find(task.worker);
+      if (worker === undefined || !task.isConfirmed || task.state === 'stopping') continue;
+      task.setState('stopping');
+      this.sendCommand(worker, task.id, 'stop');
+    }
+    this.#settle(record);
+  }
+
+  /**
+   * Sends a command for a task to its worker.
+   *
+   * @param worker - the worker
+   * @param taskId - identifier of the task
+   * @param action - what the worker shall do
+   */
+  public sendCommand(worker: WorkerRecord, taskId: string, action: TaskCommand['action']): void {
+    const { shard, epoch, owner, provisional, emit } = this.#context;
+    const authority = { shard, epoch, owner, provisional, bootId: worker.bootId };
+    emit({
+      effect: 'command',
+      worker: worker.id,
+      address: worker.address,
+      command: { authority, taskId, action },
+    });
+  }
+
+  /**
+   * Continues after a start was confirmed: a request that is being stopped stops this task too.
+   *
+   * @param record - the request
+   */
+  public settleStarted(record: RequestRecord): void {
+    if (record.stopPlan !== undefined) this.stopRequest(record, record.stopPlan);
+  }
+
+  /**
+   * Continues after a start certainly did not happen. It does not count against the retry budget.
+   *
+   * @param record - the request
+   */
+  public settleRefusedStart(record: RequestRecord): void {
+    if (record.stopPlan !== undefined) this.#settle(record);
+    else this.#requeue(record, false);
+  }
+
+  /**
+   * Continues after a task ended on its worker.
+   *
+   * @param record - the request
+   * @param task - the attempt
+   * @param change - how it ended
+   */
+  public settleEndedTask(record: RequestRecord, task: TaskRecord, change: TaskDelta): void {
+    if (change.state === 'succeeded') {
+      record.completeTask(task.assignment.index, change.output ?? '');
+      this.#settle(record);
+      return;
+    }
+    if (record.stopPlan !== undefined) {
+      this.#settle(record);
+      return;
+    }
+    const detail = change.detail ?? `task ${task.id} ended as ${change.state}`;
+    const wasPreempted = change.state === 'stopped' || change.state === 'checkpointed';
+    const mayRestart = record.request.idempotent || change.state === 'checkpointed';
+    if (wasPreempted && mayRestart) this.#retry(record, false);
+    else this.#fail(record, createFailure('workerRefused', detail), change.state === 'failed');
+  }
+
+  /**
+   * Continues after a task was lost with its worker: it certainly does not run any more, but nobody
+   * knows how far it came.
+   *
+   * @param record - the request
+   * @param task - the attempt
+   * @param failure - why it was lost
+   */
+  public settleLostTask(record: RequestRecord, task: TaskRecord, failure: Failure): void {
+    this.#context.recorder.record('taskStopped', {
+      requestId: record.id,
+      taskId: task.id,
+      worker: task.worker,
+      detail: failure.detail,
+    });
+    if (record.stopPlan !== undefined) this.#settle(record);
+    else if (record.request.idempotent) this.#fail(record, failure, false);
+    else this.#stopAndFail(record, failure);
+  }
+
+  /** Applies deadlines and forgets finished requests after their retention. */
+  public tick(): void {
+    const now = this.#context.clock.now();
+    for (const record of this.#parts.table.list()) {
+      if (record.isFinished) this.#forget(record, now);
+      else if (now >= record.deadlineAt) this.#expire(record);
+    }
+  }
+
+  #expire(record: RequestRecord): void {
+    const isServing = record.request.kind === 'service' && record.state === 'running';
+    if (isServing || record.stopPlan !== undefined) return;
+    const failure = createFailure('deadlinePassed', 'the deadline of the request passed');
+    this.stopRequest(record, { next: 'failed', failure });
+  }
+
+  #forget(record: RequestRecord, now: number): void {
+    const { finishedAt } = record;
+    if (finishedAt !== undefined && now - finishedAt > periods.retentionMs) {
+      this.#parts.table.remove(record);
+    }
+  }
+
+  #fail(record: RequestRecord, failure: Failure, charged: boolean): void {
+    const retries = this.#parts.readPolicy().readRetries(record.request.queue);
+    const mayRetry = record.request.idempotent && (!charged || record.retries < retries);
+    if (mayRetry) this.#retry(record, charged);
+    else this.#stopAndFail(record, failure);
+  }
+
+  #retry(record: RequestRecord, charged: boolean): void {
+    this.#context.recorder.record('taskRetried', { requestId: record.id });
+    if (record.request.kind === 'gang') this.stopRequest(record, { next: 'requeue', charged });
+    else this.#requeue(record, charged);
+  }
+
+  #stopAndFail(record: RequestRecord, failure: Failure): void {
+    this.stopRequest(record, { next: 'failed', failure });
+  }
+
+  #requeue(record: RequestRecord, charged: boolean): void {
+    const { clock, random, emit } = this.#context;
+    const exponent = Math.min(record.retries, 10);
+    const delay = Math.min(periods.firstRetryMs * 2 ** exponent, periods.maxRetryMs);
+    record.requeue(clock.now() + delay * (0.5 + random.next() / 2), charged);
+    this.#parts.queue.add(record);
+    emit({ effect: 'changed', requestId: record.id });
+  }
+
+  /** Follows the stop plan, or ends the request, once nothing is active. */
+  #settle(record: RequestRecord): void {
+    if (record.isFinished || record.activeTasks.length > 0) return;
+    if (record.isComplete) {
+      this.finish(record, 'succeeded');
+      return;
+    }
+    const plan = record.stopPlan;
+    if (plan === undefined) return;
+    if (plan.next === 'requeue') {
+      record.resetTasks();
+      this.#requeue(record, plan.charged ?? false);
+      return;
+    }
+    this.finish(record, this.#chooseEnd(record, plan), plan.failure);
+  }
+
+  #chooseEnd(record: RequestRecord, plan: StopPlan): RequestState {
+    if (plan.next === 'cancelled') return 'cancelled';
+    if (plan.failure?.kind === 'outcomeUnknown') return 'unknown';
+    return record.ran === 'no' ? 'refused' : 'failed';
+  }
+
+  #writeFinish(record: RequestRecord): void {
+    const { request } = record;
+    const isJournaled =
+      request.detached || (!request.idempotent && request.idempotencyKey !== undefined);
+    if (!isJournaled) return;
+    const { clock, emit } = this.#context;
+    const entry = { entry: 'finished', view: record.describe(), atMs: clock.wallTime() } as const;
+    emit({ effect: 'commit', ticket: 0, entry });
+  }
+}
--- /dev/null
+++ b/packages/core/src/RequestRecord.ts
@@ -0,0 +1,287 @@
+import type { Failure, Ran, Request, RequestState, RequestView } from '@toucanline/schema';
+import type { StopPlan } from './StopPlan.js';
+import type { TaskRecord } from './TaskRecord.js';
+
+const finalStates: ReadonlySet<RequestState> = new Set([
+  'succeeded',
+  'failed',
+  'cancelled',
+  'refused',
+  'unknown',
+]);
+
+/** One request as the shard owner knows it. */
+export class RequestRecord {
+  public readonly request: Request;
+  /** Local monotonic time of the arrival, in milliseconds. */
+  public readonly arrivedAt: number;
+  readonly #tasks = new Map<number, TaskRecord>();
+  readonly #outputs = new Map<number, string>();
+  readonly #done = new Set<number>();
+  #state: RequestState = 'waiting';
+  #deadlineAt: number;
+  #attempt = 0;
+  #ran: Ran = 'no';
+  #uncertainStarts = 0;
+  #retries = 0;
+  #notBefore = 0;
+  #finishedAt: number | undefined;
+  #reason: string | undefined;
+  #failure: Failure | undefined;
+  #stop: StopPlan | undefined;
+  #restored: RequestView | undefined;
+
+  /**
+   * @param request - the admitted request
+   * @param arrivedAt - local monotonic time of the arrival, in milliseconds
+   * @param deadlineAt - local monotonic time of the deadline, in milliseconds
+   */
+  public constructor(request: Request, arrivedAt: number, deadlineAt: number) {
+    this.request = request;
+    this.arrivedAt = arrivedAt;
+    this.#deadlineAt = deadlineAt;
+  }
+
+  /** Identifier of the request. */
+  public get id(): string {
+    return this.request.id;
+  }
+
+  /** Current state. */
+  public get state(): RequestState {
+    return this.#state;
+  }
+
+  /** Whether the state cannot change any more. */
+  public get isFinished(): boolean {
+    return finalStates.has(this.#state);
+  }
+
+  /** Local monotonic time of the deadline, in milliseconds. */
+  public get deadlineAt(): number {
+    return this.#deadlineAt;
+  }
+
+  /** Earliest local monotonic time of the next start, in milliseconds. */
+  public get notBefore(): number {
+    return this.#notBefore;
+  }
+
+  /** Local monotonic time of the end, in milliseconds. */
+  public get finishedAt(): number | undefined {
+    return this.#finishedAt;
+  }
+
+  /** Starts after the first one that were charged to the retry budget. */
+  public get retries(): number {
+    return this.#retries;
+  }
+
+  /** What happens once all tasks have stopped; undefined unless the request is being stopped. */
+  public get stopPlan(): StopPlan | undefined {
+    return this.#stop;
+  }
+
+  /** Whether the request ran, as far as it is known. */
+  public get ran(): Ran {
+    if (this.#ran === 'no' && this.#uncertainStarts > 0) return 'unknown';
+    return this.#ran;
+  }
+
+  /** Number of starts so far. */
+  public get attempt(): number {
+    return this.#attempt;
+  }
+
+  /** Attempts that may occupy a worker. */
+  public get activeTasks(): readonly TaskRecord[] {
+    return [...this.#tasks.values()].filter((task) => task.isActive);
+  }
+
+  /** Indexes of tasks that neither succeeded nor occupy a worker. */
+  public get pendingIndexes(): readonly number[] {
+    const pending: number[] = [];
+    for (let index = 0; index < this.request.tasks; index += 1) {
+      if (!this.#done.has(index) && this.#tasks.get(index)?.isActive !== true) pending.push(index);
+    }
+    return pending;
+  }
+
+  /** Whether all tasks succeeded. */
+  public get isComplete(): boolean {
+    return this.#done.size === this.request.tasks;
+  }
+
+  /**
+   * Sets the deadline again, for example when an entry resubmits an adopted request.
+   *
+   * @param deadlineAt - local monotonic time in milliseconds
+   */
+  public setDeadline(deadlineAt: number): void {
+    this.#deadlineAt = deadlineAt;
+  }
+
+  /**
+   * Notes why the request waits.
+   *
+   * @param reason - one sentence for the caller
+   */
+  public setReason(reason: string): void {
+    this.#reason = reason;
+  }
+
+  /**
+   * Begins to stop all tasks. An earlier plan is kept, except that a cancellation replaces a restart.
+   *
+   * @param plan - what happens once all tasks have stopped
+   */
+  public beginStop(plan: StopPlan): void {
+    if (this.#stop === undefined || this.#stop.next === 'requeue') this.#stop = plan;
+  }
+
+  /**
+   * Notes the current attempt of a task. The start is uncertain until it is confirmed or disproved.
+   *
+   * @param task - the attempt
+   */
+  public addTask(task: TaskRecord): void {
+    this.#tasks.set(task.assignment.index, task);
+    this.#attempt = Math.max(this.#attempt, task.assignment.attempt);
+    this.#uncertainStarts += 1;
+    this.#state = 'starting';
+    this.#reason = undefined;
+  }
+
+  /**
+   * Finds the current attempt of a task.
+   *
+   * @param index - index of the task
+   * @returns the attempt, if any
+   */
+  public findTask(index: number): TaskRecord | undefined {
+    return this.#tasks.get(index);
+  }
+
+  /**
+   * Notes that a worker started a task.
+   *
+   * @param task - the attempt
+   */
+  public confirmStart(task: TaskRecord): void {
+    if (!task.isConfirmed) this.#uncertainStarts -= 1;
+    task.confirm();
+    this.#ran = 'yes';
+    const areAllConfirmed = this.activeTasks.every(({ isConfirmed }) => isConfirmed);
+    if (areAllConfirmed && this.pendingIndexes.length === 0 && !this.isFinished) {
+      this.#state = 'running';
+    }
+  }
+
+  /**
+   * Notes the proof that a task did not start.
+   *
+   * @param task - the attempt
+   */
+  public disproveStart(task: TaskRecord): void {
+    if (task.isConfirmed) return;
+    this.#uncertainStarts -= 1;
+    task.setState('stopped');
+  }
+
+  /**
+   * Notes the success of a task.
+   *
+   * @param index - index of the task
+   * @param output - output of the task
+   */
+  public completeTask(index: number, output: string): void {
+    this.#done.add(index);
+    this.#outputs.set(index, output);
+  }
+
+  /** Forgets completed tasks, because a gang starts again as a whole. */
+  public resetTasks(): void {
+    this.#done.clear();
+    this.#outputs.clear();
+  }
+
+  /**
+   * Puts the request back into the queue.
+   *
+   * @param notBefore - earliest local monotonic time of the next start, in milliseconds
+   * @param charged - whether the start counts against the retry budget
+   */
+  public requeue(notBefore: number, charged: boolean): void {
+    this.#stop = undefined;
+    this.#state = 'waiting';
+    this.#notBefore = notBefore;
+    if (charged) this.#retries += 1;
+  }
+
+  /**
+   * Ends the request.
+   *
+   * @param state - final state
+   * @param now - local monotonic time in milliseconds
+   * @param failure - reason, unless the request succeeded
+   */
+  public finish(state: RequestState, now: number, failure?: Failure): void {
+    this.#state = state;
+    this.#finishedAt = now;
+    this.#failure = failure;
+    this.#reason = undefined;
+  }
+
+  /**
+   * Restores a finished request from the journal or from a snapshot.
+   *
+   * @param view - its last view
+   * @param now - local monotonic time in milliseconds
+   */
+  public restore(view: RequestView, now: number): void {
+    this.#restored = view;
+    this.#state = view.state;
+    this.#ran = view.ran;
+    this.#attempt = view.attempt;
+    this.#finishedAt = now;
+  }
+
+  /**
+   * Notes that an earlier owner may have started the request.
+   *
+   * @param attempt - highest attempt that is known
+   */
+  public markUncertain(attempt: number): void {
+    this.#uncertainStarts += 1;
+    this.#attempt = Math.max(this.#attempt, attempt);
+  }
+
+  /** Notes the proof that no earlier owner started the request. */
+  public clearUncertain(): void {
+    this.#uncertainStarts = 0;
+  }
+
+  /**
+   * Describes the request to its caller.
+   *
+   * @returns the view
+   */
+  public describe(): RequestView {
+    if (this.#restored !== undefined) return this.#restored;
+    const { id, team, queue, kind, tasks } = this.request;
+    const output = Array.from({ length: tasks }, (_, index) => this.#outputs.get(index) ?? '');
+    return {
+      id,
+      team,
+      queue,
+      kind,
+      state: this.#state,
+      ran: this.ran,
+      attempt: this.#attempt,
+      tasks: [...this.#tasks.values()].map((task) => task.describe()),
+      ...(this.#reason === undefined ? {} : { reason: this.#reason }),
+      ...(this.#state === 'succeeded' ? { output } : {}),
+      ...(this.#failure === undefined ? {} : { failure: this.#failure }),
+    };
+  }
+}
--- /dev/null
+++ b/packages/core/src/RevisionSync.ts
@@ -0,0 +1,85 @@
+import { validators, type Failure, type StoreValue } from '@toucanline/schema';
+import type { Result } from 'neverthrow';
+import type { Clock } from './Clock.js';
+import type { ConfigurationHolder } from './ConfigurationHolder.js';
+import type { KeyRing } from './KeyRing.js';
+import type { Store } from './Store.js';
+import { validateValue } from './validateValue.js';
+
+const watchMs = 2000;
+const idleReadMs = 5000;
+const retryMs = 500;
+
+/** What the synchronisation works with. */
+interface SyncParts {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly holder: ConfigurationHolder;
+  readonly keyRing: KeyRing;
+  /** Whether this process keeps a watch in the store; others read now and then and ask peers. */
+  readonly isWatcher: () => boolean;
+  /** Called after each newer revision. */
+  readonly onChange: () => void;
+}
+
+/** Keeps configuration and keys of a process up to date with the store. */
+export class RevisionSync {
+  readonly #parts: SyncParts;
+  readonly #environment: string;
+  #stopped = false;
+
+  /**
+   * @param parts - what the synchronisation works with
+   * @param environment - name of the environment
+   */
+  public constructor(parts: SyncParts, environment: string) {
+    this.#parts = parts;
+    this.#environment = environment;
+  }
+
+  /** Starts to follow both records. */
+  public start(): void {
+    const { holder, keyRing } = this.#parts;
+    void this.#follow(`configuration/${this.#environment}`, (data) => {
+      const parsed = validateValue(validators.Configuration, data, 'internal');
+      return parsed.isOk() && holder.apply(parsed.value).unwrapOr(false);
+    });
+    void this.#follow(`keys/${this.#environment}`, (data) => {
+      const parsed = validateValue(validators.KeyList, data, 'internal');
+      return parsed.isOk() && keyRing.apply(parsed.value);
+    });
+  }
+
+  /** Stops to follow. */
+  public stop(): void {
+    this.#stopped = true;
+  }
+
+  async #follow(key: string, apply: (data: unknown) => boolean): Promise<void> {
+    const { clock, onChange } = this.#parts;
+    let version = 0;
+    while (!this.#isStopped()) {
+      const result = await this.#readNext(key, version);
+      if (this.#isStopped()) return;
+      if (result.isErr()) {
+        await clock.sleep(retryMs);
+        continue;
+      }
+      const { value, version: newVersion } = result.value;
+      const isNewer = newVersion > version && value !== undefined;
+      version = newVersion;
+      if (isNewer && apply(JSON.parse(value))) onChange();
+      if (!this.#parts.isWatcher()) await clock.sleep(idleReadMs);
+    }
+  }
+
+  /** A method, because the compiler would take a field as unchanged over an await. */
+  #isStopped(): boolean {
+    return this.#stopped;
+  }
+
+  #readNext(key: string, version: number): Promise<Result<StoreValue, Failure>> {
+    const { store, isWatcher } = this.#parts;
+    return isWatcher() ? store.watch(key, version, watchMs) : store.read(key);
+  }
+}
--- /dev/null
+++ b/packages/core/src/Shard.ts
@@ -0,0 +1,531 @@
+import type {
+  Failure,
+  HostRecord,
+  JournalEntry,
+  Renewal,
+  Report,
+  RequestView,
+  Resources,
+  ShardLoad,
+  ShardStatus,
+  SubmitCall,
+  WorkerRefusal,
+} from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import { addResources } from './addResources.js';
+import { Admission } from './Admission.js';
+import { createFailure } from './createFailure.js';
+import { Dispatcher } from './Dispatcher.js';
+import type { Effect } from './Effect.js';
+import { FairShare } from './FairShare.js';
+import { Fleet } from './Fleet.js';
+import { isAnswered } from './isAnswered.js';
+import { periods } from './periods.js';
+import type { Policy } from './Policy.js';
+import { Recovery } from './Recovery.js';
+import { RequestLifecycle } from './RequestLifecycle.js';
+import { RequestRecord } from './RequestRecord.js';
+import { RequestTable } from './RequestTable.js';
+import type { ShardContext } from './ShardContext.js';
+import { TaskTracker } from './TaskTracker.js';
+import { TeamLedger } from './TeamLedger.js';
+import { WaitingQueue } from './WaitingQueue.js';
+import { zeroResources } from './zeroResources.js';
+
+/**
+ * The decisions for one shard under one ownership. Inputs are method calls; what the host process has
+ * to do comes out as effects. It does no I/O.
+ */
+export class Shard {
+  readonly #context: ShardContext;
+  readonly #address: string;
+  readonly #fleet: Fleet;
+  readonly #table = new RequestTable();
+  readonly #queue = new WaitingQueue();
+  readonly #ledger = new TeamLedger();
+  readonly #fairShare = new FairShare();
+  readonly #recovery: Recovery;
+  readonly #admission: Admission;
+  readonly #lifecycle: RequestLifecycle;
+  readonly #tracker: TaskTracker;
+  readonly #dispatcher: Dispatcher;
+  readonly #commits = new Map<number, RequestRecord>();
+  #effects: Effect[] = [];
+  #nextTicket = 1;
+  #policy: Policy;
+
+  /**
+   * @param context - identity of the ownership and the operations of the host process
+   * @param address - link address of the owner, told to peers
+   * @param policy - policy in effect
+   */
+  public constructor(context: Omit<ShardContext, 'emit'>, address: string, policy: Policy) {
+    this.#context = { ...context, emit: (effect) => this.#effects.push(effect) };
+    this.#address = address;
+    this.#policy = policy;
+    this.#fleet = new Fleet(this.#context);
+    this.#recovery = new Recovery(this.#context, this.#fleet);
+    const fleet = this.#fleet;
+    const recovery = this.#recovery;
+    const table = this.#table;
+    const queue = this.#queue;
+    const ledger = this.#ledger;
+    this.#admission = new Admission({ fleet, queue, recovery });
+    const readPolicy = (): Policy => this.#policy;
+    this.#lifecycle = new RequestLifecycle(this.#context, {
+      fleet,
+      table,
+      queue,
+      recovery,
+      readPolicy,
+    });
+    const lifecycle = this.#lifecycle;
+    this.#tracker = new TaskTracker(this.#context, { fleet, table, ledger, lifecycle });
+    const fairShare = this.#fairShare;
+    this.#dispatcher = new Dispatcher(this.#context, { fleet, queue, ledger, fairShare, recovery });
+    this.applyPolicy(policy);
+  }
+
+  /** Epoch of this ownership. */
+  public get epoch(): number {
+    return this.#context.epoch;
+  }
+
+  /** Name of the shard. */
+  public get name(): string {
+    return this.#context.shard;
+  }
+
+  /** Whether all workers are accounted for. */
+  public get isRecovered(): boolean {
+    return this.#recovery.isComplete;
+  }
+
+  /**
+   * Takes the effects that were decided since the last call.
+   *
+   * @returns the effects in the order of their decision
+   */
+  public takeEffects(): readonly Effect[] {
+    const effects = this.#effects;
+    this.#effects = [];
+    return effects;
+  }
+
+  /**
+   * Applies a new revision of the document.
+   *
+   * @param policy - policy in effect
+   */
+  public applyPolicy(policy: Policy): void {
+    this.#policy = policy;
+    this.#fairShare.setWeights(policy.weights);
+    this.#fleet.touch();
+  }
+
+  /**
+   * Applies the host list.
+   *
+   * @param hosts - workers of this shard
+   */
+  public applyHosts(hosts: readonly HostRecord[]): void {
+    this.#fleet.applyHosts(hosts);
+    this.#recovery.noteHosts();
+  }
+
+  /**
+   * Sets what each team may run here.
+   *
+   * @param allotments - allotment per team with a limit
+   */
+  public applyAllotments(allotments: ReadonlyMap<string, Resources>): void {
+    this.#ledger.setAllotments(allotments);
+  }
+
+  /**
+   * Applies what the owners of other shards told.
+   *
+   * @param loads - newest load of each other shard
+   */
+  public applyLoads(loads: readonly ShardLoad[]): void {
+    let capacity = this.#fleet.room;
+    const use = new Map<string, Resources>();
+    for (const load of loads) {
+      capacity = addResources(capacity, load.room);
+      for (const [team, amount] of Object.entries(load.use)) {
+        use.set(team, addResources(use.get(team) ?? zeroResources, amount));
+      }
+    }
+    this.#fairShare.setFleet(capacity, use);
+  }
+
+  /**
+   * Loads the journal of earlier owners.
+   *
+   * @param entries - entries, oldest first
+   */
+  public loadJournal(entries: readonly JournalEntry[]): void {
+    const { clock } = this.#context;
+    for (const entry of entries) {
+      if (entry.entry === 'accepted') {
+        const left = entry.deadlineAtMs - clock.wallTime();
+        const record = new RequestRecord(entry.request, clock.now(), clock.now() + left);
+        this.#table.add(record);
+        this.#recovery.hold(record);
+      } else if (entry.entry === 'intent') {
+        this.#table.find(entry.requestId)?.markUncertain(1);
+      } else {
+        const record = this.#table.find(entry.view.id);
+        if (record === undefined) continue;
+        this.#recovery.release(record);
+        record.restore(entry.view, clock.now());
+      }
+    }
+  }
+
+  /**
+   * Takes a request from an entry. The same request handed in again returns its current state.
+   *
+   * @param call - the request
+   * @returns its state; or the reason why it was not taken, which proves that it did not run
+   */
+  public submit(call: SubmitCall): Result<RequestView, Failure> {
+    const { request, remainingMs, heldEpoch } = call;
+    const { clock, recorder, shard, epoch } = this.#context;
+    const earlier = this.#table.findEarlier(request);
+    if (earlier !== undefined) return this.#rejoin(earlier, call);
+    const checked = this.#admission.check(this.#policy, call);
+    if (checked.isErr()) {
+      const { kind, detail } = checked.error;
+      recorder.record('requestRefused', { requestId: request.id, detail: `${kind}: ${detail}` });
+      return err(checked.error);
+    }
+    const record = new RequestRecord(request, clock.now(), clock.now() + remainingMs);
+    this.#table.add(record);
+    recorder.record('requestAdmitted', { requestId: request.id, team: request.team, shard });
+    const isJournaled =
+      request.detached || (!request.idempotent && request.idempotencyKey !== undefined);
+    const wasHeld = heldEpoch !== undefined && heldEpoch < epoch;
+    if (wasHeld) record.markUncertain(1);
+    if (isJournaled) this.#commitAccepted(record);
+    else this.#enqueue(record);
+    return ok(record.describe());
+  }
+
+  /**
+   * Whether the acceptance of a request still waits for its commit.
+   *
+   * @param requestId - identifier of the request
+   * @returns true until the journal confirmed it
+   */
+  public isCommitting(requestId: string): boolean {
+    for (const record of this.#commits.values()) if (record.id === requestId) return true;
+    return false;
+  }
+
+  /**
+   * Confirms a commit.
+   *
+   * @param ticket - ticket of the effect
+   * @param failure - why the entry is not in the journal, unless it is
+   */
+  public confirmCommit(ticket: number, failure?: Failure): void {
+    if (ticket < 0) {
+      this.#confirmIntent(ticket, failure);
+      return;
+    }
+    const record = this.#commits.get(ticket);
+    if (record === undefined) return;
+    this.#commits.delete(ticket);
+    if (failure === undefined) this.#enqueue(record);
+    else this.#lifecycle.finish(record, 'refused', failure);
+    this.#context.emit({ effect: 'changed', requestId: record.id });
+  }
+
+  /**
+   * Reads the state of a request.
+   *
+   * @param requestId - identifier of the request
+   * @param team - team of the caller; undefined for an operator
+   * @returns the state; `unknownRequest` if there is none that the caller may see
+   */
+  public read(requestId: string, team?: string): Result<RequestView, Failure> {
+    return this.#find(requestId, team).map((record) => record.describe());
+  }
+
+  /**
+   * Checks whether waiting longer for a request makes sense.
+   *
+   * @param requestId - identifier of the request
+   * @returns false while the request is known and not answered
+   */
+  public isSettled(requestId: string): boolean {
+    const record = this.#table.find(requestId);
+    return record === undefined || isAnswered(record.describe());
+  }
+
+  /**
+   * Cancels a request.
+   *
+   * @param requestId - identifier of the request
+   * @param team - team of the caller; undefined for an operator
+   * @returns the state after the cancellation began
+   */
+  public cancel(requestId: string, team?: string): Result<RequestView, Failure> {
+    return this.#find(requestId, team).map((record) => {
+      this.#lifecycle.cancel(record);
+      return record.describe();
+    });
+  }
+
+  /**
+   * Starts or ends an operator's drain of a worker.
+   *
+   * @param workerId - name of the worker
+   * @param drained - whether it shall take no new work
+   * @returns nothing, or `unknownWorker`
+   */
+  public drain(workerId: string, drained: boolean): Result<void, Failure> {
+    const worker = this.#fleet.find(workerId);
+    if (worker === undefined) {
+      return err(createFailure('unknownWorker', `no worker ${workerId} in ${this.name}`));
+    }
+    worker.setDrained(drained);
+    this.#fleet.touch();
+    this.#context.recorder.record('workerLeaving', {
+      worker: workerId,
+      detail: drained ? 'drained by an operator' : 'drain ended by an operator',
+    });
+    return ok(undefined);
+  }
+
+  /**
+   * Creates the next renewal for a worker.
+   *
+   * @param workerId - name of the worker
+   * @returns address and message; undefined if the worker left the fleet
+   */
+  public createRenewal(
+    workerId: string,
+  ): { readonly address: string; readonly renewal: Renewal } | undefined {
+    const worker = this.#fleet.find(workerId);
+    if (worker === undefined) return undefined;
+    const { shard, epoch, owner, provisional, clock } = this.#context;
+    const isKnown = worker.clock !== undefined && !worker.isLapsed;
+    const lowerBound = worker.clock?.readLowerBound(clock.now()) ?? 0;
+    const leaseUntil = isKnown ? lowerBound + periods.workerLeaseMs : 0;
+    if (isKnown) worker.grantLease(leaseUntil);
+    return {
+      address: worker.address,
+      renewal: {
+        authority: { shard, epoch, owner, provisional, bootId: isKnown ? worker.bootId : '' },
+        leaseUntil,
+        acknowledged: isKnown ? worker.sequence : 0,
+        full: worker.wantsFull,
+        waitMs: isKnown && !worker.wantsFull ? periods.workerRenewalMs : 0,
+      },
+    };
+  }
+
+  /**
+   * Applies the report of a worker.
+   *
+   * @param workerId - name of the worker
+   * @param report - the report
+   * @param sentAt - local monotonic time before the renewal was sent, in milliseconds
+   */
+  public applyReport(workerId: string, report: Report, sentAt: number): void {
+    const worker = this.#fleet.find(workerId);
+    if (worker === undefined) return;
+    if (report.epoch > this.epoch) {
+      this.#standDown(`worker ${workerId} accepted epoch ${report.epoch}`);
+      return;
+    }
+    this.#tracker.applyReport(worker, report, sentAt);
+    this.#finishRecovery();
+  }
+
+  /**
+   * Applies a worker's refusal of a renewal.
+   *
+   * @param workerId - name of the worker
+   * @param refusal - the refusal
+   */
+  public applyRefusal(workerId: string, refusal: WorkerRefusal): void {
+    if (refusal.refusal === 'staleEpoch') this.#standDown(`worker ${workerId}: ${refusal.detail}`);
+    else this.#fleet.find(workerId)?.requestFull();
+  }
+
+  /**
+   * Applies the response to a start command.
+   *
+   * @param requestId - identifier of the request
+   * @param index - index of the task
+   * @param taskId - identifier of the attempt
+   * @param response - undefined if accepted; a refusal; or a failure if the outcome is unknown
+   */
+  public applyStartResponse(
+    requestId: string,
+    index: number,
+    taskId: string,
+    response?: WorkerRefusal | Failure,
+  ): void {
+    const task = this.#table.find(requestId)?.findTask(index);
+    if (task?.id === taskId) this.#tracker.applyStartResponse(task, response);
+    if (response !== undefined && 'refusal' in response && response.refusal === 'staleEpoch') {
+      this.#standDown(response.detail);
+    }
+  }
+
+  /** Applies the passage of time: expired leases, deadlines, retention, the end of recovery. */
+  public tick(): void {
+    this.#tracker.expireLeases();
+    this.#lifecycle.tick();
+    this.#finishRecovery();
+  }
+
+  /**
+   * Starts waiting work.
+   *
+   * @param maxStarts - bound on the requests started in one call
+   * @returns true if more could start
+   */
+  public dispatch(maxStarts: number): boolean {
+    return this.#dispatcher.run(maxStarts);
+  }
+
+  /**
+   * Describes the shard to peers.
+   *
+   * @returns the load
+   */
+  public describeLoad(): ShardLoad {
+    const { shard, dataCentre, epoch, owner } = this.#context;
+    return {
+      shard,
+      dataCentre,
+      epoch,
+      owner,
+      address: this.#address,
+      waiting: this.#queue.size,
+      free: this.#fleet.free,
+      room: this.#fleet.room,
+      use: Object.fromEntries(this.#ledger.use),
+      demand: Object.fromEntries(this.#queue.demand),
+    };
+  }
+
+  /**
+   * Describes the shard to operators.
+   *
+   * @returns the status
+   */
+  public describeStatus(): ShardStatus {
+    const { shard, dataCentre, epoch, owner, provisional } = this.#context;
+    const workers = this.#fleet.workers.map((worker) => worker.describe());
+    const names = new Set([
+      ...this.#ledger.use.keys(),
+      ...Object.keys(this.#policy.document.teams),
+    ]);
+    const teams = [...names].map((team) => {
+      const allotment = this.#ledger.readAllotment(team);
+      return {
+        team,
+        use: this.#ledger.readUse(team),
+        demand: this.#queue.demand.get(team) ?? zeroResources,
+        waiting: this.#queue.countTeam(team),
+        ...(allotment === undefined ? {} : { allotment }),
+      };
+    });
+    return {
+      shard,
+      dataCentre,
+      epoch,
+      owner,
+      provisional,
+      recovering: !this.isRecovered,
+      waiting: this.#queue.size,
+      running: workers.reduce((sum, { tasks }) => sum + tasks, 0),
+      workers,
+      teams,
+    };
+  }
+
+  #find(requestId: string, team?: string): Result<RequestRecord, Failure> {
+    const record = this.#table.find(requestId);
+    if (record === undefined || (team !== undefined && record.request.team !== team)) {
+      return err(createFailure('unknownRequest', `no request ${requestId}`));
+    }
+    return ok(record);
+  }
+
+  #rejoin(
+    record: RequestRecord,
+    { request, remainingMs }: SubmitCall,
+  ): Result<RequestView, Failure> {
+    const isSameBody = record.request.digest === request.digest;
+    if (!isSameBody || record.request.queue !== request.queue) {
+      const detail = 'the idempotency key was used with another request body or queue';
+      return err(createFailure('conflictingKey', detail));
+    }
+    if (record.deadlineAt === Infinity) {
+      record.setDeadline(this.#context.clock.now() + remainingMs);
+    }
+    return ok(record.describe());
+  }
+
+  #commitAccepted(record: RequestRecord): void {
+    const { clock, emit } = this.#context;
+    const ticket = this.#nextTicket;
+    this.#nextTicket += 1;
+    this.#commits.set(ticket, record);
+    const left = record.deadlineAt - clock.now();
+    const entry = {
+      entry: 'accepted',
+      request: record.request,
+      deadlineAtMs: clock.wallTime() + left,
+    } as const;
+    emit({ effect: 'commit', ticket, entry });
+  }
+
+  #confirmIntent(ticket: number, failure?: Failure): void {
+    const task = this.#dispatcher.confirmIntent(ticket);
+    if (task?.isActive !== true) return;
+    const record = this.#table.find(task.assignment.request.id);
+    if (record === undefined) return;
+    if (failure === undefined && this.#dispatcher.sendStart(task)) return;
+    this.#tracker.disproveStart(record, task, failure?.detail ?? 'the worker left the fleet');
+  }
+
+  /** Queues a request, or holds it back while an earlier owner may have it running. */
+  #enqueue(record: RequestRecord): void {
+    if (record.isFinished || record.stopPlan !== undefined) return;
+    const mayRunAlready = record.ran !== 'no' || record.request.idempotencyKey !== undefined;
+    if (mayRunAlready && !this.#recovery.isComplete) this.#recovery.hold(record);
+    else this.#release(record);
+  }
+
+  /** Lets a held request go on: only proof or idempotence permits a start. */
+  #release(record: RequestRecord): void {
+    if (record.isFinished || record.activeTasks.length > 0) return;
+    if (this.#recovery.isProven || record.request.idempotent) {
+      record.clearUncertain();
+      this.#queue.add(record);
+      return;
+    }
+    const detail = 'a worker that may have run the request cannot be reached';
+    if (record.ran === 'no') this.#queue.add(record);
+    else this.#lifecycle.finish(record, 'unknown', createFailure('outcomeUnknown', detail));
+  }
+
+  #finishRecovery(): void {
+    const held = this.#recovery.finish();
+    if (held === undefined) return;
+    for (const record of held) this.#release(record);
+    this.#fleet.touch();
+  }
+
+  #standDown(detail: string): void {
+    this.#context.emit({ effect: 'standDown', detail });
+  }
+}
--- /dev/null
+++ b/packages/core/src/TaskRecord.ts
@@ -0,0 +1,106 @@
+import type { Assignment, Resources, TaskState, TaskView } from '@toucanline/schema';
+import { maxResources } from './maxResources.js';
+
+const activeStates: ReadonlySet<TaskState> = new Set(['starting', 'running', 'stopping']);
+
+/** One attempt of one task on one worker, as the shard owner knows it. */
+export class TaskRecord {
+  public readonly assignment: Assignment;
+  public readonly worker: string;
+  public readonly dataCentre: string;
+  /** Local monotonic time of the placement, in milliseconds. */
+  public readonly placedAt: number;
+  #state: TaskState = 'starting';
+  #usage: Resources;
+  #confirmed = false;
+  #latestStartAt = Infinity;
+
+  /**
+   * @param assignment - the task
+   * @param worker - worker that runs it
+   * @param dataCentre - data centre of the worker
+   * @param placedAt - local monotonic time of the placement
+   */
+  public constructor(assignment: Assignment, worker: string, dataCentre: string, placedAt: number) {
+    this.assignment = assignment;
+    this.worker = worker;
+    this.dataCentre = dataCentre;
+    this.placedAt = placedAt;
+    this.#usage = assignment.request.size;
+  }
+
+  /** Identifier of the attempt. */
+  public get id(): string {
+    return this.assignment.taskId;
+  }
+
+  /**
+   * Time on the worker's clock after which the worker rejects the start, in milliseconds. Infinite
+   * until the start command is sent.
+   */
+  public get latestStartAt(): number {
+    return this.#latestStartAt;
+  }
+
+  /** Current state. */
+  public get state(): TaskState {
+    return this.#state;
+  }
+
+  /** Whether the worker confirmed that it started the task. */
+  public get isConfirmed(): boolean {
+    return this.#confirmed;
+  }
+
+  /** Whether the task may occupy its worker. */
+  public get isActive(): boolean {
+    return activeStates.has(this.#state);
+  }
+
+  /** What the task counts for: the larger of declared and reported use. */
+  public get charge(): Resources {
+    return maxResources(this.assignment.request.size, this.#usage);
+  }
+
+  /**
+   * Changes the state.
+   *
+   * @param state - new state
+   */
+  public setState(state: TaskState): void {
+    this.#state = state;
+  }
+
+  /**
+   * Notes that the start command is about to be sent.
+   *
+   * @param latestStartAt - time on the worker's clock after which it rejects the start
+   */
+  public setLatestStart(latestStartAt: number): void {
+    this.#latestStartAt = latestStartAt;
+  }
+
+  /** Notes that the worker started the task. */
+  public confirm(): void {
+    this.#confirmed = true;
+    if (this.#state === 'starting') this.#state = 'running';
+  }
+
+  /**
+   * Notes the reported use.
+   *
+   * @param usage - use in the worker's last report
+   */
+  public setUsage(usage: Resources): void {
+    this.#usage = usage;
+  }
+
+  /**
+   * Describes the task to callers.
+   *
+   * @returns the view
+   */
+  public describe(): TaskView {
+    return { id: this.id, worker: this.worker, dataCentre: this.dataCentre, state: this.#state };
+  }
+}
--- /dev/null
+++ b/packages/core/src/TaskTracker.ts
@@ -0,0 +1,238 @@
+import type { Failure, Report, TaskDelta, TaskReport, WorkerRefusal } from '@toucanline/schema';
+import { createFailure } from './createFailure.js';
+import type { Fleet } from './Fleet.js';
+import type { RequestLifecycle } from './RequestLifecycle.js';
+import type { RequestRecord } from './RequestRecord.js';
+import type { RequestTable } from './RequestTable.js';
+import type { ShardContext } from './ShardContext.js';
+import { TaskRecord } from './TaskRecord.js';
+import type { TeamLedger } from './TeamLedger.js';
+import type { WorkerRecord } from './WorkerRecord.js';
+
+/** Parts of the shard that the tracker reads and changes. */
+interface TrackerParts {
+  readonly fleet: Fleet;
+  readonly table: RequestTable;
+  readonly ledger: TeamLedger;
+  readonly lifecycle: RequestLifecycle;
+}
+
+/** Follows the tasks on the workers: reports, start responses, expired leases. */
+export class TaskTracker {
+  readonly #context: ShardContext;
+  readonly #parts: TrackerParts;
+
+  /**
+   * @param context - what the parts of the shard share
+   * @param parts - the parts to change
+   */
+  public constructor(context: ShardContext, parts: TrackerParts) {
+    this.#context = context;
+    this.#parts = parts;
+  }
+
+  /**
+   * Applies a report.
+   *
+   * @param worker - the worker
+   * @param report - its report
+   * @param sentAt - local monotonic time before the poll was sent, in milliseconds
+   */
+  public applyReport(worker: WorkerRecord, report: Report, sentAt: number): void {
+    const isNewBoot = worker.bootId !== '' && worker.bootId !== report.bootId;
+    if (isNewBoot) this.#loseTasks(worker, 'the worker restarted');
+    this.#parts.fleet.applyReport(worker, report, sentAt);
+    for (const task of report.tasks) this.#applyTask(worker, task);
+    for (const change of report.changes) this.#applyChange(worker, change);
+    this.#checkMissing(worker, report);
+    worker.recount();
+  }
+
+  /**
+   * Applies the response to a start command.
+   *
+   * @param task - the task
+   * @param response - undefined if the worker accepted; its refusal; or a failure if unknown
+   */
+  public applyStartResponse(task: TaskRecord, response?: WorkerRefusal | Failure): void {
+    const record = this.#parts.table.find(task.assignment.request.id);
+    if (record?.findTask(task.assignment.index) !== task) return;
+    if (response === undefined || ('refusal' in response && response.refusal === 'duplicate')) {
+      if (task.state === 'starting') this.#confirm(record, task);
+      return;
+    }
+    const worker = this.#parts.fleet.find(task.worker);
+    if (!('refusal' in response)) {
+      // The outcome is unknown: a full report made after the start window settles it.
+      worker?.requestFull();
+      return;
+    }
+    if (response.refusal === 'leaving') worker?.markLeaving();
+    this.disproveStart(record, task, response.detail);
+  }
+
+  /**
+   * Takes a task back that certainly did not start.
+   *
+   * @param record - the request
+   * @param task - the attempt
+   * @param detail - why it did not start
+   */
+  public disproveStart(record: RequestRecord, task: TaskRecord, detail: string): void {
+    if (!task.isActive || task.isConfirmed) return;
+    this.#context.recorder.record('taskRefused', {
+      requestId: record.id,
+      taskId: task.id,
+      worker: task.worker,
+      detail,
+    });
+    this.#free(task);
+    record.disproveStart(task);
+    this.#parts.lifecycle.settleRefusedStart(record);
+  }
+
+  /** Expires the leases that have certainly ended on their workers. */
+  public expireLeases(): void {
+    const now = this.#context.clock.now();
+    for (const worker of this.#parts.fleet.workers) {
+      if (worker.isLapsed || worker.clock === undefined) continue;
+      if (worker.clock.readLowerBound(now) <= worker.leaseUntil) continue;
+      worker.markLapsed();
+      this.#context.recorder.record('leaseLapsed', {
+        worker: worker.id,
+        shard: this.#context.shard,
+      });
+      this.#loseTasks(worker, 'the lease of the worker expired');
+    }
+  }
+
+  #applyTask(worker: WorkerRecord, report: TaskReport): void {
+    const { assignment, state, usage, output, detail } = report;
+    const { table, lifecycle } = this.#parts;
+    let record = table.find(assignment.request.id);
+    record ??= lifecycle.adoptRequest(assignment.request);
+    const known = record.findTask(assignment.index);
+    if (known?.id !== assignment.taskId) {
+      if (known !== undefined && known.assignment.attempt >= assignment.attempt) {
+        this.#dropLateTask(worker, report);
+        return;
+      }
+      if (record.isFinished) {
+        this.#stopOrphan(worker, report);
+        return;
+      }
+      this.#adoptTask(worker, record, report);
+    }
+    this.#applyChange(worker, {
+      taskId: assignment.taskId,
+      state,
+      usage,
+      ...(output === undefined ? {} : { output }),
+      ...(detail === undefined ? {} : { detail }),
+    });
+  }
+
+  #adoptTask(worker: WorkerRecord, record: RequestRecord, { assignment }: TaskReport): void {
+    const { clock, dataCentre, recorder } = this.#context;
+    const task = new TaskRecord(assignment, worker.id, dataCentre, clock.now());
+    const former = record.findTask(assignment.index);
+    if (former?.isActive === true) this.#free(former);
+    record.addTask(task);
+    worker.addTask(task);
+    this.#parts.ledger.charge(assignment.request.team, assignment.request.size);
+    this.#parts.lifecycle.noteAdopted(record);
+    recorder.record('taskAdopted', {
+      requestId: record.id,
+      taskId: task.id,
+      worker: worker.id,
+    });
+  }
+
+  /** A report of an older attempt: its worker must not run it, and its answer is not delivered. */
+  #dropLateTask(worker: WorkerRecord, report: TaskReport): void {
+    const { assignment, state } = report;
+    this.#context.recorder.record('lateAnswerDropped', {
+      requestId: assignment.request.id,
+      taskId: assignment.taskId,
+      worker: worker.id,
+      detail: `attempt ${assignment.attempt} reported as ${state}`,
+    });
+    this.#stopOrphan(worker, report);
+  }
+
+  #stopOrphan(worker: WorkerRecord, { assignment, state }: TaskReport): void {
+    if (state === 'running' || state === 'starting') {
+      this.#parts.lifecycle.sendCommand(worker, assignment.taskId, 'stop');
+    }
+  }
+
+  #applyChange(worker: WorkerRecord, change: TaskDelta): void {
+    const task = worker.tasks.find(({ id }) => id === change.taskId);
+    if (task === undefined) return;
+    const record = this.#parts.table.find(task.assignment.request.id);
+    if (record === undefined) return;
+    task.setUsage(change.usage);
+    if (change.state === 'starting') return;
+    if (!task.isConfirmed) this.#confirm(record, task);
+    if (change.state === 'running' || change.state === 'stopping') return;
+    this.#free(task);
+    task.setState(change.state);
+    this.#context.recorder.record('taskFinished', {
+      requestId: record.id,
+      taskId: task.id,
+      worker: worker.id,
+      detail: change.state,
+    });
+    this.#parts.lifecycle.settleEndedTask(record, task, change);
+  }
+
+  /** Tasks that a full report should list but does not. */
+  #checkMissing(worker: WorkerRecord, report: Report): void {
+    if (!report.full) return;
+    const listed = new Set(report.tasks.map(({ assignment }) => assignment.taskId));
+    for (const task of worker.tasks) {
+      if (listed.has(task.id)) continue;
+      const record = this.#parts.table.find(task.assignment.request.id);
+      if (record === undefined) continue;
+      if (task.isConfirmed) this.#loseTask(record, task, 'the worker no longer reports the task');
+      else if (report.clockMs > task.latestStartAt) {
+        this.disproveStart(record, task, 'the start command did not arrive in time');
+      } else if (task.latestStartAt !== Infinity) worker.requestFull();
+    }
+  }
+
+  #confirm(record: RequestRecord, task: TaskRecord): void {
+    const { recorder, clock, emit } = this.#context;
+    record.confirmStart(task);
+    recorder.record('taskStarted', {
+      requestId: record.id,
+      taskId: task.id,
+      worker: task.worker,
+      team: record.request.team,
+      durationMs: clock.now() - record.arrivedAt,
+    });
+    emit({ effect: 'changed', requestId: record.id });
+    this.#parts.lifecycle.settleStarted(record);
+  }
+
+  #loseTasks(worker: WorkerRecord, detail: string): void {
+    for (const task of worker.tasks) {
+      const record = this.#parts.table.find(task.assignment.request.id);
+      if (record !== undefined) this.#loseTask(record, task, detail);
+    }
+    this.#parts.fleet.touch();
+  }
+
+  #loseTask(record: RequestRecord, task: TaskRecord, detail: string): void {
+    this.#free(task);
+    task.setState('lapsed');
+    this.#parts.lifecycle.settleLostTask(record, task, createFailure('outcomeUnknown', detail));
+  }
+
+  #free(task: TaskRecord): void {
+    const { team, size } = task.assignment.request;
+    this.#parts.fleet.find(task.worker)?.removeTask(task.id);
+    this.#parts.ledger.release(team, size);
+    this.#parts.fleet.touch();
+  }
+}
--- /dev/null
+++ b/packages/core/src/TeamLedger.ts
@@ -0,0 +1,88 @@
+import type { Resources } from '@toucanline/schema';
+import { addResources } from './addResources.js';
+import { coversResources } from './coversResources.js';
+import { subtractResources } from './subtractResources.js';
+import { zeroResources } from './zeroResources.js';
+
+/** What each team runs in a shard, and what it may run there. */
+export class TeamLedger {
+  readonly #use = new Map<string, Resources>();
+  #allotments: ReadonlyMap<string, Resources> = new Map();
+  #version = 0;
+
+  /** Grows with each change that may let waiting work start. */
+  public get version(): number {
+    return this.#version;
+  }
+
+  /** Declared use of running work per team. */
+  public get use(): ReadonlyMap<string, Resources> {
+    return this.#use;
+  }
+
+  /**
+   * Sets what each team may run in this shard.
+   *
+   * @param allotments - allotment per team; a team without one has no limit
+   */
+  public setAllotments(allotments: ReadonlyMap<string, Resources>): void {
+    this.#allotments = allotments;
+    this.#version += 1;
+  }
+
+  /**
+   * Reads the allotment of a team.
+   *
+   * @param team - name of the team
+   * @returns the allotment; undefined if the team has no limit
+   */
+  public readAllotment(team: string): Resources | undefined {
+    return this.#allotments.get(team);
+  }
+
+  /**
+   * Reads the use of a team.
+   *
+   * @param team - name of the team
+   * @returns declared use of its running work
+   */
+  public readUse(team: string): Resources {
+    return this.#use.get(team) ?? zeroResources;
+  }
+
+  /**
+   * Checks whether a team may start more work.
+   *
+   * @param team - name of the team
+   * @param amount - declared size of the work
+   * @returns true if the team stays within its allotment
+   */
+  public canCharge(team: string, amount: Resources): boolean {
+    const allotment = this.#allotments.get(team);
+    return (
+      allotment === undefined ||
+      coversResources(allotment, addResources(this.readUse(team), amount))
+    );
+  }
+
+  /**
+   * Counts work as running.
+   *
+   * @param team - name of the team
+   * @param amount - declared size of the work
+   */
+  public charge(team: string, amount: Resources): void {
+    this.#use.set(team, addResources(this.readUse(team), amount));
+  }
+
+  /**
+   * Counts work as ended.
+   *
+   * @param team - name of the team
+   * @param amount - declared size of the work
+   */
+  public release(team: string, amount: Resources): void {
+    this.#use.set(team, subtractResources(this.readUse(team), amount));
+    this.#version += 1;
+  }
+}
--- /dev/null
+++ b/packages/core/src/WorkerClock.ts
@@ -0,0 +1,43 @@
+/** Largest relative difference in speed between the clocks of two hosts. */
+const driftFraction = 0.01;
+
+/**
+ * Bounds of a worker's monotonic clock, derived from its last report. The report was made at some
+ * moment between sending the poll and receiving the response.
+ */
+export class WorkerClock {
+  readonly #sentAt: number;
+  readonly #receivedAt: number;
+  readonly #clockMs: number;
+
+  /**
+   * @param sentAt - local monotonic time before the poll was sent, in milliseconds
+   * @param receivedAt - local monotonic time after the report arrived, in milliseconds
+   * @param clockMs - the worker's clock in the report, in milliseconds
+   */
+  public constructor(sentAt: number, receivedAt: number, clockMs: number) {
+    this.#sentAt = sentAt;
+    this.#receivedAt = receivedAt;
+    this.#clockMs = clockMs;
+  }
+
+  /**
+   * Lower bound of the worker's clock.
+   *
+   * @param now - local monotonic time in milliseconds
+   * @returns milliseconds on the worker's clock that have certainly passed
+   */
+  public readLowerBound(now: number): number {
+    return this.#clockMs + Math.max(0, now - this.#receivedAt) * (1 - driftFraction);
+  }
+
+  /**
+   * Upper bound of the worker's clock.
+   *
+   * @param now - local monotonic time in milliseconds
+   * @returns milliseconds that the worker's clock has certainly not exceeded
+   */
+  public readUpperBound(now: number): number {
+    return this.#clockMs + Math.max(0, now - this.#sentAt) * (1 + driftFraction);
+  }
+}
--- /dev/null
+++ b/packages/core/src/WorkerRecord.ts
@@ -0,0 +1,262 @@
+import type { HostRecord, Report, Resources, WorkerStatus } from '@toucanline/schema';
+import { addResources } from './addResources.js';
+import { coversResources } from './coversResources.js';
+import { subtractResources } from './subtractResources.js';
+import type { TaskRecord } from './TaskRecord.js';
+import { WorkerClock } from './WorkerClock.js';
+import { zeroResources } from './zeroResources.js';
+
+/** One worker as the shard owner knows it. */
+export class WorkerRecord {
+  public readonly id: string;
+  readonly #tasks = new Map<string, TaskRecord>();
+  #host: HostRecord;
+  #report: Report | undefined;
+  #clock: WorkerClock | undefined;
+  #leaseUntil = 0;
+  #allocated: Resources = zeroResources;
+  #leaving = false;
+  #drained = false;
+  #quarantined = false;
+  #lapsed = false;
+  #wantsFull = true;
+
+  /** @param host - the worker's record in the host list */
+  public constructor(host: HostRecord) {
+    this.id = host.id;
+    this.#host = host;
+  }
+
+  /** Address of the worker's interface. */
+  public get address(): string {
+    return this.#host.address;
+  }
+
+  /** Rack of the worker. */
+  public get rack(): string {
+    return this.#report?.rack ?? this.#host.rack ?? 'unknown';
+  }
+
+  /** Type of the worker's accelerators, if it has any. */
+  public get acceleratorType(): string | undefined {
+    return this.#report?.acceleratorType;
+  }
+
+  /** Relative speed; 1 is the reference. */
+  public get speed(): number {
+    return this.#report?.speed ?? 1;
+  }
+
+  /** Capacity of the worker. */
+  public get room(): Resources {
+    return this.#report?.room ?? zeroResources;
+  }
+
+  /** Sum of the charges of the tasks that may occupy the worker. */
+  public get allocated(): Resources {
+    return this.#allocated;
+  }
+
+  /** Capacity that is left. */
+  public get free(): Resources {
+    return subtractResources(this.room, this.#allocated);
+  }
+
+  /** Boot that the last report came from; empty before the first report. */
+  public get bootId(): string {
+    return this.#report?.bootId ?? '';
+  }
+
+  /** Sequence number of the last applied report. */
+  public get sequence(): number {
+    return this.#report?.sequence ?? 0;
+  }
+
+  /** Latest lease that was granted, on the worker's clock, in milliseconds. */
+  public get leaseUntil(): number {
+    return this.#leaseUntil;
+  }
+
+  /** Bounds of the worker's clock; undefined before the first report. */
+  public get clock(): WorkerClock | undefined {
+    return this.#clock;
+  }
+
+  /** Whether the worker reported under the current epoch. */
+  public get hasReported(): boolean {
+    return this.#report !== undefined;
+  }
+
+  /** Whether the last granted lease has certainly expired. */
+  public get isLapsed(): boolean {
+    return this.#lapsed;
+  }
+
+  /** Whether the next report has to list all tasks. */
+  public get wantsFull(): boolean {
+    return this.#wantsFull;
+  }
+
+  /** Whether the worker is leaving, whichever sign came first. */
+  public get isLeaving(): boolean {
+    return this.#leaving || this.#drained || this.#host.state === 'leaving';
+  }
+
+  /** Whether the worker is in quarantine. */
+  public get isQuarantined(): boolean {
+    return this.#quarantined;
+  }
+
+  /** Whether new tasks may be placed here. */
+  public get isEligible(): boolean {
+    return this.hasReported && !this.#lapsed && !this.isLeaving && !this.#quarantined;
+  }
+
+  /** Tasks that may occupy the worker. */
+  public get tasks(): readonly TaskRecord[] {
+    return [...this.#tasks.values()];
+  }
+
+  /**
+   * Updates the worker's record in the host list.
+   *
+   * @param host - the new record
+   */
+  public setHost(host: HostRecord): void {
+    this.#host = host;
+  }
+
+  /** Notes that the worker is leaving. */
+  public markLeaving(): void {
+    this.#leaving = true;
+  }
+
+  /**
+   * Starts or ends an operator's drain.
+   *
+   * @param drained - whether the worker is drained
+   */
+  public setDrained(drained: boolean): void {
+    this.#drained = drained;
+  }
+
+  /**
+   * Starts or ends a quarantine.
+   *
+   * @param quarantined - whether the worker is in quarantine
+   */
+  public setQuarantined(quarantined: boolean): void {
+    this.#quarantined = quarantined;
+  }
+
+  /** Asks for a full report with the next renewal. */
+  public requestFull(): void {
+    this.#wantsFull = true;
+  }
+
+  /** Notes that the last granted lease has certainly expired. */
+  public markLapsed(): void {
+    this.#lapsed = true;
+    this.#wantsFull = true;
+  }
+
+  /**
+   * Notes a lease that is about to be granted.
+   *
+   * @param leaseUntil - end of the lease on the worker's clock, in milliseconds
+   */
+  public grantLease(leaseUntil: number): void {
+    this.#leaseUntil = Math.max(this.#leaseUntil, leaseUntil);
+  }
+
+  /**
+   * Applies a report.
+   *
+   * @param report - the report
+   * @param sentAt - local monotonic time before the poll was sent, in milliseconds
+   * @param receivedAt - local monotonic time of the response, in milliseconds
+   */
+  public applyReport(report: Report, sentAt: number, receivedAt: number): void {
+    if (report.bootId !== this.bootId) this.#leaseUntil = 0;
+    this.#report = report;
+    this.#clock = new WorkerClock(sentAt, receivedAt, report.clockMs);
+    this.#lapsed = false;
+    this.#leaving = report.state === 'leaving';
+    if (report.full) this.#wantsFull = false;
+  }
+
+  /**
+   * Adds a task that may occupy the worker.
+   *
+   * @param task - the task
+   */
+  public addTask(task: TaskRecord): void {
+    this.#tasks.set(task.id, task);
+    this.recount();
+  }
+
+  /**
+   * Removes a task that certainly does not occupy the worker any more.
+   *
+   * @param taskId - identifier of the task
+   */
+  public removeTask(taskId: string): void {
+    if (this.#tasks.delete(taskId)) this.recount();
+  }
+
+  /** Sums the charges of all tasks again. */
+  public recount(): void {
+    let sum = zeroResources;
+    for (const task of this.#tasks.values()) sum = addResources(sum, task.charge);
+    this.#allocated = sum;
+  }
+
+  /**
+   * Checks whether a task fits now.
+   *
+   * @param size - size of the task
+   * @param acceleratorType - required type of accelerator
+   * @returns true if the worker may take the task
+   */
+  public canTake(size: Resources, acceleratorType?: string): boolean {
+    return (
+      this.isEligible && this.isSuitable(size, acceleratorType) && coversResources(this.free, size)
+    );
+  }
+
+  /**
+   * Checks whether a task would fit on the empty worker.
+   *
+   * @param size - size of the task
+   * @param acceleratorType - required type of accelerator
+   * @returns true if the worker is large enough
+   */
+  public isSuitable(size: Resources, acceleratorType?: string): boolean {
+    if (acceleratorType !== undefined && acceleratorType !== this.acceleratorType) return false;
+    return coversResources(this.room, size);
+  }
+
+  /**
+   * Describes the worker to operators.
+   *
+   * @returns the status
+   */
+  public describe(): WorkerStatus {
+    return {
+      worker: this.id,
+      rack: this.rack,
+      state: this.#describeState(),
+      room: this.room,
+      allocated: this.#allocated,
+      tasks: this.#tasks.size,
+      quarantined: this.#quarantined,
+    };
+  }
+
+  #describeState(): WorkerStatus['state'] {
+    if (!this.hasReported) return 'unreached';
+    if (this.#lapsed) return 'lapsed';
+    if (this.#drained) return 'drained';
+    return this.isLeaving ? 'leaving' : 'live';
+  }
+}
--- /dev/null
+++ b/packages/core/src/errorTable.ts
@@ -0,0 +1,42 @@
+import type { ErrorKind } from '@toucanline/schema';
+import type { ErrorAnswer } from './ErrorAnswer.js';
+
+const answer = (
+  status: number,
+  ran: ErrorAnswer['ran'],
+  retry: boolean,
+  meaning: string,
+): ErrorAnswer => ({ status, ran, retry, meaning });
+
+/** The only place that decides what a caller sees for an error kind. */
+export const errorTable: Readonly<Record<ErrorKind, ErrorAnswer>> = {
+  malformedRequest: answer(400, 'no', false, 'The body, a header or a parameter is invalid.'),
+  bodyTooLarge: answer(413, 'no', false, 'The body exceeds the size limit.'),
+  unauthenticated: answer(401, 'no', false, 'The key is missing or unknown.'),
+  withdrawnKey: answer(401, 'no', false, 'The key was withdrawn.'),
+  forbidden: answer(403, 'no', false, 'The key does not permit this operation.'),
+  unknownQueue: answer(404, 'no', false, 'The configuration has no such queue.'),
+  unknownRequest: answer(404, 'unknown', false, 'No such request is known, or its record expired.'),
+  unknownShard: answer(404, 'no', false, 'The configuration has no such shard.'),
+  unknownWorker: answer(404, 'no', false, 'No such worker is known.'),
+  conflictingKey: answer(422, 'no', false, 'The idempotency key was used with another body.'),
+  neverFits: answer(422, 'no', false, 'No worker is large enough for a task of this request.'),
+  overLimit: answer(422, 'no', false, 'The request alone exceeds the limit of its team.'),
+  deadlinePassed: answer(504, 'no', true, 'The deadline passed before the request started.'),
+  overloaded: answer(429, 'no', true, 'The queue of the team is full.'),
+  notReady: answer(503, 'no', true, 'The process has no configuration yet or is shutting down.'),
+  notOwner: answer(503, 'no', true, 'The scheduler does not own the shard.'),
+  noOwner: answer(503, 'no', true, 'No owner of a suitable shard can be reached.'),
+  storeUnavailable: answer(503, 'no', true, 'The store is unavailable and the operation needs it.'),
+  storeConflict: answer(409, 'no', true, 'Another writer changed the record first.'),
+  linkLost: answer(502, 'unknown', true, 'The connection to the scheduler was lost.'),
+  timeout: answer(504, 'unknown', true, 'The operation did not finish in time.'),
+  workerRefused: answer(503, 'no', true, 'The worker rejected the command.'),
+  cancelled: answer(409, 'no', false, 'The request was cancelled before it started.'),
+  outcomeUnknown: answer(502, 'unknown', false, 'It cannot be proved whether the request ran.'),
+  invalidDocument: answer(422, 'no', false, 'The configuration document is invalid.'),
+  invalidSettings: answer(500, 'no', false, 'A settings file is invalid.'),
+  notTried: answer(409, 'no', false, 'The document was never in effect in the trial environment.'),
+  staleRevision: answer(409, 'no', true, 'The configuration changed since it was read.'),
+  internal: answer(500, 'unknown', false, 'An invariant failed or an unexpected error occurred.'),
+};
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,62 @@
+/**
+ * Decision core of toucanline.
+ *
+ * @packageDocumentation
+ */
+export { Admission } from './Admission.js';
+export { BatchPlacement } from './BatchPlacement.js';
+export { ClaimKeeper } from './ClaimKeeper.js';
+export { Clock } from './Clock.js';
+export { ConfigurationHolder } from './ConfigurationHolder.js';
+export { Dispatcher } from './Dispatcher.js';
+export type { Effect } from './Effect.js';
+export type { ErrorAnswer } from './ErrorAnswer.js';
+export type { EventDetail } from './EventDetail.js';
+export { EventRecorder } from './EventRecorder.js';
+export { EventStream } from './EventStream.js';
+export { FairShare } from './FairShare.js';
+export { Fleet } from './Fleet.js';
+export { GangPlacement } from './GangPlacement.js';
+export { HostList } from './HostList.js';
+export { HybridClock } from './HybridClock.js';
+export { isAnswered } from './isAnswered.js';
+export { Invariant } from './Invariant.js';
+export { Journal } from './Journal.js';
+export { KeyRing } from './KeyRing.js';
+export { Placement } from './Placement.js';
+export { Policy } from './Policy.js';
+export { RandomSource } from './RandomSource.js';
+export { RankedPlacement } from './RankedPlacement.js';
+export { Recovery } from './Recovery.js';
+export { RequestClass } from './RequestClass.js';
+export { RequestLifecycle } from './RequestLifecycle.js';
+export { RequestRecord } from './RequestRecord.js';
+export { RequestTable } from './RequestTable.js';
+export { RevisionSync } from './RevisionSync.js';
+export { Router } from './Router.js';
+export { ServicePlacement } from './ServicePlacement.js';
+export { Shard } from './Shard.js';
+export type { ShardContext } from './ShardContext.js';
+export type { StopPlan } from './StopPlan.js';
+export { Store } from './Store.js';
+export { TaskRecord } from './TaskRecord.js';
+export { TaskTracker } from './TaskTracker.js';
+export { TeamLedger } from './TeamLedger.js';
+export { WaitingQueue } from './WaitingQueue.js';
+export { WorkerClock } from './WorkerClock.js';
+export { WorkerGateway } from './WorkerGateway.js';
+export { WorkerRecord } from './WorkerRecord.js';
+export type { WorkerResponse } from './WorkerResponse.js';
+export { addResources } from './addResources.js';
+export { calculateDominantShare } from './calculateDominantShare.js';
+export { coversResources } from './coversResources.js';
+export { createFailure } from './createFailure.js';
+export { divideLimits } from './divideLimits.js';
+export { errorTable } from './errorTable.js';
+export { maxResources } from './maxResources.js';
+export { parseDocument } from './parseDocument.js';
+export { periods } from './periods.js';
+export { scaleResources } from './scaleResources.js';
+export { subtractResources } from './subtractResources.js';
+export { validateValue } from './validateValue.js';
+export { zeroResources } from './zeroResources.js';
--- /dev/null
+++ b/packages/core/src/parseDocument.ts
@@ -0,0 +1,43 @@
+import { validators, type Document, type Failure } from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import { parse, TomlError } from 'smol-toml';
+import { createFailure } from './createFailure.js';
+import { validateValue } from './validateValue.js';
+
+const checkReferences = (document: Document): string | undefined => {
+  for (const [name, queue] of Object.entries(document.queues)) {
+    if (queue.open === true && queue.team === undefined) {
+      return `queues.${name}.team: found nothing; an open queue names the team that its work counts for`;
+    }
+    for (const team of [
+      ...(queue.teams ?? []),
+      ...(queue.team === undefined ? [] : [queue.team]),
+    ]) {
+      if (!Object.hasOwn(document.teams, team)) {
+        return `queues.${name}: found team "${team}"; allowed: ${Object.keys(document.teams).join(', ')}`;
+      }
+    }
+  }
+  return undefined;
+};
+
+/**
+ * Parses and checks a configuration document.
+ *
+ * @param text - TOML text
+ * @returns the document, or `invalidDocument` with key, found value and allowed values
+ */
+export const parseDocument = (text: string): Result<Document, Failure> => {
+  let data: unknown;
+  try {
+    data = parse(text);
+  } catch (error) {
+    const line = error instanceof TomlError ? `line ${error.line}: ` : '';
+    const message = error instanceof Error ? (error.message.split('\n')[0] ?? '') : 'not TOML';
+    return err(createFailure('invalidDocument', `${line}${message}`));
+  }
+  return validateValue(validators.Document, data, 'invalidDocument').andThen((document) => {
+    const problem = checkReferences(document);
+    return problem === undefined ? ok(document) : err(createFailure('invalidDocument', problem));
+  });
+};
--- /dev/null
+++ b/packages/core/src/periods.ts
@@ -0,0 +1,29 @@
+/** Periods of leases, heartbeats and retries, all in milliseconds. */
+export const periods = Object.freeze({
+  /** Time to live of the store lease behind a shard claim. */
+  claimLeaseMs: 3000,
+  /** Interval between renewals of the claim lease. */
+  claimRenewalMs: 1000,
+  /** Time to live of a worker's lease. It outlasts a failover, so that running tasks survive it. */
+  workerLeaseMs: 15_000,
+  /** Longest wait of one renewal poll. */
+  workerRenewalMs: 2500,
+  /** Time after which a renewal without a response is abandoned together with its connection. */
+  workerTimeoutMs: 4000,
+  /** Window within which a worker may accept a start command. */
+  startWindowMs: 2000,
+  /** How long finished requests stay readable. */
+  retentionMs: 600_000,
+  /** First delay before a retry; doubles with each attempt. */
+  firstRetryMs: 100,
+  /** Longest delay before a retry. */
+  maxRetryMs: 5000,
+  /** Interval of load notices between processes. */
+  loadNoticeMs: 1000,
+  /** Interval of heartbeats on a link. */
+  linkHeartbeatMs: 1000,
+  /** Silence after which a link is replaced. */
+  linkSilenceMs: 3000,
+  /** Largest delay of a group commit. */
+  groupCommitMs: 30,
+});
--- /dev/null
+++ b/packages/entry/src/Authenticator.ts
@@ -0,0 +1,59 @@
+import type { IncomingMessage } from 'node:http';
+import { createFailure, type KeyRing } from '@toucanline/core';
+import { hashText } from '@toucanline/runtime';
+import type { Failure, Key } from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+
+const scheme = 'Bearer ';
+
+/** Roles of operators. */
+type Role = Key['roles'][number];
+
+/** Authenticates callers and operators by the key in the `Authorization` header. */
+export class Authenticator {
+  readonly #keyRing: KeyRing;
+  readonly #operatorKeyHash: string | undefined;
+
+  /**
+   * @param keyRing - keys in effect
+   * @param operatorKeyHash - hash of the key with all operator roles from the settings, if any
+   */
+  public constructor(keyRing: KeyRing, operatorKeyHash: string | undefined) {
+    this.#keyRing = keyRing;
+    this.#operatorKeyHash = operatorKeyHash;
+  }
+
+  /**
+   * Authenticates a request.
+   *
+   * @param request - the HTTP request
+   * @returns the key; undefined if none was presented; `unauthenticated` or `withdrawnKey`
+   */
+  public authenticate(request: IncomingMessage): Result<Key | undefined, Failure> {
+    const header = request.headers.authorization;
+    if (header === undefined) return ok(undefined);
+    if (!header.startsWith(scheme)) {
+      return err(createFailure('unauthenticated', 'the Authorization header is not a bearer key'));
+    }
+    const hash = hashText(header.slice(scheme.length));
+    if (hash === this.#operatorKeyHash) {
+      return ok({ id: 'operator', hash, grantedAtMs: 0, roles: ['read', 'change', 'promote'] });
+    }
+    return this.#keyRing.authenticate(hash);
+  }
+
+  /**
+   * Authenticates an operator.
+   *
+   * @param request - the HTTP request
+   * @param role - role that the operation needs
+   * @returns the key; `unauthenticated`, `withdrawnKey` or `forbidden`
+   */
+  public requireRole(request: IncomingMessage, role: Role): Result<Key, Failure> {
+    return this.authenticate(request).andThen((key) => {
+      if (key === undefined) return err(createFailure('unauthenticated', 'a key is required'));
+      if (key.roles.includes(role)) return ok(key);
+      return err(createFailure('forbidden', `the key ${key.id} does not have the role ${role}`));
+    });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/EntryDaemon.ts
@@ -0,0 +1,162 @@
+import { Router } from '@toucanline/core';
+import { addHealthRoutes, Daemon, PeerSet, type ProcessRuntime } from '@toucanline/runtime';
+import type { NoticeBody, ReplyBody } from '@toucanline/schema';
+import { LinkHandler, type Link } from '@toucanline/wire';
+import restana from 'restana';
+import { Authenticator } from './Authenticator.js';
+import { HttpContext } from './HttpContext.js';
+import { OperatorRoutes } from './OperatorRoutes.js';
+import { RequestRoutes } from './RequestRoutes.js';
+import { RequestService } from './RequestService.js';
+
+const defaultDrainSeconds = 60;
+/** Time for the load balancer to notice that the process is not ready, in milliseconds. */
+const noticeMs = 500;
+const pollMs = 50;
+
+/** Passes the notices of schedulers to the router. */
+class EntryLinks extends LinkHandler {
+  readonly #router: Router;
+
+  public constructor(router: Router) {
+    super();
+    this.#router = router;
+  }
+
+  public override handleOpen(): void {
+    // Nothing to prepare: the scheduler tells its load at once.
+  }
+
+  public override handleCall(): Promise<ReplyBody> {
+    const failure = { kind: 'notOwner', detail: 'an entry answers no calls' } as const;
+    return Promise.resolve({ reply: 'failure', failure });
+  }
+
+  public override handleNotice(_link: Link, body: NoticeBody): void {
+    this.#router.applyNotice(body);
+  }
+
+  public override handleClose(): void {
+    // The dialer reconnects.
+  }
+}
+
+/** The entry daemon: HTTP front end for callers and operators. */
+export class EntryDaemon extends Daemon {
+  readonly #runtime: ProcessRuntime;
+  readonly #router: Router;
+  readonly #peers: PeerSet;
+  readonly #requests: RequestRoutes;
+  readonly #operators: OperatorRoutes;
+  readonly #service = restana({
+    errorHandler: (error, _request, response) => {
+      this.#runtime.log.write('error', 'unexpected error in a route', { detail: error.message });
+      response.send({ title: 'internal', ran: 'unknown' }, 500);
+    },
+  });
+  #inFlight = 0;
+  #draining = false;
+
+  /** @param runtime - the process */
+  public constructor(runtime: ProcessRuntime) {
+    super();
+    this.#runtime = runtime;
+    const { clock, recorder, settings, keyRing } = runtime;
+    this.#router = new Router(clock, settings.dataCentre);
+    this.#peers = new PeerSet(runtime, new EntryLinks(this.#router));
+    const authenticator = new Authenticator(keyRing, settings.operatorKeyHash);
+    const service = new RequestService({
+      clock,
+      recorder,
+      router: this.#router,
+      peers: this.#peers,
+    });
+    this.#requests = new RequestRoutes(runtime, authenticator, service);
+    this.#operators = new OperatorRoutes(runtime, authenticator, this.#peers, () => this.#isReady);
+  }
+
+  /** {@inheritDoc Daemon.start} */
+  public override async start(): Promise<void> {
+    const { host, port } = this.#runtime.settings.http;
+    addHealthRoutes(this.#service, () => this.#isReady);
+    this.#addRoutes();
+    this.#peers.start();
+    this.#runtime.followRevisions(
+      () => false,
+      () => undefined,
+    );
+    await this.#service.start(port, host);
+    this.#runtime.log.write('info', 'listening for HTTP', { address: `${host}:${port}` });
+  }
+
+  /** {@inheritDoc Daemon.drain} */
+  public override async drain(): Promise<void> {
+    const { clock, settings } = this.#runtime;
+    this.#draining = true;
+    await clock.sleep(noticeMs);
+    const server = this.#service.getServer();
+    const closed = this.#service.close();
+    const endsAt = clock.now() + (settings.drainSeconds ?? defaultDrainSeconds) * 1000;
+    while (this.#inFlight > 0 && clock.now() < endsAt) {
+      server.closeIdleConnections();
+      await clock.sleep(pollMs);
+    }
+    server.closeIdleConnections();
+    await Promise.race([closed, clock.sleep(noticeMs)]);
+    this.#peers.stop();
+  }
+
+  get #isReady(): boolean {
+    return !this.#draining && this.#runtime.holder.policy !== undefined;
+  }
+
+  #addRoutes(): void {
+    const service = this.#service;
+    const requests = this.#requests;
+    const operators = this.#operators;
+    const wrap = (handle: (context: HttpContext) => Promise<void> | void): RouteHandler => {
+      return async (request, response) => {
+        this.#inFlight += 1;
+        try {
+          await handle(new HttpContext(request, response, () => this.#draining));
+        } finally {
+          this.#inFlight -= 1;
+        }
+      };
+    };
+    service.post(
+      '/v1/queues/:queue/requests',
+      wrap((context) => requests.submit(context)),
+    );
+    service.get(
+      '/v1/requests/:id',
+      wrap((context) => requests.wait(context)),
+    );
+    service.delete(
+      '/v1/requests/:id',
+      wrap((context) => requests.cancel(context)),
+    );
+    service.get(
+      '/v1/status',
+      wrap((context) => operators.readStatus(context)),
+    );
+    service.get(
+      '/v1/events',
+      wrap((context) => operators.readEvents(context)),
+    );
+    service.post(
+      '/v1/workers/:worker/drain',
+      wrap((context) => operators.drain(context, true)),
+    );
+    service.delete(
+      '/v1/workers/:worker/drain',
+      wrap((context) => operators.drain(context, false)),
+    );
+  }
+}
+
+/** Handler of a route. */
+type RouteHandler = (
+  request: HttpContext['request'],
+  response: ConstructorParameters<typeof HttpContext>[1],
+) => Promise<void>;
--- /dev/null
+++ b/packages/entry/src/HttpContext.ts
@@ -0,0 +1,86 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { createFailure } from '@toucanline/core';
+import type { Failure, RequestView } from '@toucanline/schema';
+import { createProblem } from './createProblem.js';
+
+const finalFailure: ReadonlySet<RequestView['state']> = new Set(['refused', 'unknown']);
+
+/** One HTTP exchange with a caller. */
+export class HttpContext {
+  public readonly request: IncomingMessage & {
+    readonly params: Readonly<Record<string, string>>;
+    readonly query: Readonly<Record<string, string | readonly string[]>>;
+  };
+  readonly #response: ServerResponse;
+  readonly #isDraining: () => boolean;
+
+  /**
+   * @param request - the request with its route parameters
+   * @param response - the response
+   * @param isDraining - whether the process is stopping, so that connections are not kept
+   */
+  public constructor(
+    request: HttpContext['request'],
+    response: ServerResponse,
+    isDraining: () => boolean,
+  ) {
+    this.request = request;
+    this.#response = response;
+    this.#isDraining = isDraining;
+  }
+
+  /**
+   * Sends a JSON body.
+   *
+   * @param status - HTTP status
+   * @param body - the body
+   * @param headers - further headers
+   */
+  public sendJson(
+    status: number,
+    body: unknown,
+    headers: Readonly<Record<string, string>> = {},
+  ): void {
+    const text = JSON.stringify(body);
+    this.#response.writeHead(status, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(text),
+      ...(this.#isDraining() ? { connection: 'close' } : {}),
+      ...headers,
+    });
+    this.#response.end(text);
+  }
+
+  /**
+   * Sends a failure as a problem document.
+   *
+   * @param failure - the failure
+   * @param requestId - the request that it belongs to, if known
+   */
+  public sendFailure(failure: Failure, requestId?: string): void {
+    const problem = createProblem(failure, requestId);
+    const { retryAfterSeconds } = failure;
+    this.sendJson(problem.status, problem, {
+      'content-type': 'application/problem+json',
+      ...(retryAfterSeconds === undefined
+        ? {}
+        : { 'retry-after': String(Math.ceil(retryAfterSeconds)) }),
+    });
+  }
+
+  /**
+   * Sends the state of a request: 200 once it is answered, 202 while it goes on.
+   *
+   * @param view - the state
+   * @param isAnswer - whether the caller need not ask again
+   */
+  public sendView(view: RequestView, isAnswer: boolean): void {
+    if (finalFailure.has(view.state)) {
+      const fallback = createFailure('outcomeUnknown', 'it is not known whether the request ran');
+      this.sendFailure(view.failure ?? fallback, view.id);
+      return;
+    }
+    const headers = { location: `/v1/requests/${view.id}` };
+    this.sendJson(isAnswer ? 200 : 202, view, headers);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/OperatorRoutes.ts
@@ -0,0 +1,129 @@
+import { createFailure } from '@toucanline/core';
+import type { PeerSet, ProcessRuntime } from '@toucanline/runtime';
+import type { Event, ProcessStatus, ReplyBody, SiteStatus } from '@toucanline/schema';
+import type { Authenticator } from './Authenticator.js';
+import type { HttpContext } from './HttpContext.js';
+
+const callTimeoutMs = 2000;
+const defaultSinceMs = 300_000;
+
+/** HTTP routes of operators. */
+export class OperatorRoutes {
+  readonly #runtime: ProcessRuntime;
+  readonly #authenticator: Authenticator;
+  readonly #peers: PeerSet;
+  readonly #isReady: () => boolean;
+
+  /**
+   * @param runtime - the process
+   * @param authenticator - authenticates operators
+   * @param peers - links to the schedulers
+   * @param isReady - whether this process is ready
+   */
+  public constructor(
+    runtime: ProcessRuntime,
+    authenticator: Authenticator,
+    peers: PeerSet,
+    isReady: () => boolean,
+  ) {
+    this.#runtime = runtime;
+    this.#authenticator = authenticator;
+    this.#peers = peers;
+    this.#isReady = isReady;
+  }
+
+  /**
+   * Handles `GET /v1/status`.
+   *
+   * @param context - the HTTP exchange
+   */
+  public async readStatus(context: HttpContext): Promise<void> {
+    const key = this.#authenticator.requireRole(context.request, 'read');
+    if (key.isErr()) {
+      context.sendFailure(key.error);
+      return;
+    }
+    const replies = await this.#callAll({ call: 'status' });
+    const processes = replies.flatMap((reply) => (reply.reply === 'status' ? [reply.status] : []));
+    const status: SiteStatus = {
+      processes: [this.#describeSelf(), ...processes],
+      unreachable: this.#peers.unreachable,
+    };
+    context.sendJson(200, status);
+  }
+
+  /**
+   * Handles `GET /v1/events`.
+   *
+   * @param context - the HTTP exchange
+   */
+  public async readEvents(context: HttpContext): Promise<void> {
+    const key = this.#authenticator.requireRole(context.request, 'read');
+    if (key.isErr()) {
+      context.sendFailure(key.error);
+      return;
+    }
+    const { clock, recorder } = this.#runtime;
+    const { since, request } = context.request.query;
+    const sinceMs = since === undefined ? clock.wallTime() - defaultSinceMs : Number(since);
+    if (!Number.isFinite(sinceMs)) {
+      context.sendFailure(createFailure('malformedRequest', 'since: allowed: milliseconds'));
+      return;
+    }
+    const requestId = typeof request === 'string' ? request : undefined;
+    const call = {
+      call: 'events',
+      sinceMs,
+      ...(requestId === undefined ? {} : { requestId }),
+    } as const;
+    const replies = await this.#callAll(call);
+    const events: Event[] = [...recorder.list(sinceMs, requestId)];
+    for (const reply of replies) if (reply.reply === 'events') events.push(...reply.events);
+    events.sort(
+      (left, right) =>
+        left.stamp.wallMs - right.stamp.wallMs || left.stamp.counter - right.stamp.counter,
+    );
+    context.sendJson(200, { events });
+  }
+
+  /**
+   * Handles `POST` and `DELETE /v1/workers/{worker}/drain`.
+   *
+   * @param context - the HTTP exchange
+   * @param drained - whether the worker shall take no new work
+   */
+  public async drain(context: HttpContext, drained: boolean): Promise<void> {
+    const key = this.#authenticator.requireRole(context.request, 'change');
+    if (key.isErr()) {
+      context.sendFailure(key.error);
+      return;
+    }
+    const worker = context.request.params.worker ?? '';
+    const replies = await this.#callAll({ call: 'drain', worker, drained });
+    if (replies.some(({ reply }) => reply === 'done')) context.sendJson(200, { worker, drained });
+    else context.sendFailure(createFailure('unknownWorker', `no owner knows worker ${worker}`));
+  }
+
+  #describeSelf(): ProcessStatus {
+    const { settings, holder, keyRing, invariant } = this.#runtime;
+    return {
+      process: settings.process,
+      role: 'entry',
+      dataCentre: settings.dataCentre,
+      ready: this.#isReady(),
+      configurationRevision: holder.revision,
+      keysRevision: keyRing.revision,
+      violations: invariant.violations,
+      shards: [],
+    };
+  }
+
+  async #callAll(
+    body: Parameters<PeerSet['links'][number]['call']>[0],
+  ): Promise<readonly ReplyBody[]> {
+    const results = await Promise.all(
+      this.#peers.links.map((link) => link.call(body, callTimeoutMs)),
+    );
+    return results.flatMap((result) => (result.isOk() ? [result.value] : []));
+  }
+}
--- /dev/null
+++ b/packages/entry/src/RequestRoutes.ts
@@ -0,0 +1,268 @@
+import { createFailure, isAnswered, validateValue, type Policy } from '@toucanline/core';
+import { hashText, type ProcessRuntime } from '@toucanline/runtime';
+import {
+  validators,
+  type Failure,
+  type Key,
+  type QueueSection,
+  type Request,
+  type RequestSpecification,
+} from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import type { Authenticator } from './Authenticator.js';
+import type { HttpContext } from './HttpContext.js';
+import { readBody } from './readBody.js';
+import type { RequestService } from './RequestService.js';
+
+const maxBodyBytes = 262_144;
+const maxWaitSeconds = 30;
+const defaultWaitSeconds = 20;
+const defaultRunTimeSeconds = 60;
+
+/** A caller's request after all checks of the entry. */
+interface AcceptedRequest {
+  readonly request: Request;
+  readonly policy: Policy;
+  readonly detached: 'no' | 'yes' | 'prefer';
+  readonly deadlineMs: number;
+}
+
+/** HTTP routes of callers: submit, wait, cancel. */
+export class RequestRoutes {
+  readonly #runtime: ProcessRuntime;
+  readonly #authenticator: Authenticator;
+  readonly #service: RequestService;
+
+  /**
+   * @param runtime - the process
+   * @param authenticator - authenticates callers
+   * @param service - carries requests to shards
+   */
+  public constructor(
+    runtime: ProcessRuntime,
+    authenticator: Authenticator,
+    service: RequestService,
+  ) {
+    this.#runtime = runtime;
+    this.#authenticator = authenticator;
+    this.#service = service;
+  }
+
+  /**
+   * Handles `POST /v1/queues/{queue}/requests`.
+   *
+   * @param context - the HTTP exchange
+   */
+  public async submit(context: HttpContext): Promise<void> {
+    const body = await readBody(context.request, maxBodyBytes);
+    const wait = this.#readWait(context);
+    if (wait.isErr() || body.isErr()) {
+      context.sendFailure(body.isErr() ? body.error : wait._unsafeUnwrapErr());
+      return;
+    }
+    const accepted = this.#accept(context, body.value);
+    if (accepted.isErr()) {
+      const { kind, detail } = accepted.error;
+      this.#runtime.recorder.record('requestRefused', { detail: `${kind}: ${detail}` });
+      context.sendFailure(accepted.error);
+      return;
+    }
+    const { request, policy, detached, deadlineMs } = accepted.value;
+    const { clock, recorder } = this.#runtime;
+    const now = clock.now();
+    recorder.record('requestReceived', { team: request.team, detail: request.queue });
+    const waitMs = detached === 'yes' ? 0 : wait.value * 1000;
+    const result = await this.#service.submit({
+      request,
+      policy,
+      detached,
+      deadlineAt: now + deadlineMs,
+      waitUntil: now + waitMs,
+    });
+    if (result.isErr()) {
+      context.sendFailure(result.error);
+      return;
+    }
+    const view = result.value;
+    const durationMs = clock.now() - now;
+    recorder.record('requestAnswered', { requestId: view.id, detail: view.state, durationMs });
+    context.sendView(view, isAnswered(view));
+  }
+
+  /**
+   * Handles `GET /v1/requests/{id}`.
+   *
+   * @param context - the HTTP exchange
+   */
+  public async wait(context: HttpContext): Promise<void> {
+    const caller = this.#identify(context);
+    const wait = this.#readWait(context, 0);
+    if (caller.isErr() || wait.isErr()) {
+      context.sendFailure(caller.isErr() ? caller.error : wait._unsafeUnwrapErr());
+      return;
+    }
+    const id = context.request.params.id ?? '';
+    const result = await this.#service.wait(id, caller.value.team, wait.value * 1000);
+    if (result.isErr()) context.sendFailure(result.error, id);
+    else context.sendView(result.value, isAnswered(result.value));
+  }
+
+  /**
+   * Handles `DELETE /v1/requests/{id}`.
+   *
+   * @param context - the HTTP exchange
+   */
+  public async cancel(context: HttpContext): Promise<void> {
+    const caller = this.#identify(context);
+    if (caller.isErr()) {
+      context.sendFailure(caller.error);
+      return;
+    }
+    const id = context.request.params.id ?? '';
+    const result = await this.#service.cancel(id, caller.value.team);
+    if (result.isErr()) context.sendFailure(result.error, id);
+    else context.sendView(result.value, isAnswered(result.value));
+  }
+
+  /** Without a key a caller sees requests of open queues only; an operator sees all. */
+  #identify(context: HttpContext): Result<{ readonly team: string | undefined }, Failure> {
+    return this.#authenticator.authenticate(context.request).andThen((key) => {
+      if (key?.team !== undefined) return ok({ team: key.team });
+      if (key?.roles.includes('read') === true) return ok({ team: undefined });
+      if (key !== undefined)
+        return err(createFailure('forbidden', `the key ${key.id} has no team`));
+      return this.#findOpenTeam(context);
+    });
+  }
+
+  #findOpenTeam(context: HttpContext): Result<{ readonly team: string }, Failure> {
+    const { policy } = this.#runtime.holder;
+    const queues = Object.values(policy?.document.queues ?? {});
+    const teams = new Set(
+      queues.flatMap(({ open, team }) => (open === true && team ? [team] : [])),
+    );
+    const [team] = teams;
+    if (team === undefined || teams.size > 1) {
+      const path = context.request.url ?? '';
+      return err(createFailure('unauthenticated', `a key is required for ${path}`));
+    }
+    return ok({ team });
+  }
+
+  #readWait(context: HttpContext, fallback = defaultWaitSeconds): Result<number, Failure> {
+    const { wait } = context.request.query;
+    if (wait === undefined) return ok(fallback);
+    const seconds = Number(wait);
+    if (Number.isFinite(seconds) && seconds >= 0) return ok(Math.min(seconds, maxWaitSeconds));
+    return err(
+      createFailure(
+        'malformedRequest',
+        `wait: found ${String(wait)}; allowed: 0 to ${maxWaitSeconds}`,
+      ),
+    );
+  }
+
+  #accept(context: HttpContext, text: string): Result<AcceptedRequest, Failure> {
+    const { policy } = this.#runtime.holder;
+    if (policy === undefined)
+      return err(createFailure('notReady', 'no configuration is known yet', 1));
+    const name = context.request.params.queue ?? '';
+    const queue = policy.findQueue(name);
+    if (queue === undefined) return err(createFailure('unknownQueue', `no queue ${name}`));
+    return this.#authenticator
+      .authenticate(context.request)
+      .andThen((key) => this.#chooseTeam(name, queue, key))
+      .andThen(({ team, keyId }) =>
+        this.#parse(text).andThen((specification) =>
+          this.#createRequest(context, policy, name, queue, { team, keyId, text, specification }),
+        ),
+      );
+  }
+
+  #chooseTeam(
+    name: string,
+    queue: QueueSection,
+    key: Key | undefined,
+  ): Result<{ readonly team: string; readonly keyId: string | undefined }, Failure> {
+    if (key?.team === undefined) {
+      if (queue.open === true && queue.team !== undefined)
+        return ok({ team: queue.team, keyId: undefined });
+      if (key !== undefined)
+        return err(createFailure('forbidden', `the key ${key.id} has no team`));
+      return err(createFailure('unauthenticated', `the queue ${name} requires a key`));
+    }
+    const mayUse = queue.teams === undefined || queue.teams.includes(key.team);
+    if (!mayUse || !key.roles.includes('submit')) {
+      return err(createFailure('forbidden', `the key ${key.id} may not use the queue ${name}`));
+    }
+    return ok({ team: key.team, keyId: key.id });
+  }
+
+  #parse(text: string): Result<RequestSpecification, Failure> {
+    let data: unknown;
+    try {
+      data = JSON.parse(text);
+    } catch {
+      return err(createFailure('malformedRequest', 'the body is not JSON'));
+    }
+    return validateValue(validators.RequestSpecification, data);
+  }
+
+  #createRequest(
+    context: HttpContext,
+    policy: Policy,
+    queueName: string,
+    queue: QueueSection,
+    caller: {
+      readonly team: string;
+      readonly keyId: string | undefined;
+      readonly text: string;
+      readonly specification: RequestSpecification;
+    },
+  ): Result<AcceptedRequest, Failure> {
+    const { team, keyId, text, specification } = caller;
+    const deadlineMs = Math.min(
+      specification.deadlineSeconds === undefined ? Infinity : specification.deadlineSeconds * 1000,
+      policy.readDeadlineMs(queueName),
+    );
+    if (deadlineMs <= 0) return err(createFailure('deadlinePassed', 'the deadline is in the past'));
+    const { size, acceleratorType } = specification;
+    if (size.processors + size.memoryMb + size.accelerators === 0) {
+      return err(
+        createFailure(
+          'malformedRequest',
+          'size: found no resources; allowed: at least one above 0',
+        ),
+      );
+    }
+    if (!policy.canEverFit(size, acceleratorType)) {
+      return err(createFailure('neverFits', 'no worker class is large enough for one task'));
+    }
+    const key = context.request.headers['idempotency-key'];
+    if (key !== undefined && (typeof key !== 'string' || key === '' || key.length > 255)) {
+      return err(
+        createFailure('malformedRequest', 'Idempotency-Key: allowed: 1 to 255 characters'),
+      );
+    }
+    const detached = specification.detached ?? 'no';
+    const request: Request = {
+      id: this.#runtime.random.token(),
+      digest: hashText(`${queueName}\n${text}`),
+      team,
+      queue: queueName,
+      kind: queue.kind,
+      idempotent: queue.idempotent ?? false,
+      urgent: specification.urgent ?? false,
+      checkpointable: specification.checkpointable ?? false,
+      detached: detached !== 'no',
+      tasks: specification.tasks ?? 1,
+      size,
+      command: specification.command ?? '',
+      runTimeMs: (specification.runTimeSeconds ?? defaultRunTimeSeconds) * 1000,
+      ...(acceleratorType === undefined ? {} : { acceleratorType }),
+      ...(key === undefined ? {} : { idempotencyKey: key }),
+      ...(keyId === undefined ? {} : { keyId }),
+    };
+    return ok({ request, policy, detached, deadlineMs });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/RequestService.ts
@@ -0,0 +1,232 @@
+import {
+  createFailure,
+  isAnswered,
+  type Clock,
+  type EventRecorder,
+  type Policy,
+  type Router,
+} from '@toucanline/core';
+import type { PeerSet } from '@toucanline/runtime';
+import type {
+  CallBody,
+  Failure,
+  ReplyBody,
+  Request,
+  RequestView,
+  SubmitCall,
+} from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+
+/** Longest wait of one call to a scheduler, in milliseconds. */
+const sliceMs = 10_000;
+/** Time for the transport of a call and its reply, in milliseconds. */
+const marginMs = 2000;
+const submitTimeoutMs = 5000;
+const retryMs = 200;
+const maxHops = 3;
+const maxHandIns = 50;
+
+/** Failures that prove that the shard does not hold the request, so that another may take it. */
+const passedOn: ReadonlySet<Failure['kind']> = new Set([
+  'notOwner',
+  'noOwner',
+  'overloaded',
+  'notReady',
+]);
+
+/** Failures after which the shard may hold the request. */
+const undecided: ReadonlySet<Failure['kind']> = new Set(['linkLost', 'timeout']);
+
+/** What the service works with. */
+interface ServiceParts {
+  readonly clock: Clock;
+  readonly recorder: EventRecorder;
+  readonly router: Router;
+  readonly peers: PeerSet;
+}
+
+/** A request of a caller with its bounds. */
+interface Submission {
+  readonly request: Request;
+  readonly policy: Policy;
+  readonly detached: SubmitCall['detached'];
+  /** Local monotonic time of the deadline, in milliseconds. */
+  readonly deadlineAt: number;
+  /** Local monotonic time until which the caller waits, in milliseconds. */
+  readonly waitUntil: number;
+}
+
+/** Carries requests to the owners of shards and their answers back. */
+export class RequestService {
+  readonly #parts: ServiceParts;
+
+  /** @param parts - what the service works with */
+  public constructor(parts: ServiceParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Finds a shard for a request, hands it in and waits for its answer.
+   *
+   * @param submission - the request
+   * @returns its state when the wait ended; or the failure
+   */
+  public async submit(submission: Submission): Promise<Result<RequestView, Failure>> {
+    const { router, recorder } = this.#parts;
+    const { request, policy } = submission;
+    const { team, idempotencyKey } = request;
+    const home =
+      idempotencyKey === undefined ? undefined : router.chooseHome(policy, team, idempotencyKey);
+    const shards = home === undefined ? router.orderShards(policy, request) : [home];
+    let last = createFailure('noOwner', 'no shard has a reachable owner', 1);
+    for (const shard of shards.slice(0, maxHops)) {
+      const offered = { ...request, id: `${shard}.${request.id}` };
+      recorder.record('requestRouted', { requestId: offered.id, shard, team });
+      const result = await this.#offer(shard, { ...submission, request: offered });
+      if (result.isOk())
+        return this.#waitForAnswer(shard, { ...submission, request: offered }, result.value);
+      last = result.error;
+      if (!passedOn.has(last.kind)) break;
+    }
+    return err(last);
+  }
+
+  /**
+   * Waits until a request is answered.
+   *
+   * @param requestId - identifier of the request
+   * @param team - team of the caller; undefined for an operator
+   * @param waitMs - longest wait in milliseconds
+   * @returns its state when the wait ended; or the failure
+   */
+  public async wait(
+    requestId: string,
+    team: string | undefined,
+    waitMs: number,
+  ): Promise<Result<RequestView, Failure>> {
+    const { clock } = this.#parts;
+    const endsAt = clock.now() + waitMs;
+    for (;;) {
+      const leftMs = Math.max(0, Math.min(endsAt - clock.now(), sliceMs));
+      const body = {
+        call: 'wait',
+        requestId,
+        waitMs: leftMs,
+        ...(team === undefined ? {} : { team }),
+      } as const;
+      const result = await this.#callOwner(requestId, body, leftMs + marginMs);
+      const isOver = clock.now() >= endsAt;
+      if (result.isOk() && (isAnswered(result.value) || isOver)) return result;
+      if (result.isErr() && (isOver || !this.#mayRecover(result.error))) return result;
+      if (result.isErr()) await clock.sleep(retryMs);
+    }
+  }
+
+  /**
+   * Cancels a request.
+   *
+   * @param requestId - identifier of the request
+   * @param team - team of the caller; undefined for an operator
+   * @returns its state; or the failure
+   */
+  public cancel(
+    requestId: string,
+    team: string | undefined,
+  ): Promise<Result<RequestView, Failure>> {
+    const body = { call: 'cancel', requestId, ...(team === undefined ? {} : { team }) } as const;
+    return this.#callOwner(requestId, body, submitTimeoutMs);
+  }
+
+  #mayRecover(failure: Failure): boolean {
+    return passedOn.has(failure.kind) || undecided.has(failure.kind);
+  }
+
+  /**
+   * Offers a request to one shard. Once the shard may hold it, it is handed in again, under the same
+   * id, until the shard answers: no other shard may get it.
+   */
+  async #offer(shard: string, submission: Submission): Promise<Result<RequestView, Failure>> {
+    const { clock, router } = this.#parts;
+    let heldEpoch: number | undefined;
+    for (let handIn = 0; handIn < maxHandIns; handIn += 1) {
+      const remainingMs = submission.deadlineAt - clock.now();
+      if (remainingMs <= 0) break;
+      const epoch = router.findLoad(shard)?.epoch ?? 0;
+      const result = await this.#handIn(shard, submission, remainingMs, heldEpoch);
+      if (result.isOk()) return result;
+      const isPassedOn = heldEpoch === undefined && passedOn.has(result.error.kind);
+      if (isPassedOn || !this.#mayRecover(result.error)) return result;
+      if (undecided.has(result.error.kind)) heldEpoch ??= epoch;
+      await clock.sleep(retryMs);
+    }
+    if (heldEpoch === undefined) return err(createFailure('deadlinePassed', 'the deadline passed'));
+    return err(createFailure('outcomeUnknown', 'the owner of the shard did not answer in time'));
+  }
+
+  #handIn(
+    shard: string,
+    { request, detached }: Submission,
+    remainingMs: number,
+    heldEpoch: number | undefined,
+  ): Promise<Result<RequestView, Failure>> {
+    const body: SubmitCall = {
+      call: 'submit',
+      shard,
+      request,
+      remainingMs,
+      detached,
+      ...(heldEpoch === undefined ? {} : { heldEpoch }),
+    };
+    return this.#callOwner(request.id, body, Math.min(submitTimeoutMs, remainingMs + marginMs));
+  }
+
+  /** Waits for the answer; a new owner gets the request again, because it may not know it. */
+  async #waitForAnswer(
+    shard: string,
+    submission: Submission,
+    first: RequestView,
+  ): Promise<Result<RequestView, Failure>> {
+    const { clock, router, recorder } = this.#parts;
+    let view = first;
+    let epoch = router.findLoad(shard)?.epoch ?? 0;
+    while (!isAnswered(view) && clock.now() < submission.waitUntil) {
+      const waitMs = Math.min(sliceMs, submission.waitUntil - clock.now());
+      const { team } = submission.request;
+      const body = { call: 'wait', requestId: view.id, team, waitMs } as const;
+      let result = await this.#callOwner(view.id, body, waitMs + marginMs);
+      const newEpoch = router.findLoad(shard)?.epoch ?? epoch;
+      if (result.isErr() && result.error.kind === 'unknownRequest' && newEpoch > epoch) {
+        const remainingMs = submission.deadlineAt - clock.now();
+        result = await this.#handIn(shard, submission, remainingMs, epoch);
+        epoch = newEpoch;
+      }
+      if (result.isErr()) {
+        if (!this.#mayRecover(result.error)) return err(result.error);
+        await clock.sleep(retryMs);
+      } else if (result.value.attempt < view.attempt) {
+        recorder.record('lateAnswerDropped', { requestId: view.id });
+      } else view = result.value;
+    }
+    return ok(view);
+  }
+
+  async #callOwner(
+    requestId: string,
+    body: CallBody,
+    timeoutMs: number,
+  ): Promise<Result<RequestView, Failure>> {
+    const shard = requestId.split('.')[0] ?? '';
+    const address = this.#parts.router.findLoad(shard)?.address;
+    if (address === undefined) {
+      return err(createFailure('noOwner', `no owner of shard ${shard} is known`, 1));
+    }
+    const reply = await this.#parts.peers.call(address, body, timeoutMs);
+    return reply.andThen((content) => this.#readView(content));
+  }
+
+  #readView(reply: ReplyBody): Result<RequestView, Failure> {
+    if (reply.reply === 'view') return ok(reply.view);
+    if (reply.reply === 'failure') return err(reply.failure);
+    return err(createFailure('internal', `unexpected reply ${reply.reply}`));
+  }
+}
--- /dev/null
+++ b/packages/entry/src/bin/toucanline-entry.ts
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { EntryCommand } from '../EntryCommand.js';
+
+await EntryCommand.run();
--- /dev/null
+++ b/packages/platform/src/HttpExchange.ts
@@ -0,0 +1,80 @@
+import { createFailure } from '@toucanline/core';
+import type { Failure } from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import { Agent, request } from 'undici';
+import type { HttpResponse } from './HttpResponse.js';
+
+const maxConnections = 8;
+const keepAliveMs = 10_000;
+
+/** Errors that prove that the request was not processed. */
+const refusedCodes: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const readCode = (error: unknown): string => {
+  if (error instanceof Error && 'code' in error) return String(error.code);
+  return error instanceof Error ? error.message : 'unknown error';
+};
+
+/** Bounded HTTP exchanges with one service of the platform. */
+export class HttpExchange {
+  #agent: Agent;
+
+  public constructor() {
+    this.#agent = this.#createAgent();
+  }
+
+  /**
+   * Sends a request and reads the JSON response.
+   *
+   * @param method - HTTP method
+   * @param url - absolute URL
+   * @param body - JSON body, if any
+   * @param timeoutMs - bound of the whole exchange, in milliseconds
+   * @returns the response; `storeUnavailable` if nothing was processed; `timeout` if that is unknown
+   */
+  public async send(
+    method: 'GET' | 'PUT' | 'POST' | 'DELETE',
+    url: string,
+    body: unknown,
+    timeoutMs: number,
+  ): Promise<Result<HttpResponse, Failure>> {
+    const agent = this.#agent;
+    try {
+      const response = await request(url, {
+        method,
+        dispatcher: agent,
+        signal: AbortSignal.timeout(timeoutMs),
+        ...(body === undefined
+          ? {}
+          : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }),
+      });
+      return ok({ status: response.statusCode, body: await response.body.json() });
+    } catch (error) {
+      const code = readCode(error);
+      if (refusedCodes.has(code)) return err(createFailure('storeUnavailable', `${url}: ${code}`));
+      this.#replaceAgent(agent);
+      return err(createFailure('timeout', `${url}: ${code}`));
+    }
+  }
+
+  /** Closes all connections. */
+  public async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  /** A connection that timed out may be silent for good, so none of its agent is used again. */
+  #replaceAgent(agent: Agent): void {
+    if (this.#agent !== agent) return;
+    this.#agent = this.#createAgent();
+    void agent.close();
+  }
+
+  #createAgent(): Agent {
+    return new Agent({ connections: maxConnections, keepAliveTimeout: keepAliveMs, pipelining: 1 });
+  }
+}
--- /dev/null
+++ b/packages/platform/src/HttpResponse.ts
@@ -0,0 +1,5 @@
+/** Response of an HTTP interface of the platform. */
+export interface HttpResponse {
+  readonly status: number;
+  readonly body: unknown;
+}
--- /dev/null
+++ b/packages/platform/src/HttpStore.ts
@@ -0,0 +1,116 @@
+import { createFailure, Store, validateValue } from '@toucanline/core';
+import { validators, type Failure, type StoreLease, type StoreValue } from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import { HttpExchange } from './HttpExchange.js';
+import type { HttpResponse } from './HttpResponse.js';
+
+/** Store over HTTP. Reads whose result is unknown count as unavailable, because they may be repeated. */
+export class HttpStore extends Store {
+  readonly #exchange = new HttpExchange();
+  readonly #url: string;
+  readonly #timeoutMs: number;
+
+  /**
+   * @param url - base URL of the store
+   * @param timeoutMs - bound of one call, in milliseconds
+   */
+  public constructor(url: string, timeoutMs: number) {
+    super();
+    this.#url = url;
+    this.#timeoutMs = timeoutMs;
+  }
+
+  /** {@inheritDoc Store.read} */
+  public override async read(key: string): Promise<Result<StoreValue, Failure>> {
+    const response = await this.#get(`/v1/values/${encodeURIComponent(key)}`, this.#timeoutMs);
+    return response.andThen(({ body }) => validateValue(validators.StoreValue, body, 'internal'));
+  }
+
+  /** {@inheritDoc Store.list} */
+  public override async list(prefix: string): Promise<Result<readonly StoreValue[], Failure>> {
+    const path = `/v1/values?prefix=${encodeURIComponent(prefix)}`;
+    const response = await this.#get(path, this.#timeoutMs);
+    return response
+      .andThen(({ body }) => validateValue(validators.StoreValues, body, 'internal'))
+      .map(({ values }) => values);
+  }
+
+  /** {@inheritDoc Store.write} */
+  public override async write(
+    key: string,
+    value: string | undefined,
+    ifVersion: number,
+    lease?: string,
+  ): Promise<Result<number, Failure>> {
+    const url = `${this.#url}/v1/values/${encodeURIComponent(key)}`;
+    const body = {
+      ifVersion,
+      ...(value === undefined ? {} : { value }),
+      ...(lease === undefined ? {} : { lease }),
+    };
+    const response = await this.#exchange.send('PUT', url, body, this.#timeoutMs);
+    if (response.isErr()) return err(response.error);
+    if (response.value.status === 409) {
+      return err(createFailure('storeConflict', `${key} changed since version ${ifVersion}`));
+    }
+    return this.#accept(response.value)
+      .andThen(({ body: written }) => validateValue(validators.StoreValue, written, 'internal'))
+      .map(({ version }) => version);
+  }
+
+  /** {@inheritDoc Store.grantLease} */
+  public override async grantLease(ttlMs: number): Promise<Result<StoreLease, Failure>> {
+    return this.#postLease(`${this.#url}/v1/leases`, { ttlMs });
+  }
+
+  /** {@inheritDoc Store.renewLease} */
+  public override async renewLease(lease: string): Promise<Result<StoreLease, Failure>> {
+    return this.#postLease(`${this.#url}/v1/leases/${encodeURIComponent(lease)}/renew`, {});
+  }
+
+  /** {@inheritDoc Store.revokeLease} */
+  public override async revokeLease(lease: string): Promise<Result<void, Failure>> {
+    const url = `${this.#url}/v1/leases/${encodeURIComponent(lease)}`;
+    const response = await this.#exchange.send('DELETE', url, undefined, this.#timeoutMs);
+    return response.andThen((answered) => this.#accept(answered)).map(() => undefined);
+  }
+
+  /** {@inheritDoc Store.watch} */
+  public override async watch(
+    key: string,
+    afterVersion: number,
+    waitMs: number,
+  ): Promise<Result<StoreValue, Failure>> {
+    const path = `/v1/watch/${encodeURIComponent(key)}?after=${afterVersion}&waitMs=${waitMs}`;
+    const response = await this.#get(path, waitMs + this.#timeoutMs);
+    return response.andThen(({ body }) => validateValue(validators.StoreValue, body, 'internal'));
+  }
+
+  /** Closes all connections. */
+  public async close(): Promise<void> {
+    await this.#exchange.close();
+  }
+
+  async #get(path: string, timeoutMs: number): Promise<Result<HttpResponse, Failure>> {
+    const response = await this.#exchange.send('GET', this.#url + path, undefined, timeoutMs);
+    return response
+      .mapErr(({ detail }) => createFailure('storeUnavailable', detail))
+      .andThen((answered) => this.#accept(answered));
+  }
+
+  async #postLease(url: string, body: unknown): Promise<Result<StoreLease, Failure>> {
+    const response = await this.#exchange.send('POST', url, body, this.#timeoutMs);
+    if (response.isErr()) return err(createFailure('storeUnavailable', response.error.detail));
+    if (response.value.status === 404) {
+      return err(createFailure('staleRevision', 'the lease is gone'));
+    }
+    return this.#accept(response.value).andThen(({ body: lease }) =>
+      validateValue(validators.StoreLease, lease, 'internal'),
+    );
+  }
+
+  #accept(response: HttpResponse): Result<HttpResponse, Failure> {
+    if (response.status === 200) return ok(response);
+    return err(createFailure('storeUnavailable', `the store answered ${response.status}`));
+  }
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,10 @@
+/**
+ * HTTP clients for the platform: store, host list and workers.
+ *
+ * @packageDocumentation
+ */
+export { HttpExchange } from './HttpExchange.js';
+export { HttpHostList } from './HttpHostList.js';
+export type { HttpResponse } from './HttpResponse.js';
+export { HttpStore } from './HttpStore.js';
+export { HttpWorkerGateway } from './HttpWorkerGateway.js';
--- /dev/null
+++ b/packages/runtime/src/Log.ts
@@ -0,0 +1,60 @@
+import type { Event } from '@toucanline/schema';
+import { ROARR, Roarr, type Logger } from 'roarr';
+
+const levels = { debug: 20, info: 30, warn: 40, error: 50 } as const;
+
+/** Levels of log lines. */
+type Level = keyof typeof levels;
+
+/** Events that are logged above the level `info`. */
+const warnings: ReadonlySet<Event['name']> = new Set([
+  'claimLost',
+  'leaseLapsed',
+  'workerLost',
+  'workerQuarantined',
+  'storeUnreachable',
+]);
+
+/** JSON-lines log of a process on standard output. */
+export class Log {
+  readonly #logger: Logger;
+  readonly #threshold: number;
+
+  /**
+   * @param process - name of the process
+   * @param level - lowest level that is written
+   */
+  public constructor(process: string, level: Level) {
+    ROARR.write = (line: string): void => {
+      globalThis.process.stdout.write(`${line}\n`);
+    };
+    this.#logger = Roarr.child({ process });
+    this.#threshold = levels[level];
+  }
+
+  /**
+   * Writes a line.
+   *
+   * @param level - level of the line
+   * @param message - one sentence
+   * @param context - further fields
+   */
+  public write(
+    level: Level,
+    message: string,
+    context: Readonly<Record<string, string | number>> = {},
+  ): void {
+    if (levels[level] >= this.#threshold) this.#logger[level]({ ...context }, message);
+  }
+
+  /**
+   * Writes an event.
+   *
+   * @param event - the event
+   */
+  public writeEvent(event: Event): void {
+    const { name, stamp: _stamp, process: _process, ...fields } = event;
+    const level = name === 'invariantViolated' ? 'error' : warnings.has(name) ? 'warn' : 'info';
+    this.write(level, name, fields);
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/ProcessRuntime.ts
@@ -0,0 +1,85 @@
+import {
+  ConfigurationHolder,
+  EventRecorder,
+  EventStream,
+  Invariant,
+  KeyRing,
+  RevisionSync,
+} from '@toucanline/core';
+import { HttpHostList, HttpStore } from '@toucanline/platform';
+import type { Hello, ProcessSettings } from '@toucanline/schema';
+import { Log } from './Log.js';
+import { Metrics } from './Metrics.js';
+import { SystemClock } from './SystemClock.js';
+import { SystemRandom } from './SystemRandom.js';
+
+const defaultTimeoutMs = 1000;
+
+/** What every daemon has: clock, random source, events, log, metrics, platform clients, configuration. */
+export class ProcessRuntime {
+  public readonly settings: ProcessSettings;
+  public readonly role: Hello['role'];
+  public readonly clock = new SystemClock();
+  public readonly random = new SystemRandom();
+  public readonly stream = new EventStream();
+  public readonly recorder: EventRecorder;
+  public readonly invariant: Invariant;
+  public readonly log: Log;
+  public readonly metrics: Metrics;
+  public readonly store: HttpStore;
+  public readonly hostList: HttpHostList;
+  public readonly holder: ConfigurationHolder;
+  public readonly keyRing: KeyRing;
+
+  /**
+   * @param settings - settings of the process
+   * @param role - role of the process
+   */
+  public constructor(settings: ProcessSettings, role: Hello['role']) {
+    this.settings = settings;
+    this.role = role;
+    const { process: name, dataCentre, platform } = settings;
+    this.log = new Log(name, settings.logLevel ?? 'info');
+    this.metrics = new Metrics(settings);
+    this.recorder = new EventRecorder(this.clock, this.stream, name, dataCentre);
+    this.stream.on('event', (event) => {
+      this.log.writeEvent(event);
+      this.metrics.countEvent(event);
+    });
+    this.invariant = new Invariant(this.recorder, false);
+    const timeoutMs = platform.timeoutMs ?? defaultTimeoutMs;
+    this.store = new HttpStore(platform.store, timeoutMs);
+    this.hostList = new HttpHostList(platform.hosts, timeoutMs);
+    this.holder = new ConfigurationHolder(this.recorder);
+    this.keyRing = new KeyRing(this.recorder);
+  }
+
+  /** What this process tells of itself on links. */
+  public get hello(): Hello {
+    const { environment, process: name, dataCentre } = this.settings;
+    return { type: 'hello', protocol: 1, environment, process: name, role: this.role, dataCentre };
+  }
+
+  /**
+   * Follows configuration and keys in the store.
+   *
+   * @param isWatcher - whether this process keeps a watch at the moment
+   * @param onChange - called after each newer revision
+   * @returns the running synchronisation
+   */
+  public followRevisions(isWatcher: () => boolean, onChange: () => void): RevisionSync {
+    const { store, clock, holder, keyRing } = this;
+    const sync = new RevisionSync(
+      { store, clock, holder, keyRing, isWatcher, onChange },
+      this.settings.environment,
+    );
+    sync.start();
+    return sync;
+  }
+
+  /** Closes connections and sockets. */
+  public async close(): Promise<void> {
+    await Promise.all([this.store.close(), this.hostList.close()]);
+    this.metrics.close();
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/runDaemon.ts
@@ -0,0 +1,29 @@
+import type { Daemon } from './Daemon.js';
+import type { ProcessRuntime } from './ProcessRuntime.js';
+
+/**
+ * Runs a daemon until SIGTERM or SIGINT, then stops it gracefully and ends the process.
+ *
+ * @param runtime - the process
+ * @param daemon - the daemon
+ */
+export const runDaemon = async (runtime: ProcessRuntime, daemon: Daemon): Promise<void> => {
+  let stopping = false;
+  const stop = async (signal: string): Promise<void> => {
+    if (stopping) return;
+    stopping = true;
+    runtime.recorder.record('processStopping', { detail: signal });
+    await daemon.drain();
+    await runtime.close();
+    process.exit(0);
+  };
+  process.on('SIGTERM', () => void stop('SIGTERM'));
+  process.on('SIGINT', () => void stop('SIGINT'));
+  process.on('unhandledRejection', (reason) => {
+    runtime.log.write('error', 'unhandled rejection', {
+      detail: reason instanceof Error ? (reason.stack ?? reason.message) : String(reason),
+    });
+  });
+  await daemon.start();
+  runtime.recorder.record('processStarted', {});
+};
--- /dev/null
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -0,0 +1,262 @@
+import { createFailure, Router } from '@toucanline/core';
+import { HttpWorkerGateway } from '@toucanline/platform';
+import { addHealthRoutes, Daemon, PeerSet, type ProcessRuntime } from '@toucanline/runtime';
+import type { CallBody, LoadNotice, NoticeBody, ReplyBody } from '@toucanline/schema';
+import { LinkHandler, LinkListener, type Link } from '@toucanline/wire';
+import restana from 'restana';
+import { ShardCandidate } from './ShardCandidate.js';
+import type { ShardHost } from './ShardHost.js';
+
+const loadNoticeMs = 500;
+const hostsMs = 1000;
+
+const fail = (kind: Parameters<typeof createFailure>[0], detail: string): ReplyBody => ({
+  reply: 'failure',
+  failure: createFailure(kind, detail),
+});
+
+/** Passes the messages of links to the daemon. */
+class SchedulerLinks extends LinkHandler {
+  readonly #onCall: (body: CallBody) => Promise<ReplyBody> | ReplyBody;
+  readonly #onNotice: (link: Link, body: NoticeBody) => void;
+
+  public constructor(
+    onCall: (body: CallBody) => Promise<ReplyBody> | ReplyBody,
+    onNotice: (link: Link, body: NoticeBody) => void,
+  ) {
+    super();
+    this.#onCall = onCall;
+    this.#onNotice = onNotice;
+  }
+
+  public override handleOpen(): void {
+    // Nothing to prepare: the next load notice reaches the peer.
+  }
+
+  public override async handleCall(_link: Link, body: CallBody): Promise<ReplyBody> {
+    return this.#onCall(body);
+  }
+
+  public override handleNotice(link: Link, body: NoticeBody): void {
+    this.#onNotice(link, body);
+  }
+
+  public override handleClose(): void {
+    // The peer reconnects.
+  }
+}
+
+/** The scheduler daemon: candidate owner of all shards of its data centre. */
+export class SchedulerDaemon extends Daemon {
+  readonly #runtime: ProcessRuntime;
+  readonly #gateway = new HttpWorkerGateway();
+  readonly #router: Router;
+  readonly #links: SchedulerLinks;
+  readonly #listener: LinkListener;
+  readonly #candidates = new Map<string, ShardCandidate>();
+  #peers: PeerSet | undefined;
+  #address = '';
+  #stopping = false;
+
+  /** @param runtime - the process */
+  public constructor(runtime: ProcessRuntime) {
+    super();
+    this.#runtime = runtime;
+    this.#router = new Router(runtime.clock, runtime.settings.dataCentre);
+    this.#links = new SchedulerLinks(
+      (body) => this.#answer(body),
+      (link, body) => {
+        this.#applyNotice(link, body);
+      },
+    );
+    this.#listener = new LinkListener(runtime.hello, this.#links);
+  }
+
+  /** {@inheritDoc Daemon.start} */
+  public override async start(): Promise<void> {
+    const { settings } = this.#runtime;
+    const { host, port } = settings.link ?? { host: settings.http.host, port: 0 };
+    this.#address = await this.#listener.listen(host, port);
+    this.#peers = new PeerSet(this.#runtime, this.#links, this.#address);
+    this.#peers.start();
+    const service = restana();
+    addHealthRoutes(service, () => this.#isReady);
+    await service.start(settings.http.port, settings.http.host);
+    this.#runtime.followRevisions(
+      () => this.#hosts.length > 0,
+      () => {
+        this.#applyRevision();
+      },
+    );
+    void this.#repeat(loadNoticeMs, () => {
+      this.#tellLoad();
+    });
+    void this.#repeat(hostsMs, () => this.#readHosts());
+    this.#runtime.log.write('info', 'listening for links', { address: this.#address });
+  }
+
+  /** {@inheritDoc Daemon.drain} */
+  public override async drain(): Promise<void> {
+    this.#stopping = true;
+    await Promise.all([...this.#candidates.values()].map((candidate) => candidate.stop()));
+    this.#peers?.stop();
+    this.#listener.close();
+    await this.#gateway.close();
+  }
+
+  get #isReady(): boolean {
+    return !this.#stopping && this.#runtime.holder.policy !== undefined;
+  }
+
+  get #hosts(): readonly ShardHost[] {
+    return [...this.#candidates.values()].flatMap(({ host }) => (host === undefined ? [] : [host]));
+  }
+
+  async #repeat(periodMs: number, action: () => Promise<void> | void): Promise<void> {
+    while (!this.#stopping) {
+      await action();
+      await this.#runtime.clock.sleep(periodMs);
+    }
+  }
+
+  /** Becomes a candidate for new shards of the data centre and passes the policy on. */
+  #applyRevision(): void {
+    const { holder, settings } = this.#runtime;
+    const { policy } = holder;
+    if (policy === undefined) return;
+    for (const shard of policy.listShards(settings.dataCentre)) {
+      if (this.#candidates.has(shard) || this.#stopping) continue;
+      const candidate = new ShardCandidate(
+        this.#runtime,
+        this.#gateway,
+        shard,
+        this.#address,
+        () => holder.policy,
+      );
+      this.#candidates.set(shard, candidate);
+      void candidate.run();
+    }
+    for (const host of this.#hosts) host.applyPolicy(policy);
+    this.#tellLoad();
+  }
+
+  async #readHosts(): Promise<void> {
+    if (this.#hosts.length === 0) return;
+    const hosts = await this.#runtime.hostList.read();
+    if (hosts.isErr()) return;
+    const { dataCentre } = this.#runtime.settings;
+    const workers = hosts.value.filter(
+      (host) => host.role === 'worker' && host.dataCentre === dataCentre,
+    );
+    const owned = this.#runtime.holder.policy?.listShards(dataCentre) ?? [];
+    for (const host of this.#hosts) {
+      const position = owned.indexOf(host.shard.name);
+      host.applyHosts(workers.filter((_, index) => index % owned.length === position));
+    }
+  }
+
+  #tellLoad(): void {
+    const { holder, keyRing, settings } = this.#runtime;
+    const notice: LoadNotice = {
+      notice: 'load',
+      process: settings.process,
+      shards: this.#hosts.map((host) => host.shard.describeLoad()),
+      configurationRevision: holder.revision,
+      keysRevision: keyRing.revision,
+    };
+    this.#router.applyNotice(notice);
+    for (const link of this.#listener.links) link.notify(notice);
+    for (const link of this.#peers?.links ?? []) link.notify(notice);
+    this.#passLoads();
+  }
+
+  #passLoads(): void {
+    const names = this.#runtime.holder.policy?.shards ?? [];
+    const loads = names.flatMap((name) => this.#router.findLoad(name) ?? []);
+    for (const host of this.#hosts) {
+      host.applyLoads(loads.filter(({ shard }) => shard !== host.shard.name));
+    }
+  }
+
+  #applyNotice(link: Link, body: NoticeBody): void {
+    this.#router.applyNotice(body);
+    const { holder, keyRing } = this.#runtime;
+    const before = holder.revision + keyRing.revision;
+    void this.#peers?.learnRevisions(link, body).then(() => {
+      if (holder.revision + keyRing.revision > before) this.#applyRevision();
+    });
+  }
+
+  #answer(body: CallBody): Promise<ReplyBody> | ReplyBody {
+    switch (body.call) {
+      case 'submit': {
+        const host = this.#candidates.get(body.shard)?.host;
+        return host?.submit(body) ?? fail('notOwner', `not the owner of ${body.shard}`);
+      }
+      case 'wait': {
+        const host = this.#findHost(body.requestId);
+        const waiting = host?.wait(body.requestId, body.team, body.waitMs);
+        return waiting ?? fail('notOwner', 'not the owner of the shard of this request');
+      }
+      case 'cancel': {
+        const host = this.#findHost(body.requestId);
+        const reply = host?.cancel(body.requestId, body.team);
+        return reply ?? fail('notOwner', 'not the owner of the shard of this request');
+      }
+      case 'status':
+        return this.#describeStatus();
+      case 'events':
+        return {
+          reply: 'events',
+          events: this.#runtime.recorder.list(body.sinceMs, body.requestId),
+        };
+      case 'configuration':
+        return this.#describeConfiguration(body.configurationRevision, body.keysRevision);
+      case 'drain':
+        return this.#drainWorker(body.worker, body.drained);
+      case 'handover':
+        return fail('notOwner', 'hand-over is not accepted');
+    }
+  }
+
+  #findHost(requestId: string): ShardHost | undefined {
+    return this.#candidates.get(requestId.split('.')[0] ?? '')?.host;
+  }
+
+  #drainWorker(worker: string, drained: boolean): ReplyBody {
+    for (const host of this.#hosts) {
+      const reply = host.drain(worker, drained);
+      if (reply.reply === 'done') return reply;
+    }
+    return fail('unknownWorker', `no worker ${worker} here`);
+  }
+
+  #describeStatus(): ReplyBody {
+    const { settings, holder, keyRing, invariant } = this.#runtime;
+    return {
+      reply: 'status',
+      status: {
+        process: settings.process,
+        role: 'scheduler',
+        dataCentre: settings.dataCentre,
+        ready: this.#isReady,
+        configurationRevision: holder.revision,
+        keysRevision: keyRing.revision,
+        violations: invariant.violations,
+        shards: this.#hosts.map((host) => host.shard.describeStatus()),
+      },
+    };
+  }
+
+  #describeConfiguration(configurationRevision: number, keysRevision: number): ReplyBody {
+    const { configuration } = this.#runtime.holder;
+    const { list } = this.#runtime.keyRing;
+    return {
+      reply: 'configuration',
+      ...(configuration !== undefined && configuration.revision > configurationRevision
+        ? { configuration }
+        : {}),
+      ...(list !== undefined && list.revision > keysRevision ? { keys: list } : {}),
+    };
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/bin/toucanline-scheduler.ts
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { SchedulerCommand } from '../SchedulerCommand.js';
+
+await SchedulerCommand.run();
--- /dev/null
+++ b/packages/scheduler/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * The scheduler daemon of toucanline.
+ *
+ * @packageDocumentation
+ */
+export { SchedulerCommand } from './SchedulerCommand.js';
+export { SchedulerDaemon } from './SchedulerDaemon.js';
+export { ShardHost } from './ShardHost.js';
--- /dev/null
+++ b/packages/wire/src/Link.ts
@@ -0,0 +1,154 @@
+import type { Socket } from 'node:net';
+import { createFailure, periods } from '@toucanline/core';
+import type { CallBody, Failure, Frame, Hello, NoticeBody, ReplyBody } from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import { encodeFrame } from './encodeFrame.js';
+import { frameLimits } from './frameLimits.js';
+import { FrameReader } from './FrameReader.js';
+import type { LinkHandler } from './LinkHandler.js';
+
+/** A call that waits for its reply. */
+interface PendingCall {
+  readonly resolve: (result: Result<ReplyBody, Failure>) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** One connection between two processes: calls, replies, notices and heartbeats. */
+export class Link {
+  readonly #socket: Socket;
+  readonly #handler: LinkHandler;
+  readonly #reader = new FrameReader();
+  readonly #pending = new Map<number, PendingCall>();
+  readonly #heartbeat: NodeJS.Timeout;
+  #peer: Hello | undefined;
+  #nextCall = 1;
+  #lastReceivedAt = performance.now();
+  #closed = false;
+
+  /**
+   * @param socket - connected socket
+   * @param hello - what this process tells of itself
+   * @param handler - takes the messages of the peer
+   */
+  public constructor(socket: Socket, hello: Hello, handler: LinkHandler) {
+    this.#socket = socket;
+    this.#handler = handler;
+    socket.setNoDelay(true);
+    socket.on('data', (chunk: Buffer) => {
+      this.#receive(chunk);
+    });
+    socket.on('error', (error) => {
+      this.close(error.message);
+    });
+    socket.on('close', () => {
+      this.close('the peer closed the connection');
+    });
+    this.#heartbeat = setInterval(() => {
+      this.#beat();
+    }, periods.linkHeartbeatMs);
+    this.#send(hello);
+  }
+
+  /** What the peer told of itself; undefined until it did. */
+  public get peer(): Hello | undefined {
+    return this.#peer;
+  }
+
+  /** Whether the link is closed. */
+  public get isClosed(): boolean {
+    return this.#closed;
+  }
+
+  /**
+   * Calls the peer.
+   *
+   * @param body - the call
+   * @param timeoutMs - longest wait for the reply, in milliseconds
+   * @returns the reply; `overloaded` if it was not sent; `timeout` or `linkLost` if the outcome is unknown
+   */
+  public call(body: CallBody, timeoutMs: number): Promise<Result<ReplyBody, Failure>> {
+    if (this.#closed) return Promise.resolve(err(createFailure('noOwner', 'the link is closed')));
+    if (this.#socket.writableLength > frameLimits.maxBufferedBytes) {
+      return Promise.resolve(err(createFailure('overloaded', 'the peer does not read', 1)));
+    }
+    const id = this.#nextCall;
+    this.#nextCall += 1;
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        this.#settle(id, err(createFailure('timeout', `no reply within ${timeoutMs} ms`)));
+      }, timeoutMs);
+      this.#pending.set(id, { resolve, timer });
+      this.#send({ type: 'call', id, body });
+    });
+  }
+
+  /**
+   * Sends a notice. It is dropped if the peer does not read, because a newer one follows.
+   *
+   * @param body - the notice
+   */
+  public notify(body: NoticeBody): void {
+    if (this.#closed || this.#socket.writableLength > frameLimits.maxBufferedBytes) return;
+    this.#send({ type: 'notice', body });
+  }
+
+  /**
+   * Closes the link. Calls without a reply end as `linkLost`.
+   *
+   * @param detail - why it is closed
+   */
+  public close(detail: string): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    clearInterval(this.#heartbeat);
+    this.#socket.destroy();
+    for (const id of [...this.#pending.keys()]) {
+      this.#settle(id, err(createFailure('linkLost', detail)));
+    }
+    this.#handler.handleClose(this, detail);
+  }
+
+  #send(frame: Frame): void {
+    if (!this.#closed) this.#socket.write(encodeFrame(frame));
+  }
+
+  #beat(): void {
+    const silenceMs = performance.now() - this.#lastReceivedAt;
+    if (silenceMs > periods.linkSilenceMs) this.close(`no frame for ${Math.round(silenceMs)} ms`);
+    else this.#send({ type: 'heartbeat' });
+  }
+
+  #receive(chunk: Buffer): void {
+    this.#lastReceivedAt = performance.now();
+    this.#reader.add(chunk);
+    while (!this.#closed) {
+      const frame = this.#reader.take();
+      if (frame === undefined) return;
+      if (frame.isOk()) this.#handle(frame.value);
+      else this.close(`invalid frame: ${frame.error.detail}`);
+    }
+  }
+
+  #handle(frame: Frame): void {
+    if (frame.type === 'hello') {
+      this.#peer = frame;
+      this.#handler.handleOpen(this, frame);
+    } else if (this.#peer === undefined) this.close('the peer did not introduce itself');
+    else if (frame.type === 'call') void this.#answer(frame.id, frame.body);
+    else if (frame.type === 'reply') this.#settle(frame.id, ok(frame.body));
+    else if (frame.type === 'notice') this.#handler.handleNotice(this, frame.body);
+  }
+
+  async #answer(id: number, body: CallBody): Promise<void> {
+    const reply = await this.#handler.handleCall(this, body);
+    this.#send({ type: 'reply', id, body: reply });
+  }
+
+  #settle(id: number, result: Result<ReplyBody, Failure>): void {
+    const pending = this.#pending.get(id);
+    if (pending === undefined) return;
+    this.#pending.delete(id);
+    clearTimeout(pending.timer);
+    pending.resolve(result);
+  }
+}
--- /dev/null
+++ b/packages/wire/src/LinkDialer.ts
@@ -0,0 +1,82 @@
+import { connect } from 'node:net';
+import { periods } from '@toucanline/core';
+import type { CallBody, Hello, NoticeBody, ReplyBody } from '@toucanline/schema';
+import { Link } from './Link.js';
+import { LinkHandler } from './LinkHandler.js';
+
+/** Keeps one link to an address open: reconnects after an exponential delay with jitter. */
+export class LinkDialer extends LinkHandler {
+  readonly #address: string;
+  readonly #hello: Hello;
+  readonly #handler: LinkHandler;
+  #link: Link | undefined;
+  #isOpen = false;
+  #delayMs: number = periods.firstRetryMs;
+  #timer: NodeJS.Timeout | undefined;
+  #stopped = false;
+
+  /**
+   * @param address - IP and port of the peer
+   * @param hello - what this process tells of itself
+   * @param handler - takes the messages of the peer
+   */
+  public constructor(address: string, hello: Hello, handler: LinkHandler) {
+    super();
+    this.#address = address;
+    this.#hello = hello;
+    this.#handler = handler;
+    this.#dial();
+  }
+
+  /** The open link, if any. */
+  public get link(): Link | undefined {
+    return this.#isOpen ? this.#link : undefined;
+  }
+
+  /** Address of the peer. */
+  public get address(): string {
+    return this.#address;
+  }
+
+  /** Closes the link and stops to reconnect. */
+  public stop(): void {
+    this.#stopped = true;
+    clearTimeout(this.#timer);
+    this.#link?.close('this process is stopping');
+  }
+
+  /** {@inheritDoc LinkHandler.handleOpen} */
+  public override handleOpen(link: Link, hello: Hello): void {
+    this.#isOpen = true;
+    this.#delayMs = periods.firstRetryMs;
+    this.#handler.handleOpen(link, hello);
+  }
+
+  /** {@inheritDoc LinkHandler.handleCall} */
+  public override handleCall(link: Link, body: CallBody): Promise<ReplyBody> {
+    return this.#handler.handleCall(link, body);
+  }
+
+  /** {@inheritDoc LinkHandler.handleNotice} */
+  public override handleNotice(link: Link, body: NoticeBody): void {
+    this.#handler.handleNotice(link, body);
+  }
+
+  /** {@inheritDoc LinkHandler.handleClose} */
+  public override handleClose(link: Link, detail: string): void {
+    const wasOpen = this.#isOpen;
+    this.#isOpen = false;
+    if (wasOpen) this.#handler.handleClose(link, detail);
+    if (this.#stopped) return;
+    const delay = this.#delayMs * (0.5 + Math.random() / 2);
+    this.#delayMs = Math.min(this.#delayMs * 2, periods.maxRetryMs / 5);
+    this.#timer = setTimeout(() => {
+      this.#dial();
+    }, delay);
+  }
+
+  #dial(): void {
+    const [host = '', port = '0'] = this.#address.split(':');
+    this.#link = new Link(connect(Number(port), host), this.#hello, this);
+  }
+}
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,12 @@
+/**
+ * Links between the processes of toucanline: length-prefixed CBOR frames over TCP.
+ *
+ * @packageDocumentation
+ */
+export { encodeFrame } from './encodeFrame.js';
+export { frameLimits } from './frameLimits.js';
+export { FrameReader } from './FrameReader.js';
+export { Link } from './Link.js';
+export { LinkDialer } from './LinkDialer.js';
+export { LinkHandler } from './LinkHandler.js';
+export { LinkListener } from './LinkListener.js';
