--- a/packages/core/src/RequestRecord.ts
+++ b/packages/core/src/RequestRecord.ts
@@ -47,9 +47,9 @@
     return this.request.id;
   }
 
-  /** Current state. */
+  /** Current state; `stopping` while tasks that shall stop may still be active. */
   public get state(): RequestState {
-    return this.#state;
+    return this.#stop === undefined || this.isFinished ? this.#state : 'stopping';
   }
 
   /** Whether the state cannot change any more. */
@@ -275,7 +275,7 @@
       team,
       queue,
       kind,
-      state: this.#state,
+      state: this.state,
       ran: this.ran,
       attempt: this.#attempt,
       tasks: [...this.#tasks.values()].map((task) => task.describe()),
