Measure the cost of each daemon per worker; transfer the host list only on change

Cause: npm run capacity showed that each daemon read the whole host list each second: 99.7 B/s per worker at the entry and about 200 of the 508 B/s per worker at the scheduler. At 1,300 workers that alone is 130 KB/s per daemon.

Change: a capacity measurement with real processes at four sizes (workers, running tasks, requests a second, waiting callers) that prints slopes and the error of the fit; the host list client sends the entity tag of the list it knows and gets the body only when it changed.

--- /dev/null
+++ b/packages-private/bench/src/ProcessProbe.ts
@@ -0,0 +1,74 @@
+import { readFileSync } from 'node:fs';
+
+/** Clock ticks per second of `/proc/PID/stat` on Linux. */
+const ticksPerSecond = 100;
+
+/** What a process used up to a moment. */
+interface ProcessSample {
+  /** Local monotonic time in milliseconds. */
+  readonly atMs: number;
+  /** CPU time in seconds. */
+  readonly cpuSeconds: number;
+  /** Bytes read and written, files and sockets alike. */
+  readonly ioBytes: number;
+}
+
+/** Use of resources over an interval. */
+interface ProcessUse {
+  /** Fraction of one core. */
+  readonly cores: number;
+  /** Resident memory at the end, in MB. */
+  readonly residentMb: number;
+  /** Bytes read and written per second. */
+  readonly bytesPerSecond: number;
+}
+
+/** Reads what a process uses from `/proc`. */
+export class ProcessProbe {
+  readonly #pid: number;
+  #start: ProcessSample;
+
+  /** @param pid - process id */
+  public constructor(pid: number) {
+    this.#pid = pid;
+    this.#start = this.#sample();
+  }
+
+  /** Starts a new interval. */
+  public reset(): void {
+    this.#start = this.#sample();
+  }
+
+  /**
+   * Measures the interval since the last reset.
+   *
+   * @returns the use
+   */
+  public measure(): ProcessUse {
+    const end = this.#sample();
+    const seconds = (end.atMs - this.#start.atMs) / 1000;
+    return {
+      cores: (end.cpuSeconds - this.#start.cpuSeconds) / seconds,
+      residentMb: this.#readNumber('status', /VmRSS:\s+(\d+)/) / 1024,
+      bytesPerSecond: (end.ioBytes - this.#start.ioBytes) / seconds,
+    };
+  }
+
+  #sample(): ProcessSample {
+    const fields = this.#read('stat').split(') ')[1]?.split(' ') ?? [];
+    const ticks = Number(fields[11]) + Number(fields[12]);
+    return {
+      atMs: performance.now(),
+      cpuSeconds: ticks / ticksPerSecond,
+      ioBytes: this.#readNumber('io', /rchar: (\d+)/) + this.#readNumber('io', /wchar: (\d+)/),
+    };
+  }
+
+  #readNumber(file: string, pattern: RegExp): number {
+    return Number(pattern.exec(this.#read(file))?.[1] ?? 0);
+  }
+
+  #read(file: string): string {
+    return readFileSync(`/proc/${this.#pid}/${file}`, 'utf8');
+  }
+}
--- /dev/null
+++ b/packages-private/bench/src/bin/capacity.ts
@@ -0,0 +1,3 @@
+import { measureCapacity } from '../measureCapacity.js';
+
+await measureCapacity(process.argv.slice(2));
--- a/packages-private/testkit/src/HttpFake.ts
+++ b/packages-private/testkit/src/HttpFake.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { HttpFault } from './HttpFault.js';
@@ -85,7 +86,17 @@
       return;
     }
     if (response.destroyed) return;
-    response.writeHead(status, { 'content-type': 'application/json' });
-    response.end(JSON.stringify(body));
+    const text = JSON.stringify(body);
+    if (request.method !== 'GET') {
+      response.writeHead(status, { 'content-type': 'application/json' }).end(text);
+      return;
+    }
+    const entityTag = `"${createHash('sha1').update(text).digest('hex')}"`;
+    const isKnown = request.headers['if-none-match'] === entityTag;
+    response.writeHead(isKnown ? 304 : status, {
+      'content-type': 'application/json',
+      etag: entityTag,
+    });
+    response.end(isKnown ? undefined : text);
   }
 }
--- a/packages/platform/src/HttpExchange.ts
+++ b/packages/platform/src/HttpExchange.ts
@@ -35,6 +35,7 @@
    * @param url - absolute URL
    * @param body - JSON body, if any
    * @param timeoutMs - bound of the whole exchange, in milliseconds
+   * @param entityTag - asks for the body only if its entity tag differs
    * @returns the response; `storeUnavailable` if nothing was processed; `timeout` if that is unknown
    */
   public async send(
@@ -42,6 +43,7 @@
     url: string,
     body: unknown,
     timeoutMs: number,
+    entityTag?: string,
   ): Promise<Result<HttpResponse, Failure>> {
     const agent = this.#agent;
     try {
@@ -49,11 +51,19 @@
         method,
         dispatcher: agent,
         signal: AbortSignal.timeout(timeoutMs),
-        ...(body === undefined
-          ? {}
-          : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }),
+        headers: {
+          ...(body === undefined ? {} : { 'content-type': 'application/json' }),
+          ...(entityTag === undefined ? {} : { 'if-none-match': entityTag }),
+        },
+        ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+      });
+      const text = await response.body.text();
+      const { etag } = response.headers;
+      return ok({
+        status: response.statusCode,
+        body: text === '' ? undefined : (JSON.parse(text) as unknown),
+        ...(typeof etag === 'string' ? { entityTag: etag } : {}),
       });
-      return ok({ status: response.statusCode, body: await response.body.json() });
     } catch (error) {
       const code = readCode(error);
       if (refusedCodes.has(code)) return err(createFailure('storeUnavailable', `${url}: ${code}`));
--- a/packages/platform/src/HttpHostList.ts
+++ b/packages/platform/src/HttpHostList.ts
@@ -1,13 +1,17 @@
 import { createFailure, HostList, validateValue } from '@toucanline/core';
 import { validators, type Failure, type HostRecord } from '@toucanline/schema';
-import { err, type Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import { HttpExchange } from './HttpExchange.js';
 
-/** Host list over HTTP. */
+/**
+ * Host list over HTTP. The list is transferred only when it changed: at 1,300 workers a full read each
+ * second would cost each daemon about 130 KB/s.
+ */
 export class HttpHostList extends HostList {
   readonly #exchange = new HttpExchange();
   readonly #url: string;
   readonly #timeoutMs: number;
+  #known: { readonly entityTag: string; readonly hosts: readonly HostRecord[] } | undefined;
 
   /**
    * @param url - base URL of the host list
@@ -22,14 +26,24 @@
   /** {@inheritDoc HostList.read} */
   public override async read(): Promise<Result<readonly HostRecord[], Failure>> {
     const url = `${this.#url}/v1/hosts`;
-    const response = await this.#exchange.send('GET', url, undefined, this.#timeoutMs);
+    const known = this.#known;
+    const response = await this.#exchange.send(
+      'GET',
+      url,
+      undefined,
+      this.#timeoutMs,
+      known?.entityTag,
+    );
     if (response.isErr()) return err(response.error);
+    if (response.value.status === 304 && known !== undefined) return ok(known.hosts);
     if (response.value.status !== 200) {
       return err(createFailure('storeUnavailable', `host list answered ${response.value.status}`));
     }
-    return validateValue(validators.HostRecords, response.value.body, 'internal').map(
-      ({ hosts }) => hosts,
-    );
+    const { entityTag, body } = response.value;
+    return validateValue(validators.HostRecords, body, 'internal').map(({ hosts }) => {
+      this.#known = entityTag === undefined ? undefined : { entityTag, hosts };
+      return hosts;
+    });
   }
 
   /** Closes all connections. */
