Add editors for the configuration and for keys

Cause: operators could change neither the document nor keys through an entry. Change: ConfigurationEditor and KeyEditor in the core, with compare-and-swap, history, tokens and read-back; checkDocument reports every error with its line.

--- /dev/null
+++ b/packages/core/__tests__/TestClock.ts
@@ -0,0 +1,22 @@
+import { Clock } from '../src/index.js';
+
+/** A clock that moves only when somebody sleeps or a test moves it. */
+export class TestClock extends Clock {
+  #nowMs = 1000;
+
+  /** {@inheritDoc Clock.now} */
+  public override now(): number {
+    return this.#nowMs;
+  }
+
+  /** {@inheritDoc Clock.wallTime} */
+  public override wallTime(): number {
+    return this.#nowMs;
+  }
+
+  /** {@inheritDoc Clock.sleep} */
+  public override sleep(ms: number): Promise<void> {
+    this.#nowMs += ms;
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/packages/core/src/ConfigurationEditor.ts
@@ -0,0 +1,233 @@
+import {
+  validators,
+  type ChangeSummary,
+  type Configuration,
+  type ConfigurationChange,
+  type Failure,
+  type StoreValue,
+} from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import { checkDocument } from './checkDocument.js';
+import type { Clock } from './Clock.js';
+import { compareDocuments } from './compareDocuments.js';
+import { createFailure } from './createFailure.js';
+import { decodeStored } from './decodeStored.js';
+import { formatIssue } from './formatIssue.js';
+import { parseDocument } from './parseDocument.js';
+import type { Store } from './Store.js';
+
+const maxAttempts = 4;
+const retryMs = 100;
+/** Digits of a revision in a key, so that the order of the keys is that of the revisions. */
+const revisionDigits = 10;
+
+/** What the editor works with. */
+interface EditorParts {
+  readonly store: Store;
+  readonly clock: Clock;
+  /** SHA-256 in hexadecimal. */
+  readonly hash: (text: string) => string;
+}
+
+/** Why a change was not applied. */
+interface Refusal {
+  readonly failure: Failure;
+  /** Every error of the document. */
+  readonly invalid?: readonly string[];
+  /** The change that came first. */
+  readonly current?: ChangeSummary;
+}
+
+/** Current record with the version of its key. */
+interface Current {
+  readonly configuration: Configuration | undefined;
+  readonly version: number;
+}
+
+/**
+ * Changes the configuration of an environment in the store. A revision enters the history before the
+ * next one replaces it, so that no crash leaves a gap.
+ */
+export class ConfigurationEditor {
+  readonly #parts: EditorParts;
+  readonly #key: string;
+
+  /**
+   * @param parts - what the editor works with
+   * @param environment - name of the environment
+   */
+  public constructor(parts: EditorParts, environment: string) {
+    this.#parts = parts;
+    this.#key = `configuration/${environment}`;
+  }
+
+  /**
+   * Applies a change if its `ifRevision` is the newest revision. The same token is applied once.
+   *
+   * @param change - the change
+   * @returns the new revision; `invalidDocument`; `staleRevision` with the change that came first;
+   * `conflictingKey` if the token belongs to another text; `timeout` if the outcome is not known;
+   * `storeUnavailable`
+   */
+  public async change(change: ConfigurationChange): Promise<Result<Configuration, Refusal>> {
+    const { issues } = checkDocument(change.text);
+    if (issues.length > 0) {
+      const invalid = issues.map(formatIssue);
+      return err({ failure: createFailure('invalidDocument', invalid.join('\n')), invalid });
+    }
+    let last = createFailure('storeUnavailable', 'the store does not answer');
+    for (let attempt = 0; attempt < maxAttempts; attempt += 1) {
+      if (attempt > 0) await this.#parts.clock.sleep(retryMs);
+      const current = await this.#readCurrent();
+      if (current.isErr()) {
+        last = this.#choose(last, current.error);
+        continue;
+      }
+      const applied = await this.#findApplied(change, current.value.configuration);
+      if (applied.isErr()) return err({ failure: applied.error });
+      if (applied.value !== undefined) return this.#settle(change, applied.value);
+      const revision = current.value.configuration?.revision ?? 0;
+      if (revision !== change.ifRevision)
+        return err(await this.#refuseStale(change, current.value));
+      const written = await this.#write(change, current.value);
+      if (written.isOk()) return ok(written.value);
+      last = this.#choose(last, written.error);
+    }
+    return err({ failure: last });
+  }
+
+  /**
+   * Reads the newest revision.
+   *
+   * @returns the revision; undefined if there is none; `storeUnavailable`
+   */
+  public async read(): Promise<Result<Configuration | undefined, Failure>> {
+    return (await this.#readCurrent()).map(({ configuration }) => configuration);
+  }
+
+  /**
+   * Reads one revision.
+   *
+   * @param revision - number of the revision
+   * @returns the revision; `unknownRevision`; `storeUnavailable`
+   */
+  public async readRevision(revision: number): Promise<Result<Configuration, Failure>> {
+    const current = await this.#readCurrent();
+    if (current.isErr()) return err(current.error);
+    const { configuration } = current.value;
+    if (configuration?.revision === revision) return ok(configuration);
+    const stored = await this.#parts.store.read(this.#nameRevision(revision));
+    return stored.andThen(decodeStored(validators.Configuration)).andThen((found) => {
+      if (found !== undefined) return ok(found);
+      return err(createFailure('unknownRevision', `no revision ${revision}`));
+    });
+  }
+
+  /**
+   * Reads all revisions.
+   *
+   * @returns the revisions, newest first; `storeUnavailable`
+   */
+  public async list(): Promise<Result<readonly Configuration[], Failure>> {
+    const current = await this.#readCurrent();
+    if (current.isErr()) return err(current.error);
+    const stored = await this.#parts.store.list(`${this.#key}/`);
+    if (stored.isErr()) return err(stored.error);
+    const { configuration } = current.value;
+    const revisions = new Map<number, Configuration>();
+    if (configuration !== undefined) revisions.set(configuration.revision, configuration);
+    for (const value of stored.value) {
+      const decoded = decodeStored(validators.Configuration)(value);
+      if (decoded.isOk() && decoded.value !== undefined) {
+        revisions.set(decoded.value.revision, decoded.value);
+      }
+    }
+    return ok([...revisions.values()].sort((left, right) => right.revision - left.revision));
+  }
+
+  /** A write without an answer may still take effect, whatever fails after it. */
+  #choose(last: Failure, next: Failure): Failure {
+    return last.kind === 'timeout' ? last : next;
+  }
+
+  #nameRevision(revision: number): string {
+    return `${this.#key}/${String(revision).padStart(revisionDigits, '0')}`;
+  }
+
+  async #readCurrent(): Promise<Result<Current, Failure>> {
+    const value = await this.#parts.store.read(this.#key);
+    return value.andThen((stored: StoreValue) =>
+      decodeStored(validators.Configuration)(stored).map((configuration) => ({
+        configuration,
+        version: stored.version,
+      })),
+    );
+  }
+
+  /** A change on revision R can only have become R + 1, so the token is looked for there. */
+  async #findApplied(
+    { ifRevision, token }: ConfigurationChange,
+    current: Configuration | undefined,
+  ): Promise<Result<Configuration | undefined, Failure>> {
+    if (current === undefined || current.revision <= ifRevision) return ok(undefined);
+    if (current.revision === ifRevision + 1) {
+      return ok(current.token === token ? current : undefined);
+    }
+    const stored = await this.#parts.store.read(this.#nameRevision(ifRevision + 1));
+    return stored
+      .andThen(decodeStored(validators.Configuration))
+      .map((found) => (found?.token === token ? found : undefined));
+  }
+
+  #settle(change: ConfigurationChange, applied: Configuration): Result<Configuration, Refusal> {
+    if (applied.text === change.text) return ok(applied);
+    const detail = `the token was used for another text, which is revision ${applied.revision}`;
+    return err({ failure: createFailure('conflictingKey', detail) });
+  }
+
+  async #refuseStale(
+    { ifRevision }: ConfigurationChange,
+    { configuration }: Current,
+  ): Promise<Refusal> {
+    const revision = configuration?.revision ?? 0;
+    if (configuration === undefined || revision < ifRevision) {
+      const detail = `the newest revision is ${revision}; revision ${ifRevision} does not exist`;
+      return { failure: createFailure('staleRevision', detail) };
+    }
+    const { author, atMs, text } = configuration;
+    const base = ifRevision === 0 ? undefined : await this.readRevision(ifRevision);
+    const before = base?.isOk() === true ? parseDocument(base.value.text).unwrapOr(undefined) : {};
+    const after = parseDocument(text).unwrapOr(undefined);
+    const changes = after === undefined ? [] : compareDocuments(before ?? {}, after);
+    const detail = `${author} made revision ${revision} after revision ${ifRevision} was read`;
+    return {
+      failure: createFailure('staleRevision', detail),
+      current: { revision, author, atMs, changes },
+    };
+  }
+
+  async #write(
+    { text, author, note, token, ifRevision }: ConfigurationChange,
+    { configuration, version }: Current,
+  ): Promise<Result<Configuration, Failure>> {
+    const { store, clock, hash } = this.#parts;
+    if (configuration !== undefined) {
+      const name = this.#nameRevision(configuration.revision);
+      const kept = await store.write(name, JSON.stringify(configuration), 0);
+      // A conflict means that the revision is in the history already.
+      if (kept.isErr() && kept.error.kind !== 'storeConflict') {
+        return err(createFailure('storeUnavailable', kept.error.detail));
+      }
+    }
+    const next: Configuration = {
+      revision: ifRevision + 1,
+      digest: hash(text),
+      author,
+      atMs: clock.wallTime(),
+      token,
+      text,
+      ...(note === undefined ? {} : { note }),
+    };
+    return (await store.write(this.#key, JSON.stringify(next), version)).map(() => next);
+  }
+}
--- a/packages/core/src/KeyRing.ts
+++ b/packages/core/src/KeyRing.ts
@@ -66,10 +66,11 @@
    * Checks whether a key is withdrawn.
    *
    * @param id - identifier of the key
-   * @returns true if the key was withdrawn or is not in the list
+   * @returns true if the list marks it as withdrawn. A key that is not in the list may be newer than
+   * the list.
    */
   public isWithdrawn(id: string): boolean {
     const key = this.#list?.keys.find((candidate) => candidate.id === id);
-    return key?.withdrawnAtMs !== undefined || key === undefined;
+    return key?.withdrawnAtMs !== undefined;
   }
 }
--- /dev/null
+++ b/packages/core/src/checkMeaning.ts
@@ -0,0 +1,84 @@
+import type { Document, QueueSection, Resources } from '@toucanline/schema';
+import type { DocumentIssue } from './DocumentIssue.js';
+
+const listNames = (names: Readonly<Record<string, unknown>>): string =>
+  `allowed: ${Object.keys(names).join(', ')}`;
+
+const checkTeamNames = (
+  document: Document,
+  name: string,
+  queue: QueueSection,
+): readonly DocumentIssue[] => {
+  const issues: DocumentIssue[] = [];
+  const allowed = listNames(document.teams);
+  const teams = queue.teams ?? [];
+  for (const team of teams) {
+    if (Object.hasOwn(document.teams, team)) continue;
+    issues.push({ path: ['queues', name, 'teams'], found: `team "${team}"`, allowed });
+  }
+  if (new Set(teams).size < teams.length) {
+    const found = `a duplicate team in ${JSON.stringify(teams)}`;
+    issues.push({ path: ['queues', name, 'teams'], found, allowed: 'each team once' });
+  }
+  if (queue.team !== undefined && !Object.hasOwn(document.teams, queue.team)) {
+    issues.push({ path: ['queues', name, 'team'], found: `team "${queue.team}"`, allowed });
+  }
+  return issues;
+};
+
+const isNothing = (limit: Resources | undefined): boolean =>
+  limit !== undefined && limit.processors + limit.memoryMb + limit.accelerators === 0;
+
+/** A queue nobody may use: it has no team, or every team that may use it is limited to nothing. */
+const checkUsers = (
+  document: Document,
+  name: string,
+  queue: QueueSection,
+): readonly DocumentIssue[] => {
+  const path = ['queues', name, queue.open === true ? 'team' : 'teams'];
+  if (queue.open === true && queue.team === undefined) {
+    const allowed = 'an open queue names the team that its work counts for';
+    return [{ path, found: 'nothing', allowed }];
+  }
+  const keyed = queue.teams ?? Object.keys(document.teams);
+  const users = queue.team === undefined ? keyed : [...keyed, queue.team];
+  const known = users.filter((team) => Object.hasOwn(document.teams, team));
+  if (known.length === 0 || known.some((team) => !isNothing(document.teams[team]?.limit)))
+    return [];
+  const found = `only teams whose limit is nothing: ${known.join(', ')}`;
+  return [{ path, found, allowed: 'at least one team that may run work' }];
+};
+
+/** A limit below every worker class is taken for a wrong unit, such as GB where MB is meant. */
+const checkLimits = (document: Document): readonly DocumentIssue[] => {
+  const classes = Object.entries(document.workers ?? {});
+  if (classes.length === 0) return [];
+  const issues: DocumentIssue[] = [];
+  for (const [team, { limit }] of Object.entries(document.teams)) {
+    if (limit === undefined || isNothing(limit)) continue;
+    for (const resource of ['processors', 'memoryMb'] as const) {
+      const least = Math.min(...classes.map(([, { room }]) => room[resource]));
+      if (limit[resource] >= least) continue;
+      issues.push({
+        path: ['teams', team, 'limit', resource],
+        found: String(limit[resource]),
+        allowed: `at least ${least}, the size of the smallest worker class`,
+      });
+    }
+  }
+  return issues;
+};
+
+/**
+ * Checks what the schema cannot express: references between sections and values that admit no work.
+ *
+ * @param document - a document of the right shape
+ * @returns the errors
+ */
+export const checkMeaning = (document: Document): readonly DocumentIssue[] => [
+  ...Object.entries(document.queues).flatMap(([name, queue]) => [
+    ...checkTeamNames(document, name, queue),
+    ...checkUsers(document, name, queue),
+  ]),
+  ...checkLimits(document),
+];
--- a/packages/core/src/errorTable.ts
+++ b/packages/core/src/errorTable.ts
@@ -19,6 +19,8 @@
   unknownRequest: answer(404, 'unknown', false, 'No such request is known, or its record expired.'),
   unknownShard: answer(404, 'no', false, 'The configuration has no such shard.'),
   unknownWorker: answer(404, 'no', false, 'No such worker is known.'),
+  unknownKey: answer(404, 'no', false, 'No such key was granted.'),
+  unknownRevision: answer(404, 'no', false, 'The history has no such revision.'),
   conflictingKey: answer(422, 'no', false, 'The idempotency key was used with another body.'),
   neverFits: answer(422, 'no', false, 'No worker is large enough for a task of this request.'),
   overLimit: answer(422, 'no', false, 'The request alone exceeds the limit of its team.'),
--- a/packages/entry/src/Authenticator.ts
+++ b/packages/entry/src/Authenticator.ts
@@ -3,6 +3,7 @@
 import { hashText } from '@toucanline/runtime';
 import type { Failure, Key } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
+import type { HttpContext } from './HttpContext.js';
 
 const scheme = 'Bearer ';
 
@@ -42,6 +43,20 @@
     return this.#keyRing.authenticate(hash);
   }
 
+  /**
+   * Authenticates an operator and answers the exchange if that fails.
+   *
+   * @param context - the HTTP exchange
+   * @param role - role that the operation needs
+   * @returns the key; undefined if the exchange is answered
+   */
+  public admit(context: HttpContext, role: Role): Key | undefined {
+    const key = this.requireRole(context.request, role);
+    if (key.isOk()) return key.value;
+    context.sendFailure(key.error);
+    return undefined;
+  }
+
   /**
    * Authenticates an operator.
    *
--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -4,7 +4,9 @@
 import { LinkHandler, type Link } from '@toucanline/wire';
 import restana from 'restana';
 import { Authenticator } from './Authenticator.js';
+import { ConfigurationRoutes } from './ConfigurationRoutes.js';
 import { HttpContext } from './HttpContext.js';
+import { KeyRoutes } from './KeyRoutes.js';
 import { OperatorRoutes } from './OperatorRoutes.js';
 import { RequestRoutes } from './RequestRoutes.js';
 import { RequestService } from './RequestService.js';
@@ -48,6 +50,8 @@
   readonly #peers: PeerSet;
   readonly #requests: RequestRoutes;
   readonly #operators: OperatorRoutes;
+  readonly #configuration: ConfigurationRoutes;
+  readonly #keys: KeyRoutes;
   readonly #service = restana({
     errorHandler: (error, _request, response) => {
       this.#runtime.log.write('error', 'unexpected error in a route', { detail: error.message });
@@ -72,6 +76,8 @@
       peers: this.#peers,
     });
     this.#requests = new RequestRoutes(runtime, authenticator, service);
+    this.#configuration = new ConfigurationRoutes(runtime, authenticator);
+    this.#keys = new KeyRoutes(runtime, authenticator);
     this.#operators = new OperatorRoutes(runtime, authenticator, this.#peers, () => this.#isReady);
   }
 
--- a/packages/entry/src/HttpContext.ts
+++ b/packages/entry/src/HttpContext.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createFailure } from '@toucanline/core';
-import type { Failure, RequestView } from '@toucanline/schema';
+import type { Failure, Problem, RequestView } from '@toucanline/schema';
 import { createProblem } from './createProblem.js';
 
 const finalFailure: ReadonlySet<RequestView['state']> = new Set(['refused', 'unknown']);
@@ -56,9 +56,14 @@
    *
    * @param failure - the failure
    * @param requestId - the request that it belongs to, if known
+   * @param extra - further fields of the problem document
    */
-  public sendFailure(failure: Failure, requestId?: string): void {
-    const problem = createProblem(failure, requestId);
+  public sendFailure(
+    failure: Failure,
+    requestId?: string,
+    extra: Pick<Problem, 'invalid' | 'current'> = {},
+  ): void {
+    const problem = { ...createProblem(failure, requestId), ...extra };
     const { retryAfterSeconds } = failure;
     this.sendJson(problem.status, problem, {
       'content-type': 'application/problem+json',
--- /dev/null
+++ b/packages/entry/src/readJsonBody.ts
@@ -0,0 +1,24 @@
+import type { IncomingMessage } from 'node:http';
+import { createFailure } from '@toucanline/core';
+import type { Failure } from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import { readBody } from './readBody.js';
+
+/**
+ * Reads a JSON body.
+ *
+ * @param request - the HTTP request
+ * @param maxBytes - largest body
+ * @returns the value, not validated; `bodyTooLarge`; `malformedRequest` if it is not JSON
+ */
+export const readJsonBody = async (
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<unknown, Failure>> =>
+  (await readBody(request, maxBytes)).andThen((text): Result<unknown, Failure> => {
+    try {
+      return ok(JSON.parse(text));
+    } catch {
+      return err(createFailure('malformedRequest', 'the body is not JSON'));
+    }
+  });
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -6,3 +6,4 @@
 export type * from '#types';
 export * as validators from '#validators';
 export type { Validator } from '#validators';
+export { Document as documentChecker } from '#documentChecker';
