Serve configuration and keys to operators and apply withdrawals

Cause: a revoked key kept its waiting requests, and a scheduler that learned a revision over a dialled link did not apply it. Change: routes from one table with an OpenAPI document generated from the schemas; withdrawal in the shard; load notices carry the age of the key list and the hybrid clock; keyGraceSeconds at the entry.

--- a/packages/core/src/EventRecorder.ts
+++ b/packages/core/src/EventRecorder.ts
@@ -1,4 +1,4 @@
-import type { Event, EventName } from '@toucanline/schema';
+import type { Event, EventName, Stamp } from '@toucanline/schema';
 import type { Clock } from './Clock.js';
 import type { EventDetail } from './EventDetail.js';
 import type { EventStream } from './EventStream.js';
@@ -29,6 +29,24 @@
     this.#dataCentre = dataCentre;
   }
 
+  /**
+   * Takes note of a stamp from another process.
+   *
+   * @param stamp - the received stamp
+   */
+  public observe(stamp: Stamp): void {
+    this.#clock.observe(stamp);
+  }
+
+  /**
+   * Stamps a message to another process.
+   *
+   * @returns a stamp greater than those of all events so far
+   */
+  public stamp(): Stamp {
+    return this.#clock.tick();
+  }
+
   /**
    * Records an event.
    *
--- a/packages/core/src/Policy.ts
+++ b/packages/core/src/Policy.ts
@@ -3,6 +3,7 @@
 const defaultDeadlineSeconds = 600;
 const defaultRetries = 3;
 const defaultMaxWaiting = 10_000;
+const defaultKeyGraceSeconds = 300;
 
 /** The configuration document with its defaults filled in. */
 export class Policy {
@@ -98,6 +99,16 @@
     return this.findQueue(queue)?.maxWaiting ?? defaultMaxWaiting;
   }
 
+  /**
+   * Reads how long keys are accepted that could not be confirmed.
+   *
+   * @param queue - name of the queue
+   * @returns milliseconds
+   */
+  public readKeyGraceMs(queue: string): number {
+    return (this.findQueue(queue)?.keyGraceSeconds ?? defaultKeyGraceSeconds) * 1000;
+  }
+
   /**
    * Checks whether a task could run on any worker class of the document. Without classes nothing is
    * known, and every size is possible.
--- a/packages/core/src/RevisionSync.ts
+++ b/packages/core/src/RevisionSync.ts
@@ -2,12 +2,18 @@
 import type { Result } from 'neverthrow';
 import type { Clock } from './Clock.js';
 import type { ConfigurationHolder } from './ConfigurationHolder.js';
+import type { ContactAge } from './ContactAge.js';
 import type { KeyRing } from './KeyRing.js';
 import type { Store } from './Store.js';
 import { validateValue } from './validateValue.js';
 
 const watchMs = 2000;
-const idleReadMs = 5000;
+/**
+ * Periods of reads without a watch. Notices of peers bring most revisions; alone, the reads keep the
+ * targets of 5 s for the configuration and 3 s for keys.
+ */
+const configurationReadMs = 4000;
+const keysReadMs = 2000;
 const retryMs = 500;
 
 /** What the synchronisation works with. */
@@ -16,6 +22,8 @@
   readonly clock: Clock;
   readonly holder: ConfigurationHolder;
   readonly keyRing: KeyRing;
+  /** Notes when the key list was last known to be the newest. */
+  readonly keysContact: ContactAge;
   /** Whether this process keeps a watch in the store; others read now and then and ask peers. */
   readonly isWatcher: () => boolean;
   /** Called after each newer revision. */
@@ -39,14 +47,17 @@
 
   /** Starts to follow both records. */
   public start(): void {
-    const { holder, keyRing } = this.#parts;
-    void this.#follow(`configuration/${this.#environment}`, (data) => {
+    const { holder, keyRing, clock, keysContact } = this.#parts;
+    void this.#follow(`configuration/${this.#environment}`, configurationReadMs, (data) => {
       const parsed = validateValue(validators.Configuration, data, 'internal');
       return parsed.isOk() && holder.apply(parsed.value).unwrapOr(false);
     });
-    void this.#follow(`keys/${this.#environment}`, (data) => {
+    const applyKeys = (data: unknown): boolean => {
       const parsed = validateValue(validators.KeyList, data, 'internal');
       return parsed.isOk() && keyRing.apply(parsed.value);
+    };
+    void this.#follow(`keys/${this.#environment}`, keysReadMs, applyKeys, (askedAt) => {
+      keysContact.confirm(clock.now() - askedAt);
     });
   }
 
@@ -55,10 +66,16 @@
     this.#stopped = true;
   }
 
-  async #follow(key: string, apply: (data: unknown) => boolean): Promise<void> {
+  async #follow(
+    key: string,
+    idleMs: number,
+    apply: (data: unknown) => boolean,
+    onContact?: (askedAt: number) => void,
+  ): Promise<void> {
     const { clock, onChange } = this.#parts;
     let version = 0;
     while (!this.#isStopped()) {
+      const askedAt = clock.now();
       const result = await this.#readNext(key, version);
       if (this.#isStopped()) return;
       if (result.isErr()) {
@@ -69,7 +86,8 @@
       const isNewer = newVersion > version && value !== undefined;
       version = newVersion;
       if (isNewer && apply(JSON.parse(value))) onChange();
-      if (!this.#parts.isWatcher()) await clock.sleep(idleReadMs);
+      onContact?.(askedAt);
+      if (!this.#parts.isWatcher()) await clock.sleep(idleMs);
     }
   }
 
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -19,6 +19,7 @@
 import type { Effect } from './Effect.js';
 import { FairShare } from './FairShare.js';
 import { Fleet } from './Fleet.js';
+import type { KeyRing } from './KeyRing.js';
 import { isAnswered } from './isAnswered.js';
 import { periods } from './periods.js';
 import type { Policy } from './Policy.js';
@@ -53,6 +54,7 @@
   #effects: Effect[] = [];
   #nextTicket = 1;
   #policy: Policy;
+  #keyRing: Pick<KeyRing, 'isWithdrawn'> | undefined;
 
   /**
    * @param context - identity of the ownership and the operations of the host process
@@ -123,6 +125,23 @@
     this.#fleet.touch();
   }
 
+  /**
+   * Applies a new list of keys: waiting requests of withdrawn keys are refused.
+   *
+   * @param keyRing - keys in effect
+   */
+  public applyKeys(keyRing: Pick<KeyRing, 'isWithdrawn'>): void {
+    this.#keyRing = keyRing;
+    // A request that is held back during recovery may run somewhere and is not in the queue.
+    for (const record of this.#queue.list()) {
+      const { keyId } = record.request;
+      const isWaiting = record.state === 'waiting' && record.stopPlan === undefined;
+      if (!isWaiting || keyId === undefined || !keyRing.isWithdrawn(keyId)) continue;
+      const failure = createFailure('withdrawnKey', `the key ${keyId} was withdrawn`);
+      this.#lifecycle.stopRequest(record, { next: 'failed', failure });
+    }
+  }
+
   /**
    * Applies the host list.
    *
@@ -194,7 +213,7 @@
     const { clock, recorder, shard, epoch } = this.#context;
     const earlier = this.#table.findEarlier(request);
     if (earlier !== undefined) return this.#rejoin(earlier, call);
-    const checked = this.#admission.check(this.#policy, call);
+    const checked = this.#checkKey(call).andThen(() => this.#admission.check(this.#policy, call));
     if (checked.isErr()) {
       const { kind, detail } = checked.error;
       recorder.record('requestRefused', { requestId: request.id, detail: `${kind}: ${detail}` });
@@ -451,6 +470,12 @@
     };
   }
 
+  /** An entry may not have learned yet that a key was withdrawn. */
+  #checkKey({ request: { keyId } }: SubmitCall): Result<void, Failure> {
+    if (keyId === undefined || this.#keyRing?.isWithdrawn(keyId) !== true) return ok(undefined);
+    return err(createFailure('withdrawnKey', `the key ${keyId} was withdrawn`));
+  }
+
   #find(requestId: string, team?: string): Result<RequestRecord, Failure> {
     const record = this.#table.find(requestId);
     if (record === undefined || (team !== undefined && record.request.team !== team)) {
@@ -522,6 +547,7 @@
     const held = this.#recovery.finish();
     if (held === undefined) return;
     for (const record of held) this.#release(record);
+    if (this.#keyRing !== undefined) this.applyKeys(this.#keyRing);
     this.#fleet.touch();
   }
 
--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -5,11 +5,14 @@
 import restana from 'restana';
 import { Authenticator } from './Authenticator.js';
 import { ConfigurationRoutes } from './ConfigurationRoutes.js';
+import { createOpenApi } from './createOpenApi.js';
+import { createRoutes } from './createRoutes.js';
 import { HttpContext } from './HttpContext.js';
 import { KeyRoutes } from './KeyRoutes.js';
 import { OperatorRoutes } from './OperatorRoutes.js';
 import { RequestRoutes } from './RequestRoutes.js';
 import { RequestService } from './RequestService.js';
+import type { Route } from './Route.js';
 
 const defaultDrainSeconds = 60;
 /** Time for the load balancer to notice that the process is not ready, in milliseconds. */
@@ -48,10 +51,7 @@
   readonly #runtime: ProcessRuntime;
   readonly #router: Router;
   readonly #peers: PeerSet;
-  readonly #requests: RequestRoutes;
-  readonly #operators: OperatorRoutes;
-  readonly #configuration: ConfigurationRoutes;
-  readonly #keys: KeyRoutes;
+  readonly #groups: Parameters<typeof createRoutes>[0];
   readonly #service = restana({
     errorHandler: (error, _request, response) => {
       this.#runtime.log.write('error', 'unexpected error in a route', { detail: error.message });
@@ -75,10 +75,12 @@
       router: this.#router,
       peers: this.#peers,
     });
-    this.#requests = new RequestRoutes(runtime, authenticator, service);
-    this.#configuration = new ConfigurationRoutes(runtime, authenticator);
-    this.#keys = new KeyRoutes(runtime, authenticator);
-    this.#operators = new OperatorRoutes(runtime, authenticator, this.#peers, () => this.#isReady);
+    this.#groups = {
+      requests: new RequestRoutes(runtime, authenticator, service),
+      operators: new OperatorRoutes(runtime, authenticator, this.#peers, () => this.#isReady),
+      configuration: new ConfigurationRoutes(runtime, authenticator),
+      keys: new KeyRoutes(runtime, authenticator),
+    };
   }
 
   /** {@inheritDoc Daemon.start} */
@@ -117,47 +119,26 @@
   }
 
   #addRoutes(): void {
-    const service = this.#service;
-    const requests = this.#requests;
-    const operators = this.#operators;
-    const wrap = (handle: (context: HttpContext) => Promise<void> | void): RouteHandler => {
-      return async (request, response) => {
-        this.#inFlight += 1;
-        try {
-          await handle(new HttpContext(request, response, () => this.#draining));
-        } finally {
-          this.#inFlight -= 1;
-        }
-      };
+    const routes = createRoutes(this.#groups);
+    for (const { method, path, handle } of routes) {
+      const pattern = path.replace(/\{(\w+)\}/g, ':$1');
+      this.#service[method](pattern, this.#wrap(handle));
+    }
+    const document = createOpenApi(routes);
+    this.#service.get('/openapi.json', (_request, response) => {
+      response.send(document, 200);
+    });
+  }
+
+  #wrap(handle: Route['handle']): RouteHandler {
+    return async (request, response) => {
+      this.#inFlight += 1;
+      try {
+        await handle(new HttpContext(request, response, () => this.#draining));
+      } finally {
+        this.#inFlight -= 1;
+      }
     };
-    service.post(
-      '/v1/queues/:queue/requests',
-      wrap((context) => requests.submit(context)),
-    );
-    service.get(
-      '/v1/requests/:id',
-      wrap((context) => requests.wait(context)),
-    );
-    service.delete(
-      '/v1/requests/:id',
-      wrap((context) => requests.cancel(context)),
-    );
-    service.get(
-      '/v1/status',
-      wrap((context) => operators.readStatus(context)),
-    );
-    service.get(
-      '/v1/events',
-      wrap((context) => operators.readEvents(context)),
-    );
-    service.post(
-      '/v1/workers/:worker/drain',
-      wrap((context) => operators.drain(context, true)),
-    );
-    service.delete(
-      '/v1/workers/:worker/drain',
-      wrap((context) => operators.drain(context, false)),
-    );
   }
 }
 
--- a/packages/entry/src/RequestRoutes.ts
+++ b/packages/entry/src/RequestRoutes.ts
@@ -171,6 +171,7 @@
     if (queue === undefined) return err(createFailure('unknownQueue', `no queue ${name}`));
     return this.#authenticator
       .authenticate(context.request)
+      .andThen((key) => this.#checkGrace(policy, name, key))
       .andThen((key) => this.#chooseTeam(name, queue, key))
       .andThen(({ team, keyId }) =>
         this.#parse(text).andThen((specification) =>
@@ -179,6 +180,19 @@
       );
   }
 
+  /** A cut-off process cannot know of a withdrawal, so it refuses keys after the grace of the queue. */
+  #checkGrace(
+    policy: Policy,
+    queue: string,
+    key: Key | undefined,
+  ): Result<Key | undefined, Failure> {
+    const { ageMs } = this.#runtime.keysContact;
+    if (key === undefined || ageMs <= policy.readKeyGraceMs(queue)) return ok(key);
+    const age = Number.isFinite(ageMs) ? `for ${Math.round(ageMs / 1000)} s` : 'since the start';
+    const detail = `the keys could not be confirmed ${age}: no store and no up-to-date peer answers`;
+    return err(createFailure('notReady', detail, 1));
+  }
+
   #chooseTeam(
     name: string,
     queue: QueueSection,
--- /dev/null
+++ b/packages/entry/src/createOpenApi.ts
@@ -0,0 +1,110 @@
+import { definitions } from '@toucanline/schema';
+import type { Route } from './Route.js';
+
+const jsonType = 'application/json';
+const localPrefix = '#/$defs/';
+const componentPrefix = '#/components/schemas/';
+
+/** Collects the names of the definitions that a schema refers to, directly or through others. */
+const collectNames = (name: string, found: Set<string>): void => {
+  if (found.has(name)) return;
+  found.add(name);
+  const text = JSON.stringify(definitions[name]);
+  for (const [, inner = ''] of text.matchAll(/#\/\$defs\/(\w+)/g)) collectNames(inner, found);
+};
+
+const refer = (name: string): object => ({ $ref: `${componentPrefix}${name}` });
+
+const describeContent = (type: string, name: string): object => ({
+  content: { [type]: { schema: refer(name) } },
+});
+
+const describeParameters = ({ path, query, headers }: Route): readonly object[] => {
+  const schema = { type: 'string' };
+  const describe =
+    (place: 'query' | 'header') =>
+    ([name, description]: readonly [string, string]): object => ({
+      name,
+      in: place,
+      description,
+      schema,
+    });
+  return [
+    ...[...path.matchAll(/\{(\w+)\}/g)].map(([, name]) => ({
+      name,
+      in: 'path',
+      required: true,
+      schema,
+    })),
+    ...Object.entries(query ?? {}).map(describe('query')),
+    ...Object.entries(headers ?? {}).map(describe('header')),
+  ];
+};
+
+const describeOperation = (route: Route): object => {
+  const { summary, body, answers } = route;
+  return {
+    summary,
+    parameters: describeParameters(route),
+    ...(body === undefined
+      ? {}
+      : { requestBody: { required: true, ...describeContent(jsonType, body) } }),
+    responses: {
+      ...Object.fromEntries(
+        Object.entries(answers).map(([status, name]) => [
+          status,
+          { description: name, ...describeContent(jsonType, name) },
+        ]),
+      ),
+      default: {
+        description: 'The kind of the failure and whether the request ran.',
+        ...describeContent('application/problem+json', 'Problem'),
+      },
+    },
+  };
+};
+
+const plainPaths = {
+  '/livez': { get: { summary: 'Answers while the process runs.' } },
+  '/readyz': { get: { summary: 'Answers 200 while new work is welcome, 503 otherwise.' } },
+  '/openapi.json': { get: { summary: 'This document.' } },
+};
+
+const describePlainPaths = (): object =>
+  Object.fromEntries(
+    Object.entries(plainPaths).map(([path, { get }]) => [
+      path,
+      { get: { ...get, responses: { 200: { description: 'A JSON object.' } } } },
+    ]),
+  );
+
+/**
+ * Creates the OpenAPI document of the entry from its routes and the schemas.
+ *
+ * @param routes - the routes
+ * @returns the document
+ */
+export const createOpenApi = (routes: readonly Route[]): object => {
+  const names = new Set<string>();
+  collectNames('Problem', names);
+  const paths: Record<string, Record<string, object>> = {};
+  for (const route of routes) {
+    const { method, path, body, answers } = route;
+    for (const name of Object.values(answers)) collectNames(name, names);
+    if (body !== undefined) collectNames(body, names);
+    paths[path] = { ...paths[path], [method]: describeOperation(route) };
+  }
+  const schemas = Object.fromEntries([...names].sort().map((name) => [name, definitions[name]]));
+  return {
+    openapi: '3.1.0',
+    info: { title: 'toucanline entry', version: '1' },
+    security: [{ key: [] }, {}],
+    paths: { ...paths, ...describePlainPaths() },
+    components: {
+      securitySchemes: { key: { type: 'http', scheme: 'bearer' } },
+      schemas: JSON.parse(
+        JSON.stringify(schemas).replaceAll(localPrefix, componentPrefix),
+      ) as object,
+    },
+  };
+};
--- /dev/null
+++ b/packages/entry/src/createRoutes.ts
@@ -0,0 +1,144 @@
+import type { ConfigurationRoutes } from './ConfigurationRoutes.js';
+import type { KeyRoutes } from './KeyRoutes.js';
+import type { OperatorRoutes } from './OperatorRoutes.js';
+import type { RequestRoutes } from './RequestRoutes.js';
+import type { Route } from './Route.js';
+
+/** Handlers of the routes. */
+interface RouteGroups {
+  readonly requests: RequestRoutes;
+  readonly operators: OperatorRoutes;
+  readonly configuration: ConfigurationRoutes;
+  readonly keys: KeyRoutes;
+}
+
+const wait = { wait: 'Longest wait for the answer in seconds, 0 to 30.' };
+
+const createRequestRoutes = ({ requests }: RouteGroups): readonly Route[] => [
+  {
+    method: 'post',
+    path: '/v1/queues/{queue}/requests',
+    summary: 'Submits a request and waits for its answer.',
+    query: wait,
+    headers: { 'Idempotency-Key': 'A repeat with the same key and body joins the first request.' },
+    body: 'RequestSpecification',
+    answers: { 200: 'RequestView', 202: 'RequestView' },
+    handle: (context) => requests.submit(context),
+  },
+  {
+    method: 'get',
+    path: '/v1/requests/{id}',
+    summary: 'Reads a request, or waits for its answer.',
+    query: wait,
+    answers: { 200: 'RequestView', 202: 'RequestView' },
+    handle: (context) => requests.wait(context),
+  },
+  {
+    method: 'delete',
+    path: '/v1/requests/{id}',
+    summary: 'Cancels a request.',
+    answers: { 200: 'RequestView', 202: 'RequestView' },
+    handle: (context) => requests.cancel(context),
+  },
+];
+
+const createConfigurationRoutes = ({ configuration, keys }: RouteGroups): readonly Route[] => [
+  {
+    method: 'get',
+    path: '/v1/configuration',
+    summary: 'Reads the newest revision of the configuration. Role: read.',
+    answers: { 200: 'Configuration' },
+    handle: (context) => configuration.read(context),
+  },
+  {
+    method: 'put',
+    path: '/v1/configuration',
+    summary: 'Changes the configuration. Role: change; promote in production.',
+    body: 'ConfigurationChange',
+    answers: { 200: 'ConfigurationSummary' },
+    handle: (context) => configuration.change(context),
+  },
+  {
+    method: 'get',
+    path: '/v1/configuration/history',
+    summary: 'Lists all revisions, newest first. Role: read.',
+    answers: { 200: 'ConfigurationHistory' },
+    handle: (context) => configuration.readHistory(context),
+  },
+  {
+    method: 'get',
+    path: '/v1/configuration/{revision}',
+    summary: 'Reads one revision. Role: read.',
+    answers: { 200: 'Configuration' },
+    handle: (context) => configuration.readRevision(context),
+  },
+  {
+    method: 'get',
+    path: '/v1/keys',
+    summary: 'Lists the API keys without their hashes. Role: read.',
+    answers: { 200: 'KeyViews' },
+    handle: (context) => keys.list(context),
+  },
+  {
+    method: 'post',
+    path: '/v1/keys',
+    summary: 'Grants a key, of which only the hash is sent. Role: change.',
+    body: 'KeyGrant',
+    answers: { 200: 'KeyView' },
+    handle: (context) => keys.grant(context),
+  },
+  {
+    method: 'delete',
+    path: '/v1/keys/{id}',
+    summary: 'Withdraws a key. Role: change.',
+    answers: { 200: 'KeyView' },
+    handle: (context) => keys.withdraw(context),
+  },
+];
+
+const createSiteRoutes = ({ operators }: RouteGroups): readonly Route[] => [
+  {
+    method: 'get',
+    path: '/v1/status',
+    summary: 'Reads the status of all processes that this entry reaches. Role: read.',
+    answers: { 200: 'SiteStatus' },
+    handle: (context) => operators.readStatus(context),
+  },
+  {
+    method: 'get',
+    path: '/v1/events',
+    summary: 'Reads the events of this entry and of all schedulers. Role: read.',
+    query: {
+      since: 'Wall time of the oldest event in milliseconds since the Unix epoch.',
+      request: 'Restricts the events to one request.',
+    },
+    answers: { 200: 'EventList' },
+    handle: (context) => operators.readEvents(context),
+  },
+  {
+    method: 'post',
+    path: '/v1/workers/{worker}/drain',
+    summary: 'Lets a worker take no new work. Role: change.',
+    answers: { 200: 'DrainState' },
+    handle: (context) => operators.drain(context, true),
+  },
+  {
+    method: 'delete',
+    path: '/v1/workers/{worker}/drain',
+    summary: 'Lets a drained worker take work again. Role: change.',
+    answers: { 200: 'DrainState' },
+    handle: (context) => operators.drain(context, false),
+  },
+];
+
+/**
+ * Creates the table of the routes under `/v1`.
+ *
+ * @param groups - handlers of the routes
+ * @returns the routes
+ */
+export const createRoutes = (groups: RouteGroups): readonly Route[] => [
+  ...createRequestRoutes(groups),
+  ...createConfigurationRoutes(groups),
+  ...createSiteRoutes(groups),
+];
--- a/packages/runtime/src/PeerSet.ts
+++ b/packages/runtime/src/PeerSet.ts
@@ -113,7 +113,10 @@
    * @param notice - its notice
    */
   public async learnRevisions(link: Link, notice: NoticeBody): Promise<void> {
-    const { holder, keyRing } = this.#runtime;
+    const { holder, keyRing, keysContact, recorder } = this.#runtime;
+    if (notice.stamp !== undefined) recorder.observe(notice.stamp);
+    const isCurrent = notice.keysRevision <= keyRing.revision;
+    if (notice.keysAgeMs !== undefined && isCurrent) keysContact.confirm(notice.keysAgeMs);
     const isNewer =
       notice.configurationRevision > holder.revision || notice.keysRevision > keyRing.revision;
     if (!isNewer || this.#fetching.has(link)) return;
--- a/packages/runtime/src/ProcessRuntime.ts
+++ b/packages/runtime/src/ProcessRuntime.ts
@@ -1,5 +1,6 @@
 import {
   ConfigurationHolder,
+  ContactAge,
   EventRecorder,
   EventStream,
   Invariant,
@@ -30,6 +31,7 @@
   public readonly hostList: HttpHostList;
   public readonly holder: ConfigurationHolder;
   public readonly keyRing: KeyRing;
+  public readonly keysContact: ContactAge;
 
   /**
    * @param settings - settings of the process
@@ -52,6 +54,7 @@
     this.hostList = new HttpHostList(platform.hosts, timeoutMs);
     this.holder = new ConfigurationHolder(this.recorder);
     this.keyRing = new KeyRing(this.recorder);
+    this.keysContact = new ContactAge(this.clock);
   }
 
   /** What this process tells of itself on links. */
@@ -68,9 +71,9 @@
    * @returns the running synchronisation
    */
   public followRevisions(isWatcher: () => boolean, onChange: () => void): RevisionSync {
-    const { store, clock, holder, keyRing } = this;
+    const { store, clock, holder, keyRing, keysContact } = this;
     const sync = new RevisionSync(
-      { store, clock, holder, keyRing, isWatcher, onChange },
+      { store, clock, holder, keyRing, keysContact, isWatcher, onChange },
       this.settings.environment,
     );
     sync.start();
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -56,6 +56,8 @@
   readonly #candidates = new Map<string, ShardCandidate>();
   #peers: PeerSet | undefined;
   #address = '';
+  /** Sum of the revisions that the shards know. */
+  #applied = 0;
   #stopping = false;
 
   /** @param runtime - the process */
@@ -89,6 +91,7 @@
       },
     );
     void this.#repeat(loadNoticeMs, () => {
+      this.#applyNewRevision();
       this.#tellLoad();
     });
     void this.#repeat(hostsMs, () => this.#readHosts());
@@ -121,9 +124,10 @@
 
   /** Becomes a candidate for new shards of the data centre and passes the policy on. */
   #applyRevision(): void {
-    const { holder, settings } = this.#runtime;
+    const { holder, keyRing, settings } = this.#runtime;
     const { policy } = holder;
     if (policy === undefined) return;
+    this.#applied = holder.revision + keyRing.revision;
     for (const shard of policy.listShards(settings.dataCentre)) {
       if (this.#candidates.has(shard) || this.#stopping) continue;
       const candidate = new ShardCandidate(
@@ -136,7 +140,10 @@
       this.#candidates.set(shard, candidate);
       void candidate.run();
     }
-    for (const host of this.#hosts) host.applyPolicy(policy);
+    for (const host of this.#hosts) {
+      host.applyPolicy(policy);
+      host.applyKeys(keyRing);
+    }
     this.#tellLoad();
   }
 
@@ -156,13 +163,16 @@
   }
 
   #tellLoad(): void {
-    const { holder, keyRing, settings } = this.#runtime;
+    const { holder, keyRing, keysContact, recorder, settings } = this.#runtime;
+    const { ageMs } = keysContact;
     const notice: LoadNotice = {
       notice: 'load',
       process: settings.process,
       shards: this.#hosts.map((host) => host.shard.describeLoad()),
       configurationRevision: holder.revision,
       keysRevision: keyRing.revision,
+      stamp: recorder.stamp(),
+      ...(Number.isFinite(ageMs) ? { keysAgeMs: ageMs } : {}),
     };
     this.#router.applyNotice(notice);
     for (const link of this.#listener.links) link.notify(notice);
@@ -180,13 +190,17 @@
 
   #applyNotice(link: Link, body: NoticeBody): void {
     this.#router.applyNotice(body);
-    const { holder, keyRing } = this.#runtime;
-    const before = holder.revision + keyRing.revision;
     void this.#peers?.learnRevisions(link, body).then(() => {
-      if (holder.revision + keyRing.revision > before) this.#applyRevision();
+      this.#applyNewRevision();
     });
   }
 
+  /** A revision may also have been learned by a dialled link, whose notices pass the peer set first. */
+  #applyNewRevision(): void {
+    const { holder, keyRing } = this.#runtime;
+    if (holder.revision + keyRing.revision > this.#applied) this.#applyRevision();
+  }
+
   #answer(body: CallBody): Promise<ReplyBody> | ReplyBody {
     switch (body.call) {
       case 'submit': {
--- a/packages/scheduler/src/ShardCandidate.ts
+++ b/packages/scheduler/src/ShardCandidate.ts
@@ -63,6 +63,7 @@
   }
 
   async #serve(host: ShardHost): Promise<void> {
+    host.applyKeys(this.#runtime.keyRing);
     this.#host = host;
     await host.start();
   }
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -3,6 +3,7 @@
   Journal,
   Shard,
   type Effect,
+  type KeyRing,
   type Policy,
   type WorkerGateway,
 } from '@toucanline/core';
@@ -104,6 +105,16 @@
     this.#pump();
   }
 
+  /**
+   * Applies a new list of keys.
+   *
+   * @param keyRing - keys in effect
+   */
+  public applyKeys(keyRing: KeyRing): void {
+    this.#shard.applyKeys(keyRing);
+    this.#pump();
+  }
+
   /**
    * Applies the host list.
    *
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -7,3 +7,4 @@
 export * as validators from '#validators';
 export type { Validator } from '#validators';
 export { Document as documentChecker } from '#documentChecker';
+export { definitions } from '#definitions';
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -113,6 +113,8 @@
     .join('\n');
   return {
     'validators.cjs': banner + code + '\n',
+    'definitions.cjs': `${banner}'use strict';\nexports.definitions = ${JSON.stringify(definitions, null, 2)};\n`,
+    'definitions.d.cts': `${banner}export declare const definitions: Readonly<Record<string, object>>;\n`,
     'documentChecker.cjs': banner + checkerCode + '\n',
     'documentChecker.d.cts':
       `${banner}import type { Document as Value } from './types.js' with { 'resolution-mode': 'import' };\n` +
