Add the command line with previews, explanations and a timeline

Cause: operators had no tool. Change: 20 commands with oclif from an explicit table; previewChange, explainRequest and Timeline in the core; status messages carry the work by queue, team and size.

--- a/packages-private/testkit/__tests__/operator.test.ts
+++ b/packages-private/testkit/__tests__/operator.test.ts
@@ -130,7 +130,7 @@
         const keyless = new Caller(() => site.entries[0]?.url ?? '');
         const response = await keyless
           .send(method.toUpperCase(), url)
-          .catch(() => ({ status: 404, problem: {} as Record<string, unknown> }));
+          .catch(() => ({ status: 404, problem: {} }));
         if (response.status === 404 && !('title' in response.problem)) missing.push(path);
       }
     }
--- /dev/null
+++ b/packages/cli/src/CancelCommand.ts
@@ -0,0 +1,29 @@
+import { Args } from '@oclif/core';
+import { validators, type RequestView } from '@toucanline/schema';
+import { RequestCommand } from './RequestCommand.js';
+
+/** `toucanline cancel`. */
+export class CancelCommand extends RequestCommand {
+  public static override readonly summary = 'Cancels a request.';
+
+  public static override readonly examples = ['toucanline cancel s1.0123456789abcdef'];
+
+  public static override readonly args = {
+    request: Args.string({ description: 'Identifier of the request.', required: true }),
+  };
+
+  /** {@inheritDoc} */
+  public override async run(): Promise<RequestView> {
+    const { args, flags } = await this.parse(CancelCommand);
+    const view = this.take(
+      await this.open(flags).client.send({
+        method: 'DELETE',
+        path: `/v1/requests/${encodeURIComponent(args.request)}`,
+
+        mayRepeat: true,
+        validator: validators.RequestView,
+      }),
+    );
+    return this.show(view);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/ChangeCommand.ts
@@ -0,0 +1,101 @@
+import { randomUUID } from 'node:crypto';
+import { userInfo } from 'node:os';
+import { Flags } from '@oclif/core';
+import { parseDocument, previewChange } from '@toucanline/core';
+import {
+  validators,
+  type Configuration,
+  type ConfigurationSummary,
+  type Document,
+} from '@toucanline/schema';
+import { BaseCommand } from './BaseCommand.js';
+import { exitCodes } from './exitCodes.js';
+import { readCurrent } from './readCurrent.js';
+import { readSite } from './readSite.js';
+
+/** A new document with the operator's choices. */
+interface WantedChange {
+  readonly text: string;
+  readonly document: Document;
+  readonly note?: string | undefined;
+  readonly yes: boolean;
+  readonly ifRevision?: number | undefined;
+}
+
+/** What a change did, or would do. */
+interface ChangeResult {
+  readonly environment: string;
+  readonly preview: readonly string[];
+  readonly applied: ConfigurationSummary;
+}
+
+/** A command that changes the configuration of an environment after a preview. */
+export abstract class ChangeCommand extends BaseCommand {
+  protected static readonly changeFlags = {
+    yes: Flags.boolean({ summary: 'Apply the change; without it only the preview is shown.' }),
+    note: Flags.string({ summary: 'Why the change is made; kept in the history.' }),
+    'if-revision': Flags.integer({
+      summary: 'Refuse if the newest revision is another one than this.',
+      min: 0,
+    }),
+  };
+
+  /**
+   * Shows the effect of a change and applies it.
+   *
+   * @param environment - the environment
+   * @param wanted - the change
+   * @returns the preview and the new revision
+   */
+  protected async change(
+    environment: ReturnType<BaseCommand['open']>,
+    wanted: WantedChange,
+  ): Promise<ChangeResult> {
+    const { name, client, settings } = environment;
+    const current = this.take(await readCurrent(client));
+    const revision = current?.revision ?? 0;
+    this.log(`Change of ${name}, revision ${revision} by ${current?.author ?? 'nobody'}:`);
+    const before = current && parseDocument(current.text).unwrapOr(undefined);
+    const { processes } = this.take(await readSite(client));
+    const shards = processes.flatMap((process) => process.shards);
+    const preview = previewChange(before, wanted.document, shards);
+    for (const line of preview) this.log(line);
+    if (wanted.ifRevision !== undefined && wanted.ifRevision !== revision) {
+      this.#refuseMoved(wanted.ifRevision, current);
+    }
+    if (!wanted.yes) {
+      this.fail({
+        message: `nothing was changed in ${name}, because the change is not confirmed`,
+        next: `Run the command again with --yes --if-revision ${revision}.`,
+        exit: exitCodes.notConfirmed,
+      });
+    }
+    const body = {
+      ifRevision: revision,
+      text: wanted.text,
+      author: settings.author ?? userInfo().username,
+      token: randomUUID(),
+      ...(wanted.note === undefined ? {} : { note: wanted.note }),
+    };
+    const applied = this.take(
+      await client.send({
+        method: 'PUT',
+        path: '/v1/configuration',
+        body,
+        mayRepeat: true,
+        validator: validators.ConfigurationSummary,
+      }),
+    );
+    this.log(`Revision ${applied.revision} is accepted in ${name}.`);
+    return { environment: name, preview, applied };
+  }
+
+  #refuseMoved(ifRevision: number, current: Configuration | undefined): never {
+    const by = current === undefined ? '' : ` by ${current.author}`;
+    return this.fail({
+      message: `the newest revision is ${current?.revision ?? 0}${by}, not ${ifRevision}`,
+      next: 'Read the preview above, which starts from the newest revision, and decide again.',
+      exit: exitCodes.refused,
+    });
+  }
+}
--- /dev/null
+++ b/packages/cli/src/ConfigDiffCommand.ts
@@ -0,0 +1,39 @@
+import { Args } from '@oclif/core';
+import { parseDocument, previewChange } from '@toucanline/core';
+import { BaseCommand } from './BaseCommand.js';
+import { readCurrent } from './readCurrent.js';
+import { readDocument } from './readDocument.js';
+import { readSite } from './readSite.js';
+
+/** `toucanline config diff`. */
+export class ConfigDiffCommand extends BaseCommand {
+  public static override readonly summary =
+    'Shows what a document would change in an environment, in words and by key.';
+
+  public static override readonly examples = [
+    'toucanline config diff site.toml --environment production --settings ops.toml',
+  ];
+
+  public static override readonly args = {
+    file: Args.string({ description: 'Configuration document (TOML).', required: true }),
+  };
+
+  /** {@inheritDoc} */
+  public override async run(): Promise<{
+    readonly revision: number;
+    readonly preview: readonly string[];
+  }> {
+    const { args, flags } = await this.parse(ConfigDiffCommand);
+    const { document } = this.take(readDocument(args.file));
+    const { name, client } = this.open(flags);
+    const current = this.take(await readCurrent(client));
+    const before = current && parseDocument(current.text).unwrapOr(undefined);
+    const { processes } = this.take(await readSite(client));
+    const shards = processes.flatMap((process) => process.shards);
+    const preview = previewChange(before, document, shards);
+    const revision = current?.revision ?? 0;
+    this.log(`Against revision ${revision} of ${name} by ${current?.author ?? 'nobody'}:`);
+    for (const line of preview) this.log(line);
+    return { revision, preview };
+  }
+}
--- /dev/null
+++ b/packages/cli/src/ConfigStatusCommand.ts
@@ -0,0 +1,46 @@
+import type { ProcessStatus } from '@toucanline/schema';
+import { BaseCommand } from './BaseCommand.js';
+import { formatTable } from './formatTable.js';
+import { readCurrent } from './readCurrent.js';
+import { readSite } from './readSite.js';
+
+/** `toucanline config status`. */
+export class ConfigStatusCommand extends BaseCommand {
+  public static override readonly summary =
+    'Shows which process in which data centre has which revision, and which have not confirmed.';
+
+  public static override readonly examples = [
+    'toucanline config status --environment production --settings ops.toml',
+  ];
+
+  /** {@inheritDoc} */
+  public override async run(): Promise<object> {
+    const { flags } = await this.parse(ConfigStatusCommand);
+    const { client } = this.open(flags);
+    const { processes, unreachable } = this.take(await readSite(client));
+    const stored = (await readCurrent(client)).unwrapOr(undefined);
+    const newest = Math.max(
+      stored?.revision ?? 0,
+      ...processes.map((process) => process.configurationRevision),
+    );
+    const newestKeys = Math.max(0, ...processes.map((process) => process.keysRevision));
+    const isBehind = (process: ProcessStatus): boolean =>
+      process.configurationRevision < newest || process.keysRevision < newestKeys;
+    const rows = processes.map((process) => [
+      process.dataCentre,
+      process.process,
+      process.role,
+      process.ready ? 'ready' : 'not ready',
+      String(process.configurationRevision),
+      String(process.keysRevision),
+      isBehind(process) ? 'not confirmed' : 'confirmed',
+    ]);
+    const heading = ['DATA CENTRE', 'PROCESS', 'ROLE', 'READY', 'REVISION', 'KEYS', ''];
+    this.log(`Newest: revision ${newest}, keys ${newestKeys}.`);
+    if (stored === undefined) this.log('The store was not read: a newer revision is possible.');
+    this.log(formatTable([heading, ...rows]));
+    for (const address of unreachable) this.log(`Not reached, not confirmed: ${address}`);
+    const unconfirmed = processes.filter(isBehind).map(({ process }) => process);
+    return { newest, newestKeys, processes, unconfirmed, unreachable };
+  }
+}
--- /dev/null
+++ b/packages/cli/src/ConfigTryCommand.ts
@@ -0,0 +1,27 @@
+import { Args } from '@oclif/core';
+import { ChangeCommand } from './ChangeCommand.js';
+import { readDocument } from './readDocument.js';
+
+/** `toucanline config try`. */
+export class ConfigTryCommand extends ChangeCommand {
+  public static override readonly summary = 'Puts a document into effect in the trial environment.';
+
+  public static override readonly examples = [
+    'toucanline config try site.toml --settings ops.toml',
+    'toucanline config try site.toml --settings ops.toml --yes --note "more room for broadcast"',
+  ];
+
+  public static override readonly args = {
+    file: Args.string({ description: 'Configuration document (TOML).', required: true }),
+  };
+
+  public static override readonly flags = { ...ChangeCommand.changeFlags };
+
+  /** {@inheritDoc} */
+  public override async run(): Promise<Awaited<ReturnType<ChangeCommand['change']>>> {
+    const { args, flags } = await this.parse(ConfigTryCommand);
+    const { text, document } = this.take(readDocument(args.file));
+    const { yes, note, 'if-revision': ifRevision } = flags;
+    return this.change(this.openRole(flags, 'trial'), { text, document, yes, note, ifRevision });
+  }
+}
--- /dev/null
+++ b/packages/cli/src/DrainCommand.ts
@@ -0,0 +1,48 @@
+import { Args, Flags } from '@oclif/core';
+import { validators, type DrainState } from '@toucanline/schema';
+import { BaseCommand } from './BaseCommand.js';
+import { readSite } from './readSite.js';
+
+/** `toucanline drain`. */
+export class DrainCommand extends BaseCommand {
+  public static override readonly summary = 'Lets a worker take no new work, or take it again.';
+
+  public static override readonly examples = [
+    'toucanline drain w17 --yes',
+    'toucanline drain w17 --end --yes',
+  ];
+
+  public static override readonly args = {
+    worker: Args.string({ description: 'Name of the worker.', required: true }),
+  };
+
+  public static override readonly flags = {
+    end: Flags.boolean({ summary: 'End the drain.' }),
+    yes: Flags.boolean({ summary: 'Apply; without it only the effect is shown.' }),
+  };
+
+  /** {@inheritDoc} */
+  public override async run(): Promise<DrainState> {
+    const { args, flags } = await this.parse(DrainCommand);
+    const { client } = this.open(flags);
+    const { processes } = this.take(await readSite(client));
+    const workers = processes.flatMap(({ shards }) => shards.flatMap((shard) => shard.workers));
+    const tasks = workers.find(({ worker }) => worker === args.worker)?.tasks ?? 0;
+    this.log(
+      flags.end
+        ? `Worker ${args.worker} takes new work again.`
+        : `Worker ${args.worker} takes no new work; its ${tasks} running tasks go on.`,
+    );
+    this.requireYes(flags.yes);
+    const state = this.take(
+      await client.send({
+        method: flags.end ? 'DELETE' : 'POST',
+        path: `/v1/workers/${encodeURIComponent(args.worker)}/drain`,
+        mayRepeat: true,
+        validator: validators.DrainState,
+      }),
+    );
+    this.log('Done.');
+    return state;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/ShardsCommand.ts
@@ -0,0 +1,39 @@
+import type { ShardStatus } from '@toucanline/schema';
+import { BaseCommand } from './BaseCommand.js';
+import { formatTable } from './formatTable.js';
+import { readSite } from './readSite.js';
+
+/** `toucanline shards`. */
+export class ShardsCommand extends BaseCommand {
+  public static override readonly summary = 'Lists the shards with owner, epoch and work.';
+
+  public static override readonly examples = ['toucanline shards --environment production --json'];
+
+  /** {@inheritDoc} */
+  public override async run(): Promise<readonly ShardStatus[]> {
+    const { flags } = await this.parse(ShardsCommand);
+    const { client } = this.open(flags);
+    const { processes, unreachable } = this.take(await readSite(client));
+    const shards = processes.flatMap((process) => process.shards);
+    const rows = shards.map((shard) => [
+      shard.dataCentre,
+      shard.shard,
+      shard.owner,
+      String(shard.epoch),
+      String(shard.workers.length),
+      String(shard.waiting),
+      String(shard.running),
+      [shard.recovering ? 'recovering' : '', shard.provisional ? 'provisional' : '']
+        .filter(Boolean)
+        .join(', '),
+    ]);
+    this.log(
+      formatTable([
+        ['DATA CENTRE', 'SHARD', 'OWNER', 'EPOCH', 'WORKERS', 'WAITING', 'RUNNING TASKS', ''],
+        ...rows,
+      ]),
+    );
+    for (const address of unreachable) this.log(`Not reached: ${address}`);
+    return shards;
+  }
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,6 @@
-export {};
+/**
+ * The command line of toucanline.
+ *
+ * @packageDocumentation
+ */
+export { commandTable } from './commandTable.js';
--- /dev/null
+++ b/packages/cli/src/readDocument.ts
@@ -0,0 +1,25 @@
+import { checkDocument, formatIssue } from '@toucanline/core';
+import type { Document } from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import type { ClientFailure } from './ClientFailure.js';
+import { exitCodes } from './exitCodes.js';
+import { readText } from './readText.js';
+
+/**
+ * Reads and checks a configuration document.
+ *
+ * @param path - path of the file
+ * @returns text and document; every error otherwise
+ */
+export const readDocument = (
+  path: string,
+): Result<{ readonly text: string; readonly document: Document }, ClientFailure> =>
+  readText(path).andThen((text) => {
+    const { document, issues } = checkDocument(text);
+    if (document !== undefined) return ok({ text, document });
+    return err({
+      message: [`${path}: ${issues.length} errors`, ...issues.map(formatIssue)].join('\n'),
+      next: 'Correct these lines; docs/reference/document.md lists the keys.',
+      exit: exitCodes.invalid,
+    });
+  });
--- /dev/null
+++ b/packages/cli/src/readText.ts
@@ -0,0 +1,19 @@
+import { readFileSync } from 'node:fs';
+import { err, ok, type Result } from 'neverthrow';
+import type { ClientFailure } from './ClientFailure.js';
+import { exitCodes } from './exitCodes.js';
+
+/**
+ * Reads a file.
+ *
+ * @param path - path of the file
+ * @returns its text, or the failure
+ */
+export const readText = (path: string): Result<string, ClientFailure> => {
+  try {
+    return ok(readFileSync(path, 'utf8'));
+  } catch (error) {
+    const message = error instanceof Error ? error.message : String(error);
+    return err({ message, next: 'Check the path of the file.', exit: exitCodes.invalid });
+  }
+};
--- a/packages/core/src/RequestRecord.ts
+++ b/packages/core/src/RequestRecord.ts
@@ -279,6 +279,7 @@
       ran: this.ran,
       attempt: this.#attempt,
       tasks: [...this.#tasks.values()].map((task) => task.describe()),
+      size: this.request.size,
       ...(this.#reason === undefined ? {} : { reason: this.#reason }),
       ...(this.#state === 'succeeded' ? { output } : {}),
       ...(this.#failure === undefined ? {} : { failure: this.#failure }),
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -28,6 +28,7 @@
 import { RequestRecord } from './RequestRecord.js';
 import { RequestTable } from './RequestTable.js';
 import type { ShardContext } from './ShardContext.js';
+import { summariseWork } from './summariseWork.js';
 import { TaskTracker } from './TaskTracker.js';
 import { TeamLedger } from './TeamLedger.js';
 import { WaitingQueue } from './WaitingQueue.js';
@@ -467,6 +468,7 @@
       running: workers.reduce((sum, { tasks }) => sum + tasks, 0),
       workers,
       teams,
+      work: summariseWork(this.#table.list()),
     };
   }
 
--- a/packages/entry/src/OperatorRoutes.ts
+++ b/packages/entry/src/OperatorRoutes.ts
@@ -1,6 +1,6 @@
-import { createFailure } from '@toucanline/core';
+import { createFailure, mergeEvents } from '@toucanline/core';
 import type { PeerSet, ProcessRuntime } from '@toucanline/runtime';
-import type { Event, ProcessStatus, ReplyBody, SiteStatus } from '@toucanline/schema';
+import type { ProcessStatus, ReplyBody, SiteStatus } from '@toucanline/schema';
 import type { Authenticator } from './Authenticator.js';
 import type { HttpContext } from './HttpContext.js';
 
@@ -77,12 +77,8 @@
       ...(requestId === undefined ? {} : { requestId }),
     } as const;
     const replies = await this.#callAll(call);
-    const events: Event[] = [...recorder.list(sinceMs, requestId)];
-    for (const reply of replies) if (reply.reply === 'events') events.push(...reply.events);
-    events.sort(
-      (left, right) =>
-        left.stamp.wallMs - right.stamp.wallMs || left.stamp.counter - right.stamp.counter,
-    );
+    const lists = replies.flatMap((reply) => (reply.reply === 'events' ? [reply.events] : []));
+    const events = mergeEvents([recorder.list(sinceMs, requestId), ...lists]);
     context.sendJson(200, { events });
   }
 
