--- a/packages-private/testkit/src/Site.ts
+++ b/packages-private/testkit/src/Site.ts
@@ -26,6 +26,8 @@
   readonly room?: Resources;
   /** Teams that get a key with the name `key-TEAM`. */
   readonly teams: readonly string[];
+  /** Whether changes need the role `promote`. */
+  readonly production?: boolean;
   /** Addresses that the daemons use instead of those of the platform fakes. */
   readonly platform?: { readonly store?: string; readonly hosts?: string };
 }
@@ -60,6 +62,11 @@
     return this.#schedulers;
   }
 
+  /** Key with all operator roles. */
+  public get operatorKey(): string {
+    return operatorKey;
+  }
+
   /** Headers of an operator. */
   public get operatorHeaders(): Readonly<Record<string, string>> {
     return { authorization: `Bearer ${operatorKey}` };
@@ -245,6 +252,7 @@
         hosts: this.#options.platform?.hosts ?? this.hosts.url,
       },
       operatorKeyHash: hash(operatorKey),
+      ...(this.#options.production === undefined ? {} : { production: this.#options.production }),
     };
   }
 }
--- a/packages-private/testkit/src/index.ts
+++ b/packages-private/testkit/src/index.ts
@@ -10,6 +10,7 @@
 export { findFreePort } from './findFreePort.js';
 export { HostListFake } from './HostListFake.js';
 export { Ledger } from './Ledger.js';
+export { runCommandLine } from './runCommandLine.js';
 export { Site } from './Site.js';
 export { sleep } from './sleep.js';
 export { StoreFake } from './StoreFake.js';
