--- a/packages-private/testkit/__tests__/commandLine.test.ts
+++ b/packages-private/testkit/__tests__/commandLine.test.ts
@@ -65,6 +65,14 @@
     );
     const good = await runCommandLine('config', 'check', writeDocument('good', exampleDocument));
     expect(good.code).to.equal(0);
+    for (const name of ['korvaava', 'cascadia']) {
+      const { stderr: errors } = await runCommandLine(
+        'config',
+        'check',
+        `docs/examples/${name}.toml`,
+      );
+      expect(errors).to.equal('');
+    }
   });
 
   it('refuses to promote what was never in effect in the trial environment', async () => {
--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -81,13 +81,13 @@
       configuration: new ConfigurationRoutes(runtime, authenticator),
       keys: new KeyRoutes(runtime, authenticator),
     };
+    addHealthRoutes(this.#service, () => this.#isReady);
+    this.#addRoutes();
   }
 
   /** {@inheritDoc Daemon.start} */
   public override async start(): Promise<void> {
     const { host, port } = this.#runtime.settings.http;
-    addHealthRoutes(this.#service, () => this.#isReady);
-    this.#addRoutes();
     this.#peers.start();
     this.#runtime.followRevisions(
       () => false,
@@ -114,6 +114,16 @@
     this.#peers.stop();
   }
 
+  /** Routes that the HTTP service knows, such as `[GET]/v1/status`. */
+  public get routes(): readonly string[] {
+    return this.#service.routes();
+  }
+
+  /** What `/openapi.json` answers. */
+  public get openApi(): object {
+    return createOpenApi(createRoutes(this.#groups));
+  }
+
   get #isReady(): boolean {
     return !this.#draining && this.#runtime.holder.policy !== undefined;
   }
@@ -124,7 +134,7 @@
       const pattern = path.replace(/\{(\w+)\}/g, ':$1');
       this.#service[method](pattern, this.#wrap(handle));
     }
-    const document = createOpenApi(routes);
+    const document = this.openApi;
     this.#service.get('/openapi.json', (_request, response) => {
       response.send(document, 200);
     });
