Replace the static split of limits by escrowed allotments

Cause: divideLimits gave each shard an equal part, so a team with all its demand in one data centre could use 1/n of its limit, and a change of the number of shards could double-spend a limit. Change: one store record holds the allotments, changed by compare-and-swap. AllotmentEscrow follows it (lower before the write, raise after the commit, epoch per shard against late writes of a former owner), AllotmentPlanner decides the amounts, AllotmentKeeper reads and writes. Lowered limits stop the newest idempotent tasks, fair shares use a decayed window, urgent work preempts.

--- /dev/null
+++ b/packages/core/src/AllotmentKeeper.ts
@@ -0,0 +1,293 @@
+import {
+  validators,
+  type Allotments,
+  type Failure,
+  type Resources,
+  type ShardLoad,
+} from '@toucanline/schema';
+import { ok, type Result } from 'neverthrow';
+import { addResources } from './addResources.js';
+import type { AllotmentDemand } from './AllotmentDemand.js';
+import { AllotmentEscrow } from './AllotmentEscrow.js';
+import { AllotmentPlanner } from './AllotmentPlanner.js';
+import { CallBudget } from './CallBudget.js';
+import type { Clock } from './Clock.js';
+import { coversResources } from './coversResources.js';
+import type { EventRecorder } from './EventRecorder.js';
+import type { Invariant } from './Invariant.js';
+import type { LoweredLimit } from './LoweredLimit.js';
+import { LoweredLimits } from './LoweredLimits.js';
+import { minResources } from './minResources.js';
+import { periods } from './periods.js';
+import type { Policy } from './Policy.js';
+import type { RandomSource } from './RandomSource.js';
+import { scaleResources } from './scaleResources.js';
+import type { Store } from './Store.js';
+import { sumAllotments } from './sumAllotments.js';
+import { validateValue } from './validateValue.js';
+import { zeroResources } from './zeroResources.js';
+
+const recordKey = 'allotments';
+/**
+ * Part of a shard's capacity that a team may hold an allotment for ahead of free capacity, so that it
+ * can start in the moment in which other work ends.
+ */
+const turnoverFraction = 0.25;
+/** Store calls of one shard: a burst after a change of demand, then a rate that a store can carry. */
+const callBurst = 16;
+const callsPerSecond = 0.75;
+
+/** What the keeper uses of the host process. */
+interface KeeperParts {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly recorder: EventRecorder;
+  readonly invariant: Invariant;
+  /** Reads the load of the shard itself. */
+  readonly readLoad: () => ShardLoad;
+  /** Reads whether all workers of the shard are accounted for. */
+  readonly isRecovered: () => boolean;
+  /** Called after each change of what the shard may spend or has to shrink to. */
+  readonly onChange: (
+    spendable: ReadonlyMap<string, Resources>,
+    lowered: ReadonlyMap<string, LoweredLimit>,
+  ) => void;
+}
+
+/** A planned write. */
+interface Plan {
+  readonly row: ReadonlyMap<string, Resources>;
+  readonly use: ReadonlyMap<string, Resources>;
+  /** Whether anything differs from the record. */
+  readonly differs: boolean;
+  /** Whether work here or in another shard waits for the change. */
+  readonly isPressing: boolean;
+  /** Whether work here waits for an amount that no shard has given back yet. */
+  readonly isHungry: boolean;
+}
+
+/** Keeps the allotments of one ownership of a shard in step with demand and with the store record. */
+export class AllotmentKeeper {
+  readonly #parts: KeeperParts;
+  readonly #shard: string;
+  readonly #escrow: AllotmentEscrow;
+  readonly #planner: AllotmentPlanner;
+  readonly #lowered = new LoweredLimits();
+  readonly #budget: CallBudget;
+  #policy: Policy;
+  #peers: readonly ShardLoad[] = [];
+  #stale = true;
+  #lastReadAt = -Infinity;
+  #lastWriteAt = -Infinity;
+  #readDelayMs: number = periods.allotmentDemandMs;
+
+  /**
+   * @param parts - what the keeper uses of the host process
+   * @param shard - name of the shard
+   * @param epoch - epoch of the ownership
+   * @param policy - policy in effect
+   * @param revision - its revision
+   */
+  public constructor(
+    parts: KeeperParts,
+    shard: string,
+    epoch: number,
+    policy: Policy,
+    revision: number,
+  ) {
+    this.#parts = parts;
+    this.#shard = shard;
+    this.#policy = policy;
+    this.#escrow = new AllotmentEscrow(shard, epoch, parts.invariant);
+    this.#planner = new AllotmentPlanner(shard, () => this.#policy.shards.includes(shard));
+    this.#budget = new CallBudget(callBurst, callsPerSecond, parts.clock.now());
+    this.applyPolicy(policy, revision);
+  }
+
+  /** What the shard may spend. */
+  public get escrow(): AllotmentEscrow {
+    return this.#escrow;
+  }
+
+  /**
+   * Applies a revision of the document. A limit holds from here on.
+   *
+   * @param policy - policy in effect
+   * @param revision - its revision
+   */
+  public applyPolicy(policy: Policy, revision: number): void {
+    this.#policy = policy;
+    this.#escrow.applyLimits(policy.limits, revision);
+    this.#tell();
+  }
+
+  /**
+   * Applies what the owners of other shards told.
+   *
+   * @param peers - newest load of each other shard
+   */
+  public applyLoads(peers: readonly ShardLoad[]): void {
+    this.#peers = peers;
+  }
+
+  /**
+   * Runs until the ownership ends.
+   *
+   * @param isActive - whether the ownership goes on
+   */
+  public async run(isActive: () => boolean): Promise<void> {
+    while (isActive() && !this.#escrow.isSuperseded) {
+      await this.step();
+      await this.#parts.clock.sleep(periods.allotmentDemandMs);
+    }
+  }
+
+  /** Reads and writes the record once, if that is due. */
+  public async step(): Promise<void> {
+    if (this.#policy.limits.size === 0 && Object.keys(this.#escrow.record.teams).length === 0)
+      return;
+    if (this.#isReadDue()) await this.#read();
+    if (this.#escrow.isUnread || this.#escrow.isSuperseded || this.#stale) return;
+    const plan = this.#createPlan();
+    this.#tell();
+    if (plan.isHungry && !plan.differs) this.#scheduleRead();
+    if (this.#isWriteDue(plan)) await this.#write(plan);
+  }
+
+  /** Reads more rarely as long as nothing was gained. */
+  #scheduleRead(): void {
+    const now = this.#parts.clock.now();
+    if (now - this.#lastReadAt < this.#readDelayMs) return;
+    this.#stale = true;
+    this.#readDelayMs = Math.min(this.#readDelayMs * 2, periods.allotmentIdleMs);
+  }
+
+  #isReadDue(): boolean {
+    const sinceRead = this.#parts.clock.now() - this.#lastReadAt;
+    if (this.#stale) return true;
+    return (
+      sinceRead >=
+      (this.#lowered.active.size > 0 ? periods.allotmentIdleMs : periods.allotmentCheckMs)
+    );
+  }
+
+  #isWriteDue(plan: Plan): boolean {
+    const { isTakenOver, mustAnnounce, isUnsettled } = this.#escrow;
+    if (!isTakenOver || mustAnnounce || isUnsettled) return true;
+    if (!plan.differs) return false;
+    const sinceWrite = this.#parts.clock.now() - this.#lastWriteAt;
+    return sinceWrite >= (plan.isPressing ? periods.allotmentDemandMs : periods.allotmentIdleMs);
+  }
+
+  #createPlan(): Plan {
+    const { record, limits, mayRaise } = this.#escrow;
+    const load = this.#parts.readLoad();
+    const mayChange = this.#parts.isRecovered() && this.#escrow.isTakenOver;
+    const row = new Map<string, Resources>();
+    const use = new Map<string, Resources>();
+    let differs = false;
+    let isPressing = false;
+    let isHungry = false;
+    for (const team of new Set([...limits.keys(), ...Object.keys(record.teams)])) {
+      const current = this.#escrow.readOwn(team);
+      const own = this.#readDemand(load, team);
+      const situation = this.#describeTeam(team, own);
+      use.set(team, own.use);
+      let amount = mayChange ? this.#planner.plan(situation) : current;
+      if (!mayRaise) amount = minResources(amount, current);
+      row.set(team, amount);
+      const isSame = coversResources(current, amount) && coversResources(amount, current);
+      const isShort = !coversResources(current, addResources(own.use, own.demand));
+      if (isShort && situation.limit !== undefined && !coversResources(amount, situation.limit)) {
+        isHungry = true;
+      }
+      if (isSame) continue;
+      differs = true;
+      const isOver = this.#lowered.active.has(team);
+      if (isShort || isOver || this.#planner.isPeerShort(situation)) isPressing = true;
+    }
+    return { row, use, differs, isPressing, isHungry };
+  }
+
+  #describeTeam(team: string, own: AllotmentDemand): Parameters<AllotmentPlanner['plan']>[0] {
+    const { record, limits } = this.#escrow;
+    const limit = limits.get(team);
+    const current = this.#escrow.readOwn(team);
+    const sum = sumAllotments(record, team);
+    const now = this.#parts.clock.now();
+    const renewMs = this.#policy.lowerLimitMs + periods.allotmentIdleMs;
+    if (limit === undefined) this.#lowered.forget(team);
+    const target =
+      limit === undefined
+        ? zeroResources
+        : this.#lowered.calculateTarget(team, limit, sum, current, now, renewMs);
+    const others = new Map(this.#peers.map((load) => [load.shard, this.#readDemand(load, team)]));
+    return { team, limit, record, own, others, target };
+  }
+
+  #readDemand({ use, demand, free, room }: ShardLoad, team: string): AllotmentDemand {
+    const usable = addResources(free, scaleResources(room, turnoverFraction));
+    return {
+      use: use[team] ?? zeroResources,
+      demand: minResources(demand[team] ?? zeroResources, usable),
+    };
+  }
+
+  async #read(): Promise<void> {
+    const { clock, store } = this.#parts;
+    if (!this.#budget.take(clock.now())) return;
+    this.#lastReadAt = clock.now();
+    const value = await store.read(recordKey);
+    if (value.isErr()) return;
+    const parsed = this.#parse(value.value.value);
+    if (parsed.isErr()) return;
+    this.#stale = false;
+    this.#escrow.applyRead(parsed.value, value.value.version);
+    this.#tell();
+  }
+
+  #parse(text: string | undefined): Result<Allotments | undefined, Failure> {
+    if (text === undefined) return ok(undefined);
+    const data: unknown = JSON.parse(text);
+    return validateValue(validators.Allotments, data, 'internal');
+  }
+
+  async #write({ row, use }: Plan): Promise<void> {
+    const { clock, store, random } = this.#parts;
+    if (!this.#escrow.isAdmissible(row, use) || !this.#budget.take(clock.now())) return;
+    const before = new Map([...row.keys()].map((team) => [team, this.#escrow.readOwn(team)]));
+    const content = this.#escrow.beginWrite(row, random.token());
+    this.#tell();
+    this.#lastWriteAt = clock.now();
+    const written = await store.write(recordKey, JSON.stringify(content), this.#escrow.version);
+    if (written.isOk()) {
+      this.#escrow.applyWritten(content, written.value);
+      this.#readDelayMs = periods.allotmentDemandMs;
+      this.#record(before, row);
+    } else {
+      if (written.error.kind !== 'timeout') this.#escrow.applyNotWritten();
+      this.#stale = true;
+    }
+    this.#tell();
+  }
+
+  #record(before: ReadonlyMap<string, Resources>, row: ReadonlyMap<string, Resources>): void {
+    const moved = [...row.entries()].filter(([team, amount]) => {
+      const former = before.get(team) ?? zeroResources;
+      return !coversResources(former, amount) || !coversResources(amount, former);
+    });
+    if (moved.length === 0) return;
+    this.#parts.recorder.record('allotmentMoved', {
+      shard: this.#shard,
+      detail: moved
+        .slice(0, 10)
+        .map(([team, { processors }]) => `${team}: ${processors.toFixed(1)} processors`)
+        .join(', '),
+    });
+  }
+
+  #tell(): void {
+    this.#parts.onChange(this.#escrow.listSpendable(), this.#lowered.active);
+  }
+}
--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -14,6 +14,7 @@
 import { ServicePlacement } from './ServicePlacement.js';
 import type { ShardContext } from './ShardContext.js';
 import { TaskRecord } from './TaskRecord.js';
+import type { UrgentPreemption } from './UrgentPreemption.js';
 import type { TeamLedger } from './TeamLedger.js';
 import type { WaitingQueue } from './WaitingQueue.js';
 import type { WorkerRecord } from './WorkerRecord.js';
@@ -31,6 +32,7 @@
   readonly ledger: TeamLedger;
   readonly fairShare: FairShare;
   readonly recovery: Recovery;
+  readonly preemption: UrgentPreemption;
 }
 
 /** Decides which waiting request starts next, and where. */
@@ -138,7 +140,10 @@
       record.setReason(this.#explainLimit(request.team));
       return false;
     }
-    const workers = placements[request.kind].place(request, count, this.#parts.fleet);
+    const { fleet, preemption } = this.#parts;
+    const place = (): readonly WorkerRecord[] =>
+      placements[request.kind].place(request, count, fleet);
+    const workers = request.urgent ? preemption.placeUrgent(place) : place();
     const isPartialGang = request.kind === 'gang' && workers.length < pending.length;
     if (workers.length === 0 || isPartialGang) {
       record.setReason('waits for free capacity on suitable workers');
--- a/packages/core/src/FairShare.ts
+++ b/packages/core/src/FairShare.ts
@@ -1,20 +1,36 @@
 import type { Resources } from '@toucanline/schema';
+import { addResources } from './addResources.js';
 import { calculateDominantShare } from './calculateDominantShare.js';
+import { scaleResources } from './scaleResources.js';
 import { zeroResources } from './zeroResources.js';
 
-/** Weighted dominant resource fairness: the team that is furthest below its share comes first. */
+const defaultHalfLifeMs = 30_000;
+/** Use below this share of the fleet is forgotten. */
+const negligibleShare = 1e-9;
+
+/**
+ * Weighted dominant resource fairness over all shards: the team that is furthest below its share comes
+ * first. The rank adds the use over a decayed window to the current use. The window alone would give
+ * all free capacity to one team until the next update; the current use alone would never make up for
+ * a time below the share.
+ */
 export class FairShare {
+  readonly #window = new Map<string, Resources>();
   #weights: ReadonlyMap<string, number> = new Map();
+  #halfLifeMs = defaultHalfLifeMs;
   #capacity: Resources = zeroResources;
   #remoteUse: ReadonlyMap<string, Resources> = new Map();
+  #advancedAt: number | undefined;
 
   /**
    * Sets the share of each team.
    *
    * @param weights - share per team
+   * @param halfLifeMs - half-life of the window, in milliseconds
    */
-  public setWeights(weights: ReadonlyMap<string, number>): void {
+  public setWeights(weights: ReadonlyMap<string, number>, halfLifeMs = defaultHalfLifeMs): void {
     this.#weights = weights;
+    this.#halfLifeMs = halfLifeMs;
   }
 
   /**
@@ -28,6 +44,27 @@
     this.#remoteUse = remoteUse;
   }
 
+  /**
+   * Moves the window on.
+   *
+   * @param now - local monotonic time in milliseconds
+   * @param localUse - use per team in this shard since the last call
+   */
+  public advance(now: number, localUse: ReadonlyMap<string, Resources>): void {
+    const elapsedMs = now - (this.#advancedAt ?? now);
+    this.#advancedAt = now;
+    const kept = 2 ** (-elapsedMs / this.#halfLifeMs);
+    const teams = new Set([...this.#window.keys(), ...localUse.keys(), ...this.#remoteUse.keys()]);
+    for (const team of teams) {
+      const past = scaleResources(this.#window.get(team) ?? zeroResources, kept);
+      const total = this.#sumUse(team, localUse.get(team) ?? zeroResources);
+      const average = addResources(past, scaleResources(total, 1 - kept));
+      if (calculateDominantShare(average, this.#capacity) < negligibleShare) {
+        this.#window.delete(team);
+      } else this.#window.set(team, average);
+    }
+  }
+
   /**
    * Ranks a team.
    *
@@ -36,12 +73,13 @@
    * @returns its weighted dominant share; the lowest one comes first
    */
   public rankTeam(team: string, use: Resources): number {
-    const remote = this.#remoteUse.get(team) ?? zeroResources;
-    const total = {
-      processors: use.processors + remote.processors,
-      memoryMb: use.memoryMb + remote.memoryMb,
-      accelerators: use.accelerators + remote.accelerators,
-    };
-    return calculateDominantShare(total, this.#capacity) / (this.#weights.get(team) ?? 1);
+    const current = calculateDominantShare(this.#sumUse(team, use), this.#capacity);
+    const past = this.#window.get(team) ?? zeroResources;
+    const window = calculateDominantShare(past, this.#capacity);
+    return (current + window) / (this.#weights.get(team) ?? 1);
+  }
+
+  #sumUse(team: string, use: Resources): Resources {
+    return addResources(use, this.#remoteUse.get(team) ?? zeroResources);
   }
 }
--- /dev/null
+++ b/packages/core/src/LimitEnforcer.ts
@@ -0,0 +1,93 @@
+import type { Resources } from '@toucanline/schema';
+import { addResources } from './addResources.js';
+import { coversResources } from './coversResources.js';
+import type { Fleet } from './Fleet.js';
+import type { LoweredLimit } from './LoweredLimit.js';
+import type { Policy } from './Policy.js';
+import type { ShardContext } from './ShardContext.js';
+import { subtractResources } from './subtractResources.js';
+import type { TaskRecord } from './TaskRecord.js';
+import type { TaskStopper } from './TaskStopper.js';
+import type { TeamLedger } from './TeamLedger.js';
+import { zeroResources } from './zeroResources.js';
+
+/** Part of the time that the document sets in which running work may still end by itself. */
+const graceFraction = 0.5;
+
+/** Parts of the shard that the enforcer reads and changes. */
+interface EnforcerParts {
+  readonly fleet: Fleet;
+  readonly ledger: TeamLedger;
+  readonly stopper: TaskStopper;
+  readonly readPolicy: () => Policy;
+}
+
+/** Stops running work above a lowered limit: the newest idempotent tasks first. */
+export class LimitEnforcer {
+  readonly #context: ShardContext;
+  readonly #parts: EnforcerParts;
+  #lowered: ReadonlyMap<string, LoweredLimit> = new Map();
+
+  /**
+   * @param context - what the parts of the shard share
+   * @param parts - the parts to read and change
+   */
+  public constructor(context: ShardContext, parts: EnforcerParts) {
+    this.#context = context;
+    this.#parts = parts;
+  }
+
+  /**
+   * Sets which teams have to shrink.
+   *
+   * @param lowered - target per team
+   */
+  public setLowered(lowered: ReadonlyMap<string, LoweredLimit>): void {
+    this.#lowered = lowered;
+  }
+
+  /** Stops what runs above a target once the grace time is over. */
+  public tick(): void {
+    const now = this.#context.clock.now();
+    const graceMs = this.#parts.readPolicy().lowerLimitMs * graceFraction;
+    for (const [team, { target, since }] of this.#lowered) {
+      if (now - since >= graceMs) this.#shrink(team, target);
+    }
+  }
+
+  #shrink(team: string, target: Resources): void {
+    const tasks = this.#parts.fleet.workers
+      .flatMap((worker) => worker.tasks)
+      .filter(({ assignment }) => assignment.request.team === team);
+    let use = this.#parts.ledger.readUse(team);
+    for (const task of tasks) {
+      if (task.state === 'stopping') use = subtractResources(use, task.assignment.request.size);
+    }
+    const newestFirst = [...tasks].sort((left, right) => right.placedAt - left.placedAt);
+    for (const task of newestFirst) {
+      if (coversResources(target, use)) return;
+      if (!task.assignment.request.idempotent || !this.#parts.stopper.canStop(task)) continue;
+      if (!this.#helps(task, use, target)) continue;
+      use = subtractResources(use, this.#stop(task, team));
+    }
+  }
+
+  /** Whether stopping the task frees a resource that is above the target. */
+  #helps({ assignment }: TaskRecord, use: Resources, target: Resources): boolean {
+    const { size } = assignment.request;
+    const excess = subtractResources(use, target);
+    return (['processors', 'memoryMb', 'accelerators'] as const).some(
+      (name) => excess[name] > 0 && size[name] > 0,
+    );
+  }
+
+  #stop(task: TaskRecord, team: string): Resources {
+    const { size, kind, id } = task.assignment.request;
+    this.#parts.stopper.stop(task, `the limit of team ${team} was lowered`);
+    if (kind !== 'gang') return size;
+    const members = this.#parts.fleet.workers
+      .flatMap((worker) => worker.tasks)
+      .filter(({ assignment }) => assignment.request.id === id);
+    return members.reduce((sum) => addResources(sum, size), zeroResources);
+  }
+}
--- /dev/null
+++ b/packages/core/src/LoweredLimits.ts
@@ -0,0 +1,71 @@
+import type { Resources } from '@toucanline/schema';
+import { coversResources } from './coversResources.js';
+import type { LoweredLimit } from './LoweredLimit.js';
+
+/** An exceeded limit with what it was when the target was calculated. */
+interface Reduction extends LoweredLimit {
+  readonly limit: Resources;
+}
+
+const shrink = (own: number, limit: number, sum: number): number =>
+  sum > limit ? (own * limit) / sum : own;
+
+/**
+ * Calculates once per lowered limit what this shard shrinks to. A target that followed each change of
+ * the record would make the shards that react first shrink further than their part.
+ */
+export class LoweredLimits {
+  readonly #reductions = new Map<string, Reduction>();
+
+  /** Reductions that are not done yet, per team. */
+  public get active(): ReadonlyMap<string, LoweredLimit> {
+    return this.#reductions;
+  }
+
+  /**
+   * Calculates what a team shrinks to in this shard.
+   *
+   * @param team - name of the team
+   * @param limit - limit of the team
+   * @param sum - sum of its allotments over all shards
+   * @param own - allotment of this shard
+   * @param now - local monotonic time in milliseconds
+   * @param renewMs - age at which a target is calculated again, because another shard cannot shrink
+   * @returns the amount to shrink to; the allotment itself unless the limit is exceeded
+   */
+  public calculateTarget(
+    team: string,
+    limit: Resources,
+    sum: Resources,
+    own: Resources,
+    now: number,
+    renewMs: number,
+  ): Resources {
+    if (coversResources(limit, sum)) {
+      this.#reductions.delete(team);
+      return own;
+    }
+    const known = this.#reductions.get(team);
+    const isSame =
+      known !== undefined &&
+      coversResources(known.limit, limit) &&
+      coversResources(limit, known.limit);
+    if (isSame && now - known.since < renewMs) return known.target;
+    const target = {
+      processors: shrink(own.processors, limit.processors, sum.processors),
+      memoryMb: shrink(own.memoryMb, limit.memoryMb, sum.memoryMb),
+      accelerators: shrink(own.accelerators, limit.accelerators, sum.accelerators),
+    };
+    this.#reductions.set(team, { limit, target, since: isSame ? now : (known?.since ?? now) });
+    return target;
+  }
+
+  /**
+   * Forgets a team.
+   *
+   * @param team - name of the team
+   */
+  public forget(team: string): void {
+    this.#reductions.delete(team);
+  }
+}
--- a/packages/core/src/Policy.ts
+++ b/packages/core/src/Policy.ts
@@ -3,6 +3,8 @@
 const defaultDeadlineSeconds = 600;
 const defaultRetries = 3;
 const defaultMaxWaiting = 10_000;
+const defaultLowerLimitSeconds = 30;
+const defaultHalfLifeSeconds = 30;
 
 /** The configuration document with its defaults filled in. */
 export class Policy {
@@ -28,6 +30,27 @@
     return new Map(Object.entries(this.#document.teams).map(([team, { share }]) => [team, share]));
   }
 
+  /** Limit of each team that has one. */
+  public get limits(): ReadonlyMap<string, Resources> {
+    const limits = new Map<string, Resources>();
+    for (const [team, { limit }] of Object.entries(this.#document.teams)) {
+      if (limit !== undefined) limits.set(team, limit);
+    }
+    return limits;
+  }
+
+  /** Time within which work above a lowered limit is stopped, in milliseconds. */
+  public get lowerLimitMs(): number {
+    const seconds = this.#document.placement?.lowerLimitSeconds ?? defaultLowerLimitSeconds;
+    return seconds * 1000;
+  }
+
+  /** Half-life of the window of fair shares, in milliseconds. */
+  public get halfLifeMs(): number {
+    const seconds = this.#document.placement?.fairShareHalfLifeSeconds ?? defaultHalfLifeSeconds;
+    return seconds * 1000;
+  }
+
   /**
    * Lists the shards of a data centre.
    *
--- a/packages/core/src/RequestClass.ts
+++ b/packages/core/src/RequestClass.ts
@@ -44,6 +44,15 @@
     this.#records.delete(record);
   }
 
+  /**
+   * Lists the waiting requests.
+   *
+   * @returns the requests, oldest first
+   */
+  public list(): readonly RequestRecord[] {
+    return [...this.#records];
+  }
+
   /**
    * Finds the oldest request that may start.
    *
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -20,6 +20,8 @@
 import { FairShare } from './FairShare.js';
 import { Fleet } from './Fleet.js';
 import { isAnswered } from './isAnswered.js';
+import { LimitEnforcer } from './LimitEnforcer.js';
+import type { LoweredLimit } from './LoweredLimit.js';
 import { periods } from './periods.js';
 import type { Policy } from './Policy.js';
 import { Recovery } from './Recovery.js';
@@ -27,8 +29,10 @@
 import { RequestRecord } from './RequestRecord.js';
 import { RequestTable } from './RequestTable.js';
 import type { ShardContext } from './ShardContext.js';
+import { TaskStopper } from './TaskStopper.js';
 import { TaskTracker } from './TaskTracker.js';
 import { TeamLedger } from './TeamLedger.js';
+import { UrgentPreemption } from './UrgentPreemption.js';
 import { WaitingQueue } from './WaitingQueue.js';
 import { zeroResources } from './zeroResources.js';
 
@@ -48,6 +52,9 @@
   readonly #admission: Admission;
   readonly #lifecycle: RequestLifecycle;
   readonly #tracker: TaskTracker;
+  readonly #stopper: TaskStopper;
+  readonly #enforcer: LimitEnforcer;
+  readonly #preemption: UrgentPreemption;
   readonly #dispatcher: Dispatcher;
   readonly #commits = new Map<number, RequestRecord>();
   #effects: Effect[] = [];
@@ -82,7 +89,24 @@
     const lifecycle = this.#lifecycle;
     this.#tracker = new TaskTracker(this.#context, { fleet, table, ledger, lifecycle });
     const fairShare = this.#fairShare;
-    this.#dispatcher = new Dispatcher(this.#context, { fleet, queue, ledger, fairShare, recovery });
+    const stopper = new TaskStopper(this.#context, { fleet, table, lifecycle });
+    this.#stopper = stopper;
+    this.#enforcer = new LimitEnforcer(this.#context, { fleet, ledger, stopper, readPolicy });
+    this.#preemption = new UrgentPreemption(this.#context, {
+      fleet,
+      queue,
+      ledger,
+      fairShare,
+      stopper,
+    });
+    this.#dispatcher = new Dispatcher(this.#context, {
+      fleet,
+      queue,
+      ledger,
+      fairShare,
+      recovery,
+      preemption: this.#preemption,
+    });
     this.applyPolicy(policy);
   }
 
@@ -119,7 +143,7 @@
    */
   public applyPolicy(policy: Policy): void {
     this.#policy = policy;
-    this.#fairShare.setWeights(policy.weights);
+    this.#fairShare.setWeights(policy.weights, policy.halfLifeMs);
     this.#fleet.touch();
   }
 
@@ -137,9 +161,14 @@
    * Sets what each team may run here.
    *
    * @param allotments - allotment per team with a limit
+   * @param lowered - teams whose use has to shrink
    */
-  public applyAllotments(allotments: ReadonlyMap<string, Resources>): void {
+  public applyAllotments(
+    allotments: ReadonlyMap<string, Resources>,
+    lowered: ReadonlyMap<string, LoweredLimit> = new Map(),
+  ): void {
     this.#ledger.setAllotments(allotments);
+    this.#enforcer.setLowered(lowered);
   }
 
   /**
@@ -382,6 +411,10 @@
     this.#tracker.expireLeases();
     this.#lifecycle.tick();
     this.#finishRecovery();
+    this.#fairShare.advance(this.#context.clock.now(), this.#ledger.use);
+    this.#stopper.tick();
+    this.#enforcer.tick();
+    this.#preemption.tick();
   }
 
   /**
--- /dev/null
+++ b/packages/core/src/TaskStopper.ts
@@ -0,0 +1,101 @@
+import type { TaskCommand } from '@toucanline/schema';
+import type { Fleet } from './Fleet.js';
+import type { RequestLifecycle } from './RequestLifecycle.js';
+import type { RequestTable } from './RequestTable.js';
+import type { ShardContext } from './ShardContext.js';
+import type { TaskRecord } from './TaskRecord.js';
+
+/** Delay before a stop command without effect is sent again, because its response may be lost. */
+const repeatMs = 1000;
+
+/** Parts of the shard that the stopper reads and changes. */
+interface StopperParts {
+  readonly fleet: Fleet;
+  readonly table: RequestTable;
+  readonly lifecycle: RequestLifecycle;
+}
+
+/** Takes running tasks off their workers, so that their requests wait again. */
+export class TaskStopper {
+  readonly #context: ShardContext;
+  readonly #parts: StopperParts;
+  readonly #stopping = new Map<TaskRecord, number>();
+
+  /**
+   * @param context - what the parts of the shard share
+   * @param parts - the parts to read and change
+   */
+  public constructor(context: ShardContext, parts: StopperParts) {
+    this.#context = context;
+    this.#parts = parts;
+  }
+
+  /** Number of tasks that were told to stop and may still occupy their workers. */
+  public get size(): number {
+    return this.#stopping.size;
+  }
+
+  /**
+   * Checks whether a task may be taken off its worker without breaking a promise to its caller.
+   *
+   * @param task - the task
+   * @returns false for a non-idempotent task that cannot checkpoint, and for one that is not running
+   */
+  public canStop(task: TaskRecord): boolean {
+    const { idempotent, checkpointable, kind, id } = task.assignment.request;
+    if (task.state !== 'running' || !task.isConfirmed) return false;
+    if (this.#parts.table.find(id)?.stopPlan !== undefined) return false;
+    return idempotent || (checkpointable && kind !== 'gang');
+  }
+
+  /**
+   * Stops a task; a gang stops as a whole, because it can only run as a whole.
+   *
+   * @param task - a task that may be stopped
+   * @param detail - why it is stopped
+   */
+  public stop(task: TaskRecord, detail: string): void {
+    const { request } = task.assignment;
+    const record = this.#parts.table.find(request.id);
+    if (record === undefined) return;
+    const { clock, invariant, recorder } = this.#context;
+    invariant.check(
+      request.idempotent || request.checkpointable,
+      () => `task ${task.id} is neither idempotent nor checkpointable and was to be stopped`,
+    );
+    recorder.record('taskStopped', {
+      requestId: request.id,
+      taskId: task.id,
+      worker: task.worker,
+      team: request.team,
+      detail,
+    });
+    if (request.kind === 'gang') {
+      for (const part of record.activeTasks) this.#stopping.set(part, clock.now());
+      this.#parts.lifecycle.stopRequest(record, { next: 'requeue', charged: false });
+      return;
+    }
+    task.setState('stopping');
+    this.#stopping.set(task, clock.now());
+    this.#send(task);
+  }
+
+  /** Repeats commands without effect and forgets tasks that have ended. */
+  public tick(): void {
+    const now = this.#context.clock.now();
+    for (const [task, sentAt] of this.#stopping) {
+      if (!task.isActive) this.#stopping.delete(task);
+      else if (now - sentAt >= repeatMs) {
+        this.#stopping.set(task, now);
+        this.#send(task);
+      }
+    }
+  }
+
+  #send(task: TaskRecord): void {
+    const worker = this.#parts.fleet.find(task.worker);
+    const { checkpointable, kind } = task.assignment.request;
+    const action: TaskCommand['action'] = checkpointable && kind !== 'gang' ? 'checkpoint' : 'stop';
+    if (worker !== undefined) this.#parts.lifecycle.sendCommand(worker, task.id, action);
+  }
+}
--- a/packages/core/src/TeamLedger.ts
+++ b/packages/core/src/TeamLedger.ts
@@ -26,8 +26,13 @@
    * @param allotments - allotment per team; a team without one has no limit
    */
   public setAllotments(allotments: ReadonlyMap<string, Resources>): void {
+    const former = this.#allotments;
     this.#allotments = allotments;
-    this.#version += 1;
+    const hasGrown = [...former].some(([team, amount]) => {
+      const current = allotments.get(team);
+      return current === undefined || !coversResources(amount, current);
+    });
+    if (hasGrown) this.#version += 1;
   }
 
   /**
--- a/packages/core/src/WorkerRecord.ts
+++ b/packages/core/src/WorkerRecord.ts
@@ -18,6 +18,7 @@
   #leaving = false;
   #drained = false;
   #quarantined = false;
+  #reserved = false;
   #lapsed = false;
   #wantsFull = true;
 
@@ -109,7 +110,8 @@
 
   /** Whether new tasks may be placed here. */
   public get isEligible(): boolean {
-    return this.hasReported && !this.#lapsed && !this.isLeaving && !this.#quarantined;
+    const mayServe = this.hasReported && !this.#lapsed && !this.isLeaving;
+    return mayServe && !this.#quarantined && !this.#reserved;
   }
 
   /** Tasks that may occupy the worker. */
@@ -149,6 +151,15 @@
     this.#quarantined = quarantined;
   }
 
+  /**
+   * Reserves the worker for urgent work or ends the reservation.
+   *
+   * @param reserved - whether only urgent work may be placed here
+   */
+  public setReserved(reserved: boolean): void {
+    this.#reserved = reserved;
+  }
+
   /** Asks for a full report with the next renewal. */
   public requestFull(): void {
     this.#wantsFull = true;
--- a/packages/core/src/periods.ts
+++ b/packages/core/src/periods.ts
@@ -26,4 +26,10 @@
   linkSilenceMs: 3000,
   /** Largest delay of a group commit. */
   groupCommitMs: 30,
+  /** Shortest interval between writes of the allotments while work waits for one. */
+  allotmentDemandMs: 250,
+  /** Interval between writes of the allotments otherwise, and longest between reads while work waits. */
+  allotmentIdleMs: 2000,
+  /** Interval of reads of the allotments without any demand. */
+  allotmentCheckMs: 30_000,
 });
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -1,5 +1,5 @@
 import {
-  divideLimits,
+  AllotmentKeeper,
   Journal,
   Shard,
   type Effect,
@@ -30,6 +30,7 @@
   readonly #gateway: WorkerGateway;
   readonly #shard: Shard;
   readonly #journal: Journal;
+  readonly #allotments: AllotmentKeeper;
   readonly #waiters = new RequestWaiters();
   readonly #onLost: (detail: string) => void;
   #active = true;
@@ -60,7 +61,25 @@
       address,
       policy,
     );
-    this.#shard.applyAllotments(divideLimits(policy));
+    this.#allotments = new AllotmentKeeper(
+      {
+        store,
+        clock,
+        random,
+        recorder,
+        invariant,
+        readLoad: () => this.#shard.describeLoad(),
+        isRecovered: () => this.#shard.isRecovered,
+        onChange: (spendable, lowered) => {
+          this.#shard.applyAllotments(spendable, lowered);
+          this.#pump();
+        },
+      },
+      shard,
+      epoch,
+      policy,
+      runtime.holder.revision,
+    );
     this.#journal = new Journal(store, clock, random, shard, epoch);
   }
 
@@ -85,6 +104,7 @@
       await this.#runtime.clock.sleep(retryMs);
     }
     void this.#keepTime();
+    void this.#allotments.run(() => this.#active);
   }
 
   /** Ends this ownership: nothing is sent to workers any more. */
@@ -100,7 +120,7 @@
    */
   public applyPolicy(policy: Policy): void {
     this.#shard.applyPolicy(policy);
-    this.#shard.applyAllotments(divideLimits(policy));
+    this.#allotments.applyPolicy(policy, this.#runtime.holder.revision);
     this.#pump();
   }
 
@@ -121,6 +141,7 @@
    */
   public applyLoads(loads: readonly ShardLoad[]): void {
     this.#shard.applyLoads(loads);
+    this.#allotments.applyLoads(loads);
   }
 
   /**
