--- /dev/null
+++ b/packages/core/__tests__/EscrowModel.ts
@@ -0,0 +1,231 @@
+import type { Document, Resources, ShardLoad } from '@toucanline/schema';
+import {
+  AllotmentKeeper,
+  EventRecorder,
+  EventStream,
+  Invariant,
+  Policy,
+  RandomSource,
+  scaleResources,
+} from '../src/index.js';
+import { ManualClock } from './ManualClock.js';
+import { StepStore } from './StepStore.js';
+
+const unit: Resources = { processors: 1, memoryMb: 100, accelerators: 0 };
+const none = scaleResources(unit, 0);
+const room = scaleResources(unit, 100);
+
+class CountingRandom extends RandomSource {
+  #next = 0;
+
+  public override next(): number {
+    return 0.5;
+  }
+
+  public override token(): string {
+    this.#next += 1;
+    return `t${this.#next}`;
+  }
+}
+
+/** Current owner of a shard and what really runs there. */
+interface Owner {
+  readonly keeper: AllotmentKeeper;
+  readonly epoch: number;
+  revision: number;
+  recovered: boolean;
+  busy: boolean;
+}
+
+/** Shards with one team, whose keepers, calls and crashes a test interleaves. */
+export class EscrowModel {
+  public readonly clock = new ManualClock();
+  public readonly store = new StepStore();
+  readonly #random = new CountingRandom();
+  readonly #recorder = new EventRecorder(this.clock, new EventStream(), 'model', 'dc1');
+  readonly #invariant = new Invariant(this.#recorder, true);
+  readonly #names: readonly string[];
+  readonly #owners = new Map<string, Owner>();
+  readonly #use = new Map<string, number>();
+  readonly #demand = new Map<string, number>();
+  /** Limit by revision; the first revision is 1. */
+  #limits: readonly number[];
+
+  /**
+   * @param names - names of the shards
+   * @param limit - first limit of the team
+   */
+  public constructor(names: readonly string[], limit: number) {
+    this.#names = names;
+    this.#limits = [limit];
+    for (const name of names) this.crash(name);
+    for (const owner of this.#owners.values()) owner.recovered = true;
+  }
+
+  /** Running work over all shards. */
+  public get totalUse(): number {
+    return this.#names.reduce((sum, name) => sum + this.readUse(name), 0);
+  }
+
+  /** What the current owners may spend together. */
+  public get totalSpendable(): number {
+    return this.#names.reduce((sum, name) => sum + this.readSpendable(name), 0);
+  }
+
+  /**
+   * Reads what runs in a shard.
+   *
+   * @param name - name of the shard
+   * @returns number of units
+   */
+  public readUse(name: string): number {
+    return this.#use.get(name) ?? 0;
+  }
+
+  /**
+   * Reads what a shard may spend.
+   *
+   * @param name - name of the shard
+   * @returns number of units
+   */
+  public readSpendable(name: string): number {
+    return this.#owners.get(name)?.keeper.escrow.calculateSpendable('team').processors ?? 0;
+  }
+
+  /**
+   * Replaces the owner of a shard. Calls of the former owner may still reach the store.
+   *
+   * @param name - name of the shard
+   */
+  public crash(name: string): void {
+    const epoch = (this.#owners.get(name)?.epoch ?? 0) + 1;
+    const revision = this.#limits.length;
+    const keeper = new AllotmentKeeper(
+      {
+        store: this.store,
+        clock: this.clock,
+        random: this.#random,
+        recorder: this.#recorder,
+        invariant: this.#invariant,
+        readLoad: () => this.#describeLoad(name),
+        isRecovered: () => this.#owners.get(name)?.recovered === true,
+        onChange: () => undefined,
+      },
+      name,
+      epoch,
+      this.#createPolicy(revision),
+      revision,
+    );
+    this.#owners.set(name, { keeper, epoch, revision, recovered: false, busy: false });
+  }
+
+  /**
+   * Ends the recovery of a shard: its owner knows what runs.
+   *
+   * @param name - name of the shard
+   */
+  public recover(name: string): void {
+    const owner = this.#owners.get(name);
+    if (owner !== undefined) owner.recovered = true;
+  }
+
+  /**
+   * Sets how much work waits in a shard.
+   *
+   * @param name - name of the shard
+   * @param units - number of units
+   */
+  public setDemand(name: string, units: number): void {
+    this.#demand.set(name, units);
+  }
+
+  /**
+   * Puts a new limit into the document; shards learn it later.
+   *
+   * @param limit - number of units
+   */
+  public changeLimit(limit: number): void {
+    this.#limits = [...this.#limits, limit];
+  }
+
+  /**
+   * Makes a shard learn the newest revision.
+   *
+   * @param name - name of the shard
+   */
+  public learn(name: string): void {
+    const owner = this.#owners.get(name);
+    if (owner === undefined) return;
+    owner.revision = this.#limits.length;
+    owner.keeper.applyPolicy(this.#createPolicy(owner.revision), owner.revision);
+  }
+
+  /**
+   * Lets the keeper of a shard take a step, with the newest loads of the others.
+   *
+   * @param name - name of the shard
+   */
+  public step(name: string): void {
+    const owner = this.#owners.get(name);
+    if (owner === undefined || owner.busy) return;
+    const others = this.#names.filter((other) => other !== name);
+    owner.keeper.applyLoads(others.map((other) => this.#describeLoad(other)));
+    owner.busy = true;
+    void owner.keeper.step().then(() => {
+      owner.busy = false;
+    });
+  }
+
+  /**
+   * Starts one unit of waiting work if the owner may.
+   *
+   * @param name - name of the shard
+   * @returns highest limit that may be in effect at this start; undefined if nothing started
+   */
+  public start(name: string): number | undefined {
+    const owner = this.#owners.get(name);
+    const demand = this.#demand.get(name) ?? 0;
+    const use = this.readUse(name);
+    if (owner?.recovered !== true || demand < 1) return undefined;
+    if (use + 1 > this.readSpendable(name) + 1e-6) return undefined;
+    this.#demand.set(name, demand - 1);
+    this.#use.set(name, use + 1);
+    return Math.max(...this.#limits.slice(owner.revision - 1));
+  }
+
+  /**
+   * Ends one unit of running work.
+   *
+   * @param name - name of the shard
+   */
+  public end(name: string): void {
+    this.#use.set(name, Math.max(0, this.readUse(name) - 1));
+  }
+
+  #createPolicy(revision: number): Policy {
+    const document: Document = {
+      schema: 1,
+      shards: Object.fromEntries(this.#names.map((name) => [name, { dataCentre: 'dc1' }])),
+      queues: { work: { kind: 'batch' } },
+      teams: { team: { share: 1, limit: scaleResources(unit, this.#limits[revision - 1] ?? 0) } },
+    };
+    return new Policy(document);
+  }
+
+  #describeLoad(name: string): ShardLoad {
+    const owner = this.#owners.get(name);
+    return {
+      shard: name,
+      dataCentre: 'dc1',
+      epoch: owner?.epoch ?? 0,
+      owner: 'model',
+      address: '',
+      waiting: 0,
+      free: room,
+      room,
+      // An owner that has not recovered does not know what runs.
+      use: { team: owner?.recovered === true ? scaleResources(unit, this.readUse(name)) : none },
+      demand: { team: scaleResources(unit, this.#demand.get(name) ?? 0) },
+    };
+  }
+}
