--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -21,6 +21,8 @@
 import { Fleet } from './Fleet.js';
 import type { KeyRing } from './KeyRing.js';
 import { isAnswered } from './isAnswered.js';
+import { LimitEnforcer } from './LimitEnforcer.js';
+import type { LoweredLimit } from './LoweredLimit.js';
 import { periods } from './periods.js';
 import type { Policy } from './Policy.js';
 import { Recovery } from './Recovery.js';
@@ -29,8 +31,10 @@
 import { RequestTable } from './RequestTable.js';
 import type { ShardContext } from './ShardContext.js';
 import { summariseWork } from './summariseWork.js';
+import { TaskStopper } from './TaskStopper.js';
 import { TaskTracker } from './TaskTracker.js';
 import { TeamLedger } from './TeamLedger.js';
+import { UrgentPreemption } from './UrgentPreemption.js';
 import { WaitingQueue } from './WaitingQueue.js';
 import { zeroResources } from './zeroResources.js';
 
@@ -50,6 +54,9 @@
   readonly #admission: Admission;
   readonly #lifecycle: RequestLifecycle;
   readonly #tracker: TaskTracker;
+  readonly #stopper: TaskStopper;
+  readonly #enforcer: LimitEnforcer;
+  readonly #preemption: UrgentPreemption;
   readonly #dispatcher: Dispatcher;
   readonly #commits = new Map<number, RequestRecord>();
   #effects: Effect[] = [];
@@ -85,7 +92,24 @@
     const lifecycle = this.#lifecycle;
     this.#tracker = new TaskTracker(this.#context, { fleet, table, ledger, lifecycle });
     const fairShare = this.#fairShare;
-    this.#dispatcher = new Dispatcher(this.#context, { fleet, queue, ledger, fairShare, recovery });
+    const stopper = new TaskStopper(this.#context, { fleet, table, lifecycle });
+    this.#stopper = stopper;
+    this.#enforcer = new LimitEnforcer(this.#context, { fleet, ledger, stopper, readPolicy });
+    this.#preemption = new UrgentPreemption(this.#context, {
+      fleet,
+      queue,
+      ledger,
+      fairShare,
+      stopper,
+    });
+    this.#dispatcher = new Dispatcher(this.#context, {
+      fleet,
+      queue,
+      ledger,
+      fairShare,
+      recovery,
+      preemption: this.#preemption,
+    });
     this.applyPolicy(policy);
   }
 
@@ -122,7 +146,7 @@
    */
   public applyPolicy(policy: Policy): void {
     this.#policy = policy;
-    this.#fairShare.setWeights(policy.weights);
+    this.#fairShare.setWeights(policy.weights, policy.halfLifeMs);
     this.#fleet.touch();
   }
 
@@ -157,9 +181,14 @@
    * Sets what each team may run here.
    *
    * @param allotments - allotment per team with a limit
+   * @param lowered - teams whose use has to shrink
    */
-  public applyAllotments(allotments: ReadonlyMap<string, Resources>): void {
+  public applyAllotments(
+    allotments: ReadonlyMap<string, Resources>,
+    lowered: ReadonlyMap<string, LoweredLimit> = new Map(),
+  ): void {
     this.#ledger.setAllotments(allotments);
+    this.#enforcer.setLowered(lowered);
   }
 
   /**
@@ -402,6 +431,10 @@
     this.#tracker.expireLeases();
     this.#lifecycle.tick();
     this.#finishRecovery();
+    this.#fairShare.advance(this.#context.clock.now(), this.#ledger.use);
+    this.#stopper.tick();
+    this.#enforcer.tick();
+    this.#preemption.tick();
   }
 
   /**
