Watch the store at once after becoming a shard owner

Change: the idle wait ends when the process becomes the watcher. The OpenAPI test reads the route names as restana lists them.

--- a/packages/core/src/RevisionSync.ts
+++ b/packages/core/src/RevisionSync.ts
@@ -14,6 +14,7 @@
  */
 const configurationReadMs = 4000;
 const keysReadMs = 2000;
+const idleSliceMs = 500;
 const retryMs = 500;
 
 /** What the synchronisation works with. */
@@ -87,7 +88,16 @@
       version = newVersion;
       if (isNewer && apply(JSON.parse(value))) onChange();
       onContact?.(askedAt);
-      if (!this.#parts.isWatcher()) await clock.sleep(idleMs);
+      await this.#idle(idleMs);
+    }
+  }
+
+  /** A process that becomes the watcher of its data centre watches at once, not after the idle time. */
+  async #idle(idleMs: number): Promise<void> {
+    const { clock, isWatcher } = this.#parts;
+    const endsAt = clock.now() + idleMs;
+    while (!this.#isStopped() && !isWatcher() && clock.now() < endsAt) {
+      await clock.sleep(idleSliceMs);
     }
   }
 
--- a/packages/entry/__tests__/openApi.test.ts
+++ b/packages/entry/__tests__/openApi.test.ts
@@ -24,7 +24,7 @@
   it('has each route that is served, and no other', () => {
     const described = Object.entries(document.paths).flatMap(([path, operations]) =>
       Object.keys(operations).map(
-        (method) => `[${method.toUpperCase()}]${path.replace(/\{(\w+)\}/g, ':$1')}`,
+        (method) => `${method.toUpperCase()}${path.replace(/\{(\w+)\}/g, ':$1')}`,
       ),
     );
     expect(described.sort()).to.deep.equal([...daemon.routes].sort());
--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -114,7 +114,7 @@
     this.#peers.stop();
   }
 
-  /** Routes that the HTTP service knows, such as `[GET]/v1/status`. */
+  /** Routes that the HTTP service knows, such as `GET/v1/status`. */
   public get routes(): readonly string[] {
     return this.#service.routes();
   }
