Order events across processes, bound their messages, settle a lost history write

Cause: a scheduler did not observe the clock of an entry; one wrong clock could move all stamps; the author of a change was only the caller's claim; a full event buffer exceeded the 4 MiB frame; a lost answer to the history write refused the change, so the test of a lost answer did not reach the write of the change itself. Change: submit calls carry the hybrid stamp, stamps more than 60 s ahead are ignored, the history names the key, limitEvents bounds a reply, the history write is read back, the test keeps the fault until the answer. Result: see the tests of operatorViews.test.ts and operator.test.ts.

--- a/packages-private/testkit/__tests__/operator.test.ts
+++ b/packages-private/testkit/__tests__/operator.test.ts
@@ -81,18 +81,15 @@
     expect(winner.status).to.equal(200);
     expect(loser.problem).to.include({ status: 409, title: 'staleRevision', ran: 'no' });
     expect(loser.problem.current?.revision).to.equal(revision + 1);
-    expect(loser.problem.current?.author).to.match(/^operator \d$/);
+    expect(loser.problem.current?.author).to.match(/^operator \d \(key operator\)$/);
     expect(loser.problem.current?.changes.join()).to.match(/teams.planning.share: 2 -> [34]/);
   });
 
   it('settles a change whose answer was lost, and applies its token once', async () => {
     const change = createChange(await readRevision(), 5);
     site.store.setFault('loseAnswers');
-    // The history entry and the change lose their answers; the store then answers again.
-    const sent = operate('PUT', '/v1/configuration', change);
-    await sleep(50);
+    const first = await operate('PUT', '/v1/configuration', change);
     site.store.setFault('none');
-    const first = await sent;
     const second = await operateElsewhere('PUT', '/v1/configuration', change);
     expect([first.status, second.status]).to.deep.equal([200, 200]);
     expect(await readRevision()).to.equal(change.ifRevision + 1);
--- a/packages/cli/src/renderTimeline.ts
+++ b/packages/cli/src/renderTimeline.ts
@@ -5,6 +5,8 @@
 const lanePx = 14;
 const axisPx = 26;
 const maxLanes = 12;
+/** Characters that fit beside the spans. */
+const maxLabelLength = 27;
 const ticks = 8;
 
 const style = `
@@ -60,8 +62,11 @@
     const points = `${x - 4},${top} ${x + 4},${top} ${x},${top + 9}`;
     return `<g><title>${escape(detail)}</title><polygon class="${kind}" points="${points}"/></g>`;
   });
-  const label = escape(`${row.name} (${row.dataCentre})`);
-  return `<text x="4" y="${top + 12}">${label}</text>${spans.join('')}${marks.join('')}`;
+  const name = `${row.name} (${row.dataCentre})`;
+  const isLong = name.length > maxLabelLength;
+  const label = escape(isLong ? `${name.slice(0, maxLabelLength - 1)}…` : name);
+  const heading = `<text x="4" y="${top + 12}"><title>${escape(name)}</title>${label}</text>`;
+  return `${heading}${spans.join('')}${marks.join('')}`;
 };
 
 const renderAxis = (timeline: Timeline, heightPx: number, scale: (ms: number) => number): string =>
--- /dev/null
+++ b/packages/core/__tests__/operatorViews.test.ts
@@ -0,0 +1,166 @@
+import type { Document, Event, EventName, ShardStatus, WorkStatus } from '@toucanline/schema';
+import { expect } from 'chai';
+import {
+  ContactAge,
+  HybridClock,
+  limitEvents,
+  mergeEvents,
+  parseDocument,
+  previewChange,
+  Timeline,
+} from '../src/index.js';
+import { SleepClock } from './SleepClock.js';
+
+const text = `schema = 1
+[shards.s1]
+dataCentre = "dc1"
+[teams.a]
+share = 1
+limit = { processors = 40, memoryMb = 100000, accelerators = 0 }
+[teams.b]
+share = 1
+[queues.q]
+kind = "batch"
+[queues.r]
+kind = "batch"
+[workers.large]
+room = { processors = 16, memoryMb = 32000, accelerators = 0 }
+`;
+
+const parse = (source: string): Document => parseDocument(source)._unsafeUnwrap();
+
+const createShard = (work: readonly WorkStatus[]): ShardStatus => ({
+  shard: 's1',
+  dataCentre: 'dc1',
+  epoch: 1,
+  owner: 'x',
+  provisional: false,
+  recovering: false,
+  waiting: 0,
+  running: 0,
+  workers: [],
+  teams: [
+    {
+      team: 'a',
+      use: { processors: 30, memoryMb: 30_000, accelerators: 0 },
+      demand: { processors: 0, memoryMb: 0, accelerators: 0 },
+      waiting: 3,
+    },
+  ],
+  work,
+});
+
+describe('previewChange', () => {
+  const size = { processors: 12, memoryMb: 1000, accelerators: 0 };
+  const shards = [createShard([{ queue: 'q', team: 'a', size, waiting: 3, running: 2 }])];
+  const preview = (next: string): string =>
+    previewChange(parse(text), parse(next), shards).join('\n');
+
+  it('says that nothing changes', () => {
+    expect(preview(`# a comment\n${text}`)).to.match(/nothing changes/);
+  });
+
+  it('names the team that is over a lowered limit, and what happens to its work', () => {
+    const lines = preview(text.replace('processors = 40', 'processors = 20'));
+    expect(lines).to.match(/team a becomes 20 processors.*runs 30 processors.*over it/);
+    expect(lines).to.match(/stopped within 30 s, newest idempotent first/);
+    expect(lines).to.match(/teams.a.limit.processors: 40 -> 20/);
+  });
+
+  it('names queues that close, with their work', () => {
+    expect(preview(text.replace('[queues.q]\nkind = "batch"\n', ''))).to.match(
+      /Queue q closes: .* 3 waiting and 2 running requests go on/,
+    );
+    expect(preview(text.replace('[queues.q]', '[queues.q]\nteams = ["b"]'))).to.match(
+      /Queue q closes for team a; 3 waiting and 2 running/,
+    );
+  });
+
+  it('names waiting requests that no longer fit a worker class or the limit', () => {
+    expect(preview(text.replace('processors = 16', 'processors = 8'))).to.match(
+      /3 waiting requests of team a in queue q \(12 processors, 1000 MB each\) no longer fit any/,
+    );
+    expect(preview(text.replace('processors = 40', 'processors = 10'))).to.match(
+      /3 waiting requests .* exceed the limit/,
+    );
+  });
+
+  it('shows how shares move', () => {
+    expect(preview(text.replace('share = 1', 'share = 3'))).to.match(
+      /Team a gets 75% of a full fleet instead of 50%/,
+    );
+  });
+});
+
+describe('ContactAge', () => {
+  it('counts from the youngest confirmation and grows without one', async () => {
+    const clock = new SleepClock();
+    const contact = new ContactAge(clock);
+    expect(contact.ageMs).to.equal(Infinity);
+    contact.confirm(500);
+    contact.confirm(9000);
+    await clock.sleep(250);
+    expect(contact.ageMs).to.equal(750);
+  });
+});
+
+describe('HybridClock', () => {
+  it('orders an event after the message that caused it, although the local clock is behind', () => {
+    const clock = new HybridClock(new SleepClock());
+    clock.observe({ wallMs: 5000, counter: 7 });
+    expect(clock.tick()).to.deep.equal({ wallMs: 5000, counter: 8 });
+  });
+
+  it('ignores a stamp from a clock that is far ahead', () => {
+    const clock = new HybridClock(new SleepClock());
+    clock.observe({ wallMs: 10_000_000, counter: 0 });
+    expect(clock.tick().wallMs).to.equal(1000);
+  });
+});
+
+describe('limitEvents', () => {
+  it('keeps the newest events within one frame, so that a full buffer breaks no link', () => {
+    const events = Array.from({ length: 20_000 }, (_, index): Event => ({
+      stamp: { wallMs: index, counter: 0 },
+      process: 's0',
+      dataCentre: 'dc1',
+      name: 'requestFinished',
+      detail: 'x'.repeat(400),
+    }));
+    const kept = limitEvents(events);
+    expect(JSON.stringify(kept).length).to.be.within(2_900_000, 3_100_000);
+    expect(kept.at(-1)).to.equal(events.at(-1));
+    expect(limitEvents(events.slice(0, 10))).to.have.length(10);
+  });
+});
+
+describe('Timeline', () => {
+  const create = (wallMs: number, name: EventName, more: Partial<Event> = {}): Event => ({
+    stamp: { wallMs, counter: 0 },
+    process: 's0',
+    dataCentre: 'dc1',
+    name,
+    ...more,
+  });
+
+  it('draws requests and tasks where they ran, once each, with open ends', () => {
+    const events = [
+      create(1, 'claimTaken', { shard: 's1' }),
+      create(2, 'requestAdmitted', { requestId: 'r' }),
+      create(3, 'taskStarted', { requestId: 'r', taskId: 't', worker: 'w' }),
+      create(9, 'taskFinished', { requestId: 'r', taskId: 't', worker: 'w' }),
+      create(10, 'requestFinished', { requestId: 'r' }),
+      create(11, 'workerLost', { worker: 'w' }),
+      create(12, 'revisionApplied', { revision: 2 }),
+    ];
+    const { rows } = new Timeline(mergeEvents([events, events]));
+    const spans = rows.flatMap((row) =>
+      row.spans.map(({ kind, fromMs, toMs }) => `${row.name} ${kind} ${fromMs}-${toMs}`),
+    );
+    expect(spans.sort()).to.deep.equal(['s0 claim 1-12', 's0 request 2-10', 'w task 3-9']);
+    expect(rows.flatMap(({ marks }) => marks.map(({ kind }) => kind))).to.deep.equal([
+      'fault',
+      'revision',
+    ]);
+  });
+});
--- a/packages/core/src/ConfigurationEditor.ts
+++ b/packages/core/src/ConfigurationEditor.ts
@@ -206,18 +206,25 @@
     };
   }
 
+  /** A conflict means that the revision is in the history already; a lost answer is read back. */
+  async #keepInHistory(configuration: Configuration): Promise<Result<void, Failure>> {
+    const { store } = this.#parts;
+    const name = this.#nameRevision(configuration.revision);
+    const written = await store.write(name, JSON.stringify(configuration), 0);
+    if (written.isOk() || written.error.kind === 'storeConflict') return ok(undefined);
+    const isKept = (await store.read(name)).map(({ value }) => value !== undefined).unwrapOr(false);
+    if (isKept) return ok(undefined);
+    return err(createFailure('storeUnavailable', written.error.detail));
+  }
+
   async #write(
     { text, author, note, token, ifRevision }: ConfigurationChange,
     { configuration, version }: Current,
   ): Promise<Result<Configuration, Failure>> {
     const { store, clock, hash } = this.#parts;
     if (configuration !== undefined) {
-      const name = this.#nameRevision(configuration.revision);
-      const kept = await store.write(name, JSON.stringify(configuration), 0);
-      // A conflict means that the revision is in the history already.
-      if (kept.isErr() && kept.error.kind !== 'storeConflict') {
-        return err(createFailure('storeUnavailable', kept.error.detail));
-      }
+      const kept = await this.#keepInHistory(configuration);
+      if (kept.isErr()) return err(kept.error);
     }
     const next: Configuration = {
       revision: ifRevision + 1,
--- a/packages/core/src/HybridClock.ts
+++ b/packages/core/src/HybridClock.ts
@@ -1,6 +1,12 @@
 import type { Stamp } from '@toucanline/schema';
 import type { Clock } from './Clock.js';
 
+/**
+ * Largest distance of an observed stamp to the local wall clock, in milliseconds. Without a bound one host
+ * with a wrong clock would move the stamps of all processes into the future for good.
+ */
+const maxAheadMs = 60_000;
+
 /** Hybrid logical clock: orders events of all processes although their wall clocks differ. */
 export class HybridClock {
   readonly #clock: Clock;
@@ -29,12 +35,13 @@
   }
 
   /**
-   * Takes note of a stamp from another process.
+   * Takes note of a stamp from another process. One that is too far ahead is ignored.
    *
    * @param stamp - the received stamp
    */
   public observe(stamp: Stamp): void {
     if (stamp.wallMs < this.#wallMs) return;
+    if (stamp.wallMs > this.#clock.wallTime() + maxAheadMs) return;
     this.#counter =
       stamp.wallMs === this.#wallMs ? Math.max(this.#counter, stamp.counter) : stamp.counter;
     this.#wallMs = stamp.wallMs;
--- a/packages/core/src/KeyRing.ts
+++ b/packages/core/src/KeyRing.ts
@@ -1,18 +1,9 @@
 import type { Failure, Key, KeyList } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
 import { createFailure } from './createFailure.js';
+import { equalsHash } from './equalsHash.js';
 import type { EventRecorder } from './EventRecorder.js';
 
-/** Compares two hashes in a time that does not depend on where they differ. */
-const equalsHash = (left: string, right: string): boolean => {
-  if (left.length !== right.length) return false;
-  let difference = 0;
-  for (let index = 0; index < left.length; index += 1) {
-    difference |= left.charCodeAt(index) ^ right.charCodeAt(index);
-  }
-  return difference === 0;
-};
-
 /** The newest list of API keys that a process knows. It never moves to a lower revision. */
 export class KeyRing {
   readonly #recorder: EventRecorder;
--- /dev/null
+++ b/packages/core/src/limitEvents.ts
@@ -0,0 +1,21 @@
+import type { Event } from '@toucanline/schema';
+
+/** Bound on the JSON length of the events in one message; a frame holds 4 MiB. */
+const maxLength = 3_000_000;
+
+/**
+ * Keeps the newest events that fit into one message.
+ *
+ * @param events - events, oldest first
+ * @returns the newest of them in the same order
+ */
+export const limitEvents = (events: readonly Event[]): readonly Event[] => {
+  let length = 0;
+  let first = events.length;
+  while (first > 0) {
+    length += JSON.stringify(events[first - 1]).length;
+    if (length > maxLength) break;
+    first -= 1;
+  }
+  return events.slice(first);
+};
--- a/packages/entry/src/Authenticator.ts
+++ b/packages/entry/src/Authenticator.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import { createFailure, type KeyRing } from '@toucanline/core';
+import { createFailure, equalsHash, type KeyRing } from '@toucanline/core';
 import { hashText } from '@toucanline/runtime';
 import type { Failure, Key } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
@@ -37,7 +37,8 @@
       return err(createFailure('unauthenticated', 'the Authorization header is not a bearer key'));
     }
     const hash = hashText(header.slice(scheme.length));
-    if (hash === this.#operatorKeyHash) {
+    const operatorHash = this.#operatorKeyHash;
+    if (operatorHash !== undefined && equalsHash(hash, operatorHash)) {
       return ok({ id: 'operator', hash, grantedAtMs: 0, roles: ['read', 'change', 'promote'] });
     }
     return this.#keyRing.authenticate(hash);
--- a/packages/entry/src/ConfigurationRoutes.ts
+++ b/packages/entry/src/ConfigurationRoutes.ts
@@ -14,6 +14,9 @@
 /** The text is at most 900,000 bytes as JSON; larger bodies are read so that the answer names the bound. */
 const maxBodyBytes = 4_000_000;
 
+/** Longest author that the schema admits. */
+const maxAuthorLength = 256;
+
 const summarise = (configuration: Configuration): ConfigurationSummary => {
   const { text: _text, token: _token, ...summary } = configuration;
   return summary;
@@ -92,14 +95,18 @@
   public async change(context: HttpContext): Promise<void> {
     const { settings } = this.#runtime;
     const role = settings.production === true ? 'promote' : 'change';
-    if (!this.#authenticator.admit(context, role)) return;
+    const operator = this.#authenticator.admit(context, role);
+    if (operator === undefined) return;
     const body = await readJsonBody(context.request, maxBodyBytes);
     const change = body.andThen((data) => validateValue(validators.ConfigurationChange, data));
     if (change.isErr()) {
       context.sendFailure(change.error);
       return;
     }
-    await this.#apply(context, change.value);
+    // The name is the caller's claim, so the history also says which key was used.
+    const suffix = ` (key ${operator.id})`;
+    const author = change.value.author.slice(0, maxAuthorLength - suffix.length) + suffix;
+    await this.#apply(context, { ...change.value, author });
   }
 
   async #apply(context: HttpContext, change: ConfigurationChange): Promise<void> {
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -175,6 +175,7 @@
       request,
       remainingMs,
       detached,
+      stamp: this.#parts.recorder.stamp(),
       ...(heldEpoch === undefined ? {} : { heldEpoch }),
     };
     return this.#callOwner(request.id, body, Math.min(submitTimeoutMs, remainingMs + marginMs));
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -1,4 +1,4 @@
-import { createFailure, Router } from '@toucanline/core';
+import { createFailure, limitEvents, Router } from '@toucanline/core';
 import { HttpWorkerGateway } from '@toucanline/platform';
 import { addHealthRoutes, Daemon, PeerSet, type ProcessRuntime } from '@toucanline/runtime';
 import type { CallBody, LoadNotice, NoticeBody, ReplyBody } from '@toucanline/schema';
@@ -204,6 +204,7 @@
   #answer(body: CallBody): Promise<ReplyBody> | ReplyBody {
     switch (body.call) {
       case 'submit': {
+        if (body.stamp !== undefined) this.#runtime.recorder.observe(body.stamp);
         const host = this.#candidates.get(body.shard)?.host;
         return host?.submit(body) ?? fail('notOwner', `not the owner of ${body.shard}`);
       }
@@ -222,7 +223,7 @@
       case 'events':
         return {
           reply: 'events',
-          events: this.#runtime.recorder.list(body.sinceMs, body.requestId),
+          events: limitEvents(this.#runtime.recorder.list(body.sinceMs, body.requestId)),
         };
       case 'configuration':
         return this.#describeConfiguration(body.configurationRevision, body.keysRevision);
