--- a/packages/core/src/ClaimKeeper.ts
+++ b/packages/core/src/ClaimKeeper.ts
@@ -1,12 +1,20 @@
 import { validators, type Claim, type Failure } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
+import type { ClaimStanding } from './ClaimStanding.js';
 import type { Clock } from './Clock.js';
 import { createFailure } from './createFailure.js';
 import type { EventRecorder } from './EventRecorder.js';
+import { parseRecord } from './parseRecord.js';
 import { periods } from './periods.js';
 import type { RandomSource } from './RandomSource.js';
 import type { Store } from './Store.js';
-import { validateValue } from './validateValue.js';
+
+/** Part of the store lease that the holder relies on; the rest covers the drift of the two clocks. */
+const reliedFraction = 0.99;
+/** Pause before a renewal whose outcome decides whether the owner may act. */
+const urgentRenewalMs = 100;
+/** Reads that settle a write whose answer was lost. */
+const maxReadBacks = 3;
 
 /** What a claim keeper works with. */
 interface ClaimParts {
@@ -23,6 +31,9 @@
   readonly #owner: string;
   readonly #address: string;
   #lease: string | undefined;
+  /** Local monotonic time until which the store lease is certainly valid, in milliseconds. */
+  #validUntil = 0;
+  #isUnreachable = false;
 
   /**
    * @param parts - what the keeper works with
@@ -37,37 +48,44 @@
     this.#address = address;
   }
 
+  /** What is known about the claim at this moment, by the monotonic clock. */
+  public get standing(): ClaimStanding {
+    if (this.#lease !== undefined && this.#parts.clock.now() < this.#validUntil) return 'confirmed';
+    return this.#lease !== undefined && this.#isUnreachable ? 'unreachable' : 'unsettled';
+  }
+
   /**
    * Tries to take the claim once.
    *
+   * @param minEpoch - highest epoch that workers or peers reported; the new epoch is above it
    * @returns the claim under a new epoch; `notOwner` if another process holds it; a store failure
    */
-  public async acquire(): Promise<Result<Claim, Failure>> {
-    const { store } = this.#parts;
-    const holder = await store.read(`owners/${this.#shard}`);
+  public async acquire(minEpoch = 0): Promise<Result<Claim, Failure>> {
+    const { store, clock, recorder, random } = this.#parts;
+    const key = `owners/${this.#shard}`;
+    const holder = await store.read(key);
     if (holder.isErr()) return err(holder.error);
     if (holder.value.version !== 0 && holder.value.value !== undefined) {
       return err(createFailure('notOwner', `held by ${holder.value.value}`));
     }
+    const askedAt = clock.now();
     const lease = await store.grantLease(periods.claimLeaseMs);
     if (lease.isErr()) return err(lease.error);
-    const written = await store.write(
-      `owners/${this.#shard}`,
-      this.#owner,
-      holder.value.version,
-      lease.value.lease,
-    );
-    if (written.isErr() && !(await this.#isHeldBy(lease.value.lease, written.error))) {
-      await store.revokeLease(lease.value.lease);
-      return err(written.error);
+    const { lease: leaseId } = lease.value;
+    const value = `${this.#owner} ${random.token()}`;
+    const taken = await this.#writeOnce(key, value, holder.value.version, leaseId);
+    const claim = taken.isErr()
+      ? err<Claim, Failure>(taken.error)
+      : await this.#raiseEpoch(minEpoch);
+    const validUntil = askedAt + periods.claimLeaseMs * reliedFraction;
+    if (claim.isErr() || clock.now() >= validUntil) {
+      await store.revokeLease(leaseId);
+      return claim.andThen(() => err(createFailure('timeout', 'claiming outlasted the lease')));
     }
-    const claim = await this.#raiseEpoch();
-    if (claim.isErr()) {
-      await store.revokeLease(lease.value.lease);
-      return claim;
-    }
-    this.#lease = lease.value.lease;
-    this.#parts.recorder.record('claimTaken', { shard: this.#shard, epoch: claim.value.epoch });
+    this.#lease = leaseId;
+    this.#validUntil = validUntil;
+    this.#isUnreachable = false;
+    recorder.record('claimTaken', { shard: this.#shard, epoch: claim.value.epoch });
     return claim;
   }
 
@@ -79,14 +97,24 @@
    * @returns why the claim ended
    */
   public async keep(isWanted: () => boolean): Promise<string> {
-    const { store, clock } = this.#parts;
-    while (isWanted() && this.#lease !== undefined) {
-      await clock.sleep(periods.claimRenewalMs);
-      const renewed = await store.renewLease(this.#lease);
-      if (renewed.isErr() && renewed.error.kind === 'staleRevision') {
+    const { store, clock, recorder } = this.#parts;
+    while (isWanted()) {
+      await clock.sleep(this.standing === 'unsettled' ? urgentRenewalMs : periods.claimRenewalMs);
+      const lease = this.#lease;
+      if (lease === undefined || !isWanted()) break;
+      const askedAt = clock.now();
+      const renewed = await store.renewLease(lease);
+      if (this.#lease !== lease) break;
+      if (renewed.isOk()) {
+        this.#validUntil = askedAt + periods.claimLeaseMs * reliedFraction;
+        this.#isUnreachable = false;
+      } else if (renewed.error.kind === 'staleRevision') {
         this.#lease = undefined;
-        this.#parts.recorder.record('claimLost', { shard: this.#shard });
+        recorder.record('claimLost', { shard: this.#shard, detail: 'the store lease expired' });
         return 'the store lease expired';
+      } else {
+        // A failure that arrives this late shows that this process was paused, not that the store is down.
+        this.#isUnreachable = clock.now() - askedAt < periods.claimLeaseMs;
       }
     }
     return 'the claim was given up';
@@ -99,40 +127,42 @@
     if (lease !== undefined) await this.#parts.store.revokeLease(lease);
   }
 
-  /** Settles a write whose response was lost by reading back. */
-  async #isHeldBy(lease: string, failure: Failure): Promise<boolean> {
-    if (failure.kind !== 'timeout') return false;
+  /** Writes a unique value; a lost answer is settled by reading back. */
+  async #writeOnce(
+    key: string,
+    value: string,
+    ifVersion: number,
+    lease?: string,
+  ): Promise<Result<void, Failure>> {
     const { store } = this.#parts;
-    const renewed = await store.renewLease(lease);
-    const holder = await store.read(`owners/${this.#shard}`);
-    return renewed.isOk() && holder.isOk() && holder.value.value === this.#owner;
+    const written = await store.write(key, value, ifVersion, lease);
+    if (written.isOk()) return ok(undefined);
+    if (written.error.kind !== 'timeout') return err(written.error);
+    for (let attempt = 0; attempt < maxReadBacks; attempt += 1) {
+      const current = await store.read(key);
+      if (current.isOk()) return current.value.value === value ? ok(undefined) : err(written.error);
+    }
+    return err(written.error);
   }
 
-  async #raiseEpoch(): Promise<Result<Claim, Failure>> {
-    const { store, random } = this.#parts;
+  async #raiseEpoch(minEpoch: number): Promise<Result<Claim, Failure>> {
     const key = `claims/${this.#shard}`;
-    const token = random.token();
-    const current = await store.read(key);
+    const current = await this.#parts.store.read(key);
     if (current.isErr()) return err(current.error);
-    let epoch = 1;
+    let epoch = minEpoch;
     if (current.value.value !== undefined) {
-      const data: unknown = JSON.parse(current.value.value);
-      const parsed = validateValue(validators.Claim, data, 'internal');
+      const parsed = parseRecord(validators.Claim, current.value.value);
       if (parsed.isErr()) return err(parsed.error);
-      epoch = parsed.value.epoch + 1;
+      epoch = Math.max(epoch, parsed.value.epoch);
     }
     const claim: Claim = {
       shard: this.#shard,
-      epoch,
+      epoch: epoch + 1,
       owner: this.#owner,
       address: this.#address,
-      token,
+      token: this.#parts.random.token(),
     };
-    const written = await store.write(key, JSON.stringify(claim), current.value.version);
-    if (written.isOk()) return ok(claim);
-    if (written.error.kind !== 'timeout') return err(written.error);
-    const readBack = await store.read(key);
-    const applied = readBack.isOk() && readBack.value.value?.includes(token) === true;
-    return applied ? ok(claim) : err(written.error);
+    const text = JSON.stringify(claim);
+    return (await this.#writeOnce(key, text, current.value.version)).map(() => claim);
   }
 }
--- a/packages/core/src/Effect.ts
+++ b/packages/core/src/Effect.ts
@@ -33,7 +33,9 @@
       readonly worker: string;
     }
   | {
-      /** Gives the shard up: a worker accepted a higher epoch. */
+      /** Gives the shard up: a worker accepted another owner. */
       readonly effect: 'standDown';
+      /** Highest epoch that the worker reported. */
+      readonly epoch: number;
       readonly detail: string;
     };
--- a/packages/core/src/Journal.ts
+++ b/packages/core/src/Journal.ts
@@ -2,18 +2,23 @@
   validators,
   type Failure,
   type JournalEntry,
+  type JournalHead,
   type JournalSegment,
 } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
 import type { Clock } from './Clock.js';
+import { compactEntries } from './compactEntries.js';
 import { createFailure } from './createFailure.js';
+import { JournalWriter } from './JournalWriter.js';
+import { parseRecord } from './parseRecord.js';
 import { periods } from './periods.js';
 import type { RandomSource } from './RandomSource.js';
 import type { Store } from './Store.js';
-import { validateValue } from './validateValue.js';
 
 /** Size above which a segment is closed, in characters. */
 const maxSegmentLength = 65_536;
+/** Segment numbers that may be occupied by writes of a superseded owner. */
+const maxOccupied = 8;
 
 /** An entry that waits for its group commit. */
 interface PendingEntry {
@@ -21,16 +26,48 @@
   readonly resolve: (result: Result<void, Failure>) => void;
 }
 
-/** Journal of one shard in the store, written by group commit under one ownership. */
+/** One segment as it is in the store. */
+interface Segment {
+  readonly number: number;
+  readonly version: number;
+  readonly entries: readonly JournalEntry[];
+}
+
+const measure = (value: unknown): number => JSON.stringify(value).length;
+
+/** Splits entries into runs that each fit into a segment. */
+const divideEntries = (entries: readonly JournalEntry[]): readonly (readonly JournalEntry[])[] => {
+  const runs: JournalEntry[][] = [[]];
+  let length = 0;
+  for (const entry of entries) {
+    const added = measure(entry);
+    if (length > 0 && length + added > maxSegmentLength) {
+      runs.push([]);
+      length = 0;
+    }
+    runs.at(-1)?.push(entry);
+    length += added;
+  }
+  return runs;
+};
+
+/**
+ * Journal of one shard in the store, written by group commit under one ownership.
+ *
+ * The head record names the segments that count. Commits rewrite the newest segment by
+ * compare-and-swap; a new segment counts only after the head names it, also by compare-and-swap. A new
+ * owner rewrites the newest segment and the head, so a superseded owner can commit to neither, and a
+ * segment that it still creates never counts.
+ */
 export class Journal {
   readonly #store: Store;
   readonly #clock: Clock;
   readonly #random: RandomSource;
   readonly #shard: string;
   readonly #epoch: number;
-  #segment = 0;
-  #version = 0;
-  #entries: readonly JournalEntry[] = [];
+  readonly #writer: JournalWriter;
+  #headVersion = 0;
+  #segments: readonly Segment[] = [];
   #pending: readonly PendingEntry[] = [];
   #writing = false;
 
@@ -53,42 +90,52 @@
     this.#random = random;
     this.#shard = shard;
     this.#epoch = epoch;
+    this.#writer = new JournalWriter(store, clock);
+  }
+
+  /** Number of segments in the store that count. */
+  public get segments(): number {
+    return this.#segments.length;
+  }
+
+  /** Whether entries wait for their commit. */
+  public get isBusy(): boolean {
+    return this.#writing;
+  }
+
+  /** Ends this ownership: a write whose result is unknown is not settled any more. */
+  public close(): void {
+    this.#writer.close();
   }
 
   /**
-   * Takes the journal over. The newest segment is rewritten and a new one is created, so that each
-   * further commit of the previous owner fails.
+   * Takes the journal over: fences the former owner, compacts the entries into new segments and deletes
+   * the former ones.
    *
-   * @returns the entries of all segments, oldest first, or a store failure
+   * @returns the entries that still matter, oldest first, or a store failure
    */
   public async open(): Promise<Result<readonly JournalEntry[], Failure>> {
-    const values = await this.#store.list(`journal/${this.#shard}/`);
-    if (values.isErr()) return err(values.error);
-    const segments: { readonly version: number; readonly content: JournalSegment }[] = [];
-    for (const { value, version } of values.value) {
-      const data: unknown = JSON.parse(value ?? 'null');
-      const parsed = validateValue(validators.JournalSegment, data, 'internal');
-      if (parsed.isErr()) return err(parsed.error);
-      segments.push({ version, content: parsed.value });
-    }
-    segments.sort((left, right) => left.content.segment - right.content.segment);
-    const newest = segments.at(-1);
+    const head = await this.#readHead();
+    if (head.isErr()) return err(head.error);
+    const segments = await this.#readSegments(head.value);
+    if (segments.isErr()) return err(segments.error);
+    this.#segments = segments.value;
+    const newest = this.#segments.at(-1);
     if (newest !== undefined) {
-      this.#segment = newest.content.segment;
-      this.#version = newest.version;
-      const fenced = await this.#write(newest.content.entries);
+      const fenced = await this.#writeSegment(newest.number, newest.entries, newest.version);
       if (fenced.isErr()) return err(fenced.error);
     }
-    const rolled = await this.#rollOver([]);
-    if (rolled.isErr()) return err(rolled.error);
-    return ok(segments.flatMap(({ content }) => content.entries));
+    const compacted = await this.#compact([]);
+    if (compacted.isErr()) return err(compacted.error);
+    return ok(this.#segments.flatMap(({ entries }) => entries));
   }
 
   /**
    * Appends an entry with the next group commit.
    *
    * @param entry - the entry
-   * @returns nothing once the entry is in the store; a failure if it is not
+   * @returns nothing once the entry is in the store; `outcomeUnknown` if it may be or become part of the
+   * journal; another failure if it is certainly not
    */
   public append(entry: JournalEntry): Promise<Result<void, Failure>> {
     return new Promise((resolve) => {
@@ -110,59 +157,148 @@
   }
 
   async #commit(added: readonly JournalEntry[]): Promise<Result<void, Failure>> {
-    const entries = [...this.#entries, ...added];
-    const isFull = JSON.stringify(entries).length > maxSegmentLength && this.#entries.length > 0;
-    return isFull ? this.#rollOver(added) : this.#write(entries);
-  }
-
-  async #rollOver(entries: readonly JournalEntry[]): Promise<Result<void, Failure>> {
-    const former = { segment: this.#segment, version: this.#version, entries: this.#entries };
-    this.#segment += 1;
-    this.#version = 0;
-    const result = await this.#write(entries);
-    if (result.isErr()) {
-      this.#segment = former.segment;
-      this.#version = former.version;
-      this.#entries = former.entries;
+    const newest = this.#segments.at(-1);
+    if (newest === undefined || this.#writer.isClosed) {
+      return err(createFailure('storeUnavailable', 'the journal is not open'));
+    }
+    const entries = [...newest.entries, ...added];
+    const isFull = newest.entries.length > 0 && measure(entries) > maxSegmentLength;
+    if (isFull) return this.#rollOver(added);
+    const written = await this.#writeSegment(newest.number, entries, newest.version);
+    if (written.isErr()) return err(written.error);
+    this.#segments = [...this.#segments.slice(0, -1), written.value];
+    return ok(undefined);
+  }
+
+  /** Continues in a new segment; compacts if at most half of the entries still matter. */
+  async #rollOver(added: readonly JournalEntry[]): Promise<Result<void, Failure>> {
+    const all = this.#segments.flatMap(({ entries }) => entries);
+    const kept = compactEntries(all, this.#clock.wallTime());
+    if (kept.length * 2 <= all.length) return this.#compact(added);
+    return this.#addSegments(this.#segments, divideEntries(added));
+  }
+
+  async #compact(added: readonly JournalEntry[]): Promise<Result<void, Failure>> {
+    const former = this.#segments;
+    const all = [...former.flatMap(({ entries }) => entries), ...added];
+    const runs = divideEntries(compactEntries(all, this.#clock.wallTime()));
+    const result = await this.#addSegments([], runs);
+    if (result.isOk()) void this.#deleteSegments(former);
+    return result;
+  }
+
+  /** Creates segments and then makes them count. Until the head names them they have no effect. */
+  async #addSegments(
+    kept: readonly Segment[],
+    runs: readonly (readonly JournalEntry[])[],
+  ): Promise<Result<void, Failure>> {
+    const created: Segment[] = [];
+    let next = (this.#segments.at(-1)?.number ?? 0) + 1;
+    for (const entries of runs) {
+      const segment = await this.#createSegment(next, entries);
+      if (segment.isErr()) {
+        const { detail } = segment.error;
+        return err(createFailure('storeUnavailable', `no new journal segment: ${detail}`));
+      }
+      created.push(segment.value);
+      next = segment.value.number + 1;
+    }
+    const segments = [...kept, ...created];
+    const head = await this.#writeHead(segments);
+    if (head.isErr()) return err(head.error);
+    this.#segments = segments;
+    return ok(undefined);
+  }
+
+  async #createSegment(
+    number: number,
+    entries: readonly JournalEntry[],
+  ): Promise<Result<Segment, Failure>> {
+    let result = await this.#writeSegment(number, entries, 0);
+    for (let skipped = 1; skipped < maxOccupied; skipped += 1) {
+      if (result.isOk() || result.error.kind !== 'storeConflict') return result;
+      result = await this.#writeSegment(number + skipped, entries, 0);
     }
     return result;
   }
 
-  async #write(entries: readonly JournalEntry[]): Promise<Result<void, Failure>> {
-    const key = `journal/${this.#shard}/${String(this.#segment).padStart(10, '0')}`;
+  async #deleteSegments(segments: readonly Segment[]): Promise<void> {
+    for (const { number } of segments) {
+      const key = this.#createKey(number);
+      const current = await this.#store.read(key);
+      if (current.isErr() || current.value.version === 0) continue;
+      await this.#store.write(key, undefined, current.value.version);
+    }
+  }
+
+  async #readHead(): Promise<Result<JournalHead | undefined, Failure>> {
+    const current = await this.#store.read(this.#headKey);
+    if (current.isErr()) return err(current.error);
+    this.#headVersion = current.value.version;
+    if (current.value.value === undefined) return ok(undefined);
+    return parseRecord(validators.JournalHead, current.value.value);
+  }
+
+  async #readSegments(head: JournalHead | undefined): Promise<Result<readonly Segment[], Failure>> {
+    if (head === undefined) return ok([]);
+    const values = await this.#store.list(`journal/${this.#shard}/`);
+    if (values.isErr()) return err(values.error);
+    const segments: Segment[] = [];
+    const orphans: Segment[] = [];
+    for (const { value, version } of values.value) {
+      const parsed = parseRecord(validators.JournalSegment, value ?? 'null');
+      if (parsed.isErr()) return err(parsed.error);
+      const { segment, entries } = parsed.value;
+      const counts = head.segments.includes(segment);
+      (counts ? segments : orphans).push({ number: segment, version, entries });
+    }
+    segments.sort((left, right) => left.number - right.number);
+    if (segments.length !== head.segments.length) {
+      return err(createFailure('storeConflict', 'a journal segment was deleted meanwhile'));
+    }
+    const oldest = segments[0]?.number ?? 0;
+    void this.#deleteSegments(orphans.filter(({ number }) => number < oldest));
+    return ok(segments);
+  }
+
+  async #writeHead(segments: readonly Segment[]): Promise<Result<void, Failure>> {
+    const token = this.#random.token();
+    const head: JournalHead = {
+      shard: this.#shard,
+      epoch: this.#epoch,
+      token,
+      segments: segments.map(({ number }) => number),
+    };
+    const text = JSON.stringify(head);
+    const written = await this.#writer.write(this.#headKey, text, token, this.#headVersion);
+    return written.map((version) => {
+      this.#headVersion = version;
+    });
+  }
+
+  async #writeSegment(
+    number: number,
+    entries: readonly JournalEntry[],
+    ifVersion: number,
+  ): Promise<Result<Segment, Failure>> {
     const token = this.#random.token();
     const content: JournalSegment = {
       shard: this.#shard,
       epoch: this.#epoch,
-      segment: this.#segment,
+      segment: number,
       token,
       entries,
     };
-    const written = await this.#store.write(key, JSON.stringify(content), this.#version);
-    if (written.isOk()) {
-      this.#version = written.value;
-      this.#entries = entries;
-      return ok(undefined);
-    }
-    if (written.error.kind !== 'timeout') return err(written.error);
-    return this.#settle(key, token, entries);
+    const key = this.#createKey(number);
+    const written = await this.#writer.write(key, JSON.stringify(content), token, ifVersion);
+    return written.map((version) => ({ number, version, entries }));
   }
 
-  /** Settles a write whose response was lost by reading back. */
-  async #settle(
-    key: string,
-    token: string,
-    entries: readonly JournalEntry[],
-  ): Promise<Result<void, Failure>> {
-    const current = await this.#store.read(key);
-    if (current.isErr()) {
-      return err(createFailure('storeUnavailable', 'the result of a journal write is unknown'));
-    }
-    if (current.value.value?.includes(token) !== true) {
-      return err(createFailure('storeUnavailable', 'the journal write did not happen'));
-    }
-    this.#version = current.value.version;
-    this.#entries = entries;
-    return ok(undefined);
+  get #headKey(): string {
+    return `journals/${this.#shard}`;
+  }
+
+  #createKey(number: number): string {
+    return `journal/${this.#shard}/${String(number).padStart(10, '0')}`;
   }
 }
--- a/packages/core/src/Recovery.ts
+++ b/packages/core/src/Recovery.ts
@@ -16,6 +16,7 @@
   readonly #startedAt: number;
   readonly #held = new Set<RequestRecord>();
   #hasHosts = false;
+  #hasJournal = false;
   #complete = false;
   #proven = false;
 
@@ -47,6 +48,11 @@
     this.#hasHosts = true;
   }
 
+  /** Notes that the journal of earlier owners was loaded, or that this owner serves without it. */
+  public noteJournal(): void {
+    this.#hasJournal = true;
+  }
+
   /**
    * Holds a request back that an earlier owner may have started.
    *
@@ -63,10 +69,10 @@
    * @returns the requests that were held back; undefined if the phase goes on or was over before
    */
   public finish(): readonly RequestRecord[] | undefined {
-    if (this.#complete || !this.#hasHosts) return undefined;
+    if (this.#complete || !this.#hasHosts || !this.#hasJournal) return undefined;
     const missing = this.#fleet.workers.filter((worker) => !worker.hasReported);
     const waitedMs = this.#context.clock.now() - this.#startedAt;
-    if (missing.length > 0 && waitedMs < periods.workerLeaseMs + marginMs) return undefined;
+    if (missing.length > 0 && !this.#hasExpired(waitedMs)) return undefined;
     this.#complete = true;
     this.#proven = missing.length === 0;
     const { shard, epoch, recorder } = this.#context;
@@ -76,6 +82,14 @@
     return held;
   }
 
+  /**
+   * A provisional owner cannot rule out that the former owner still renews the leases of the workers
+   * that it cannot reach, so for it only reports end the phase.
+   */
+  #hasExpired(waitedMs: number): boolean {
+    return !this.#context.provisional && waitedMs >= periods.workerLeaseMs + marginMs;
+  }
+
   /**
    * Stops holding a request back, because a worker reported it or it was cancelled.
    *
--- a/packages/core/src/RequestRecord.ts
+++ b/packages/core/src/RequestRecord.ts
@@ -93,6 +93,16 @@
     return this.#attempt;
   }
 
+  /** Whether a start may have happened that is neither confirmed nor disproved. */
+  public get isUncertain(): boolean {
+    return this.#uncertainStarts > 0;
+  }
+
+  /** Current attempt of each task that was placed. */
+  public get tasks(): readonly TaskRecord[] {
+    return [...this.#tasks.values()];
+  }
+
   /** Attempts that may occupy a worker. */
   public get activeTasks(): readonly TaskRecord[] {
     return [...this.#tasks.values()].filter((task) => task.isActive);
@@ -246,6 +256,27 @@
     this.#finishedAt = now;
   }
 
+  /**
+   * Takes the counters over from a former owner.
+   *
+   * @param attempt - highest attempt so far
+   * @param retries - starts that were charged to the retry budget
+   */
+  public restoreCounters(attempt: number, retries: number): void {
+    this.#attempt = Math.max(this.#attempt, attempt);
+    this.#retries = Math.max(this.#retries, retries);
+  }
+
+  /**
+   * Reads the output of a task.
+   *
+   * @param index - index of the task
+   * @returns the output, if the task succeeded
+   */
+  public readOutput(index: number): string | undefined {
+    return this.#outputs.get(index);
+  }
+
   /**
    * Notes that an earlier owner may have started the request.
    *
--- a/packages/core/src/Router.ts
+++ b/packages/core/src/Router.ts
@@ -48,10 +48,12 @@
    * Finds the newest known load of a shard.
    *
    * @param shard - name of the shard
-   * @returns the load, if its owner ever told it
+   * @param maxAgeMs - oldest notice that counts, in milliseconds
+   * @returns the load, if its owner told it within that time
    */
-  public findLoad(shard: string): ShardLoad | undefined {
-    return this.#loads.get(shard)?.load;
+  public findLoad(shard: string, maxAgeMs = Infinity): ShardLoad | undefined {
+    const known = this.#loads.get(shard);
+    return known !== undefined && this.#clock.now() - known.at <= maxAgeMs ? known.load : undefined;
   }
 
   /**
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -7,6 +7,7 @@
   RequestView,
   Resources,
   ShardLoad,
+  ShardSnapshot,
   ShardStatus,
   SubmitCall,
   WorkerRefusal,
@@ -15,6 +16,7 @@
 import { addResources } from './addResources.js';
 import { Admission } from './Admission.js';
 import { createFailure } from './createFailure.js';
+import { createSnapshot } from './createSnapshot.js';
 import { Dispatcher } from './Dispatcher.js';
 import type { Effect } from './Effect.js';
 import { FairShare } from './FairShare.js';
@@ -23,6 +25,7 @@
 import { isAnswered } from './isAnswered.js';
 import { LimitEnforcer } from './LimitEnforcer.js';
 import type { LoweredLimit } from './LoweredLimit.js';
+import { LeaseMajority } from './LeaseMajority.js';
 import { periods } from './periods.js';
 import type { Policy } from './Policy.js';
 import { Recovery } from './Recovery.js';
@@ -51,6 +54,7 @@
   readonly #ledger = new TeamLedger();
   readonly #fairShare = new FairShare();
   readonly #recovery: Recovery;
+  readonly #majority: LeaseMajority;
   readonly #admission: Admission;
   readonly #lifecycle: RequestLifecycle;
   readonly #tracker: TaskTracker;
@@ -75,6 +79,7 @@
     this.#policy = policy;
     this.#fleet = new Fleet(this.#context);
     this.#recovery = new Recovery(this.#context, this.#fleet);
+    this.#majority = new LeaseMajority(this.#context, this.#fleet);
     const fleet = this.#fleet;
     const recovery = this.#recovery;
     const table = this.#table;
@@ -128,6 +133,11 @@
     return this.#recovery.isComplete;
   }
 
+  /** Whether this owner holds the leases of more than half of the known workers. */
+  public get holdsMajority(): boolean {
+    return this.#majority.isHeld();
+  }
+
   /**
    * Takes the effects that were decided since the last call.
    *
@@ -209,27 +219,96 @@
   }
 
   /**
-   * Loads the journal of earlier owners.
+   * Loads the journal of earlier owners. Requests that workers reported before or that a snapshot brought
+   * keep their state.
    *
    * @param entries - entries, oldest first
    */
   public loadJournal(entries: readonly JournalEntry[]): void {
     const { clock } = this.#context;
+    const loaded = new Map<string, RequestRecord>();
     for (const entry of entries) {
       if (entry.entry === 'accepted') {
-        const left = entry.deadlineAtMs - clock.wallTime();
-        const record = new RequestRecord(entry.request, clock.now(), clock.now() + left);
+        const deadlineAt = clock.now() + entry.deadlineAtMs - clock.wallTime();
+        const known = this.#table.find(entry.request.id);
+        if (known?.deadlineAt === Infinity) known.setDeadline(deadlineAt);
+        if (known !== undefined) continue;
+        const record = new RequestRecord(entry.request, clock.now(), deadlineAt);
         this.#table.add(record);
-        this.#recovery.hold(record);
+        loaded.set(record.id, record);
       } else if (entry.entry === 'intent') {
-        this.#table.find(entry.requestId)?.markUncertain(1);
+        loaded.get(entry.requestId)?.markUncertain(1);
       } else {
-        const record = this.#table.find(entry.view.id);
-        if (record === undefined) continue;
-        this.#recovery.release(record);
-        record.restore(entry.view, clock.now());
+        const record = loaded.get(entry.view.id);
+        loaded.delete(entry.view.id);
+        record?.restore(entry.view, clock.now());
       }
     }
+    for (const record of loaded.values()) {
+      if (this.#recovery.isComplete) this.#release(record);
+      else this.#recovery.hold(record);
+    }
+    this.#recovery.noteJournal();
+  }
+
+  /**
+   * Describes the state for a peer that takes the shard over.
+   *
+   * @returns the snapshot
+   */
+  public createSnapshot(): ShardSnapshot {
+    const committing = new Set(this.#commits.values());
+    return createSnapshot(this.#context, this.#table, this.#fleet, (record) =>
+      committing.has(record),
+    );
+  }
+
+  /**
+   * Starts from the snapshot of the owner of the epoch before, after the host list was applied.
+   *
+   * @param snapshot - its state when it stopped to act
+   */
+  public restoreSnapshot({ requests, reports }: ShardSnapshot): void {
+    const now = this.#context.clock.now();
+    const open: RequestRecord[] = [];
+    const cancelled: RequestRecord[] = [];
+    for (const held of requests) {
+      const { request, remainingMs, attempt, retries, uncertain, view } = held;
+      const record = new RequestRecord(request, now, now + (remainingMs ?? Infinity));
+      record.restoreCounters(attempt, retries);
+      this.#table.add(record);
+      if (held.cancelled === true) cancelled.push(record);
+      if (view !== undefined) record.restore(view, now);
+      else if (uncertain) {
+        record.markUncertain(attempt);
+        this.#recovery.hold(record);
+      } else open.push(record);
+    }
+    for (const report of reports) {
+      const worker = this.#fleet.find(report.worker);
+      if (worker === undefined) continue;
+      // The transport of the snapshot is not bounded, so only the lower bound of the clock is known.
+      this.#tracker.applyReport(worker, report, -Infinity);
+      worker.grantLease(report.leaseUntil);
+      worker.requestFull();
+    }
+    for (const record of open) this.#enqueueRest(record);
+    for (const record of cancelled) this.#lifecycle.cancel(record);
+  }
+
+  /** Serves without the journal of earlier owners, because the store cannot be reached. */
+  public skipJournal(): void {
+    this.#recovery.noteJournal();
+  }
+
+  /**
+   * Checks whether the end of a request has to be in the journal.
+   *
+   * @param request - the request
+   * @returns true if it is accepted only after a commit
+   */
+  public isJournaled(request: SubmitCall['request']): boolean {
+    return request.detached || (!request.idempotent && request.idempotencyKey !== undefined);
   }
 
   /**
@@ -252,11 +331,9 @@
     const record = new RequestRecord(request, clock.now(), clock.now() + remainingMs);
     this.#table.add(record);
     recorder.record('requestAdmitted', { requestId: request.id, team: request.team, shard });
-    const isJournaled =
-      request.detached || (!request.idempotent && request.idempotencyKey !== undefined);
     const wasHeld = heldEpoch !== undefined && heldEpoch < epoch;
     if (wasHeld) record.markUncertain(1);
-    if (isJournaled) this.#commitAccepted(record);
+    if (this.isJournaled(request)) this.#commitAccepted(record);
     else this.#enqueue(record);
     return ok(record.describe());
   }
@@ -287,7 +364,10 @@
     if (record === undefined) return;
     this.#commits.delete(ticket);
     if (failure === undefined) this.#enqueue(record);
-    else this.#lifecycle.finish(record, 'refused', failure);
+    else {
+      const isOpen = failure.kind === 'outcomeUnknown';
+      this.#lifecycle.finish(record, isOpen ? 'unknown' : 'refused', failure);
+    }
     this.#context.emit({ effect: 'changed', requestId: record.id });
   }
 
@@ -360,7 +440,7 @@
     const worker = this.#fleet.find(workerId);
     if (worker === undefined) return undefined;
     const { shard, epoch, owner, provisional, clock } = this.#context;
-    const isKnown = worker.clock !== undefined && !worker.isLapsed;
+    const isKnown = worker.clock !== undefined && !worker.isLapsed && !worker.hasRestarted;
     const lowerBound = worker.clock?.readLowerBound(clock.now()) ?? 0;
     const leaseUntil = isKnown ? lowerBound + periods.workerLeaseMs : 0;
     if (isKnown) worker.grantLease(leaseUntil);
@@ -386,8 +466,9 @@
   public applyReport(workerId: string, report: Report, sentAt: number): void {
     const worker = this.#fleet.find(workerId);
     if (worker === undefined) return;
-    if (report.epoch > this.epoch) {
-      this.#standDown(`worker ${workerId} accepted epoch ${report.epoch}`);
+    const { epoch, owner } = this.#context;
+    if (report.epoch > epoch || (report.epoch === epoch && report.owner !== owner)) {
+      this.#standDown(`worker ${workerId} accepted epoch ${report.epoch}`, report.epoch);
       return;
     }
     this.#tracker.applyReport(worker, report, sentAt);
@@ -395,14 +476,18 @@
   }
 
   /**
-   * Applies a worker's refusal of a renewal.
+   * Applies a worker's refusal of a renewal or a command. A lease that another owner still holds is
+   * asked for again with the next renewal.
    *
    * @param workerId - name of the worker
    * @param refusal - the refusal
    */
   public applyRefusal(workerId: string, refusal: WorkerRefusal): void {
-    if (refusal.refusal === 'staleEpoch') this.#standDown(`worker ${workerId}: ${refusal.detail}`);
-    else this.#fleet.find(workerId)?.requestFull();
+    const worker = this.#fleet.find(workerId);
+    if (refusal.refusal === 'staleEpoch') {
+      this.#standDown(`worker ${workerId}: ${refusal.detail}`, refusal.epoch);
+    } else if (refusal.refusal === 'wrongBoot') worker?.markRestarted();
+    else if (refusal.refusal !== 'leaseHeld') worker?.requestFull();
   }
 
   /**
@@ -421,8 +506,10 @@
   ): void {
     const task = this.#table.find(requestId)?.findTask(index);
     if (task?.id === taskId) this.#tracker.applyStartResponse(task, response);
-    if (response !== undefined && 'refusal' in response && response.refusal === 'staleEpoch') {
-      this.#standDown(response.detail);
+    if (response === undefined || !('refusal' in response)) return;
+    if (response.refusal === 'staleEpoch') this.#standDown(response.detail, response.epoch);
+    if (response.refusal === 'wrongBoot' && task !== undefined) {
+      this.#fleet.find(task.worker)?.markRestarted();
     }
   }
 
@@ -568,6 +655,8 @@
   /** Lets a held request go on: only proof or idempotence permits a start. */
   #release(record: RequestRecord): void {
     if (record.isFinished || record.activeTasks.length > 0) return;
+    // The next tick ends a request whose deadline passed while it was held.
+    if (this.#context.clock.now() >= record.deadlineAt) return;
     if (this.#recovery.isProven || record.request.idempotent) {
       record.clearUncertain();
       this.#queue.add(record);
@@ -578,15 +667,25 @@
     else this.#lifecycle.finish(record, 'unknown', createFailure('outcomeUnknown', detail));
   }
 
+  /** Queues a request whose former owner had not started all of its tasks. */
+  #enqueueRest(record: RequestRecord): void {
+    if (record.isFinished || record.stopPlan !== undefined) return;
+    if (record.pendingIndexes.length > 0) this.#queue.add(record);
+  }
+
   #finishRecovery(): void {
     const held = this.#recovery.finish();
     if (held === undefined) return;
     for (const record of held) this.#release(record);
     if (this.#keyRing !== undefined) this.applyKeys(this.#keyRing);
+    for (const record of this.#table.list()) {
+      const isKnown = this.#recovery.isProven || record.request.idempotent;
+      if (record.activeTasks.length > 0 && isKnown) this.#enqueueRest(record);
+    }
     this.#fleet.touch();
   }
 
-  #standDown(detail: string): void {
-    this.#context.emit({ effect: 'standDown', detail });
+  #standDown(detail: string, epoch: number): void {
+    this.#context.emit({ effect: 'standDown', detail, epoch });
   }
 }
--- a/packages/core/src/TaskRecord.ts
+++ b/packages/core/src/TaskRecord.ts
@@ -47,6 +47,11 @@
     return this.#state;
   }
 
+  /** Use in the worker's last report; the declared size before. */
+  public get usage(): Resources {
+    return this.#usage;
+  }
+
   /** Whether the worker confirmed that it started the task. */
   public get isConfirmed(): boolean {
     return this.#confirmed;
--- a/packages/core/src/WorkerRecord.ts
+++ b/packages/core/src/WorkerRecord.ts
@@ -1,11 +1,15 @@
 import type { HostRecord, Report, Resources, WorkerStatus } from '@toucanline/schema';
 import { addResources } from './addResources.js';
 import { coversResources } from './coversResources.js';
+import { periods } from './periods.js';
 import { subtractResources } from './subtractResources.js';
 import type { TaskRecord } from './TaskRecord.js';
 import { WorkerClock } from './WorkerClock.js';
 import { zeroResources } from './zeroResources.js';
 
+/** Covers clock drift between a lease that a worker granted before a restart and its clock since. */
+const rebootMarginMs = 1000;
+
 /** One worker as the shard owner knows it. */
 export class WorkerRecord {
   public readonly id: string;
@@ -21,6 +25,7 @@
   #reserved = false;
   #lapsed = false;
   #wantsFull = true;
+  #restarted = false;
 
   /** @param host - the worker's record in the host list */
   public constructor(host: HostRecord) {
@@ -63,6 +68,11 @@
     return subtractResources(this.room, this.#allocated);
   }
 
+  /** Last report; undefined before the first one. */
+  public get report(): Report | undefined {
+    return this.#report;
+  }
+
   /** Boot that the last report came from; empty before the first report. */
   public get bootId(): string {
     return this.#report?.bootId ?? '';
@@ -93,6 +103,11 @@
     return this.#lapsed;
   }
 
+  /** Whether the worker rejected the boot id of the last report, so that it must report anew. */
+  public get hasRestarted(): boolean {
+    return this.#restarted;
+  }
+
   /** Whether the next report has to list all tasks. */
   public get wantsFull(): boolean {
     return this.#wantsFull;
@@ -165,6 +180,12 @@
     this.#wantsFull = true;
   }
 
+  /** Notes that the worker rejected the boot id of its last report. */
+  public markRestarted(): void {
+    this.#restarted = true;
+    this.#wantsFull = true;
+  }
+
   /** Notes that the last granted lease has certainly expired. */
   public markLapsed(): void {
     this.#lapsed = true;
@@ -192,10 +213,28 @@
     this.#report = report;
     this.#clock = new WorkerClock(sentAt, receivedAt, report.clockMs);
     this.#lapsed = false;
+    this.#restarted = false;
     this.#leaving = report.state === 'leaving';
     if (report.full) this.#wantsFull = false;
   }
 
+  /**
+   * Checks whether the worker is certainly leased to an owner. A worker that booted within the last
+   * lease period does not count: it may have forgotten the lease of another owner with its restart.
+   *
+   * @param now - local monotonic time in milliseconds
+   * @param epoch - epoch of the ownership
+   * @param owner - name of the owner
+   * @returns true if the worker grants no lease to another provisional owner at this moment
+   */
+  public isHeld(now: number, epoch: number, owner: string): boolean {
+    const report = this.#report;
+    if (report === undefined || this.#clock === undefined || this.#restarted) return false;
+    if (report.epoch !== epoch || report.owner !== owner) return false;
+    const hasForgotten = this.#clock.readLowerBound(now) < periods.workerLeaseMs + rebootMarginMs;
+    return !hasForgotten && this.#clock.readUpperBound(now) < report.leaseUntil;
+  }
+
   /**
    * Adds a task that may occupy the worker.
    *
--- /dev/null
+++ b/packages/core/src/createSnapshot.ts
@@ -0,0 +1,79 @@
+import type { HeldRequest, Report, ShardSnapshot, TaskReport } from '@toucanline/schema';
+import type { Fleet } from './Fleet.js';
+import type { RequestRecord } from './RequestRecord.js';
+import type { RequestTable } from './RequestTable.js';
+import type { ShardContext } from './ShardContext.js';
+import type { WorkerRecord } from './WorkerRecord.js';
+
+const describeTasks = (worker: WorkerRecord, records: readonly RequestRecord[]): TaskReport[] =>
+  records.flatMap((record) =>
+    record.tasks
+      .filter((task) => task.worker === worker.id)
+      .filter((task) => task.isActive || task.state === 'succeeded')
+      .map((task): TaskReport => {
+        const output = record.readOutput(task.assignment.index);
+        return {
+          assignment: task.assignment,
+          state: task.state,
+          usage: task.usage,
+          ...(task.state === 'succeeded' && output !== undefined ? { output } : {}),
+        };
+      }),
+  );
+
+const describeWorker = (
+  worker: WorkerRecord,
+  records: readonly RequestRecord[],
+  now: number,
+): Report | undefined => {
+  const isSettled = worker.tasks.every(({ isConfirmed }) => isConfirmed);
+  const { report, clock } = worker;
+  if (report === undefined || clock === undefined || worker.isLapsed || !isSettled)
+    return undefined;
+  return {
+    ...report,
+    clockMs: clock.readLowerBound(now),
+    leaseUntil: worker.leaseUntil,
+    full: true,
+    tasks: describeTasks(worker, records),
+    changes: [],
+  };
+};
+
+/**
+ * Describes a shard so that a peer can go on without asking the workers first. A worker with a start
+ * whose outcome is not known yet is left out: the new owner has to wait for its report.
+ *
+ * @param context - what the parts of the shard share
+ * @param table - requests of the shard
+ * @param fleet - workers of the shard
+ * @param isCommitting - whether the acceptance of a request still waits for its commit; such a request is
+ * left out, because the journal decides about it
+ * @returns the snapshot
+ */
+export const createSnapshot = (
+  context: ShardContext,
+  table: RequestTable,
+  fleet: Fleet,
+  isCommitting: (record: RequestRecord) => boolean,
+): ShardSnapshot => {
+  const now = context.clock.now();
+  const records = [...table.list()].filter((record) => !isCommitting(record));
+  const open = records.filter(({ isFinished }) => !isFinished);
+  const reports = fleet.workers.flatMap((worker) => describeWorker(worker, open, now) ?? []);
+  const settled = new Set(reports.map(({ worker }) => worker));
+  const requests = records.map((record): HeldRequest => {
+    const isSettled = record.activeTasks.every(({ worker }) => settled.has(worker));
+    const isBounded = Number.isFinite(record.deadlineAt);
+    return {
+      request: record.request,
+      attempt: record.attempt,
+      retries: record.retries,
+      uncertain: !isSettled || record.isUncertain,
+      ...(isBounded ? { remainingMs: record.deadlineAt - now } : {}),
+      ...(record.stopPlan?.next === 'cancelled' ? { cancelled: true } : {}),
+      ...(record.isFinished ? { view: record.describe() } : {}),
+    };
+  });
+  return { shard: context.shard, epoch: context.epoch, requests, reports };
+};
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -25,6 +25,8 @@
 const retryMs = 200;
 const maxHops = 3;
 const maxHandIns = 50;
+/** Time for a shard to get a new owner before a request is refused for lack of one, in milliseconds. */
+const ownerWaitMs = 10_000;
 
 /** Failures that prove that the shard does not hold the request, so that another may take it. */
 const passedOn: ReadonlySet<Failure['kind']> = new Set([
@@ -34,6 +36,9 @@
   'notReady',
 ]);
 
+/** Failures that end once a new owner serves the shard. */
+const betweenOwners: ReadonlySet<Failure['kind']> = new Set(['notOwner', 'notReady']);
+
 /** Failures after which the shard may hold the request. */
 const undecided: ReadonlySet<Failure['kind']> = new Set(['linkLost', 'timeout']);
 
@@ -66,19 +71,33 @@
   }
 
   /**
-   * Finds a shard for a request, hands it in and waits for its answer.
+   * Finds a shard for a request, hands it in and waits for its answer. While no shard has an owner, for
+   * example during a failover, the request is kept back for a bounded time.
    *
    * @param submission - the request
    * @returns its state when the wait ended; or the failure
    */
   public async submit(submission: Submission): Promise<Result<RequestView, Failure>> {
+    const { clock } = this.#parts;
+    const endsAt = Math.min(submission.deadlineAt, clock.now() + ownerWaitMs);
+    for (;;) {
+      const result = await this.#offerAll(submission);
+      if (result.isOk() || !betweenOwners.has(result.error.kind)) return result;
+      if (clock.now() >= endsAt) {
+        return err(createFailure('noOwner', 'no shard has a reachable owner', 1));
+      }
+      await clock.sleep(retryMs);
+    }
+  }
+
+  async #offerAll(submission: Submission): Promise<Result<RequestView, Failure>> {
     const { router, recorder } = this.#parts;
     const { request, policy } = submission;
     const { team, idempotencyKey } = request;
     const home =
       idempotencyKey === undefined ? undefined : router.chooseHome(policy, team, idempotencyKey);
     const shards = home === undefined ? router.orderShards(policy, request) : [home];
-    let last = createFailure('noOwner', 'no shard has a reachable owner', 1);
+    let last = createFailure('notOwner', 'no shard has a reachable owner', 1);
     for (const shard of shards.slice(0, maxHops)) {
       const offered = { ...request, id: `${shard}.${request.id}` };
       recorder.record('requestRouted', { requestId: offered.id, shard, team });
@@ -129,12 +148,19 @@
    * @param team - team of the caller; undefined for an operator
    * @returns its state; or the failure
    */
-  public cancel(
+  public async cancel(
     requestId: string,
     team: string | undefined,
   ): Promise<Result<RequestView, Failure>> {
+    const { clock } = this.#parts;
     const body = { call: 'cancel', requestId, ...(team === undefined ? {} : { team }) } as const;
-    return this.#callOwner(requestId, body, submitTimeoutMs);
+    const endsAt = clock.now() + ownerWaitMs;
+    for (;;) {
+      const result = await this.#callOwner(requestId, body, submitTimeoutMs);
+      const isOver = result.isOk() || !this.#mayRecover(result.error) || clock.now() >= endsAt;
+      if (isOver) return result;
+      await clock.sleep(retryMs);
+    }
   }
 
   #mayRecover(failure: Failure): boolean {
@@ -218,10 +244,14 @@
     const shard = requestId.split('.')[0] ?? '';
     const address = this.#parts.router.findLoad(shard)?.address;
     if (address === undefined) {
-      return err(createFailure('noOwner', `no owner of shard ${shard} is known`, 1));
+      return err(createFailure('notOwner', `no owner of shard ${shard} is known`, 1));
     }
     const reply = await this.#parts.peers.call(address, body, timeoutMs);
-    return reply.andThen((content) => this.#readView(content));
+    return reply
+      .mapErr((failure) =>
+        failure.kind === 'noOwner' ? { ...failure, kind: 'notOwner' as const } : failure,
+      )
+      .andThen((content) => this.#readView(content));
   }
 
   #readView(reply: ReplyBody): Result<RequestView, Failure> {
--- a/packages/runtime/src/Log.ts
+++ b/packages/runtime/src/Log.ts
@@ -1,3 +1,4 @@
+import './enableRoarr.js';
 import type { Event } from '@toucanline/schema';
 import { ROARR, Roarr, type Logger } from 'roarr';
 
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -1,7 +1,7 @@
 import { createFailure, Router } from '@toucanline/core';
 import { HttpWorkerGateway } from '@toucanline/platform';
 import { addHealthRoutes, Daemon, PeerSet, type ProcessRuntime } from '@toucanline/runtime';
-import type { CallBody, LoadNotice, NoticeBody, ReplyBody } from '@toucanline/schema';
+import type { CallBody, HostRecord, LoadNotice, NoticeBody, ReplyBody } from '@toucanline/schema';
 import { LinkHandler, LinkListener, type Link } from '@toucanline/wire';
 import restana from 'restana';
 import { ShardCandidate } from './ShardCandidate.js';
@@ -9,6 +9,8 @@
 
 const loadNoticeMs = 500;
 const hostsMs = 1000;
+/** Time for the last replies to leave before the links close. */
+const flushMs = 100;
 
 const fail = (kind: Parameters<typeof createFailure>[0], detail: string): ReplyBody => ({
   reply: 'failure',
@@ -55,6 +57,8 @@
   readonly #listener: LinkListener;
   readonly #candidates = new Map<string, ShardCandidate>();
   #peers: PeerSet | undefined;
+  /** Workers of this data centre in the last host list that was read. */
+  #workers: readonly HostRecord[] | undefined;
   #address = '';
   /** Sum of the revisions that the shards know. */
   #applied = 0;
@@ -102,6 +106,7 @@
   public override async drain(): Promise<void> {
     this.#stopping = true;
     await Promise.all([...this.#candidates.values()].map((candidate) => candidate.stop()));
+    await this.#runtime.clock.sleep(flushMs);
     this.#peers?.stop();
     this.#listener.close();
     await this.#gateway.close();
@@ -131,11 +136,19 @@
     for (const shard of policy.listShards(settings.dataCentre)) {
       if (this.#candidates.has(shard) || this.#stopping) continue;
       const candidate = new ShardCandidate(
-        this.#runtime,
-        this.#gateway,
+        {
+          runtime: this.#runtime,
+          gateway: this.#gateway,
+          router: this.#router,
+          readPolicy: () => holder.policy,
+          readWorkers: () => this.#listWorkers(shard),
+          listPeers: () => this.#listPeers(),
+          onChange: () => {
+            this.#tellLoad();
+          },
+        },
         shard,
         this.#address,
-        () => holder.policy,
       );
       this.#candidates.set(shard, candidate);
       void candidate.run();
@@ -148,27 +161,41 @@
   }
 
   async #readHosts(): Promise<void> {
-    if (this.#hosts.length === 0) return;
     const hosts = await this.#runtime.hostList.read();
     if (hosts.isErr()) return;
     const { dataCentre } = this.#runtime.settings;
-    const workers = hosts.value.filter(
+    this.#workers = hosts.value.filter(
       (host) => host.role === 'worker' && host.dataCentre === dataCentre,
     );
-    const owned = this.#runtime.holder.policy?.listShards(dataCentre) ?? [];
     for (const host of this.#hosts) {
-      const position = owned.indexOf(host.shard.name);
-      host.applyHosts(workers.filter((_, index) => index % owned.length === position));
+      const workers = this.#listWorkers(host.shard.name);
+      if (workers !== undefined) host.applyHosts(workers);
     }
   }
 
+  #listWorkers(shard: string): readonly HostRecord[] | undefined {
+    const { holder, settings } = this.#runtime;
+    const owned = holder.policy?.listShards(settings.dataCentre) ?? [];
+    const position = owned.indexOf(shard);
+    return this.#workers?.filter((_, index) => index % owned.length === position);
+  }
+
+  #listPeers(): readonly Link[] {
+    const { dataCentre } = this.#runtime.settings;
+    const links = [...(this.#peers?.links ?? []), ...this.#listener.links];
+    return links.filter(
+      ({ peer, isClosed }) =>
+        !isClosed && peer?.role === 'scheduler' && peer.dataCentre === dataCentre,
+    );
+  }
+
   #tellLoad(): void {
     const { holder, keyRing, keysContact, recorder, settings } = this.#runtime;
     const { ageMs } = keysContact;
     const notice: LoadNotice = {
       notice: 'load',
       process: settings.process,
-      shards: this.#hosts.map((host) => host.shard.describeLoad()),
+      shards: this.#hosts.filter((host) => host.isServing).map((host) => host.shard.describeLoad()),
       configurationRevision: holder.revision,
       keysRevision: keyRing.revision,
       stamp: recorder.stamp(),
@@ -229,7 +256,9 @@
       case 'drain':
         return this.#drainWorker(body.worker, body.drained);
       case 'handover':
-        return fail('notOwner', 'hand-over is not accepted');
+        return this.#candidates.get(body.snapshot.shard)?.acceptHandover(body) === true
+          ? { reply: 'done' }
+          : fail('notOwner', 'the handover is not accepted');
     }
   }
 
--- a/packages/scheduler/src/ShardCandidate.ts
+++ b/packages/scheduler/src/ShardCandidate.ts
@@ -1,36 +1,70 @@
-import { ClaimKeeper, type Policy, type WorkerGateway } from '@toucanline/core';
+import { ClaimKeeper, type Policy, type Router, type WorkerGateway } from '@toucanline/core';
 import type { ProcessRuntime } from '@toucanline/runtime';
+import type { Claim, Failure, HandoverCall, HostRecord } from '@toucanline/schema';
+import type { Link } from '@toucanline/wire';
+import { divideSnapshot } from './divideSnapshot.js';
 import { ShardHost } from './ShardHost.js';
+import { SnapshotInbox } from './SnapshotInbox.js';
+import { surveyEpochs } from './surveyEpochs.js';
+import { Waker } from './Waker.js';
 
 const pollMs = 1000;
+/** Interval of attempts while the owner hands the shard over, and how long they go on. */
+const handoverPollMs = 20;
+const handoverWaitMs = 3000;
+const handoverTimeoutMs = 1000;
+/** Silence of the owner and of the store before a candidate acts without the store. */
+const silenceMs = 4000;
+/** Attempts in a row that the store left unanswered, so that a pause alone does not look like an outage. */
+const minUnanswered = 3;
+/** Time without a majority of worker leases after which a provisional ownership is given up. */
+const noMajorityMs = 20_000;
+const provisionalPollMs = 500;
+
+/** Parts of the process that a candidate uses. */
+interface CandidateParts {
+  readonly runtime: ProcessRuntime;
+  readonly gateway: WorkerGateway;
+  readonly router: Router;
+  /** Reads the policy in effect. */
+  readonly readPolicy: () => Policy | undefined;
+  /** Reads the workers of the shard from the last host list. */
+  readonly readWorkers: () => readonly HostRecord[] | undefined;
+  /** Lists open links to other schedulers of the data centre. */
+  readonly listPeers: () => readonly Link[];
+  /** Called after the ownership began or ended. */
+  readonly onChange: () => void;
+}
 
 /** Candidate for the ownership of one shard: claims it whenever nobody else does. */
 export class ShardCandidate {
-  readonly #runtime: ProcessRuntime;
-  readonly #gateway: WorkerGateway;
+  readonly #parts: CandidateParts;
+  readonly #shard: string;
+  readonly #address: string;
   readonly #keeper: ClaimKeeper;
-  readonly #readPolicy: () => Policy | undefined;
+  readonly #waker: Waker;
+  readonly #inbox = new SnapshotInbox();
   #host: ShardHost | undefined;
   #wanted = true;
+  #handoverUntil = 0;
+  /** Highest epoch that any message named. */
+  #highestEpoch = 0;
+  #unanswered = 0;
+  #lastAnswerAt: number;
 
   /**
-   * @param runtime - the process
-   * @param gateway - access to the workers
+   * @param parts - parts of the process
    * @param shard - name of the shard
    * @param address - link address of this process
-   * @param readPolicy - reads the policy in effect
    */
-  public constructor(
-    runtime: ProcessRuntime,
-    gateway: WorkerGateway,
-    shard: string,
-    address: string,
-    readPolicy: () => Policy | undefined,
-  ) {
-    this.#runtime = runtime;
-    this.#gateway = gateway;
-    this.#readPolicy = readPolicy;
+  public constructor(parts: CandidateParts, shard: string, address: string) {
+    this.#parts = parts;
+    this.#shard = shard;
+    this.#address = address;
+    const { runtime } = parts;
     this.#keeper = new ClaimKeeper(runtime, shard, runtime.settings.process, address);
+    this.#waker = new Waker(runtime.clock);
+    this.#lastAnswerAt = runtime.clock.now();
   }
 
   /** The running ownership, if this process owns the shard. */
@@ -40,43 +74,184 @@
 
   /** Claims the shard again and again until the candidate is stopped. */
   public async run(): Promise<void> {
-    const { clock, random } = this.#runtime;
+    const { clock, random } = this.#parts.runtime;
     while (this.#wanted) {
-      const policy = this.#readPolicy();
-      const claim = policy === undefined ? undefined : await this.#keeper.acquire();
-      if (policy !== undefined && claim?.isOk() === true) {
-        const host = new ShardHost(this.#runtime, this.#gateway, claim.value, policy, (detail) => {
-          void this.#giveUp(detail);
-        });
-        void this.#serve(host);
-        await this.#keeper.keep(() => this.#wanted);
-        this.#endHost();
-      } else await clock.sleep(pollMs * (0.5 + random.next() / 2));
+      const policy = this.#parts.readPolicy();
+      const claim = policy === undefined ? undefined : await this.#acquire();
+      if (policy !== undefined && claim !== undefined) await this.#serve(claim, policy);
+      else if (policy !== undefined && this.#mayTryWithoutStore) {
+        await this.#serveWithoutStore(policy);
+      }
+      const isExpected = clock.now() < this.#handoverUntil;
+      await this.#waker.sleep(isExpected ? handoverPollMs : pollMs * (0.5 + random.next() / 2));
+    }
+  }
+
+  /**
+   * Takes a part of the state that the owner hands over.
+   *
+   * @param call - the part
+   * @returns false if this process does not take shards over
+   */
+  public acceptHandover(call: HandoverCall): boolean {
+    if (!this.#wanted || this.#host !== undefined) return false;
+    if (this.#inbox.add(call)) {
+      this.#handoverUntil = this.#parts.runtime.clock.now() + handoverWaitMs;
+      this.#waker.wake();
     }
+    return true;
   }
 
-  /** Gives the shard up, so that a peer may claim it at once. */
+  /** Gives the shard up, after its state was handed to a peer if there is one. */
   public async stop(): Promise<void> {
     this.#wanted = false;
+    const host = this.#host;
+    if (host !== undefined) await this.#handOver(host);
     this.#endHost();
     await this.#keeper.release();
+    this.#waker.wake();
+  }
+
+  /** A method, because the compiler would take a field as unchanged over an await. */
+  #isWanted(): boolean {
+    return this.#wanted;
+  }
+
+  async #acquire(): Promise<Claim | undefined> {
+    const { clock } = this.#parts.runtime;
+    this.#noteEpoch(this.#parts.router.findLoad(this.#shard)?.epoch ?? 0);
+    const claim = await this.#keeper.acquire(this.#highestEpoch);
+    if (claim.isOk() || claim.error.kind === 'notOwner') {
+      this.#unanswered = 0;
+      this.#lastAnswerAt = clock.now();
+    } else this.#unanswered += 1;
+    if (claim.isErr()) {
+      this.#noteFailure(claim.error);
+      return undefined;
+    }
+    this.#noteEpoch(claim.value.epoch);
+    if (this.#isWanted()) return claim.value;
+    await this.#keeper.release();
+    return undefined;
+  }
+
+  #noteFailure({ kind, detail }: Failure): void {
+    if (kind === 'notOwner') return;
+    this.#parts.runtime.log.write('warn', 'cannot claim the shard', { shard: this.#shard, detail });
+  }
+
+  #noteEpoch(epoch: number): void {
+    this.#highestEpoch = Math.max(this.#highestEpoch, epoch);
+  }
+
+  async #serve(claim: Claim, policy: Policy): Promise<void> {
+    this.#startHost(claim, policy, false);
+    await this.#keeper.keep(() => this.#wanted);
+    if (this.#isWanted()) this.#endHost();
+  }
+
+  /** Whether neither the store nor an owner was heard of for a while. */
+  get #mayTryWithoutStore(): boolean {
+    const { runtime, gateway } = this.#parts;
+    const isSilent = runtime.clock.now() - this.#lastAnswerAt > silenceMs;
+    const isDown = isSilent && this.#unanswered >= minUnanswered;
+    return this.#wanted && gateway.fences && isDown && !this.#seesOwner();
+  }
+
+  #seesOwner(): boolean {
+    const { router, runtime } = this.#parts;
+    const load = router.findLoad(this.#shard, silenceMs);
+    return load !== undefined && load.owner !== runtime.settings.process;
+  }
+
+  /** Owns the shard provisionally until the store answers, another owner shows or no majority is held. */
+  async #serveWithoutStore(policy: Policy): Promise<void> {
+    const { runtime, gateway, readWorkers } = this.#parts;
+    const workers = readWorkers() ?? [];
+    const { process } = runtime.settings;
+    const surveyed = await surveyEpochs(gateway, this.#shard, process, workers);
+    if (surveyed === undefined || !this.#isWanted() || this.#seesOwner()) return;
+    this.#noteEpoch(surveyed);
+    const epoch = this.#highestEpoch + 1;
+    this.#noteEpoch(epoch);
+    const token = runtime.random.token();
+    const claim = { shard: this.#shard, epoch, owner: process, address: this.#address, token };
+    const host = this.#startHost(claim, policy, true);
+    let lastMajorityAt = runtime.clock.now();
+    while (this.#isWanted() && host.isActive) {
+      await runtime.clock.sleep(provisionalPollMs);
+      if (host.shard.holdsMajority) lastMajorityAt = runtime.clock.now();
+      else if (runtime.clock.now() - lastMajorityAt > noMajorityMs || this.#seesOwner()) break;
+      const stored = await this.#acquire();
+      if (stored === undefined) {
+        if (this.#unanswered === 0) break;
+        continue;
+      }
+      this.#endHost();
+      await this.#serve(stored, this.#parts.readPolicy() ?? policy);
+      return;
+    }
+    if (this.#isWanted()) this.#endHost();
   }
 
-  async #serve(host: ShardHost): Promise<void> {
-    host.applyKeys(this.#runtime.keyRing);
+  #startHost(claim: Claim, policy: Policy, provisional: boolean): ShardHost {
+    const { runtime, gateway, readWorkers, onChange } = this.#parts;
+    const host = new ShardHost(
+      runtime,
+      gateway,
+      {
+        claim,
+        provisional,
+        readStanding: () => this.#keeper.standing,
+        onServing: onChange,
+        onLost: (detail, epoch) => {
+          this.#noteEpoch(epoch);
+          if (this.#host === host) void this.#giveUp(detail);
+        },
+      },
+      policy,
+    );
+    host.applyKeys(runtime.keyRing);
     this.#host = host;
-    await host.start();
+    const workers = readWorkers();
+    if (workers !== undefined) host.applyHosts(workers);
+    host.start(this.#inbox.take(claim.epoch));
+    onChange();
+    return host;
   }
 
   async #giveUp(detail: string): Promise<void> {
-    const { recorder } = this.#runtime;
-    recorder.record('claimLost', { shard: this.#host?.shard.name ?? '', detail });
+    this.#parts.runtime.recorder.record('claimLost', { shard: this.#shard, detail });
     this.#endHost();
     await this.#keeper.release();
   }
 
+  async #handOver(host: ShardHost): Promise<void> {
+    const { runtime, listPeers } = this.#parts;
+    const snapshot = await host.freeze();
+    const calls = divideSnapshot(snapshot);
+    for (const peer of listPeers()) {
+      if (!(await this.#sendParts(peer, calls))) continue;
+      runtime.recorder.record('claimHandedOver', {
+        shard: this.#shard,
+        epoch: snapshot.epoch,
+        detail: peer.peer?.process ?? '',
+      });
+      return;
+    }
+  }
+
+  async #sendParts(peer: Link, calls: readonly HandoverCall[]): Promise<boolean> {
+    for (const call of calls) {
+      const reply = await peer.call(call, handoverTimeoutMs);
+      if (reply.isErr() || reply.value.reply !== 'done') return false;
+    }
+    return true;
+  }
+
   #endHost(): void {
     this.#host?.stop();
     this.#host = undefined;
+    this.#parts.onChange();
   }
 }
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -1,7 +1,10 @@
 import {
   AllotmentKeeper,
+  createFailure,
   Journal,
+  periods,
   Shard,
+  type ClaimStanding,
   type Effect,
   type KeyRing,
   type Policy,
@@ -14,6 +17,7 @@
   ReplyBody,
   RequestView,
   ShardLoad,
+  ShardSnapshot,
   SubmitCall,
 } from '@toucanline/schema';
 import type { ProcessRuntime } from '@toucanline/runtime';
@@ -24,6 +28,24 @@
 const retryMs = 500;
 /** Requests started before the loop serves other events. */
 const maxStartsPerTurn = 100;
+/** Delay before a poll is tried again while it is not settled whether this process may act. */
+const settleMs = 50;
+/** Bounds of the wait for commands and commits that are under way when the shard is handed over. */
+const quiesceMs = 300;
+const quiescePollMs = 2;
+
+/** The right by which a process acts as the owner. */
+interface Ownership {
+  readonly claim: Claim;
+  /** True if taken without the store. */
+  readonly provisional: boolean;
+  /** Reads what is known about the store lease at this moment. */
+  readonly readStanding: () => ClaimStanding;
+  /** Called once requests may be submitted. */
+  readonly onServing: () => void;
+  /** Called once a worker proves that it accepted another owner. */
+  readonly onLost: (detail: string, epoch: number) => void;
+}
 
 /** Runs the decisions of one shard under one ownership: executes effects, polls workers, keeps time. */
 export class ShardHost {
@@ -33,32 +55,37 @@
   readonly #journal: Journal;
   readonly #allotments: AllotmentKeeper;
   readonly #waiters = new RequestWaiters();
-  readonly #onLost: (detail: string) => void;
+  readonly #ownership: Ownership;
+  /** Local monotonic time of the first start, in milliseconds. */
+  readonly #startsAt: number;
   #active = true;
+  #frozen = false;
+  #journalOpen = false;
+  #serving = false;
+  #inFlight = 0;
   #pumping = false;
 
   /**
    * @param runtime - the process
    * @param gateway - access to the workers
-   * @param claim - the claim on the shard
+   * @param ownership - the right to act
    * @param policy - policy in effect
-   * @param onLost - called once a worker proves that another owner took over
    */
   public constructor(
     runtime: ProcessRuntime,
     gateway: WorkerGateway,
-    claim: Claim,
+    ownership: Ownership,
     policy: Policy,
-    onLost: (detail: string) => void,
   ) {
     this.#runtime = runtime;
     this.#gateway = gateway;
-    this.#onLost = onLost;
+    this.#ownership = ownership;
     const { clock, random, recorder, invariant, settings, store } = runtime;
-    const { shard, epoch, owner, address } = claim;
+    const { provisional } = ownership;
+    const { shard, epoch, owner, address } = ownership.claim;
     const { dataCentre } = settings;
     this.#shard = new Shard(
-      { shard, dataCentre, epoch, owner, provisional: false, clock, random, recorder, invariant },
+      { shard, dataCentre, epoch, owner, provisional, clock, random, recorder, invariant },
       address,
       policy,
     );
@@ -82,6 +109,8 @@
       runtime.holder.revision,
     );
     this.#journal = new Journal(store, clock, random, shard, epoch);
+    // Workers that do not fence obey a former owner until its longest lease has ended.
+    this.#startsAt = clock.now() + (gateway.fences ? 0 : periods.workerLeaseMs + retryMs);
   }
 
   /** The decisions. */
@@ -89,28 +118,47 @@
     return this.#shard;
   }
 
+  /** Whether requests may be submitted here. */
+  public get isServing(): boolean {
+    return this.#active && !this.#frozen && this.#serving;
+  }
+
+  /** Whether this process still acts as the owner. */
+  public get isActive(): boolean {
+    return this.#active;
+  }
+
   /**
-   * Loads the journal and starts to serve.
+   * Starts to serve, at once if the former owner handed its state over.
    *
-   * @returns once requests may be submitted
+   * @param snapshot - state of the former owner, if it handed the shard over
    */
-  public async start(): Promise<void> {
-    while (this.#active) {
-      const opened = await this.#journal.open();
-      if (opened.isOk()) {
-        this.#shard.loadJournal(opened.value);
-        break;
-      }
-      this.#runtime.log.write('warn', 'cannot open the journal', { detail: opened.error.detail });
-      await this.#runtime.clock.sleep(retryMs);
-    }
+  public start(snapshot?: ShardSnapshot): void {
+    if (snapshot !== undefined) this.#shard.restoreSnapshot(snapshot);
+    void this.#openJournal();
     void this.#keepTime();
-    void this.#allotments.run(() => this.#active);
+    void this.#allotments.run(() => this.#active && !this.#frozen);
+  }
+
+  /**
+   * Stops to act and describes the state for the next owner.
+   *
+   * @returns the snapshot, once the commands and commits under way are settled or a bound has passed
+   */
+  public async freeze(): Promise<ShardSnapshot> {
+    this.#frozen = true;
+    const { clock } = this.#runtime;
+    const endsAt = clock.now() + quiesceMs;
+    while ((this.#inFlight > 0 || this.#journal.isBusy) && clock.now() < endsAt) {
+      await clock.sleep(quiescePollMs);
+    }
+    return this.#shard.createSnapshot();
   }
 
   /** Ends this ownership: nothing is sent to workers any more. */
   public stop(): void {
     this.#active = false;
+    this.#journal.close();
     this.#waiters.notifyAll();
   }
 
@@ -162,6 +210,8 @@
    * @returns its state, or the failure
    */
   public async submit(call: SubmitCall): Promise<ReplyBody> {
+    const refused = this.#checkReady(call);
+    if (refused !== undefined) return { reply: 'failure', failure: refused };
     const result = this.#shard.submit(call);
     this.#pump();
     if (result.isErr()) return { reply: 'failure', failure: result.error };
@@ -183,6 +233,7 @@
     team: string | undefined,
     waitMs: number,
   ): Promise<ReplyBody> {
+    if (!this.#serving) return this.#replyLost();
     const isDone = (): boolean => !this.#active || this.#shard.isSettled(requestId);
     await this.#waiters.waitUntil(requestId, waitMs, isDone);
     return this.#reply(this.#shard.read(requestId, team));
@@ -196,6 +247,7 @@
    * @returns its state, or the failure
    */
   public cancel(requestId: string, team: string | undefined): ReplyBody {
+    if (!this.#mayAct || !this.#serving) return this.#replyLost();
     const result = this.#shard.cancel(requestId, team);
     this.#pump();
     return this.#reply(result);
@@ -220,17 +272,91 @@
   }
 
   #reply(result: Result<RequestView, Failure>): ReplyBody {
-    if (!this.#active) {
-      const detail = `the shard ${this.#shard.name} has another owner`;
-      return { reply: 'failure', failure: { kind: 'linkLost', detail } };
-    }
+    if (!this.#active || !this.#isStanding) return this.#replyLost();
     if (result.isErr()) return { reply: 'failure', failure: result.error };
     return { reply: 'view', view: result.value, epoch: this.#shard.epoch };
   }
 
+  /** The outcome stays open for the entry, which asks the next owner. */
+  #replyLost(): ReplyBody {
+    const detail = `the shard ${this.#shard.name} may have another owner`;
+    return { reply: 'failure', failure: createFailure('linkLost', detail) };
+  }
+
+  /** Whether the claim was not left behind by a pause of this process. */
+  get #isStanding(): boolean {
+    return this.#ownership.provisional || this.#ownership.readStanding() !== 'unsettled';
+  }
+
+  get #mayAct(): boolean {
+    return this.#active && !this.#frozen && this.#isStanding;
+  }
+
+  /** Without a confirmed store lease, new work needs a majority of the workers' leases. */
+  get #mayStart(): boolean {
+    if (this.#runtime.clock.now() < this.#startsAt) return false;
+    const isConfirmed =
+      !this.#ownership.provisional && this.#ownership.readStanding() === 'confirmed';
+    return isConfirmed || this.#shard.holdsMajority;
+  }
+
+  /** Whether the store cannot be reached, so that nothing can be committed. */
+  get #isWithoutStore(): boolean {
+    return this.#ownership.provisional || this.#ownership.readStanding() === 'unreachable';
+  }
+
+  #checkReady({ request, heldEpoch }: SubmitCall): Failure | undefined {
+    if (!this.#active || this.#frozen) return createFailure('notOwner', 'the owner changes');
+    if (!this.#isStanding || !this.#serving) {
+      return createFailure('notReady', 'the owner of the shard is starting', 1);
+    }
+    const canCommit = this.#journalOpen && !this.#isWithoutStore;
+    if (canCommit || !this.#shard.isJournaled(request)) return undefined;
+    // A request that an earlier owner may hold is answered once the journal tells about it.
+    return heldEpoch === undefined
+      ? createFailure('storeUnavailable', 'the journal of the shard cannot be reached', 1)
+      : createFailure('timeout', 'the journal of the shard cannot be reached');
+  }
+
+  async #openJournal(): Promise<void> {
+    if (this.#ownership.provisional) return;
+    while (this.#isActive()) {
+      const opened = await this.#journal.open();
+      if (!this.#isActive()) return;
+      if (opened.isOk()) {
+        this.#shard.loadJournal(opened.value);
+        this.#journalOpen = true;
+        this.#updateServing();
+        this.#pump();
+        return;
+      }
+      this.#runtime.log.write('warn', 'cannot open the journal', { detail: opened.error.detail });
+      await this.#runtime.clock.sleep(retryMs);
+    }
+  }
+
+  /** Requests are taken once the journal is loaded, or without it while the store is unreachable. */
+  #updateServing(): void {
+    if (this.#serving) return;
+    const { provisional } = this.#ownership;
+    const isAlone = this.#isWithoutStore && this.#shard.holdsMajority;
+    if (!this.#journalOpen && !isAlone) return;
+    this.#serving = true;
+    this.#ownership.onServing();
+    if (!this.#journalOpen) this.#shard.skipJournal();
+    const { shard, epoch } = this.#ownership.claim;
+    if (provisional) {
+      const detail = 'provisional, by a majority of the leases of the workers';
+      this.#runtime.recorder.record('claimTaken', { shard, epoch, detail });
+    }
+  }
+
   async #keepTime(): Promise<void> {
     while (this.#active) {
-      this.#shard.tick();
+      if (this.#mayAct) {
+        this.#shard.tick();
+        this.#updateServing();
+      }
       this.#pump();
       await this.#runtime.clock.sleep(tickMs);
     }
@@ -238,9 +364,9 @@
 
   /** Decides and executes the effects; goes on in a later turn of the loop if more can start. */
   #pump(): void {
-    if (!this.#active || this.#pumping) return;
+    if (!this.#mayAct || this.#pumping) return;
     this.#pumping = true;
-    const hasMore = this.#shard.dispatch(maxStartsPerTurn);
+    const hasMore = this.#mayStart && this.#shard.dispatch(maxStartsPerTurn);
     for (const effect of this.#shard.takeEffects()) this.#execute(effect);
     this.#pumping = false;
     if (hasMore) {
@@ -256,7 +382,7 @@
         void this.#sendStart(effect);
         break;
       case 'command':
-        void this.#gateway.command(effect.address, effect.command);
+        void this.#sendCommand(effect);
         break;
       case 'commit':
         void this.#commit(effect);
@@ -268,13 +394,15 @@
         void this.#pollWorker(effect.worker);
         break;
       case 'standDown':
-        if (this.#active) this.#onLost(effect.detail);
+        if (this.#active) this.#ownership.onLost(effect.detail, effect.epoch);
         break;
     }
   }
 
   async #sendStart({ address, start }: Extract<Effect, { effect: 'start' }>): Promise<void> {
+    this.#inFlight += 1;
     const response = await this.#gateway.start(address, start);
+    this.#inFlight -= 1;
     if (!this.#active) return;
     const { request, index, taskId } = start.assignment;
     const outcome = response.isOk() ? undefined : response.error;
@@ -282,9 +410,27 @@
     this.#pump();
   }
 
+  async #sendCommand({
+    worker,
+    address,
+    command,
+  }: Extract<Effect, { effect: 'command' }>): Promise<void> {
+    const response = await this.#gateway.command(address, command);
+    if (!this.#active || response.isOk() || !('refusal' in response.error)) return;
+    const { refusal } = response.error;
+    if (refusal !== 'staleEpoch' && refusal !== 'wrongBoot') return;
+    this.#shard.applyRefusal(worker, response.error);
+    this.#pump();
+  }
+
   async #commit({ ticket, entry }: Extract<Effect, { effect: 'commit' }>): Promise<void> {
-    const result = await this.#journal.append(entry);
-    if (!this.#active) return;
+    let result = await this.#journal.append(entry);
+    // Nobody waits for the end of a request to be committed, so it is repeated until it is.
+    while (ticket === 0 && result.isErr() && this.#isActive()) {
+      await this.#runtime.clock.sleep(retryMs);
+      result = await this.#journal.append(entry);
+    }
+    if (!this.#isActive()) return;
     this.#shard.confirmCommit(ticket, result.isErr() ? result.error : undefined);
     this.#pump();
   }
@@ -292,6 +438,10 @@
   /** One poll at a time per worker, as long as the worker belongs to the fleet. */
   async #pollWorker(worker: string): Promise<void> {
     while (this.#isActive()) {
+      if (!this.#mayAct) {
+        await this.#runtime.clock.sleep(settleMs);
+        continue;
+      }
       const next = this.#shard.createRenewal(worker);
       if (next === undefined) return;
       const sentAt = this.#runtime.clock.now();
