--- a/packages/core/__tests__/Journal.test.ts
+++ b/packages/core/__tests__/Journal.test.ts
@@ -77,9 +77,9 @@
     const { store, create, accept, load } = setUp();
     const journal = create(1);
     await journal.open();
-    store.writeFaults = ['late', 'late', 'late'];
+    store.writeFaults = Array.from({ length: 100 }, () => 'late');
     const result = journal.append(accept('a'));
-    await settle();
+    while (store.writeFaults.length > 98) await settle();
     journal.close();
     const { kind } = (await result)._unsafeUnwrapErr();
     expect(kind).to.equal('outcomeUnknown');
