--- a/packages/scheduler/src/ShardCandidate.ts
+++ b/packages/scheduler/src/ShardCandidate.ts
@@ -211,8 +211,8 @@
       },
       policy,
     );
-    this.#host = host;
     host.applyKeys(runtime.keyRing);
+    this.#host = host;
     const workers = readWorkers();
     if (workers !== undefined) host.applyHosts(workers);
     host.start(this.#inbox.take(claim.epoch));
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -137,7 +137,22 @@
     if (snapshot !== undefined) this.#shard.restoreSnapshot(snapshot);
     void this.#openJournal();
     void this.#keepTime();
-    void this.#allotments.run(() => this.#active);
+    void this.#allotments.run(() => this.#active && !this.#frozen);
+  }
+
+  /**
+   * Stops to act and describes the state for the next owner.
+   *
+   * @returns the snapshot, once the commands and commits under way are settled or a bound has passed
+   */
+  public async freeze(): Promise<ShardSnapshot> {
+    this.#frozen = true;
+    const { clock } = this.#runtime;
+    const endsAt = clock.now() + quiesceMs;
+    while ((this.#inFlight > 0 || this.#journal.isBusy) && clock.now() < endsAt) {
+      await clock.sleep(quiescePollMs);
+    }
+    return this.#shard.createSnapshot();
   }
 
   /**
