Let a provisional owner spend what it adopted

Change: a provisional owner that never read the record may spend, per team, the use that it adopted at the end of its recovery. The former owner never gave away what it used, and nobody changes the record without the store.

--- a/packages/core/__tests__/EscrowModel.ts
+++ b/packages/core/__tests__/EscrowModel.ts
@@ -109,6 +109,7 @@
         invariant: this.#invariant,
         readLoad: () => this.#describeLoad(name),
         isRecovered: () => this.#owners.get(name)?.recovered === true,
+        isProvisional: false,
         onChange: () => undefined,
       },
       name,
--- a/packages/core/src/AllotmentKeeper.ts
+++ b/packages/core/src/AllotmentKeeper.ts
@@ -48,6 +48,8 @@
   readonly readLoad: () => ShardLoad;
   /** Reads whether all workers of the shard are accounted for. */
   readonly isRecovered: () => boolean;
+  /** Whether the ownership was taken without the store, so that the record may be out of reach. */
+  readonly isProvisional: boolean;
   /** Called after each change of what the shard may spend or has to shrink to. */
   readonly onChange: (
     spendable: ReadonlyMap<string, Resources>,
@@ -81,6 +83,8 @@
   #lastReadAt = -Infinity;
   #lastWriteAt = -Infinity;
   #readDelayMs: number = periods.allotmentDemandMs;
+  /** Use that was adopted from the former owner, while the record is out of reach. */
+  #inherited: ReadonlyMap<string, Resources> | undefined;
 
   /**
    * @param parts - what the keeper uses of the host process
@@ -147,6 +151,7 @@
   public async step(): Promise<void> {
     if (this.#policy.limits.size === 0 && Object.keys(this.#escrow.record.teams).length === 0)
       return;
+    this.#inherit();
     if (this.#isReadDue()) await this.#read();
     if (this.#escrow.isUnread || this.#escrow.isSuperseded || this.#stale) return;
     const plan = this.#createPlan();
@@ -288,6 +293,27 @@
   }
 
   #tell(): void {
-    this.#parts.onChange(this.#escrow.listSpendable(), this.#lowered.active);
+    this.#parts.onChange(this.#listSpendable(), this.#lowered.active);
+  }
+
+  /**
+   * A provisional owner that never read the record spends what it adopted: the former owner never
+   * gave away an amount that it used, and nobody can change the record without the store.
+   */
+  #listSpendable(): ReadonlyMap<string, Resources> {
+    const spendable = this.#escrow.listSpendable();
+    if (!this.#escrow.isUnread || this.#inherited === undefined) return spendable;
+    const inherited = new Map(spendable);
+    for (const team of spendable.keys()) {
+      inherited.set(team, this.#inherited.get(team) ?? zeroResources);
+    }
+    return inherited;
+  }
+
+  #inherit(): void {
+    const { isProvisional, isRecovered, readLoad } = this.#parts;
+    if (!isProvisional || this.#inherited !== undefined || !isRecovered()) return;
+    this.#inherited = new Map(Object.entries(readLoad().use));
+    this.#tell();
   }
 }
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -98,6 +98,7 @@
         invariant,
         readLoad: () => this.#shard.describeLoad(),
         isRecovered: () => this.#shard.isRecovered,
+        isProvisional: ownership.provisional,
         onChange: (spendable, lowered) => {
           this.#shard.applyAllotments(spendable, lowered);
           this.#pump();
@@ -155,21 +156,6 @@
     return this.#shard.createSnapshot();
   }
 
-  /**
-   * Stops to act and describes the state for the next owner.
-   *
-   * @returns the snapshot, once the commands and commits under way are settled or a bound has passed
-   */
-  public async freeze(): Promise<ShardSnapshot> {
-    this.#frozen = true;
-    const { clock } = this.#runtime;
-    const endsAt = clock.now() + quiesceMs;
-    while ((this.#inFlight > 0 || this.#journal.isBusy) && clock.now() < endsAt) {
-      await clock.sleep(quiescePollMs);
-    }
-    return this.#shard.createSnapshot();
-  }
-
   /** Ends this ownership: nothing is sent to workers any more. */
   public stop(): void {
     this.#active = false;
