--- a/packages/core/src/Policy.ts
+++ b/packages/core/src/Policy.ts
@@ -4,6 +4,11 @@
 const defaultRetries = 3;
 const defaultMaxWaiting = 10_000;
 const defaultKeyGraceSeconds = 300;
+/**
+ * On a healthy site a contact is up to 2.5 s old: a watch of 2 s, then a load notice each 0.5 s. A shorter
+ * grace would refuse keys there.
+ */
+const minKeyGraceSeconds = 5;
 const defaultLowerLimitSeconds = 30;
 const defaultHalfLifeSeconds = 30;
 
@@ -129,7 +134,8 @@
    * @returns milliseconds
    */
   public readKeyGraceMs(queue: string): number {
-    return (this.findQueue(queue)?.keyGraceSeconds ?? defaultKeyGraceSeconds) * 1000;
+    const seconds = this.findQueue(queue)?.keyGraceSeconds ?? defaultKeyGraceSeconds;
+    return Math.max(seconds, minKeyGraceSeconds) * 1000;
   }
 
   /**
--- a/packages/core/src/RevisionSync.ts
+++ b/packages/core/src/RevisionSync.ts
@@ -57,8 +57,8 @@
       const parsed = validateValue(validators.KeyList, data, 'internal');
       return parsed.isOk() && keyRing.apply(parsed.value);
     };
-    void this.#follow(`keys/${this.#environment}`, keysReadMs, applyKeys, (askedAt) => {
-      keysContact.confirm(clock.now() - askedAt);
+    void this.#follow(`keys/${this.#environment}`, keysReadMs, applyKeys, (confirmedAt) => {
+      keysContact.confirm(clock.now() - confirmedAt);
     });
   }
 
@@ -71,13 +71,14 @@
     key: string,
     idleMs: number,
     apply: (data: unknown) => boolean,
-    onContact?: (askedAt: number) => void,
+    onContact?: (confirmedAt: number) => void,
   ): Promise<void> {
     const { clock, onChange } = this.#parts;
     let version = 0;
     while (!this.#isStopped()) {
       const askedAt = clock.now();
-      const result = await this.#readNext(key, version);
+      const isWatching = this.#parts.isWatcher();
+      const result = await this.#readNext(key, version, isWatching);
       if (this.#isStopped()) return;
       if (result.isErr()) {
         await clock.sleep(retryMs);
@@ -85,9 +86,12 @@
       }
       const { value, version: newVersion } = result.value;
       const isNewer = newVersion > version && value !== undefined;
+      // The store held an unchanged watch for its whole time, so it looked at the key after that time.
+      const isHeld = isWatching && newVersion === version;
+      const confirmedAt = isHeld ? Math.min(clock.now(), askedAt + watchMs) : askedAt;
       version = newVersion;
       if (isNewer && apply(JSON.parse(value))) onChange();
-      onContact?.(askedAt);
+      onContact?.(confirmedAt);
       await this.#idle(idleMs);
     }
   }
@@ -106,8 +110,12 @@
     return this.#stopped;
   }
 
-  #readNext(key: string, version: number): Promise<Result<StoreValue, Failure>> {
-    const { store, isWatcher } = this.#parts;
-    return isWatcher() ? store.watch(key, version, watchMs) : store.read(key);
+  #readNext(
+    key: string,
+    version: number,
+    isWatching: boolean,
+  ): Promise<Result<StoreValue, Failure>> {
+    const { store } = this.#parts;
+    return isWatching ? store.watch(key, version, watchMs) : store.read(key);
   }
 }
