Test limits, urgent work and floods with real processes

Cause: limits, preemption and early refusal need proof over two data centres with a store and workers. Change: limits.test.ts; targets of a lowered limit are divided again twice within the time the document sets, because one shard may hold only work that may not be stopped; admission refuses what would wait past its deadline, with Retry-After from the measured start rate.

--- /dev/null
+++ b/packages-private/testkit/__tests__/limits.test.ts
@@ -0,0 +1,214 @@
+import type { Resources } from '@toucanline/schema';
+import { expect } from 'chai';
+import { Caller, Site, sleep } from '../src/index.js';
+
+const size: Resources = { processors: 2, memoryMb: 1024, accelerators: 0 };
+const limitOf = (processors: number): Resources => ({
+  processors,
+  memoryMb: 200_000,
+  accelerators: 0,
+});
+
+const createDocument = (processors: number): string => `schema = 1
+
+[shards.s1]
+dataCentre = "dc1"
+
+[shards.s2]
+dataCentre = "dc2"
+
+[teams.capped]
+share = 1
+limit = { processors = ${processors}, memoryMb = 200000, accelerators = 0 }
+
+[teams.filler]
+share = 1
+
+[teams.rapid]
+share = 1
+
+[queues.services]
+kind = "service"
+idempotent = true
+
+[queues.renders]
+kind = "batch"
+idempotent = true
+maxWaiting = 100
+
+[queues.rosters]
+kind = "batch"
+idempotent = false
+
+[placement]
+lowerLimitSeconds = 4
+`;
+
+const waitUntil = async (isDone: () => boolean, timeoutMs: number, what: string): Promise<void> => {
+  const startedAt = performance.now();
+  while (!isDone()) {
+    if (performance.now() - startedAt > timeoutMs) throw new Error(`${what} took too long`);
+    await sleep(20);
+  }
+};
+
+describe('team limits over two data centres with real processes', () => {
+  const site = new Site({
+    document: createDocument(40),
+    dataCentres: ['dc1', 'dc2'],
+    entriesPerDataCentre: 1,
+    schedulersPerDataCentre: 1,
+    workersPerDataCentre: 3,
+    teams: ['capped', 'filler', 'rapid'],
+  });
+  const createCaller = (team: string, index: number): Caller =>
+    new Caller(() => site.entries[index]?.url ?? '', `key-${team}`);
+  const capped = [createCaller('capped', 0), createCaller('capped', 1)] as const;
+  const filler = [createCaller('filler', 0), createCaller('filler', 1)] as const;
+  const readCapped = (): number => site.ledger.readUse('capped').processors;
+  const countRunning = (team: string): number =>
+    site.ledger.running.filter(({ assignment }) => assignment.request.team === team).length;
+  const isRunning = (id: string): boolean =>
+    site.ledger.running.some(({ assignment }) => assignment.request.id === id);
+  const open = new Map<string, Caller>();
+
+  const submit = async (
+    caller: Caller,
+    queue: string,
+    command: string,
+    count: number,
+  ): Promise<readonly string[]> => {
+    const answers = await Promise.all(
+      Array.from({ length: count }, () => caller.submit(queue, { size, command }, { wait: 0 })),
+    );
+    const ids = answers.map(({ view }) => view.id);
+    for (const id of ids) open.set(id, caller);
+    return ids;
+  };
+
+  before(async () => {
+    await site.start();
+    site.ledger.setLimits(new Map([['capped', limitOf(40)]]));
+  });
+  after(() => site.stop());
+  // Entries route by load notices; a test begins when the notices of the former one are replaced.
+  beforeEach(() => sleep(1500));
+  afterEach(async () => {
+    // A cancellation that meets no owner is repeated: the owners claim again after a store outage.
+    const cancel = async ([id, caller]: readonly [string, Caller]): Promise<void> => {
+      const endsAt = performance.now() + 20_000;
+      while ((await caller.cancel(id)).status >= 500 && performance.now() < endsAt)
+        await sleep(250);
+    };
+    await Promise.all([...open].map(cancel));
+    await waitUntil(() => site.ledger.running.length === 0, 20_000, 'the end of all tasks');
+    open.clear();
+    expect(site.ledger.violations).to.deep.equal([]);
+  });
+
+  it('never exceeds a limit while both data centres have more demand than it admits', async () => {
+    // Guards against shards that spend the same part of a limit twice.
+    const endsAt = performance.now() + 4000;
+    let highest = 0;
+    const work = capped.flatMap((caller) =>
+      Array.from({ length: 20 }, async () => {
+        while (performance.now() < endsAt) {
+          await caller.submit('renders', { size, command: 'sleep 150' });
+          highest = Math.max(highest, readCapped());
+        }
+      }),
+    );
+    await Promise.all(work);
+    expect(highest).to.be.within(30, 40);
+  });
+
+  it('makes 95% of a limit usable in one data centre within 10 s, and keeps it without the store', async () => {
+    // Guards against allotments that stay where no demand is, and against losing them in an outage.
+    await submit(filler[1], 'renders', 'serve', 24);
+    await waitUntil(() => countRunning('filler') === 24, 10_000, 'filling dc2');
+    await submit(capped[0], 'renders', 'serve', 60);
+    await waitUntil(() => readCapped() >= 38, 10_000, 'using the limit in dc1');
+    const places = new Set(
+      site.ledger.running
+        .filter(({ assignment }) => assignment.request.team === 'capped')
+        .map(({ worker }) => worker.slice(-3)),
+    );
+    expect([...places]).to.deep.equal(['dc1']);
+    site.store.setFault('down');
+    try {
+      const [first] = [...open].filter(([, caller]) => caller === capped[0]);
+      if (first !== undefined) await capped[0].cancel(first[0]);
+      await sleep(5000);
+      await waitUntil(() => readCapped() >= 38, 5000, 'using the limit without the store');
+    } finally {
+      site.store.setFault('none');
+    }
+    await sleep(1500);
+    await site.waitForOwners();
+  });
+
+  it('stops the newest idempotent work above a lowered limit in time, and nothing else', async () => {
+    // Guards against work that goes on above a lowered limit, and against stopping what may not repeat.
+    const kept = await submit(capped[0], 'rosters', 'serve', 3);
+    await waitUntil(() => countRunning('capped') === 3, 10_000, 'starting rosters');
+    await submit(capped[0], 'renders', 'serve', 20);
+    await waitUntil(() => readCapped() >= 38, 10_000, 'using the limit');
+    site.putDocument(createDocument(16), 2);
+    await waitUntil(() => readCapped() <= 16, 8000, 'shrinking');
+    site.ledger.setLimits(new Map([['capped', limitOf(16)]]));
+    await sleep(1500);
+    expect(readCapped()).to.be.at.most(16);
+    for (const id of kept) expect(isRunning(id)).to.equal(true);
+    site.ledger.setLimits(new Map([['capped', limitOf(40)]]));
+    site.putDocument(createDocument(40), 3);
+    await waitUntil(() => readCapped() >= 38, 10_000, 'using the raised limit');
+  });
+
+  it('starts urgent work on a full fleet within 4.4 s and spares what may not repeat', async () => {
+    // Guards against urgent work that waits for others to end, and against preempting the wrong task.
+    await submit(filler[0], 'renders', 'serve', 20);
+    await submit(filler[1], 'renders', 'serve', 24);
+    await waitUntil(() => countRunning('filler') === 44, 10_000, 'filling the fleet');
+    // The newest tasks would be preempted first, if they were not spared.
+    const spared = await submit(filler[0], 'rosters', 'serve', 4);
+    await waitUntil(() => countRunning('filler') === 48, 10_000, 'starting rosters');
+    const rapid = createCaller('rapid', 0);
+    const startedAt = performance.now();
+    const answers = Array.from({ length: 4 }, () =>
+      rapid.submit('renders', {
+        size: { ...size, processors: 4 },
+        urgent: true,
+        command: 'echo now',
+      }),
+    );
+    for (const { view } of await Promise.all(answers)) expect(view.output).to.deep.equal(['now']);
+    expect(performance.now() - startedAt).to.be.below(4400);
+    for (const id of spared) expect(isRunning(id)).to.equal(true);
+    await waitUntil(() => countRunning('filler') === 48, 10_000, 'restarting preempted work');
+  });
+
+  it('refuses a flood early as not run while another team is served', async () => {
+    // Guards against unbounded queues and against one team's flood delaying another team.
+    const floods = filler.flatMap((caller) =>
+      Array.from({ length: 400 }, () =>
+        caller.submit('renders', { size, command: 'sleep 300' }, { wait: 0 }),
+      ),
+    );
+    await sleep(300);
+    const startedAt = performance.now();
+    const answer = await createCaller('rapid', 1).submit('renders', { size, command: 'echo ok' });
+    const waitedMs = performance.now() - startedAt;
+    const answers = await Promise.all(floods);
+    const refused = answers.filter(({ status }) => status === 429);
+    for (const { status, view } of answers) {
+      if (status !== 429) open.set(view.id, filler[0]);
+    }
+    expect(answer.view.output).to.deep.equal(['ok']);
+    expect(waitedMs).to.be.below(3000);
+    expect(refused.length).to.be.above(100);
+    for (const { problem, headers } of refused) {
+      expect(problem.ran).to.equal('no');
+      expect(Number(headers.get('retry-after'))).to.be.within(1, 30);
+    }
+  });
+});
--- a/packages/core/src/Admission.ts
+++ b/packages/core/src/Admission.ts
@@ -6,16 +6,28 @@
 import type { Policy } from './Policy.js';
 import type { Recovery } from './Recovery.js';
 import { scaleResources } from './scaleResources.js';
+import type { Clock } from './Clock.js';
+import type { WaitEstimator } from './WaitEstimator.js';
 import type { WaitingQueue } from './WaitingQueue.js';
 
-/** Suggested delay before a refused caller tries again, in seconds. */
-const retryAfterSeconds = 1;
+/** Bounds of the suggested delay before a refused caller tries again, in seconds. */
+const minRetryAfterSeconds = 1;
+const maxRetryAfterSeconds = 30;
+/**
+ * Part of the remaining time that the estimated wait and run may take. Without a reserve, requests
+ * start that their deadline then stops, and under overload that is most of the work.
+ */
+const maxDeadlineFraction = 0.7;
+/** Part of the remaining time that may pass in the queue, whatever run time was declared. */
+const minWaitFraction = 0.3;
 
 /** Parts of the shard that admission reads. */
 interface AdmissionParts {
   readonly fleet: Fleet;
   readonly queue: WaitingQueue;
   readonly recovery: Recovery;
+  readonly estimator: WaitEstimator;
+  readonly clock: Clock;
 }
 
 /** Decides whether a shard takes a request. Each refusal proves that the request did not run. */
@@ -50,14 +62,35 @@
     if (limit !== undefined && !coversResources(limit, atOnce)) {
       return err(createFailure('overLimit', `the request exceeds the limit of team ${team}`));
     }
-    if (this.#parts.queue.countTeam(team) >= policy.readMaxWaiting(queue)) {
-      const detail = `team ${team} has too many waiting requests`;
-      return err(createFailure('overloaded', detail, retryAfterSeconds));
-    }
+    const overload = this.#checkOverload(policy, request, remainingMs);
+    if (overload !== undefined) return err(overload);
     const { fleet, recovery } = this.#parts;
     if (recovery.isComplete && !fleet.hasSuitableWorker(size, acceleratorType)) {
       return err(createFailure('noOwner', 'no worker of this shard is large enough for one task'));
     }
     return ok(undefined);
   }
+
+  /** Refuses early what would wait too long; the room of other teams' queues is not affected. */
+  #checkOverload(
+    policy: Policy,
+    { team, queue, runTimeMs, urgent }: SubmitCall['request'],
+    remainingMs: number,
+  ): Failure | undefined {
+    const waiting = this.#parts.queue.countTeam(team);
+    const waitMs = this.#parts.estimator.estimateMs(team, waiting, this.#parts.clock.now());
+    // Declared run times are often wrong, so a long one alone does not cause a refusal.
+    const spareMs = Math.max(
+      remainingMs * minWaitFraction,
+      remainingMs * maxDeadlineFraction - runTimeMs,
+    );
+    const seconds = Math.ceil((waitMs - spareMs) / 1000);
+    const retryAfter = Math.min(maxRetryAfterSeconds, Math.max(minRetryAfterSeconds, seconds));
+    if (waiting >= policy.readMaxWaiting(queue)) {
+      return createFailure('overloaded', `team ${team} has too many waiting requests`, retryAfter);
+    }
+    if (urgent || waitMs <= spareMs) return undefined;
+    const detail = `team ${team} would wait ${Math.ceil(waitMs / 1000)} s, too long for the deadline`;
+    return createFailure('overloaded', detail, retryAfter);
+  }
 }
--- a/packages/core/src/AllotmentKeeper.ts
+++ b/packages/core/src/AllotmentKeeper.ts
@@ -33,6 +33,8 @@
  * can start in the moment in which other work ends.
  */
 const turnoverFraction = 0.25;
+/** Part of the time for a lowered limit after which what is still above it is divided again. */
+const renewFraction = 0.4;
 /** Store calls of one shard: a burst after a change of demand, then a rate that a store can carry. */
 const callBurst = 16;
 const callsPerSecond = 0.75;
@@ -168,7 +170,7 @@
     if (this.#stale) return true;
     return (
       sinceRead >=
-      (this.#lowered.active.size > 0 ? periods.allotmentIdleMs : periods.allotmentCheckMs)
+      (this.#lowered.active.size > 0 ? periods.allotmentLoweredMs : periods.allotmentCheckMs)
     );
   }
 
@@ -216,7 +218,7 @@
     const current = this.#escrow.readOwn(team);
     const sum = sumAllotments(record, team);
     const now = this.#parts.clock.now();
-    const renewMs = this.#policy.lowerLimitMs + periods.allotmentIdleMs;
+    const renewMs = this.#policy.lowerLimitMs * renewFraction;
     if (limit === undefined) this.#lowered.forget(team);
     const target =
       limit === undefined
--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -16,6 +16,7 @@
 import { TaskRecord } from './TaskRecord.js';
 import type { UrgentPreemption } from './UrgentPreemption.js';
 import type { TeamLedger } from './TeamLedger.js';
+import type { WaitEstimator } from './WaitEstimator.js';
 import type { WaitingQueue } from './WaitingQueue.js';
 import type { WorkerRecord } from './WorkerRecord.js';
 
@@ -33,6 +34,7 @@
   readonly fairShare: FairShare;
   readonly recovery: Recovery;
   readonly preemption: UrgentPreemption;
+  readonly estimator: WaitEstimator;
 }
 
 /** Decides which waiting request starts next, and where. */
@@ -150,6 +152,7 @@
       return false;
     }
     this.#parts.queue.remove(record);
+    this.#parts.estimator.noteStart(request.team, now);
     const attempt = record.attempt + 1;
     workers.forEach((worker, position) => {
       const index = pending[position];
--- a/packages/core/src/LimitEnforcer.ts
+++ b/packages/core/src/LimitEnforcer.ts
@@ -12,7 +12,7 @@
 import { zeroResources } from './zeroResources.js';
 
 /** Part of the time that the document sets in which running work may still end by itself. */
-const graceFraction = 0.5;
+const graceFraction = 0.25;
 
 /** Parts of the shard that the enforcer reads and changes. */
 interface EnforcerParts {
--- a/packages/core/src/LoweredLimits.ts
+++ b/packages/core/src/LoweredLimits.ts
@@ -1,10 +1,14 @@
 import type { Resources } from '@toucanline/schema';
 import { coversResources } from './coversResources.js';
 import type { LoweredLimit } from './LoweredLimit.js';
+import { subtractResources } from './subtractResources.js';
 
 /** An exceeded limit with what it was when the target was calculated. */
 interface Reduction extends LoweredLimit {
   readonly limit: Resources;
+  readonly calculatedAt: number;
+  /** How often the target was calculated again. */
+  readonly renewals: number;
 }
 
 const shrink = (own: number, limit: number, sum: number): number =>
@@ -50,13 +54,20 @@
       known !== undefined &&
       coversResources(known.limit, limit) &&
       coversResources(limit, known.limit);
-    if (isSame && now - known.since < renewMs) return known.target;
-    const target = {
-      processors: shrink(own.processors, limit.processors, sum.processors),
-      memoryMb: shrink(own.memoryMb, limit.memoryMb, sum.memoryMb),
-      accelerators: shrink(own.accelerators, limit.accelerators, sum.accelerators),
-    };
-    this.#reductions.set(team, { limit, target, since: isSame ? now : (known?.since ?? now) });
+    if (isSame && now - known.calculatedAt < renewMs) return known.target;
+    const renewals = isSame ? known.renewals + 1 : 0;
+    // What other shards cannot stop is left over after the proportional steps; then each shard that
+    // can stop work makes room for all of it.
+    const target =
+      renewals > 1
+        ? subtractResources(own, subtractResources(sum, limit))
+        : {
+            processors: shrink(own.processors, limit.processors, sum.processors),
+            memoryMb: shrink(own.memoryMb, limit.memoryMb, sum.memoryMb),
+            accelerators: shrink(own.accelerators, limit.accelerators, sum.accelerators),
+          };
+    const since = isSame ? known.since : now;
+    this.#reductions.set(team, { limit, target, since, calculatedAt: now, renewals });
     return target;
   }
 
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -38,6 +38,7 @@
 import { TaskTracker } from './TaskTracker.js';
 import { TeamLedger } from './TeamLedger.js';
 import { UrgentPreemption } from './UrgentPreemption.js';
+import { WaitEstimator } from './WaitEstimator.js';
 import { WaitingQueue } from './WaitingQueue.js';
 import { zeroResources } from './zeroResources.js';
 
@@ -85,7 +86,9 @@
     const table = this.#table;
     const queue = this.#queue;
     const ledger = this.#ledger;
-    this.#admission = new Admission({ fleet, queue, recovery });
+    const estimator = new WaitEstimator();
+    const { clock } = context;
+    this.#admission = new Admission({ fleet, queue, recovery, estimator, clock });
     const readPolicy = (): Policy => this.#policy;
     this.#lifecycle = new RequestLifecycle(this.#context, {
       fleet,
@@ -114,6 +117,7 @@
       fairShare,
       recovery,
       preemption: this.#preemption,
+      estimator,
     });
     this.applyPolicy(policy);
   }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -61,6 +61,7 @@
 export { Timeline } from './Timeline.js';
 export type { TimelineRow } from './TimelineRow.js';
 export { UrgentPreemption } from './UrgentPreemption.js';
+export { WaitEstimator } from './WaitEstimator.js';
 export { WaitingQueue } from './WaitingQueue.js';
 export { WorkerClock } from './WorkerClock.js';
 export { WorkerGateway } from './WorkerGateway.js';
--- a/packages/core/src/periods.ts
+++ b/packages/core/src/periods.ts
@@ -30,6 +30,8 @@
   allotmentDemandMs: 250,
   /** Interval between writes of the allotments otherwise, and longest between reads while work waits. */
   allotmentIdleMs: 2000,
+  /** Interval of reads of the allotments while they exceed a lowered limit. */
+  allotmentLoweredMs: 1000,
   /** Interval of reads of the allotments without any demand. */
   allotmentCheckMs: 30_000,
 });
