Measure the decisions of the core

Cause: the targets for decisions, cancellation bursts and packing had no measurement.

Change: `npm run bench -- placement [--seed N]` drives the core without input or output, with simulated workers and a virtual clock.

--- /dev/null
+++ b/packages-private/bench/src/Benchmark.ts
@@ -0,0 +1,14 @@
+/** A measurement that the command line offers as a sub-command. */
+export abstract class Benchmark {
+  /** Name of the sub-command. */
+  public abstract get name(): string;
+
+  /**
+   * Measures and prints the results.
+   *
+   * @param seed - seed of all random choices
+   * @param print - writes one line of output
+   * @returns true if every target is met
+   */
+  public abstract run(seed: number, print: (line: string) => void): Promise<boolean>;
+}
--- a/packages-private/bench/src/index.ts
+++ b/packages-private/bench/src/index.ts
@@ -1,1 +1,7 @@
-export {};
+export { Benchmark } from './Benchmark.js';
+export { PlacementBenchmark } from './PlacementBenchmark.js';
+export { SeededRandom } from './SeededRandom.js';
+export { ShardSimulation } from './ShardSimulation.js';
+export { VirtualClock } from './VirtualClock.js';
+export { createRequests } from './createRequests.js';
+export { createWorkers } from './createWorkers.js';
--- /dev/null
+++ b/packages-private/bench/src/measureDecisions.ts
@@ -0,0 +1,102 @@
+import { build } from 'hdr-histogram-js';
+import { createRequests } from './createRequests.js';
+import { createWorkers } from './createWorkers.js';
+import { SeededRandom } from './SeededRandom.js';
+import { ShardSimulation } from './ShardSimulation.js';
+import { VirtualClock } from './VirtualClock.js';
+
+/** Cost of decisions on a full fleet with a long queue. */
+interface DecisionCost {
+  readonly decisions: number;
+  readonly perSecond: number;
+  readonly meanUs: number;
+  readonly p50Us: number;
+  readonly p99Us: number;
+  readonly maxUs: number;
+}
+
+const waiting = 10_000;
+const teams = 200;
+const warmUps = 500;
+/** Bound on the warm-up of a slow version, in milliseconds of real time. */
+const maxWarmUpMs = 2000;
+const maxDecisions = 10_000;
+/** Bound on the measurement of a slow version, in milliseconds of real time. */
+const maxMeasureMs = 12_000;
+const nsPerUs = 1000;
+
+/**
+ * Measures single decisions: on a full fleet a task ends, a request arrives, and the core decides until
+ * nothing more fits. Every call of the dispatcher counts, also one that finds that nothing fits; a
+ * decision is a call that starts a request.
+ *
+ * @param workers - number of workers
+ * @param seed - seed of the trace
+ * @returns the cost
+ */
+export const measureDecisions = async (workers: number, seed: number): Promise<DecisionCost> => {
+  const random = new SeededRandom(seed);
+  const clock = new VirtualClock();
+  const simulation = new ShardSimulation(createWorkers(workers), teams, clock, random);
+  const { shard } = simulation;
+  // The fleet takes some of the backlog, so the queue is filled again once the fleet is full.
+  let next = 0;
+  const submitOne = (): void => {
+    const [request] = createRequests(1, teams, random, `q${next}-`);
+    next += 1;
+    if (request !== undefined) simulation.submit(request);
+  };
+  const running: ReturnType<ShardSimulation['takeStarts']>[number][] = [];
+  const fill = (): void => {
+    while (shard.dispatch(100)) running.push(...simulation.takeStarts());
+    running.push(...simulation.takeStarts());
+  };
+  for (let pass = 0; pass < 2; pass += 1) {
+    while (shard.describeLoad().waiting < waiting) {
+      const missing = waiting - shard.describeLoad().waiting;
+      for (let index = 0; index < missing; index += 1) submitOne();
+      if (pass === 0) fill();
+    }
+  }
+  fill();
+  const histogram = build({
+    highestTrackableValue: 60_000_000_000,
+    numberOfSignificantValueDigits: 3,
+  });
+  const beginsAt = performance.now();
+  let decisions = 0;
+  let rounds = 0;
+  let totalNs = 0;
+  while (decisions < maxDecisions && performance.now() - beginsAt < maxMeasureMs) {
+    rounds += 1;
+    const isWarmUp = rounds <= warmUps && performance.now() - beginsAt < maxWarmUpMs;
+    clock.advanceTo(clock.now() + 1);
+    const position = Math.floor(random.next() * running.length);
+    const ended = running[position];
+    const last = running.pop();
+    if (ended === undefined || last === undefined) break;
+    if (ended !== last) running[position] = last;
+    simulation.finish(ended);
+    for (let hasStarted = true; hasStarted;) {
+      const startsAt = process.hrtime.bigint();
+      hasStarted = shard.dispatch(1);
+      const ns = Number(process.hrtime.bigint() - startsAt);
+      if (hasStarted) submitOne();
+      if (isWarmUp) continue;
+      totalNs += ns;
+      histogram.recordValue(ns);
+      if (hasStarted) decisions += 1;
+    }
+    running.push(...simulation.takeStarts());
+    // Lets the promises of the event stream settle outside the measured calls.
+    if (rounds % 100 === 0) await new Promise(setImmediate);
+  }
+  return {
+    decisions,
+    perSecond: (decisions / totalNs) * 1e9,
+    meanUs: totalNs / decisions / nsPerUs,
+    p50Us: histogram.getValueAtPercentile(50) / nsPerUs,
+    p99Us: histogram.getValueAtPercentile(99) / nsPerUs,
+    maxUs: histogram.maxValue / nsPerUs,
+  };
+};
