Index workers by free capacity and waiting classes by shape

Cause: each decision scanned all teams, classes and workers, and every change of the fleet made every blocked class be tried again.

Change: FleetIndex keeps workers in blocks ordered by free share, each with the most that is free in it; totals are kept, not summed. DispatchOrder groups waiting classes by shape. A shape that does not fit is passed over until a worker gains room for it, and then only that worker is searched; for gangs the room of all workers is counted, so that a search happens only when it succeeds. Retry delays are in a heap. A request that goes back into the queue, for example partly placed, keeps its place by arrival.

--- /dev/null
+++ b/packages/core/src/CandidateSource.ts
@@ -0,0 +1,34 @@
+import type { Request } from '@toucanline/schema';
+import { calculateDominantShare } from './calculateDominantShare.js';
+import type { WorkerRecord } from './WorkerRecord.js';
+import { WorkerSource } from './WorkerSource.js';
+
+/** A few workers, used when it is known that no other worker has room. */
+export class CandidateSource extends WorkerSource {
+  readonly #workers: Iterable<WorkerRecord>;
+
+  /** @param workers - the workers */
+  public constructor(workers: Iterable<WorkerRecord>) {
+    super();
+    this.#workers = workers;
+  }
+
+  /** {@inheritDoc WorkerSource.listFitting} */
+  public override listFitting(
+    { size, acceleratorType }: Request,
+    prefersFast: boolean,
+    prefersFull: boolean,
+  ): Iterable<WorkerRecord> {
+    const direction = prefersFast ? -1 : 1;
+    const fullness = prefersFull ? 1 : -1;
+    const readFree = ({ free, room }: WorkerRecord): number => calculateDominantShare(free, room);
+    return [...this.#workers]
+      .filter((worker) => worker.canTake(size, acceleratorType))
+      .sort(
+        (left, right) =>
+          Number(left.room.accelerators > 0) - Number(right.room.accelerators > 0) ||
+          direction * (left.speed - right.speed) ||
+          fullness * (readFree(left) - readFree(right)),
+      );
+  }
+}
--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -1,6 +1,7 @@
 import type { Request, WorkKind } from '@toucanline/schema';
 import { BatchPlacement } from './BatchPlacement.js';
 import { calculateDominantShare } from './calculateDominantShare.js';
+import { CandidateSource } from './CandidateSource.js';
 import { coversResources } from './coversResources.js';
 import type { FairShare } from './FairShare.js';
 import type { Fleet } from './Fleet.js';
@@ -25,6 +26,9 @@
   gang: new GangPlacement(),
 };
 
+/** Remote use and decay change the rank of teams that start nothing here; ranks are refreshed. */
+const maxRankAgeMs = 100;
+
 /** Parts of the shard that the dispatcher reads and changes. */
 interface DispatcherParts {
   readonly fleet: Fleet;
@@ -41,6 +45,8 @@
   readonly #parts: DispatcherParts;
   readonly #pendingIntents = new Map<number, TaskRecord>();
   #nextTicket = 1;
+  #fleetVersion = -1;
+  #rankedAt = -Infinity;
 
   /**
    * @param context - what the parts of the shard share
@@ -59,12 +65,14 @@
    */
   public run(maxStarts: number): boolean {
     const now = this.#context.clock.now();
+    this.#parts.queue.releaseDue(now);
+    // Workers reserved for urgent work are not in the index, so changes of them are not noticed.
+    if (this.#parts.preemption.size > 0) this.#parts.queue.order.retryUrgent();
     for (let starts = 0; starts < maxStarts;) {
       const group = this.#chooseClass(now);
-      const record = group?.findFirst(now);
+      const record = group?.first;
       if (group === undefined || record === undefined) return false;
-      if (this.#start(record, now)) starts += 1;
-      else group.block(this.#version);
+      if (this.#start(record, group, now)) starts += 1;
     }
     return true;
   }
@@ -109,44 +117,49 @@
     return true;
   }
 
-  get #version(): number {
-    return this.#parts.fleet.version + this.#parts.ledger.version;
-  }
-
   /** Urgent work first, then the team that is furthest below its share. */
   #chooseClass(now: number): RequestClass | undefined {
-    const { queue, ledger, fairShare } = this.#parts;
-    let best: RequestClass | undefined;
-    let bestRank = Infinity;
-    for (const team of queue.teams) {
-      const teamRank = fairShare.rankTeam(team, ledger.readUse(team));
-      for (const group of queue.listClasses(team)) {
-        if (group.isBlocked(this.#version) || group.findFirst(now) === undefined) continue;
-        const rank = group.urgent ? teamRank - 1e6 : teamRank;
-        if (rank < bestRank) {
-          best = group;
-          bestRank = rank;
-        }
-      }
+    const { fleet, queue, ledger, fairShare } = this.#parts;
+    const { order } = queue;
+    for (const team of ledger.takeChanged()) {
+      order.touchTeam(team);
+      order.retryTeam(team);
+    }
+    for (const [worker, before] of fleet.index.takeChanged()) {
+      order.noteWorker(worker, before, fleet.index.readFree(worker));
     }
-    return best;
+    if (this.#fleetVersion !== fleet.version) {
+      this.#fleetVersion = fleet.version;
+      order.retryAll();
+      order.touchAllTeams();
+    }
+    if (now - this.#rankedAt > maxRankAgeMs) {
+      this.#rankedAt = now;
+      order.touchAllTeams();
+    }
+    order.rankTeams((team) => fairShare.rankTeam(team, ledger.readUse(team)));
+    return order.findNext();
   }
 
-  #start(record: RequestRecord, now: number): boolean {
+  #start(record: RequestRecord, group: RequestClass, now: number): boolean {
     const { request } = record;
     const pending = record.pendingIndexes;
     const count = this.#limitCount(request, pending.length);
     if (count === 0) {
       record.setReason(this.#explainLimit(request.team));
+      this.#parts.queue.order.limitClass(group);
       return false;
     }
-    const { fleet, preemption } = this.#parts;
+    const { fleet, preemption, queue } = this.#parts;
+    const occupied = this.#listOccupied(record);
+    const candidates = queue.order.findCandidates(group);
+    const source = candidates === undefined ? fleet.index : new CandidateSource(candidates);
     const place = (): readonly WorkerRecord[] =>
-      placements[request.kind].place(request, count, fleet);
+      placements[request.kind].place(request, count, source, occupied);
     const workers = request.urgent ? preemption.placeUrgent(place) : place();
-    const isPartialGang = request.kind === 'gang' && workers.length < pending.length;
-    if (workers.length === 0 || isPartialGang) {
+    if (workers.length === 0 || (group.isGang && workers.length < count)) {
       record.setReason('waits for free capacity on suitable workers');
+      queue.order.blockShape(group, workers.length);
       return false;
     }
     this.#parts.queue.remove(record);
@@ -160,6 +173,12 @@
     return true;
   }
 
+  #listOccupied(record: RequestRecord): readonly WorkerRecord[] {
+    return record.activeTasks
+      .map(({ worker }) => this.#parts.fleet.find(worker))
+      .filter((worker) => worker !== undefined);
+  }
+
   /** Number of tasks that the limit of the team admits. */
   #limitCount({ team, size, kind }: Request, wanted: number): number {
     const { ledger, recovery } = this.#parts;
--- a/packages/core/src/Fleet.ts
+++ b/packages/core/src/Fleet.ts
@@ -1,13 +1,15 @@
 import type { HostRecord, Report, Resources } from '@toucanline/schema';
-import { addResources } from './addResources.js';
+import { FleetIndex } from './FleetIndex.js';
 import type { ShardContext } from './ShardContext.js';
 import { WorkerRecord } from './WorkerRecord.js';
-import { zeroResources } from './zeroResources.js';
 
 /** All workers of a shard. */
 export class Fleet {
+  /** Workers by free capacity. */
+  public readonly index = new FleetIndex();
   readonly #context: ShardContext;
   readonly #workers = new Map<string, WorkerRecord>();
+  #list: readonly WorkerRecord[] | undefined;
   #version = 0;
 
   /** @param context - what the parts of the shard share */
@@ -15,27 +17,28 @@
     this.#context = context;
   }
 
-  /** Grows with each change that may let waiting work fit. */
+  /** Grows with each change, other than of single workers, that may let waiting work start. */
   public get version(): number {
     return this.#version;
   }
 
   /** Known workers. */
   public get workers(): readonly WorkerRecord[] {
-    return [...this.#workers.values()];
+    this.#list ??= [...this.#workers.values()];
+    return this.#list;
   }
 
   /** Capacity of all workers that reported. */
   public get room(): Resources {
-    return this.#sum((worker) => (worker.isLapsed ? zeroResources : worker.room));
+    return this.index.room;
   }
 
   /** Free capacity of all workers that may take work. */
   public get free(): Resources {
-    return this.#sum((worker) => (worker.isEligible ? worker.free : zeroResources));
+    return this.index.free;
   }
 
-  /** Notes a change that may let waiting work fit. */
+  /** Notes a change, other than of single workers, that may let waiting work start. */
   public touch(): void {
     this.#version += 1;
   }
@@ -67,6 +70,8 @@
       const isGone = worker.isLapsed || !worker.hasReported;
       if (listed.has(worker.id) || !isGone || worker.tasks.length > 0) continue;
       this.#workers.delete(worker.id);
+      this.#list = undefined;
+      this.index.delete(worker);
       this.#context.recorder.record('workerLost', { worker: worker.id });
     }
   }
@@ -86,7 +91,6 @@
     const wasLeaving = worker.isLeaving;
     worker.applyReport(report, sentAt, clock.now());
     this.#noteLeaving(worker, wasLeaving, 'worker report');
-    this.touch();
   }
 
   /**
@@ -104,7 +108,11 @@
   }
 
   #addWorker(host: HostRecord): void {
-    this.#workers.set(host.id, new WorkerRecord(host));
+    const worker = new WorkerRecord(host, (changed) => {
+      this.index.update(changed);
+    });
+    this.#workers.set(host.id, worker);
+    this.#list = undefined;
     this.#context.emit({ effect: 'poll', worker: host.id });
   }
 
@@ -118,10 +126,4 @@
     if (wasLeaving || !worker.isLeaving) return;
     this.#context.recorder.record('workerLeaving', { worker: worker.id, detail });
   }
-
-  #sum(read: (worker: WorkerRecord) => Resources): Resources {
-    let total = zeroResources;
-    for (const worker of this.#workers.values()) total = addResources(total, read(worker));
-    return total;
-  }
 }
--- /dev/null
+++ b/packages/core/src/FleetIndex.ts
@@ -0,0 +1,155 @@
+import type { Request, Resources } from '@toucanline/schema';
+import { addResources } from './addResources.js';
+import { calculateDominantShare } from './calculateDominantShare.js';
+import { CapacityIndex } from './CapacityIndex.js';
+import { subtractResources } from './subtractResources.js';
+import type { WorkerRecord } from './WorkerRecord.js';
+import { WorkerSource } from './WorkerSource.js';
+import { zeroResources } from './zeroResources.js';
+
+/** Workers of one type of accelerator and about the same speed, the fullest one first. */
+interface WorkerGroup {
+  readonly acceleratorType: string | undefined;
+  readonly hasAccelerators: boolean;
+  readonly speedClass: number;
+  readonly index: CapacityIndex<WorkerRecord>;
+}
+
+/** What the index holds of one worker. */
+interface Indexed {
+  readonly group: WorkerGroup | undefined;
+  readonly free: Resources;
+  readonly room: Resources;
+}
+
+/** Workers whose speeds differ by less than this factor count as equally fast. */
+const speedStep = 1.25;
+
+/** Index of the workers of a shard by free capacity, with running totals. */
+export class FleetIndex extends WorkerSource {
+  readonly #groups = new Map<string, WorkerGroup>();
+  readonly #indexed = new Map<WorkerRecord, Indexed>();
+  #changed = new Map<WorkerRecord, Resources>();
+  #free = zeroResources;
+  #room = zeroResources;
+
+  /** Capacity of all workers with a valid lease. */
+  public get room(): Resources {
+    return this.#room;
+  }
+
+  /** Free capacity of all workers that may take work. */
+  public get free(): Resources {
+    return this.#free;
+  }
+
+  /**
+   * Takes the workers whose free capacity changed.
+   *
+   * @returns the workers, with what they had free at the last call
+   */
+  public takeChanged(): ReadonlyMap<WorkerRecord, Resources> {
+    const changed = this.#changed;
+    if (changed.size > 0) this.#changed = new Map();
+    return changed;
+  }
+
+  /**
+   * Reads what a worker has free for new tasks.
+   *
+   * @param worker - the worker
+   * @returns the amount; zero if it may not take any
+   */
+  public readFree(worker: WorkerRecord): Resources {
+    return this.#indexed.get(worker)?.free ?? zeroResources;
+  }
+
+  /**
+   * Brings the index up to date after a change of a worker.
+   *
+   * @param worker - the worker
+   */
+  public update(worker: WorkerRecord): void {
+    const before = this.#indexed.get(worker);
+    const group = worker.isEligible ? this.#findGroup(worker) : undefined;
+    const free = group === undefined ? zeroResources : worker.free;
+    const room = worker.isLapsed ? zeroResources : worker.room;
+    const hasSameFree = before !== undefined && this.#isEqual(before.free, free);
+    const hasSameRoom = before !== undefined && this.#isEqual(before.room, room);
+    if (before?.group === group && hasSameFree && hasSameRoom) return;
+    this.#indexed.set(worker, { group, free, room });
+    if (!this.#changed.has(worker)) this.#changed.set(worker, before?.free ?? zeroResources);
+    this.#free = subtractResources(addResources(this.#free, free), before?.free ?? zeroResources);
+    this.#room = subtractResources(addResources(this.#room, room), before?.room ?? zeroResources);
+    if (before?.group !== group) before?.group?.index.delete(worker);
+    group?.index.set(worker, free, calculateDominantShare(free, room));
+  }
+
+  /**
+   * Removes a worker.
+   *
+   * @param worker - the worker
+   */
+  public delete(worker: WorkerRecord): void {
+    const before = this.#indexed.get(worker);
+    if (before === undefined) return;
+    before.group?.index.delete(worker);
+    this.#free = subtractResources(this.#free, before.free);
+    this.#room = subtractResources(this.#room, before.room);
+    this.#indexed.delete(worker);
+    if (!this.#changed.has(worker)) this.#changed.set(worker, before.free);
+  }
+
+  /** {@inheritDoc WorkerSource.listFitting} */
+  public override *listFitting(
+    { size, acceleratorType }: Request,
+    prefersFast: boolean,
+    prefersFull: boolean,
+  ): Generator<WorkerRecord> {
+    for (const { index } of this.#listGroups(size, acceleratorType, prefersFast)) {
+      yield* prefersFull ? index.findRising(size) : index.findFalling(size);
+    }
+  }
+
+  #listGroups(
+    size: Resources,
+    acceleratorType: string | undefined,
+    prefersFast: boolean,
+  ): readonly WorkerGroup[] {
+    const needsAccelerators = size.accelerators > 0;
+    const direction = prefersFast ? -1 : 1;
+    return [...this.#groups.values()]
+      .filter(
+        (group) =>
+          group.index.size > 0 &&
+          (!needsAccelerators || group.hasAccelerators) &&
+          (acceleratorType === undefined || group.acceleratorType === acceleratorType),
+      )
+      .sort(
+        (left, right) =>
+          Number(left.hasAccelerators) - Number(right.hasAccelerators) ||
+          direction * (left.speedClass - right.speedClass),
+      );
+  }
+
+  #isEqual(left: Resources, right: Resources): boolean {
+    return (
+      left.processors === right.processors &&
+      left.memoryMb === right.memoryMb &&
+      left.accelerators === right.accelerators
+    );
+  }
+
+  #findGroup(worker: WorkerRecord): WorkerGroup {
+    const { acceleratorType, room, speed } = worker;
+    const speedClass = Math.round(Math.log(speed) / Math.log(speedStep));
+    const hasAccelerators = room.accelerators > 0;
+    const name = `${acceleratorType ?? ''}|${hasAccelerators}|${speedClass}`;
+    const known = this.#groups.get(name);
+    if (known !== undefined) return known;
+    const index = new CapacityIndex<WorkerRecord>();
+    const created = { acceleratorType, hasAccelerators, speedClass, index };
+    this.#groups.set(name, created);
+    return created;
+  }
+}
--- a/packages/core/src/GangPlacement.ts
+++ b/packages/core/src/GangPlacement.ts
@@ -1,4 +1,7 @@
 import { BatchPlacement } from './BatchPlacement.js';
 
-/** Places all tasks of a gang at the same time, packed tightly, or none. */
+/**
+ * Places the tasks of a gang tightly. The dispatcher starts them only if all were placed; the number
+ * that was placed tells how much is missing.
+ */
 export class GangPlacement extends BatchPlacement {}
--- /dev/null
+++ b/packages/core/src/IndexedHeap.ts
@@ -0,0 +1,95 @@
+/** Entry of the heap. */
+interface HeapEntry<T> {
+  readonly item: T;
+  readonly key: number;
+  readonly tie: number;
+}
+
+const isBefore = <T>(left: HeapEntry<T>, right: HeapEntry<T>): boolean =>
+  left.key < right.key || (left.key === right.key && left.tie < right.tie);
+
+/** Binary heap whose items can be moved and removed: the item with the lowest key is on top. */
+export class IndexedHeap<T> {
+  readonly #entries: HeapEntry<T>[] = [];
+  readonly #positions = new Map<T, number>();
+
+  /** Number of items. */
+  public get size(): number {
+    return this.#entries.length;
+  }
+
+  /** Item with the lowest key, if there is any. */
+  public get first(): T | undefined {
+    return this.#entries[0]?.item;
+  }
+
+  /** Key of the first item; infinite if there is none. */
+  public get firstKey(): number {
+    return this.#entries[0]?.key ?? Infinity;
+  }
+
+  /**
+   * Adds an item or changes its key.
+   *
+   * @param item - the item
+   * @param key - its key
+   * @param tie - order among items with the same key
+   */
+  public set(item: T, key: number, tie = 0): void {
+    const position = this.#positions.get(item) ?? this.#entries.length;
+    const entry = { item, key, tie };
+    this.#put(position, entry);
+    if (!this.#raise(position, entry)) this.#lower(position, entry);
+  }
+
+  /**
+   * Removes an item.
+   *
+   * @param item - the item
+   * @returns true if it was in the heap
+   */
+  public delete(item: T): boolean {
+    const position = this.#positions.get(item);
+    if (position === undefined) return false;
+    this.#positions.delete(item);
+    const last = this.#entries.pop();
+    if (last !== undefined && last.item !== item) {
+      this.#put(position, last);
+      if (!this.#raise(position, last)) this.#lower(position, last);
+    }
+    return true;
+  }
+
+  #put(position: number, entry: HeapEntry<T>): void {
+    this.#entries[position] = entry;
+    this.#positions.set(entry.item, position);
+  }
+
+  #raise(start: number, entry: HeapEntry<T>): boolean {
+    let position = start;
+    while (position > 0) {
+      const above = (position - 1) >> 1;
+      const parent = this.#entries[above];
+      if (parent === undefined || !isBefore(entry, parent)) break;
+      this.#put(position, parent);
+      position = above;
+    }
+    if (position !== start) this.#put(position, entry);
+    return position !== start;
+  }
+
+  #lower(start: number, entry: HeapEntry<T>): void {
+    let position = start;
+    for (;;) {
+      const left = this.#entries[2 * position + 1];
+      const right = this.#entries[2 * position + 2];
+      if (left === undefined) break;
+      const isRight = right !== undefined && isBefore(right, left);
+      const child = isRight ? right : left;
+      if (!isBefore(child, entry)) break;
+      this.#put(position, child);
+      position = 2 * position + (isRight ? 2 : 1);
+    }
+    if (position !== start) this.#put(position, entry);
+  }
+}
--- a/packages/core/src/Placement.ts
+++ b/packages/core/src/Placement.ts
@@ -1,6 +1,6 @@
 import type { Request } from '@toucanline/schema';
-import type { Fleet } from './Fleet.js';
 import type { WorkerRecord } from './WorkerRecord.js';
+import type { WorkerSource } from './WorkerSource.js';
 
 /** Policy that chooses workers for the tasks of a request. */
 export abstract class Placement {
@@ -9,8 +9,14 @@
    *
    * @param request - the request
    * @param count - number of tasks to place
-   * @param fleet - workers of the shard
+   * @param source - workers to choose from
+   * @param occupied - workers that run other tasks of the request
    * @returns one worker per task that fits, the same one repeatedly if it takes several
    */
-  public abstract place(request: Request, count: number, fleet: Fleet): readonly WorkerRecord[];
+  public abstract place(
+    request: Request,
+    count: number,
+    source: WorkerSource,
+    occupied: readonly WorkerRecord[],
+  ): readonly WorkerRecord[];
 }
--- a/packages/core/src/RequestClass.ts
+++ b/packages/core/src/RequestClass.ts
@@ -1,38 +1,63 @@
+import type { Resources } from '@toucanline/schema';
+import { IndexedHeap } from './IndexedHeap.js';
 import type { RequestRecord } from './RequestRecord.js';
 
-/**
- * Waiting requests that are equal for placement. If the first one does not fit, none does, so that a
- * blocked class is tested once per change of the fleet.
- */
+/** Waiting requests that are equal for placement, in the order of their arrival. */
 export class RequestClass {
   public readonly name: string;
   public readonly team: string;
   public readonly urgent: boolean;
-  readonly #records = new Set<RequestRecord>();
-  #blockedAt = -1;
+  public readonly isGang: boolean;
+  public readonly size: Resources;
+  public readonly acceleratorType: string | undefined;
+  /** Tasks that have to start together. */
+  public readonly atOnce: number;
+  /** Equal for all classes that fit on the same workers. */
+  public readonly shape: string;
+  readonly #records = new IndexedHeap<RequestRecord>();
 
   /**
    * @param name - name of the class
    * @param record - its first request
    */
-  public constructor(name: string, record: RequestRecord) {
+  public constructor(name: string, { request }: RequestRecord) {
+    const { team, urgent, kind, size, acceleratorType, tasks } = request;
+    const { processors, memoryMb, accelerators } = size;
     this.name = name;
-    this.team = record.request.team;
-    this.urgent = record.request.urgent;
+    this.team = team;
+    this.urgent = urgent;
+    this.isGang = kind === 'gang';
+    this.size = size;
+    this.acceleratorType = acceleratorType;
+    // Other kinds start task by task, so the number of tasks does not decide whether they fit.
+    this.atOnce = this.isGang ? tasks : 1;
+    const parts = [processors, memoryMb, accelerators, acceleratorType ?? '', this.atOnce];
+    this.shape = [...parts, this.isGang, urgent].join('|');
   }
 
   /** Number of waiting requests. */
-  public get size(): number {
+  public get count(): number {
     return this.#records.size;
   }
 
+  /** Oldest request, if there is any. */
+  public get first(): RequestRecord | undefined {
+    return this.#records.first;
+  }
+
+  /** Position of the oldest request in the order of arrival. */
+  public get firstOrder(): number {
+    return this.#records.firstKey;
+  }
+
   /**
-   * Adds a request behind the others.
+   * Adds a request at its place in the order of arrival.
    *
    * @param record - the request
+   * @param order - its position
    */
-  public add(record: RequestRecord): void {
-    this.#records.add(record);
+  public add(record: RequestRecord, order: number): void {
+    this.#records.set(record, order);
   }
 
   /**
@@ -43,43 +68,4 @@
   public remove(record: RequestRecord): void {
     this.#records.delete(record);
   }
-
-  /**
-   * Lists the waiting requests.
-   *
-   * @returns the requests, oldest first
-   */
-  public list(): readonly RequestRecord[] {
-    return [...this.#records];
-  }
-
-  /**
-   * Finds the oldest request that may start.
-   *
-   * @param now - local monotonic time in milliseconds
-   * @returns the request; undefined if all wait for a retry delay
-   */
-  public findFirst(now: number): RequestRecord | undefined {
-    for (const record of this.#records) if (record.notBefore <= now) return record;
-    return undefined;
-  }
-
-  /**
-   * Notes that the class does not fit.
-   *
-   * @param version - version of fleet and limits
-   */
-  public block(version: number): void {
-    this.#blockedAt = version;
-  }
-
-  /**
-   * Checks whether the class is known not to fit.
-   *
-   * @param version - version of fleet and limits
-   * @returns true if nothing changed since it did not fit
-   */
-  public isBlocked(version: number): boolean {
-    return this.#blockedAt === version;
-  }
 }
--- a/packages/core/src/ServicePlacement.ts
+++ b/packages/core/src/ServicePlacement.ts
@@ -1,27 +1,80 @@
 import type { Request } from '@toucanline/schema';
 import { calculateDominantShare } from './calculateDominantShare.js';
-import { RankedPlacement } from './RankedPlacement.js';
+import { coversResources } from './coversResources.js';
+import { Placement } from './Placement.js';
+import { subtractResources } from './subtractResources.js';
 import type { WorkerRecord } from './WorkerRecord.js';
+import type { WorkerSource } from './WorkerSource.js';
 
 /** Rank of a rack or worker that runs a task of the same request already. */
 const sameRackPenalty = 10;
 const sameWorkerPenalty = 100;
 const acceleratorPenalty = 5;
+/** A worker of twice the speed is chosen over one that is emptier by this share. */
+const speedWeight = 0.5;
+/** Bounds of one search, so that its cost does not grow with the fleet. */
+const maxVisits = 192;
+const maxCandidates = 48;
+const maxPerRack = 3;
 
-/** Spreads the tasks of a service over racks and workers. */
-export class ServicePlacement extends RankedPlacement {
-  /** {@inheritDoc RankedPlacement.rankWorker} */
-  protected override rankWorker(
-    worker: WorkerRecord,
+/** Spreads the tasks of a service over racks and workers and prefers faster, emptier workers. */
+export class ServicePlacement extends Placement {
+  /** {@inheritDoc Placement.place} */
+  public override place(
     request: Request,
-    chosen: readonly WorkerRecord[],
-  ): number {
-    let rank = 1 - calculateDominantShare(worker.free, worker.room);
-    for (const earlier of chosen) {
-      if (earlier.rack === worker.rack) rank += sameRackPenalty;
-      if (earlier === worker) rank += sameWorkerPenalty;
+    count: number,
+    source: WorkerSource,
+    occupied: readonly WorkerRecord[],
+  ): readonly WorkerRecord[] {
+    const candidates = this.#findCandidates(request, count, source);
+    const racks = new Map<string, number>();
+    const tasks = new Map<WorkerRecord, number>();
+    const note = (worker: WorkerRecord): void => {
+      racks.set(worker.rack, (racks.get(worker.rack) ?? 0) + 1);
+      tasks.set(worker, (tasks.get(worker) ?? 0) + 1);
+    };
+    for (const worker of occupied) note(worker);
+    const free = new Map(candidates.map((worker) => [worker, worker.free]));
+    const chosen: WorkerRecord[] = [];
+    while (chosen.length < count) {
+      let best: WorkerRecord | undefined;
+      let bestRank = Infinity;
+      for (const [worker, left] of free) {
+        const rank =
+          this.#rankWorker(worker, request) +
+          (racks.get(worker.rack) ?? 0) * sameRackPenalty +
+          (tasks.get(worker) ?? 0) * sameWorkerPenalty;
+        if (rank >= bestRank || !coversResources(left, request.size)) continue;
+        best = worker;
+        bestRank = rank;
+      }
+      if (best === undefined) break;
+      chosen.push(best);
+      note(best);
+      free.set(best, subtractResources(free.get(best) ?? best.free, request.size));
     }
+    return chosen;
+  }
+
+  #rankWorker(worker: WorkerRecord, request: Request): number {
     const wastes = request.size.accelerators === 0 && worker.room.accelerators > 0;
-    return rank + (wastes ? acceleratorPenalty : 0);
+    const used = 1 - calculateDominantShare(worker.free, worker.room);
+    return used - speedWeight * Math.log2(worker.speed) + (wastes ? acceleratorPenalty : 0);
+  }
+
+  /** Fastest and emptiest workers, not more than a few per rack. */
+  #findCandidates(request: Request, count: number, source: WorkerSource): readonly WorkerRecord[] {
+    const candidates: WorkerRecord[] = [];
+    const perRack = Math.max(maxPerRack, Math.ceil(count / 4));
+    const racks = new Map<string, number>();
+    let visits = 0;
+    for (const worker of source.listFitting(request, true, false)) {
+      const known = racks.get(worker.rack) ?? 0;
+      racks.set(worker.rack, known + 1);
+      if (known < perRack) candidates.push(worker);
+      visits += 1;
+      if (visits >= maxVisits + count || candidates.length >= maxCandidates + count) break;
+    }
+    return candidates;
   }
 }
--- a/packages/core/src/TaskTracker.ts
+++ b/packages/core/src/TaskTracker.ts
@@ -220,7 +220,6 @@
       const record = this.#parts.table.find(task.assignment.request.id);
       if (record !== undefined) this.#loseTask(record, task, detail);
     }
-    this.#parts.fleet.touch();
   }
 
   #loseTask(record: RequestRecord, task: TaskRecord, detail: string): void {
@@ -233,6 +232,5 @@
     const { team, size } = task.assignment.request;
     this.#parts.fleet.find(task.worker)?.removeTask(task.id);
     this.#parts.ledger.release(team, size);
-    this.#parts.fleet.touch();
   }
 }
--- a/packages/core/src/TeamLedger.ts
+++ b/packages/core/src/TeamLedger.ts
@@ -8,6 +8,7 @@
 export class TeamLedger {
   readonly #use = new Map<string, Resources>();
   #allotments: ReadonlyMap<string, Resources> = new Map();
+  #changed = new Set<string>();
   #version = 0;
 
   /** Grows with each change that may let waiting work start. */
@@ -20,6 +21,17 @@
     return this.#use;
   }
 
+  /**
+   * Takes the teams whose use or allotment changed.
+   *
+   * @returns the teams that changed since the last call
+   */
+  public takeChanged(): ReadonlySet<string> {
+    const changed = this.#changed;
+    if (changed.size > 0) this.#changed = new Set();
+    return changed;
+  }
+
   /**
    * Sets what each team may run in this shard.
    *
@@ -27,6 +39,7 @@
    */
   public setAllotments(allotments: ReadonlyMap<string, Resources>): void {
     const former = this.#allotments;
+    for (const team of [...this.#allotments.keys(), ...allotments.keys()]) this.#changed.add(team);
     this.#allotments = allotments;
     const hasGrown = [...former].some(([team, amount]) => {
       const current = allotments.get(team);
@@ -78,6 +91,7 @@
    */
   public charge(team: string, amount: Resources): void {
     this.#use.set(team, addResources(this.readUse(team), amount));
+    this.#changed.add(team);
   }
 
   /**
@@ -88,6 +102,7 @@
    */
   public release(team: string, amount: Resources): void {
     this.#use.set(team, subtractResources(this.readUse(team), amount));
+    this.#changed.add(team);
     this.#version += 1;
   }
 }
--- a/packages/core/src/UrgentPreemption.ts
+++ b/packages/core/src/UrgentPreemption.ts
@@ -79,14 +79,7 @@
   }
 
   #listUrgent(): readonly RequestRecord[] {
-    const records: RequestRecord[] = [];
-    const now = this.#context.clock.now();
-    for (const team of this.#parts.queue.teams) {
-      for (const group of this.#parts.queue.listClasses(team)) {
-        if (!group.urgent) continue;
-        records.push(...group.list().filter(({ notBefore }) => notBefore <= now));
-      }
-    }
+    const records = [...this.#parts.queue.urgent];
     return records.sort((left, right) => left.arrivedAt - right.arrivedAt).slice(0, maxVictims);
   }
 
--- a/packages/core/src/WorkerRecord.ts
+++ b/packages/core/src/WorkerRecord.ts
@@ -26,11 +26,17 @@
   #lapsed = false;
   #wantsFull = true;
   #restarted = false;
+  #held: Resources = zeroResources;
+  readonly #onChange: (worker: WorkerRecord) => void;
 
-  /** @param host - the worker's record in the host list */
-  public constructor(host: HostRecord) {
+  /**
+   * @param host - the worker's record in the host list
+   * @param onChange - called after each change of capacity or eligibility
+   */
+  public constructor(host: HostRecord, onChange: (worker: WorkerRecord) => void = () => undefined) {
     this.id = host.id;
     this.#host = host;
+    this.#onChange = onChange;
   }
 
   /** Address of the worker's interface. */
@@ -63,8 +69,13 @@
     return this.#allocated;
   }
 
-  /** Capacity that is left. */
+  /** Capacity that is left and not reserved. */
   public get free(): Resources {
+    return subtractResources(this.unallocated, this.#held);
+  }
+
+  /** Capacity that no task occupies, reserved capacity included. */
+  public get unallocated(): Resources {
     return subtractResources(this.room, this.#allocated);
   }
 
@@ -141,11 +152,13 @@
    */
   public setHost(host: HostRecord): void {
     this.#host = host;
+    this.#onChange(this);
   }
 
   /** Notes that the worker is leaving. */
   public markLeaving(): void {
     this.#leaving = true;
+    this.#onChange(this);
   }
 
   /**
@@ -155,6 +168,7 @@
    */
   public setDrained(drained: boolean): void {
     this.#drained = drained;
+    this.#onChange(this);
   }
 
   /**
@@ -164,6 +178,17 @@
    */
   public setQuarantined(quarantined: boolean): void {
     this.#quarantined = quarantined;
+    this.#onChange(this);
+  }
+
+  /**
+   * Keeps capacity for a gang; it may be more than is free now.
+   *
+   * @param held - amount that other work may not take
+   */
+  public hold(held: Resources): void {
+    this.#held = held;
+    this.#onChange(this);
   }
 
   /**
@@ -173,6 +198,7 @@
    */
   public setReserved(reserved: boolean): void {
     this.#reserved = reserved;
+    this.#onChange(this);
   }
 
   /** Asks for a full report with the next renewal. */
@@ -190,6 +216,7 @@
   public markLapsed(): void {
     this.#lapsed = true;
     this.#wantsFull = true;
+    this.#onChange(this);
   }
 
   /**
@@ -216,6 +243,7 @@
     this.#restarted = false;
     this.#leaving = report.state === 'leaving';
     if (report.full) this.#wantsFull = false;
+    this.#onChange(this);
   }
 
   /**
@@ -259,6 +287,7 @@
     let sum = zeroResources;
     for (const task of this.#tasks.values()) sum = addResources(sum, task.charge);
     this.#allocated = sum;
+    this.#onChange(this);
   }
 
   /**
--- /dev/null
+++ b/packages/core/src/countTasks.ts
@@ -0,0 +1,28 @@
+import type { Resources } from '@toucanline/schema';
+
+/** Tolerance for sums of fractional amounts, as in `coversResources`. */
+const tolerance = 1e-6;
+
+/** Most tasks that a request may have; keeps the count finite for a size of zero. */
+const maxTasks = 1000;
+
+const divide = (free: number, needed: number): number =>
+  needed > 0 ? Math.floor((free + tolerance) / needed) : maxTasks;
+
+/**
+ * Counts how many tasks of one size fit into an amount.
+ *
+ * @param free - amount that is available
+ * @param size - size of one task
+ * @returns the number of tasks, at most 1000
+ */
+export const countTasks = (free: Resources, size: Resources): number =>
+  Math.max(
+    0,
+    Math.min(
+      maxTasks,
+      divide(free.processors, size.processors),
+      divide(free.memoryMb, size.memoryMb),
+      divide(free.accelerators, size.accelerators),
+    ),
+  );
