Reserve capacity for the oldest blocked gang

Cause: small tasks took every gap, so a gang that needs many workers at once waited for as long as small work arrived.

Change: the oldest gang that waits for capacity and is within its team's limit reserves the workers expected to have room first. Nothing else starts in reserved capacity, so there is no backfill and no delay by it. One gang per shard reserves at a time. A gang that does not fit even when all work that ends has ended reserves nothing.

--- a/packages/core/src/DispatchOrder.ts
+++ b/packages/core/src/DispatchOrder.ts
@@ -49,19 +49,6 @@
   readonly #unranked = new Set<string>();
   readonly #queuesOf = new Map<string, Set<ShapeQueue>>();
 
-  /** Oldest waiting class of each blocked shape whose tasks have to start together. */
-  public get blockedGangs(): readonly RequestClass[] {
-    const gangs: RequestClass[] = [];
-    for (const [shape, { isGang }] of this.#blocked) {
-      if (!isGang) continue;
-      for (const lane of [this.#urgent, this.#normal]) {
-        const first = lane.queues.get(shape)?.first;
-        if (first !== undefined) gangs.push(first);
-      }
-    }
-    return gangs;
-  }
-
   /**
    * Brings the order up to date after a change of a class.
    *
@@ -183,6 +170,22 @@
     for (const [shape, { urgent }] of this.#blocked) if (urgent) this.#reopen(shape);
   }
 
+  /**
+   * Lists the classes of gangs that wait for capacity.
+   *
+   * @returns the classes by the arrival of their oldest request
+   */
+  public listBlockedGangs(): readonly RequestClass[] {
+    const gangs: RequestClass[] = [];
+    for (const [shape, { isGang }] of this.#blocked) {
+      if (!isGang) continue;
+      for (const { queues } of [this.#urgent, this.#normal]) {
+        gangs.push(...(queues.get(shape)?.listGroups() ?? []));
+      }
+    }
+    return gangs.sort((left, right) => left.firstOrder - right.firstOrder);
+  }
+
   /**
    * Tries a shape again.
    *
--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -5,6 +5,7 @@
 import { coversResources } from './coversResources.js';
 import type { FairShare } from './FairShare.js';
 import type { Fleet } from './Fleet.js';
+import { GangReservation } from './GangReservation.js';
 import { GangPlacement } from './GangPlacement.js';
 import { periods } from './periods.js';
 import type { Placement } from './Placement.js';
@@ -29,6 +30,11 @@
 /** Remote use and decay change the rank of teams that start nothing here; ranks are refreshed. */
 const maxRankAgeMs = 100;
 
+/** Interval after which a reservation follows the end of other work that came late or early. */
+const replanMs = 5000;
+/** Interval between searches for a gang that can reserve. */
+const retryPlanMs = 100;
+
 /** Parts of the shard that the dispatcher reads and changes. */
 interface DispatcherParts {
   readonly fleet: Fleet;
@@ -47,6 +53,8 @@
   #nextTicket = 1;
   #fleetVersion = -1;
   #rankedAt = -Infinity;
+  readonly #reservation: GangReservation;
+  #plannedAt = -Infinity;
 
   /**
    * @param context - what the parts of the shard share
@@ -55,6 +63,7 @@
   public constructor(context: ShardContext, parts: DispatcherParts) {
     this.#context = context;
     this.#parts = parts;
+    this.#reservation = new GangReservation(parts.fleet);
   }
 
   /**
@@ -68,10 +77,14 @@
     this.#parts.queue.releaseDue(now);
     // Workers reserved for urgent work are not in the index, so changes of them are not noticed.
     if (this.#parts.preemption.size > 0) this.#parts.queue.order.retryUrgent();
+    this.#serveReservation(now);
     for (let starts = 0; starts < maxStarts;) {
       const group = this.#chooseClass(now);
       const record = group?.first;
-      if (group === undefined || record === undefined) return false;
+      if (group === undefined || record === undefined) {
+        this.#planReservation(now);
+        return false;
+      }
       if (this.#start(record, group, now)) starts += 1;
     }
     return true;
@@ -141,6 +154,36 @@
     return order.findNext();
   }
 
+  /** Starts the gang that reserved capacity once all of it is free. */
+  #serveReservation(now: number): void {
+    const { record, isReady } = this.#reservation;
+    if (record === undefined) return;
+    const group = this.#parts.queue.findClass(record);
+    if (group === undefined) this.#reservation.release();
+    else if (isReady) {
+      this.#reservation.release();
+      this.#parts.queue.order.retryShape(group.shape);
+      this.#start(record, group, now);
+    }
+  }
+
+  /** Lets the oldest gang that waits for capacity reserve it. */
+  #planReservation(now: number): void {
+    const { queue, ledger, recovery } = this.#parts;
+    const isActive = this.#reservation.record !== undefined && !this.#reservation.isBroken;
+    if (!recovery.isComplete || now - this.#plannedAt < (isActive ? replanMs : retryPlanMs)) return;
+    const gangs = queue.order.listBlockedGangs();
+    if (gangs.length === 0 && !isActive) return;
+    this.#plannedAt = now;
+    for (const { first } of gangs) {
+      if (first === undefined) continue;
+      const { team, size, tasks } = first.request;
+      if (!ledger.canCharge(team, scaleResources(size, tasks))) continue;
+      if (this.#reservation.reserve(first, now)) return;
+    }
+    this.#reservation.release();
+  }
+
   #start(record: RequestRecord, group: RequestClass, now: number): boolean {
     const { request } = record;
     const pending = record.pendingIndexes;
--- /dev/null
+++ b/packages/core/src/GangReservation.ts
@@ -0,0 +1,135 @@
+import type { Request } from '@toucanline/schema';
+import { addResources } from './addResources.js';
+import { countTasks } from './countTasks.js';
+import { coversResources } from './coversResources.js';
+import type { Fleet } from './Fleet.js';
+import type { RequestRecord } from './RequestRecord.js';
+import { scaleResources } from './scaleResources.js';
+import type { TaskRecord } from './TaskRecord.js';
+import type { WorkerRecord } from './WorkerRecord.js';
+import { zeroResources } from './zeroResources.js';
+
+/** Room for some tasks on one worker from a time on. */
+interface Slots {
+  readonly worker: WorkerRecord;
+  readonly count: number;
+  readonly freeAt: number;
+}
+
+/** Workers compared at least; more only if these have too little room. */
+const minCompared = 256;
+
+/**
+ * Capacity that is kept for one gang. The gang takes the workers that are expected to have room first;
+ * nothing else starts in the reserved capacity, so small tasks cannot delay the gang. One gang per shard
+ * reserves at a time, so two gangs never wait for each other.
+ */
+export class GangReservation {
+  readonly #fleet: Fleet;
+  readonly #plan = new Map<WorkerRecord, number>();
+  #record: RequestRecord | undefined;
+
+  /** @param fleet - workers of the shard */
+  public constructor(fleet: Fleet) {
+    this.#fleet = fleet;
+  }
+
+  /** Gang that reserves capacity, if there is one. */
+  public get record(): RequestRecord | undefined {
+    return this.#record;
+  }
+
+  /** Whether all reserved capacity is free. */
+  public get isReady(): boolean {
+    const size = this.#record?.request.size;
+    if (size === undefined) return false;
+    for (const [worker, count] of this.#plan) {
+      const needed = scaleResources(size, count);
+      if (!worker.isEligible || !coversResources(worker.unallocated, needed)) return false;
+    }
+    return true;
+  }
+
+  /** Whether a worker of the plan can take no new tasks any more. */
+  public get isBroken(): boolean {
+    for (const worker of this.#plan.keys()) if (!worker.isEligible) return true;
+    return false;
+  }
+
+  /**
+   * Reserves capacity for a gang, in place of an earlier reservation.
+   *
+   * @param record - the gang
+   * @param now - local monotonic time in milliseconds
+   * @returns false if the gang cannot fit even when all work that ends has ended
+   */
+  public reserve(record: RequestRecord, now: number): boolean {
+    this.release();
+    const { request } = record;
+    let missing = request.tasks;
+    const slots = this.#listSlots(request, now).sort((left, right) => left.freeAt - right.freeAt);
+    for (const { worker, count } of slots) {
+      if (missing === 0) break;
+      const taken = Math.min(count, missing);
+      this.#plan.set(worker, (this.#plan.get(worker) ?? 0) + taken);
+      missing -= taken;
+    }
+    if (missing > 0) {
+      this.#plan.clear();
+      return false;
+    }
+    this.#record = record;
+    for (const [worker, count] of this.#plan) {
+      worker.hold(scaleResources(request.size, count));
+    }
+    return true;
+  }
+
+  /** Gives the reserved capacity back. */
+  public release(): void {
+    for (const worker of this.#plan.keys()) worker.hold(zeroResources);
+    this.#plan.clear();
+    this.#record = undefined;
+  }
+
+  #listSlots(request: Request, now: number): Slots[] {
+    const slots: Slots[] = [];
+    let compared = 0;
+    let found = 0;
+    for (const worker of this.#fleet.workers) {
+      if (!worker.isEligible) continue;
+      if (!worker.isSuitable(request.size, request.acceleratorType)) continue;
+      if (compared >= minCompared && found >= 2 * request.tasks) break;
+      compared += 1;
+      for (const slot of this.#forecast(worker, request, now)) {
+        slots.push(slot);
+        found += slot.count;
+      }
+    }
+    return slots;
+  }
+
+  /** Services do not end, so the capacity they use is never expected to become free. */
+  #forecast(worker: WorkerRecord, { size }: Request, now: number): readonly Slots[] {
+    let free = worker.unallocated;
+    let known = countTasks(free, size);
+    const slots: Slots[] = known > 0 ? [{ worker, count: known, freeAt: now }] : [];
+    const ending = worker.tasks
+      .filter((task) => task.assignment.request.kind !== 'service')
+      .map((task) => ({ task, endsAt: this.#forecastEnd(task, worker, now) }))
+      .sort((left, right) => left.endsAt - right.endsAt);
+    for (const { task, endsAt } of ending) {
+      free = addResources(free, task.charge);
+      const count = countTasks(free, size);
+      if (count > known) slots.push({ worker, count: count - known, freeAt: endsAt });
+      known = Math.max(known, count);
+    }
+    return slots;
+  }
+
+  /** A task that runs longer than declared is expected to go on for as long as it is late. */
+  #forecastEnd(task: TaskRecord, worker: WorkerRecord, now: number): number {
+    const endsAt = task.placedAt + task.assignment.request.runTimeMs / worker.speed;
+    return endsAt > now ? endsAt : now + (now - endsAt);
+  }
+}
--- a/packages/core/src/ShapeQueue.ts
+++ b/packages/core/src/ShapeQueue.ts
@@ -40,6 +40,17 @@
     return this.#classes.has(team);
   }
 
+  /**
+   * Lists the first class of each team.
+   *
+   * @returns the classes in no particular order
+   */
+  public listGroups(): readonly RequestClass[] {
+    const groups: RequestClass[] = [];
+    for (const { first } of this.#classes.values()) if (first !== undefined) groups.push(first);
+    return groups;
+  }
+
   /**
    * Adds a class or moves it after a change of its oldest request.
    *
--- a/packages/core/src/WaitingQueue.ts
+++ b/packages/core/src/WaitingQueue.ts
@@ -109,6 +109,16 @@
     }
   }
 
+  /**
+   * Finds the class of a waiting request.
+   *
+   * @param record - the request
+   * @returns the class; undefined if the request does not wait or waits for a retry delay
+   */
+  public findClass(record: RequestRecord): RequestClass | undefined {
+    return this.#classOf.get(record);
+  }
+
   /**
    * Lists all waiting requests.
    *
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,6 +30,7 @@
 export { Fleet } from './Fleet.js';
 export { FleetIndex } from './FleetIndex.js';
 export { GangPlacement } from './GangPlacement.js';
+export { GangReservation } from './GangReservation.js';
 export { HostList } from './HostList.js';
 export { HybridClock } from './HybridClock.js';
 export { isAnswered } from './isAnswered.js';
