Put failing workers in quarantine and contain outgrown tasks

Cause: a worker that fails every task kept getting work, and a task that used more than it declared could fill its worker.

Retries prefer workers on which the request has not failed.

--- a/packages/core/src/BatchPlacement.ts
+++ b/packages/core/src/BatchPlacement.ts
@@ -15,17 +15,25 @@
     request: Request,
     count: number,
     source: WorkerSource,
+    _occupied: readonly WorkerRecord[],
+    avoided: ReadonlySet<string>,
   ): readonly WorkerRecord[] {
-    const { size, urgent } = request;
+    const { size } = request;
     const chosen: WorkerRecord[] = [];
-    for (const worker of source.listFitting(request, urgent, true)) {
+    const fill = (worker: WorkerRecord): boolean => {
       let free = worker.free;
       while (chosen.length < count && coversResources(free, size)) {
         chosen.push(worker);
         free = subtractResources(free, size);
       }
-      if (chosen.length >= count) break;
+      return chosen.length >= count;
+    };
+    const postponed: WorkerRecord[] = [];
+    for (const worker of source.listFitting(request, request.urgent, true)) {
+      if (avoided.has(worker.id)) postponed.push(worker);
+      else if (fill(worker)) return chosen;
     }
+    for (const worker of postponed) if (fill(worker)) break;
     return chosen;
   }
 }
--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -198,7 +198,7 @@
     const candidates = queue.order.findCandidates(group);
     const source = candidates === undefined ? fleet.index : new CandidateSource(candidates);
     const place = (): readonly WorkerRecord[] =>
-      placements[request.kind].place(request, count, source, occupied);
+      placements[request.kind].place(request, count, source, occupied, record.avoided);
     const workers = request.urgent ? preemption.placeUrgent(place) : place();
     if (workers.length === 0 || (group.isGang && workers.length < count)) {
       record.setReason('waits for free capacity on suitable workers');
--- a/packages/core/src/Placement.ts
+++ b/packages/core/src/Placement.ts
@@ -11,6 +11,7 @@
    * @param count - number of tasks to place
    * @param source - workers to choose from
    * @param occupied - workers that run other tasks of the request
+   * @param avoided - workers on which a task of the request failed; they are the last choice
    * @returns one worker per task that fits, the same one repeatedly if it takes several
    */
   public abstract place(
@@ -18,5 +19,6 @@
     count: number,
     source: WorkerSource,
     occupied: readonly WorkerRecord[],
+    avoided: ReadonlySet<string>,
   ): readonly WorkerRecord[];
 }
--- a/packages/core/src/Policy.ts
+++ b/packages/core/src/Policy.ts
@@ -6,6 +6,9 @@
 const defaultKeyGraceSeconds = 300;
 const defaultLowerLimitSeconds = 30;
 const defaultHalfLifeSeconds = 30;
+const defaultQuarantineFailures = 5;
+const defaultFirstProbeSeconds = 30;
+const defaultMaxFraction = 0.2;
 
 /** The configuration document with its defaults filled in. */
 export class Policy {
@@ -52,6 +55,20 @@
     return seconds * 1000;
   }
 
+  /** Failures before quarantine, delay of the first probe, largest part of the workers. */
+  public get quarantine(): {
+    readonly failures: number;
+    readonly firstProbeMs: number;
+    readonly maxFraction: number;
+  } {
+    const { failures, firstProbeSeconds, maxFraction } = this.#document.quarantine ?? {};
+    return {
+      failures: failures ?? defaultQuarantineFailures,
+      firstProbeMs: (firstProbeSeconds ?? defaultFirstProbeSeconds) * 1000,
+      maxFraction: maxFraction ?? defaultMaxFraction,
+    };
+  }
+
   /**
    * Lists the shards of a data centre.
    *
--- a/packages/core/src/RequestRecord.ts
+++ b/packages/core/src/RequestRecord.ts
@@ -18,6 +18,7 @@
   readonly #tasks = new Map<number, TaskRecord>();
   readonly #outputs = new Map<number, string>();
   readonly #done = new Set<number>();
+  readonly #avoided = new Set<string>();
   #state: RequestState = 'waiting';
   #deadlineAt: number;
   #attempt = 0;
@@ -108,6 +109,11 @@
     return [...this.#tasks.values()].filter((task) => task.isActive);
   }
 
+  /** Workers on which a task of the request failed; retries prefer others. */
+  public get avoided(): ReadonlySet<string> {
+    return this.#avoided;
+  }
+
   /** Indexes of tasks that neither succeeded nor occupy a worker. */
   public get pendingIndexes(): readonly number[] {
     const pending: number[] = [];
@@ -122,6 +128,15 @@
     return this.#done.size === this.request.tasks;
   }
 
+  /**
+   * Notes that a task failed on a worker.
+   *
+   * @param worker - name of the worker
+   */
+  public avoidWorker(worker: string): void {
+    this.#avoided.add(worker);
+  }
+
   /**
    * Sets the deadline again, for example when an entry resubmits an adopted request.
    *
--- a/packages/core/src/ServicePlacement.ts
+++ b/packages/core/src/ServicePlacement.ts
@@ -10,6 +10,7 @@
 const sameRackPenalty = 10;
 const sameWorkerPenalty = 100;
 const acceleratorPenalty = 5;
+const failedPenalty = 1000;
 /** A worker of twice the speed is chosen over one that is emptier by this share. */
 const speedWeight = 0.5;
 /** Bounds of one search, so that its cost does not grow with the fleet. */
@@ -25,6 +26,7 @@
     count: number,
     source: WorkerSource,
     occupied: readonly WorkerRecord[],
+    avoided: ReadonlySet<string>,
   ): readonly WorkerRecord[] {
     const candidates = this.#findCandidates(request, count, source);
     const racks = new Map<string, number>();
@@ -43,7 +45,8 @@
         const rank =
           this.#rankWorker(worker, request) +
           (racks.get(worker.rack) ?? 0) * sameRackPenalty +
-          (tasks.get(worker) ?? 0) * sameWorkerPenalty;
+          (tasks.get(worker) ?? 0) * sameWorkerPenalty +
+          (avoided.has(worker.id) ? failedPenalty : 0);
         if (rank >= bestRank || !coversResources(left, request.size)) continue;
         best = worker;
         bestRank = rank;
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -26,8 +26,10 @@
 import { LimitEnforcer } from './LimitEnforcer.js';
 import type { LoweredLimit } from './LoweredLimit.js';
 import { LeaseMajority } from './LeaseMajority.js';
+import { OutgrownTasks } from './OutgrownTasks.js';
 import { periods } from './periods.js';
 import type { Policy } from './Policy.js';
+import { Quarantine } from './Quarantine.js';
 import { Recovery } from './Recovery.js';
 import { RequestLifecycle } from './RequestLifecycle.js';
 import { RequestRecord } from './RequestRecord.js';
@@ -61,6 +63,8 @@
   readonly #stopper: TaskStopper;
   readonly #enforcer: LimitEnforcer;
   readonly #preemption: UrgentPreemption;
+  readonly #quarantine: Quarantine;
+  readonly #outgrown: OutgrownTasks;
   readonly #dispatcher: Dispatcher;
   readonly #commits = new Map<number, RequestRecord>();
   #effects: Effect[] = [];
@@ -95,9 +99,20 @@
       readPolicy,
     });
     const lifecycle = this.#lifecycle;
-    this.#tracker = new TaskTracker(this.#context, { fleet, table, ledger, lifecycle });
-    const fairShare = this.#fairShare;
+    const quarantine = new Quarantine(this.#context, fleet, readPolicy);
     const stopper = new TaskStopper(this.#context, { fleet, table, lifecycle });
+    const outgrown = new OutgrownTasks(this.#context, fleet, lifecycle, stopper);
+    this.#quarantine = quarantine;
+    this.#outgrown = outgrown;
+    this.#tracker = new TaskTracker(this.#context, {
+      fleet,
+      table,
+      ledger,
+      lifecycle,
+      quarantine,
+      outgrown,
+    });
+    const fairShare = this.#fairShare;
     this.#stopper = stopper;
     this.#enforcer = new LimitEnforcer(this.#context, { fleet, ledger, stopper, readPolicy });
     this.#preemption = new UrgentPreemption(this.#context, {
@@ -517,6 +532,8 @@
   public tick(): void {
     this.#tracker.expireLeases();
     this.#lifecycle.tick();
+    this.#quarantine.tick();
+    this.#outgrown.tick();
     this.#finishRecovery();
     this.#fairShare.advance(this.#context.clock.now(), this.#ledger.use);
     this.#stopper.tick();
--- a/packages/core/src/TaskRecord.ts
+++ b/packages/core/src/TaskRecord.ts
@@ -1,4 +1,5 @@
 import type { Assignment, Resources, TaskState, TaskView } from '@toucanline/schema';
+import { coversResources } from './coversResources.js';
 import { maxResources } from './maxResources.js';
 
 const activeStates: ReadonlySet<TaskState> = new Set(['starting', 'running', 'stopping']);
@@ -67,6 +68,16 @@
     return maxResources(this.assignment.request.size, this.#usage);
   }
 
+  /** Last reported use; the declared size before the first report. */
+  public get usage(): Resources {
+    return this.#usage;
+  }
+
+  /** Whether the reported use exceeds the declared size. */
+  public get isOutgrown(): boolean {
+    return !coversResources(this.assignment.request.size, this.#usage);
+  }
+
   /**
    * Changes the state.
    *
--- a/packages/core/src/TaskTracker.ts
+++ b/packages/core/src/TaskTracker.ts
@@ -1,6 +1,8 @@
 import type { Failure, Report, TaskDelta, TaskReport, WorkerRefusal } from '@toucanline/schema';
 import { createFailure } from './createFailure.js';
 import type { Fleet } from './Fleet.js';
+import type { OutgrownTasks } from './OutgrownTasks.js';
+import type { Quarantine } from './Quarantine.js';
 import type { RequestLifecycle } from './RequestLifecycle.js';
 import type { RequestRecord } from './RequestRecord.js';
 import type { RequestTable } from './RequestTable.js';
@@ -15,6 +17,8 @@
   readonly table: RequestTable;
   readonly ledger: TeamLedger;
   readonly lifecycle: RequestLifecycle;
+  readonly quarantine: Quarantine;
+  readonly outgrown: OutgrownTasks;
 }
 
 /** Follows the tasks on the workers: reports, start responses, expired leases. */
@@ -46,6 +50,7 @@
     for (const change of report.changes) this.#applyChange(worker, change);
     this.#checkMissing(worker, report);
     worker.recount();
+    this.#parts.outgrown.check(worker);
   }
 
   /**
@@ -183,6 +188,12 @@
       worker: worker.id,
       detail: change.state,
     });
+    const { quarantine } = this.#parts;
+    if (change.state === 'succeeded') quarantine.noteSuccess(worker, record.request);
+    else if (change.state === 'failed') {
+      record.avoidWorker(worker.id);
+      quarantine.noteFailure(worker, record.request);
+    }
     this.#parts.lifecycle.settleEndedTask(record, task, change);
   }
 
--- a/packages/core/src/WorkerRecord.ts
+++ b/packages/core/src/WorkerRecord.ts
@@ -23,6 +23,7 @@
   #drained = false;
   #quarantined = false;
   #reserved = false;
+  #probing = false;
   #lapsed = false;
   #wantsFull = true;
   #restarted = false;
@@ -137,7 +138,8 @@
   /** Whether new tasks may be placed here. */
   public get isEligible(): boolean {
     const mayServe = this.hasReported && !this.#lapsed && !this.isLeaving;
-    return mayServe && !this.#quarantined && !this.#reserved;
+    const isIsolated = this.#quarantined && !(this.#probing && this.#tasks.size === 0);
+    return mayServe && !isIsolated && !this.#reserved;
   }
 
   /** Tasks that may occupy the worker. */
@@ -201,6 +203,16 @@
     this.#onChange(this);
   }
 
+  /**
+   * Starts or ends a probe: a worker in quarantine may take one task at a time.
+   *
+   * @param probing - whether it may
+   */
+  public setProbing(probing: boolean): void {
+    this.#probing = probing;
+    this.#onChange(this);
+  }
+
   /** Asks for a full report with the next renewal. */
   public requestFull(): void {
     this.#wantsFull = true;
