--- a/packages-private/bench/src/SeededRandom.ts
+++ b/packages-private/bench/src/SeededRandom.ts
@@ -1,25 +1,37 @@
 import { RandomSource } from '@toucanline/core';
-import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
+import prand from 'pure-rand';
 
-const maxInteger = 2 ** 31 - 1;
+const range = 2 ** 31;
 
-/** Source of random values that a seed determines. */
+/** Random source that repeats its values for the same seed. */
 export class SeededRandom extends RandomSource {
-  readonly #generator: ReturnType<typeof xoroshiro128plus>;
+  readonly #generator: ReturnType<typeof prand.xoroshiro128plus>;
 
-  /** @param seed - the seed */
+  /** @param seed - seed of the sequence */
   public constructor(seed: number) {
     super();
-    this.#generator = xoroshiro128plus(seed);
+    this.#generator = prand.xoroshiro128plus(seed);
   }
 
   /** {@inheritDoc RandomSource.next} */
   public override next(): number {
-    return unsafeUniformIntDistribution(0, maxInteger, this.#generator) / (maxInteger + 1);
+    return prand.unsafeUniformIntDistribution(0, range - 1, this.#generator) / range;
   }
 
   /** {@inheritDoc RandomSource.token} */
   public override token(): string {
-    return Math.floor(this.next() * 2 ** 52).toString(36);
+    return Math.floor(this.next() * range).toString(16);
+  }
+
+  /**
+   * Chooses one of several values.
+   *
+   * @param values - values to choose from, at least one
+   * @returns one of them
+   */
+  public pick<T>(values: readonly T[]): T {
+    const value = values[Math.floor(this.next() * values.length)];
+    if (value === undefined) throw new RangeError('there is no value to choose');
+    return value;
   }
 }
--- a/packages-private/bench/src/VirtualClock.ts
+++ b/packages-private/bench/src/VirtualClock.ts
@@ -1,17 +1,17 @@
 import { Clock } from '@toucanline/core';
 
-/** Clock of a simulation. */
+/** Clock of a simulation: time passes only when the simulation advances it. */
 export class VirtualClock extends Clock {
-  #now = 0;
+  #nowMs = 0;
 
   /** {@inheritDoc Clock.now} */
   public override now(): number {
-    return this.#now;
+    return this.#nowMs;
   }
 
   /** {@inheritDoc Clock.wallTime} */
   public override wallTime(): number {
-    return this.#now;
+    return this.#nowMs;
   }
 
   /** {@inheritDoc Clock.sleep} */
@@ -20,11 +20,20 @@
   }
 
   /**
-   * Moves the clock on.
+   * Moves the time forward.
+   *
+   * @param nowMs - new time in milliseconds; an earlier one has no effect
+   */
+  public advanceTo(nowMs: number): void {
+    this.#nowMs = Math.max(this.#nowMs, nowMs);
+  }
+
+  /**
+   * Moves the time forward by a duration.
    *
    * @param ms - duration in milliseconds
    */
   public advance(ms: number): void {
-    this.#now += ms;
+    this.#nowMs += ms;
   }
 }
