--- /dev/null
+++ b/packages/core/__tests__/ShardModel.ts
@@ -0,0 +1,200 @@
+import type {
+  Assignment,
+  Report,
+  Request,
+  Resources,
+  TaskCommand,
+  TaskDelta,
+} from '@toucanline/schema';
+import {
+  Clock,
+  EventRecorder,
+  EventStream,
+  Invariant,
+  Policy,
+  RandomSource,
+  Shard,
+} from '../src/index.js';
+
+class ModelClock extends Clock {
+  public nowMs = 1000;
+
+  public override now(): number {
+    return this.nowMs;
+  }
+
+  public override wallTime(): number {
+    return this.nowMs;
+  }
+
+  public override sleep(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+class MiddleRandom extends RandomSource {
+  public override next(): number {
+    return 0.5;
+  }
+
+  public override token(): string {
+    return 'token';
+  }
+}
+
+interface Running {
+  readonly worker: string;
+  readonly assignment: Assignment;
+}
+
+/** A shard whose workers do what a test says. */
+export class ShardModel {
+  public readonly clock = new ModelClock();
+  public readonly recorder: EventRecorder;
+  public readonly shard: Shard;
+  public readonly running = new Map<string, Running>();
+  public readonly commands: TaskCommand[] = [];
+  readonly #room: Resources;
+  readonly #speeds: readonly number[];
+  #nextId = 1;
+
+  public constructor(speeds: readonly number[], room: Resources) {
+    this.#room = room;
+    this.#speeds = speeds;
+    this.recorder = new EventRecorder(this.clock, new EventStream(), 'model', 'dc1');
+    const { clock, recorder } = this;
+    const invariant = new Invariant(recorder, true);
+    const policy = new Policy({
+      schema: 1,
+      shards: { s1: { dataCentre: 'dc1' } },
+      queues: { batch: { kind: 'batch', retries: 1 } },
+      teams: { a: { share: 1 }, b: { share: 1 }, c: { share: 1 } },
+    });
+    const random = new MiddleRandom();
+    this.shard = new Shard(
+      {
+        shard: 's1',
+        dataCentre: 'dc1',
+        epoch: 1,
+        owner: 'model',
+        provisional: false,
+        clock,
+        random,
+        recorder,
+        invariant,
+      },
+      'model',
+      policy,
+    );
+    this.shard.applyHosts(
+      speeds.map((_, index) => ({
+        id: `w${index}`,
+        role: 'worker',
+        state: 'live',
+        dataCentre: 'dc1',
+        address: `w${index}`,
+      })),
+    );
+    // Leases are granted from the second report on, once the clock of the worker is known.
+    for (const _ of [1, 2])
+      speeds.forEach((_speed, index) => {
+        this.report(`w${index}`, [], true);
+      });
+    this.shard.applyLoads([]);
+  }
+
+  public submit(fields: Partial<Request>): string {
+    const id = `q${this.#nextId}`;
+    this.#nextId += 1;
+    const request: Request = {
+      id,
+      digest: id,
+      team: 'a',
+      queue: 'batch',
+      kind: 'batch',
+      idempotent: true,
+      urgent: false,
+      checkpointable: false,
+      detached: false,
+      tasks: 1,
+      size: { processors: 1, memoryMb: 1, accelerators: 0 },
+      command: '',
+      runTimeMs: 1000,
+      ...fields,
+    };
+    const call = {
+      call: 'submit',
+      shard: 's1',
+      request,
+      remainingMs: 1e9,
+      detached: 'no',
+    } as const;
+    const result = this.shard.submit(call);
+    if (result.isErr()) throw new Error(result.error.detail);
+    return id;
+  }
+
+  /** Lets time pass and decides. Returns the tasks that were started. */
+  public step(ms = 0): readonly Running[] {
+    this.clock.nowMs += ms;
+    // Reports keep the leases alive.
+    if (ms > 0)
+      this.#speeds.forEach((_, index) => {
+        this.report(`w${index}`, []);
+      });
+    this.shard.tick();
+    while (this.shard.dispatch(100));
+    const started: Running[] = [];
+    for (const effect of this.shard.takeEffects()) {
+      if (effect.effect === 'command') this.commands.push(effect.command);
+      if (effect.effect !== 'start') continue;
+      const { assignment } = effect.start;
+      const task = { worker: effect.worker, assignment };
+      this.running.set(assignment.taskId, task);
+      started.push(task);
+      const { id } = assignment.request;
+      this.shard.applyStartResponse(id, assignment.index, assignment.taskId);
+    }
+    return started;
+  }
+
+  public change({ worker, assignment }: Running, state: TaskDelta['state'], factor = 1): void {
+    const { processors, memoryMb, accelerators } = assignment.request.size;
+    const usage = { processors: processors * factor, memoryMb, accelerators };
+    if (state !== 'running') this.running.delete(assignment.taskId);
+    this.report(worker, [{ taskId: assignment.taskId, state, usage }]);
+  }
+
+  public report(worker: string, changes: readonly TaskDelta[], full = false): void {
+    const report: Report = {
+      worker,
+      bootId: 'boot',
+      clockMs: this.clock.nowMs,
+      sequence: 1,
+      state: 'live',
+      dataCentre: 'dc1',
+      rack: worker,
+      room: this.#room,
+      speed: this.#speeds[Number(worker.slice(1))] ?? 1,
+      epoch: 1,
+      owner: 'model',
+      leaseUntil: 0,
+      full,
+      tasks: [],
+      changes: [...changes],
+    };
+    this.shard.createRenewal(worker);
+    this.shard.applyReport(worker, report, this.clock.nowMs);
+  }
+
+  public readState(id: string): string {
+    return this.shard.read(id)._unsafeUnwrap().state;
+  }
+
+  public listEvents(name: string): readonly string[] {
+    return this.recorder
+      .list(0)
+      .filter((event) => event.name === name)
+      .map(({ worker }) => worker ?? '');
+  }
+}
--- /dev/null
+++ b/packages/core/__tests__/placement.test.ts
@@ -0,0 +1,81 @@
+import { expect } from 'chai';
+import { ShardModel } from './ShardModel.js';
+
+const room = { processors: 4, memoryMb: 4, accelerators: 0 };
+const whole = { processors: 4, memoryMb: 1, accelerators: 0 };
+
+describe('placement', () => {
+  // Guards against a gang that waits for ever because small tasks take every gap.
+  it('starts a gang although small tasks keep arriving', () => {
+    const model = new ShardModel([1, 1, 1], room);
+    for (let index = 0; index < 30; index += 1) model.submit({ team: 'b', runTimeMs: 2000 });
+    model.step();
+    const gang = model.submit({ kind: 'gang', tasks: 3, size: whole });
+    for (let round = 0; round < 40 && model.readState(gang) === 'waiting'; round += 1) {
+      const [oldest] = model.running.values();
+      if (oldest !== undefined) model.change(oldest, 'succeeded');
+      model.submit({ team: 'b', runTimeMs: 2000 });
+      model.step(100);
+    }
+    expect(model.readState(gang)).to.equal('running');
+  });
+
+  // Guards against two gangs that each hold a part of what the other needs.
+  it('starts two gangs that need the whole fleet one after the other', () => {
+    const model = new ShardModel([1, 1], room);
+    model.submit({ size: whole });
+    const [first] = model.step();
+    const gangs = ['b', 'c'].map((team) =>
+      model.submit({ team, kind: 'gang', tasks: 2, size: whole }),
+    );
+    model.step(200);
+    expect(gangs.map((id) => model.readState(id))).to.deep.equal(['waiting', 'waiting']);
+    if (first !== undefined) model.change(first, 'succeeded');
+    model.step(200);
+    expect(gangs.map((id) => model.readState(id))).to.deep.equal(['running', 'waiting']);
+    for (const task of [...model.running.values()]) model.change(task, 'succeeded');
+    model.step(200);
+    expect(gangs.map((id) => model.readState(id))).to.deep.equal(['succeeded', 'running']);
+  });
+
+  // Guards against capacity that is kept for a gang that can never start here.
+  it('reserves nothing for a gang that is larger than the shard', () => {
+    const model = new ShardModel([1, 1], room);
+    model.submit({ kind: 'gang', tasks: 3, size: whole });
+    model.step(200);
+    const small = model.submit({ team: 'b', size: whole });
+    model.step(200);
+    expect(model.readState(small)).to.equal('running');
+  });
+
+  // Guards against a partly placed or retried request that loses its place in the queue.
+  it('keeps the order of arrival when a request goes back', () => {
+    const model = new ShardModel([1], room);
+    const first = model.submit({ kind: 'service', tasks: 6 });
+    const second = model.submit({ kind: 'service', tasks: 6 });
+    const started = model.step();
+    expect(started.map(({ assignment }) => assignment.request.id)).to.deep.equal(
+      Array(4).fill(first),
+    );
+    const [task] = started;
+    if (task !== undefined) model.change(task, 'failed');
+    for (let round = 0; round < 3; round += 1) {
+      const ids = model.step(1000).map(({ assignment }) => assignment.request.id);
+      expect(ids).not.to.include(second);
+    }
+  });
+
+  // Guards against urgent work and services on slow workers while faster ones are idle.
+  it('places urgent work and services on faster workers and other work on slower ones', () => {
+    const model = new ShardModel([0.5, 1, 2], room);
+    const ids = [
+      model.submit({ urgent: true }),
+      model.submit({ kind: 'service' }),
+      model.submit({}),
+    ];
+    const places = new Map(
+      model.step().map(({ worker, assignment }) => [assignment.request.id, worker]),
+    );
+    expect(ids.map((id) => places.get(id))).to.deep.equal(['w2', 'w2', 'w0']);
+  });
+});
--- a/packages/core/src/TaskRecord.ts
+++ b/packages/core/src/TaskRecord.ts
@@ -68,11 +68,6 @@
     return maxResources(this.assignment.request.size, this.#usage);
   }
 
-  /** Last reported use; the declared size before the first report. */
-  public get usage(): Resources {
-    return this.#usage;
-  }
-
   /** Whether the reported use exceeds the declared size. */
   public get isOutgrown(): boolean {
     return !coversResources(this.assignment.request.size, this.#usage);
