--- a/packages-private/bench/src/ShardSimulation.ts
+++ b/packages-private/bench/src/ShardSimulation.ts
@@ -58,6 +58,7 @@
       policy,
     );
     this.#workers = new Map(workers.map((report) => [report.worker, report]));
+    this.#shard.loadJournal([]);
     this.#shard.applyHosts(
       workers.map(({ worker, dataCentre, rack }) => ({
         id: worker,
--- a/packages/core/__tests__/ShardModel.ts
+++ b/packages/core/__tests__/ShardModel.ts
@@ -86,6 +86,7 @@
       'model',
       policy,
     );
+    this.shard.loadJournal([]);
     this.shard.applyHosts(
       speeds.map((_, index) => ({
         id: `w${index}`,
