--- a/packages/core/src/TaskRecord.ts
+++ b/packages/core/src/TaskRecord.ts
@@ -68,6 +68,11 @@
     return maxResources(this.assignment.request.size, this.#usage);
   }
 
+  /** Use in the worker's last report; the declared size before. */
+  public get usage(): Resources {
+    return this.#usage;
+  }
+
   /** Whether the reported use exceeds the declared size. */
   public get isOutgrown(): boolean {
     return !coversResources(this.assignment.request.size, this.#usage);
