Take headroom with the takeover of allotments

Cause: a new owner asked for its first allotment only 2 s after its takeover, so a store outage right after the start left every team with a limit unable to start (operator.test.js, entry cut off from the store). Change: amounts may rise before all workers are accounted for; only lowering waits for that.

--- a/packages/core/src/AllotmentKeeper.ts
+++ b/packages/core/src/AllotmentKeeper.ts
@@ -17,6 +17,7 @@
 import type { Invariant } from './Invariant.js';
 import type { LoweredLimit } from './LoweredLimit.js';
 import { LoweredLimits } from './LoweredLimits.js';
+import { maxResources } from './maxResources.js';
 import { minResources } from './minResources.js';
 import { periods } from './periods.js';
 import type { Policy } from './Policy.js';
@@ -201,7 +202,9 @@
       const own = this.#readDemand(load, team);
       const situation = this.#describeTeam(team, own);
       use.set(team, own.use);
-      let amount = mayChange ? this.#planner.plan(situation) : current;
+      const planned = this.#planner.plan(situation);
+      // Until all workers are accounted for, the recorded amount may be in use; raising it is safe.
+      let amount = mayChange ? planned : maxResources(current, planned);
       if (!mayRaise) amount = minResources(amount, current);
       row.set(team, amount);
       const isSame = coversResources(current, amount) && coversResources(amount, current);
