Keep trial leases short so that a losing candidate does not block the winner

Two candidates without the store split the workers, and the loser's lease of 15 s held the winner back: the first decision came after 31.7 s.

--- a/packages-private/testkit/src/WorkerFake.ts
+++ b/packages-private/testkit/src/WorkerFake.ts
@@ -27,6 +27,9 @@
   readonly speed?: number;
 }
 
+/** Workers of a site have usually been up for longer than a lease when a scheduler first meets them. */
+const initialUptimeMs = 60_000;
+
 type Answer = Readonly<{ status: number; body: unknown }>;
 
 /** A worker of the platform in memory: runs tasks under a lease and fences by epoch. */
@@ -37,7 +40,7 @@
   readonly #pollers = new Set<() => void>();
   readonly #timer: NodeJS.Timeout;
   #bootId: string = randomUUID();
-  #bootedAt = performance.now();
+  #bootedAt = performance.now() - initialUptimeMs;
   #epoch = 0;
   #owner = '';
   #leaseUntil = 0;
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -461,7 +461,11 @@
     const { shard, epoch, owner, provisional, clock } = this.#context;
     const isKnown = worker.clock !== undefined && !worker.isLapsed && !worker.hasRestarted;
     const lowerBound = worker.clock?.readLowerBound(clock.now()) ?? 0;
-    const leaseUntil = isKnown ? lowerBound + periods.workerLeaseMs : 0;
+    // A candidate without a majority asks for short leases, so that it does not block the one that wins.
+    const isTrial = provisional && !this.holdsMajority;
+    const leaseMs = isTrial ? periods.trialLeaseMs : periods.workerLeaseMs;
+    const waitMs = isTrial ? periods.trialRenewalMs : periods.workerRenewalMs;
+    const leaseUntil = isKnown ? lowerBound + leaseMs : 0;
     if (isKnown) worker.grantLease(leaseUntil);
     return {
       address: worker.address,
@@ -470,7 +474,7 @@
         leaseUntil,
         acknowledged: isKnown ? worker.sequence : 0,
         full: worker.wantsFull,
-        waitMs: isKnown && !worker.wantsFull ? periods.workerRenewalMs : 0,
+        waitMs: isKnown && !worker.wantsFull ? waitMs : 0,
       },
     };
   }
--- a/packages/core/src/periods.ts
+++ b/packages/core/src/periods.ts
@@ -6,6 +6,10 @@
   claimRenewalMs: 1000,
   /** Time to live of a worker's lease. It outlasts a failover, so that running tasks survive it. */
   workerLeaseMs: 15_000,
+  /** Time to live of a worker's lease to a provisional owner without a majority; longer than a renewal. */
+  trialLeaseMs: 4000,
+  /** Longest wait of one renewal poll without a majority: a long one leaves the worker's clock uncertain. */
+  trialRenewalMs: 250,
   /** Longest wait of one renewal poll. */
   workerRenewalMs: 2500,
   /** Time after which a renewal without a response is abandoned together with its connection. */
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -24,7 +24,6 @@
 const submitTimeoutMs = 5000;
 const retryMs = 200;
 const maxHops = 3;
-const maxHandIns = 50;
 /** Time for a shard to get a new owner before a request is refused for lack of one, in milliseconds. */
 const ownerWaitMs = 10_000;
 
@@ -152,9 +151,10 @@
     requestId: string,
     team: string | undefined,
   ): Promise<Result<RequestView, Failure>> {
-    const { clock } = this.#parts;
+    const { clock, router } = this.#parts;
     const body = { call: 'cancel', requestId, ...(team === undefined ? {} : { team }) } as const;
-    const endsAt = clock.now() + ownerWaitMs;
+    const isKnown = router.findLoad(requestId.split('.')[0] ?? '') !== undefined;
+    const endsAt = clock.now() + (isKnown ? ownerWaitMs : 0);
     for (;;) {
       const result = await this.#callOwner(requestId, body, submitTimeoutMs);
       const isOver = result.isOk() || !this.#mayRecover(result.error) || clock.now() >= endsAt;
@@ -174,7 +174,8 @@
   async #offer(shard: string, submission: Submission): Promise<Result<RequestView, Failure>> {
     const { clock, router } = this.#parts;
     let heldEpoch: number | undefined;
-    for (let handIn = 0; handIn < maxHandIns; handIn += 1) {
+    const endsAt = Math.max(submission.waitUntil, clock.now() + ownerWaitMs);
+    while (clock.now() < endsAt) {
       const remainingMs = submission.deadlineAt - clock.now();
       if (remainingMs <= 0) break;
       const epoch = router.findLoad(shard)?.epoch ?? 0;
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -62,6 +62,7 @@
   #frozen = false;
   #journalOpen = false;
   #serving = false;
+  #allotting = false;
   #inFlight = 0;
   #pumping = false;
 
@@ -138,7 +139,6 @@
     if (snapshot !== undefined) this.#shard.restoreSnapshot(snapshot);
     void this.#openJournal();
     void this.#keepTime();
-    void this.#allotments.run(() => this.#active && !this.#frozen);
   }
 
   /**
@@ -352,6 +352,13 @@
     }
   }
 
+  /** Allotments are planned from the use that the workers reported, so not before that is known. */
+  #runAllotments(): void {
+    if (this.#allotting || !this.#shard.isRecovered) return;
+    this.#allotting = true;
+    void this.#allotments.run(() => this.#active && !this.#frozen);
+  }
+
   async #keepTime(): Promise<void> {
     while (this.#active) {
       if (this.#mayAct) {
@@ -366,6 +373,7 @@
   /** Decides and executes the effects; goes on in a later turn of the loop if more can start. */
   #pump(): void {
     if (!this.#mayAct || this.#pumping) return;
+    this.#runAllotments();
     this.#pumping = true;
     const hasMore = this.#mayStart && this.#shard.dispatch(maxStartsPerTurn);
     for (const effect of this.#shard.takeEffects()) this.#execute(effect);
