Wait for allotments before a test site counts as started

A new owner now applies the last host list at once and recovers in about 260 ms instead of at least a second, so a test that took the store down right after the start found teams without an allotment (operator.test.ts, status 202 instead of 200). The site waits until each limited team has one.

--- a/packages-private/testkit/src/Site.ts
+++ b/packages-private/testkit/src/Site.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import type { Key, Resources } from '@toucanline/schema';
+import type { Key, Resources, ShardStatus } from '@toucanline/schema';
 import { DaemonProcess } from './DaemonProcess.js';
 import { findFreePort } from './findFreePort.js';
 import { HostListFake } from './HostListFake.js';
@@ -206,7 +206,8 @@
   }
 
   /**
-   * Waits until a request to the first entry sees an owner for each shard.
+   * Waits until a request to the first entry sees an owner for each shard, and an allotment for each team
+   * with a limit: without one, an owner starts no work of the team while the store is down.
    *
    * @param timeoutMs - longest wait in milliseconds
    * @throws Error if an owner is missing when the time is over
@@ -216,10 +217,17 @@
     const wanted = this.#options.dataCentres.length;
     while (performance.now() < endsAt) {
       const status = (await this.readStatus()) as {
-        processes: readonly { shards: readonly { recovering: boolean }[] }[];
+        processes: readonly { shards: readonly ShardStatus[] }[];
       };
       const shards = status.processes.flatMap((process) => process.shards);
-      if (shards.filter(({ recovering }) => !recovering).length >= wanted) return;
+      const isOwned = shards.filter(({ recovering }) => !recovering).length >= wanted;
+      const teams = shards.flatMap((shard) => shard.teams);
+      const limited = teams.filter(({ allotment }) => allotment !== undefined);
+      const hasWorkers = this.#workers.length > 0;
+      const isAllotted = limited.every(({ team }) =>
+        limited.some((each) => each.team === team && (each.allotment?.processors ?? 0) > 0),
+      );
+      if (isOwned && (isAllotted || !hasWorkers)) return;
       await sleep(100);
     }
     throw new Error('a shard has no owner');
