--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -475,10 +475,14 @@
     if (worker === undefined) return undefined;
     const { shard, epoch, owner, provisional } = this.#context;
     const isKnown = worker.clock !== undefined && !worker.isLapsed && !worker.hasRestarted;
+    // A candidate without a majority asks for short leases, so that it does not block the one that wins.
+    const isTrial = provisional && !this.holdsMajority;
+    const leaseMs = isTrial ? periods.trialLeaseMs : periods.workerLeaseMs;
+    const waitMs = isTrial ? periods.trialRenewalMs : periods.workerRenewalMs;
     // Counted from the last report, not from now: otherwise each attempt to reach a dead worker would
     // extend the lease that it might hold, and its tasks would never be given up.
     const reportedMs = worker.clock?.reportedMs ?? 0;
-    const leaseUntil = isKnown ? reportedMs + periods.workerLeaseMs : 0;
+    const leaseUntil = isKnown ? reportedMs + leaseMs : 0;
     if (isKnown) worker.grantLease(leaseUntil);
     return {
       address: worker.address,
@@ -487,7 +491,7 @@
         leaseUntil,
         acknowledged: isKnown ? worker.sequence : 0,
         full: worker.wantsFull,
-        waitMs: isKnown && !worker.wantsFull ? periods.workerRenewalMs : 0,
+        waitMs: isKnown && !worker.wantsFull ? waitMs : 0,
       },
     };
   }
