Prove the shard's guarantees in random runs and mend the faults found

A renewal that got no answer extended the lease that the owner assumed, so the tasks of a dead worker were never given up. A new owner took the lease of the former one as expired. A deadline, a cancellation or an unproven recovery answered "ran: no" for journaled work that ran or was started by the next owner. A worker that restarted counted as proof that nothing had run. A full report older than a start whose response overtook it lost a running task, which then ran twice. Tasks without a request occupied no capacity. A lost stop command was not repeated. Change: leases count from the last report; ends of journaled requests are shown once committed; proof needs workers that were up since the request may have started; task ids carry the epoch; stop commands are repeated until the task ends.

--- /dev/null
+++ b/packages/core/__tests__/ModelSite.ts
@@ -0,0 +1,486 @@
+import type { Document, JournalEntry, Request, RequestView } from '@toucanline/schema';
+import {
+  Clock,
+  createFailure,
+  EventRecorder,
+  EventStream,
+  Invariant,
+  isAnswered,
+  periods,
+  Policy,
+  RandomSource,
+  Shard,
+  type Effect,
+} from '../src/index.js';
+import { ModelLedger } from './ModelLedger.js';
+import { ModelWorker } from './ModelWorker.js';
+
+const stepMs = 50;
+const workerIds = ['w0', 'w1', 'w2'];
+const rates = [0.992, 1, 1.008];
+
+const document: Document = {
+  schema: 1,
+  shards: { s1: { dataCentre: 'dc1' } },
+  teams: { planning: { share: 1 } },
+  queues: {
+    service: { kind: 'service', idempotent: true },
+    batch: { kind: 'batch', idempotent: true },
+    once: { kind: 'batch', idempotent: false },
+    gang: { kind: 'gang', idempotent: true },
+  },
+};
+
+/** Mulberry32: a small generator with one word of state, so that a run depends on its seed only. */
+class SeededRandom extends RandomSource {
+  #state: number;
+
+  public constructor(seed: number) {
+    super();
+    this.#state = seed >>> 0;
+  }
+
+  public override next(): number {
+    this.#state = (this.#state + 0x6d2b79f5) >>> 0;
+    let mixed = Math.imul(this.#state ^ (this.#state >>> 15), this.#state | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
+  }
+
+  public override token(): string {
+    return Math.floor(this.next() * 2 ** 32).toString(16);
+  }
+}
+
+class ModelClock extends Clock {
+  public time = 0;
+
+  public override now(): number {
+    return this.time;
+  }
+
+  public override wallTime(): number {
+    return this.time;
+  }
+
+  public override sleep(): Promise<void> {
+    throw new Error('the core does not sleep in a model run');
+  }
+}
+
+/** One ownership with its polls, as a host process runs it. */
+interface Owner {
+  readonly shard: Shard;
+  readonly polls: Map<string, number>;
+  active: boolean;
+}
+
+/** A request as its caller and its entry see it. */
+interface Held {
+  readonly request: Request;
+  readonly deadlineAt: number;
+  heldEpoch: number | undefined;
+  readonly since: number;
+  epoch: number;
+  attempt: number;
+  answer: RequestView | undefined;
+  isOver: boolean;
+}
+
+/** What a submitted request looks like. */
+export interface Submission {
+  readonly queue: 'service' | 'batch' | 'once' | 'gang';
+  readonly processors: number;
+  readonly tasks: number;
+  readonly runTimeMs: number;
+  readonly fails: boolean;
+  readonly key: number | undefined;
+  readonly detached: boolean;
+  readonly deadlineMs: number;
+}
+
+/** A shard, its workers, its journal and an entry, with time and faults controlled by the test. */
+export class ModelSite {
+  public readonly ledger = new ModelLedger();
+  readonly #clock = new ModelClock();
+  readonly #random: SeededRandom;
+  readonly #workers: ReadonlyMap<string, ModelWorker>;
+  readonly #cut = new Set<string>();
+  readonly #held: Held[] = [];
+  readonly #owners: Owner[] = [];
+  #agenda: { readonly at: number; readonly run: () => void }[] = [];
+  #journal: readonly JournalEntry[] = [];
+  #lossRate = 0;
+  #maxDelayMs = 20;
+  #storeUp = true;
+  #storeWasDown = false;
+  /** Commits are written in the order of their effects. */
+  #commitAt = 0;
+
+  public constructor(seed: number) {
+    this.#random = new SeededRandom(seed);
+    this.#workers = new Map(
+      workerIds.map((id, index) => [id, new ModelWorker(id, rates[index] ?? 1, this.ledger)]),
+    );
+    this.failOver();
+  }
+
+  /** Current time in milliseconds. */
+  public get now(): number {
+    return this.#clock.time;
+  }
+
+  public submit(submission: Submission): void {
+    const { queue, processors, tasks, runTimeMs, fails, key, detached, deadlineMs } = submission;
+    const kind = queue === 'once' ? 'batch' : queue;
+    const hasKey = key !== undefined;
+    const request: Request = {
+      id: `s1.r${this.#held.length}`,
+      digest: hasKey ? `key ${key}` : `request ${this.#held.length}`,
+      team: 'planning',
+      queue,
+      kind,
+      idempotent: queue !== 'once',
+      urgent: false,
+      checkpointable: false,
+      detached,
+      tasks,
+      size: { processors, memoryMb: 64, accelerators: 0 },
+      command: `${kind === 'service' ? 1e9 : runTimeMs} ${fails ? 'fail' : 'ok'}`,
+      runTimeMs,
+      ...(hasKey ? { idempotencyKey: `${queue}-${key}` } : {}),
+    };
+    const held: Held = {
+      request,
+      deadlineAt: this.now + deadlineMs,
+      heldEpoch: undefined,
+      since: this.now,
+      epoch: 0,
+      attempt: 0,
+      answer: undefined,
+      isOver: false,
+    };
+    this.#held.push(held);
+    this.#handIn(held);
+  }
+
+  public repeat(index: number): void {
+    const held = this.#held[index % Math.max(1, this.#held.length)];
+    const isOpen = held?.answer === undefined || !isAnswered(held.answer);
+    if (held !== undefined && !held.isOver && isOpen) this.#handIn(held);
+  }
+
+  public cancel(index: number): void {
+    const held = this.#held[index % Math.max(1, this.#held.length)];
+    const id = held?.answer?.id ?? held?.request.id;
+    if (id !== undefined) this.#owner?.shard.cancel(id, 'planning');
+    this.#pump();
+  }
+
+  public setNetwork(lossRate: number, maxDelayMs: number): void {
+    this.#lossRate = lossRate;
+    this.#maxDelayMs = maxDelayMs;
+  }
+
+  public setStore(isUp: boolean): void {
+    this.#storeUp = isUp;
+    this.#storeWasDown ||= !isUp;
+  }
+
+  public toggleCut(index: number): void {
+    const id = workerIds[index % workerIds.length] ?? '';
+    if (!this.#cut.delete(id)) this.#cut.add(id);
+  }
+
+  public reboot(index: number): void {
+    this.#workers.get(workerIds[index % workerIds.length] ?? '')?.reboot(this.now);
+  }
+
+  public leave(index: number): void {
+    this.#workers.get(workerIds[index % workerIds.length] ?? '')?.leave();
+  }
+
+  /** A new owner with a higher epoch; the former one stops, but its messages still arrive. */
+  public failOver(): void {
+    for (const owner of this.#owners) owner.active = false;
+    const stream = new EventStream();
+    const epoch = this.#owners.length + 1;
+    const recorder = new EventRecorder(this.#clock, stream, `p${epoch}`, 'dc1');
+    const shard = new Shard(
+      {
+        shard: 's1',
+        dataCentre: 'dc1',
+        epoch,
+        owner: `p${epoch}`,
+        provisional: false,
+        clock: this.#clock,
+        random: this.#random,
+        recorder,
+        invariant: new Invariant(recorder, true),
+      },
+      '127.0.0.1:1',
+      new Policy(document),
+    );
+    this.#owners.push({ shard, polls: new Map(), active: true });
+    shard.loadJournal(this.#journal);
+    shard.applyHosts(
+      workerIds.map((id) => ({
+        id,
+        role: 'worker',
+        state: 'live',
+        dataCentre: 'dc1',
+        address: id,
+      })),
+    );
+    this.#pump();
+  }
+
+  /** Ends all faults; workers that were leaving come back after a restart. */
+  public heal(): void {
+    this.#cut.clear();
+    this.setNetwork(0, 20);
+    this.setStore(true);
+    for (const worker of this.#workers.values()) {
+      if (worker.report(this.now, { full: false, acknowledged: 1e9 } as never).state === 'leaving')
+        worker.reboot(this.now);
+    }
+  }
+
+  /** Lets time pass. */
+  public advance(ms: number): void {
+    const endsAt = this.now + ms;
+    while (this.now < endsAt) {
+      this.#clock.time += stepMs;
+      for (const worker of this.#workers.values()) worker.advance(this.now);
+      const due = this.#agenda.filter(({ at }) => at <= this.now);
+      this.#agenda = this.#agenda.filter(({ at }) => at > this.now);
+      due.sort((left, right) => left.at - right.at);
+      for (const { run } of due) run();
+      if (this.now % 250 === 0) this.#owner?.shard.tick();
+      this.#pump();
+      this.#follow();
+    }
+  }
+
+  /** Requests that are not answered. */
+  public get open(): readonly string[] {
+    return this.#held
+      .filter(({ answer, isOver }) => !isOver && (answer === undefined || !isAnswered(answer)))
+      .map(({ request, answer }) => `${request.id} (${request.queue}): ${answer?.state ?? 'none'}`);
+  }
+
+  /** Tasks that run although their request is over. */
+  public get orphans(): readonly string[] {
+    // A service that an entry answered as unknown may run: its caller finds and cancels it by id.
+    const services = this.#held.flatMap(({ request, answer, isOver }) =>
+      answer?.state === 'running' || (isOver && request.kind === 'service')
+        ? [answer?.id ?? request.id]
+        : [],
+    );
+    return this.ledger.running.filter((name) => !services.includes(name.split('/')[0] ?? ''));
+  }
+
+  /** Work that the owner counts as running. */
+  public get counted(): number {
+    const status = this.#owner?.shard.describeStatus();
+    const orphaned = status?.running ?? 0;
+    return orphaned - this.ledger.running.length;
+  }
+
+  get #owner(): Owner | undefined {
+    return this.#owners.find(({ active }) => active);
+  }
+
+  #after(delayMs: number, run: () => void): void {
+    this.#agenda.push({ at: this.now + delayMs, run });
+  }
+
+  /** Sends over a connection that may be cut, lose or delay a message. */
+  #send(worker: string, deliver: (target: ModelWorker) => void): void {
+    const target = this.#workers.get(worker);
+    const delay = this.#random.next() * this.#maxDelayMs;
+    if (target === undefined || this.#isLost(worker)) return;
+    this.#after(delay, () => {
+      deliver(target);
+    });
+  }
+
+  #isLost(worker: string): boolean {
+    return this.#cut.has(worker) || this.#random.next() < this.#lossRate;
+  }
+
+  /** Runs one exchange: exactly one of the two callbacks is called, in time. */
+  #exchange<T>(
+    worker: string,
+    timeoutMs: number,
+    act: (target: ModelWorker) => () => T,
+    settle: (outcome: T | undefined) => void,
+    holdMs: (target: ModelWorker) => number = () => 0,
+  ): void {
+    let isOver = false;
+    const finish = (outcome: T | undefined): void => {
+      if (isOver) return;
+      isOver = true;
+      settle(outcome);
+    };
+    this.#after(timeoutMs, () => {
+      finish(undefined);
+    });
+    this.#send(worker, (target) => {
+      const answer = act(target);
+      this.#after(holdMs(target), () => {
+        const outcome = answer();
+        const delay = this.#random.next() * this.#maxDelayMs;
+        if (this.#isLost(worker)) return;
+        this.#after(delay, () => {
+          finish(outcome);
+        });
+      });
+    });
+  }
+
+  #pump(): void {
+    for (const owner of this.#owners) {
+      if (!owner.active) continue;
+      owner.shard.dispatch(100);
+      for (const effect of owner.shard.takeEffects()) this.#execute(owner, effect);
+    }
+  }
+
+  #execute(owner: Owner, effect: Effect): void {
+    if (effect.effect === 'start') {
+      const { start } = effect;
+      const { request, index, taskId } = start.assignment;
+      this.#exchange(
+        effect.worker,
+        periods.startWindowMs,
+        (target) => {
+          const refusal = target.start(this.now, start);
+          return () => ({ refusal });
+        },
+        (outcome) => {
+          if (!owner.active) return;
+          const lost = createFailure('timeout', 'no answer');
+          const response = outcome === undefined ? lost : outcome.refusal;
+          owner.shard.applyStartResponse(request.id, index, taskId, response);
+          this.#pump();
+        },
+      );
+    } else if (effect.effect === 'command') {
+      this.#send(effect.worker, (target) => target.command(effect.command));
+    } else if (effect.effect === 'commit') {
+      this.#commit(owner, effect.ticket, effect.entry);
+    } else if (effect.effect === 'poll') {
+      this.#poll(owner, effect.worker);
+    } else if (effect.effect === 'standDown') {
+      owner.active = false;
+      this.ledger.report(`the newest owner stood down: ${effect.detail}`);
+    }
+  }
+
+  #commit(owner: Owner, ticket: number, entry: JournalEntry): void {
+    const at = this.now + 30 + this.#random.next() * this.#maxDelayMs;
+    this.#commitAt = Math.max(this.#commitAt, at);
+    this.#after(this.#commitAt - this.now, () => {
+      const isWritten = owner.active && this.#storeUp;
+      if (isWritten) this.#journal = [...this.#journal, entry];
+      if (!owner.active) return;
+      const failure = isWritten ? undefined : createFailure('storeUnavailable', 'store is down');
+      owner.shard.confirmCommit(ticket, failure);
+      this.#pump();
+    });
+  }
+
+  #poll(owner: Owner, worker: string): void {
+    const next = owner.active ? owner.shard.createRenewal(worker) : undefined;
+    if (next === undefined) return;
+    const { renewal } = next;
+    const sentAt = this.now;
+    const proceed = (): void => {
+      this.#pump();
+      this.#poll(owner, worker);
+    };
+    this.#exchange(
+      worker,
+      periods.workerTimeoutMs,
+      (target) => {
+        const refusal = target.renew(renewal);
+        return () =>
+          refusal === undefined ? { report: target.report(this.now, renewal) } : { refusal };
+      },
+      (outcome) => {
+        if (!owner.active) return;
+        if (outcome?.report !== undefined) {
+          owner.shard.applyReport(worker, outcome.report, sentAt);
+          proceed();
+          return;
+        }
+        if (outcome?.refusal !== undefined) owner.shard.applyRefusal(worker, outcome.refusal);
+        this.#after(500, proceed);
+      },
+      (target) => (renewal.waitMs > 0 && target.sequence <= renewal.acknowledged ? 400 : 0),
+    );
+  }
+
+  /** The entry: hands a request in under the same id until the shard answers. */
+  #handIn(held: Held): void {
+    const owner = this.#owner;
+    if (owner === undefined) return;
+    const { request, deadlineAt, heldEpoch } = held;
+    const result = owner.shard.submit({
+      call: 'submit',
+      shard: 's1',
+      request,
+      remainingMs: deadlineAt - this.now,
+      detached: request.detached ? 'yes' : 'no',
+      ...(heldEpoch === undefined ? {} : { heldEpoch, heldMs: this.now - held.since }),
+    });
+    this.#pump();
+    if (result.isOk()) {
+      held.heldEpoch = owner.shard.epoch;
+      this.#observe(held, result.value, owner.shard.epoch);
+    } else if (heldEpoch === undefined) {
+      held.isOver = true;
+      this.ledger.noteNotRun(request.id);
+    } else if (deadlineAt <= this.now) {
+      // An earlier owner held it and the new one does not know it: the entry answers "unknown".
+      held.isOver = true;
+    }
+  }
+
+  #follow(): void {
+    const owner = this.#owner;
+    if (owner === undefined) return;
+    for (const held of this.#held) {
+      if (held.isOver) continue;
+      const id = held.answer?.id ?? held.request.id;
+      const isDone = held.answer !== undefined && isAnswered(held.answer);
+      if (isDone && held.answer?.kind !== 'service') continue;
+      const view = owner.shard.read(id, 'planning');
+      if (view.isOk() && !owner.shard.isCommitting(id))
+        this.#observe(held, view.value, owner.shard.epoch);
+      else if (view.isErr() && !isDone) this.#handIn(held);
+    }
+  }
+
+  #observe(held: Held, view: RequestView, epoch: number): void {
+    const { answer, request } = held;
+    if (answer !== undefined && isAnswered(answer) && answer.kind !== 'service') {
+      const mayChange = this.#storeWasDown && answer.ran !== 'no';
+      if (answer.state !== view.state && !mayChange) {
+        this.ledger.report(`${request.id} was ${answer.state} and became ${view.state}`);
+      }
+      return;
+    }
+    if (epoch < held.epoch || (epoch === held.epoch && view.attempt < held.attempt)) return;
+    held.epoch = epoch;
+    held.attempt = view.attempt;
+    held.answer = view;
+    const isFinal = isAnswered(view) && view.state !== 'running';
+    const didRun = this.ledger.hasRun(view.id);
+    if (isFinal && view.ran === 'no') this.ledger.noteNotRun(view.id);
+    if (isFinal && view.ran === 'yes' && !didRun) {
+      this.ledger.report(`${view.id} did not run but was answered "ran: yes"`);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/__tests__/ModelWorker.ts
@@ -0,0 +1,196 @@
+import type {
+  Assignment,
+  Authority,
+  Renewal,
+  Report,
+  Resources,
+  TaskCommand,
+  TaskReport,
+  TaskStart,
+  TaskState,
+  WorkerRefusal,
+} from '@toucanline/schema';
+import { addResources, coversResources } from '../src/index.js';
+import type { ModelLedger } from './ModelLedger.js';
+
+/** A task on a model worker. */
+interface ModelTask {
+  readonly assignment: Assignment;
+  readonly state: TaskState;
+  readonly sequence: number;
+  readonly endsAt: number;
+}
+
+const room: Resources = { processors: 4, memoryMb: 4096, accelerators: 0 };
+
+/**
+ * A worker whose time is passed in with each call. Commands have the form `RUNTIME OUTCOME`, with the
+ * run time in milliseconds on the worker's clock.
+ */
+export class ModelWorker {
+  public readonly id: string;
+  readonly #ledger: ModelLedger;
+  readonly #rate: number;
+  readonly #tasks = new Map<string, ModelTask>();
+  #boot = 1;
+  #bootedAt = -3_600_000;
+  #epoch = 0;
+  #owner = '';
+  #leaseUntil = 0;
+  #sequence = 1;
+  #leaving = false;
+
+  /**
+   * @param id - name of the worker
+   * @param rate - speed of its clock relative to that of the owner
+   * @param ledger - checks what the workers run
+   */
+  public constructor(id: string, rate: number, ledger: ModelLedger) {
+    this.id = id;
+    this.#rate = rate;
+    this.#ledger = ledger;
+  }
+
+  /** Sequence number of the newest change. */
+  public get sequence(): number {
+    return this.#sequence;
+  }
+
+  /** Tells that the worker is leaving. */
+  public leave(): void {
+    this.#leaving = true;
+    this.#sequence += 1;
+  }
+
+  /** Takes new work again after a restart. */
+  public reboot(now: number): void {
+    for (const task of this.#running) this.#ledger.noteEnd(this.id, task.assignment);
+    this.#tasks.clear();
+    this.#boot += 1;
+    this.#bootedAt = now;
+    this.#epoch = 0;
+    this.#owner = '';
+    this.#leaseUntil = 0;
+    this.#sequence = 1;
+    this.#leaving = false;
+  }
+
+  /** Ends tasks whose run time or lease is over. */
+  public advance(now: number): void {
+    const time = this.#read(now);
+    for (const task of this.#running) {
+      const outcome = task.assignment.request.command.split(' ')[1];
+      if (time >= this.#leaseUntil) this.#end(task, 'lapsed');
+      else if (time >= task.endsAt) this.#end(task, outcome === 'fail' ? 'failed' : 'succeeded');
+    }
+  }
+
+  public start(now: number, command: TaskStart): WorkerRefusal | undefined {
+    const { authority, assignment, latestStartAt } = command;
+    const refused = this.#check(authority);
+    if (refused !== undefined) return refused;
+    const time = this.#read(now);
+    if (this.#tasks.has(assignment.taskId)) return this.#refuse('duplicate');
+    if (time > latestStartAt) return this.#refuse('tooLate');
+    if (this.#leaving) return this.#refuse('leaving');
+    if (time >= this.#leaseUntil) return this.#refuse('noLease');
+    let used = assignment.request.size;
+    for (const task of this.#running) used = addResources(used, task.assignment.request.size);
+    if (!coversResources(room, used)) {
+      this.#ledger.report(`${assignment.taskId} exceeds the room of ${this.id}`);
+      return this.#refuse('noRoom');
+    }
+    const runTime = Number(assignment.request.command.split(' ')[0]);
+    this.#sequence += 1;
+    const task: ModelTask = {
+      assignment,
+      state: 'running',
+      sequence: this.#sequence,
+      endsAt: time + runTime,
+    };
+    this.#tasks.set(assignment.taskId, task);
+    this.#ledger.noteStart(this.id, assignment);
+    return undefined;
+  }
+
+  public command({ authority, taskId, action }: TaskCommand): WorkerRefusal | undefined {
+    const refused = this.#check(authority);
+    if (refused !== undefined) return refused;
+    const task = this.#tasks.get(taskId);
+    if (task === undefined) return this.#refuse('unknownTask');
+    if (action === 'stop' && task.state === 'running') this.#end(task, 'stopped');
+    return undefined;
+  }
+
+  /** Takes a renewal; the report follows with {@link ModelWorker.report}. */
+  public renew({ authority, leaseUntil }: Renewal): WorkerRefusal | undefined {
+    const refused = this.#check(authority);
+    if (refused === undefined) this.#leaseUntil = Math.max(this.#leaseUntil, leaseUntil);
+    return refused;
+  }
+
+  public report(now: number, { acknowledged, full }: Renewal): Report {
+    const tasks = [...this.#tasks.values()];
+    const changed = tasks.filter(({ sequence }) => sequence > acknowledged);
+    return {
+      worker: this.id,
+      bootId: `${this.id}-${this.#boot}`,
+      clockMs: this.#read(now),
+      sequence: this.#sequence,
+      state: this.#leaving ? 'leaving' : 'live',
+      dataCentre: 'dc1',
+      rack: 'rack',
+      room,
+      speed: 1,
+      epoch: this.#epoch,
+      owner: this.#owner,
+      leaseUntil: this.#leaseUntil,
+      full,
+      tasks: full ? tasks.map((task) => this.#describe(task)) : [],
+      changes: full
+        ? []
+        : changed.map((task) => {
+            const { assignment, ...change } = this.#describe(task);
+            return { taskId: assignment.taskId, ...change };
+          }),
+    };
+  }
+
+  get #running(): readonly ModelTask[] {
+    return [...this.#tasks.values()].filter(({ state }) => state === 'running');
+  }
+
+  #read(now: number): number {
+    return (now - this.#bootedAt) * this.#rate;
+  }
+
+  #refuse(refusal: WorkerRefusal['refusal']): WorkerRefusal {
+    return { refusal, detail: refusal, epoch: this.#epoch, owner: this.#owner };
+  }
+
+  #check({ epoch, owner, bootId }: Authority): WorkerRefusal | undefined {
+    const isSame = epoch === this.#epoch && owner === this.#owner;
+    if (epoch < this.#epoch || (epoch === this.#epoch && !isSame))
+      return this.#refuse('staleEpoch');
+    if (bootId !== '' && bootId !== `${this.id}-${this.#boot}`) return this.#refuse('wrongBoot');
+    this.#epoch = epoch;
+    this.#owner = owner;
+    return undefined;
+  }
+
+  #end(task: ModelTask, state: TaskState): void {
+    this.#sequence += 1;
+    this.#tasks.set(task.assignment.taskId, { ...task, state, sequence: this.#sequence });
+    this.#ledger.noteEnd(this.id, task.assignment);
+  }
+
+  #describe({ assignment, state }: ModelTask): TaskReport {
+    const { taskId, request } = assignment;
+    return {
+      assignment,
+      state,
+      usage: request.size,
+      ...(state === 'succeeded' ? { output: taskId } : {}),
+    };
+  }
+}
--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -186,7 +186,8 @@
     now: number,
   ): void {
     const { request } = record;
-    const taskId = `${request.id}/${index}/${attempt}`;
+    // With the epoch, because a new owner that cannot reach all workers may count attempts again.
+    const taskId = `${request.id}/${index}/${this.#context.epoch}.${attempt}`;
     const assignment = { taskId, index, attempt, request };
     const task = new TaskRecord(assignment, worker.id, this.#context.dataCentre, now);
     record.addTask(task);
--- a/packages/core/src/Recovery.ts
+++ b/packages/core/src/Recovery.ts
@@ -18,7 +18,7 @@
   #hasHosts = false;
   #hasJournal = false;
   #complete = false;
-  #proven = false;
+  #provenSince = Infinity;
 
   /**
    * @param context - what the parts of the shard share
@@ -36,11 +36,14 @@
   }
 
   /**
-   * Whether every worker reported, so that whatever no worker reported was certainly not running when
-   * the ownership began.
+   * Checks whether the reports prove that no earlier owner started a request that no worker reported.
+   * A worker that booted after the request may have started says nothing: it forgot its tasks.
+   *
+   * @param record - the request
+   * @returns true if it certainly did not run
    */
-  public get isProven(): boolean {
-    return this.#proven;
+  public disproves(record: RequestRecord): boolean {
+    return this.#complete && this.#provenSince <= record.earliestStartAt;
   }
 
   /** Notes that the host list was read. */
@@ -74,7 +77,8 @@
     const waitedMs = this.#context.clock.now() - this.#startedAt;
     if (missing.length > 0 && !this.#hasExpired(waitedMs)) return undefined;
     this.#complete = true;
-    this.#proven = missing.length === 0;
+    const boots = this.#fleet.workers.map(({ bootedBy }) => bootedBy);
+    this.#provenSince = boots.length === 0 ? Infinity : Math.max(...boots);
     const { shard, epoch, recorder } = this.#context;
     recorder.record('recoveryFinished', { shard, epoch, durationMs: waitedMs });
     const held = [...this.#held];
--- a/packages/core/src/RequestLifecycle.ts
+++ b/packages/core/src/RequestLifecycle.ts
@@ -21,10 +21,20 @@
   readonly readPolicy: () => Policy;
 }
 
+/** Tickets of ends start here, above those of acceptances, so that the two cannot be mistaken. */
+const firstFinishTicket = 2 ** 40;
+
 /** Moves requests between their states: retries, ends, cancellations, deadlines. */
 export class RequestLifecycle {
   readonly #context: ShardContext;
   readonly #parts: LifecycleParts;
+  /** Tasks that shall stop, with the local monotonic time of the last command. */
+  readonly #stopping = new Map<TaskRecord, number>();
+  /** Ends whose journal entry is not confirmed, by ticket. */
+  readonly #unconfirmed = new Map<number, RequestRecord>();
+  /** Ends whose last commit failed. */
+  readonly #unwritten = new Set<RequestRecord>();
+  #nextTicket = firstFinishTicket;
 
   /**
    * @param context - what the parts of the shard share
@@ -70,6 +80,8 @@
     this.#parts.queue.remove(record);
     this.#parts.recovery.release(record);
     record.finish(state, clock.now(), failure);
+    // Until the journal has the end, a new owner could start the request again.
+    if (record.isAccepted) record.awaitEnd();
     invariant.check(
       record.activeTasks.length === 0,
       () => `request ${record.id} ended as ${state} while a task was active`,
@@ -81,7 +93,26 @@
       detail: failure === undefined ? state : `${state}: ${failure.kind}: ${failure.detail}`,
     });
     emit({ effect: 'changed', requestId: record.id });
-    this.#writeFinish(record);
+    if (record.isAccepted) this.#writeFinish(record);
+  }
+
+  /**
+   * Applies the result of writing an end to the journal.
+   *
+   * @param ticket - ticket of the commit
+   * @param failure - why the end is not in the journal, unless it is
+   * @returns false if the ticket does not belong to an end
+   */
+  public confirmFinish(ticket: number, failure?: Failure): boolean {
+    if (ticket < firstFinishTicket) return false;
+    const record = this.#unconfirmed.get(ticket);
+    this.#unconfirmed.delete(ticket);
+    if (record === undefined) return true;
+    if (failure !== undefined) this.#unwritten.add(record);
+    // Without the store the caller gets a result that exists, but no claim that nothing will run.
+    if (failure === undefined || record.ran !== 'no') record.confirmEnd();
+    this.#context.emit({ effect: 'changed', requestId: record.id });
+    return true;
   }
 
   /**
@@ -110,12 +141,23 @@
     for (const task of record.activeTasks) {
       const worker = this.#parts.fleet.find(task.worker);
       if (worker === undefined || !task.isConfirmed || task.state === 'stopping') continue;
-      task.setState('stopping');
-      this.sendCommand(worker, task.id, 'stop');
+      this.stopTask(worker, task);
     }
     this.#settle(record);
   }
 
+  /**
+   * Stops one task. The command is repeated until the task has ended, because it may be lost.
+   *
+   * @param worker - worker that runs the task
+   * @param task - the task
+   */
+  public stopTask(worker: WorkerRecord, task: TaskRecord): void {
+    task.setState('stopping');
+    this.#stopping.set(task, this.#context.clock.now());
+    this.sendCommand(worker, task.id, 'stop');
+  }
+
   /**
    * Sends a command for a task to its worker.
    *
@@ -197,15 +239,30 @@
     else this.#stopAndFail(record, failure);
   }
 
-  /** Applies deadlines and forgets finished requests after their retention. */
+  /** Repeats stop commands, applies deadlines and forgets finished requests after their retention. */
   public tick(): void {
     const now = this.#context.clock.now();
+    this.#repeatStops(now);
+    const unwritten = [...this.#unwritten];
+    this.#unwritten.clear();
+    for (const record of unwritten) this.#writeFinish(record);
     for (const record of this.#parts.table.list()) {
       if (record.isFinished) this.#forget(record, now);
       else if (now >= record.deadlineAt) this.#expire(record);
     }
   }
 
+  #repeatStops(now: number): void {
+    for (const [task, sentAt] of this.#stopping) {
+      const worker = this.#parts.fleet.find(task.worker);
+      if (!task.isActive || worker === undefined) this.#stopping.delete(task);
+      else if (now - sentAt > periods.startWindowMs) {
+        this.#stopping.set(task, now);
+        this.sendCommand(worker, task.id, 'stop');
+      }
+    }
+  }
+
   #expire(record: RequestRecord): void {
     const isServing = record.request.kind === 'service' && record.state === 'running';
     if (isServing || record.stopPlan !== undefined) return;
@@ -269,13 +326,17 @@
     return record.ran === 'no' ? 'refused' : 'failed';
   }
 
+  /** An end that is not in the journal would be undone by the next owner, so it is written until it is. */
   #writeFinish(record: RequestRecord): void {
-    const { request } = record;
-    const isJournaled =
-      request.detached || (!request.idempotent && request.idempotencyKey !== undefined);
-    if (!isJournaled) return;
     const { clock, emit } = this.#context;
-    const entry = { entry: 'finished', view: record.describe(), atMs: clock.wallTime() } as const;
-    emit({ effect: 'commit', ticket: 0, entry });
+    const ticket = this.#nextTicket;
+    this.#nextTicket += 1;
+    this.#unconfirmed.set(ticket, record);
+    const entry = {
+      entry: 'finished',
+      view: record.describeEnd(),
+      atMs: clock.wallTime(),
+    } as const;
+    emit({ effect: 'commit', ticket, entry });
   }
 }
--- a/packages/core/src/RequestRecord.ts
+++ b/packages/core/src/RequestRecord.ts
@@ -30,6 +30,9 @@
   #failure: Failure | undefined;
   #stop: StopPlan | undefined;
   #restored: RequestView | undefined;
+  #accepted = false;
+  #earliestStartAt = Infinity;
+  #awaitsEnd = false;
 
   /**
    * @param request - the admitted request
@@ -47,6 +50,16 @@
     return this.request.id;
   }
 
+  /** Whether the acceptance is in the journal, or may be, so that a new owner would go on with it. */
+  public get isAccepted(): boolean {
+    return this.#accepted;
+  }
+
+  /** Local monotonic time before which no earlier owner can have started it, in milliseconds. */
+  public get earliestStartAt(): number {
+    return this.#earliestStartAt;
+  }
+
   /** Current state; `stopping` while tasks that shall stop may still be active. */
   public get state(): RequestState {
     return this.#stop === undefined || this.isFinished ? this.#state : 'stopping';
@@ -176,10 +189,11 @@
    * Notes that a worker started a task.
    *
    * @param task - the attempt
+   * @param now - local monotonic time in milliseconds
    */
-  public confirmStart(task: TaskRecord): void {
+  public confirmStart(task: TaskRecord, now: number): void {
     if (!task.isConfirmed) this.#uncertainStarts -= 1;
-    task.confirm();
+    task.confirm(now);
     this.#ran = 'yes';
     const areAllConfirmed = this.activeTasks.every(({ isConfirmed }) => isConfirmed);
     if (areAllConfirmed && this.pendingIndexes.length === 0 && !this.isFinished) {
@@ -281,8 +295,10 @@
    * Notes that an earlier owner may have started the request.
    *
    * @param attempt - highest attempt that is known
+   * @param earliestStartAt - local monotonic time before which it cannot have, in milliseconds
    */
-  public markUncertain(attempt: number): void {
+  public markUncertain(attempt: number, earliestStartAt = -Infinity): void {
+    this.#earliestStartAt = Math.min(this.#earliestStartAt, earliestStartAt);
     this.#uncertainStarts += 1;
     this.#attempt = Math.max(this.#attempt, attempt);
   }
@@ -292,12 +308,44 @@
     this.#uncertainStarts = 0;
   }
 
+  /**
+   * Notes whether the journal has the acceptance, or may have it.
+   *
+   * @param accepted - false once it is proved that the journal does not have it
+   */
+  public setAccepted(accepted: boolean): void {
+    this.#accepted = accepted;
+    if (!accepted) this.#awaitsEnd = false;
+  }
+
+  /** Hides the end from the caller until the journal has it. */
+  public awaitEnd(): void {
+    this.#awaitsEnd = true;
+  }
+
+  /** Notes that the journal has the end. */
+  public confirmEnd(): void {
+    this.#awaitsEnd = false;
+  }
+
   /**
    * Describes the request to its caller.
    *
-   * @returns the view
+   * @returns the view; the request shows as `stopping` while the journal does not have its end
    */
   public describe(): RequestView {
+    const view = this.describeEnd();
+    if (!this.#awaitsEnd) return view;
+    const { failure, ...rest } = view;
+    return { ...rest, state: 'stopping', reason: 'waits until the journal has the end' };
+  }
+
+  /**
+   * Describes the request as it is, whether or not the journal has its end.
+   *
+   * @returns the view
+   */
+  public describeEnd(): RequestView {
     if (this.#restored !== undefined) return this.#restored;
     const { id, team, queue, kind, tasks } = this.request;
     const output = Array.from({ length: tasks }, (_, index) => this.#outputs.get(index) ?? '');
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -41,6 +41,13 @@
 import { WaitingQueue } from './WaitingQueue.js';
 import { zeroResources } from './zeroResources.js';
 
+/** Largest difference that is expected between the wall clocks of two hosts. */
+const wallClockMarginMs = 5000;
+/** Time within which an owner confirms or disproves a start: its window, two polls and a lease. */
+const uncertainMs = 60_000;
+/** Covers the transport of a request and the difference in speed of two clocks over its deadline. */
+const heldMarginMs = 5000;
+
 /**
  * The decisions for one shard under one ownership. Inputs are method calls; what the host process has
  * to do comes out as effects. It does no I/O.
@@ -234,10 +241,14 @@
         if (known?.deadlineAt === Infinity) known.setDeadline(deadlineAt);
         if (known !== undefined) continue;
         const record = new RequestRecord(entry.request, clock.now(), deadlineAt);
+        // The earlier owner may have started it: only the reports of the workers prove that it did not.
+        const age = clock.wallTime() - (entry.atMs ?? -Infinity) + wallClockMarginMs;
+        record.markUncertain(0, clock.now() - age);
+        record.setAccepted(true);
         this.#table.add(record);
         loaded.set(record.id, record);
       } else if (entry.entry === 'intent') {
-        loaded.get(entry.requestId)?.markUncertain(1);
+        loaded.get(entry.requestId)?.markUncertain(1, Infinity);
       } else {
         const record = loaded.get(entry.view.id);
         loaded.delete(entry.view.id);
@@ -280,7 +291,7 @@
       if (held.cancelled === true) cancelled.push(record);
       if (view !== undefined) record.restore(view, now);
       else if (uncertain) {
-        record.markUncertain(attempt);
+        record.markUncertain(attempt, now - uncertainMs);
         this.#recovery.hold(record);
       } else open.push(record);
     }
@@ -318,7 +329,7 @@
    * @returns its state; or the reason why it was not taken, which proves that it did not run
    */
   public submit(call: SubmitCall): Result<RequestView, Failure> {
-    const { request, remainingMs, heldEpoch } = call;
+    const { request, remainingMs, heldEpoch, heldMs = Infinity } = call;
     const { clock, recorder, shard, epoch } = this.#context;
     const earlier = this.#table.findEarlier(request);
     if (earlier !== undefined) return this.#rejoin(earlier, call);
@@ -332,7 +343,7 @@
     this.#table.add(record);
     recorder.record('requestAdmitted', { requestId: request.id, team: request.team, shard });
     const wasHeld = heldEpoch !== undefined && heldEpoch < epoch;
-    if (wasHeld) record.markUncertain(1);
+    if (wasHeld) record.markUncertain(0, clock.now() - heldMs - heldMarginMs);
     if (this.isJournaled(request)) this.#commitAccepted(record);
     else this.#enqueue(record);
     return ok(record.describe());
@@ -356,6 +367,7 @@
    * @param failure - why the entry is not in the journal, unless it is
    */
   public confirmCommit(ticket: number, failure?: Failure): void {
+    if (this.#lifecycle.confirmFinish(ticket, failure)) return;
     if (ticket < 0) {
       this.#confirmIntent(ticket, failure);
       return;
@@ -366,6 +378,9 @@
     if (failure === undefined) this.#enqueue(record);
     else {
       const isOpen = failure.kind === 'outcomeUnknown';
+      // The acceptance may be in the journal, where the next owner finds and starts it.
+      if (isOpen) record.markUncertain(0);
+      else record.setAccepted(false);
       this.#lifecycle.finish(record, isOpen ? 'unknown' : 'refused', failure);
     }
     this.#context.emit({ effect: 'changed', requestId: record.id });
@@ -439,10 +454,12 @@
   ): { readonly address: string; readonly renewal: Renewal } | undefined {
     const worker = this.#fleet.find(workerId);
     if (worker === undefined) return undefined;
-    const { shard, epoch, owner, provisional, clock } = this.#context;
+    const { shard, epoch, owner, provisional } = this.#context;
     const isKnown = worker.clock !== undefined && !worker.isLapsed && !worker.hasRestarted;
-    const lowerBound = worker.clock?.readLowerBound(clock.now()) ?? 0;
-    const leaseUntil = isKnown ? lowerBound + periods.workerLeaseMs : 0;
+    // Counted from the last report, not from now: otherwise each attempt to reach a dead worker would
+    // extend the lease that it might hold, and its tasks would never be given up.
+    const reportedMs = worker.clock?.reportedMs ?? 0;
+    const leaseUntil = isKnown ? reportedMs + periods.workerLeaseMs : 0;
     if (isKnown) worker.grantLease(leaseUntil);
     return {
       address: worker.address,
@@ -626,11 +643,13 @@
     const ticket = this.#nextTicket;
     this.#nextTicket += 1;
     this.#commits.set(ticket, record);
+    record.setAccepted(true);
     const left = record.deadlineAt - clock.now();
     const entry = {
       entry: 'accepted',
       request: record.request,
       deadlineAtMs: clock.wallTime() + left,
+      atMs: clock.wallTime(),
     } as const;
     emit({ effect: 'commit', ticket, entry });
   }
@@ -657,13 +676,9 @@
     if (record.isFinished || record.activeTasks.length > 0) return;
     // The next tick ends a request whose deadline passed while it was held.
     if (this.#context.clock.now() >= record.deadlineAt) return;
-    if (this.#recovery.isProven || record.request.idempotent) {
-      record.clearUncertain();
-      this.#queue.add(record);
-      return;
-    }
-    const detail = 'a worker that may have run the request cannot be reached';
-    if (record.ran === 'no') this.#queue.add(record);
+    if (this.#recovery.disproves(record)) record.clearUncertain();
+    const detail = 'a worker that may have run the request cannot be reached or restarted';
+    if (record.ran === 'no' || record.request.idempotent) this.#queue.add(record);
     else this.#lifecycle.finish(record, 'unknown', createFailure('outcomeUnknown', detail));
   }
 
@@ -679,8 +694,13 @@
     for (const record of held) this.#release(record);
     if (this.#keyRing !== undefined) this.applyKeys(this.#keyRing);
     for (const record of this.#table.list()) {
-      const isKnown = this.#recovery.isProven || record.request.idempotent;
-      if (record.activeTasks.length > 0 && isKnown) this.#enqueueRest(record);
+      if (record.activeTasks.length === 0 || record.pendingIndexes.length === 0) continue;
+      if (this.#recovery.disproves(record) || record.request.idempotent) this.#enqueueRest(record);
+      else {
+        const detail = 'a worker that may have run a task cannot be reached or restarted';
+        const failure = createFailure('outcomeUnknown', detail);
+        this.#lifecycle.stopRequest(record, { next: 'failed', failure });
+      }
     }
     this.#fleet.touch();
   }
--- a/packages/core/src/TaskRecord.ts
+++ b/packages/core/src/TaskRecord.ts
@@ -12,7 +12,7 @@
   public readonly placedAt: number;
   #state: TaskState = 'starting';
   #usage: Resources;
-  #confirmed = false;
+  #confirmedAt: number | undefined;
   #latestStartAt = Infinity;
 
   /**
@@ -54,7 +54,12 @@
 
   /** Whether the worker confirmed that it started the task. */
   public get isConfirmed(): boolean {
-    return this.#confirmed;
+    return this.#confirmedAt !== undefined;
+  }
+
+  /** Local monotonic time of the confirmation, in milliseconds; infinite before it. */
+  public get confirmedAt(): number {
+    return this.#confirmedAt ?? Infinity;
   }
 
   /** Whether the task may occupy its worker. */
@@ -85,9 +90,13 @@
     this.#latestStartAt = latestStartAt;
   }
 
-  /** Notes that the worker started the task. */
-  public confirm(): void {
-    this.#confirmed = true;
+  /**
+   * Notes that the worker started the task.
+   *
+   * @param now - local monotonic time in milliseconds
+   */
+  public confirm(now: number): void {
+    this.#confirmedAt ??= now;
     if (this.#state === 'starting') this.#state = 'running';
   }
 
--- a/packages/core/src/TaskTracker.ts
+++ b/packages/core/src/TaskTracker.ts
@@ -44,7 +44,7 @@
     this.#parts.fleet.applyReport(worker, report, sentAt);
     for (const task of report.tasks) this.#applyTask(worker, task);
     for (const change of report.changes) this.#applyChange(worker, change);
-    this.#checkMissing(worker, report);
+    this.#checkMissing(worker, report, sentAt);
     worker.recount();
   }
 
@@ -113,7 +113,10 @@
     record ??= lifecycle.adoptRequest(assignment.request);
     const known = record.findTask(assignment.index);
     if (known?.id !== assignment.taskId) {
-      if (known !== undefined && known.assignment.attempt >= assignment.attempt) {
+      // An active task is never replaced, not even by a higher attempt of an earlier owner.
+      const isLate =
+        known !== undefined && (known.isActive || known.assignment.attempt >= assignment.attempt);
+      if (isLate) {
         this.#dropLateTask(worker, report);
         return;
       }
@@ -135,8 +138,6 @@
   #adoptTask(worker: WorkerRecord, record: RequestRecord, { assignment }: TaskReport): void {
     const { clock, dataCentre, recorder } = this.#context;
     const task = new TaskRecord(assignment, worker.id, dataCentre, clock.now());
-    const former = record.findTask(assignment.index);
-    if (former?.isActive === true) this.#free(former);
     record.addTask(task);
     worker.addTask(task);
     this.#parts.ledger.charge(assignment.request.team, assignment.request.size);
@@ -160,21 +161,42 @@
     this.#stopOrphan(worker, report);
   }
 
-  #stopOrphan(worker: WorkerRecord, { assignment, state }: TaskReport): void {
-    if (state === 'running' || state === 'starting') {
-      this.#parts.lifecycle.sendCommand(worker, assignment.taskId, 'stop');
-    }
+  /** Stops a task that no request waits for. It counts as running until its worker reports its end. */
+  #stopOrphan(worker: WorkerRecord, { assignment, state, usage }: TaskReport): void {
+    if (state !== 'running' && state !== 'starting' && state !== 'stopping') return;
+    if (worker.tasks.some(({ id }) => id === assignment.taskId)) return;
+    const { clock, dataCentre } = this.#context;
+    const task = new TaskRecord(assignment, worker.id, dataCentre, clock.now());
+    task.confirm(clock.now());
+    task.setUsage(usage);
+    worker.addTask(task);
+    this.#parts.ledger.charge(assignment.request.team, assignment.request.size);
+    this.#parts.lifecycle.stopTask(worker, task);
+  }
+
+  /** The request of a task, unless the task is not its current attempt any more. */
+  #findRequest(task: TaskRecord): RequestRecord | undefined {
+    const record = this.#parts.table.find(task.assignment.request.id);
+    return record?.findTask(task.assignment.index) === task ? record : undefined;
+  }
+
+  #endOrphan(task: TaskRecord, state: TaskDelta['state']): void {
+    this.#free(task);
+    task.setState(state);
   }
 
   #applyChange(worker: WorkerRecord, change: TaskDelta): void {
     const task = worker.tasks.find(({ id }) => id === change.taskId);
     if (task === undefined) return;
-    const record = this.#parts.table.find(task.assignment.request.id);
-    if (record === undefined) return;
+    const record = this.#findRequest(task);
     task.setUsage(change.usage);
     if (change.state === 'starting') return;
-    if (!task.isConfirmed) this.#confirm(record, task);
+    if (record !== undefined && !task.isConfirmed) this.#confirm(record, task);
     if (change.state === 'running' || change.state === 'stopping') return;
+    if (record === undefined) {
+      this.#endOrphan(task, change.state);
+      return;
+    }
     this.#free(task);
     task.setState(change.state);
     this.#context.recorder.record('taskFinished', {
@@ -187,14 +209,18 @@
   }
 
   /** Tasks that a full report should list but does not. */
-  #checkMissing(worker: WorkerRecord, report: Report): void {
+  #checkMissing(worker: WorkerRecord, report: Report, sentAt: number): void {
     if (!report.full) return;
     const listed = new Set(report.tasks.map(({ assignment }) => assignment.taskId));
     for (const task of worker.tasks) {
       if (listed.has(task.id)) continue;
-      const record = this.#parts.table.find(task.assignment.request.id);
-      if (record === undefined) continue;
-      if (task.isConfirmed) this.#loseTask(record, task, 'the worker no longer reports the task');
+      const record = this.#findRequest(task);
+      if (record === undefined) this.#endOrphan(task, 'lapsed');
+      else if (task.isConfirmed && sentAt < task.confirmedAt) {
+        // The report may be older than the start, whose response overtook it.
+        worker.requestFull();
+      } else if (task.isConfirmed)
+        this.#loseTask(record, task, 'the worker no longer reports the task');
       else if (report.clockMs > task.latestStartAt) {
         this.disproveStart(record, task, 'the start command did not arrive in time');
       } else if (task.latestStartAt !== Infinity) worker.requestFull();
@@ -203,7 +229,7 @@
 
   #confirm(record: RequestRecord, task: TaskRecord): void {
     const { recorder, clock, emit } = this.#context;
-    record.confirmStart(task);
+    record.confirmStart(task, clock.now());
     recorder.record('taskStarted', {
       requestId: record.id,
       taskId: task.id,
@@ -217,8 +243,9 @@
 
   #loseTasks(worker: WorkerRecord, detail: string): void {
     for (const task of worker.tasks) {
-      const record = this.#parts.table.find(task.assignment.request.id);
-      if (record !== undefined) this.#loseTask(record, task, detail);
+      const record = this.#findRequest(task);
+      if (record === undefined) this.#endOrphan(task, 'lapsed');
+      else this.#loseTask(record, task, detail);
     }
     this.#parts.fleet.touch();
   }
--- a/packages/core/src/WorkerClock.ts
+++ b/packages/core/src/WorkerClock.ts
@@ -21,6 +21,16 @@
     this.#clockMs = clockMs;
   }
 
+  /** The worker's clock when it made the report, in milliseconds. */
+  public get reportedMs(): number {
+    return this.#clockMs;
+  }
+
+  /** Local monotonic time by which the worker had certainly booted, in milliseconds. */
+  public get bootedBy(): number {
+    return this.#receivedAt - this.#clockMs * (1 - driftFraction);
+  }
+
   /**
    * Lower bound of the worker's clock.
    *
--- a/packages/core/src/WorkerRecord.ts
+++ b/packages/core/src/WorkerRecord.ts
@@ -26,6 +26,7 @@
   #lapsed = false;
   #wantsFull = true;
   #restarted = false;
+  #bootedBy: number | undefined;
 
   /** @param host - the worker's record in the host list */
   public constructor(host: HostRecord) {
@@ -98,6 +99,14 @@
     return this.#report !== undefined;
   }
 
+  /**
+   * Local monotonic time by which the worker had booted at its first report, in milliseconds: that
+   * report lists all tasks that started since. Infinite before the first report.
+   */
+  public get bootedBy(): number {
+    return this.#bootedBy ?? Infinity;
+  }
+
   /** Whether the last granted lease has certainly expired. */
   public get isLapsed(): boolean {
     return this.#lapsed;
@@ -212,6 +221,9 @@
     if (report.bootId !== this.bootId) this.#leaseUntil = 0;
     this.#report = report;
     this.#clock = new WorkerClock(sentAt, receivedAt, report.clockMs);
+    this.#bootedBy ??= this.#clock.bootedBy;
+    // An earlier owner's lease holds until it ends, also before this owner grants its first one.
+    this.grantLease(report.leaseUntil);
     this.#lapsed = false;
     this.#restarted = false;
     this.#leaving = report.state === 'leaving';
