Resubmit by the epoch of the reply and order answers by owner

Cause: by reading; the entry compared attempts of different owners, dropped the answers of a new owner as late, and took the epoch from load notices, so that a request could end as unknownRequest after a failover. Change: answers are ordered by epoch, then attempt; unknownRequest leads to a resubmission with the epoch of the last reply; delays grow exponentially with jitter; a wait by id goes on for 10 s after a new owner. Result: not covered by a test of its own yet.

--- a/packages/core/src/Router.ts
+++ b/packages/core/src/Router.ts
@@ -22,6 +22,8 @@
   readonly #dataCentre: string;
   readonly #loads = new Map<string, { readonly load: ShardLoad; readonly at: number }>();
 
+  readonly #changes = new Map<string, number>();
+
   /**
    * @param clock - source of time
    * @param dataCentre - data centre of this process
@@ -40,6 +42,7 @@
     for (const load of notice.shards) {
       const known = this.#loads.get(load.shard);
       if (known !== undefined && known.load.epoch > load.epoch) continue;
+      if (known?.load.epoch !== load.epoch) this.#changes.set(load.shard, this.#clock.now());
       this.#loads.set(load.shard, { load, at: this.#clock.now() });
     }
   }
@@ -56,6 +59,16 @@
     return known !== undefined && this.#clock.now() - known.at <= maxAgeMs ? known.load : undefined;
   }
 
+  /**
+   * Finds when the owner of a shard changed.
+   *
+   * @param shard - name of the shard
+   * @returns local monotonic time of the first notice under the newest epoch, in milliseconds
+   */
+  public findOwnerChange(shard: string): number {
+    return this.#changes.get(shard) ?? -Infinity;
+  }
+
   /**
    * Chooses the home shard of an idempotency key. It depends on the document only, not on which shards
    * are alive, so a failure moves no key while its request is in flight.
--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -71,6 +71,7 @@
     const authenticator = new Authenticator(keyRing, settings.operatorKeyHash);
     const service = new RequestService({
       clock,
+      random: runtime.random,
       recorder,
       router: this.#router,
       peers: this.#peers,
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -1,9 +1,12 @@
 import {
   createFailure,
+  errorTable,
   isAnswered,
+  periods,
   type Clock,
   type EventRecorder,
   type Policy,
+  type RandomSource,
   type Router,
 } from '@toucanline/core';
 import type { PeerSet } from '@toucanline/runtime';
@@ -27,6 +30,9 @@
 const maxHandIns = 50;
 /** Time for a shard to get a new owner before a request is refused for lack of one, in milliseconds. */
 const ownerWaitMs = 10_000;
+const maxRetryMs = 1000;
+/** Time within which each entry has handed in what it holds to a new owner, in milliseconds. */
+const resubmissionMs = 10_000;
 
 /** Failures that prove that the shard does not hold the request, so that another may take it. */
 const passedOn: ReadonlySet<Failure['kind']> = new Set([
@@ -42,9 +48,15 @@
 /** Failures after which the shard may hold the request. */
 const undecided: ReadonlySet<Failure['kind']> = new Set(['linkLost', 'timeout']);
 
+/** An answer of an older owner, or of an older attempt under the same owner. */
+const isOlder = (next: Answer, known: Answer): boolean =>
+  next.epoch < known.epoch ||
+  (next.epoch === known.epoch && next.view.attempt < known.view.attempt);
+
 /** What the service works with. */
 interface ServiceParts {
   readonly clock: Clock;
+  readonly random: RandomSource;
   readonly recorder: EventRecorder;
   readonly router: Router;
   readonly peers: PeerSet;
@@ -61,6 +73,18 @@
   readonly waitUntil: number;
 }
 
+/** A submission that was offered to a shard. */
+interface HeldSubmission extends Submission {
+  /** Local monotonic time since which the shard may hold it, in milliseconds. */
+  readonly offeredAt: number;
+}
+
+/** A view together with the epoch of the owner that gave it. */
+interface Answer {
+  readonly view: RequestView;
+  readonly epoch: number;
+}
+
 /** Carries requests to the owners of shards and their answers back. */
 export class RequestService {
   readonly #parts: ServiceParts;
@@ -101,9 +125,9 @@
     for (const shard of shards.slice(0, maxHops)) {
       const offered = { ...request, id: `${shard}.${request.id}` };
       recorder.record('requestRouted', { requestId: offered.id, shard, team });
-      const result = await this.#offer(shard, { ...submission, request: offered });
-      if (result.isOk())
-        return this.#waitForAnswer(shard, { ...submission, request: offered }, result.value);
+      const accepted = { ...submission, request: offered, offeredAt: this.#parts.clock.now() };
+      const result = await this.#offer(shard, accepted);
+      if (result.isOk()) return this.#waitForAnswer(shard, accepted, result.value);
       last = result.error;
       if (!passedOn.has(last.kind)) break;
     }
@@ -135,8 +159,12 @@
       } as const;
       const result = await this.#callOwner(requestId, body, leftMs + marginMs);
       const isOver = clock.now() >= endsAt;
-      if (result.isOk() && (isAnswered(result.value) || isOver)) return result;
-      if (result.isErr() && (isOver || !this.#mayRecover(result.error))) return result;
+      if (result.isOk() && (isAnswered(result.value.view) || isOver)) {
+        return ok(result.value.view);
+      }
+      if (result.isErr() && (isOver || !this.#mayReturn(requestId, result.error))) {
+        return err(result.error);
+      }
       if (result.isErr()) await clock.sleep(retryMs);
     }
   }
@@ -157,12 +185,21 @@
     const endsAt = clock.now() + ownerWaitMs;
     for (;;) {
       const result = await this.#callOwner(requestId, body, submitTimeoutMs);
-      const isOver = result.isOk() || !this.#mayRecover(result.error) || clock.now() >= endsAt;
-      if (isOver) return result;
+      if (result.isOk()) return ok(result.value.view);
+      const isOver = !this.#mayReturn(requestId, result.error) || clock.now() >= endsAt;
+      if (isOver) return err(result.error);
       await clock.sleep(retryMs);
     }
   }
 
+  /** After a change of the owner, the entry that holds a request hands it in again within seconds. */
+  #mayReturn(requestId: string, failure: Failure): boolean {
+    if (this.#mayRecover(failure)) return true;
+    const changedAt = this.#parts.router.findOwnerChange(requestId.split('.')[0] ?? '');
+    const isRecent = this.#parts.clock.now() - changedAt < resubmissionMs;
+    return failure.kind === 'unknownRequest' && isRecent;
+  }
+
   #mayRecover(failure: Failure): boolean {
     return passedOn.has(failure.kind) || undecided.has(failure.kind);
   }
@@ -171,7 +208,7 @@
    * Offers a request to one shard. Once the shard may hold it, it is handed in again, under the same
    * id, until the shard answers: no other shard may get it.
    */
-  async #offer(shard: string, submission: Submission): Promise<Result<RequestView, Failure>> {
+  async #offer(shard: string, submission: HeldSubmission): Promise<Result<Answer, Failure>> {
     const { clock, router } = this.#parts;
     let heldEpoch: number | undefined;
     for (let handIn = 0; handIn < maxHandIns; handIn += 1) {
@@ -183,7 +220,7 @@
       const isPassedOn = heldEpoch === undefined && passedOn.has(result.error.kind);
       if (isPassedOn || !this.#mayRecover(result.error)) return result;
       if (undecided.has(result.error.kind)) heldEpoch ??= epoch;
-      await clock.sleep(retryMs);
+      await clock.sleep(this.#chooseDelay(handIn));
     }
     if (heldEpoch === undefined) return err(createFailure('deadlinePassed', 'the deadline passed'));
     return err(createFailure('outcomeUnknown', 'the owner of the shard did not answer in time'));
@@ -191,10 +228,10 @@
 
   #handIn(
     shard: string,
-    { request, detached }: Submission,
+    { request, detached, offeredAt }: HeldSubmission,
     remainingMs: number,
     heldEpoch: number | undefined,
-  ): Promise<Result<RequestView, Failure>> {
+  ): Promise<Result<Answer, Failure>> {
     const body: SubmitCall = {
       call: 'submit',
       shard,
@@ -202,46 +239,66 @@
       remainingMs,
       detached,
       stamp: this.#parts.recorder.stamp(),
-      ...(heldEpoch === undefined ? {} : { heldEpoch }),
+      ...(heldEpoch === undefined
+        ? {}
+        : { heldEpoch, heldMs: this.#parts.clock.now() - offeredAt }),
     };
     return this.#callOwner(request.id, body, Math.min(submitTimeoutMs, remainingMs + marginMs));
   }
 
-  /** Waits for the answer; a new owner gets the request again, because it may not know it. */
+  /**
+   * Waits for the answer. An owner that does not know the request gets it again, together with the epoch
+   * of the owner that held it: that is proof for neither a start nor its absence.
+   */
   async #waitForAnswer(
     shard: string,
-    submission: Submission,
-    first: RequestView,
+    submission: HeldSubmission,
+    first: Answer,
   ): Promise<Result<RequestView, Failure>> {
-    const { clock, router, recorder } = this.#parts;
-    let view = first;
-    let epoch = router.findLoad(shard)?.epoch ?? 0;
-    while (!isAnswered(view) && clock.now() < submission.waitUntil) {
+    const { clock, recorder } = this.#parts;
+    let answer = first;
+    let failures = 0;
+    while (!isAnswered(answer.view) && clock.now() < submission.waitUntil) {
+      const { id } = answer.view;
       const waitMs = Math.min(sliceMs, submission.waitUntil - clock.now());
-      const { team } = submission.request;
-      const body = { call: 'wait', requestId: view.id, team, waitMs } as const;
-      let result = await this.#callOwner(view.id, body, waitMs + marginMs);
-      const newEpoch = router.findLoad(shard)?.epoch ?? epoch;
-      if (result.isErr() && result.error.kind === 'unknownRequest' && newEpoch > epoch) {
+      const body = { call: 'wait', requestId: id, team: submission.request.team, waitMs } as const;
+      let result = await this.#callOwner(id, body, waitMs + marginMs);
+      if (result.isErr() && result.error.kind === 'unknownRequest') {
         const remainingMs = submission.deadlineAt - clock.now();
-        result = await this.#handIn(shard, submission, remainingMs, epoch);
-        epoch = newEpoch;
+        result = await this.#handIn(shard, submission, remainingMs, answer.epoch);
       }
       if (result.isErr()) {
-        if (!this.#mayRecover(result.error)) return err(result.error);
-        await clock.sleep(retryMs);
-      } else if (result.value.attempt < view.attempt) {
-        recorder.record('lateAnswerDropped', { requestId: view.id });
-      } else view = result.value;
+        if (!this.#mayRecover(result.error)) return err(this.#doubt(result.error));
+        await clock.sleep(this.#chooseDelay(failures));
+        failures += 1;
+      } else if (isOlder(result.value, answer)) {
+        recorder.record('lateAnswerDropped', { requestId: id });
+      } else {
+        answer = result.value;
+        failures = 0;
+      }
     }
-    return ok(view);
+    return ok(answer.view);
+  }
+
+  /** A new owner's refusal says nothing about what the former owner did. */
+  #doubt(failure: Failure): Failure {
+    if (errorTable[failure.kind].ran !== 'no') return failure;
+    const detail = `an earlier owner held the request; the new one refused it: ${failure.detail}`;
+    return createFailure('outcomeUnknown', detail);
+  }
+
+  /** Exponential delay with jitter, so that the entries do not return to a new owner at once. */
+  #chooseDelay(failures: number): number {
+    const delayMs = Math.min(periods.firstRetryMs * 2 ** failures, maxRetryMs);
+    return delayMs * (0.5 + this.#parts.random.next() / 2);
   }
 
   async #callOwner(
     requestId: string,
     body: CallBody,
     timeoutMs: number,
-  ): Promise<Result<RequestView, Failure>> {
+  ): Promise<Result<Answer, Failure>> {
     const shard = requestId.split('.')[0] ?? '';
     const address = this.#parts.router.findLoad(shard)?.address;
     if (address === undefined) {
@@ -255,8 +312,8 @@
       .andThen((content) => this.#readView(content));
   }
 
-  #readView(reply: ReplyBody): Result<RequestView, Failure> {
-    if (reply.reply === 'view') return ok(reply.view);
+  #readView(reply: ReplyBody): Result<Answer, Failure> {
+    if (reply.reply === 'view') return ok({ view: reply.view, epoch: reply.epoch });
     if (reply.reply === 'failure') return err(reply.failure);
     return err(createFailure('internal', `unexpected reply ${reply.reply}`));
   }
