--- a/packages/core/__tests__/shard.random.test.ts
+++ b/packages/core/__tests__/shard.random.test.ts
@@ -140,17 +140,9 @@
         seed,
         numRuns: runs,
         // Bounds the search for a smaller counterexample, so that a failure ends in time as well.
-        interruptAfterTimeLimit: Math.max(20_000, runs * 100),
-        markInterruptAsFailure: true,
-        reporter: (details) => {
-          if (!details.failed) return;
-          const [runSeed, steps] = details.counterexample ?? [0, []];
-          const list = steps.map(([label]) => `  ${label}`).join('\n');
-          const cause = details.errorInstance instanceof Error ? details.errorInstance.message : '';
-          throw new Error(
-            `seed ${details.seed}, path ${details.counterexamplePath ?? ''}, run seed ${runSeed}\n${list}\n${cause}`,
-          );
-        },
+        plugins: [
+          fc.interruptAfterTimeLimit(Math.max(20_000, runs * 100), { failOnInterrupt: true }),
+        ],
       },
     );
   });
