Keep most of an idle limit allotted; send team amounts to schedulers only

Cause: idle shards kept 20% of a team's limit, so a data centre that lost the store before a team had demand could start almost nothing for it. Load notices carried the use and demand of each team to every link, twice between two schedulers.

Change: idle shards together keep 80% of a limit; entries get notices without amounts per team, and a process with two links gets one notice.

--- a/packages/core/src/AllotmentPlanner.ts
+++ b/packages/core/src/AllotmentPlanner.ts
@@ -10,8 +10,13 @@
 import { sumAllotments } from './sumAllotments.js';
 import { zeroResources } from './zeroResources.js';
 
-/** Part of a limit that idle shards together keep, so that first requests need no store write. */
-const headroomFraction = 0.2;
+/**
+ * Part of a limit that idle shards together keep, so that first requests need no store write and a
+ * store outage leaves them most of the limit. The rest is free for the first shard with demand.
+ */
+const headroomFraction = 0.8;
+/** Excess that a shard keeps while nobody needs it, as a part of the limit. */
+const keptExcessFraction = 0.2;
 /** Amounts are multiples of this, so that sums of many moves stay exact enough. */
 const grain = 1e-3;
 
@@ -104,7 +109,7 @@
     const current = this.#readCurrent(situation);
     if (!coversResources(current, wanted)) return false;
     return coversResources(
-      scaleResources(limit, headroomFraction),
+      scaleResources(limit, keptExcessFraction),
       subtractResources(current, wanted),
     );
   }
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -202,11 +202,26 @@
       ...(Number.isFinite(ageMs) ? { keysAgeMs: ageMs } : {}),
     };
     this.#router.applyNotice(notice);
-    for (const link of this.#listener.links) link.notify(notice);
-    for (const link of this.#peers?.links ?? []) link.notify(notice);
+    this.#notifyPeers(notice);
     this.#passLoads();
   }
 
+  /**
+   * Entries route by free capacity alone. The amounts per team are for schedulers: at 230 teams they
+   * would make up most of a notice.
+   */
+  #notifyPeers(notice: LoadNotice): void {
+    const shards = notice.shards.map((load) => ({ ...load, use: {}, demand: {} }));
+    const brief: LoadNotice = { ...notice, shards };
+    const told = new Set<string>();
+    for (const link of [...this.#listener.links, ...(this.#peers?.links ?? [])]) {
+      // Two schedulers dial each other, so there may be two links to one process.
+      if (link.peer === undefined || told.has(link.peer.process)) continue;
+      told.add(link.peer.process);
+      link.notify(link.peer.role === 'entry' ? brief : notice);
+    }
+  }
+
   #passLoads(): void {
     const names = this.#runtime.holder.policy?.shards ?? [];
     const loads = names.flatMap((name) => this.#router.findLoad(name) ?? []);
