--- a/packages-private/bench/src/bin/bench.ts
+++ b/packages-private/bench/src/bin/bench.ts
@@ -1,10 +1,15 @@
 #!/usr/bin/env node
 import { PlacementBenchmark } from '../PlacementBenchmark.js';
 import type { Benchmark } from '../Benchmark.js';
+import { SiteBenchmark } from '../SiteBenchmark.js';
 import { SharesBenchmark } from '../SharesBenchmark.js';
 
 const defaultSeed = 1;
-const benchmarks: readonly Benchmark[] = [new PlacementBenchmark(), new SharesBenchmark()];
+const benchmarks: readonly Benchmark[] = [
+  new PlacementBenchmark(),
+  new SharesBenchmark(),
+  new SiteBenchmark(),
+];
 
 const print = (line: string): void => {
   process.stdout.write(`${line}\n`);
