--- a/packages-private/testkit/src/Ledger.ts
+++ b/packages-private/testkit/src/Ledger.ts
@@ -70,6 +70,19 @@
     this.#leavingSince.set(worker, performance.now());
   }
 
+  /**
+   * Notes a start command, which a worker that is leaving may still refuse.
+   *
+   * @param worker - name of the worker
+   * @param assignment - the task
+   */
+  public noteOffer(worker: string, { taskId }: Assignment): void {
+    const leavingSince = this.#leavingSince.get(worker);
+    if (leavingSince !== undefined && performance.now() - leavingSince > leavingGraceMs) {
+      this.#report(`${taskId} was sent to leaving worker ${worker}`);
+    }
+  }
+
   /**
    * Notes a start and checks the promises that it may break.
    *
@@ -85,10 +98,6 @@
     this.#started.set(name, starts);
     if (starts > 1 && !request.idempotent)
       this.#report(`${name} is not idempotent and started twice`);
-    const leavingSince = this.#leavingSince.get(worker);
-    if (leavingSince !== undefined && performance.now() - leavingSince > leavingGraceMs) {
-      this.#report(`${name} started on leaving worker ${worker}`);
-    }
     this.#running.set(name, { worker, assignment });
     const use = addResources(this.readUse(request.team), request.size);
     this.#use.set(request.team, use);
--- a/packages-private/testkit/src/WorkerFake.ts
+++ b/packages-private/testkit/src/WorkerFake.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
-import { addResources, coversResources } from '@toucanline/core';
+import { addResources, coversResources, zeroResources } from '@toucanline/core';
 import {
   validators,
   type Authority,
@@ -73,6 +73,16 @@
     return this.#listRunning().length;
   }
 
+  /** Number of tasks that failed. */
+  public get failed(): number {
+    return [...this.#tasks.values()].filter(({ state }) => state === 'failed').length;
+  }
+
+  /** What the running tasks really use. */
+  public get usage(): Resources {
+    return this.#listRunning().reduce((sum, task) => addResources(sum, task.usage), zeroResources);
+  }
+
   /** Makes the worker tell that it is leaving. */
   public leave(): void {
     this.#leaving = true;
@@ -154,6 +164,7 @@
     if (refused !== undefined) return refused;
     const { id, room } = this.options;
     const { request, taskId } = assignment;
+    this.#ledger.noteOffer(id, assignment);
     if (this.#tasks.has(taskId)) return this.#refuse('duplicate', `${taskId} is known`);
     if (this.#now > latestStartAt) return this.#refuse('tooLate', 'the start window has passed');
     if (this.#leaving) return this.#refuse('leaving', 'the worker is leaving');
