Walk only open requests in the lifecycle tick

Cause: the tick walked every known request four times a second, with all that retention keeps. Change: the table moves finished requests into their own set at the first walk that meets them; the tick stops at the first of them that retention still keeps. Conclusion: the cost of a tick follows the open requests; a burst of ends costs once.

--- a/packages/core/src/RequestLifecycle.ts
+++ b/packages/core/src/RequestLifecycle.ts
@@ -246,10 +246,10 @@
     const unwritten = [...this.#unwritten];
     this.#unwritten.clear();
     for (const record of unwritten) this.#writeFinish(record);
-    for (const record of this.#parts.table.list()) {
-      if (record.isFinished) this.#forget(record, now);
-      else if (now >= record.deadlineAt) this.#expire(record);
+    for (const record of this.#parts.table.listOpen()) {
+      if (now >= record.deadlineAt) this.#expire(record);
     }
+    this.#forgetFinished(now);
   }
 
   #repeatStops(now: number): void {
@@ -270,9 +270,10 @@
     this.stopRequest(record, { next: 'failed', failure });
   }
 
-  #forget(record: RequestRecord, now: number): void {
-    const { finishedAt } = record;
-    if (finishedAt !== undefined && now - finishedAt > periods.retentionMs) {
+  #forgetFinished(now: number): void {
+    for (const record of this.#parts.table.listFinished()) {
+      // The others finished later.
+      if (now - (record.finishedAt ?? now) <= periods.retentionMs) return;
       this.#parts.table.remove(record);
     }
   }
--- a/packages/core/src/RequestTable.ts
+++ b/packages/core/src/RequestTable.ts
@@ -7,6 +7,9 @@
 export class RequestTable {
   readonly #records = new Map<string, RequestRecord>();
   readonly #byKey = new Map<string, RequestRecord>();
+  readonly #open = new Set<RequestRecord>();
+  /** Finished requests by the time at which their end was noted. */
+  readonly #finished = new Set<RequestRecord>();
 
   /** Number of known requests. */
   public get size(): number {
@@ -20,7 +23,10 @@
    */
   public add(record: RequestRecord): void {
     const { id, team, idempotencyKey } = record.request;
+    const former = this.#records.get(id);
+    if (former !== undefined) this.remove(former);
     this.#records.set(id, record);
+    this.#open.add(record);
     if (idempotencyKey !== undefined) this.#byKey.set(createKeyName(team, idempotencyKey), record);
   }
 
@@ -32,6 +38,8 @@
   public remove(record: RequestRecord): void {
     const { id, team, idempotencyKey } = record.request;
     this.#records.delete(id);
+    this.#open.delete(record);
+    this.#finished.delete(record);
     if (idempotencyKey === undefined) return;
     const name = createKeyName(team, idempotencyKey);
     if (this.#byKey.get(name) === record) this.#byKey.delete(name);
@@ -67,4 +75,29 @@
   public list(): IterableIterator<RequestRecord> {
     return this.#records.values();
   }
+
+  /**
+   * Lists the requests that have not finished. Retention keeps many more that have, so work that is
+   * repeated often walks only these.
+   *
+   * @returns the requests in the order of their arrival here
+   */
+  public *listOpen(): Generator<RequestRecord> {
+    for (const record of this.#open) {
+      if (!record.isFinished) yield record;
+      else {
+        this.#open.delete(record);
+        this.#finished.add(record);
+      }
+    }
+  }
+
+  /**
+   * Lists the finished requests that a walk over the open ones met before.
+   *
+   * @returns the requests by the time of their end
+   */
+  public listFinished(): IterableIterator<RequestRecord> {
+    return this.#finished.values();
+  }
 }
