Read the free capacity of a grown worker once

Cause: a change of a worker calculated its free capacity for each blocked shape, and the heap moved entries whose key had not changed. Change: DispatchOrder compares shapes with the capacity that it is told; IndexedHeap.set returns early for an unchanged key.

--- a/packages/core/src/DispatchOrder.ts
+++ b/packages/core/src/DispatchOrder.ts
@@ -148,20 +148,7 @@
    * @param free - what it has free now
    */
   public noteWorker(worker: WorkerRecord, before: Resources, free: Resources): void {
-    const isGrown = !coversResources(before, free);
-    if (isGrown) {
-      for (const [shape, { sample, workers }] of this.#candidates) {
-        if (worker.canTake(sample.size, sample.acceleratorType)) workers.add(worker);
-        if (workers.size > maxCandidates) this.#candidates.delete(shape);
-      }
-    }
-    for (const [shape, sample] of this.#blocked) {
-      if (!isGrown || this.#gangRooms.has(shape)) continue;
-      if (!worker.canTake(sample.size, sample.acceleratorType)) continue;
-      const isNarrow = !sample.isGang && !sample.urgent;
-      if (isNarrow) this.#candidates.set(shape, { sample, workers: new Set([worker]) });
-      this.#reopen(shape);
-    }
+    if (!coversResources(before, free)) this.#noteGrown(worker, free);
     for (const gang of this.#gangRooms.values()) this.#noteGangRoom(gang, worker, before, free);
   }
 
@@ -225,6 +212,23 @@
     }
   }
 
+  /** The free capacity is read once, because the worker calculates it at each call. */
+  #noteGrown(worker: WorkerRecord, free: Resources): void {
+    const { acceleratorType } = worker;
+    const canTake = ({ size, acceleratorType: wanted }: RequestClass): boolean =>
+      coversResources(free, size) && (wanted === undefined || wanted === acceleratorType);
+    for (const [shape, { sample, workers }] of this.#candidates) {
+      if (canTake(sample)) workers.add(worker);
+      if (workers.size > maxCandidates) this.#candidates.delete(shape);
+    }
+    for (const [shape, sample] of this.#blocked) {
+      if (this.#gangRooms.has(shape) || !canTake(sample)) continue;
+      const isNarrow = !sample.isGang && !sample.urgent;
+      if (isNarrow) this.#candidates.set(shape, { sample, workers: new Set([worker]) });
+      this.#reopen(shape);
+    }
+  }
+
   #noteGangRoom(gang: GangRoom, worker: WorkerRecord, before: Resources, free: Resources): void {
     const { size, acceleratorType, atOnce, shape } = gang.sample;
     if (!worker.isSuitable(size, acceleratorType)) return;
--- a/packages/core/src/IndexedHeap.ts
+++ b/packages/core/src/IndexedHeap.ts
@@ -37,6 +37,8 @@
    */
   public set(item: T, key: number, tie = 0): void {
     const position = this.#positions.get(item) ?? this.#entries.length;
+    const known = this.#entries[position];
+    if (known?.key === key && known.tie === tie) return;
     const entry = { item, key, tie };
     this.#put(position, entry);
     if (!this.#raise(position, entry)) this.#lower(position, entry);
