Answer a call with a failure if its reply exceeds the frame bound

Cause: encodeFrame threw for an oversized frame; for a reply this was an unhandled rejection that ended the process. Change: encodeFrame returns a result. An oversized reply is replaced by a failure outcomeUnknown, an oversized call ends as bodyTooLarge. Tests for the reader (fast-check) and for links on loopback. Conclusion: no frame size ends the process.

--- /dev/null
+++ b/packages/wire/__tests__/frames.test.ts
@@ -0,0 +1,263 @@
+import { connect, createServer, type Server, type Socket } from 'node:net';
+import type { CallBody, Frame, Hello, ReplyBody } from '@toucanline/schema';
+import { expect } from 'chai';
+import fc from 'fast-check';
+import type { Link } from '../src/index.js';
+import {
+  encodeFrame,
+  FrameReader,
+  frameLimits,
+  LinkDialer,
+  LinkHandler,
+  LinkListener,
+} from '../src/index.js';
+
+const hello: Hello = {
+  type: 'hello',
+  protocol: 1,
+  environment: 'test',
+  process: 'p1',
+  role: 'scheduler',
+  dataCentre: 'dc1',
+};
+const status: CallBody = { call: 'status' };
+const done: ReplyBody = { reply: 'done' };
+const checks = { seed: 20_261_204, numRuns: 300 };
+
+const encode = (frame: Frame): Buffer => encodeFrame(frame)._unsafeUnwrap();
+
+const waitUntil = async (isTrue: () => boolean, timeoutMs: number, what: string): Promise<void> => {
+  const endsAt = performance.now() + timeoutMs;
+  while (!isTrue()) {
+    if (performance.now() > endsAt) throw new Error(`not within ${timeoutMs} ms: ${what}`);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+};
+
+/** Notes opened and closed links and answers each call by a function. */
+class RecordingHandler extends LinkHandler {
+  public readonly opened: Link[] = [];
+  public readonly closed: string[] = [];
+  readonly #answer: () => Promise<ReplyBody>;
+
+  public constructor(answer: () => Promise<ReplyBody> = () => Promise.resolve(done)) {
+    super();
+    this.#answer = answer;
+  }
+
+  public override handleOpen(link: Link): void {
+    this.opened.push(link);
+  }
+
+  public override handleCall(): Promise<ReplyBody> {
+    return this.#answer();
+  }
+
+  public override handleNotice(): void {
+    // No test sends notices.
+  }
+
+  public override handleClose(_link: Link, detail: string): void {
+    this.closed.push(detail);
+  }
+}
+
+/** Reads everything that a reader gives for some chunks; stops at the first failure. */
+const readAll = (chunks: readonly Buffer[]): { frames: Frame[]; failed: boolean } => {
+  const reader = new FrameReader();
+  const frames: Frame[] = [];
+  for (const chunk of chunks) {
+    reader.add(chunk);
+    for (let next = reader.take(); next !== undefined; next = reader.take()) {
+      if (next.isErr()) return { frames, failed: true };
+      frames.push(next.value);
+    }
+  }
+  return { frames, failed: false };
+};
+
+const split = (bytes: Buffer, cuts: readonly number[]): readonly Buffer[] => {
+  const ends = [...cuts.map((cut) => cut % (bytes.length + 1)), bytes.length];
+  const sorted = ends.sort((left, right) => left - right);
+  return sorted.map((end, index) => bytes.subarray(sorted[index - 1] ?? 0, end));
+};
+
+const frame = fc.oneof(
+  fc.constant<Frame>({ type: 'heartbeat' }),
+  fc.constant<Frame>(hello),
+  fc.nat().map((id): Frame => ({ type: 'call', id: id + 1, body: status })),
+  fc.tuple(fc.nat(), fc.string({ maxLength: 4096 })).map(([id, detail]): Frame => ({
+    type: 'reply',
+    id: id + 1,
+    body: { reply: 'failure', failure: { kind: 'internal', detail } },
+  })),
+);
+const frames = fc.array(frame, { minLength: 1, maxLength: 8 });
+const cuts = fc.array(fc.nat(), { maxLength: 40 });
+
+describe('the reader of frames', () => {
+  it('gives the same frames for every split of the bytes', () => {
+    const property = fc.property(frames, cuts, (sent, at) => {
+      const bytes = Buffer.concat(sent.map(encode));
+      expect(readAll(split(bytes, at))).to.deep.equal({ frames: sent, failed: false });
+    });
+    fc.assert(property, checks);
+  });
+
+  it('gives only the whole frames of truncated bytes', () => {
+    const property = fc.property(frames, cuts, fc.nat(), (sent, at, cut) => {
+      const encoded = sent.map(encode);
+      const bytes = Buffer.concat(encoded);
+      const kept = bytes.subarray(0, cut % bytes.length);
+      let end = 0;
+      const whole = sent.filter((_, index) => (end += encoded[index]?.length ?? 0) <= kept.length);
+      expect(readAll(split(kept, at))).to.deep.equal({ frames: whole, failed: false });
+    });
+    fc.assert(property, checks);
+  });
+
+  it('refuses an oversized frame from its prefix alone, and keeps refusing', () => {
+    const sizes = fc.integer({ min: frameLimits.maxFrameBytes + 1, max: 0xffff_ffff });
+    const property = fc.property(frames, sizes, cuts, (sent, size, at) => {
+      const prefix = Buffer.alloc(4);
+      prefix.writeUInt32BE(size);
+      const bytes = Buffer.concat([...sent.map(encode), prefix]);
+      expect(readAll(split(bytes, at))).to.deep.equal({ frames: sent, failed: true });
+      const reader = new FrameReader();
+      reader.add(prefix);
+      expect([reader.take()?.isErr(), reader.take()?.isErr()]).to.deep.equal([true, true]);
+    });
+    fc.assert(property, checks);
+  });
+
+  it('never throws on alien bytes, and takes none of them for a frame', () => {
+    const property = fc.property(
+      fc.uint8Array({ minLength: 1, maxLength: 200 }),
+      cuts,
+      (body, at) => {
+        const alien = Buffer.from(body);
+        readAll(split(alien, at));
+        const prefix = Buffer.alloc(4);
+        prefix.writeUInt32BE(alien.length);
+        const result = readAll(split(Buffer.concat([prefix, alien]), at));
+        expect(result).to.deep.equal({ frames: [], failed: true });
+      },
+    );
+    fc.assert(property, checks);
+  });
+});
+
+describe('links on loopback', () => {
+  const ends: (() => void)[] = [];
+  const listen = async (handler: LinkHandler): Promise<string> => {
+    const listener = new LinkListener(hello, handler);
+    ends.push(() => {
+      listener.close();
+    });
+    return listener.listen('127.0.0.1', 0);
+  };
+  const dial = async (address: string, handler = new RecordingHandler()): Promise<LinkDialer> => {
+    const dialer = new LinkDialer(address, hello, handler);
+    ends.push(() => {
+      dialer.stop();
+    });
+    await waitUntil(() => dialer.link !== undefined, 3000, 'the link opens');
+    return dialer;
+  };
+  const open = async (dialer: LinkDialer): Promise<Link> => {
+    await waitUntil(() => dialer.link !== undefined, 3000, 'the link is open');
+    if (dialer.link === undefined) throw new Error('no link');
+    return dialer.link;
+  };
+  /** A peer that introduces itself on each connection and then does as told. */
+  const listenRaw = async (serve: (socket: Socket) => void): Promise<string> => {
+    const sockets = new Set<Socket>();
+    const server: Server = createServer((socket) => {
+      sockets.add(socket);
+      socket.on('error', () => socket.destroy());
+      socket.write(encode(hello));
+      serve(socket);
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    ends.push(() => {
+      for (const socket of sockets) socket.destroy();
+      server.close();
+    });
+    const bound = server.address();
+    if (bound === null || typeof bound === 'string') throw new Error('no port');
+    return `127.0.0.1:${bound.port}`;
+  };
+
+  afterEach(() => {
+    for (const end of ends.splice(0)) end();
+  });
+
+  it('closes only the link that a bad frame came on', async () => {
+    const handler = new RecordingHandler();
+    const address = await listen(handler);
+    const good = await open(await dial(address));
+    const bad = connect(Number(address.split(':')[1]), '127.0.0.1');
+    ends.push(() => bad.destroy());
+    let closed = false;
+    bad.on('close', () => (closed = true));
+    bad.resume();
+    bad.write(Buffer.concat([encode(hello), Buffer.from([0, 0, 0, 2, 0xff, 0xff])]));
+    await waitUntil(() => closed, 2000, 'the bad link is closed');
+    expect(handler.closed).to.have.length(1);
+    expect(handler.closed[0]).to.match(/^invalid frame/);
+    expect(good.isClosed).to.equal(false);
+    expect((await good.call(status, 1000))._unsafeUnwrap()).to.deep.equal(done);
+  });
+
+  it('replaces the link to a silent peer within 5 s and ends its calls as of unknown outcome', async () => {
+    const address = await listenRaw((socket) => socket.pause());
+    const dialer = await dial(address);
+    const first = await open(dialer);
+    const startedAt = performance.now();
+    const calls = [first.call(status, 500), first.call(status, 20_000)];
+    await waitUntil(() => dialer.link !== undefined && dialer.link !== first, 5000, 'a new link');
+    const kinds = (await Promise.all(calls)).map((each) => each._unsafeUnwrapErr().kind);
+    expect(kinds).to.deep.equal(['timeout', 'linkLost']);
+    expect(performance.now() - startedAt).to.be.lessThan(5000);
+  });
+
+  it('refuses calls to a peer that does not read instead of buffering them', async () => {
+    const address = await listenRaw((socket) => {
+      socket.pause();
+      const beat = setInterval(() => socket.write(encode({ type: 'heartbeat' })), 500);
+      socket.on('close', () => {
+        clearInterval(beat);
+      });
+    });
+    const link = await open(await dial(address));
+    // The validator of the peer is not reached, so the size of the identifier does not matter.
+    const large: CallBody = { call: 'cancel', requestId: 'x'.repeat(1024 * 1024) };
+    const calls = Array.from({ length: 100 }, () => link.call(large, 3000));
+    const kinds = (await Promise.all(calls)).map((each) => each._unsafeUnwrapErr().kind);
+    const sent = kinds.filter((kind) => kind === 'timeout');
+    expect(new Set(kinds)).to.deep.equal(new Set(['timeout', 'overloaded']));
+    // The bound of the buffer, one call above it, and what the sockets of both sides hold.
+    expect(sent.length).to.be.at.most(frameLimits.maxBufferedBytes / (1024 * 1024) + 12);
+    expect((await link.call(status, 1000))._unsafeUnwrapErr().kind).to.equal('overloaded');
+  });
+
+  it('answers a call whose reply is too large with a failure, and goes on', async () => {
+    let isLarge = true;
+    const detail = 'x'.repeat(frameLimits.maxFrameBytes);
+    const large: ReplyBody = { reply: 'failure', failure: { kind: 'internal', detail } };
+    const handler = new RecordingHandler(() => Promise.resolve(isLarge ? large : done));
+    const link = await open(await dial(await listen(handler)));
+    const reply = (await link.call(status, 2000))._unsafeUnwrap();
+    expect(reply).to.have.nested.property('failure.kind', 'outcomeUnknown');
+    isLarge = false;
+    expect((await link.call(status, 2000))._unsafeUnwrap()).to.deep.equal(done);
+  });
+
+  it('fails a call that is too large without sending it, and goes on', async () => {
+    const link = await open(await dial(await listen(new RecordingHandler())));
+    const large: CallBody = { call: 'cancel', requestId: 'x'.repeat(frameLimits.maxFrameBytes) };
+    const refused = await link.call(large, 1000);
+    expect(refused._unsafeUnwrapErr().kind).to.equal('bodyTooLarge');
+    expect((await link.call(status, 1000))._unsafeUnwrap()).to.deep.equal(done);
+  });
+});
--- a/packages/wire/src/Link.ts
+++ b/packages/wire/src/Link.ts
@@ -64,7 +64,7 @@
    *
    * @param body - the call
    * @param timeoutMs - longest wait for the reply, in milliseconds
-   * @returns the reply; `overloaded` if it was not sent; `timeout` or `linkLost` if the outcome is unknown
+   * @returns the reply; `overloaded` or `bodyTooLarge` if it was not sent; `timeout` or `linkLost` if the outcome is unknown
    */
   public call(body: CallBody, timeoutMs: number): Promise<Result<ReplyBody, Failure>> {
     if (this.#closed) return Promise.resolve(err(createFailure('noOwner', 'the link is closed')));
@@ -78,7 +78,8 @@
         this.#settle(id, err(createFailure('timeout', `no reply within ${timeoutMs} ms`)));
       }, timeoutMs);
       this.#pending.set(id, { resolve, timer });
-      this.#send({ type: 'call', id, body });
+      const failure = this.#send({ type: 'call', id, body });
+      if (failure !== undefined) this.#settle(id, err(failure));
     });
   }
 
@@ -108,8 +109,13 @@
     this.#handler.handleClose(this, detail);
   }
 
-  #send(frame: Frame): void {
-    if (!this.#closed) this.#socket.write(encodeFrame(frame));
+  /** Sends a frame; returns why it was not sent, if it is too large. */
+  #send(frame: Frame): Failure | undefined {
+    if (this.#closed) return undefined;
+    const encoded = encodeFrame(frame);
+    if (encoded.isErr()) return encoded.error;
+    this.#socket.write(encoded.value);
+    return undefined;
   }
 
   #beat(): void {
@@ -141,7 +147,11 @@
 
   async #answer(id: number, body: CallBody): Promise<void> {
     const reply = await this.#handler.handleCall(this, body);
-    this.#send({ type: 'reply', id, body: reply });
+    const failure = this.#send({ type: 'reply', id, body: reply });
+    if (failure === undefined) return;
+    // The call was carried out, so the kind must not say that it was not.
+    const substitute = createFailure('outcomeUnknown', `reply not sent: ${failure.detail}`);
+    this.#send({ type: 'reply', id, body: { reply: 'failure', failure: substitute } });
   }
 
   #settle(id: number, result: Result<ReplyBody, Failure>): void {
--- a/packages/wire/src/encodeFrame.ts
+++ b/packages/wire/src/encodeFrame.ts
@@ -1,4 +1,6 @@
-import type { Frame } from '@toucanline/schema';
+import { createFailure } from '@toucanline/core';
+import type { Failure, Frame } from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
 import { codec } from './codec.js';
 import { frameLimits } from './frameLimits.js';
 
@@ -6,15 +8,14 @@
  * Encodes a frame with its length prefix.
  *
  * @param frame - the frame
- * @returns the bytes to send
- * @throws RangeError if the frame exceeds the size bound
+ * @returns the bytes to send; `bodyTooLarge` if the frame exceeds the size bound
  */
-export const encodeFrame = (frame: Frame): Buffer => {
+export const encodeFrame = (frame: Frame): Result<Buffer, Failure> => {
   const body = codec.encode(frame);
   if (body.length > frameLimits.maxFrameBytes) {
-    throw new RangeError(`frame of ${body.length} bytes exceeds the bound`);
+    return err(createFailure('bodyTooLarge', `frame of ${body.length} bytes exceeds the bound`));
   }
   const prefix = Buffer.allocUnsafe(frameLimits.prefixBytes);
   prefix.writeUInt32BE(body.length);
-  return Buffer.concat([prefix, body]);
+  return ok(Buffer.concat([prefix, body]));
 };
