Test faults between real processes of two data centres

Cause: silent and cut links, a partitioned data centre, lost and rebooted workers and a cancellation storm had no test over real processes. Change: faults.test.ts; Site takes a store per data centre and a proxy in front of each scheduler in the host list.

--- /dev/null
+++ b/packages-private/testkit/__tests__/faults.test.ts
@@ -0,0 +1,186 @@
+import { expect } from 'chai';
+import { Caller, FaultProxy, Site, sleep } from '../src/index.js';
+
+const size = { processors: 1, memoryMb: 512, accelerators: 0 };
+
+const document = `schema = 1
+
+[shards.s1]
+dataCentre = "dc1"
+
+[shards.s2]
+dataCentre = "dc2"
+
+[teams.broadcast]
+share = 1
+
+[teams.planning]
+share = 1
+
+[queues.renders]
+kind = "batch"
+idempotent = true
+
+[queues.rosters]
+kind = "batch"
+idempotent = false
+`;
+
+const waitUntil = async (isTrue: () => boolean, timeoutMs: number, what: string): Promise<void> => {
+  const endsAt = performance.now() + timeoutMs;
+  while (!isTrue()) {
+    if (performance.now() > endsAt) throw new Error(`not within ${timeoutMs} ms: ${what}`);
+    await sleep(20);
+  }
+};
+
+describe('faults between real processes of two data centres', () => {
+  const links = new Map<string, FaultProxy>();
+  const store: FaultProxy = new FaultProxy(() => site.store.address);
+  const site = new Site({
+    document,
+    dataCentres: ['dc1', 'dc2'],
+    entriesPerDataCentre: 1,
+    schedulersPerDataCentre: 1,
+    workersPerDataCentre: 3,
+    teams: ['broadcast', 'planning'],
+    findStore: (dataCentre) => (dataCentre === 'dc2' ? `http://${store.address}` : undefined),
+    publishScheduler: async (address, process) => {
+      const proxy = new FaultProxy(() => address);
+      links.set(process, proxy);
+      await proxy.start();
+      return proxy.address;
+    },
+  });
+  const createCaller = (team: string, index: number): Caller =>
+    new Caller(() => site.entries[index]?.url ?? '', `key-${team}`);
+  const callers = [createCaller('broadcast', 0), createCaller('broadcast', 1)] as const;
+
+  const submit = (index: 0 | 1, queue: string, command: string): ReturnType<Caller['submit']> =>
+    callers[index].submit(queue, { size, command, deadlineSeconds: 60 }, { wait: 30 });
+  const findWorker = (id: string): string | undefined =>
+    site.ledger.running.find(({ assignment }) => assignment.request.id === id)?.worker;
+  /** Submits work during a fault and expects each answer with the output of its own request. */
+  const expectAnswers = async (index: 0 | 1, count: number): Promise<void> => {
+    const answers = await Promise.all(
+      Array.from({ length: count }, (_, each) =>
+        submit(index, 'renders', `sleep 50; echo ${each}`),
+      ),
+    );
+    const outputs = answers.map(({ view, problem }) => view.output?.[0] ?? problem.title);
+    expect(outputs).to.deep.equal(answers.map((_, each) => String(each)));
+  };
+
+  before(async () => {
+    await store.start();
+    await site.start();
+  });
+  after(async () => {
+    await site.stop();
+    for (const proxy of [store, ...links.values()]) proxy.stop();
+  });
+  afterEach(() => {
+    expect(site.ledger.violations).to.deep.equal([]);
+  });
+
+  it('loses no request to silent and cut links', async () => {
+    // Guards against requests that hang on a dead connection or run twice after it.
+    for (const fault of ['silence', 'cut'] as const) {
+      const roster = submit(0, 'rosters', 'sleep 1000; echo roster');
+      await waitUntil(() => site.ledger.running.length > 0, 5000, 'the task runs');
+      for (const proxy of links.values()) proxy.setFault(fault);
+      await expectAnswers(0, 20);
+      for (const proxy of links.values()) proxy.setFault('none');
+      const { view } = await roster;
+      expect(view.output).to.deep.equal(['roster']);
+      expect(site.ledger.countStarts(view.id)).to.equal(1);
+    }
+  });
+
+  it('serves the callers of a data centre that is cut off, and loses nothing on rejoining', async () => {
+    // Guards against a data centre that depends on the store or on the other one for its own work.
+    const roster = submit(1, 'rosters', 'sleep 5000; echo roster');
+    await waitUntil(() => site.ledger.running.length > 0, 5000, 'the task runs');
+    for (const proxy of [store, ...links.values()]) proxy.setFault('cut');
+    await sleep(4000);
+    await expectAnswers(1, 10);
+    await expectAnswers(0, 10);
+    for (const proxy of [store, ...links.values()]) proxy.setFault('none');
+    const { view } = await roster;
+    expect(view.output).to.deep.equal(['roster']);
+    expect(site.ledger.countStarts(view.id)).to.equal(1);
+    await site.waitForOwners();
+    await expectAnswers(1, 10);
+  });
+
+  it('answers another team within 3 s while 5,000 waiting requests are cancelled', async () => {
+    // Guards against a cancellation storm that holds up the loop of the owner.
+    const flood = Array.from({ length: 5000 }, () => 0);
+    const specification = { size: { ...size, processors: 16 }, command: 'serve' };
+    const ids: string[] = [];
+    for (let from = 0; from < flood.length; from += 250) {
+      const part = flood
+        .slice(from, from + 250)
+        .map(() => callers[0].submit('renders', specification, { wait: 0 }));
+      ids.push(...(await Promise.all(part)).map(({ view }) => view.id));
+    }
+    const cancelled = Promise.all(ids.map((id) => callers[0].cancel(id)));
+    const startedAt = performance.now();
+    const { view } = await createCaller('planning', 0).submit('renders', {
+      size,
+      command: 'echo x',
+    });
+    const tookMs = performance.now() - startedAt;
+    const statuses = new Set((await cancelled).map(({ status }) => status));
+    console.log(`      answer during the cancellations: ${Math.round(tookMs)} ms`);
+    expect([...statuses].filter((status) => status >= 400)).to.deep.equal([]);
+    expect(view.output).to.deep.equal(['x']);
+    expect(tookMs).to.be.lessThan(3000);
+    await waitUntil(() => site.ledger.running.length === 0, 5000, 'the flood is gone');
+  });
+
+  it('ends the work of a rebooted worker, and repeats only what may be repeated', async () => {
+    // Guards against waiting for work that a restart has ended, and against repeating a roster.
+    const answers = [
+      submit(0, 'rosters', 'sleep 1500; echo a'),
+      submit(0, 'renders', 'sleep 1500; echo b'),
+    ];
+    await waitUntil(() => site.ledger.running.length === 2, 5000, 'both tasks run');
+    for (const worker of site.workers) worker.reboot();
+    const [roster, render] = await Promise.all(answers);
+    expect(roster?.problem).to.include({ title: 'outcomeUnknown', ran: 'unknown' });
+    expect(render?.view.output).to.deep.equal(['b']);
+  });
+
+  it('repeats idempotent work of a killed worker only after its lease', async () => {
+    // Guards against two runs at the same time, and against repeating a roster.
+    const sent = await Promise.all(
+      ['rosters', 'renders', 'rosters', 'renders'].map((queue) =>
+        callers[0].submit(
+          queue,
+          { size, command: 'sleep 4000; echo z', deadlineSeconds: 60 },
+          { wait: 0 },
+        ),
+      ),
+    );
+    const ids = sent.map(({ view }) => view.id);
+    await waitUntil(() => ids.every((id) => findWorker(id) !== undefined), 5000, 'all tasks run');
+    const places = new Set(ids.map((id) => findWorker(id)));
+    const killed = site.workers.filter(({ options }) => places.has(options.id));
+    const killedAt = performance.now();
+    for (const worker of killed) {
+      worker.stop();
+      site.hosts.remove(worker.options.id);
+      await site.addWorker(worker.options.dataCentre, `n-${worker.options.id}`, 'rack0');
+    }
+    const ends = await Promise.all(ids.map((id) => callers[0].wait(id, 30)));
+    const outcomes = ends.map(
+      ({ view, problem }) => view.output?.[0] ?? `${problem.title} ${problem.ran}`,
+    );
+    const unknown = 'outcomeUnknown unknown';
+    expect(outcomes).to.deep.equal([unknown, 'z', unknown, 'z']);
+    expect(ids.map((id) => site.ledger.countStarts(id))).to.deep.equal([1, 2, 1, 2]);
+    // The lease lasts 15 s and is renewed at least every 2.5 s; the second run takes 4 s.
+    expect(performance.now() - killedAt).to.be.greaterThan(15_000 - 2500 + 4000);
+  });
+});
--- a/packages-private/testkit/src/Site.ts
+++ b/packages-private/testkit/src/Site.ts
@@ -30,6 +30,10 @@
   readonly production?: boolean;
   /** Addresses that the daemons use instead of those of the platform fakes. */
   readonly platform?: { readonly store?: string; readonly hosts?: string };
+  /** Store that the daemons of a data centre use, such as a proxy; undefined for the usual one. */
+  readonly findStore?: (dataCentre: string) => string | undefined;
+  /** Puts a proxy in front of a scheduler; returns the address for the host list. */
+  readonly publishScheduler?: (address: string, process: string) => Promise<string>;
 }
 
 /** A whole site on loopback: platform fakes in this process, daemons as real processes. */
@@ -188,7 +192,8 @@
       link: { host: '127.0.0.1', port },
     });
     this.#schedulers.push(daemon);
-    this.hosts.put({ id: process, role: 'scheduler', state: 'live', dataCentre, address });
+    const listed = (await this.#options.publishScheduler?.(address, process)) ?? address;
+    this.hosts.put({ id: process, role: 'scheduler', state: 'live', dataCentre, address: listed });
     return daemon;
   }
 
@@ -256,7 +261,8 @@
       dataCentre,
       http: { host: '127.0.0.1', port: await findFreePort() },
       platform: {
-        store: this.#options.platform?.store ?? this.store.url,
+        store:
+          this.#options.findStore?.(dataCentre) ?? this.#options.platform?.store ?? this.store.url,
         hosts: this.#options.platform?.hosts ?? this.hosts.url,
       },
       operatorKeyHash: hash(operatorKey),
