Let a scheduler advertise another link address than it listens on

Cause: a claim names the listener's address, so calls of entries bypassed a proxy or an address translation in front of the scheduler.

Change: the setting linkAddress names the address that peers use.

--- a/packages-private/testkit/src/Site.ts
+++ b/packages-private/testkit/src/Site.ts
@@ -187,12 +187,13 @@
   public async addScheduler(dataCentre: string, process: string): Promise<DaemonProcess> {
     const port = await findFreePort();
     const address = `127.0.0.1:${port}`;
+    const listed = (await this.#options.publishScheduler?.(address, process)) ?? address;
     const daemon = new DaemonProcess('scheduler', {
       ...(await this.#createSettings(dataCentre, process)),
       link: { host: '127.0.0.1', port },
+      linkAddress: listed,
     });
     this.#schedulers.push(daemon);
-    const listed = (await this.#options.publishScheduler?.(address, process)) ?? address;
     this.hosts.put({ id: process, role: 'scheduler', state: 'live', dataCentre, address: listed });
     return daemon;
   }
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -82,7 +82,8 @@
   public override async start(): Promise<void> {
     const { settings } = this.#runtime;
     const { host, port } = settings.link ?? { host: settings.http.host, port: 0 };
-    this.#address = await this.#listener.listen(host, port);
+    const bound = await this.#listener.listen(host, port);
+    this.#address = settings.linkAddress ?? bound;
     this.#peers = new PeerSet(this.#runtime, this.#links, this.#address);
     this.#peers.start();
     const service = restana();
