Add a chaos run of two data centres under seeded faults

Promises were checked under each fault alone, not under combinations. The run submits mixed load at both entries while one or two random faults are active, then checks every answer against what the workers saw. No run has been measured yet.

--- /dev/null
+++ b/packages-private/testkit/__tests__/chaos.test.ts
@@ -0,0 +1,18 @@
+import { expect } from 'chai';
+import { Chaos } from '../src/index.js';
+
+const seed = 7;
+const faultsMs = 15_000;
+
+describe('a site of two data centres under random faults', () => {
+  // Guards against promises that hold under each fault alone but not under faults in combination.
+  it('loses no request and breaks no promise', async function () {
+    this.timeout(120_000);
+    const lines: string[] = [];
+    const { outcomes, violations } = await new Chaos(seed, faultsMs, (line) => {
+      lines.push(line);
+    }).run();
+    expect(violations, lines.join('\n')).to.deep.equal([]);
+    expect(outcomes.get('succeeded') ?? 0).to.be.greaterThan(0);
+  });
+});
--- /dev/null
+++ b/packages-private/testkit/src/ChaosFaults.ts
@@ -0,0 +1,157 @@
+import { Caller } from './Caller.js';
+import type { ChaosLoad } from './ChaosLoad.js';
+import type { ChaosRandom } from './ChaosRandom.js';
+import type { ChaosSite } from './ChaosSite.js';
+import { sleep } from './sleep.js';
+
+const pauseMs = 5000;
+const hostListLagMs = 3000;
+
+/** Faults that come and go, one or two at a time. */
+export class ChaosFaults {
+  readonly #site: ChaosSite;
+  readonly #load: ChaosLoad;
+  readonly #random: ChaosRandom;
+  readonly #print: (line: string) => void;
+  readonly #busy = new Set<string>();
+  #changes = 0;
+
+  /**
+   * @param site - where the faults happen
+   * @param load - its requests are cancelled in waves
+   * @param random - choices
+   * @param print - takes a line for each fault
+   */
+  public constructor(
+    site: ChaosSite,
+    load: ChaosLoad,
+    random: ChaosRandom,
+    print: (line: string) => void,
+  ) {
+    this.#site = site;
+    this.#load = load;
+    this.#random = random;
+    this.#print = print;
+  }
+
+  /**
+   * Injects faults for a time and waits until they are over.
+   *
+   * @param durationMs - time in which faults begin, in milliseconds
+   */
+  public async run(durationMs: number): Promise<void> {
+    const endsAt = performance.now() + durationMs;
+    const runOne = async (): Promise<void> => {
+      while (performance.now() < endsAt) {
+        await this.#inject();
+        await sleep(500 + this.#random.drawInteger(2500));
+      }
+    };
+    await Promise.all([runOne(), runOne()]);
+  }
+
+  /** Injects one fault of a kind that is not active. */
+  async #inject(): Promise<void> {
+    const faults: readonly (readonly [string, () => Promise<void>])[] = [
+      ['scheduler', () => this.#replace('scheduler')],
+      ['scheduler', () => this.#pauseScheduler()],
+      ['entry', () => this.#replace('entry')],
+      ['store', () => this.#breakStore()],
+      ['store', () => this.#breakStore()],
+      ['hosts', () => this.#lagHosts()],
+      ['worker', () => this.#rebootWorker()],
+      ['worker', () => this.#breakWorker()],
+      ['cancel', () => this.#cancelAll()],
+      ['configuration', () => this.#changeConfiguration()],
+    ];
+    const [subject, run] = this.#random.pick(faults.filter(([name]) => !this.#busy.has(name)));
+    this.#busy.add(subject);
+    await run();
+    this.#busy.delete(subject);
+  }
+
+  async #replace(role: 'entry' | 'scheduler'): Promise<void> {
+    const daemon = this.#random.pick(this.#site.listDaemons(role));
+    const ms = this.#random.drawInteger(4000);
+    this.#print(`SIGKILL of ${daemon.settings.process}, replaced after ${ms} ms`);
+    await this.#site.replaceDaemon(daemon, role, () => sleep(ms));
+  }
+
+  async #pauseScheduler(): Promise<void> {
+    const daemon = this.#random.pick(this.#site.listDaemons('scheduler'));
+    this.#print(`SIGSTOP of ${daemon.settings.process} for ${pauseMs} ms`);
+    daemon.signal('SIGSTOP');
+    await sleep(pauseMs);
+    daemon.signal('SIGCONT');
+    this.#print(`SIGCONT of ${daemon.settings.process}`);
+  }
+
+  async #breakStore(): Promise<void> {
+    const fault = this.#random.pick(['down', 'hang', 'none', 'loseAnswers'] as const);
+    const delayMs = fault === 'none' ? 800 : 0;
+    const ms = 1000 + this.#random.drawInteger(5000);
+    this.#print(`store: ${fault}, delay ${delayMs} ms, for ${ms} ms`);
+    this.#site.site.store.setFault(fault, delayMs);
+    await sleep(ms);
+    this.#site.site.store.setFault('none');
+    this.#print('store: healthy');
+  }
+
+  async #lagHosts(): Promise<void> {
+    this.#print(`host list lags by ${hostListLagMs} ms`);
+    this.#site.site.hosts.setLag(hostListLagMs);
+    await sleep(2 * hostListLagMs);
+    this.#site.site.hosts.setLag(0);
+  }
+
+  async #rebootWorker(): Promise<void> {
+    const worker = this.#random.pick(this.#site.site.workers);
+    this.#print(`reboot of ${worker.options.id}`);
+    worker.reboot();
+    await sleep(500);
+  }
+
+  async #breakWorker(): Promise<void> {
+    const worker = this.#random.pick(this.#site.site.workers);
+    const ms = 1000 + this.#random.drawInteger(4000);
+    this.#print(`${worker.options.id} fails everything for ${ms} ms`);
+    worker.setFailsAll(true);
+    await sleep(ms);
+    worker.setFailsAll(false);
+  }
+
+  async #cancelAll(): Promise<void> {
+    this.#print('cancellation of all known requests');
+    await Promise.race([this.#load.cancelAll(), sleep(pauseMs)]);
+  }
+
+  /** Two operators write different limits against the same revision. */
+  async #changeConfiguration(): Promise<void> {
+    const limits = [this.#random.pick([16, 24]), this.#random.pick([32, 40])];
+    const operators = this.#site.dataCentres.map(
+      (dataCentre) =>
+        new Caller(() => this.#site.readEntryUrl(dataCentre), this.#site.site.operatorKey),
+    );
+    const known = await operators[0]?.send('GET', '/v1/configuration').catch(() => undefined);
+    const { revision } = (known?.view ?? {}) as { readonly revision?: number };
+    this.#changes += 1;
+    const writes = operators.map((operator, index) =>
+      operator
+        .send(
+          'PUT',
+          '/v1/configuration',
+          JSON.stringify({
+            ifRevision: revision ?? 0,
+            text: this.#site.createDocument(limits[index] ?? 40),
+            author: `operator ${index}`,
+            token: `chaos-${this.#changes}-${index}`,
+          }),
+        )
+        .then(({ status }) => status)
+        .catch(() => 'no answer'),
+    );
+    const results = Promise.all(writes).then((statuses) => statuses.join(' and '));
+    const shown = await Promise.race([results, sleep(pauseMs).then(() => 'pending')]);
+    this.#print(`limits ${limits.join(' and ')} at revision ${revision ?? 0}: ${shown}`);
+  }
+}
--- /dev/null
+++ b/packages-private/testkit/src/ChaosSite.ts
@@ -0,0 +1,123 @@
+import type { Assignment } from '@toucanline/schema';
+import type { DaemonProcess } from './DaemonProcess.js';
+import { exampleDocument } from './exampleDocument.js';
+import { Site } from './Site.js';
+
+const highestLimit = { processors: 40, memoryMb: 120_000, accelerators: 8 };
+
+/** A site with two data centres whose daemons can be replaced. */
+export class ChaosSite {
+  public readonly dataCentres: readonly string[] = ['dc1', 'dc2'];
+  public readonly site: Site;
+  readonly #daemons = new Map<string, DaemonProcess>();
+  readonly #starts = new Map<string, number>();
+  #replaced = 0;
+
+  public constructor() {
+    this.site = new Site({
+      document: this.createDocument(highestLimit.processors),
+      dataCentres: this.dataCentres,
+      entriesPerDataCentre: 1,
+      schedulersPerDataCentre: 2,
+      workersPerDataCentre: 4,
+      teams: ['planning', 'broadcast'],
+    });
+    this.site.ledger.setLimits(new Map([['planning', highestLimit]]));
+    const noteStart = this.site.ledger.noteStart.bind(this.site.ledger);
+    this.site.ledger.noteStart = (worker, assignment): void => {
+      this.#countStart(assignment);
+      noteStart(worker, assignment);
+    };
+  }
+
+  /**
+   * Creates a configuration document.
+   *
+   * @param processors - limit of team planning, at most 40
+   * @returns its text
+   */
+  public createDocument(processors: number): string {
+    return exampleDocument
+      .replace('dataCentre = "dc1"', 'dataCentre = "dc1"\n\n[shards.s2]\ndataCentre = "dc2"')
+      .replace('processors = 40', `processors = ${processors}`);
+  }
+
+  /** Starts the site. */
+  public async start(): Promise<void> {
+    await this.site.start();
+    for (const daemon of [...this.site.entries, ...this.site.schedulers])
+      this.#daemons.set(daemon.settings.process, daemon);
+  }
+
+  /**
+   * Lists the daemons that run.
+   *
+   * @param role - which daemons
+   * @returns the daemons
+   */
+  public listDaemons(role: 'entry' | 'scheduler'): readonly DaemonProcess[] {
+    return [...this.#daemons.values()].filter(
+      ({ settings }) => settings.process.startsWith('e') === (role === 'entry'),
+    );
+  }
+
+  /**
+   * Reads the base URL of the entry of a data centre.
+   *
+   * @param dataCentre - the data centre
+   * @returns its URL
+   */
+  public readEntryUrl(dataCentre: string): string {
+    return (
+      this.listDaemons('entry').find(({ settings }) => settings.dataCentre === dataCentre)?.url ??
+      'http://127.0.0.1:1'
+    );
+  }
+
+  /**
+   * Kills a daemon and starts a new one after a pause.
+   *
+   * @param daemon - the daemon to replace
+   * @param role - its role
+   * @param pause - waits before the start of the new one
+   */
+  public async replaceDaemon(
+    daemon: DaemonProcess,
+    role: 'entry' | 'scheduler',
+    pause: () => Promise<void>,
+  ): Promise<void> {
+    const { process: name, dataCentre } = daemon.settings;
+    daemon.signal('SIGKILL');
+    await daemon.exit;
+    this.#daemons.delete(name);
+    await pause();
+    this.site.hosts.remove(name);
+    this.#replaced += 1;
+    const newName = `${role.charAt(0)}x${this.#replaced}-${dataCentre}`;
+    const next =
+      role === 'entry'
+        ? await this.site.addEntry(dataCentre, newName)
+        : await this.site.addScheduler(dataCentre, newName);
+    this.#daemons.set(newName, next);
+  }
+
+  /**
+   * Counts the starts of a text, over all requests that carry it.
+   *
+   * @param text - the text that the command prints
+   * @returns highest number of starts of one task
+   */
+  public countStarts(text: string): number {
+    let count = 0;
+    for (const [name, starts] of this.#starts)
+      if (name.startsWith(`${text}/`)) count = Math.max(count, starts);
+    return count;
+  }
+
+  #countStart({ request, index }: Assignment): void {
+    const text = /echo (\S+)/.exec(request.command)?.[1];
+    if (text === undefined) return;
+    const name = `${text}/${index}`;
+    this.#starts.set(name, (this.#starts.get(name) ?? 0) + 1);
+  }
+}
--- a/packages-private/testkit/src/index.ts
+++ b/packages-private/testkit/src/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 export { Caller } from './Caller.js';
+export { Chaos } from './Chaos.js';
 export { DaemonProcess } from './DaemonProcess.js';
 export { exampleDocument } from './exampleDocument.js';
 export { FaultProxy } from './FaultProxy.js';
