Take final problems as answers in the chaos run

A refused or unknown request is answered as a problem, which the load polled until its time was over. Tasks that run although their request is final are violations.

--- a/packages-private/testkit/src/ChaosJudge.ts
+++ b/packages-private/testkit/src/ChaosJudge.ts
@@ -108,9 +108,8 @@
     }
     for (const { assignment, worker } of this.#site.site.ledger.running) {
       const state = this.#finals.get(assignment.request.id);
-      if (state !== undefined) this.count(`still on a worker after ${state}`);
-      if (state === 'succeeded')
-        this.report(`${assignment.taskId} runs on ${worker} after it succeeded`);
+      if (state === undefined) continue;
+      this.report(`${assignment.taskId} runs on ${worker} although its request is ${state}`);
     }
   }
 
--- a/packages-private/testkit/src/ChaosLoad.ts
+++ b/packages-private/testkit/src/ChaosLoad.ts
@@ -1,3 +1,4 @@
+import type { ErrorKind, Problem } from '@toucanline/schema';
 import { Caller } from './Caller.js';
 import type { ChaosJudge } from './ChaosJudge.js';
 import type { ChaosRandom } from './ChaosRandom.js';
@@ -10,6 +11,18 @@
 const waitSeconds = 5;
 const settleMs = 40_000;
 
+/** Problems of a call about a request that say nothing about the request itself. */
+const transientKinds: readonly ErrorKind[] = [
+  'notOwner',
+  'noOwner',
+  'linkLost',
+  'timeout',
+  'notReady',
+  'storeUnavailable',
+  'internal',
+  'unauthenticated',
+];
+
 /** Mixed load of several callers of two teams at the entries of both data centres. */
 export class ChaosLoad {
   readonly #site: ChaosSite;
@@ -149,10 +162,9 @@
         );
         break;
       }
-      const state = answer?.view.state as string | undefined;
-      if (answer !== undefined && state === undefined)
+      if (answer !== undefined && this.#isTransient(answer.problem))
         this.#judge.count(`follow problem ${answer.status} ${answer.problem.title}`);
-      if (answer !== undefined && state !== undefined && this.#judge.noteAnswer(record, answer)) {
+      else if (answer !== undefined && this.#judge.noteAnswer(record, answer)) {
         this.#ids.delete(id);
         return;
       }
@@ -163,6 +175,13 @@
       this.#judge.report(`${id} of ${record.text} in ${record.queue} is not final in time`);
   }
 
+  /** A final `refused` or `unknown` is a problem as well; of these, only the detail tells a failed call. */
+  #isTransient({ title, detail }: Partial<Problem>): boolean {
+    if (title === undefined) return false;
+    if (title === 'outcomeUnknown') return /did not answer/.test(detail ?? '');
+    return transientKinds.includes(title);
+  }
+
   #createCaller({ text }: ChaosRecord, dataCentre: string): Caller {
     const team = text.split('-')[0] ?? '';
     return new Caller(() => this.#site.readEntryUrl(dataCentre), `key-${team}`);
