--- a/packages-private/testkit/src/ChaosLoad.ts
+++ b/packages-private/testkit/src/ChaosLoad.ts
@@ -178,7 +178,7 @@
   /** A final `refused` or `unknown` is a problem as well; of these, only the detail tells a failed call. */
   #isTransient({ title, detail }: Partial<Problem>): boolean {
     if (title === undefined) return false;
-    if (title === 'outcomeUnknown') return /did not answer/.test(detail ?? '');
+    if (title === 'outcomeUnknown') return detail?.includes('did not answer') ?? false;
     return transientKinds.includes(title);
   }
 
