Do not start cancelled work again, hold retries in recovery, keep open requests

A new owner adopted ended tasks from full reports and retried them, also those of cancelled requests. An entry held an attached request only while its HTTP call was open, so a failover after the 202 lost it.

Change: a stop command says whether the request was cancelled, the worker reports it with the task, and a later owner ends the request; a retry waits for the end of the recovery; an entry keeps an open attached request until its answer or deadline and hands it in again after a failover.

--- a/packages-private/testkit/src/FakeTask.ts
+++ b/packages-private/testkit/src/FakeTask.ts
@@ -16,6 +16,7 @@
   #factor = 1;
   #timer: NodeJS.Timeout | undefined;
   #sequence = 0;
+  #cancelled = false;
 
   /**
    * @param assignment - the task
@@ -62,6 +63,11 @@
     this.#onChange();
   }
 
+  /** Notes that the request of the task was cancelled, also when the task has ended. */
+  public markCancelled(): void {
+    this.#cancelled = true;
+  }
+
   /** Reduces the use of resources to the declared size. */
   public throttle(): void {
     this.#factor = Math.min(1, this.#factor);
@@ -89,6 +95,7 @@
       usage: this.usage,
       ...(this.#state === 'succeeded' ? { output: this.#output } : {}),
       ...(this.#detail === undefined ? {} : { detail: this.#detail }),
+      ...(this.#cancelled ? { cancelled: true } : {}),
     };
   }
 
--- a/packages-private/testkit/src/WorkerFake.ts
+++ b/packages-private/testkit/src/WorkerFake.ts
@@ -189,11 +189,15 @@
     return { status: 200, body: {} };
   }
 
-  #command({ authority, taskId, action }: TaskCommand): Answer {
+  #command({ authority, taskId, action, cancelled }: TaskCommand): Answer {
     const refused = this.#checkAuthority(authority);
     if (refused !== undefined) return refused;
     const task = this.#tasks.get(taskId);
     if (task === undefined) return this.#refuse('unknownTask', `${taskId} is not known`);
+    if (cancelled === true) {
+      task.markCancelled();
+      this.#noteChange(task);
+    }
     if (action === 'stop') task.end('stopped');
     else if (action === 'checkpoint') task.end('checkpointed');
     else task.throttle();
--- a/packages/core/src/RequestLifecycle.ts
+++ b/packages/core/src/RequestLifecycle.ts
@@ -123,12 +123,24 @@
   public cancel(record: RequestRecord): void {
     if (record.isFinished) return;
     this.#context.recorder.record('requestCancelled', { requestId: record.id });
+    this.#markCancelled(record);
     this.stopRequest(record, {
       next: 'cancelled',
       failure: createFailure('cancelled', 'the request was cancelled'),
     });
   }
 
+  /**
+   * Tells the workers of ended tasks too: a later owner adopts what they report, and would otherwise
+   * take a task that ended before the cancellation as one to start again.
+   */
+  #markCancelled(record: RequestRecord): void {
+    for (const task of record.tasks) {
+      const worker = this.#parts.fleet.find(task.worker);
+      if (worker !== undefined && !task.isActive) this.sendCommand(worker, task.id, 'stop', true);
+    }
+  }
+
   /**
    * Stops all tasks of a request and then follows a plan.
    *
@@ -155,7 +167,12 @@
   public stopTask(worker: WorkerRecord, task: TaskRecord): void {
     task.setState('stopping');
     this.#stopping.set(task, this.#context.clock.now());
-    this.sendCommand(worker, task.id, 'stop');
+    this.sendCommand(worker, task.id, 'stop', this.#isCancelled(task));
+  }
+
+  #isCancelled(task: TaskRecord): boolean {
+    const record = this.#parts.table.find(task.assignment.request.id);
+    return record?.stopPlan?.next === 'cancelled' || record?.state === 'cancelled';
   }
 
   /**
@@ -164,15 +181,21 @@
    * @param worker - the worker
    * @param taskId - identifier of the task
    * @param action - what the worker shall do
+   * @param cancelled - whether the request was cancelled
    */
-  public sendCommand(worker: WorkerRecord, taskId: string, action: TaskCommand['action']): void {
+  public sendCommand(
+    worker: WorkerRecord,
+    taskId: string,
+    action: TaskCommand['action'],
+    cancelled = false,
+  ): void {
     const { shard, epoch, owner, provisional, emit } = this.#context;
     const authority = { shard, epoch, owner, provisional, bootId: worker.bootId };
     emit({
       effect: 'command',
       worker: worker.id,
       address: worker.address,
-      command: { authority, taskId, action },
+      command: { authority, taskId, action, ...(cancelled ? { cancelled } : {}) },
     });
   }
 
@@ -212,6 +235,14 @@
       this.#settle(record);
       return;
     }
+    if (change.cancelled === true) {
+      const failure = createFailure(
+        'cancelled',
+        'the request was cancelled under an earlier owner',
+      );
+      this.stopRequest(record, { next: 'cancelled', failure });
+      return;
+    }
     const detail = change.detail ?? `task ${task.id} ended as ${change.state}`;
     const wasPreempted = change.state === 'stopped' || change.state === 'checkpointed';
     const mayRestart = record.request.idempotent || change.state === 'checkpointed';
@@ -258,7 +289,7 @@
       if (!task.isActive || worker === undefined) this.#stopping.delete(task);
       else if (now - sentAt > periods.startWindowMs) {
         this.#stopping.set(task, now);
-        this.sendCommand(worker, task.id, 'stop');
+        this.sendCommand(worker, task.id, 'stop', this.#isCancelled(task));
       }
     }
   }
@@ -300,7 +331,9 @@
     const exponent = Math.min(record.retries, 10);
     const delay = Math.min(periods.firstRetryMs * 2 ** exponent, periods.maxRetryMs);
     record.requeue(clock.now() + delay * (0.5 + random.next() / 2), charged);
-    this.#parts.queue.add(record);
+    // During recovery another worker may still run a later attempt of an earlier owner.
+    if (this.#parts.recovery.isComplete) this.#parts.queue.add(record);
+    else this.#parts.recovery.hold(record);
     emit({ effect: 'changed', requestId: record.id });
   }
 
--- a/packages/core/src/TaskTracker.ts
+++ b/packages/core/src/TaskTracker.ts
@@ -112,7 +112,7 @@
   }
 
   #applyTask(worker: WorkerRecord, report: TaskReport): void {
-    const { assignment, state, usage, output, detail } = report;
+    const { assignment, ...change } = report;
     const { table, lifecycle } = this.#parts;
     let record = table.find(assignment.request.id);
     record ??= lifecycle.adoptRequest(assignment.request);
@@ -131,13 +131,7 @@
       }
       this.#adoptTask(worker, record, report);
     }
-    this.#applyChange(worker, {
-      taskId: assignment.taskId,
-      state,
-      usage,
-      ...(output === undefined ? {} : { output }),
-      ...(detail === undefined ? {} : { detail }),
-    });
+    this.#applyChange(worker, { taskId: assignment.taskId, ...change });
   }
 
   #adoptTask(worker: WorkerRecord, record: RequestRecord, { assignment }: TaskReport): void {
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -52,6 +52,9 @@
   next.epoch < known.epoch ||
   (next.epoch === known.epoch && next.view.attempt < known.view.attempt);
 
+/** Requests that an entry keeps after their caller's wait; bounds its memory and its calls. */
+const maxHeld = 5000;
+
 /** What the service works with. */
 interface ServiceParts {
   readonly clock: Clock;
@@ -87,6 +90,8 @@
 /** Carries requests to the owners of shards and their answers back. */
 export class RequestService {
   readonly #parts: ServiceParts;
+  /** Requests that are held after their caller's wait ended. */
+  #held = 0;
 
   /** @param parts - what the service works with */
   public constructor(parts: ServiceParts) {
@@ -126,13 +131,36 @@
       recorder.record('requestRouted', { requestId: offered.id, shard, team });
       const accepted = { ...submission, request: offered, offeredAt: this.#parts.clock.now() };
       const result = await this.#offer(shard, accepted);
-      if (result.isOk()) return this.#waitForAnswer(shard, accepted, result.value);
+      if (result.isOk()) return this.#answer(shard, accepted, result.value);
       last = result.error;
       if (!passedOn.has(last.kind)) break;
     }
     return err(last);
   }
 
+  /**
+   * Waits for the answer as long as the caller does. After that the entry keeps an attached request and
+   * hands it in again after a failover, because no other process may know of it.
+   */
+  async #answer(
+    shard: string,
+    submission: HeldSubmission,
+    first: Answer,
+  ): Promise<Result<RequestView, Failure>> {
+    const result = await this.#waitForAnswer(shard, submission, first);
+    const isOpen = result.isOk() && !isAnswered(result.value);
+    if (isOpen && !submission.request.detached && this.#held < maxHeld) {
+      void this.#hold(shard, submission, { ...first, view: result.value });
+    }
+    return result;
+  }
+
+  async #hold(shard: string, submission: HeldSubmission, last: Answer): Promise<void> {
+    this.#held += 1;
+    await this.#waitForAnswer(shard, { ...submission, waitUntil: submission.deadlineAt }, last);
+    this.#held -= 1;
+  }
+
   /**
    * Waits until a request is answered.
    *
