--- /dev/null
+++ b/packages/core/__tests__/CountingRandom.ts
@@ -0,0 +1,15 @@
+import { RandomSource } from '../src/index.js';
+
+/** Random source that counts. */
+export class CountingRandom extends RandomSource {
+  #count = 0;
+
+  public override next(): number {
+    return 0.5;
+  }
+
+  public override token(): string {
+    this.#count += 1;
+    return `t${this.#count}x`;
+  }
+}
--- a/packages/core/__tests__/EscrowModel.ts
+++ b/packages/core/__tests__/EscrowModel.ts
@@ -5,9 +5,9 @@
   EventStream,
   Invariant,
   Policy,
-  RandomSource,
   scaleResources,
 } from '../src/index.js';
+import { CountingRandom } from './CountingRandom.js';
 import { ManualClock } from './ManualClock.js';
 import { StepStore } from './StepStore.js';
 
@@ -15,19 +15,6 @@
 const none = scaleResources(unit, 0);
 const room = scaleResources(unit, 100);
 
-class CountingRandom extends RandomSource {
-  #next = 0;
-
-  public override next(): number {
-    return 0.5;
-  }
-
-  public override token(): string {
-    this.#next += 1;
-    return `t${this.#next}`;
-  }
-}
-
 /** Current owner of a shard and what really runs there. */
 interface Owner {
   readonly keeper: AllotmentKeeper;
--- a/packages/core/__tests__/createParts.ts
+++ b/packages/core/__tests__/createParts.ts
@@ -4,8 +4,9 @@
   Invariant,
   parseDocument,
   Policy,
-  RandomSource,
+  type RandomSource,
 } from '../src/index.js';
+import { CountingRandom } from './CountingRandom.js';
 import type { ClockModel } from './ClockModel.js';
 import { StoreModel } from './StoreModel.js';
 
@@ -19,20 +20,6 @@
 idempotent = true
 `;
 
-/** Random source that counts. */
-class CountingRandom extends RandomSource {
-  #count = 0;
-
-  public override next(): number {
-    return 0.5;
-  }
-
-  public override token(): string {
-    this.#count += 1;
-    return `t${this.#count}x`;
-  }
-}
-
 /** Parts of a process for tests of the core. */
 interface Parts {
   readonly clock: ClockModel;
--- /dev/null
+++ b/packages/core/src/Acceptance.ts
@@ -0,0 +1,155 @@
+import type { Failure, RequestView, SubmitCall } from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import type { Admission } from './Admission.js';
+import { createFailure } from './createFailure.js';
+import type { InheritedWork } from './InheritedWork.js';
+import type { KeyRing } from './KeyRing.js';
+import type { Policy } from './Policy.js';
+import type { RequestLifecycle } from './RequestLifecycle.js';
+import { RequestRecord } from './RequestRecord.js';
+import type { RequestTable } from './RequestTable.js';
+import type { ShardContext } from './ShardContext.js';
+
+/** Covers the transport of a request and the difference in speed of two clocks over its deadline. */
+const heldMarginMs = 5000;
+
+/** Parts of the shard that acceptance reads and changes. */
+interface AcceptanceParts {
+  readonly table: RequestTable;
+  readonly admission: Admission;
+  readonly lifecycle: RequestLifecycle;
+  readonly inherited: InheritedWork;
+  readonly readPolicy: () => Policy;
+  readonly readKeyRing: () => Pick<KeyRing, 'isWithdrawn'> | undefined;
+}
+
+/** Takes requests into a shard: repeats, admission, and the commit of those that have to last. */
+export class Acceptance {
+  readonly #context: ShardContext;
+  readonly #parts: AcceptanceParts;
+  readonly #commits = new Map<number, RequestRecord>();
+  #nextTicket = 1;
+
+  /**
+   * @param context - what the parts of the shard share
+   * @param parts - the parts to read and change
+   */
+  public constructor(context: ShardContext, parts: AcceptanceParts) {
+    this.#context = context;
+    this.#parts = parts;
+  }
+
+  /** Requests whose acceptance waits for its commit. */
+  public get committing(): ReadonlySet<RequestRecord> {
+    return new Set(this.#commits.values());
+  }
+
+  /**
+   * Checks whether the end of a request has to be in the journal.
+   *
+   * @param request - the request
+   * @returns true if it is accepted only after a commit
+   */
+  public isJournaled(request: SubmitCall['request']): boolean {
+    return request.detached || (!request.idempotent && request.idempotencyKey !== undefined);
+  }
+
+  /**
+   * Takes a request from an entry. The same request handed in again returns its current state.
+   *
+   * @param call - the request
+   * @returns its state; or the reason why it was not taken, which proves that it did not run
+   */
+  public submit(call: SubmitCall): Result<RequestView, Failure> {
+    const { request, remainingMs, heldEpoch, heldMs = Infinity } = call;
+    const { clock, recorder, shard, epoch } = this.#context;
+    const earlier = this.#parts.table.findEarlier(request);
+    if (earlier !== undefined) return this.#rejoin(earlier, call);
+    const checked = this.#checkKey(call).andThen(() =>
+      this.#parts.admission.check(this.#parts.readPolicy(), call),
+    );
+    if (checked.isErr()) {
+      const { kind, detail } = checked.error;
+      recorder.record('requestRefused', { requestId: request.id, detail: `${kind}: ${detail}` });
+      return err(checked.error);
+    }
+    const record = new RequestRecord(request, clock.now(), clock.now() + remainingMs);
+    this.#parts.table.add(record);
+    recorder.record('requestAdmitted', { requestId: request.id, team: request.team, shard });
+    const wasHeld = heldEpoch !== undefined && heldEpoch < epoch;
+    if (wasHeld) record.markUncertain(0, clock.now() - heldMs - heldMarginMs);
+    if (this.isJournaled(request)) this.#commitAccepted(record);
+    else this.#parts.inherited.enqueue(record);
+    return ok(record.describe());
+  }
+
+  /**
+   * Whether the acceptance of a request still waits for its commit.
+   *
+   * @param requestId - identifier of the request
+   * @returns true until the journal confirmed it
+   */
+  public isCommitting(requestId: string): boolean {
+    for (const record of this.#commits.values()) if (record.id === requestId) return true;
+    return false;
+  }
+
+  /**
+   * Confirms the commit of an acceptance.
+   *
+   * @param ticket - ticket of the effect
+   * @param failure - why the entry is not in the journal, unless it is
+   */
+  public confirm(ticket: number, failure?: Failure): void {
+    const record = this.#commits.get(ticket);
+    if (record === undefined) return;
+    this.#commits.delete(ticket);
+    if (failure === undefined) this.#parts.inherited.enqueue(record);
+    else {
+      const isOpen = failure.kind === 'outcomeUnknown';
+      // The acceptance may be in the journal, where the next owner finds and starts it.
+      if (isOpen) record.markUncertain(0);
+      else record.setAccepted(false);
+      this.#parts.lifecycle.finish(record, isOpen ? 'unknown' : 'refused', failure);
+    }
+    this.#context.emit({ effect: 'changed', requestId: record.id });
+  }
+
+  /** An entry may not have learned yet that a key was withdrawn. */
+  #checkKey({ request: { keyId } }: SubmitCall): Result<void, Failure> {
+    if (keyId === undefined || this.#parts.readKeyRing()?.isWithdrawn(keyId) !== true)
+      return ok(undefined);
+    return err(createFailure('withdrawnKey', `the key ${keyId} was withdrawn`));
+  }
+
+  #rejoin(
+    record: RequestRecord,
+    { request, remainingMs }: SubmitCall,
+  ): Result<RequestView, Failure> {
+    const isSameBody = record.request.digest === request.digest;
+    if (!isSameBody || record.request.queue !== request.queue) {
+      const detail = 'the idempotency key was used with another request body or queue';
+      return err(createFailure('conflictingKey', detail));
+    }
+    if (record.deadlineAt === Infinity) {
+      record.setDeadline(this.#context.clock.now() + remainingMs);
+    }
+    return ok(record.describe());
+  }
+
+  #commitAccepted(record: RequestRecord): void {
+    const { clock, emit } = this.#context;
+    const ticket = this.#nextTicket;
+    this.#nextTicket += 1;
+    this.#commits.set(ticket, record);
+    record.setAccepted(true);
+    const left = record.deadlineAt - clock.now();
+    const entry = {
+      entry: 'accepted',
+      request: record.request,
+      deadlineAtMs: clock.wallTime() + left,
+      atMs: clock.wallTime(),
+    } as const;
+    emit({ effect: 'commit', ticket, entry });
+  }
+}
--- /dev/null
+++ b/packages/core/src/InheritedWork.ts
@@ -0,0 +1,162 @@
+import type { JournalEntry, ShardSnapshot } from '@toucanline/schema';
+import { createFailure } from './createFailure.js';
+import type { Fleet } from './Fleet.js';
+import type { Recovery } from './Recovery.js';
+import type { RequestLifecycle } from './RequestLifecycle.js';
+import { RequestRecord } from './RequestRecord.js';
+import type { RequestTable } from './RequestTable.js';
+import type { ShardContext } from './ShardContext.js';
+import type { TaskTracker } from './TaskTracker.js';
+import type { WaitingQueue } from './WaitingQueue.js';
+
+/** Largest difference that is expected between the wall clocks of two hosts. */
+const wallClockMarginMs = 5000;
+/** Time within which an owner confirms or disproves a start: its window, two polls and a lease. */
+const uncertainMs = 60_000;
+
+/** Parts of the shard that inherited work is brought into. */
+interface InheritedParts {
+  readonly fleet: Fleet;
+  readonly table: RequestTable;
+  readonly queue: WaitingQueue;
+  readonly recovery: Recovery;
+  readonly lifecycle: RequestLifecycle;
+  readonly tracker: TaskTracker;
+}
+
+/** Requests of earlier owners: from the journal, from a snapshot, and held back until it is known what runs. */
+export class InheritedWork {
+  readonly #context: ShardContext;
+  readonly #parts: InheritedParts;
+
+  /**
+   * @param context - what the parts of the shard share
+   * @param parts - the parts to bring the work into
+   */
+  public constructor(context: ShardContext, parts: InheritedParts) {
+    this.#context = context;
+    this.#parts = parts;
+  }
+
+  /**
+   * Loads the journal of earlier owners. Requests that workers reported before or that a snapshot brought
+   * keep their state.
+   *
+   * @param entries - entries, oldest first
+   */
+  public loadJournal(entries: readonly JournalEntry[]): void {
+    const { clock } = this.#context;
+    const loaded = new Map<string, RequestRecord>();
+    for (const entry of entries) {
+      if (entry.entry === 'accepted') {
+        const deadlineAt = clock.now() + entry.deadlineAtMs - clock.wallTime();
+        const known = this.#parts.table.find(entry.request.id);
+        if (known?.deadlineAt === Infinity) known.setDeadline(deadlineAt);
+        if (known !== undefined) continue;
+        const record = new RequestRecord(entry.request, clock.now(), deadlineAt);
+        // The earlier owner may have started it: only the reports of the workers prove that it did not.
+        const age = clock.wallTime() - (entry.atMs ?? -Infinity) + wallClockMarginMs;
+        record.markUncertain(0, clock.now() - age);
+        record.setAccepted(true);
+        this.#parts.table.add(record);
+        loaded.set(record.id, record);
+      } else if (entry.entry === 'intent') {
+        loaded.get(entry.requestId)?.markUncertain(1, Infinity);
+      } else {
+        const record = loaded.get(entry.view.id);
+        loaded.delete(entry.view.id);
+        record?.restore(entry.view, clock.now());
+      }
+    }
+    for (const record of loaded.values()) {
+      if (this.#parts.recovery.isComplete) this.#release(record);
+      else this.#parts.recovery.hold(record);
+    }
+    this.#parts.recovery.noteJournal();
+  }
+
+  /**
+   * Starts from the snapshot of the owner of the epoch before, after the host list was applied.
+   *
+   * @param snapshot - its state when it stopped to act
+   */
+  public restoreSnapshot({ requests, reports }: ShardSnapshot): void {
+    const now = this.#context.clock.now();
+    const open: RequestRecord[] = [];
+    const cancelled: RequestRecord[] = [];
+    for (const held of requests) {
+      const { request, remainingMs, attempt, retries, uncertain, view } = held;
+      const record = new RequestRecord(request, now, now + (remainingMs ?? Infinity));
+      record.restoreCounters(attempt, retries);
+      this.#parts.table.add(record);
+      if (held.cancelled === true) cancelled.push(record);
+      if (view !== undefined) record.restore(view, now);
+      else if (uncertain) {
+        record.markUncertain(attempt, now - uncertainMs);
+        this.#parts.recovery.hold(record);
+      } else open.push(record);
+    }
+    for (const report of reports) {
+      const worker = this.#parts.fleet.find(report.worker);
+      if (worker === undefined) continue;
+      // The transport of the snapshot is not bounded, so only the lower bound of the clock is known.
+      this.#parts.tracker.applyReport(worker, report, -Infinity);
+      worker.grantLease(report.leaseUntil);
+      worker.requestFull();
+    }
+    for (const record of open) this.#enqueueRest(record);
+    for (const record of cancelled) this.#parts.lifecycle.cancel(record);
+  }
+
+  /**
+   * Queues a request, or holds it back while an earlier owner may have it running.
+   *
+   * @param record - the request
+   */
+  public enqueue(record: RequestRecord): void {
+    if (record.isFinished || record.stopPlan !== undefined) return;
+    const mayRunAlready = record.ran !== 'no' || record.request.idempotencyKey !== undefined;
+    if (mayRunAlready && !this.#parts.recovery.isComplete) this.#parts.recovery.hold(record);
+    else this.#release(record);
+  }
+
+  /**
+   * Lets the held requests go on once the recovery is over.
+   *
+   * @returns true if the recovery ended with this call
+   */
+  public finishRecovery(): boolean {
+    const held = this.#parts.recovery.finish();
+    if (held === undefined) return false;
+    for (const record of held) this.#release(record);
+    for (const record of this.#parts.table.list()) {
+      if (record.activeTasks.length === 0 || record.pendingIndexes.length === 0) continue;
+      if (this.#parts.recovery.disproves(record) || record.request.idempotent)
+        this.#enqueueRest(record);
+      else {
+        const detail = 'a worker that may have run a task cannot be reached or restarted';
+        const failure = createFailure('outcomeUnknown', detail);
+        this.#parts.lifecycle.stopRequest(record, { next: 'failed', failure });
+      }
+    }
+    this.#parts.fleet.touch();
+    return true;
+  }
+
+  /** Lets a held request go on: only proof or idempotence permits a start. */
+  #release(record: RequestRecord): void {
+    if (record.isFinished || record.activeTasks.length > 0) return;
+    // The next tick ends a request whose deadline passed while it was held.
+    if (this.#context.clock.now() >= record.deadlineAt) return;
+    if (this.#parts.recovery.disproves(record)) record.clearUncertain();
+    const detail = 'a worker that may have run the request cannot be reached or restarted';
+    if (record.ran === 'no' || record.request.idempotent) this.#parts.queue.add(record);
+    else this.#parts.lifecycle.finish(record, 'unknown', createFailure('outcomeUnknown', detail));
+  }
+
+  /** Queues a request whose former owner had not started all of its tasks. */
+  #enqueueRest(record: RequestRecord): void {
+    if (record.isFinished || record.stopPlan !== undefined) return;
+    if (record.pendingIndexes.length > 0) this.#parts.queue.add(record);
+  }
+}
--- a/packages/core/src/RequestLifecycle.ts
+++ b/packages/core/src/RequestLifecycle.ts
@@ -28,6 +28,8 @@
 export class RequestLifecycle {
   readonly #context: ShardContext;
   readonly #parts: LifecycleParts;
+  /** Requests that a worker reported first. */
+  readonly #adopted = new WeakSet<RequestRecord>();
   /** Tasks that shall stop, with the local monotonic time of the last command. */
   readonly #stopping = new Map<TaskRecord, number>();
   /** Ends whose journal entry is not confirmed, by ticket. */
@@ -63,6 +65,7 @@
    * @param record - the request
    */
   public noteAdopted(record: RequestRecord): void {
+    this.#adopted.add(record);
     this.#parts.recovery.release(record);
     this.#parts.queue.remove(record);
   }
@@ -332,8 +335,9 @@
     const delay = Math.min(periods.firstRetryMs * 2 ** exponent, periods.maxRetryMs);
     record.requeue(clock.now() + delay * (0.5 + random.next() / 2), charged);
     // During recovery another worker may still run a later attempt of an earlier owner.
-    if (this.#parts.recovery.isComplete) this.#parts.queue.add(record);
-    else this.#parts.recovery.hold(record);
+    const isOpen = !this.#parts.recovery.isComplete && this.#adopted.has(record);
+    if (isOpen) this.#parts.recovery.hold(record);
+    else this.#parts.queue.add(record);
     emit({ effect: 'changed', requestId: record.id });
   }
 
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -13,6 +13,7 @@
   WorkerRefusal,
 } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
+import { Acceptance } from './Acceptance.js';
 import { addResources } from './addResources.js';
 import { Admission } from './Admission.js';
 import { createFailure } from './createFailure.js';
@@ -22,6 +23,7 @@
 import { FairShare } from './FairShare.js';
 import { Fleet } from './Fleet.js';
 import type { KeyRing } from './KeyRing.js';
+import { InheritedWork } from './InheritedWork.js';
 import { isAnswered } from './isAnswered.js';
 import { LimitEnforcer } from './LimitEnforcer.js';
 import type { LoweredLimit } from './LoweredLimit.js';
@@ -35,7 +37,7 @@
 import { RequestRecord } from './RequestRecord.js';
 import { RequestTable } from './RequestTable.js';
 import type { ShardContext } from './ShardContext.js';
-import { summariseWork } from './summariseWork.js';
+import { ShardDescription } from './ShardDescription.js';
 import { TaskStopper } from './TaskStopper.js';
 import { TaskTracker } from './TaskTracker.js';
 import { TeamLedger } from './TeamLedger.js';
@@ -44,20 +46,12 @@
 import { WaitingQueue } from './WaitingQueue.js';
 import { zeroResources } from './zeroResources.js';
 
-/** Largest difference that is expected between the wall clocks of two hosts. */
-const wallClockMarginMs = 5000;
-/** Time within which an owner confirms or disproves a start: its window, two polls and a lease. */
-const uncertainMs = 60_000;
-/** Covers the transport of a request and the difference in speed of two clocks over its deadline. */
-const heldMarginMs = 5000;
-
 /**
  * The decisions for one shard under one ownership. Inputs are method calls; what the host process has
  * to do comes out as effects. It does no I/O.
  */
 export class Shard {
   readonly #context: ShardContext;
-  readonly #address: string;
   readonly #fleet: Fleet;
   readonly #table = new RequestTable();
   readonly #queue = new WaitingQueue();
@@ -65,7 +59,7 @@
   readonly #fairShare = new FairShare();
   readonly #recovery: Recovery;
   readonly #majority: LeaseMajority;
-  readonly #admission: Admission;
+  readonly #acceptance: Acceptance;
   readonly #lifecycle: RequestLifecycle;
   readonly #tracker: TaskTracker;
   readonly #stopper: TaskStopper;
@@ -74,9 +68,9 @@
   readonly #quarantine: Quarantine;
   readonly #outgrown: OutgrownTasks;
   readonly #dispatcher: Dispatcher;
-  readonly #commits = new Map<number, RequestRecord>();
+  readonly #inherited: InheritedWork;
+  readonly #description: ShardDescription;
   #effects: Effect[] = [];
-  #nextTicket = 1;
   #policy: Policy;
   #keyRing: Pick<KeyRing, 'isWithdrawn'> | undefined;
 
@@ -87,7 +81,6 @@
    */
   public constructor(context: Omit<ShardContext, 'emit'>, address: string, policy: Policy) {
     this.#context = { ...context, emit: (effect) => this.#effects.push(effect) };
-    this.#address = address;
     this.#policy = policy;
     this.#fleet = new Fleet(this.#context);
     this.#recovery = new Recovery(this.#context, this.#fleet);
@@ -99,7 +92,7 @@
     const ledger = this.#ledger;
     const estimator = new WaitEstimator();
     const { clock } = context;
-    this.#admission = new Admission({ fleet, queue, recovery, estimator, clock });
+    const admission = new Admission({ fleet, queue, recovery, estimator, clock });
     const readPolicy = (): Policy => this.#policy;
     this.#lifecycle = new RequestLifecycle(this.#context, {
       fleet,
@@ -141,6 +134,19 @@
       preemption: this.#preemption,
       estimator,
     });
+    const tracker = this.#tracker;
+    const inherited = { fleet, table, queue, recovery, lifecycle, tracker };
+    this.#inherited = new InheritedWork(this.#context, inherited);
+    this.#acceptance = new Acceptance(this.#context, {
+      table,
+      admission,
+      lifecycle,
+      inherited: this.#inherited,
+      readPolicy,
+      readKeyRing: () => this.#keyRing,
+    });
+    const described = { fleet, table, queue, ledger, recovery, readPolicy };
+    this.#description = new ShardDescription(this.#context, address, described);
     this.applyPolicy(policy);
   }
 
@@ -244,86 +250,34 @@
     this.#fairShare.setFleet(capacity, use);
   }
 
-  /**
-   * Loads the journal of earlier owners. Requests that workers reported before or that a snapshot brought
-   * keep their state.
-   *
-   * @param entries - entries, oldest first
-   */
-  public loadJournal(entries: readonly JournalEntry[]): void {
-    const { clock } = this.#context;
-    const loaded = new Map<string, RequestRecord>();
-    for (const entry of entries) {
-      if (entry.entry === 'accepted') {
-        const deadlineAt = clock.now() + entry.deadlineAtMs - clock.wallTime();
-        const known = this.#table.find(entry.request.id);
-        if (known?.deadlineAt === Infinity) known.setDeadline(deadlineAt);
-        if (known !== undefined) continue;
-        const record = new RequestRecord(entry.request, clock.now(), deadlineAt);
-        // The earlier owner may have started it: only the reports of the workers prove that it did not.
-        const age = clock.wallTime() - (entry.atMs ?? -Infinity) + wallClockMarginMs;
-        record.markUncertain(0, clock.now() - age);
-        record.setAccepted(true);
-        this.#table.add(record);
-        loaded.set(record.id, record);
-      } else if (entry.entry === 'intent') {
-        loaded.get(entry.requestId)?.markUncertain(1, Infinity);
-      } else {
-        const record = loaded.get(entry.view.id);
-        loaded.delete(entry.view.id);
-        record?.restore(entry.view, clock.now());
-      }
-    }
-    for (const record of loaded.values()) {
-      if (this.#recovery.isComplete) this.#release(record);
-      else this.#recovery.hold(record);
-    }
-    this.#recovery.noteJournal();
-  }
-
   /**
    * Describes the state for a peer that takes the shard over.
    *
    * @returns the snapshot
    */
   public createSnapshot(): ShardSnapshot {
-    const committing = new Set(this.#commits.values());
+    const { committing } = this.#acceptance;
     return createSnapshot(this.#context, this.#table, this.#fleet, (record) =>
       committing.has(record),
     );
   }
 
+  /**
+   * Loads the journal of earlier owners.
+   *
+   * @param entries - entries, oldest first
+   */
+  public loadJournal(entries: readonly JournalEntry[]): void {
+    this.#inherited.loadJournal(entries);
+  }
+
   /**
    * Starts from the snapshot of the owner of the epoch before, after the host list was applied.
    *
    * @param snapshot - its state when it stopped to act
    */
-  public restoreSnapshot({ requests, reports }: ShardSnapshot): void {
-    const now = this.#context.clock.now();
-    const open: RequestRecord[] = [];
-    const cancelled: RequestRecord[] = [];
-    for (const held of requests) {
-      const { request, remainingMs, attempt, retries, uncertain, view } = held;
-      const record = new RequestRecord(request, now, now + (remainingMs ?? Infinity));
-      record.restoreCounters(attempt, retries);
-      this.#table.add(record);
-      if (held.cancelled === true) cancelled.push(record);
-      if (view !== undefined) record.restore(view, now);
-      else if (uncertain) {
-        record.markUncertain(attempt, now - uncertainMs);
-        this.#recovery.hold(record);
-      } else open.push(record);
-    }
-    for (const report of reports) {
-      const worker = this.#fleet.find(report.worker);
-      if (worker === undefined) continue;
-      // The transport of the snapshot is not bounded, so only the lower bound of the clock is known.
-      this.#tracker.applyReport(worker, report, -Infinity);
-      worker.grantLease(report.leaseUntil);
-      worker.requestFull();
-    }
-    for (const record of open) this.#enqueueRest(record);
-    for (const record of cancelled) this.#lifecycle.cancel(record);
+  public restoreSnapshot(snapshot: ShardSnapshot): void {
+    this.#inherited.restoreSnapshot(snapshot);
   }
 
   /** Serves without the journal of earlier owners, because the store cannot be reached. */
@@ -338,7 +292,7 @@
    * @returns true if it is accepted only after a commit
    */
   public isJournaled(request: SubmitCall['request']): boolean {
-    return request.detached || (!request.idempotent && request.idempotencyKey !== undefined);
+    return this.#acceptance.isJournaled(request);
   }
 
   /**
@@ -348,24 +302,7 @@
    * @returns its state; or the reason why it was not taken, which proves that it did not run
    */
   public submit(call: SubmitCall): Result<RequestView, Failure> {
-    const { request, remainingMs, heldEpoch, heldMs = Infinity } = call;
-    const { clock, recorder, shard, epoch } = this.#context;
-    const earlier = this.#table.findEarlier(request);
-    if (earlier !== undefined) return this.#rejoin(earlier, call);
-    const checked = this.#checkKey(call).andThen(() => this.#admission.check(this.#policy, call));
-    if (checked.isErr()) {
-      const { kind, detail } = checked.error;
-      recorder.record('requestRefused', { requestId: request.id, detail: `${kind}: ${detail}` });
-      return err(checked.error);
-    }
-    const record = new RequestRecord(request, clock.now(), clock.now() + remainingMs);
-    this.#table.add(record);
-    recorder.record('requestAdmitted', { requestId: request.id, team: request.team, shard });
-    const wasHeld = heldEpoch !== undefined && heldEpoch < epoch;
-    if (wasHeld) record.markUncertain(0, clock.now() - heldMs - heldMarginMs);
-    if (this.isJournaled(request)) this.#commitAccepted(record);
-    else this.#enqueue(record);
-    return ok(record.describe());
+    return this.#acceptance.submit(call);
   }
 
   /**
@@ -375,8 +312,7 @@
    * @returns true until the journal confirmed it
    */
   public isCommitting(requestId: string): boolean {
-    for (const record of this.#commits.values()) if (record.id === requestId) return true;
-    return false;
+    return this.#acceptance.isCommitting(requestId);
   }
 
   /**
@@ -391,18 +327,7 @@
       this.#confirmIntent(ticket, failure);
       return;
     }
-    const record = this.#commits.get(ticket);
-    if (record === undefined) return;
-    this.#commits.delete(ticket);
-    if (failure === undefined) this.#enqueue(record);
-    else {
-      const isOpen = failure.kind === 'outcomeUnknown';
-      // The acceptance may be in the journal, where the next owner finds and starts it.
-      if (isOpen) record.markUncertain(0);
-      else record.setAccepted(false);
-      this.#lifecycle.finish(record, isOpen ? 'unknown' : 'refused', failure);
-    }
-    this.#context.emit({ effect: 'changed', requestId: record.id });
+    this.#acceptance.confirm(ticket, failure);
   }
 
   /**
@@ -582,19 +507,7 @@
    * @returns the load
    */
   public describeLoad(): ShardLoad {
-    const { shard, dataCentre, epoch, owner } = this.#context;
-    return {
-      shard,
-      dataCentre,
-      epoch,
-      owner,
-      address: this.#address,
-      waiting: this.#queue.size,
-      free: this.#fleet.free,
-      room: this.#fleet.room,
-      use: Object.fromEntries(this.#ledger.use),
-      demand: Object.fromEntries(this.#queue.demand),
-    };
+    return this.#description.describeLoad();
   }
 
   /**
@@ -603,41 +516,7 @@
    * @returns the status
    */
   public describeStatus(): ShardStatus {
-    const { shard, dataCentre, epoch, owner, provisional } = this.#context;
-    const workers = this.#fleet.workers.map((worker) => worker.describe());
-    const names = new Set([
-      ...this.#ledger.use.keys(),
-      ...Object.keys(this.#policy.document.teams),
-    ]);
-    const teams = [...names].map((team) => {
-      const allotment = this.#ledger.readAllotment(team);
-      return {
-        team,
-        use: this.#ledger.readUse(team),
-        demand: this.#queue.demand.get(team) ?? zeroResources,
-        waiting: this.#queue.countTeam(team),
-        ...(allotment === undefined ? {} : { allotment }),
-      };
-    });
-    return {
-      shard,
-      dataCentre,
-      epoch,
-      owner,
-      provisional,
-      recovering: !this.isRecovered,
-      waiting: this.#queue.size,
-      running: workers.reduce((sum, { tasks }) => sum + tasks, 0),
-      workers,
-      teams,
-      work: summariseWork(this.#table.list()),
-    };
-  }
-
-  /** An entry may not have learned yet that a key was withdrawn. */
-  #checkKey({ request: { keyId } }: SubmitCall): Result<void, Failure> {
-    if (keyId === undefined || this.#keyRing?.isWithdrawn(keyId) !== true) return ok(undefined);
-    return err(createFailure('withdrawnKey', `the key ${keyId} was withdrawn`));
+    return this.#description.describeStatus();
   }
 
   #find(requestId: string, team?: string): Result<RequestRecord, Failure> {
@@ -648,37 +527,6 @@
     return ok(record);
   }
 
-  #rejoin(
-    record: RequestRecord,
-    { request, remainingMs }: SubmitCall,
-  ): Result<RequestView, Failure> {
-    const isSameBody = record.request.digest === request.digest;
-    if (!isSameBody || record.request.queue !== request.queue) {
-      const detail = 'the idempotency key was used with another request body or queue';
-      return err(createFailure('conflictingKey', detail));
-    }
-    if (record.deadlineAt === Infinity) {
-      record.setDeadline(this.#context.clock.now() + remainingMs);
-    }
-    return ok(record.describe());
-  }
-
-  #commitAccepted(record: RequestRecord): void {
-    const { clock, emit } = this.#context;
-    const ticket = this.#nextTicket;
-    this.#nextTicket += 1;
-    this.#commits.set(ticket, record);
-    record.setAccepted(true);
-    const left = record.deadlineAt - clock.now();
-    const entry = {
-      entry: 'accepted',
-      request: record.request,
-      deadlineAtMs: clock.wallTime() + left,
-      atMs: clock.wallTime(),
-    } as const;
-    emit({ effect: 'commit', ticket, entry });
-  }
-
   #confirmIntent(ticket: number, failure?: Failure): void {
     const task = this.#dispatcher.confirmIntent(ticket);
     if (task?.isActive !== true) return;
@@ -688,46 +536,9 @@
     this.#tracker.disproveStart(record, task, failure?.detail ?? 'the worker left the fleet');
   }
 
-  /** Queues a request, or holds it back while an earlier owner may have it running. */
-  #enqueue(record: RequestRecord): void {
-    if (record.isFinished || record.stopPlan !== undefined) return;
-    const mayRunAlready = record.ran !== 'no' || record.request.idempotencyKey !== undefined;
-    if (mayRunAlready && !this.#recovery.isComplete) this.#recovery.hold(record);
-    else this.#release(record);
-  }
-
-  /** Lets a held request go on: only proof or idempotence permits a start. */
-  #release(record: RequestRecord): void {
-    if (record.isFinished || record.activeTasks.length > 0) return;
-    // The next tick ends a request whose deadline passed while it was held.
-    if (this.#context.clock.now() >= record.deadlineAt) return;
-    if (this.#recovery.disproves(record)) record.clearUncertain();
-    const detail = 'a worker that may have run the request cannot be reached or restarted';
-    if (record.ran === 'no' || record.request.idempotent) this.#queue.add(record);
-    else this.#lifecycle.finish(record, 'unknown', createFailure('outcomeUnknown', detail));
-  }
-
-  /** Queues a request whose former owner had not started all of its tasks. */
-  #enqueueRest(record: RequestRecord): void {
-    if (record.isFinished || record.stopPlan !== undefined) return;
-    if (record.pendingIndexes.length > 0) this.#queue.add(record);
-  }
-
   #finishRecovery(): void {
-    const held = this.#recovery.finish();
-    if (held === undefined) return;
-    for (const record of held) this.#release(record);
-    if (this.#keyRing !== undefined) this.applyKeys(this.#keyRing);
-    for (const record of this.#table.list()) {
-      if (record.activeTasks.length === 0 || record.pendingIndexes.length === 0) continue;
-      if (this.#recovery.disproves(record) || record.request.idempotent) this.#enqueueRest(record);
-      else {
-        const detail = 'a worker that may have run a task cannot be reached or restarted';
-        const failure = createFailure('outcomeUnknown', detail);
-        this.#lifecycle.stopRequest(record, { next: 'failed', failure });
-      }
-    }
-    this.#fleet.touch();
+    const hasEnded = this.#inherited.finishRecovery();
+    if (hasEnded && this.#keyRing !== undefined) this.applyKeys(this.#keyRing);
   }
 
   #standDown(detail: string, epoch: number): void {
