--- a/packages/runtime/src/Log.ts
+++ b/packages/runtime/src/Log.ts
@@ -20,6 +20,7 @@
 export class Log {
   readonly #logger: Logger;
   readonly #threshold: number;
+  #lines: string[] = [];
 
   /**
    * @param process - name of the process
@@ -27,7 +28,7 @@
    */
   public constructor(process: string, level: Level) {
     ROARR.write = (line: string): void => {
-      globalThis.process.stdout.write(`${line}\n`);
+      this.#buffer(line);
     };
     this.#logger = Roarr.child({ process });
     this.#threshold = levels[level];
@@ -58,4 +59,25 @@
     const level = name === 'invariantViolated' ? 'error' : warnings.has(name) ? 'warn' : 'info';
     this.write(level, name, fields);
   }
+
+  /** Writes the lines that are still buffered, before the process ends. */
+  public flush(): void {
+    if (this.#lines.length === 0) return;
+    const text = `${this.#lines.join('\n')}\n`;
+    this.#lines = [];
+    globalThis.process.stdout.write(text);
+  }
+
+  /**
+   * A write to a pipe blocks the loop, so the lines of one turn go out in one write: 5,000 cancellations
+   * log 10,000 lines and more.
+   */
+  #buffer(line: string): void {
+    if (this.#lines.length === 0) {
+      setImmediate(() => {
+        this.flush();
+      });
+    }
+    this.#lines.push(line);
+  }
 }
--- a/packages/runtime/src/runDaemon.ts
+++ b/packages/runtime/src/runDaemon.ts
@@ -15,6 +15,7 @@
     runtime.recorder.record('processStopping', { detail: signal });
     await daemon.drain();
     await runtime.close();
+    runtime.log.flush();
     process.exit(0);
   };
   process.on('SIGTERM', () => void stop('SIGTERM'));
