--- a/packages-private/testkit/__tests__/path.test.ts
+++ b/packages-private/testkit/__tests__/path.test.ts
@@ -68,6 +68,24 @@
     expect(outputs).to.deep.equal(delays.map((_, index) => `answer ${index}`));
   });
 
+  it('takes work of an open queue without a key, and shows it without one', async () => {
+    const keyless = new Caller(() => site.entries[0]?.url ?? '');
+    const { status, view } = await keyless.submit('open', { size, command: 'echo public' });
+    expect([status, view.output]).to.deep.equal([200, ['public']]);
+    expect((await keyless.wait(view.id, 0)).view.state).to.equal('succeeded');
+  });
+
+  it('lets a caller go on waiting for a request at another entry', async () => {
+    const { status, view } = await planning.submit(
+      'renders',
+      { size, command: 'sleep 600; echo later' },
+      { wait: 0.1 },
+    );
+    expect(status).to.equal(202);
+    const answer = await planningElsewhere.wait(view.id, 10);
+    expect([answer.status, answer.view.output]).to.deep.equal([200, ['later']]);
+  });
+
   it('hides the requests of one team from another', async () => {
     const { view } = await planning.submit('renders', { size, command: 'echo secret' });
     expect((await broadcast.wait(view.id, 0)).problem.title).to.equal('unknownRequest');
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -34,7 +34,7 @@
 import { Quarantine } from './Quarantine.js';
 import { Recovery } from './Recovery.js';
 import { RequestLifecycle } from './RequestLifecycle.js';
-import { RequestRecord } from './RequestRecord.js';
+import type { RequestRecord } from './RequestRecord.js';
 import { RequestTable } from './RequestTable.js';
 import type { ShardContext } from './ShardContext.js';
 import { ShardDescription } from './ShardDescription.js';
