Count the traffic of daemons by partner in the capacity benchmark

Cause: the traffic of a daemon was read from /proc/PID/io, which counts its log on standard output, files and sockets together, so it could not be told what to cut. New parts measure the slope over data centres (peers), teams and shards per scheduler.

--- a/packages-private/bench/src/CapacitySite.ts
+++ b/packages-private/bench/src/CapacitySite.ts
@@ -1,63 +1,100 @@
-import { Caller, Site, sleep } from '@toucanline/testkit';
+import { Caller, Site, sleep, type DaemonProcess } from '@toucanline/testkit';
+import { DaemonMeter } from './DaemonMeter.js';
+import { TrafficFolder } from './TrafficFolder.js';
 
 const room = { processors: 64, memoryMb: 131_072, accelerators: 8 };
 const size = { processors: 1, memoryMb: 1024, accelerators: 0 };
 
-const document = `schema = 1
-[shards.s1]
-dataCentre = "dc1"
-[teams.a]
-share = 1
-[queues.services]
-kind = "service"
-idempotent = true
-[queues.jobs]
-kind = "batch"
-idempotent = true
-`;
-
-/** A site on loopback with one scheduler and one entry, loaded to a given size. */
+/** Size of a site; what is left out is 1. */
+interface CapacitySize {
+  readonly dataCentres?: number;
+  readonly shardsPerDataCentre?: number;
+  readonly workersPerDataCentre: number;
+  readonly teams?: number;
+}
+
+/** Values by name of the quantity. */
+type Values = Readonly<Record<string, number>>;
+
+const readPort = (address: string): string => address.split(':').at(-1) ?? '';
+
+const listNames = (prefix: string, count: number): readonly string[] =>
+  Array.from({ length: count }, (_, index) => `${prefix}${index + 1}`);
+
+const average = (uses: readonly Values[], role: string): Values => {
+  const names = [...new Set(uses.flatMap((use) => Object.keys(use)))];
+  const sum = (name: string): number => uses.reduce((total, use) => total + (use[name] ?? 0), 0);
+  return Object.fromEntries(names.map((name) => [`${role} ${name}`, sum(name) / uses.length]));
+};
+
+/** A site on loopback with one scheduler and one entry per data centre, loaded to a given size. */
 export class CapacitySite {
   readonly #site: Site;
-  readonly #caller: Caller;
+  readonly #teams: readonly string[];
+  readonly #callers: readonly Caller[];
+  readonly #folder = new TrafficFolder();
 
-  /** @param workers - number of workers */
-  public constructor(workers: number) {
+  /** @param options - size of the site */
+  public constructor(options: CapacitySize) {
+    const dataCentres = listNames('dc', options.dataCentres ?? 1);
+    const shards = listNames('', options.shardsPerDataCentre ?? 1);
+    this.#teams = listNames('t', options.teams ?? 1);
     this.#site = new Site({
-      document,
-      dataCentres: ['dc1'],
+      document: [
+        'schema = 1',
+        ...dataCentres.flatMap((name) =>
+          shards.map((shard) => `[shards.${name}s${shard}]\ndataCentre = "${name}"`),
+        ),
+        ...this.#teams.map((team) => `[teams.${team}]\nshare = 1`),
+        '[queues.services]\nkind = "service"\nidempotent = true',
+        '[queues.jobs]\nkind = "batch"\nidempotent = true',
+      ].join('\n'),
+      dataCentres,
       entriesPerDataCentre: 1,
       schedulersPerDataCentre: 1,
-      workersPerDataCentre: workers,
+      workersPerDataCentre: options.workersPerDataCentre,
       room,
-      teams: ['a'],
+      teams: this.#teams,
     });
-    this.#caller = new Caller(() => this.#site.entries[0]?.url ?? '', 'key-a');
-  }
-
-  /** Process id of the scheduler. */
-  public get schedulerPid(): number {
-    return this.#site.schedulers[0]?.pid ?? 0;
-  }
-
-  /** Process id of the entry. */
-  public get entryPid(): number {
-    return this.#site.entries[0]?.pid ?? 0;
-  }
-
-  /** Calls to the store so far. */
-  public get storeCalls(): number {
-    return this.#site.store.calls;
+    this.#callers = dataCentres.flatMap((_, index) =>
+      this.#teams.map(
+        (team) => new Caller(() => this.#site.entries[index]?.url ?? '', `key-${team}`),
+      ),
+    );
   }
 
   /** Starts the site. */
   public async start(): Promise<void> {
+    this.#folder.attach();
     await this.#site.start();
   }
 
   /** Ends the site. */
   public async stop(): Promise<void> {
     await this.#site.stop();
+    this.#folder.remove();
+  }
+
+  /**
+   * Measures all daemons.
+   *
+   * @param load - what happens meanwhile
+   * @returns averages per role, and the calls to the store of the whole site
+   */
+  public async measure(load: () => Promise<unknown>): Promise<Values> {
+    const schedulers = this.#site.schedulers.map((daemon) => this.#createMeter(daemon));
+    const entries = this.#site.entries.map((daemon) => this.#createMeter(daemon));
+    await Promise.all([...schedulers, ...entries].map((meter) => meter.start()));
+    const callsBefore = this.#site.store.calls;
+    const startedAt = performance.now();
+    await load();
+    const seconds = (performance.now() - startedAt) / 1000;
+    const storeCalls = (this.#site.store.calls - callsBefore) / seconds;
+    return {
+      ...average(await Promise.all(schedulers.map((meter) => meter.end())), 'scheduler'),
+      ...average(await Promise.all(entries.map((meter) => meter.end())), 'entry'),
+      'store calls (1/s)': storeCalls,
+    };
   }
 
   /**
@@ -69,24 +106,33 @@
     const tasksPerRequest = 50;
     for (let started = 0; started < tasks; started += tasksPerRequest) {
       const count = Math.min(tasksPerRequest, tasks - started);
-      await this.#caller.submit('services', { size, tasks: count, command: 'serve' });
+      await this.#callers[0]?.submit('services', { size, tasks: count, command: 'serve' });
     }
   }
 
+  /** Starts one long-running task of each team. */
+  public async startServices(): Promise<void> {
+    const started = this.#callers.map((caller) =>
+      caller.submit('services', { size, command: 'serve' }),
+    );
+    await Promise.all(started);
+  }
+
   /**
-   * Submits short batch requests at a constant rate.
+   * Submits short batch requests at a constant rate, to all entries and for all teams in turn.
    *
    * @param perSecond - requests a second
    * @param durationMs - duration in milliseconds
    * @returns number of answered requests
    */
   public async submitSteadily(perSecond: number, durationMs: number): Promise<number> {
-    const endsAt = performance.now() + durationMs;
+    const startedAt = performance.now();
     const answers: Promise<number>[] = [];
-    while (performance.now() < endsAt) {
-      const answer = this.#caller.submit('jobs', { size, command: 'sleep 100; echo done' });
-      answers.push(answer.then(({ status }) => status));
-      await sleep(1000 / perSecond);
+    for (let sent = 0; (sent / perSecond) * 1000 < durationMs; sent += 1) {
+      const caller = this.#callers[sent % this.#callers.length];
+      const answer = caller?.submit('jobs', { size, command: 'sleep 100; echo done' });
+      if (answer !== undefined) answers.push(answer.then(({ status }) => status));
+      await sleep(Math.max(0, startedAt + ((sent + 1) / perSecond) * 1000 - performance.now()));
     }
     return (await Promise.all(answers)).filter((status) => status === 200).length;
   }
@@ -101,6 +147,24 @@
   public async holdCallers(count: number, waitSeconds: number): Promise<void> {
     const body = { size, command: 'sleep 60000' };
     const wait = { wait: waitSeconds };
-    await Promise.all(Array.from({ length: count }, () => this.#caller.submit('jobs', body, wait)));
+    const hold = (): unknown => this.#callers[0]?.submit('jobs', body, wait);
+    await Promise.all(Array.from({ length: count }, hold));
+  }
+
+  #createMeter(daemon: DaemonProcess): DaemonMeter {
+    return new DaemonMeter(daemon.pid, this.#folder, (connection) => this.#classify(connection));
+  }
+
+  /** Names the partner of a connection by the port of the side that accepted it. */
+  #classify(connection: string): string {
+    const [direction, port] = connection.split(' ');
+    if (port === readPort(this.#site.store.address)) return 'store';
+    if (port === readPort(this.#site.hosts.address)) return 'host list';
+    if (this.#site.workers.some(({ address }) => port === readPort(address))) return 'workers';
+    const isLink = this.#site.schedulers.some(
+      ({ settings }) => String(settings.link?.port) === port,
+    );
+    if (isLink) return 'links';
+    return direction === 'at' ? 'callers' : 'other';
   }
 }
--- a/packages-private/bench/src/ProcessProbe.ts
+++ b/packages-private/bench/src/ProcessProbe.ts
@@ -21,6 +21,8 @@
   readonly residentMb: number;
   /** Bytes read and written per second. */
   readonly bytesPerSecond: number;
+  /** Length of the interval. */
+  readonly seconds: number;
 }
 
 /** Reads what a process uses from `/proc`. */
@@ -51,6 +53,7 @@
       cores: (end.cpuSeconds - this.#start.cpuSeconds) / seconds,
       residentMb: this.#readNumber('status', /VmRSS:\s+(\d+)/) / 1024,
       bytesPerSecond: (end.ioBytes - this.#start.ioBytes) / seconds,
+      seconds,
     };
   }
 
--- a/packages-private/bench/src/measureCapacity.ts
+++ b/packages-private/bench/src/measureCapacity.ts
@@ -1,7 +1,6 @@
 import { sleep } from '@toucanline/testkit';
 import { CapacitySite } from './CapacitySite.js';
 import { fitLine } from './fitLine.js';
-import { ProcessProbe } from './ProcessProbe.js';
 
 const intervalMs = 8000;
 const settleMs = 3000;
@@ -9,20 +8,27 @@
 const taskSizes = [0, 500, 1000, 2000] as const;
 const rateSizes = [10, 20, 40, 80] as const;
 const callerSizes = [0, 100, 200, 400] as const;
+const peerSizes = [1, 2, 4, 8] as const;
+const teamSizes = [10, 60, 120, 230] as const;
+const shardSizes = [1, 2, 4, 8] as const;
+/** Starts a second of one scheduler at the peak of the target size. */
+const peakRate = 4;
 
-/** One measured quantity over several sizes. */
-interface Series {
-  readonly name: string;
-  readonly points: readonly (readonly [number, number])[];
-}
+/** Values by name of the quantity. */
+type Values = Readonly<Record<string, number>>;
+
+/** A size with the values measured at it. */
+type Row = readonly [number, Values];
 
 const print = (text: string): void => {
   process.stdout.write(`${text}\n`);
 };
 
-const printSeries = (title: string, unit: string, series: readonly Series[]): void => {
+const printRows = (title: string, unit: string, rows: readonly Row[]): void => {
   print(`\n## ${title} (per ${unit})`);
-  for (const { name, points } of series) {
+  const names = new Set(rows.flatMap(([, values]) => Object.keys(values)));
+  for (const name of names) {
+    const points = rows.map(([size, values]) => [size, values[name] ?? 0] as const);
     const { slope, intercept, error } = fitLine(points);
     const listed = points.map(([x, y]) => `${x}:${y.toPrecision(4)}`).join('  ');
     const line = `slope ${slope.toPrecision(3)}  at zero ${intercept.toPrecision(3)}`;
@@ -30,98 +36,119 @@
   }
 };
 
-const toSeries = (
-  rows: readonly (readonly [number, Readonly<Record<string, number>>])[],
-): readonly Series[] =>
-  Object.keys(rows[0]?.[1] ?? {}).map((name) => ({
-    name,
-    points: rows.map(([size, values]) => [size, values[name] ?? 0] as const),
-  }));
-
-const measureProcesses = async (
-  site: CapacitySite,
-  load: () => Promise<unknown>,
-): Promise<Readonly<Record<string, number>>> => {
-  const scheduler = new ProcessProbe(site.schedulerPid);
-  const entry = new ProcessProbe(site.entryPid);
-  const callsBefore = site.storeCalls;
-  await load();
-  const schedulerUse = scheduler.measure();
-  const entryUse = entry.measure();
-  return {
-    'scheduler CPU (cores)': schedulerUse.cores,
-    'scheduler resident (MB)': schedulerUse.residentMb,
-    'scheduler traffic (B/s)': schedulerUse.bytesPerSecond,
-    'entry CPU (cores)': entryUse.cores,
-    'entry resident (MB)': entryUse.residentMb,
-    'entry traffic (B/s)': entryUse.bytesPerSecond,
-    'store calls (1/s)': ((site.storeCalls - callsBefore) / intervalMs) * 1000,
-  };
+const idle = (): Promise<void> => sleep(intervalMs);
+
+const sleepBriefly = (): Promise<void> => sleep(settleMs);
+
+const measureSite = async (
+  options: ConstructorParameters<typeof CapacitySite>[0],
+  prepare: (site: CapacitySite) => Promise<unknown>,
+  load: (site: CapacitySite) => Promise<unknown>,
+): Promise<Values> => {
+  const site = new CapacitySite(options);
+  await site.start();
+  try {
+    await prepare(site);
+    await sleep(settleMs);
+    return await site.measure(() => load(site));
+  } finally {
+    await site.stop();
+  }
 };
 
 const measureWorkers = async (): Promise<void> => {
-  const rows: [number, Readonly<Record<string, number>>][] = [];
+  const rows: Row[] = [];
   for (const workers of workerSizes) {
-    const site = new CapacitySite(workers);
-    await site.start();
-    await sleep(settleMs);
-    rows.push([workers, await measureProcesses(site, () => sleep(intervalMs))]);
-    await site.stop();
+    rows.push([workers, await measureSite({ workersPerDataCentre: workers }, sleepBriefly, idle)]);
   }
-  printSeries('Idle workers', 'worker', toSeries(rows));
+  printRows('Idle workers', 'worker', rows);
 };
 
-const measureLoad = async (): Promise<void> => {
-  const site = new CapacitySite(50);
-  await site.start();
-  const tasks: [number, Readonly<Record<string, number>>][] = [];
-  let running = 0;
-  for (const size of taskSizes) {
-    await site.fill(size - running);
-    running = size;
-    await sleep(settleMs);
-    tasks.push([size, await measureProcesses(site, () => sleep(intervalMs))]);
+const measureTasks = async (): Promise<void> => {
+  const rows: Row[] = [];
+  for (const tasks of taskSizes) {
+    const fill = (site: CapacitySite): Promise<void> => site.fill(tasks);
+    rows.push([tasks, await measureSite({ workersPerDataCentre: 50 }, fill, idle)]);
   }
-  printSeries('Running tasks on 50 workers', 'task', toSeries(tasks));
-  await site.stop();
-  const rates: [number, Readonly<Record<string, number>>][] = [];
+  printRows('Running tasks on 50 workers', 'task', rows);
+};
+
+const measureLoad = async (): Promise<void> => {
+  const rows: Row[] = [];
   for (const rate of rateSizes) {
-    const loaded = new CapacitySite(50);
-    await loaded.start();
-    await sleep(settleMs);
-    const load = (): Promise<unknown> => loaded.submitSteadily(rate, intervalMs);
-    rates.push([rate, await measureProcesses(loaded, load)]);
-    await loaded.stop();
+    const load = (site: CapacitySite): Promise<number> => site.submitSteadily(rate, intervalMs);
+    rows.push([rate, await measureSite({ workersPerDataCentre: 50 }, sleepBriefly, load)]);
   }
-  printSeries('Batch requests on 50 workers', 'request a second', toSeries(rates));
+  printRows('Batch requests on 50 workers', 'request a second', rows);
 };
 
 const measureCallers = async (): Promise<void> => {
-  const rows: [number, Readonly<Record<string, number>>][] = [];
+  const rows: Row[] = [];
   for (const callers of callerSizes) {
-    const site = new CapacitySite(50);
-    await site.start();
-    await sleep(settleMs);
-    const waiting = site.holdCallers(callers, intervalMs / 1000 + settleMs / 1000);
-    await sleep(settleMs);
-    rows.push([callers, await measureProcesses(site, () => sleep(intervalMs))]);
-    await waiting;
-    await site.stop();
+    const waitSeconds = (2 * settleMs + intervalMs) / 1000;
+    let waiting: Promise<void> | undefined;
+    const hold = (site: CapacitySite): Promise<void> => {
+      waiting = site.holdCallers(callers, waitSeconds);
+      return sleep(settleMs);
+    };
+    rows.push([callers, await measureSite({ workersPerDataCentre: 50 }, hold, idle)]);
+    await waiting?.catch(() => undefined);
+  }
+  printRows('Waiting callers', 'caller', rows);
+};
+
+const measurePeers = async (): Promise<void> => {
+  for (const rate of [0, peakRate]) {
+    const rows: Row[] = [];
+    for (const dataCentres of peerSizes) {
+      const load = (site: CapacitySite): Promise<unknown> =>
+        rate === 0 ? idle() : site.submitSteadily(rate * dataCentres, intervalMs);
+      const options = { dataCentres, workersPerDataCentre: 4, teams: 12 };
+      rows.push([dataCentres, await measureSite(options, sleepBriefly, load)]);
+    }
+    const title = `Data centres with a scheduler and an entry each, ${rate} requests/s each`;
+    printRows(title, 'data centre', rows);
+  }
+};
+
+const measureTeams = async (): Promise<void> => {
+  for (const rate of [0, peakRate]) {
+    const rows: Row[] = [];
+    for (const teams of teamSizes) {
+      const load = (site: CapacitySite): Promise<unknown> =>
+        rate === 0 ? idle() : site.submitSteadily(rate * 2, intervalMs);
+      const options = { dataCentres: 2, workersPerDataCentre: 10, teams };
+      const prepare = (site: CapacitySite): Promise<void> => site.startServices();
+      rows.push([teams, await measureSite(options, prepare, load)]);
+    }
+    printRows(`Teams with a service each, two peers, ${rate} requests/s each`, 'team', rows);
+  }
+};
+
+const measureShards = async (): Promise<void> => {
+  const rows: Row[] = [];
+  for (const shardsPerDataCentre of shardSizes) {
+    const options = { shardsPerDataCentre, workersPerDataCentre: 48 };
+    rows.push([shardsPerDataCentre, await measureSite(options, sleepBriefly, idle)]);
   }
-  printSeries('Waiting callers', 'caller', toSeries(rows));
+  printRows('Shards of one scheduler, 48 workers', 'shard', rows);
 };
 
 const parts: Readonly<Record<string, () => Promise<void>>> = {
   workers: measureWorkers,
+  tasks: measureTasks,
   load: measureLoad,
   callers: measureCallers,
+  peers: measurePeers,
+  teams: measureTeams,
+  shards: measureShards,
 };
 
 /**
- * Measures how the use of each daemon grows with workers, running tasks, requests a second and waiting
- * callers, and prints slopes with the error of the fit.
+ * Measures how the use of each daemon grows with the size of the site, and prints slopes with the error
+ * of the fit. Traffic counts the bytes of TCP sockets; the log on standard output is counted apart.
  *
- * @param names - parts to measure: `workers`, `load`, `callers`; all if empty
+ * @param names - parts to measure, such as `workers` or `peers`; all if empty
  */
 export const measureCapacity = async (names: readonly string[]): Promise<void> => {
   for (const [name, measure] of Object.entries(parts)) {
