Tell changes of load only, and count frames as signs of life

Cause: each scheduler told its whole load twice a second to every peer, and both ends of each link sent a heartbeat of 20 bytes each second: the traffic of links grew by 2.25 KB/s per data centre with one scheduler and one entry. Owners and revisions are told at once. Amounts are arrays without field names. A heartbeat is an empty frame and is left out after other traffic; every frame of an owner keeps its load valid. A fetch of a revision that fails is repeated. A process whose contact to the key list is older than 2.5 s asks three peers.

--- /dev/null
+++ b/packages/core/__tests__/loadNotices.test.ts
@@ -0,0 +1,104 @@
+import type { Resources, ShardLoad } from '@toucanline/schema';
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { LoadFeed, Router } from '../src/index.js';
+import { ManualClock } from './ManualClock.js';
+
+const periodMs = 1000;
+const checks = { seed: 20_261_204, numRuns: 300 };
+
+const resources: fc.Arbitrary<Resources> = fc.record({
+  processors: fc.nat(8),
+  memoryMb: fc.nat(8),
+  accelerators: fc.nat(2),
+});
+const busy = resources.filter((amount) => Object.values(amount).some((part) => part > 0));
+const teams = fc.dictionary(fc.constantFrom('a', 'b', 'c', 'd'), busy);
+const load: fc.Arbitrary<ShardLoad> = fc.record({
+  shard: fc.constantFrom('s1', 's2', 's3'),
+  dataCentre: fc.constant('dc1'),
+  epoch: fc.constant(1),
+  owner: fc.constant('p1'),
+  address: fc.constant('127.0.0.1:1'),
+  waiting: fc.nat(3),
+  free: resources,
+  room: resources,
+  use: teams,
+  demand: teams,
+});
+const loads = fc.uniqueArray(load, { selector: ({ shard }) => shard, maxLength: 3 });
+/** States of an owner in turn, each with the time since the one before. */
+const steps = fc.array(fc.tuple(fc.nat(1500), loads), { minLength: 1, maxLength: 12 });
+
+const createState = (shards: readonly ShardLoad[]): Parameters<LoadFeed['advance']>[1] => ({
+  shards,
+  configurationRevision: 1,
+  keysRevision: 1,
+});
+
+const sample = (use: ShardLoad['use']): ShardLoad => ({
+  shard: 's1',
+  dataCentre: 'dc1',
+  epoch: 1,
+  owner: 'p1',
+  address: '127.0.0.1:1',
+  waiting: 0,
+  free: { processors: 1, memoryMb: 1, accelerators: 0 },
+  room: { processors: 2, memoryMb: 2, accelerators: 0 },
+  use,
+  demand: {},
+});
+
+describe('load notices', () => {
+  it('lead a peer to the state of the owner by changes alone', () => {
+    // Guards against a change that is told to nobody, or a team or shard that is never forgotten.
+    const property = fc.property(steps, loads, (passed, last) => {
+      const clock = new ManualClock();
+      const feed = new LoadFeed(periodMs, true);
+      const router = new Router(clock, 'dc1');
+      let isFirst = true;
+      for (const [elapsedMs, shards] of [...passed, [periodMs, last] as const]) {
+        clock.advance(elapsedMs);
+        const change = feed.advance(clock.now(), createState(shards));
+        const notice = isFirst ? feed.describeAll() : change;
+        isFirst = false;
+        if (notice !== undefined) router.applyNotice('p1', notice);
+      }
+      clock.advance(1);
+      router.noteAlive('p1');
+      const known = ['s1', 's2', 's3'].flatMap((shard) => router.findLoad(shard, 0) ?? []);
+      const sorted = [...last].sort((left, right) => left.shard.localeCompare(right.shard));
+      expect(known).to.deep.equal(sorted);
+    });
+    fc.assert(property, checks);
+  });
+
+  it('keep their rate while the load changes, except for revisions and owners', () => {
+    const feed = new LoadFeed(periodMs, true);
+    const use = { processors: 1, memoryMb: 0, accelerators: 0 };
+    feed.advance(0, createState([sample({})]));
+    expect(feed.advance(1, createState([sample({ a: use })]))).not.to.equal(undefined);
+    expect(feed.advance(500, createState([sample({ b: use })]))).to.equal(undefined);
+    expect(feed.advance(1001, createState([sample({ b: use })]))?.shards[0]?.use).to.deep.equal({
+      a: [0, 0, 0],
+      b: [1, 0, 0],
+    });
+    expect(feed.advance(2500, createState([sample({ b: use })]))).to.equal(undefined);
+    const revised = { ...createState([sample({ b: use })]), keysRevision: 2 };
+    expect(feed.advance(2501, revised)).to.include({ keysRevision: 2 });
+    expect(feed.advance(2502, { ...revised, shards: [] })?.ended).to.deep.equal(['s1']);
+  });
+
+  it('hold as long as their sender gives signs of life', () => {
+    // Guards against an owner that counts as gone because nothing changed, or as alive for good.
+    const clock = new ManualClock();
+    const router = new Router(clock, 'dc1');
+    router.applyOwn('p1', [sample({})]);
+    clock.advance(4500);
+    router.noteAlive('p1');
+    clock.advance(4500);
+    expect(router.findLoad('s1', 5000)?.owner).to.equal('p1');
+    clock.advance(501);
+    expect(router.findLoad('s1', 5000)).to.equal(undefined);
+  });
+});
--- /dev/null
+++ b/packages/core/src/LoadFeed.ts
@@ -0,0 +1,149 @@
+import type { LoadNotice, Resources, ShardLoad, ShardNotice } from '@toucanline/schema';
+import { toAmount } from './toAmount.js';
+
+/** Amounts per team. */
+type Amounts = Readonly<Record<string, Resources>>;
+
+/** What an owner of shards tells its peers. */
+interface LoadState {
+  readonly shards: readonly ShardLoad[];
+  readonly configurationRevision: number;
+  readonly keysRevision: number;
+}
+
+const isSame = (left: Resources, right: Resources): boolean =>
+  left.processors === right.processors &&
+  left.memoryMb === right.memoryMb &&
+  left.accelerators === right.accelerators;
+
+const zero = [0, 0, 0] as const;
+
+const describeAmounts = (amounts: Amounts): NonNullable<ShardNotice['use']> =>
+  Object.fromEntries(Object.entries(amounts).map(([team, amount]) => [team, toAmount(amount)]));
+
+/** Changed amounts; a team that left is told with zero. */
+const compareAmounts = (before: Amounts, after: Amounts): NonNullable<ShardNotice['use']> => {
+  const changes: Record<string, ReturnType<typeof toAmount>> = {};
+  for (const [team, amount] of Object.entries(after)) {
+    const known = before[team];
+    if (known === undefined || !isSame(known, amount)) changes[team] = toAmount(amount);
+  }
+  for (const team of Object.keys(before)) {
+    if (after[team] === undefined) changes[team] = [...zero];
+  }
+  return changes;
+};
+
+/** Decides what one group of peers is told about the load, and when: changes only, at a bounded rate. */
+export class LoadFeed {
+  readonly #periodMs: number;
+  readonly #withTeams: boolean;
+  #told: LoadState | undefined;
+  #toldAt = -Infinity;
+
+  /**
+   * @param periodMs - shortest time between changes of load; changes of ownership and revisions do not wait
+   * @param withTeams - whether the peers need the amounts per team
+   */
+  public constructor(periodMs: number, withTeams: boolean) {
+    this.#periodMs = periodMs;
+    this.#withTeams = withTeams;
+  }
+
+  /**
+   * Takes the current state.
+   *
+   * @param now - local monotonic time in milliseconds
+   * @param state - the state
+   * @returns the change to tell to peers that know what was told before; undefined if none is due
+   */
+  public advance(now: number, state: LoadState): LoadNotice | undefined {
+    const before = this.#told;
+    const isDue = now - this.#toldAt >= this.#periodMs || this.#isUrgent(state);
+    if (!isDue) return undefined;
+    const shards = state.shards.flatMap((load) => this.#describeChange(load) ?? []);
+    const ended = this.#listEnded(state);
+    const hasRevisions = this.#hasNewRevisions(state);
+    this.#told = state;
+    if (before === undefined) return undefined;
+    if (shards.length === 0 && ended.length === 0 && !hasRevisions) return undefined;
+    this.#toldAt = now;
+    const { configurationRevision, keysRevision } = state;
+    return {
+      notice: 'load',
+      shards,
+      ...(ended.length === 0 ? {} : { ended }),
+      ...(hasRevisions ? { configurationRevision, keysRevision } : {}),
+    };
+  }
+
+  /**
+   * Describes everything that was told so far to a peer that knows nothing.
+   *
+   * @returns the notice
+   */
+  public describeAll(): LoadNotice {
+    const { shards, configurationRevision, keysRevision } = this.#told ?? {
+      shards: [],
+      configurationRevision: 0,
+      keysRevision: 0,
+    };
+    const described = shards.map((load) => this.#describe(load));
+    return { notice: 'load', whole: true, shards: described, configurationRevision, keysRevision };
+  }
+
+  #isUrgent(state: LoadState): boolean {
+    const known = this.#told;
+    if (known === undefined || this.#hasNewRevisions(state)) return true;
+    if (known.shards.length !== state.shards.length) return true;
+    return state.shards.some((load) => this.#findTold(load) === undefined);
+  }
+
+  #hasNewRevisions(state: LoadState): boolean {
+    return (
+      this.#told?.configurationRevision !== state.configurationRevision ||
+      this.#told.keysRevision !== state.keysRevision
+    );
+  }
+
+  #findTold({ shard, epoch }: ShardLoad): ShardLoad | undefined {
+    return this.#told?.shards.find((load) => load.shard === shard && load.epoch === epoch);
+  }
+
+  #listEnded(state: LoadState): string[] {
+    const names = new Set(state.shards.map(({ shard }) => shard));
+    return (this.#told?.shards ?? []).flatMap(({ shard }) => (names.has(shard) ? [] : [shard]));
+  }
+
+  #describe(load: ShardLoad): ShardNotice {
+    const { shard, epoch, dataCentre, owner, address, waiting, free, room, use, demand } = load;
+    return {
+      shard,
+      epoch,
+      origin: { dataCentre, owner, address },
+      waiting,
+      free: toAmount(free),
+      room: toAmount(room),
+      ...(this.#withTeams ? { use: describeAmounts(use), demand: describeAmounts(demand) } : {}),
+    };
+  }
+
+  #describeChange(load: ShardLoad): ShardNotice | undefined {
+    const known = this.#findTold(load);
+    if (known === undefined) return this.#describe(load);
+    const { shard, epoch, waiting, free, room } = load;
+    const use = this.#withTeams ? compareAmounts(known.use, load.use) : {};
+    const demand = this.#withTeams ? compareAmounts(known.demand, load.demand) : {};
+    const change: ShardNotice = {
+      shard,
+      epoch,
+      ...(waiting === known.waiting ? {} : { waiting }),
+      ...(isSame(free, known.free) ? {} : { free: toAmount(free) }),
+      ...(isSame(room, known.room) ? {} : { room: toAmount(room) }),
+      ...(Object.keys(use).length === 0 ? {} : { use }),
+      ...(Object.keys(demand).length === 0 ? {} : { demand }),
+    };
+    const hasChange = Object.keys(change).length > 2;
+    return hasChange ? change : undefined;
+  }
+}
--- a/packages/core/src/Router.ts
+++ b/packages/core/src/Router.ts
@@ -1,4 +1,5 @@
 import type { LoadNotice, Request, Resources, ShardLoad } from '@toucanline/schema';
+import { applyShardNotice } from './applyShardNotice.js';
 import { calculateDominantShare } from './calculateDominantShare.js';
 import type { Clock } from './Clock.js';
 import { coversResources } from './coversResources.js';
@@ -7,6 +8,15 @@
 /** Age after which a load notice no longer counts, in milliseconds. */
 const maxNoticeAgeMs = 5000;
 
+/** What is known of a shard. */
+interface KnownLoad {
+  readonly load: ShardLoad;
+  /** Local monotonic time when its owner told it, in milliseconds. */
+  readonly at: number;
+  /** Whether the owner told that it owns the shard no longer. */
+  readonly hasEnded: boolean;
+}
+
 /** FNV-1a, 32 bits: stable over processes and versions, so that all entries agree. */
 const hashText = (text: string): number => {
   let hash = 0x811c9dc5;
@@ -20,8 +30,9 @@
 export class Router {
   readonly #clock: Clock;
   readonly #dataCentre: string;
-  readonly #loads = new Map<string, { readonly load: ShardLoad; readonly at: number }>();
-
+  readonly #loads = new Map<string, KnownLoad>();
+  /** Local monotonic time of the last sign of life, by process. */
+  readonly #aliveAt = new Map<string, number>();
   readonly #changes = new Map<string, number>();
 
   /**
@@ -36,15 +47,45 @@
   /**
    * Applies a load notice. A notice of a lower epoch than the known one is ignored.
    *
+   * @param process - name of the sender
    * @param notice - the notice
    */
-  public applyNotice(notice: LoadNotice): void {
-    for (const load of notice.shards) {
-      const known = this.#loads.get(load.shard);
-      if (known !== undefined && known.load.epoch > load.epoch) continue;
-      if (known?.load.epoch !== load.epoch) this.#changes.set(load.shard, this.#clock.now());
-      this.#loads.set(load.shard, { load, at: this.#clock.now() });
+  public applyNotice(process: string, notice: LoadNotice): void {
+    this.noteAlive(process);
+    for (const change of notice.shards) {
+      const load = applyShardNotice(change, this.#loads.get(change.shard)?.load);
+      if (load !== undefined) this.#apply(load);
     }
+    const listed = new Set(notice.shards.map(({ shard }) => shard));
+    for (const [shard, { load }] of this.#loads) {
+      const isMissing = notice.whole === true && !listed.has(shard);
+      const hasEnded = isMissing || notice.ended?.includes(shard) === true;
+      if (load.owner === process && hasEnded) this.#end(shard);
+    }
+  }
+
+  /**
+   * Applies the loads of this process.
+   *
+   * @param process - name of this process
+   * @param loads - loads of all shards that it owns
+   */
+  public applyOwn(process: string, loads: readonly ShardLoad[]): void {
+    this.noteAlive(process);
+    for (const load of loads) this.#apply(load);
+    const names = new Set(loads.map(({ shard }) => shard));
+    for (const [shard, { load }] of this.#loads) {
+      if (load.owner === process && !names.has(shard)) this.#end(shard);
+    }
+  }
+
+  /**
+   * Notes a sign of life of a process: what it told before still holds.
+   *
+   * @param process - name of the process
+   */
+  public noteAlive(process: string): void {
+    this.#aliveAt.set(process, this.#clock.now());
   }
 
   /**
@@ -56,7 +97,7 @@
    */
   public findLoad(shard: string, maxAgeMs = Infinity): ShardLoad | undefined {
     const known = this.#loads.get(shard);
-    return known !== undefined && this.#clock.now() - known.at <= maxAgeMs ? known.load : undefined;
+    return known !== undefined && this.#readAge(known) <= maxAgeMs ? known.load : undefined;
   }
 
   /**
@@ -92,16 +133,33 @@
    * @returns names of the shards with a live owner, best first
    */
   public orderShards(policy: Policy, request: Pick<Request, 'size' | 'tasks'>): readonly string[] {
-    const now = this.#clock.now();
     const ranked: { readonly shard: string; readonly rank: number }[] = [];
     for (const shard of policy.shards) {
       const known = this.#loads.get(shard);
-      if (known === undefined || now - known.at > maxNoticeAgeMs) continue;
+      if (known === undefined || this.#readAge(known) > maxNoticeAgeMs) continue;
       ranked.push({ shard, rank: this.#rank(known.load, request.size) });
     }
     return ranked.sort((left, right) => left.rank - right.rank).map(({ shard }) => shard);
   }
 
+  #apply(load: ShardLoad): void {
+    const known = this.#loads.get(load.shard)?.load;
+    if (known !== undefined && known.epoch > load.epoch) return;
+    if (known?.epoch !== load.epoch) this.#changes.set(load.shard, this.#clock.now());
+    this.#loads.set(load.shard, { load, at: this.#clock.now(), hasEnded: false });
+  }
+
+  #end(shard: string): void {
+    const known = this.#loads.get(shard);
+    if (known !== undefined) this.#loads.set(shard, { ...known, hasEnded: true });
+  }
+
+  /** Time since the owner was last known to own the shard, in milliseconds. */
+  #readAge({ load, at, hasEnded }: KnownLoad): number {
+    const aliveAt = hasEnded ? at : Math.max(at, this.#aliveAt.get(load.owner) ?? at);
+    return this.#clock.now() - aliveAt;
+  }
+
   #rank(load: ShardLoad, size: Resources): number {
     const isLocal = load.dataCentre === this.#dataCentre;
     const hasRoom = coversResources(load.free, size) && load.waiting === 0;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -96,6 +96,7 @@
 export { limitEvents } from './limitEvents.js';
 export { mergeEvents } from './mergeEvents.js';
 export { parseRecord } from './parseRecord.js';
+export { LoadFeed } from './LoadFeed.js';
 export { periods } from './periods.js';
 export { previewChange } from './previewChange.js';
 export { scaleResources } from './scaleResources.js';
--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -37,8 +37,12 @@
     return Promise.resolve({ reply: 'failure', failure });
   }
 
-  public override handleNotice(_link: Link, body: NoticeBody): void {
-    this.#router.applyNotice(body);
+  public override handleNotice(link: Link, body: NoticeBody): void {
+    if (link.peer !== undefined) this.#router.applyNotice(link.peer.process, body);
+  }
+
+  public override handleActivity(link: Link): void {
+    if (link.peer !== undefined) this.#router.noteAlive(link.peer.process);
   }
 
   public override handleClose(): void {
--- a/packages/runtime/src/PeerSet.ts
+++ b/packages/runtime/src/PeerSet.ts
@@ -13,6 +13,15 @@
 
 const refreshMs = 1000;
 const configurationTimeoutMs = 2000;
+/** Age of the last contact of the key list from which peers are asked for theirs, and how many at a time. */
+const maxContactAgeMs = 2500;
+const askedPeers = 3;
+
+/** Revisions that a peer told. */
+interface PeerRevisions {
+  readonly configurationRevision: number;
+  readonly keysRevision: number;
+}
 
 /** Keeps links to the schedulers that settings and host list name, and learns revisions from them. */
 export class PeerSet extends LinkHandler {
@@ -21,6 +30,7 @@
   readonly #ownAddress: string | undefined;
   readonly #dialers = new Map<string, LinkDialer>();
   readonly #fetching = new Set<Link>();
+  readonly #told = new Map<Link, PeerRevisions>();
   #listed: ReadonlySet<string> = new Set();
   #stopped = false;
 
@@ -98,6 +108,11 @@
     this.#handler.handleNotice(link, body);
   }
 
+  /** {@inheritDoc LinkHandler.handleActivity} */
+  public override handleActivity(link: Link): void {
+    this.#handler.handleActivity(link);
+  }
+
   /** {@inheritDoc LinkHandler.handleClose} */
   public override handleClose(link: Link, detail: string): void {
     this.#runtime.recorder.record('linkClosed', {
@@ -113,14 +128,29 @@
    * @param notice - its notice
    */
   public async learnRevisions(link: Link, notice: NoticeBody): Promise<void> {
-    const { holder, keyRing, keysContact, recorder } = this.#runtime;
+    const { keyRing, keysContact, recorder } = this.#runtime;
     if (notice.stamp !== undefined) recorder.observe(notice.stamp);
-    const isCurrent = notice.keysRevision <= keyRing.revision;
-    if (notice.keysAgeMs !== undefined && isCurrent) keysContact.confirm(notice.keysAgeMs);
+    const { configurationRevision, keysRevision, keysAgeMs } = notice;
+    if (configurationRevision === undefined || keysRevision === undefined) return;
+    this.#told.set(link, { configurationRevision, keysRevision });
+    if (keysAgeMs !== undefined && keysRevision <= keyRing.revision) keysContact.confirm(keysAgeMs);
+    await this.#fetchNewer(link);
+  }
+
+  async #fetchNewer(link: Link): Promise<void> {
+    const { holder, keyRing } = this.#runtime;
+    const told = this.#told.get(link);
+    if (told === undefined) return;
     const isNewer =
-      notice.configurationRevision > holder.revision || notice.keysRevision > keyRing.revision;
-    if (!isNewer || this.#fetching.has(link)) return;
+      told.configurationRevision > holder.revision || told.keysRevision > keyRing.revision;
+    if (isNewer) await this.#fetch(link);
+  }
+
+  async #fetch(link: Link): Promise<void> {
+    const { clock, holder, keyRing, keysContact } = this.#runtime;
+    if (this.#fetching.has(link)) return;
     this.#fetching.add(link);
+    const askedAt = clock.now();
     const reply = await link.call(
       {
         call: 'configuration',
@@ -131,9 +161,32 @@
     );
     this.#fetching.delete(link);
     if (reply.isErr() || reply.value.reply !== 'configuration') return;
-    const { configuration, keys } = reply.value;
+    const { configuration, keys, keysAgeMs } = reply.value;
     if (configuration !== undefined) holder.apply(configuration);
-    if (keys !== undefined && validateValue(validators.KeyList, keys).isOk()) keyRing.apply(keys);
+    const isKeyList = keys === undefined || validateValue(validators.KeyList, keys).isOk();
+    if (keys !== undefined && isKeyList) keyRing.apply(keys);
+    const sinceAskedMs = clock.now() - askedAt;
+    if (keysAgeMs !== undefined && isKeyList) keysContact.confirm(keysAgeMs + sinceAskedMs);
+  }
+
+  /** Peers tell a revision once, so a fetch that failed is repeated here. */
+  #repeatFetches(): void {
+    for (const link of this.#told.keys()) {
+      if (link.isClosed) this.#told.delete(link);
+      else void this.#fetchNewer(link);
+    }
+  }
+
+  /** Without the store, peers may know that the key list is still the newest. */
+  #askContact(): void {
+    const { keysContact, random } = this.#runtime;
+    if (keysContact.ageMs <= maxContactAgeMs) return;
+    const { links } = this;
+    const first = Math.floor(random.next() * links.length);
+    for (let count = 0; count < Math.min(askedPeers, links.length); count += 1) {
+      const link = links[(first + count) % links.length];
+      if (link !== undefined) void this.#fetch(link);
+    }
   }
 
   async #refresh(): Promise<void> {
@@ -143,6 +196,8 @@
         const schedulers = hosts.value.filter(({ role }) => role === 'scheduler');
         this.#applyList(new Set(schedulers.map(({ address }) => address)));
       }
+      this.#repeatFetches();
+      this.#askContact();
       await this.#runtime.clock.sleep(refreshMs);
     }
   }
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -1,9 +1,10 @@
 import { createFailure, limitEvents, Router } from '@toucanline/core';
 import { HttpWorkerGateway } from '@toucanline/platform';
 import { addHealthRoutes, Daemon, PeerSet, type ProcessRuntime } from '@toucanline/runtime';
-import type { CallBody, HostRecord, LoadNotice, NoticeBody, ReplyBody } from '@toucanline/schema';
+import type { CallBody, HostRecord, NoticeBody, ReplyBody } from '@toucanline/schema';
 import { LinkHandler, LinkListener, type Link } from '@toucanline/wire';
 import restana from 'restana';
+import { LoadTeller } from './LoadTeller.js';
 import { ShardCandidate } from './ShardCandidate.js';
 import type { ShardHost } from './ShardHost.js';
 
@@ -22,11 +23,15 @@
   readonly #onCall: (body: CallBody) => Promise<ReplyBody> | ReplyBody;
   readonly #onNotice: (link: Link, body: NoticeBody) => void;
 
+  readonly #onAlive: (process: string) => void;
+
   public constructor(
     onCall: (body: CallBody) => Promise<ReplyBody> | ReplyBody,
     onNotice: (link: Link, body: NoticeBody) => void,
+    onAlive: (process: string) => void,
   ) {
     super();
+    this.#onAlive = onAlive;
     this.#onCall = onCall;
     this.#onNotice = onNotice;
   }
@@ -43,6 +48,10 @@
     this.#onNotice(link, body);
   }
 
+  public override handleActivity(link: Link): void {
+    if (link.peer !== undefined) this.#onAlive(link.peer.process);
+  }
+
   public override handleClose(): void {
     // The peer reconnects.
   }
@@ -54,6 +63,7 @@
   readonly #gateway = new HttpWorkerGateway();
   readonly #router: Router;
   readonly #links: SchedulerLinks;
+  readonly #teller: LoadTeller;
   readonly #listener: LinkListener;
   readonly #candidates = new Map<string, ShardCandidate>();
   #peers: PeerSet | undefined;
@@ -74,7 +84,11 @@
       (link, body) => {
         this.#applyNotice(link, body);
       },
+      (process) => {
+        this.#router.noteAlive(process);
+      },
     );
+    this.#teller = new LoadTeller(runtime.settings.dataCentre);
     this.#listener = new LinkListener(runtime.hello, this.#links);
   }
 
@@ -191,38 +205,20 @@
   }
 
   #tellLoad(): void {
-    const { holder, keyRing, keysContact, recorder, settings } = this.#runtime;
+    const { clock, holder, keyRing, keysContact, recorder, settings } = this.#runtime;
     const { ageMs } = keysContact;
-    const notice: LoadNotice = {
-      notice: 'load',
-      process: settings.process,
-      shards: this.#hosts.filter((host) => host.isServing).map((host) => host.shard.describeLoad()),
-      configurationRevision: holder.revision,
-      keysRevision: keyRing.revision,
-      stamp: recorder.stamp(),
-      ...(Number.isFinite(ageMs) ? { keysAgeMs: ageMs } : {}),
-    };
-    this.#router.applyNotice(notice);
-    this.#notifyPeers(notice);
+    const serving = this.#hosts.filter((host) => host.isServing);
+    const shards = serving.map((host) => host.shard.describeLoad());
+    this.#router.applyOwn(settings.process, shards);
+    this.#teller.tell(
+      [...this.#listener.links, ...(this.#peers?.links ?? [])],
+      clock.now(),
+      { shards, configurationRevision: holder.revision, keysRevision: keyRing.revision },
+      { stamp: recorder.stamp(), ...(Number.isFinite(ageMs) ? { keysAgeMs: ageMs } : {}) },
+    );
     this.#passLoads();
   }
 
-  /**
-   * Entries route by free capacity alone. The amounts per team are for schedulers: at 230 teams they
-   * would make up most of a notice.
-   */
-  #notifyPeers(notice: LoadNotice): void {
-    const shards = notice.shards.map((load) => ({ ...load, use: {}, demand: {} }));
-    const brief: LoadNotice = { ...notice, shards };
-    const told = new Set<string>();
-    for (const link of [...this.#listener.links, ...(this.#peers?.links ?? [])]) {
-      // Two schedulers dial each other, so there may be two links to one process.
-      if (link.peer === undefined || told.has(link.peer.process)) continue;
-      told.add(link.peer.process);
-      link.notify(link.peer.role === 'entry' ? brief : notice);
-    }
-  }
-
   #passLoads(): void {
     const names = this.#runtime.holder.policy?.shards ?? [];
     const loads = names.flatMap((name) => this.#router.findLoad(name) ?? []);
@@ -232,7 +228,7 @@
   }
 
   #applyNotice(link: Link, body: NoticeBody): void {
-    this.#router.applyNotice(body);
+    if (link.peer !== undefined) this.#router.applyNotice(link.peer.process, body);
     void this.#peers?.learnRevisions(link, body).then(() => {
       this.#applyNewRevision();
     });
@@ -311,12 +307,16 @@
   #describeConfiguration(configurationRevision: number, keysRevision: number): ReplyBody {
     const { configuration } = this.#runtime.holder;
     const { list } = this.#runtime.keyRing;
+    const { ageMs } = this.#runtime.keysContact;
     return {
       reply: 'configuration',
       ...(configuration !== undefined && configuration.revision > configurationRevision
         ? { configuration }
         : {}),
       ...(list !== undefined && list.revision > keysRevision ? { keys: list } : {}),
+      ...(list !== undefined && list.revision >= keysRevision && Number.isFinite(ageMs)
+        ? { keysAgeMs: ageMs }
+        : {}),
     };
   }
 }
--- a/packages/wire/__tests__/frames.test.ts
+++ b/packages/wire/__tests__/frames.test.ts
@@ -57,6 +57,10 @@
     // No test sends notices.
   }
 
+  public override handleActivity(): void {
+    // No test looks at signs of life.
+  }
+
   public override handleClose(_link: Link, detail: string): void {
     this.closed.push(detail);
   }
--- a/packages/wire/src/FrameReader.ts
+++ b/packages/wire/src/FrameReader.ts
@@ -1,6 +1,6 @@
 import { createFailure, validateValue } from '@toucanline/core';
 import { validators, type Failure, type Frame } from '@toucanline/schema';
-import { err, type Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import { codec } from './codec.js';
 import { frameLimits } from './frameLimits.js';
 
@@ -39,6 +39,7 @@
     const buffer = this.#join();
     this.#replace(buffer.subarray(prefixBytes + size));
     this.#size = undefined;
+    if (size === 0) return ok({ type: 'heartbeat' });
     return this.#decode(buffer.subarray(prefixBytes, prefixBytes + size));
   }
 
--- a/packages/wire/src/Link.ts
+++ b/packages/wire/src/Link.ts
@@ -3,10 +3,14 @@
 import type { CallBody, Failure, Frame, Hello, NoticeBody, ReplyBody } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
 import { encodeFrame } from './encodeFrame.js';
+import { encodeNotice } from './encodeNotice.js';
 import { frameLimits } from './frameLimits.js';
 import { FrameReader } from './FrameReader.js';
 import type { LinkHandler } from './LinkHandler.js';
 
+/** Shortest delay of the heartbeat timer, which may fire slightly early. */
+const minBeatMs = 10;
+
 /** A call that waits for its reply. */
 interface PendingCall {
   readonly resolve: (result: Result<ReplyBody, Failure>) => void;
@@ -19,10 +23,11 @@
   readonly #handler: LinkHandler;
   readonly #reader = new FrameReader();
   readonly #pending = new Map<number, PendingCall>();
-  readonly #heartbeat: NodeJS.Timeout;
+  #heartbeat: NodeJS.Timeout;
   #peer: Hello | undefined;
   #nextCall = 1;
   #lastReceivedAt = performance.now();
+  #lastSentAt = performance.now();
   #closed = false;
 
   /**
@@ -43,9 +48,7 @@
     socket.on('close', () => {
       this.close('the peer closed the connection');
     });
-    this.#heartbeat = setInterval(() => {
-      this.#beat();
-    }, periods.linkHeartbeatMs);
+    this.#heartbeat = this.#scheduleBeat(periods.linkHeartbeatMs);
     this.#send(hello);
   }
 
@@ -87,10 +90,14 @@
    * Sends a notice. It is dropped if the peer does not read, because a newer one follows.
    *
    * @param body - the notice
+   * @returns false if it was dropped
    */
-  public notify(body: NoticeBody): void {
-    if (this.#closed || this.#socket.writableLength > frameLimits.maxBufferedBytes) return;
-    this.#send({ type: 'notice', body });
+  public notify(body: NoticeBody): boolean {
+    if (this.#closed || this.#socket.writableLength > frameLimits.maxBufferedBytes) return false;
+    const encoded = encodeNotice(body);
+    if (encoded.isErr()) return false;
+    this.#write(encoded.value);
+    return true;
   }
 
   /**
@@ -101,7 +108,7 @@
   public close(detail: string): void {
     if (this.#closed) return;
     this.#closed = true;
-    clearInterval(this.#heartbeat);
+    clearTimeout(this.#heartbeat);
     this.#socket.destroy();
     for (const id of [...this.#pending.keys()]) {
       this.#settle(id, err(createFailure('linkLost', detail)));
@@ -114,19 +121,38 @@
     if (this.#closed) return undefined;
     const encoded = encodeFrame(frame);
     if (encoded.isErr()) return encoded.error;
-    this.#socket.write(encoded.value);
+    this.#write(encoded.value);
     return undefined;
   }
 
+  #write(bytes: Buffer): void {
+    this.#lastSentAt = performance.now();
+    this.#socket.write(bytes);
+  }
+
+  #scheduleBeat(delayMs: number): NodeJS.Timeout {
+    return setTimeout(() => {
+      this.#beat();
+    }, delayMs);
+  }
+
+  /** Other frames take the place of a heartbeat. */
   #beat(): void {
-    const silenceMs = performance.now() - this.#lastReceivedAt;
-    if (silenceMs > periods.linkSilenceMs) this.close(`no frame for ${Math.round(silenceMs)} ms`);
-    else this.#send({ type: 'heartbeat' });
+    const now = performance.now();
+    const silenceMs = now - this.#lastReceivedAt;
+    if (silenceMs > periods.linkSilenceMs) {
+      this.close(`no frame for ${Math.round(silenceMs)} ms`);
+      return;
+    }
+    if (now - this.#lastSentAt >= periods.linkHeartbeatMs) this.#send({ type: 'heartbeat' });
+    const dueMs = periods.linkHeartbeatMs - (performance.now() - this.#lastSentAt);
+    this.#heartbeat = this.#scheduleBeat(Math.max(minBeatMs, dueMs));
   }
 
   #receive(chunk: Buffer): void {
     this.#lastReceivedAt = performance.now();
     this.#reader.add(chunk);
+    if (this.#peer !== undefined) this.#handler.handleActivity(this);
     while (!this.#closed) {
       const frame = this.#reader.take();
       if (frame === undefined) return;
--- a/packages/wire/src/LinkDialer.ts
+++ b/packages/wire/src/LinkDialer.ts
@@ -62,6 +62,11 @@
     this.#handler.handleNotice(link, body);
   }
 
+  /** {@inheritDoc LinkHandler.handleActivity} */
+  public override handleActivity(link: Link): void {
+    this.#handler.handleActivity(link);
+  }
+
   /** {@inheritDoc LinkHandler.handleClose} */
   public override handleClose(link: Link, detail: string): void {
     const wasOpen = this.#isOpen;
--- a/packages/wire/src/LinkHandler.ts
+++ b/packages/wire/src/LinkHandler.ts
@@ -28,6 +28,13 @@
    */
   public abstract handleNotice(link: Link, body: NoticeBody): void;
 
+  /**
+   * Called with each sign of life of the peer, heartbeats included.
+   *
+   * @param link - the link
+   */
+  public abstract handleActivity(link: Link): void;
+
   /**
    * Called once a link is closed.
    *
--- a/packages/wire/src/encodeFrame.ts
+++ b/packages/wire/src/encodeFrame.ts
@@ -11,7 +11,8 @@
  * @returns the bytes to send; `bodyTooLarge` if the frame exceeds the size bound
  */
 export const encodeFrame = (frame: Frame): Result<Buffer, Failure> => {
-  const body = codec.encode(frame);
+  // A heartbeat has no content, so its body is empty: with many peers it would be a large part of the traffic.
+  const body = frame.type === 'heartbeat' ? Buffer.alloc(0) : codec.encode(frame);
   if (body.length > frameLimits.maxFrameBytes) {
     return err(createFailure('bodyTooLarge', `frame of ${body.length} bytes exceeds the bound`));
   }
