Ask the store and the host list for less

Cause: values of the store were transferred with each read and watch although they rarely change, a scheduler read the host list twice a second, and each candidate asked for the owner of each shard of its data centre every second. Change: reads and watches name the entity tag of the last value and take 304 for it. The peer set passes the host list on to the scheduler. A candidate asks each 5 s while the owner of the shard gives signs of life; two missing heartbeats end that before the claim of a dead owner expires.

--- a/packages/core/src/Router.ts
+++ b/packages/core/src/Router.ts
@@ -100,6 +100,18 @@
     return known !== undefined && this.#readAge(known) <= maxAgeMs ? known.load : undefined;
   }
 
+  /**
+   * Checks whether the owner of a shard is known to be alive.
+   *
+   * @param shard - name of the shard
+   * @param maxAgeMs - longest time since its last sign of life, in milliseconds
+   * @returns true if it did not give the shard up
+   */
+  public hasOwner(shard: string, maxAgeMs: number): boolean {
+    const known = this.#loads.get(shard);
+    return known?.hasEnded === false && this.#readAge(known) <= maxAgeMs;
+  }
+
   /**
    * Finds when the owner of a shard changed.
    *
--- a/packages/platform/src/HttpStore.ts
+++ b/packages/platform/src/HttpStore.ts
@@ -4,11 +4,16 @@
 import { HttpExchange } from './HttpExchange.js';
 import type { HttpResponse } from './HttpResponse.js';
 
+/** Values that are kept to be confirmed by their entity tag; a process reads few keys again and again. */
+const maxKnownValues = 32;
+
 /** Store over HTTP. Reads whose result is unknown count as unavailable, because they may be repeated. */
 export class HttpStore extends Store {
   readonly #exchange = new HttpExchange();
   readonly #url: string;
   readonly #timeoutMs: number;
+  /** Last responses with an entity tag, by key, least recently read first. */
+  readonly #known = new Map<string, HttpResponse>();
 
   /**
    * @param url - base URL of the store
@@ -22,7 +27,8 @@
 
   /** {@inheritDoc Store.read} */
   public override async read(key: string): Promise<Result<StoreValue, Failure>> {
-    const response = await this.#get(`/v1/values/${encodeURIComponent(key)}`, this.#timeoutMs);
+    const path = `/v1/values/${encodeURIComponent(key)}`;
+    const response = await this.#getKnown(key, path, this.#timeoutMs);
     return response.andThen(({ body }) => validateValue(validators.StoreValue, body, 'internal'));
   }
 
@@ -82,7 +88,7 @@
     waitMs: number,
   ): Promise<Result<StoreValue, Failure>> {
     const path = `/v1/watch/${encodeURIComponent(key)}?after=${afterVersion}&waitMs=${waitMs}`;
-    const response = await this.#get(path, waitMs + this.#timeoutMs);
+    const response = await this.#getKnown(key, path, waitMs + this.#timeoutMs);
     return response.andThen(({ body }) => validateValue(validators.StoreValue, body, 'internal'));
   }
 
@@ -91,8 +97,31 @@
     await this.#exchange.close();
   }
 
-  async #get(path: string, timeoutMs: number): Promise<Result<HttpResponse, Failure>> {
-    const response = await this.#exchange.send('GET', this.#url + path, undefined, timeoutMs);
+  /** Gets the value of a key; its body is transferred only if it changed since the last time. */
+  async #getKnown(
+    key: string,
+    path: string,
+    timeoutMs: number,
+  ): Promise<Result<HttpResponse, Failure>> {
+    const known = this.#known.get(key);
+    const response = await this.#get(path, timeoutMs, known?.entityTag);
+    if (response.isErr()) return response;
+    const current = response.value.status === 304 ? known : response.value;
+    if (current === undefined) return err(createFailure('storeUnavailable', 'no known value'));
+    this.#known.delete(key);
+    if (current.entityTag !== undefined) this.#known.set(key, current);
+    const [oldest] = this.#known.keys();
+    if (this.#known.size > maxKnownValues && oldest !== undefined) this.#known.delete(oldest);
+    return ok(current);
+  }
+
+  async #get(
+    path: string,
+    timeoutMs: number,
+    entityTag?: string,
+  ): Promise<Result<HttpResponse, Failure>> {
+    const url = this.#url + path;
+    const response = await this.#exchange.send('GET', url, undefined, timeoutMs, entityTag);
     return response
       .mapErr(({ detail }) => createFailure('storeUnavailable', detail))
       .andThen((answered) => this.#accept(answered));
@@ -110,7 +139,7 @@
   }
 
   #accept(response: HttpResponse): Result<HttpResponse, Failure> {
-    if (response.status === 200) return ok(response);
+    if (response.status === 200 || response.status === 304) return ok(response);
     return err(createFailure('storeUnavailable', `the store answered ${response.status}`));
   }
 }
--- a/packages/runtime/src/PeerSet.ts
+++ b/packages/runtime/src/PeerSet.ts
@@ -4,6 +4,7 @@
   type CallBody,
   type Failure,
   type Hello,
+  type HostRecord,
   type NoticeBody,
   type ReplyBody,
 } from '@toucanline/schema';
@@ -28,6 +29,7 @@
   readonly #runtime: ProcessRuntime;
   readonly #handler: LinkHandler;
   readonly #ownAddress: string | undefined;
+  readonly #onHosts: (hosts: readonly HostRecord[]) => void;
   readonly #dialers = new Map<string, LinkDialer>();
   readonly #fetching = new Set<Link>();
   readonly #told = new Map<Link, PeerRevisions>();
@@ -38,12 +40,19 @@
    * @param runtime - the process
    * @param handler - takes calls and notices
    * @param ownAddress - link address of this process, which it does not dial
+   * @param onHosts - called after each read of the host list
    */
-  public constructor(runtime: ProcessRuntime, handler: LinkHandler, ownAddress?: string) {
+  public constructor(
+    runtime: ProcessRuntime,
+    handler: LinkHandler,
+    ownAddress?: string,
+    onHosts: (hosts: readonly HostRecord[]) => void = () => undefined,
+  ) {
     super();
     this.#runtime = runtime;
     this.#handler = handler;
     this.#ownAddress = ownAddress;
+    this.#onHosts = onHosts;
     for (const address of runtime.settings.peers ?? []) this.#dial(address);
   }
 
@@ -195,6 +204,7 @@
       if (hosts.isOk()) {
         const schedulers = hosts.value.filter(({ role }) => role === 'scheduler');
         this.#applyList(new Set(schedulers.map(({ address }) => address)));
+        this.#onHosts(hosts.value);
       }
       this.#repeatFetches();
       this.#askContact();
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -9,7 +9,6 @@
 import type { ShardHost } from './ShardHost.js';
 
 const loadNoticeMs = 500;
-const hostsMs = 1000;
 /** Time for the last replies to leave before the links close. */
 const flushMs = 100;
 
@@ -98,7 +97,9 @@
     const { host, port } = settings.link ?? { host: settings.http.host, port: 0 };
     const bound = await this.#listener.listen(host, port);
     this.#address = settings.linkAddress ?? bound;
-    this.#peers = new PeerSet(this.#runtime, this.#links, this.#address);
+    this.#peers = new PeerSet(this.#runtime, this.#links, this.#address, (hosts) => {
+      this.#applyHosts(hosts);
+    });
     this.#peers.start();
     const service = restana();
     addHealthRoutes(service, () => this.#isReady);
@@ -113,7 +114,6 @@
       this.#applyNewRevision();
       this.#tellLoad();
     });
-    void this.#repeat(hostsMs, () => this.#readHosts());
     this.#runtime.log.write('info', 'listening for links', { address: this.#address });
   }
 
@@ -135,9 +135,9 @@
     return [...this.#candidates.values()].flatMap(({ host }) => (host === undefined ? [] : [host]));
   }
 
-  async #repeat(periodMs: number, action: () => Promise<void> | void): Promise<void> {
+  async #repeat(periodMs: number, action: () => void): Promise<void> {
     while (!this.#stopping) {
-      await action();
+      action();
       await this.#runtime.clock.sleep(periodMs);
     }
   }
@@ -175,11 +175,9 @@
     this.#tellLoad();
   }
 
-  async #readHosts(): Promise<void> {
-    const hosts = await this.#runtime.hostList.read();
-    if (hosts.isErr()) return;
+  #applyHosts(hosts: readonly HostRecord[]): void {
     const { dataCentre } = this.#runtime.settings;
-    this.#workers = hosts.value.filter(
+    this.#workers = hosts.filter(
       (host) => host.role === 'worker' && host.dataCentre === dataCentre,
     );
     for (const host of this.#hosts) {
--- a/packages/scheduler/src/ShardCandidate.ts
+++ b/packages/scheduler/src/ShardCandidate.ts
@@ -9,6 +9,13 @@
 import { Waker } from './Waker.js';
 
 const pollMs = 1000;
+/**
+ * While the owner gives signs of life, a candidate asks the store only this often: with many schedulers
+ * and shards these reads would be most of the store's load. Two missing heartbeats end the rest, before
+ * the claim of a dead owner expires.
+ */
+const restMs = 5000;
+const ownerSilenceMs = 2000;
 /** Interval of attempts while the owner hands the shard over, and how long they go on. */
 const handoverPollMs = 20;
 const handoverWaitMs = 3000;
@@ -77,6 +84,10 @@
     const { clock, random } = this.#parts.runtime;
     while (this.#wanted) {
       const policy = this.#parts.readPolicy();
+      if (this.#mayRest) {
+        await this.#waker.sleep(pollMs * (0.5 + random.next() / 2));
+        continue;
+      }
       const claim = policy === undefined ? undefined : await this.#acquire();
       if (policy !== undefined && claim !== undefined) await this.#serve(claim, policy);
       else if (policy !== undefined && this.#mayTryWithoutStore) {
@@ -112,6 +123,14 @@
     this.#waker.wake();
   }
 
+  /** Whether a peer owns the shard for all that is known, by the store and by its signs of life. */
+  get #mayRest(): boolean {
+    const { clock } = this.#parts.runtime;
+    if (this.#unanswered > 0 || clock.now() < this.#handoverUntil) return false;
+    const isRecent = clock.now() - this.#lastAnswerAt < restMs;
+    return isRecent && this.#parts.router.hasOwner(this.#shard, ownerSilenceMs);
+  }
+
   /** A method, because the compiler would take a field as unchanged over an await. */
   #isWanted(): boolean {
     return this.#wanted;
