Balance the shards of a data centre over its schedulers

Cause: a scheduler kept what it had claimed, so the first one of a data centre owned all its shards. Change: ShardBalance decides without I/O: the scheduler with most shards hands one to the one with fewest if it owns two more, after 5 s in which no owner, epoch or scheduler changed. The handover is the one of a graceful stop; it needs a confirmed store lease, a recovered shard and a ready peer, and the former owner leaves the shard to the peer for 3 s. Conclusion: a scheduler owns at most its part, rounded up.

--- /dev/null
+++ b/packages/core/__tests__/ShardBalance.test.ts
@@ -0,0 +1,91 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { periods, ShardBalance } from '../src/index.js';
+import { ManualClock } from './ManualClock.js';
+
+type View = Parameters<ShardBalance['decide']>[0];
+
+const createView = (counts: Readonly<Record<string, number>>, epoch = 1): View => {
+  const owned = Object.entries(counts).flatMap(([process, count]) =>
+    Array.from(
+      { length: count },
+      (_, index) => [`${process}-${index}`, { process, epoch }] as const,
+    ),
+  );
+  const shards = owned.map(([shard]) => shard);
+  return { shards, owners: new Map(owned), members: Object.keys(counts) };
+};
+
+/** Asks a scheduler for as long as it takes that it is sure of a view. */
+const decide = (process: string, view: View): ReturnType<ShardBalance['decide']> => {
+  const clock = new ManualClock();
+  const balance = new ShardBalance(clock, process);
+  expect(balance.decide(view)).to.equal(undefined);
+  clock.advance(periods.balanceQuietMs);
+  return balance.decide(view);
+};
+
+describe('ShardBalance', () => {
+  it('gives a new scheduler its part, and a balanced site nothing to do', () => {
+    expect(decide('a', createView({ a: 4, b: 0 }))).to.deep.equal({ shard: 'a-0', to: 'b' });
+    expect(decide('b', createView({ a: 4, b: 0 }))).to.equal(undefined);
+    expect(decide('a', createView({ a: 2, b: 2, c: 0 }))).to.include({ to: 'c' });
+    expect(decide('a', createView({ a: 2, b: 1, c: 1 }))).to.equal(undefined);
+  });
+
+  it('moves nothing while a shard has no owner or an owner is cut off', () => {
+    const view = createView({ a: 4, b: 0 });
+    const owners = new Map([...view.owners].slice(1));
+    expect(decide('a', { ...view, owners })).to.equal(undefined);
+    expect(decide('a', { ...createView({ a: 4, b: 1, c: 0 }), members: ['a', 'c'] })).to.equal(
+      undefined,
+    );
+  });
+
+  it('waits after each change of owners, epochs or schedulers, and after each decision', () => {
+    // Guards against moves right after a failover, and against a failed handover tried in a loop.
+    const clock = new ManualClock();
+    const balance = new ShardBalance(clock, 'a');
+    const views = [
+      createView({ a: 3, b: 1 }),
+      createView({ a: 3, b: 1 }, 2),
+      createView({ a: 3, c: 1 }),
+    ];
+    for (const view of views) {
+      clock.advance(periods.balanceQuietMs - 1);
+      expect(balance.decide(view)).to.equal(undefined);
+    }
+    clock.advance(periods.balanceQuietMs);
+    expect(balance.decide(createView({ a: 3, c: 1 }))).to.include({ to: 'c' });
+    clock.advance(periods.balanceQuietMs - 1);
+    expect(balance.decide(createView({ a: 3, c: 1 }))).to.equal(undefined);
+  });
+
+  it('ends with at most the rounded-up part each, with no more moves than needed', () => {
+    const counts = fc.dictionary(fc.constantFrom('a', 'b', 'c', 'd', 'e'), fc.nat(9), {
+      minKeys: 1,
+    });
+    const property = fc.property(counts, (given) => {
+      const current = { ...given };
+      const total = Object.values(given).reduce((sum, count) => sum + count, 0);
+      const part = Math.ceil(total / Object.keys(given).length);
+      let moves = 0;
+      for (;;) {
+        const view = createView(current);
+        const decided = Object.keys(current).flatMap((process) => {
+          const move = decide(process, view);
+          return move === undefined ? [] : [{ from: process, to: move.to }];
+        });
+        expect(decided.length).to.be.at.most(1);
+        const [move] = decided;
+        if (move === undefined) break;
+        moves += 1;
+        current[move.from] = (current[move.from] ?? 0) - 1;
+        current[move.to] = (current[move.to] ?? 0) + 1;
+      }
+      expect(Math.max(...Object.values(current))).to.be.at.most(part);
+      expect(moves).to.be.at.most(total);
+    });
+    fc.assert(property, { seed: 20_261_204, numRuns: 200 });
+  });
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -61,6 +61,7 @@
 export { Shard } from './Shard.js';
 export type { ShardContext } from './ShardContext.js';
 export type { StopPlan } from './StopPlan.js';
+export { ShardBalance } from './ShardBalance.js';
 export { Store } from './Store.js';
 export { TaskRecord } from './TaskRecord.js';
 export { TaskStopper } from './TaskStopper.js';
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -5,10 +5,12 @@
 import { LinkHandler, LinkListener, type Link } from '@toucanline/wire';
 import restana from 'restana';
 import { LoadTeller } from './LoadTeller.js';
+import { ShardBalancer } from './ShardBalancer.js';
 import { ShardCandidate } from './ShardCandidate.js';
 import type { ShardHost } from './ShardHost.js';
 
 const loadNoticeMs = 500;
+const balanceMs = 1000;
 /** Time for the last replies to leave before the links close. */
 const flushMs = 100;
 
@@ -63,6 +65,7 @@
   readonly #router: Router;
   readonly #links: SchedulerLinks;
   readonly #teller: LoadTeller;
+  readonly #balancer: ShardBalancer;
   readonly #listener: LinkListener;
   readonly #candidates = new Map<string, ShardCandidate>();
   #peers: PeerSet | undefined;
@@ -88,6 +91,14 @@
       },
     );
     this.#teller = new LoadTeller(runtime.settings.dataCentre);
+    this.#balancer = new ShardBalancer({
+      clock: runtime.clock,
+      process: runtime.settings.process,
+      router: this.#router,
+      listShards: () => runtime.holder.policy?.listShards(runtime.settings.dataCentre) ?? [],
+      listPeers: () => this.#listPeers(),
+      findCandidate: (shard) => this.#candidates.get(shard),
+    });
     this.#listener = new LinkListener(runtime.hello, this.#links);
   }
 
@@ -114,6 +125,9 @@
       this.#applyNewRevision();
       this.#tellLoad();
     });
+    void this.#repeat(balanceMs, () => {
+      void this.#balancer.step();
+    });
     this.#runtime.log.write('info', 'listening for links', { address: this.#address });
   }
 
--- a/packages/scheduler/src/ShardCandidate.ts
+++ b/packages/scheduler/src/ShardCandidate.ts
@@ -54,6 +54,8 @@
   #host: ShardHost | undefined;
   #wanted = true;
   #handoverUntil = 0;
+  /** Local monotonic time until which a peer may take over what was handed to it, in milliseconds. */
+  #yieldUntil = 0;
   /** Highest epoch that any message named. */
   #highestEpoch = 0;
   #unanswered = 0;
@@ -84,7 +86,7 @@
     const { clock, random } = this.#parts.runtime;
     while (this.#wanted) {
       const policy = this.#parts.readPolicy();
-      if (this.#mayRest) {
+      if (this.#mayRest || clock.now() < this.#yieldUntil) {
         await this.#waker.sleep(pollMs * (0.5 + random.next() / 2));
         continue;
       }
@@ -113,11 +115,31 @@
     return true;
   }
 
+  /**
+   * Hands the shard to a peer and stays a candidate. Nothing happens while the claim is in doubt, because the
+   * peer could not take it, or while the peer is not ready.
+   *
+   * @param peer - link to the peer
+   */
+  public async handTo(peer: Link): Promise<void> {
+    const { clock } = this.#parts.runtime;
+    const host = this.#host;
+    if (host === undefined || !this.#mayHandOver(host)) return;
+    const status = await peer.call({ call: 'status' }, handoverTimeoutMs);
+    const isReady = status.isOk() && status.value.reply === 'status' && status.value.status.ready;
+    if (!isReady || this.#host !== host || !this.#mayHandOver(host)) return;
+    const isTaken = await this.#sendSnapshot(host, [peer]);
+    if (this.#host !== host) return;
+    if (isTaken) this.#yieldUntil = clock.now() + handoverWaitMs;
+    this.#endHost();
+    await this.#keeper.release();
+  }
+
   /** Gives the shard up, after its state was handed to a peer if there is one. */
   public async stop(): Promise<void> {
     this.#wanted = false;
     const host = this.#host;
-    if (host !== undefined) await this.#handOver(host);
+    if (host !== undefined) await this.#sendSnapshot(host, this.#parts.listPeers());
     this.#endHost();
     await this.#keeper.release();
     this.#waker.wake();
@@ -245,19 +267,26 @@
     await this.#keeper.release();
   }
 
-  async #handOver(host: ShardHost): Promise<void> {
-    const { runtime, listPeers } = this.#parts;
+  #mayHandOver(host: ShardHost): boolean {
+    const isSettled = host.isServing && host.shard.isRecovered;
+    return this.#wanted && isSettled && this.#keeper.standing === 'confirmed';
+  }
+
+  /** Hands the state to the first peer that takes it; returns whether one did. */
+  async #sendSnapshot(host: ShardHost, peers: readonly Link[]): Promise<boolean> {
+    const { runtime } = this.#parts;
     const snapshot = await host.freeze();
     const calls = divideSnapshot(snapshot);
-    for (const peer of listPeers()) {
+    for (const peer of peers) {
       if (!(await this.#sendParts(peer, calls))) continue;
       runtime.recorder.record('claimHandedOver', {
         shard: this.#shard,
         epoch: snapshot.epoch,
         detail: peer.peer?.process ?? '',
       });
-      return;
+      return true;
     }
+    return false;
   }
 
   async #sendParts(peer: Link, calls: readonly HandoverCall[]): Promise<boolean> {
