Send the heartbeats of all links at the same moments

Cause: the heartbeats of each peer woke a process once a second for each link: a scheduler with 8 data centres spent 1.4 to 1.5% of a core on being idle, against 0.8 to 1.4% without peers. Change: heartbeats are due at whole seconds of the wall clock in all processes, and a frame of the last half second takes the place of one.

--- a/packages/wire/src/Link.ts
+++ b/packages/wire/src/Link.ts
@@ -8,8 +8,15 @@
 import { FrameReader } from './FrameReader.js';
 import type { LinkHandler } from './LinkHandler.js';
 
-/** Shortest delay of the heartbeat timer, which may fire slightly early. */
-const minBeatMs = 10;
+/** A frame that was sent this short a time before a heartbeat takes its place. */
+const recentMs = periods.linkHeartbeatMs / 2;
+
+/**
+ * Heartbeats of all links and processes are due at the same moments of the wall clock: they wake a process
+ * once and not once for each peer, which is most of what an idle link costs.
+ */
+const calculateBeatDelay = (): number =>
+  periods.linkHeartbeatMs - (Date.now() % periods.linkHeartbeatMs);
 
 /** A call that waits for its reply. */
 interface PendingCall {
@@ -48,7 +55,7 @@
     socket.on('close', () => {
       this.close('the peer closed the connection');
     });
-    this.#heartbeat = this.#scheduleBeat(periods.linkHeartbeatMs);
+    this.#heartbeat = this.#scheduleBeat();
     this.#send(hello);
   }
 
@@ -130,10 +137,10 @@
     this.#socket.write(bytes);
   }
 
-  #scheduleBeat(delayMs: number): NodeJS.Timeout {
+  #scheduleBeat(): NodeJS.Timeout {
     return setTimeout(() => {
       this.#beat();
-    }, delayMs);
+    }, calculateBeatDelay());
   }
 
   /** Other frames take the place of a heartbeat. */
@@ -144,9 +151,8 @@
       this.close(`no frame for ${Math.round(silenceMs)} ms`);
       return;
     }
-    if (now - this.#lastSentAt >= periods.linkHeartbeatMs) this.#send({ type: 'heartbeat' });
-    const dueMs = periods.linkHeartbeatMs - (performance.now() - this.#lastSentAt);
-    this.#heartbeat = this.#scheduleBeat(Math.max(minBeatMs, dueMs));
+    if (now - this.#lastSentAt >= recentMs) this.#send({ type: 'heartbeat' });
+    this.#heartbeat = this.#scheduleBeat();
   }
 
   #receive(chunk: Buffer): void {
