Sample growth each millisecond in the tests of workers

Cause: the test of throttling waits until it sees tasks above the room of their workers, and looked each 20 ms. Change: the tests look each millisecond. What they require is unchanged.

--- a/packages-private/testkit/__tests__/workers.test.ts
+++ b/packages-private/testkit/__tests__/workers.test.ts
@@ -15,7 +15,8 @@
   const endsAt = performance.now() + timeoutMs;
   while (!isDone()) {
     if (performance.now() > endsAt) throw new Error(`${what} took too long`);
-    await sleep(20);
+    // A task that grows is throttled within a few milliseconds, which longer pauses miss.
+    await sleep(1);
   }
 };
 
