Measure cancellation storms without the cost of the client; keep links over a pause

(1) The test of another team's answer during 5,000 cancellations took 1.4 to 5.5 s against 3 s. A profile of all processes shows the test's own process busy for 4.6 of 7.6 s (opening 5,000 connections, fetch, garbage collection), the entry for 2.5 s including its start, the owner for 1.7 s. The links between the daemons pass a proxy in that same process, so its stalls also replaced links (one run answered 503), and the following test started before the flood was gone. (2) "throttles them when their worker is short of capacity" checks every 20 ms for a growth that the scheduler can throttle in less.

Ruled out: validators, hashing and logs of the entry; no function of it takes more than 140 ms of the storm.

Change: the flood keeps 5,000 requests in flight on 50 pipelined connections, and the other team submits one request after the other until the storm is over; each answer has to come within 3 s. The throttling test counts the commands at the worker. A link looks for silence after the sockets were read, so a process that was paused does not drop its links although frames wait in them; the new test fails without that ("no frame for 3508 ms").

--- a/packages-private/testkit/__tests__/faults.test.ts
+++ b/packages-private/testkit/__tests__/faults.test.ts
@@ -117,28 +117,38 @@
   });
 
   it('answers another team within 3 s while 5,000 waiting requests are cancelled', async () => {
-    // Guards against a cancellation storm that holds up the loop of the owner.
-    const flood = Array.from({ length: 5000 }, () => 0);
+    // Guards against a cancellation storm that holds up the loop of the entry or of the owner.
+    // All cancellations are in flight at once. They share connections, because opening 5,000 of them
+    // costs this process, which also takes the time, more than the entry: 4.6 s of 7.6 s were its own.
+    const flood = new Caller(() => site.entries[0]?.url ?? '', 'key-broadcast', {
+      connections: 50,
+      pipelining: 100,
+    });
     const specification = { size: { ...size, processors: 16 }, command: 'serve' };
-    const ids: string[] = [];
-    for (let from = 0; from < flood.length; from += 250) {
-      const part = flood
-        .slice(from, from + 250)
-        .map(() => callers[0].submit('renders', specification, { wait: 0 }));
-      ids.push(...(await Promise.all(part)).map(({ view }) => view.id));
-    }
-    const cancelled = Promise.all(ids.map((id) => callers[0].cancel(id)));
+    const sent = await Promise.all(
+      Array.from({ length: 5000 }, () => flood.submit('renders', specification, { wait: 0 })),
+    );
     const startedAt = performance.now();
-    const { view } = await createCaller('planning', 0).submit('renders', {
-      size,
-      command: 'echo x',
+    let stormMs = 0;
+    const cancelled = Promise.all(sent.map(({ view }) => flood.cancel(view.id))).finally(() => {
+      stormMs = performance.now() - startedAt;
     });
-    const tookMs = performance.now() - startedAt;
-    const statuses = new Set((await cancelled).map(({ status }) => status));
-    console.log(`      answer during the cancellations: ${Math.round(tookMs)} ms`);
-    expect([...statuses].filter((status) => status >= 400)).to.deep.equal([]);
-    expect(view.output).to.deep.equal(['x']);
-    expect(tookMs).to.be.lessThan(3000);
+    const planning = createCaller('planning', 0);
+    const tookMs: number[] = [];
+    do {
+      const sentAt = performance.now();
+      const { view } = await planning.submit('renders', { size, command: 'echo x' });
+      expect(view.output).to.deep.equal(['x']);
+      tookMs.push(performance.now() - sentAt);
+    } while (stormMs === 0);
+    const answers = await cancelled;
+    const slowestMs = Math.max(...tookMs);
+    console.log(
+      `      ${tookMs.length} answers in ${Math.round(stormMs)} ms, slowest ${Math.round(slowestMs)} ms`,
+    );
+    const failures = answers.filter(({ status }) => status >= 400);
+    expect(new Set(failures.map(({ problem }) => problem.detail))).to.deep.equal(new Set());
+    expect(slowestMs).to.be.lessThan(3000);
     await waitUntil(() => site.ledger.running.length === 0, 5000, 'the flood is gone');
   });
 
--- a/packages-private/testkit/__tests__/limits.test.ts
+++ b/packages-private/testkit/__tests__/limits.test.ts
@@ -208,7 +208,7 @@
     expect(refused.length).to.be.above(100);
     for (const { problem, headers } of refused) {
       expect(problem.ran).to.equal('no');
-      expect(Number(headers.get('retry-after'))).to.be.within(1, 30);
+      expect(Number(headers['retry-after'])).to.be.within(1, 30);
     }
   });
 });
--- a/packages-private/testkit/__tests__/workers.test.ts
+++ b/packages-private/testkit/__tests__/workers.test.ts
@@ -140,8 +140,11 @@
   it('throttles them when their worker is short of capacity', async () => {
     // Guards against stopping work where throttling is enough, and against doing nothing.
     const ids = await serve('sleep 300; use 3; serve', 8);
-    await waitUntil(() => !isWithinRoom(), 5000, 'the growth');
-    await waitUntil(isWithinRoom, 3000, 'throttling');
+    // The count, because a check every 20 ms can miss a growth that is throttled within less.
+    const countThrottled = (): number =>
+      site.workers.reduce((sum, { throttled }) => sum + throttled, 0);
+    await waitUntil(() => countThrottled() > 0, 5000, 'throttling');
+    await waitUntil(isWithinRoom, 3000, 'the end of the growth');
     await sleep(2000);
     expect(isWithinRoom()).to.equal(true);
     expect(ids.map((id) => site.ledger.countStarts(id))).to.deep.equal(ids.map(() => 1));
--- a/packages-private/testkit/src/Caller.ts
+++ b/packages-private/testkit/src/Caller.ts
@@ -1,27 +1,40 @@
+import type { IncomingHttpHeaders } from 'node:http';
 import type { Problem, RequestSpecification, RequestView } from '@toucanline/schema';
+import { Agent, request, type Dispatcher } from 'undici';
 
 /** Answer to a caller. */
 interface CallerAnswer {
   readonly status: number;
-  readonly headers: Headers;
+  readonly headers: IncomingHttpHeaders;
   /** Present for states of requests. */
   readonly view: RequestView;
   /** Present for problems. */
   readonly problem: Problem;
 }
 
+/** How a caller uses its connections. */
+interface ConnectionUse {
+  /** Largest number of connections to one entry; unlimited by default. */
+  readonly connections?: number;
+  /** Largest number of requests in flight on one connection. */
+  readonly pipelining?: number;
+}
+
 /** A caller that uses the HTTP interface of an entry. */
 export class Caller {
   readonly #url: () => string;
   readonly #key: string | undefined;
+  readonly #dispatcher: Agent;
 
   /**
    * @param url - reads the base URL of the entry to use
    * @param key - key to present, if any
+   * @param use - how it uses its connections
    */
-  public constructor(url: () => string, key?: string) {
+  public constructor(url: () => string, key?: string, use: ConnectionUse = {}) {
     this.#url = url;
     this.#key = key;
+    this.#dispatcher = new Agent(use);
   }
 
   /**
@@ -80,20 +93,28 @@
    * @returns the answer
    */
   public async send(
-    method: string,
+    method: Dispatcher.HttpMethod,
     path: string,
     body?: string,
     headers: Readonly<Record<string, string>> = {},
   ): Promise<CallerAnswer> {
-    const response = await fetch(this.#url() + path, {
+    const response = await request(this.#url() + path, {
       method,
+      dispatcher: this.#dispatcher,
+      // Every request here may share a connection with others: the entry answers in order.
+      idempotent: true,
       headers: {
         ...(this.#key === undefined ? {} : { authorization: `Bearer ${this.#key}` }),
         ...headers,
       },
       ...(body === undefined ? {} : { body }),
     });
-    const content = (await response.json()) as RequestView & Problem;
-    return { status: response.status, headers: response.headers, view: content, problem: content };
+    const content = (await response.body.json()) as RequestView & Problem;
+    return {
+      status: response.statusCode,
+      headers: response.headers,
+      view: content,
+      problem: content,
+    };
   }
 }
--- a/packages-private/testkit/src/WorkerFake.ts
+++ b/packages-private/testkit/src/WorkerFake.ts
@@ -47,6 +47,7 @@
   #sequence = 1;
   #leaving = false;
   #failsAll = false;
+  #throttled = 0;
 
   /**
    * @param options - the worker
@@ -78,6 +79,11 @@
     return [...this.#tasks.values()].filter(({ state }) => state === 'failed').length;
   }
 
+  /** Number of commands that throttled a task. */
+  public get throttled(): number {
+    return this.#throttled;
+  }
+
   /** What the running tasks really use. */
   public get usage(): Resources {
     return this.#listRunning().reduce((sum, task) => addResources(sum, task.usage), zeroResources);
@@ -200,7 +206,10 @@
     }
     if (action === 'stop') task.end('stopped');
     else if (action === 'checkpoint') task.end('checkpointed');
-    else task.throttle();
+    else {
+      task.throttle();
+      this.#throttled += 1;
+    }
     return { status: 200, body: {} };
   }
 
--- a/packages/wire/__tests__/frames.test.ts
+++ b/packages/wire/__tests__/frames.test.ts
@@ -1,5 +1,6 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import type { CallBody, Frame, Hello, ReplyBody } from '@toucanline/schema';
+import { periods } from '@toucanline/core';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import type { Link } from '../src/index.js';
@@ -221,6 +222,16 @@
     expect(performance.now() - startedAt).to.be.lessThan(5000);
   });
 
+  it('keeps a link whose peer went on while this process was paused', async () => {
+    // Guards against a busy process that drops all its links, and the calls on them, when it goes on.
+    const handler = new RecordingHandler();
+    const link = await open(await dial(await listen(handler)));
+    const endsAt = performance.now() + periods.linkSilenceMs + 500;
+    while (performance.now() < endsAt);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    expect([link.isClosed, handler.closed]).to.deep.equal([false, []]);
+  });
+
   it('refuses calls to a peer that does not read instead of buffering them', async () => {
     const address = await listenRaw((socket) => {
       socket.pause();
--- a/packages/wire/src/Link.ts
+++ b/packages/wire/src/Link.ts
@@ -119,9 +119,17 @@
   }
 
   #beat(): void {
+    this.#send({ type: 'heartbeat' });
+    // Sockets are read between timers and immediates: after a pause of this process, frames that came
+    // meanwhile count before the peer is taken for silent.
+    setImmediate(() => {
+      this.#checkSilence();
+    });
+  }
+
+  #checkSilence(): void {
     const silenceMs = performance.now() - this.#lastReceivedAt;
     if (silenceMs > periods.linkSilenceMs) this.close(`no frame for ${Math.round(silenceMs)} ms`);
-    else this.#send({ type: 'heartbeat' });
   }
 
   #receive(chunk: Buffer): void {
