Bound replies and heartbeats of a link, and answer a call whose handler throws

Cause: only calls and notices looked at the unsent bytes of the socket, so replies and heartbeats to a peer that never reads were buffered without bound. A rejected promise of a handler became an unhandled rejection, and the peer waited for its timeout.

Change: heartbeats are dropped above the bound; a reply above it closes the link, so that the peer's calls end as linkLost and are asked again by id. A handler that throws is answered with the kind internal (ran: unknown).

Ruled out: dropping the reply, because the peer would wait for its timeout without knowing. Before: no test brought either about.

--- a/packages/wire/__tests__/frames.test.ts
+++ b/packages/wire/__tests__/frames.test.ts
@@ -241,6 +241,40 @@
     expect((await link.call(status, 1000))._unsafeUnwrapErr().kind).to.equal('overloaded');
   });
 
+  it('closes the link to a peer that does not read its replies instead of buffering them', async () => {
+    // Guards against a peer that calls and never reads: replies would fill the memory of the process.
+    const detail = 'x'.repeat(1024 * 1024);
+    const large: ReplyBody = { reply: 'failure', failure: { kind: 'internal', detail } };
+    let answered = 0;
+    const handler = new RecordingHandler(() => {
+      answered += 1;
+      return Promise.resolve(large);
+    });
+    const address = await listen(handler);
+    const peer = connect(Number(address.split(':')[1]), '127.0.0.1');
+    ends.push(() => peer.destroy());
+    peer.on('error', () => peer.destroy());
+    peer.pause();
+    peer.write(encode(hello));
+    for (let id = 1; id <= 100; id += 1) peer.write(encode({ type: 'call', id, body: status }));
+    await waitUntil(() => handler.closed.length === 1, 3000, 'the link is closed');
+    expect(handler.closed).to.deep.equal(['the peer does not read its replies']);
+    expect(answered).to.be.at.least(frameLimits.maxBufferedBytes / detail.length);
+  });
+
+  it('answers a call whose handler throws, and goes on', async () => {
+    // Guards against a defect in one handler that leaves the peer without a reply until its timeout.
+    let isBroken = true;
+    const handler = new RecordingHandler(() =>
+      isBroken ? Promise.reject(new Error('broken')) : Promise.resolve(done),
+    );
+    const link = await open(await dial(await listen(handler)));
+    const reply = (await link.call(status, 2000))._unsafeUnwrap();
+    expect(reply).to.have.nested.property('failure.kind', 'internal');
+    isBroken = false;
+    expect((await link.call(status, 2000))._unsafeUnwrap()).to.deep.equal(done);
+  });
+
   it('answers a call whose reply is too large with a failure, and goes on', async () => {
     let isLarge = true;
     const detail = 'x'.repeat(frameLimits.maxFrameBytes);
--- a/packages/wire/src/Link.ts
+++ b/packages/wire/src/Link.ts
@@ -68,7 +68,7 @@
    */
   public call(body: CallBody, timeoutMs: number): Promise<Result<ReplyBody, Failure>> {
     if (this.#closed) return Promise.resolve(err(createFailure('noOwner', 'the link is closed')));
-    if (this.#socket.writableLength > frameLimits.maxBufferedBytes) {
+    if (this.#isFull) {
       return Promise.resolve(err(createFailure('overloaded', 'the peer does not read', 1)));
     }
     const id = this.#nextCall;
@@ -89,7 +89,7 @@
    * @param body - the notice
    */
   public notify(body: NoticeBody): void {
-    if (this.#closed || this.#socket.writableLength > frameLimits.maxBufferedBytes) return;
+    if (this.#closed || this.#isFull) return;
     this.#send({ type: 'notice', body });
   }
 
@@ -109,6 +109,11 @@
     this.#handler.handleClose(this, detail);
   }
 
+  /** Whether the peer reads so slowly that nothing more may be queued for it. */
+  get #isFull(): boolean {
+    return this.#socket.writableLength > frameLimits.maxBufferedBytes;
+  }
+
   /** Sends a frame; returns why it was not sent, if it is too large. */
   #send(frame: Frame): Failure | undefined {
     if (this.#closed) return undefined;
@@ -121,7 +126,7 @@
   #beat(): void {
     const silenceMs = performance.now() - this.#lastReceivedAt;
     if (silenceMs > periods.linkSilenceMs) this.close(`no frame for ${Math.round(silenceMs)} ms`);
-    else this.#send({ type: 'heartbeat' });
+    else if (!this.#isFull) this.#send({ type: 'heartbeat' });
   }
 
   #receive(chunk: Buffer): void {
@@ -146,7 +151,12 @@
   }
 
   async #answer(id: number, body: CallBody): Promise<void> {
-    const reply = await this.#handler.handleCall(this, body);
+    const reply = await this.#carryOut(body);
+    // A reply cannot be dropped silently: the peer asks again on a new link.
+    if (this.#isFull) {
+      this.close('the peer does not read its replies');
+      return;
+    }
     const failure = this.#send({ type: 'reply', id, body: reply });
     if (failure === undefined) return;
     // The call was carried out, so the kind must not say that it was not.
@@ -154,6 +164,16 @@
     this.#send({ type: 'reply', id, body: { reply: 'failure', failure: substitute } });
   }
 
+  /** A handler that throws may have carried the call out in part. */
+  async #carryOut(body: CallBody): Promise<ReplyBody> {
+    try {
+      return await this.#handler.handleCall(this, body);
+    } catch (error) {
+      const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+      return { reply: 'failure', failure: createFailure('internal', detail) };
+    }
+  }
+
   #settle(id: number, result: Result<ReplyBody, Failure>): void {
     const pending = this.#pending.get(id);
     if (pending === undefined) return;
