Refuse early at a full entry, report missing keys as not ready, honour detached: prefer

Cause: an entry without the key list compared keys with nothing and answered 401, which callers take as final. detached: prefer was only passed on; with the store down it was refused like detached: yes. Above 5,000 held requests an entry silently stopped holding further ones, which a failover then lost.

Change: the authenticator answers notReady until the keys, or their absence, are known, and readyz says so. A request that prefers to be detached is handed in again attached, under a new id, if the refusal is storeUnavailable (ran: no). Open attached requests are counted from the submission on; above 10,000, or 5,000 of one team, the entry refuses with overloaded and Retry-After before it asks a shard.

Ruled out: one bound for all teams, because a flood of one team would have refused the others at that entry.

--- a/packages-private/testkit/__tests__/ownership.test.ts
+++ b/packages-private/testkit/__tests__/ownership.test.ts
@@ -193,6 +193,9 @@
     expect((await submit('renders', 'echo alone')).view.output).to.deep.equal(['alone']);
     const refused = await caller.submit('renders', { size, command: 'echo d', detached: 'yes' });
     expect(refused.problem).to.include({ title: 'storeUnavailable', ran: 'no' });
+    const preferred = { size, command: 'echo attached', detached: 'prefer' } as const;
+    const attached = await caller.submit('renders', preferred, { wait: 10 });
+    expect(attached.view.output).to.deep.equal(['attached']);
     site.store.setFault('none');
     await sleep(1500);
     expect((await submit('renders', 'echo back')).view.output).to.deep.equal(['back']);
--- a/packages/entry/src/Authenticator.ts
+++ b/packages/entry/src/Authenticator.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import { createFailure, equalsHash, type KeyRing } from '@toucanline/core';
+import { createFailure, equalsHash, type ContactAge, type KeyRing } from '@toucanline/core';
 import { hashText } from '@toucanline/runtime';
 import type { Failure, Key } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
@@ -13,24 +13,36 @@
 /** Authenticates callers and operators by the key in the `Authorization` header. */
 export class Authenticator {
   readonly #keyRing: KeyRing;
+  readonly #keysContact: Pick<ContactAge, 'ageMs'>;
   readonly #operatorKeyHash: string | undefined;
 
   /**
    * @param keyRing - keys in effect
+   * @param keysContact - time since the keys were last known to be the newest
    * @param operatorKeyHash - hash of the key with all operator roles from the settings, if any
    */
-  public constructor(keyRing: KeyRing, operatorKeyHash: string | undefined) {
+  public constructor(
+    keyRing: KeyRing,
+    keysContact: Pick<ContactAge, 'ageMs'>,
+    operatorKeyHash: string | undefined,
+  ) {
     this.#keyRing = keyRing;
+    this.#keysContact = keysContact;
     this.#operatorKeyHash = operatorKeyHash;
   }
 
+  /** Whether the keys are loaded, or it is known that none were granted. */
+  public get isReady(): boolean {
+    return this.#keyRing.list !== undefined || Number.isFinite(this.#keysContact.ageMs);
+  }
+
   /**
    * Authenticates a request.
    *
    * @param request - the HTTP request
-   * @returns the key; undefined if none was presented; `unauthenticated` or `withdrawnKey`
+   * @returns the key; undefined if none was presented; `notReady`, `unauthenticated` or `withdrawnKey`
    */
-  public authenticate(request: IncomingMessage): Result<Key | undefined, Failure> {
+  public authenticate(request: Pick<IncomingMessage, 'headers'>): Result<Key | undefined, Failure> {
     const header = request.headers.authorization;
     if (header === undefined) return ok(undefined);
     if (!header.startsWith(scheme)) {
@@ -41,6 +53,7 @@
     if (operatorHash !== undefined && equalsHash(hash, operatorHash)) {
       return ok({ id: 'operator', hash, grantedAtMs: 0, roles: ['read', 'change', 'promote'] });
     }
+    if (!this.isReady) return err(createFailure('notReady', 'the keys are not known yet', 1));
     return this.#keyRing.authenticate(hash);
   }
 
@@ -63,7 +76,7 @@
    *
    * @param request - the HTTP request
    * @param role - role that the operation needs
-   * @returns the key; `unauthenticated`, `withdrawnKey` or `forbidden`
+   * @returns the key; `notReady`, `unauthenticated`, `withdrawnKey` or `forbidden`
    */
   public requireRole(request: IncomingMessage, role: Role): Result<Key, Failure> {
     return this.authenticate(request).andThen((key) => {
--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -51,6 +51,7 @@
   readonly #runtime: ProcessRuntime;
   readonly #router: Router;
   readonly #peers: PeerSet;
+  readonly #authenticator: Authenticator;
   readonly #groups: Parameters<typeof createRoutes>[0];
   readonly #service = restana({
     errorHandler: (error, _request, response) => {
@@ -65,10 +66,11 @@
   public constructor(runtime: ProcessRuntime) {
     super();
     this.#runtime = runtime;
-    const { clock, recorder, settings, keyRing } = runtime;
+    const { clock, recorder, settings, keyRing, keysContact } = runtime;
     this.#router = new Router(clock, settings.dataCentre);
     this.#peers = new PeerSet(runtime, new EntryLinks(this.#router));
-    const authenticator = new Authenticator(keyRing, settings.operatorKeyHash);
+    const authenticator = new Authenticator(keyRing, keysContact, settings.operatorKeyHash);
+    this.#authenticator = authenticator;
     const service = new RequestService({
       clock,
       random: runtime.random,
@@ -126,7 +128,8 @@
   }
 
   get #isReady(): boolean {
-    return !this.#draining && this.#runtime.holder.policy !== undefined;
+    const { policy } = this.#runtime.holder;
+    return !this.#draining && policy !== undefined && this.#authenticator.isReady;
   }
 
   #addRoutes(): void {
--- a/packages/entry/src/RequestRoutes.ts
+++ b/packages/entry/src/RequestRoutes.ts
@@ -7,6 +7,7 @@
   type QueueSection,
   type Request,
   type RequestSpecification,
+  type RequestView,
 } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
 import type { Authenticator } from './Authenticator.js';
@@ -67,18 +68,11 @@
       context.sendFailure(accepted.error);
       return;
     }
-    const { request, policy, detached, deadlineMs } = accepted.value;
+    const { request } = accepted.value;
     const { clock, recorder } = this.#runtime;
     const now = clock.now();
     recorder.record('requestReceived', { team: request.team, detail: request.queue });
-    const waitMs = detached === 'yes' ? 0 : wait.value * 1000;
-    const result = await this.#service.submit({
-      request,
-      policy,
-      detached,
-      deadlineAt: now + deadlineMs,
-      waitUntil: now + waitMs,
-    });
+    const result = await this.#carry(accepted.value, now, wait.value * 1000);
     if (result.isErr()) {
       context.sendFailure(result.error);
       return;
@@ -124,6 +118,25 @@
     else context.sendView(result.value, isAnswered(result.value));
   }
 
+  /** A request that prefers to be detached is served attached if the journal did not take it. */
+  async #carry(
+    { request, policy, detached, deadlineMs }: AcceptedRequest,
+    now: number,
+    waitMs: number,
+  ): Promise<Result<RequestView, Failure>> {
+    const bounds = { policy, deadlineAt: now + deadlineMs, waitUntil: now + waitMs };
+    const waitUntil = detached === 'yes' ? now : bounds.waitUntil;
+    const result = await this.#service.submit({ ...bounds, request, detached, waitUntil });
+    const failure = result.match(
+      (view) => (view.state === 'refused' ? view.failure : undefined),
+      (error) => error,
+    );
+    if (detached !== 'prefer' || failure?.kind !== 'storeUnavailable') return result;
+    // A new id, because the shard keeps the refused request with its end.
+    const attached = { ...request, id: this.#runtime.random.token(), detached: false };
+    return this.#service.submit({ ...bounds, request: attached, detached: 'no' });
+  }
+
   /** Without a key a caller sees requests of open queues only; an operator sees all. */
   #identify(context: HttpContext): Result<{ readonly team: string | undefined }, Failure> {
     return this.#authenticator.authenticate(context.request).andThen((key) => {
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -19,6 +19,7 @@
   SubmitCall,
 } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
+import { OpenRequests } from './OpenRequests.js';
 
 /** Longest wait of one call to a scheduler, in milliseconds. */
 const sliceMs = 10_000;
@@ -52,8 +53,8 @@
   next.epoch < known.epoch ||
   (next.epoch === known.epoch && next.view.attempt < known.view.attempt);
 
-/** Requests that an entry keeps after their caller's wait; bounds its memory and its calls. */
-const maxHeld = 5000;
+/** Attached requests that an entry has open, each with about 1 KB of memory and one pending call. */
+const openBounds = { total: 10_000, perTeam: 5000 } as const;
 
 /** What the service works with. */
 interface ServiceParts {
@@ -61,7 +62,7 @@
   readonly random: RandomSource;
   readonly recorder: EventRecorder;
   readonly router: Router;
-  readonly peers: PeerSet;
+  readonly peers: Pick<PeerSet, 'call'>;
 }
 
 /** A request of a caller with its bounds. */
@@ -90,8 +91,7 @@
 /** Carries requests to the owners of shards and their answers back. */
 export class RequestService {
   readonly #parts: ServiceParts;
-  /** Requests that are held after their caller's wait ended. */
-  #held = 0;
+  readonly #open = new OpenRequests(openBounds);
 
   /** @param parts - what the service works with */
   public constructor(parts: ServiceParts) {
@@ -106,6 +106,17 @@
    * @returns its state when the wait ended; or the failure
    */
   public async submit(submission: Submission): Promise<Result<RequestView, Failure>> {
+    const { detached, team } = submission.request;
+    if (detached) return this.#place(submission);
+    const counted = this.#open.take(team);
+    if (counted.isErr()) return err(counted.error);
+    const result = await this.#place(submission);
+    // An open request stays counted as long as it is held.
+    if (result.isErr() || isAnswered(result.value)) this.#open.release(team);
+    return result;
+  }
+
+  async #place(submission: Submission): Promise<Result<RequestView, Failure>> {
     const { clock } = this.#parts;
     const endsAt = Math.min(submission.deadlineAt, clock.now() + ownerWaitMs);
     for (;;) {
@@ -149,16 +160,15 @@
   ): Promise<Result<RequestView, Failure>> {
     const result = await this.#waitForAnswer(shard, submission, first);
     const isOpen = result.isOk() && !isAnswered(result.value);
-    if (isOpen && !submission.request.detached && this.#held < maxHeld) {
+    if (isOpen && !submission.request.detached) {
       void this.#hold(shard, submission, { ...first, view: result.value });
     }
     return result;
   }
 
   async #hold(shard: string, submission: HeldSubmission, last: Answer): Promise<void> {
-    this.#held += 1;
     await this.#waitForAnswer(shard, { ...submission, waitUntil: submission.deadlineAt }, last);
-    this.#held -= 1;
+    this.#open.release(submission.request.team);
   }
 
   /**
