Never say that a request did not run because its owner cannot be reached

Cause: GET and DELETE of a request passed on the kind notOwner of the transport, whose meaning is ran: no, although the request may run at the owner that could not be asked. A submission that a shard may hold was answered outcomeUnknown when the caller's wait of 30 s ended, long before the deadline; the caller could not ask again, because it got no id. Found by partition.test.ts: the calls of dc2 in flight over links that were cut.

Ruled out: a late failover. The new owner of dc2 served 14 s after the kill; the entry waited for the shards of other data centres, to which the requests had been sent, and must not offer them elsewhere.

Change: an unreached owner is reported as linkLost (ran: unknown, retry). An attached request that a shard may hold gets 202 with its id, and the entry hands it in further until the deadline.

--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -56,6 +56,20 @@
 /** Attached requests that an entry has open, each with about 1 KB of memory and one pending call. */
 const openBounds = { total: 10_000, perTeam: 5000 } as const;
 
+/** A request that a shard may hold, although no answer of its owner came back. */
+const describeOffered = ({ id, team, queue, kind, size }: Request): RequestView => ({
+  id,
+  team,
+  queue,
+  kind,
+  size,
+  state: 'waiting',
+  ran: 'unknown',
+  attempt: 0,
+  tasks: [],
+  reason: 'the owner of the shard has not answered yet',
+});
+
 /** What the service works with. */
 interface ServiceParts {
   readonly clock: Clock;
@@ -200,7 +214,7 @@
         return ok(result.value.view);
       }
       if (result.isErr() && (isOver || !this.#mayReturn(requestId, result.error))) {
-        return err(result.error);
+        return err(this.#describeUnreached(result.error));
       }
       if (result.isErr()) await clock.sleep(retryMs);
     }
@@ -225,7 +239,7 @@
       const result = await this.#callOwner(requestId, body, submitTimeoutMs);
       if (result.isOk()) return ok(result.value.view);
       const isOver = !this.#mayReturn(requestId, result.error) || clock.now() >= endsAt;
-      if (isOver) return err(result.error);
+      if (isOver) return err(this.#describeUnreached(result.error));
       await clock.sleep(retryMs);
     }
   }
@@ -238,6 +252,11 @@
     return failure.kind === 'unknownRequest' && isRecent;
   }
 
+  /** That a question about a request reached no owner does not tell whether the request ran. */
+  #describeUnreached(failure: Failure): Failure {
+    return passedOn.has(failure.kind) ? createFailure('linkLost', failure.detail, 1) : failure;
+  }
+
   #mayRecover(failure: Failure): boolean {
     return passedOn.has(failure.kind) || undecided.has(failure.kind);
   }
@@ -262,6 +281,8 @@
       await clock.sleep(this.#chooseDelay(handIn));
     }
     if (heldEpoch === undefined) return err(createFailure('deadlinePassed', 'the deadline passed'));
+    const isOpen = !submission.request.detached && clock.now() < submission.deadlineAt;
+    if (isOpen) return ok({ view: describeOffered(submission.request), epoch: heldEpoch });
     return err(createFailure('outcomeUnknown', 'the owner of the shard did not answer in time'));
   }
 
