Test a data centre that is cut off from the store and all others

Cause: no test with real processes had a partition between data centres.

Change: Partition puts a proxy on each path between data centres and to the platform; a proxy tells the dialling data centre by the introduction on the link, because the address in load notices is the same for all. Document and waitUntil of the tests are shared.

--- a/packages-private/testkit/__tests__/faults.test.ts
+++ b/packages-private/testkit/__tests__/faults.test.ts
@@ -1,45 +1,17 @@
 import { expect } from 'chai';
-import { Caller, FaultProxy, Site, sleep } from '../src/index.js';
+import { Caller, createDocument, FaultProxy, Site, sleep, waitUntil } from '../src/index.js';
 
 const size = { processors: 1, memoryMb: 512, accelerators: 0 };
 
-const document = `schema = 1
-
-[shards.s1]
-dataCentre = "dc1"
-
-[shards.s2]
-dataCentre = "dc2"
-
-[teams.broadcast]
-share = 1
-
-[teams.planning]
-share = 1
-
-[queues.renders]
-kind = "batch"
-idempotent = true
-
-[queues.rosters]
-kind = "batch"
-idempotent = false
-`;
-
-const waitUntil = async (isTrue: () => boolean, timeoutMs: number, what: string): Promise<void> => {
-  const endsAt = performance.now() + timeoutMs;
-  while (!isTrue()) {
-    if (performance.now() > endsAt) throw new Error(`not within ${timeoutMs} ms: ${what}`);
-    await sleep(20);
-  }
-};
+const dataCentres = ['dc1', 'dc2'];
+const document = createDocument(dataCentres, { broadcast: { share: 1 }, planning: { share: 1 } });
 
 describe('faults between real processes of two data centres', () => {
   const links = new Map<string, FaultProxy>();
   const store: FaultProxy = new FaultProxy(() => site.store.address);
   const site = new Site({
     document,
-    dataCentres: ['dc1', 'dc2'],
+    dataCentres,
     entriesPerDataCentre: 1,
     schedulersPerDataCentre: 1,
     workersPerDataCentre: 3,
--- a/packages-private/testkit/__tests__/limits.test.ts
+++ b/packages-private/testkit/__tests__/limits.test.ts
@@ -1,6 +1,6 @@
 import type { Resources } from '@toucanline/schema';
 import { expect } from 'chai';
-import { Caller, Site, sleep } from '../src/index.js';
+import { Caller, createDocument, Site, sleep, waitUntil } from '../src/index.js';
 
 const size: Resources = { processors: 2, memoryMb: 1024, accelerators: 0 };
 const limitOf = (processors: number): Resources => ({
@@ -9,53 +9,25 @@
   accelerators: 0,
 });
 
-const createDocument = (processors: number): string => `schema = 1
-
-[shards.s1]
-dataCentre = "dc1"
-
-[shards.s2]
-dataCentre = "dc2"
-
-[teams.capped]
-share = 1
-limit = { processors = ${processors}, memoryMb = 200000, accelerators = 0 }
-
-[teams.filler]
-share = 1
-
-[teams.rapid]
-share = 1
-
-[queues.services]
-kind = "service"
-idempotent = true
-
-[queues.renders]
-kind = "batch"
-idempotent = true
-maxWaiting = 100
-
-[queues.rosters]
-kind = "batch"
-idempotent = false
-
-[placement]
-lowerLimitSeconds = 4
-`;
-
-const waitUntil = async (isDone: () => boolean, timeoutMs: number, what: string): Promise<void> => {
-  const startedAt = performance.now();
-  while (!isDone()) {
-    if (performance.now() - startedAt > timeoutMs) throw new Error(`${what} took too long`);
-    await sleep(20);
-  }
-};
+const dataCentres = ['dc1', 'dc2'];
+const writeDocument = (processors: number): string =>
+  createDocument(
+    dataCentres,
+    {
+      capped: { share: 1, limit: limitOf(processors) },
+      filler: { share: 1 },
+      rapid: { share: 1 },
+    },
+    {
+      queues: { renders: { kind: 'batch', idempotent: true, maxWaiting: 100 } },
+      placement: { lowerLimitSeconds: 4 },
+    },
+  );
 
 describe('team limits over two data centres with real processes', () => {
   const site = new Site({
-    document: createDocument(40),
-    dataCentres: ['dc1', 'dc2'],
+    document: writeDocument(40),
+    dataCentres,
     entriesPerDataCentre: 1,
     schedulersPerDataCentre: 1,
     workersPerDataCentre: 3,
@@ -153,14 +125,14 @@
     await waitUntil(() => countRunning('capped') === 3, 10_000, 'starting rosters');
     await submit(capped[0], 'renders', 'serve', 20);
     await waitUntil(() => readCapped() >= 38, 10_000, 'using the limit');
-    site.putDocument(createDocument(16), 2);
+    site.putDocument(writeDocument(16), 2);
     await waitUntil(() => readCapped() <= 16, 8000, 'shrinking');
     site.ledger.setLimits(new Map([['capped', limitOf(16)]]));
     await sleep(1500);
     expect(readCapped()).to.be.at.most(16);
     for (const id of kept) expect(isRunning(id)).to.equal(true);
     site.ledger.setLimits(new Map([['capped', limitOf(40)]]));
-    site.putDocument(createDocument(40), 3);
+    site.putDocument(writeDocument(40), 3);
     await waitUntil(() => readCapped() >= 38, 10_000, 'using the raised limit');
   });
 
--- a/packages-private/testkit/__tests__/ownership.test.ts
+++ b/packages-private/testkit/__tests__/ownership.test.ts
@@ -1,17 +1,16 @@
 import { expect } from 'chai';
-import { Caller, exampleDocument, Site, sleep, type DaemonProcess } from '../src/index.js';
+import {
+  Caller,
+  exampleDocument,
+  Site,
+  sleep,
+  waitUntil,
+  type DaemonProcess,
+} from '../src/index.js';
 
 const size = { processors: 1, memoryMb: 512, accelerators: 0 };
 const failoverMs = 10_000;
 
-const waitUntil = async (isTrue: () => boolean, timeoutMs: number, what: string): Promise<void> => {
-  const endsAt = performance.now() + timeoutMs;
-  while (!isTrue()) {
-    if (performance.now() > endsAt) throw new Error(`not within ${timeoutMs} ms: ${what}`);
-    await sleep(20);
-  }
-};
-
 describe('the ownership of a shard with real processes', () => {
   const site = new Site({
     document: exampleDocument,
--- a/packages-private/testkit/__tests__/workers.test.ts
+++ b/packages-private/testkit/__tests__/workers.test.ts
@@ -1,6 +1,6 @@
 import type { Event, Resources } from '@toucanline/schema';
 import { expect } from 'chai';
-import { Caller, exampleDocument, Site, sleep, type WorkerFake } from '../src/index.js';
+import { Caller, exampleDocument, Site, sleep, waitUntil, type WorkerFake } from '../src/index.js';
 
 const quarter: Resources = { processors: 4, memoryMb: 1024, accelerators: 0 };
 const half: Resources = { processors: 8, memoryMb: 1024, accelerators: 0 };
@@ -11,14 +11,6 @@
   exampleDocument.replace('limit = {', '# limit = {') +
   extraQueues.map((name) => `\n[queues.${name}]\nkind = "batch"\nidempotent = true\n`).join('');
 
-const waitUntil = async (isDone: () => boolean, timeoutMs: number, what: string): Promise<void> => {
-  const endsAt = performance.now() + timeoutMs;
-  while (!isDone()) {
-    if (performance.now() > endsAt) throw new Error(`${what} took too long`);
-    await sleep(20);
-  }
-};
-
 const createSite = (workersPerDataCentre: number): Site =>
   new Site({
     document,
--- a/packages-private/testkit/src/FaultProxy.ts
+++ b/packages-private/testkit/src/FaultProxy.ts
@@ -5,14 +5,20 @@
 export class FaultProxy {
   readonly #server: Server;
   readonly #target: () => string;
-  readonly #sockets = new Set<Socket>();
+  readonly #readDialer: ((first: Buffer) => string) | undefined;
+  /** Open sockets with the name of the dialling side. */
+  readonly #sockets = new Map<Socket, string>();
   #port = 0;
-  #fault: ProxyFault = 'none';
+  #findFault: (dialer: string) => ProxyFault = () => 'none';
   #delayMs = 0;
 
-  /** @param target - reads the address of the real peer, as IP and port */
-  public constructor(target: () => string) {
+  /**
+   * @param target - reads the address of the real peer, as IP and port
+   * @param readDialer - reads the name of the dialling side from its first bytes, for `setFaults`
+   */
+  public constructor(target: () => string, readDialer?: (first: Buffer) => string) {
     this.#target = target;
+    this.#readDialer = readDialer;
     this.#server = createServer((socket) => {
       this.#accept(socket);
     });
@@ -31,12 +37,28 @@
    * @param delayMs - delay of each chunk, in milliseconds
    */
   public setFault(fault: ProxyFault, delayMs = 0): void {
-    this.#fault = fault;
     this.#delayMs = delayMs;
-    if (fault === 'cut') for (const socket of this.#sockets) socket.destroy();
-    if (fault !== 'silence') return;
-    for (const socket of this.#sockets) socket.removeAllListeners('data').resume();
-    this.#fault = 'none';
+    this.setFaults(() => fault);
+    if (fault === 'silence') this.#findFault = () => 'none';
+  }
+
+  /**
+   * Sets the fault of each connection by its dialling side.
+   *
+   * @param findFault - finds the fault for the name of the dialling side
+   */
+  public setFaults(findFault: (dialer: string) => ProxyFault): void {
+    this.#findFault = findFault;
+    for (const [socket, dialer] of this.#sockets) {
+      const fault = findFault(dialer);
+      if (fault === 'cut') socket.destroy();
+      if (fault === 'silence') socket.removeAllListeners('data').resume();
+    }
+  }
+
+  /** Closes all connections. */
+  public reset(): void {
+    for (const socket of this.#sockets.keys()) socket.destroy();
   }
 
   /**
@@ -55,25 +77,38 @@
 
   /** Closes all connections and stops to listen. */
   public stop(): void {
-    for (const socket of this.#sockets) socket.destroy();
+    this.reset();
     this.#server.close();
   }
 
   #accept(client: Socket): void {
-    if (this.#fault === 'cut') {
+    const readDialer = this.#readDialer;
+    if (readDialer === undefined) {
+      this.#connect(client, '');
+      return;
+    }
+    client.on('error', () => client.destroy());
+    client.once('data', (first: Buffer) => {
+      this.#connect(client, readDialer(first), first);
+    });
+  }
+
+  #connect(client: Socket, dialer: string, first?: Buffer): void {
+    if (this.#findFault(dialer) === 'cut') {
       client.destroy();
       return;
     }
     const [host = '', port = '0'] = this.#target().split(':');
     const server = connect(Number(port), host);
-    this.#join(client, server);
-    this.#join(server, client);
+    this.#join(client, server, dialer);
+    this.#join(server, client, dialer);
+    if (first !== undefined) client.emit('data', first);
   }
 
-  #join(from: Socket, to: Socket): void {
-    this.#sockets.add(from);
+  #join(from: Socket, to: Socket, dialer: string): void {
+    this.#sockets.set(from, dialer);
     from.on('data', (chunk: Buffer) => {
-      if (this.#fault === 'blackhole') return;
+      if (this.#findFault(dialer) === 'blackhole') return;
       if (this.#delayMs === 0) to.write(chunk);
       else setTimeout(() => to.write(chunk), this.#delayMs);
     });
--- a/packages-private/testkit/src/Site.ts
+++ b/packages-private/testkit/src/Site.ts
@@ -4,6 +4,7 @@
 import { findFreePort } from './findFreePort.js';
 import { HostListFake } from './HostListFake.js';
 import { Ledger } from './Ledger.js';
+import type { Partition } from './Partition.js';
 import { sleep } from './sleep.js';
 import { StoreFake } from './StoreFake.js';
 import { WorkerFake } from './WorkerFake.js';
@@ -30,10 +31,15 @@
   readonly production?: boolean;
   /** Addresses that the daemons use instead of those of the platform fakes. */
   readonly platform?: { readonly store?: string; readonly hosts?: string };
-  /** Store that the daemons of a data centre use, such as a proxy; undefined for the usual one. */
-  readonly findStore?: (dataCentre: string) => string | undefined;
+  /** Store that a daemon uses, such as a proxy; undefined for the usual one. */
+  readonly findStore?: (
+    dataCentre: string,
+    process: string,
+  ) => string | undefined | Promise<string | undefined>;
   /** Puts a proxy in front of a scheduler; returns the address for the host list. */
   readonly publishScheduler?: (address: string, process: string) => Promise<string>;
+  /** Network through which the data centres reach the platform and each other. */
+  readonly partition?: Partition;
 }
 
 /** A whole site on loopback: platform fakes in this process, daemons as real processes. */
@@ -83,6 +89,7 @@
    */
   public async start(): Promise<void> {
     await Promise.all([this.store.start(), this.hosts.start()]);
+    await this.#options.partition?.start(this);
     this.putDocument(this.#options.document, 1);
     this.putKeys(this.#options.teams, 1);
     for (const dataCentre of this.#options.dataCentres) {
@@ -107,6 +114,7 @@
     for (const daemon of daemons) daemon.signal('SIGKILL');
     await Promise.all(daemons.map((daemon) => daemon.exit));
     for (const worker of this.#workers) worker.stop();
+    this.#options.partition?.stop();
     this.store.stop();
     this.hosts.stop();
   }
@@ -187,7 +195,10 @@
   public async addScheduler(dataCentre: string, process: string): Promise<DaemonProcess> {
     const port = await findFreePort();
     const address = `127.0.0.1:${port}`;
-    const listed = (await this.#options.publishScheduler?.(address, process)) ?? address;
+    const listed =
+      (await this.#options.partition?.publishScheduler(address, process, dataCentre)) ??
+      (await this.#options.publishScheduler?.(address, process)) ??
+      address;
     const daemon = new DaemonProcess('scheduler', {
       ...(await this.#createSettings(dataCentre, process)),
       link: { host: '127.0.0.1', port },
@@ -263,8 +274,11 @@
       http: { host: '127.0.0.1', port: await findFreePort() },
       platform: {
         store:
-          this.#options.findStore?.(dataCentre) ?? this.#options.platform?.store ?? this.store.url,
+          (await this.#options.findStore?.(dataCentre, process)) ??
+          this.#options.platform?.store ??
+          this.store.url,
         hosts: this.#options.platform?.hosts ?? this.hosts.url,
+        ...this.#options.partition?.findPlatform(dataCentre),
       },
       operatorKeyHash: hash(operatorKey),
       ...(this.#options.production === undefined ? {} : { production: this.#options.production }),
--- /dev/null
+++ b/packages-private/testkit/src/createDocument.ts
@@ -0,0 +1,32 @@
+import type { Document } from '@toucanline/schema';
+import { stringify } from 'smol-toml';
+
+const usualQueues: Document['queues'] = {
+  services: { kind: 'service', idempotent: true },
+  renders: { kind: 'batch', idempotent: true },
+  rosters: { kind: 'batch', idempotent: false },
+};
+
+/**
+ * Creates the text of a configuration document with the shards s1, s2 and so on, one per data centre, and
+ * queues for services, repeatable work (renders) and work that may run only once (rosters).
+ *
+ * @param dataCentres - names of the data centres
+ * @param teams - sections of the teams
+ * @param changes - further sections, and queues that replace the usual ones of the same name
+ * @returns its text
+ */
+export const createDocument = (
+  dataCentres: readonly string[],
+  teams: Document['teams'],
+  changes: Partial<Pick<Document, 'queues' | 'placement' | 'workers'>> = {},
+): string =>
+  stringify({
+    schema: 1,
+    ...changes,
+    shards: Object.fromEntries(
+      dataCentres.map((dataCentre, index) => [`s${index + 1}`, { dataCentre }]),
+    ),
+    teams,
+    queues: { ...usualQueues, ...changes.queues },
+  });
--- a/packages-private/testkit/src/index.ts
+++ b/packages-private/testkit/src/index.ts
@@ -5,14 +5,18 @@
  */
 export { Caller } from './Caller.js';
 export { Chaos } from './Chaos.js';
+export { createDocument } from './createDocument.js';
 export { DaemonProcess } from './DaemonProcess.js';
 export { exampleDocument } from './exampleDocument.js';
 export { FaultProxy } from './FaultProxy.js';
 export { findFreePort } from './findFreePort.js';
 export { HostListFake } from './HostListFake.js';
 export { Ledger } from './Ledger.js';
+export { Partition } from './Partition.js';
 export { runCommandLine } from './runCommandLine.js';
 export { Site } from './Site.js';
 export { sleep } from './sleep.js';
+export { SteadyLoad } from './SteadyLoad.js';
 export { StoreFake } from './StoreFake.js';
+export { waitUntil } from './waitUntil.js';
 export { WorkerFake } from './WorkerFake.js';
