Notice a missing majority gate and a missing epoch check

Cause: ownership.test.ts passes without the majority gate of ShardHost and without the epoch check of WorkerFake, because an owner that was paused stops by itself first.

--- /dev/null
+++ b/packages-private/testkit/__tests__/fencing.test.ts
@@ -0,0 +1,59 @@
+import { expect } from 'chai';
+import {
+  Caller,
+  createDocument,
+  FaultProxy,
+  Site,
+  sleep,
+  SteadyLoad,
+  waitUntil,
+} from '../src/index.js';
+
+describe('an owner that a peer supersedes while it still acts', () => {
+  const stores = new Map<string, FaultProxy>();
+  const site: Site = new Site({
+    document: createDocument(['dc1'], { broadcast: { share: 1 } }),
+    dataCentres: ['dc1'],
+    entriesPerDataCentre: 1,
+    schedulersPerDataCentre: 2,
+    workersPerDataCentre: 3,
+    teams: ['broadcast'],
+    findStore: async (_dataCentre, process) => {
+      const proxy = new FaultProxy(() => site.store.address);
+      await proxy.start();
+      stores.set(process, proxy);
+      return `http://${proxy.address}`;
+    },
+  });
+  const caller = new Caller(() => site.entries[0]?.url ?? '', 'key-broadcast');
+  const readOwner = (): string => site.store.peek('owners/s1').value?.split(' ')[0] ?? '';
+
+  before(() => site.start());
+  after(async () => {
+    await site.stop();
+    for (const proxy of stores.values()) proxy.stop();
+  });
+
+  it('starts nothing more once a worker refused its epoch', async () => {
+    // Guards against two owners that act at the same time: the former one has lost the store but holds the
+    // leases of all workers, so nothing but the epoch check of the workers stops it.
+    const load = new SteadyLoad(site);
+    load.add('render', caller, 'renders', 40, 200);
+    load.add('roster', caller, 'rosters', 20, 200);
+    await sleep(1000);
+    const former = readOwner();
+    const owner = site.schedulers.find(({ settings }) => settings.process === former);
+    stores.get(former)?.setFault('cut');
+    await waitUntil(() => !['', former].includes(readOwner()), 10_000, 'a peer claims the shard');
+    await waitUntil(
+      () => owner?.log.some((line) => line.includes('claimLost')) === true,
+      3000,
+      'the former owner gives up',
+    );
+    await sleep(1500);
+    const { answered, faults } = await load.stop();
+    console.log(`      answered ${answered}`);
+    expect(faults).to.deep.equal([]);
+    expect(site.ledger.violations).to.deep.equal([]);
+  });
+});
--- /dev/null
+++ b/packages/scheduler/__tests__/majority.test.ts
@@ -0,0 +1,135 @@
+import { Policy, WorkerGateway, type ClaimStanding, type WorkerResponse } from '@toucanline/core';
+import { ProcessRuntime } from '@toucanline/runtime';
+import type { HostRecord, Renewal, Report, Request } from '@toucanline/schema';
+import { expect } from 'chai';
+import { err, ok } from 'neverthrow';
+import { ShardHost } from '../src/ShardHost.js';
+
+const room = { processors: 4, memoryMb: 4096, accelerators: 0 };
+const shard = 's1';
+const epoch = 2;
+const owner = 'p';
+const request: Request = {
+  id: `${shard}.q`,
+  digest: 'd',
+  team: 'a',
+  queue: 'renders',
+  kind: 'batch',
+  idempotent: true,
+  urgent: false,
+  checkpointable: false,
+  detached: false,
+  tasks: 1,
+  size: { processors: 1, memoryMb: 1, accelerators: 0 },
+  command: '',
+  runTimeMs: 1000,
+};
+const policy = new Policy({
+  schema: 1,
+  shards: { [shard]: { dataCentre: 'dc1' } },
+  queues: { renders: { kind: 'batch', idempotent: true } },
+  teams: { a: { share: 1 } },
+});
+const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+
+/** Workers of which some grant their lease to this owner; another owner holds the lease of the rest. */
+class SplitWorkers extends WorkerGateway {
+  public override readonly fences = true;
+  public readonly granting = new Set<string>();
+  public starts = 0;
+  readonly #bootedAt = performance.now() - 100_000;
+
+  public override start(): Promise<WorkerResponse<void>> {
+    this.starts += 1;
+    return Promise.resolve(ok(undefined));
+  }
+
+  public override command(): Promise<WorkerResponse<void>> {
+    return Promise.resolve(ok(undefined));
+  }
+
+  public override async renew(worker: string, renewal: Renewal): Promise<WorkerResponse<Report>> {
+    await sleep(20);
+    const state = { epoch, owner, bootId: 'boot' };
+    if (!this.granting.has(worker)) {
+      return err({ refusal: 'leaseHeld', detail: '', epoch: 1, owner: 'other' });
+    }
+    const { leaseUntil, acknowledged: sequence } = renewal;
+    const place = { worker, dataCentre: 'dc1', rack: 'r', room, speed: 1, state: 'live' } as const;
+    const clockMs = performance.now() - this.#bootedAt;
+    return ok({
+      ...state,
+      ...place,
+      clockMs,
+      leaseUntil,
+      sequence,
+      full: true,
+      tasks: [],
+      changes: [],
+    });
+  }
+}
+
+describe('an owner without a confirmed store lease', () => {
+  const runtime = new ProcessRuntime(
+    {
+      environment: 'test',
+      process: owner,
+      dataCentre: 'dc1',
+      http: { host: '127.0.0.1', port: 0 },
+      platform: { store: 'http://127.0.0.1:1', hosts: 'http://127.0.0.1:1' },
+      logLevel: 'error',
+    },
+    'scheduler',
+  );
+  const listHosts = (count: number): readonly HostRecord[] =>
+    Array.from({ length: count }, (_, index) => `w${index}`).map((id) => ({
+      id,
+      role: 'worker',
+      state: 'live',
+      dataCentre: 'dc1',
+      address: id,
+    }));
+  const cases: readonly { provisional: boolean; standing: ClaimStanding }[] = [
+    { provisional: true, standing: 'unsettled' },
+    { provisional: false, standing: 'unreachable' },
+  ];
+
+  after(() => runtime.close());
+
+  for (const { provisional, standing } of cases) {
+    // Guards against two owners that start work at the same time while the store is down: each holds some
+    // of the workers, and each worker by itself would accept the start.
+    it(`starts only with a majority of the leases (provisional: ${provisional})`, async () => {
+      const workers = new SplitWorkers();
+      const lost: string[] = [];
+      const host = new ShardHost(
+        runtime,
+        workers,
+        {
+          claim: { shard, epoch, owner, address: '', token: 't' },
+          provisional,
+          readStanding: () => standing,
+          onServing: () => undefined,
+          onLost: (detail) => lost.push(detail),
+        },
+        policy,
+      );
+      for (const { id } of listHosts(3)) workers.granting.add(id);
+      host.applyHosts(listHosts(3));
+      host.start();
+      while (!host.isServing) await sleep(20);
+      // The list grows: this owner now holds three of seven.
+      host.applyHosts(listHosts(7));
+      const call = { call: 'submit', shard, request, remainingMs: 60_000, detached: 'no' } as const;
+      expect((await host.submit(call)).reply).to.equal('view');
+      await sleep(700);
+      expect(workers.starts).to.equal(0);
+      workers.granting.add('w3');
+      while (workers.starts === 0) await sleep(20);
+      expect(workers.starts).to.equal(1);
+      expect(lost).to.deep.equal([]);
+      host.stop();
+    });
+  }
+});
