--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -19,6 +19,7 @@
   SubmitCall,
 } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
+import { OpenRequests } from './OpenRequests.js';
 
 /** Longest wait of one call to a scheduler, in milliseconds. */
 const sliceMs = 10_000;
@@ -52,8 +53,22 @@
   next.epoch < known.epoch ||
   (next.epoch === known.epoch && next.view.attempt < known.view.attempt);
 
-/** Requests that an entry keeps after their caller's wait; bounds its memory and its calls. */
-const maxHeld = 5000;
+/** Attached requests that an entry has open, each with about 1 KB of memory and one pending call. */
+const openBounds = { total: 10_000, perTeam: 5000 } as const;
+
+/** A request that a shard may hold, although no answer of its owner came back. */
+const describeOffered = ({ id, team, queue, kind, size }: Request): RequestView => ({
+  id,
+  team,
+  queue,
+  kind,
+  size,
+  state: 'waiting',
+  ran: 'unknown',
+  attempt: 0,
+  tasks: [],
+  reason: 'the owner of the shard has not answered yet',
+});
 
 /** What the service works with. */
 interface ServiceParts {
@@ -61,7 +76,7 @@
   readonly random: RandomSource;
   readonly recorder: EventRecorder;
   readonly router: Router;
-  readonly peers: PeerSet;
+  readonly peers: Pick<PeerSet, 'call'>;
 }
 
 /** A request of a caller with its bounds. */
@@ -90,8 +105,7 @@
 /** Carries requests to the owners of shards and their answers back. */
 export class RequestService {
   readonly #parts: ServiceParts;
-  /** Requests that are held after their caller's wait ended. */
-  #held = 0;
+  readonly #open = new OpenRequests(openBounds);
 
   /** @param parts - what the service works with */
   public constructor(parts: ServiceParts) {
@@ -106,6 +120,17 @@
    * @returns its state when the wait ended; or the failure
    */
   public async submit(submission: Submission): Promise<Result<RequestView, Failure>> {
+    const { detached, team } = submission.request;
+    if (detached) return this.#place(submission);
+    const counted = this.#open.take(team);
+    if (counted.isErr()) return err(counted.error);
+    const result = await this.#place(submission);
+    // An open request stays counted as long as it is held.
+    if (result.isErr() || isAnswered(result.value)) this.#open.release(team);
+    return result;
+  }
+
+  async #place(submission: Submission): Promise<Result<RequestView, Failure>> {
     const { clock } = this.#parts;
     const endsAt = Math.min(submission.deadlineAt, clock.now() + ownerWaitMs);
     for (;;) {
@@ -149,16 +174,15 @@
   ): Promise<Result<RequestView, Failure>> {
     const result = await this.#waitForAnswer(shard, submission, first);
     const isOpen = result.isOk() && !isAnswered(result.value);
-    if (isOpen && !submission.request.detached && this.#held < maxHeld) {
+    if (isOpen && !submission.request.detached) {
       void this.#hold(shard, submission, { ...first, view: result.value });
     }
     return result;
   }
 
   async #hold(shard: string, submission: HeldSubmission, last: Answer): Promise<void> {
-    this.#held += 1;
     await this.#waitForAnswer(shard, { ...submission, waitUntil: submission.deadlineAt }, last);
-    this.#held -= 1;
+    this.#open.release(submission.request.team);
   }
 
   /**
@@ -190,7 +214,7 @@
         return ok(result.value.view);
       }
       if (result.isErr() && (isOver || !this.#mayReturn(requestId, result.error))) {
-        return err(result.error);
+        return err(this.#describeUnreached(result.error));
       }
       if (result.isErr()) await clock.sleep(retryMs);
     }
@@ -215,7 +239,7 @@
       const result = await this.#callOwner(requestId, body, submitTimeoutMs);
       if (result.isOk()) return ok(result.value.view);
       const isOver = !this.#mayReturn(requestId, result.error) || clock.now() >= endsAt;
-      if (isOver) return err(result.error);
+      if (isOver) return err(this.#describeUnreached(result.error));
       await clock.sleep(retryMs);
     }
   }
@@ -228,6 +252,11 @@
     return failure.kind === 'unknownRequest' && isRecent;
   }
 
+  /** That a question about a request reached no owner does not tell whether the request ran. */
+  #describeUnreached(failure: Failure): Failure {
+    return passedOn.has(failure.kind) ? createFailure('linkLost', failure.detail, 1) : failure;
+  }
+
   #mayRecover(failure: Failure): boolean {
     return passedOn.has(failure.kind) || undecided.has(failure.kind);
   }
@@ -252,6 +281,8 @@
       await clock.sleep(this.#chooseDelay(handIn));
     }
     if (heldEpoch === undefined) return err(createFailure('deadlinePassed', 'the deadline passed'));
+    const isOpen = !submission.request.detached && clock.now() < submission.deadlineAt;
+    if (isOpen) return ok({ view: describeOffered(submission.request), epoch: heldEpoch });
     return err(createFailure('outcomeUnknown', 'the owner of the shard did not answer in time'));
   }
 
