--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -1,14 +1,16 @@
 import { createFailure, limitEvents, Router } from '@toucanline/core';
 import { HttpWorkerGateway } from '@toucanline/platform';
 import { addHealthRoutes, Daemon, PeerSet, type ProcessRuntime } from '@toucanline/runtime';
-import type { CallBody, HostRecord, LoadNotice, NoticeBody, ReplyBody } from '@toucanline/schema';
+import type { CallBody, HostRecord, NoticeBody, ReplyBody } from '@toucanline/schema';
 import { LinkHandler, LinkListener, type Link } from '@toucanline/wire';
 import restana from 'restana';
+import { LoadTeller } from './LoadTeller.js';
+import { ShardBalancer } from './ShardBalancer.js';
 import { ShardCandidate } from './ShardCandidate.js';
 import type { ShardHost } from './ShardHost.js';
 
 const loadNoticeMs = 500;
-const hostsMs = 1000;
+const balanceMs = 1000;
 /** Time for the last replies to leave before the links close. */
 const flushMs = 100;
 
@@ -22,11 +24,15 @@
   readonly #onCall: (body: CallBody) => Promise<ReplyBody> | ReplyBody;
   readonly #onNotice: (link: Link, body: NoticeBody) => void;
 
+  readonly #onAlive: (process: string) => void;
+
   public constructor(
     onCall: (body: CallBody) => Promise<ReplyBody> | ReplyBody,
     onNotice: (link: Link, body: NoticeBody) => void,
+    onAlive: (process: string) => void,
   ) {
     super();
+    this.#onAlive = onAlive;
     this.#onCall = onCall;
     this.#onNotice = onNotice;
   }
@@ -43,6 +49,10 @@
     this.#onNotice(link, body);
   }
 
+  public override handleActivity(link: Link): void {
+    if (link.peer !== undefined) this.#onAlive(link.peer.process);
+  }
+
   public override handleClose(): void {
     // The peer reconnects.
   }
@@ -54,6 +64,8 @@
   readonly #gateway = new HttpWorkerGateway();
   readonly #router: Router;
   readonly #links: SchedulerLinks;
+  readonly #teller: LoadTeller;
+  readonly #balancer: ShardBalancer;
   readonly #listener: LinkListener;
   readonly #candidates = new Map<string, ShardCandidate>();
   #peers: PeerSet | undefined;
@@ -74,7 +86,19 @@
       (link, body) => {
         this.#applyNotice(link, body);
       },
+      (process) => {
+        this.#router.noteAlive(process);
+      },
     );
+    this.#teller = new LoadTeller(runtime.settings.dataCentre);
+    this.#balancer = new ShardBalancer({
+      clock: runtime.clock,
+      process: runtime.settings.process,
+      router: this.#router,
+      listShards: () => runtime.holder.policy?.listShards(runtime.settings.dataCentre) ?? [],
+      listPeers: () => this.#listPeers(),
+      findCandidate: (shard) => this.#candidates.get(shard),
+    });
     this.#listener = new LinkListener(runtime.hello, this.#links);
   }
 
@@ -84,7 +108,9 @@
     const { host, port } = settings.link ?? { host: settings.http.host, port: 0 };
     const bound = await this.#listener.listen(host, port);
     this.#address = settings.linkAddress ?? bound;
-    this.#peers = new PeerSet(this.#runtime, this.#links, this.#address);
+    this.#peers = new PeerSet(this.#runtime, this.#links, this.#address, (hosts) => {
+      this.#applyHosts(hosts);
+    });
     this.#peers.start();
     const service = restana();
     addHealthRoutes(service, () => this.#isReady);
@@ -99,7 +125,9 @@
       this.#applyNewRevision();
       this.#tellLoad();
     });
-    void this.#repeat(hostsMs, () => this.#readHosts());
+    void this.#repeat(balanceMs, () => {
+      void this.#balancer.step();
+    });
     this.#runtime.log.write('info', 'listening for links', { address: this.#address });
   }
 
@@ -121,9 +149,9 @@
     return [...this.#candidates.values()].flatMap(({ host }) => (host === undefined ? [] : [host]));
   }
 
-  async #repeat(periodMs: number, action: () => Promise<void> | void): Promise<void> {
+  async #repeat(periodMs: number, action: () => void): Promise<void> {
     while (!this.#stopping) {
-      await action();
+      action();
       await this.#runtime.clock.sleep(periodMs);
     }
   }
@@ -161,11 +189,9 @@
     this.#tellLoad();
   }
 
-  async #readHosts(): Promise<void> {
-    const hosts = await this.#runtime.hostList.read();
-    if (hosts.isErr()) return;
+  #applyHosts(hosts: readonly HostRecord[]): void {
     const { dataCentre } = this.#runtime.settings;
-    this.#workers = hosts.value.filter(
+    this.#workers = hosts.filter(
       (host) => host.role === 'worker' && host.dataCentre === dataCentre,
     );
     for (const host of this.#hosts) {
@@ -191,38 +217,20 @@
   }
 
   #tellLoad(): void {
-    const { holder, keyRing, keysContact, recorder, settings } = this.#runtime;
+    const { clock, holder, keyRing, keysContact, recorder, settings } = this.#runtime;
     const { ageMs } = keysContact;
-    const notice: LoadNotice = {
-      notice: 'load',
-      process: settings.process,
-      shards: this.#hosts.filter((host) => host.isServing).map((host) => host.shard.describeLoad()),
-      configurationRevision: holder.revision,
-      keysRevision: keyRing.revision,
-      stamp: recorder.stamp(),
-      ...(Number.isFinite(ageMs) ? { keysAgeMs: ageMs } : {}),
-    };
-    this.#router.applyNotice(notice);
-    this.#notifyPeers(notice);
+    const serving = this.#hosts.filter((host) => host.isServing);
+    const shards = serving.map((host) => host.shard.describeLoad());
+    this.#router.applyOwn(settings.process, shards);
+    this.#teller.tell(
+      [...this.#listener.links, ...(this.#peers?.links ?? [])],
+      clock.now(),
+      { shards, configurationRevision: holder.revision, keysRevision: keyRing.revision },
+      { stamp: recorder.stamp(), ...(Number.isFinite(ageMs) ? { keysAgeMs: ageMs } : {}) },
+    );
     this.#passLoads();
   }
 
-  /**
-   * Entries route by free capacity alone. The amounts per team are for schedulers: at 230 teams they
-   * would make up most of a notice.
-   */
-  #notifyPeers(notice: LoadNotice): void {
-    const shards = notice.shards.map((load) => ({ ...load, use: {}, demand: {} }));
-    const brief: LoadNotice = { ...notice, shards };
-    const told = new Set<string>();
-    for (const link of [...this.#listener.links, ...(this.#peers?.links ?? [])]) {
-      // Two schedulers dial each other, so there may be two links to one process.
-      if (link.peer === undefined || told.has(link.peer.process)) continue;
-      told.add(link.peer.process);
-      link.notify(link.peer.role === 'entry' ? brief : notice);
-    }
-  }
-
   #passLoads(): void {
     const names = this.#runtime.holder.policy?.shards ?? [];
     const loads = names.flatMap((name) => this.#router.findLoad(name) ?? []);
@@ -232,7 +240,7 @@
   }
 
   #applyNotice(link: Link, body: NoticeBody): void {
-    this.#router.applyNotice(body);
+    if (link.peer !== undefined) this.#router.applyNotice(link.peer.process, body);
     void this.#peers?.learnRevisions(link, body).then(() => {
       this.#applyNewRevision();
     });
@@ -311,12 +319,16 @@
   #describeConfiguration(configurationRevision: number, keysRevision: number): ReplyBody {
     const { configuration } = this.#runtime.holder;
     const { list } = this.#runtime.keyRing;
+    const { ageMs } = this.#runtime.keysContact;
     return {
       reply: 'configuration',
       ...(configuration !== undefined && configuration.revision > configurationRevision
         ? { configuration }
         : {}),
       ...(list !== undefined && list.revision > keysRevision ? { keys: list } : {}),
+      ...(list !== undefined && list.revision >= keysRevision && Number.isFinite(ageMs)
+        ? { keysAgeMs: ageMs }
+        : {}),
     };
   }
 }
