--- a/packages/cli/src/commandTable.ts
+++ b/packages/cli/src/commandTable.ts
@@ -6,6 +6,8 @@
 import { ConfigStatusCommand } from './ConfigStatusCommand.js';
 import { ConfigTryCommand } from './ConfigTryCommand.js';
 import { ConfigUndoCommand } from './ConfigUndoCommand.js';
+import { DataCentreLostCommand } from './DataCentreLostCommand.js';
+import { DataCentreReturnedCommand } from './DataCentreReturnedCommand.js';
 import { DrainCommand } from './DrainCommand.js';
 import { KeyGrantCommand } from './KeyGrantCommand.js';
 import { KeyListCommand } from './KeyListCommand.js';
@@ -40,5 +42,7 @@
   teams: TeamsCommand,
   why: WhyCommand,
   drain: DrainCommand,
+  'datacentre:lost': DataCentreLostCommand,
+  'datacentre:returned': DataCentreReturnedCommand,
   timeline: TimelineCommand,
 };
--- a/packages/cli/src/suggestNext.ts
+++ b/packages/cli/src/suggestNext.ts
@@ -5,7 +5,8 @@
   withdrawnKey: 'Ask an operator for a new key: toucanline key grant ID --role ROLE.',
   forbidden: 'Ask an operator for a key with the role: toucanline key grant ID --role ROLE.',
   invalidDocument: 'Correct the lines above and run: toucanline config check FILE.',
-  staleRevision: 'Read the change with `toucanline config diff FILE`, then decide again.',
+  staleRevision:
+    'Somebody else was first: run the command without --yes, read what it shows, and decide again.',
   notTried: 'Run the document in the trial environment first: toucanline config try FILE --yes.',
   storeUnavailable: 'Nothing was changed. Try again when the store answers.',
   timeout: 'Look at the result before you repeat: toucanline config status, or status REQUEST.',
--- a/packages/core/src/Acceptance.ts
+++ b/packages/core/src/Acceptance.ts
@@ -77,7 +77,7 @@
     this.#parts.table.add(record);
     recorder.record('requestAdmitted', { requestId: request.id, team: request.team, shard });
     const wasHeld = heldEpoch !== undefined && heldEpoch < epoch;
-    if (wasHeld) record.markUncertain(0, clock.now() - heldMs - heldMarginMs);
+    if (wasHeld) record.markUncertain(0, this.#readEarliestStart(request, heldMs));
     if (this.isJournaled(request)) this.#commitAccepted(record);
     else this.#parts.inherited.enqueue(record);
     return ok(record.describe());
@@ -115,6 +115,16 @@
     this.#context.emit({ effect: 'changed', requestId: record.id });
   }
 
+  /**
+   * An owner that was cut off stops non-idempotent tasks of a released queue and forgets their reports, so
+   * that reports prove nothing about them.
+   */
+  #readEarliestStart({ queue, idempotent }: SubmitCall['request'], heldMs: number): number {
+    const isReleasable = this.#parts.readPolicy().releases.has(queue);
+    if (!idempotent && isReleasable) return -Infinity;
+    return this.#context.clock.now() - heldMs - heldMarginMs;
+  }
+
   /** An entry may not have learned yet that a key was withdrawn. */
   #checkKey({ request: { keyId } }: SubmitCall): Result<void, Failure> {
     if (keyId === undefined || this.#parts.readKeyRing()?.isWithdrawn(keyId) !== true)
--- a/packages/core/src/ClaimKeeper.ts
+++ b/packages/core/src/ClaimKeeper.ts
@@ -26,6 +26,9 @@
 
 /** Takes and keeps the claim on one shard in the store. */
 export class ClaimKeeper {
+  /** Begins the name of a holder that only takes work over from another data centre. */
+  public static readonly takeoverMark = 'takeover/';
+
   readonly #parts: ClaimParts;
   readonly #shard: string;
   readonly #owner: string;
@@ -34,6 +37,7 @@
   /** Local monotonic time until which the store lease is certainly valid, in milliseconds. */
   #validUntil = 0;
   #isUnreachable = false;
+  #contactAt = -Infinity;
 
   /**
    * @param parts - what the keeper works with
@@ -54,6 +58,14 @@
     return this.#lease !== undefined && this.#isUnreachable ? 'unreachable' : 'unsettled';
   }
 
+  /**
+   * Local monotonic time before the last message to the store that proved that this process or another
+   * one held the claim, in milliseconds. Other data centres count from a later time.
+   */
+  public get contactAt(): number {
+    return this.#contactAt;
+  }
+
   /**
    * Tries to take the claim once.
    *
@@ -63,9 +75,11 @@
   public async acquire(minEpoch = 0): Promise<Result<Claim, Failure>> {
     const { store, clock, recorder, random } = this.#parts;
     const key = `owners/${this.#shard}`;
+    const readAt = clock.now();
     const holder = await store.read(key);
     if (holder.isErr()) return err(holder.error);
     if (holder.value.version !== 0 && holder.value.value !== undefined) {
+      if (!holder.value.value.startsWith(ClaimKeeper.takeoverMark)) this.#contactAt = readAt;
       return err(createFailure('notOwner', `held by ${holder.value.value}`));
     }
     const askedAt = clock.now();
@@ -84,6 +98,7 @@
     }
     this.#lease = leaseId;
     this.#validUntil = validUntil;
+    this.#contactAt = askedAt;
     this.#isUnreachable = false;
     recorder.record('claimTaken', { shard: this.#shard, epoch: claim.value.epoch });
     return claim;
@@ -106,6 +121,7 @@
       const renewed = await store.renewLease(lease);
       if (this.#lease !== lease) break;
       if (renewed.isOk()) {
+        this.#contactAt = askedAt;
         this.#validUntil = askedAt + periods.claimLeaseMs * reliedFraction;
         this.#isUnreachable = false;
       } else if (renewed.error.kind === 'staleRevision') {
--- a/packages/core/src/InheritedWork.ts
+++ b/packages/core/src/InheritedWork.ts
@@ -1,6 +1,7 @@
 import type { JournalEntry, ShardSnapshot } from '@toucanline/schema';
 import { createFailure } from './createFailure.js';
 import type { Fleet } from './Fleet.js';
+import type { Policy } from './Policy.js';
 import type { Recovery } from './Recovery.js';
 import type { RequestLifecycle } from './RequestLifecycle.js';
 import { RequestRecord } from './RequestRecord.js';
@@ -22,6 +23,7 @@
   readonly recovery: Recovery;
   readonly lifecycle: RequestLifecycle;
   readonly tracker: TaskTracker;
+  readonly readPolicy: () => Policy;
 }
 
 /** Requests of earlier owners: from the journal, from a snapshot, and held back until it is known what runs. */
@@ -61,7 +63,10 @@
         this.#parts.table.add(record);
         loaded.set(record.id, record);
       } else if (entry.entry === 'intent') {
-        loaded.get(entry.requestId)?.markUncertain(1, Infinity);
+        const record = loaded.get(entry.requestId);
+        // A cut-off owner may have stopped it without a commit, and then no worker reports it any more.
+        const isReleasable = this.#parts.readPolicy().releases.has(record?.request.queue ?? '');
+        record?.markUncertain(1, isReleasable ? -Infinity : Infinity);
       } else {
         const record = loaded.get(entry.view.id);
         loaded.delete(entry.view.id);
--- /dev/null
+++ b/packages/core/src/JournaledRequest.ts
@@ -0,0 +1,11 @@
+import type { Request } from '@toucanline/schema';
+
+/** A request as the journal of a shard describes it. */
+export interface JournaledRequest {
+  readonly request: Request;
+  /** Wall time of its deadline in milliseconds. */
+  readonly deadlineAtMs: number;
+  /** Whether the journal has the intent to start it, so that it may have run. */
+  readonly hasIntent: boolean;
+  readonly isFinished: boolean;
+}
--- a/packages/core/src/Policy.ts
+++ b/packages/core/src/Policy.ts
@@ -9,6 +9,7 @@
  * grace would refuse keys there.
  */
 const minKeyGraceSeconds = 5;
+const defaultReleaseSeconds = 60;
 const defaultLowerLimitSeconds = 30;
 const defaultHalfLifeSeconds = 30;
 const defaultQuarantineFailures = 5;
@@ -48,6 +49,16 @@
     return limits;
   }
 
+  /** Queues that a data centre gives up when it is cut off, with the time until then in milliseconds. */
+  public get releases(): ReadonlyMap<string, number> {
+    const releases = new Map<string, number>();
+    for (const [queue, section] of Object.entries(this.#document.queues)) {
+      if (section.whenCutOff !== 'release') continue;
+      releases.set(queue, (section.releaseAfterSeconds ?? defaultReleaseSeconds) * 1000);
+    }
+    return releases;
+  }
+
   /** Time within which work above a lowered limit is stopped, in milliseconds. */
   public get lowerLimitMs(): number {
     const seconds = this.#document.placement?.lowerLimitSeconds ?? defaultLowerLimitSeconds;
--- a/packages/core/src/Router.ts
+++ b/packages/core/src/Router.ts
@@ -59,6 +59,17 @@
     return known !== undefined && this.#clock.now() - known.at <= maxAgeMs ? known.load : undefined;
   }
 
+  /**
+   * Finds how old the newest notice of a shard's owner is.
+   *
+   * @param shard - name of the shard
+   * @returns milliseconds; undefined if there was none
+   */
+  public findAge(shard: string): number | undefined {
+    const known = this.#loads.get(shard);
+    return known === undefined ? undefined : this.#clock.now() - known.at;
+  }
+
   /**
    * Finds when the owner of a shard changed.
    *
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -26,6 +26,7 @@
 import { InheritedWork } from './InheritedWork.js';
 import { isAnswered } from './isAnswered.js';
 import { LimitEnforcer } from './LimitEnforcer.js';
+import { LostWork } from './LostWork.js';
 import type { LoweredLimit } from './LoweredLimit.js';
 import { LeaseMajority } from './LeaseMajority.js';
 import { OutgrownTasks } from './OutgrownTasks.js';
@@ -38,6 +39,8 @@
 import { RequestTable } from './RequestTable.js';
 import type { ShardContext } from './ShardContext.js';
 import { ShardDescription } from './ShardDescription.js';
+import type { TakeoverBook } from './TakeoverBook.js';
+import { TakenWork } from './TakenWork.js';
 import { TaskStopper } from './TaskStopper.js';
 import { TaskTracker } from './TaskTracker.js';
 import { TeamLedger } from './TeamLedger.js';
@@ -70,6 +73,8 @@
   readonly #dispatcher: Dispatcher;
   readonly #inherited: InheritedWork;
   readonly #description: ShardDescription;
+  readonly #lost: LostWork;
+  readonly #taken: TakenWork;
   #effects: Effect[] = [];
   #policy: Policy;
   #keyRing: Pick<KeyRing, 'isWithdrawn'> | undefined;
@@ -135,7 +140,7 @@
       estimator,
     });
     const tracker = this.#tracker;
-    const inherited = { fleet, table, queue, recovery, lifecycle, tracker };
+    const inherited = { fleet, table, queue, recovery, lifecycle, tracker, readPolicy };
     this.#inherited = new InheritedWork(this.#context, inherited);
     this.#acceptance = new Acceptance(this.#context, {
       table,
@@ -145,6 +150,11 @@
       readPolicy,
       readKeyRing: () => this.#keyRing,
     });
+    const isCommitting = (requestId: string): boolean => this.#acceptance.isCommitting(requestId);
+    const losing = { fleet, table, queue, recovery, lifecycle, isCommitting };
+    this.#lost = new LostWork(this.#context, losing);
+    const taken = { table, lifecycle, inherited: this.#inherited };
+    this.#taken = new TakenWork(this.#context, taken);
     const described = { fleet, table, queue, ledger, recovery, readPolicy };
     this.#description = new ShardDescription(this.#context, address, described);
     this.applyPolicy(policy);
@@ -280,6 +290,48 @@
     this.#inherited.restoreSnapshot(snapshot);
   }
 
+  /**
+   * Gives the work of queues up, because the data centre had no contact with the store for too long. It
+   * lasts until the ownership ends.
+   *
+   * @param queues - names of the queues
+   */
+  public release(queues: ReadonlySet<string>): void {
+    this.#lost.release(queues);
+    this.#lost.tick();
+  }
+
+  /**
+   * Applies what passed to other data centres: such requests are stopped and not started again.
+   *
+   * @param book - the record of takeovers
+   */
+  public applyTakeovers(book: TakeoverBook): void {
+    this.#lost.applyTakeovers(book);
+    this.#lost.tick();
+  }
+
+  /**
+   * Takes in requests of a lost data centre that this shard was given.
+   *
+   * @param entries - journal of the lost shard, oldest first
+   * @param ids - requests that this shard was given
+   * @returns true once the journal of this shard has all of them
+   */
+  public takeOver(entries: readonly JournalEntry[], ids: ReadonlySet<string>): boolean {
+    return this.#taken.take(entries, ids);
+  }
+
+  /**
+   * Checks whether a request is known here.
+   *
+   * @param requestId - identifier of the request
+   * @returns true if it is
+   */
+  public knows(requestId: string): boolean {
+    return this.#table.find(requestId) !== undefined;
+  }
+
   /** Serves without the journal of earlier owners, because the store cannot be reached. */
   public skipJournal(): void {
     this.#recovery.noteJournal();
@@ -302,6 +354,11 @@
    * @returns its state; or the reason why it was not taken, which proves that it did not run
    */
   public submit(call: SubmitCall): Result<RequestView, Failure> {
+    const { queue } = call.request;
+    if (this.#lost.isReleased(queue)) {
+      const detail = `the data centre of ${this.name} is cut off and gave queue ${queue} up`;
+      return err(createFailure('noOwner', detail, 1));
+    }
     return this.#acceptance.submit(call);
   }
 
@@ -322,6 +379,7 @@
    * @param failure - why the entry is not in the journal, unless it is
    */
   public confirmCommit(ticket: number, failure?: Failure): void {
+    if (this.#taken.confirm(ticket, failure)) return;
     if (this.#lifecycle.confirmFinish(ticket, failure)) return;
     if (ticket < 0) {
       this.#confirmIntent(ticket, failure);
@@ -407,7 +465,8 @@
     // Counted from the last report, not from now: otherwise each attempt to reach a dead worker would
     // extend the lease that it might hold, and its tasks would never be given up.
     const reportedMs = worker.clock?.reportedMs ?? 0;
-    const leaseUntil = isKnown ? reportedMs + leaseMs : 0;
+    const mustLapse = isKnown && this.#lost.mustLapse(worker);
+    const leaseUntil = mustLapse ? worker.leaseUntil : isKnown ? reportedMs + leaseMs : 0;
     if (isKnown) worker.grantLease(leaseUntil);
     return {
       address: worker.address,
@@ -480,6 +539,7 @@
 
   /** Applies the passage of time: expired leases, deadlines, retention, the end of recovery. */
   public tick(): void {
+    this.#lost.tick();
     this.#tracker.expireLeases();
     this.#lifecycle.tick();
     this.#quarantine.tick();
@@ -498,6 +558,7 @@
    * @returns true if more could start
    */
   public dispatch(maxStarts: number): boolean {
+    this.#lost.forgetReleased();
     return this.#dispatcher.run(maxStarts);
   }
 
--- /dev/null
+++ b/packages/core/src/ShardTakeover.ts
@@ -0,0 +1,167 @@
+import { validators, type Failure, type JournalEntry, type Takeover } from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import { AllotmentEscrow } from './AllotmentEscrow.js';
+import { ClaimKeeper } from './ClaimKeeper.js';
+import type { Clock } from './Clock.js';
+import { createFailure } from './createFailure.js';
+import { decodeStored } from './decodeStored.js';
+import type { EventRecorder } from './EventRecorder.js';
+import type { Invariant } from './Invariant.js';
+import { Journal } from './Journal.js';
+import { PledgeKeeper } from './PledgeKeeper.js';
+import { planTakeover } from './planTakeover.js';
+import type { RandomSource } from './RandomSource.js';
+import type { Store } from './Store.js';
+import type { TakeoverBook } from './TakeoverBook.js';
+import { TakeoverEditor } from './TakeoverEditor.js';
+
+const maxAttempts = 6;
+
+/** What a takeover works with. */
+interface TakeoverParts {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly recorder: EventRecorder;
+  readonly invariant: Invariant;
+  /** Name and link address of this process. */
+  readonly process: string;
+  readonly address: string;
+}
+
+/** The right to take work: an operator's word, or time that ran out on both sides. */
+type Reason =
+  | { readonly reason: 'word'; readonly dataCentre: string }
+  | {
+      readonly reason: 'time';
+      readonly queues: ReadonlySet<string>;
+      /** Epoch in the store for which the time was counted. */
+      readonly epoch: number;
+      readonly formerEpoch: number;
+      readonly pledgeVersion: number;
+    };
+
+/**
+ * Takes the work of one shard of a lost data centre over. It holds the claim on the shard for a moment:
+ * that fences its former owner, and a returning owner claims it after the record says what was taken.
+ */
+export class ShardTakeover {
+  readonly #parts: TakeoverParts;
+  readonly #shard: string;
+  readonly #keeper: ClaimKeeper;
+  readonly #editor: TakeoverEditor;
+
+  /**
+   * @param parts - what the takeover works with
+   * @param shard - shard of the lost data centre
+   */
+  public constructor(parts: TakeoverParts, shard: string) {
+    this.#parts = parts;
+    this.#shard = shard;
+    const owner = `${ClaimKeeper.takeoverMark}${parts.process}`;
+    this.#keeper = new ClaimKeeper(parts, shard, owner, parts.address);
+    this.#editor = new TakeoverEditor(parts);
+  }
+
+  /**
+   * Takes the work over.
+   *
+   * @param reason - the right to do so
+   * @param heirs - shards that get the requests, at least one
+   * @returns the takeover; `notOwner` if the shard has an owner or the right does not hold any more
+   */
+  public async run(reason: Reason, heirs: readonly string[]): Promise<Result<Takeover, Failure>> {
+    const claim = await this.#keeper.acquire();
+    if (claim.isErr()) return err(claim.error);
+    const result = await this.#takeClaimed(claim.value.epoch, reason, heirs);
+    await this.#keeper.release();
+    if (result.isOk()) {
+      const count = Object.keys(result.value.requests).length;
+      const detail = `${count} requests, ${reason.reason === 'word' ? "an operator's word" : `time of ${[...reason.queues].join(', ')}`}`;
+      const { epoch } = result.value;
+      this.#parts.recorder.record('workTakenOver', { shard: this.#shard, epoch, detail });
+    }
+    return result;
+  }
+
+  async #takeClaimed(
+    epoch: number,
+    reason: Reason,
+    heirs: readonly string[],
+  ): Promise<Result<Takeover, Failure>> {
+    const { store, clock, random } = this.#parts;
+    const isStale = reason.reason === 'time' && !(await this.#holds(epoch, reason));
+    if (isStale) return err(createFailure('notOwner', `an owner of ${this.#shard} was back`));
+    const journal = new Journal(store, clock, random, this.#shard, epoch);
+    const entries = await journal.open();
+    if (entries.isErr()) return err(entries.error);
+    const book = await this.#editor.read();
+    if (book.isErr()) return err(book.error);
+    if (reason.reason === 'word') {
+      if (!book.value.isPending(reason.dataCentre, this.#shard)) {
+        return err(createFailure('notOwner', 'the work was taken over already'));
+      }
+      const freed = await this.#freeAllotments(epoch);
+      if (freed.isErr()) return err(freed.error);
+    }
+    const takeover = this.#plan(epoch, reason, heirs, entries.value, book.value);
+    // A new owner may claim the shard once this claim may have ended, and would not see the record.
+    if (this.#keeper.standing !== 'confirmed') {
+      return err(createFailure('timeout', 'the takeover outlasted its claim'));
+    }
+    const dataCentre = reason.reason === 'word' ? reason.dataCentre : undefined;
+    return (await this.#editor.add(takeover, dataCentre)).map(() => takeover);
+  }
+
+  #plan(
+    epoch: number,
+    reason: Reason,
+    heirs: readonly string[],
+    entries: readonly JournalEntry[],
+    book: TakeoverBook,
+  ): Takeover {
+    const isTime = reason.reason === 'time';
+    return planTakeover({
+      shard: this.#shard,
+      epoch,
+      formerEpoch: isTime ? reason.formerEpoch : epoch - 1,
+      queues: isTime ? reason.queues : undefined,
+      entries,
+      book,
+      heirs,
+      wallMs: this.#parts.clock.wallTime(),
+    });
+  }
+
+  /** Whether no owner claimed the shard and nothing else was promised while the time was counted. */
+  async #holds(
+    epoch: number,
+    reason: Extract<Reason, { readonly reason: 'time' }>,
+  ): Promise<boolean> {
+    const pledge = new PledgeKeeper(this.#parts, this.#shard);
+    const read = await pledge.read();
+    return read.isOk() && pledge.version === reason.pledgeVersion && epoch === reason.epoch + 1;
+  }
+
+  /** Returns the allotments of the shard to the pool; late writes of its former owner fail. */
+  async #freeAllotments(epoch: number): Promise<Result<void, Failure>> {
+    const { store, random, invariant } = this.#parts;
+    let last = createFailure('storeConflict', 'the allotments change too often');
+    for (let attempt = 0; attempt < maxAttempts; attempt += 1) {
+      const stored = await store.read('allotments');
+      const record = stored.andThen(decodeStored(validators.Allotments));
+      if (stored.isErr() || record.isErr()) {
+        return err(stored.isErr() ? stored.error : record._unsafeUnwrapErr());
+      }
+      if (record.value === undefined) return ok(undefined);
+      const escrow = new AllotmentEscrow(this.#shard, epoch, invariant);
+      escrow.applyRead(record.value, stored.value.version);
+      const content = escrow.beginWrite(new Map(), random.token());
+      const text = JSON.stringify(content);
+      const written = await store.write('allotments', text, stored.value.version);
+      if (written.isOk()) return ok(undefined);
+      last = written.error;
+    }
+    return err(last);
+  }
+}
--- /dev/null
+++ b/packages/core/src/TakenWork.ts
@@ -0,0 +1,100 @@
+import type { Failure, JournalEntry } from '@toucanline/schema';
+import { createFailure } from './createFailure.js';
+import type { InheritedWork } from './InheritedWork.js';
+import type { JournaledRequest } from './JournaledRequest.js';
+import { listJournaled } from './listJournaled.js';
+import type { RequestLifecycle } from './RequestLifecycle.js';
+import { RequestRecord } from './RequestRecord.js';
+import type { RequestTable } from './RequestTable.js';
+import type { ShardContext } from './ShardContext.js';
+
+/** Tickets of takeovers start here, above those of acceptances and ends. */
+const firstTicket = 2 ** 45;
+
+/** Parts of the shard that taken work is brought into. */
+interface TakenParts {
+  readonly table: RequestTable;
+  readonly lifecycle: RequestLifecycle;
+  readonly inherited: InheritedWork;
+}
+
+/** Detached requests of lost data centres that this shard was given, until its own journal has them. */
+export class TakenWork {
+  readonly #context: ShardContext;
+  readonly #parts: TakenParts;
+  readonly #commits = new Map<number, JournaledRequest>();
+  readonly #pending = new Set<string>();
+  #nextTicket = firstTicket;
+
+  /**
+   * @param context - what the parts of the shard share
+   * @param parts - the parts to bring the work into
+   */
+  public constructor(context: ShardContext, parts: TakenParts) {
+    this.#context = context;
+    this.#parts = parts;
+  }
+
+  /**
+   * Takes requests in: each is accepted by a commit to the journal of this shard before it can start.
+   *
+   * @param entries - journal of the lost shard, oldest first
+   * @param ids - requests that this shard was given
+   * @returns true once the journal of this shard has all of them
+   */
+  public take(entries: readonly JournalEntry[], ids: ReadonlySet<string>): boolean {
+    const { clock, emit } = this.#context;
+    // An end after the takeover was written by the former owner when it dropped the request.
+    const missing = [...listJournaled(entries).values()].filter(
+      ({ request }) => ids.has(request.id) && this.#parts.table.find(request.id) === undefined,
+    );
+    for (const taken of missing) {
+      if (this.#pending.has(taken.request.id)) continue;
+      const ticket = this.#nextTicket;
+      this.#nextTicket += 1;
+      this.#commits.set(ticket, taken);
+      this.#pending.add(taken.request.id);
+      const entry = {
+        entry: 'accepted',
+        request: taken.request,
+        deadlineAtMs: taken.deadlineAtMs,
+        atMs: clock.wallTime(),
+      } as const;
+      emit({ effect: 'commit', ticket, entry });
+    }
+    return missing.length === 0;
+  }
+
+  /**
+   * Confirms the commit of a request that was taken in.
+   *
+   * @param ticket - ticket of the effect
+   * @param failure - why the entry is not in the journal, unless it is
+   * @returns false if the ticket does not belong to such a request
+   */
+  public confirm(ticket: number, failure?: Failure): boolean {
+    if (ticket < firstTicket) return false;
+    const taken = this.#commits.get(ticket);
+    this.#commits.delete(ticket);
+    if (taken === undefined) return true;
+    this.#pending.delete(taken.request.id);
+    // Without the commit it stays assigned to this shard, and the next call of `take` tries again.
+    if (failure === undefined) this.#accept(taken);
+    return true;
+  }
+
+  #accept({ request, deadlineAtMs, hasIntent }: JournaledRequest): void {
+    const { clock, recorder, shard } = this.#context;
+    const deadlineAt = clock.now() + deadlineAtMs - clock.wallTime();
+    const record = new RequestRecord(request, clock.now(), deadlineAt);
+    record.setAccepted(true);
+    this.#parts.table.add(record);
+    recorder.record('requestAdmitted', { requestId: request.id, team: request.team, shard });
+    if (!request.idempotent && hasIntent) {
+      record.markUncertain(1);
+      const detail = 'it may have started in a data centre that is cut off or lost';
+      this.#parts.lifecycle.finish(record, 'unknown', createFailure('outcomeUnknown', detail));
+    } else this.#parts.inherited.enqueue(record);
+    this.#context.emit({ effect: 'changed', requestId: request.id });
+  }
+}
--- /dev/null
+++ b/packages/core/src/TakeoverEditor.ts
@@ -0,0 +1,197 @@
+import {
+  validators,
+  type DataCentreChange,
+  type Failure,
+  type Takeover,
+  type Takeovers,
+} from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import type { Clock } from './Clock.js';
+import { countBytes } from './countBytes.js';
+import { createFailure } from './createFailure.js';
+import { decodeStored } from './decodeStored.js';
+import { documentLimits } from './documentLimits.js';
+import type { RandomSource } from './RandomSource.js';
+import type { Store } from './Store.js';
+import { TakeoverBook } from './TakeoverBook.js';
+
+const recordKey = 'takeovers';
+const maxAttempts = 6;
+const retryMs = 50;
+
+/** What the editor works with. */
+interface EditorParts {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+}
+
+/** A new content of the record, or undefined if the wanted change is in effect already. */
+type Edit = Result<Omit<Takeovers, 'token'> | undefined, Failure>;
+
+/**
+ * Changes the record of takeovers by compare-and-swap. Every change may be repeated: what is in effect
+ * already is not written again, which also settles a write whose answer was lost.
+ */
+export class TakeoverEditor {
+  readonly #parts: EditorParts;
+
+  /** @param parts - what the editor works with */
+  public constructor(parts: EditorParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Reads the record.
+   *
+   * @returns the record, or `storeUnavailable`
+   */
+  public async read(): Promise<Result<TakeoverBook, Failure>> {
+    const stored = await this.#parts.store.read(recordKey);
+    return stored
+      .andThen(decodeStored(validators.Takeovers))
+      .map((record) => new TakeoverBook(record));
+  }
+
+  /**
+   * Writes an operator's word about a data centre.
+   *
+   * @param dataCentre - name of the data centre
+   * @param change - the word
+   * @returns the record; `staleRevision` if there is a newer word than the operator knew
+   */
+  public declare(
+    dataCentre: string,
+    { state, author, note, ifGeneration }: DataCentreChange,
+  ): Promise<Result<TakeoverBook, Failure>> {
+    return this.#edit((book) => {
+      const former = book.findWord(dataCentre);
+      const generation = former?.generation ?? 0;
+      const isInEffect = former?.author === author && former.state === state;
+      if (generation === ifGeneration + 1 && isInEffect) return ok(undefined);
+      if (generation !== ifGeneration) {
+        const detail = `${former?.author ?? ''} declared ${dataCentre} ${former?.state ?? ''} meanwhile`;
+        return err(createFailure('staleRevision', detail));
+      }
+      const word = {
+        state,
+        generation: generation + 1,
+        author,
+        atMs: this.#parts.clock.wallTime(),
+        taken: [],
+        ...(note === undefined ? {} : { note }),
+      };
+      return ok({ ...book.record, words: { ...book.record.words, [dataCentre]: word } });
+    });
+  }
+
+  /**
+   * Adds what one claim of a lost shard took over.
+   *
+   * @param takeover - what was taken
+   * @param dataCentre - data centre whose word it fulfils; undefined if there is none
+   * @returns the record, or the failure
+   */
+  public add(takeover: Takeover, dataCentre?: string): Promise<Result<TakeoverBook, Failure>> {
+    const { shard, epoch } = takeover;
+    return this.#edit(({ record }) => {
+      if (record.takeovers.some((each) => each.shard === shard && each.epoch === epoch)) {
+        return ok(undefined);
+      }
+      const now = this.#parts.clock.wallTime();
+      const kept = record.takeovers.filter(({ untilMs }) => untilMs >= now);
+      const word = dataCentre === undefined ? undefined : record.words[dataCentre];
+      const words =
+        dataCentre === undefined || word === undefined
+          ? record.words
+          : { ...record.words, [dataCentre]: { ...word, taken: [...word.taken, shard] } };
+      return ok({ words, takeovers: [...kept, takeover] });
+    });
+  }
+
+  /**
+   * Takes an attached request over that an entry holds.
+   *
+   * @param requestId - identifier of the request
+   * @param former - shard that held it
+   * @param queue - its queue
+   * @param heir - shard that takes it
+   * @param deadlineMs - time until its deadline
+   * @returns nothing; `notOwner` if another shard has it or the former shard did not lose it
+   */
+  public async take(
+    requestId: string,
+    former: string,
+    queue: string,
+    heir: string,
+    deadlineMs: number,
+  ): Promise<Result<void, Failure>> {
+    const edited = await this.#edit((book) => {
+      const known = book.findHeir(requestId);
+      if (known === heir) return ok(undefined);
+      if (known !== undefined) return err(createFailure('notOwner', `taken over by ${known}`));
+      const covering = book.findTakeover(former, queue, -1);
+      if (covering === undefined) {
+        return err(createFailure('notOwner', `the work of ${former} was not taken over`));
+      }
+      const untilMs = Math.max(covering.untilMs, this.#parts.clock.wallTime() + deadlineMs);
+      const requests = { ...covering.requests, [requestId]: heir };
+      const replaced = { ...covering, untilMs, requests };
+      const { words, takeovers } = book.record;
+      return ok({ words, takeovers: takeovers.map((e) => (e === covering ? replaced : e)) });
+    });
+    return edited.map(() => undefined);
+  }
+
+  /**
+   * Notes that a shard has what it was given in its own journal.
+   *
+   * @param takeover - the takeover
+   * @param heir - the shard
+   * @returns the record, or the failure
+   */
+  public noteInherited(
+    { shard, epoch }: Takeover,
+    heir: string,
+  ): Promise<Result<TakeoverBook, Failure>> {
+    return this.#edit(({ record }) => {
+      const isWanted = (each: Takeover): boolean =>
+        each.shard === shard && each.epoch === epoch && !each.inheritedBy.includes(heir);
+      if (!record.takeovers.some(isWanted)) return ok(undefined);
+      const takeovers = record.takeovers.map((each) =>
+        isWanted(each) ? { ...each, inheritedBy: [...each.inheritedBy, heir] } : each,
+      );
+      return ok({ ...record, takeovers });
+    });
+  }
+
+  async #edit(change: (book: TakeoverBook) => Edit): Promise<Result<TakeoverBook, Failure>> {
+    const { store, clock, random } = this.#parts;
+    // A write without an answer may still take effect, whatever fails after it.
+    let last = createFailure('storeUnavailable', 'the store does not answer');
+    for (let attempt = 0; attempt < maxAttempts; attempt += 1) {
+      if (attempt > 0) await clock.sleep(retryMs * attempt);
+      const stored = await store.read(recordKey);
+      if (stored.isErr()) {
+        if (last.kind !== 'timeout') last = stored.error;
+        continue;
+      }
+      const decoded = decodeStored(validators.Takeovers)(stored.value);
+      if (decoded.isErr()) return err(decoded.error);
+      const book = new TakeoverBook(decoded.value);
+      const edit = change(book);
+      if (edit.isErr()) return err(edit.error);
+      if (edit.value === undefined) return ok(book);
+      const next: Takeovers = { ...edit.value, token: random.token() };
+      const text = JSON.stringify(next);
+      if (countBytes(text) > documentLimits.maxEncodedBytes) {
+        const detail = `the record of takeovers is full at ${documentLimits.maxEncodedBytes} bytes`;
+        return err(createFailure('bodyTooLarge', detail));
+      }
+      const written = await store.write(recordKey, text, stored.value.version);
+      if (written.isOk()) return ok(new TakeoverBook(next));
+      if (last.kind !== 'timeout') last = written.error;
+    }
+    return err(last);
+  }
+}
--- /dev/null
+++ b/packages/core/src/listJournaled.ts
@@ -0,0 +1,28 @@
+import type { JournalEntry } from '@toucanline/schema';
+import type { JournaledRequest } from './JournaledRequest.js';
+
+/**
+ * Lists the requests of a journal.
+ *
+ * @param entries - entries, oldest first
+ * @returns the accepted requests in the order of their acceptance
+ */
+export const listJournaled = (
+  entries: readonly JournalEntry[],
+): ReadonlyMap<string, JournaledRequest> => {
+  const requests = new Map<string, JournaledRequest>();
+  for (const entry of entries) {
+    if (entry.entry === 'accepted') {
+      const { request, deadlineAtMs } = entry;
+      const isFinished = false;
+      requests.set(request.id, { request, deadlineAtMs, hasIntent: false, isFinished });
+      continue;
+    }
+    const id = entry.entry === 'intent' ? entry.requestId : entry.view.id;
+    const known = requests.get(id);
+    if (known === undefined) continue;
+    const changed = entry.entry === 'intent' ? { hasIntent: true } : { isFinished: true };
+    requests.set(id, { ...known, ...changed });
+  }
+  return requests;
+};
--- a/packages/core/src/periods.ts
+++ b/packages/core/src/periods.ts
@@ -16,6 +16,8 @@
   workerTimeoutMs: 4000,
   /** Window within which a worker may accept a start command. */
   startWindowMs: 2000,
+  /** Time for the tasks of a released queue to stop; later their worker gets no new lease. */
+  releaseStopMs: 3000,
   /** How long finished requests stay readable. */
   retentionMs: 600_000,
   /** First delay before a retry; doubles with each attempt. */
--- /dev/null
+++ b/packages/entry/src/DataCentreRoutes.ts
@@ -0,0 +1,183 @@
+import {
+  createFailure,
+  listJournaled,
+  readJournal,
+  TakeoverEditor,
+  validateValue,
+  type Policy,
+  type Router,
+  type TakeoverBook,
+} from '@toucanline/core';
+import type { ProcessRuntime } from '@toucanline/runtime';
+import {
+  validators,
+  type DataCentreView,
+  type Failure,
+  type LostShard,
+  type OpenWork,
+  type Resources,
+} from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import type { Authenticator } from './Authenticator.js';
+import type { HttpContext } from './HttpContext.js';
+import { readJsonBody } from './readJsonBody.js';
+
+const maxBodyBytes = 16_384;
+const maxAuthorLength = 256;
+/** Age of a load notice above which its owner counts as silent, in milliseconds. */
+const silenceMs = 5000;
+
+/** HTTP routes for an operator's word about a data centre. */
+export class DataCentreRoutes {
+  readonly #runtime: ProcessRuntime;
+  readonly #authenticator: Authenticator;
+  readonly #router: Router;
+  readonly #editor: TakeoverEditor;
+
+  /**
+   * @param runtime - the process
+   * @param authenticator - authenticates operators
+   * @param router - what this entry hears of the shards
+   */
+  public constructor(runtime: ProcessRuntime, authenticator: Authenticator, router: Router) {
+    this.#runtime = runtime;
+    this.#authenticator = authenticator;
+    this.#router = router;
+    this.#editor = new TakeoverEditor(runtime);
+  }
+
+  /**
+   * Handles `GET /v1/datacentres/{name}`.
+   *
+   * @param context - the HTTP exchange
+   */
+  public async read(context: HttpContext): Promise<void> {
+    if (!this.#authenticator.admit(context, 'read')) return;
+    const view = await this.#describe(context.request.params.name ?? '');
+    if (view.isErr()) context.sendFailure(view.error);
+    else context.sendJson(200, view.value);
+  }
+
+  /**
+   * Handles `PUT /v1/datacentres/{name}`.
+   *
+   * @param context - the HTTP exchange
+   */
+  public async declare(context: HttpContext): Promise<void> {
+    const { settings, recorder } = this.#runtime;
+    const role = settings.production === true ? 'promote' : 'change';
+    const operator = this.#authenticator.admit(context, role);
+    if (operator === undefined) return;
+    const name = context.request.params.name ?? '';
+    const body = await readJsonBody(context.request, maxBodyBytes);
+    const change = body.andThen((data) => validateValue(validators.DataCentreChange, data));
+    if (change.isErr()) {
+      context.sendFailure(change.error);
+      return;
+    }
+    const view = await this.#describe(name);
+    const checked = view.andThen((known) => this.#checkHeirs(change.value.state, known));
+    if (checked.isErr()) {
+      context.sendFailure(checked.error);
+      return;
+    }
+    const suffix = ` (key ${operator.id})`;
+    const author = change.value.author.slice(0, maxAuthorLength - suffix.length) + suffix;
+    const declared = await this.#editor.declare(name, { ...change.value, author });
+    if (declared.isErr()) {
+      context.sendFailure(declared.error);
+      return;
+    }
+    recorder.record('dataCentreDeclared', { detail: `${name} ${change.value.state} by ${author}` });
+    const after = await this.#describe(name);
+    if (after.isErr()) context.sendFailure(after.error);
+    else context.sendJson(200, after.value);
+  }
+
+  /** Without another data centre the word would only end the work. */
+  #checkHeirs(state: 'lost' | 'returned', { heirs }: DataCentreView): Result<void, Failure> {
+    if (state === 'returned' || heirs.length > 0) return ok(undefined);
+    const detail = 'no other data centre has a shard with a reachable owner to take the work over';
+    return err(createFailure('noOwner', detail));
+  }
+
+  async #describe(name: string): Promise<Result<DataCentreView, Failure>> {
+    const { policy } = this.#runtime.holder;
+    if (policy === undefined) return err(createFailure('notReady', 'no configuration is known'));
+    const names = policy.listShards(name);
+    if (names.length === 0) {
+      const known = new Set(policy.shards.map((shard) => policy.findDataCentre(shard) ?? ''));
+      const detail = `data centre: found "${name}"; allowed: ${[...known].sort().join(', ')}`;
+      return err(createFailure('malformedRequest', detail));
+    }
+    const book = await this.#editor.read();
+    if (book.isErr()) return err(book.error);
+    const allotments = await this.#readAllotments();
+    if (allotments.isErr()) return err(allotments.error);
+    const shards: LostShard[] = [];
+    for (const shard of names) {
+      const described = await this.#describeShard(shard, book.value, allotments.value);
+      if (described.isErr()) return err(described.error);
+      shards.push(described.value);
+    }
+    const word = book.value.findWord(name);
+    return ok({
+      dataCentre: name,
+      generation: word?.generation ?? 0,
+      ...(word === undefined ? {} : { word }),
+      shards,
+      heirs: this.#listHeirs(policy, name),
+    });
+  }
+
+  #listHeirs(policy: Policy, lost: string): readonly string[] {
+    return policy.shards.filter((shard) => {
+      const isOther = policy.findDataCentre(shard) !== lost;
+      return isOther && this.#router.findLoad(shard, silenceMs) !== undefined;
+    });
+  }
+
+  async #readAllotments(): Promise<
+    Result<Readonly<Record<string, Readonly<Record<string, Resources>>>>, Failure>
+  > {
+    const stored = await this.#runtime.store.read('allotments');
+    if (stored.isErr()) return err(stored.error);
+    if (stored.value.value === undefined) return ok({});
+    const data: unknown = JSON.parse(stored.value.value);
+    return validateValue(validators.Allotments, data, 'internal').map(({ teams }) => teams);
+  }
+
+  async #describeShard(
+    shard: string,
+    book: TakeoverBook,
+    teams: Readonly<Record<string, Readonly<Record<string, Resources>>>>,
+  ): Promise<Result<LostShard, Failure>> {
+    const { store } = this.#runtime;
+    const holder = await store.read(`owners/${shard}`);
+    if (holder.isErr()) return err(holder.error);
+    const entries = await readJournal(store, shard);
+    if (entries.isErr()) return err(entries.error);
+    const work = new Map<string, OpenWork>();
+    for (const { request, hasIntent, isFinished } of listJournaled(entries.value).values()) {
+      const { id, queue, team, idempotent } = request;
+      if (isFinished || book.isTakenFrom(id, shard)) continue;
+      const key = `${queue}\n${team}\n${idempotent}`;
+      const known = work.get(key) ?? { queue, team, idempotent, requests: 0, started: 0 };
+      const started = known.started + (hasIntent && !idempotent ? 1 : 0);
+      work.set(key, { ...known, requests: known.requests + 1, started });
+    }
+    const allotments: Record<string, Resources> = {};
+    for (const [team, rows] of Object.entries(teams)) {
+      const amount = rows[shard];
+      if (amount !== undefined) allotments[team] = amount;
+    }
+    const heard = this.#router.findAge(shard);
+    return ok({
+      shard,
+      claimed: holder.value.version !== 0,
+      ...(heard === undefined ? {} : { heardMs: heard }),
+      work: [...work.values()],
+      allotments,
+    });
+  }
+}
--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -7,12 +7,14 @@
 import { ConfigurationRoutes } from './ConfigurationRoutes.js';
 import { createOpenApi } from './createOpenApi.js';
 import { createRoutes } from './createRoutes.js';
+import { DataCentreRoutes } from './DataCentreRoutes.js';
 import { HttpContext } from './HttpContext.js';
 import { KeyRoutes } from './KeyRoutes.js';
 import { OperatorRoutes } from './OperatorRoutes.js';
 import { RequestRoutes } from './RequestRoutes.js';
 import { RequestService } from './RequestService.js';
 import type { Route } from './Route.js';
+import { TakeoverReader } from './TakeoverReader.js';
 
 const defaultDrainSeconds = 60;
 /** Time for the load balancer to notice that the process is not ready, in milliseconds. */
@@ -51,6 +53,7 @@
   readonly #runtime: ProcessRuntime;
   readonly #router: Router;
   readonly #peers: PeerSet;
+  readonly #takeovers: TakeoverReader;
   readonly #groups: Parameters<typeof createRoutes>[0];
   readonly #service = restana({
     errorHandler: (error, _request, response) => {
@@ -69,18 +72,21 @@
     this.#router = new Router(clock, settings.dataCentre);
     this.#peers = new PeerSet(runtime, new EntryLinks(this.#router));
     const authenticator = new Authenticator(keyRing, settings.operatorKeyHash);
+    this.#takeovers = new TakeoverReader(runtime);
     const service = new RequestService({
       clock,
       random: runtime.random,
       recorder,
       router: this.#router,
       peers: this.#peers,
+      readTakeovers: () => this.#takeovers.book,
     });
     this.#groups = {
       requests: new RequestRoutes(runtime, authenticator, service),
       operators: new OperatorRoutes(runtime, authenticator, this.#peers, () => this.#isReady),
       configuration: new ConfigurationRoutes(runtime, authenticator),
       keys: new KeyRoutes(runtime, authenticator),
+      dataCentres: new DataCentreRoutes(runtime, authenticator, this.#router),
     };
     addHealthRoutes(this.#service, () => this.#isReady);
     this.#addRoutes();
@@ -90,6 +96,7 @@
   public override async start(): Promise<void> {
     const { host, port } = this.#runtime.settings.http;
     this.#peers.start();
+    void this.#takeovers.run();
     this.#runtime.followRevisions(
       () => false,
       () => undefined,
@@ -112,6 +119,7 @@
     }
     server.closeIdleConnections();
     await Promise.race([closed, clock.sleep(noticeMs)]);
+    this.#takeovers.stop();
     this.#peers.stop();
   }
 
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -8,6 +8,7 @@
   type Policy,
   type RandomSource,
   type Router,
+  type TakeoverBook,
 } from '@toucanline/core';
 import type { PeerSet } from '@toucanline/runtime';
 import type {
@@ -25,6 +26,8 @@
 /** Time for the transport of a call and its reply, in milliseconds. */
 const marginMs = 2000;
 const submitTimeoutMs = 5000;
+/** Age of a load notice above which its owner counts as silent, in milliseconds. */
+const freshMs = 3000;
 const retryMs = 200;
 const maxHops = 3;
 /** Time for a shard to get a new owner before a request is refused for lack of one, in milliseconds. */
@@ -47,10 +50,11 @@
 /** Failures after which the shard may hold the request. */
 const undecided: ReadonlySet<Failure['kind']> = new Set(['linkLost', 'timeout']);
 
-/** An answer of an older owner, or of an older attempt under the same owner. */
+/** An answer of an older owner of the same shard, or of an older attempt under the same owner. */
 const isOlder = (next: Answer, known: Answer): boolean =>
-  next.epoch < known.epoch ||
-  (next.epoch === known.epoch && next.view.attempt < known.view.attempt);
+  next.shard === known.shard &&
+  (next.epoch < known.epoch ||
+    (next.epoch === known.epoch && next.view.attempt < known.view.attempt));
 
 /** Requests that an entry keeps after their caller's wait; bounds its memory and its calls. */
 const maxHeld = 5000;
@@ -62,6 +66,8 @@
   readonly recorder: EventRecorder;
   readonly router: Router;
   readonly peers: PeerSet;
+  /** Reads what passed from lost data centres to others. */
+  readonly readTakeovers: () => TakeoverBook;
 }
 
 /** A request of a caller with its bounds. */
@@ -85,6 +91,7 @@
 interface Answer {
   readonly view: RequestView;
   readonly epoch: number;
+  readonly shard: string;
 }
 
 /** Carries requests to the owners of shards and their answers back. */
@@ -92,6 +99,8 @@
   readonly #parts: ServiceParts;
   /** Requests that are held after their caller's wait ended. */
   #held = 0;
+  /** Shards that were asked to take attached requests over, by request. */
+  readonly #heirs = new Map<string, string>();
 
   /** @param parts - what the service works with */
   public constructor(parts: ServiceParts) {
@@ -249,12 +258,56 @@
       const isPassedOn = heldEpoch === undefined && passedOn.has(result.error.kind);
       if (isPassedOn || !this.#mayRecover(result.error)) return result;
       if (undecided.has(result.error.kind)) heldEpoch ??= epoch;
+      const followed = await this.#followTakeover(shard, submission, heldEpoch);
+      if (followed !== undefined) return followed;
       await clock.sleep(this.#chooseDelay(handIn));
     }
     if (heldEpoch === undefined) return err(createFailure('deadlinePassed', 'the deadline passed'));
     return err(createFailure('outcomeUnknown', 'the owner of the shard did not answer in time'));
   }
 
+  /**
+   * Hands a request whose shard lost its work to another one. A non-idempotent request ends here, because
+   * the lost data centre may have started it.
+   *
+   * @returns undefined if the shard did not lose it, has an owner again, or no other shard took it yet
+   */
+  async #followTakeover(
+    shard: string,
+    submission: HeldSubmission,
+    heldEpoch: number | undefined,
+  ): Promise<Result<Answer, Failure> | undefined> {
+    const { request, policy } = submission;
+    const { router, clock, readTakeovers } = this.#parts;
+    const { id, queue, idempotent } = request;
+    if (heldEpoch === undefined || this.#findShard(id) !== shard) return undefined;
+    const takeover = readTakeovers().findTakeover(shard, queue, heldEpoch);
+    const isBack = (router.findLoad(shard, freshMs)?.epoch ?? 0) > (takeover?.epoch ?? 0);
+    if (takeover === undefined || isBack) return undefined;
+    // The journal of the lost shard has a detached request, and the record says who takes it.
+    if (request.detached) return undefined;
+    if (!idempotent) {
+      const detail = `the data centre of shard ${shard} is lost or cut off, and may have started it`;
+      return err(createFailure('outcomeUnknown', detail));
+    }
+    for (const heir of router.orderShards(policy, request).slice(0, maxHops)) {
+      if (heir === shard) continue;
+      const remainingMs = submission.deadlineAt - clock.now();
+      this.#heirs.set(id, heir);
+      const result = await this.#handIn(heir, submission, remainingMs, undefined);
+      if (result.isOk()) return result;
+      if (!passedOn.has(result.error.kind)) return undefined;
+      this.#heirs.delete(id);
+    }
+    return undefined;
+  }
+
+  /** Finds the shard that has a request now. */
+  #findShard(requestId: string): string {
+    const heir = this.#parts.readTakeovers().findHeir(requestId) ?? this.#heirs.get(requestId);
+    return heir ?? requestId.split('.')[0] ?? '';
+  }
+
   #handIn(
     shard: string,
     { request, detached, offeredAt }: HeldSubmission,
@@ -294,10 +347,17 @@
       let result = await this.#callOwner(id, body, waitMs + marginMs);
       if (result.isErr() && result.error.kind === 'unknownRequest') {
         const remainingMs = submission.deadlineAt - clock.now();
-        result = await this.#handIn(shard, submission, remainingMs, answer.epoch);
+        result = await this.#handIn(this.#findShard(id), submission, remainingMs, answer.epoch);
       }
       if (result.isErr()) {
         if (!this.#mayRecover(result.error)) return err(this.#doubt(result.error));
+        const followed = await this.#followTakeover(shard, submission, answer.epoch);
+        if (followed !== undefined) {
+          if (followed.isErr()) return err(followed.error);
+          answer = followed.value;
+          failures = 0;
+          continue;
+        }
         await clock.sleep(this.#chooseDelay(failures));
         failures += 1;
       } else if (isOlder(result.value, answer)) {
@@ -307,6 +367,7 @@
         failures = 0;
       }
     }
+    if (isAnswered(answer.view)) this.#heirs.delete(answer.view.id);
     return ok(answer.view);
   }
 
@@ -328,7 +389,7 @@
     body: CallBody,
     timeoutMs: number,
   ): Promise<Result<Answer, Failure>> {
-    const shard = requestId.split('.')[0] ?? '';
+    const shard = this.#findShard(requestId);
     const address = this.#parts.router.findLoad(shard)?.address;
     if (address === undefined) {
       return err(createFailure('notOwner', `no owner of shard ${shard} is known`, 1));
@@ -338,11 +399,11 @@
       .mapErr((failure) =>
         failure.kind === 'noOwner' ? { ...failure, kind: 'notOwner' as const } : failure,
       )
-      .andThen((content) => this.#readView(content));
+      .andThen((content) => this.#readView(content, shard));
   }
 
-  #readView(reply: ReplyBody): Result<Answer, Failure> {
-    if (reply.reply === 'view') return ok({ view: reply.view, epoch: reply.epoch });
+  #readView(reply: ReplyBody, shard: string): Result<Answer, Failure> {
+    if (reply.reply === 'view') return ok({ view: reply.view, epoch: reply.epoch, shard });
     if (reply.reply === 'failure') return err(reply.failure);
     return err(createFailure('internal', `unexpected reply ${reply.reply}`));
   }
--- a/packages/entry/src/createRoutes.ts
+++ b/packages/entry/src/createRoutes.ts
@@ -1,4 +1,5 @@
 import type { ConfigurationRoutes } from './ConfigurationRoutes.js';
+import type { DataCentreRoutes } from './DataCentreRoutes.js';
 import type { KeyRoutes } from './KeyRoutes.js';
 import type { OperatorRoutes } from './OperatorRoutes.js';
 import type { RequestRoutes } from './RequestRoutes.js';
@@ -10,6 +11,7 @@
   readonly operators: OperatorRoutes;
   readonly configuration: ConfigurationRoutes;
   readonly keys: KeyRoutes;
+  readonly dataCentres: DataCentreRoutes;
 }
 
 const wait = { wait: 'Longest wait for the answer in seconds, 0 to 30.' };
@@ -131,6 +133,24 @@
   },
 ];
 
+const createDataCentreRoutes = ({ dataCentres }: RouteGroups): readonly Route[] => [
+  {
+    method: 'get',
+    path: '/v1/datacentres/{name}',
+    summary: 'Reads what a data centre holds and what an operator said about it. Role: read.',
+    answers: { 200: 'DataCentreView' },
+    handle: (context) => dataCentres.read(context),
+  },
+  {
+    method: 'put',
+    path: '/v1/datacentres/{name}',
+    summary: 'Declares a data centre lost or returned. Role: change; promote in production.',
+    body: 'DataCentreChange',
+    answers: { 200: 'DataCentreView' },
+    handle: (context) => dataCentres.declare(context),
+  },
+];
+
 /**
  * Creates the table of the routes under `/v1`.
  *
@@ -141,4 +161,5 @@
   ...createRequestRoutes(groups),
   ...createConfigurationRoutes(groups),
   ...createSiteRoutes(groups),
+  ...createDataCentreRoutes(groups),
 ];
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -1,4 +1,4 @@
-import { createFailure, limitEvents, Router } from '@toucanline/core';
+import { createFailure, limitEvents, Router, type TakeoverBook } from '@toucanline/core';
 import { HttpWorkerGateway } from '@toucanline/platform';
 import { addHealthRoutes, Daemon, PeerSet, type ProcessRuntime } from '@toucanline/runtime';
 import type { CallBody, HostRecord, LoadNotice, NoticeBody, ReplyBody } from '@toucanline/schema';
@@ -6,6 +6,7 @@
 import restana from 'restana';
 import { ShardCandidate } from './ShardCandidate.js';
 import type { ShardHost } from './ShardHost.js';
+import { TakeoverRunner } from './TakeoverRunner.js';
 
 const loadNoticeMs = 500;
 const hostsMs = 1000;
@@ -57,6 +58,7 @@
   readonly #listener: LinkListener;
   readonly #candidates = new Map<string, ShardCandidate>();
   #peers: PeerSet | undefined;
+  #takeovers: TakeoverRunner | undefined;
   /** Workers of this data centre in the last host list that was read. */
   #workers: readonly HostRecord[] | undefined;
   #address = '';
@@ -100,6 +102,17 @@
       this.#tellLoad();
     });
     void this.#repeat(hostsMs, () => this.#readHosts());
+    this.#takeovers = new TakeoverRunner({
+      runtime: this.#runtime,
+      router: this.#router,
+      address: this.#address,
+      readPolicy: () => this.#runtime.holder.policy,
+      isConnected: () => this.#hosts.some((host) => host.isConnected),
+      onBook: (book) => {
+        this.#applyTakeovers(book);
+      },
+    });
+    void this.#takeovers.run(() => !this.#stopping);
     this.#runtime.log.write('info', 'listening for links', { address: this.#address });
   }
 
@@ -144,6 +157,7 @@
           readPolicy: () => holder.policy,
           readWorkers: () => this.#listWorkers(shard),
           listPeers: () => this.#listPeers(),
+          mustYield: () => this.#takeovers?.mustYield(shard) ?? false,
           onChange: () => {
             this.#tellLoad();
           },
@@ -161,6 +175,13 @@
     this.#tellLoad();
   }
 
+  #applyTakeovers(book: TakeoverBook): void {
+    for (const [shard, candidate] of this.#candidates) {
+      if (this.#takeovers?.mustYield(shard) === true) candidate.yield();
+      else candidate.host?.applyTakeovers(book);
+    }
+  }
+
   async #readHosts(): Promise<void> {
     const hosts = await this.#runtime.hostList.read();
     if (hosts.isErr()) return;
@@ -280,6 +301,9 @@
   }
 
   #findHost(requestId: string): ShardHost | undefined {
+    const heir = this.#takeovers?.book.findHeir(requestId);
+    const host = heir === undefined ? undefined : this.#candidates.get(heir)?.host;
+    if (host !== undefined) return host;
     return this.#candidates.get(requestId.split('.')[0] ?? '')?.host;
   }
 
--- a/packages/scheduler/src/ShardCandidate.ts
+++ b/packages/scheduler/src/ShardCandidate.ts
@@ -34,6 +34,8 @@
   readonly listPeers: () => readonly Link[];
   /** Called after the ownership began or ended. */
   readonly onChange: () => void;
+  /** Whether another data centre takes the work of the shard over by an operator's word. */
+  readonly mustYield: () => boolean;
 }
 
 /** Candidate for the ownership of one shard: claims it whenever nobody else does. */
@@ -77,9 +79,10 @@
     const { clock, random } = this.#parts.runtime;
     while (this.#wanted) {
       const policy = this.#parts.readPolicy();
-      const claim = policy === undefined ? undefined : await this.#acquire();
+      const mayClaim = policy !== undefined && !this.#parts.mustYield();
+      const claim = mayClaim ? await this.#acquire() : undefined;
       if (policy !== undefined && claim !== undefined) await this.#serve(claim, policy);
-      else if (policy !== undefined && this.#mayTryWithoutStore) {
+      else if (mayClaim && this.#mayTryWithoutStore) {
         await this.#serveWithoutStore(policy);
       }
       const isExpected = clock.now() < this.#handoverUntil;
@@ -102,6 +105,12 @@
     return true;
   }
 
+  /** Gives the shard up for as long as another data centre takes its work over. */
+  public yield(): void {
+    const detail = 'an operator declared the data centre lost';
+    if (this.#host !== undefined) void this.#giveUp(detail);
+  }
+
   /** Gives the shard up, after its state was handed to a peer if there is one. */
   public async stop(): Promise<void> {
     this.#wanted = false;
@@ -203,6 +212,7 @@
         claim,
         provisional,
         readStanding: () => this.#keeper.standing,
+        readContact: () => this.#keeper.contactAt,
         onServing: onChange,
         onLost: (detail, epoch) => {
           this.#noteEpoch(epoch);
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -2,8 +2,13 @@
   AllotmentKeeper,
   createFailure,
   Journal,
+  listReleasedQueues,
   periods,
+  PledgeKeeper,
+  readJournal,
   Shard,
+  TakeoverBook,
+  TakeoverEditor,
   type ClaimStanding,
   type Effect,
   type KeyRing,
@@ -14,6 +19,7 @@
   Claim,
   Failure,
   HostRecord,
+  JournalEntry,
   ReplyBody,
   RequestView,
   ShardLoad,
@@ -21,7 +27,7 @@
   SubmitCall,
 } from '@toucanline/schema';
 import type { ProcessRuntime } from '@toucanline/runtime';
-import type { Result } from 'neverthrow';
+import { err, type Result } from 'neverthrow';
 import { RequestWaiters } from './RequestWaiters.js';
 
 const tickMs = 250;
@@ -34,6 +40,11 @@
 const quiesceMs = 300;
 const quiescePollMs = 2;
 
+const readEntryId = (entry: JournalEntry): string => {
+  if (entry.entry === 'accepted') return entry.request.id;
+  return entry.entry === 'intent' ? entry.requestId : entry.view.id;
+};
+
 /** The right by which a process acts as the owner. */
 interface Ownership {
   readonly claim: Claim;
@@ -41,6 +52,8 @@
   readonly provisional: boolean;
   /** Reads what is known about the store lease at this moment. */
   readonly readStanding: () => ClaimStanding;
+  /** Reads the local monotonic time before the last contact of an owner with the store. */
+  readonly readContact: () => number;
   /** Called once requests may be submitted. */
   readonly onServing: () => void;
   /** Called once a worker proves that it accepted another owner. */
@@ -56,6 +69,8 @@
   readonly #allotments: AllotmentKeeper;
   readonly #waiters = new RequestWaiters();
   readonly #ownership: Ownership;
+  readonly #pledge: PledgeKeeper;
+  readonly #takeovers: TakeoverEditor;
   /** Local monotonic time of the first start, in milliseconds. */
   readonly #startsAt: number;
   #active = true;
@@ -65,6 +80,12 @@
   #allotting = false;
   #inFlight = 0;
   #pumping = false;
+  #inheriting = false;
+  #pledging = false;
+  #book = new TakeoverBook();
+  #policy: Policy;
+  /** Local monotonic time at which the first queue was given up. */
+  #releasedAt: number | undefined;
 
   /**
    * @param runtime - the process
@@ -111,6 +132,9 @@
       runtime.holder.revision,
     );
     this.#journal = new Journal(store, clock, random, shard, epoch);
+    this.#policy = policy;
+    this.#pledge = new PledgeKeeper(runtime, shard);
+    this.#takeovers = new TakeoverEditor(runtime);
     // Workers that do not fence obey a former owner until its longest lease has ended.
     this.#startsAt = clock.now() + (gateway.fences ? 0 : periods.workerLeaseMs + retryMs);
   }
@@ -125,6 +149,12 @@
     return this.#active && !this.#frozen && this.#serving;
   }
 
+  /** Whether the claim was confirmed by the store a moment ago. */
+  public get isConnected(): boolean {
+    const isConfirmed = this.#ownership.readStanding() === 'confirmed';
+    return this.isServing && !this.#ownership.provisional && isConfirmed;
+  }
+
   /** Whether this process still acts as the owner. */
   public get isActive(): boolean {
     return this.#active;
@@ -169,6 +199,7 @@
    * @param policy - policy in effect
    */
   public applyPolicy(policy: Policy): void {
+    this.#policy = policy;
     this.#shard.applyPolicy(policy);
     this.#allotments.applyPolicy(policy, this.#runtime.holder.revision);
     this.#pump();
@@ -204,6 +235,17 @@
     this.#allotments.applyLoads(loads);
   }
 
+  /**
+   * Applies what passed between data centres: drops what others took, takes in what this shard was given.
+   *
+   * @param book - the record of takeovers
+   */
+  public applyTakeovers(book: TakeoverBook): void {
+    this.#shard.applyTakeovers(book);
+    if (!this.#inheriting && this.#journalOpen) void this.#inherit(book);
+    this.#pump();
+  }
+
   /**
    * Takes a request; a journaled one is answered after its commit.
    *
@@ -213,6 +255,9 @@
   public async submit(call: SubmitCall): Promise<ReplyBody> {
     const refused = this.#checkReady(call);
     if (refused !== undefined) return { reply: 'failure', failure: refused };
+    const taken = await this.#takeAttached(call);
+    if (taken !== undefined) return { reply: 'failure', failure: taken };
+    if (!this.#isActive()) return this.#replyLost();
     const result = this.#shard.submit(call);
     this.#pump();
     if (result.isErr()) return { reply: 'failure', failure: result.error };
@@ -322,10 +367,16 @@
   async #openJournal(): Promise<void> {
     if (this.#ownership.provisional) return;
     while (this.#isActive()) {
-      const opened = await this.#journal.open();
+      const opened = await this.#loadTakeovers().then((failure) =>
+        failure === undefined ? this.#journal.open() : err(failure),
+      );
       if (!this.#isActive()) return;
       if (opened.isOk()) {
-        this.#shard.loadJournal(opened.value);
+        const { name } = this.#shard;
+        const own = opened.value.filter(
+          (entry) => !this.#book.isTakenFrom(readEntryId(entry), name),
+        );
+        this.#shard.loadJournal(own);
         this.#journalOpen = true;
         this.#updateServing();
         this.#pump();
@@ -336,6 +387,75 @@
     }
   }
 
+  /**
+   * Learns what passed to other data centres before anything of the journal can start, and tells them
+   * what they may rely on.
+   */
+  async #loadTakeovers(): Promise<Failure | undefined> {
+    const book = await this.#takeovers.read();
+    if (book.isErr()) return book.error;
+    this.#book = book.value;
+    this.#shard.applyTakeovers(book.value);
+    if (await this.#pledge.write(this.#policy.releases)) return undefined;
+    return createFailure('storeUnavailable', 'the pledge of the shard cannot be written');
+  }
+
+  /** Until the store has a changed pledge, the shorter of both times counts here. */
+  async #keepPledge(): Promise<void> {
+    const { releases } = this.#policy;
+    const isDue = this.#journalOpen && !this.#pledging && !this.#pledge.isInStep(releases);
+    if (!isDue) return;
+    this.#pledging = true;
+    if (!(await this.#pledge.write(releases))) await this.#runtime.clock.sleep(retryMs);
+    this.#pledging = false;
+  }
+
+  /** Takes in the requests that this shard was given, and notes it once the own journal has them. */
+  async #inherit(book: TakeoverBook): Promise<void> {
+    this.#inheriting = true;
+    for (const takeover of book.listInheritances(this.#shard.name)) {
+      const { shard, requests } = takeover;
+      const mine = Object.entries(requests).filter(([, heir]) => heir === this.#shard.name);
+      const entries = await readJournal(this.#runtime.store, shard);
+      if (entries.isErr() || !this.#isActive() || this.#frozen) continue;
+      const isDone = this.#shard.takeOver(entries.value, new Set(mine.map(([id]) => id)));
+      this.#pump();
+      if (isDone) await this.#takeovers.noteInherited(takeover, this.#shard.name);
+    }
+    this.#inheriting = false;
+  }
+
+  /** An attached request of another shard belongs to this one once the record says so. */
+  async #takeAttached({ shard, request, remainingMs }: SubmitCall): Promise<Failure | undefined> {
+    const former = request.id.split('.')[0] ?? '';
+    if (former === shard || this.#shard.knows(request.id)) return undefined;
+    if (!request.idempotent) {
+      return createFailure('outcomeUnknown', `it may have started in the shard ${former}`);
+    }
+    const { id, queue } = request;
+    const deadlineMs = remainingMs + periods.retentionMs;
+    const taken = await this.#takeovers.take(id, former, queue, shard, deadlineMs);
+    return taken.isOk() ? undefined : taken.error;
+  }
+
+  /** Gives queues up whose time without store contact has passed; a later contact needs a new claim. */
+  #checkCutOff(): void {
+    const contactAt = this.#ownership.readContact();
+    if (this.#releasedAt !== undefined && contactAt > this.#releasedAt) {
+      this.#ownership.onLost('the data centre was cut off and gave work up', this.#shard.epoch);
+      return;
+    }
+    const now = this.#runtime.clock.now();
+    const { releases } = this.#policy;
+    const { pledged } = this.#pledge;
+    const queues = listReleasedQueues({ releases, pledged, contactAt, now });
+    if (queues.size === 0) return;
+    this.#releasedAt ??= now;
+    // An end of given-up work must not enter the journal: other data centres decide about it.
+    this.#journal.close();
+    this.#shard.release(queues);
+  }
+
   /** Requests are taken once the journal is loaded, or without it while the store is unreachable. */
   #updateServing(): void {
     if (this.#serving) return;
@@ -362,6 +482,8 @@
   async #keepTime(): Promise<void> {
     while (this.#active) {
       if (this.#mayAct) {
+        this.#checkCutOff();
+        void this.#keepPledge();
         this.#shard.tick();
         this.#updateServing();
       }
