--- a/packages-private/testkit/src/Site.ts
+++ b/packages-private/testkit/src/Site.ts
@@ -32,6 +32,8 @@
   readonly platform?: { readonly store?: string; readonly hosts?: string };
   /** Store that the daemons of a data centre use, such as a proxy; undefined for the usual one. */
   readonly findStore?: (dataCentre: string) => string | undefined;
+  /** Host list that the daemons of a data centre use; undefined for the usual one. */
+  readonly findHosts?: (dataCentre: string) => string | undefined;
   /** Puts a proxy in front of a scheduler; returns the address for the host list. */
   readonly publishScheduler?: (address: string, process: string) => Promise<string>;
 }
@@ -264,7 +266,8 @@
       platform: {
         store:
           this.#options.findStore?.(dataCentre) ?? this.#options.platform?.store ?? this.store.url,
-        hosts: this.#options.platform?.hosts ?? this.hosts.url,
+        hosts:
+          this.#options.findHosts?.(dataCentre) ?? this.#options.platform?.hosts ?? this.hosts.url,
       },
       operatorKeyHash: hash(operatorKey),
       ...(this.#options.production === undefined ? {} : { production: this.#options.production }),
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -322,6 +322,15 @@
     return this.#taken.take(entries, ids);
   }
 
+  /**
+   * Notes a request that a lost data centre may have started and that must not start again.
+   *
+   * @param request - the request
+   */
+  public addUnknown(request: SubmitCall['request']): void {
+    this.#taken.addUnknown(request);
+  }
+
   /**
    * Checks whether a request is known here.
    *
--- a/packages/core/src/TakenWork.ts
+++ b/packages/core/src/TakenWork.ts
@@ -1,4 +1,4 @@
-import type { Failure, JournalEntry } from '@toucanline/schema';
+import type { Failure, JournalEntry, Request } from '@toucanline/schema';
 import { createFailure } from './createFailure.js';
 import type { InheritedWork } from './InheritedWork.js';
 import type { JournaledRequest } from './JournaledRequest.js';
@@ -65,6 +65,20 @@
     return missing.length === 0;
   }
 
+  /**
+   * Notes a request that a lost data centre may have started and that must not start again, so that its
+   * caller can read that.
+   *
+   * @param request - the request
+   */
+  public addUnknown(request: Request): void {
+    const { clock } = this.#context;
+    if (this.#parts.table.find(request.id) !== undefined) return;
+    const record = new RequestRecord(request, clock.now(), clock.now());
+    this.#parts.table.add(record);
+    this.#endUnknown(record);
+  }
+
   /**
    * Confirms the commit of a request that was taken in.
    *
@@ -91,10 +105,14 @@
     this.#parts.table.add(record);
     recorder.record('requestAdmitted', { requestId: request.id, team: request.team, shard });
     if (!request.idempotent && hasIntent) {
-      record.markUncertain(1);
-      const detail = 'it may have started in a data centre that is cut off or lost';
-      this.#parts.lifecycle.finish(record, 'unknown', createFailure('outcomeUnknown', detail));
+      this.#endUnknown(record);
     } else this.#parts.inherited.enqueue(record);
     this.#context.emit({ effect: 'changed', requestId: request.id });
   }
+
+  #endUnknown(record: RequestRecord): void {
+    record.markUncertain(1);
+    const detail = 'it may have started in a data centre that is cut off or lost';
+    this.#parts.lifecycle.finish(record, 'unknown', createFailure('outcomeUnknown', detail));
+  }
 }
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -267,8 +267,8 @@
   }
 
   /**
-   * Hands a request whose shard lost its work to another one. A non-idempotent request ends here, because
-   * the lost data centre may have started it.
+   * Hands a request whose shard lost its work to another one. A non-idempotent request only ends there,
+   * because the lost data centre may have started it.
    *
    * @returns undefined if the shard did not lose it, has an owner again, or no other shard took it yet
    */
@@ -279,17 +279,13 @@
   ): Promise<Result<Answer, Failure> | undefined> {
     const { request, policy } = submission;
     const { router, clock, readTakeovers } = this.#parts;
-    const { id, queue, idempotent } = request;
+    const { id, queue } = request;
     if (heldEpoch === undefined || this.#findShard(id) !== shard) return undefined;
     const takeover = readTakeovers().findTakeover(shard, queue, heldEpoch);
     const isBack = (router.findLoad(shard, freshMs)?.epoch ?? 0) > (takeover?.epoch ?? 0);
     if (takeover === undefined || isBack) return undefined;
     // The journal of the lost shard has a detached request, and the record says who takes it.
     if (request.detached) return undefined;
-    if (!idempotent) {
-      const detail = `the data centre of shard ${shard} is lost or cut off, and may have started it`;
-      return err(createFailure('outcomeUnknown', detail));
-    }
     for (const heir of router.orderShards(policy, request).slice(0, maxHops)) {
       if (heir === shard) continue;
       const remainingMs = submission.deadlineAt - clock.now();
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -429,13 +429,12 @@
   async #takeAttached({ shard, request, remainingMs }: SubmitCall): Promise<Failure | undefined> {
     const former = request.id.split('.')[0] ?? '';
     if (former === shard || this.#shard.knows(request.id)) return undefined;
-    if (!request.idempotent) {
-      return createFailure('outcomeUnknown', `it may have started in the shard ${former}`);
-    }
-    const { id, queue } = request;
+    const { id, queue, idempotent } = request;
     const deadlineMs = remainingMs + periods.retentionMs;
     const taken = await this.#takeovers.take(id, former, queue, shard, deadlineMs);
-    return taken.isOk() ? undefined : taken.error;
+    if (taken.isErr()) return taken.error;
+    if (!idempotent && this.#isActive()) this.#shard.addUnknown(request);
+    return undefined;
   }
 
   /** Gives queues up whose time without store contact has passed; a later contact needs a new claim. */
