--- /dev/null
+++ b/packages/core/__tests__/takeover.test.ts
@@ -0,0 +1,303 @@
+import type { JournalEntry, Request, Takeovers } from '@toucanline/schema';
+import { expect } from 'chai';
+import fc from 'fast-check';
+import {
+  ClaimKeeper,
+  CutOffWatch,
+  Journal,
+  listReleasedQueues,
+  periods,
+  PledgeKeeper,
+  ShardTakeover,
+  TakeoverBook,
+  TakeoverEditor,
+} from '../src/index.js';
+import { ClockModel } from './ClockModel.js';
+import { createParts } from './createParts.js';
+import { ShardModel } from './ShardModel.js';
+
+const createRequest = (id: string, queue: string, idempotent: boolean): Request => ({
+  id,
+  digest: id,
+  team: 'a',
+  queue,
+  kind: 'batch',
+  idempotent,
+  urgent: false,
+  checkpointable: false,
+  detached: true,
+  tasks: 1,
+  size: { processors: 1, memoryMb: 1, accelerators: 0 },
+  command: '',
+  runTimeMs: 1000,
+});
+
+const accept = (id: string, queue: string, idempotent = true): JournalEntry => ({
+  entry: 'accepted',
+  request: createRequest(id, queue, idempotent),
+  deadlineAtMs: 1e9,
+});
+
+const intend = (id: string): JournalEntry => ({
+  entry: 'intent',
+  requestId: id,
+  taskId: `${id}/0/1.1`,
+  worker: 'w0',
+  epoch: 1,
+});
+
+/** A store in which the owner of s2 left a journal, allotments and a pledge, and then fell silent. */
+const createLostShard = async (entries: readonly JournalEntry[]) => {
+  const clock = new ClockModel();
+  const parts = createParts(clock);
+  const { store, random } = parts;
+  const owner = new ClaimKeeper(parts, 's2', 'p2', 'address');
+  const { epoch } = (await owner.acquire())._unsafeUnwrap();
+  const journal = new Journal(store, clock, random, 's2', epoch);
+  (await journal.open())._unsafeUnwrap();
+  for (const entry of entries) (await journal.append(entry))._unsafeUnwrap();
+  const amount = { processors: 5, memoryMb: 5, accelerators: 0 };
+  const allotments = {
+    revision: 1,
+    token: 't',
+    epochs: { s2: epoch },
+    teams: { a: { s1: amount, s2: amount } },
+  };
+  await store.write('allotments', JSON.stringify(allotments), 0);
+  const pledge = new PledgeKeeper(parts, 's2');
+  expect(await pledge.write(new Map([['q', 5000]]))).to.equal(true);
+  clock.advance(periods.claimLeaseMs + 1);
+  const editor = new TakeoverEditor(parts);
+  const createTakeover = (process: string): ShardTakeover =>
+    new ShardTakeover({ ...parts, process, address: 'address' }, 's2');
+  const byTime = {
+    reason: 'time',
+    queues: new Set(['q']),
+    epoch,
+    formerEpoch: epoch,
+    pledgeVersion: pledge.version,
+  } as const;
+  return { ...parts, clock, owner, journal, editor, createTakeover, byTime, pledge };
+};
+
+const readBook = async (editor: TakeoverEditor): Promise<Takeovers> =>
+  (await editor.read())._unsafeUnwrap().record;
+
+describe('the time after which a cut-off data centre gives work up', () => {
+  it('is over on the lost side, with all worker leases, before others count it as over', () => {
+    // Guards against a takeover while a worker still runs the task, whatever the clocks do.
+    const rate = fc.double({ min: 0.99, max: 1.01, noNaN: true });
+    const times = fc.integer({ min: 5000, max: 3_600_000 });
+    fc.assert(
+      fc.property(rate, rate, times, fc.nat(5000), (lost, other, releaseMs, seenAfter) => {
+        const releases = new Map([['q', releaseMs]]);
+        const givenUp = (at: number): boolean =>
+          listReleasedQueues({ releases, pledged: new Map(), contactAt: 0, now: at * lost }).size >
+          0;
+        // The owner looks four times a second and then needs time to stop the tasks; a worker that does
+        // not answer keeps its last lease, on a clock with its own drift.
+        const releasedAt = Math.ceil(releaseMs / lost) + 250;
+        expect(givenUp(releasedAt)).to.equal(true);
+        const lastLeaseEnds =
+          releasedAt + (periods.releaseStopMs + periods.workerLeaseMs) / 0.99 + 250;
+        const watch = new CutOffWatch();
+        const seen = { isClaimed: false, epoch: 1, pledgeVersion: 1, pledged: releases };
+        const since = periods.claimLeaseMs * 0.99 + seenAfter;
+        expect(watch.observe(seen, since * other).size).to.equal(0);
+        expect(watch.observe(seen, Math.max(since, lastLeaseEnds) * other).size).to.equal(0);
+        const late = (since + CutOffWatch.calculateWaitMs(releaseMs) / other + 1) * other;
+        expect(watch.observe(seen, late).size).to.equal(1);
+      }),
+    );
+  });
+
+  it('starts again when an owner was back or promised something else', () => {
+    // Guards against time that is counted over a contact of the owner.
+    const pledged = new Map([['q', 5000]]);
+    const seen = { isClaimed: false, epoch: 1, pledgeVersion: 1, pledged };
+    const waitMs = CutOffWatch.calculateWaitMs(5000);
+    for (const change of [{ epoch: 2 }, { pledgeVersion: 2 }, { isClaimed: true }]) {
+      const watch = new CutOffWatch();
+      watch.observe(seen, 0);
+      watch.observe({ ...seen, ...change }, waitMs - 1);
+      const after = change.isClaimed === true ? seen : { ...seen, ...change };
+      expect(watch.observe(after, waitMs).size).to.equal(0);
+      expect(watch.observe(after, 2 * waitMs).size).to.equal(1);
+    }
+  });
+
+  it('follows the shorter of the document and of what was promised, also after a lost answer', async () => {
+    // Guards against an owner that goes on by a longer time than others rely on.
+    const { store, random } = createParts(new ClockModel());
+    const keeper = new PledgeKeeper({ store, random }, 's2');
+    expect(await keeper.write(new Map([['q', 60_000]]))).to.equal(true);
+    store.writeFaults = ['late'];
+    expect(await keeper.write(new Map([['q', 5000]]))).to.equal(false);
+    expect(keeper.pledged.get('q')).to.equal(5000);
+    store.deliverLate();
+    expect(await keeper.write(new Map([['q', 30_000]]))).to.equal(true);
+    expect(keeper.pledged.get('q')).to.equal(30_000);
+    const releases = new Map([['q', 60_000]]);
+    const cutOff = { releases, pledged: keeper.pledged, contactAt: 0 };
+    expect(listReleasedQueues({ ...cutOff, now: 29_999 }).size).to.equal(0);
+    expect(listReleasedQueues({ ...cutOff, now: 30_000 }).size).to.equal(1);
+  });
+});
+
+describe('the takeover of a lost shard', () => {
+  const entries = [accept('s2.a', 'q'), accept('s2.b', 'other'), accept('s2.c', 'q', false)];
+
+  it('happens once, fences the former owner and frees allotments only by an operator', async () => {
+    // Guards against two takers, and against limits that are given away while the work may go on.
+    const lost = await createLostShard([...entries, intend('s2.c')]);
+    const { createTakeover, byTime, editor, store, journal } = lost;
+    const first = await createTakeover('p1').run(byTime, ['s1']);
+    expect(first._unsafeUnwrap().requests).to.deep.equal({ 's2.a': 's1', 's2.c': 's1' });
+    const second = await createTakeover('p3').run(byTime, ['s3']);
+    expect(second._unsafeUnwrapErr().kind).to.equal('notOwner');
+    expect((await readBook(editor)).takeovers).to.have.length(1);
+    expect((await journal.append(accept('s2.late', 'q'))).isErr()).to.equal(true);
+    expect((await store.read('allotments'))._unsafeUnwrap().value).to.include('"s2":{"processors"');
+
+    const change = { state: 'lost', author: 'ann', ifGeneration: 0 } as const;
+    (await editor.declare('dc2', change))._unsafeUnwrap();
+    const word = { reason: 'word', dataCentre: 'dc2' } as const;
+    const third = await createTakeover('p1').run(word, ['s1']);
+    expect(third._unsafeUnwrap().requests).to.deep.equal({ 's2.b': 's1' });
+    const fourth = await createTakeover('p3').run(word, ['s3']);
+    expect(fourth._unsafeUnwrapErr().kind).to.equal('notOwner');
+    const text = (await store.read('allotments'))._unsafeUnwrap().value;
+    expect(text).to.include('"s1":{"processors"').and.not.include('"s2":{"processors"');
+  });
+
+  it('does not happen while an owner holds the claim or after one was back', async () => {
+    // Guards against a takeover from a data centre that returned at the last moment.
+    const lost = await createLostShard(entries);
+    const back = new ClaimKeeper(lost, 's2', 'p2', 'address');
+    (await back.acquire())._unsafeUnwrap();
+    const held = await lost.createTakeover('p1').run(lost.byTime, ['s1']);
+    expect(held._unsafeUnwrapErr().kind).to.equal('notOwner');
+    await back.release();
+    const late = await lost.createTakeover('p1').run(lost.byTime, ['s1']);
+    expect(late._unsafeUnwrapErr().kind).to.equal('notOwner');
+    expect((await readBook(lost.editor)).takeovers).to.deep.equal([]);
+  });
+
+  it('gives an attached request to one shard, also when the answer of the store is lost', async () => {
+    // Guards against two entries or two tries that start the same request in two shards.
+    const { createTakeover, byTime, editor, store } = await createLostShard([]);
+    const early = await editor.take('s2.x', 's2', 'q', 's1', 1000);
+    expect(early._unsafeUnwrapErr().kind).to.equal('notOwner');
+    (await createTakeover('p1').run(byTime, ['s1']))._unsafeUnwrap();
+    store.writeFaults = ['lost'];
+    expect((await editor.take('s2.x', 's2', 'q', 's1', 1000)).isOk()).to.equal(true);
+    const other = await editor.take('s2.x', 's2', 'q', 's3', 1000);
+    expect(other._unsafeUnwrapErr().kind).to.equal('notOwner');
+    const unlisted = await editor.take('s2.y', 's2', 'other', 's3', 1000);
+    expect(unlisted._unsafeUnwrapErr().kind).to.equal('notOwner');
+    const book = new TakeoverBook(await readBook(editor));
+    expect(book.findHeir('s2.x')).to.equal('s1');
+    expect([book.isTakenFrom('s2.x', 's2'), book.isTakenFrom('s2.x', 's1')]).to.deep.equal([
+      true,
+      false,
+    ]);
+  });
+
+  it('refuses a word about a data centre that another operator has changed', async () => {
+    // Guards against two operators who overwrite each other.
+    const { editor } = await createLostShard([]);
+    const change = { state: 'lost', author: 'ann', ifGeneration: 0 } as const;
+    (await editor.declare('dc2', change))._unsafeUnwrap();
+    (await editor.declare('dc2', change))._unsafeUnwrap();
+    const late = await editor.declare('dc2', { ...change, author: 'bob' });
+    expect(late._unsafeUnwrapErr().kind).to.equal('staleRevision');
+    expect((await readBook(editor)).words.dc2?.generation).to.equal(1);
+  });
+});
+
+describe('the shards on both sides of a takeover', () => {
+  const room = { processors: 4, memoryMb: 100, accelerators: 0 };
+
+  it('gives a released queue up: stops, forgets, takes nothing new, ends what may not run again', () => {
+    // Guards against work that goes on, or starts again, after others may have taken it.
+    const model = new ShardModel([1], room);
+    const again = model.submit({});
+    const once = model.submit({ idempotent: false });
+    const waiting = model.submit({ size: { ...room, processors: 3 } });
+    const started = model.step();
+    expect(started).to.have.length(2);
+    model.shard.release(new Set(['batch']));
+    model.step(1000);
+    expect(model.commands.map(({ action }) => action)).to.include('stop');
+    expect(model.shard.read(waiting).isErr()).to.equal(true);
+    for (const task of started) model.change(task, 'stopped');
+    for (let index = 0; index < 5; index += 1) expect(model.step(1000)).to.deep.equal([]);
+    expect(model.shard.read(again).isErr()).to.equal(true);
+    expect(model.shard.read(once)._unsafeUnwrap()).to.include({ state: 'unknown' });
+    expect(() => model.submit({})).to.throw('cut off');
+  });
+
+  it('lets the lease of a worker end that does not stop released tasks', () => {
+    // Guards against a task that nobody can stop and whose worker gets new leases for ever.
+    const model = new ShardModel([1], room);
+    model.submit({});
+    model.step();
+    model.shard.release(new Set(['batch']));
+    const before = model.shard.createRenewal('w0')?.renewal.leaseUntil ?? 0;
+    model.step(periods.releaseStopMs);
+    model.step(1000);
+    const after = model.shard.createRenewal('w0')?.renewal.leaseUntil ?? 0;
+    expect(after).to.be.at.most(before + periods.releaseStopMs);
+  });
+
+  it('starts what it was given after its own commit, and never what may have started', () => {
+    // Guards against a second run of a non-idempotent request, and against a start before the commit.
+    const model = new ShardModel([1], room);
+    const journal = [
+      accept('s2.a', 'batch'),
+      accept('s2.b', 'batch', false),
+      intend('s2.b'),
+      accept('s2.c', 'batch', false),
+      accept('s2.other', 'batch'),
+    ];
+    const ids = new Set(['s2.a', 's2.b', 's2.c']);
+    expect(model.shard.takeOver(journal, ids)).to.equal(false);
+    const commits = model.shard
+      .takeEffects()
+      .flatMap((effect) => (effect.effect === 'commit' ? [effect.ticket] : []));
+    expect(commits).to.have.length(3);
+    expect(model.step()).to.deep.equal([]);
+    for (const ticket of commits) model.shard.confirmCommit(ticket);
+    for (const effect of model.shard.takeEffects()) {
+      if (effect.effect === 'commit') model.shard.confirmCommit(effect.ticket);
+    }
+    expect(model.shard.takeOver(journal, ids)).to.equal(true);
+    const started = model.step().map(({ assignment }) => assignment.request.id);
+    expect(started).to.deep.equal(['s2.a']);
+    // A non-idempotent start waits for the commit of its intent.
+    expect(model.readState('s2.c')).to.equal('starting');
+    expect(model.shard.read('s2.b')._unsafeUnwrap()).to.include({ state: 'unknown' });
+  });
+
+  it('stops what others took over, also when a worker reports it later', () => {
+    // Guards against a returning data centre that goes on with taken work.
+    const model = new ShardModel([1], room);
+    const id = model.submit({});
+    const [task] = model.step();
+    const takeover = {
+      shard: 's1',
+      epoch: 9,
+      formerEpoch: 1,
+      atMs: 0,
+      untilMs: 1e9,
+      requests: { [id]: 's3' },
+      inheritedBy: [],
+    };
+    model.shard.applyTakeovers(new TakeoverBook({ token: 't', words: {}, takeovers: [takeover] }));
+    model.step(100);
+    expect(model.commands.at(-1)).to.include({ action: 'stop', cancelled: true });
+    if (task !== undefined) model.change(task, 'stopped');
+    expect(model.step(5000)).to.deep.equal([]);
+    expect(model.readState(id)).to.equal('cancelled');
+  });
+});
