--- a/packages-private/testkit/src/Site.ts
+++ b/packages-private/testkit/src/Site.ts
@@ -36,6 +36,8 @@
     dataCentre: string,
     process: string,
   ) => string | undefined | Promise<string | undefined>;
+  /** Host list that the daemons of a data centre use; undefined for the usual one. */
+  readonly findHosts?: (dataCentre: string) => string | undefined;
   /** Puts a proxy in front of a scheduler; returns the address for the host list. */
   readonly publishScheduler?: (address: string, process: string) => Promise<string>;
   /** Network through which the data centres reach the platform and each other. */
@@ -277,7 +279,8 @@
           (await this.#options.findStore?.(dataCentre, process)) ??
           this.#options.platform?.store ??
           this.store.url,
-        hosts: this.#options.platform?.hosts ?? this.hosts.url,
+        hosts:
+          this.#options.findHosts?.(dataCentre) ?? this.#options.platform?.hosts ?? this.hosts.url,
         ...this.#options.partition?.findPlatform(dataCentre),
       },
       operatorKeyHash: hash(operatorKey),
--- a/packages/scheduler/__tests__/majority.test.ts
+++ b/packages/scheduler/__tests__/majority.test.ts
@@ -48,6 +48,10 @@
     return Promise.resolve(ok(undefined));
   }
 
+  public override interrupt(): void {
+    // A poll of these workers ends by itself within 20 ms.
+  }
+
   public override async renew(worker: string, renewal: Renewal): Promise<WorkerResponse<Report>> {
     await sleep(20);
     const state = { epoch, owner, bootId: 'boot' };
@@ -110,6 +114,7 @@
           claim: { shard, epoch, owner, address: '', token: 't' },
           provisional,
           readStanding: () => standing,
+          readContact: () => performance.now(),
           onServing: () => undefined,
           onLost: (detail) => lost.push(detail),
         },
