Do not answer the held renewal of a worker for a start

Cause: each start ended the poll of its worker, although the response to the start command tells it already: a short task cost two polls. Change: a start counts as a change that the next answer of the worker has, and does not end the wait. A start whose response is lost is settled by the full report that the scheduler then asks for.

--- a/packages-private/testkit/src/WorkerFake.ts
+++ b/packages-private/testkit/src/WorkerFake.ts
@@ -191,7 +191,8 @@
     });
     this.#tasks.set(taskId, task);
     this.#ledger.noteStart(id, assignment);
-    this.#noteChange(task);
+    // The response tells the start, so the held renewal goes on.
+    this.#countChange(task);
     if (this.#failsAll) task.end('failed', 'the worker is broken');
     else task.run();
     return { status: 200, body: {} };
@@ -257,9 +258,13 @@
   }
 
   #noteChange(task: FakeTask): void {
+    this.#countChange(task);
+    this.#wake();
+  }
+
+  #countChange(task: FakeTask): void {
     this.#sequence += 1;
     task.setSequence(this.#sequence);
-    this.#wake();
   }
 
   #wake(): void {
