--- a/packages/core/__tests__/ModelSite.ts
+++ b/packages/core/__tests__/ModelSite.ts
@@ -148,6 +148,8 @@
       size: { processors, memoryMb: 64, accelerators: 0 },
       command: `${kind === 'service' ? 1e9 : runTimeMs} ${fails ? 'fail' : 'ok'}`,
       runTimeMs,
+      receivedAtMs: this.now,
+      deadlineAtMs: this.now + deadlineMs,
       ...(hasKey ? { idempotencyKey: `${queue}-${key}` } : {}),
     };
     const held: Held = {
@@ -272,12 +274,18 @@
   /** Tasks that run although their request is over. */
   public get orphans(): readonly string[] {
     // A service that an entry answered as unknown may run: its caller finds and cancels it by id.
-    const services = this.#held.flatMap(({ request, answer, isOver }) =>
-      answer?.state === 'running' || (isOver && request.kind === 'service')
-        ? [answer?.id ?? request.id]
+    const unknown = this.#held.flatMap(({ request, answer, isOver }) =>
+      isOver && request.kind === 'service' ? [answer?.id ?? request.id] : [],
+    );
+    // The tasks of a repeat may carry the id of the earlier request with the same idempotency key.
+    const served = this.#held.flatMap(({ answer }) =>
+      answer?.state === 'running'
+        ? answer.tasks.map(({ id }) => id.split('/').slice(0, 2).join('/'))
         : [],
     );
-    return this.ledger.running.filter((name) => !services.includes(name.split('/')[0] ?? ''));
+    return this.ledger.running.filter(
+      (name) => !served.includes(name) && !unknown.includes(name.split('/')[0] ?? ''),
+    );
   }
 
   /** Work that the owner counts as running. */
@@ -456,6 +464,7 @@
       const id = held.answer?.id ?? held.request.id;
       const isDone = held.answer !== undefined && isAnswered(held.answer);
       if (isDone && held.answer?.kind !== 'service') continue;
+      if (!isDone) owner.shard.noteWanted(id);
       const view = owner.shard.read(id, 'planning');
       if (view.isOk() && !owner.shard.isCommitting(id))
         this.#observe(held, view.value, owner.shard.epoch);
@@ -477,7 +486,9 @@
     held.attempt = view.attempt;
     held.answer = view;
     const isFinal = isAnswered(view) && view.state !== 'running';
-    const didRun = this.ledger.hasRun(view.id);
+    // The tasks of a repeat may carry the id of the earlier request with the same idempotency key.
+    const taskIds = view.tasks.map(({ id }) => id.split('/')[0] ?? '');
+    const didRun = [view.id, ...taskIds].some((id) => this.ledger.hasRun(id));
     if (isFinal && view.ran === 'no') this.ledger.noteNotRun(view.id);
     if (isFinal && view.ran === 'yes' && !didRun) {
       this.ledger.report(`${view.id} did not run but was answered "ran: yes"`);
--- a/packages/core/__tests__/ModelWorker.ts
+++ b/packages/core/__tests__/ModelWorker.ts
@@ -19,6 +19,7 @@
   readonly state: TaskState;
   readonly sequence: number;
   readonly endsAt: number;
+  readonly cancelled?: boolean;
 }
 
 const room: Resources = { processors: 4, memoryMb: 4096, accelerators: 0 };
@@ -113,11 +114,16 @@
     return undefined;
   }
 
-  public command({ authority, taskId, action }: TaskCommand): WorkerRefusal | undefined {
+  public command({ authority, taskId, action, cancelled }: TaskCommand): WorkerRefusal | undefined {
     const refused = this.#check(authority);
     if (refused !== undefined) return refused;
-    const task = this.#tasks.get(taskId);
+    let task = this.#tasks.get(taskId);
     if (task === undefined) return this.#refuse('unknownTask');
+    if (cancelled === true) {
+      this.#sequence += 1;
+      task = { ...task, cancelled, sequence: this.#sequence };
+      this.#tasks.set(taskId, task);
+    }
     if (action === 'stop' && task.state === 'running') this.#end(task, 'stopped');
     return undefined;
   }
@@ -184,12 +190,13 @@
     this.#ledger.noteEnd(this.id, task.assignment);
   }
 
-  #describe({ assignment, state }: ModelTask): TaskReport {
+  #describe({ assignment, state, cancelled }: ModelTask): TaskReport {
     const { taskId, request } = assignment;
     return {
       assignment,
       state,
       usage: request.size,
+      ...(cancelled === true ? { cancelled } : {}),
       ...(state === 'succeeded' ? { output: taskId } : {}),
     };
   }
--- a/packages/core/src/Acceptance.ts
+++ b/packages/core/src/Acceptance.ts
@@ -1,6 +1,7 @@
 import type { Failure, RequestView, SubmitCall } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
 import type { Admission } from './Admission.js';
+import { createAcceptedEntry } from './createAcceptedEntry.js';
 import { createFailure } from './createFailure.js';
 import type { InheritedWork } from './InheritedWork.js';
 import type { KeyRing } from './KeyRing.js';
@@ -13,6 +14,9 @@
 /** Covers the transport of a request and the difference in speed of two clocks over its deadline. */
 const heldMarginMs = 5000;
 
+/** Interval between attempts to write a request that the store did not take. */
+const keepRetryMs = 1000;
+
 /** Parts of the shard that acceptance reads and changes. */
 interface AcceptanceParts {
   readonly table: RequestTable;
@@ -28,6 +32,11 @@
   readonly #context: ShardContext;
   readonly #parts: AcceptanceParts;
   readonly #commits = new Map<number, RequestRecord>();
+  /** Requests that were taken without a commit and are written later, by ticket. */
+  readonly #keeps = new Map<number, RequestRecord>();
+  /** Requests to write again, because the store did not take them. */
+  readonly #unkept = new Set<RequestRecord>();
+  #keptAt = -Infinity;
   #nextTicket = 1;
 
   /**
@@ -101,11 +110,14 @@
    * @param failure - why the entry is not in the journal, unless it is
    */
   public confirm(ticket: number, failure?: Failure): void {
+    this.#confirmKeep(ticket, failure);
     const record = this.#commits.get(ticket);
     if (record === undefined) return;
     this.#commits.delete(ticket);
-    if (failure === undefined) this.#parts.inherited.enqueue(record);
-    else {
+    if (failure === undefined) {
+      record.confirmAcceptance();
+      this.#parts.inherited.enqueue(record);
+    } else {
       const isOpen = failure.kind === 'outcomeUnknown';
       // The acceptance may be in the journal, where the next owner finds and starts it.
       if (isOpen) record.markUncertain(0);
@@ -115,6 +127,39 @@
     this.#context.emit({ effect: 'changed', requestId: record.id });
   }
 
+  /**
+   * Writes an attached request to the journal, because its caller stops to wait: it then outlasts the
+   * entry, and its end is written too.
+   *
+   * @param record - the request
+   */
+  public keep(record: RequestRecord): void {
+    if (record.isFinished || record.isAccepted) return;
+    this.#unkept.delete(record);
+    this.#keeps.set(this.#writeAccepted(record), record);
+  }
+
+  /** Writes again what the store did not take. */
+  public tick(): void {
+    const now = this.#context.clock.now();
+    if (this.#unkept.size === 0 || now - this.#keptAt < keepRetryMs) return;
+    this.#keptAt = now;
+    for (const record of [...this.#unkept]) this.keep(record);
+    this.#unkept.clear();
+  }
+
+  #confirmKeep(ticket: number, failure?: Failure): void {
+    const record = this.#keeps.get(ticket);
+    if (record === undefined) return;
+    this.#keeps.delete(ticket);
+    if (failure === undefined) record.confirmAcceptance();
+    else if (failure.kind !== 'outcomeUnknown') {
+      record.setAccepted(false);
+      if (!record.isFinished) this.#unkept.add(record);
+    }
+    this.#context.emit({ effect: 'changed', requestId: record.id });
+  }
+
   /** An entry may not have learned yet that a key was withdrawn. */
   #checkKey({ request: { keyId } }: SubmitCall): Result<void, Failure> {
     if (keyId === undefined || this.#parts.readKeyRing()?.isWithdrawn(keyId) !== true)
@@ -131,6 +176,7 @@
       const detail = 'the idempotency key was used with another request body or queue';
       return err(createFailure('conflictingKey', detail));
     }
+    this.#parts.lifecycle.noteWanted(record);
     if (record.deadlineAt === Infinity) {
       record.setDeadline(this.#context.clock.now() + remainingMs);
     }
@@ -138,18 +184,15 @@
   }
 
   #commitAccepted(record: RequestRecord): void {
+    this.#commits.set(this.#writeAccepted(record), record);
+  }
+
+  #writeAccepted(record: RequestRecord): number {
     const { clock, emit } = this.#context;
     const ticket = this.#nextTicket;
     this.#nextTicket += 1;
-    this.#commits.set(ticket, record);
     record.setAccepted(true);
-    const left = record.deadlineAt - clock.now();
-    const entry = {
-      entry: 'accepted',
-      request: record.request,
-      deadlineAtMs: clock.wallTime() + left,
-      atMs: clock.wallTime(),
-    } as const;
-    emit({ effect: 'commit', ticket, entry });
+    emit({ effect: 'commit', ticket, entry: createAcceptedEntry(record, clock) });
+    return ticket;
   }
 }
--- a/packages/core/src/InheritedWork.ts
+++ b/packages/core/src/InheritedWork.ts
@@ -1,6 +1,7 @@
-import type { JournalEntry, ShardSnapshot } from '@toucanline/schema';
+import type { AcceptedEntry, JournalEntry, ShardSnapshot } from '@toucanline/schema';
 import { createFailure } from './createFailure.js';
 import type { Fleet } from './Fleet.js';
+import { periods } from './periods.js';
 import type { Recovery } from './Recovery.js';
 import type { RequestLifecycle } from './RequestLifecycle.js';
 import { RequestRecord } from './RequestRecord.js';
@@ -9,8 +10,6 @@
 import type { TaskTracker } from './TaskTracker.js';
 import type { WaitingQueue } from './WaitingQueue.js';
 
-/** Largest difference that is expected between the wall clocks of two hosts. */
-const wallClockMarginMs = 5000;
 /** Time within which an owner confirms or disproves a start: its window, two polls and a lease. */
 const uncertainMs = 60_000;
 
@@ -40,34 +39,31 @@
 
   /**
    * Loads the journal of earlier owners. Requests that workers reported before or that a snapshot brought
-   * keep their state.
+   * keep their state, unless the journal has their end.
    *
    * @param entries - entries, oldest first
    */
   public loadJournal(entries: readonly JournalEntry[]): void {
     const { clock } = this.#context;
     const loaded = new Map<string, RequestRecord>();
+    const known = new Map<string, RequestRecord>();
     for (const entry of entries) {
       if (entry.entry === 'accepted') {
-        const deadlineAt = clock.now() + entry.deadlineAtMs - clock.wallTime();
-        const known = this.#parts.table.find(entry.request.id);
-        if (known?.deadlineAt === Infinity) known.setDeadline(deadlineAt);
-        if (known !== undefined) continue;
-        const record = new RequestRecord(entry.request, clock.now(), deadlineAt);
-        // The earlier owner may have started it: only the reports of the workers prove that it did not.
-        const age = clock.wallTime() - (entry.atMs ?? -Infinity) + wallClockMarginMs;
-        record.markUncertain(0, clock.now() - age);
-        record.setAccepted(true);
-        this.#parts.table.add(record);
-        loaded.set(record.id, record);
+        const record = this.#parts.table.find(entry.request.id);
+        if (record !== undefined) known.set(record.id, record);
+        else loaded.set(entry.request.id, this.#loadAccepted(entry));
       } else if (entry.entry === 'intent') {
         loaded.get(entry.requestId)?.markUncertain(1, Infinity);
       } else {
-        const record = loaded.get(entry.view.id);
-        loaded.delete(entry.view.id);
-        record?.restore(entry.view, clock.now());
+        const { id } = entry.view;
+        loaded.get(id)?.restore(entry.view, clock.now());
+        loaded.delete(id);
+        const record = known.get(id);
+        known.delete(id);
+        if (record !== undefined) this.#parts.lifecycle.endEarlier(record, entry.view);
       }
     }
+    for (const record of known.values()) this.#parts.lifecycle.noteJournaled(record);
     for (const record of loaded.values()) {
       if (this.#parts.recovery.isComplete) this.#release(record);
       else this.#parts.recovery.hold(record);
@@ -143,6 +139,18 @@
     return true;
   }
 
+  #loadAccepted({ request, deadlineAtMs, atMs }: AcceptedEntry): RequestRecord {
+    const { clock } = this.#context;
+    const deadlineAt = clock.now() + deadlineAtMs - clock.wallTime();
+    const record = new RequestRecord(request, clock.now(), deadlineAt);
+    // The earlier owner may have started it: only the reports of the workers prove that it did not.
+    const age = clock.wallTime() - (atMs ?? -Infinity) + periods.wallClockMarginMs;
+    record.markUncertain(0, clock.now() - age);
+    record.confirmAcceptance();
+    this.#parts.table.add(record);
+    return record;
+  }
+
   /** Lets a held request go on: only proof or idempotence permits a start. */
   #release(record: RequestRecord): void {
     if (record.isFinished || record.activeTasks.length > 0) return;
@@ -150,13 +158,13 @@
     if (this.#context.clock.now() >= record.deadlineAt) return;
     if (this.#parts.recovery.disproves(record)) record.clearUncertain();
     const detail = 'a worker that may have run the request cannot be reached or restarted';
-    if (record.ran === 'no' || record.request.idempotent) this.#parts.queue.add(record);
+    if (record.ran === 'no' || record.request.idempotent) this.#parts.lifecycle.enqueue(record);
     else this.#parts.lifecycle.finish(record, 'unknown', createFailure('outcomeUnknown', detail));
   }
 
   /** Queues a request whose former owner had not started all of its tasks. */
   #enqueueRest(record: RequestRecord): void {
     if (record.isFinished || record.stopPlan !== undefined) return;
-    if (record.pendingIndexes.length > 0) this.#parts.queue.add(record);
+    if (record.pendingIndexes.length > 0) this.#parts.lifecycle.enqueue(record);
   }
 }
--- a/packages/core/src/RequestLifecycle.ts
+++ b/packages/core/src/RequestLifecycle.ts
@@ -1,4 +1,12 @@
-import type { Failure, Request, RequestState, TaskCommand, TaskDelta } from '@toucanline/schema';
+import type {
+  Failure,
+  Request,
+  RequestState,
+  RequestView,
+  TaskCommand,
+  TaskDelta,
+} from '@toucanline/schema';
+import { createAcceptedEntry } from './createAcceptedEntry.js';
 import { createFailure } from './createFailure.js';
 import type { Fleet } from './Fleet.js';
 import { periods } from './periods.js';
@@ -23,6 +31,13 @@
 
 /** Tickets of ends start here, above those of acceptances, so that the two cannot be mistaken. */
 const firstFinishTicket = 2 ** 40;
+/** Ticket of an acceptance that is written together with the end; the ticket of the end settles both. */
+const pairTicket = firstFinishTicket - 1;
+/** Interval between attempts to write ends that the store did not take. */
+const rewriteMs = 1000;
+
+/** Time after which a result is shown although its commit is not confirmed. */
+const resultPatienceMs = 2000;
 
 /** Moves requests between their states: retries, ends, cancellations, deadlines. */
 export class RequestLifecycle {
@@ -30,12 +45,19 @@
   readonly #parts: LifecycleParts;
   /** Requests that a worker reported first. */
   readonly #adopted = new WeakSet<RequestRecord>();
+  /** Requests that are known from ended tasks only. */
+  readonly #unclaimed = new Set<RequestRecord>();
+  /** Unclaimed requests that would have to start again. */
+  readonly #parked = new Set<RequestRecord>();
   /** Tasks that shall stop, with the local monotonic time of the last command. */
   readonly #stopping = new Map<TaskRecord, number>();
   /** Ends whose journal entry is not confirmed, by ticket. */
   readonly #unconfirmed = new Map<number, RequestRecord>();
+  /** Ends that are hidden from their callers, with the local monotonic time of the end. */
+  readonly #hidden = new Map<RequestRecord, number>();
   /** Ends whose last commit failed. */
   readonly #unwritten = new Set<RequestRecord>();
+  #writtenAt = -Infinity;
   #nextTicket = firstFinishTicket;
 
   /**
@@ -54,22 +76,86 @@
    * @returns its record
    */
   public adoptRequest(request: Request): RequestRecord {
-    const record = new RequestRecord(request, this.#context.clock.now(), Infinity);
+    const { clock } = this.#context;
+    const now = clock.now();
+    const offset = now - clock.wallTime();
+    const deadlineAt = (request.deadlineAtMs ?? Infinity) + offset;
+    const record = new RequestRecord(request, now, deadlineAt);
+    // Another task of it may have run elsewhere since it was received.
+    const receivedAt = (request.receivedAtMs ?? -Infinity) + offset;
+    record.noteEarlierStart(receivedAt - periods.wallClockMarginMs);
     this.#parts.table.add(record);
+    this.#unclaimed.add(record);
     return record;
   }
 
+  /**
+   * Notes that somebody wants the result of a request: its entry, a caller, the journal.
+   *
+   * @param record - the request
+   */
+  public noteWanted(record: RequestRecord): void {
+    this.#unclaimed.delete(record);
+    if (this.#parked.delete(record) && record.state === 'waiting') this.enqueue(record);
+  }
+
+  /**
+   * Queues a request. One that is known only from tasks that ended may be long over, for example cancelled
+   * or succeeded on a worker that restarted since: it starts again once somebody asks for it.
+   *
+   * @param record - the request
+   */
+  public enqueue(record: RequestRecord): void {
+    if (!this.#unclaimed.has(record)) this.#parts.queue.add(record);
+    else {
+      record.setReason('waits until its entry or its caller asks for it');
+      this.#parked.add(record);
+    }
+  }
+
   /**
    * Notes that a worker reported a task of a request.
    *
    * @param record - the request
+   * @param isActive - whether the task may still occupy the worker
    */
-  public noteAdopted(record: RequestRecord): void {
+  public noteAdopted(record: RequestRecord, isActive: boolean): void {
     this.#adopted.add(record);
+    if (isActive) this.noteWanted(record);
     this.#parts.recovery.release(record);
     this.#parts.queue.remove(record);
   }
 
+  /**
+   * Notes that the journal has the acceptance of a request that was known before it was read.
+   *
+   * @param record - the request; if it has ended, its end is written
+   */
+  public noteJournaled(record: RequestRecord): void {
+    record.confirmAcceptance();
+    this.noteWanted(record);
+    if (record.isFinished) this.#endJournaled(record);
+  }
+
+  /**
+   * Ends a request whose end under an earlier owner is in the journal, although a worker reported a task.
+   *
+   * @param record - the request
+   * @param view - its last view
+   */
+  public endEarlier(record: RequestRecord, view: RequestView): void {
+    if (record.isFinished) return;
+    this.#forgetOpen(record);
+    const active = record.activeTasks;
+    record.restore(view, this.#context.clock.now());
+    record.forgetTasks();
+    for (const task of active) {
+      const worker = this.#parts.fleet.find(task.worker);
+      if (worker !== undefined) this.stopTask(worker, task);
+    }
+    this.#context.emit({ effect: 'changed', requestId: record.id });
+  }
+
   /**
    * Ends a request.
    *
@@ -80,11 +166,8 @@
   public finish(record: RequestRecord, state: RequestState, failure?: Failure): void {
     const { clock, invariant, recorder, emit } = this.#context;
     if (record.isFinished) return;
-    this.#parts.queue.remove(record);
-    this.#parts.recovery.release(record);
+    this.#forgetOpen(record);
     record.finish(state, clock.now(), failure);
-    // Until the journal has the end, a new owner could start the request again.
-    if (record.isAccepted) record.awaitEnd();
     invariant.check(
       record.activeTasks.length === 0,
       () => `request ${record.id} ended as ${state} while a task was active`,
@@ -96,7 +179,22 @@
       detail: failure === undefined ? state : `${state}: ${failure.kind}: ${failure.detail}`,
     });
     emit({ effect: 'changed', requestId: record.id });
-    if (record.isAccepted) this.#writeFinish(record);
+    // The entry that holds a cancelled request may not learn of it before the owner fails.
+    if (record.isAccepted || state === 'cancelled') this.#endJournaled(record);
+  }
+
+  #forgetOpen(record: RequestRecord): void {
+    this.#parts.queue.remove(record);
+    this.#parts.recovery.release(record);
+    this.#unclaimed.delete(record);
+    this.#parked.delete(record);
+  }
+
+  /** Until the journal has the end, a new owner could start the request again. */
+  #endJournaled(record: RequestRecord): void {
+    record.awaitEnd();
+    this.#hidden.set(record, this.#context.clock.now());
+    this.#writeFinish(record);
   }
 
   /**
@@ -112,12 +210,33 @@
     this.#unconfirmed.delete(ticket);
     if (record === undefined) return true;
     if (failure !== undefined) this.#unwritten.add(record);
-    // Without the store the caller gets a result that exists, but no claim that nothing will run.
-    if (failure === undefined || record.ran !== 'no') record.confirmEnd();
+    if (failure === undefined) record.confirmEnd();
+    else this.#showResult(record);
+    if (!record.awaitsEnd) this.#hidden.delete(record);
     this.#context.emit({ effect: 'changed', requestId: record.id });
     return true;
   }
 
+  /**
+   * Without the store the caller gets a result that exists, but no claim that nothing will run: a later
+   * owner that does not find the end would start the request again.
+   */
+  #showResult(record: RequestRecord): void {
+    if (record.ran !== 'no' && record.state !== 'cancelled') record.confirmEnd();
+  }
+
+  /** Shows results whose commit takes long, because the store may not answer at all. */
+  #showLate(now: number): void {
+    for (const [record, endedAt] of this.#hidden) {
+      if (record.awaitsEnd && now - endedAt < resultPatienceMs) return;
+      this.#showResult(record);
+      if (!record.awaitsEnd) {
+        this.#hidden.delete(record);
+        this.#context.emit({ effect: 'changed', requestId: record.id });
+      }
+    }
+  }
+
   /**
    * Cancels a request.
    *
@@ -277,15 +396,22 @@
   public tick(): void {
     const now = this.#context.clock.now();
     this.#repeatStops(now);
-    const unwritten = [...this.#unwritten];
-    this.#unwritten.clear();
-    for (const record of unwritten) this.#writeFinish(record);
+    this.#showLate(now);
+    this.#rewriteEnds(now);
     for (const record of this.#parts.table.listOpen()) {
       if (now >= record.deadlineAt) this.#expire(record);
     }
     this.#forgetFinished(now);
   }
 
+  #rewriteEnds(now: number): void {
+    if (this.#unwritten.size === 0 || now - this.#writtenAt < rewriteMs) return;
+    this.#writtenAt = now;
+    const unwritten = [...this.#unwritten];
+    this.#unwritten.clear();
+    for (const record of unwritten) this.#writeFinish(record);
+  }
+
   #repeatStops(now: number): void {
     for (const [task, sentAt] of this.#stopping) {
       const worker = this.#parts.fleet.find(task.worker);
@@ -337,7 +463,7 @@
     // During recovery another worker may still run a later attempt of an earlier owner.
     const isOpen = !this.#parts.recovery.isComplete && this.#adopted.has(record);
     if (isOpen) this.#parts.recovery.hold(record);
-    else this.#parts.queue.add(record);
+    else this.enqueue(record);
     emit({ effect: 'changed', requestId: record.id });
   }
 
@@ -370,6 +496,9 @@
     const ticket = this.#nextTicket;
     this.#nextTicket += 1;
     this.#unconfirmed.set(ticket, record);
+    if (!record.isAccepted) {
+      emit({ effect: 'commit', ticket: pairTicket, entry: createAcceptedEntry(record, clock) });
+    }
     const entry = {
       entry: 'finished',
       view: record.describeEnd(),
--- a/packages/core/src/RequestRecord.ts
+++ b/packages/core/src/RequestRecord.ts
@@ -32,6 +32,7 @@
   #stop: StopPlan | undefined;
   #restored: RequestView | undefined;
   #accepted = false;
+  #durable = false;
   #earliestStartAt = Infinity;
   #awaitsEnd = false;
 
@@ -56,6 +57,11 @@
     return this.#accepted;
   }
 
+  /** Whether the journal certainly has the acceptance. */
+  public get isDurable(): boolean {
+    return this.#durable;
+  }
+
   /** Local monotonic time before which no earlier owner can have started it, in milliseconds. */
   public get earliestStartAt(): number {
     return this.#earliestStartAt;
@@ -238,6 +244,11 @@
     this.#outputs.set(index, output);
   }
 
+  /** Forgets all tasks: those that are still active belong to no request any more. */
+  public forgetTasks(): void {
+    this.#tasks.clear();
+  }
+
   /** Forgets completed tasks, because a gang starts again as a whole. */
   public resetTasks(): void {
     this.#done.clear();
@@ -306,6 +317,15 @@
     return this.#outputs.get(index);
   }
 
+  /**
+   * Notes since when an earlier owner may have started parts of the request.
+   *
+   * @param earliestStartAt - local monotonic time before which it cannot have, in milliseconds
+   */
+  public noteEarlierStart(earliestStartAt: number): void {
+    this.#earliestStartAt = Math.min(this.#earliestStartAt, earliestStartAt);
+  }
+
   /**
    * Notes that an earlier owner may have started the request.
    *
@@ -313,7 +333,7 @@
    * @param earliestStartAt - local monotonic time before which it cannot have, in milliseconds
    */
   public markUncertain(attempt: number, earliestStartAt = -Infinity): void {
-    this.#earliestStartAt = Math.min(this.#earliestStartAt, earliestStartAt);
+    this.noteEarlierStart(earliestStartAt);
     this.#uncertainStarts += 1;
     this.#attempt = Math.max(this.#attempt, attempt);
   }
@@ -333,6 +353,17 @@
     if (!accepted) this.#awaitsEnd = false;
   }
 
+  /** Notes that the journal certainly has the acceptance. */
+  public confirmAcceptance(): void {
+    this.#accepted = true;
+    this.#durable = true;
+  }
+
+  /** Whether the end is hidden until the journal has it. */
+  public get awaitsEnd(): boolean {
+    return this.#awaitsEnd;
+  }
+
   /** Hides the end from the caller until the journal has it. */
   public awaitEnd(): void {
     this.#awaitsEnd = true;
@@ -374,6 +405,7 @@
       attempt: this.#attempt,
       tasks: [...this.#tasks.values()].map((task) => task.describe()),
       size: this.request.size,
+      ...(this.isFinished ? {} : { durable: this.#durable }),
       ...(this.#reason === undefined ? {} : { reason: this.#reason }),
       ...(this.#state === 'succeeded' ? { output } : {}),
       ...(this.#failure === undefined ? {} : { failure: this.#failure }),
--- a/packages/core/src/RequestTable.ts
+++ b/packages/core/src/RequestTable.ts
@@ -7,6 +7,8 @@
 export class RequestTable {
   readonly #records = new Map<string, RequestRecord>();
   readonly #byKey = new Map<string, RequestRecord>();
+  /** Repeats that an earlier owner took as requests of their own, by their id. */
+  readonly #repeats = new Map<string, RequestRecord>();
   readonly #open = new Set<RequestRecord>();
   /** Finished requests by the time at which their end was noted. */
   readonly #finished = new Set<RequestRecord>();
@@ -38,6 +40,7 @@
   public remove(record: RequestRecord): void {
     const { id, team, idempotencyKey } = record.request;
     this.#records.delete(id);
+    for (const [repeat, known] of this.#repeats) if (known === record) this.#repeats.delete(repeat);
     this.#open.delete(record);
     this.#finished.delete(record);
     if (idempotencyKey === undefined) return;
@@ -48,11 +51,29 @@
   /**
    * Finds a request by id.
    *
-   * @param id - identifier of the request
+   * @param id - identifier of the request or of a repeat
    * @returns the request, if known
    */
   public find(id: string): RequestRecord | undefined {
-    return this.#records.get(id);
+    return this.#records.get(id) ?? this.#repeats.get(id);
+  }
+
+  /**
+   * Finds the request that a reported task belongs to. A worker may report a task of an earlier request
+   * with the same idempotency key, if this owner took the repeat before it heard of the earlier one.
+   *
+   * @param request - the request as the task carries it
+   * @returns the request, if known; its repeat is found by its own id from then on
+   */
+  public findReported(request: Request): RequestRecord | undefined {
+    const known = this.find(request.id);
+    const { team, idempotencyKey, digest, queue } = request;
+    if (known !== undefined || idempotencyKey === undefined) return known;
+    const repeat = this.#byKey.get(createKeyName(team, idempotencyKey));
+    const isSame = repeat?.request.digest === digest && repeat.request.queue === queue;
+    if (repeat === undefined || !isSame) return undefined;
+    this.#repeats.set(request.id, repeat);
+    return repeat;
   }
 
   /**
@@ -62,7 +83,7 @@
    * @returns the earlier request, if known
    */
   public findEarlier(request: Request): RequestRecord | undefined {
-    const sameId = this.#records.get(request.id);
+    const sameId = this.find(request.id);
     if (sameId !== undefined || request.idempotencyKey === undefined) return sameId;
     return this.#byKey.get(createKeyName(request.team, request.idempotencyKey));
   }
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -315,6 +315,29 @@
     return this.#acceptance.isCommitting(requestId);
   }
 
+  /**
+   * Writes a request that goes on to the journal, because its caller stops to wait.
+   *
+   * @param requestId - identifier of the request
+   */
+  public keep(requestId: string): void {
+    const record = this.#table.find(requestId);
+    if (record !== undefined) this.#acceptance.keep(record);
+  }
+
+  /**
+   * Whether the journal has what is known about a request, or certainly will not have it for now.
+   *
+   * @param requestId - identifier of the request
+   * @returns false while the commit of its acceptance or of its end is under way
+   */
+  public isJournalSettled(requestId: string): boolean {
+    const record = this.#table.find(requestId);
+    if (record === undefined) return true;
+    if (record.isFinished) return !record.awaitsEnd;
+    return record.isDurable || !record.isAccepted;
+  }
+
   /**
    * Confirms a commit.
    *
@@ -341,6 +364,16 @@
     return this.#find(requestId, team).map((record) => record.describe());
   }
 
+  /**
+   * Notes that somebody asks for a request.
+   *
+   * @param requestId - identifier of the request
+   */
+  public noteWanted(requestId: string): void {
+    const record = this.#table.find(requestId);
+    if (record !== undefined) this.#lifecycle.noteWanted(record);
+  }
+
   /**
    * Checks whether waiting longer for a request makes sense.
    *
@@ -482,6 +515,7 @@
   public tick(): void {
     this.#tracker.expireLeases();
     this.#lifecycle.tick();
+    this.#acceptance.tick();
     this.#quarantine.tick();
     this.#outgrown.tick();
     this.#finishRecovery();
--- a/packages/core/src/TaskTracker.ts
+++ b/packages/core/src/TaskTracker.ts
@@ -21,6 +21,9 @@
   readonly outgrown: OutgrownTasks;
 }
 
+const isActive = (state: TaskReport['state']): boolean =>
+  state === 'running' || state === 'starting' || state === 'stopping';
+
 /** Follows the tasks on the workers: reports, start responses, expired leases. */
 export class TaskTracker {
   readonly #context: ShardContext;
@@ -114,7 +117,7 @@
   #applyTask(worker: WorkerRecord, report: TaskReport): void {
     const { assignment, ...change } = report;
     const { table, lifecycle } = this.#parts;
-    let record = table.find(assignment.request.id);
+    let record = table.findReported(assignment.request);
     record ??= lifecycle.adoptRequest(assignment.request);
     const known = record.findTask(assignment.index);
     if (known?.id !== assignment.taskId) {
@@ -134,13 +137,13 @@
     this.#applyChange(worker, { taskId: assignment.taskId, ...change });
   }
 
-  #adoptTask(worker: WorkerRecord, record: RequestRecord, { assignment }: TaskReport): void {
+  #adoptTask(worker: WorkerRecord, record: RequestRecord, { assignment, state }: TaskReport): void {
     const { clock, dataCentre, recorder } = this.#context;
     const task = new TaskRecord(assignment, worker.id, dataCentre, clock.now());
     record.addTask(task);
     worker.addTask(task);
     this.#parts.ledger.charge(assignment.request.team, assignment.request.size);
-    this.#parts.lifecycle.noteAdopted(record);
+    this.#parts.lifecycle.noteAdopted(record, isActive(state));
     recorder.record('taskAdopted', {
       requestId: record.id,
       taskId: task.id,
@@ -162,7 +165,7 @@
 
   /** Stops a task that no request waits for. It counts as running until its worker reports its end. */
   #stopOrphan(worker: WorkerRecord, { assignment, state, usage }: TaskReport): void {
-    if (state !== 'running' && state !== 'starting' && state !== 'stopping') return;
+    if (!isActive(state)) return;
     if (worker.tasks.some(({ id }) => id === assignment.taskId)) return;
     const { clock, dataCentre } = this.#context;
     const task = new TaskRecord(assignment, worker.id, dataCentre, clock.now());
--- a/packages/core/src/createSnapshot.ts
+++ b/packages/core/src/createSnapshot.ts
@@ -72,7 +72,7 @@
       uncertain: !isSettled || record.isUncertain,
       ...(isBounded ? { remainingMs: record.deadlineAt - now } : {}),
       ...(record.stopPlan?.next === 'cancelled' ? { cancelled: true } : {}),
-      ...(record.isFinished ? { view: record.describe() } : {}),
+      ...(record.isFinished ? { view: record.describeEnd() } : {}),
     };
   });
   return { shard: context.shard, epoch: context.epoch, requests, reports };
--- a/packages/core/src/periods.ts
+++ b/packages/core/src/periods.ts
@@ -28,6 +28,8 @@
   linkHeartbeatMs: 1000,
   /** Silence after which a link is replaced. */
   linkSilenceMs: 3000,
+  /** Largest difference that is expected between the wall clocks of two hosts. */
+  wallClockMarginMs: 5000,
   /** Largest delay of a group commit. */
   groupCommitMs: 30,
   /** Shortest interval between writes of the allotments while work waits for one. */
--- a/packages/entry/src/RequestRoutes.ts
+++ b/packages/entry/src/RequestRoutes.ts
@@ -259,8 +259,9 @@
       );
     }
     const detached = specification.detached ?? 'no';
+    const { clock, random } = this.#runtime;
     const request: Request = {
-      id: this.#runtime.random.token(),
+      id: random.token(),
       digest: hashText(`${queueName}\n${text}`),
       team,
       queue: queueName,
@@ -272,6 +273,8 @@
       tasks: specification.tasks ?? 1,
       size,
       command: specification.command ?? '',
+      receivedAtMs: clock.wallTime(),
+      deadlineAtMs: clock.wallTime() + deadlineMs,
       runTimeMs: (specification.runTimeSeconds ?? defaultRunTimeSeconds) * 1000,
       ...(acceleratorType === undefined ? {} : { acceleratorType }),
       ...(key === undefined ? {} : { idempotencyKey: key }),
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -17,6 +17,7 @@
   Request,
   RequestView,
   SubmitCall,
+  WaitCall,
 } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
 
@@ -30,6 +31,8 @@
 /** Time for a shard to get a new owner before a request is refused for lack of one, in milliseconds. */
 const ownerWaitMs = 10_000;
 const maxRetryMs = 1000;
+/** Time for a request to get into the journal before its caller is told that it is not there yet. */
+const keepWaitMs = 4000;
 /** Time within which each entry has handed in what it holds to a new owner, in milliseconds. */
 const resubmissionMs = 10_000;
 
@@ -47,6 +50,15 @@
 /** Failures after which the shard may hold the request. */
 const undecided: ReadonlySet<Failure['kind']> = new Set(['linkLost', 'timeout']);
 
+/** States of a request that has ended. */
+const finalStates: ReadonlySet<RequestView['state']> = new Set([
+  'succeeded',
+  'failed',
+  'cancelled',
+  'refused',
+  'unknown',
+]);
+
 /** An answer of an older owner, or of an older attempt under the same owner. */
 const isOlder = (next: Answer, known: Answer): boolean =>
   next.epoch < known.epoch ||
@@ -139,8 +151,9 @@
   }
 
   /**
-   * Waits for the answer as long as the caller does. After that the entry keeps an attached request and
-   * hands it in again after a failover, because no other process may know of it.
+   * Waits for the answer as long as the caller does. An attached request that goes on after that is first
+   * written to the journal, so that it outlasts this entry. Until the journal has it, no other process may
+   * know of it: the entry keeps it and hands it in again after a failover.
    */
   async #answer(
     shard: string,
@@ -148,16 +161,53 @@
     first: Answer,
   ): Promise<Result<RequestView, Failure>> {
     const result = await this.#waitForAnswer(shard, submission, first);
-    const isOpen = result.isOk() && !isAnswered(result.value);
-    if (isOpen && !submission.request.detached && this.#held < maxHeld) {
-      void this.#hold(shard, submission, { ...first, view: result.value });
+    if (result.isErr() || !this.#mustKeep(result.value.view)) return result.map(({ view }) => view);
+    const kept = await this.#keep(shard, submission, result.value);
+    if (!isAnswered(kept.view) && this.#held < maxHeld) void this.#hold(shard, submission, kept);
+    return ok(kept.view);
+  }
+
+  /** A running service is an answer, but goes on. */
+  #mustKeep({ state, durable }: RequestView): boolean {
+    return durable !== true && !finalStates.has(state);
+  }
+
+  /** Asks the owner, and after a failover the next one, to write a request to the journal. */
+  async #keep(shard: string, submission: HeldSubmission, first: Answer): Promise<Answer> {
+    const { clock } = this.#parts;
+    const endsAt = clock.now() + keepWaitMs;
+    for (let failures = 0; clock.now() < endsAt; failures += 1) {
+      const result = await this.#ask(shard, submission, first, { waitMs: 0, keep: true });
+      // The owner tells at once if the store does not take the request.
+      if (result.isOk() && !isOlder(result.value, first)) return result.value;
+      if (result.isErr() && !this.#mayRecover(result.error)) break;
+      await clock.sleep(this.#chooseDelay(failures));
     }
-    return result;
+    return first;
+  }
+
+  /** Asks for a request. An owner that does not know it gets it again. */
+  async #ask(
+    shard: string,
+    submission: HeldSubmission,
+    { view, epoch }: Answer,
+    options: Pick<WaitCall, 'waitMs' | 'keep'>,
+  ): Promise<Result<Answer, Failure>> {
+    const { team } = submission.request;
+    const body = { call: 'wait', requestId: view.id, team, ...options } as const;
+    const asked = await this.#callOwner(view.id, body, options.waitMs + marginMs);
+    if (asked.isOk() || asked.error.kind !== 'unknownRequest') return asked;
+    const remainingMs = submission.deadlineAt - this.#parts.clock.now();
+    const handedIn = await this.#handIn(shard, submission, remainingMs, epoch);
+    if (handedIn.isErr() || options.keep !== true) return handedIn;
+    const { id } = handedIn.value.view;
+    return this.#callOwner(id, { ...body, requestId: id, waitMs: 0 }, marginMs);
   }
 
   async #hold(shard: string, submission: HeldSubmission, last: Answer): Promise<void> {
     this.#held += 1;
-    await this.#waitForAnswer(shard, { ...submission, waitUntil: submission.deadlineAt }, last);
+    const { deadlineAt } = submission;
+    await this.#waitForAnswer(shard, { ...submission, waitUntil: deadlineAt }, last, true);
     this.#held -= 1;
   }
 
@@ -283,19 +333,15 @@
     shard: string,
     submission: HeldSubmission,
     first: Answer,
-  ): Promise<Result<RequestView, Failure>> {
+    keep = false,
+  ): Promise<Result<Answer, Failure>> {
     const { clock, recorder } = this.#parts;
     let answer = first;
     let failures = 0;
     while (!isAnswered(answer.view) && clock.now() < submission.waitUntil) {
       const { id } = answer.view;
       const waitMs = Math.min(sliceMs, submission.waitUntil - clock.now());
-      const body = { call: 'wait', requestId: id, team: submission.request.team, waitMs } as const;
-      let result = await this.#callOwner(id, body, waitMs + marginMs);
-      if (result.isErr() && result.error.kind === 'unknownRequest') {
-        const remainingMs = submission.deadlineAt - clock.now();
-        result = await this.#handIn(shard, submission, remainingMs, answer.epoch);
-      }
+      const result = await this.#ask(shard, submission, answer, { waitMs, keep });
       if (result.isErr()) {
         if (!this.#mayRecover(result.error)) return err(this.#doubt(result.error));
         await clock.sleep(this.#chooseDelay(failures));
@@ -307,7 +353,7 @@
         failures = 0;
       }
     }
-    return ok(answer.view);
+    return ok(answer);
   }
 
   /** A new owner's refusal says nothing about what the former owner did. */
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -253,7 +253,7 @@
       }
       case 'wait': {
         const host = this.#findHost(body.requestId);
-        const waiting = host?.wait(body.requestId, body.team, body.waitMs);
+        const waiting = host?.wait(body.requestId, body.team, body.waitMs, body.keep);
         return waiting ?? fail('notOwner', 'not the owner of the shard of this request');
       }
       case 'cancel': {
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -33,6 +33,8 @@
 /** Bounds of the wait for commands and commits that are under way when the shard is handed over. */
 const quiesceMs = 300;
 const quiescePollMs = 2;
+/** Longest wait for the journal before the state is told without it; shorter than the margin of a call. */
+const journalWaitMs = 1000;
 
 /** The right by which a process acts as the owner. */
 interface Ownership {
@@ -227,19 +229,36 @@
    * @param requestId - identifier of the request
    * @param team - team of the caller; undefined for an operator
    * @param waitMs - longest wait in milliseconds
+   * @param keep - whether the request shall be in the journal, because its caller stops to wait
    * @returns its state, or the failure
    */
   public async wait(
     requestId: string,
     team: string | undefined,
     waitMs: number,
+    keep = false,
   ): Promise<ReplyBody> {
     if (!this.#serving) return this.#replyLost();
+    this.#shard.noteWanted(requestId);
+    if (keep && this.#mayAct) this.#shard.keep(requestId);
+    this.#pump();
     const isDone = (): boolean => !this.#active || this.#shard.isSettled(requestId);
+    const startedAt = this.#runtime.clock.now();
     await this.#waiters.waitUntil(requestId, waitMs, isDone);
+    if (keep) {
+      const waitedMs = this.#runtime.clock.now() - startedAt;
+      await this.#waitForJournal(requestId, journalWaitMs - waitedMs);
+    }
     return this.#reply(this.#shard.read(requestId, team));
   }
 
+  /** A store that cannot be reached is not waited for. */
+  async #waitForJournal(requestId: string, waitMs: number): Promise<void> {
+    if (!this.#journalOpen || this.#isWithoutStore) return;
+    const isDone = (): boolean => !this.#active || this.#shard.isJournalSettled(requestId);
+    await this.#waiters.waitUntil(requestId, waitMs, isDone);
+  }
+
   /**
    * Cancels a request.
    *
@@ -247,11 +266,14 @@
    * @param team - team of the caller; undefined for an operator
    * @returns its state, or the failure
    */
-  public cancel(requestId: string, team: string | undefined): ReplyBody {
+  public async cancel(requestId: string, team: string | undefined): Promise<ReplyBody> {
     if (!this.#mayAct || !this.#serving) return this.#replyLost();
     const result = this.#shard.cancel(requestId, team);
     this.#pump();
-    return this.#reply(result);
+    if (result.isErr()) return this.#reply(result);
+    // Waiting work ends at once, and its end is told once the journal has it.
+    await this.#waitForJournal(requestId, journalWaitMs);
+    return this.#reply(this.#shard.read(requestId, team));
   }
 
   /**
