Test that a request answered 202 outlasts its entry and its owner

Guards against 404 for a request whose caller was told 202, and checks that the response says so while the store cannot take it.

--- /dev/null
+++ b/packages-private/testkit/__tests__/durability.test.ts
@@ -0,0 +1,58 @@
+import { expect } from 'chai';
+import { Caller, exampleDocument, Site, type DaemonProcess } from '../src/index.js';
+
+const size = { processors: 16, memoryMb: 512, accelerators: 0 };
+const long = { size, command: 'sleep 5000', deadlineSeconds: 60 };
+
+describe('requests that outlive the wait of their callers, with real processes', () => {
+  const site = new Site({
+    document: exampleDocument,
+    dataCentres: ['dc1'],
+    entriesPerDataCentre: 2,
+    schedulersPerDataCentre: 2,
+    workersPerDataCentre: 1,
+    teams: ['broadcast'],
+  });
+  const create = (index: number): Caller =>
+    new Caller(() => site.entries[index]?.url ?? '', 'key-broadcast');
+  const owner = (): DaemonProcess | undefined => {
+    const name = site.store.peek('owners/s1').value?.split(' ')[0];
+    return site.schedulers.find(({ settings }) => settings.process === name);
+  };
+
+  before(() => site.start());
+  after(() => site.stop());
+
+  it('says that the journal does not have a request while the store is down', async () => {
+    site.store.setFault('down');
+    const { status, view } = await create(1).submit('renders', long, { wait: 0 });
+    expect(status).to.equal(202);
+    expect(view.durable).to.equal(false);
+    site.store.setFault('none');
+    const endsAt = performance.now() + 10_000;
+    let now = view;
+    while (now.durable !== true && performance.now() < endsAt)
+      now = (await create(1).wait(view.id, 0.5)).view;
+    expect(now.durable).to.equal(true);
+    await create(1).cancel(view.id);
+  });
+
+  // Guards against 404 for a request whose caller got 202: nobody else knew of it.
+  it('answers a request whose entry and owner are killed while it waits', async () => {
+    const first = await create(1).submit('renders', long, { wait: 0 });
+    const { status, view } = await create(0).submit(
+      'renders',
+      { size, command: 'echo kept', deadlineSeconds: 60 },
+      { wait: 0 },
+    );
+    expect(status).to.equal(202);
+    expect(view).to.include({ state: 'waiting', durable: true });
+    site.entries[0]?.signal('SIGKILL');
+    owner()?.signal('SIGKILL');
+    let last = await create(1).wait(view.id, 20);
+    if (last.status === 202) last = await create(1).wait(view.id, 20);
+    expect(last.view.output).to.deep.equal(['kept']);
+    expect(site.ledger.countStarts(first.view.id)).to.equal(1);
+    expect(site.ledger.violations).to.deep.equal([]);
+  });
+});
