--- a/packages/core/__tests__/Journal.test.ts
+++ b/packages/core/__tests__/Journal.test.ts
@@ -116,4 +116,31 @@
     await settle();
     expect(store.keys.filter((key) => key.startsWith('journal/'))).to.have.length(1);
   });
+
+  // Guards the write rate of the store: at the target size each of 110 starts a second may be kept.
+  it('carries 110 requests a second, each with its end, in less than 60 writes a second', async () => {
+    const { store, clock, create, accept, finish } = setUp();
+    const journal = create(1);
+    await journal.open();
+    const write = store.write.bind(store);
+    let writes = 0;
+    store.write = (...parameters) => {
+      writes += 1;
+      return write(...parameters);
+    };
+    const startedAt = clock.now();
+    const perSecond = 110;
+    const seconds = 20;
+    let appended = 0;
+    while (clock.now() - startedAt < seconds * 1000) {
+      const due = ((clock.now() - startedAt + 30) / 1000) * perSecond;
+      const batch: Promise<unknown>[] = [];
+      for (; appended < due; appended += 1) {
+        batch.push(journal.append(accept(`n${appended}`, 'x'.repeat(200))));
+        if (appended >= perSecond) batch.push(journal.append(finish(`n${appended - perSecond}`)));
+      }
+      await Promise.all(batch);
+    }
+    expect(writes / seconds).to.be.lessThan(60);
+  });
 });
