Give restarted workers no task while another owner may exist

Cause: a worker that restarts forgets the epoch of the newest owner. A former owner that the store does not answer, and that holds a majority of the worker leases, could renew such a worker and start tasks on it until the newest owner renewed it.

Change: an owner without a confirmed claim withholds new tasks from a worker whose clock is below a lease period and 1 s. After that, each lease that the worker gave before its restart has ended. A test in failover.test.ts fails without the rule.

--- a/packages/core/__tests__/createOwner.ts
+++ b/packages/core/__tests__/createOwner.ts
@@ -54,8 +54,8 @@
   readonly journal: JournalEntry[];
   /** Describes a task of the request as a worker reports it. */
   readonly describeTask: (attempt: number, change: Partial<TaskReport>) => TaskReport;
-  /** Applies full reports of a worker. */
-  readonly report: (worker: string, tasks: readonly TaskReport[]) => void;
+  /** Applies full reports of a worker; its clock counts from its start. */
+  readonly report: (worker: string, tasks: readonly TaskReport[], clockMs?: number) => void;
   /** Lets time pass and decides. Returns the number of starts; `failure` is the answer of the store. */
   readonly countStarts: (failure?: Failure) => number;
   /** Lets time pass and decides, and takes the commands to workers. */
@@ -86,11 +86,11 @@
       address: id,
     })),
   );
-  const report = (worker: string, tasks: readonly TaskReport[]): void => {
+  const report: OwnerModel['report'] = (worker, tasks, clockMs = 100_000) => {
     const content: Report = {
       worker,
       bootId: 'boot',
-      clockMs: 100_000,
+      clockMs,
       sequence: 1,
       state: 'live',
       dataCentre: 'dc1',
--- a/packages/core/__tests__/failover.test.ts
+++ b/packages/core/__tests__/failover.test.ts
@@ -66,6 +66,26 @@
   });
 });
 
+describe('an owner that cannot confirm its claim', () => {
+  // Guards against a former owner on a worker that restarted and forgot the epoch of the new one.
+  it('gives a restarted worker no task until the leases from before have ended', () => {
+    const { clock, shard, submission, report } = createOwner();
+    const countStarts = (upMs: number, claimed: boolean): number => {
+      for (const worker of ['w0', 'w1']) report(worker, [], upMs);
+      shard.tick();
+      shard.dispatch(10, claimed);
+      return shard.takeEffects().filter(({ effect }) => effect === 'start').length;
+    };
+    shard.submit(submission)._unsafeUnwrap();
+    expect(countStarts(5000, false)).to.equal(0);
+    clock.advance(12_000);
+    expect(countStarts(17_000, false)).to.equal(1);
+    const repeat = { ...submission, request: { ...submission.request, id: 's1.r' } };
+    shard.submit(repeat)._unsafeUnwrap();
+    expect(countStarts(5000, true)).to.equal(1);
+  });
+});
+
 describe('a request in the journal', () => {
   const recover = (owner: ReturnType<typeof createOwner>): void => {
     owner.report('w0', []);
--- a/packages/core/src/Fleet.ts
+++ b/packages/core/src/Fleet.ts
@@ -11,6 +11,7 @@
   readonly #workers = new Map<string, WorkerRecord>();
   #list: readonly WorkerRecord[] | undefined;
   #version = 0;
+  #claimed = true;
 
   /** @param context - what the parts of the shard share */
   public constructor(context: ShardContext) {
@@ -38,6 +39,27 @@
     return this.index.free;
   }
 
+  /**
+   * Notes whether this owner certainly holds the claim. If not, another one may exist, and a worker that
+   * restarted has forgotten it: such a worker gets no new task until each lease from before has ended.
+   *
+   * @param claimed - whether no other owner can exist
+   */
+  public noteClaim(claimed: boolean): void {
+    if (this.#claimed === claimed) return;
+    this.#claimed = claimed;
+    for (const worker of this.workers) this.#withhold(worker);
+  }
+
+  /** Lets workers that have been up for long enough take tasks again. */
+  public tick(): void {
+    if (!this.#claimed) for (const worker of this.workers) this.#withhold(worker);
+  }
+
+  #withhold(worker: WorkerRecord): void {
+    worker.setWithheld(!this.#claimed && worker.hasForgotten(this.#context.clock.now()));
+  }
+
   /** Notes a change, other than of single workers, that may let waiting work start. */
   public touch(): void {
     this.#version += 1;
@@ -90,6 +112,7 @@
     }
     const wasLeaving = worker.isLeaving;
     worker.applyReport(report, sentAt, clock.now());
+    this.#withhold(worker);
     this.#noteLeaving(worker, wasLeaving, 'worker report');
   }
 
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -514,6 +514,7 @@
   /** Applies the passage of time: expired leases, deadlines, retention, the end of recovery. */
   public tick(): void {
     this.#tracker.expireLeases();
+    this.#fleet.tick();
     this.#lifecycle.tick();
     this.#acceptance.tick();
     this.#quarantine.tick();
@@ -529,9 +530,11 @@
    * Starts waiting work.
    *
    * @param maxStarts - bound on the requests started in one call
+   * @param claimed - whether this owner certainly holds the claim, so that no other one exists
    * @returns true if more could start
    */
-  public dispatch(maxStarts: number): boolean {
+  public dispatch(maxStarts: number, claimed = true): boolean {
+    this.#fleet.noteClaim(claimed);
     return this.#dispatcher.run(maxStarts);
   }
 
--- a/packages/core/src/WorkerRecord.ts
+++ b/packages/core/src/WorkerRecord.ts
@@ -23,6 +23,7 @@
   #drained = false;
   #quarantined = false;
   #reserved = false;
+  #withheld = false;
   #probing = false;
   #lapsed = false;
   #wantsFull = true;
@@ -146,7 +147,7 @@
 
   /** Whether new tasks may be placed here. */
   public get isEligible(): boolean {
-    const mayServe = this.hasReported && !this.#lapsed && !this.isLeaving;
+    const mayServe = this.hasReported && !this.#lapsed && !this.isLeaving && !this.#withheld;
     const isIsolated = this.#quarantined && !(this.#probing && this.#tasks.size === 0);
     return mayServe && !isIsolated && !this.#reserved;
   }
@@ -212,6 +213,17 @@
     this.#onChange(this);
   }
 
+  /**
+   * Withholds new tasks from the worker or ends that.
+   *
+   * @param withheld - whether it gets none, because it may have forgotten another owner
+   */
+  public setWithheld(withheld: boolean): void {
+    if (this.#withheld === withheld) return;
+    this.#withheld = withheld;
+    this.#onChange(this);
+  }
+
   /**
    * Starts or ends a probe: a worker in quarantine may take one task at a time.
    *
@@ -283,8 +295,19 @@
     const report = this.#report;
     if (report === undefined || this.#clock === undefined || this.#restarted) return false;
     if (report.epoch !== epoch || report.owner !== owner) return false;
-    const hasForgotten = this.#clock.readLowerBound(now) < periods.workerLeaseMs + rebootMarginMs;
-    return !hasForgotten && this.#clock.readUpperBound(now) < report.leaseUntil;
+    return !this.hasForgotten(now) && this.#clock.readUpperBound(now) < report.leaseUntil;
+  }
+
+  /**
+   * Checks whether the worker may have forgotten another owner, whose lease and tasks count until the lease
+   * has ended.
+   *
+   * @param now - local monotonic time in milliseconds
+   * @returns false once it has certainly been up for longer than a lease
+   */
+  public hasForgotten(now: number): boolean {
+    const upMs = this.#clock?.readLowerBound(now) ?? 0;
+    return upMs < periods.workerLeaseMs + rebootMarginMs;
   }
 
   /**
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -318,9 +318,12 @@
   /** Without a confirmed store lease, new work needs a majority of the workers' leases. */
   get #mayStart(): boolean {
     if (this.#runtime.clock.now() < this.#startsAt) return false;
-    const isConfirmed =
-      !this.#ownership.provisional && this.#ownership.readStanding() === 'confirmed';
-    return isConfirmed || this.#shard.holdsMajority;
+    return this.#isConfirmed || this.#shard.holdsMajority;
+  }
+
+  /** Whether the store lease behind the claim is certainly valid, so that no other owner exists. */
+  get #isConfirmed(): boolean {
+    return !this.#ownership.provisional && this.#ownership.readStanding() === 'confirmed';
   }
 
   /** Whether the store cannot be reached, so that nothing can be committed. */
@@ -397,7 +400,7 @@
     if (!this.#mayAct || this.#pumping) return;
     this.#runAllotments();
     this.#pumping = true;
-    const hasMore = this.#mayStart && this.#shard.dispatch(maxStartsPerTurn);
+    const hasMore = this.#mayStart && this.#shard.dispatch(maxStartsPerTurn, this.#isConfirmed);
     for (const effect of this.#shard.takeEffects()) this.#execute(effect);
     this.#pumping = false;
     if (hasMore) {
