--- a/packages/core/src/Fleet.ts
+++ b/packages/core/src/Fleet.ts
@@ -10,7 +10,10 @@
   readonly #context: ShardContext;
   readonly #workers = new Map<string, WorkerRecord>();
   #list: readonly WorkerRecord[] | undefined;
+  /** Workers of the former owner that the host list misses; kept until they are accounted for. */
+  readonly #inherited = new Set<string>();
   #version = 0;
+  #claimed = true;
 
   /** @param context - what the parts of the shard share */
   public constructor(context: ShardContext) {
@@ -38,6 +41,27 @@
     return this.index.free;
   }
 
+  /**
+   * Notes whether this owner certainly holds the claim. If not, another one may exist, and a worker that
+   * restarted has forgotten it: such a worker gets no new task until each lease from before has ended.
+   *
+   * @param claimed - whether no other owner can exist
+   */
+  public noteClaim(claimed: boolean): void {
+    if (this.#claimed === claimed) return;
+    this.#claimed = claimed;
+    for (const worker of this.workers) this.#withhold(worker);
+  }
+
+  /** Lets workers that have been up for long enough take tasks again. */
+  public tick(): void {
+    if (!this.#claimed) for (const worker of this.workers) this.#withhold(worker);
+  }
+
+  #withhold(worker: WorkerRecord): void {
+    worker.setWithheld(!this.#claimed && worker.hasForgotten(this.#context.clock.now()));
+  }
+
   /** Notes a change, other than of single workers, that may let waiting work start. */
   public touch(): void {
     this.#version += 1;
@@ -68,7 +92,8 @@
     }
     for (const worker of this.#workers.values()) {
       const isGone = worker.isLapsed || !worker.hasReported;
-      if (listed.has(worker.id) || !isGone || worker.tasks.length > 0) continue;
+      const isKept = listed.has(worker.id) || this.#inherited.has(worker.id);
+      if (isKept || !isGone || worker.tasks.length > 0) continue;
       this.#workers.delete(worker.id);
       this.#list = undefined;
       this.index.delete(worker);
@@ -76,6 +101,37 @@
     }
   }
 
+  /**
+   * Adds workers that the former owner leased, whether or not the host list has them.
+   *
+   * @param workers - workers of the former owner
+   */
+  public inherit(workers: readonly HostRecord[]): void {
+    for (const worker of workers) {
+      this.#inherited.add(worker.id);
+      if (!this.#workers.has(worker.id)) this.#addWorker(worker);
+    }
+  }
+
+  /** Notes that each inherited worker has reported or its lease has ended: the host list counts again. */
+  public releaseInherited(): void {
+    this.#inherited.clear();
+  }
+
+  /**
+   * Lists the workers that may run tasks, for the next owner.
+   *
+   * @returns the workers that reported and whose lease has not certainly ended, and those of the former
+   * owner that are not accounted for
+   */
+  public listLeased(): readonly HostRecord[] {
+    return this.workers
+      .filter(
+        (worker) => (worker.hasReported && !worker.isLapsed) || this.#inherited.has(worker.id),
+      )
+      .map(({ host }) => host);
+  }
+
   /**
    * Applies the report of a worker to its record.
    *
@@ -90,6 +146,7 @@
     }
     const wasLeaving = worker.isLeaving;
     worker.applyReport(report, sentAt, clock.now());
+    this.#withhold(worker);
     this.#noteLeaving(worker, wasLeaving, 'worker report');
   }
 
