Keep room beside free accelerators and prefer work of the free shape

The free capacity was not fragmented: workers with accelerators ran out of memory, taken by other work, while their accelerators and a fifth of their processors were idle.

While work for accelerators waits, the mean need of that work is kept beside each free accelerator. A quarter of each worker stays open to all work, and a task above that quarter, urgent work and gangs are exempt, so nothing waits for ever. Among the classes of the team that is first in the fair order, the one whose shape matches a worker that has grown comes first; the oldest one is passed over 16 times at most. The order of the teams does not change.

--- a/packages/core/__tests__/placement.test.ts
+++ b/packages/core/__tests__/placement.test.ts
@@ -78,4 +78,63 @@
     );
     expect(ids.map((id) => places.get(id))).to.deep.equal(['w2', 'w2', 'w0']);
   });
+
+  // Guards against accelerators that stay idle because other work took the memory beside them.
+  it('keeps room beside free accelerators while work for them waits', () => {
+    const model = new ShardModel([1], { processors: 4, memoryMb: 4, accelerators: 2 });
+    const size = { processors: 1, memoryMb: 2, accelerators: 1 };
+    const wanting = [0, 1, 2].map(() => model.submit({ size }));
+    const [first, second] = model.step(600);
+    const others = [0, 1, 2, 3].map(() => model.submit({ team: 'b' }));
+    model.step(600);
+    if (first !== undefined) model.change(first, 'succeeded');
+    model.step(600);
+    expect(wanting.map((id) => model.readState(id))).to.deep.equal([
+      'succeeded',
+      'running',
+      'running',
+    ]);
+    if (second !== undefined) model.change(second, 'succeeded');
+    // Nothing waits for accelerators any more, so nothing is kept.
+    model.step(600);
+    expect(others.filter((id) => model.readState(id) === 'running')).to.have.length(2);
+  });
+
+  // Guards against work that never starts because room is kept that it needs itself.
+  it('starts a large task without accelerators although work for accelerators waits', () => {
+    const model = new ShardModel([1], { processors: 8, memoryMb: 8, accelerators: 2 });
+    const size = { processors: 5, memoryMb: 5, accelerators: 1 };
+    const wanting = [0, 1].map(() => model.submit({ size }));
+    model.step(600);
+    const large = model.submit({
+      team: 'b',
+      size: { processors: 3, memoryMb: 3, accelerators: 0 },
+    });
+    const small = model.submit({ team: 'b' });
+    model.step(600);
+    expect(wanting.map((id) => model.readState(id))).to.deep.equal(['running', 'waiting']);
+    expect(model.readState(small)).to.equal('waiting');
+    expect(model.readState(large)).to.equal('running');
+  });
+
+  // Guards against processors that stay idle because the memory went to work that needs few of them,
+  // and against an older request that is passed over for ever.
+  it('prefers work of the shape that is free, but not for ever', () => {
+    const model = new ShardModel([1], room);
+    const wide = { processors: 3, memoryMb: 1, accelerators: 0 };
+    model.submit({ size: { processors: 1, memoryMb: 3, accelerators: 0 } });
+    model.submit({ size: wide });
+    let [, running] = model.step(200);
+    const small = model.submit({ team: 'b' });
+    const rounds: number[] = [];
+    for (let round = 0; round < 40 && model.readState(small) === 'waiting'; round += 1) {
+      const next = model.submit({ team: 'b', size: wide });
+      model.step(200);
+      if (running !== undefined) model.change(running, 'succeeded');
+      [running] = model.step(200);
+      if (model.readState(next) === 'running') rounds.push(round);
+    }
+    expect(rounds.length).to.be.within(8, 32);
+    expect(model.readState(small)).to.equal('running');
+  });
 });
--- /dev/null
+++ b/packages/core/src/AcceleratorReserve.ts
@@ -0,0 +1,61 @@
+import type { Resources } from '@toucanline/schema';
+import type { DispatchOrder } from './DispatchOrder.js';
+import type { Fleet } from './Fleet.js';
+import { scaleResources } from './scaleResources.js';
+import { zeroResources } from './zeroResources.js';
+
+/** Interval between looks at the waiting work. */
+const reviewMs = 500;
+/** A change of the amount by less than this part is not worth trying everything again. */
+const minChange = 0.1;
+
+/**
+ * Keeps processors and memory beside the free accelerators while work that needs accelerators waits.
+ * Without it other work strands accelerators: it takes the last memory of a worker whose accelerators
+ * stay idle. Nothing is kept for work that does not wait or whose team is at its limit.
+ */
+export class AcceleratorReserve {
+  readonly #fleet: Fleet;
+  readonly #order: DispatchOrder;
+  #kept: Resources = zeroResources;
+  #reviewedAt = -Infinity;
+
+  /**
+   * @param fleet - workers of the shard
+   * @param order - waiting work
+   */
+  public constructor(fleet: Fleet, order: DispatchOrder) {
+    this.#fleet = fleet;
+    this.#order = order;
+  }
+
+  /**
+   * Follows the waiting work.
+   *
+   * @param now - local monotonic time in milliseconds
+   */
+  public review(now: number): void {
+    if (now - this.#reviewedAt < reviewMs) return;
+    this.#reviewedAt = now;
+    const kept = this.#calculate();
+    if (!this.#differs(kept.processors, this.#kept.processors)) {
+      if (!this.#differs(kept.memoryMb, this.#kept.memoryMb)) return;
+    }
+    this.#kept = kept;
+    this.#fleet.keepPerAccelerator(kept);
+  }
+
+  /** The mean need of waiting work per accelerator, for as many accelerators as it can use. */
+  #calculate(): Resources {
+    const free = this.#fleet.free.accelerators;
+    const waiting = this.#order.sumAcceleratorWork();
+    if (waiting.accelerators === 0) return zeroResources;
+    const needed = Math.min(1, waiting.accelerators / Math.max(1, free));
+    const kept = scaleResources(waiting, needed / waiting.accelerators);
+    return { ...kept, accelerators: 0 };
+  }
+
+  #differs(left: number, right: number): boolean {
+    return Math.abs(left - right) > minChange * Math.max(left, right);
+  }
+}
--- a/packages/core/src/BatchPlacement.ts
+++ b/packages/core/src/BatchPlacement.ts
@@ -21,7 +21,7 @@
     const { size } = request;
     const chosen: WorkerRecord[] = [];
     const fill = (worker: WorkerRecord): boolean => {
-      let free = worker.free;
+      let free = worker.readFree(request);
       while (chosen.length < count && coversResources(free, size)) {
         chosen.push(worker);
         free = subtractResources(free, size);
--- a/packages/core/src/CandidateSource.ts
+++ b/packages/core/src/CandidateSource.ts
@@ -1,5 +1,6 @@
 import type { Request } from '@toucanline/schema';
 import { calculateDominantShare } from './calculateDominantShare.js';
+import { coversResources } from './coversResources.js';
 import type { WorkerRecord } from './WorkerRecord.js';
 import { WorkerSource } from './WorkerSource.js';
 
@@ -15,15 +16,19 @@
 
   /** {@inheritDoc WorkerSource.listFitting} */
   public override listFitting(
-    { size, acceleratorType }: Request,
+    request: Request,
     prefersFast: boolean,
     prefersFull: boolean,
   ): Iterable<WorkerRecord> {
+    const { size, acceleratorType } = request;
     const direction = prefersFast ? -1 : 1;
     const fullness = prefersFull ? 1 : -1;
     const readFree = ({ free, room }: WorkerRecord): number => calculateDominantShare(free, room);
     return [...this.#workers]
-      .filter((worker) => worker.canTake(size, acceleratorType))
+      .filter(
+        (worker) =>
+          worker.canTake(size, acceleratorType) && coversResources(worker.readFree(request), size),
+      )
       .sort(
         (left, right) =>
           Number(left.room.accelerators > 0) - Number(right.room.accelerators > 0) ||
--- a/packages/core/src/DispatchOrder.ts
+++ b/packages/core/src/DispatchOrder.ts
@@ -1,10 +1,16 @@
 import type { Resources } from '@toucanline/schema';
+import { addResources } from './addResources.js';
+import { calculateAlignment } from './calculateAlignment.js';
+import type { Capacity } from './Capacity.js';
 import { countTasks } from './countTasks.js';
 import { coversResources } from './coversResources.js';
 import { IndexedHeap } from './IndexedHeap.js';
 import type { RequestClass } from './RequestClass.js';
+import { scaleResources } from './scaleResources.js';
+import { selectFree } from './selectFree.js';
 import { ShapeQueue } from './ShapeQueue.js';
 import type { WorkerRecord } from './WorkerRecord.js';
+import { zeroResources } from './zeroResources.js';
 
 /** Shapes of one priority; those that may fit are in the order in which they are tried. */
 interface Lane {
@@ -28,6 +34,9 @@
 /** With more candidates than this, a search of the index is cheaper. */
 const maxCandidates = 16;
 
+/** Times that the oldest class of a team is passed over for others that match a worker better. */
+const maxPasses = 16;
+
 const createLane = (): Lane => ({ queues: new Map(), open: new IndexedHeap() });
 
 /**
@@ -68,7 +77,7 @@
    * @returns the class, if any may start
    */
   public findNext(): RequestClass | undefined {
-    return (this.#urgent.open.first ?? this.#normal.open.first)?.first;
+    return this.#urgent.open.first?.first ?? this.#chooseAligned();
   }
 
   /**
@@ -144,12 +153,16 @@
    * Tries the shapes again that fit after a change of a worker.
    *
    * @param worker - the worker
-   * @param before - what it had free before the change
-   * @param free - what it has free now
+   * @param before - what it had left before the change
+   * @param now - what it has left now
    */
-  public noteWorker(worker: WorkerRecord, before: Resources, free: Resources): void {
-    if (!coversResources(before, free)) this.#noteGrown(worker, free);
-    for (const gang of this.#gangRooms.values()) this.#noteGangRoom(gang, worker, before, free);
+  public noteWorker(worker: WorkerRecord, before: Capacity, now: Capacity): void {
+    const hasGrown =
+      !coversResources(before.free, now.free) || !coversResources(before.open, now.open);
+    if (hasGrown) this.#noteGrown(worker, now);
+    for (const gang of this.#gangRooms.values()) {
+      this.#noteGangRoom(gang, worker, before.free, now.free);
+    }
   }
 
   /** Tries urgent shapes again, which may use workers that are reserved for urgent work. */
@@ -173,6 +186,23 @@
     return gangs.sort((left, right) => left.firstOrder - right.firstOrder);
   }
 
+  /**
+   * Sums the waiting work that needs accelerators and whose team is not at its limit.
+   *
+   * @returns its size
+   */
+  public sumAcceleratorWork(): Resources {
+    let sum = zeroResources;
+    for (const { queues } of [this.#urgent, this.#normal]) {
+      for (const queue of queues.values()) {
+        const { size, atOnce } = queue.sample;
+        if (size.accelerators === 0) continue;
+        sum = addResources(sum, scaleResources(size, queue.countRequests() * atOnce));
+      }
+    }
+    return sum;
+  }
+
   /**
    * Tries a shape again.
    *
@@ -202,6 +232,30 @@
     for (const team of [...this.#limited.keys()]) this.retryTeam(team);
   }
 
+  /**
+   * Chooses among the classes of the team with the lowest rank. When a worker has grown, the class
+   * whose shape matches its room best comes first; otherwise, and after some passes, the oldest one.
+   */
+  #chooseAligned(): RequestClass | undefined {
+    const queues = this.#normal.open.listFirst();
+    const oldest = queues[0]?.first;
+    if (oldest === undefined || queues.length === 1 || oldest.passes >= maxPasses) return oldest;
+    let best = oldest;
+    let bestAlignment = 0;
+    for (const { first } of queues) {
+      if (first?.team !== oldest.team) continue;
+      for (const worker of this.#candidates.get(first.shape)?.workers ?? []) {
+        const free = selectFree(worker.capacity, first.size, first.usesKept);
+        const alignment = calculateAlignment(first.size, free, worker.room);
+        if (alignment <= bestAlignment) continue;
+        best = first;
+        bestAlignment = alignment;
+      }
+    }
+    if (best !== oldest) oldest.notePass();
+    return best;
+  }
+
   #reopen(shape: string): void {
     if (!this.#blocked.delete(shape)) return;
     for (const lane of [this.#urgent, this.#normal]) {
@@ -212,11 +266,11 @@
     }
   }
 
-  /** The free capacity is read once, because the worker calculates it at each call. */
-  #noteGrown(worker: WorkerRecord, free: Resources): void {
+  #noteGrown(worker: WorkerRecord, capacity: Capacity): void {
     const { acceleratorType } = worker;
-    const canTake = ({ size, acceleratorType: wanted }: RequestClass): boolean =>
-      coversResources(free, size) && (wanted === undefined || wanted === acceleratorType);
+    const canTake = ({ size, acceleratorType: wanted, usesKept }: RequestClass): boolean =>
+      coversResources(selectFree(capacity, size, usesKept), size) &&
+      (wanted === undefined || wanted === acceleratorType);
     for (const [shape, { sample, workers }] of this.#candidates) {
       if (canTake(sample)) workers.add(worker);
       if (workers.size > maxCandidates) this.#candidates.delete(shape);
--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -1,4 +1,5 @@
 import type { Request, WorkKind } from '@toucanline/schema';
+import { AcceleratorReserve } from './AcceleratorReserve.js';
 import { BatchPlacement } from './BatchPlacement.js';
 import { calculateDominantShare } from './calculateDominantShare.js';
 import { CandidateSource } from './CandidateSource.js';
@@ -56,6 +57,7 @@
   #fleetVersion = -1;
   #rankedAt = -Infinity;
   readonly #reservation: GangReservation;
+  readonly #reserve: AcceleratorReserve;
   #plannedAt = -Infinity;
 
   /**
@@ -66,6 +68,7 @@
     this.#context = context;
     this.#parts = parts;
     this.#reservation = new GangReservation(parts.fleet);
+    this.#reserve = new AcceleratorReserve(parts.fleet, parts.queue.order);
   }
 
   /**
@@ -79,6 +82,7 @@
     this.#parts.queue.releaseDue(now);
     // Workers reserved for urgent work are not in the index, so changes of them are not noticed.
     if (this.#parts.preemption.size > 0) this.#parts.queue.order.retryUrgent();
+    this.#reserve.review(now);
     this.#serveReservation(now);
     for (let starts = 0; starts < maxStarts;) {
       const group = this.#chooseClass(now);
@@ -141,7 +145,7 @@
       order.retryTeam(team);
     }
     for (const [worker, before] of fleet.index.takeChanged()) {
-      order.noteWorker(worker, before, fleet.index.readFree(worker));
+      order.noteWorker(worker, before, fleet.index.readCapacity(worker));
     }
     if (this.#fleetVersion !== fleet.version) {
       this.#fleetVersion = fleet.version;
--- a/packages/core/src/Fleet.ts
+++ b/packages/core/src/Fleet.ts
@@ -2,6 +2,7 @@
 import { FleetIndex } from './FleetIndex.js';
 import type { ShardContext } from './ShardContext.js';
 import { WorkerRecord } from './WorkerRecord.js';
+import { zeroResources } from './zeroResources.js';
 
 /** All workers of a shard. */
 export class Fleet {
@@ -11,6 +12,7 @@
   readonly #workers = new Map<string, WorkerRecord>();
   #list: readonly WorkerRecord[] | undefined;
   #version = 0;
+  #kept = zeroResources;
 
   /** @param context - what the parts of the shard share */
   public constructor(context: ShardContext) {
@@ -43,6 +45,16 @@
     this.#version += 1;
   }
 
+  /**
+   * Keeps processors and memory beside each free accelerator of every worker.
+   *
+   * @param kept - amount per free accelerator
+   */
+  public keepPerAccelerator(kept: Resources): void {
+    this.#kept = kept;
+    for (const worker of this.#workers.values()) worker.keepPerAccelerator(kept);
+  }
+
   /**
    * Finds a worker.
    *
@@ -111,6 +123,7 @@
     const worker = new WorkerRecord(host, (changed) => {
       this.index.update(changed);
     });
+    worker.keepPerAccelerator(this.#kept);
     this.#workers.set(host.id, worker);
     this.#list = undefined;
     this.#context.emit({ effect: 'poll', worker: host.id });
--- a/packages/core/src/FleetIndex.ts
+++ b/packages/core/src/FleetIndex.ts
@@ -1,7 +1,9 @@
 import type { Request, Resources } from '@toucanline/schema';
 import { addResources } from './addResources.js';
 import { calculateDominantShare } from './calculateDominantShare.js';
+import type { Capacity } from './Capacity.js';
 import { CapacityIndex } from './CapacityIndex.js';
+import { coversResources } from './coversResources.js';
 import { subtractResources } from './subtractResources.js';
 import type { WorkerRecord } from './WorkerRecord.js';
 import { WorkerSource } from './WorkerSource.js';
@@ -16,20 +18,25 @@
 }
 
 /** What the index holds of one worker. */
-interface Indexed {
+interface Indexed extends Capacity {
   readonly group: WorkerGroup | undefined;
-  readonly free: Resources;
   readonly room: Resources;
 }
 
 /** Workers whose speeds differ by less than this factor count as equally fast. */
 const speedStep = 1.25;
 
+const noCapacity: Capacity = {
+  free: zeroResources,
+  open: zeroResources,
+  largest: zeroResources,
+};
+
 /** Index of the workers of a shard by free capacity, with running totals. */
 export class FleetIndex extends WorkerSource {
   readonly #groups = new Map<string, WorkerGroup>();
   readonly #indexed = new Map<WorkerRecord, Indexed>();
-  #changed = new Map<WorkerRecord, Resources>();
+  #changed = new Map<WorkerRecord, Capacity>();
   #free = zeroResources;
   #room = zeroResources;
 
@@ -46,22 +53,22 @@
   /**
    * Takes the workers whose free capacity changed.
    *
-   * @returns the workers, with what they had free at the last call
+   * @returns the workers, with what they had left at the last call
    */
-  public takeChanged(): ReadonlyMap<WorkerRecord, Resources> {
+  public takeChanged(): ReadonlyMap<WorkerRecord, Capacity> {
     const changed = this.#changed;
     if (changed.size > 0) this.#changed = new Map();
     return changed;
   }
 
   /**
-   * Reads what a worker has free for new tasks.
+   * Reads what a worker has left for new tasks.
    *
    * @param worker - the worker
    * @returns the amount; zero if it may not take any
    */
-  public readFree(worker: WorkerRecord): Resources {
-    return this.#indexed.get(worker)?.free ?? zeroResources;
+  public readCapacity(worker: WorkerRecord): Capacity {
+    return this.#indexed.get(worker) ?? noCapacity;
   }
 
   /**
@@ -72,13 +79,15 @@
   public update(worker: WorkerRecord): void {
     const before = this.#indexed.get(worker);
     const group = worker.isEligible ? this.#findGroup(worker) : undefined;
-    const free = group === undefined ? zeroResources : worker.free;
+    const capacity = group === undefined ? noCapacity : worker.capacity;
+    const { free, open } = capacity;
     const room = worker.isLapsed ? zeroResources : worker.room;
-    const hasSameFree = before !== undefined && this.#isEqual(before.free, free);
+    const hasSameFree =
+      before !== undefined && this.#isEqual(before.free, free) && this.#isEqual(before.open, open);
     const hasSameRoom = before !== undefined && this.#isEqual(before.room, room);
     if (before?.group === group && hasSameFree && hasSameRoom) return;
-    this.#indexed.set(worker, { group, free, room });
-    if (!this.#changed.has(worker)) this.#changed.set(worker, before?.free ?? zeroResources);
+    this.#indexed.set(worker, { ...capacity, group, room });
+    if (!this.#changed.has(worker)) this.#changed.set(worker, before ?? noCapacity);
     this.#free = subtractResources(addResources(this.#free, free), before?.free ?? zeroResources);
     this.#room = subtractResources(addResources(this.#room, room), before?.room ?? zeroResources);
     if (before?.group !== group) before?.group?.index.delete(worker);
@@ -97,17 +106,21 @@
     this.#free = subtractResources(this.#free, before.free);
     this.#room = subtractResources(this.#room, before.room);
     this.#indexed.delete(worker);
-    if (!this.#changed.has(worker)) this.#changed.set(worker, before.free);
+    if (!this.#changed.has(worker)) this.#changed.set(worker, before);
   }
 
   /** {@inheritDoc WorkerSource.listFitting} */
   public override *listFitting(
-    { size, acceleratorType }: Request,
+    request: Request,
     prefersFast: boolean,
     prefersFull: boolean,
   ): Generator<WorkerRecord> {
+    const { size, acceleratorType } = request;
     for (const { index } of this.#listGroups(size, acceleratorType, prefersFast)) {
-      yield* prefersFull ? index.findRising(size) : index.findFalling(size);
+      const fitting = prefersFull ? index.findRising(size) : index.findFalling(size);
+      for (const worker of fitting) {
+        if (coversResources(worker.readFree(request), size)) yield worker;
+      }
     }
   }
 
--- a/packages/core/src/RequestClass.ts
+++ b/packages/core/src/RequestClass.ts
@@ -1,6 +1,7 @@
 import type { Resources } from '@toucanline/schema';
 import { IndexedHeap } from './IndexedHeap.js';
 import type { RequestRecord } from './RequestRecord.js';
+import { usesKept } from './usesKept.js';
 
 /** Waiting requests that are equal for placement, in the order of their arrival. */
 export class RequestClass {
@@ -10,11 +11,14 @@
   public readonly isGang: boolean;
   public readonly size: Resources;
   public readonly acceleratorType: string | undefined;
+  /** Whether its requests may take what is kept beside free accelerators. */
+  public readonly usesKept: boolean;
   /** Tasks that have to start together. */
   public readonly atOnce: number;
   /** Equal for all classes that fit on the same workers. */
   public readonly shape: string;
   readonly #records = new IndexedHeap<RequestRecord>();
+  #passes = 0;
 
   /**
    * @param name - name of the class
@@ -27,6 +31,7 @@
     this.team = team;
     this.urgent = urgent;
     this.isGang = kind === 'gang';
+    this.usesKept = usesKept(request);
     this.size = size;
     this.acceleratorType = acceleratorType;
     // Other kinds start task by task, so the number of tasks does not decide whether they fit.
@@ -40,6 +45,11 @@
     return this.#records.size;
   }
 
+  /** How often a class of the same team was preferred since a request of this one last left. */
+  public get passes(): number {
+    return this.#passes;
+  }
+
   /** Oldest request, if there is any. */
   public get first(): RequestRecord | undefined {
     return this.#records.first;
@@ -67,5 +77,11 @@
    */
   public remove(record: RequestRecord): void {
     this.#records.delete(record);
+    this.#passes = 0;
+  }
+
+  /** Notes that a class of the same team was preferred, because its shape matches better. */
+  public notePass(): void {
+    this.#passes += 1;
   }
 }
--- a/packages/core/src/ServicePlacement.ts
+++ b/packages/core/src/ServicePlacement.ts
@@ -5,6 +5,7 @@
 import { subtractResources } from './subtractResources.js';
 import type { WorkerRecord } from './WorkerRecord.js';
 import type { WorkerSource } from './WorkerSource.js';
+import { zeroResources } from './zeroResources.js';
 
 /** Rank of a rack or worker that runs a task of the same request already. */
 const sameRackPenalty = 10;
@@ -36,7 +37,7 @@
       tasks.set(worker, (tasks.get(worker) ?? 0) + 1);
     };
     for (const worker of occupied) note(worker);
-    const free = new Map(candidates.map((worker) => [worker, worker.free]));
+    const free = new Map(candidates.map((worker) => [worker, worker.readFree(request)]));
     const chosen: WorkerRecord[] = [];
     while (chosen.length < count) {
       let best: WorkerRecord | undefined;
@@ -54,7 +55,7 @@
       if (best === undefined) break;
       chosen.push(best);
       note(best);
-      free.set(best, subtractResources(free.get(best) ?? best.free, request.size));
+      free.set(best, subtractResources(free.get(best) ?? zeroResources, request.size));
     }
     return chosen;
   }
--- a/packages/core/src/ShapeQueue.ts
+++ b/packages/core/src/ShapeQueue.ts
@@ -40,6 +40,19 @@
     return this.#classes.has(team);
   }
 
+  /**
+   * Counts the waiting requests of all classes.
+   *
+   * @returns the number of requests
+   */
+  public countRequests(): number {
+    let count = 0;
+    for (const classes of this.#classes.values()) {
+      for (const group of classes.items()) count += group.count;
+    }
+    return count;
+  }
+
   /**
    * Lists the first class of each team.
    *
--- a/packages/core/src/WorkerRecord.ts
+++ b/packages/core/src/WorkerRecord.ts
@@ -1,15 +1,23 @@
-import type { HostRecord, Report, Resources, WorkerStatus } from '@toucanline/schema';
+import type { HostRecord, Report, Request, Resources, WorkerStatus } from '@toucanline/schema';
 import { addResources } from './addResources.js';
+import type { Capacity } from './Capacity.js';
 import { coversResources } from './coversResources.js';
+import { minResources } from './minResources.js';
 import { periods } from './periods.js';
+import { scaleResources } from './scaleResources.js';
+import { selectFree } from './selectFree.js';
 import { subtractResources } from './subtractResources.js';
 import type { TaskRecord } from './TaskRecord.js';
+import { usesKept } from './usesKept.js';
 import { WorkerClock } from './WorkerClock.js';
 import { zeroResources } from './zeroResources.js';
 
 /** Covers clock drift between a lease that a worker granted before a restart and its clock since. */
 const rebootMarginMs = 1000;
 
+/** Part of a worker with accelerators that work without accelerators may always use. */
+const openFraction = 0.25;
+
 /** One worker as the shard owner knows it. */
 export class WorkerRecord {
   public readonly id: string;
@@ -28,6 +36,8 @@
   #wantsFull = true;
   #restarted = false;
   #held: Resources = zeroResources;
+  #kept: Resources = zeroResources;
+  #capacity: Capacity | undefined;
   readonly #onChange: (worker: WorkerRecord) => void;
   #bootedBy: number | undefined;
 
@@ -73,7 +83,13 @@
 
   /** Capacity that is left and not reserved. */
   public get free(): Resources {
-    return subtractResources(this.unallocated, this.#held);
+    return this.capacity.free;
+  }
+
+  /** Capacity that is left for new tasks of each kind. */
+  public get capacity(): Capacity {
+    this.#capacity ??= this.#measureCapacity();
+    return this.#capacity;
   }
 
   /** Capacity that no task occupies, reserved capacity included. */
@@ -163,13 +179,13 @@
    */
   public setHost(host: HostRecord): void {
     this.#host = host;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /** Notes that the worker is leaving. */
   public markLeaving(): void {
     this.#leaving = true;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /**
@@ -179,7 +195,7 @@
    */
   public setDrained(drained: boolean): void {
     this.#drained = drained;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /**
@@ -189,7 +205,7 @@
    */
   public setQuarantined(quarantined: boolean): void {
     this.#quarantined = quarantined;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /**
@@ -199,7 +215,27 @@
    */
   public hold(held: Resources): void {
     this.#held = held;
-    this.#onChange(this);
+    this.#noteChange();
+  }
+
+  /**
+   * Keeps processors and memory beside each free accelerator, so that other work does not strand it.
+   *
+   * @param kept - amount per free accelerator
+   */
+  public keepPerAccelerator(kept: Resources): void {
+    this.#kept = kept;
+    if (this.room.accelerators > 0) this.#noteChange();
+  }
+
+  /**
+   * Reads what a task of a request may take.
+   *
+   * @param request - the request
+   * @returns the amount
+   */
+  public readFree(request: Request): Resources {
+    return selectFree(this.capacity, request.size, usesKept(request));
   }
 
   /**
@@ -209,7 +245,7 @@
    */
   public setReserved(reserved: boolean): void {
     this.#reserved = reserved;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /**
@@ -219,7 +255,7 @@
    */
   public setProbing(probing: boolean): void {
     this.#probing = probing;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /** Asks for a full report with the next renewal. */
@@ -237,7 +273,7 @@
   public markLapsed(): void {
     this.#lapsed = true;
     this.#wantsFull = true;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /**
@@ -267,7 +303,7 @@
     this.#restarted = false;
     this.#leaving = report.state === 'leaving';
     if (report.full) this.#wantsFull = false;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /**
@@ -311,7 +347,7 @@
     let sum = zeroResources;
     for (const task of this.#tasks.values()) sum = addResources(sum, task.charge);
     this.#allocated = sum;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /**
@@ -356,6 +392,26 @@
     };
   }
 
+  #noteChange(): void {
+    this.#capacity = undefined;
+    this.#onChange(this);
+  }
+
+  /** A part of the worker is open to all work, so that no team waits for ever for others to end. */
+  #measureCapacity(): Capacity {
+    const { room } = this;
+    const free = subtractResources(this.unallocated, this.#held);
+    const largest = scaleResources(room, openFraction);
+    if (room.accelerators === 0) return { free, open: free, largest: room };
+    const most = scaleResources(
+      subtractResources(room, largest),
+      free.accelerators / room.accelerators,
+    );
+    const kept = minResources(scaleResources(this.#kept, free.accelerators), most);
+    const open = { ...subtractResources(free, kept), accelerators: free.accelerators };
+    return { free, open, largest };
+  }
+
   #describeState(): WorkerStatus['state'] {
     if (!this.hasReported) return 'unreached';
     if (this.#lapsed) return 'lapsed';
