Keep one order of teams instead of one per shape; batch the event stream

Each shape kept its own heap of teams. Now there is one sorted list of teams, and the shapes hold no ranks. A start that takes the room of other open shapes blocks them at once, so they are not searched again one by one; that was the largest part of a call that starts nothing. The sum of a worker's charges grows with a start instead of being added up again, and the groups of workers are sorted when one is added.

Two fifths of a burst of cancellations were moves in the heaps of the queue, a quarter was `emit` of the event stream, which creates promises for each event. The stream now gets the events of one turn together.

Rare shapes now compare their own teams.

--- a/packages/core/src/DispatchOrder.ts
+++ b/packages/core/src/DispatchOrder.ts
@@ -4,18 +4,20 @@
 import type { Capacity } from './Capacity.js';
 import { countTasks } from './countTasks.js';
 import { coversResources } from './coversResources.js';
-import { IndexedHeap } from './IndexedHeap.js';
 import type { RequestClass } from './RequestClass.js';
 import { scaleResources } from './scaleResources.js';
 import { selectFree } from './selectFree.js';
 import { ShapeQueue } from './ShapeQueue.js';
+import { TeamOrder } from './TeamOrder.js';
 import type { WorkerRecord } from './WorkerRecord.js';
 import { zeroResources } from './zeroResources.js';
 
-/** Shapes of one priority; those that may fit are in the order in which they are tried. */
+/** Shapes of one priority. */
 interface Lane {
   readonly queues: Map<string, ShapeQueue>;
-  readonly open: IndexedHeap<ShapeQueue>;
+  /** Shapes that may fit. */
+  readonly open: Set<ShapeQueue>;
+  readonly queuesOf: Map<string, Set<ShapeQueue>>;
 }
 
 /** Workers that may have room for a shape that fits nowhere else. */
@@ -37,7 +39,10 @@
 /** Times that the oldest class of a team is passed over for others that match a worker better. */
 const maxPasses = 16;
 
-const createLane = (): Lane => ({ queues: new Map(), open: new IndexedHeap() });
+/** With more open shapes than this, the first teams have one. */
+const fewOpen = 8;
+
+const createLane = (): Lane => ({ queues: new Map(), open: new Set(), queuesOf: new Map() });
 
 /**
  * Order in which waiting classes are tried: urgent work first, then by the rank of the team, then by
@@ -54,9 +59,8 @@
   /** Shapes that did not fit anywhere before these workers grew. */
   readonly #candidates = new Map<string, Candidates>();
   readonly #limited = new Map<string, Set<RequestClass>>();
-  readonly #ranks = new Map<string, number>();
+  readonly #teams = new TeamOrder();
   readonly #unranked = new Set<string>();
-  readonly #queuesOf = new Map<string, Set<ShapeQueue>>();
 
   /**
    * Brings the order up to date after a change of a class.
@@ -77,7 +81,7 @@
    * @returns the class, if any may start
    */
   public findNext(): RequestClass | undefined {
-    return this.#urgent.open.first?.first ?? this.#chooseAligned();
+    return this.#chooseFirst(this.#urgent) ?? this.#chooseFirst(this.#normal);
   }
 
   /**
@@ -87,17 +91,7 @@
    */
   public rankTeams(rankTeam: (team: string) => number): void {
     for (const team of this.#unranked) {
-      const rank = rankTeam(team);
-      if (this.#ranks.get(team) === rank) continue;
-      this.#ranks.set(team, rank);
-      for (const queue of this.#queuesOf.get(team) ?? []) {
-        if (this.#blocked.has(queue.sample.shape)) {
-          queue.markStale(team);
-          continue;
-        }
-        queue.rank(team, rank);
-        this.#open(queue);
-      }
+      if (this.#teams.readRank(team) !== undefined) this.#teams.set(team, rankTeam(team));
     }
     this.#unranked.clear();
   }
@@ -113,7 +107,7 @@
 
   /** Notes that the rank of every team may have changed. */
   public touchAllTeams(): void {
-    for (const team of this.#queuesOf.keys()) this.#unranked.add(team);
+    for (const team of this.#teams.teams) this.#unranked.add(team);
   }
 
   /**
@@ -159,6 +153,7 @@
   public noteWorker(worker: WorkerRecord, before: Capacity, now: Capacity): void {
     const hasGrown =
       !coversResources(before.free, now.free) || !coversResources(before.open, now.open);
+    this.#reviewCandidates(worker, now);
     if (hasGrown) this.#noteGrown(worker, now);
     for (const gang of this.#gangRooms.values()) {
       this.#noteGangRoom(gang, worker, before.free, now.free);
@@ -232,23 +227,62 @@
     for (const team of [...this.#limited.keys()]) this.retryTeam(team);
   }
 
+  /** Chooses among the classes that may fit: the oldest one of the team with the lowest rank. */
+  #chooseFirst(lane: Lane): RequestClass | undefined {
+    const { open } = lane;
+    if (open.size === 0) return undefined;
+    const oldest = open.size > fewOpen ? this.#searchTeams(lane) : this.#searchShapes(open);
+    const isFixed = oldest === undefined || lane === this.#urgent;
+    return isFixed ? oldest : this.#preferAligned(lane, oldest);
+  }
+
+  #searchTeams({ open, queuesOf }: Lane): RequestClass | undefined {
+    let oldest: RequestClass | undefined;
+    let lowest = Infinity;
+    for (const team of this.#teams.teams) {
+      const rank = this.#teams.readRank(team) ?? 0;
+      if (rank > lowest) break;
+      for (const queue of queuesOf.get(team) ?? []) {
+        const group = open.has(queue) ? queue.findFirst(team) : undefined;
+        if (group === undefined) continue;
+        lowest = rank;
+        if (oldest === undefined || group.firstOrder < oldest.firstOrder) oldest = group;
+      }
+    }
+    return oldest;
+  }
+
+  #searchShapes(open: Iterable<ShapeQueue>): RequestClass | undefined {
+    let best: RequestClass | undefined;
+    let lowest = Infinity;
+    for (const queue of open) {
+      const group = queue.findLowest(this.#teams);
+      if (group === undefined) continue;
+      const rank = this.#teams.readRank(group.team) ?? 0;
+      const isOlder = best === undefined || group.firstOrder < best.firstOrder;
+      if (rank > lowest || (rank === lowest && !isOlder)) continue;
+      best = group;
+      lowest = rank;
+    }
+    return best;
+  }
+
   /**
-   * Chooses among the classes of the team with the lowest rank. When a worker has grown, the class
-   * whose shape matches its room best comes first; otherwise, and after some passes, the oldest one.
+   * When a worker has grown, the class of the team whose shape matches its room best comes first;
+   * otherwise, and after some passes, the oldest one.
    */
-  #chooseAligned(): RequestClass | undefined {
-    const queues = this.#normal.open.listFirst();
-    const oldest = queues[0]?.first;
-    if (oldest === undefined || queues.length === 1 || oldest.passes >= maxPasses) return oldest;
+  #preferAligned(lane: Lane, oldest: RequestClass): RequestClass {
+    if (this.#candidates.size === 0 || oldest.passes >= maxPasses) return oldest;
     let best = oldest;
     let bestAlignment = 0;
-    for (const { first } of queues) {
-      if (first?.team !== oldest.team) continue;
-      for (const worker of this.#candidates.get(first.shape)?.workers ?? []) {
-        const free = selectFree(worker.capacity, first.size, first.usesKept);
-        const alignment = calculateAlignment(first.size, free, worker.room);
+    for (const queue of lane.open) {
+      const group = queue.findFirst(oldest.team);
+      if (group === undefined) continue;
+      for (const worker of this.#candidates.get(group.shape)?.workers ?? []) {
+        const free = selectFree(worker.capacity, group.size, group.usesKept);
+        const alignment = calculateAlignment(group.size, free, worker.room);
         if (alignment <= bestAlignment) continue;
-        best = first;
+        best = group;
         bestAlignment = alignment;
       }
     }
@@ -261,28 +295,34 @@
     for (const lane of [this.#urgent, this.#normal]) {
       const queue = lane.queues.get(shape);
       if (queue === undefined) continue;
-      queue.rankStale((team) => this.#ranks.get(team) ?? 0);
-      this.#open(queue);
+      lane.open.add(queue);
     }
   }
 
-  #noteGrown(worker: WorkerRecord, capacity: Capacity): void {
-    const { acceleratorType } = worker;
-    const canTake = ({ size, acceleratorType: wanted, usesKept }: RequestClass): boolean =>
-      coversResources(selectFree(capacity, size, usesKept), size) &&
-      (wanted === undefined || wanted === acceleratorType);
+  /** A start takes the room of other shapes, which are blocked here without another search. */
+  #reviewCandidates(worker: WorkerRecord, capacity: Capacity): void {
     for (const [shape, { sample, workers }] of this.#candidates) {
-      if (canTake(sample)) workers.add(worker);
+      if (this.#canTake(worker, capacity, sample)) workers.add(worker);
+      else if (workers.delete(worker) && workers.size === 0) this.#block(sample);
       if (workers.size > maxCandidates) this.#candidates.delete(shape);
     }
+  }
+
+  #noteGrown(worker: WorkerRecord, capacity: Capacity): void {
     for (const [shape, sample] of this.#blocked) {
-      if (this.#gangRooms.has(shape) || !canTake(sample)) continue;
+      if (this.#gangRooms.has(shape) || !this.#canTake(worker, capacity, sample)) continue;
       const isNarrow = !sample.isGang && !sample.urgent;
       if (isNarrow) this.#candidates.set(shape, { sample, workers: new Set([worker]) });
       this.#reopen(shape);
     }
   }
 
+  #canTake(worker: WorkerRecord, capacity: Capacity, sample: RequestClass): boolean {
+    const { size, acceleratorType, usesKept } = sample;
+    const isSuitable = acceleratorType === undefined || acceleratorType === worker.acceleratorType;
+    return isSuitable && coversResources(selectFree(capacity, size, usesKept), size);
+  }
+
   #noteGangRoom(gang: GangRoom, worker: WorkerRecord, before: Resources, free: Resources): void {
     const { size, acceleratorType, atOnce, shape } = gang.sample;
     if (!worker.isSuitable(size, acceleratorType)) return;
@@ -304,41 +344,28 @@
     return group.urgent ? this.#urgent : this.#normal;
   }
 
-  #open(queue: ShapeQueue): void {
-    const { sample, first, firstRank } = queue;
-    if (first === undefined || this.#blocked.has(sample.shape)) return;
-    this.#findLane(sample).open.set(queue, firstRank, first.firstOrder);
-  }
-
   #insert(group: RequestClass): void {
-    const { queues } = this.#findLane(group);
-    const queue = queues.get(group.shape) ?? new ShapeQueue(group);
-    queues.set(group.shape, queue);
-    const known = this.#queuesOf.get(group.team) ?? new Set<ShapeQueue>();
-    this.#queuesOf.set(group.team, known);
-    known.add(queue);
-    const rank = this.#ranks.get(group.team);
-    if (rank === undefined) this.#unranked.add(group.team);
-    queue.set(group, rank ?? 0);
-    this.#open(queue);
+    const { queues, open, queuesOf } = this.#findLane(group);
+    let queue = queues.get(group.shape);
+    if (queue === undefined) {
+      queue = new ShapeQueue(group);
+      queues.set(group.shape, queue);
+      if (!this.#blocked.has(group.shape)) open.add(queue);
+    }
+    queue.set(group);
+    const known = queuesOf.get(group.team) ?? new Set<ShapeQueue>();
+    queuesOf.set(group.team, known.add(queue));
+    if (this.#teams.readRank(group.team) !== undefined) return;
+    this.#teams.set(group.team, 0);
+    this.#unranked.add(group.team);
   }
 
   #remove(group: RequestClass): void {
     const lane = this.#findLane(group);
     const queue = lane.queues.get(group.shape);
-    if (queue?.delete(group, this.#ranks.get(group.team) ?? 0) !== true) return;
-    if (!queue.hasTeam(group.team)) {
-      const known = this.#queuesOf.get(group.team);
-      known?.delete(queue);
-      if (known?.size === 0) {
-        this.#queuesOf.delete(group.team);
-        this.#ranks.delete(group.team);
-      }
-    }
-    if (!queue.isEmpty) {
-      this.#open(queue);
-      return;
-    }
+    if (queue?.delete(group) !== true) return;
+    if (!queue.hasTeam(group.team)) this.#forget(lane, queue, group.team);
+    if (!queue.isEmpty) return;
     lane.open.delete(queue);
     lane.queues.delete(group.shape);
     const hasOther = this.#urgent.queues.has(group.shape) || this.#normal.queues.has(group.shape);
@@ -347,4 +374,11 @@
     this.#candidates.delete(group.shape);
     this.#gangRooms.delete(group.shape);
   }
+  #forget({ queuesOf }: Lane, queue: ShapeQueue, team: string): void {
+    const known = queuesOf.get(team);
+    known?.delete(queue);
+    if (known?.size === 0) queuesOf.delete(team);
+    const hasOther = this.#urgent.queuesOf.has(team) || this.#normal.queuesOf.has(team);
+    if (!hasOther) this.#teams.delete(team);
+  }
 }
--- a/packages/core/src/EventRecorder.ts
+++ b/packages/core/src/EventRecorder.ts
@@ -15,6 +15,7 @@
   readonly #dataCentre: string;
   readonly #events: Event[] = [];
   #next = 0;
+  #unsent: Event[] = [];
 
   /**
    * @param clock - source of the wall time
@@ -63,7 +64,15 @@
     };
     this.#events[this.#next] = event;
     this.#next = (this.#next + 1) % maxEvents;
-    void this.#stream.emit('event', event);
+    if (this.#unsent.length === 0) void Promise.resolve().then(() => this.#send());
+    this.#unsent.push(event);
+  }
+
+  /** The events of one turn go out together: a cancellation of 5,000 requests records 10,000. */
+  #send(): Promise<void> {
+    const events = this.#unsent;
+    this.#unsent = [];
+    return this.#stream.emit('events', events);
   }
 
   /**
--- a/packages/core/src/FleetIndex.ts
+++ b/packages/core/src/FleetIndex.ts
@@ -35,6 +35,9 @@
 /** Index of the workers of a shard by free capacity, with running totals. */
 export class FleetIndex extends WorkerSource {
   readonly #groups = new Map<string, WorkerGroup>();
+  /** Groups in the order of preference, fast ones first and slow ones first. */
+  #fastFirst: readonly WorkerGroup[] = [];
+  #slowFirst: readonly WorkerGroup[] = [];
   readonly #indexed = new Map<WorkerRecord, Indexed>();
   #changed = new Map<WorkerRecord, Capacity>();
   #free = zeroResources;
@@ -116,7 +119,10 @@
     prefersFull: boolean,
   ): Generator<WorkerRecord> {
     const { size, acceleratorType } = request;
-    for (const { index } of this.#listGroups(size, acceleratorType, prefersFast)) {
+    for (const group of prefersFast ? this.#fastFirst : this.#slowFirst) {
+      const { index } = group;
+      if (index.size === 0 || (size.accelerators > 0 && !group.hasAccelerators)) continue;
+      if (acceleratorType !== undefined && group.acceleratorType !== acceleratorType) continue;
       const fitting = prefersFull ? index.findRising(size) : index.findFalling(size);
       for (const worker of fitting) {
         if (coversResources(worker.readFree(request), size)) yield worker;
@@ -124,25 +130,12 @@
     }
   }
 
-  #listGroups(
-    size: Resources,
-    acceleratorType: string | undefined,
-    prefersFast: boolean,
-  ): readonly WorkerGroup[] {
-    const needsAccelerators = size.accelerators > 0;
-    const direction = prefersFast ? -1 : 1;
-    return [...this.#groups.values()]
-      .filter(
-        (group) =>
-          group.index.size > 0 &&
-          (!needsAccelerators || group.hasAccelerators) &&
-          (acceleratorType === undefined || group.acceleratorType === acceleratorType),
-      )
-      .sort(
-        (left, right) =>
-          Number(left.hasAccelerators) - Number(right.hasAccelerators) ||
-          direction * (left.speedClass - right.speedClass),
-      );
+  #sortGroups(direction: number): readonly WorkerGroup[] {
+    return [...this.#groups.values()].sort(
+      (left, right) =>
+        Number(left.hasAccelerators) - Number(right.hasAccelerators) ||
+        direction * (left.speedClass - right.speedClass),
+    );
   }
 
   #isEqual(left: Resources, right: Resources): boolean {
@@ -163,6 +156,8 @@
     const index = new CapacityIndex<WorkerRecord>();
     const created = { acceleratorType, hasAccelerators, speedClass, index };
     this.#groups.set(name, created);
+    this.#fastFirst = this.#sortGroups(-1);
+    this.#slowFirst = this.#sortGroups(1);
     return created;
   }
 }
--- a/packages/core/src/IndexedHeap.ts
+++ b/packages/core/src/IndexedHeap.ts
@@ -28,24 +28,6 @@
     return this.#entries[0]?.key ?? Infinity;
   }
 
-  /**
-   * Lists the items that share the lowest key.
-   *
-   * @returns the items; the first one comes first
-   */
-  public listFirst(): readonly T[] {
-    const found: T[] = [];
-    const visit = (position: number): void => {
-      const entry = this.#entries[position];
-      if (entry === undefined || entry.key > this.firstKey) return;
-      found.push(entry.item);
-      visit(2 * position + 1);
-      visit(2 * position + 2);
-    };
-    visit(0);
-    return found;
-  }
-
   /**
    * Lists all items.
    *
--- a/packages/core/src/ShapeQueue.ts
+++ b/packages/core/src/ShapeQueue.ts
@@ -1,12 +1,11 @@
 import { IndexedHeap } from './IndexedHeap.js';
 import type { RequestClass } from './RequestClass.js';
+import type { TeamOrder } from './TeamOrder.js';
 
-/** Waiting classes of one shape and priority: the class of the team with the lowest rank comes first. */
+/** Waiting classes of one shape and priority, by team. */
 export class ShapeQueue {
   /** A class of the shape; all of them fit on the same workers. */
   public readonly sample: RequestClass;
-  readonly #teams = new IndexedHeap<string>();
-  readonly #stale = new Set<string>();
   readonly #classes = new Map<string, IndexedHeap<RequestClass>>();
 
   /** @param sample - first class of the queue */
@@ -16,18 +15,7 @@
 
   /** Whether no class waits. */
   public get isEmpty(): boolean {
-    return this.#teams.size === 0;
-  }
-
-  /** Class that is tried next. */
-  public get first(): RequestClass | undefined {
-    const team = this.#teams.first;
-    return team === undefined ? undefined : this.#classes.get(team)?.first;
-  }
-
-  /** Rank of the team that is first. */
-  public get firstRank(): number {
-    return this.#teams.firstKey;
+    return this.#classes.size === 0;
   }
 
   /**
@@ -40,6 +28,42 @@
     return this.#classes.has(team);
   }
 
+  /**
+   * Finds the class of a team whose oldest request arrived first.
+   *
+   * @param team - name of the team
+   * @returns the class, if one waits
+   */
+  public findFirst(team: string): RequestClass | undefined {
+    return this.#classes.get(team)?.first;
+  }
+
+  /**
+   * Finds the class of the team with the lowest rank; of several with the same rank, the oldest one.
+   *
+   * @param order - all teams
+   * @returns the class
+   */
+  public findLowest(order: TeamOrder): RequestClass | undefined {
+    // A rare shape has few teams; a common one has one among the first teams of the order.
+    const isRare = this.#classes.size ** 2 < order.teams.length;
+    let best: RequestClass | undefined;
+    let lowest = Infinity;
+    for (const team of isRare ? this.#classes.keys() : order.teams) {
+      const rank = order.readRank(team) ?? 0;
+      if (rank > lowest) {
+        if (isRare) continue;
+        break;
+      }
+      const group = this.#classes.get(team)?.first;
+      if (group === undefined) continue;
+      if (rank === lowest && best !== undefined && best.firstOrder < group.firstOrder) continue;
+      best = group;
+      lowest = rank;
+    }
+    return best;
+  }
+
   /**
    * Counts the waiting requests of all classes.
    *
@@ -68,59 +92,23 @@
    * Adds a class or moves it after a change of its oldest request.
    *
    * @param group - the class
-   * @param rank - rank of its team
    */
-  public set(group: RequestClass, rank: number): void {
+  public set(group: RequestClass): void {
     const classes = this.#classes.get(group.team) ?? new IndexedHeap<RequestClass>();
     this.#classes.set(group.team, classes);
     classes.set(group, group.firstOrder);
-    this.rank(group.team, rank);
   }
 
   /**
    * Removes a class.
    *
    * @param group - the class
-   * @param rank - rank of its team
    * @returns true if it was in the queue
    */
-  public delete(group: RequestClass, rank: number): boolean {
+  public delete(group: RequestClass): boolean {
     const classes = this.#classes.get(group.team);
     if (classes?.delete(group) !== true) return false;
-    if (classes.size === 0) {
-      this.#classes.delete(group.team);
-      this.#teams.delete(group.team);
-    } else this.rank(group.team, rank);
+    if (classes.size === 0) this.#classes.delete(group.team);
     return true;
   }
-
-  /**
-   * Notes that the rank of a team changed while the shape is blocked.
-   *
-   * @param team - name of the team
-   */
-  public markStale(team: string): void {
-    this.#stale.add(team);
-  }
-
-  /**
-   * Moves the teams whose rank changed while the shape was blocked.
-   *
-   * @param readRank - reads the rank of a team
-   */
-  public rankStale(readRank: (team: string) => number): void {
-    for (const team of this.#stale) this.rank(team, readRank(team));
-    this.#stale.clear();
-  }
-
-  /**
-   * Moves a team after a change of its rank.
-   *
-   * @param team - name of a team whose classes wait
-   * @param rank - the new rank
-   */
-  public rank(team: string, rank: number): void {
-    const classes = this.#classes.get(team);
-    if (classes !== undefined) this.#teams.set(team, rank, classes.firstKey);
-  }
 }
--- a/packages/core/src/WorkerRecord.ts
+++ b/packages/core/src/WorkerRecord.ts
@@ -330,7 +330,8 @@
    */
   public addTask(task: TaskRecord): void {
     this.#tasks.set(task.id, task);
-    this.recount();
+    this.#allocated = addResources(this.#allocated, task.charge);
+    this.#noteChange();
   }
 
   /**
--- a/packages/runtime/src/ProcessRuntime.ts
+++ b/packages/runtime/src/ProcessRuntime.ts
@@ -44,9 +44,11 @@
     this.log = new Log(name, settings.logLevel ?? 'info');
     this.metrics = new Metrics(settings);
     this.recorder = new EventRecorder(this.clock, this.stream, name, dataCentre);
-    this.stream.on('event', (event) => {
-      this.log.writeEvent(event);
-      this.metrics.countEvent(event);
+    this.stream.on('events', (events) => {
+      for (const event of events) {
+        this.log.writeEvent(event);
+        this.metrics.countEvent(event);
+      }
     });
     this.invariant = new Invariant(this.recorder, false);
     const timeoutMs = platform.timeoutMs ?? defaultTimeoutMs;
