--- a/packages/core/src/Fleet.ts
+++ b/packages/core/src/Fleet.ts
@@ -2,6 +2,7 @@
 import { FleetIndex } from './FleetIndex.js';
 import type { ShardContext } from './ShardContext.js';
 import { WorkerRecord } from './WorkerRecord.js';
+import { zeroResources } from './zeroResources.js';
 
 /** All workers of a shard. */
 export class Fleet {
@@ -14,6 +15,7 @@
   readonly #inherited = new Set<string>();
   #version = 0;
   #claimed = true;
+  #kept = zeroResources;
 
   /** @param context - what the parts of the shard share */
   public constructor(context: ShardContext) {
@@ -67,6 +69,16 @@
     this.#version += 1;
   }
 
+  /**
+   * Keeps processors and memory beside each free accelerator of every worker.
+   *
+   * @param kept - amount per free accelerator
+   */
+  public keepPerAccelerator(kept: Resources): void {
+    this.#kept = kept;
+    for (const worker of this.#workers.values()) worker.keepPerAccelerator(kept);
+  }
+
   /**
    * Finds a worker.
    *
@@ -168,6 +180,7 @@
     const worker = new WorkerRecord(host, (changed) => {
       this.index.update(changed);
     });
+    worker.keepPerAccelerator(this.#kept);
     this.#workers.set(host.id, worker);
     this.#list = undefined;
     this.#context.emit({ effect: 'poll', worker: host.id });
