--- a/packages/core/__tests__/takeover.test.ts
+++ b/packages/core/__tests__/takeover.test.ts
@@ -297,6 +297,10 @@
     model.step(100);
     expect(model.commands.at(-1)).to.include({ action: 'stop', cancelled: true });
     if (task !== undefined) model.change(task, 'stopped');
+    // The end is told once the journal has the request and its end.
+    const commits = model.shard.takeEffects().filter((each) => each.effect === 'commit');
+    expect(commits).to.have.length(2);
+    for (const { ticket } of commits) model.shard.confirmCommit(ticket);
     expect(model.step(5000)).to.deep.equal([]);
     expect(model.readState(id)).to.equal('cancelled');
   });
