--- a/packages/entry/src/OpenRequests.ts
+++ b/packages/entry/src/OpenRequests.ts
@@ -37,11 +37,20 @@
       const detail = `this entry has ${this.#total} requests open, ${count} of team ${team}`;
       return err(createFailure('overloaded', detail, retryAfterSeconds));
     }
-    this.#counts.set(team, count + 1);
-    this.#total += 1;
+    this.add(team);
     return ok(undefined);
   }
 
+  /**
+   * Counts one more request that was accepted already.
+   *
+   * @param team - team of the caller
+   */
+  public add(team: string): void {
+    this.#counts.set(team, (this.#counts.get(team) ?? 0) + 1);
+    this.#total += 1;
+  }
+
   /**
    * Ends a request that was counted.
    *
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -1,6 +1,7 @@
 import {
   AllotmentKeeper,
   createFailure,
+  FleetRoster,
   Journal,
   listReleasedQueues,
   periods,
@@ -31,6 +32,8 @@
 import { RequestWaiters } from './RequestWaiters.js';
 
 const tickMs = 250;
+/** Ticks between looks at the workers that the next owner has to know of. */
+const ticksPerRoster = 4;
 const retryMs = 500;
 /** Requests started before the loop serves other events. */
 const maxStartsPerTurn = 100;
@@ -39,6 +42,8 @@
 /** Bounds of the wait for commands and commits that are under way when the shard is handed over. */
 const quiesceMs = 300;
 const quiescePollMs = 2;
+/** Longest wait for the journal before the state is told without it; shorter than the margin of a call. */
+const journalWaitMs = 1000;
 
 const readEntryId = (entry: JournalEntry): string => {
   if (entry.entry === 'accepted') return entry.request.id;
@@ -66,6 +71,7 @@
   readonly #gateway: WorkerGateway;
   readonly #shard: Shard;
   readonly #journal: Journal;
+  readonly #roster: FleetRoster;
   readonly #allotments: AllotmentKeeper;
   readonly #waiters = new RequestWaiters();
   /** Workers whose held poll was ended to get a report now. */
@@ -137,6 +143,7 @@
     this.#policy = policy;
     this.#pledge = new PledgeKeeper(runtime, shard);
     this.#takeovers = new TakeoverEditor(runtime);
+    this.#roster = new FleetRoster(store, shard, epoch);
     // Workers that do not fence obey a former owner until its longest lease has ended.
     this.#startsAt = clock.now() + (gateway.fences ? 0 : periods.workerLeaseMs + retryMs);
   }
@@ -274,19 +281,36 @@
    * @param requestId - identifier of the request
    * @param team - team of the caller; undefined for an operator
    * @param waitMs - longest wait in milliseconds
+   * @param keep - whether the request shall be in the journal, because its caller stops to wait
    * @returns its state, or the failure
    */
   public async wait(
     requestId: string,
     team: string | undefined,
     waitMs: number,
+    keep = false,
   ): Promise<ReplyBody> {
     if (!this.#serving) return this.#replyLost();
+    this.#shard.noteWanted(requestId);
+    if (keep && this.#mayAct) this.#shard.keep(requestId);
+    this.#pump();
     const isDone = (): boolean => !this.#active || this.#shard.isSettled(requestId);
+    const startedAt = this.#runtime.clock.now();
     await this.#waiters.waitUntil(requestId, waitMs, isDone);
+    if (keep) {
+      const waitedMs = this.#runtime.clock.now() - startedAt;
+      await this.#waitForJournal(requestId, journalWaitMs - waitedMs);
+    }
     return this.#reply(this.#shard.read(requestId, team));
   }
 
+  /** A store that cannot be reached is not waited for. */
+  async #waitForJournal(requestId: string, waitMs: number): Promise<void> {
+    if (!this.#journalOpen || this.#isWithoutStore) return;
+    const isDone = (): boolean => !this.#active || this.#shard.isJournalSettled(requestId);
+    await this.#waiters.waitUntil(requestId, waitMs, isDone);
+  }
+
   /**
    * Cancels a request.
    *
@@ -294,11 +318,14 @@
    * @param team - team of the caller; undefined for an operator
    * @returns its state, or the failure
    */
-  public cancel(requestId: string, team: string | undefined): ReplyBody {
+  public async cancel(requestId: string, team: string | undefined): Promise<ReplyBody> {
     if (!this.#mayAct || !this.#serving) return this.#replyLost();
     const result = this.#shard.cancel(requestId, team);
     this.#pump();
-    return this.#reply(result);
+    if (result.isErr()) return this.#reply(result);
+    // Waiting work ends at once, and its end is told once the journal has it.
+    await this.#waitForJournal(requestId, journalWaitMs);
+    return this.#reply(this.#shard.read(requestId, team));
   }
 
   /**
@@ -343,9 +370,12 @@
   /** Without a confirmed store lease, new work needs a majority of the workers' leases. */
   get #mayStart(): boolean {
     if (this.#runtime.clock.now() < this.#startsAt) return false;
-    const isConfirmed =
-      !this.#ownership.provisional && this.#ownership.readStanding() === 'confirmed';
-    return isConfirmed || this.#shard.holdsMajority;
+    return this.#isConfirmed || this.#shard.holdsMajority;
+  }
+
+  /** Whether the store lease behind the claim is certainly valid, so that no other owner exists. */
+  get #isConfirmed(): boolean {
+    return !this.#ownership.provisional && this.#ownership.readStanding() === 'confirmed';
   }
 
   /** Whether the store cannot be reached, so that nothing can be committed. */
@@ -369,22 +399,26 @@
   async #openJournal(): Promise<void> {
     if (this.#ownership.provisional) return;
     while (this.#isActive()) {
-      const opened = await this.#loadTakeovers().then((failure) =>
-        failure === undefined ? this.#journal.open() : err(failure),
-      );
+      const [opened, roster] = await Promise.all([
+        this.#loadTakeovers().then((failure) =>
+          failure === undefined ? this.#journal.open() : err(failure),
+        ),
+        this.#roster.load(),
+      ]);
       if (!this.#isActive()) return;
-      if (opened.isOk()) {
+      if (opened.isOk() && roster.isOk()) {
         const { name } = this.#shard;
         const own = opened.value.filter(
           (entry) => !this.#book.isTakenFrom(readEntryId(entry), name),
         );
-        this.#shard.loadJournal(own);
+        this.#shard.loadJournal(own, roster.value);
         this.#journalOpen = true;
         this.#updateServing();
         this.#pump();
         return;
       }
-      this.#runtime.log.write('warn', 'cannot open the journal', { detail: opened.error.detail });
+      const failure = opened.isErr() ? opened.error : roster._unsafeUnwrapErr();
+      this.#runtime.log.write('warn', 'cannot open the journal', { detail: failure.detail });
       await this.#runtime.clock.sleep(retryMs);
     }
   }
@@ -481,12 +515,15 @@
   }
 
   async #keepTime(): Promise<void> {
-    while (this.#active) {
+    for (let tick = 0; this.#active; tick += 1) {
       if (this.#mayAct) {
         this.#checkCutOff();
         void this.#keepPledge();
         this.#shard.tick();
         this.#updateServing();
+        const mayWrite = this.#journalOpen && !this.#isWithoutStore;
+        if (mayWrite && tick % ticksPerRoster === 0)
+          void this.#roster.save(this.#shard.listLeased());
       }
       this.#pump();
       await this.#runtime.clock.sleep(tickMs);
@@ -498,7 +535,7 @@
     if (!this.#mayAct || this.#pumping) return;
     this.#runAllotments();
     this.#pumping = true;
-    const hasMore = this.#mayStart && this.#shard.dispatch(maxStartsPerTurn);
+    const hasMore = this.#mayStart && this.#shard.dispatch(maxStartsPerTurn, this.#isConfirmed);
     for (const effect of this.#shard.takeEffects()) this.#execute(effect);
     this.#pumping = false;
     if (hasMore) {
