--- a/packages-private/bench/src/measureCapacity.ts
+++ b/packages-private/bench/src/measureCapacity.ts
@@ -88,11 +88,12 @@
     const waitSeconds = (2 * settleMs + intervalMs) / 1000;
     let waiting: Promise<void> | undefined;
     const hold = (site: CapacitySite): Promise<void> => {
-      waiting = site.holdCallers(callers, waitSeconds);
+      // Calls that are still open when the site stops are cut.
+      waiting = site.holdCallers(callers, waitSeconds).catch(() => undefined);
       return sleep(settleMs);
     };
     rows.push([callers, await measureSite({ workersPerDataCentre: 50 }, hold, idle)]);
-    await waiting?.catch(() => undefined);
+    await waiting;
   }
   printRows('Waiting callers', 'caller', rows);
 };
