--- a/packages-private/bench/src/measureCapacity.ts
+++ b/packages-private/bench/src/measureCapacity.ts
@@ -3,7 +3,8 @@
 import { fitLine } from './fitLine.js';
 
 const intervalMs = 8000;
-const settleMs = 3000;
+/** Longer than a renewal, whose answer tells the starts before the interval. */
+const settleMs = 6000;
 const workerSizes = [25, 50, 100, 200] as const;
 const taskSizes = [0, 500, 1000, 2000] as const;
 const rateSizes = [10, 20, 40, 80] as const;
