Never start taken work that may have started without an intent

The heir took the missing intent for proof and started them again (lostDataCentre.test: 'is not idempotent and started twice'). Change: a journaled request without an intent rule counts as possibly started; the rule itself stands once (writesIntent). The worker in workerFake.test gets a lease that does not depend on how long earlier tests ran. Result: takeover.test has the case and passes.

--- a/packages-private/testkit/__tests__/workerFake.test.ts
+++ b/packages-private/testkit/__tests__/workerFake.test.ts
@@ -19,7 +19,7 @@
     bootId: '',
   });
   const renew = async (authority: Authority): Promise<string> => {
-    const renewal = { authority, leaseUntil: 90_000, acknowledged: 0, full: true, waitMs: 0 };
+    const renewal = { authority, leaseUntil: 1e9, acknowledged: 0, full: true, waitMs: 0 };
     return (await gateway.renew(worker.address, renewal)).match(
       () => 'granted',
       (error) => ('refusal' in error ? error.refusal : error.kind),
@@ -45,7 +45,7 @@
       authority: createAuthority(5, 'b'),
       assignment: { taskId: `s1.q/0/5.${attempt}`, index: 0, attempt, request },
       latestStartAt: 1e9,
-      leaseUntil: 90_000,
+      leaseUntil: 1e9,
       ...change,
     });
     return response.match(
--- a/packages/core/__tests__/takeover.test.ts
+++ b/packages/core/__tests__/takeover.test.ts
@@ -1,4 +1,4 @@
-import type { JournalEntry, Request, Takeovers } from '@toucanline/schema';
+import type { AcceptedEntry, JournalEntry, Request, Takeovers } from '@toucanline/schema';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import {
@@ -32,7 +32,7 @@
   runTimeMs: 1000,
 });
 
-const accept = (id: string, queue: string, idempotent = true): JournalEntry => ({
+const accept = (id: string, queue: string, idempotent = true): AcceptedEntry => ({
   entry: 'accepted',
   request: createRequest(id, queue, idempotent),
   deadlineAtMs: 1e9,
@@ -253,19 +253,22 @@
   it('starts what it was given after its own commit, and never what may have started', () => {
     // Guards against a second run of a non-idempotent request, and against a start before the commit.
     const model = new ShardModel([1], room);
-    const journal = [
+    const kept = accept('s2.kept', 'batch', false);
+    const journal: readonly JournalEntry[] = [
       accept('s2.a', 'batch'),
       accept('s2.b', 'batch', false),
       intend('s2.b'),
       accept('s2.c', 'batch', false),
+      // No intent is written for it, so its absence proves nothing.
+      { ...kept, request: { ...kept.request, detached: false } },
       accept('s2.other', 'batch'),
     ];
-    const ids = new Set(['s2.a', 's2.b', 's2.c']);
+    const ids = new Set(['s2.a', 's2.b', 's2.c', 's2.kept']);
     expect(model.shard.takeOver(journal, ids)).to.equal(false);
     const commits = model.shard
       .takeEffects()
       .flatMap((effect) => (effect.effect === 'commit' ? [effect.ticket] : []));
-    expect(commits).to.have.length(3);
+    expect(commits).to.have.length(4);
     expect(model.step()).to.deep.equal([]);
     for (const ticket of commits) model.shard.confirmCommit(ticket);
     for (const effect of model.shard.takeEffects()) {
@@ -277,6 +280,7 @@
     // A non-idempotent start waits for the commit of its intent.
     expect(model.readState('s2.c')).to.equal('starting');
     expect(model.shard.read('s2.b')._unsafeUnwrap()).to.include({ state: 'unknown' });
+    expect(model.shard.read('s2.kept')._unsafeUnwrap()).to.include({ state: 'unknown' });
   });
 
   it('stops what others took over, also when a worker reports it later', () => {
--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -22,6 +22,7 @@
 import type { WaitEstimator } from './WaitEstimator.js';
 import type { WaitingQueue } from './WaitingQueue.js';
 import type { WorkerRecord } from './WorkerRecord.js';
+import { writesIntent } from './writesIntent.js';
 
 const placements: Readonly<Record<WorkKind, Placement>> = {
   service: new ServicePlacement(),
@@ -263,9 +264,7 @@
     worker.addTask(task);
     this.#parts.ledger.charge(request.team, request.size);
     this.#checkInvariants(request, worker);
-    const needsIntent =
-      !request.idempotent && (request.detached || request.idempotencyKey !== undefined);
-    if (!needsIntent) {
+    if (!writesIntent(request)) {
       this.sendStart(task);
       return;
     }
--- a/packages/core/src/JournaledRequest.ts
+++ b/packages/core/src/JournaledRequest.ts
@@ -5,7 +5,7 @@
   readonly request: Request;
   /** Wall time of its deadline in milliseconds. */
   readonly deadlineAtMs: number;
-  /** Whether the journal has the intent to start it, so that it may have run. */
-  readonly hasIntent: boolean;
+  /** Whether the journal has the intent to start it, or cannot tell because none is written for it. */
+  readonly mayHaveStarted: boolean;
   readonly isFinished: boolean;
 }
--- a/packages/core/src/TakenWork.ts
+++ b/packages/core/src/TakenWork.ts
@@ -97,14 +97,14 @@
     return true;
   }
 
-  #accept({ request, deadlineAtMs, hasIntent }: JournaledRequest): void {
+  #accept({ request, deadlineAtMs, mayHaveStarted }: JournaledRequest): void {
     const { clock, recorder, shard } = this.#context;
     const deadlineAt = clock.now() + deadlineAtMs - clock.wallTime();
     const record = new RequestRecord(request, clock.now(), deadlineAt);
     record.setAccepted(true);
     this.#parts.table.add(record);
     recorder.record('requestAdmitted', { requestId: request.id, team: request.team, shard });
-    if (!request.idempotent && hasIntent) {
+    if (!request.idempotent && mayHaveStarted) {
       this.#endUnknown(record);
     } else this.#parts.inherited.enqueue(record);
     this.#context.emit({ effect: 'changed', requestId: request.id });
--- a/packages/core/src/listJournaled.ts
+++ b/packages/core/src/listJournaled.ts
@@ -1,5 +1,6 @@
 import type { JournalEntry } from '@toucanline/schema';
 import type { JournaledRequest } from './JournaledRequest.js';
+import { writesIntent } from './writesIntent.js';
 
 /**
  * Lists the requests of a journal.
@@ -14,14 +15,15 @@
   for (const entry of entries) {
     if (entry.entry === 'accepted') {
       const { request, deadlineAtMs } = entry;
+      const mayHaveStarted = !request.idempotent && !writesIntent(request);
       const isFinished = false;
-      requests.set(request.id, { request, deadlineAtMs, hasIntent: false, isFinished });
+      requests.set(request.id, { request, deadlineAtMs, mayHaveStarted, isFinished });
       continue;
     }
     const id = entry.entry === 'intent' ? entry.requestId : entry.view.id;
     const known = requests.get(id);
     if (known === undefined) continue;
-    const changed = entry.entry === 'intent' ? { hasIntent: true } : { isFinished: true };
+    const changed = entry.entry === 'intent' ? { mayHaveStarted: true } : { isFinished: true };
     requests.set(id, { ...known, ...changed });
   }
   return requests;
--- a/packages/entry/src/DataCentreRoutes.ts
+++ b/packages/entry/src/DataCentreRoutes.ts
@@ -158,12 +158,12 @@
     const entries = await readJournal(store, shard);
     if (entries.isErr()) return err(entries.error);
     const work = new Map<string, OpenWork>();
-    for (const { request, hasIntent, isFinished } of listJournaled(entries.value).values()) {
+    for (const { request, mayHaveStarted, isFinished } of listJournaled(entries.value).values()) {
       const { id, queue, team, idempotent } = request;
       if (isFinished || book.isTakenFrom(id, shard)) continue;
       const key = `${queue}\n${team}\n${idempotent}`;
       const known = work.get(key) ?? { queue, team, idempotent, requests: 0, started: 0 };
-      const started = known.started + (hasIntent && !idempotent ? 1 : 0);
+      const started = known.started + (mayHaveStarted && !idempotent ? 1 : 0);
       work.set(key, { ...known, requests: known.requests + 1, started });
     }
     const allotments: Record<string, Resources> = {};
