Let one call of an entry wait for 30 s

Cause: an entry asked the owner of each attached request that waits every 10 s: 61 B/s of links per waiting caller at the scheduler and 74 at the entry, so 100 callers took more than the whole budget of traffic. Change: one call waits for up to 30 s. A link that fails ends it earlier. Conclusion: the calls were a timer, not a need.

--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -23,8 +23,11 @@
 import { err, ok, type Result } from 'neverthrow';
 import { OpenRequests } from './OpenRequests.js';
 
-/** Longest wait of one call to a scheduler, in milliseconds. */
-const sliceMs = 10_000;
+/**
+ * Longest wait of one call to a scheduler, in milliseconds. A link that fails ends the call earlier, so short
+ * waits bring nothing but traffic for each caller that waits.
+ */
+const sliceMs = 30_000;
 /** Time for the transport of a call and its reply, in milliseconds. */
 const marginMs = 2000;
 const submitTimeoutMs = 5000;
