--- a/packages-private/testkit/src/WorkerFake.ts
+++ b/packages-private/testkit/src/WorkerFake.ts
@@ -225,16 +225,16 @@
     return { status: 200, body: this.#report(renewal) };
   }
 
-  #report({ authority, acknowledged, full }: Renewal): WorkerAnswer {
+  #report({ authority, acknowledged, full, leaseUntil }: Renewal): WorkerAnswer {
     const tasks = [...this.#tasks.values()];
     const changed = tasks.filter(({ sequence }) => sequence > acknowledged);
     const isOwned = authority.epoch === this.#epoch && authority.owner === this.#owner;
     return {
-      bootId: this.#bootId,
       clockMs: this.#now,
       sequence: this.#sequence,
-      state: this.#leaving ? 'leaving' : 'live',
-      leaseUntil: this.#leaseUntil,
+      ...(authority.bootId === this.#bootId ? {} : { bootId: this.#bootId }),
+      ...(this.#leaving ? { state: 'leaving' as const } : {}),
+      ...(leaseUntil === this.#leaseUntil ? {} : { leaseUntil: this.#leaseUntil }),
       ...(isOwned ? {} : { epoch: this.#epoch, owner: this.#owner }),
       ...(full
         ? { description: this.#describe(), tasks: tasks.map((task) => task.describe()) }
--- a/packages/platform/src/HttpWorkerGateway.ts
+++ b/packages/platform/src/HttpWorkerGateway.ts
@@ -72,20 +72,17 @@
   }
 
   /** Adds what the worker left out; undefined if it never described itself since its boot. */
-  #complete(
-    address: string,
-    { authority, full }: Renewal,
-    answer: WorkerAnswer,
-  ): Report | undefined {
+  #complete(address: string, renewal: Renewal, answer: WorkerAnswer): Report | undefined {
     const { description: told, ...rest } = answer;
+    const { authority, leaseUntil, full } = renewal;
+    const { epoch, owner } = authority;
+    const bootId = answer.bootId ?? authority.bootId;
     const known = this.#descriptions.get(address);
-    const description = told ?? (known?.bootId === answer.bootId ? known.description : undefined);
+    const description = told ?? (known?.bootId === bootId ? known.description : undefined);
     if (description === undefined) return undefined;
-    if (told !== undefined) {
-      this.#descriptions.set(address, { bootId: answer.bootId, description: told });
-    }
-    const { epoch, owner } = authority;
-    return { epoch, owner, full, tasks: [], changes: [], ...description, ...rest };
+    if (told !== undefined) this.#descriptions.set(address, { bootId, description: told });
+    const same = { bootId, epoch, owner, leaseUntil, state: 'live' } as const;
+    return { ...same, full, tasks: [], changes: [], ...description, ...rest };
   }
 
   async #post(
