--- a/packages-private/bench/src/measureCapacity.ts
+++ b/packages-private/bench/src/measureCapacity.ts
@@ -1,9 +1,12 @@
+import { periods } from '@toucanline/core';
 import { sleep } from '@toucanline/testkit';
 import { CapacitySite } from './CapacitySite.js';
 import { fitLine } from './fitLine.js';
 
-const intervalMs = 8000;
-const settleMs = 3000;
+/** A multiple of the renewal period of workers, so that each interval has equally many polls of each. */
+const intervalMs = 2 * periods.workerRenewalMs;
+/** Longer than a renewal, whose answer tells the starts before the interval. */
+const settleMs = 6000;
 const workerSizes = [25, 50, 100, 200] as const;
 const taskSizes = [0, 500, 1000, 2000] as const;
 const rateSizes = [10, 20, 40, 80] as const;
@@ -85,14 +88,15 @@
 const measureCallers = async (): Promise<void> => {
   const rows: Row[] = [];
   for (const callers of callerSizes) {
-    const waitSeconds = (2 * settleMs + intervalMs) / 1000;
+    const waitSeconds = (3 * settleMs + intervalMs) / 1000;
     let waiting: Promise<void> | undefined;
     const hold = (site: CapacitySite): Promise<void> => {
-      waiting = site.holdCallers(callers, waitSeconds);
+      // Calls that are still open when the site stops are cut.
+      waiting = site.holdCallers(callers, waitSeconds).catch(() => undefined);
       return sleep(settleMs);
     };
     rows.push([callers, await measureSite({ workersPerDataCentre: 50 }, hold, idle)]);
-    await waiting?.catch(() => undefined);
+    await waiting;
   }
   printRows('Waiting callers', 'caller', rows);
 };
--- a/packages-private/testkit/src/WorkerFake.ts
+++ b/packages-private/testkit/src/WorkerFake.ts
@@ -191,7 +191,8 @@
     });
     this.#tasks.set(taskId, task);
     this.#ledger.noteStart(id, assignment);
-    this.#noteChange(task);
+    // The response tells the start, so the held renewal goes on.
+    this.#countChange(task);
     if (this.#failsAll) task.end('failed', 'the worker is broken');
     else task.run();
     return { status: 200, body: {} };
@@ -224,16 +225,16 @@
     return { status: 200, body: this.#report(renewal) };
   }
 
-  #report({ authority, acknowledged, full }: Renewal): WorkerAnswer {
+  #report({ authority, acknowledged, full, leaseUntil }: Renewal): WorkerAnswer {
     const tasks = [...this.#tasks.values()];
     const changed = tasks.filter(({ sequence }) => sequence > acknowledged);
     const isOwned = authority.epoch === this.#epoch && authority.owner === this.#owner;
     return {
-      bootId: this.#bootId,
       clockMs: this.#now,
       sequence: this.#sequence,
-      state: this.#leaving ? 'leaving' : 'live',
-      leaseUntil: this.#leaseUntil,
+      ...(authority.bootId === this.#bootId ? {} : { bootId: this.#bootId }),
+      ...(this.#leaving ? { state: 'leaving' as const } : {}),
+      ...(leaseUntil === this.#leaseUntil ? {} : { leaseUntil: this.#leaseUntil }),
       ...(isOwned ? {} : { epoch: this.#epoch, owner: this.#owner }),
       ...(full
         ? { description: this.#describe(), tasks: tasks.map((task) => task.describe()) }
@@ -257,9 +258,13 @@
   }
 
   #noteChange(task: FakeTask): void {
+    this.#countChange(task);
+    this.#wake();
+  }
+
+  #countChange(task: FakeTask): void {
     this.#sequence += 1;
     task.setSequence(this.#sequence);
-    this.#wake();
   }
 
   #wake(): void {
--- a/packages/core/src/Router.ts
+++ b/packages/core/src/Router.ts
@@ -113,14 +113,14 @@
   }
 
   /**
-   * Finds how old the newest notice of a shard's owner is.
+   * Finds when a shard's owner was last heard of.
    *
    * @param shard - name of the shard
-   * @returns milliseconds; undefined if there was none
+   * @returns milliseconds since then; undefined if there was no notice
    */
   public findAge(shard: string): number | undefined {
     const known = this.#loads.get(shard);
-    return known === undefined ? undefined : this.#clock.now() - known.at;
+    return known === undefined ? undefined : this.#readAge(known);
   }
 
   /**
