--- a/packages-private/testkit/src/HttpFake.ts
+++ b/packages-private/testkit/src/HttpFake.ts
@@ -80,7 +80,13 @@
     if (fault === 'down') request.socket.destroy();
     if (fault === 'down' || fault === 'hang') return;
     if (this.#delayMs > 0) await sleep(this.#delayMs);
-    const { status, body } = await this.handle(request);
+    const answer = await this.handle(request).catch((error: unknown) => {
+      // The caller was killed while it sent its request.
+      if (request.errored === null) throw error;
+      return undefined;
+    });
+    if (answer === undefined) return;
+    const { status, body } = answer;
     if (fault === 'loseAnswers' && request.method !== 'GET') {
       request.socket.destroy();
       return;
