--- a/packages-private/testkit/__tests__/durability.test.ts
+++ b/packages-private/testkit/__tests__/durability.test.ts
@@ -37,6 +37,17 @@
     await create(1).cancel(view.id);
   });
 
+  it('serves a request that prefers to be detached while the store is down', async () => {
+    site.store.setFault('down');
+    // Until its store lease has ended, the owner takes the store as reachable.
+    await sleep(4000);
+    const preferring = { size, command: 'echo x', detached: 'prefer' } as const;
+    const preferred = await create(1).submit('renders', preferring, { wait: 10 });
+    expect(preferred.view.output).to.deep.equal(['x']);
+    site.store.setFault('none');
+    await sleep(1500);
+  });
+
   // Guards against 404 for a request whose caller got 202: nobody else knew of it.
   it('answers a request whose entry and owner are killed while it waits', async () => {
     const first = await create(1).submit('renders', long, { wait: 0 });
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -214,10 +214,11 @@
   /**
    * Takes a request; a journaled one is answered after its commit.
    *
-   * @param call - the request
+   * @param offered - the request
    * @returns its state, or the failure
    */
-  public async submit(call: SubmitCall): Promise<ReplyBody> {
+  public async submit(offered: SubmitCall): Promise<ReplyBody> {
+    const call = this.#attach(offered);
     const refused = this.#checkReady(call);
     if (refused !== undefined) return { reply: 'failure', failure: refused };
     const result = this.#shard.submit(call);
@@ -259,7 +260,7 @@
 
   /** A store that cannot be reached is not waited for. */
   async #waitForJournal(requestId: string, waitMs: number): Promise<void> {
-    if (!this.#journalOpen || this.#isWithoutStore) return;
+    if (!this.#canCommit) return;
     const isDone = (): boolean => !this.#active || this.#shard.isJournalSettled(requestId);
     await this.#waiters.waitUntil(requestId, waitMs, isDone);
   }
@@ -336,13 +337,22 @@
     return this.#ownership.provisional || this.#ownership.readStanding() === 'unreachable';
   }
 
+  get #canCommit(): boolean {
+    return this.#journalOpen && !this.#isWithoutStore;
+  }
+
+  /** Without the store, a request that prefers to be detached is taken like one whose caller waits. */
+  #attach(call: SubmitCall): SubmitCall {
+    if (call.detached !== 'prefer' || this.#canCommit) return call;
+    return { ...call, request: { ...call.request, detached: false } };
+  }
+
   #checkReady({ request, heldEpoch }: SubmitCall): Failure | undefined {
     if (!this.#active || this.#frozen) return createFailure('notOwner', 'the owner changes');
     if (!this.#isStanding || !this.#serving) {
       return createFailure('notReady', 'the owner of the shard is starting', 1);
     }
-    const canCommit = this.#journalOpen && !this.#isWithoutStore;
-    if (canCommit || !this.#shard.isJournaled(request)) return undefined;
+    if (this.#canCommit || !this.#shard.isJournaled(request)) return undefined;
     // A request that an earlier owner may hold is answered once the journal tells about it.
     return heldEpoch === undefined
       ? createFailure('storeUnavailable', 'the journal of the shard cannot be reached', 1)
@@ -395,8 +405,7 @@
       if (this.#mayAct) {
         this.#shard.tick();
         this.#updateServing();
-        const mayWrite = this.#journalOpen && !this.#isWithoutStore;
-        if (mayWrite && tick % ticksPerRoster === 0)
+        if (this.#canCommit && tick % ticksPerRoster === 0)
           void this.#roster.save(this.#shard.listLeased());
       }
       this.#pump();
