Keep the ids of a repeated request over a failover

After a failover each entry handed in its own submission; the new owner took the second one, so the id that both callers knew was answered 404.

Change: an entry hands a request in again under the id that its caller was told. A shard finds a request by the ids of its repeats. Unit test in failover.test.ts.

--- a/packages/core/__tests__/failover.test.ts
+++ b/packages/core/__tests__/failover.test.ts
@@ -64,6 +64,15 @@
     expect(shard.read('s1.repeat')._unsafeUnwrap().state).to.equal('running');
     expect(shard.read(id)._unsafeUnwrap().id).to.equal('s1.repeat');
   });
+
+  // Guards against 404 for the id of the first request, whose entry hands it in after that of the repeat.
+  it('finds a request by the id of the first one although it took the repeat', () => {
+    const { shard, submission } = createOwner();
+    const first = { ...submission.request, idempotencyKey: 'k' };
+    shard.submit({ ...submission, request: { ...first, id: 's1.repeat' } })._unsafeUnwrap();
+    shard.submit({ ...submission, request: first, heldEpoch: 1, heldMs: 1000 })._unsafeUnwrap();
+    expect(shard.read(id)._unsafeUnwrap().id).to.equal('s1.repeat');
+  });
 });
 
 describe('an owner that cannot confirm its claim', () => {
--- a/packages/core/src/Acceptance.ts
+++ b/packages/core/src/Acceptance.ts
@@ -176,6 +176,7 @@
       const detail = 'the idempotency key was used with another request body or queue';
       return err(createFailure('conflictingKey', detail));
     }
+    this.#parts.table.noteRepeat(request.id, record);
     this.#parts.lifecycle.noteWanted(record);
     if (record.deadlineAt === Infinity) {
       record.setDeadline(this.#context.clock.now() + remainingMs);
--- a/packages/core/src/RequestTable.ts
+++ b/packages/core/src/RequestTable.ts
@@ -7,8 +7,9 @@
 export class RequestTable {
   readonly #records = new Map<string, RequestRecord>();
   readonly #byKey = new Map<string, RequestRecord>();
-  /** Repeats that an earlier owner took as requests of their own, by their id. */
+  /** Requests by the ids of their repeats, which an earlier owner may have told callers. */
   readonly #repeats = new Map<string, RequestRecord>();
+  readonly #repeatIds = new Map<RequestRecord, readonly string[]>();
   readonly #open = new Set<RequestRecord>();
   /** Finished requests by the time at which their end was noted. */
   readonly #finished = new Set<RequestRecord>();
@@ -40,7 +41,8 @@
   public remove(record: RequestRecord): void {
     const { id, team, idempotencyKey } = record.request;
     this.#records.delete(id);
-    for (const [repeat, known] of this.#repeats) if (known === record) this.#repeats.delete(repeat);
+    for (const repeat of this.#repeatIds.get(record) ?? []) this.#repeats.delete(repeat);
+    this.#repeatIds.delete(record);
     this.#open.delete(record);
     this.#finished.delete(record);
     if (idempotencyKey === undefined) return;
@@ -72,10 +74,22 @@
     const repeat = this.#byKey.get(createKeyName(team, idempotencyKey));
     const isSame = repeat?.request.digest === digest && repeat.request.queue === queue;
     if (repeat === undefined || !isSame) return undefined;
-    this.#repeats.set(request.id, repeat);
+    this.noteRepeat(request.id, repeat);
     return repeat;
   }
 
+  /**
+   * Notes a further id of a request.
+   *
+   * @param id - id of a repeat, or of the first request if the repeat was known before
+   * @param record - the request
+   */
+  public noteRepeat(id: string, record: RequestRecord): void {
+    if (this.find(id) !== undefined) return;
+    this.#repeats.set(id, record);
+    this.#repeatIds.set(record, [...(this.#repeatIds.get(record) ?? []), id]);
+  }
+
   /**
    * Finds the request that a repeat belongs to: the same id, or the same team and idempotency key.
    *
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -198,7 +198,9 @@
     const asked = await this.#callOwner(view.id, body, options.waitMs + marginMs);
     if (asked.isOk() || asked.error.kind !== 'unknownRequest') return asked;
     const remainingMs = submission.deadlineAt - this.#parts.clock.now();
-    const handedIn = await this.#handIn(shard, submission, remainingMs, epoch);
+    // Under the id that the caller was told, which is that of the first request with the same key.
+    const told = { ...submission, request: { ...submission.request, id: view.id } };
+    const handedIn = await this.#handIn(shard, told, remainingMs, epoch);
     if (handedIn.isErr() || options.keep !== true) return handedIn;
     const { id } = handedIn.value.view;
     return this.#callOwner(id, { ...body, requestId: id, waitMs: 0 }, marginMs);
