--- a/packages/core/__tests__/failover.test.ts
+++ b/packages/core/__tests__/failover.test.ts
@@ -136,6 +136,34 @@
     expect(next.shard.read(id)._unsafeUnwrap().state).to.equal('cancelled');
   });
 
+  // Guards against a cancellation that is lost with the owner, before its stop command arrived.
+  it('is stopped by the next owner if it was cancelled while it ran', () => {
+    const former = createOwner();
+    recover(former);
+    former.shard.submit(former.submission)._unsafeUnwrap();
+    expect(former.countStarts()).to.equal(1);
+    const [started] = former.shard.read(id)._unsafeUnwrap().tasks;
+    const task = former.describeTask(1, {});
+    const assignment = { ...task.assignment, taskId: started?.id ?? '' };
+    former.report(started?.worker ?? '', [{ ...task, assignment }]);
+    former.shard.cancel(id)._unsafeUnwrap();
+    expect(former.shard.isJournalSettled(id)).to.equal(false);
+    former.countStarts();
+    expect(former.shard.isJournalSettled(id)).to.equal(true);
+    const next = createOwner(former.journal);
+    next.report('w0', [{ ...task, assignment }]);
+    next.report('w1', []);
+    const stops = next.takeCommands().map(({ action, cancelled }) => [action, cancelled]);
+    expect(stops).to.deep.equal([['stop', true]]);
+    next.report('w0', [{ ...task, assignment, state: 'stopped' }]);
+    expect(next.countStarts()).to.equal(0);
+    expect(next.shard.read(id)._unsafeUnwrap()).to.include({ state: 'cancelled', ran: 'yes' });
+    const last = createOwner(former.journal);
+    recover(last);
+    expect(last.countStarts()).to.equal(0);
+    expect(last.shard.read(id)._unsafeUnwrap().state).to.equal('cancelled');
+  });
+
   // Guards against a result that a store without answers keeps from its caller.
   it('shows its result although the commit of its end does not return', () => {
     const owner = createOwner();
--- a/packages/core/src/InheritedWork.ts
+++ b/packages/core/src/InheritedWork.ts
@@ -47,6 +47,7 @@
     const { clock } = this.#context;
     const loaded = new Map<string, RequestRecord>();
     const known = new Map<string, RequestRecord>();
+    const cancelled = new Set<string>();
     for (const entry of entries) {
       if (entry.entry === 'accepted') {
         const record = this.#parts.table.find(entry.request.id);
@@ -54,6 +55,8 @@
         else loaded.set(entry.request.id, this.#loadAccepted(entry));
       } else if (entry.entry === 'intent') {
         loaded.get(entry.requestId)?.markUncertain(1, Infinity);
+      } else if (entry.entry === 'cancelled') {
+        cancelled.add(entry.requestId);
       } else {
         const { id } = entry.view;
         loaded.get(id)?.restore(entry.view, clock.now());
@@ -64,6 +67,10 @@
       }
     }
     for (const record of known.values()) this.#parts.lifecycle.noteJournaled(record);
+    for (const id of cancelled) {
+      const record = this.#parts.table.find(id);
+      if (record !== undefined) this.#parts.lifecycle.resumeCancellation(record, loaded.has(id));
+    }
     for (const record of loaded.values()) {
       if (this.#parts.recovery.isComplete) this.#release(record);
       else this.#parts.recovery.hold(record);
@@ -154,12 +161,17 @@
   /** Lets a held request go on: only proof or idempotence permits a start. */
   #release(record: RequestRecord): void {
     if (record.isFinished || record.activeTasks.length > 0) return;
+    if (this.#parts.recovery.disproves(record)) record.clearUncertain();
+    if (record.stopPlan !== undefined) {
+      this.#parts.lifecycle.stopRequest(record, record.stopPlan);
+      return;
+    }
     // The next tick ends a request whose deadline passed while it was held.
     if (this.#context.clock.now() >= record.deadlineAt) return;
-    if (this.#parts.recovery.disproves(record)) record.clearUncertain();
     const detail = 'a worker that may have run the request cannot be reached or restarted';
-    if (record.ran === 'no' || record.request.idempotent) this.#parts.lifecycle.enqueue(record);
-    else this.#parts.lifecycle.finish(record, 'unknown', createFailure('outcomeUnknown', detail));
+    if (record.ran === 'no' || record.request.idempotent) {
+      this.#parts.lifecycle.enqueue(record);
+    } else this.#parts.lifecycle.finish(record, 'unknown', createFailure('outcomeUnknown', detail));
   }
 
   /** Queues a request whose former owner had not started all of its tasks. */
--- a/packages/core/src/RequestLifecycle.ts
+++ b/packages/core/src/RequestLifecycle.ts
@@ -6,8 +6,8 @@
   TaskCommand,
   TaskDelta,
 } from '@toucanline/schema';
-import { createAcceptedEntry } from './createAcceptedEntry.js';
 import { createFailure } from './createFailure.js';
+import { EndWriter } from './EndWriter.js';
 import type { Fleet } from './Fleet.js';
 import { periods } from './periods.js';
 import type { Policy } from './Policy.js';
@@ -29,16 +29,6 @@
   readonly readPolicy: () => Policy;
 }
 
-/** Tickets of ends start here, above those of acceptances, so that the two cannot be mistaken. */
-const firstFinishTicket = 2 ** 40;
-/** Ticket of an acceptance that is written together with the end; the ticket of the end settles both. */
-const pairTicket = firstFinishTicket - 1;
-/** Interval between attempts to write ends that the store did not take. */
-const rewriteMs = 1000;
-
-/** Time after which a result is shown although its commit is not confirmed. */
-const resultPatienceMs = 2000;
-
 /** Moves requests between their states: retries, ends, cancellations, deadlines. */
 export class RequestLifecycle {
   readonly #context: ShardContext;
@@ -51,14 +41,7 @@
   readonly #parked = new Set<RequestRecord>();
   /** Tasks that shall stop, with the local monotonic time of the last command. */
   readonly #stopping = new Map<TaskRecord, number>();
-  /** Ends whose journal entry is not confirmed, by ticket. */
-  readonly #unconfirmed = new Map<number, RequestRecord>();
-  /** Ends that are hidden from their callers, with the local monotonic time of the end. */
-  readonly #hidden = new Map<RequestRecord, number>();
-  /** Ends whose last commit failed. */
-  readonly #unwritten = new Set<RequestRecord>();
-  #writtenAt = -Infinity;
-  #nextTicket = firstFinishTicket;
+  readonly #ends: EndWriter;
 
   /**
    * @param context - what the parts of the shard share
@@ -67,6 +50,7 @@
   public constructor(context: ShardContext, parts: LifecycleParts) {
     this.#context = context;
     this.#parts = parts;
+    this.#ends = new EndWriter(context);
   }
 
   /**
@@ -134,7 +118,7 @@
   public noteJournaled(record: RequestRecord): void {
     record.confirmAcceptance();
     this.noteWanted(record);
-    if (record.isFinished) this.#endJournaled(record);
+    if (record.isFinished) this.#ends.writeEnd(record);
   }
 
   /**
@@ -180,7 +164,7 @@
     });
     emit({ effect: 'changed', requestId: record.id });
     // The entry that holds a cancelled request may not learn of it before the owner fails.
-    if (record.isAccepted || state === 'cancelled') this.#endJournaled(record);
+    if (record.isAccepted || state === 'cancelled') this.#ends.writeEnd(record);
   }
 
   #forgetOpen(record: RequestRecord): void {
@@ -190,51 +174,25 @@
     this.#parked.delete(record);
   }
 
-  /** Until the journal has the end, a new owner could start the request again. */
-  #endJournaled(record: RequestRecord): void {
-    record.awaitEnd();
-    this.#hidden.set(record, this.#context.clock.now());
-    this.#writeFinish(record);
-  }
-
   /**
-   * Applies the result of writing an end to the journal.
+   * Applies the result of writing an end or a cancellation to the journal.
    *
    * @param ticket - ticket of the commit
-   * @param failure - why the end is not in the journal, unless it is
-   * @returns false if the ticket does not belong to an end
+   * @param failure - why the entry is not in the journal, unless it is
+   * @returns false if the ticket belongs to neither
    */
   public confirmFinish(ticket: number, failure?: Failure): boolean {
-    if (ticket < firstFinishTicket) return false;
-    const record = this.#unconfirmed.get(ticket);
-    this.#unconfirmed.delete(ticket);
-    if (record === undefined) return true;
-    if (failure !== undefined) this.#unwritten.add(record);
-    if (failure === undefined) record.confirmEnd();
-    else this.#showResult(record);
-    if (!record.awaitsEnd) this.#hidden.delete(record);
-    this.#context.emit({ effect: 'changed', requestId: record.id });
-    return true;
+    return this.#ends.confirm(ticket, failure);
   }
 
   /**
-   * Without the store the caller gets a result that exists, but no claim that nothing will run: a later
-   * owner that does not find the end would start the request again.
+   * Checks whether the journal is about to get the end or the cancellation of a request.
+   *
+   * @param record - the request
+   * @returns false once the last write is confirmed or failed
    */
-  #showResult(record: RequestRecord): void {
-    if (record.ran !== 'no' && record.state !== 'cancelled') record.confirmEnd();
-  }
-
-  /** Shows results whose commit takes long, because the store may not answer at all. */
-  #showLate(now: number): void {
-    for (const [record, endedAt] of this.#hidden) {
-      if (record.awaitsEnd && now - endedAt < resultPatienceMs) return;
-      this.#showResult(record);
-      if (!record.awaitsEnd) {
-        this.#hidden.delete(record);
-        this.#context.emit({ effect: 'changed', requestId: record.id });
-      }
-    }
+  public isWriting(record: RequestRecord): boolean {
+    return this.#ends.isWriting(record);
   }
 
   /**
@@ -246,10 +204,27 @@
     if (record.isFinished) return;
     this.#context.recorder.record('requestCancelled', { requestId: record.id });
     this.#markCancelled(record);
+    const isNew = record.stopPlan?.next !== 'cancelled';
     this.stopRequest(record, {
       next: 'cancelled',
       failure: createFailure('cancelled', 'the request was cancelled'),
     });
+    // The next owner has to go on with it, also if the stop commands do not arrive.
+    if (isNew && record.state === 'stopping') this.#ends.writeCancellation(record);
+  }
+
+  /**
+   * Goes on with a cancellation that the journal has.
+   *
+   * @param record - the request
+   * @param isHeld - whether it is held back, so that it ends with the recovery
+   */
+  public resumeCancellation(record: RequestRecord, isHeld: boolean): void {
+    if (record.isFinished) return;
+    const failure = createFailure('cancelled', 'the request was cancelled under an earlier owner');
+    const plan = { next: 'cancelled', failure } as const;
+    if (isHeld) record.beginStop(plan);
+    else this.stopRequest(record, plan);
   }
 
   /**
@@ -396,22 +371,13 @@
   public tick(): void {
     const now = this.#context.clock.now();
     this.#repeatStops(now);
-    this.#showLate(now);
-    this.#rewriteEnds(now);
+    this.#ends.tick();
     for (const record of this.#parts.table.listOpen()) {
       if (now >= record.deadlineAt) this.#expire(record);
     }
     this.#forgetFinished(now);
   }
 
-  #rewriteEnds(now: number): void {
-    if (this.#unwritten.size === 0 || now - this.#writtenAt < rewriteMs) return;
-    this.#writtenAt = now;
-    const unwritten = [...this.#unwritten];
-    this.#unwritten.clear();
-    for (const record of unwritten) this.#writeFinish(record);
-  }
-
   #repeatStops(now: number): void {
     for (const [task, sentAt] of this.#stopping) {
       const worker = this.#parts.fleet.find(task.worker);
@@ -489,21 +455,4 @@
     if (plan.failure?.kind === 'outcomeUnknown') return 'unknown';
     return record.ran === 'no' ? 'refused' : 'failed';
   }
-
-  /** An end that is not in the journal would be undone by the next owner, so it is written until it is. */
-  #writeFinish(record: RequestRecord): void {
-    const { clock, emit } = this.#context;
-    const ticket = this.#nextTicket;
-    this.#nextTicket += 1;
-    this.#unconfirmed.set(ticket, record);
-    if (!record.isAccepted) {
-      emit({ effect: 'commit', ticket: pairTicket, entry: createAcceptedEntry(record, clock) });
-    }
-    const entry = {
-      entry: 'finished',
-      view: record.describeEnd(),
-      atMs: clock.wallTime(),
-    } as const;
-    emit({ effect: 'commit', ticket, entry });
-  }
 }
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -345,8 +345,8 @@
   public isJournalSettled(requestId: string): boolean {
     const record = this.#table.find(requestId);
     if (record === undefined) return true;
-    if (record.isFinished) return !record.awaitsEnd;
-    return record.isDurable || !record.isAccepted;
+    if (this.#lifecycle.isWriting(record)) return false;
+    return record.isFinished || record.isDurable || !record.isAccepted;
   }
 
   /**
--- a/packages/core/src/compactEntries.ts
+++ b/packages/core/src/compactEntries.ts
@@ -3,7 +3,7 @@
 
 const readId = (entry: JournalEntry): string => {
   if (entry.entry === 'accepted') return entry.request.id;
-  return entry.entry === 'intent' ? entry.requestId : entry.view.id;
+  return entry.entry === 'finished' ? entry.view.id : entry.requestId;
 };
 
 /**
@@ -36,6 +36,7 @@
   }
   return entries.filter((entry) => {
     const id = readId(entry);
-    return !dropped.has(id) && !(entry.entry === 'intent' && finished.has(id));
+    const isOver = (entry.entry === 'intent' || entry.entry === 'cancelled') && finished.has(id);
+    return !dropped.has(id) && !isOver;
   });
 };
