--- a/packages/core/src/Acceptance.ts
+++ b/packages/core/src/Acceptance.ts
@@ -86,7 +86,7 @@
     this.#parts.table.add(record);
     recorder.record('requestAdmitted', { requestId: request.id, team: request.team, shard });
     const wasHeld = heldEpoch !== undefined && heldEpoch < epoch;
-    if (wasHeld) record.markUncertain(0, clock.now() - heldMs - heldMarginMs);
+    if (wasHeld) record.markUncertain(0, this.#readEarliestStart(request, heldMs));
     if (this.isJournaled(request)) this.#commitAccepted(record);
     else this.#parts.inherited.enqueue(record);
     return ok(record.describe());
@@ -127,6 +127,16 @@
     this.#context.emit({ effect: 'changed', requestId: record.id });
   }
 
+  /**
+   * An owner that was cut off stops non-idempotent tasks of a released queue and forgets their reports, so
+   * that reports prove nothing about them.
+   */
+  #readEarliestStart({ queue, idempotent }: SubmitCall['request'], heldMs: number): number {
+    const isReleasable = this.#parts.readPolicy().releases.has(queue);
+    if (!idempotent && isReleasable) return -Infinity;
+    return this.#context.clock.now() - heldMs - heldMarginMs;
+  }
+
   /**
    * Writes an attached request to the journal, because its caller stops to wait: it then outlasts the
    * entry, and its end is written too.
--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -1,4 +1,5 @@
 import type { Request, WorkKind } from '@toucanline/schema';
+import { AcceleratorReserve } from './AcceleratorReserve.js';
 import { BatchPlacement } from './BatchPlacement.js';
 import { calculateDominantShare } from './calculateDominantShare.js';
 import { CandidateSource } from './CandidateSource.js';
@@ -7,6 +8,7 @@
 import type { Fleet } from './Fleet.js';
 import { GangReservation } from './GangReservation.js';
 import { GangPlacement } from './GangPlacement.js';
+import { needsIntent } from './needsIntent.js';
 import { periods } from './periods.js';
 import type { Placement } from './Placement.js';
 import type { Recovery } from './Recovery.js';
@@ -56,6 +58,7 @@
   #fleetVersion = -1;
   #rankedAt = -Infinity;
   readonly #reservation: GangReservation;
+  readonly #reserve: AcceleratorReserve;
   #plannedAt = -Infinity;
 
   /**
@@ -66,6 +69,7 @@
     this.#context = context;
     this.#parts = parts;
     this.#reservation = new GangReservation(parts.fleet);
+    this.#reserve = new AcceleratorReserve(parts.fleet, parts.queue.order);
   }
 
   /**
@@ -79,6 +83,7 @@
     this.#parts.queue.releaseDue(now);
     // Workers reserved for urgent work are not in the index, so changes of them are not noticed.
     if (this.#parts.preemption.size > 0) this.#parts.queue.order.retryUrgent();
+    this.#reserve.review(now);
     this.#serveReservation(now);
     for (let starts = 0; starts < maxStarts;) {
       const group = this.#chooseClass(now);
@@ -141,7 +146,7 @@
       order.retryTeam(team);
     }
     for (const [worker, before] of fleet.index.takeChanged()) {
-      order.noteWorker(worker, before, fleet.index.readFree(worker));
+      order.noteWorker(worker, before, fleet.index.readCapacity(worker));
     }
     if (this.#fleetVersion !== fleet.version) {
       this.#fleetVersion = fleet.version;
@@ -259,9 +264,7 @@
     worker.addTask(task);
     this.#parts.ledger.charge(request.team, request.size);
     this.#checkInvariants(request, worker);
-    const needsIntent =
-      !request.idempotent && (request.detached || request.idempotencyKey !== undefined);
-    if (!needsIntent) {
+    if (!needsIntent(request)) {
       this.sendStart(task);
       return;
     }
--- a/packages/core/src/IndexedHeap.ts
+++ b/packages/core/src/IndexedHeap.ts
@@ -28,6 +28,15 @@
     return this.#entries[0]?.key ?? Infinity;
   }
 
+  /**
+   * Lists all items.
+   *
+   * @returns the items in no particular order
+   */
+  public items(): IterableIterator<T> {
+    return this.#positions.keys();
+  }
+
   /**
    * Adds an item or changes its key.
    *
--- a/packages/core/src/InheritedWork.ts
+++ b/packages/core/src/InheritedWork.ts
@@ -1,7 +1,9 @@
-import type { AcceptedEntry, JournalEntry, ShardSnapshot } from '@toucanline/schema';
+import type { AcceptedEntry, JournalEntry, Request, ShardSnapshot } from '@toucanline/schema';
 import { createFailure } from './createFailure.js';
 import type { Fleet } from './Fleet.js';
+import { needsIntent } from './needsIntent.js';
 import { periods } from './periods.js';
+import type { Policy } from './Policy.js';
 import type { Recovery } from './Recovery.js';
 import type { RequestLifecycle } from './RequestLifecycle.js';
 import { RequestRecord } from './RequestRecord.js';
@@ -21,6 +23,7 @@
   readonly recovery: Recovery;
   readonly lifecycle: RequestLifecycle;
   readonly tracker: TaskTracker;
+  readonly readPolicy: () => Policy;
 }
 
 /** Requests of earlier owners: from the journal, from a snapshot, and held back until it is known what runs. */
@@ -54,7 +57,10 @@
         if (record !== undefined) known.set(record.id, record);
         else loaded.set(entry.request.id, this.#loadAccepted(entry));
       } else if (entry.entry === 'intent') {
-        loaded.get(entry.requestId)?.markUncertain(1, Infinity);
+        const record = loaded.get(entry.requestId);
+        // A cut-off owner may have stopped it without a commit, and then no worker reports it any more.
+        const isReleasable = this.#parts.readPolicy().releases.has(record?.request.queue ?? '');
+        record?.markUncertain(1, isReleasable ? -Infinity : Infinity);
       } else if (entry.entry === 'cancelled') {
         cancelled.add(entry.requestId);
       } else {
@@ -146,12 +152,20 @@
     return true;
   }
 
+  /** A cut-off owner may have stopped it without a commit, and then no worker reports it any more. */
+  #mayBeForgotten(request: Request): boolean {
+    const isReleasable = this.#parts.readPolicy().releases.has(request.queue);
+    return isReleasable && !request.idempotent && !needsIntent(request);
+  }
+
   #loadAccepted({ request, deadlineAtMs, atMs }: AcceptedEntry): RequestRecord {
     const { clock } = this.#context;
     const deadlineAt = clock.now() + deadlineAtMs - clock.wallTime();
     const record = new RequestRecord(request, clock.now(), deadlineAt);
     // The earlier owner may have started it: only the reports of the workers prove that it did not.
-    const age = clock.wallTime() - (atMs ?? -Infinity) + periods.wallClockMarginMs;
+    const age = this.#mayBeForgotten(request)
+      ? Infinity
+      : clock.wallTime() - (atMs ?? -Infinity) + periods.wallClockMarginMs;
     record.markUncertain(0, clock.now() - age);
     record.confirmAcceptance();
     this.#parts.table.add(record);
--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -7,12 +7,14 @@
 import { ConfigurationRoutes } from './ConfigurationRoutes.js';
 import { createOpenApi } from './createOpenApi.js';
 import { createRoutes } from './createRoutes.js';
+import { DataCentreRoutes } from './DataCentreRoutes.js';
 import { HttpContext } from './HttpContext.js';
 import { KeyRoutes } from './KeyRoutes.js';
 import { OperatorRoutes } from './OperatorRoutes.js';
 import { RequestRoutes } from './RequestRoutes.js';
 import { RequestService } from './RequestService.js';
 import type { Route } from './Route.js';
+import { TakeoverReader } from './TakeoverReader.js';
 
 const defaultDrainSeconds = 60;
 /** Time for the load balancer to notice that the process is not ready, in milliseconds. */
@@ -37,8 +39,12 @@
     return Promise.resolve({ reply: 'failure', failure });
   }
 
-  public override handleNotice(_link: Link, body: NoticeBody): void {
-    this.#router.applyNotice(body);
+  public override handleNotice(link: Link, body: NoticeBody): void {
+    if (link.peer !== undefined) this.#router.applyNotice(link.peer.process, body);
+  }
+
+  public override handleActivity(link: Link): void {
+    if (link.peer !== undefined) this.#router.noteAlive(link.peer.process);
   }
 
   public override handleClose(): void {
@@ -51,6 +57,8 @@
   readonly #runtime: ProcessRuntime;
   readonly #router: Router;
   readonly #peers: PeerSet;
+  readonly #authenticator: Authenticator;
+  readonly #takeovers: TakeoverReader;
   readonly #groups: Parameters<typeof createRoutes>[0];
   readonly #service = restana({
     errorHandler: (error, _request, response) => {
@@ -65,22 +73,26 @@
   public constructor(runtime: ProcessRuntime) {
     super();
     this.#runtime = runtime;
-    const { clock, recorder, settings, keyRing } = runtime;
+    const { clock, recorder, settings, keyRing, keysContact } = runtime;
     this.#router = new Router(clock, settings.dataCentre);
     this.#peers = new PeerSet(runtime, new EntryLinks(this.#router));
-    const authenticator = new Authenticator(keyRing, settings.operatorKeyHash);
+    const authenticator = new Authenticator(keyRing, keysContact, settings.operatorKeyHash);
+    this.#authenticator = authenticator;
+    this.#takeovers = new TakeoverReader(runtime);
     const service = new RequestService({
       clock,
       random: runtime.random,
       recorder,
       router: this.#router,
       peers: this.#peers,
+      readTakeovers: () => this.#takeovers.book,
     });
     this.#groups = {
       requests: new RequestRoutes(runtime, authenticator, service),
       operators: new OperatorRoutes(runtime, authenticator, this.#peers, () => this.#isReady),
       configuration: new ConfigurationRoutes(runtime, authenticator),
       keys: new KeyRoutes(runtime, authenticator),
+      dataCentres: new DataCentreRoutes(runtime, authenticator, this.#router),
     };
     addHealthRoutes(this.#service, () => this.#isReady);
     this.#addRoutes();
@@ -90,6 +102,7 @@
   public override async start(): Promise<void> {
     const { host, port } = this.#runtime.settings.http;
     this.#peers.start();
+    void this.#takeovers.run();
     this.#runtime.followRevisions(
       () => false,
       () => undefined,
@@ -112,6 +125,7 @@
     }
     server.closeIdleConnections();
     await Promise.race([closed, clock.sleep(noticeMs)]);
+    this.#takeovers.stop();
     this.#peers.stop();
   }
 
@@ -126,7 +140,8 @@
   }
 
   get #isReady(): boolean {
-    return !this.#draining && this.#runtime.holder.policy !== undefined;
+    const { policy } = this.#runtime.holder;
+    return !this.#draining && policy !== undefined && this.#authenticator.isReady;
   }
 
   #addRoutes(): void {
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -8,6 +8,7 @@
   type Policy,
   type RandomSource,
   type Router,
+  type TakeoverBook,
 } from '@toucanline/core';
 import type { PeerSet } from '@toucanline/runtime';
 import type {
@@ -20,12 +21,15 @@
   WaitCall,
 } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
+import { OpenRequests } from './OpenRequests.js';
 
 /** Longest wait of one call to a scheduler, in milliseconds. */
 const sliceMs = 10_000;
 /** Time for the transport of a call and its reply, in milliseconds. */
 const marginMs = 2000;
 const submitTimeoutMs = 5000;
+/** Age of a load notice above which its owner counts as silent, in milliseconds. */
+const freshMs = 3000;
 const retryMs = 200;
 const maxHops = 3;
 /** Time for a shard to get a new owner before a request is refused for lack of one, in milliseconds. */
@@ -59,13 +63,28 @@
   'unknown',
 ]);
 
-/** An answer of an older owner, or of an older attempt under the same owner. */
+/** An answer of an older owner of the same shard, or of an older attempt under the same owner. */
 const isOlder = (next: Answer, known: Answer): boolean =>
-  next.epoch < known.epoch ||
-  (next.epoch === known.epoch && next.view.attempt < known.view.attempt);
+  next.shard === known.shard &&
+  (next.epoch < known.epoch ||
+    (next.epoch === known.epoch && next.view.attempt < known.view.attempt));
 
-/** Requests that an entry keeps after their caller's wait; bounds its memory and its calls. */
-const maxHeld = 5000;
+/** Attached requests that an entry has open, each with about 1 KB of memory and one pending call. */
+const openBounds = { total: 10_000, perTeam: 5000 } as const;
+
+/** A request that a shard may hold, although no answer of its owner came back. */
+const describeOffered = ({ id, team, queue, kind, size }: Request): RequestView => ({
+  id,
+  team,
+  queue,
+  kind,
+  size,
+  state: 'waiting',
+  ran: 'unknown',
+  attempt: 0,
+  tasks: [],
+  reason: 'the owner of the shard has not answered yet',
+});
 
 /** What the service works with. */
 interface ServiceParts {
@@ -73,7 +92,9 @@
   readonly random: RandomSource;
   readonly recorder: EventRecorder;
   readonly router: Router;
-  readonly peers: PeerSet;
+  readonly peers: Pick<PeerSet, 'call'>;
+  /** Reads what passed from lost data centres to others. */
+  readonly readTakeovers: () => TakeoverBook;
 }
 
 /** A request of a caller with its bounds. */
@@ -97,13 +118,15 @@
 interface Answer {
   readonly view: RequestView;
   readonly epoch: number;
+  readonly shard: string;
 }
 
 /** Carries requests to the owners of shards and their answers back. */
 export class RequestService {
   readonly #parts: ServiceParts;
-  /** Requests that are held after their caller's wait ended. */
-  #held = 0;
+  readonly #open = new OpenRequests(openBounds);
+  /** Shards that were asked to take attached requests over, by request. */
+  readonly #heirs = new Map<string, string>();
 
   /** @param parts - what the service works with */
   public constructor(parts: ServiceParts) {
@@ -118,6 +141,16 @@
    * @returns its state when the wait ended; or the failure
    */
   public async submit(submission: Submission): Promise<Result<RequestView, Failure>> {
+    const { detached, team } = submission.request;
+    if (detached) return this.#place(submission);
+    const counted = this.#open.take(team);
+    if (counted.isErr()) return err(counted.error);
+    const result = await this.#place(submission);
+    this.#open.release(team);
+    return result;
+  }
+
+  async #place(submission: Submission): Promise<Result<RequestView, Failure>> {
     const { clock } = this.#parts;
     const endsAt = Math.min(submission.deadlineAt, clock.now() + ownerWaitMs);
     for (;;) {
@@ -162,8 +195,8 @@
   ): Promise<Result<RequestView, Failure>> {
     const result = await this.#waitForAnswer(shard, submission, first);
     if (result.isErr() || !this.#mustKeep(result.value.view)) return result.map(({ view }) => view);
-    const kept = await this.#keep(shard, submission, result.value);
-    if (!isAnswered(kept.view) && this.#held < maxHeld) void this.#hold(shard, submission, kept);
+    const kept = await this.#keep(submission, result.value);
+    if (this.#mustKeep(kept.view)) void this.#hold(shard, submission, kept);
     return ok(kept.view);
   }
 
@@ -173,11 +206,11 @@
   }
 
   /** Asks the owner, and after a failover the next one, to write a request to the journal. */
-  async #keep(shard: string, submission: HeldSubmission, first: Answer): Promise<Answer> {
+  async #keep(submission: HeldSubmission, first: Answer): Promise<Answer> {
     const { clock } = this.#parts;
     const endsAt = clock.now() + keepWaitMs;
     for (let failures = 0; clock.now() < endsAt; failures += 1) {
-      const result = await this.#ask(shard, submission, first, { waitMs: 0, keep: true });
+      const result = await this.#ask(submission, first, { waitMs: 0, keep: true });
       // The owner tells at once if the store does not take the request.
       if (result.isOk() && !isOlder(result.value, first)) return result.value;
       if (result.isErr() && !this.#mayRecover(result.error)) break;
@@ -188,7 +221,6 @@
 
   /** Asks for a request. An owner that does not know it gets it again. */
   async #ask(
-    shard: string,
     submission: HeldSubmission,
     { view, epoch }: Answer,
     options: Pick<WaitCall, 'waitMs' | 'keep'>,
@@ -200,17 +232,17 @@
     const remainingMs = submission.deadlineAt - this.#parts.clock.now();
     // Under the id that the caller was told, which is that of the first request with the same key.
     const told = { ...submission, request: { ...submission.request, id: view.id } };
-    const handedIn = await this.#handIn(shard, told, remainingMs, epoch);
+    const handedIn = await this.#handIn(this.#findShard(view.id), told, remainingMs, epoch);
     if (handedIn.isErr() || options.keep !== true) return handedIn;
     const { id } = handedIn.value.view;
     return this.#callOwner(id, { ...body, requestId: id, waitMs: 0 }, marginMs);
   }
 
   async #hold(shard: string, submission: HeldSubmission, last: Answer): Promise<void> {
-    this.#held += 1;
-    const { deadlineAt } = submission;
+    const { deadlineAt, request } = submission;
+    this.#open.add(request.team);
     await this.#waitForAnswer(shard, { ...submission, waitUntil: deadlineAt }, last, true);
-    this.#held -= 1;
+    this.#open.release(request.team);
   }
 
   /**
@@ -242,7 +274,7 @@
         return ok(result.value.view);
       }
       if (result.isErr() && (isOver || !this.#mayReturn(requestId, result.error))) {
-        return err(result.error);
+        return err(this.#describeUnreached(result.error));
       }
       if (result.isErr()) await clock.sleep(retryMs);
     }
@@ -267,7 +299,7 @@
       const result = await this.#callOwner(requestId, body, submitTimeoutMs);
       if (result.isOk()) return ok(result.value.view);
       const isOver = !this.#mayReturn(requestId, result.error) || clock.now() >= endsAt;
-      if (isOver) return err(result.error);
+      if (isOver) return err(this.#describeUnreached(result.error));
       await clock.sleep(retryMs);
     }
   }
@@ -280,6 +312,11 @@
     return failure.kind === 'unknownRequest' && isRecent;
   }
 
+  /** That a question about a request reached no owner does not tell whether the request ran. */
+  #describeUnreached(failure: Failure): Failure {
+    return passedOn.has(failure.kind) ? createFailure('linkLost', failure.detail, 1) : failure;
+  }
+
   #mayRecover(failure: Failure): boolean {
     return passedOn.has(failure.kind) || undecided.has(failure.kind);
   }
@@ -301,12 +338,54 @@
       const isPassedOn = heldEpoch === undefined && passedOn.has(result.error.kind);
       if (isPassedOn || !this.#mayRecover(result.error)) return result;
       if (undecided.has(result.error.kind)) heldEpoch ??= epoch;
+      const followed = await this.#followTakeover(shard, submission, heldEpoch);
+      if (followed !== undefined) return followed;
       await clock.sleep(this.#chooseDelay(handIn));
     }
     if (heldEpoch === undefined) return err(createFailure('deadlinePassed', 'the deadline passed'));
+    const isOpen = !submission.request.detached && clock.now() < submission.deadlineAt;
+    if (isOpen) return ok({ view: describeOffered(submission.request), epoch: heldEpoch, shard });
     return err(createFailure('outcomeUnknown', 'the owner of the shard did not answer in time'));
   }
 
+  /**
+   * Hands a request whose shard lost its work to another one. A non-idempotent request only ends there,
+   * because the lost data centre may have started it.
+   *
+   * @returns undefined if the shard did not lose it, has an owner again, or no other shard took it yet
+   */
+  async #followTakeover(
+    shard: string,
+    submission: HeldSubmission,
+    heldEpoch: number | undefined,
+  ): Promise<Result<Answer, Failure> | undefined> {
+    const { request, policy } = submission;
+    const { router, clock, readTakeovers } = this.#parts;
+    const { id, queue } = request;
+    if (heldEpoch === undefined || this.#findShard(id) !== shard) return undefined;
+    const takeover = readTakeovers().findTakeover(shard, queue, heldEpoch);
+    const isBack = (router.findLoad(shard, freshMs)?.epoch ?? 0) > (takeover?.epoch ?? 0);
+    if (takeover === undefined || isBack) return undefined;
+    // The journal of the lost shard has a detached request, and the record says who takes it.
+    if (request.detached) return undefined;
+    for (const heir of router.orderShards(policy, request).slice(0, maxHops)) {
+      if (heir === shard) continue;
+      const remainingMs = submission.deadlineAt - clock.now();
+      this.#heirs.set(id, heir);
+      const result = await this.#handIn(heir, submission, remainingMs, undefined);
+      if (result.isOk()) return result;
+      if (!passedOn.has(result.error.kind)) return undefined;
+      this.#heirs.delete(id);
+    }
+    return undefined;
+  }
+
+  /** Finds the shard that has a request now. */
+  #findShard(requestId: string): string {
+    const heir = this.#parts.readTakeovers().findHeir(requestId) ?? this.#heirs.get(requestId);
+    return heir ?? requestId.split('.')[0] ?? '';
+  }
+
   #handIn(
     shard: string,
     { request, detached, offeredAt }: HeldSubmission,
@@ -343,9 +422,16 @@
     while (!isAnswered(answer.view) && clock.now() < submission.waitUntil) {
       const { id } = answer.view;
       const waitMs = Math.min(sliceMs, submission.waitUntil - clock.now());
-      const result = await this.#ask(shard, submission, answer, { waitMs, keep });
+      const result = await this.#ask(submission, answer, { waitMs, keep });
       if (result.isErr()) {
         if (!this.#mayRecover(result.error)) return err(this.#doubt(result.error));
+        const followed = await this.#followTakeover(shard, submission, answer.epoch);
+        if (followed !== undefined) {
+          if (followed.isErr()) return err(followed.error);
+          answer = followed.value;
+          failures = 0;
+          continue;
+        }
         await clock.sleep(this.#chooseDelay(failures));
         failures += 1;
       } else if (isOlder(result.value, answer)) {
@@ -355,6 +441,7 @@
         failures = 0;
       }
     }
+    if (isAnswered(answer.view)) this.#heirs.delete(answer.view.id);
     return ok(answer);
   }
 
@@ -376,7 +463,7 @@
     body: CallBody,
     timeoutMs: number,
   ): Promise<Result<Answer, Failure>> {
-    const shard = requestId.split('.')[0] ?? '';
+    const shard = this.#findShard(requestId);
     const address = this.#parts.router.findLoad(shard)?.address;
     if (address === undefined) {
       return err(createFailure('notOwner', `no owner of shard ${shard} is known`, 1));
@@ -386,11 +473,11 @@
       .mapErr((failure) =>
         failure.kind === 'noOwner' ? { ...failure, kind: 'notOwner' as const } : failure,
       )
-      .andThen((content) => this.#readView(content));
+      .andThen((content) => this.#readView(content, shard));
   }
 
-  #readView(reply: ReplyBody): Result<Answer, Failure> {
-    if (reply.reply === 'view') return ok({ view: reply.view, epoch: reply.epoch });
+  #readView(reply: ReplyBody, shard: string): Result<Answer, Failure> {
+    if (reply.reply === 'view') return ok({ view: reply.view, epoch: reply.epoch, shard });
     if (reply.reply === 'failure') return err(reply.failure);
     return err(createFailure('internal', `unexpected reply ${reply.reply}`));
   }
