--- a/packages/core/__tests__/Journal.test.ts
+++ b/packages/core/__tests__/Journal.test.ts
@@ -63,6 +63,28 @@
     expect(await load(3)).to.deep.equal(['s1.a']);
   });
 
+  it('refuses entries while it is taken over', async () => {
+    // Guards against a head that names a deleted segment: the commit ran beside the compaction.
+    const { store, create, accept, load } = setUp();
+    const former = create(1);
+    await former.open();
+    await former.append(accept('a'));
+    const next = create(2);
+    const write = store.write.bind(store);
+    const early: ReturnType<Journal['append']>[] = [];
+    store.write = async (...parameters) => {
+      if (early.length < 3) early.push(next.append(accept(`early${early.length}`)));
+      await settle();
+      return write(...parameters);
+    };
+    expect((await next.open()).isOk()).to.equal(true);
+    for (const result of await Promise.all(early))
+      expect(result._unsafeUnwrapErr().kind).to.equal('storeUnavailable');
+    for (const name of ['b', 'c'])
+      expect((await next.append(accept(name, 'x'.repeat(60_000)))).isOk()).to.equal(true);
+    expect(await load(3)).to.deep.equal(['s1.a', 's1.b', 's1.c']);
+  });
+
   it('confirms an entry whose answer was lost once', async () => {
     const { store, create, accept, load } = setUp();
     const journal = create(1);
--- a/packages/core/src/Journal.ts
+++ b/packages/core/src/Journal.ts
@@ -70,6 +70,8 @@
   #segments: readonly Segment[] = [];
   #pending: readonly PendingEntry[] = [];
   #writing = false;
+  /** Until the journal is taken over, a commit would race with the compaction. */
+  #isOpen = false;
 
   /**
    * @param store - the platform's store
@@ -127,6 +129,7 @@
     }
     const compacted = await this.#compact([]);
     if (compacted.isErr()) return err(compacted.error);
+    this.#isOpen = true;
     return ok(this.#segments.flatMap(({ entries }) => entries));
   }
 
@@ -158,7 +161,7 @@
 
   async #commit(added: readonly JournalEntry[]): Promise<Result<void, Failure>> {
     const newest = this.#segments.at(-1);
-    if (newest === undefined || this.#writer.isClosed) {
+    if (!this.#isOpen || newest === undefined || this.#writer.isClosed) {
       return err(createFailure('storeUnavailable', 'the journal is not open'));
     }
     const entries = [...newest.entries, ...added];
