--- a/packages/core/__tests__/Journal.test.ts
+++ b/packages/core/__tests__/Journal.test.ts
@@ -85,6 +85,27 @@
     expect(await load(3)).to.deep.equal(['s1.a', 's1.b', 's1.c']);
   });
 
+  it('opens after many attempts that failed before the head was written', async () => {
+    // Guards against a journal for which no free segment number is found, because each attempt left one.
+    const { store, create, accept, load } = setUp();
+    const former = create(1);
+    await former.open();
+    await former.append(accept('a'));
+    const write = store.write.bind(store);
+    store.write = (key, ...parameters) => {
+      if (!key.startsWith('journals/')) return write(key, ...parameters);
+      store.writeFaults = ['down'];
+      return write(key, ...parameters);
+    };
+    for (let epoch = 2; epoch < 14; epoch += 1)
+      expect((await create(epoch).open()).isErr()).to.equal(true);
+    store.write = write;
+    expect(await load(14)).to.deep.equal(['s1.a']);
+    await settle();
+    await settle();
+    expect(store.keys.filter((key) => key.startsWith('journal/'))).to.have.length(1);
+  });
+
   it('confirms an entry whose answer was lost once', async () => {
     const { store, create, accept, load } = setUp();
     const journal = create(1);
--- a/packages/core/src/Journal.ts
+++ b/packages/core/src/Journal.ts
@@ -17,7 +17,7 @@
 
 /** Size above which a segment is closed, in characters. */
 const maxSegmentLength = 65_536;
-/** Segment numbers that may be occupied by writes of a superseded owner. */
+/** Segment numbers that a superseded owner may occupy after the segments were listed. */
 const maxOccupied = 8;
 
 /** An entry that waits for its group commit. */
@@ -68,6 +68,10 @@
   readonly #writer: JournalWriter;
   #headVersion = 0;
   #segments: readonly Segment[] = [];
+  /** Segments in the store that the head did not name when it was read. */
+  #orphans: readonly Segment[] = [];
+  /** Highest segment number that was seen: numbers are not used again, so a late deletion hits nothing. */
+  #highest = 0;
   #pending: readonly PendingEntry[] = [];
   #writing = false;
   /** Until the journal is taken over, a commit would race with the compaction. */
@@ -130,6 +134,8 @@
     const compacted = await this.#compact([]);
     if (compacted.isErr()) return err(compacted.error);
     this.#isOpen = true;
+    // Only this owner's head counts now, so no former owner can make them count any more.
+    void this.#deleteSegments(this.#orphans);
     return ok(this.#segments.flatMap(({ entries }) => entries));
   }
 
@@ -196,7 +202,7 @@
     runs: readonly (readonly JournalEntry[])[],
   ): Promise<Result<void, Failure>> {
     const created: Segment[] = [];
-    let next = (this.#segments.at(-1)?.number ?? 0) + 1;
+    let next = this.#highest + 1;
     for (const entries of runs) {
       const segment = await this.#createSegment(next, entries);
       if (segment.isErr()) {
@@ -204,7 +210,8 @@
         return err(createFailure('storeUnavailable', `no new journal segment: ${detail}`));
       }
       created.push(segment.value);
-      next = segment.value.number + 1;
+      this.#highest = segment.value.number;
+      next = this.#highest + 1;
     }
     const segments = [...kept, ...created];
     const head = await this.#writeHead(segments);
@@ -243,7 +250,6 @@
   }
 
   async #readSegments(head: JournalHead | undefined): Promise<Result<readonly Segment[], Failure>> {
-    if (head === undefined) return ok([]);
     const values = await this.#store.list(`journal/${this.#shard}/`);
     if (values.isErr()) return err(values.error);
     const segments: Segment[] = [];
@@ -252,15 +258,18 @@
       const parsed = parseRecord(validators.JournalSegment, value ?? 'null');
       if (parsed.isErr()) return err(parsed.error);
       const { segment, entries } = parsed.value;
-      const counts = head.segments.includes(segment);
+      const counts = head?.segments.includes(segment) === true;
       (counts ? segments : orphans).push({ number: segment, version, entries });
     }
     segments.sort((left, right) => left.number - right.number);
-    if (segments.length !== head.segments.length) {
+    if (segments.length !== (head?.segments.length ?? 0)) {
       return err(createFailure('storeConflict', 'a journal segment was deleted meanwhile'));
     }
-    const oldest = segments[0]?.number ?? 0;
-    void this.#deleteSegments(orphans.filter(({ number }) => number < oldest));
+    this.#orphans = orphans;
+    this.#highest = Math.max(
+      this.#highest,
+      ...[...segments, ...orphans].map(({ number }) => number),
+    );
     return ok(segments);
   }
 
