--- a/packages/core/__tests__/takeover.test.ts
+++ b/packages/core/__tests__/takeover.test.ts
@@ -5,6 +5,7 @@
   ClaimKeeper,
   CutOffWatch,
   Journal,
+  listJournaled,
   listReleasedQueues,
   periods,
   PledgeKeeper,
@@ -283,6 +284,25 @@
     expect(model.shard.read('s2.kept')._unsafeUnwrap()).to.include({ state: 'unknown' });
   });
 
+  it('starts no attached request again that may have started without an intent', () => {
+    // Guards against a second run: a request is kept in the journal after its caller stopped to wait, and
+    // an attached one starts without an intent.
+    const model = new ShardModel([1], room);
+    const kept = createRequest('s2.kept', 'batch', false);
+    const journal: JournalEntry[] = [
+      { entry: 'accepted', request: { ...kept, detached: false }, deadlineAtMs: 1e9 },
+    ];
+    model.shard.takeOver(journal, new Set(['s2.kept']));
+    // The acceptance, and then the end.
+    for (const _ of [1, 2])
+      for (const effect of model.shard.takeEffects())
+        if (effect.effect === 'commit') model.shard.confirmCommit(effect.ticket);
+    expect(model.step()).to.deep.equal([]);
+    expect(model.readState('s2.kept')).to.equal('unknown');
+    const cancelled: JournalEntry = { entry: 'cancelled', requestId: 's2.kept', atMs: 0 };
+    expect(listJournaled([...journal, cancelled]).get('s2.kept')?.isFinished).to.equal(true);
+  });
+
   it('stops what others took over, also when a worker reports it later', () => {
     // Guards against a returning data centre that goes on with taken work.
     const model = new ShardModel([1], room);
--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -8,6 +8,7 @@
 import type { Fleet } from './Fleet.js';
 import { GangReservation } from './GangReservation.js';
 import { GangPlacement } from './GangPlacement.js';
+import { needsIntent } from './needsIntent.js';
 import { periods } from './periods.js';
 import type { Placement } from './Placement.js';
 import type { Recovery } from './Recovery.js';
@@ -22,7 +23,6 @@
 import type { WaitEstimator } from './WaitEstimator.js';
 import type { WaitingQueue } from './WaitingQueue.js';
 import type { WorkerRecord } from './WorkerRecord.js';
-import { writesIntent } from './writesIntent.js';
 
 const placements: Readonly<Record<WorkKind, Placement>> = {
   service: new ServicePlacement(),
@@ -264,7 +264,7 @@
     worker.addTask(task);
     this.#parts.ledger.charge(request.team, request.size);
     this.#checkInvariants(request, worker);
-    if (!writesIntent(request)) {
+    if (!needsIntent(request)) {
       this.sendStart(task);
       return;
     }
--- a/packages/core/src/JournaledRequest.ts
+++ b/packages/core/src/JournaledRequest.ts
@@ -5,7 +5,8 @@
   readonly request: Request;
   /** Wall time of its deadline in milliseconds. */
   readonly deadlineAtMs: number;
-  /** Whether the journal has the intent to start it, or cannot tell because none is written for it. */
+  /** Whether it may have run: the journal has the intent to start it, or it starts without one. */
   readonly mayHaveStarted: boolean;
+  /** Whether it ended or was cancelled. */
   readonly isFinished: boolean;
 }
