Lend reserved capacity, and let gangs reserve half of the time at most

A gang now reserves only after it waited for its own declared run time (60 s at most), and after a reservation was used, no other one begins for as long as it lasted. Short batch work that would end before the gang can start, also when it runs twice as long as declared, borrows what is idle, for the first two minutes of a reservation.

--- a/packages/core/__tests__/placement.test.ts
+++ b/packages/core/__tests__/placement.test.ts
@@ -38,6 +38,41 @@
     expect(gangs.map((id) => model.readState(id))).to.deep.equal(['succeeded', 'running']);
   });
 
+  // Guards against gangs that starve in the pauses between reservations.
+  it('starts several gangs although small tasks keep arriving', () => {
+    const model = new ShardModel([1, 1], room);
+    for (let index = 0; index < 20; index += 1) model.submit({ team: 'b', runTimeMs: 2000 });
+    model.step();
+    const gangs = [0, 1, 2].map(() => model.submit({ kind: 'gang', tasks: 2, size: whole }));
+    const started = new Set<string>();
+    for (let round = 0; round < 400 && started.size < gangs.length; round += 1) {
+      const [oldest] = model.running.values();
+      if (oldest !== undefined) model.change(oldest, 'succeeded');
+      model.submit({ team: 'b', runTimeMs: 2000 });
+      for (const { assignment } of model.step(100)) started.add(assignment.request.id);
+      for (const id of started) if (!gangs.includes(id)) started.delete(id);
+    }
+    expect([...started].sort()).to.deep.equal(gangs);
+  });
+
+  // Guards against reserved capacity that stays idle, and against lending it for too long.
+  it('lends reserved capacity to work that ends before the gang can start', () => {
+    const model = new ShardModel([1, 1], room);
+    model.submit({ size: whole, runTimeMs: 100_000 });
+    model.step();
+    const gang = model.submit({ kind: 'gang', tasks: 2, size: whole });
+    model.step(1100);
+    const long = model.submit({ team: 'b', runTimeMs: 60_000 });
+    const short = model.submit({ team: 'c', runTimeMs: 10_000 });
+    model.step(300);
+    model.step(300);
+    expect([gang, long, short].map((id) => model.readState(id))).to.deep.equal([
+      'waiting',
+      'waiting',
+      'running',
+    ]);
+  });
+
   // Guards against capacity that is kept for a gang that can never start here.
   it('reserves nothing for a gang that is larger than the shard', () => {
     const model = new ShardModel([1, 1], room);
--- a/packages/core/src/DispatchOrder.ts
+++ b/packages/core/src/DispatchOrder.ts
@@ -181,6 +181,32 @@
     return gangs.sort((left, right) => left.firstOrder - right.firstOrder);
   }
 
+  /**
+   * Finds work that fits into capacity which other work may not take.
+   *
+   * @param worker - worker with the capacity
+   * @param free - the capacity
+   * @param maxRunMs - longest declared run time on this worker
+   * @returns a class of the team with the lowest rank whose oldest request fits, if there is one
+   */
+  public findShort(
+    worker: WorkerRecord,
+    free: Resources,
+    maxRunMs: number,
+  ): RequestClass | undefined {
+    for (const team of this.#teams.teams) {
+      for (const queue of this.#normal.queuesOf.get(team) ?? []) {
+        const { size, acceleratorType } = queue.sample;
+        if (!coversResources(free, size) || !worker.isSuitable(size, acceleratorType)) continue;
+        const group = queue.findFirst(team);
+        const request = group?.first?.request;
+        if (request?.kind !== 'batch') continue;
+        if (request.runTimeMs / worker.speed <= maxRunMs) return group;
+      }
+    }
+    return undefined;
+  }
+
   /**
    * Sums the waiting work that needs accelerators and whose team is not at its limit.
    *
--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -36,6 +36,10 @@
 const replanMs = 5000;
 /** Interval between searches for a gang that can reserve. */
 const retryPlanMs = 100;
+/** Interval between searches for work that ends before a reservation is due. */
+const lendMs = 250;
+/** Longest time that a gang waits for room before it reserves; a shorter one waits for its run time. */
+const maxPatienceMs = 60_000;
 
 /** Parts of the shard that the dispatcher reads and changes. */
 interface DispatcherParts {
@@ -59,6 +63,8 @@
   readonly #reservation: GangReservation;
   readonly #reserve: AcceleratorReserve;
   #plannedAt = -Infinity;
+  #lentAt = -Infinity;
+  #resumesAt = -Infinity;
 
   /**
    * @param context - what the parts of the shard share
@@ -89,6 +95,7 @@
       const record = group?.first;
       if (group === undefined || record === undefined) {
         this.#planReservation(now);
+        this.#lendReserved(now);
         return false;
       }
       if (this.#start(record, group, now)) starts += 1;
@@ -167,6 +174,9 @@
     const group = this.#parts.queue.findClass(record);
     if (group === undefined) this.#reservation.release();
     else if (isReady) {
+      // Reserved capacity is idle for a while, so reservations take half of the time at most: other
+      // gangs, which may be smaller, fit in between.
+      this.#resumesAt = 2 * now - this.#reservation.heldSince;
       this.#reservation.release();
       this.#parts.queue.order.retryShape(group.shape);
       this.#start(record, group, now);
@@ -183,14 +193,37 @@
     this.#plannedAt = now;
     for (const { first } of gangs) {
       if (first === undefined) continue;
-      const { team, size, tasks } = first.request;
+      const { team, size, tasks, runTimeMs } = first.request;
+      if (now - first.arrivedAt < Math.min(runTimeMs, maxPatienceMs)) continue;
+      if (now < this.#resumesAt && first !== this.#reservation.record) continue;
       if (!ledger.canCharge(team, scaleResources(size, tasks))) continue;
       if (this.#reservation.reserve(first, now)) return;
     }
     this.#reservation.release();
   }
 
-  #start(record: RequestRecord, group: RequestClass, now: number): boolean {
+  /** Starts short work in reserved capacity that is idle until the gang can start. */
+  #lendReserved(now: number): void {
+    if (now - this.#lentAt < lendMs) return;
+    const { order } = this.#parts.queue;
+    const maxRunMs = this.#reservation.calculateLoanMs(now);
+    if (maxRunMs === 0) return;
+    this.#lentAt = now;
+    for (const worker of this.#reservation.workers) {
+      if (!worker.isEligible) continue;
+      for (let isOpen = true; isOpen;) {
+        const group = order.findShort(worker, worker.unallocated, maxRunMs);
+        const record = group?.first;
+        const source = new CandidateSource([worker]);
+        isOpen =
+          group !== undefined &&
+          record !== undefined &&
+          this.#reservation.lend(worker, () => this.#start(record, group, now, source));
+      }
+    }
+  }
+
+  #start(record: RequestRecord, group: RequestClass, now: number, lent?: CandidateSource): boolean {
     const { request } = record;
     const pending = record.pendingIndexes;
     const count = this.#limitCount(request, pending.length);
@@ -202,7 +235,8 @@
     const { fleet, preemption, queue } = this.#parts;
     const occupied = this.#listOccupied(record);
     const candidates = queue.order.findCandidates(group);
-    const source = candidates === undefined ? fleet.index : new CandidateSource(candidates);
+    const found = candidates === undefined ? fleet.index : new CandidateSource(candidates);
+    const source = lent ?? found;
     const place = (): readonly WorkerRecord[] =>
       placements[request.kind].place(request, count, source, occupied, record.avoided);
     const workers = request.urgent ? preemption.placeUrgent(place) : place();
--- a/packages/core/src/GangReservation.ts
+++ b/packages/core/src/GangReservation.ts
@@ -18,6 +18,10 @@
 
 /** Workers compared at least; more only if these have too little room. */
 const minCompared = 256;
+/** Declared run times are often wrong; work that may be late by this factor is lent no capacity. */
+const lateFactor = 2;
+/** Time after which a gang lends nothing any more, so that late borrowers cannot delay it for ever. */
+const maxLendingMs = 120_000;
 
 /**
  * Capacity that is kept for one gang. The gang takes the workers that are expected to have room first;
@@ -28,6 +32,8 @@
   readonly #fleet: Fleet;
   readonly #plan = new Map<WorkerRecord, number>();
   #record: RequestRecord | undefined;
+  #startsAt = 0;
+  #heldSince = 0;
 
   /** @param fleet - workers of the shard */
   public constructor(fleet: Fleet) {
@@ -56,6 +62,43 @@
     return false;
   }
 
+  /** Local monotonic time since which the gang reserves, in milliseconds. */
+  public get heldSince(): number {
+    return this.#heldSince;
+  }
+
+  /** Workers of the plan. */
+  public get workers(): readonly WorkerRecord[] {
+    return [...this.#plan.keys()];
+  }
+
+  /**
+   * Calculates how long work may be declared to run that borrows reserved capacity. It ends before the
+   * gang is expected to start, also when it runs twice as long.
+   *
+   * @param now - local monotonic time in milliseconds
+   * @returns milliseconds; zero if nothing is lent
+   */
+  public calculateLoanMs(now: number): number {
+    if (this.#record === undefined || now - this.#heldSince > maxLendingMs) return 0;
+    return Math.max(0, this.#startsAt - now) / lateFactor;
+  }
+
+  /**
+   * Lends the reserved capacity of a worker while work is placed.
+   *
+   * @param worker - a worker of the plan
+   * @param place - the placement
+   * @returns its result
+   */
+  public lend<Result>(worker: WorkerRecord, place: () => Result): Result {
+    worker.hold(zeroResources);
+    const result = place();
+    const size = this.#record?.request.size ?? zeroResources;
+    worker.hold(scaleResources(size, this.#plan.get(worker) ?? 0));
+    return result;
+  }
+
   /**
    * Reserves capacity for a gang, in place of an earlier reservation.
    *
@@ -64,12 +107,14 @@
    * @returns false if the gang cannot fit even when all work that ends has ended
    */
   public reserve(record: RequestRecord, now: number): boolean {
+    const isKept = this.#record === record;
     this.release();
     const { request } = record;
     let missing = request.tasks;
     const slots = this.#listSlots(request, now).sort((left, right) => left.freeAt - right.freeAt);
-    for (const { worker, count } of slots) {
+    for (const { worker, count, freeAt } of slots) {
       if (missing === 0) break;
+      this.#startsAt = freeAt;
       const taken = Math.min(count, missing);
       this.#plan.set(worker, (this.#plan.get(worker) ?? 0) + taken);
       missing -= taken;
@@ -79,6 +124,7 @@
       return false;
     }
     this.#record = record;
+    if (!isKept) this.#heldSince = now;
     for (const [worker, count] of this.#plan) {
       worker.hold(scaleResources(request.size, count));
     }
