Reserve for large tasks and small teams; measure waiting time and shares

A new bench, `npm run bench -- waiting`, runs the core and four baselines on the sites of both users at loads 0.7 and 1.5: waiting time by kind and by team, and each team's use as a part of what it is entitled to. It showed that small teams got 60 to 85% of that on an overloaded site, and waited up to 1,700 s at the 99th percentile: smaller tasks of the large teams took each gap before it was large enough for their large tasks, and the oldest gang reserved first, which is mostly one of a large team.

The team that is furthest below its share may reserve room for one task on one worker, on an eighth of the workers and 16 at most, after the wait that also holds for gangs. Gangs reserve by share and by age in turn. Searches look at the 32 teams furthest below their shares, because searches over all 230 teams cost a quarter of the decision rate.

--- a/packages-private/bench/src/bin/bench.ts
+++ b/packages-private/bench/src/bin/bench.ts
@@ -3,12 +3,14 @@
 import type { Benchmark } from '../Benchmark.js';
 import { SiteBenchmark } from '../SiteBenchmark.js';
 import { SharesBenchmark } from '../SharesBenchmark.js';
+import { WaitingBenchmark } from '../WaitingBenchmark.js';
 
 const defaultSeed = 1;
 const benchmarks: readonly Benchmark[] = [
   new PlacementBenchmark(),
   new SharesBenchmark(),
   new SiteBenchmark(),
+  new WaitingBenchmark(),
 ];
 
 const print = (line: string): void => {
--- a/packages/core/src/DispatchOrder.ts
+++ b/packages/core/src/DispatchOrder.ts
@@ -39,6 +39,9 @@
 /** Times that the oldest class of a team is passed over for others that match a worker better. */
 const maxPasses = 16;
 
+/** Searches for reservations look only at the teams that are furthest below their shares. */
+const maxSearchedTeams = 32;
+
 /** With more open shapes than this, the first teams have one. */
 const fewOpen = 8;
 
@@ -181,6 +184,26 @@
     return gangs.sort((left, right) => left.firstOrder - right.firstOrder);
   }
 
+  /**
+   * Finds a class that waits for capacity, other than of gangs or urgent work.
+   *
+   * @param accepts - whether a class is looked for
+   * @returns the oldest such class of the team with the lowest rank, if there is one
+   */
+  public findBlocked(accepts: (group: RequestClass) => boolean): RequestClass | undefined {
+    for (const team of this.#teams.teams.slice(0, maxSearchedTeams)) {
+      let oldest: RequestClass | undefined;
+      for (const queue of this.#normal.queuesOf.get(team) ?? []) {
+        if (queue.sample.isGang || !this.#blocked.has(queue.sample.shape)) continue;
+        const group = queue.findFirst(team);
+        if (group === undefined || !accepts(group)) continue;
+        if (oldest === undefined || group.firstOrder < oldest.firstOrder) oldest = group;
+      }
+      if (oldest !== undefined) return oldest;
+    }
+    return undefined;
+  }
+
   /**
    * Finds work that fits into capacity which other work may not take.
    *
@@ -194,10 +217,13 @@
     free: Resources,
     maxRunMs: number,
   ): RequestClass | undefined {
-    for (const team of this.#teams.teams) {
-      for (const queue of this.#normal.queuesOf.get(team) ?? []) {
-        const { size, acceleratorType } = queue.sample;
-        if (!coversResources(free, size) || !worker.isSuitable(size, acceleratorType)) continue;
+    const fitting = [...this.#normal.queues.values()].filter(({ sample }) => {
+      const { size, acceleratorType, isGang } = sample;
+      return !isGang && coversResources(free, size) && worker.isSuitable(size, acceleratorType);
+    });
+    if (fitting.length === 0) return undefined;
+    for (const team of this.#teams.teams.slice(0, maxSearchedTeams)) {
+      for (const queue of fitting) {
         const group = queue.findFirst(team);
         const request = group?.first?.request;
         if (request?.kind !== 'batch') continue;
@@ -207,6 +233,17 @@
     return undefined;
   }
 
+  /**
+   * Sorts classes by the rank of their teams.
+   *
+   * @param groups - the classes
+   * @returns the same classes; those of one rank keep their order
+   */
+  public sortByRank(groups: readonly RequestClass[]): readonly RequestClass[] {
+    const readRank = ({ team }: RequestClass): number => this.#teams.readRank(team) ?? 0;
+    return [...groups].sort((left, right) => readRank(left) - readRank(right));
+  }
+
   /**
    * Sums the waiting work that needs accelerators and whose team is not at its limit.
    *
--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -18,6 +18,7 @@
 import type { ShardContext } from './ShardContext.js';
 import { TaskRecord } from './TaskRecord.js';
 import type { UrgentPreemption } from './UrgentPreemption.js';
+import { TaskReservations } from './TaskReservations.js';
 import type { TeamLedger } from './TeamLedger.js';
 import type { WaitEstimator } from './WaitEstimator.js';
 import type { WaitingQueue } from './WaitingQueue.js';
@@ -61,10 +62,13 @@
   #fleetVersion = -1;
   #rankedAt = -Infinity;
   readonly #reservation: GangReservation;
+  readonly #tasks: TaskReservations;
   readonly #reserve: AcceleratorReserve;
   #plannedAt = -Infinity;
   #lentAt = -Infinity;
   #resumesAt = -Infinity;
+  /** Reservations go by share and by age in turn: by share alone, gangs of a large team would starve. */
+  #isFairTurn = true;
 
   /**
    * @param context - what the parts of the shard share
@@ -74,6 +78,7 @@
     this.#context = context;
     this.#parts = parts;
     this.#reservation = new GangReservation(parts.fleet);
+    this.#tasks = new TaskReservations(parts.fleet, parts.queue.order);
     this.#reserve = new AcceleratorReserve(parts.fleet, parts.queue.order);
   }
 
@@ -90,11 +95,13 @@
     if (this.#parts.preemption.size > 0) this.#parts.queue.order.retryUrgent();
     this.#reserve.review(now);
     this.#serveReservation(now);
+    this.#serveTasks(now);
     for (let starts = 0; starts < maxStarts;) {
       const group = this.#chooseClass(now);
       const record = group?.first;
       if (group === undefined || record === undefined) {
         this.#planReservation(now);
+        this.#planTasks(now);
         this.#lendReserved(now);
         return false;
       }
@@ -177,6 +184,7 @@
       // Reserved capacity is idle for a while, so reservations take half of the time at most: other
       // gangs, which may be smaller, fit in between.
       this.#resumesAt = 2 * now - this.#reservation.heldSince;
+      this.#isFairTurn = !this.#isFairTurn;
       this.#reservation.release();
       this.#parts.queue.order.retryShape(group.shape);
       this.#start(record, group, now);
@@ -191,7 +199,7 @@
     const gangs = queue.order.listBlockedGangs();
     if (gangs.length === 0 && !isActive) return;
     this.#plannedAt = now;
-    for (const { first } of gangs) {
+    for (const { first } of this.#isFairTurn ? queue.order.sortByRank(gangs) : gangs) {
       if (first === undefined) continue;
       const { team, size, tasks, runTimeMs } = first.request;
       if (now - first.arrivedAt < Math.min(runTimeMs, maxPatienceMs)) continue;
@@ -202,14 +210,40 @@
     this.#reservation.release();
   }
 
-  /** Starts short work in reserved capacity that is idle until the gang can start. */
+  /** Starts the tasks whose reserved capacity is free. */
+  #serveTasks(now: number): void {
+    const { queue } = this.#parts;
+    this.#tasks.serve(
+      (record) => queue.findClass(record) !== undefined,
+      (record, reservation) => {
+        const source = new CandidateSource(reservation.workers);
+        reservation.release();
+        const group = queue.findClass(record);
+        if (group !== undefined) this.#start(record, group, now, source);
+      },
+    );
+  }
+
+  #planTasks(now: number): void {
+    const { ledger, recovery } = this.#parts;
+    if (!recovery.isComplete) return;
+    this.#tasks.plan(now, ({ team, size }) => ledger.canCharge(team, size));
+  }
+
+  /** Starts short work in reserved capacity that is idle until the reservation can be used. */
   #lendReserved(now: number): void {
     if (now - this.#lentAt < lendMs) return;
+    this.#lentAt = now;
+    for (const reservation of [this.#reservation, ...this.#tasks.list]) {
+      this.#lend(reservation, now);
+    }
+  }
+
+  #lend(reservation: GangReservation, now: number): void {
     const { order } = this.#parts.queue;
-    const maxRunMs = this.#reservation.calculateLoanMs(now);
+    const maxRunMs = reservation.calculateLoanMs(now);
     if (maxRunMs === 0) return;
-    this.#lentAt = now;
-    for (const worker of this.#reservation.workers) {
+    for (const worker of reservation.workers) {
       if (!worker.isEligible) continue;
       for (let isOpen = true; isOpen;) {
         const group = order.findShort(worker, worker.unallocated, maxRunMs);
@@ -218,7 +252,7 @@
         isOpen =
           group !== undefined &&
           record !== undefined &&
-          this.#reservation.lend(worker, () => this.#start(record, group, now, source));
+          reservation.lend(worker, () => this.#start(record, group, now, source));
       }
     }
   }
--- a/packages/core/src/GangReservation.ts
+++ b/packages/core/src/GangReservation.ts
@@ -104,13 +104,14 @@
    *
    * @param record - the gang
    * @param now - local monotonic time in milliseconds
+   * @param tasks - number of tasks to reserve for
    * @returns false if the gang cannot fit even when all work that ends has ended
    */
-  public reserve(record: RequestRecord, now: number): boolean {
+  public reserve(record: RequestRecord, now: number, tasks = record.request.tasks): boolean {
     const isKept = this.#record === record;
     this.release();
     const { request } = record;
-    let missing = request.tasks;
+    let missing = tasks;
     const slots = this.#listSlots(request, now).sort((left, right) => left.freeAt - right.freeAt);
     for (const { worker, count, freeAt } of slots) {
       if (missing === 0) break;
@@ -143,7 +144,7 @@
     let compared = 0;
     let found = 0;
     for (const worker of this.#fleet.workers) {
-      if (!worker.isEligible) continue;
+      if (!worker.isEligible || worker.hasReservation) continue;
       if (!worker.isSuitable(request.size, request.acceleratorType)) continue;
       if (compared >= minCompared && found >= 2 * request.tasks) break;
       compared += 1;
--- a/packages/core/src/WorkerRecord.ts
+++ b/packages/core/src/WorkerRecord.ts
@@ -160,6 +160,11 @@
     return this.#quarantined;
   }
 
+  /** Whether capacity is kept for a reservation. */
+  public get hasReservation(): boolean {
+    return this.#held !== zeroResources;
+  }
+
   /** Whether new tasks may be placed here. */
   public get isEligible(): boolean {
     const mayServe = this.hasReported && !this.#lapsed && !this.isLeaving;
