Probe with idempotent work only; count growth between usage reports

A worker in quarantine was probed with any task, so the only run of a non-idempotent job could be spent on a worker that is known to fail. Such work finds no room on workers in quarantine now; for that, idempotent and other work are different classes and shapes.

A task that grew between two reports now counts with the same growth once more, until a report shows none. The first report has no margin, since a difference from the declaration is no growth.

--- a/packages/core/__tests__/outgrown.test.ts
+++ b/packages/core/__tests__/outgrown.test.ts
@@ -20,6 +20,21 @@
     expect(model.commands).to.deep.equal([]);
   });
 
+  // Guards against a start in room that a growing task takes before its next report.
+  it('counts with further growth until a report shows none', () => {
+    const model = new ShardModel([1], room);
+    model.submit({ size: { processors: 1, memoryMb: 1, accelerators: 0 } });
+    const [task] = model.step();
+    if (task === undefined) throw new Error('nothing started');
+    model.change(task, 'running', 1);
+    model.change(task, 'running', 2);
+    const next = model.submit({ size: half });
+    model.step();
+    expect(model.readState(next)).to.equal('waiting');
+    model.step(1000);
+    expect(model.readState(next)).to.equal('running');
+  });
+
   // Guards against a worker over its room, and against stopping work that was not told to shrink.
   it('throttles first and then stops the newest idempotent task', () => {
     const model = new ShardModel([1], room);
--- a/packages/core/__tests__/quarantine.test.ts
+++ b/packages/core/__tests__/quarantine.test.ts
@@ -33,6 +33,18 @@
     expect(model.listEvents('workerReleased')).to.deep.equal(['w0']);
   });
 
+  // Guards against a probe that uses up the only run of a job.
+  it('probes with idempotent work only', () => {
+    const model = new ShardModel([1, 1, 1, 1, 1], room);
+    runJobs(model, 15, (worker) => worker === 'w0');
+    for (let seconds = 0; seconds < 60; seconds += 5) model.step(5000);
+    for (let index = 0; index < 6; index += 1) model.submit({ size: whole, idempotent: false });
+    const places = model.step(100).map(({ worker }) => worker);
+    expect([...places].sort()).to.deep.equal(['w1', 'w2', 'w3', 'w4']);
+    model.submit({ size: whole });
+    expect(model.step(100).map(({ worker }) => worker)).to.deep.equal(['w0']);
+  });
+
   // Guards against probes that keep failing jobs at the first rate.
   it('doubles the interval between probes', () => {
     const model = new ShardModel([1, 1, 1, 1, 1], room);
--- a/packages/core/src/GangReservation.ts
+++ b/packages/core/src/GangReservation.ts
@@ -145,6 +145,7 @@
     let found = 0;
     for (const worker of this.#fleet.workers) {
       if (!worker.isEligible || worker.hasReservation) continue;
+      if (worker.isQuarantined && !request.idempotent) continue;
       if (!worker.isSuitable(request.size, request.acceleratorType)) continue;
       if (compared >= minCompared && found >= 2 * request.tasks) break;
       compared += 1;
--- a/packages/core/src/RequestClass.ts
+++ b/packages/core/src/RequestClass.ts
@@ -25,7 +25,7 @@
    * @param record - its first request
    */
   public constructor(name: string, { request }: RequestRecord) {
-    const { team, urgent, kind, size, acceleratorType, tasks } = request;
+    const { team, urgent, idempotent, kind, size, acceleratorType, tasks } = request;
     const { processors, memoryMb, accelerators } = size;
     this.name = name;
     this.team = team;
@@ -37,7 +37,8 @@
     // Other kinds start task by task, so the number of tasks does not decide whether they fit.
     this.atOnce = this.isGang ? tasks : 1;
     const parts = [processors, memoryMb, accelerators, acceleratorType ?? '', this.atOnce];
-    this.shape = [...parts, this.isGang, urgent].join('|');
+    // Work that runs only once does not fit on workers in quarantine.
+    this.shape = [...parts, this.isGang, urgent, idempotent].join('|');
   }
 
   /** Number of waiting requests. */
--- a/packages/core/src/TaskRecord.ts
+++ b/packages/core/src/TaskRecord.ts
@@ -1,6 +1,9 @@
 import type { Assignment, Resources, TaskState, TaskView } from '@toucanline/schema';
+import { addResources } from './addResources.js';
 import { coversResources } from './coversResources.js';
 import { maxResources } from './maxResources.js';
+import { subtractResources } from './subtractResources.js';
+import { zeroResources } from './zeroResources.js';
 
 const activeStates: ReadonlySet<TaskState> = new Set(['starting', 'running', 'stopping']);
 
@@ -13,6 +16,9 @@
   public readonly placedAt: number;
   #state: TaskState = 'starting';
   #usage: Resources;
+  /** Growth between the last two reports. */
+  #growth = zeroResources;
+  #hasReported = false;
   #confirmedAt: number | undefined;
   #latestStartAt = Infinity;
 
@@ -63,9 +69,12 @@
     return activeStates.has(this.#state);
   }
 
-  /** What the task counts for: the larger of declared and reported use. */
+  /**
+   * What the task counts for: the larger of declared and reported use. Reports lag, so the reported use
+   * counts with what it grew since the report before: it may grow as much again until the next one.
+   */
   public get charge(): Resources {
-    return maxResources(this.assignment.request.size, this.#usage);
+    return maxResources(this.assignment.request.size, addResources(this.#usage, this.#growth));
   }
 
   /** Use in the worker's last report; the declared size before. */
@@ -112,9 +121,16 @@
    * @param usage - use in the worker's last report
    */
   public setUsage(usage: Resources): void {
+    this.#growth = this.#hasReported ? subtractResources(usage, this.#usage) : zeroResources;
+    this.#hasReported = true;
     this.#usage = usage;
   }
 
+  /** Notes a report in which the use did not change. */
+  public noteSteady(): void {
+    this.#growth = zeroResources;
+  }
+
   /**
    * Describes the task to callers.
    *
--- a/packages/core/src/TaskTracker.ts
+++ b/packages/core/src/TaskTracker.ts
@@ -46,6 +46,7 @@
     const isNewBoot = worker.bootId !== '' && worker.bootId !== report.bootId;
     if (isNewBoot) this.#loseTasks(worker, 'the worker restarted');
     this.#parts.fleet.applyReport(worker, report, sentAt);
+    for (const task of worker.tasks) task.noteSteady();
     for (const task of report.tasks) this.#applyTask(worker, task);
     for (const change of report.changes) this.#applyChange(worker, change);
     this.#checkMissing(worker, report, sentAt);
--- a/packages/core/src/WaitingQueue.ts
+++ b/packages/core/src/WaitingQueue.ts
@@ -9,9 +9,9 @@
 import { zeroResources } from './zeroResources.js';
 
 const nameClass = ({ request }: RequestRecord): string => {
-  const { team, queue, kind, urgent, size, acceleratorType, tasks } = request;
+  const { team, queue, kind, urgent, idempotent, size, acceleratorType, tasks } = request;
   const { processors, memoryMb, accelerators } = size;
-  const parts = [team, queue, kind, urgent, processors, memoryMb, accelerators];
+  const parts = [team, queue, kind, urgent, idempotent, processors, memoryMb, accelerators];
   return [...parts, acceleratorType ?? '', kind === 'gang' ? tasks : 1].join('|');
 };
 
--- a/packages/core/src/WorkerRecord.ts
+++ b/packages/core/src/WorkerRecord.ts
@@ -234,12 +234,14 @@
   }
 
   /**
-   * Reads what a task of a request may take.
+   * Reads what a task of a request may take. A probe of a worker in quarantine is expected to fail, so
+   * work that runs only once is not used for it.
    *
    * @param request - the request
    * @returns the amount
    */
   public readFree(request: Request): Resources {
+    if (this.#quarantined && !request.idempotent) return zeroResources;
     return selectFree(this.capacity, request.size, usesKept(request));
   }
 
