Make the timeline page and the commands of the README explain themselves

Cause: a screenshot of the page of a real site showed failed and successful work in one colour, no waiting time, odd times on the axis and marks over bars.

Change: the page tells waiting, running, failed and open spans apart, has round times, a range with the date, short labels, and marks workers on their own rows. npm run site prints the lines to paste. The test of the timeline now also says on which row a mark is.

--- a/packages-private/testkit/src/Site.ts
+++ b/packages-private/testkit/src/Site.ts
@@ -148,7 +148,7 @@
       hash: hash(`key-${team}`),
       team,
       roles: ['submit'],
-      grantedAtMs: 0,
+      grantedAtMs: Date.now(),
       ...(withdrawn.includes(team) ? { withdrawnAtMs: 1 } : {}),
     }));
     this.store.put(
--- a/packages-private/testkit/src/bin/site.ts
+++ b/packages-private/testkit/src/bin/site.ts
@@ -37,6 +37,11 @@
     'Two environments run on loopback until you press Ctrl-C: trial and production.',
     `Settings of the command line: ${settingsFile}. Document in effect: ${documentFile}.`,
     `Entry of production: ${production.entries[0]?.url ?? ''}, key of team planning: key-planning`,
+    'In a second terminal:',
+    '  alias toucanline="node packages/cli/dist/src/bin/toucanline.js"',
+    `  export TOUCANLINE_SETTINGS=${settingsFile} TOUCANLINE_ENVIRONMENT=production`,
+    `  export URL=${production.entries[0]?.url ?? ''} KEY=key-planning`,
+    '  toucanline config status',
     '',
   ].join('\n'),
 );
--- a/packages/cli/src/DrainCommand.ts
+++ b/packages/cli/src/DrainCommand.ts
@@ -1,6 +1,7 @@
 import { Args, Flags } from '@oclif/core';
 import { validators, type DrainState } from '@toucanline/schema';
 import { BaseCommand } from './BaseCommand.js';
+import { exitCodes } from './exitCodes.js';
 import { readSite } from './readSite.js';
 
 /** `toucanline drain`. */
@@ -27,11 +28,19 @@
     const { client } = this.open(flags);
     const { processes } = this.take(await readSite(client));
     const workers = processes.flatMap(({ shards }) => shards.flatMap((shard) => shard.workers));
-    const tasks = workers.find(({ worker }) => worker === args.worker)?.tasks ?? 0;
+    const found = workers.find(({ worker }) => worker === args.worker);
+    if (found === undefined) {
+      return this.fail({
+        message: `no owner of a shard knows the worker ${args.worker}`,
+        next: 'Look at the workers: toucanline workers.',
+        exit: exitCodes.refused,
+      });
+    }
+    const tasks = `${found.tasks} running ${found.tasks === 1 ? 'task goes' : 'tasks go'} on`;
     this.log(
       flags.end
         ? `Worker ${args.worker} takes new work again.`
-        : `Worker ${args.worker} takes no new work; its ${tasks} running tasks go on.`,
+        : `Worker ${args.worker} takes no new work; its ${tasks}. A drain ends with --end.`,
     );
     this.requireYes(flags.yes);
     const state = this.take(
@@ -42,7 +51,7 @@
         validator: validators.DrainState,
       }),
     );
-    this.log('Done.');
+    this.log('Done. See what still runs there: toucanline workers.');
     return state;
   }
 }
--- a/packages/cli/src/renderTimeline.ts
+++ b/packages/cli/src/renderTimeline.ts
@@ -1,19 +1,32 @@
 import type { Timeline, TimelineRow } from '@toucanline/core';
 
-const widthPx = 1100;
+const widthPx = 1280;
 const labelPx = 190;
-const lanePx = 14;
+const lanePx = 15;
 const axisPx = 26;
+/** Room above the lanes of a row for its marks. */
+const marksPx = 11;
+/** Room at the right end for half the label of a tick. */
+const marginPx = 32;
 const maxLanes = 12;
+const badEndPx = 4;
 /** Characters that fit beside the spans. */
 const maxLabelLength = 27;
-const ticks = 8;
+const maxTicks = 9;
+/** Distances of the ticks in milliseconds, so that the axis shows round times. */
+const tickSteps = [
+  10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000, 15_000, 30_000, 60_000, 120_000, 300_000,
+  600_000, 900_000, 1_800_000, 3_600_000, 7_200_000, 14_400_000, 43_200_000,
+];
+const dayMs = 86_400_000;
 
 const style = `
 body { font: 14px sans-serif; margin: 1.5em; color: #1d2733; }
 svg { border: 1px solid #c9d1da; background: #fff; }
 text { font: 12px sans-serif; fill: #1d2733; }
 .request { fill: #7fb2e5; } .task { fill: #8fce9b; } .claim { fill: #e3c66f; }
+.waiting { fill: #d5e5f6; } .bad { fill: #f0a3a0; } .open { stroke: #1d2733; stroke-dasharray: 3 2; }
+.name { font-size: 11px; }
 .fault { fill: #c62828; } .revision { fill: #6a1b9a; }
 .row { stroke: #dfe5eb; } .tick { stroke: #edf1f5; }
 .key span { display: inline-block; padding: 0 .6em; margin-right: .8em; }
@@ -42,25 +55,50 @@
   return { row, lanes, laneCount: Math.max(1, ends.length) };
 };
 
-const renderRow = (
-  { row, lanes }: PlacedRow,
-  top: number,
-  scale: (ms: number) => number,
-): string => {
-  const spans = row.spans.map((span) => {
-    const x = scale(span.fromMs);
-    const y = top + (lanes.get(span) ?? 0) * lanePx + 2;
-    const width = Math.max(2, scale(span.toMs) - x);
-    const durationMs = Math.round(span.toMs - span.fromMs);
-    const title = escape(`${span.kind} ${span.name}, ${durationMs} ms: ${span.detail}`);
-    const rect = `<rect class="${span.kind}" x="${x}" y="${y}" width="${width}" height="${lanePx - 3}"/>`;
-    const name = width > span.name.length * 7 ? escape(span.name) : '';
-    return `<g><title>${title}</title>${rect}<text x="${x + 3}" y="${y + 10}">${name}</text></g>`;
-  });
+/** The part of an identifier that tells it from others: `s1.9226c4` of a request, with index of a task. */
+const shorten = (name: string): string =>
+  name.replace(/^([^.]+\.[0-9a-f]{6})[0-9a-f]+/, '$1').replace(/\/(\d+)\/\d+\.(\d+)$/, '/$1.$2');
+
+const chooseName = (name: string, width: number): string => {
+  const shorter = shorten(name);
+  if (width > name.length * 7) return escape(name);
+  return width > shorter.length * 6.5 + 6 ? escape(shorter) : '';
+};
+
+const formatDuration = (ms: number): string =>
+  ms < 10_000 ? `${Math.round(ms)} ms` : `${(ms / 1000).toFixed(1)} s`;
+
+type Scale = (ms: number) => number;
+
+const renderSpan = (span: TimelineRow['spans'][number], y: number, scale: Scale): string => {
+  const { kind, name, fromMs, toMs, startedMs, outcome, detail } = span;
+  const x = scale(fromMs);
+  const width = Math.max(2, scale(toMs) - x);
+  const waitedMs = kind === 'request' ? (startedMs ?? toMs) - fromMs : 0;
+  const waited = kind === 'request' ? `, waited ${formatDuration(waitedMs)}` : '';
+  const title = escape(`${kind} ${name}, ${formatDuration(toMs - fromMs)}${waited}: ${detail}`);
+  const size = `y="${y}" height="${lanePx - 3}"`;
+  const look = `${outcome === 'bad' ? 'bad' : kind}${outcome === 'open' ? ' open' : ''}`;
+  const bar = `<rect class="${look}" x="${x}" width="${width}" ${size}/>`;
+  // The end of a request that was refused while it waited stays visible.
+  const endPx = outcome === 'bad' ? badEndPx : 0;
+  const waitPx = Math.min(width - endPx, scale(fromMs + waitedMs) - x);
+  const wait = waitPx >= 1 ? `<rect class="waiting" x="${x}" width="${waitPx}" ${size}/>` : '';
+  const label = `<text class="name" x="${x + 3}" y="${y + 10}">${chooseName(name, width)}</text>`;
+  return `<g><title>${title}</title>${bar}${wait}${label}</g>`;
+};
+
+const renderRow = ({ row, lanes }: PlacedRow, top: number, scale: Scale): string => {
+  const lanesTop = top + (row.marks.length > 0 ? marksPx : 0);
+  const spans = row.spans.map((span) =>
+    renderSpan(span, lanesTop + (lanes.get(span) ?? 0) * lanePx + 2, scale),
+  );
   const marks = row.marks.map(({ kind, atMs, detail }) => {
     const x = scale(atMs);
     const points = `${x - 4},${top} ${x + 4},${top} ${x},${top + 9}`;
-    return `<g><title>${escape(detail)}</title><polygon class="${kind}" points="${points}"/></g>`;
+    const time = new Date(atMs).toISOString().slice(11, 23);
+    const title = escape(`${time} ${detail}`);
+    return `<g><title>${title}</title><polygon class="${kind}" points="${points}"/></g>`;
   });
   const name = `${row.name} (${row.dataCentre})`;
   const isLong = name.length > maxLabelLength;
@@ -69,17 +107,23 @@
   return `${heading}${spans.join('')}${marks.join('')}`;
 };
 
-const renderAxis = (timeline: Timeline, heightPx: number, scale: (ms: number) => number): string =>
-  Array.from({ length: ticks + 1 }, (_, index) => {
-    const atMs = timeline.fromMs + ((timeline.toMs - timeline.fromMs) * index) / ticks;
-    const x = scale(atMs);
-    const label = new Date(atMs).toISOString().slice(11, 23);
-    const anchor = index === ticks ? 'end' : index === 0 ? 'start' : 'middle';
-    return (
-      `<line class="tick" x1="${x}" x2="${x}" y1="${axisPx}" y2="${heightPx}"/>` +
-      `<text x="${x}" y="16" text-anchor="${anchor}">${label}</text>`
-    );
-  }).join('');
+const renderAxis = (timeline: Timeline, heightPx: number, scale: Scale): string => {
+  const { fromMs, toMs } = timeline;
+  const rangeMs = toMs - fromMs;
+  const stepMs = tickSteps.find((step) => rangeMs / step <= maxTicks) ?? dayMs;
+  const times: number[] = [];
+  for (let at = Math.ceil(fromMs / stepMs) * stepMs; at <= toMs; at += stepMs) times.push(at);
+  return times
+    .map((atMs) => {
+      const x = scale(atMs);
+      const label = new Date(atMs).toISOString().slice(11, stepMs < 1000 ? 23 : 19);
+      return (
+        `<line class="tick" x1="${x}" x2="${x}" y1="${axisPx}" y2="${heightPx}"/>` +
+        `<text x="${x}" y="16" text-anchor="middle">${label}</text>`
+      );
+    })
+    .join('');
+};
 
 /**
  * Renders a timeline as one HTML page without scripts and outside files.
@@ -90,13 +134,17 @@
  */
 export const renderTimeline = (timeline: Timeline, title: string): string => {
   const rangeMs = timeline.toMs - timeline.fromMs;
+  const spanPx = widthPx - labelPx - marginPx;
   const scale = (ms: number): number =>
-    Math.round((labelPx + ((ms - timeline.fromMs) / rangeMs) * (widthPx - labelPx - 8)) * 10) / 10;
+    Math.round((labelPx + ((ms - timeline.fromMs) / rangeMs) * spanPx) * 10) / 10;
+  const formatAt = (ms: number): string =>
+    new Date(ms).toISOString().slice(0, 19).replace('T', ' ');
+  const range = `${formatAt(timeline.fromMs)} to ${formatAt(timeline.toMs)} UTC`;
   let top = axisPx + 4;
   const rows: string[] = [];
   for (const placed of timeline.rows.map(placeRow)) {
     rows.push(renderRow(placed, top, scale));
-    top += placed.laneCount * lanePx + 8;
+    top += placed.laneCount * lanePx + 8 + (placed.row.marks.length > 0 ? marksPx : 0);
     rows.push(`<line class="row" x1="0" x2="${widthPx}" y1="${top - 4}" y2="${top - 4}"/>`);
   }
   const swatch = (colour: string, text: string): string =>
@@ -104,10 +152,13 @@
   return `<!doctype html>
 <html lang="en"><head><meta charset="utf-8"><title>${escape(title)}</title><style>${style}</style></head>
 <body><h1>${escape(title)}</h1>
-<p class="key">${swatch('#7fb2e5', 'request')}${swatch('#8fce9b', 'task')}${swatch('#e3c66f', 'claim')}
-<span><svg width="10" height="10" style="border:0"><polygon class="fault" points="0,0 10,0 5,10"/></svg> fault</span>
-<span><svg width="10" height="10" style="border:0"><polygon class="revision" points="0,0 10,0 5,10"/></svg> revision</span>
-Point at a bar or a mark to read what it is. Times are UTC.</p>
+<p class="key">${swatch('#d5e5f6', 'request waits')}${swatch('#7fb2e5', 'request runs')}${swatch('#8fce9b', 'task')}${swatch('#e3c66f', 'claim of a shard')}${swatch('#f0a3a0', 'ended without success')}
+<span style="border: 1px dashed #1d2733">has not ended</span>
+<span><svg width="10" height="10" style="border:0"><polygon class="fault" points="0,0 10,0 5,10"/></svg> fault or change of a worker</span>
+<span><svg width="10" height="10" style="border:0"><polygon class="revision" points="0,0 10,0 5,10"/></svg> new revision</span>
+</p>
+<p>First event to last: ${range}. Requests are drawn at the scheduler that had them, tasks at their worker.
+Point at a bar or a mark to read what it is.</p>
 <svg width="${widthPx}" height="${top}" viewBox="0 0 ${widthPx} ${top}">
 ${renderAxis(timeline, top, scale)}${rows.join('\n')}
 </svg></body></html>
--- a/packages/core/__tests__/operatorViews.test.ts
+++ b/packages/core/__tests__/operatorViews.test.ts
@@ -158,9 +158,25 @@
       row.spans.map(({ kind, fromMs, toMs }) => `${row.name} ${kind} ${fromMs}-${toMs}`),
     );
     expect(spans.sort()).to.deep.equal(['s0 claim 1-12', 's0 request 2-10', 'w task 3-9']);
-    expect(rows.flatMap(({ marks }) => marks.map(({ kind }) => kind))).to.deep.equal([
-      'fault',
-      'revision',
+    // A lost worker is marked on its own row, where its tasks are.
+    const marks = rows.flatMap((row) => row.marks.map(({ kind }) => `${row.name} ${kind}`));
+    expect(marks).to.deep.equal(['s0 revision', 'w fault']);
+  });
+
+  it('tells how long a request waited and how each span ended', () => {
+    // Guards against a page on which a failure looks like a success.
+    const { rows } = new Timeline([
+      create(1, 'requestAdmitted', { requestId: 'r' }),
+      create(4, 'taskStarted', { requestId: 'r', taskId: 't', worker: 'w' }),
+      create(5, 'taskFinished', { requestId: 'r', taskId: 't', worker: 'w', detail: 'failed' }),
+      create(6, 'taskStarted', { requestId: 'r', taskId: 'u', worker: 'w' }),
+      create(8, 'taskFinished', { requestId: 'r', taskId: 'u', worker: 'w', detail: 'succeeded' }),
+      create(9, 'requestFinished', { requestId: 'r', detail: 'succeeded' }),
+      create(9, 'requestAdmitted', { requestId: 'q' }),
     ]);
+    const spans = rows.flatMap((row) =>
+      row.spans.map(({ name, outcome, startedMs }) => `${name} ${outcome} ${startedMs ?? '-'}`),
+    );
+    expect(spans).to.deep.equal(['r good 4', 'q open -', 't bad -', 'u good -']);
   });
 });
--- a/packages/core/src/Timeline.ts
+++ b/packages/core/src/Timeline.ts
@@ -21,6 +21,7 @@
 
 const faults: ReadonlySet<EventName> = new Set([
   'claimLost',
+  'dataCentreDeclared',
   'invariantViolated',
   'lateAnswerDropped',
   'leaseLapsed',
@@ -28,6 +29,9 @@
   'processStopping',
   'storeUnreachable',
   'taskRefused',
+  'workReleased',
+  'workTakenOver',
+  'workerLeaving',
   'workerLost',
   'workerQuarantined',
 ]);
@@ -47,17 +51,50 @@
   readonly kind: SpanRule['kind'];
   readonly name: string;
   readonly fromMs: number;
+  readonly startedMs?: number;
   readonly detail: string;
 }
 
+/** How a span ends. */
+interface Ending {
+  readonly toMs: number;
+  readonly outcome: TimelineRow['spans'][number]['outcome'];
+  readonly ending: string;
+}
+
 /** A row that is being built; what leaves the class is read-only. */
 interface GrowingRow extends Omit<TimelineRow, 'spans' | 'marks'> {
   readonly spans: TimelineRow['spans'][number][];
   readonly marks: TimelineRow['marks'][number][];
 }
 
+/** Events that end a span otherwise than by success, whatever their detail says. */
+const badEndings: ReadonlySet<EventName> = new Set([
+  'claimLost',
+  'leaseLapsed',
+  'taskStopped',
+] as const);
+
+const judge = ({ name, detail = '' }: Event): 'good' | 'bad' => {
+  if (badEndings.has(name)) return 'bad';
+  const isSuccess = name === 'claimHandedOver' || detail.startsWith('succeeded');
+  return isSuccess ? 'good' : 'bad';
+};
+
+const describeRevision = ({ revision }: Event): string | undefined =>
+  revision === undefined ? undefined : String(revision);
+
 const describe = (event: Event): string =>
-  [event.name, event.requestId, event.taskId, event.team, event.detail]
+  [
+    event.name,
+    describeRevision(event),
+    event.requestId,
+    event.taskId,
+    event.team,
+    event.shard,
+    event.worker,
+    event.detail,
+  ]
     .filter((part) => part !== undefined)
     .join(' ');
 
@@ -73,7 +110,9 @@
     this.#fromMs = events[0]?.stamp.wallMs ?? 0;
     this.#toMs = Math.max(this.#fromMs + 1, events.at(-1)?.stamp.wallMs ?? 0);
     for (const event of events) this.#add(event);
-    for (const [key, span] of this.#open) this.#close(key, span, this.#toMs, 'not ended');
+    for (const [key, span] of this.#open) {
+      this.#close(key, span, { toMs: this.#toMs, outcome: 'open', ending: 'not ended' });
+    }
   }
 
   /** Wall time of the first event in milliseconds. */
@@ -98,9 +137,10 @@
 
   #add(event: Event): void {
     const atMs = event.stamp.wallMs;
-    const rowKey = this.#findRow(event, 'process');
+    const rowKey = this.#findRow(event, event.worker === undefined ? 'process' : 'worker');
     const beginning = beginnings.get(event.name);
     if (beginning !== undefined) this.#begin(event, beginning);
+    if (beginning?.kind === 'task') this.#noteStart(event);
     const ending = endings.get(event.name);
     if (ending !== undefined) this.#end(event, ending);
     const kind = faults.has(event.name)
@@ -127,7 +167,17 @@
   #end(event: Event, kind: SpanRule['kind']): void {
     const key = this.#nameSpan(event, kind);
     const span = this.#open.get(key);
-    if (span !== undefined) this.#close(key, span, event.stamp.wallMs, describe(event));
+    if (span === undefined) return;
+    const toMs = event.stamp.wallMs;
+    this.#close(key, span, { toMs, outcome: judge(event), ending: describe(event) });
+  }
+
+  /** Until its first task starts, a request waits. */
+  #noteStart(event: Event): void {
+    const key = this.#nameSpan(event, 'request');
+    const span = this.#open.get(key);
+    if (span === undefined || span.startedMs !== undefined) return;
+    this.#open.set(key, { ...span, startedMs: event.stamp.wallMs });
   }
 
   /** A claim belongs to its process; requests and tasks keep their names wherever they end. */
@@ -136,13 +186,10 @@
     return `${kind}|${(kind === 'task' ? event.taskId : event.requestId) ?? ''}`;
   }
 
-  #close(key: string, span: OpenSpan, toMs: number, ending: string): void {
+  #close(key: string, span: OpenSpan, { toMs, outcome, ending }: Ending): void {
     this.#open.delete(key);
-    const row = this.#rows.get(span.row);
-    if (row === undefined) return;
-    const { kind, name, fromMs, detail } = span;
-    const closed = { kind, name, fromMs, toMs, detail: `${detail} … ${ending}` };
-    row.spans.push(closed);
+    const { row, detail, ...rest } = span;
+    this.#rows.get(row)?.spans.push({ ...rest, toMs, outcome, detail: `${detail} … ${ending}` });
   }
 
   #mark(rowKey: string, mark: TimelineRow['marks'][number]): void {
--- a/packages/core/src/TimelineRow.ts
+++ b/packages/core/src/TimelineRow.ts
@@ -8,6 +8,10 @@
     readonly name: string;
     readonly fromMs: number;
     readonly toMs: number;
+    /** Wall time at which the first task of a request started. */
+    readonly startedMs?: number;
+    /** `open` if the end is not among the events; `bad` if it ended otherwise than by success. */
+    readonly outcome: 'good' | 'bad' | 'open';
     readonly detail: string;
   }[];
   readonly marks: readonly {
