--- a/packages/core/__tests__/ShardModel.ts
+++ b/packages/core/__tests__/ShardModel.ts
@@ -3,6 +3,7 @@
   Report,
   Request,
   Resources,
+  ShardSnapshot,
   TaskCommand,
   TaskDelta,
 } from '@toucanline/schema';
@@ -17,7 +18,8 @@
 } from '../src/index.js';
 
 class ModelClock extends Clock {
-  public nowMs = 1000;
+  /** Workers run on it too, so this is also their uptime: long enough to prove what they did not start. */
+  public nowMs = 1_000_000;
 
   public override now(): number {
     return this.nowMs;
@@ -56,11 +58,14 @@
   public readonly commands: TaskCommand[] = [];
   readonly #room: Resources;
   readonly #speeds: readonly number[];
+  readonly #epoch: number;
   #nextId = 1;
 
-  public constructor(speeds: readonly number[], room: Resources) {
+  /** A former owner's snapshot makes this the next owner, which starts without reports of workers. */
+  public constructor(speeds: readonly number[], room: Resources, former?: ShardSnapshot) {
     this.#room = room;
     this.#speeds = speeds;
+    this.#epoch = (former?.epoch ?? 0) + 1;
     this.recorder = new EventRecorder(this.clock, new EventStream(), 'model', 'dc1');
     const { clock, recorder } = this;
     const invariant = new Invariant(recorder, true);
@@ -75,7 +80,7 @@
       {
         shard: 's1',
         dataCentre: 'dc1',
-        epoch: 1,
+        epoch: this.#epoch,
         owner: 'model',
         provisional: false,
         clock,
@@ -86,7 +91,7 @@
       'model',
       policy,
     );
-    this.shard.loadJournal([]);
+    if (former === undefined) this.shard.loadJournal([]);
     this.shard.applyHosts(
       speeds.map((_, index) => ({
         id: `w${index}`,
@@ -96,6 +101,12 @@
         address: `w${index}`,
       })),
     );
+    if (former !== undefined) {
+      this.shard.restoreSnapshot(former);
+      this.shard.loadJournal([]);
+      this.shard.applyLoads([]);
+      return;
+    }
     // Leases are granted from the second report on, once the clock of the worker is known.
     for (const _ of [1, 2])
       speeds.forEach((_speed, index) => {
@@ -177,7 +188,7 @@
       rack: worker,
       room: this.#room,
       speed: this.#speeds[Number(worker.slice(1))] ?? 1,
-      epoch: 1,
+      epoch: this.#epoch,
       owner: 'model',
       leaseUntil: 0,
       full,
