Close gaps of takeovers: silent links, old words, lost heirs

Cause: a data centre that is cut off from the store alone still tells its load, and nobody counted its time; a word that nobody could carry out would take work over at a later failover; an heir without the store, or one that is lost too, kept what it was given; an entry could hand in a request whose owner is back.

Change: the claim of every shard is looked at, each 5 s while its owner is heard of; a word lasts 10 minutes; heirs hold a claim; what a lost heir did not take in passes on; an heir refuses requests of a shard that has an owner again.

--- a/packages/core/__tests__/ClaimKeeper.test.ts
+++ b/packages/core/__tests__/ClaimKeeper.test.ts
@@ -50,4 +50,29 @@
     expect(await keeper.keep(() => true)).to.equal('the store lease expired');
     expect(keeper.standing).to.equal('unsettled');
   });
+
+  it('counts the last contact from before a message that proved a claim of its data centre', async () => {
+    // Guards against an owner that goes on longer than other data centres expect after it was cut off.
+    const { clock, store, create } = setUp();
+    const owner = create('one');
+    const candidate = create('two');
+    expect(candidate.contactAt).to.equal(-Infinity);
+    const claimedAt = clock.now();
+    await owner.acquire();
+    expect(owner.contactAt).to.equal(claimedAt);
+    clock.advance(500);
+    await candidate.acquire();
+    expect(candidate.contactAt).to.equal(claimedAt + 500);
+    store.isDown = true;
+    clock.advance(500);
+    await candidate.acquire();
+    let rounds = 0;
+    await owner.keep(() => (rounds += 1) < 4);
+    expect([owner.contactAt, candidate.contactAt]).to.deep.equal([claimedAt, claimedAt + 500]);
+    store.isDown = false;
+    clock.advance(10_000);
+    await create(`${ClaimKeeper.takeoverMark}three`).acquire();
+    await candidate.acquire();
+    expect(candidate.contactAt).to.equal(claimedAt + 500);
+  });
 });
--- a/packages/core/__tests__/takeover.test.ts
+++ b/packages/core/__tests__/takeover.test.ts
@@ -67,6 +67,7 @@
   const pledge = new PledgeKeeper(parts, 's2');
   expect(await pledge.write(new Map([['q', 5000]]))).to.equal(true);
   clock.advance(periods.claimLeaseMs + 1);
+  for (const heir of ['s1', 's3']) await store.write(`owners/${heir}`, 'owner', 0);
   const editor = new TakeoverEditor(parts);
   const createTakeover = (process: string): ShardTakeover =>
     new ShardTakeover({ ...parts, process, address: 'address' }, 's2');
@@ -185,7 +186,8 @@
 
   it('gives an attached request to one shard, also when the answer of the store is lost', async () => {
     // Guards against two entries or two tries that start the same request in two shards.
-    const { createTakeover, byTime, editor, store } = await createLostShard([]);
+    const parts = await createLostShard([]);
+    const { createTakeover, byTime, editor, store } = parts;
     const early = await editor.take('s2.x', 's2', 'q', 's1', 1000);
     expect(early._unsafeUnwrapErr().kind).to.equal('notOwner');
     (await createTakeover('p1').run(byTime, ['s1']))._unsafeUnwrap();
@@ -195,6 +197,10 @@
     expect(other._unsafeUnwrapErr().kind).to.equal('notOwner');
     const unlisted = await editor.take('s2.y', 's2', 'other', 's3', 1000);
     expect(unlisted._unsafeUnwrapErr().kind).to.equal('notOwner');
+    const back = new ClaimKeeper(parts, 's2', 'p2', 'address');
+    (await back.acquire())._unsafeUnwrap();
+    const late = await editor.take('s2.z', 's2', 'q', 's1', 1000);
+    expect(late._unsafeUnwrapErr().detail).to.include('has an owner again');
     const book = new TakeoverBook(await readBook(editor));
     expect(book.findHeir('s2.x')).to.equal('s1');
     expect([book.isTakenFrom('s2.x', 's2'), book.isTakenFrom('s2.x', 's1')]).to.deep.equal([
@@ -203,6 +209,47 @@
     ]);
   });
 
+  it('gives nothing to a shard that cannot reach the store, and passes on what it did not take in', async () => {
+    // Guards against requests that wait for an heir which is lost too, and against a second run of others.
+    const { createTakeover, byTime, editor, store, clock } = await createLostShard(entries);
+    const first = (await createTakeover('p1').run(byTime, ['s9', 's3', 's1']))._unsafeUnwrap();
+    expect(first.requests).to.deep.equal({ 's2.a': 's3', 's2.c': 's1' });
+    await editor.noteInherited(first, 's1');
+    clock.advance(1000);
+    const lost = {
+      shard: 's3',
+      epoch: 7,
+      formerEpoch: 6,
+      atMs: clock.wallTime(),
+      untilMs: first.untilMs,
+      requests: {},
+      inheritedBy: [],
+    };
+    (await editor.add(lost, ['s1']))._unsafeUnwrap();
+    const book = new TakeoverBook(await readBook(editor));
+    expect(book.findHeir('s2.a')).to.equal('s1');
+    // s1 looks at what is new to it only: it may have forgotten the other request after its end.
+    const inherited = book.listInheritances('s1').map(({ requests }) => requests);
+    expect(inherited).to.deep.equal([{ 's2.a': 's1' }]);
+    await store.write('owners/s1', undefined, 1);
+    await store.write('owners/s3', undefined, 1);
+    const change = { state: 'lost', author: 'ann', ifGeneration: 0 } as const;
+    (await editor.declare('dc2', change))._unsafeUnwrap();
+    const word = { reason: 'word', dataCentre: 'dc2' } as const;
+    const none = await createTakeover('p1').run(word, ['s1', 's3']);
+    expect(none._unsafeUnwrapErr().kind).to.equal('noOwner');
+  });
+
+  it('does not carry an old word out', async () => {
+    // Guards against a word that nobody could carry out and that takes work over at a later failover.
+    const { createTakeover, editor, clock } = await createLostShard(entries);
+    const change = { state: 'lost', author: 'ann', ifGeneration: 0 } as const;
+    (await editor.declare('dc2', change))._unsafeUnwrap();
+    clock.advance(600_001);
+    const late = await createTakeover('p1').run({ reason: 'word', dataCentre: 'dc2' }, ['s1']);
+    expect(late._unsafeUnwrapErr().kind).to.equal('notOwner');
+  });
+
   it('refuses a word about a data centre that another operator has changed', async () => {
     // Guards against two operators who overwrite each other.
     const { editor } = await createLostShard([]);
--- a/packages/core/src/ShardTakeover.ts
+++ b/packages/core/src/ShardTakeover.ts
@@ -97,20 +97,33 @@
     if (entries.isErr()) return err(entries.error);
     const book = await this.#editor.read();
     if (book.isErr()) return err(book.error);
+    const claimed = await this.#selectClaimed(heirs);
+    if (claimed.length === 0) return err(createFailure('noOwner', 'no heir holds its claim'));
     if (reason.reason === 'word') {
-      if (!book.value.isPending(reason.dataCentre, this.#shard)) {
+      if (!book.value.isPending(reason.dataCentre, this.#shard, clock.wallTime())) {
         return err(createFailure('notOwner', 'the work was taken over already'));
       }
       const freed = await this.#freeAllotments(epoch);
       if (freed.isErr()) return err(freed.error);
     }
-    const takeover = this.#plan(epoch, reason, heirs, entries.value, book.value);
+    const takeover = this.#plan(epoch, reason, claimed, entries.value, book.value);
     // A new owner may claim the shard once this claim may have ended, and would not see the record.
     if (this.#keeper.standing !== 'confirmed') {
       return err(createFailure('timeout', 'the takeover outlasted its claim'));
     }
     const dataCentre = reason.reason === 'word' ? reason.dataCentre : undefined;
-    return (await this.#editor.add(takeover, dataCentre)).map(() => takeover);
+    return (await this.#editor.add(takeover, claimed, dataCentre)).map(() => takeover);
+  }
+
+  /** An heir that cannot reach the store would not learn what it was given. */
+  async #selectClaimed(heirs: readonly string[]): Promise<readonly string[]> {
+    const holders = await Promise.all(
+      heirs.map((heir) => this.#parts.store.read(`owners/${heir}`)),
+    );
+    return heirs.filter((_, index) => {
+      const holder = holders[index];
+      return holder?.isOk() === true && holder.value.version !== 0;
+    });
   }
 
   #plan(
--- a/packages/core/src/TakeoverBook.ts
+++ b/packages/core/src/TakeoverBook.ts
@@ -1,5 +1,11 @@
 import type { DataCentreWord, Takeover, Takeovers } from '@toucanline/schema';
 
+/**
+ * Time within which an operator's word is carried out. Without a bound, a word that nobody could carry out
+ * would take work over at the next failover, when it is not true any more.
+ */
+const wordMs = 600_000;
+
 /** The record before anything was taken over. */
 const emptyTakeovers: Takeovers = { token: 'none', words: {}, takeovers: [] };
 
@@ -59,11 +65,13 @@
    *
    * @param dataCentre - data centre of the shard
    * @param shard - name of the shard
+   * @param wallMs - wall time in milliseconds
    * @returns true if the work has to be taken over
    */
-  public isPending(dataCentre: string, shard: string): boolean {
+  public isPending(dataCentre: string, shard: string, wallMs: number): boolean {
     const word = this.findWord(dataCentre);
-    return word?.state === 'lost' && !word.taken.includes(shard);
+    if (word?.state !== 'lost' || wallMs - word.atMs > wordMs) return false;
+    return !word.taken.includes(shard);
   }
 
   /**
--- a/packages/core/src/TakeoverEditor.ts
+++ b/packages/core/src/TakeoverEditor.ts
@@ -29,6 +29,27 @@
 /** A new content of the record, or undefined if the wanted change is in effect already. */
 type Edit = Result<Omit<Takeovers, 'token'> | undefined, Failure>;
 
+/**
+ * Gives what a lost shard was given, and did not take into its own journal, to other heirs. What it took in
+ * is among the requests of the new takeover. The part that moves becomes an entry of its own: an heir that
+ * took its part of the former entry in must not look at it again, because it forgets what has ended.
+ */
+const passOn = (each: Takeover, lost: Takeover, heirs: readonly string[]): readonly Takeover[] => {
+  const isMoved = (id: string, heir: string): boolean =>
+    heir === lost.shard && !Object.hasOwn(lost.requests, id);
+  const entries = Object.entries(each.requests);
+  const moved = entries.filter(([id, heir]) => isMoved(id, heir));
+  if (each.inheritedBy.includes(lost.shard) || moved.length === 0) return [each];
+  const kept = entries.filter(([id, heir]) => !isMoved(id, heir));
+  const given = moved.map(
+    ([id, heir], index) => [id, heirs[index % heirs.length] ?? heir] as const,
+  );
+  return [
+    { ...each, requests: Object.fromEntries(kept) },
+    { ...each, atMs: lost.atMs, requests: Object.fromEntries(given), inheritedBy: [] },
+  ];
+};
+
 /**
  * Changes the record of takeovers by compare-and-swap. Every change may be repeated: what is in effect
  * already is not written again, which also settles a write whose answer was lost.
@@ -89,17 +110,24 @@
    * Adds what one claim of a lost shard took over.
    *
    * @param takeover - what was taken
+   * @param heirs - shards that get what the lost shard was itself given and has not taken in
    * @param dataCentre - data centre whose word it fulfils; undefined if there is none
    * @returns the record, or the failure
    */
-  public add(takeover: Takeover, dataCentre?: string): Promise<Result<TakeoverBook, Failure>> {
+  public add(
+    takeover: Takeover,
+    heirs: readonly string[],
+    dataCentre?: string,
+  ): Promise<Result<TakeoverBook, Failure>> {
     const { shard, epoch } = takeover;
     return this.#edit(({ record }) => {
       if (record.takeovers.some((each) => each.shard === shard && each.epoch === epoch)) {
         return ok(undefined);
       }
       const now = this.#parts.clock.wallTime();
-      const kept = record.takeovers.filter(({ untilMs }) => untilMs >= now);
+      const current = record.takeovers.filter(({ untilMs }) => untilMs >= now);
+      const isWhole = takeover.queues === undefined;
+      const kept = isWhole ? current.flatMap((each) => passOn(each, takeover, heirs)) : current;
       const word = dataCentre === undefined ? undefined : record.words[dataCentre];
       const words =
         dataCentre === undefined || word === undefined
@@ -117,7 +145,8 @@
    * @param queue - its queue
    * @param heir - shard that takes it
    * @param deadlineMs - time until its deadline
-   * @returns nothing; `notOwner` if another shard has it or the former shard did not lose it
+   * @returns nothing; `notOwner` if another shard has it, or the former shard did not lose it or has an
+   * owner again
    */
   public async take(
     requestId: string,
@@ -126,6 +155,8 @@
     heir: string,
     deadlineMs: number,
   ): Promise<Result<void, Failure>> {
+    const claim = await this.#readClaimEpoch(former);
+    if (claim.isErr()) return err(claim.error);
     const edited = await this.#edit((book) => {
       const known = book.findHeir(requestId);
       if (known === heir) return ok(undefined);
@@ -134,6 +165,10 @@
       if (covering === undefined) {
         return err(createFailure('notOwner', `the work of ${former} was not taken over`));
       }
+      // An owner that is back may have got the request from its entry again.
+      if (book.findFormerEpoch(former, claim.value) === undefined) {
+        return err(createFailure('notOwner', `the shard ${former} has an owner again`));
+      }
       const untilMs = Math.max(covering.untilMs, this.#parts.clock.wallTime() + deadlineMs);
       const requests = { ...covering.requests, [requestId]: heir };
       const replaced = { ...covering, untilMs, requests };
@@ -151,12 +186,15 @@
    * @returns the record, or the failure
    */
   public noteInherited(
-    { shard, epoch }: Takeover,
+    { shard, epoch, atMs }: Takeover,
     heir: string,
   ): Promise<Result<TakeoverBook, Failure>> {
     return this.#edit(({ record }) => {
       const isWanted = (each: Takeover): boolean =>
-        each.shard === shard && each.epoch === epoch && !each.inheritedBy.includes(heir);
+        each.shard === shard &&
+        each.epoch === epoch &&
+        each.atMs === atMs &&
+        !each.inheritedBy.includes(heir);
       if (!record.takeovers.some(isWanted)) return ok(undefined);
       const takeovers = record.takeovers.map((each) =>
         isWanted(each) ? { ...each, inheritedBy: [...each.inheritedBy, heir] } : each,
@@ -165,6 +203,11 @@
     });
   }
 
+  async #readClaimEpoch(shard: string): Promise<Result<number, Failure>> {
+    const stored = await this.#parts.store.read(`claims/${shard}`);
+    return stored.andThen(decodeStored(validators.Claim)).map((claim) => claim?.epoch ?? 0);
+  }
+
   async #edit(change: (book: TakeoverBook) => Edit): Promise<Result<TakeoverBook, Failure>> {
     const { store, clock, random } = this.#parts;
     // A write without an answer may still take effect, whatever fails after it.
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -258,7 +258,11 @@
       const isPassedOn = heldEpoch === undefined && passedOn.has(result.error.kind);
       if (isPassedOn || !this.#mayRecover(result.error)) return result;
       if (undecided.has(result.error.kind)) heldEpoch ??= epoch;
-      const followed = await this.#followTakeover(shard, submission, heldEpoch);
+      const followed = await this.#followTakeover(
+        shard,
+        submission,
+        heldEpoch === undefined ? undefined : Math.max(heldEpoch, epoch),
+      );
       if (followed !== undefined) return followed;
       await clock.sleep(this.#chooseDelay(handIn));
     }
@@ -333,8 +337,10 @@
     submission: HeldSubmission,
     first: Answer,
   ): Promise<Result<RequestView, Failure>> {
-    const { clock, recorder } = this.#parts;
+    const { clock, recorder, router } = this.#parts;
     let answer = first;
+    /** Highest epoch of an owner that may hold the request. */
+    let heldEpoch = first.epoch;
     let failures = 0;
     while (!isAnswered(answer.view) && clock.now() < submission.waitUntil) {
       const { id } = answer.view;
@@ -343,11 +349,12 @@
       let result = await this.#callOwner(id, body, waitMs + marginMs);
       if (result.isErr() && result.error.kind === 'unknownRequest') {
         const remainingMs = submission.deadlineAt - clock.now();
+        heldEpoch = Math.max(heldEpoch, router.findLoad(shard)?.epoch ?? 0);
         result = await this.#handIn(this.#findShard(id), submission, remainingMs, answer.epoch);
       }
       if (result.isErr()) {
         if (!this.#mayRecover(result.error)) return err(this.#doubt(result.error));
-        const followed = await this.#followTakeover(shard, submission, answer.epoch);
+        const followed = await this.#followTakeover(shard, submission, heldEpoch);
         if (followed !== undefined) {
           if (followed.isErr()) return err(followed.error);
           answer = followed.value;
@@ -360,6 +367,7 @@
         recorder.record('lateAnswerDropped', { requestId: id });
       } else {
         answer = result.value;
+        if (answer.shard === shard) heldEpoch = Math.max(heldEpoch, answer.epoch);
         failures = 0;
       }
     }
--- a/packages/scheduler/src/TakeoverRunner.ts
+++ b/packages/scheduler/src/TakeoverRunner.ts
@@ -12,8 +12,13 @@
 import { validators } from '@toucanline/schema';
 
 const pollMs = 1000;
-/** Silence after which the store is asked whether a shard still has an owner, in milliseconds. */
+/** Age above which a load notice of an heir does not count, in milliseconds. */
 const silenceMs = 5000;
+/**
+ * Interval of looking at the claim of a shard whose owner is heard of: it may be cut off from the store
+ * alone. A shard without a claim is looked at in each round.
+ */
+const claimCheckMs = 5000;
 /** Time for others to take the work of a declared data centre over before its own owners go on. */
 const yieldMs = 30_000;
 
@@ -34,6 +39,7 @@
   readonly #parts: RunnerParts;
   readonly #editor: TakeoverEditor;
   readonly #watches = new Map<string, CutOffWatch>();
+  readonly #checkedAt = new Map<string, number>();
   #book = new TakeoverBook();
   /** First sight of the newest word about the own data centre. */
   #word: { readonly generation: number; readonly seenAt: number } | undefined;
@@ -57,7 +63,8 @@
    */
   public mustYield(shard: string): boolean {
     const { runtime } = this.#parts;
-    if (!this.#book.isPending(runtime.settings.dataCentre, shard)) return false;
+    const wallMs = runtime.clock.wallTime();
+    if (!this.#book.isPending(runtime.settings.dataCentre, shard, wallMs)) return false;
     return runtime.clock.now() - (this.#word?.seenAt ?? -Infinity) < yieldMs;
   }
 
@@ -89,7 +96,7 @@
   }
 
   async #checkShards(): Promise<void> {
-    const { readPolicy, runtime, isConnected, router } = this.#parts;
+    const { readPolicy, runtime, isConnected } = this.#parts;
     const policy = readPolicy();
     if (policy === undefined || !isConnected()) return;
     for (const shard of policy.shards) {
@@ -97,34 +104,46 @@
       if (dataCentre === runtime.settings.dataCentre) continue;
       const heirs = this.#listHeirs(policy, dataCentre);
       if (heirs.length === 0) continue;
-      if (this.#book.isPending(dataCentre, shard)) await this.#takeByWord(shard, dataCentre, heirs);
-      else if (router.findLoad(shard, silenceMs) === undefined) await this.#watch(shard, heirs);
-      else this.#watches.delete(shard);
+      const isLost = this.#book.isPending(dataCentre, shard, runtime.clock.wallTime());
+      if (isLost) await this.#take(shard, { reason: 'word', dataCentre }, heirs);
+      else if (this.#isCheckDue(shard)) await this.#watch(shard, heirs);
     }
   }
 
   /** Shards of other data centres with a live owner. */
   #listHeirs(policy: Policy, lost: string): readonly string[] {
-    const { router } = this.#parts;
+    const { router, runtime } = this.#parts;
+    const wallMs = runtime.clock.wallTime();
     return policy.shards.filter((shard) => {
       const dataCentre = policy.findDataCentre(shard) ?? '';
-      const isLost = dataCentre === lost || this.#book.isPending(dataCentre, shard);
+      const isLost = dataCentre === lost || this.#book.isPending(dataCentre, shard, wallMs);
       return !isLost && router.findLoad(shard, silenceMs) !== undefined;
     });
   }
 
-  async #takeByWord(shard: string, dataCentre: string, heirs: readonly string[]): Promise<void> {
-    await this.#take(shard, { reason: 'word', dataCentre }, heirs);
+  #isCheckDue(shard: string): boolean {
+    const { router, runtime } = this.#parts;
+    const isCounting = this.#watches.get(shard)?.epoch !== undefined;
+    if (isCounting || router.findLoad(shard, silenceMs) === undefined) return true;
+    const now = runtime.clock.now();
+    if (now - (this.#checkedAt.get(shard) ?? -Infinity) < claimCheckMs) return false;
+    this.#checkedAt.set(shard, now);
+    return true;
   }
 
-  /** Counts the time for which a silent shard has no claim in the store. */
+  /** Counts the time for which a shard has no claim in the store. */
   async #watch(shard: string, heirs: readonly string[]): Promise<void> {
     const { runtime } = this.#parts;
     const pledge = new PledgeKeeper(runtime, shard);
     const holder = await runtime.store.read(`owners/${shard}`);
+    if (holder.isErr()) return;
+    if (holder.value.version !== 0) {
+      this.#watches.delete(shard);
+      return;
+    }
     const claim = await runtime.store.read(`claims/${shard}`);
     const read = await pledge.read();
-    if (holder.isErr() || claim.isErr() || read.isErr()) return;
+    if (claim.isErr() || read.isErr()) return;
     const parsed = parseRecord(validators.Claim, claim.value.value ?? 'null');
     if (parsed.isErr()) return;
     const { epoch } = parsed.value;
@@ -133,7 +152,7 @@
     this.#watches.set(shard, watch);
     const due = watch.observe(
       {
-        isClaimed: holder.value.version !== 0,
+        isClaimed: false,
         epoch: formerEpoch,
         pledgeVersion: pledge.version,
         pledged: pledge.pledged,
