--- a/packages-private/testkit/__tests__/ownership.test.ts
+++ b/packages-private/testkit/__tests__/ownership.test.ts
@@ -1,17 +1,16 @@
 import { expect } from 'chai';
-import { Caller, exampleDocument, Site, sleep, type DaemonProcess } from '../src/index.js';
+import {
+  Caller,
+  exampleDocument,
+  Site,
+  sleep,
+  waitUntil,
+  type DaemonProcess,
+} from '../src/index.js';
 
 const size = { processors: 1, memoryMb: 512, accelerators: 0 };
 const failoverMs = 10_000;
 
-const waitUntil = async (isTrue: () => boolean, timeoutMs: number, what: string): Promise<void> => {
-  const endsAt = performance.now() + timeoutMs;
-  while (!isTrue()) {
-    if (performance.now() > endsAt) throw new Error(`not within ${timeoutMs} ms: ${what}`);
-    await sleep(20);
-  }
-};
-
 describe('the ownership of a shard with real processes', () => {
   const site = new Site({
     document: exampleDocument,
@@ -193,6 +192,9 @@
     expect((await submit('renders', 'echo alone')).view.output).to.deep.equal(['alone']);
     const refused = await caller.submit('renders', { size, command: 'echo d', detached: 'yes' });
     expect(refused.problem).to.include({ title: 'storeUnavailable', ran: 'no' });
+    const preferred = { size, command: 'echo attached', detached: 'prefer' } as const;
+    const attached = await caller.submit('renders', preferred, { wait: 10 });
+    expect(attached.view.output).to.deep.equal(['attached']);
     site.store.setFault('none');
     await sleep(1500);
     expect((await submit('renders', 'echo back')).view.output).to.deep.equal(['back']);
--- a/packages/core/__tests__/ModelSite.ts
+++ b/packages/core/__tests__/ModelSite.ts
@@ -1,4 +1,4 @@
-import type { Document, JournalEntry, Request, RequestView } from '@toucanline/schema';
+import type { Document, HostRecord, JournalEntry, Request, RequestView } from '@toucanline/schema';
 import {
   Clock,
   createFailure,
@@ -16,6 +16,10 @@
 import { ModelWorker } from './ModelWorker.js';
 
 const stepMs = 50;
+/** Time for which a caller waits, before its request is kept in the journal. */
+const waitMs = 1000;
+/** Time for which the host list of a new owner may miss a worker. */
+const unlistedMs = 5000;
 const workerIds = ['w0', 'w1', 'w2'];
 const rates = [0.992, 1, 1.008];
 
@@ -134,7 +138,9 @@
     const { queue, processors, tasks, runTimeMs, fails, key, detached, deadlineMs } = submission;
     const kind = queue === 'once' ? 'batch' : queue;
     const hasKey = key !== undefined;
-    const request: Request = {
+    const idempotencyKey = `${queue}-${key ?? ''}`;
+    const earlier = this.#held.find((held) => held.request.idempotencyKey === idempotencyKey);
+    const created: Request = {
       id: `s1.r${this.#held.length}`,
       digest: hasKey ? `key ${key}` : `request ${this.#held.length}`,
       team: 'planning',
@@ -148,8 +154,20 @@
       size: { processors, memoryMb: 64, accelerators: 0 },
       command: `${kind === 'service' ? 1e9 : runTimeMs} ${fails ? 'fail' : 'ok'}`,
       runTimeMs,
-      ...(hasKey ? { idempotencyKey: `${queue}-${key}` } : {}),
+      receivedAtMs: this.now,
+      deadlineAtMs: this.now + deadlineMs,
+      ...(hasKey ? { idempotencyKey } : {}),
     };
+    // The digest covers the body, so a repeat has the body of the first request.
+    const request: Request =
+      earlier === undefined
+        ? created
+        : {
+            ...earlier.request,
+            id: created.id,
+            receivedAtMs: this.now,
+            deadlineAtMs: this.now + deadlineMs,
+          };
     const held: Held = {
       request,
       deadlineAt: this.now + deadlineMs,
@@ -200,8 +218,13 @@
     this.#workers.get(workerIds[index % workerIds.length] ?? '')?.leave();
   }
 
-  /** A new owner with a higher epoch; the former one stops, but its messages still arrive. */
-  public failOver(): void {
+  /**
+   * A new owner with a higher epoch; the former one stops, but its messages still arrive.
+   *
+   * @param unlisted - index of a worker that the host list of the new owner misses for now
+   */
+  public failOver(unlisted?: number): void {
+    const leased = this.#owner?.shard.listLeased();
     for (const owner of this.#owners) owner.active = false;
     const stream = new EventStream();
     const epoch = this.#owners.length + 1;
@@ -222,16 +245,20 @@
       new Policy(document),
     );
     this.#owners.push({ shard, polls: new Map(), active: true });
-    shard.loadJournal(this.#journal);
-    shard.applyHosts(
-      workerIds.map((id) => ({
-        id,
-        role: 'worker',
-        state: 'live',
-        dataCentre: 'dc1',
-        address: id,
-      })),
-    );
+    const hosts = workerIds.map((id): HostRecord => ({
+      id,
+      role: 'worker',
+      state: 'live',
+      dataCentre: 'dc1',
+      address: id,
+    }));
+    shard.loadJournal(this.#journal, leased);
+    const missing = unlisted === undefined ? undefined : unlisted % workerIds.length;
+    shard.applyHosts(hosts.filter((_, index) => index !== missing));
+    this.#after(unlistedMs, () => {
+      shard.applyHosts(hosts);
+      this.#pump();
+    });
     this.#pump();
   }
 
@@ -271,13 +298,16 @@
 
   /** Tasks that run although their request is over. */
   public get orphans(): readonly string[] {
-    // A service that an entry answered as unknown may run: its caller finds and cancels it by id.
-    const services = this.#held.flatMap(({ request, answer, isOver }) =>
-      answer?.state === 'running' || (isOver && request.kind === 'service')
-        ? [answer?.id ?? request.id]
-        : [],
-    );
-    return this.ledger.running.filter((name) => !services.includes(name.split('/')[0] ?? ''));
+    const served = this.#held.flatMap(({ request, answer, isOver }) => {
+      // A service that an entry answered as unknown may run: its caller finds and cancels it by id.
+      const isUnknown = isOver && request.kind === 'service';
+      if (!isUnknown && answer?.state !== 'running') return [];
+      const view = this.#owner?.shard.read(answer?.id ?? request.id, 'planning');
+      return view?.isOk() === true ? view.value.tasks : [];
+    });
+    // The tasks of a repeat may carry the id of the earlier request with the same idempotency key.
+    const names = served.map(({ id }) => id.split('/').slice(0, 2).join('/'));
+    return this.ledger.running.filter((name) => !names.includes(name));
   }
 
   /** Work that the owner counts as running. */
@@ -456,6 +486,8 @@
       const id = held.answer?.id ?? held.request.id;
       const isDone = held.answer !== undefined && isAnswered(held.answer);
       if (isDone && held.answer?.kind !== 'service') continue;
+      if (!isDone) owner.shard.noteWanted(id);
+      if (this.now - held.since > waitMs) owner.shard.keep(id);
       const view = owner.shard.read(id, 'planning');
       if (view.isOk() && !owner.shard.isCommitting(id))
         this.#observe(held, view.value, owner.shard.epoch);
@@ -477,7 +509,9 @@
     held.attempt = view.attempt;
     held.answer = view;
     const isFinal = isAnswered(view) && view.state !== 'running';
-    const didRun = this.ledger.hasRun(view.id);
+    // The tasks of a repeat may carry the id of the earlier request with the same idempotency key.
+    const taskIds = view.tasks.map(({ id }) => id.split('/')[0] ?? '');
+    const didRun = [view.id, ...taskIds].some((id) => this.ledger.hasRun(id));
     if (isFinal && view.ran === 'no') this.ledger.noteNotRun(view.id);
     if (isFinal && view.ran === 'yes' && !didRun) {
       this.ledger.report(`${view.id} did not run but was answered "ran: yes"`);
--- a/packages/core/__tests__/takeover.test.ts
+++ b/packages/core/__tests__/takeover.test.ts
@@ -38,6 +38,13 @@
   deadlineAtMs: 1e9,
 });
 
+/** An attached request that was written after its start, when its caller stopped to wait. */
+const keep = (id: string, queue: string): JournalEntry => ({
+  entry: 'accepted',
+  request: { ...createRequest(id, queue, false), detached: false },
+  deadlineAtMs: 1e9,
+});
+
 const intend = (id: string): JournalEntry => ({
   entry: 'intent',
   requestId: id,
@@ -306,13 +313,14 @@
       intend('s2.b'),
       accept('s2.c', 'batch', false),
       accept('s2.other', 'batch'),
+      keep('s2.d', 'batch'),
     ];
-    const ids = new Set(['s2.a', 's2.b', 's2.c']);
+    const ids = new Set(['s2.a', 's2.b', 's2.c', 's2.d']);
     expect(model.shard.takeOver(journal, ids)).to.equal(false);
     const commits = model.shard
       .takeEffects()
       .flatMap((effect) => (effect.effect === 'commit' ? [effect.ticket] : []));
-    expect(commits).to.have.length(3);
+    expect(commits).to.have.length(4);
     expect(model.step()).to.deep.equal([]);
     for (const ticket of commits) model.shard.confirmCommit(ticket);
     for (const effect of model.shard.takeEffects()) {
@@ -323,7 +331,9 @@
     expect(started).to.deep.equal(['s2.a']);
     // A non-idempotent start waits for the commit of its intent.
     expect(model.readState('s2.c')).to.equal('starting');
-    expect(model.shard.read('s2.b')._unsafeUnwrap()).to.include({ state: 'unknown' });
+    for (const id of ['s2.b', 's2.d']) {
+      expect(model.shard.read(id)._unsafeUnwrap()).to.include({ state: 'unknown' });
+    }
   });
 
   it('stops what others took over, also when a worker reports it later', () => {
@@ -344,6 +354,10 @@
     model.step(100);
     expect(model.commands.at(-1)).to.include({ action: 'stop', cancelled: true });
     if (task !== undefined) model.change(task, 'stopped');
+    // The end is told once the journal has the request and its end.
+    const commits = model.shard.takeEffects().filter((each) => each.effect === 'commit');
+    expect(commits).to.have.length(2);
+    for (const { ticket } of commits) model.shard.confirmCommit(ticket);
     expect(model.step(5000)).to.deep.equal([]);
     expect(model.readState(id)).to.equal('cancelled');
   });
--- a/packages/core/src/JournaledRequest.ts
+++ b/packages/core/src/JournaledRequest.ts
@@ -5,7 +5,7 @@
   readonly request: Request;
   /** Wall time of its deadline in milliseconds. */
   readonly deadlineAtMs: number;
-  /** Whether the journal has the intent to start it, so that it may have run. */
-  readonly hasIntent: boolean;
+  /** Whether it may have run: the journal has the intent to start it, or was told of it after its start. */
+  readonly mayHaveStarted: boolean;
   readonly isFinished: boolean;
 }
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -276,8 +276,10 @@
    * Loads the journal of earlier owners.
    *
    * @param entries - entries, oldest first
+   * @param workers - workers that the former owner leased: the host list may miss one that runs its tasks
    */
-  public loadJournal(entries: readonly JournalEntry[]): void {
+  public loadJournal(entries: readonly JournalEntry[], workers: readonly HostRecord[] = []): void {
+    if (!this.#recovery.isComplete) this.#fleet.inherit(workers);
     this.#inherited.loadJournal(entries);
   }
 
@@ -341,6 +343,15 @@
     return this.#table.find(requestId) !== undefined;
   }
 
+  /**
+   * Lists the workers that may run tasks, for the next owner.
+   *
+   * @returns the workers
+   */
+  public listLeased(): readonly HostRecord[] {
+    return this.#fleet.listLeased();
+  }
+
   /** Serves without the journal of earlier owners, because the store cannot be reached. */
   public skipJournal(): void {
     this.#recovery.noteJournal();
@@ -381,6 +392,29 @@
     return this.#acceptance.isCommitting(requestId);
   }
 
+  /**
+   * Writes a request that goes on to the journal, because its caller stops to wait.
+   *
+   * @param requestId - identifier of the request
+   */
+  public keep(requestId: string): void {
+    const record = this.#table.find(requestId);
+    if (record !== undefined) this.#acceptance.keep(record);
+  }
+
+  /**
+   * Whether the journal has what is known about a request, or certainly will not have it for now.
+   *
+   * @param requestId - identifier of the request
+   * @returns false while the commit of its acceptance or of its end is under way
+   */
+  public isJournalSettled(requestId: string): boolean {
+    const record = this.#table.find(requestId);
+    if (record === undefined) return true;
+    if (record.isFinished) return !record.awaitsEnd;
+    return record.isDurable || !record.isAccepted;
+  }
+
   /**
    * Confirms a commit.
    *
@@ -408,6 +442,16 @@
     return this.#find(requestId, team).map((record) => record.describe());
   }
 
+  /**
+   * Notes that somebody asks for a request.
+   *
+   * @param requestId - identifier of the request
+   */
+  public noteWanted(requestId: string): void {
+    const record = this.#table.find(requestId);
+    if (record !== undefined) this.#lifecycle.noteWanted(record);
+  }
+
   /**
    * Checks whether waiting longer for a request makes sense.
    *
@@ -550,7 +594,9 @@
   public tick(): void {
     this.#lost.tick();
     this.#tracker.expireLeases();
+    this.#fleet.tick();
     this.#lifecycle.tick();
+    this.#acceptance.tick();
     this.#quarantine.tick();
     this.#outgrown.tick();
     this.#finishRecovery();
@@ -564,10 +610,12 @@
    * Starts waiting work.
    *
    * @param maxStarts - bound on the requests started in one call
+   * @param claimed - whether this owner certainly holds the claim, so that no other one exists
    * @returns true if more could start
    */
-  public dispatch(maxStarts: number): boolean {
+  public dispatch(maxStarts: number, claimed = true): boolean {
     this.#lost.forgetReleased();
+    this.#fleet.noteClaim(claimed);
     return this.#dispatcher.run(maxStarts);
   }
 
--- a/packages/core/src/WorkerRecord.ts
+++ b/packages/core/src/WorkerRecord.ts
@@ -1,15 +1,23 @@
-import type { HostRecord, Report, Resources, WorkerStatus } from '@toucanline/schema';
+import type { HostRecord, Report, Request, Resources, WorkerStatus } from '@toucanline/schema';
 import { addResources } from './addResources.js';
+import type { Capacity } from './Capacity.js';
 import { coversResources } from './coversResources.js';
+import { minResources } from './minResources.js';
 import { periods } from './periods.js';
+import { scaleResources } from './scaleResources.js';
+import { selectFree } from './selectFree.js';
 import { subtractResources } from './subtractResources.js';
 import type { TaskRecord } from './TaskRecord.js';
+import { usesKept } from './usesKept.js';
 import { WorkerClock } from './WorkerClock.js';
 import { zeroResources } from './zeroResources.js';
 
 /** Covers clock drift between a lease that a worker granted before a restart and its clock since. */
 const rebootMarginMs = 1000;
 
+/** Part of a worker with accelerators that work without accelerators may always use. */
+const openFraction = 0.25;
+
 /** One worker as the shard owner knows it. */
 export class WorkerRecord {
   public readonly id: string;
@@ -23,11 +31,14 @@
   #drained = false;
   #quarantined = false;
   #reserved = false;
+  #withheld = false;
   #probing = false;
   #lapsed = false;
   #wantsFull = true;
   #restarted = false;
   #held: Resources = zeroResources;
+  #kept: Resources = zeroResources;
+  #capacity: Capacity | undefined;
   readonly #onChange: (worker: WorkerRecord) => void;
   #bootedBy: number | undefined;
 
@@ -41,6 +52,11 @@
     this.#onChange = onChange;
   }
 
+  /** The worker's record in the host list. */
+  public get host(): HostRecord {
+    return this.#host;
+  }
+
   /** Address of the worker's interface. */
   public get address(): string {
     return this.#host.address;
@@ -73,7 +89,13 @@
 
   /** Capacity that is left and not reserved. */
   public get free(): Resources {
-    return subtractResources(this.unallocated, this.#held);
+    return this.capacity.free;
+  }
+
+  /** Capacity that is left for new tasks of each kind. */
+  public get capacity(): Capacity {
+    this.#capacity ??= this.#measureCapacity();
+    return this.#capacity;
   }
 
   /** Capacity that no task occupies, reserved capacity included. */
@@ -146,7 +168,7 @@
 
   /** Whether new tasks may be placed here. */
   public get isEligible(): boolean {
-    const mayServe = this.hasReported && !this.#lapsed && !this.isLeaving;
+    const mayServe = this.hasReported && !this.#lapsed && !this.isLeaving && !this.#withheld;
     const isIsolated = this.#quarantined && !(this.#probing && this.#tasks.size === 0);
     return mayServe && !isIsolated && !this.#reserved;
   }
@@ -163,13 +185,13 @@
    */
   public setHost(host: HostRecord): void {
     this.#host = host;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /** Notes that the worker is leaving. */
   public markLeaving(): void {
     this.#leaving = true;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /**
@@ -179,7 +201,7 @@
    */
   public setDrained(drained: boolean): void {
     this.#drained = drained;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /**
@@ -189,7 +211,7 @@
    */
   public setQuarantined(quarantined: boolean): void {
     this.#quarantined = quarantined;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /**
@@ -199,7 +221,27 @@
    */
   public hold(held: Resources): void {
     this.#held = held;
-    this.#onChange(this);
+    this.#noteChange();
+  }
+
+  /**
+   * Keeps processors and memory beside each free accelerator, so that other work does not strand it.
+   *
+   * @param kept - amount per free accelerator
+   */
+  public keepPerAccelerator(kept: Resources): void {
+    this.#kept = kept;
+    if (this.room.accelerators > 0) this.#noteChange();
+  }
+
+  /**
+   * Reads what a task of a request may take.
+   *
+   * @param request - the request
+   * @returns the amount
+   */
+  public readFree(request: Request): Resources {
+    return selectFree(this.capacity, request.size, usesKept(request));
   }
 
   /**
@@ -209,6 +251,17 @@
    */
   public setReserved(reserved: boolean): void {
     this.#reserved = reserved;
+    this.#noteChange();
+  }
+
+  /**
+   * Withholds new tasks from the worker or ends that.
+   *
+   * @param withheld - whether it gets none, because it may have forgotten another owner
+   */
+  public setWithheld(withheld: boolean): void {
+    if (this.#withheld === withheld) return;
+    this.#withheld = withheld;
     this.#onChange(this);
   }
 
@@ -219,7 +272,7 @@
    */
   public setProbing(probing: boolean): void {
     this.#probing = probing;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /** Asks for a full report with the next renewal. */
@@ -237,7 +290,7 @@
   public markLapsed(): void {
     this.#lapsed = true;
     this.#wantsFull = true;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /**
@@ -267,7 +320,7 @@
     this.#restarted = false;
     this.#leaving = report.state === 'leaving';
     if (report.full) this.#wantsFull = false;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /**
@@ -283,8 +336,19 @@
     const report = this.#report;
     if (report === undefined || this.#clock === undefined || this.#restarted) return false;
     if (report.epoch !== epoch || report.owner !== owner) return false;
-    const hasForgotten = this.#clock.readLowerBound(now) < periods.workerLeaseMs + rebootMarginMs;
-    return !hasForgotten && this.#clock.readUpperBound(now) < report.leaseUntil;
+    return !this.hasForgotten(now) && this.#clock.readUpperBound(now) < report.leaseUntil;
+  }
+
+  /**
+   * Checks whether the worker may have forgotten another owner, whose lease and tasks count until the lease
+   * has ended.
+   *
+   * @param now - local monotonic time in milliseconds
+   * @returns false once it has certainly been up for longer than a lease
+   */
+  public hasForgotten(now: number): boolean {
+    const upMs = this.#clock?.readLowerBound(now) ?? 0;
+    return upMs < periods.workerLeaseMs + rebootMarginMs;
   }
 
   /**
@@ -294,7 +358,8 @@
    */
   public addTask(task: TaskRecord): void {
     this.#tasks.set(task.id, task);
-    this.recount();
+    this.#allocated = addResources(this.#allocated, task.charge);
+    this.#noteChange();
   }
 
   /**
@@ -311,7 +376,7 @@
     let sum = zeroResources;
     for (const task of this.#tasks.values()) sum = addResources(sum, task.charge);
     this.#allocated = sum;
-    this.#onChange(this);
+    this.#noteChange();
   }
 
   /**
@@ -356,6 +421,26 @@
     };
   }
 
+  #noteChange(): void {
+    this.#capacity = undefined;
+    this.#onChange(this);
+  }
+
+  /** A part of the worker is open to all work, so that no team waits for ever for others to end. */
+  #measureCapacity(): Capacity {
+    const { room } = this;
+    const free = subtractResources(this.unallocated, this.#held);
+    const largest = scaleResources(room, openFraction);
+    if (room.accelerators === 0) return { free, open: free, largest: room };
+    const most = scaleResources(
+      subtractResources(room, largest),
+      free.accelerators / room.accelerators,
+    );
+    const kept = minResources(scaleResources(this.#kept, free.accelerators), most);
+    const open = { ...subtractResources(free, kept), accelerators: free.accelerators };
+    return { free, open, largest };
+  }
+
   #describeState(): WorkerStatus['state'] {
     if (!this.hasReported) return 'unreached';
     if (this.#lapsed) return 'lapsed';
--- a/packages/core/src/listJournaled.ts
+++ b/packages/core/src/listJournaled.ts
@@ -14,14 +14,15 @@
   for (const entry of entries) {
     if (entry.entry === 'accepted') {
       const { request, deadlineAtMs } = entry;
-      const isFinished = false;
-      requests.set(request.id, { request, deadlineAtMs, hasIntent: false, isFinished });
+      // An attached request without key starts without an intent, and is written when its caller stops to wait.
+      const mayHaveStarted = !request.detached && request.idempotencyKey === undefined;
+      requests.set(request.id, { request, deadlineAtMs, mayHaveStarted, isFinished: false });
       continue;
     }
     const id = entry.entry === 'intent' ? entry.requestId : entry.view.id;
     const known = requests.get(id);
     if (known === undefined) continue;
-    const changed = entry.entry === 'intent' ? { hasIntent: true } : { isFinished: true };
+    const changed = entry.entry === 'intent' ? { mayHaveStarted: true } : { isFinished: true };
     requests.set(id, { ...known, ...changed });
   }
   return requests;
--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -39,8 +39,12 @@
     return Promise.resolve({ reply: 'failure', failure });
   }
 
-  public override handleNotice(_link: Link, body: NoticeBody): void {
-    this.#router.applyNotice(body);
+  public override handleNotice(link: Link, body: NoticeBody): void {
+    if (link.peer !== undefined) this.#router.applyNotice(link.peer.process, body);
+  }
+
+  public override handleActivity(link: Link): void {
+    if (link.peer !== undefined) this.#router.noteAlive(link.peer.process);
   }
 
   public override handleClose(): void {
@@ -53,6 +57,7 @@
   readonly #runtime: ProcessRuntime;
   readonly #router: Router;
   readonly #peers: PeerSet;
+  readonly #authenticator: Authenticator;
   readonly #takeovers: TakeoverReader;
   readonly #groups: Parameters<typeof createRoutes>[0];
   readonly #service = restana({
@@ -68,10 +73,11 @@
   public constructor(runtime: ProcessRuntime) {
     super();
     this.#runtime = runtime;
-    const { clock, recorder, settings, keyRing } = runtime;
+    const { clock, recorder, settings, keyRing, keysContact } = runtime;
     this.#router = new Router(clock, settings.dataCentre);
     this.#peers = new PeerSet(runtime, new EntryLinks(this.#router));
-    const authenticator = new Authenticator(keyRing, settings.operatorKeyHash);
+    const authenticator = new Authenticator(keyRing, keysContact, settings.operatorKeyHash);
+    this.#authenticator = authenticator;
     this.#takeovers = new TakeoverReader(runtime);
     const service = new RequestService({
       clock,
@@ -134,7 +140,8 @@
   }
 
   get #isReady(): boolean {
-    return !this.#draining && this.#runtime.holder.policy !== undefined;
+    const { policy } = this.#runtime.holder;
+    return !this.#draining && policy !== undefined && this.#authenticator.isReady;
   }
 
   #addRoutes(): void {
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -18,8 +18,10 @@
   Request,
   RequestView,
   SubmitCall,
+  WaitCall,
 } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
+import { OpenRequests } from './OpenRequests.js';
 
 /** Longest wait of one call to a scheduler, in milliseconds. */
 const sliceMs = 10_000;
@@ -33,6 +35,8 @@
 /** Time for a shard to get a new owner before a request is refused for lack of one, in milliseconds. */
 const ownerWaitMs = 10_000;
 const maxRetryMs = 1000;
+/** Time for a request to get into the journal before its caller is told that it is not there yet. */
+const keepWaitMs = 4000;
 /** Time within which each entry has handed in what it holds to a new owner, in milliseconds. */
 const resubmissionMs = 10_000;
 
@@ -50,14 +54,37 @@
 /** Failures after which the shard may hold the request. */
 const undecided: ReadonlySet<Failure['kind']> = new Set(['linkLost', 'timeout']);
 
+/** States of a request that has ended. */
+const finalStates: ReadonlySet<RequestView['state']> = new Set([
+  'succeeded',
+  'failed',
+  'cancelled',
+  'refused',
+  'unknown',
+]);
+
 /** An answer of an older owner of the same shard, or of an older attempt under the same owner. */
 const isOlder = (next: Answer, known: Answer): boolean =>
   next.shard === known.shard &&
   (next.epoch < known.epoch ||
     (next.epoch === known.epoch && next.view.attempt < known.view.attempt));
 
-/** Requests that an entry keeps after their caller's wait; bounds its memory and its calls. */
-const maxHeld = 5000;
+/** Attached requests that an entry has open, each with about 1 KB of memory and one pending call. */
+const openBounds = { total: 10_000, perTeam: 5000 } as const;
+
+/** A request that a shard may hold, although no answer of its owner came back. */
+const describeOffered = ({ id, team, queue, kind, size }: Request): RequestView => ({
+  id,
+  team,
+  queue,
+  kind,
+  size,
+  state: 'waiting',
+  ran: 'unknown',
+  attempt: 0,
+  tasks: [],
+  reason: 'the owner of the shard has not answered yet',
+});
 
 /** What the service works with. */
 interface ServiceParts {
@@ -65,7 +92,7 @@
   readonly random: RandomSource;
   readonly recorder: EventRecorder;
   readonly router: Router;
-  readonly peers: PeerSet;
+  readonly peers: Pick<PeerSet, 'call'>;
   /** Reads what passed from lost data centres to others. */
   readonly readTakeovers: () => TakeoverBook;
 }
@@ -97,8 +124,7 @@
 /** Carries requests to the owners of shards and their answers back. */
 export class RequestService {
   readonly #parts: ServiceParts;
-  /** Requests that are held after their caller's wait ended. */
-  #held = 0;
+  readonly #open = new OpenRequests(openBounds);
   /** Shards that were asked to take attached requests over, by request. */
   readonly #heirs = new Map<string, string>();
 
@@ -115,6 +141,16 @@
    * @returns its state when the wait ended; or the failure
    */
   public async submit(submission: Submission): Promise<Result<RequestView, Failure>> {
+    const { detached, team } = submission.request;
+    if (detached) return this.#place(submission);
+    const counted = this.#open.take(team);
+    if (counted.isErr()) return err(counted.error);
+    const result = await this.#place(submission);
+    this.#open.release(team);
+    return result;
+  }
+
+  async #place(submission: Submission): Promise<Result<RequestView, Failure>> {
     const { clock } = this.#parts;
     const endsAt = Math.min(submission.deadlineAt, clock.now() + ownerWaitMs);
     for (;;) {
@@ -148,8 +184,9 @@
   }
 
   /**
-   * Waits for the answer as long as the caller does. After that the entry keeps an attached request and
-   * hands it in again after a failover, because no other process may know of it.
+   * Waits for the answer as long as the caller does. An attached request that goes on after that is first
+   * written to the journal, so that it outlasts this entry. Until the journal has it, no other process may
+   * know of it: the entry keeps it and hands it in again after a failover.
    */
   async #answer(
     shard: string,
@@ -157,17 +194,53 @@
     first: Answer,
   ): Promise<Result<RequestView, Failure>> {
     const result = await this.#waitForAnswer(shard, submission, first);
-    const isOpen = result.isOk() && !isAnswered(result.value);
-    if (isOpen && !submission.request.detached && this.#held < maxHeld) {
-      void this.#hold(shard, submission, { ...first, view: result.value });
+    if (result.isErr() || !this.#mustKeep(result.value.view)) return result.map(({ view }) => view);
+    const kept = await this.#keep(submission, result.value);
+    if (this.#mustKeep(kept.view)) void this.#hold(shard, submission, kept);
+    return ok(kept.view);
+  }
+
+  /** A running service is an answer, but goes on. */
+  #mustKeep({ state, durable }: RequestView): boolean {
+    return durable !== true && !finalStates.has(state);
+  }
+
+  /** Asks the owner, and after a failover the next one, to write a request to the journal. */
+  async #keep(submission: HeldSubmission, first: Answer): Promise<Answer> {
+    const { clock } = this.#parts;
+    const endsAt = clock.now() + keepWaitMs;
+    for (let failures = 0; clock.now() < endsAt; failures += 1) {
+      const result = await this.#ask(submission, first, { waitMs: 0, keep: true });
+      // The owner tells at once if the store does not take the request.
+      if (result.isOk() && !isOlder(result.value, first)) return result.value;
+      if (result.isErr() && !this.#mayRecover(result.error)) break;
+      await clock.sleep(this.#chooseDelay(failures));
     }
-    return result;
+    return first;
+  }
+
+  /** Asks for a request. An owner that does not know it gets it again. */
+  async #ask(
+    submission: HeldSubmission,
+    { view, epoch }: Answer,
+    options: Pick<WaitCall, 'waitMs' | 'keep'>,
+  ): Promise<Result<Answer, Failure>> {
+    const { team } = submission.request;
+    const body = { call: 'wait', requestId: view.id, team, ...options } as const;
+    const asked = await this.#callOwner(view.id, body, options.waitMs + marginMs);
+    if (asked.isOk() || asked.error.kind !== 'unknownRequest') return asked;
+    const remainingMs = submission.deadlineAt - this.#parts.clock.now();
+    const handedIn = await this.#handIn(this.#findShard(view.id), submission, remainingMs, epoch);
+    if (handedIn.isErr() || options.keep !== true) return handedIn;
+    const { id } = handedIn.value.view;
+    return this.#callOwner(id, { ...body, requestId: id, waitMs: 0 }, marginMs);
   }
 
   async #hold(shard: string, submission: HeldSubmission, last: Answer): Promise<void> {
-    this.#held += 1;
-    await this.#waitForAnswer(shard, { ...submission, waitUntil: submission.deadlineAt }, last);
-    this.#held -= 1;
+    const { deadlineAt, request } = submission;
+    this.#open.add(request.team);
+    await this.#waitForAnswer(shard, { ...submission, waitUntil: deadlineAt }, last, true);
+    this.#open.release(request.team);
   }
 
   /**
@@ -199,7 +272,7 @@
         return ok(result.value.view);
       }
       if (result.isErr() && (isOver || !this.#mayReturn(requestId, result.error))) {
-        return err(result.error);
+        return err(this.#describeUnreached(result.error));
       }
       if (result.isErr()) await clock.sleep(retryMs);
     }
@@ -224,7 +297,7 @@
       const result = await this.#callOwner(requestId, body, submitTimeoutMs);
       if (result.isOk()) return ok(result.value.view);
       const isOver = !this.#mayReturn(requestId, result.error) || clock.now() >= endsAt;
-      if (isOver) return err(result.error);
+      if (isOver) return err(this.#describeUnreached(result.error));
       await clock.sleep(retryMs);
     }
   }
@@ -237,6 +310,11 @@
     return failure.kind === 'unknownRequest' && isRecent;
   }
 
+  /** That a question about a request reached no owner does not tell whether the request ran. */
+  #describeUnreached(failure: Failure): Failure {
+    return passedOn.has(failure.kind) ? createFailure('linkLost', failure.detail, 1) : failure;
+  }
+
   #mayRecover(failure: Failure): boolean {
     return passedOn.has(failure.kind) || undecided.has(failure.kind);
   }
@@ -267,6 +345,8 @@
       await clock.sleep(this.#chooseDelay(handIn));
     }
     if (heldEpoch === undefined) return err(createFailure('deadlinePassed', 'the deadline passed'));
+    const isOpen = !submission.request.detached && clock.now() < submission.deadlineAt;
+    if (isOpen) return ok({ view: describeOffered(submission.request), epoch: heldEpoch, shard });
     return err(createFailure('outcomeUnknown', 'the owner of the shard did not answer in time'));
   }
 
@@ -336,22 +416,17 @@
     shard: string,
     submission: HeldSubmission,
     first: Answer,
-  ): Promise<Result<RequestView, Failure>> {
+    keep = false,
+  ): Promise<Result<Answer, Failure>> {
     const { clock, recorder, router } = this.#parts;
     let answer = first;
-    /** Highest epoch of an owner that may hold the request. */
+    /** Highest epoch of an owner of the shard that may hold the request. */
     let heldEpoch = first.epoch;
     let failures = 0;
     while (!isAnswered(answer.view) && clock.now() < submission.waitUntil) {
-      const { id } = answer.view;
       const waitMs = Math.min(sliceMs, submission.waitUntil - clock.now());
-      const body = { call: 'wait', requestId: id, team: submission.request.team, waitMs } as const;
-      let result = await this.#callOwner(id, body, waitMs + marginMs);
-      if (result.isErr() && result.error.kind === 'unknownRequest') {
-        const remainingMs = submission.deadlineAt - clock.now();
-        heldEpoch = Math.max(heldEpoch, router.findLoad(shard)?.epoch ?? 0);
-        result = await this.#handIn(this.#findShard(id), submission, remainingMs, answer.epoch);
-      }
+      heldEpoch = Math.max(heldEpoch, router.findLoad(shard)?.epoch ?? 0);
+      const result = await this.#ask(submission, answer, { waitMs, keep });
       if (result.isErr()) {
         if (!this.#mayRecover(result.error)) return err(this.#doubt(result.error));
         const followed = await this.#followTakeover(shard, submission, heldEpoch);
@@ -364,15 +439,14 @@
         await clock.sleep(this.#chooseDelay(failures));
         failures += 1;
       } else if (isOlder(result.value, answer)) {
-        recorder.record('lateAnswerDropped', { requestId: id });
+        recorder.record('lateAnswerDropped', { requestId: answer.view.id });
       } else {
         answer = result.value;
-        if (answer.shard === shard) heldEpoch = Math.max(heldEpoch, answer.epoch);
         failures = 0;
       }
     }
     if (isAnswered(answer.view)) this.#heirs.delete(answer.view.id);
-    return ok(answer.view);
+    return ok(answer);
   }
 
   /** A new owner's refusal says nothing about what the former owner did. */
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -1,6 +1,7 @@
 import {
   AllotmentKeeper,
   createFailure,
+  FleetRoster,
   Journal,
   listReleasedQueues,
   periods,
@@ -31,6 +32,8 @@
 import { RequestWaiters } from './RequestWaiters.js';
 
 const tickMs = 250;
+/** Ticks between looks at the workers that the next owner has to know of. */
+const ticksPerRoster = 4;
 const retryMs = 500;
 /** Requests started before the loop serves other events. */
 const maxStartsPerTurn = 100;
@@ -39,6 +42,8 @@
 /** Bounds of the wait for commands and commits that are under way when the shard is handed over. */
 const quiesceMs = 300;
 const quiescePollMs = 2;
+/** Longest wait for the journal before the state is told without it; shorter than the margin of a call. */
+const journalWaitMs = 1000;
 
 const readEntryId = (entry: JournalEntry): string => {
   if (entry.entry === 'accepted') return entry.request.id;
@@ -66,8 +71,11 @@
   readonly #gateway: WorkerGateway;
   readonly #shard: Shard;
   readonly #journal: Journal;
+  readonly #roster: FleetRoster;
   readonly #allotments: AllotmentKeeper;
   readonly #waiters = new RequestWaiters();
+  /** Workers whose held poll was ended to get a report now. */
+  readonly #interrupted = new Set<string>();
   readonly #ownership: Ownership;
   readonly #pledge: PledgeKeeper;
   readonly #takeovers: TakeoverEditor;
@@ -135,6 +143,7 @@
     this.#policy = policy;
     this.#pledge = new PledgeKeeper(runtime, shard);
     this.#takeovers = new TakeoverEditor(runtime);
+    this.#roster = new FleetRoster(store, shard, epoch);
     // Workers that do not fence obey a former owner until its longest lease has ended.
     this.#startsAt = clock.now() + (gateway.fences ? 0 : periods.workerLeaseMs + retryMs);
   }
@@ -272,19 +281,36 @@
    * @param requestId - identifier of the request
    * @param team - team of the caller; undefined for an operator
    * @param waitMs - longest wait in milliseconds
+   * @param keep - whether the request shall be in the journal, because its caller stops to wait
    * @returns its state, or the failure
    */
   public async wait(
     requestId: string,
     team: string | undefined,
     waitMs: number,
+    keep = false,
   ): Promise<ReplyBody> {
     if (!this.#serving) return this.#replyLost();
+    this.#shard.noteWanted(requestId);
+    if (keep && this.#mayAct) this.#shard.keep(requestId);
+    this.#pump();
     const isDone = (): boolean => !this.#active || this.#shard.isSettled(requestId);
+    const startedAt = this.#runtime.clock.now();
     await this.#waiters.waitUntil(requestId, waitMs, isDone);
+    if (keep) {
+      const waitedMs = this.#runtime.clock.now() - startedAt;
+      await this.#waitForJournal(requestId, journalWaitMs - waitedMs);
+    }
     return this.#reply(this.#shard.read(requestId, team));
   }
 
+  /** A store that cannot be reached is not waited for. */
+  async #waitForJournal(requestId: string, waitMs: number): Promise<void> {
+    if (!this.#journalOpen || this.#isWithoutStore) return;
+    const isDone = (): boolean => !this.#active || this.#shard.isJournalSettled(requestId);
+    await this.#waiters.waitUntil(requestId, waitMs, isDone);
+  }
+
   /**
    * Cancels a request.
    *
@@ -292,11 +318,14 @@
    * @param team - team of the caller; undefined for an operator
    * @returns its state, or the failure
    */
-  public cancel(requestId: string, team: string | undefined): ReplyBody {
+  public async cancel(requestId: string, team: string | undefined): Promise<ReplyBody> {
     if (!this.#mayAct || !this.#serving) return this.#replyLost();
     const result = this.#shard.cancel(requestId, team);
     this.#pump();
-    return this.#reply(result);
+    if (result.isErr()) return this.#reply(result);
+    // Waiting work ends at once, and its end is told once the journal has it.
+    await this.#waitForJournal(requestId, journalWaitMs);
+    return this.#reply(this.#shard.read(requestId, team));
   }
 
   /**
@@ -341,9 +370,12 @@
   /** Without a confirmed store lease, new work needs a majority of the workers' leases. */
   get #mayStart(): boolean {
     if (this.#runtime.clock.now() < this.#startsAt) return false;
-    const isConfirmed =
-      !this.#ownership.provisional && this.#ownership.readStanding() === 'confirmed';
-    return isConfirmed || this.#shard.holdsMajority;
+    return this.#isConfirmed || this.#shard.holdsMajority;
+  }
+
+  /** Whether the store lease behind the claim is certainly valid, so that no other owner exists. */
+  get #isConfirmed(): boolean {
+    return !this.#ownership.provisional && this.#ownership.readStanding() === 'confirmed';
   }
 
   /** Whether the store cannot be reached, so that nothing can be committed. */
@@ -367,22 +399,26 @@
   async #openJournal(): Promise<void> {
     if (this.#ownership.provisional) return;
     while (this.#isActive()) {
-      const opened = await this.#loadTakeovers().then((failure) =>
-        failure === undefined ? this.#journal.open() : err(failure),
-      );
+      const [opened, roster] = await Promise.all([
+        this.#loadTakeovers().then((failure) =>
+          failure === undefined ? this.#journal.open() : err(failure),
+        ),
+        this.#roster.load(),
+      ]);
       if (!this.#isActive()) return;
-      if (opened.isOk()) {
+      if (opened.isOk() && roster.isOk()) {
         const { name } = this.#shard;
         const own = opened.value.filter(
           (entry) => !this.#book.isTakenFrom(readEntryId(entry), name),
         );
-        this.#shard.loadJournal(own);
+        this.#shard.loadJournal(own, roster.value);
         this.#journalOpen = true;
         this.#updateServing();
         this.#pump();
         return;
       }
-      this.#runtime.log.write('warn', 'cannot open the journal', { detail: opened.error.detail });
+      const failure = opened.isErr() ? opened.error : roster._unsafeUnwrapErr();
+      this.#runtime.log.write('warn', 'cannot open the journal', { detail: failure.detail });
       await this.#runtime.clock.sleep(retryMs);
     }
   }
@@ -479,12 +515,15 @@
   }
 
   async #keepTime(): Promise<void> {
-    while (this.#active) {
+    for (let tick = 0; this.#active; tick += 1) {
       if (this.#mayAct) {
         this.#checkCutOff();
         void this.#keepPledge();
         this.#shard.tick();
         this.#updateServing();
+        const mayWrite = this.#journalOpen && !this.#isWithoutStore;
+        if (mayWrite && tick % ticksPerRoster === 0)
+          void this.#roster.save(this.#shard.listLeased());
       }
       this.#pump();
       await this.#runtime.clock.sleep(tickMs);
@@ -496,7 +535,7 @@
     if (!this.#mayAct || this.#pumping) return;
     this.#runAllotments();
     this.#pumping = true;
-    const hasMore = this.#mayStart && this.#shard.dispatch(maxStartsPerTurn);
+    const hasMore = this.#mayStart && this.#shard.dispatch(maxStartsPerTurn, this.#isConfirmed);
     for (const effect of this.#shard.takeEffects()) this.#execute(effect);
     this.#pumping = false;
     if (hasMore) {
@@ -523,6 +562,10 @@
       case 'poll':
         void this.#pollWorker(effect.worker);
         break;
+      case 'interrupt':
+        this.#interrupted.add(effect.worker);
+        this.#gateway.interrupt(effect.address);
+        break;
       case 'standDown':
         if (this.#active) this.#ownership.onLost(effect.detail, effect.epoch);
         break;
@@ -567,6 +610,7 @@
 
   /** One poll at a time per worker, as long as the worker belongs to the fleet. */
   async #pollWorker(worker: string): Promise<void> {
+    let hasFailed = false;
     while (this.#isActive()) {
       if (!this.#mayAct) {
         await this.#runtime.clock.sleep(settleMs);
@@ -575,12 +619,16 @@
       const next = this.#shard.createRenewal(worker);
       if (next === undefined) return;
       const sentAt = this.#runtime.clock.now();
-      const response = await this.#gateway.renew(next.address, next.renewal);
+      this.#interrupted.delete(worker);
+      // After a failure the lease is renewed first; a poll that is held again may be lost too late.
+      const renewal = hasFailed ? { ...next.renewal, waitMs: 0 } : next.renewal;
+      const response = await this.#gateway.renew(next.address, renewal);
       if (!this.#isActive()) return;
+      hasFailed = response.isErr();
       if (response.isOk()) this.#shard.applyReport(worker, response.value, sentAt);
       else {
         if ('refusal' in response.error) this.#shard.applyRefusal(worker, response.error);
-        await this.#runtime.clock.sleep(retryMs);
+        if (!this.#interrupted.has(worker)) await this.#runtime.clock.sleep(retryMs);
       }
       this.#pump();
     }
--- a/packages/wire/src/Link.ts
+++ b/packages/wire/src/Link.ts
@@ -3,10 +3,21 @@
 import type { CallBody, Failure, Frame, Hello, NoticeBody, ReplyBody } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
 import { encodeFrame } from './encodeFrame.js';
+import { encodeNotice } from './encodeNotice.js';
 import { frameLimits } from './frameLimits.js';
 import { FrameReader } from './FrameReader.js';
 import type { LinkHandler } from './LinkHandler.js';
 
+/** A frame that was sent this short a time before a heartbeat takes its place. */
+const recentMs = periods.linkHeartbeatMs / 2;
+
+/**
+ * Heartbeats of all links and processes are due at the same moments of the wall clock: they wake a process
+ * once and not once for each peer, which is most of what an idle link costs.
+ */
+const calculateBeatDelay = (): number =>
+  periods.linkHeartbeatMs - (Date.now() % periods.linkHeartbeatMs);
+
 /** A call that waits for its reply. */
 interface PendingCall {
   readonly resolve: (result: Result<ReplyBody, Failure>) => void;
@@ -19,10 +30,11 @@
   readonly #handler: LinkHandler;
   readonly #reader = new FrameReader();
   readonly #pending = new Map<number, PendingCall>();
-  readonly #heartbeat: NodeJS.Timeout;
+  #heartbeat: NodeJS.Timeout;
   #peer: Hello | undefined;
   #nextCall = 1;
   #lastReceivedAt = performance.now();
+  #lastSentAt = performance.now();
   #closed = false;
 
   /**
@@ -43,9 +55,7 @@
     socket.on('close', () => {
       this.close('the peer closed the connection');
     });
-    this.#heartbeat = setInterval(() => {
-      this.#beat();
-    }, periods.linkHeartbeatMs);
+    this.#heartbeat = this.#scheduleBeat();
     this.#send(hello);
   }
 
@@ -68,7 +78,7 @@
    */
   public call(body: CallBody, timeoutMs: number): Promise<Result<ReplyBody, Failure>> {
     if (this.#closed) return Promise.resolve(err(createFailure('noOwner', 'the link is closed')));
-    if (this.#socket.writableLength > frameLimits.maxBufferedBytes) {
+    if (this.#isFull) {
       return Promise.resolve(err(createFailure('overloaded', 'the peer does not read', 1)));
     }
     const id = this.#nextCall;
@@ -87,10 +97,14 @@
    * Sends a notice. It is dropped if the peer does not read, because a newer one follows.
    *
    * @param body - the notice
+   * @returns false if it was dropped
    */
-  public notify(body: NoticeBody): void {
-    if (this.#closed || this.#socket.writableLength > frameLimits.maxBufferedBytes) return;
-    this.#send({ type: 'notice', body });
+  public notify(body: NoticeBody): boolean {
+    if (this.#closed || this.#isFull) return false;
+    const encoded = encodeNotice(body);
+    if (encoded.isErr()) return false;
+    this.#write(encoded.value);
+    return true;
   }
 
   /**
@@ -101,7 +115,7 @@
   public close(detail: string): void {
     if (this.#closed) return;
     this.#closed = true;
-    clearInterval(this.#heartbeat);
+    clearTimeout(this.#heartbeat);
     this.#socket.destroy();
     for (const id of [...this.#pending.keys()]) {
       this.#settle(id, err(createFailure('linkLost', detail)));
@@ -109,24 +123,52 @@
     this.#handler.handleClose(this, detail);
   }
 
+  /** Whether the peer reads so slowly that nothing more may be queued for it. */
+  get #isFull(): boolean {
+    return this.#socket.writableLength > frameLimits.maxBufferedBytes;
+  }
+
   /** Sends a frame; returns why it was not sent, if it is too large. */
   #send(frame: Frame): Failure | undefined {
     if (this.#closed) return undefined;
     const encoded = encodeFrame(frame);
     if (encoded.isErr()) return encoded.error;
-    this.#socket.write(encoded.value);
+    this.#write(encoded.value);
     return undefined;
   }
 
+  #write(bytes: Buffer): void {
+    this.#lastSentAt = performance.now();
+    this.#socket.write(bytes);
+  }
+
+  #scheduleBeat(): NodeJS.Timeout {
+    return setTimeout(() => {
+      this.#beat();
+    }, calculateBeatDelay());
+  }
+
+  /** Other frames take the place of a heartbeat. */
   #beat(): void {
+    const isRecent = performance.now() - this.#lastSentAt < recentMs;
+    if (!isRecent && !this.#isFull) this.#send({ type: 'heartbeat' });
+    this.#heartbeat = this.#scheduleBeat();
+    // Sockets are read between timers and immediates: after a pause of this process, frames that came
+    // meanwhile count before the peer is taken for silent.
+    setImmediate(() => {
+      this.#checkSilence();
+    });
+  }
+
+  #checkSilence(): void {
     const silenceMs = performance.now() - this.#lastReceivedAt;
     if (silenceMs > periods.linkSilenceMs) this.close(`no frame for ${Math.round(silenceMs)} ms`);
-    else this.#send({ type: 'heartbeat' });
   }
 
   #receive(chunk: Buffer): void {
     this.#lastReceivedAt = performance.now();
     this.#reader.add(chunk);
+    if (this.#peer !== undefined) this.#handler.handleActivity(this);
     while (!this.#closed) {
       const frame = this.#reader.take();
       if (frame === undefined) return;
@@ -146,7 +188,12 @@
   }
 
   async #answer(id: number, body: CallBody): Promise<void> {
-    const reply = await this.#handler.handleCall(this, body);
+    const reply = await this.#carryOut(body);
+    // A reply cannot be dropped silently: the peer asks again on a new link.
+    if (this.#isFull) {
+      this.close('the peer does not read its replies');
+      return;
+    }
     const failure = this.#send({ type: 'reply', id, body: reply });
     if (failure === undefined) return;
     // The call was carried out, so the kind must not say that it was not.
@@ -154,6 +201,16 @@
     this.#send({ type: 'reply', id, body: { reply: 'failure', failure: substitute } });
   }
 
+  /** A handler that throws may have carried the call out in part. */
+  async #carryOut(body: CallBody): Promise<ReplyBody> {
+    try {
+      return await this.#handler.handleCall(this, body);
+    } catch (error) {
+      const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+      return { reply: 'failure', failure: createFailure('internal', detail) };
+    }
+  }
+
   #settle(id: number, result: Result<ReplyBody, Failure>): void {
     const pending = this.#pending.get(id);
     if (pending === undefined) return;
