--- a/packages/core/__tests__/takeover.test.ts
+++ b/packages/core/__tests__/takeover.test.ts
@@ -1,4 +1,4 @@
-import type { AcceptedEntry, JournalEntry, Request, Takeovers } from '@toucanline/schema';
+import type { JournalEntry, Request, Takeovers } from '@toucanline/schema';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import {
@@ -33,12 +33,19 @@
   runTimeMs: 1000,
 });
 
-const accept = (id: string, queue: string, idempotent = true): AcceptedEntry => ({
+const accept = (id: string, queue: string, idempotent = true): JournalEntry => ({
   entry: 'accepted',
   request: createRequest(id, queue, idempotent),
   deadlineAtMs: 1e9,
 });
 
+/** An attached request that was written after its start, when its caller stopped to wait. */
+const keep = (id: string, queue: string): JournalEntry => ({
+  entry: 'accepted',
+  request: { ...createRequest(id, queue, false), detached: false },
+  deadlineAtMs: 1e9,
+});
+
 const intend = (id: string): JournalEntry => ({
   entry: 'intent',
   requestId: id,
@@ -68,6 +75,7 @@
   const pledge = new PledgeKeeper(parts, 's2');
   expect(await pledge.write(new Map([['q', 5000]]))).to.equal(true);
   clock.advance(periods.claimLeaseMs + 1);
+  for (const heir of ['s1', 's3']) await store.write(`owners/${heir}`, 'owner', 0);
   const editor = new TakeoverEditor(parts);
   const createTakeover = (process: string): ShardTakeover =>
     new ShardTakeover({ ...parts, process, address: 'address' }, 's2');
@@ -186,7 +194,8 @@
 
   it('gives an attached request to one shard, also when the answer of the store is lost', async () => {
     // Guards against two entries or two tries that start the same request in two shards.
-    const { createTakeover, byTime, editor, store } = await createLostShard([]);
+    const parts = await createLostShard([]);
+    const { createTakeover, byTime, editor, store } = parts;
     const early = await editor.take('s2.x', 's2', 'q', 's1', 1000);
     expect(early._unsafeUnwrapErr().kind).to.equal('notOwner');
     (await createTakeover('p1').run(byTime, ['s1']))._unsafeUnwrap();
@@ -196,6 +205,10 @@
     expect(other._unsafeUnwrapErr().kind).to.equal('notOwner');
     const unlisted = await editor.take('s2.y', 's2', 'other', 's3', 1000);
     expect(unlisted._unsafeUnwrapErr().kind).to.equal('notOwner');
+    const back = new ClaimKeeper(parts, 's2', 'p2', 'address');
+    (await back.acquire())._unsafeUnwrap();
+    const late = await editor.take('s2.z', 's2', 'q', 's1', 1000);
+    expect(late._unsafeUnwrapErr().detail).to.include('has an owner again');
     const book = new TakeoverBook(await readBook(editor));
     expect(book.findHeir('s2.x')).to.equal('s1');
     expect([book.isTakenFrom('s2.x', 's2'), book.isTakenFrom('s2.x', 's1')]).to.deep.equal([
@@ -204,6 +217,47 @@
     ]);
   });
 
+  it('gives nothing to a shard that cannot reach the store, and passes on what it did not take in', async () => {
+    // Guards against requests that wait for an heir which is lost too, and against a second run of others.
+    const { createTakeover, byTime, editor, store, clock } = await createLostShard(entries);
+    const first = (await createTakeover('p1').run(byTime, ['s9', 's3', 's1']))._unsafeUnwrap();
+    expect(first.requests).to.deep.equal({ 's2.a': 's3', 's2.c': 's1' });
+    await editor.noteInherited(first, 's1');
+    clock.advance(1000);
+    const lost = {
+      shard: 's3',
+      epoch: 7,
+      formerEpoch: 6,
+      atMs: clock.wallTime(),
+      untilMs: first.untilMs,
+      requests: {},
+      inheritedBy: [],
+    };
+    (await editor.add(lost, ['s1']))._unsafeUnwrap();
+    const book = new TakeoverBook(await readBook(editor));
+    expect(book.findHeir('s2.a')).to.equal('s1');
+    // s1 looks at what is new to it only: it may have forgotten the other request after its end.
+    const inherited = book.listInheritances('s1').map(({ requests }) => requests);
+    expect(inherited).to.deep.equal([{ 's2.a': 's1' }]);
+    await store.write('owners/s1', undefined, 1);
+    await store.write('owners/s3', undefined, 1);
+    const change = { state: 'lost', author: 'ann', ifGeneration: 0 } as const;
+    (await editor.declare('dc2', change))._unsafeUnwrap();
+    const word = { reason: 'word', dataCentre: 'dc2' } as const;
+    const none = await createTakeover('p1').run(word, ['s1', 's3']);
+    expect(none._unsafeUnwrapErr().kind).to.equal('noOwner');
+  });
+
+  it('does not carry an old word out', async () => {
+    // Guards against a word that nobody could carry out and that takes work over at a later failover.
+    const { createTakeover, editor, clock } = await createLostShard(entries);
+    const change = { state: 'lost', author: 'ann', ifGeneration: 0 } as const;
+    (await editor.declare('dc2', change))._unsafeUnwrap();
+    clock.advance(600_001);
+    const late = await createTakeover('p1').run({ reason: 'word', dataCentre: 'dc2' }, ['s1']);
+    expect(late._unsafeUnwrapErr().kind).to.equal('notOwner');
+  });
+
   it('refuses a word about a data centre that another operator has changed', async () => {
     // Guards against two operators who overwrite each other.
     const { editor } = await createLostShard([]);
@@ -254,17 +308,15 @@
   it('starts what it was given after its own commit, and never what may have started', () => {
     // Guards against a second run of a non-idempotent request, and against a start before the commit.
     const model = new ShardModel([1], room);
-    const kept = accept('s2.kept', 'batch', false);
-    const journal: readonly JournalEntry[] = [
+    const journal = [
       accept('s2.a', 'batch'),
       accept('s2.b', 'batch', false),
       intend('s2.b'),
       accept('s2.c', 'batch', false),
-      // No intent is written for it, so its absence proves nothing.
-      { ...kept, request: { ...kept.request, detached: false } },
       accept('s2.other', 'batch'),
+      keep('s2.d', 'batch'),
     ];
-    const ids = new Set(['s2.a', 's2.b', 's2.c', 's2.kept']);
+    const ids = new Set(['s2.a', 's2.b', 's2.c', 's2.d']);
     expect(model.shard.takeOver(journal, ids)).to.equal(false);
     const commits = model.shard
       .takeEffects()
@@ -280,8 +332,9 @@
     expect(started).to.deep.equal(['s2.a']);
     // A non-idempotent start waits for the commit of its intent.
     expect(model.readState('s2.c')).to.equal('starting');
-    expect(model.shard.read('s2.b')._unsafeUnwrap()).to.include({ state: 'unknown' });
-    expect(model.shard.read('s2.kept')._unsafeUnwrap()).to.include({ state: 'unknown' });
+    for (const id of ['s2.b', 's2.d']) {
+      expect(model.shard.read(id)._unsafeUnwrap()).to.include({ state: 'unknown' });
+    }
   });
 
   it('starts no attached request again that may have started without an intent', () => {
