Confirm keys that a peer hands over with the age that the peer told

Cause: a process that starts while the store is down learned the key list from a peer, but its contact age stayed infinite until the next load notice, up to 500 ms later. Meanwhile readyz said ready and every request with a key was refused with notReady. Found by pairs.test.ts (store outage): 503 with 'the keys could not be confirmed since the start'.

Ruled out: a missing age in the notice; the peer told it, but only a notice about a known list was counted.

Change: the list that answers a notice is confirmed with the age of the notice plus the time since. An entry is ready only after a contact.

--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -51,7 +51,6 @@
   readonly #runtime: ProcessRuntime;
   readonly #router: Router;
   readonly #peers: PeerSet;
-  readonly #authenticator: Authenticator;
   readonly #groups: Parameters<typeof createRoutes>[0];
   readonly #service = restana({
     errorHandler: (error, _request, response) => {
@@ -70,7 +69,6 @@
     this.#router = new Router(clock, settings.dataCentre);
     this.#peers = new PeerSet(runtime, new EntryLinks(this.#router));
     const authenticator = new Authenticator(keyRing, keysContact, settings.operatorKeyHash);
-    this.#authenticator = authenticator;
     const service = new RequestService({
       clock,
       random: runtime.random,
@@ -128,8 +126,10 @@
   }
 
   get #isReady(): boolean {
-    const { policy } = this.#runtime.holder;
-    return !this.#draining && policy !== undefined && this.#authenticator.isReady;
+    const { holder, keysContact } = this.#runtime;
+    // Without a contact the keys are unknown, or too old for every queue.
+    const knowsKeys = Number.isFinite(keysContact.ageMs);
+    return !this.#draining && holder.policy !== undefined && knowsKeys;
   }
 
   #addRoutes(): void {
--- a/packages/runtime/src/PeerSet.ts
+++ b/packages/runtime/src/PeerSet.ts
@@ -113,7 +113,7 @@
    * @param notice - its notice
    */
   public async learnRevisions(link: Link, notice: NoticeBody): Promise<void> {
-    const { holder, keyRing, keysContact, recorder } = this.#runtime;
+    const { clock, holder, keyRing, keysContact, recorder } = this.#runtime;
     if (notice.stamp !== undefined) recorder.observe(notice.stamp);
     const isCurrent = notice.keysRevision <= keyRing.revision;
     if (notice.keysAgeMs !== undefined && isCurrent) keysContact.confirm(notice.keysAgeMs);
@@ -121,6 +121,7 @@
       notice.configurationRevision > holder.revision || notice.keysRevision > keyRing.revision;
     if (!isNewer || this.#fetching.has(link)) return;
     this.#fetching.add(link);
+    const askedAt = clock.now();
     const reply = await link.call(
       {
         call: 'configuration',
@@ -134,6 +135,9 @@
     const { configuration, keys } = reply.value;
     if (configuration !== undefined) holder.apply(configuration);
     if (keys !== undefined && validateValue(validators.KeyList, keys).isOk()) keyRing.apply(keys);
+    const isNowCurrent = notice.keysRevision <= keyRing.revision;
+    if (notice.keysAgeMs === undefined || isCurrent || !isNowCurrent) return;
+    keysContact.confirm(notice.keysAgeMs + clock.now() - askedAt);
   }
 
   async #refresh(): Promise<void> {
