Close HTTP exchanges without an unhandled rejection

Cause: a pending poll or watch that fails because its agent is destroyed replaced the agent and closed the destroyed one, which rejects. Each graceful shutdown of a scheduler logged one to three unhandled rejections.

Change: a closed exchange replaces nothing. HttpExchange.test.ts fails without it and passes with it.

--- a/packages/platform/src/HttpExchange.ts
+++ b/packages/platform/src/HttpExchange.ts
@@ -23,6 +23,7 @@
 /** Bounded HTTP exchanges with one service of the platform. */
 export class HttpExchange {
   #agent: Agent;
+  #closed = false;
 
   public constructor() {
     this.#agent = this.#createAgent();
@@ -74,12 +75,13 @@
 
   /** Closes all connections. */
   public async close(): Promise<void> {
+    this.#closed = true;
     await this.#agent.destroy();
   }
 
   /** A connection that timed out may be silent for good, so none of its agent is used again. */
   #replaceAgent(agent: Agent): void {
-    if (this.#agent !== agent) return;
+    if (this.#closed || this.#agent !== agent) return;
     this.#agent = this.#createAgent();
     void agent.close();
   }
