Test what an entry concludes from late and missing answers, and keys at the owner

Change: RequestService.test.ts with scripted owners and a clock that skips, and a key test of ShardHost. After: each of the three fails a test when it is switched off, and so do the two corrections of ran: no.

--- a/packages-private/testkit/__tests__/pairs.test.ts
+++ b/packages-private/testkit/__tests__/pairs.test.ts
@@ -159,7 +159,7 @@
   });
 
   it('does not repeat work that may run once when its worker restarts and its owner is killed', async () => {
-    // Guards against a start whose intent is not in the journal: no worker knows of it any more.
+    // Guards against taking the silence of restarted workers for proof that the work did not start.
     const owner = await findOwner();
     const specification = { size, command: 'sleep 60000', detached: 'yes' } as const;
     const { id } = (await caller.submit('rosters', specification)).view;
--- /dev/null
+++ b/packages/entry/__tests__/RequestService.test.ts
@@ -0,0 +1,160 @@
+import {
+  Clock,
+  createFailure,
+  EventRecorder,
+  EventStream,
+  Policy,
+  Router,
+  RandomSource,
+} from '@toucanline/core';
+import type { CallBody, Failure, ReplyBody, Request, RequestView } from '@toucanline/schema';
+import { expect } from 'chai';
+import { err, ok, type Result } from 'neverthrow';
+import { RequestService } from '../src/RequestService.js';
+
+const size = { processors: 1, memoryMb: 1, accelerators: 0 };
+const request: Request = {
+  id: 'q',
+  digest: 'd',
+  team: 'a',
+  queue: 'rosters',
+  kind: 'batch',
+  idempotent: false,
+  urgent: false,
+  checkpointable: false,
+  detached: false,
+  tasks: 1,
+  size,
+  command: '',
+  runTimeMs: 1000,
+};
+const policy = new Policy({
+  schema: 1,
+  shards: { s1: { dataCentre: 'dc1' } },
+  queues: { rosters: { kind: 'batch' } },
+  teams: { a: { share: 1 } },
+});
+
+/** Clock on which a pause takes no real time. */
+class SkippingClock extends Clock {
+  #now = 0;
+
+  public override now(): number {
+    return this.#now;
+  }
+
+  public override wallTime(): number {
+    return this.#now;
+  }
+
+  public override sleep(ms: number): Promise<void> {
+    this.#now += ms;
+    return new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+/** Random source that always draws the same. */
+class FixedRandom extends RandomSource {
+  public override next(): number {
+    return 0.5;
+  }
+
+  public override token(): string {
+    return 't';
+  }
+}
+
+describe('the requests that an entry carries', () => {
+  /** A service whose owner gives one reply after the other, and the last one again and again. */
+  const createService = (
+    replies: readonly Result<ReplyBody, Failure>[],
+  ): { readonly service: RequestService; readonly calls: CallBody[]; readonly clock: Clock } => {
+    const clock = new SkippingClock();
+    const router = new Router(clock, 'dc1');
+    const random = new FixedRandom();
+    const shard = {
+      shard: 's1',
+      dataCentre: 'dc1',
+      epoch: 1,
+      owner: 'p',
+      address: 'x',
+      waiting: 0,
+    };
+    const load = { ...shard, free: size, room: size, use: {}, demand: {} };
+    const revisions = { configurationRevision: 1, keysRevision: 1 };
+    router.applyNotice({ notice: 'load', process: 'p', shards: [load], ...revisions });
+    const calls: CallBody[] = [];
+    const peers = {
+      call: (_address: string, body: CallBody): Promise<Result<ReplyBody, Failure>> => {
+        const reply = replies[Math.min(calls.length, replies.length - 1)];
+        calls.push(body);
+        return Promise.resolve(reply ?? err(createFailure('timeout', '')));
+      },
+    };
+    const recorder = new EventRecorder(clock, new EventStream(), 'e', 'dc1');
+    return {
+      service: new RequestService({ clock, random, recorder, router, peers }),
+      calls,
+      clock,
+    };
+  };
+  const answer = (
+    epoch: number,
+    attempt: number,
+    change: Partial<RequestView> = {},
+  ): Result<ReplyBody, Failure> => {
+    const { id, team, queue, kind } = request;
+    const view = { id: `s1.${id}`, team, queue, kind, attempt, tasks: [] };
+    return ok({ reply: 'view', epoch, view: { ...view, state: 'waiting', ran: 'no', ...change } });
+  };
+  const fail = (kind: Failure['kind']): Result<ReplyBody, Failure> =>
+    ok({ reply: 'failure', failure: createFailure(kind, 'as scripted') });
+  const submit = (service: RequestService, waitMs = 20_000): ReturnType<RequestService['submit']> =>
+    service.submit({ request, policy, detached: 'no', deadlineAt: 60_000, waitUntil: waitMs });
+  const end = (text: string): Partial<RequestView> => ({
+    state: 'succeeded',
+    ran: 'yes',
+    output: [text],
+  });
+
+  it('drops answers of an older owner and of an older attempt', async () => {
+    // Guards against a late answer that replaces the newer one.
+    const { service } = createService([
+      answer(2, 2),
+      answer(1, 3, end('older owner')),
+      answer(2, 1, end('older attempt')),
+      answer(2, 2, end('newest')),
+    ]);
+    expect((await submit(service))._unsafeUnwrap().output).to.deep.equal(['newest']);
+  });
+
+  it('does not say that a request did not run because a new owner refuses it', async () => {
+    // Guards against a caller that repeats work which the former owner had started.
+    const { service, calls } = createService([
+      answer(1, 1),
+      fail('unknownRequest'),
+      fail('neverFits'),
+    ]);
+    expect((await submit(service))._unsafeUnwrapErr().kind).to.equal('outcomeUnknown');
+    expect(calls.at(-1)).to.include({ call: 'submit', heldEpoch: 1 });
+  });
+
+  it('gives the id of a request whose owner did not answer, and hands it in until the deadline', async () => {
+    // Guards against an answer "unknown" long before the deadline, after which nobody asks again.
+    const { service, calls, clock } = createService([err(createFailure('linkLost', ''))]);
+    const view = (await submit(service))._unsafeUnwrap();
+    expect(view).to.include({ id: 's1.q', state: 'waiting', ran: 'unknown' });
+    expect(clock.now()).to.be.within(20_000, 25_000);
+    const before = calls.length;
+    while (clock.now() < 60_000) await new Promise((resolve) => setImmediate(resolve));
+    expect(calls.length).to.be.greaterThan(before);
+  });
+
+  it('does not say that a request did not run because its owner cannot be reached', async () => {
+    // Guards against the meaning of the transport's "not sent" for a question about a request.
+    const { service } = createService([err(createFailure('noOwner', ''))]);
+    for (const result of [await service.wait('s1.q', 'a', 0), await service.cancel('s1.q', 'a')]) {
+      expect(result._unsafeUnwrapErr().kind).to.equal('linkLost');
+    }
+  });
+});
--- a/packages/scheduler/__tests__/ShardHost.test.ts
+++ b/packages/scheduler/__tests__/ShardHost.test.ts
@@ -1,4 +1,10 @@
-import { Policy, WorkerGateway, type ClaimStanding, type WorkerResponse } from '@toucanline/core';
+import {
+  KeyRing,
+  Policy,
+  WorkerGateway,
+  type ClaimStanding,
+  type WorkerResponse,
+} from '@toucanline/core';
 import { ProcessRuntime } from '@toucanline/runtime';
 import type { HostRecord, Renewal, Report, Request } from '@toucanline/schema';
 import { expect } from 'chai';
@@ -166,6 +172,21 @@
     host.stop();
   });
 
+  it('refuses a key that is withdrawn, also for work that waits', () => {
+    // Guards against an entry that has not learned of a withdrawal yet.
+    const { shard: decisions } = createHost(new SplitWorkers(), true, () => 'unsettled');
+    decisions.skipJournal();
+    const keyed = { ...call, request: { ...request, keyId: 'k' } };
+    expect(decisions.submit(keyed)._unsafeUnwrap().state).to.equal('waiting');
+    const ring = new KeyRing(runtime.recorder);
+    const key = { id: 'k', hash: 'a'.repeat(64), team: 'a', roles: [], grantedAtMs: 0 };
+    ring.apply({ revision: 2, token: 't', keys: [{ ...key, withdrawnAtMs: 1 }] });
+    decisions.applyKeys(ring);
+    expect(decisions.read(request.id)._unsafeUnwrap()).to.include({ state: 'refused', ran: 'no' });
+    const second = { ...keyed, request: { ...keyed.request, id: `${shard}.second` } };
+    expect(decisions.submit(second)._unsafeUnwrapErr().kind).to.equal('withdrawnKey');
+  });
+
   it('hands finished requests over while it serves, and the rest at the end', async () => {
     // Guards against a gap in decisions that grows with the finished requests, and against a next owner
     // that repeats a request which it does not know.
