Do not miss the growth of a task between two looks of the test

Cause: 'throttles them when their worker is short of capacity' looked every 20 ms whether the tasks use more than their worker has; the throttle command takes less than that, so the state can begin and end between two looks. Seen: 'not within 5000 ms: the growth' in 2 of 4 runs of workers.test.ts on a busy machine.

Ruled out: the shared waitUntil, whose period is the same as that of the former one. Change: the fake worker notes that its tasks used more than it has. The rest of the test is as strict as before.

--- a/packages-private/testkit/__tests__/workers.test.ts
+++ b/packages-private/testkit/__tests__/workers.test.ts
@@ -132,7 +132,7 @@
   it('throttles them when their worker is short of capacity', async () => {
     // Guards against stopping work where throttling is enough, and against doing nothing.
     const ids = await serve('sleep 300; use 3; serve', 8);
-    await waitUntil(() => !isWithinRoom(), 5000, 'the growth');
+    await waitUntil(() => site.workers.some(({ hasOverused }) => hasOverused), 5000, 'the growth');
     await waitUntil(isWithinRoom, 3000, 'throttling');
     await sleep(2000);
     expect(isWithinRoom()).to.equal(true);
--- a/packages-private/testkit/src/WorkerFake.ts
+++ b/packages-private/testkit/src/WorkerFake.ts
@@ -47,6 +47,7 @@
   #sequence = 1;
   #leaving = false;
   #failsAll = false;
+  #hasOverused = false;
 
   /**
    * @param options - the worker
@@ -83,6 +84,11 @@
     return this.#listRunning().reduce((sum, task) => addResources(sum, task.usage), zeroResources);
   }
 
+  /** Whether the running tasks ever used more processors than the worker has. */
+  public get hasOverused(): boolean {
+    return this.#hasOverused;
+  }
+
   /** Makes the worker tell that it is leaving. */
   public leave(): void {
     this.#leaving = true;
@@ -241,6 +247,7 @@
   }
 
   #noteChange(task: FakeTask): void {
+    this.#hasOverused ||= this.usage.processors > this.options.room.processors;
     this.#sequence += 1;
     task.setSequence(this.#sequence);
     this.#wake();
