--- a/packages-private/bench/src/bin/bench.ts
+++ b/packages-private/bench/src/bin/bench.ts
@@ -1,4 +1,5 @@
 #!/usr/bin/env node
+import { HandoverBenchmark } from '../HandoverBenchmark.js';
 import { PlacementBenchmark } from '../PlacementBenchmark.js';
 import type { Benchmark } from '../Benchmark.js';
 import { SiteBenchmark } from '../SiteBenchmark.js';
@@ -11,6 +12,7 @@
   new SharesBenchmark(),
   new SiteBenchmark(),
   new WaitingBenchmark(),
+  new HandoverBenchmark(),
 ];
 
 const print = (line: string): void => {
