Do not say 404 for a request that a new owner may not know yet

Entries that hold the request say so in the wait call and still learn that it is unknown.

Result: path, durability and ownership tests: 19 passed. Not run again in chaos.

--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -226,7 +226,7 @@
     options: Pick<WaitCall, 'waitMs' | 'keep'>,
   ): Promise<Result<Answer, Failure>> {
     const { team } = submission.request;
-    const body = { call: 'wait', requestId: view.id, team, ...options } as const;
+    const body = { call: 'wait', requestId: view.id, team, handsIn: true, ...options } as const;
     const asked = await this.#callOwner(view.id, body, options.waitMs + marginMs);
     if (asked.isOk() || asked.error.kind !== 'unknownRequest') return asked;
     const remainingMs = submission.deadlineAt - this.#parts.clock.now();
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -282,7 +282,7 @@
       }
       case 'wait': {
         const host = this.#findHost(body.requestId);
-        const waiting = host?.wait(body.requestId, body.team, body.waitMs, body.keep);
+        const waiting = host?.wait(body.requestId, body.team, body.waitMs, body);
         return waiting ?? fail('notOwner', 'not the owner of the shard of this request');
       }
       case 'cancel': {
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -26,6 +26,7 @@
   ShardLoad,
   ShardSnapshot,
   SubmitCall,
+  WaitCall,
 } from '@toucanline/schema';
 import type { ProcessRuntime } from '@toucanline/runtime';
 import { err, type Result } from 'neverthrow';
@@ -44,6 +45,8 @@
 const quiescePollMs = 2;
 /** Longest wait for the journal before the state is told without it; shorter than the margin of a call. */
 const journalWaitMs = 1000;
+/** Time within which each entry has handed in what it holds to a new owner. */
+const resubmissionMs = 10_000;
 
 const readEntryId = (entry: JournalEntry): string => {
   if (entry.entry === 'accepted') return entry.request.id;
@@ -85,6 +88,8 @@
   #frozen = false;
   #journalOpen = false;
   #serving = false;
+  /** Local monotonic time since which requests are taken, in milliseconds. */
+  #servingAt = Infinity;
   #allotting = false;
   #inFlight = 0;
   #pumping = false;
@@ -282,14 +287,15 @@
    * @param requestId - identifier of the request
    * @param team - team of the caller; undefined for an operator
    * @param waitMs - longest wait in milliseconds
-   * @param keep - whether the request shall be in the journal, because its caller stops to wait
+   * @param options - `keep`: whether the request shall be in the journal, because its caller stops to wait;
+   * `handsIn`: whether the sender hands it in if it is not known here
    * @returns its state, or the failure
    */
   public async wait(
     requestId: string,
     team: string | undefined,
     waitMs: number,
-    keep = false,
+    { keep = false, handsIn = false }: Pick<WaitCall, 'keep' | 'handsIn'> = {},
   ): Promise<ReplyBody> {
     if (!this.#serving) return this.#replyLost();
     this.#shard.noteWanted(requestId);
@@ -302,7 +308,19 @@
       const waitedMs = this.#runtime.clock.now() - startedAt;
       await this.#waitForJournal(requestId, journalWaitMs - waitedMs);
     }
-    return this.#reply(this.#shard.read(requestId, team));
+    const result = this.#shard.read(requestId, team);
+    return this.#reply(handsIn ? result : result.mapErr((failure) => this.#doubt(failure)));
+  }
+
+  /**
+   * Without the journal of the earlier owners, and until the entries have handed in what they hold, it is not
+   * known whether a request exists.
+   */
+  #doubt(failure: Failure): Failure {
+    const isNew = this.#runtime.clock.now() - this.#servingAt < resubmissionMs;
+    const hasEarlier = this.#shard.epoch > 1 && (isNew || !this.#journalOpen);
+    if (!hasEarlier || failure.kind !== 'unknownRequest') return failure;
+    return createFailure('timeout', 'the new owner of the shard may not know the request yet', 1);
   }
 
   /** A store that cannot be reached is not waited for. */
@@ -323,7 +341,7 @@
     if (!this.#mayAct || !this.#serving) return this.#replyLost();
     const result = this.#shard.cancel(requestId, team);
     this.#pump();
-    if (result.isErr()) return this.#reply(result);
+    if (result.isErr()) return this.#reply(result.mapErr((failure) => this.#doubt(failure)));
     // Waiting work ends at once, and its end is told once the journal has it.
     await this.#waitForJournal(requestId, journalWaitMs);
     return this.#reply(this.#shard.read(requestId, team));
@@ -508,6 +526,7 @@
     const isAlone = this.#isWithoutStore && this.#shard.holdsMajority;
     if (!this.#journalOpen && !isAlone) return;
     this.#serving = true;
+    this.#servingAt = this.#runtime.clock.now();
     this.#ownership.onServing();
     if (!this.#journalOpen) this.#shard.skipJournal();
     const { shard, epoch } = this.#ownership.claim;
