--- a/packages/core/src/JournaledRequest.ts
+++ b/packages/core/src/JournaledRequest.ts
@@ -6,7 +6,7 @@
   /** Wall time of its deadline in milliseconds. */
   readonly deadlineAtMs: number;
   /** Whether it may have run: the journal has the intent to start it, or it starts without one. */
-  readonly hasIntent: boolean;
+  readonly mayHaveStarted: boolean;
   /** Whether it ended or was cancelled. */
   readonly isFinished: boolean;
 }
--- a/packages/core/src/listJournaled.ts
+++ b/packages/core/src/listJournaled.ts
@@ -15,14 +15,14 @@
   for (const entry of entries) {
     if (entry.entry === 'accepted') {
       const { request, deadlineAtMs } = entry;
-      const hasIntent = !request.idempotent && !needsIntent(request);
-      requests.set(request.id, { request, deadlineAtMs, hasIntent, isFinished: false });
+      const mayHaveStarted = !request.idempotent && !needsIntent(request);
+      requests.set(request.id, { request, deadlineAtMs, mayHaveStarted, isFinished: false });
       continue;
     }
     const id = entry.entry === 'finished' ? entry.view.id : entry.requestId;
     const known = requests.get(id);
     if (known === undefined) continue;
-    const changed = entry.entry === 'intent' ? { hasIntent: true } : { isFinished: true };
+    const changed = entry.entry === 'intent' ? { mayHaveStarted: true } : { isFinished: true };
     requests.set(id, { ...known, ...changed });
   }
   return requests;
