--- a/packages/core/src/TaskRecord.ts
+++ b/packages/core/src/TaskRecord.ts
@@ -69,12 +69,21 @@
     return activeStates.has(this.#state);
   }
 
+  /** What the task counts for: the larger of declared and reported use. */
+  public get charge(): Resources {
+    return maxResources(this.assignment.request.size, this.#usage);
+  }
+
   /**
-   * What the task counts for: the larger of declared and reported use. Reports lag, so the reported use
-   * counts with what it grew since the report before: it may grow as much again until the next one.
+   * What new work has to leave beside the charge. Reports lag, so a task that grew since the report
+   * before may grow as much again until the next one.
    */
-  public get charge(): Resources {
-    return maxResources(this.assignment.request.size, addResources(this.#usage, this.#growth));
+  public get margin(): Resources {
+    const { size } = this.assignment.request;
+    return subtractResources(
+      addResources(this.#usage, this.#growth),
+      maxResources(size, this.#usage),
+    );
   }
 
   /** Use in the worker's last report; the declared size before. */
--- a/packages/core/src/WorkerRecord.ts
+++ b/packages/core/src/WorkerRecord.ts
@@ -36,6 +36,7 @@
   #wantsFull = true;
   #restarted = false;
   #held: Resources = zeroResources;
+  #margin: Resources = zeroResources;
   #kept: Resources = zeroResources;
   #capacity: Capacity | undefined;
   readonly #onChange: (worker: WorkerRecord) => void;
@@ -353,8 +354,13 @@
   /** Sums the charges of all tasks again. */
   public recount(): void {
     let sum = zeroResources;
-    for (const task of this.#tasks.values()) sum = addResources(sum, task.charge);
+    let margin = zeroResources;
+    for (const task of this.#tasks.values()) {
+      sum = addResources(sum, task.charge);
+      margin = addResources(margin, task.margin);
+    }
     this.#allocated = sum;
+    this.#margin = margin;
     this.#noteChange();
   }
 
@@ -408,7 +414,8 @@
   /** A part of the worker is open to all work, so that no team waits for ever for others to end. */
   #measureCapacity(): Capacity {
     const { room } = this;
-    const free = subtractResources(this.unallocated, this.#held);
+    const left = subtractResources(this.unallocated, this.#margin);
+    const free = subtractResources(left, this.#held);
     const largest = scaleResources(room, openFraction);
     if (room.accelerators === 0) return { free, open: free, largest: room };
     const most = scaleResources(
