--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -8,6 +8,7 @@
 import type { Fleet } from './Fleet.js';
 import { GangReservation } from './GangReservation.js';
 import { GangPlacement } from './GangPlacement.js';
+import { needsIntent } from './needsIntent.js';
 import { periods } from './periods.js';
 import type { Placement } from './Placement.js';
 import type { Recovery } from './Recovery.js';
@@ -18,11 +19,11 @@
 import type { ShardContext } from './ShardContext.js';
 import { TaskRecord } from './TaskRecord.js';
 import type { UrgentPreemption } from './UrgentPreemption.js';
+import { TaskReservations } from './TaskReservations.js';
 import type { TeamLedger } from './TeamLedger.js';
 import type { WaitEstimator } from './WaitEstimator.js';
 import type { WaitingQueue } from './WaitingQueue.js';
 import type { WorkerRecord } from './WorkerRecord.js';
-import { writesIntent } from './writesIntent.js';
 
 const placements: Readonly<Record<WorkKind, Placement>> = {
   service: new ServicePlacement(),
@@ -37,6 +38,10 @@
 const replanMs = 5000;
 /** Interval between searches for a gang that can reserve. */
 const retryPlanMs = 100;
+/** Interval between searches for work that ends before a reservation is due. */
+const lendMs = 250;
+/** Longest time that a gang waits for room before it reserves; a shorter one waits for its run time. */
+const maxPatienceMs = 60_000;
 
 /** Parts of the shard that the dispatcher reads and changes. */
 interface DispatcherParts {
@@ -58,8 +63,13 @@
   #fleetVersion = -1;
   #rankedAt = -Infinity;
   readonly #reservation: GangReservation;
+  readonly #tasks: TaskReservations;
   readonly #reserve: AcceleratorReserve;
   #plannedAt = -Infinity;
+  #lentAt = -Infinity;
+  #resumesAt = -Infinity;
+  /** Reservations go by share and by age in turn: by share alone, gangs of a large team would starve. */
+  #isFairTurn = true;
 
   /**
    * @param context - what the parts of the shard share
@@ -69,6 +79,7 @@
     this.#context = context;
     this.#parts = parts;
     this.#reservation = new GangReservation(parts.fleet);
+    this.#tasks = new TaskReservations(parts.fleet, parts.queue.order);
     this.#reserve = new AcceleratorReserve(parts.fleet, parts.queue.order);
   }
 
@@ -85,11 +96,14 @@
     if (this.#parts.preemption.size > 0) this.#parts.queue.order.retryUrgent();
     this.#reserve.review(now);
     this.#serveReservation(now);
+    this.#serveTasks(now);
     for (let starts = 0; starts < maxStarts;) {
       const group = this.#chooseClass(now);
       const record = group?.first;
       if (group === undefined || record === undefined) {
         this.#planReservation(now);
+        this.#planTasks(now);
+        this.#lendReserved(now);
         return false;
       }
       if (this.#start(record, group, now)) starts += 1;
@@ -168,6 +182,10 @@
     const group = this.#parts.queue.findClass(record);
     if (group === undefined) this.#reservation.release();
     else if (isReady) {
+      // Reserved capacity is idle for a while, so reservations take half of the time at most: other
+      // gangs, which may be smaller, fit in between.
+      this.#resumesAt = 2 * now - this.#reservation.heldSince;
+      this.#isFairTurn = !this.#isFairTurn;
       this.#reservation.release();
       this.#parts.queue.order.retryShape(group.shape);
       this.#start(record, group, now);
@@ -182,16 +200,65 @@
     const gangs = queue.order.listBlockedGangs();
     if (gangs.length === 0 && !isActive) return;
     this.#plannedAt = now;
-    for (const { first } of gangs) {
+    for (const { first } of this.#isFairTurn ? queue.order.sortByRank(gangs) : gangs) {
       if (first === undefined) continue;
-      const { team, size, tasks } = first.request;
+      const { team, size, tasks, runTimeMs } = first.request;
+      if (now - first.arrivedAt < Math.min(runTimeMs, maxPatienceMs)) continue;
+      if (now < this.#resumesAt && first !== this.#reservation.record) continue;
       if (!ledger.canCharge(team, scaleResources(size, tasks))) continue;
       if (this.#reservation.reserve(first, now)) return;
     }
     this.#reservation.release();
   }
 
-  #start(record: RequestRecord, group: RequestClass, now: number): boolean {
+  /** Starts the tasks whose reserved capacity is free. */
+  #serveTasks(now: number): void {
+    const { queue } = this.#parts;
+    this.#tasks.serve(
+      (record) => queue.findClass(record) !== undefined,
+      (record, reservation) => {
+        const source = new CandidateSource(reservation.workers);
+        reservation.release();
+        const group = queue.findClass(record);
+        if (group !== undefined) this.#start(record, group, now, source);
+      },
+    );
+  }
+
+  #planTasks(now: number): void {
+    const { ledger, recovery } = this.#parts;
+    if (!recovery.isComplete) return;
+    this.#tasks.plan(now, ({ team, size }) => ledger.canCharge(team, size));
+  }
+
+  /** Starts short work in reserved capacity that is idle until the reservation can be used. */
+  #lendReserved(now: number): void {
+    if (now - this.#lentAt < lendMs) return;
+    this.#lentAt = now;
+    for (const reservation of [this.#reservation, ...this.#tasks.list]) {
+      this.#lend(reservation, now);
+    }
+  }
+
+  #lend(reservation: GangReservation, now: number): void {
+    const { order } = this.#parts.queue;
+    const maxRunMs = reservation.calculateLoanMs(now);
+    if (maxRunMs === 0) return;
+    for (const worker of reservation.workers) {
+      if (!worker.isEligible) continue;
+      for (let isOpen = true; isOpen;) {
+        const group = order.findShort(worker, worker.unallocated, maxRunMs);
+        const record = group?.first;
+        const source = new CandidateSource([worker]);
+        isOpen =
+          group !== undefined &&
+          record !== undefined &&
+          reservation.lend(worker, () => this.#start(record, group, now, source));
+      }
+    }
+  }
+
+  #start(record: RequestRecord, group: RequestClass, now: number, lent?: CandidateSource): boolean {
     const { request } = record;
     const pending = record.pendingIndexes;
     const count = this.#limitCount(request, pending.length);
@@ -203,7 +270,8 @@
     const { fleet, preemption, queue } = this.#parts;
     const occupied = this.#listOccupied(record);
     const candidates = queue.order.findCandidates(group);
-    const source = candidates === undefined ? fleet.index : new CandidateSource(candidates);
+    const found = candidates === undefined ? fleet.index : new CandidateSource(candidates);
+    const source = lent ?? found;
     const place = (): readonly WorkerRecord[] =>
       placements[request.kind].place(request, count, source, occupied, record.avoided);
     const workers = request.urgent ? preemption.placeUrgent(place) : place();
@@ -264,7 +332,7 @@
     worker.addTask(task);
     this.#parts.ledger.charge(request.team, request.size);
     this.#checkInvariants(request, worker);
-    if (!writesIntent(request)) {
+    if (!needsIntent(request)) {
       this.sendStart(task);
       return;
     }
--- a/packages/core/src/InheritedWork.ts
+++ b/packages/core/src/InheritedWork.ts
@@ -1,6 +1,7 @@
-import type { AcceptedEntry, JournalEntry, ShardSnapshot } from '@toucanline/schema';
+import type { AcceptedEntry, JournalEntry, Request, ShardSnapshot } from '@toucanline/schema';
 import { createFailure } from './createFailure.js';
 import type { Fleet } from './Fleet.js';
+import { needsIntent } from './needsIntent.js';
 import { periods } from './periods.js';
 import type { Policy } from './Policy.js';
 import type { Recovery } from './Recovery.js';
@@ -49,6 +50,7 @@
     const { clock } = this.#context;
     const loaded = new Map<string, RequestRecord>();
     const known = new Map<string, RequestRecord>();
+    const cancelled = new Set<string>();
     for (const entry of entries) {
       if (entry.entry === 'accepted') {
         const record = this.#parts.table.find(entry.request.id);
@@ -59,6 +61,8 @@
         // A cut-off owner may have stopped it without a commit, and then no worker reports it any more.
         const isReleasable = this.#parts.readPolicy().releases.has(record?.request.queue ?? '');
         record?.markUncertain(1, isReleasable ? -Infinity : Infinity);
+      } else if (entry.entry === 'cancelled') {
+        cancelled.add(entry.requestId);
       } else {
         const { id } = entry.view;
         loaded.get(id)?.restore(entry.view, clock.now());
@@ -69,6 +73,10 @@
       }
     }
     for (const record of known.values()) this.#parts.lifecycle.noteJournaled(record);
+    for (const id of cancelled) {
+      const record = this.#parts.table.find(id);
+      if (record !== undefined) this.#parts.lifecycle.resumeCancellation(record, loaded.has(id));
+    }
     for (const record of loaded.values()) {
       if (this.#parts.recovery.isComplete) this.#release(record);
       else this.#parts.recovery.hold(record);
@@ -144,12 +152,20 @@
     return true;
   }
 
+  /** A cut-off owner may have stopped it without a commit, and then no worker reports it any more. */
+  #mayBeForgotten(request: Request): boolean {
+    const isReleasable = this.#parts.readPolicy().releases.has(request.queue);
+    return isReleasable && !request.idempotent && !needsIntent(request);
+  }
+
   #loadAccepted({ request, deadlineAtMs, atMs }: AcceptedEntry): RequestRecord {
     const { clock } = this.#context;
     const deadlineAt = clock.now() + deadlineAtMs - clock.wallTime();
     const record = new RequestRecord(request, clock.now(), deadlineAt);
     // The earlier owner may have started it: only the reports of the workers prove that it did not.
-    const age = clock.wallTime() - (atMs ?? -Infinity) + periods.wallClockMarginMs;
+    const age = this.#mayBeForgotten(request)
+      ? Infinity
+      : clock.wallTime() - (atMs ?? -Infinity) + periods.wallClockMarginMs;
     record.markUncertain(0, clock.now() - age);
     record.confirmAcceptance();
     this.#parts.table.add(record);
@@ -159,12 +175,17 @@
   /** Lets a held request go on: only proof or idempotence permits a start. */
   #release(record: RequestRecord): void {
     if (record.isFinished || record.activeTasks.length > 0) return;
+    if (this.#parts.recovery.disproves(record)) record.clearUncertain();
+    if (record.stopPlan !== undefined) {
+      this.#parts.lifecycle.stopRequest(record, record.stopPlan);
+      return;
+    }
     // The next tick ends a request whose deadline passed while it was held.
     if (this.#context.clock.now() >= record.deadlineAt) return;
-    if (this.#parts.recovery.disproves(record)) record.clearUncertain();
     const detail = 'a worker that may have run the request cannot be reached or restarted';
-    if (record.ran === 'no' || record.request.idempotent) this.#parts.lifecycle.enqueue(record);
-    else this.#parts.lifecycle.finish(record, 'unknown', createFailure('outcomeUnknown', detail));
+    if (record.ran === 'no' || record.request.idempotent) {
+      this.#parts.lifecycle.enqueue(record);
+    } else this.#parts.lifecycle.finish(record, 'unknown', createFailure('outcomeUnknown', detail));
   }
 
   /** Queues a request whose former owner had not started all of its tasks. */
--- a/packages/core/src/WorkerRecord.ts
+++ b/packages/core/src/WorkerRecord.ts
@@ -166,6 +166,11 @@
     return this.#quarantined;
   }
 
+  /** Whether capacity is kept for a reservation. */
+  public get hasReservation(): boolean {
+    return this.#held !== zeroResources;
+  }
+
   /** Whether new tasks may be placed here. */
   public get isEligible(): boolean {
     const mayServe = this.hasReported && !this.#lapsed && !this.isLeaving && !this.#withheld;
@@ -235,12 +240,14 @@
   }
 
   /**
-   * Reads what a task of a request may take.
+   * Reads what a task of a request may take. A probe of a worker in quarantine is expected to fail, so
+   * work that runs only once is not used for it.
    *
    * @param request - the request
    * @returns the amount
    */
   public readFree(request: Request): Resources {
+    if (this.#quarantined && !request.idempotent) return zeroResources;
     return selectFree(this.capacity, request.size, usesKept(request));
   }
 
--- a/packages/core/src/listJournaled.ts
+++ b/packages/core/src/listJournaled.ts
@@ -1,6 +1,6 @@
 import type { JournalEntry } from '@toucanline/schema';
 import type { JournaledRequest } from './JournaledRequest.js';
-import { writesIntent } from './writesIntent.js';
+import { needsIntent } from './needsIntent.js';
 
 /**
  * Lists the requests of a journal.
@@ -15,12 +15,11 @@
   for (const entry of entries) {
     if (entry.entry === 'accepted') {
       const { request, deadlineAtMs } = entry;
-      const mayHaveStarted = !request.idempotent && !writesIntent(request);
-      const isFinished = false;
-      requests.set(request.id, { request, deadlineAtMs, mayHaveStarted, isFinished });
+      const mayHaveStarted = !request.idempotent && !needsIntent(request);
+      requests.set(request.id, { request, deadlineAtMs, mayHaveStarted, isFinished: false });
       continue;
     }
-    const id = entry.entry === 'intent' ? entry.requestId : entry.view.id;
+    const id = entry.entry === 'finished' ? entry.view.id : entry.requestId;
     const known = requests.get(id);
     if (known === undefined) continue;
     const changed = entry.entry === 'intent' ? { mayHaveStarted: true } : { isFinished: true };
