Test a key that is withdrawn while its shard has no owner

Cause: the fault matrix had no test of keys during a failover. Change: pairs.test.ts withdraws a key while the owner is dead and the responses of the store are lost, and expects the refusal within 3 s.

--- a/packages-private/testkit/__tests__/pairs.test.ts
+++ b/packages-private/testkit/__tests__/pairs.test.ts
@@ -15,12 +15,12 @@
 
 describe('pairs of faults with real processes', () => {
   const site = new Site({
-    document: createDocument(['dc1'], { broadcast: { share: 1 } }),
+    document: createDocument(['dc1'], { broadcast: { share: 1 }, leaver: { share: 1 } }),
     dataCentres: ['dc1'],
     entriesPerDataCentre: 2,
     schedulersPerDataCentre: 3,
     workersPerDataCentre: 3,
-    teams: ['broadcast'],
+    teams: ['broadcast', 'leaver'],
   });
   /** Entries behind the load balancer. */
   const balanced: DaemonProcess[] = [];
@@ -94,12 +94,18 @@
   });
 
   it('takes a shard over while the responses of the store are lost', async () => {
-    // Guards against a claim or an epoch that was written but is taken for not written.
+    // Guards against a claim or an epoch that was written but is taken for not written, and against a new
+    // owner and entries that still accept a key which was withdrawn while the shard had no owner.
     const load = startLoad();
     const owner = await findOwner();
+    const leaver = new Caller(chooseUrl, 'key-leaver');
     site.store.setFault('loseAnswers');
     owner.signal('SIGKILL');
-    await sleep(6000);
+    site.putKeys(['broadcast', 'leaver'], 2, ['leaver']);
+    await sleep(3000);
+    const refused = await leaver.submit('renders', { size, command: 'echo late' });
+    expect(refused.problem).to.include({ title: 'withdrawnKey', ran: 'no' });
+    await sleep(3000);
     site.store.setFault('none');
     await waitForOther(owner);
     await waitForAnswers(load);
