--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -23,8 +23,11 @@
 import { err, ok, type Result } from 'neverthrow';
 import { OpenRequests } from './OpenRequests.js';
 
-/** Longest wait of one call to a scheduler, in milliseconds. */
-const sliceMs = 10_000;
+/**
+ * Longest wait of one call to a scheduler, in milliseconds. A link that fails ends the call earlier, so short
+ * waits bring nothing but traffic for each caller that waits.
+ */
+const sliceMs = 30_000;
 /** Time for the transport of a call and its reply, in milliseconds. */
 const marginMs = 2000;
 const submitTimeoutMs = 5000;
@@ -230,7 +233,9 @@
     const asked = await this.#callOwner(view.id, body, options.waitMs + marginMs);
     if (asked.isOk() || asked.error.kind !== 'unknownRequest') return asked;
     const remainingMs = submission.deadlineAt - this.#parts.clock.now();
-    const handedIn = await this.#handIn(this.#findShard(view.id), submission, remainingMs, epoch);
+    // Under the id that the caller was told, which is that of the first request with the same key.
+    const told = { ...submission, request: { ...submission.request, id: view.id } };
+    const handedIn = await this.#handIn(this.#findShard(view.id), told, remainingMs, epoch);
     if (handedIn.isErr() || options.keep !== true) return handedIn;
     const { id } = handedIn.value.view;
     return this.#callOwner(id, { ...body, requestId: id, waitMs: 0 }, marginMs);
