--- a/packages-private/testkit/src/WorkerFake.ts
+++ b/packages-private/testkit/src/WorkerFake.ts
@@ -48,7 +48,7 @@
   #sequence = 1;
   #leaving = false;
   #failsAll = false;
-  #throttled = 0;
+  #hasOverused = false;
 
   /**
    * @param options - the worker
@@ -80,16 +80,16 @@
     return [...this.#tasks.values()].filter(({ state }) => state === 'failed').length;
   }
 
-  /** Number of commands that throttled a task. */
-  public get throttled(): number {
-    return this.#throttled;
-  }
-
   /** What the running tasks really use. */
   public get usage(): Resources {
     return this.#listRunning().reduce((sum, task) => addResources(sum, task.usage), zeroResources);
   }
 
+  /** Whether the running tasks ever used more processors than the worker has. */
+  public get hasOverused(): boolean {
+    return this.#hasOverused;
+  }
+
   /** Makes the worker tell that it is leaving. */
   public leave(): void {
     this.#leaving = true;
@@ -209,10 +209,7 @@
     }
     if (action === 'stop') task.end('stopped');
     else if (action === 'checkpoint') task.end('checkpointed');
-    else {
-      task.throttle();
-      this.#throttled += 1;
-    }
+    else task.throttle();
     return { status: 200, body: {} };
   }
 
@@ -263,6 +260,7 @@
   }
 
   #countChange(task: FakeTask): void {
+    this.#hasOverused ||= this.usage.processors > this.options.room.processors;
     this.#sequence += 1;
     task.setSequence(this.#sequence);
   }
--- a/packages-private/testkit/src/findFreePort.ts
+++ b/packages-private/testkit/src/findFreePort.ts
@@ -1,9 +1,12 @@
 import { createServer } from 'node:net';
 
-/** Ports below the range that systems give to outgoing connections, which would take a free port again. */
+/**
+ * Ports below the range that the kernel gives to outgoing connections (32768 and above on Linux): one of
+ * those may be taken again between the check and the start of the process that listens on it.
+ */
 const firstPort = 12_000;
-const ports = 20_000;
-const maxAttempts = 100;
+const lastPort = 32_000;
+const given = new Set<number>();
 
 const isFree = (port: number): Promise<boolean> =>
   new Promise((resolve) => {
@@ -19,15 +22,15 @@
   });
 
 /**
- * Finds a free TCP port of loopback.
+ * Finds a TCP port of loopback that nobody uses and that was not given before.
  *
  * @returns the port
- * @throws Error if there is none among many
  */
 export const findFreePort = async (): Promise<number> => {
-  for (let attempt = 0; attempt < maxAttempts; attempt += 1) {
-    const port = firstPort + Math.floor(Math.random() * ports);
-    if (await isFree(port)) return port;
+  for (;;) {
+    const port = firstPort + Math.floor(Math.random() * (lastPort - firstPort));
+    if (given.has(port) || !(await isFree(port))) continue;
+    given.add(port);
+    return port;
   }
-  throw new Error('no free port of loopback');
 };
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -341,7 +341,11 @@
       const isPassedOn = heldEpoch === undefined && passedOn.has(result.error.kind);
       if (isPassedOn || !this.#mayRecover(result.error)) return result;
       if (undecided.has(result.error.kind)) heldEpoch ??= epoch;
-      const followed = await this.#followTakeover(shard, submission, heldEpoch);
+      const followed = await this.#followTakeover(
+        shard,
+        submission,
+        heldEpoch === undefined ? undefined : Math.max(heldEpoch, epoch),
+      );
       if (followed !== undefined) return followed;
       await clock.sleep(this.#chooseDelay(handIn));
     }
@@ -419,16 +423,18 @@
     first: Answer,
     keep = false,
   ): Promise<Result<Answer, Failure>> {
-    const { clock, recorder } = this.#parts;
+    const { clock, recorder, router } = this.#parts;
     let answer = first;
+    /** Highest epoch of an owner of the shard that may hold the request. */
+    let heldEpoch = first.epoch;
     let failures = 0;
     while (!isAnswered(answer.view) && clock.now() < submission.waitUntil) {
-      const { id } = answer.view;
       const waitMs = Math.min(sliceMs, submission.waitUntil - clock.now());
+      heldEpoch = Math.max(heldEpoch, router.findLoad(shard)?.epoch ?? 0);
       const result = await this.#ask(submission, answer, { waitMs, keep });
       if (result.isErr()) {
         if (!this.#mayRecover(result.error)) return err(this.#doubt(result.error));
-        const followed = await this.#followTakeover(shard, submission, answer.epoch);
+        const followed = await this.#followTakeover(shard, submission, heldEpoch);
         if (followed !== undefined) {
           if (followed.isErr()) return err(followed.error);
           answer = followed.value;
@@ -438,7 +444,7 @@
         await clock.sleep(this.#chooseDelay(failures));
         failures += 1;
       } else if (isOlder(result.value, answer)) {
-        recorder.record('lateAnswerDropped', { requestId: id });
+        recorder.record('lateAnswerDropped', { requestId: answer.view.id });
       } else {
         answer = result.value;
         failures = 0;
