--- a/packages/core/__tests__/takeover.test.ts
+++ b/packages/core/__tests__/takeover.test.ts
@@ -1,4 +1,4 @@
-import type { JournalEntry, Request, Takeovers } from '@toucanline/schema';
+import type { AcceptedEntry, JournalEntry, Request, Takeovers } from '@toucanline/schema';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import {
@@ -33,7 +33,7 @@
   runTimeMs: 1000,
 });
 
-const accept = (id: string, queue: string, idempotent = true): JournalEntry => ({
+const accept = (id: string, queue: string, idempotent = true): AcceptedEntry => ({
   entry: 'accepted',
   request: createRequest(id, queue, idempotent),
   deadlineAtMs: 1e9,
@@ -356,6 +356,20 @@
     expect(listJournaled([...journal, cancelled]).get('s2.kept')?.isFinished).to.equal(true);
   });
 
+  it('does not repeat a request with an intent although no worker reports its task', () => {
+    // Guards against a second run: the former owner acknowledged the end to the worker, which then forgot
+    // it, and was killed before the journal had the end.
+    const model = new ShardModel([1], room);
+    model.step(60_000);
+    const atMs = model.clock.wallTime();
+    model.shard.loadJournal([{ ...accept('s1.x', 'batch', false), atMs }, intend('s1.x')]);
+    for (const effect of model.shard.takeEffects()) {
+      if (effect.effect === 'commit') model.shard.confirmCommit(effect.ticket);
+    }
+    expect(model.step()).to.deep.equal([]);
+    expect(model.shard.read('s1.x')._unsafeUnwrap()).to.include({ state: 'unknown' });
+  });
+
   it('stops what others took over, also when a worker reports it later', () => {
     // Guards against a returning data centre that goes on with taken work.
     const model = new ShardModel([1], room);
--- a/packages/core/src/InheritedWork.ts
+++ b/packages/core/src/InheritedWork.ts
@@ -59,9 +59,9 @@
         else loaded.set(entry.request.id, this.#loadAccepted(entry));
       } else if (entry.entry === 'intent') {
         const record = loaded.get(entry.requestId);
-        // A cut-off owner may have stopped it without a commit, and then no worker reports it any more.
-        const isReleasable = this.#parts.readPolicy().releases.has(record?.request.queue ?? '');
-        record?.markUncertain(1, isReleasable ? -Infinity : Infinity);
+        // A worker forgets an ended task once its end was acknowledged, which an owner may do before the
+        // journal has the end. So no absence of a report proves that the task did not run.
+        record?.markUncertain(1);
       } else if (entry.entry === 'cancelled') {
         cancelled.add(entry.requestId);
       } else {
