Split the host of a shard and the request service

Change: `WorkerDriver` (commands and polls of workers), `WorkSuccession` (what passes between data centres) and `OwnerCalls` (which owner has a request) stand alone; no decision changes, except that the work of a lost shard is not taken in by an owner that hands its shard over.

--- /dev/null
+++ b/packages/entry/src/OwnerCalls.ts
@@ -0,0 +1,87 @@
+import { createFailure, type Router, type TakeoverBook } from '@toucanline/core';
+import type { PeerSet } from '@toucanline/runtime';
+import type { CallBody, Failure, ReplyBody } from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import type { OwnerAnswer } from './OwnerAnswer.js';
+
+/** What the calls work with. */
+interface CallParts {
+  readonly router: Router;
+  readonly peers: Pick<PeerSet, 'call'>;
+  /** Reads what passed from lost data centres to others. */
+  readonly readTakeovers: () => TakeoverBook;
+}
+
+/** Finds the owner of the shard that has a request, and calls it. */
+export class OwnerCalls {
+  readonly #parts: CallParts;
+  /** Shards that were asked to take attached requests over, by request. */
+  readonly #heirs = new Map<string, string>();
+
+  /** @param parts - what the calls work with */
+  public constructor(parts: CallParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Finds the shard that has a request now.
+   *
+   * @param requestId - identifier of the request
+   * @returns name of the shard
+   */
+  public findShard(requestId: string): string {
+    const heir = this.#parts.readTakeovers().findHeir(requestId) ?? this.#heirs.get(requestId);
+    return heir ?? requestId.split('.')[0] ?? '';
+  }
+
+  /**
+   * Notes that a shard is asked to take a request over.
+   *
+   * @param requestId - identifier of the request
+   * @param shard - name of the shard
+   */
+  public noteHeir(requestId: string, shard: string): void {
+    this.#heirs.set(requestId, shard);
+  }
+
+  /**
+   * Forgets the shard that was asked to take a request over.
+   *
+   * @param requestId - identifier of the request
+   */
+  public forgetHeir(requestId: string): void {
+    this.#heirs.delete(requestId);
+  }
+
+  /**
+   * Calls the owner of the shard that has a request.
+   *
+   * @param requestId - identifier of the request
+   * @param body - the call
+   * @param timeoutMs - longest wait for the reply, in milliseconds
+   * @returns the view; `notOwner` if nothing was sent because no owner is reachable
+   */
+  public async call(
+    requestId: string,
+    body: CallBody,
+    timeoutMs: number,
+  ): Promise<Result<OwnerAnswer, Failure>> {
+    const shard = this.findShard(requestId);
+    const address = this.#parts.router.findLoad(shard)?.address;
+    if (address === undefined) {
+      return err(createFailure('notOwner', `no owner of shard ${shard} is known`, 1));
+    }
+    const reply = await this.#parts.peers.call(address, body, timeoutMs);
+    return reply
+      .mapErr((failure) =>
+        failure.kind === 'noOwner' ? { ...failure, kind: 'notOwner' as const } : failure,
+      )
+      .andThen((content) => this.#readView(content, shard));
+  }
+
+  #readView(reply: ReplyBody, shard: string): Result<OwnerAnswer, Failure> {
+    if (reply.reply === 'view') return ok({ view: reply.view, epoch: reply.epoch, shard });
+    if (reply.reply === 'failure') return err(reply.failure);
+    return err(createFailure('internal', `unexpected reply ${reply.reply}`));
+  }
+}
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -11,17 +11,11 @@
   type TakeoverBook,
 } from '@toucanline/core';
 import type { PeerSet } from '@toucanline/runtime';
-import type {
-  CallBody,
-  Failure,
-  ReplyBody,
-  Request,
-  RequestView,
-  SubmitCall,
-  WaitCall,
-} from '@toucanline/schema';
+import type { Failure, Request, RequestView, SubmitCall, WaitCall } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
 import { OpenRequests } from './OpenRequests.js';
+import type { OwnerAnswer } from './OwnerAnswer.js';
+import { OwnerCalls } from './OwnerCalls.js';
 
 /**
  * Longest wait of one call to a scheduler, in milliseconds. A link that fails ends the call earlier, so short
@@ -67,7 +61,7 @@
 ]);
 
 /** An answer of an older owner of the same shard, or of an older attempt under the same owner. */
-const isOlder = (next: Answer, known: Answer): boolean =>
+const isOlder = (next: OwnerAnswer, known: OwnerAnswer): boolean =>
   next.shard === known.shard &&
   (next.epoch < known.epoch ||
     (next.epoch === known.epoch && next.view.attempt < known.view.attempt));
@@ -117,23 +111,16 @@
   readonly offeredAt: number;
 }
 
-/** A view together with the epoch of the owner that gave it. */
-interface Answer {
-  readonly view: RequestView;
-  readonly epoch: number;
-  readonly shard: string;
-}
-
 /** Carries requests to the owners of shards and their answers back. */
 export class RequestService {
   readonly #parts: ServiceParts;
   readonly #open = new OpenRequests(openBounds);
-  /** Shards that were asked to take attached requests over, by request. */
-  readonly #heirs = new Map<string, string>();
+  readonly #owners: OwnerCalls;
 
   /** @param parts - what the service works with */
   public constructor(parts: ServiceParts) {
     this.#parts = parts;
+    this.#owners = new OwnerCalls(parts);
   }
 
   /**
@@ -194,7 +181,7 @@
   async #answer(
     shard: string,
     submission: HeldSubmission,
-    first: Answer,
+    first: OwnerAnswer,
   ): Promise<Result<RequestView, Failure>> {
     const result = await this.#waitForAnswer(shard, submission, first);
     if (result.isErr() || !this.#mustKeep(result.value.view)) return result.map(({ view }) => view);
@@ -209,7 +196,7 @@
   }
 
   /** Asks the owner, and after a failover the next one, to write a request to the journal. */
-  async #keep(submission: HeldSubmission, first: Answer): Promise<Answer> {
+  async #keep(submission: HeldSubmission, first: OwnerAnswer): Promise<OwnerAnswer> {
     const { clock } = this.#parts;
     const endsAt = clock.now() + keepWaitMs;
     for (let failures = 0; clock.now() < endsAt; failures += 1) {
@@ -225,23 +212,23 @@
   /** Asks for a request. An owner that does not know it gets it again. */
   async #ask(
     submission: HeldSubmission,
-    { view, epoch }: Answer,
+    { view, epoch }: OwnerAnswer,
     options: Pick<WaitCall, 'waitMs' | 'keep'>,
-  ): Promise<Result<Answer, Failure>> {
+  ): Promise<Result<OwnerAnswer, Failure>> {
     const { team } = submission.request;
     const body = { call: 'wait', requestId: view.id, team, handsIn: true, ...options } as const;
-    const asked = await this.#callOwner(view.id, body, options.waitMs + marginMs);
+    const asked = await this.#owners.call(view.id, body, options.waitMs + marginMs);
     if (asked.isOk() || asked.error.kind !== 'unknownRequest') return asked;
     const remainingMs = submission.deadlineAt - this.#parts.clock.now();
     // Under the id that the caller was told, which is that of the first request with the same key.
     const told = { ...submission, request: { ...submission.request, id: view.id } };
-    const handedIn = await this.#handIn(this.#findShard(view.id), told, remainingMs, epoch);
+    const handedIn = await this.#handIn(this.#owners.findShard(view.id), told, remainingMs, epoch);
     if (handedIn.isErr() || options.keep !== true) return handedIn;
     const { id } = handedIn.value.view;
-    return this.#callOwner(id, { ...body, requestId: id, waitMs: 0 }, marginMs);
+    return this.#owners.call(id, { ...body, requestId: id, waitMs: 0 }, marginMs);
   }
 
-  async #hold(shard: string, submission: HeldSubmission, last: Answer): Promise<void> {
+  async #hold(shard: string, submission: HeldSubmission, last: OwnerAnswer): Promise<void> {
     const { deadlineAt, request } = submission;
     this.#open.add(request.team);
     await this.#waitForAnswer(shard, { ...submission, waitUntil: deadlineAt }, last, true);
@@ -271,7 +258,7 @@
         waitMs: leftMs,
         ...(team === undefined ? {} : { team }),
       } as const;
-      const result = await this.#callOwner(requestId, body, leftMs + marginMs);
+      const result = await this.#owners.call(requestId, body, leftMs + marginMs);
       const isOver = clock.now() >= endsAt;
       if (result.isOk() && (isAnswered(result.value.view) || isOver)) {
         return ok(result.value.view);
@@ -299,7 +286,7 @@
     const isKnown = router.findLoad(requestId.split('.')[0] ?? '') !== undefined;
     const endsAt = clock.now() + (isKnown ? ownerWaitMs : 0);
     for (;;) {
-      const result = await this.#callOwner(requestId, body, submitTimeoutMs);
+      const result = await this.#owners.call(requestId, body, submitTimeoutMs);
       if (result.isOk()) return ok(result.value.view);
       const isOver = !this.#mayReturn(requestId, result.error) || clock.now() >= endsAt;
       if (isOver) return err(this.#describeUnreached(result.error));
@@ -328,7 +315,7 @@
    * Offers a request to one shard. Once the shard may hold it, it is handed in again, under the same
    * id, until the shard answers: no other shard may get it.
    */
-  async #offer(shard: string, submission: HeldSubmission): Promise<Result<Answer, Failure>> {
+  async #offer(shard: string, submission: HeldSubmission): Promise<Result<OwnerAnswer, Failure>> {
     const { clock, router } = this.#parts;
     let heldEpoch: number | undefined;
     const endsAt = Math.max(submission.waitUntil, clock.now() + ownerWaitMs);
@@ -365,11 +352,11 @@
     shard: string,
     submission: HeldSubmission,
     heldEpoch: number | undefined,
-  ): Promise<Result<Answer, Failure> | undefined> {
+  ): Promise<Result<OwnerAnswer, Failure> | undefined> {
     const { request, policy } = submission;
     const { router, clock, readTakeovers } = this.#parts;
     const { id, queue } = request;
-    if (heldEpoch === undefined || this.#findShard(id) !== shard) return undefined;
+    if (heldEpoch === undefined || this.#owners.findShard(id) !== shard) return undefined;
     const takeover = readTakeovers().findTakeover(shard, queue, heldEpoch);
     const isBack = (router.findLoad(shard, freshMs)?.epoch ?? 0) > (takeover?.epoch ?? 0);
     if (takeover === undefined || isBack) return undefined;
@@ -378,27 +365,21 @@
     for (const heir of router.orderShards(policy, request).slice(0, maxHops)) {
       if (heir === shard) continue;
       const remainingMs = submission.deadlineAt - clock.now();
-      this.#heirs.set(id, heir);
+      this.#owners.noteHeir(id, heir);
       const result = await this.#handIn(heir, submission, remainingMs, undefined);
       if (result.isOk()) return result;
       if (!passedOn.has(result.error.kind)) return undefined;
-      this.#heirs.delete(id);
+      this.#owners.forgetHeir(id);
     }
     return undefined;
   }
 
-  /** Finds the shard that has a request now. */
-  #findShard(requestId: string): string {
-    const heir = this.#parts.readTakeovers().findHeir(requestId) ?? this.#heirs.get(requestId);
-    return heir ?? requestId.split('.')[0] ?? '';
-  }
-
   #handIn(
     shard: string,
     { request, detached, offeredAt }: HeldSubmission,
     remainingMs: number,
     heldEpoch: number | undefined,
-  ): Promise<Result<Answer, Failure>> {
+  ): Promise<Result<OwnerAnswer, Failure>> {
     const body: SubmitCall = {
       call: 'submit',
       shard,
@@ -410,7 +391,7 @@
         ? {}
         : { heldEpoch, heldMs: this.#parts.clock.now() - offeredAt }),
     };
-    return this.#callOwner(request.id, body, Math.min(submitTimeoutMs, remainingMs + marginMs));
+    return this.#owners.call(request.id, body, Math.min(submitTimeoutMs, remainingMs + marginMs));
   }
 
   /**
@@ -420,9 +401,9 @@
   async #waitForAnswer(
     shard: string,
     submission: HeldSubmission,
-    first: Answer,
+    first: OwnerAnswer,
     keep = false,
-  ): Promise<Result<Answer, Failure>> {
+  ): Promise<Result<OwnerAnswer, Failure>> {
     const { clock, recorder, router } = this.#parts;
     let answer = first;
     /** Highest epoch of an owner of the shard that may hold the request. */
@@ -450,7 +431,7 @@
         failures = 0;
       }
     }
-    if (isAnswered(answer.view)) this.#heirs.delete(answer.view.id);
+    if (isAnswered(answer.view)) this.#owners.forgetHeir(answer.view.id);
     return ok(answer);
   }
 
@@ -466,28 +447,4 @@
     const delayMs = Math.min(periods.firstRetryMs * 2 ** failures, maxRetryMs);
     return delayMs * (0.5 + this.#parts.random.next() / 2);
   }
-
-  async #callOwner(
-    requestId: string,
-    body: CallBody,
-    timeoutMs: number,
-  ): Promise<Result<Answer, Failure>> {
-    const shard = this.#findShard(requestId);
-    const address = this.#parts.router.findLoad(shard)?.address;
-    if (address === undefined) {
-      return err(createFailure('notOwner', `no owner of shard ${shard} is known`, 1));
-    }
-    const reply = await this.#parts.peers.call(address, body, timeoutMs);
-    return reply
-      .mapErr((failure) =>
-        failure.kind === 'noOwner' ? { ...failure, kind: 'notOwner' as const } : failure,
-      )
-      .andThen((content) => this.#readView(content, shard));
-  }
-
-  #readView(reply: ReplyBody, shard: string): Result<Answer, Failure> {
-    if (reply.reply === 'view') return ok({ view: reply.view, epoch: reply.epoch, shard });
-    if (reply.reply === 'failure') return err(reply.failure);
-    return err(createFailure('internal', `unexpected reply ${reply.reply}`));
-  }
 }
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -3,24 +3,19 @@
   createFailure,
   FleetRoster,
   Journal,
-  listReleasedQueues,
   periods,
-  PledgeKeeper,
-  readJournal,
   Shard,
-  TakeoverBook,
-  TakeoverEditor,
   type ClaimStanding,
   type Effect,
   type KeyRing,
   type Policy,
+  type TakeoverBook,
   type WorkerGateway,
 } from '@toucanline/core';
 import type {
   Claim,
   Failure,
   HostRecord,
-  JournalEntry,
   ReplyBody,
   RequestView,
   ShardLoad,
@@ -32,6 +27,8 @@
 import { err, type Result } from 'neverthrow';
 import { RequestWaiters } from './RequestWaiters.js';
 import type { SnapshotInbox } from './SnapshotInbox.js';
+import { WorkerDriver } from './WorkerDriver.js';
+import { WorkSuccession } from './WorkSuccession.js';
 
 const tickMs = 250;
 /** Ticks between looks at the workers that the next owner has to know of. */
@@ -39,8 +36,6 @@
 const retryMs = 500;
 /** Requests started before the loop serves other events. */
 const maxStartsPerTurn = 100;
-/** Delay before a poll is tried again while it is not settled whether this process may act. */
-const settleMs = 50;
 /** Bounds of the wait for commands and commits that are under way when the shard is handed over. */
 const quiesceMs = 300;
 const quiescePollMs = 2;
@@ -49,11 +44,6 @@
 /** Time within which each entry has handed in what it holds to a new owner. */
 const resubmissionMs = 10_000;
 
-const readEntryId = (entry: JournalEntry): string => {
-  if (entry.entry === 'accepted') return entry.request.id;
-  return entry.entry === 'finished' ? entry.view.id : entry.requestId;
-};
-
 /** The right by which a process acts as the owner. */
 interface Ownership {
   readonly claim: Claim;
@@ -72,17 +62,14 @@
 /** Runs the decisions of one shard under one ownership: executes effects, polls workers, keeps time. */
 export class ShardHost {
   readonly #runtime: ProcessRuntime;
-  readonly #gateway: WorkerGateway;
   readonly #shard: Shard;
   readonly #journal: Journal;
   readonly #roster: FleetRoster;
   readonly #allotments: AllotmentKeeper;
   readonly #waiters = new RequestWaiters();
-  /** Workers whose held poll was ended to get a report now. */
-  readonly #interrupted = new Set<string>();
   readonly #ownership: Ownership;
-  readonly #pledge: PledgeKeeper;
-  readonly #takeovers: TakeoverEditor;
+  readonly #workers: WorkerDriver;
+  readonly #succession: WorkSuccession;
   /** Local monotonic time of the first start, in milliseconds. */
   readonly #startsAt: number;
   #active = true;
@@ -92,14 +79,7 @@
   /** Local monotonic time since which requests are taken, in milliseconds. */
   #servingAt = Infinity;
   #allotting = false;
-  #inFlight = 0;
   #pumping = false;
-  #inheriting = false;
-  #pledging = false;
-  #book = new TakeoverBook();
-  #policy: Policy;
-  /** Local monotonic time at which the first queue was given up. */
-  #releasedAt: number | undefined;
 
   /**
    * @param runtime - the process
@@ -114,7 +94,6 @@
     policy: Policy,
   ) {
     this.#runtime = runtime;
-    this.#gateway = gateway;
     this.#ownership = ownership;
     const { clock, random, recorder, invariant, settings, store } = runtime;
     const { provisional } = ownership;
@@ -146,9 +125,27 @@
       runtime.holder.revision,
     );
     this.#journal = new Journal(store, clock, random, shard, epoch);
-    this.#policy = policy;
-    this.#pledge = new PledgeKeeper(runtime, shard);
-    this.#takeovers = new TakeoverEditor(runtime);
+    this.#workers = new WorkerDriver({
+      clock,
+      gateway,
+      shard: this.#shard,
+      isActive: () => this.#active,
+      mayAct: () => this.#mayAct,
+      onAnswer: () => {
+        this.#pump();
+      },
+    });
+    this.#succession = new WorkSuccession(
+      {
+        runtime,
+        shard: this.#shard,
+        isActive: () => this.#active && !this.#frozen,
+        onChange: () => {
+          this.#pump();
+        },
+      },
+      policy,
+    );
     this.#roster = new FleetRoster(store, shard, epoch);
     // Workers that do not fence obey a former owner until its longest lease has ended.
     this.#startsAt = clock.now() + (gateway.fences ? 0 : periods.workerLeaseMs + retryMs);
@@ -198,7 +195,7 @@
     this.#frozen = true;
     const { clock } = this.#runtime;
     const endsAt = clock.now() + quiesceMs;
-    while ((this.#inFlight > 0 || this.#journal.isBusy) && clock.now() < endsAt) {
+    while ((this.#workers.starting > 0 || this.#journal.isBusy) && clock.now() < endsAt) {
       await clock.sleep(quiescePollMs);
     }
     return this.#shard.createSnapshot(sent);
@@ -217,7 +214,7 @@
    * @param policy - policy in effect
    */
   public applyPolicy(policy: Policy): void {
-    this.#policy = policy;
+    this.#succession.applyPolicy(policy);
     this.#shard.applyPolicy(policy);
     this.#allotments.applyPolicy(policy, this.#runtime.holder.revision);
     this.#pump();
@@ -260,7 +257,7 @@
    */
   public applyTakeovers(book: TakeoverBook): void {
     this.#shard.applyTakeovers(book);
-    if (!this.#inheriting && this.#journalOpen) void this.#inherit(book);
+    if (this.#journalOpen) void this.#succession.inherit(book);
     this.#pump();
   }
 
@@ -274,7 +271,7 @@
     const call = this.#attach(offered);
     const refused = this.#checkReady(call);
     if (refused !== undefined) return { reply: 'failure', failure: refused };
-    const taken = await this.#takeAttached(call);
+    const taken = await this.#succession.takeAttached(call);
     if (taken !== undefined) return { reply: 'failure', failure: taken };
     if (!this.#isActive()) return this.#replyLost();
     const result = this.#shard.submit(call);
@@ -432,18 +429,14 @@
     if (this.#ownership.provisional) return;
     while (this.#isActive()) {
       const [opened, roster] = await Promise.all([
-        this.#loadTakeovers().then((failure) =>
-          failure === undefined ? this.#journal.open() : err(failure),
-        ),
+        this.#succession
+          .load()
+          .then((failure) => (failure === undefined ? this.#journal.open() : err(failure))),
         this.#roster.load(),
       ]);
       if (!this.#isActive()) return;
       if (opened.isOk() && roster.isOk()) {
-        const { name } = this.#shard;
-        const own = opened.value.filter(
-          (entry) => !this.#book.isTakenFrom(readEntryId(entry), name),
-        );
-        this.#shard.loadJournal(own, roster.value);
+        this.#shard.loadJournal(this.#succession.selectOwn(opened.value), roster.value);
         this.#journalOpen = true;
         this.#updateServing();
         this.#pump();
@@ -455,69 +448,15 @@
     }
   }
 
-  /**
-   * Learns what passed to other data centres before anything of the journal can start, and tells them
-   * what they may rely on.
-   */
-  async #loadTakeovers(): Promise<Failure | undefined> {
-    const book = await this.#takeovers.read();
-    if (book.isErr()) return book.error;
-    this.#book = book.value;
-    this.#shard.applyTakeovers(book.value);
-    if (await this.#pledge.write(this.#policy.releases)) return undefined;
-    return createFailure('storeUnavailable', 'the pledge of the shard cannot be written');
-  }
-
-  /** Until the store has a changed pledge, the shorter of both times counts here. */
-  async #keepPledge(): Promise<void> {
-    const { releases } = this.#policy;
-    const isDue = this.#journalOpen && !this.#pledging && !this.#pledge.isInStep(releases);
-    if (!isDue) return;
-    this.#pledging = true;
-    if (!(await this.#pledge.write(releases))) await this.#runtime.clock.sleep(retryMs);
-    this.#pledging = false;
-  }
-
-  /** Takes in the requests that this shard was given, and notes it once the own journal has them. */
-  async #inherit(book: TakeoverBook): Promise<void> {
-    this.#inheriting = true;
-    for (const takeover of book.listInheritances(this.#shard.name)) {
-      const { shard, requests } = takeover;
-      const mine = Object.entries(requests).filter(([, heir]) => heir === this.#shard.name);
-      const entries = await readJournal(this.#runtime.store, shard);
-      if (entries.isErr() || !this.#isActive() || this.#frozen) continue;
-      const isDone = this.#shard.takeOver(entries.value, new Set(mine.map(([id]) => id)));
-      this.#pump();
-      if (isDone) await this.#takeovers.noteInherited(takeover, this.#shard.name);
-    }
-    this.#inheriting = false;
-  }
-
-  /** An attached request of another shard belongs to this one once the record says so. */
-  async #takeAttached({ shard, request, remainingMs }: SubmitCall): Promise<Failure | undefined> {
-    const former = request.id.split('.')[0] ?? '';
-    if (former === shard || this.#shard.knows(request.id)) return undefined;
-    const { id, queue, idempotent } = request;
-    const deadlineMs = remainingMs + periods.retentionMs;
-    const taken = await this.#takeovers.take(id, former, queue, shard, deadlineMs);
-    if (taken.isErr()) return taken.error;
-    if (!idempotent && this.#isActive()) this.#shard.addUnknown(request);
-    return undefined;
-  }
-
   /** Gives queues up whose time without store contact has passed; a later contact needs a new claim. */
   #checkCutOff(): void {
     const contactAt = this.#ownership.readContact();
-    if (this.#releasedAt !== undefined && contactAt > this.#releasedAt) {
+    if (this.#succession.isOutdated(contactAt)) {
       this.#ownership.onLost('the data centre was cut off and gave work up', this.#shard.epoch);
       return;
     }
-    const now = this.#runtime.clock.now();
-    const { releases } = this.#policy;
-    const { pledged } = this.#pledge;
-    const queues = listReleasedQueues({ releases, pledged, contactAt, now });
+    const queues = this.#succession.listReleased(contactAt);
     if (queues.size === 0) return;
-    this.#releasedAt ??= now;
     // An end of given-up work must not enter the journal: other data centres decide about it.
     this.#journal.close();
     this.#shard.release(queues);
@@ -551,7 +490,7 @@
     for (let tick = 0; this.#active; tick += 1) {
       if (this.#mayAct) {
         this.#checkCutOff();
-        void this.#keepPledge();
+        if (this.#journalOpen) void this.#succession.keepPledge();
         this.#shard.tick();
         this.#updateServing();
         if (this.#canCommit && tick % ticksPerRoster === 0)
@@ -580,10 +519,10 @@
   #execute(effect: Effect): void {
     switch (effect.effect) {
       case 'start':
-        void this.#sendStart(effect);
+        void this.#workers.start(effect);
         break;
       case 'command':
-        void this.#sendCommand(effect);
+        void this.#workers.command(effect);
         break;
       case 'commit':
         void this.#commit(effect);
@@ -592,11 +531,10 @@
         this.#waiters.notify(effect.requestId);
         break;
       case 'poll':
-        void this.#pollWorker(effect.worker);
+        void this.#workers.poll(effect.worker);
         break;
       case 'interrupt':
-        this.#interrupted.add(effect.worker);
-        this.#gateway.interrupt(effect.address);
+        this.#workers.interrupt(effect);
         break;
       case 'standDown':
         if (this.#active) this.#ownership.onLost(effect.detail, effect.epoch);
@@ -604,30 +542,6 @@
     }
   }
 
-  async #sendStart({ address, start }: Extract<Effect, { effect: 'start' }>): Promise<void> {
-    this.#inFlight += 1;
-    const response = await this.#gateway.start(address, start);
-    this.#inFlight -= 1;
-    if (!this.#active) return;
-    const { request, index, taskId } = start.assignment;
-    const outcome = response.isOk() ? undefined : response.error;
-    this.#shard.applyStartResponse(request.id, index, taskId, outcome);
-    this.#pump();
-  }
-
-  async #sendCommand({
-    worker,
-    address,
-    command,
-  }: Extract<Effect, { effect: 'command' }>): Promise<void> {
-    const response = await this.#gateway.command(address, command);
-    if (!this.#active || response.isOk() || !('refusal' in response.error)) return;
-    const { refusal } = response.error;
-    if (refusal !== 'staleEpoch' && refusal !== 'wrongBoot') return;
-    this.#shard.applyRefusal(worker, response.error);
-    this.#pump();
-  }
-
   async #commit({ ticket, entry }: Extract<Effect, { effect: 'commit' }>): Promise<void> {
     let result = await this.#journal.append(entry);
     // Nobody waits for the end of a request to be committed, so it is repeated until it is.
@@ -639,30 +553,4 @@
     this.#shard.confirmCommit(ticket, result.isErr() ? result.error : undefined);
     this.#pump();
   }
-
-  /** One poll at a time per worker, as long as the worker belongs to the fleet. */
-  async #pollWorker(worker: string): Promise<void> {
-    let hasFailed = false;
-    while (this.#isActive()) {
-      if (!this.#mayAct) {
-        await this.#runtime.clock.sleep(settleMs);
-        continue;
-      }
-      const next = this.#shard.createRenewal(worker);
-      if (next === undefined) return;
-      const sentAt = this.#runtime.clock.now();
-      this.#interrupted.delete(worker);
-      // After a failure the lease is renewed first; a poll that is held again may be lost too late.
-      const renewal = hasFailed ? { ...next.renewal, waitMs: 0 } : next.renewal;
-      const response = await this.#gateway.renew(next.address, renewal);
-      if (!this.#isActive()) return;
-      hasFailed = response.isErr();
-      if (response.isOk()) this.#shard.applyReport(worker, response.value, sentAt);
-      else {
-        if ('refusal' in response.error) this.#shard.applyRefusal(worker, response.error);
-        if (!this.#interrupted.has(worker)) await this.#runtime.clock.sleep(retryMs);
-      }
-      this.#pump();
-    }
-  }
 }
