--- a/packages-private/testkit/__tests__/lostDataCentre.test.ts
+++ b/packages-private/testkit/__tests__/lostDataCentre.test.ts
@@ -174,7 +174,7 @@
     expect(site.ledger.running).to.deep.equal([]);
   });
 
-  it('takes work over at once by the word of an operator, who reads first what it risks', async function () {
+  it('takes work over at once by the declaration of an operator, who reads first what it risks', async function () {
     this.timeout(60_000);
     // Guards against a returning data centre that goes on with what was taken over.
     const folder = mkdtempSync(join(tmpdir(), 'toucanline-lost-'));
@@ -204,7 +204,7 @@
     rmSync(folder, { recursive: true });
   });
 
-  it('runs the work of a dead data centre elsewhere by the word of an operator', async function () {
+  it('runs the work of a dead data centre elsewhere by the declaration of an operator', async function () {
     this.timeout(60_000);
     // Guards against idempotent work that is lost with its data centre.
     await fill(6000);
@@ -220,8 +220,12 @@
     const operator = new Caller(() => site.entries[0]?.url ?? '', site.operatorKey);
     const known = await operator.send('GET', '/v1/datacentres/dc2');
     const { generation } = known.view as unknown as { readonly generation: number };
-    const word = { state: 'lost', author: 'ann', ifGeneration: generation };
-    const { status } = await operator.send('PUT', '/v1/datacentres/dc2', JSON.stringify(word));
+    const declaration = { state: 'lost', author: 'ann', ifGeneration: generation };
+    const { status } = await operator.send(
+      'PUT',
+      '/v1/datacentres/dc2',
+      JSON.stringify(declaration),
+    );
     expect(status).to.equal(200);
     const ends = await Promise.all([detached, attached].map(({ id }) => readEnd(id, 20_000)));
     expect(ends).to.deep.equal(['detached', 'attached']);
--- a/packages/cli/src/DataCentreCommand.ts
+++ b/packages/cli/src/DataCentreCommand.ts
@@ -4,7 +4,7 @@
 import { BaseCommand } from './BaseCommand.js';
 import { readDataCentre } from './readDataCentre.js';
 
-/** An operator's word with its choices. */
+/** An operator's declaration with its choices. */
 interface WantedWord {
   readonly dataCentre: string;
   readonly state: 'lost' | 'returned';
@@ -16,7 +16,7 @@
 export abstract class DataCentreCommand extends BaseCommand {
   protected static readonly wordFlags = {
     yes: Flags.boolean({ summary: 'Declare it; without it only the meaning is shown.' }),
-    note: Flags.string({ summary: 'Why; kept with the word.' }),
+    note: Flags.string({ summary: 'Why; kept with the declaration.' }),
   };
 
   protected static readonly wordArgs = {
@@ -24,10 +24,10 @@
   };
 
   /**
-   * Says what the word means and declares it.
+   * Says what the declaration means and declares it.
    *
    * @param environment - the environment
-   * @param word - the word
+   * @param declaration - the declaration
    * @param describe - says in plain words what it means
    * @returns the data centre after it
    */
--- a/packages/cli/src/DataCentreLostCommand.ts
+++ b/packages/cli/src/DataCentreLostCommand.ts
@@ -19,13 +19,13 @@
   /** {@inheritDoc} */
   public override async run(): Promise<DataCentreView> {
     const { args, flags } = await this.parse(DataCentreLostCommand);
-    const word = {
+    const declaration = {
       dataCentre: args.name,
       state: 'lost',
       yes: flags.yes,
       note: flags.note,
     } as const;
-    const view = await this.declare(this.open(flags), word, describeLoss);
+    const view = await this.declare(this.open(flags), declaration, describeLoss);
     this.log('Others take its work over within seconds: toucanline timeline --since 1m.');
     return view;
   }
--- a/packages/cli/src/DataCentreReturnedCommand.ts
+++ b/packages/cli/src/DataCentreReturnedCommand.ts
@@ -1,19 +1,19 @@
 import type { DataCentreView } from '@toucanline/schema';
 import { DataCentreCommand } from './DataCentreCommand.js';
 
-const describeReturn = ({ dataCentre, word }: DataCentreView): readonly string[] => [
-  word === undefined
+const describeReturn = ({ dataCentre, declaration }: DataCentreView): readonly string[] => [
+  declaration === undefined
     ? `Nobody declared ${dataCentre} lost.`
-    : `${word.author} declared ${dataCentre} ${word.state}.`,
+    : `${declaration.author} declared ${dataCentre} ${declaration.state}.`,
   `Declaring ${dataCentre} returned ends a takeover that has not happened yet. Work that others took`,
   'stays with them, and the data centre stops it where it still runs. It serves new work as soon as its',
-  'schedulers reach the store, with or without this word.',
+  'schedulers reach the store, with or without this declaration.',
 ];
 
 /** `toucanline datacentre returned`. */
 export class DataCentreReturnedCommand extends DataCentreCommand {
   public static override readonly summary =
-    'Takes the word back that a data centre is lost. Role: change; promote in production.';
+    'Takes the declaration back that a data centre is lost. Role: change; promote in production.';
 
   public static override readonly examples = ['toucanline datacentre returned dc2 --yes'];
 
@@ -25,7 +25,7 @@
   public override async run(): Promise<DataCentreView> {
     const { args, flags } = await this.parse(DataCentreReturnedCommand);
     const { yes, note } = flags;
-    const word = { dataCentre: args.name, state: 'returned', yes, note } as const;
-    return this.declare(this.open(flags), word, describeReturn);
+    const declaration = { dataCentre: args.name, state: 'returned', yes, note } as const;
+    return this.declare(this.open(flags), declaration, describeReturn);
   }
 }
--- a/packages/core/__tests__/takeover.test.ts
+++ b/packages/core/__tests__/takeover.test.ts
@@ -8,7 +8,7 @@
   listJournaled,
   listReleasedQueues,
   periods,
-  PledgeKeeper,
+  ReleaseTermsKeeper,
   ShardTakeover,
   TakeoverBook,
   TakeoverEditor,
@@ -54,7 +54,7 @@
   epoch: 1,
 });
 
-/** A store in which the owner of s2 left a journal, allotments and a pledge, and then fell silent. */
+/** A store in which the owner of s2 left a journal, allotments and release terms, and then fell silent. */
 const createLostShard = async (entries: readonly JournalEntry[]) => {
   const clock = new ClockModel();
   const parts = createParts(clock);
@@ -72,10 +72,10 @@
     teams: { a: { s1: amount, s2: amount } },
   };
   await store.write('allotments', JSON.stringify(allotments), 0);
-  const pledge = new PledgeKeeper(parts, 's2');
-  expect(await pledge.write(new Map([['q', 5000]]))).to.equal(true);
+  const terms = new ReleaseTermsKeeper(parts, 's2');
+  expect(await terms.write(new Map([['q', 5000]]))).to.equal(true);
   clock.advance(periods.claimLeaseMs + 1);
-  for (const heir of ['s1', 's3']) await store.write(`owners/${heir}`, 'owner', 0);
+  for (const successor of ['s1', 's3']) await store.write(`owners/${successor}`, 'owner', 0);
   const editor = new TakeoverEditor(parts);
   const createTakeover = (process: string): ShardTakeover =>
     new ShardTakeover({ ...parts, process, address: 'address' }, 's2');
@@ -84,9 +84,9 @@
     queues: new Set(['q']),
     epoch,
     formerEpoch: epoch,
-    pledgeVersion: pledge.version,
+    termsVersion: terms.version,
   } as const;
-  return { ...parts, clock, owner, journal, editor, createTakeover, byTime, pledge };
+  return { ...parts, clock, owner, journal, editor, createTakeover, byTime, terms };
 };
 
 const readBook = async (editor: TakeoverEditor): Promise<Takeovers> =>
@@ -101,8 +101,8 @@
       fc.property(rate, rate, times, fc.nat(5000), (lost, other, releaseMs, seenAfter) => {
         const releases = new Map([['q', releaseMs]]);
         const givenUp = (at: number): boolean =>
-          listReleasedQueues({ releases, pledged: new Map(), contactAt: 0, now: at * lost }).size >
-          0;
+          listReleasedQueues({ releases, published: new Map(), contactAt: 0, now: at * lost })
+            .size > 0;
         // The owner looks four times a second and then needs time to stop the tasks; a worker that does
         // not answer keeps its last lease, on a clock with its own drift.
         const releasedAt = Math.ceil(releaseMs / lost) + 250;
@@ -110,7 +110,7 @@
         const lastLeaseEnds =
           releasedAt + (periods.releaseStopMs + periods.workerLeaseMs) / 0.99 + 250;
         const watch = new CutOffWatch();
-        const seen = { isClaimed: false, epoch: 1, pledgeVersion: 1, pledged: releases };
+        const seen = { isClaimed: false, epoch: 1, termsVersion: 1, published: releases };
         const since = periods.claimLeaseMs * 0.99 + seenAfter;
         expect(watch.observe(seen, since * other).size).to.equal(0);
         expect(watch.observe(seen, Math.max(since, lastLeaseEnds) * other).size).to.equal(0);
@@ -122,10 +122,10 @@
 
   it('starts again when an owner was back or promised something else', () => {
     // Guards against time that is counted over a contact of the owner.
-    const pledged = new Map([['q', 5000]]);
-    const seen = { isClaimed: false, epoch: 1, pledgeVersion: 1, pledged };
+    const published = new Map([['q', 5000]]);
+    const seen = { isClaimed: false, epoch: 1, termsVersion: 1, published };
     const waitMs = CutOffWatch.calculateWaitMs(5000);
-    for (const change of [{ epoch: 2 }, { pledgeVersion: 2 }, { isClaimed: true }]) {
+    for (const change of [{ epoch: 2 }, { termsVersion: 2 }, { isClaimed: true }]) {
       const watch = new CutOffWatch();
       watch.observe(seen, 0);
       watch.observe({ ...seen, ...change }, waitMs - 1);
@@ -138,16 +138,16 @@
   it('follows the shorter of the document and of what was promised, also after a lost answer', async () => {
     // Guards against an owner that goes on by a longer time than others rely on.
     const { store, random } = createParts(new ClockModel());
-    const keeper = new PledgeKeeper({ store, random }, 's2');
+    const keeper = new ReleaseTermsKeeper({ store, random }, 's2');
     expect(await keeper.write(new Map([['q', 60_000]]))).to.equal(true);
     store.writeFaults = ['late'];
     expect(await keeper.write(new Map([['q', 5000]]))).to.equal(false);
-    expect(keeper.pledged.get('q')).to.equal(5000);
+    expect(keeper.published.get('q')).to.equal(5000);
     store.deliverLate();
     expect(await keeper.write(new Map([['q', 30_000]]))).to.equal(true);
-    expect(keeper.pledged.get('q')).to.equal(30_000);
+    expect(keeper.published.get('q')).to.equal(30_000);
     const releases = new Map([['q', 60_000]]);
-    const cutOff = { releases, pledged: keeper.pledged, contactAt: 0 };
+    const cutOff = { releases, published: keeper.published, contactAt: 0 };
     expect(listReleasedQueues({ ...cutOff, now: 29_999 }).size).to.equal(0);
     expect(listReleasedQueues({ ...cutOff, now: 30_000 }).size).to.equal(1);
   });
@@ -170,10 +170,10 @@
 
     const change = { state: 'lost', author: 'ann', ifGeneration: 0 } as const;
     (await editor.declare('dc2', change))._unsafeUnwrap();
-    const word = { reason: 'word', dataCentre: 'dc2' } as const;
-    const third = await createTakeover('p1').run(word, ['s1']);
+    const declaration = { reason: 'declaration', dataCentre: 'dc2' } as const;
+    const third = await createTakeover('p1').run(declaration, ['s1']);
     expect(third._unsafeUnwrap().requests).to.deep.equal({ 's2.b': 's1' });
-    const fourth = await createTakeover('p3').run(word, ['s3']);
+    const fourth = await createTakeover('p3').run(declaration, ['s3']);
     expect(fourth._unsafeUnwrapErr().kind).to.equal('notOwner');
     const text = (await store.read('allotments'))._unsafeUnwrap().value;
     expect(text).to.include('"s1":{"processors"').and.not.include('"s2":{"processors"');
@@ -210,7 +210,7 @@
     const late = await editor.take('s2.z', 's2', 'q', 's1', 1000);
     expect(late._unsafeUnwrapErr().detail).to.include('has an owner again');
     const book = new TakeoverBook(await readBook(editor));
-    expect(book.findHeir('s2.x')).to.equal('s1');
+    expect(book.findSuccessor('s2.x')).to.equal('s1');
     expect([book.isTakenFrom('s2.x', 's2'), book.isTakenFrom('s2.x', 's1')]).to.deep.equal([
       true,
       false,
@@ -218,7 +218,7 @@
   });
 
   it('gives nothing to a shard that cannot reach the store, and passes on what it did not take in', async () => {
-    // Guards against requests that wait for an heir which is lost too, and against a second run of others.
+    // Guards against requests that wait for a successor which is lost too, and against a second run of others.
     const { createTakeover, byTime, editor, store, clock } = await createLostShard(entries);
     const first = (await createTakeover('p1').run(byTime, ['s9', 's3', 's1']))._unsafeUnwrap();
     expect(first.requests).to.deep.equal({ 's2.a': 's3', 's2.c': 's1' });
@@ -235,7 +235,7 @@
     };
     (await editor.add(lost, ['s1']))._unsafeUnwrap();
     const book = new TakeoverBook(await readBook(editor));
-    expect(book.findHeir('s2.a')).to.equal('s1');
+    expect(book.findSuccessor('s2.a')).to.equal('s1');
     // s1 looks at what is new to it only: it may have forgotten the other request after its end.
     const inherited = book.listInheritances('s1').map(({ requests }) => requests);
     expect(inherited).to.deep.equal([{ 's2.a': 's1' }]);
@@ -243,22 +243,24 @@
     await store.write('owners/s3', undefined, 1);
     const change = { state: 'lost', author: 'ann', ifGeneration: 0 } as const;
     (await editor.declare('dc2', change))._unsafeUnwrap();
-    const word = { reason: 'word', dataCentre: 'dc2' } as const;
-    const none = await createTakeover('p1').run(word, ['s1', 's3']);
+    const declaration = { reason: 'declaration', dataCentre: 'dc2' } as const;
+    const none = await createTakeover('p1').run(declaration, ['s1', 's3']);
     expect(none._unsafeUnwrapErr().kind).to.equal('noOwner');
   });
 
-  it('does not carry an old word out', async () => {
-    // Guards against a word that nobody could carry out and that takes work over at a later failover.
+  it('does not carry an old declaration out', async () => {
+    // Guards against a declaration that nobody could carry out and that takes work over at a later failover.
     const { createTakeover, editor, clock } = await createLostShard(entries);
     const change = { state: 'lost', author: 'ann', ifGeneration: 0 } as const;
     (await editor.declare('dc2', change))._unsafeUnwrap();
     clock.advance(600_001);
-    const late = await createTakeover('p1').run({ reason: 'word', dataCentre: 'dc2' }, ['s1']);
+    const late = await createTakeover('p1').run({ reason: 'declaration', dataCentre: 'dc2' }, [
+      's1',
+    ]);
     expect(late._unsafeUnwrapErr().kind).to.equal('notOwner');
   });
 
-  it('refuses a word about a data centre that another operator has changed', async () => {
+  it('refuses a declaration about a data centre that another operator has changed', async () => {
     // Guards against two operators who overwrite each other.
     const { editor } = await createLostShard([]);
     const change = { state: 'lost', author: 'ann', ifGeneration: 0 } as const;
@@ -266,7 +268,7 @@
     (await editor.declare('dc2', change))._unsafeUnwrap();
     const late = await editor.declare('dc2', { ...change, author: 'bob' });
     expect(late._unsafeUnwrapErr().kind).to.equal('staleRevision');
-    expect((await readBook(editor)).words.dc2?.generation).to.equal(1);
+    expect((await readBook(editor)).declarations.dc2?.generation).to.equal(1);
   });
 });
 
@@ -384,7 +386,9 @@
       requests: { [id]: 's3' },
       inheritedBy: [],
     };
-    model.shard.applyTakeovers(new TakeoverBook({ token: 't', words: {}, takeovers: [takeover] }));
+    model.shard.applyTakeovers(
+      new TakeoverBook({ token: 't', declarations: {}, takeovers: [takeover] }),
+    );
     model.step(100);
     expect(model.commands.at(-1)).to.include({ action: 'stop', cancelled: true });
     if (task !== undefined) model.change(task, 'stopped');
--- a/packages/core/src/CutOffWatch.ts
+++ b/packages/core/src/CutOffWatch.ts
@@ -11,17 +11,17 @@
   readonly isClaimed: boolean;
   /** Epoch of the last owner that is not a takeover. */
   readonly epoch: number;
-  /** Version of the pledge of the shard. */
-  readonly pledgeVersion: number;
+  /** Version of the release terms of the shard. */
+  readonly termsVersion: number;
   /** Milliseconds per queue after which the owner has given up the work. */
-  readonly pledged: ReadonlyMap<string, number>;
+  readonly published: ReadonlyMap<string, number>;
 }
 
 /** What the time without a claim is counted for. */
 interface Count {
   readonly since: number;
   readonly epoch: number;
-  readonly pledgeVersion: number;
+  readonly termsVersion: number;
 }
 
 /**
@@ -45,14 +45,14 @@
    * @returns the queues whose time has surely run out on both sides
    */
   public observe(observation: Observation, now: number): ReadonlySet<string> {
-    const { isClaimed, epoch, pledgeVersion, pledged } = observation;
-    const isSame = this.#count?.epoch === epoch && this.#count.pledgeVersion === pledgeVersion;
+    const { isClaimed, epoch, termsVersion, published } = observation;
+    const isSame = this.#count?.epoch === epoch && this.#count.termsVersion === termsVersion;
     if (isClaimed) this.#count = undefined;
-    else if (!isSame) this.#count = { since: now, epoch, pledgeVersion };
+    else if (!isSame) this.#count = { since: now, epoch, termsVersion };
     const due = new Set<string>();
     if (this.#count === undefined) return due;
     const waitedMs = now - this.#count.since;
-    for (const [queue, ms] of pledged) {
+    for (const [queue, ms] of published) {
       if (waitedMs >= CutOffWatch.calculateWaitMs(ms)) due.add(queue);
     }
     return due;
--- a/packages/core/src/LostWork.ts
+++ b/packages/core/src/LostWork.ts
@@ -113,8 +113,8 @@
 
   #drop(record: RequestRecord): void {
     if (record.stopPlan !== undefined) return;
-    const heir = this.#book?.findHeir(record.id) ?? '';
-    const failure = createFailure('cancelled', `the shard ${heir} took the request over`);
+    const successor = this.#book?.findSuccessor(record.id) ?? '';
+    const failure = createFailure('cancelled', `the shard ${successor} took the request over`);
     this.#parts.lifecycle.stopRequest(record, { next: 'cancelled', failure });
   }
 
--- a/packages/core/src/PledgeKeeper.ts
+++ b/packages/core/src/ReleaseTermsKeeper.ts
@@ -1,4 +1,4 @@
-import { validators, type Failure, type Pledge } from '@toucanline/schema';
+import { validators, type Failure, type ReleaseTerms } from '@toucanline/schema';
 import type { Result } from 'neverthrow';
 import { decodeStored } from './decodeStored.js';
 import type { RandomSource } from './RandomSource.js';
@@ -17,7 +17,7 @@
  * Keeps the record of what the owners of a shard promise to other data centres. Both sides read the times
  * from this record, because a data centre that is cut off may have an older document than the others.
  */
-export class PledgeKeeper {
+export class ReleaseTermsKeeper {
   readonly #parts: KeeperParts;
   readonly #shard: string;
   #stored: ReadonlyMap<string, number> = new Map();
@@ -35,12 +35,12 @@
   }
 
   /** Shortest time per queue, in milliseconds, that others may rely on. */
-  public get pledged(): ReadonlyMap<string, number> {
-    const pledged = new Map(this.#stored);
+  public get published(): ReadonlyMap<string, number> {
+    const published = new Map(this.#stored);
     for (const [queue, ms] of this.#written) {
-      pledged.set(queue, Math.min(ms, pledged.get(queue) ?? Infinity));
+      published.set(queue, Math.min(ms, published.get(queue) ?? Infinity));
     }
-    return pledged;
+    return published;
   }
 
   /** Version of the record. */
@@ -65,9 +65,9 @@
    * @returns nothing, or the failure
    */
   public async read(): Promise<Result<void, Failure>> {
-    const stored = await this.#parts.store.read(`pledges/${this.#shard}`);
+    const stored = await this.#parts.store.read(`releaseTerms/${this.#shard}`);
     return stored.andThen((value) =>
-      decodeStored(validators.Pledge)(value).map((record) => {
+      decodeStored(validators.ReleaseTerms)(value).map((record) => {
         this.#stored = new Map(Object.entries(record?.queues ?? {}));
         this.#written = new Map();
         this.#version = value.version;
@@ -87,9 +87,13 @@
     }
     if (this.isInStep(releases)) return true;
     const token = this.#parts.random.token();
-    const record: Pledge = { shard: this.#shard, token, queues: Object.fromEntries(releases) };
+    const record: ReleaseTerms = {
+      shard: this.#shard,
+      token,
+      queues: Object.fromEntries(releases),
+    };
     this.#written = releases;
-    const key = `pledges/${this.#shard}`;
+    const key = `releaseTerms/${this.#shard}`;
     const text = JSON.stringify(record);
     const written = await this.#parts.store.write(key, text, this.version);
     if (written.isErr()) {
--- a/packages/core/src/ShardTakeover.ts
+++ b/packages/core/src/ShardTakeover.ts
@@ -8,7 +8,7 @@
 import type { EventRecorder } from './EventRecorder.js';
 import type { Invariant } from './Invariant.js';
 import { Journal } from './Journal.js';
-import { PledgeKeeper } from './PledgeKeeper.js';
+import { ReleaseTermsKeeper } from './ReleaseTermsKeeper.js';
 import { planTakeover } from './planTakeover.js';
 import type { RandomSource } from './RandomSource.js';
 import type { Store } from './Store.js';
@@ -29,16 +29,16 @@
   readonly address: string;
 }
 
-/** The right to take work: an operator's word, or time that ran out on both sides. */
+/** The right to take work: an operator's declaration, or time that ran out on both sides. */
 type Reason =
-  | { readonly reason: 'word'; readonly dataCentre: string }
+  | { readonly reason: 'declaration'; readonly dataCentre: string }
   | {
       readonly reason: 'time';
       readonly queues: ReadonlySet<string>;
       /** Epoch in the store for which the time was counted. */
       readonly epoch: number;
       readonly formerEpoch: number;
-      readonly pledgeVersion: number;
+      readonly termsVersion: number;
     };
 
 /**
@@ -67,17 +67,20 @@
    * Takes the work over.
    *
    * @param reason - the right to do so
-   * @param heirs - shards that get the requests, at least one
+   * @param successors - shards that get the requests, at least one
    * @returns the takeover; `notOwner` if the shard has an owner or the right does not hold any more
    */
-  public async run(reason: Reason, heirs: readonly string[]): Promise<Result<Takeover, Failure>> {
+  public async run(
+    reason: Reason,
+    successors: readonly string[],
+  ): Promise<Result<Takeover, Failure>> {
     const claim = await this.#keeper.acquire();
     if (claim.isErr()) return err(claim.error);
-    const result = await this.#takeClaimed(claim.value.epoch, reason, heirs);
+    const result = await this.#takeClaimed(claim.value.epoch, reason, successors);
     await this.#keeper.release();
     if (result.isOk()) {
       const count = Object.keys(result.value.requests).length;
-      const detail = `${count} requests, ${reason.reason === 'word' ? "an operator's word" : `time of ${[...reason.queues].join(', ')}`}`;
+      const detail = `${count} requests, ${reason.reason === 'declaration' ? "an operator's declaration" : `time of ${[...reason.queues].join(', ')}`}`;
       const { epoch } = result.value;
       this.#parts.recorder.record('workTakenOver', { shard: this.#shard, epoch, detail });
     }
@@ -87,7 +90,7 @@
   async #takeClaimed(
     epoch: number,
     reason: Reason,
-    heirs: readonly string[],
+    successors: readonly string[],
   ): Promise<Result<Takeover, Failure>> {
     const { store, clock, random } = this.#parts;
     const isStale = reason.reason === 'time' && !(await this.#holds(epoch, reason));
@@ -97,9 +100,9 @@
     if (entries.isErr()) return err(entries.error);
     const book = await this.#editor.read();
     if (book.isErr()) return err(book.error);
-    const claimed = await this.#selectClaimed(heirs);
-    if (claimed.length === 0) return err(createFailure('noOwner', 'no heir holds its claim'));
-    if (reason.reason === 'word') {
+    const claimed = await this.#selectClaimed(successors);
+    if (claimed.length === 0) return err(createFailure('noOwner', 'no successor holds its claim'));
+    if (reason.reason === 'declaration') {
       if (!book.value.isPending(reason.dataCentre, this.#shard, clock.wallTime())) {
         return err(createFailure('notOwner', 'the work was taken over already'));
       }
@@ -111,16 +114,16 @@
     if (this.#keeper.standing !== 'confirmed') {
       return err(createFailure('timeout', 'the takeover outlasted its claim'));
     }
-    const dataCentre = reason.reason === 'word' ? reason.dataCentre : undefined;
+    const dataCentre = reason.reason === 'declaration' ? reason.dataCentre : undefined;
     return (await this.#editor.add(takeover, claimed, dataCentre)).map(() => takeover);
   }
 
-  /** An heir that cannot reach the store would not learn what it was given. */
-  async #selectClaimed(heirs: readonly string[]): Promise<readonly string[]> {
+  /** A successor that cannot reach the store would not learn what it was given. */
+  async #selectClaimed(successors: readonly string[]): Promise<readonly string[]> {
     const holders = await Promise.all(
-      heirs.map((heir) => this.#parts.store.read(`owners/${heir}`)),
+      successors.map((successor) => this.#parts.store.read(`owners/${successor}`)),
     );
-    return heirs.filter((_, index) => {
+    return successors.filter((_, index) => {
       const holder = holders[index];
       return holder?.isOk() === true && holder.value.version !== 0;
     });
@@ -129,7 +132,7 @@
   #plan(
     epoch: number,
     reason: Reason,
-    heirs: readonly string[],
+    successors: readonly string[],
     entries: readonly JournalEntry[],
     book: TakeoverBook,
   ): Takeover {
@@ -141,7 +144,7 @@
       queues: isTime ? reason.queues : undefined,
       entries,
       book,
-      heirs,
+      successors,
       wallMs: this.#parts.clock.wallTime(),
     });
   }
@@ -151,9 +154,9 @@
     epoch: number,
     reason: Extract<Reason, { readonly reason: 'time' }>,
   ): Promise<boolean> {
-    const pledge = new PledgeKeeper(this.#parts, this.#shard);
-    const read = await pledge.read();
-    return read.isOk() && pledge.version === reason.pledgeVersion && epoch === reason.epoch + 1;
+    const terms = new ReleaseTermsKeeper(this.#parts, this.#shard);
+    const read = await terms.read();
+    return read.isOk() && terms.version === reason.termsVersion && epoch === reason.epoch + 1;
   }
 
   /** Returns the allotments of the shard to the pool; late writes of its former owner fail. */
--- a/packages/core/src/TakeoverBook.ts
+++ b/packages/core/src/TakeoverBook.ts
@@ -1,13 +1,13 @@
-import type { DataCentreWord, Takeover, Takeovers } from '@toucanline/schema';
+import type { DataCentreDeclaration, Takeover, Takeovers } from '@toucanline/schema';
 
 /**
- * Time within which an operator's word is carried out. Without a bound, a word that nobody could carry out
+ * Time within which an operator's declaration is carried out. Without a bound, a declaration that nobody could carry out
  * would take work over at the next failover, when it is not true any more.
  */
-const wordMs = 600_000;
+const declarationMs = 600_000;
 
 /** The record before anything was taken over. */
-const emptyTakeovers: Takeovers = { token: 'none', words: {}, takeovers: [] };
+const emptyTakeovers: Takeovers = { token: 'none', declarations: {}, takeovers: [] };
 
 /** Answers questions about what passed from lost or cut-off data centres to others. */
 export class TakeoverBook {
@@ -33,7 +33,7 @@
    * @param requestId - identifier of the request
    * @returns name of the shard; undefined if the request was not taken over
    */
-  public findHeir(requestId: string): string | undefined {
+  public findSuccessor(requestId: string): string | undefined {
     return this.#places.get(requestId)?.to;
   }
 
@@ -50,18 +50,18 @@
   }
 
   /**
-   * Finds the word about a data centre.
+   * Finds the declaration about a data centre.
    *
    * @param dataCentre - name of the data centre
-   * @returns the newest word, if there is any
+   * @returns the newest declaration, if there is any
    */
-  public findWord(dataCentre: string): DataCentreWord | undefined {
-    return this.#record.words[dataCentre];
+  public findDeclaration(dataCentre: string): DataCentreDeclaration | undefined {
+    return this.#record.declarations[dataCentre];
   }
 
   /**
    * Checks whether an operator declared a data centre lost and the work of a shard was not taken over
-   * under that word yet.
+   * under that declaration yet.
    *
    * @param dataCentre - data centre of the shard
    * @param shard - name of the shard
@@ -69,9 +69,9 @@
    * @returns true if the work has to be taken over
    */
   public isPending(dataCentre: string, shard: string, wallMs: number): boolean {
-    const word = this.findWord(dataCentre);
-    if (word?.state !== 'lost' || wallMs - word.atMs > wordMs) return false;
-    return !word.taken.includes(shard);
+    const declaration = this.findDeclaration(dataCentre);
+    if (declaration?.state !== 'lost' || wallMs - declaration.atMs > declarationMs) return false;
+    return !declaration.taken.includes(shard);
   }
 
   /**
--- a/packages/core/src/TakeoverEditor.ts
+++ b/packages/core/src/TakeoverEditor.ts
@@ -30,19 +30,23 @@
 type Edit = Result<Omit<Takeovers, 'token'> | undefined, Failure>;
 
 /**
- * Gives what a lost shard was given, and did not take into its own journal, to other heirs. What it took in
- * is among the requests of the new takeover. The part that moves becomes an entry of its own: an heir that
+ * Gives what a lost shard was given, and did not take into its own journal, to other successors. What it took in
+ * is among the requests of the new takeover. The part that moves becomes an entry of its own: a successor that
  * took its part of the former entry in must not look at it again, because it forgets what has ended.
  */
-const passOn = (each: Takeover, lost: Takeover, heirs: readonly string[]): readonly Takeover[] => {
-  const isMoved = (id: string, heir: string): boolean =>
-    heir === lost.shard && !Object.hasOwn(lost.requests, id);
+const passOn = (
+  each: Takeover,
+  lost: Takeover,
+  successors: readonly string[],
+): readonly Takeover[] => {
+  const isMoved = (id: string, successor: string): boolean =>
+    successor === lost.shard && !Object.hasOwn(lost.requests, id);
   const entries = Object.entries(each.requests);
-  const moved = entries.filter(([id, heir]) => isMoved(id, heir));
+  const moved = entries.filter(([id, successor]) => isMoved(id, successor));
   if (each.inheritedBy.includes(lost.shard) || moved.length === 0) return [each];
-  const kept = entries.filter(([id, heir]) => !isMoved(id, heir));
+  const kept = entries.filter(([id, successor]) => !isMoved(id, successor));
   const given = moved.map(
-    ([id, heir], index) => [id, heirs[index % heirs.length] ?? heir] as const,
+    ([id, successor], index) => [id, successors[index % successors.length] ?? successor] as const,
   );
   return [
     { ...each, requests: Object.fromEntries(kept) },
@@ -75,18 +79,18 @@
   }
 
   /**
-   * Writes an operator's word about a data centre.
+   * Writes an operator's declaration about a data centre.
    *
    * @param dataCentre - name of the data centre
-   * @param change - the word
-   * @returns the record; `staleRevision` if there is a newer word than the operator knew
+   * @param change - the declaration
+   * @returns the record; `staleRevision` if there is a newer declaration than the operator knew
    */
   public declare(
     dataCentre: string,
     { state, author, note, ifGeneration }: DataCentreChange,
   ): Promise<Result<TakeoverBook, Failure>> {
     return this.#edit((book) => {
-      const former = book.findWord(dataCentre);
+      const former = book.findDeclaration(dataCentre);
       const generation = former?.generation ?? 0;
       const isInEffect = former?.author === author && former.state === state;
       if (generation === ifGeneration + 1 && isInEffect) return ok(undefined);
@@ -94,7 +98,7 @@
         const detail = `${former?.author ?? ''} declared ${dataCentre} ${former?.state ?? ''} meanwhile`;
         return err(createFailure('staleRevision', detail));
       }
-      const word = {
+      const declaration = {
         state,
         generation: generation + 1,
         author,
@@ -102,7 +106,10 @@
         taken: [],
         ...(note === undefined ? {} : { note }),
       };
-      return ok({ ...book.record, words: { ...book.record.words, [dataCentre]: word } });
+      return ok({
+        ...book.record,
+        declarations: { ...book.record.declarations, [dataCentre]: declaration },
+      });
     });
   }
 
@@ -110,13 +117,13 @@
    * Adds what one claim of a lost shard took over.
    *
    * @param takeover - what was taken
-   * @param heirs - shards that get what the lost shard was itself given and has not taken in
-   * @param dataCentre - data centre whose word it fulfils; undefined if there is none
+   * @param successors - shards that get what the lost shard was itself given and has not taken in
+   * @param dataCentre - data centre whose declaration it fulfils; undefined if there is none
    * @returns the record, or the failure
    */
   public add(
     takeover: Takeover,
-    heirs: readonly string[],
+    successors: readonly string[],
     dataCentre?: string,
   ): Promise<Result<TakeoverBook, Failure>> {
     const { shard, epoch } = takeover;
@@ -127,13 +134,18 @@
       const now = this.#parts.clock.wallTime();
       const current = record.takeovers.filter(({ untilMs }) => untilMs >= now);
       const isWhole = takeover.queues === undefined;
-      const kept = isWhole ? current.flatMap((each) => passOn(each, takeover, heirs)) : current;
-      const word = dataCentre === undefined ? undefined : record.words[dataCentre];
-      const words =
-        dataCentre === undefined || word === undefined
-          ? record.words
-          : { ...record.words, [dataCentre]: { ...word, taken: [...word.taken, shard] } };
-      return ok({ words, takeovers: [...kept, takeover] });
+      const kept = isWhole
+        ? current.flatMap((each) => passOn(each, takeover, successors))
+        : current;
+      const declaration = dataCentre === undefined ? undefined : record.declarations[dataCentre];
+      const declarations =
+        dataCentre === undefined || declaration === undefined
+          ? record.declarations
+          : {
+              ...record.declarations,
+              [dataCentre]: { ...declaration, taken: [...declaration.taken, shard] },
+            };
+      return ok({ declarations, takeovers: [...kept, takeover] });
     });
   }
 
@@ -143,7 +155,7 @@
    * @param requestId - identifier of the request
    * @param former - shard that held it
    * @param queue - its queue
-   * @param heir - shard that takes it
+   * @param successor - shard that takes it
    * @param deadlineMs - time until its deadline
    * @returns nothing; `notOwner` if another shard has it, or the former shard did not lose it or has an
    * owner again
@@ -152,14 +164,14 @@
     requestId: string,
     former: string,
     queue: string,
-    heir: string,
+    successor: string,
     deadlineMs: number,
   ): Promise<Result<void, Failure>> {
     const claim = await this.#readClaimEpoch(former);
     if (claim.isErr()) return err(claim.error);
     const edited = await this.#edit((book) => {
-      const known = book.findHeir(requestId);
-      if (known === heir) return ok(undefined);
+      const known = book.findSuccessor(requestId);
+      if (known === successor) return ok(undefined);
       if (known !== undefined) return err(createFailure('notOwner', `taken over by ${known}`));
       const covering = book.findTakeover(former, queue, -1);
       if (covering === undefined) {
@@ -170,10 +182,10 @@
         return err(createFailure('notOwner', `the shard ${former} has an owner again`));
       }
       const untilMs = Math.max(covering.untilMs, this.#parts.clock.wallTime() + deadlineMs);
-      const requests = { ...covering.requests, [requestId]: heir };
+      const requests = { ...covering.requests, [requestId]: successor };
       const replaced = { ...covering, untilMs, requests };
-      const { words, takeovers } = book.record;
-      return ok({ words, takeovers: takeovers.map((e) => (e === covering ? replaced : e)) });
+      const { declarations, takeovers } = book.record;
+      return ok({ declarations, takeovers: takeovers.map((e) => (e === covering ? replaced : e)) });
     });
     return edited.map(() => undefined);
   }
@@ -182,22 +194,22 @@
    * Notes that a shard has what it was given in its own journal.
    *
    * @param takeover - the takeover
-   * @param heir - the shard
+   * @param successor - the shard
    * @returns the record, or the failure
    */
   public noteInherited(
     { shard, epoch, atMs }: Takeover,
-    heir: string,
+    successor: string,
   ): Promise<Result<TakeoverBook, Failure>> {
     return this.#edit(({ record }) => {
       const isWanted = (each: Takeover): boolean =>
         each.shard === shard &&
         each.epoch === epoch &&
         each.atMs === atMs &&
-        !each.inheritedBy.includes(heir);
+        !each.inheritedBy.includes(successor);
       if (!record.takeovers.some(isWanted)) return ok(undefined);
       const takeovers = record.takeovers.map((each) =>
-        isWanted(each) ? { ...each, inheritedBy: [...each.inheritedBy, heir] } : each,
+        isWanted(each) ? { ...each, inheritedBy: [...each.inheritedBy, successor] } : each,
       );
       return ok({ ...record, takeovers });
     });
--- a/packages/core/src/describeLoss.ts
+++ b/packages/core/src/describeLoss.ts
@@ -43,12 +43,14 @@
  * @returns lines of text
  */
 export const describeLoss = (view: DataCentreView): readonly string[] => {
-  const { dataCentre, shards, heirs, word } = view;
+  const { dataCentre, shards, successors, declaration } = view;
   const known =
-    word === undefined ? [] : [`${word.author} declared it ${word.state} before (${dataCentre}).`];
+    declaration === undefined
+      ? []
+      : [`${declaration.author} declared it ${declaration.state} before (${dataCentre}).`];
   const takers =
-    heirs.length > 0
-      ? `Its work passes to: ${heirs.join(', ')}.`
+    successors.length > 0
+      ? `Its work passes to: ${successors.join(', ')}.`
       : 'No other data centre can be reached, so nobody could take its work over.';
   return [
     `Declaring ${dataCentre} lost says that none of its workers runs anything any more.`,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -109,7 +109,7 @@
 export { zeroResources } from './zeroResources.js';
 export { CutOffWatch } from './CutOffWatch.js';
 export { LostWork } from './LostWork.js';
-export { PledgeKeeper } from './PledgeKeeper.js';
+export { ReleaseTermsKeeper } from './ReleaseTermsKeeper.js';
 export { ShardTakeover } from './ShardTakeover.js';
 export { TakeoverBook } from './TakeoverBook.js';
 export { TakeoverEditor } from './TakeoverEditor.js';
--- a/packages/core/src/listReleasedQueues.ts
+++ b/packages/core/src/listReleasedQueues.ts
@@ -3,7 +3,7 @@
   /** Milliseconds per queue in the document in effect. */
   readonly releases: ReadonlyMap<string, number>;
   /** Milliseconds per queue that other data centres may rely on; undefined if that is not known. */
-  readonly pledged: ReadonlyMap<string, number>;
+  readonly published: ReadonlyMap<string, number>;
   /** Local monotonic time before the last contact of any owner of the shard with the store. */
   readonly contactAt: number;
   /** Local monotonic time. */
@@ -19,12 +19,12 @@
  */
 export const listReleasedQueues = ({
   releases,
-  pledged,
+  published,
   contactAt,
   now,
 }: CutOff): ReadonlySet<string> => {
   const released = new Set<string>();
-  for (const times of [releases, pledged]) {
+  for (const times of [releases, published]) {
     for (const [queue, ms] of times) if (now - contactAt >= ms) released.add(queue);
   }
   return released;
--- a/packages/core/src/planTakeover.ts
+++ b/packages/core/src/planTakeover.ts
@@ -17,7 +17,7 @@
   readonly entries: readonly JournalEntry[];
   readonly book: TakeoverBook;
   /** Shards of other data centres that have an owner, at least one. */
-  readonly heirs: readonly string[];
+  readonly successors: readonly string[];
   readonly wallMs: number;
 }
 
@@ -28,7 +28,7 @@
  * @returns the takeover to record
  */
 export const planTakeover = (situation: Situation): Takeover => {
-  const { shard, epoch, formerEpoch, queues, entries, book, heirs, wallMs } = situation;
+  const { shard, epoch, formerEpoch, queues, entries, book, successors, wallMs } = situation;
   const requests: Record<string, string> = {};
   let untilMs = wallMs + minKeptMs;
   let count = 0;
@@ -36,7 +36,7 @@
     const { id, queue, kind } = request;
     const isWanted = queues === undefined || queues.has(queue);
     if (isFinished || !isWanted || book.isTakenFrom(id, shard)) continue;
-    requests[id] = heirs[count % heirs.length] ?? shard;
+    requests[id] = successors[count % successors.length] ?? shard;
     count += 1;
     // The journal keeps the acceptance of a service without end, and the former owner must not load it.
     const lastMs = kind === 'service' ? Number.MAX_SAFE_INTEGER : deadlineAtMs;
--- a/packages/entry/src/DataCentreRoutes.ts
+++ b/packages/entry/src/DataCentreRoutes.ts
@@ -27,7 +27,7 @@
 /** Age of a load notice above which its owner counts as silent, in milliseconds. */
 const silenceMs = 5000;
 
-/** HTTP routes for an operator's word about a data centre. */
+/** HTTP routes for an operator's declaration about a data centre. */
 export class DataCentreRoutes {
   readonly #runtime: ProcessRuntime;
   readonly #authenticator: Authenticator;
@@ -76,7 +76,7 @@
       return;
     }
     const view = await this.#describe(name);
-    const checked = view.andThen((known) => this.#checkHeirs(change.value.state, known));
+    const checked = view.andThen((known) => this.#checkSuccessors(change.value.state, known));
     if (checked.isErr()) {
       context.sendFailure(checked.error);
       return;
@@ -94,9 +94,12 @@
     else context.sendJson(200, after.value);
   }
 
-  /** Without another data centre the word would only end the work. */
-  #checkHeirs(state: 'lost' | 'returned', { heirs }: DataCentreView): Result<void, Failure> {
-    if (state === 'returned' || heirs.length > 0) return ok(undefined);
+  /** Without another data centre the declaration would only end the work. */
+  #checkSuccessors(
+    state: 'lost' | 'returned',
+    { successors }: DataCentreView,
+  ): Result<void, Failure> {
+    if (state === 'returned' || successors.length > 0) return ok(undefined);
     const detail = 'no other data centre has a shard with a reachable owner to take the work over';
     return err(createFailure('noOwner', detail));
   }
@@ -120,17 +123,17 @@
       if (described.isErr()) return err(described.error);
       shards.push(described.value);
     }
-    const word = book.value.findWord(name);
+    const declaration = book.value.findDeclaration(name);
     return ok({
       dataCentre: name,
-      generation: word?.generation ?? 0,
-      ...(word === undefined ? {} : { word }),
+      generation: declaration?.generation ?? 0,
+      ...(declaration === undefined ? {} : { declaration }),
       shards,
-      heirs: this.#listHeirs(policy, name),
+      successors: this.#listSuccessors(policy, name),
     });
   }
 
-  #listHeirs(policy: Policy, lost: string): readonly string[] {
+  #listSuccessors(policy: Policy, lost: string): readonly string[] {
     return policy.shards.filter((shard) => {
       const isOther = policy.findDataCentre(shard) !== lost;
       return isOther && this.#router.findLoad(shard, silenceMs) !== undefined;
--- a/packages/entry/src/OwnerCalls.ts
+++ b/packages/entry/src/OwnerCalls.ts
@@ -16,7 +16,7 @@
 export class OwnerCalls {
   readonly #parts: CallParts;
   /** Shards that were asked to take attached requests over, by request. */
-  readonly #heirs = new Map<string, string>();
+  readonly #successors = new Map<string, string>();
 
   /** @param parts - what the calls work with */
   public constructor(parts: CallParts) {
@@ -30,8 +30,9 @@
    * @returns name of the shard
    */
   public findShard(requestId: string): string {
-    const heir = this.#parts.readTakeovers().findHeir(requestId) ?? this.#heirs.get(requestId);
-    return heir ?? requestId.split('.')[0] ?? '';
+    const successor =
+      this.#parts.readTakeovers().findSuccessor(requestId) ?? this.#successors.get(requestId);
+    return successor ?? requestId.split('.')[0] ?? '';
   }
 
   /**
@@ -40,8 +41,8 @@
    * @param requestId - identifier of the request
    * @param shard - name of the shard
    */
-  public noteHeir(requestId: string, shard: string): void {
-    this.#heirs.set(requestId, shard);
+  public noteSuccessor(requestId: string, shard: string): void {
+    this.#successors.set(requestId, shard);
   }
 
   /**
@@ -49,8 +50,8 @@
    *
    * @param requestId - identifier of the request
    */
-  public forgetHeir(requestId: string): void {
-    this.#heirs.delete(requestId);
+  public forgetSuccessor(requestId: string): void {
+    this.#successors.delete(requestId);
   }
 
   /**
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -362,14 +362,14 @@
     if (takeover === undefined || isBack) return undefined;
     // The journal of the lost shard has a detached request, and the record says who takes it.
     if (request.detached) return undefined;
-    for (const heir of router.orderShards(policy, request).slice(0, maxHops)) {
-      if (heir === shard) continue;
+    for (const successor of router.orderShards(policy, request).slice(0, maxHops)) {
+      if (successor === shard) continue;
       const remainingMs = submission.deadlineAt - clock.now();
-      this.#owners.noteHeir(id, heir);
-      const result = await this.#handIn(heir, submission, remainingMs, undefined);
+      this.#owners.noteSuccessor(id, successor);
+      const result = await this.#handIn(successor, submission, remainingMs, undefined);
       if (result.isOk()) return result;
       if (!passedOn.has(result.error.kind)) return undefined;
-      this.#owners.forgetHeir(id);
+      this.#owners.forgetSuccessor(id);
     }
     return undefined;
   }
@@ -431,7 +431,7 @@
         failures = 0;
       }
     }
-    if (isAnswered(answer.view)) this.#owners.forgetHeir(answer.view.id);
+    if (isAnswered(answer.view)) this.#owners.forgetSuccessor(answer.view.id);
     return ok(answer);
   }
 
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -309,8 +309,8 @@
   }
 
   #findHost(requestId: string): ShardHost | undefined {
-    const heir = this.#takeovers?.book.findHeir(requestId);
-    const host = heir === undefined ? undefined : this.#candidates.get(heir)?.host;
+    const successor = this.#takeovers?.book.findSuccessor(requestId);
+    const host = successor === undefined ? undefined : this.#candidates.get(successor)?.host;
     if (host !== undefined) return host;
     return this.#candidates.get(requestId.split('.')[0] ?? '')?.host;
   }
--- a/packages/scheduler/src/ShardCandidate.ts
+++ b/packages/scheduler/src/ShardCandidate.ts
@@ -45,7 +45,7 @@
   readonly listPeers: () => readonly Link[];
   /** Called after the ownership began or ended. */
   readonly onChange: () => void;
-  /** Whether another data centre takes the work of the shard over by an operator's word. */
+  /** Whether another data centre takes the work of the shard over by an operator's declaration. */
   readonly mustYield: () => boolean;
 }
 
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -490,7 +490,7 @@
     for (let tick = 0; this.#active; tick += 1) {
       if (this.#mayAct) {
         this.#checkCutOff();
-        if (this.#journalOpen) void this.#succession.keepPledge();
+        if (this.#journalOpen) void this.#succession.keepTerms();
         this.#shard.tick();
         this.#updateServing();
         if (this.#canCommit && tick % ticksPerRoster === 0)
--- a/packages/scheduler/src/TakeoverRunner.ts
+++ b/packages/scheduler/src/TakeoverRunner.ts
@@ -1,7 +1,7 @@
 import {
   CutOffWatch,
   parseRecord,
-  PledgeKeeper,
+  ReleaseTermsKeeper,
   ShardTakeover,
   TakeoverBook,
   TakeoverEditor,
@@ -12,7 +12,7 @@
 import { validators } from '@toucanline/schema';
 
 const pollMs = 1000;
-/** Age above which a load notice of an heir does not count, in milliseconds. */
+/** Age above which a load notice of a successor does not count, in milliseconds. */
 const silenceMs = 5000;
 /**
  * Interval of looking at the claim of a shard whose owner is heard of: it may be cut off from the store
@@ -41,8 +41,8 @@
   readonly #watches = new Map<string, CutOffWatch>();
   readonly #checkedAt = new Map<string, number>();
   #book = new TakeoverBook();
-  /** First sight of the newest word about the own data centre. */
-  #word: { readonly generation: number; readonly seenAt: number } | undefined;
+  /** First sight of the newest declaration about the own data centre. */
+  #declaration: { readonly generation: number; readonly seenAt: number } | undefined;
 
   /** @param parts - what the runner uses of the scheduler */
   public constructor(parts: RunnerParts) {
@@ -65,7 +65,7 @@
     const { runtime } = this.#parts;
     const wallMs = runtime.clock.wallTime();
     if (!this.#book.isPending(runtime.settings.dataCentre, shard, wallMs)) return false;
-    return runtime.clock.now() - (this.#word?.seenAt ?? -Infinity) < yieldMs;
+    return runtime.clock.now() - (this.#declaration?.seenAt ?? -Infinity) < yieldMs;
   }
 
   /**
@@ -88,9 +88,9 @@
   #applyBook(book: TakeoverBook): void {
     const { runtime, onBook } = this.#parts;
     this.#book = book;
-    const word = book.findWord(runtime.settings.dataCentre);
-    if (word !== undefined && word.generation !== this.#word?.generation) {
-      this.#word = { generation: word.generation, seenAt: runtime.clock.now() };
+    const declaration = book.findDeclaration(runtime.settings.dataCentre);
+    if (declaration !== undefined && declaration.generation !== this.#declaration?.generation) {
+      this.#declaration = { generation: declaration.generation, seenAt: runtime.clock.now() };
     }
     onBook(book);
   }
@@ -102,16 +102,16 @@
     for (const shard of policy.shards) {
       const dataCentre = policy.findDataCentre(shard) ?? '';
       if (dataCentre === runtime.settings.dataCentre) continue;
-      const heirs = this.#listHeirs(policy, dataCentre);
-      if (heirs.length === 0) continue;
+      const successors = this.#listSuccessors(policy, dataCentre);
+      if (successors.length === 0) continue;
       const isLost = this.#book.isPending(dataCentre, shard, runtime.clock.wallTime());
-      if (isLost) await this.#take(shard, { reason: 'word', dataCentre }, heirs);
-      else if (this.#isCheckDue(shard)) await this.#watch(shard, heirs);
+      if (isLost) await this.#take(shard, { reason: 'declaration', dataCentre }, successors);
+      else if (this.#isCheckDue(shard)) await this.#watch(shard, successors);
     }
   }
 
   /** Shards of other data centres with a live owner. */
-  #listHeirs(policy: Policy, lost: string): readonly string[] {
+  #listSuccessors(policy: Policy, lost: string): readonly string[] {
     const { router, runtime } = this.#parts;
     const wallMs = runtime.clock.wallTime();
     return policy.shards.filter((shard) => {
@@ -132,9 +132,9 @@
   }
 
   /** Counts the time for which a shard has no claim in the store. */
-  async #watch(shard: string, heirs: readonly string[]): Promise<void> {
+  async #watch(shard: string, successors: readonly string[]): Promise<void> {
     const { runtime } = this.#parts;
-    const pledge = new PledgeKeeper(runtime, shard);
+    const terms = new ReleaseTermsKeeper(runtime, shard);
     const holder = await runtime.store.read(`owners/${shard}`);
     if (holder.isErr()) return;
     if (holder.value.version !== 0) {
@@ -142,7 +142,7 @@
       return;
     }
     const claim = await runtime.store.read(`claims/${shard}`);
-    const read = await pledge.read();
+    const read = await terms.read();
     if (claim.isErr() || read.isErr()) return;
     const parsed = parseRecord(validators.Claim, claim.value.value ?? 'null');
     if (parsed.isErr()) return;
@@ -154,8 +154,8 @@
       {
         isClaimed: false,
         epoch: formerEpoch,
-        pledgeVersion: pledge.version,
-        pledged: pledge.pledged,
+        termsVersion: terms.version,
+        published: terms.published,
       },
       runtime.clock.now(),
     );
@@ -163,20 +163,24 @@
     if (taken === undefined) return;
     const queues = new Set([...due].filter((queue) => !taken.has(queue)));
     if (queues.size === 0) return;
-    const pledgeVersion = pledge.version;
-    await this.#take(shard, { reason: 'time', queues, epoch, formerEpoch, pledgeVersion }, heirs);
+    const termsVersion = terms.version;
+    await this.#take(
+      shard,
+      { reason: 'time', queues, epoch, formerEpoch, termsVersion },
+      successors,
+    );
   }
 
   async #take(
     shard: string,
     reason: Parameters<ShardTakeover['run']>[0],
-    heirs: readonly string[],
+    successors: readonly string[],
   ): Promise<void> {
     const { runtime, address } = this.#parts;
     const { settings, store, clock, random, recorder, invariant } = runtime;
     const { process } = settings;
     const parts = { store, clock, random, recorder, invariant, process, address };
-    const result = await new ShardTakeover(parts, shard).run(reason, heirs);
+    const result = await new ShardTakeover(parts, shard).run(reason, successors);
     if (result.isErr() && result.error.kind !== 'notOwner') {
       const { detail } = result.error;
       runtime.log.write('warn', 'cannot take the work of a shard over', { shard, detail });
--- a/packages/scheduler/src/WorkSuccession.ts
+++ b/packages/scheduler/src/WorkSuccession.ts
@@ -2,7 +2,7 @@
   createFailure,
   listReleasedQueues,
   periods,
-  PledgeKeeper,
+  ReleaseTermsKeeper,
   readJournal,
   TakeoverBook,
   TakeoverEditor,
@@ -35,12 +35,12 @@
  */
 export class WorkSuccession {
   readonly #parts: SuccessionParts;
-  readonly #pledge: PledgeKeeper;
+  readonly #terms: ReleaseTermsKeeper;
   readonly #takeovers: TakeoverEditor;
   #book = new TakeoverBook();
   #policy: Policy;
   #inheriting = false;
-  #pledging = false;
+  #publishing = false;
   /** Local monotonic time at which the first queue was given up. */
   #releasedAt: number | undefined;
 
@@ -51,7 +51,7 @@
   public constructor(parts: SuccessionParts, policy: Policy) {
     this.#parts = parts;
     this.#policy = policy;
-    this.#pledge = new PledgeKeeper(parts.runtime, parts.shard.name);
+    this.#terms = new ReleaseTermsKeeper(parts.runtime, parts.shard.name);
     this.#takeovers = new TakeoverEditor(parts.runtime);
   }
 
@@ -75,8 +75,8 @@
     if (book.isErr()) return book.error;
     this.#book = book.value;
     this.#parts.shard.applyTakeovers(book.value);
-    if (await this.#pledge.write(this.#policy.releases)) return undefined;
-    return createFailure('storeUnavailable', 'the pledge of the shard cannot be written');
+    if (await this.#terms.write(this.#policy.releases)) return undefined;
+    return createFailure('storeUnavailable', 'the release terms of the shard cannot be written');
   }
 
   /**
@@ -90,13 +90,13 @@
     return entries.filter((entry) => !this.#book.isTakenFrom(readEntryId(entry), name));
   }
 
-  /** Writes a changed pledge; until the store has it, the shorter of both times counts here. */
-  public async keepPledge(): Promise<void> {
+  /** Writes changed release terms; until the store has them, the shorter of both times counts here. */
+  public async keepTerms(): Promise<void> {
     const { releases } = this.#policy;
-    if (this.#pledging || this.#pledge.isInStep(releases)) return;
-    this.#pledging = true;
-    if (!(await this.#pledge.write(releases))) await this.#parts.runtime.clock.sleep(retryMs);
-    this.#pledging = false;
+    if (this.#publishing || this.#terms.isInStep(releases)) return;
+    this.#publishing = true;
+    if (!(await this.#terms.write(releases))) await this.#parts.runtime.clock.sleep(retryMs);
+    this.#publishing = false;
   }
 
   /**
@@ -109,7 +109,9 @@
     const { shard, runtime, isActive, onChange } = this.#parts;
     this.#inheriting = true;
     for (const takeover of book.listInheritances(shard.name)) {
-      const mine = Object.entries(takeover.requests).filter(([, heir]) => heir === shard.name);
+      const mine = Object.entries(takeover.requests).filter(
+        ([, successor]) => successor === shard.name,
+      );
       const entries = await readJournal(runtime.store, takeover.shard);
       if (entries.isErr() || !isActive()) continue;
       const isDone = shard.takeOver(entries.value, new Set(mine.map(([id]) => id)));
@@ -156,8 +158,8 @@
   public listReleased(contactAt: number): ReadonlySet<string> {
     const now = this.#parts.runtime.clock.now();
     const { releases } = this.#policy;
-    const { pledged } = this.#pledge;
-    const queues = listReleasedQueues({ releases, pledged, contactAt, now });
+    const { published } = this.#terms;
+    const queues = listReleasedQueues({ releases, published, contactAt, now });
     if (queues.size > 0) this.#releasedAt ??= now;
     return queues;
   }
