--- a/packages-private/testkit/__tests__/durability.test.ts
+++ b/packages-private/testkit/__tests__/durability.test.ts
@@ -48,6 +48,20 @@
     await sleep(1500);
   });
 
+  it('does not say that a request did not run because another owner wrote the journal', async () => {
+    // Guards against a refusal by a superseded owner of a request that the next owner gets and runs.
+    const former = owner()?.settings.process;
+    const { segments } = JSON.parse(site.store.peek('journals/s1').value ?? '{}') as {
+      readonly segments: readonly number[];
+    };
+    const key = `journal/s1/${String(segments.at(-1)).padStart(10, '0')}`;
+    site.store.put(key, site.store.peek(key).value ?? '');
+    const answer = await create(1).submit('renders', { size, command: 'echo y', detached: 'yes' });
+    expect(answer.problem.title).to.equal(undefined);
+    const { view } = await create(1).wait(answer.view.id, 20);
+    expect([former === undefined, view.output]).to.deep.equal([false, ['y']]);
+  });
+
   // Guards against 404 for a request whose caller got 202: nobody else knew of it.
   it('answers a request whose entry and owner are killed while it waits', async () => {
     const first = await create(1).submit('renders', long, { wait: 0 });
--- a/packages/core/src/Journal.ts
+++ b/packages/core/src/Journal.ts
@@ -206,8 +206,8 @@
     for (const entries of runs) {
       const segment = await this.#createSegment(next, entries);
       if (segment.isErr()) {
-        const { detail } = segment.error;
-        return err(createFailure('storeUnavailable', `no new journal segment: ${detail}`));
+        const { kind, detail } = segment.error;
+        return err(createFailure(kind, `no new journal segment: ${detail}`));
       }
       created.push(segment.value);
       this.#highest = segment.value.number;
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -545,11 +545,21 @@
   async #commit({ ticket, entry }: Extract<Effect, { effect: 'commit' }>): Promise<void> {
     let result = await this.#journal.append(entry);
     // Nobody waits for the end of a request to be committed, so it is repeated until it is.
-    while (ticket === 0 && result.isErr() && this.#isActive()) {
+    while (
+      ticket === 0 &&
+      result.isErr() &&
+      result.error.kind !== 'storeConflict' &&
+      this.#isActive()
+    ) {
       await this.#runtime.clock.sleep(retryMs);
       result = await this.#journal.append(entry);
     }
     if (!this.#isActive()) return;
+    if (result.isErr() && result.error.kind === 'storeConflict') {
+      // Another owner wrote the journal and may get the request too, so a refusal would prove nothing.
+      this.#ownership.onLost('another owner wrote the journal', this.#shard.epoch);
+      return;
+    }
     this.#shard.confirmCommit(ticket, result.isErr() ? result.error : undefined);
     this.#pump();
   }
