Show help and version of the daemons, and exit with 2 on invalid settings

Cause: the scripts of both daemons ran their oclif command without its configuration. `--help`, `--version`, a missing flag and an invalid settings file all ended with a stack trace and exit code 1, where the pages promise text and code 2. No test ran the daemons with anything but valid settings.

Change: the scripts use `execute`, and each package names its single command. The two commands were the same but for role and daemon; what they share is the abstract `DaemonCommand` of the runtime package.

--- a/packages-private/testkit/src/DaemonProcess.ts
+++ b/packages-private/testkit/src/DaemonProcess.ts
@@ -1,19 +1,14 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { createRequire } from 'node:module';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import type { ProcessSettings } from '@toucanline/schema';
 import { stringify } from 'smol-toml';
+import { findProgram } from './findProgram.js';
 
-const require = createRequire(import.meta.url);
 const programs = {
-  entry: require
-    .resolve('@toucanline/entry')
-    .replace(/index\.js$/, join('bin', 'toucanline-entry.js')),
-  scheduler: require
-    .resolve('@toucanline/scheduler')
-    .replace(/index\.js$/, join('bin', 'toucanline-scheduler.js')),
+  entry: findProgram('entry', 'toucanline-entry'),
+  scheduler: findProgram('scheduler', 'toucanline-scheduler'),
 };
 const maxLogLines = 5000;
 const startTimeoutMs = 15_000;
--- /dev/null
+++ b/packages-private/testkit/src/findProgram.ts
@@ -0,0 +1,14 @@
+import { createRequire } from 'node:module';
+import { join } from 'node:path';
+
+const require = createRequire(import.meta.url);
+
+/**
+ * Finds the script of a program.
+ *
+ * @param workspace - package that has it
+ * @param name - name of the program
+ * @returns path of the built script
+ */
+export const findProgram = (workspace: 'cli' | 'entry' | 'scheduler', name: string): string =>
+  require.resolve(`@toucanline/${workspace}`).replace(/index\.js$/, join('bin', `${name}.js`));
--- a/packages/entry/src/bin/toucanline-entry.ts
+++ b/packages/entry/src/bin/toucanline-entry.ts
@@ -1,4 +1,4 @@
 #!/usr/bin/env node
-import { EntryCommand } from '../EntryCommand.js';
+import { execute } from '@oclif/core';
 
-await EntryCommand.run();
+await execute({ dir: import.meta.url });
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -5,12 +5,11 @@
  */
 export { addHealthRoutes } from './addHealthRoutes.js';
 export { Daemon } from './Daemon.js';
+export { DaemonCommand } from './DaemonCommand.js';
 export { hashText } from './hashText.js';
-export { loadSettings } from './loadSettings.js';
 export { Log } from './Log.js';
 export { Metrics } from './Metrics.js';
 export { PeerSet } from './PeerSet.js';
 export { ProcessRuntime } from './ProcessRuntime.js';
-export { runDaemon } from './runDaemon.js';
 export { SystemClock } from './SystemClock.js';
 export { SystemRandom } from './SystemRandom.js';
--- a/packages/scheduler/src/bin/toucanline-scheduler.ts
+++ b/packages/scheduler/src/bin/toucanline-scheduler.ts
@@ -1,4 +1,4 @@
 #!/usr/bin/env node
-import { SchedulerCommand } from '../SchedulerCommand.js';
+import { execute } from '@oclif/core';
 
-await SchedulerCommand.run();
+await execute({ dir: import.meta.url });
