Keep the state of an owner over an outage of the store

An owner whose store lease expired in an outage dropped its state when the store was back and claimed the shard anew, or a peer took it.

Change: an owner whose lease expired claims the shard again and hands its state to itself, if the new epoch follows its own, it holds a majority of the worker leases, and it gave no queue up. A peer that finds the claim without a holder leaves it for 1.5 s to an owner that gives signs of life; the owner tries each 250 ms during an outage. Without the store, the candidate with the first name tries 20 s before the others. Candidates look at a claim each 4 s instead of 5 s, so that a peer still supersedes an owner that only it cannot reach the store within 10 s.

--- /dev/null
+++ b/packages-private/testkit/__tests__/outage.test.ts
@@ -0,0 +1,50 @@
+import { expect } from 'chai';
+import { Caller, exampleDocument, Site, sleep, waitUntil } from '../src/index.js';
+
+const size = { processors: 1, memoryMb: 512, accelerators: 0 };
+/** Longer than the store lease of a claim. */
+const outageMs = 4000;
+
+describe('an outage of the store that outlasts the lease of a claim', () => {
+  const site = new Site({
+    document: exampleDocument,
+    dataCentres: ['dc1'],
+    entriesPerDataCentre: 2,
+    schedulersPerDataCentre: 3,
+    workersPerDataCentre: 2,
+    teams: ['broadcast'],
+  });
+  const create = (index: number): Caller =>
+    new Caller(() => site.entries[index]?.url ?? '', 'key-broadcast');
+  const readOwner = (): string => site.store.peek('owners/s1').value?.split(' ')[0] ?? '';
+
+  before(() => site.start());
+  after(() => site.stop());
+
+  it('leaves the shard to its live owner, with the results that the journal misses', async () => {
+    // Guards against an owner that forgets the results of the outage when it claims the shard again, and against a
+    // peer that takes the shard from it at that moment: the results were readable by id until then.
+    const ids: string[] = [];
+    for (let round = 0; round < 3; round += 1) {
+      const owner = readOwner();
+      site.store.setFault('down');
+      await sleep(outageMs);
+      const sent = ['renders', 'rosters'].map((queue) =>
+        create(0).submit(queue, { size, command: 'echo kept' }, { wait: 10 }),
+      );
+      for (const { view } of await Promise.all(sent)) {
+        expect(view.output).to.deep.equal(['kept']);
+        ids.push(view.id);
+      }
+      site.store.setFault('none');
+      await waitUntil(() => readOwner() !== '', 10_000, 'the shard is claimed again');
+      expect(readOwner()).to.equal(owner);
+      for (const id of ids) {
+        const { view } = await create(1).wait(id, 10);
+        expect([view.state, view.output]).to.deep.equal(['succeeded', ['kept']]);
+        expect(site.ledger.countStarts(id)).to.equal(1);
+      }
+    }
+    expect(site.ledger.violations).to.deep.equal([]);
+  });
+});
--- a/packages/core/__tests__/ClaimKeeper.test.ts
+++ b/packages/core/__tests__/ClaimKeeper.test.ts
@@ -51,6 +51,19 @@
     expect(keeper.standing).to.equal('unsettled');
   });
 
+  it('leaves a claim without a holder to its last one as long as that is asked for', async () => {
+    // Guards against a peer that takes a shard whose owner was only without the store for a while.
+    const { clock, create } = setUp();
+    await create('one').acquire();
+    clock.advance(3000);
+    const peer = create('two');
+    expect((await peer.acquire(0, true))._unsafeUnwrapErr().kind).to.equal('notOwner');
+    expect(peer.isVacant).to.equal(true);
+    expect((await create('one').acquire())._unsafeUnwrap().epoch).to.equal(2);
+    await peer.acquire(0, true);
+    expect(peer.isVacant).to.equal(false);
+  });
+
   it('counts the last contact from before a message that proved a claim of its data centre', async () => {
     // Guards against an owner that goes on longer than other data centres expect after it was cut off.
     const { clock, store, create } = setUp();
--- a/packages/core/src/ClaimKeeper.ts
+++ b/packages/core/src/ClaimKeeper.ts
@@ -13,6 +13,8 @@
 const reliedFraction = 0.99;
 /** Pause before a renewal whose outcome decides whether the owner may act. */
 const urgentRenewalMs = 100;
+/** Pause before a renewal while the store does not answer: its owner has to be back before a peer takes the claim. */
+const outageRenewalMs = 250;
 /** Reads that settle a write whose answer was lost. */
 const maxReadBacks = 3;
 
@@ -38,6 +40,7 @@
   #validUntil = 0;
   #isUnreachable = false;
   #contactAt = -Infinity;
+  #isVacant = false;
 
   /**
    * @param parts - what the keeper works with
@@ -66,22 +69,30 @@
     return this.#contactAt;
   }
 
+  /** Whether nobody held the claim when it was last read. */
+  public get isVacant(): boolean {
+    return this.#isVacant;
+  }
+
   /**
    * Tries to take the claim once.
    *
    * @param minEpoch - highest epoch that workers or peers reported; the new epoch is above it
-   * @returns the claim under a new epoch; `notOwner` if another process holds it; a store failure
+   * @param isReserved - whether a claim that nobody holds is left to its last holder
+   * @returns the claim under a new epoch; `notOwner` if another process holds it or it is reserved; a store failure
    */
-  public async acquire(minEpoch = 0): Promise<Result<Claim, Failure>> {
+  public async acquire(minEpoch = 0, isReserved = false): Promise<Result<Claim, Failure>> {
     const { store, clock, recorder, random } = this.#parts;
     const key = `owners/${this.#shard}`;
     const readAt = clock.now();
     const holder = await store.read(key);
     if (holder.isErr()) return err(holder.error);
+    this.#isVacant = holder.value.value === undefined;
     if (holder.value.version !== 0 && holder.value.value !== undefined) {
       if (!holder.value.value.startsWith(ClaimKeeper.takeoverMark)) this.#contactAt = readAt;
       return err(createFailure('notOwner', `held by ${holder.value.value}`));
     }
+    if (isReserved) return err(createFailure('notOwner', 'left to the last owner, which is alive'));
     const askedAt = clock.now();
     const lease = await store.grantLease(periods.claimLeaseMs);
     if (lease.isErr()) return err(lease.error);
@@ -114,7 +125,7 @@
   public async keep(isWanted: () => boolean): Promise<string> {
     const { store, clock, recorder } = this.#parts;
     while (isWanted()) {
-      await clock.sleep(this.standing === 'unsettled' ? urgentRenewalMs : periods.claimRenewalMs);
+      await clock.sleep(this.#chooseRenewalMs());
       const lease = this.#lease;
       if (lease === undefined || !isWanted()) break;
       const askedAt = clock.now();
@@ -143,6 +154,12 @@
     if (lease !== undefined) await this.#parts.store.revokeLease(lease);
   }
 
+  #chooseRenewalMs(): number {
+    const { standing } = this;
+    if (standing === 'confirmed') return periods.claimRenewalMs;
+    return standing === 'unsettled' ? urgentRenewalMs : outageRenewalMs;
+  }
+
   /** Writes a unique value; a lost answer is settled by reading back. */
   async #writeOnce(
     key: string,
--- a/packages/scheduler/src/ShardCandidate.ts
+++ b/packages/scheduler/src/ShardCandidate.ts
@@ -14,12 +14,22 @@
  * and shards these reads would be most of the store's load. Two missing heartbeats end the rest, before
  * the claim of a dead owner expires.
  */
-const restMs = 5000;
+const restMs = 4000;
 const ownerSilenceMs = 2000;
+/**
+ * How long a claim that expired is left to an owner that gives signs of life, and how often it is looked at
+ * meanwhile. The owner may have been without the store, like this process; it tries to claim its shard again
+ * after 1.3 s at the latest, and only it knows the results that the journal missed.
+ */
+const renewalGraceMs = 1500;
+const vacancyPollMs = 250;
 /** Interval of attempts while the owner hands the shard over, and how long they go on. */
 const handoverPollMs = 20;
 const handoverWaitMs = 3000;
 const handoverTimeoutMs = 1000;
+/** How long an owner whose store lease expired tries to claim its shard again with its state, and how often. */
+const resumeMs = 3000;
+const resumePollMs = 100;
 /** Bound of the time in which finished requests are sent before the owner stops to act. */
 const prepareMs = 3000;
 /** Finished requests in one part; describing them takes a few milliseconds. */
@@ -28,7 +38,11 @@
 const silenceMs = 4000;
 /** Attempts in a row that the store left unanswered, so that a pause alone does not look like an outage. */
 const minUnanswered = 3;
-/** Time without a majority of worker leases after which a provisional ownership is given up. */
+/**
+ * Time without a majority of worker leases after which a provisional ownership is given up. For as long, a
+ * candidate leaves the attempt to the one with the first name: candidates that try at the same time split
+ * the workers, and each makes the others stand down by a higher epoch.
+ */
 const noMajorityMs = 20_000;
 const provisionalPollMs = 500;
 
@@ -67,6 +81,8 @@
   /** Highest epoch that any message named. */
   #highestEpoch = 0;
   #unanswered = 0;
+  /** Local monotonic time since which the claim was seen without a holder, in milliseconds. */
+  #vacantSince: number | undefined;
   #lastAnswerAt: number;
 
   /**
@@ -92,11 +108,11 @@
 
   /** Claims the shard again and again until the candidate is stopped. */
   public async run(): Promise<void> {
-    const { clock, random } = this.#parts.runtime;
+    const { clock } = this.#parts.runtime;
     while (this.#wanted) {
       const policy = this.#parts.readPolicy();
       if (this.#mayRest || clock.now() < this.#yieldUntil) {
-        await this.#waker.sleep(pollMs * (0.5 + random.next() / 2));
+        await this.#waker.sleep(this.#drawPollMs());
         continue;
       }
       const mayClaim = policy !== undefined && !this.#parts.mustYield();
@@ -105,8 +121,7 @@
       else if (mayClaim && this.#mayTryWithoutStore) {
         await this.#serveWithoutStore(policy);
       }
-      const isExpected = clock.now() < this.#handoverUntil;
-      await this.#waker.sleep(isExpected ? handoverPollMs : pollMs * (0.5 + random.next() / 2));
+      await this.#waker.sleep(this.#choosePauseMs());
     }
   }
 
@@ -161,10 +176,22 @@
     this.#waker.wake();
   }
 
+  #drawPollMs(): number {
+    return pollMs * (0.5 + this.#parts.runtime.random.next() / 2);
+  }
+
+  #choosePauseMs(): number {
+    if (this.#parts.runtime.clock.now() < this.#handoverUntil) return handoverPollMs;
+    return this.#vacantSince !== undefined && this.#hasLivePeer
+      ? vacancyPollMs
+      : this.#drawPollMs();
+  }
+
   /** Whether a peer owns the shard for all that is known, by the store and by its signs of life. */
   get #mayRest(): boolean {
     const { clock } = this.#parts.runtime;
-    if (this.#unanswered > 0 || clock.now() < this.#handoverUntil) return false;
+    if (this.#unanswered > 0 || this.#vacantSince !== undefined) return false;
+    if (clock.now() < this.#handoverUntil) return false;
     const isRecent = clock.now() - this.#lastAnswerAt < restMs;
     return isRecent && this.#parts.router.hasOwner(this.#shard, ownerSilenceMs);
   }
@@ -174,13 +201,21 @@
     return this.#wanted;
   }
 
+  /** A method for the same reason. */
+  #isHost(host: ShardHost): boolean {
+    return this.#host === host;
+  }
+
   async #acquire(): Promise<Claim | undefined> {
     const { clock } = this.#parts.runtime;
     this.#noteEpoch(this.#parts.router.findLoad(this.#shard)?.epoch ?? 0);
-    const claim = await this.#keeper.acquire(this.#highestEpoch);
+    const vacantMs = clock.now() - (this.#vacantSince ?? clock.now());
+    const isReserved = this.#hasLivePeer && vacantMs < renewalGraceMs;
+    const claim = await this.#keeper.acquire(this.#highestEpoch, isReserved);
     if (claim.isOk() || claim.error.kind === 'notOwner') {
       this.#unanswered = 0;
       this.#lastAnswerAt = clock.now();
+      this.#vacantSince = this.#keeper.isVacant ? (this.#vacantSince ?? clock.now()) : undefined;
     } else this.#unanswered += 1;
     if (claim.isErr()) {
       this.#noteFailure(claim.error);
@@ -202,17 +237,66 @@
   }
 
   async #serve(claim: Claim, policy: Policy): Promise<void> {
-    this.#startHost(claim, policy, false);
-    await this.#keeper.keep(() => this.#wanted || this.#isPreparing);
-    if (this.#isWanted()) this.#endHost();
+    let next: Claim | undefined = claim;
+    while (next !== undefined) {
+      this.#startHost(next, this.#parts.readPolicy() ?? policy, false);
+      await this.#keeper.keep(() => this.#wanted || this.#isPreparing);
+      if (!this.#isWanted()) return;
+      next = await this.#resume();
+      this.#endHost();
+    }
+  }
+
+  /**
+   * Claims the shard again after the store lease expired. The state passes to the new ownership if no other
+   * owner can have acted: the workers have forgotten tasks whose end was acknowledged, and the journal
+   * misses the results of an outage.
+   */
+  async #resume(): Promise<Claim | undefined> {
+    const host = this.#host;
+    if (host?.canResume() !== true) return undefined;
+    const claim = await this.#acquireWithin(resumeMs);
+    if (claim === undefined) return undefined;
+    if (!this.#isHost(host) || !host.canResume()) {
+      await this.#keeper.release();
+      return undefined;
+    }
+    for (const call of divideSnapshot(await host.freeze())) this.#inbox.add(call);
+    return claim;
+  }
+
+  /** Tries to claim the shard for a time while the store does not answer. */
+  async #acquireWithin(ms: number): Promise<Claim | undefined> {
+    const { clock } = this.#parts.runtime;
+    const endsAt = clock.now() + ms;
+    let claim = await this.#acquire();
+    while (claim === undefined && this.#unanswered > 0 && clock.now() < endsAt) {
+      await clock.sleep(resumePollMs);
+      claim = await this.#acquire();
+    }
+    return claim;
   }
 
   /** Whether neither the store nor an owner was heard of for a while. */
   get #mayTryWithoutStore(): boolean {
     const { runtime, gateway } = this.#parts;
-    const isSilent = runtime.clock.now() - this.#lastAnswerAt > silenceMs;
-    const isDown = isSilent && this.#unanswered >= minUnanswered;
-    return this.#wanted && gateway.fences && isDown && !this.#seesOwner();
+    const silentMs = runtime.clock.now() - this.#lastAnswerAt;
+    const isDown = silentMs > silenceMs && this.#unanswered >= minUnanswered;
+    const isTurn = this.#isFirstCandidate || silentMs > silenceMs + noMajorityMs;
+    return this.#wanted && gateway.fences && isDown && isTurn && !this.#seesOwner();
+  }
+
+  /** Whether another process owns the shard by its own signs of life. */
+  get #hasLivePeer(): boolean {
+    const { router, runtime } = this.#parts;
+    const isOwn = router.findLoad(this.#shard)?.owner === runtime.settings.process;
+    return !isOwn && router.hasOwner(this.#shard, ownerSilenceMs);
+  }
+
+  /** Whether no scheduler of the data centre that this process has a link to comes before it by name. */
+  get #isFirstCandidate(): boolean {
+    const { process } = this.#parts.runtime.settings;
+    return this.#parts.listPeers().every((link) => process < (link.peer?.process ?? ''));
   }
 
   #seesOwner(): boolean {
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -167,6 +167,16 @@
     return this.isServing && !this.#ownership.provisional && isConfirmed;
   }
 
+  /**
+   * Checks whether the state may pass to a new claim of this process.
+   *
+   * @returns true if nobody else can have owned the shard since
+   */
+  public canResume(): boolean {
+    const isWhole = this.isServing && this.#shard.isRecovered && !this.#succession.hasReleased;
+    return isWhole && !this.#ownership.provisional && this.#shard.holdsMajority;
+  }
+
   /** Whether this process still acts as the owner. */
   public get isActive(): boolean {
     return this.#active;
--- a/packages/scheduler/src/WorkSuccession.ts
+++ b/packages/scheduler/src/WorkSuccession.ts
@@ -55,6 +55,11 @@
     this.#takeovers = new TakeoverEditor(parts.runtime);
   }
 
+  /** Whether work was given up because the data centre was cut off. */
+  public get hasReleased(): boolean {
+    return this.#releasedAt !== undefined;
+  }
+
   /**
    * Applies a new policy.
    *
