Read messages of a newer version during a rolling upgrade

Cause: every validator refused unknown fields. A process with one more field in a notice or a stored record made each process of the older version close its links or refuse the record, so an upgrade had to stop the site.

Change: the generator makes tolerant validators for what other processes and the platform write (unknown fields and events pass) and keeps strict ones for what people and callers write.

--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -84,6 +84,27 @@
   );
 };
 
+// What people and callers write: an unknown field is a mistake there, and is refused.
+const strictNames = new Set([
+  'ClientSettings',
+  'ConfigurationChange',
+  'DataCentreChange',
+  'Document',
+  'DrainState',
+  'KeyGrant',
+  'ProcessSettings',
+  'RequestSpecification',
+]);
+
+// What other processes of ours or the platform write. Versions run side by side during a rolling upgrade, so
+// a field or an event that only the newer one knows must not make the older one refuse the whole message.
+const createTolerant = (definitions) => {
+  const copy = JSON.parse(JSON.stringify(definitions), (key, value) =>
+    key === 'additionalProperties' && value === false ? undefined : value,
+  );
+  return { ...copy, EventName: { type: 'string', maxLength: 64 } };
+};
+
 const createAjv = (definitions, allErrors) => {
   const ajv = new Ajv2020({
     code: { source: true, lines: true },
@@ -93,14 +114,16 @@
     strict: true,
     allowUnionTypes: true,
   });
-  ajv.addSchema({ $id: 'toucanline', $defs: definitions });
+  ajv.addSchema({ $id: 'strict', $defs: definitions });
+  ajv.addSchema({ $id: 'tolerant', $defs: createTolerant(definitions) });
   return ajv;
 };
 
 const generateValidators = (definitions) => {
   const ajv = createAjv(definitions, false);
   const names = Object.keys(definitions).sort();
-  const exports = Object.fromEntries(names.map((name) => [name, `toucanline#/$defs/${name}`]));
+  const locate = (name) => `${strictNames.has(name) ? 'strict' : 'tolerant'}#/$defs/${name}`;
+  const exports = Object.fromEntries(names.map((name) => [name, locate(name)]));
   const code = standalone.default(ajv, exports);
   // Only the checker of documents collects all errors: for input from the network the first one is enough.
   const checkerCode = standalone.default(createAjv(definitions, true), {
