Draw silent links in the chaos program

Cause: the chaos program drew no silent links, the fault in which a link stays open and carries nothing; the open cells of the fault matrix named it.

Change: each scheduler of the chaos site is published through a FaultProxy. A new fault silences the open links to one scheduler, those of one data centre or of all, once or twice in a row.

--- a/packages-private/testkit/src/Chaos.ts
+++ b/packages-private/testkit/src/Chaos.ts
@@ -56,7 +56,7 @@
       );
       return { outcomes: judge.outcomes, violations: judge.violations, log };
     } finally {
-      await site.site.stop();
+      await site.stop();
     }
   }
 }
--- a/packages-private/testkit/src/ChaosFaults.ts
+++ b/packages-private/testkit/src/ChaosFaults.ts
@@ -6,6 +6,8 @@
 
 const pauseMs = 5000;
 const hostListLagMs = 3000;
+/** Pause before new links are silenced as well; a silent link is replaced within 3 s. */
+const silenceMs = 4000;
 
 /** Faults that come and go, one or two at a time. */
 export class ChaosFaults {
@@ -56,6 +58,7 @@
       ['scheduler', () => this.#replace('scheduler')],
       ['scheduler', () => this.#pauseScheduler()],
       ['entry', () => this.#replace('entry')],
+      ['links', () => this.#silenceLinks()],
       ['store', () => this.#breakStore()],
       ['store', () => this.#breakStore()],
       ['hosts', () => this.#lagHosts()],
@@ -86,6 +89,18 @@
     this.#print(`SIGCONT of ${daemon.settings.process}`);
   }
 
+  /** Once or twice, because the links that replace silent ones may go silent too. */
+  async #silenceLinks(): Promise<void> {
+    const { process } = this.#random.pick(this.#site.listDaemons('scheduler')).settings;
+    const dataCentre = this.#random.pick([undefined, ...this.#site.dataCentres]);
+    const times = 1 + this.#random.drawInteger(2);
+    for (let time = 0; time < times; time += 1) {
+      this.#print(`silent links from ${dataCentre ?? 'all'} to ${process}`);
+      this.#site.silenceLinks(process, dataCentre);
+      await sleep(silenceMs);
+    }
+  }
+
   async #breakStore(): Promise<void> {
     const fault = this.#random.pick(['down', 'hang', 'none', 'loseAnswers'] as const);
     const delayMs = fault === 'none' ? 800 : 0;
--- a/packages-private/testkit/src/ChaosSite.ts
+++ b/packages-private/testkit/src/ChaosSite.ts
@@ -1,6 +1,7 @@
 import type { Assignment } from '@toucanline/schema';
 import type { DaemonProcess } from './DaemonProcess.js';
 import { exampleDocument } from './exampleDocument.js';
+import { FaultProxy } from './FaultProxy.js';
 import { Site } from './Site.js';
 
 const highestLimit = { processors: 40, memoryMb: 120_000, accelerators: 8 };
@@ -11,6 +12,8 @@
   public readonly site: Site;
   readonly #daemons = new Map<string, DaemonProcess>();
   readonly #starts = new Map<string, number>();
+  /** Proxies in front of the schedulers, by process. */
+  readonly #links = new Map<string, FaultProxy>();
   #replaced = 0;
 
   public constructor() {
@@ -21,6 +24,7 @@
       schedulersPerDataCentre: 2,
       workersPerDataCentre: 4,
       teams: ['planning', 'broadcast'],
+      publishScheduler: (address, process) => this.#publishScheduler(address, process),
     });
     this.site.ledger.setLimits(new Map([['planning', highestLimit]]));
     const noteStart = this.site.ledger.noteStart.bind(this.site.ledger);
@@ -49,6 +53,26 @@
       this.#daemons.set(daemon.settings.process, daemon);
   }
 
+  /** Ends the site. */
+  public async stop(): Promise<void> {
+    await this.site.stop();
+    for (const proxy of this.#links.values()) proxy.stop();
+  }
+
+  /**
+   * Silences the open links to a scheduler: they stay open and carry nothing. New links work.
+   *
+   * @param process - name of the scheduler
+   * @param dataCentre - whose links; those of all data centres if absent
+   */
+  public silenceLinks(process: string, dataCentre?: string): void {
+    this.#links
+      .get(process)
+      ?.setFaults((dialer) =>
+        dataCentre === undefined || dialer === dataCentre ? 'silence' : 'none',
+      );
+  }
+
   /**
    * Lists the daemons that run.
    *
@@ -92,6 +116,8 @@
     this.#daemons.delete(name);
     await pause();
     this.site.hosts.remove(name);
+    this.#links.get(name)?.stop();
+    this.#links.delete(name);
     this.#replaced += 1;
     const newName = `${role.charAt(0)}x${this.#replaced}-${dataCentre}`;
     const next =
@@ -114,6 +140,17 @@
     return count;
   }
 
+  async #publishScheduler(address: string, process: string): Promise<string> {
+    const proxy = new FaultProxy(
+      () => address,
+      // The first frame of a link introduces the dialling process with its data centre.
+      (first) => this.dataCentres.find((name) => first.includes(name)) ?? '',
+    );
+    this.#links.set(process, proxy);
+    await proxy.start();
+    return proxy.address;
+  }
+
   #countStart({ request, index }: Assignment): void {
     const text = /echo (\S+)/.exec(request.command)?.[1];
     if (text === undefined) return;
