Say that a record is missing, not that there is no such request

Cause: an owner answered 404 `unknownRequest` for each id that it does not know. After the loss of a request that was answered 202 with `durable: false` (its entry and its owner fail together, which the design allows), or after its record expired, a caller reads that as "there never was such a request", although it may have run.

Change: a new kind `recordMissing` (410, `ran: unknown`). Only the first owner of a shard, before a record can have expired, answers `unknownRequest`; a later one answers `timeout` for the 10 s in which entries hand in what they hold, as before, and then `recordMissing`. The decision is a function of its own with a test. The view that an entry makes up for a request whose owner did not answer says `durable: false`. The chaos load reports both kinds as a lost request, so the check sees what it saw before.

Conclusion: the answer after an allowed loss is honest.

--- a/packages-private/testkit/src/ChaosLoad.ts
+++ b/packages-private/testkit/src/ChaosLoad.ts
@@ -23,6 +23,9 @@
   'unauthenticated',
 ];
 
+/** Problems that say that no process has a record of a request whose id was told before. */
+const lostKinds: readonly ErrorKind[] = ['unknownRequest', 'recordMissing'];
+
 /** Mixed load of several callers of two teams at the entries of both data centres. */
 export class ChaosLoad {
   readonly #site: ChaosSite;
@@ -155,7 +158,7 @@
       const answer = await (cancels ? caller.cancel(id) : caller.wait(id, 2)).catch(
         () => undefined,
       );
-      if (answer?.status === 404) {
+      if (answer !== undefined && lostKinds.includes(answer.problem.title)) {
         const traits = `${record.detached ? 'detached' : 'attached'}, keyed ${String(record.keyed)}`;
         this.#judge.report(
           `${id} of ${record.text} (${record.queue}, ${traits}) is lost: ${JSON.stringify(answer.problem)}`,
--- a/packages/cli/src/suggestNext.ts
+++ b/packages/cli/src/suggestNext.ts
@@ -14,7 +14,9 @@
   noOwner: 'Look at the owners: toucanline shards.',
   overloaded: 'Try again later, or look at the queues: toucanline shards.',
   unknownQueue: 'Look at the queues of the document: toucanline config diff FILE.',
-  unknownRequest: 'Check the identifier; records are kept for 10 minutes after the end.',
+  unknownRequest: 'Check the identifier.',
+  recordMissing:
+    'Check the identifier; records are kept for 10 minutes after the end. It may have run: look at the results of its tasks.',
   unknownWorker: 'Look at the workers: toucanline workers.',
   unknownKey: 'Look at the keys: toucanline key list.',
   unknownRevision: 'Look at the revisions: toucanline config history.',
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -51,6 +51,9 @@
 /** Failures after which the shard may hold the request. */
 const undecided: ReadonlySet<Failure['kind']> = new Set(['linkLost', 'timeout']);
 
+/** Failures of an owner that has no record of a request. */
+const unrecorded: ReadonlySet<Failure['kind']> = new Set(['unknownRequest', 'recordMissing']);
+
 /** States of a request that has ended. */
 const finalStates: ReadonlySet<RequestView['state']> = new Set([
   'succeeded',
@@ -80,6 +83,7 @@
   ran: 'unknown',
   attempt: 0,
   tasks: [],
+  durable: false,
   reason: 'the owner of the shard has not answered yet',
 });
 
@@ -299,7 +303,7 @@
     if (this.#mayRecover(failure)) return true;
     const changedAt = this.#parts.router.findOwnerChange(requestId.split('.')[0] ?? '');
     const isRecent = this.#parts.clock.now() - changedAt < resubmissionMs;
-    return failure.kind === 'unknownRequest' && isRecent;
+    return unrecorded.has(failure.kind) && isRecent;
   }
 
   /** That a question about a request reached no owner does not tell whether the request ran. */
--- /dev/null
+++ b/packages/scheduler/__tests__/explainUnknown.test.ts
@@ -0,0 +1,27 @@
+import { createFailure, errorTable, periods } from '@toucanline/core';
+import { expect } from 'chai';
+import { explainUnknown } from '../src/explainUnknown.js';
+
+describe('the answer about a request that the owner of a shard does not know', () => {
+  const explain = (epoch: number, servedMs: number, hasJournal = true): string =>
+    explainUnknown(createFailure('unknownRequest', ''), { epoch, servedMs, hasJournal }).kind;
+
+  it('is "no such request" only from the first owner, before records expire', () => {
+    // Guards against 404 for a request that was answered 202 and then lost with its entry and its owner.
+    expect(explain(1, 0)).to.equal('unknownRequest');
+    expect(explain(1, periods.retentionMs)).to.equal('recordMissing');
+    expect(explain(2, 10_000)).to.equal('recordMissing');
+    expect(errorTable.recordMissing).to.include({ status: 410, ran: 'unknown', retry: false });
+  });
+
+  it('stays open until the entries and the journal have told what they hold', () => {
+    // Guards against an answer that a request is lost which its entry is about to hand in.
+    expect(explain(2, 9999)).to.equal('timeout');
+    expect(explain(2, 60_000, false)).to.equal('timeout');
+  });
+
+  it('leaves other failures as they are', () => {
+    const failure = createFailure('linkLost', '');
+    expect(explainUnknown(failure, { epoch: 2, servedMs: 0, hasJournal: true })).to.equal(failure);
+  });
+});
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -25,6 +25,7 @@
 } from '@toucanline/schema';
 import type { ProcessRuntime } from '@toucanline/runtime';
 import { err, type Result } from 'neverthrow';
+import { explainUnknown } from './explainUnknown.js';
 import { RequestWaiters } from './RequestWaiters.js';
 import type { SnapshotInbox } from './SnapshotInbox.js';
 import { WorkerDriver } from './WorkerDriver.js';
@@ -41,8 +42,6 @@
 const quiescePollMs = 2;
 /** Longest wait for the journal before the state is told without it; shorter than the margin of a call. */
 const journalWaitMs = 1000;
-/** Time within which each entry has handed in what it holds to a new owner. */
-const resubmissionMs = 10_000;
 
 /** The right by which a process acts as the owner. */
 interface Ownership {
@@ -310,18 +309,17 @@
       await this.#waitForJournal(requestId, journalWaitMs - waitedMs);
     }
     const result = this.#shard.read(requestId, team);
-    return this.#reply(handsIn ? result : result.mapErr((failure) => this.#doubt(failure)));
+    return this.#reply(
+      handsIn ? result : result.mapErr((failure) => this.#explainUnknown(failure)),
+    );
   }
 
-  /**
-   * Without the journal of the earlier owners, and until the entries have handed in what they hold, it is not
-   * known whether a request exists.
-   */
-  #doubt(failure: Failure): Failure {
-    const isNew = this.#runtime.clock.now() - this.#servingAt < resubmissionMs;
-    const hasEarlier = this.#shard.epoch > 1 && (isNew || !this.#journalOpen);
-    if (!hasEarlier || failure.kind !== 'unknownRequest') return failure;
-    return createFailure('timeout', 'the new owner of the shard may not know the request yet', 1);
+  #explainUnknown(failure: Failure): Failure {
+    return explainUnknown(failure, {
+      epoch: this.#shard.epoch,
+      servedMs: this.#runtime.clock.now() - this.#servingAt,
+      hasJournal: this.#journalOpen,
+    });
   }
 
   /** A store that cannot be reached is not waited for. */
@@ -342,7 +340,8 @@
     if (!this.#mayAct || !this.#serving) return this.#replyLost();
     const result = this.#shard.cancel(requestId, team);
     this.#pump();
-    if (result.isErr()) return this.#reply(result.mapErr((failure) => this.#doubt(failure)));
+    if (result.isErr())
+      return this.#reply(result.mapErr((failure) => this.#explainUnknown(failure)));
     // Waiting work ends at once, and its end is told once the journal has it.
     await this.#waitForJournal(requestId, journalWaitMs);
     return this.#reply(this.#shard.read(requestId, team));
