--- a/packages/entry/__tests__/RequestService.test.ts
+++ b/packages/entry/__tests__/RequestService.test.ts
@@ -157,6 +157,23 @@
     expect(calls.length).to.be.greaterThan(before);
   });
 
+  it('holds a service that runs until the journal has it', async () => {
+    // Guards against a service that is lost with its owner and its worker although its entry lives.
+    const running = { kind: 'service', state: 'running', ran: 'yes', durable: false } as const;
+    const { service, calls, clock } = createService([
+      answer(1, 1, running),
+      answer(1, 1, running),
+      fail('unknownRequest'),
+      answer(2, 1, { kind: 'service' }),
+      answer(2, 1, { ...running, durable: true }),
+    ]);
+    expect((await submit(service))._unsafeUnwrap()).to.include({ state: 'running' });
+    while (clock.now() < 60_000 && calls.length < 5) await clock.sleep(1000);
+    expect(calls.filter(({ call }) => call === 'submit').at(-1)).to.include({ heldEpoch: 1 });
+    await clock.sleep(5000);
+    expect(calls.length).to.equal(5);
+  });
+
   it('does not say that a request did not run because its owner cannot be reached', async () => {
     // Guards against the meaning of the transport's "not sent" for a question about a request.
     const { service } = createService([err(createFailure('noOwner', ''))]);
--- a/packages/entry/src/RequestService.ts
+++ b/packages/entry/src/RequestService.ts
@@ -399,8 +399,9 @@
   }
 
   /**
-   * Waits for the answer. An owner that does not know the request gets it again, together with the epoch
-   * of the owner that held it: that is proof for neither a start nor its absence.
+   * Waits for the answer, and with `keep` also until the journal has a service that runs. An owner that does
+   * not know the request gets it again, together with the epoch of the owner that held it: that is proof for
+   * neither a start nor its absence.
    */
   async #waitForAnswer(
     shard: string,
@@ -413,7 +414,9 @@
     /** Highest epoch of an owner of the shard that may hold the request. */
     let heldEpoch = first.epoch;
     let failures = 0;
-    while (!isAnswered(answer.view) && clock.now() < submission.waitUntil) {
+    const isOpen = ({ view }: OwnerAnswer): boolean =>
+      !isAnswered(view) || (keep && this.#mustKeep(view));
+    while (isOpen(answer) && clock.now() < submission.waitUntil) {
       const waitMs = Math.min(sliceMs, submission.waitUntil - clock.now());
       heldEpoch = Math.max(heldEpoch, router.findLoad(shard)?.epoch ?? 0);
       const result = await this.#ask(submission, answer, { waitMs, keep });
@@ -433,6 +436,8 @@
       } else {
         answer = result.value;
         failures = 0;
+        // The owner of a service that runs answers at once, also if the journal does not have it.
+        if (isOpen(answer) && isAnswered(answer.view)) await clock.sleep(maxRetryMs);
       }
     }
     if (isAnswered(answer.view)) this.#owners.forgetSuccessor(answer.view.id);
