Split the request service along its jobs

The sets of failures, the times and the delay of retries are in files of their own. No behaviour changes.

The 9 tests of the entry pass before and after.

--- /dev/null
+++ b/packages/entry/src/ServiceParts.ts
@@ -0,0 +1,13 @@
+import type { Clock, EventRecorder, RandomSource, Router, TakeoverBook } from '@toucanline/core';
+import type { PeerSet } from '@toucanline/runtime';
+
+/** What the parts of the request service work with. */
+export interface ServiceParts {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly recorder: EventRecorder;
+  readonly router: Router;
+  readonly peers: Pick<PeerSet, 'call'>;
+  /** Reads what passed from lost data centres to others. */
+  readonly readTakeovers: () => TakeoverBook;
+}
--- /dev/null
+++ b/packages/entry/src/chooseRetryDelay.ts
@@ -0,0 +1,14 @@
+import { periods, type RandomSource } from '@toucanline/core';
+import { serviceTimes } from './serviceTimes.js';
+
+/**
+ * Chooses an exponential delay with jitter, so that the entries do not return to a new owner at once.
+ *
+ * @param random - source of the jitter
+ * @param failures - attempts that failed before
+ * @returns the delay in milliseconds
+ */
+export const chooseRetryDelay = (random: RandomSource, failures: number): number => {
+  const delayMs = Math.min(periods.firstRetryMs * 2 ** failures, serviceTimes.maxRetryMs);
+  return delayMs * (0.5 + random.next() / 2);
+};
