Split the host of a shard along its jobs

Change: ShardHost composes the parts of one ownership and passes inputs on; OwnerPhase says what the process may do at this moment; ShardJournal loads and commits; RequestCalls answers entries; EffectRunner decides and executes; HostTimer keeps time. The keeper of allotments is created last, because it tells the first allotments from its constructor. No behaviour changes.

The 8 tests of the scheduler, durability.test (5), ownership.test (6) and fencing.test (1) pass.

--- /dev/null
+++ b/packages/scheduler/src/HostTimer.ts
@@ -0,0 +1,79 @@
+import type { Shard } from '@toucanline/core';
+import type { ProcessRuntime } from '@toucanline/runtime';
+import type { Ownership } from './Ownership.js';
+import type { OwnerPhase } from './OwnerPhase.js';
+import type { ShardJournal } from './ShardJournal.js';
+import type { WorkSuccession } from './WorkSuccession.js';
+
+const tickMs = 250;
+/** Ticks between looks at the workers that the next owner has to know of. */
+const ticksPerRoster = 4;
+
+/** What the timer works with. */
+interface TimerParts {
+  readonly runtime: Pick<ProcessRuntime, 'clock' | 'recorder'>;
+  readonly shard: Shard;
+  readonly ownership: Ownership;
+  readonly phase: OwnerPhase;
+  readonly journal: ShardJournal;
+  readonly succession: WorkSuccession;
+  /** Called after the shard heard of the passage of time. */
+  readonly onChange: () => void;
+}
+
+/** Tells a shard the passage of time, and decides when its owner begins to serve and gives work up. */
+export class HostTimer {
+  readonly #parts: TimerParts;
+
+  /** @param parts - what the timer works with */
+  public constructor(parts: TimerParts) {
+    this.#parts = parts;
+  }
+
+  /** Runs until the ownership ends. */
+  public async run(): Promise<void> {
+    const { runtime, shard, phase, journal, succession, onChange } = this.#parts;
+    for (let tick = 0; phase.isActive; tick += 1) {
+      if (phase.mayAct) {
+        this.#checkCutOff();
+        if (journal.isOpen) void succession.keepTerms();
+        shard.tick();
+        this.updateServing();
+        if (tick % ticksPerRoster === 0) journal.saveRoster();
+      }
+      onChange();
+      await runtime.clock.sleep(tickMs);
+    }
+  }
+
+  /** Requests are taken once the journal is loaded, or without it while the store is unreachable. */
+  public updateServing(): void {
+    const { runtime, shard, ownership, phase, journal } = this.#parts;
+    if (phase.hasServed) return;
+    const isAlone = phase.isWithoutStore && shard.holdsMajority;
+    if (!journal.isOpen && !isAlone) return;
+    phase.beginServing();
+    ownership.onServing();
+    if (!journal.isOpen) shard.skipJournal();
+    if (ownership.provisional) {
+      const { shard: name, epoch } = ownership.claim;
+      const detail = 'provisional, by a majority of the leases of the workers';
+      runtime.recorder.record('claimTaken', { shard: name, epoch, detail });
+    }
+  }
+
+  /** Gives queues up whose time without store contact has passed; a later contact needs a new claim. */
+  #checkCutOff(): void {
+    const { shard, ownership, journal, succession } = this.#parts;
+    const contactAt = ownership.readContact();
+    if (succession.isOutdated(contactAt)) {
+      ownership.onLost('the data centre was cut off and gave work up', shard.epoch);
+      return;
+    }
+    const queues = succession.listReleased(contactAt);
+    if (queues.size === 0) return;
+    // An end of given-up work must not enter the journal: other data centres decide about it.
+    journal.close();
+    shard.release(queues);
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/Ownership.ts
@@ -0,0 +1,17 @@
+import type { ClaimStanding } from '@toucanline/core';
+import type { Claim } from '@toucanline/schema';
+
+/** The right by which a process acts as the owner. */
+export interface Ownership {
+  readonly claim: Claim;
+  /** True if taken without the store. */
+  readonly provisional: boolean;
+  /** Reads what is known about the store lease at this moment. */
+  readonly readStanding: () => ClaimStanding;
+  /** Reads the local monotonic time before the last contact of an owner with the store. */
+  readonly readContact: () => number;
+  /** Called once requests may be submitted. */
+  readonly onServing: () => void;
+  /** Called once a worker proves that it accepted another owner. */
+  readonly onLost: (detail: string, epoch: number) => void;
+}
--- /dev/null
+++ b/packages/scheduler/src/RequestCalls.ts
@@ -0,0 +1,172 @@
+import { createFailure, type Clock, type Shard } from '@toucanline/core';
+import type { Failure, ReplyBody, RequestView, SubmitCall, WaitCall } from '@toucanline/schema';
+import type { Result } from 'neverthrow';
+import { explainUnknown } from './explainUnknown.js';
+import type { OwnerPhase } from './OwnerPhase.js';
+import { RequestWaiters } from './RequestWaiters.js';
+import type { ShardJournal } from './ShardJournal.js';
+import type { WorkSuccession } from './WorkSuccession.js';
+
+/** Interval between looks at a commit that an entry waits for. */
+const commitPollMs = 250;
+/** Longest wait for the journal before the state is told without it; shorter than the margin of a call. */
+const journalWaitMs = 1000;
+
+/** What the calls work with. */
+interface CallParts {
+  readonly clock: Clock;
+  readonly shard: Shard;
+  readonly phase: OwnerPhase;
+  readonly journal: ShardJournal;
+  readonly succession: WorkSuccession;
+  /** Called after the shard took a call. */
+  readonly onChange: () => void;
+}
+
+/** Answers the calls of entries about requests. */
+export class RequestCalls {
+  readonly #parts: CallParts;
+  readonly #waiters = new RequestWaiters();
+
+  /** @param parts - what the calls work with */
+  public constructor(parts: CallParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Wakes the calls that wait for a request.
+   *
+   * @param requestId - identifier of the request that changed
+   */
+  public notify(requestId: string): void {
+    this.#waiters.notify(requestId);
+  }
+
+  /** Wakes all calls, because the ownership ended. */
+  public notifyAll(): void {
+    this.#waiters.notifyAll();
+  }
+
+  /**
+   * Takes a request; a journaled one is answered after its commit.
+   *
+   * @param offered - the request
+   * @returns its state, or the failure
+   */
+  public async submit(offered: SubmitCall): Promise<ReplyBody> {
+    const { shard, succession, onChange } = this.#parts;
+    const call = this.#attach(offered);
+    const refused = this.#checkReady(call);
+    if (refused !== undefined) return { reply: 'failure', failure: refused };
+    const taken = await succession.takeAttached(call);
+    if (taken !== undefined) return { reply: 'failure', failure: taken };
+    if (!this.#isActive()) return this.#replyLost();
+    const result = shard.submit(call);
+    onChange();
+    if (result.isErr()) return { reply: 'failure', failure: result.error };
+    const { id, team } = result.value;
+    while (this.#isActive() && shard.isCommitting(id)) await this.#waiters.wait(id, commitPollMs);
+    return this.#reply(shard.read(id, team));
+  }
+
+  /**
+   * Waits until a request is answered.
+   *
+   * @param requestId - identifier of the request
+   * @param team - team of the caller; undefined for an operator
+   * @param waitMs - longest wait in milliseconds
+   * @param options - `keep`: whether the request shall be in the journal, because its caller stops to wait;
+   * `handsIn`: whether the sender hands it in if it is not known here
+   * @returns its state, or the failure
+   */
+  public async wait(
+    requestId: string,
+    team: string | undefined,
+    waitMs: number,
+    { keep = false, handsIn = false }: Pick<WaitCall, 'keep' | 'handsIn'> = {},
+  ): Promise<ReplyBody> {
+    const { clock, shard, phase, onChange } = this.#parts;
+    if (!phase.hasServed) return this.#replyLost();
+    shard.noteWanted(requestId);
+    if (keep && phase.mayAct) shard.keep(requestId);
+    onChange();
+    const isDone = (): boolean => !phase.isActive || shard.isSettled(requestId);
+    const startedAt = clock.now();
+    await this.#waiters.waitUntil(requestId, waitMs, isDone);
+    if (keep) await this.#waitForJournal(requestId, journalWaitMs - (clock.now() - startedAt));
+    const result = shard.read(requestId, team);
+    return this.#reply(
+      handsIn ? result : result.mapErr((failure) => this.#explainUnknown(failure)),
+    );
+  }
+
+  /**
+   * Cancels a request.
+   *
+   * @param requestId - identifier of the request
+   * @param team - team of the caller; undefined for an operator
+   * @returns its state, or the failure
+   */
+  public async cancel(requestId: string, team: string | undefined): Promise<ReplyBody> {
+    const { shard, phase, onChange } = this.#parts;
+    if (!phase.mayAct || !phase.hasServed) return this.#replyLost();
+    const result = shard.cancel(requestId, team);
+    onChange();
+    if (result.isErr())
+      return this.#reply(result.mapErr((failure) => this.#explainUnknown(failure)));
+    // Waiting work ends at once, and its end is told once the journal has it.
+    await this.#waitForJournal(requestId, journalWaitMs);
+    return this.#reply(shard.read(requestId, team));
+  }
+
+  /** A store that cannot be reached is not waited for. */
+  async #waitForJournal(requestId: string, waitMs: number): Promise<void> {
+    const { shard, phase, journal } = this.#parts;
+    if (!journal.canCommit) return;
+    const isDone = (): boolean => !phase.isActive || shard.isJournalSettled(requestId);
+    await this.#waiters.waitUntil(requestId, waitMs, isDone);
+  }
+
+  #explainUnknown(failure: Failure): Failure {
+    const { shard, phase, journal } = this.#parts;
+    const { servedMs } = phase;
+    return explainUnknown(failure, { epoch: shard.epoch, servedMs, hasJournal: journal.isOpen });
+  }
+
+  /** A method, because the compiler would take a field as unchanged over an await. */
+  #isActive(): boolean {
+    return this.#parts.phase.isActive;
+  }
+
+  #reply(result: Result<RequestView, Failure>): ReplyBody {
+    const { shard, phase } = this.#parts;
+    if (!phase.isActive || !phase.isStanding) return this.#replyLost();
+    if (result.isErr()) return { reply: 'failure', failure: result.error };
+    return { reply: 'view', view: result.value, epoch: shard.epoch };
+  }
+
+  /** The outcome stays open for the entry, which asks the next owner. */
+  #replyLost(): ReplyBody {
+    const detail = `the shard ${this.#parts.shard.name} may have another owner`;
+    return { reply: 'failure', failure: createFailure('linkLost', detail) };
+  }
+
+  /** Without the store, a request that prefers to be detached is taken like one whose caller waits. */
+  #attach(call: SubmitCall): SubmitCall {
+    if (call.detached !== 'prefer' || this.#parts.journal.canCommit) return call;
+    return { ...call, request: { ...call.request, detached: false } };
+  }
+
+  #checkReady({ request, heldEpoch }: SubmitCall): Failure | undefined {
+    const { shard, phase, journal } = this.#parts;
+    if (!phase.isOpen) return createFailure('notOwner', 'the owner changes');
+    if (!phase.isStanding || !phase.hasServed) {
+      return createFailure('notReady', 'the owner of the shard is starting', 1);
+    }
+    if (journal.canCommit || !shard.isJournaled(request)) return undefined;
+    // A request that an earlier owner may hold is answered once the journal tells about it.
+    return heldEpoch === undefined
+      ? createFailure('storeUnavailable', 'the journal of the shard cannot be reached', 1)
+      : createFailure('timeout', 'the journal of the shard cannot be reached');
+  }
+}
