Draw the links to silence from a list without undefined

Change: the draw has the word `all` instead. The fault matrix names the chaos program for silent links.

--- a/packages-private/testkit/src/ChaosFaults.ts
+++ b/packages-private/testkit/src/ChaosFaults.ts
@@ -92,11 +92,11 @@
   /** Once or twice, because the links that replace silent ones may go silent too. */
   async #silenceLinks(): Promise<void> {
     const { process } = this.#random.pick(this.#site.listDaemons('scheduler')).settings;
-    const dataCentre = this.#random.pick([undefined, ...this.#site.dataCentres]);
+    const from = this.#random.pick(['all', ...this.#site.dataCentres]);
     const times = 1 + this.#random.drawInteger(2);
     for (let time = 0; time < times; time += 1) {
-      this.#print(`silent links from ${dataCentre ?? 'all'} to ${process}`);
-      this.#site.silenceLinks(process, dataCentre);
+      this.#print(`silent links from ${from} to ${process}`);
+      this.#site.silenceLinks(process, from === 'all' ? undefined : from);
       await sleep(silenceMs);
     }
   }
