Hand in what a former owner knows to the next owner

Cause: a request that was answered 202 with `durable: false` was lost although its owner lived. No owner knew it, and after 10 s it was answered 404.

The next owner may be a peer or the same process.

Conclusion: this loss was not the allowed one, because the owner had not failed.

--- a/packages-private/testkit/__tests__/durability.test.ts
+++ b/packages-private/testkit/__tests__/durability.test.ts
@@ -81,6 +81,30 @@
     expect(site.ledger.violations).to.deep.equal([]);
   });
 
+  // Guards against the loss of a request that its owner knows but forgets when its store lease expires.
+  it('answers a request whose entry is killed and whose owner lost its claim', async () => {
+    const entry = await site.addEntry('dc1', 'extra-dc1');
+    await entry.waitUntilHealthy();
+    const busy = { size, command: 'sleep 12000', deadlineSeconds: 60 };
+    const first = await create(1).submit('renders', busy, { wait: 0 });
+    site.store.setFault('hang');
+    const { view } = await new Caller(() => entry.url, 'key-broadcast').submit(
+      'renders',
+      { size, command: 'echo relayed', deadlineSeconds: 60 },
+      { wait: 0 },
+    );
+    expect(view).to.include({ state: 'waiting', durable: false });
+    entry.signal('SIGKILL');
+    await sleep(4000);
+    site.store.setFault('none');
+    let last = await create(1).wait(view.id, 20);
+    for (let asked = 0; last.view.output === undefined && asked < 2; asked += 1)
+      last = await create(1).wait(view.id, 20);
+    expect(last.view.output, JSON.stringify(last)).to.deep.equal(['relayed']);
+    expect(site.ledger.countStarts(first.view.id)).to.equal(1);
+    expect(site.ledger.violations).to.deep.equal([]);
+  });
+
   // Guards against a second start by an owner whose host list misses the worker that runs the task.
   it('adopts a task on a worker that the host list misses', async () => {
     const worker = site.workers[0];
--- a/packages/core/src/Acceptance.ts
+++ b/packages/core/src/Acceptance.ts
@@ -149,6 +149,11 @@
     this.#keeps.set(this.#writeAccepted(record), record);
   }
 
+  /** Requests whose callers stopped to wait and that the journal does not certainly have. */
+  public get unkept(): readonly RequestRecord[] {
+    return [...new Set([...this.#keeps.values(), ...this.#unkept])];
+  }
+
   /** Writes again what the store did not take. */
   public tick(): void {
     const now = this.#context.clock.now();
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -18,6 +18,7 @@
 import { addResources } from './addResources.js';
 import { Admission } from './Admission.js';
 import { createFailure } from './createFailure.js';
+import { createHandIns } from './createHandIns.js';
 import { createSnapshot } from './createSnapshot.js';
 import { describeFinished } from './describeFinished.js';
 import { Dispatcher } from './Dispatcher.js';
@@ -415,6 +416,20 @@
     if (record !== undefined) this.#acceptance.keep(record);
   }
 
+  /**
+   * Describes the requests that only this owner and their entries know, although their callers stopped to wait.
+   *
+   * @returns the calls that hand them in to the next owner
+   */
+  public describeUnkept(): readonly SubmitCall[] {
+    // What passed to other data centres is not in the table any more, or its queue was given up.
+    const own = this.#acceptance.unkept.filter(
+      (record) =>
+        this.#table.find(record.id) === record && !this.#lost.isReleased(record.request.queue),
+    );
+    return createHandIns(this.#context, own);
+  }
+
   /**
    * Whether the journal has what is known about a request, or certainly will not have it for now.
    *
--- a/packages/scheduler/src/ShardCandidate.ts
+++ b/packages/scheduler/src/ShardCandidate.ts
@@ -3,6 +3,7 @@
 import type { Claim, Failure, HandoverCall, HeldRequest, HostRecord } from '@toucanline/schema';
 import type { Link } from '@toucanline/wire';
 import { divideSnapshot } from './divideSnapshot.js';
+import { RequestRelay } from './RequestRelay.js';
 import { ShardHost } from './ShardHost.js';
 import { SnapshotInbox } from './SnapshotInbox.js';
 import { surveyEpochs } from './surveyEpochs.js';
@@ -57,6 +58,7 @@
   readonly #keeper: ClaimKeeper;
   readonly #waker: Waker;
   readonly #inbox: SnapshotInbox;
+  readonly #relay: RequestRelay;
   #host: ShardHost | undefined;
   #wanted = true;
   /** Whether the owner still acts while a peer gets the finished requests. */
@@ -82,6 +84,14 @@
     this.#keeper = new ClaimKeeper(runtime, shard, runtime.settings.process, address);
     this.#waker = new Waker(runtime.clock);
     this.#inbox = new SnapshotInbox(runtime.clock);
+    this.#relay = new RequestRelay({
+      clock: runtime.clock,
+      router: parts.router,
+      process: runtime.settings.process,
+      listPeers: parts.listPeers,
+      readHost: () => this.#host,
+      isWanted: () => this.#wanted,
+    });
     this.#lastAnswerAt = runtime.clock.now();
   }
 
@@ -204,7 +214,7 @@
   async #serve(claim: Claim, policy: Policy): Promise<void> {
     this.#startHost(claim, policy, false);
     await this.#keeper.keep(() => this.#wanted || this.#isPreparing);
-    if (this.#isWanted()) this.#endHost();
+    if (this.#isWanted()) this.#loseHost();
   }
 
   /** Whether neither the store nor an owner was heard of for a while. */
@@ -264,7 +274,9 @@
         onServing: onChange,
         onLost: (detail, epoch) => {
           this.#noteEpoch(epoch);
-          if (this.#host === host) void this.#giveUp(detail);
+          if (this.#host !== host) return;
+          this.#loseHost();
+          void this.#giveUp(detail);
         },
       },
       policy,
@@ -284,6 +296,13 @@
     await this.#keeper.release();
   }
 
+  /** Ends an ownership that was lost: the next owner gets what only this process and an entry know. */
+  #loseHost(): void {
+    const calls = this.#host?.shard.describeUnkept() ?? [];
+    this.#endHost();
+    void this.#relay.run(calls);
+  }
+
   #mayHandOver(host: ShardHost): boolean {
     const isSettled = host.isServing && host.shard.isRecovered;
     return this.#wanted && isSettled && this.#keeper.standing === 'confirmed';
