Keep an operator's drain over failovers; answer it honestly on a dead link

Cause: an entry sent a drain once over each open link and took every missing answer for "no such worker". With the link to the owner silent the operator got 404 unknownWorker, ran: no, after 2 s.

Change: the entry asks the owner of each shard (the call names the shard), repeats the call for up to 8 s while an answer is missing, and answers unknownWorker only if all owners said so, timeout (ran: unknown, retry) otherwise. The owner writes drained workers to its roster before it answers; `durable` in the answer says whether the store has it, and the command line warns if not. A new owner reads both. An ended drain stays ended, because the roster has that as well.

A provisional owner (store down, former owner dead) does not know drains until the store answers; noted under known gaps.

--- a/packages-private/testkit/src/Ledger.ts
+++ b/packages-private/testkit/src/Ledger.ts
@@ -70,6 +70,15 @@
     this.#leavingSince.set(worker, performance.now());
   }
 
+  /**
+   * Notes that a worker may take work again.
+   *
+   * @param worker - name of the worker
+   */
+  public noteReturned(worker: string): void {
+    this.#leavingSince.delete(worker);
+  }
+
   /**
    * Notes a start command, which a worker that is leaving may still refuse.
    *
--- a/packages/cli/src/DrainCommand.ts
+++ b/packages/cli/src/DrainCommand.ts
@@ -51,6 +51,11 @@
         validator: validators.DrainState,
       }),
     );
+    if (!state.durable) {
+      this.log(
+        'The store does not answer: the change is lost if the owner of the shard fails before it does.',
+      );
+    }
     this.log('Done. See what still runs there: toucanline workers.');
     return state;
   }
--- a/packages/core/src/Fleet.ts
+++ b/packages/core/src/Fleet.ts
@@ -13,6 +13,8 @@
   #list: readonly WorkerRecord[] | undefined;
   /** Workers of the former owner that the host list misses; kept until they are accounted for. */
   readonly #inherited = new Set<string>();
+  /** Workers that operators drained, also those that have not joined yet. */
+  readonly #drained = new Set<string>();
   #version = 0;
   #claimed = true;
   #kept = zeroResources;
@@ -107,6 +109,7 @@
       const isKept = listed.has(worker.id) || this.#inherited.has(worker.id);
       if (isKept || !isGone || worker.tasks.length > 0) continue;
       this.#workers.delete(worker.id);
+      this.#drained.delete(worker.id);
       this.#list = undefined;
       this.index.delete(worker);
       this.#context.recorder.record('workerLost', { worker: worker.id });
@@ -144,6 +147,24 @@
       .map(({ host }) => host);
   }
 
+  /** Names of the workers that operators drained. */
+  public get drained(): readonly string[] {
+    return [...this.#drained];
+  }
+
+  /**
+   * Starts or ends an operator's drain.
+   *
+   * @param id - name of the worker, which may join later
+   * @param drained - whether it shall take no new work
+   */
+  public setDrained(id: string, drained: boolean): void {
+    if (drained) this.#drained.add(id);
+    else this.#drained.delete(id);
+    this.#workers.get(id)?.setDrained(drained);
+    this.touch();
+  }
+
   /**
    * Applies the report of a worker to its record.
    *
@@ -181,6 +202,7 @@
       this.index.update(changed);
     });
     worker.keepPerAccelerator(this.#kept);
+    if (this.#drained.has(host.id)) worker.setDrained(true);
     this.#workers.set(host.id, worker);
     this.#list = undefined;
     this.#context.emit({ effect: 'poll', worker: host.id });
--- a/packages/core/src/FleetRoster.ts
+++ b/packages/core/src/FleetRoster.ts
@@ -1,11 +1,11 @@
-import { validators, type Failure, type HostRecord } from '@toucanline/schema';
+import { validators, type Failure, type HostRecord, type Roster } from '@toucanline/schema';
 import { ok, type Result } from 'neverthrow';
 import { decodeStored } from './decodeStored.js';
 import type { Store } from './Store.js';
 
 /**
  * Workers of one shard in the store. The host list lags, so a new owner may miss a worker that runs tasks of
- * the former one; it reads here whom the former one leased.
+ * the former one; it reads here whom the former one leased and which workers operators drained.
  */
 export class FleetRoster {
   readonly #store: Store;
@@ -28,18 +28,18 @@
   }
 
   /**
-   * Reads the workers of the former owner.
+   * Reads what the former owner wrote.
    *
-   * @returns the workers, or a store failure
+   * @returns its leased and its drained workers, or a store failure
    */
-  public async load(): Promise<Result<readonly HostRecord[], Failure>> {
+  public async load(): Promise<Result<Pick<Roster, 'workers' | 'drained'>, Failure>> {
     const current = await this.#store.read(this.#key);
     return current.andThen((stored) => {
       const { version } = stored;
       return decodeStored(validators.Roster)(stored).andThen((roster) => {
         this.#version = version;
         this.#isLoaded = true;
-        return ok(roster?.workers ?? []);
+        return ok(roster ?? { workers: [] });
       });
     });
   }
@@ -49,10 +49,13 @@
    * version was read back.
    *
    * @param workers - workers that are leased
+   * @param drained - names of workers that operators drained
+   * @returns true if the store certainly has exactly this
    */
-  public async save(workers: readonly HostRecord[]): Promise<void> {
-    const content = JSON.stringify({ shard: this.#shard, epoch: this.#epoch, workers });
-    if (this.#isWriting || content === this.#written) return;
+  public async save(workers: readonly HostRecord[], drained: readonly string[]): Promise<boolean> {
+    const roster: Roster = { shard: this.#shard, epoch: this.#epoch, workers, drained };
+    const content = JSON.stringify(roster);
+    if (this.#isWriting || content === this.#written) return content === this.#written;
     this.#isWriting = true;
     if (!this.#isLoaded) await this.load();
     if (this.#isLoaded) {
@@ -64,6 +67,7 @@
       }
     }
     this.#isWriting = false;
+    return content === this.#written;
   }
 
   get #key(): string {
--- a/packages/core/src/InheritedWork.ts
+++ b/packages/core/src/InheritedWork.ts
@@ -90,7 +90,8 @@
    *
    * @param snapshot - its state when it stopped to act
    */
-  public restoreSnapshot({ requests, reports }: ShardSnapshot): void {
+  public restoreSnapshot({ drained, requests, reports }: ShardSnapshot): void {
+    for (const worker of drained) this.#parts.fleet.setDrained(worker, true);
     const now = this.#context.clock.now();
     const open: RequestRecord[] = [];
     const cancelled: RequestRecord[] = [];
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -8,6 +8,7 @@
   RequestView,
   Resources,
   ShardLoad,
+  Roster,
   ShardSnapshot,
   ShardStatus,
   SubmitCall,
@@ -287,9 +288,14 @@
    * Loads the journal of earlier owners.
    *
    * @param entries - entries, oldest first
-   * @param workers - workers that the former owner leased: the host list may miss one that runs its tasks
+   * @param roster - workers that the former owner leased, of which the host list may miss one that runs its
+   * tasks, and those that operators drained
    */
-  public loadJournal(entries: readonly JournalEntry[], workers: readonly HostRecord[] = []): void {
+  public loadJournal(
+    entries: readonly JournalEntry[],
+    { workers, drained = [] }: Pick<Roster, 'workers' | 'drained'> = { workers: [] },
+  ): void {
+    for (const worker of drained) this.#fleet.setDrained(worker, true);
     if (!this.#recovery.isComplete) this.#fleet.inherit(workers);
     this.#inherited.loadJournal(entries);
   }
@@ -365,6 +371,11 @@
     return this.#fleet.listLeased();
   }
 
+  /** Names of the workers that operators drained. */
+  public get drained(): readonly string[] {
+    return this.#fleet.drained;
+  }
+
   /** Serves without the journal of earlier owners, because the store cannot be reached. */
   public skipJournal(): void {
     this.#recovery.noteJournal();
@@ -502,8 +513,7 @@
     if (worker === undefined) {
       return err(createFailure('unknownWorker', `no worker ${workerId} in ${this.name}`));
     }
-    worker.setDrained(drained);
-    this.#fleet.touch();
+    this.#fleet.setDrained(workerId, drained);
     this.#context.recorder.record('workerLeaving', {
       worker: workerId,
       detail: drained ? 'drained by an operator' : 'drain ended by an operator',
--- a/packages/core/src/createSnapshot.ts
+++ b/packages/core/src/createSnapshot.ts
@@ -85,5 +85,11 @@
   const reports = fleet.workers.flatMap((worker) => describeWorker(worker, open, now) ?? []);
   const settled = new Set(reports.map(({ worker }) => worker));
   const requests = records.map((record) => describeRequest(record, now, settled));
-  return { shard: context.shard, epoch: context.epoch, requests, reports };
+  return {
+    shard: context.shard,
+    epoch: context.epoch,
+    drained: fleet.drained,
+    requests,
+    reports,
+  };
 };
--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -87,7 +87,13 @@
     });
     this.#groups = {
       requests: new RequestRoutes(runtime, authenticator, service),
-      operators: new OperatorRoutes(runtime, authenticator, this.#peers, () => this.#isReady),
+      operators: new OperatorRoutes(
+        runtime,
+        authenticator,
+        this.#peers,
+        this.#router,
+        () => this.#isReady,
+      ),
       configuration: new ConfigurationRoutes(runtime, authenticator),
       keys: new KeyRoutes(runtime, authenticator),
       dataCentres: new DataCentreRoutes(runtime, authenticator, this.#router),
--- a/packages/entry/src/OperatorRoutes.ts
+++ b/packages/entry/src/OperatorRoutes.ts
@@ -1,8 +1,9 @@
-import { createFailure, mergeEvents } from '@toucanline/core';
+import { createFailure, mergeEvents, type Router } from '@toucanline/core';
 import type { PeerSet, ProcessRuntime } from '@toucanline/runtime';
 import type { ProcessStatus, ReplyBody, SiteStatus } from '@toucanline/schema';
 import type { Authenticator } from './Authenticator.js';
 import type { HttpContext } from './HttpContext.js';
+import { WorkerDrains } from './WorkerDrains.js';
 
 const callTimeoutMs = 2000;
 const defaultSinceMs = 300_000;
@@ -12,24 +13,33 @@
   readonly #runtime: ProcessRuntime;
   readonly #authenticator: Authenticator;
   readonly #peers: PeerSet;
+  readonly #drains: WorkerDrains;
   readonly #isReady: () => boolean;
 
   /**
    * @param runtime - the process
    * @param authenticator - authenticates operators
    * @param peers - links to the schedulers
+   * @param router - knows the owners of the shards
    * @param isReady - whether this process is ready
    */
   public constructor(
     runtime: ProcessRuntime,
     authenticator: Authenticator,
     peers: PeerSet,
+    router: Router,
     isReady: () => boolean,
   ) {
     this.#runtime = runtime;
     this.#authenticator = authenticator;
     this.#peers = peers;
     this.#isReady = isReady;
+    this.#drains = new WorkerDrains({
+      clock: runtime.clock,
+      router,
+      peers,
+      listShards: () => runtime.holder.policy?.shards ?? [],
+    });
   }
 
   /**
@@ -95,9 +105,9 @@
       return;
     }
     const worker = context.request.params.worker ?? '';
-    const replies = await this.#callAll({ call: 'drain', worker, drained });
-    if (replies.some(({ reply }) => reply === 'done')) context.sendJson(200, { worker, drained });
-    else context.sendFailure(createFailure('unknownWorker', `no owner knows worker ${worker}`));
+    const state = await this.#drains.set(worker, drained);
+    if (state.isOk()) context.sendJson(200, state.value);
+    else context.sendFailure(state.error);
   }
 
   #describeSelf(): ProcessStatus {
--- a/packages/scheduler/__tests__/ShardHost.test.ts
+++ b/packages/scheduler/__tests__/ShardHost.test.ts
@@ -208,7 +208,7 @@
     }
     former.shard.submit(call)._unsafeUnwrap();
     const requests = [...former.shard.describeFinished()];
-    const part = { shard, epoch: epoch - 1, requests, reports: [] };
+    const part = { shard, epoch: epoch - 1, drained: [], requests, reports: [] };
     expect(inbox.add({ call: 'handover', last: false, snapshot: part })).to.equal(false);
     const sent = new Set(requests.map((held) => held.request.id));
     const rest = await former.freeze(sent);
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -300,7 +300,10 @@
       case 'configuration':
         return this.#describeConfiguration(body.configurationRevision, body.keysRevision);
       case 'drain':
-        return this.#drainWorker(body.worker, body.drained);
+        return (
+          this.#candidates.get(body.shard)?.host?.drain(body.worker, body.drained) ??
+          fail('notOwner', `not the owner of ${body.shard}`)
+        );
       case 'handover':
         return this.#candidates.get(body.snapshot.shard)?.acceptHandover(body) === true
           ? { reply: 'done' }
@@ -315,14 +318,6 @@
     return this.#candidates.get(requestId.split('.')[0] ?? '')?.host;
   }
 
-  #drainWorker(worker: string, drained: boolean): ReplyBody {
-    for (const host of this.#hosts) {
-      const reply = host.drain(worker, drained);
-      if (reply.reply === 'done') return reply;
-    }
-    return fail('unknownWorker', `no worker ${worker} here`);
-  }
-
   #describeStatus(): ReplyBody {
     const { settings, holder, keyRing, invariant } = this.#runtime;
     return {
--- a/packages/scheduler/src/ShardCandidate.ts
+++ b/packages/scheduler/src/ShardCandidate.ts
@@ -321,7 +321,7 @@
     const sent = new Set<string>();
     let requests: HeldRequest[] = [];
     const send = async (): Promise<boolean> => {
-      const calls = divideSnapshot({ shard, epoch, requests, reports: [] }, false);
+      const calls = divideSnapshot({ shard, epoch, drained: [], requests, reports: [] }, false);
       const isSent = await this.#sendParts(peer, calls);
       for (const { request } of requests) sent.add(request.id);
       requests = [];
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -353,12 +353,26 @@
    *
    * @param worker - name of the worker
    * @param drained - whether it shall take no new work
-   * @returns done, or the failure
+   * @returns done, and whether the store has it, or the failure
    */
-  public drain(worker: string, drained: boolean): ReplyBody {
+  public async drain(worker: string, drained: boolean): Promise<ReplyBody> {
+    if (!this.#mayAct || !this.#serving) return this.#replyLost();
     const result = this.#shard.drain(worker, drained);
     this.#pump();
-    return result.isOk() ? { reply: 'done' } : { reply: 'failure', failure: result.error };
+    if (result.isErr()) return { reply: 'failure', failure: result.error };
+    const endsAt = this.#runtime.clock.now() + journalWaitMs;
+    let durable = await this.#saveRoster();
+    while (!durable && this.#canCommit && this.#runtime.clock.now() < endsAt) {
+      await this.#runtime.clock.sleep(retryMs / 10);
+      durable = await this.#saveRoster();
+    }
+    // A process that was superseded meanwhile does not know whether the next owner has the drain.
+    return durable || this.#isActive() ? { reply: 'done', durable } : this.#replyLost();
+  }
+
+  async #saveRoster(): Promise<boolean> {
+    if (!this.#canCommit) return false;
+    return this.#roster.save(this.#shard.listLeased(), this.#shard.drained);
   }
 
   /** A method, because the compiler would take a field as unchanged over an await. */
@@ -493,8 +507,7 @@
         if (this.#journalOpen) void this.#succession.keepTerms();
         this.#shard.tick();
         this.#updateServing();
-        if (this.#canCommit && tick % ticksPerRoster === 0)
-          void this.#roster.save(this.#shard.listLeased());
+        if (tick % ticksPerRoster === 0) void this.#saveRoster();
       }
       this.#pump();
       await this.#runtime.clock.sleep(tickMs);
--- a/packages/scheduler/src/divideSnapshot.ts
+++ b/packages/scheduler/src/divideSnapshot.ts
@@ -14,7 +14,7 @@
   snapshot: ShardSnapshot,
   isWhole = true,
 ): readonly HandoverCall[] => {
-  const { shard, epoch } = snapshot;
+  const { shard, epoch, drained } = snapshot;
   const create = (): {
     requests: (typeof snapshot.requests)[number][];
     reports: (typeof snapshot.reports)[number][];
@@ -35,6 +35,6 @@
   return parts.map((content, index) => ({
     call: 'handover',
     last: isWhole && index === parts.length - 1,
-    snapshot: { shard, epoch, ...content },
+    snapshot: { shard, epoch, drained, ...content },
   }));
 };
