Let a peer go on at once when an owner is stopped during a store outage

Cause: a stopped owner handed its state to a peer, but the peer could use it only under a claim in the store. With the store down it waited 4 s and then for the worker leases of the former owner, because it asked the workers under a provisional epoch, and it started without the state: work of a team with a limit did not start before the store answered.

Change: with the last part of its state the owner says that it acts no more (owner and claimed in the handover), so its leases bind nobody. The peer goes on under the next epoch with the authority of a claim, and as an owner without the store: it starts only with a majority of worker leases under its own epoch. If the claim was confirmed a moment before, others get 5 s to claim the shard first. Once the store answers, the peer (also a provisional one) keeps its own state under the new claim, unless the epoch in the store shows another owner in between.

--- /dev/null
+++ b/packages-private/testkit/__tests__/outageShutdown.test.ts
@@ -0,0 +1,137 @@
+import { expect } from 'chai';
+import type { HttpFault } from '../src/HttpFault.js';
+import {
+  Caller,
+  createDocument,
+  Site,
+  sleep,
+  SteadyLoad,
+  waitUntil,
+  type DaemonProcess,
+} from '../src/index.js';
+
+const size = { processors: 1, memoryMb: 512, accelerators: 0 };
+const limit = { processors: 12, memoryMb: 100_000, accelerators: 0 };
+/** Far below the 15 s of a worker lease, after which a peer could go on without the word of the owner. */
+const maxGapMs = 3000;
+
+describe('graceful shutdowns of a shard owner during a store outage', () => {
+  const site = new Site({
+    document: createDocument(['dc1'], { broadcast: { share: 1 }, capped: { share: 1, limit } }),
+    dataCentres: ['dc1'],
+    entriesPerDataCentre: 2,
+    schedulersPerDataCentre: 3,
+    workersPerDataCentre: 4,
+    teams: ['broadcast', 'capped'],
+  });
+  const balanced: DaemonProcess[] = [];
+  let turn = 0;
+  const chooseUrl = (): string => {
+    turn += 1;
+    return balanced[turn % balanced.length]?.url ?? '';
+  };
+  const caller = new Caller(chooseUrl, 'key-broadcast');
+  const capped = new Caller(chooseUrl, 'key-capped');
+  const starts: number[] = [];
+  const readOwner = (): string => site.store.peek('owners/s1').value?.split(' ')[0] ?? '';
+  const findOwner = async (): Promise<DaemonProcess> => {
+    const find = (): DaemonProcess | undefined =>
+      site.schedulers.find(({ settings }) => settings.process === readOwner());
+    await waitUntil(() => find() !== undefined, 15_000, 'the shard has an owner');
+    return find() ?? Promise.reject(new Error('no owner'));
+  };
+  const startLoad = (): SteadyLoad => {
+    const load = new SteadyLoad(site);
+    load.add('render', caller, 'renders', 8);
+    load.add('roster', caller, 'rosters', 4);
+    load.add('capped', capped, 'renders', 4);
+    return load;
+  };
+  const waitForAnswers = async (load: SteadyLoad): Promise<void> => {
+    for (const group of ['render', 'roster', 'capped']) {
+      const wanted = load.countAnswers(group) + 10;
+      await waitUntil(() => load.countAnswers(group) >= wanted, 25_000, `answers to ${group}`);
+    }
+  };
+  const endLoad = async (load: SteadyLoad): Promise<void> => {
+    const { answered, refused, faults } = await load.stop();
+    console.log(`      answered ${answered}, refused as not run ${refused}`);
+    expect(faults).to.deep.equal([]);
+  };
+  /** Largest pause between starts since a time. */
+  const measureGap = (from: number): number => {
+    let former = from;
+    let gap = 0;
+    for (const at of starts.filter((each) => each > from)) {
+      gap = Math.max(gap, at - former);
+      former = at;
+    }
+    return Math.round(gap);
+  };
+  /** Stops the owner gracefully during an outage; returns it and the largest pause between starts. */
+  const stopOwner = async (
+    fault: HttpFault,
+    outageMs: number,
+    load: SteadyLoad,
+  ): Promise<number> => {
+    const owner = await findOwner();
+    site.store.setFault(fault);
+    await sleep(outageMs);
+    const stoppedAt = performance.now();
+    owner.signal('SIGTERM');
+    expect(await owner.exit).to.equal(0);
+    site.hosts.remove(owner.settings.process);
+    await waitForAnswers(load);
+    const gapMs = measureGap(stoppedAt);
+    console.log(`      largest pause between starts: ${gapMs} ms`);
+    expect(owner.log.join('\n')).to.include('claimHandedOver');
+    return gapMs;
+  };
+
+  before(async () => {
+    await site.start();
+    balanced.push(...site.entries);
+    site.ledger.setLimits(new Map([['capped', limit]]));
+    const noteStart = site.ledger.noteStart.bind(site.ledger);
+    site.ledger.noteStart = (worker, assignment): void => {
+      starts.push(performance.now());
+      noteStart(worker, assignment);
+    };
+  });
+  after(() => site.stop());
+  afterEach(() => {
+    expect(site.ledger.violations).to.deep.equal([]);
+  });
+
+  it('let a peer go on at once, with limits, running work and ends', async () => {
+    // Guards against a peer that waits for the worker leases of an owner that said that it stopped, and
+    // against a result that is lost or repeated when the store answers again.
+    const load = startLoad();
+    const specification = { size, command: 'sleep 7000; echo kept', detached: 'yes' } as const;
+    const detached = (await caller.submit('rosters', specification)).view.id;
+    const attached = caller.submit('rosters', { size, command: 'sleep 8000; echo roster' });
+    await waitUntil(() => site.ledger.countStarts(detached) === 1, 5000, 'the roster runs');
+    const gapMs = await stopOwner('down', 4500, load);
+    expect(gapMs).to.be.lessThan(maxGapMs);
+    expect((await attached).view.output).to.deep.equal(['roster']);
+    const ended = await caller.wait(detached, 10);
+    expect(ended.view.output, JSON.stringify(ended.view)).to.deep.equal(['kept']);
+    site.store.setFault('none');
+    await waitUntil(() => readOwner() !== '', 10_000, 'the shard is claimed in the store');
+    await waitForAnswers(load);
+    await endLoad(load);
+    expect((await caller.wait(detached, 10)).view.output).to.deep.equal(['kept']);
+    expect(site.ledger.countStarts(detached)).to.equal(1);
+  });
+
+  it('let a peer go on when the store fell silent just before', async () => {
+    // Guards against a peer that waits for a claim which the stopped owner could not release.
+    const load = startLoad();
+    const gapMs = await stopOwner('hang', 500, load);
+    expect(gapMs).to.be.lessThan(10_000);
+    site.store.setFault('none');
+    await waitUntil(() => readOwner() !== '', 10_000, 'the shard is claimed in the store');
+    await waitForAnswers(load);
+    await endLoad(load);
+  });
+});
--- a/packages/core/src/AllotmentKeeper.ts
+++ b/packages/core/src/AllotmentKeeper.ts
@@ -86,7 +86,7 @@
   #lastReadAt = -Infinity;
   #lastWriteAt = -Infinity;
   #readDelayMs: number = periods.allotmentDemandMs;
-  /** Use that was adopted from the former owner, while the record is out of reach. */
+  /** What the former owner handed over, or use that was adopted from it, while the record is out of reach. */
   #inherited: ReadonlyMap<string, Resources> | undefined;
 
   /**
@@ -138,6 +138,18 @@
     this.#peers = peers;
   }
 
+  /**
+   * Takes the amounts over that the former owner could spend when it stopped to act. They count only while the
+   * record is out of reach: nobody else may spend them, and nobody can change the record then.
+   *
+   * @param amounts - amount per team
+   */
+  public inherit(amounts: Readonly<Record<string, Resources>>): void {
+    if (!this.#parts.isProvisional) return;
+    this.#inherited = new Map(Object.entries(amounts));
+    this.#tell();
+  }
+
   /**
    * Runs until the ownership ends.
    *
@@ -154,7 +166,7 @@
   public async step(): Promise<void> {
     if (this.#policy.limits.size === 0 && Object.keys(this.#escrow.record.teams).length === 0)
       return;
-    this.#inherit();
+    this.#inheritUse();
     if (this.#isReadDue()) await this.#read();
     if (this.#escrow.isUnread || this.#escrow.isSuperseded || this.#stale) return;
     const plan = this.#createPlan();
@@ -309,13 +321,14 @@
     const spendable = this.#escrow.listSpendable();
     if (!this.#escrow.isUnread || this.#inherited === undefined) return spendable;
     const inherited = new Map(spendable);
-    for (const team of spendable.keys()) {
-      inherited.set(team, this.#inherited.get(team) ?? zeroResources);
+    for (const [team, limit] of this.#escrow.limits) {
+      const amount = this.#inherited.get(team) ?? zeroResources;
+      inherited.set(team, minResources(amount, limit));
     }
     return inherited;
   }
 
-  #inherit(): void {
+  #inheritUse(): void {
     const { isProvisional, isRecovered, readLoad } = this.#parts;
     if (!isProvisional || this.#inherited !== undefined || !isRecovered()) return;
     this.#inherited = new Map(Object.entries(readLoad().use));
--- a/packages/core/src/ClaimKeeper.ts
+++ b/packages/core/src/ClaimKeeper.ts
@@ -38,6 +38,8 @@
   #validUntil = 0;
   #isUnreachable = false;
   #contactAt = -Infinity;
+  #holder: string | undefined;
+  #formerEpoch = 0;
 
   /**
    * @param parts - what the keeper works with
@@ -66,6 +68,16 @@
     return this.#contactAt;
   }
 
+  /** Process that held the claim at the last attempt to take it; undefined if nobody did. */
+  public get holder(): string | undefined {
+    return this.#holder;
+  }
+
+  /** Epoch that the store had before the last claim of this process. */
+  public get formerEpoch(): number {
+    return this.#formerEpoch;
+  }
+
   /**
    * Tries to take the claim once.
    *
@@ -78,6 +90,7 @@
     const readAt = clock.now();
     const holder = await store.read(key);
     if (holder.isErr()) return err(holder.error);
+    this.#holder = holder.value.value?.split(' ')[0];
     if (holder.value.version !== 0 && holder.value.value !== undefined) {
       if (!holder.value.value.startsWith(ClaimKeeper.takeoverMark)) this.#contactAt = readAt;
       return err(createFailure('notOwner', `held by ${holder.value.value}`));
@@ -169,6 +182,7 @@
     if (current.value.value !== undefined) {
       const parsed = parseRecord(validators.Claim, current.value.value);
       if (parsed.isErr()) return err(parsed.error);
+      this.#formerEpoch = parsed.value.epoch;
       epoch = Math.max(epoch, parsed.value.epoch);
     }
     const claim: Claim = {
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -272,7 +272,8 @@
   public createSnapshot(sent: ReadonlySet<string> = new Set()): ShardSnapshot {
     const { committing } = this.#acceptance;
     const isCommitting = (record: RequestRecord): boolean => committing.has(record);
-    return createSnapshot(this.#context, this.#table, this.#fleet, isCommitting, sent);
+    const { allotments } = this.#ledger;
+    return createSnapshot(this.#context, this.#table, this.#fleet, allotments, isCommitting, sent);
   }
 
   /**
--- a/packages/core/src/ShardContext.ts
+++ b/packages/core/src/ShardContext.ts
@@ -14,7 +14,7 @@
   readonly epoch: number;
   /** Name of the owning process. */
   readonly owner: string;
-  /** True if the ownership was taken without the store. */
+  /** True if the ownership was taken without the store and without the word of the former owner that it stopped. */
   readonly provisional: boolean;
   readonly clock: Clock;
   readonly random: RandomSource;
--- a/packages/core/src/TeamLedger.ts
+++ b/packages/core/src/TeamLedger.ts
@@ -48,6 +48,11 @@
     if (hasGrown) this.#version += 1;
   }
 
+  /** What each team with a limit may run in this shard. */
+  public get allotments(): ReadonlyMap<string, Resources> {
+    return this.#allotments;
+  }
+
   /**
    * Reads the allotment of a team.
    *
--- a/packages/core/src/createSnapshot.ts
+++ b/packages/core/src/createSnapshot.ts
@@ -1,4 +1,4 @@
-import type { HeldRequest, Report, ShardSnapshot, TaskReport } from '@toucanline/schema';
+import type { HeldRequest, Report, Resources, ShardSnapshot, TaskReport } from '@toucanline/schema';
 import type { Fleet } from './Fleet.js';
 import type { RequestRecord } from './RequestRecord.js';
 import type { RequestTable } from './RequestTable.js';
@@ -65,6 +65,7 @@
  * @param context - what the parts of the shard share
  * @param table - requests of the shard
  * @param fleet - workers of the shard
+ * @param allotments - what each team with a limit may run in the shard
  * @param isCommitting - whether the acceptance of a request still waits for its commit; such a request is
  * left out, because the journal decides about it
  * @param sent - identifiers of finished requests that the peer got before
@@ -74,6 +75,7 @@
   context: ShardContext,
   table: RequestTable,
   fleet: Fleet,
+  allotments: ReadonlyMap<string, Resources>,
   isCommitting: (record: RequestRecord) => boolean,
   sent: ReadonlySet<string>,
 ): ShardSnapshot => {
@@ -85,10 +87,13 @@
   const reports = fleet.workers.flatMap((worker) => describeWorker(worker, open, now) ?? []);
   const settled = new Set(reports.map(({ worker }) => worker));
   const requests = records.map((record) => describeRequest(record, now, settled));
+  const { shard, epoch, owner } = context;
   return {
-    shard: context.shard,
-    epoch: context.epoch,
+    shard,
+    epoch,
+    owner,
     drained: fleet.drained,
+    allotments: Object.fromEntries(allotments),
     requests,
     reports,
   };
--- a/packages/scheduler/__tests__/ShardHost.test.ts
+++ b/packages/scheduler/__tests__/ShardHost.test.ts
@@ -113,7 +113,7 @@
       workers,
       {
         claim: { shard, epoch, owner, address: '', token: 't' },
-        provisional,
+        basis: provisional ? 'provisional' : 'claimed',
         readStanding,
         readContact: () => performance.now(),
         onServing: () => undefined,
@@ -208,13 +208,14 @@
     }
     former.shard.submit(call)._unsafeUnwrap();
     const requests = [...former.shard.describeFinished()];
-    const part = { shard, epoch: epoch - 1, drained: [], requests, reports: [] };
-    expect(inbox.add({ call: 'handover', last: false, snapshot: part })).to.equal(false);
+    const empty = { drained: [], allotments: {}, reports: [] };
+    const part = { shard, epoch: epoch - 1, owner, requests, ...empty };
+    expect(inbox.add({ call: 'handover', last: false, claimed: true, snapshot: part })).to.equal(false);
     const sent = new Set(requests.map((held) => held.request.id));
     const rest = await former.freeze(sent);
     expect(rest.requests.map((held) => held.request.id)).to.deep.equal([request.id]);
     const snapshot = { ...rest, epoch: epoch - 1 };
-    expect(inbox.add({ call: 'handover', last: true, snapshot })).to.equal(true);
+    expect(inbox.add({ call: 'handover', last: true, claimed: true, snapshot })).to.equal(true);
     next.start(inbox.take(epoch));
     const repeated = { ...keyed, request: { ...keyed.request, id: `${shard}.again` } };
     expect(next.shard.submit(repeated)._unsafeUnwrap()).to.include({
--- a/packages/scheduler/src/ShardCandidate.ts
+++ b/packages/scheduler/src/ShardCandidate.ts
@@ -1,10 +1,12 @@
 import { ClaimKeeper, type Policy, type Router, type WorkerGateway } from '@toucanline/core';
 import type { ProcessRuntime } from '@toucanline/runtime';
-import type { Claim, Failure, HandoverCall, HeldRequest, HostRecord } from '@toucanline/schema';
+import type { Claim, Failure, HandoverCall, HostRecord } from '@toucanline/schema';
 import type { Link } from '@toucanline/wire';
-import { divideSnapshot } from './divideSnapshot.js';
+import { HandoverSender } from './HandoverSender.js';
+import type { OwnershipBasis } from './OwnershipBasis.js';
 import { ShardHost } from './ShardHost.js';
 import { SnapshotInbox } from './SnapshotInbox.js';
+import { StoreContact } from './StoreContact.js';
 import { surveyEpochs } from './surveyEpochs.js';
 import { Waker } from './Waker.js';
 
@@ -19,15 +21,13 @@
 /** Interval of attempts while the owner hands the shard over, and how long they go on. */
 const handoverPollMs = 20;
 const handoverWaitMs = 3000;
-const handoverTimeoutMs = 1000;
-/** Bound of the time in which finished requests are sent before the owner stops to act. */
-const prepareMs = 3000;
-/** Finished requests in one part; describing them takes a few milliseconds. */
-const requestsPerPart = 250;
-/** Silence of the owner and of the store before a candidate acts without the store. */
+/**
+ * Time in which a process that reaches the store claims a shard whose owner held a confirmed claim when it stopped:
+ * the lease of the claim, in case its release was lost, and two attempts.
+ */
+const releasedMs = 5000;
+/** Silence of an owner after which a candidate may act without the store. */
 const silenceMs = 4000;
-/** Attempts in a row that the store left unanswered, so that a pause alone does not look like an outage. */
-const minUnanswered = 3;
 /** Time without a majority of worker leases after which a provisional ownership is given up. */
 const noMajorityMs = 20_000;
 const provisionalPollMs = 500;
@@ -57,17 +57,16 @@
   readonly #keeper: ClaimKeeper;
   readonly #waker: Waker;
   readonly #inbox: SnapshotInbox;
+  readonly #sender: HandoverSender;
+  readonly #contact: StoreContact;
   #host: ShardHost | undefined;
   #wanted = true;
-  /** Whether the owner still acts while a peer gets the finished requests. */
-  #isPreparing = false;
-  #handoverUntil = 0;
+  /** Local monotonic time when a peer handed the whole state over, in milliseconds. */
+  #handedAt = -Infinity;
   /** Local monotonic time until which a peer may take over what was handed to it, in milliseconds. */
   #yieldUntil = 0;
   /** Highest epoch that any message named. */
   #highestEpoch = 0;
-  #unanswered = 0;
-  #lastAnswerAt: number;
 
   /**
    * @param parts - parts of the process
@@ -82,7 +81,8 @@
     this.#keeper = new ClaimKeeper(runtime, shard, runtime.settings.process, address);
     this.#waker = new Waker(runtime.clock);
     this.#inbox = new SnapshotInbox(runtime.clock);
-    this.#lastAnswerAt = runtime.clock.now();
+    this.#sender = new HandoverSender(runtime, () => this.#keeper.standing === 'confirmed');
+    this.#contact = new StoreContact(runtime.clock);
   }
 
   /** The running ownership, if this process owns the shard. */
@@ -102,11 +102,10 @@
       const mayClaim = policy !== undefined && !this.#parts.mustYield();
       const claim = mayClaim ? await this.#acquire() : undefined;
       if (policy !== undefined && claim !== undefined) await this.#serve(claim, policy);
-      else if (mayClaim && this.#mayTryWithoutStore) {
-        await this.#serveWithoutStore(policy);
-      }
-      const isExpected = clock.now() < this.#handoverUntil;
-      await this.#waker.sleep(isExpected ? handoverPollMs : pollMs * (0.5 + random.next() / 2));
+      else if (mayClaim) await this.#tryWithoutStore(policy);
+      await this.#waker.sleep(
+        this.#expectsClaim ? handoverPollMs : pollMs * (0.5 + random.next() / 2),
+      );
     }
   }
 
@@ -119,7 +118,7 @@
   public acceptHandover(call: HandoverCall): boolean {
     if (!this.#wanted || this.#host !== undefined) return false;
     if (this.#inbox.add(call)) {
-      this.#handoverUntil = this.#parts.runtime.clock.now() + handoverWaitMs;
+      this.#handedAt = this.#parts.runtime.clock.now();
       this.#waker.wake();
     }
     return true;
@@ -135,10 +134,9 @@
     const { clock } = this.#parts.runtime;
     const host = this.#host;
     if (host === undefined || !this.#mayHandOver(host)) return;
-    const status = await peer.call({ call: 'status' }, handoverTimeoutMs);
-    const isReady = status.isOk() && status.value.reply === 'status' && status.value.status.ready;
+    const isReady = await this.#sender.checkReady(peer);
     if (!isReady || this.#host !== host || !this.#mayHandOver(host)) return;
-    const isTaken = await this.#handOver(host, [peer]);
+    const isTaken = await this.#sender.send(host, [peer]);
     if (this.#host !== host) return;
     if (isTaken) this.#yieldUntil = clock.now() + handoverWaitMs;
     this.#endHost();
@@ -155,18 +153,23 @@
   public async stop(): Promise<void> {
     this.#wanted = false;
     const host = this.#host;
-    if (host !== undefined) await this.#handOver(host, this.#parts.listPeers());
+    if (host !== undefined) await this.#sender.send(host, this.#parts.listPeers());
     this.#endHost();
     await this.#keeper.release();
     this.#waker.wake();
   }
 
+  /** Whether the former owner is about to release its claim for this process. */
+  get #expectsClaim(): boolean {
+    return this.#parts.runtime.clock.now() - this.#handedAt < handoverWaitMs;
+  }
+
   /** Whether a peer owns the shard for all that is known, by the store and by its signs of life. */
   get #mayRest(): boolean {
-    const { clock } = this.#parts.runtime;
-    if (this.#unanswered > 0 || clock.now() < this.#handoverUntil) return false;
-    const isRecent = clock.now() - this.#lastAnswerAt < restMs;
-    return isRecent && this.#parts.router.hasOwner(this.#shard, ownerSilenceMs);
+    if (this.#expectsClaim) return false;
+    return (
+      this.#contact.isRecent(restMs) && this.#parts.router.hasOwner(this.#shard, ownerSilenceMs)
+    );
   }
 
   /** A method, because the compiler would take a field as unchanged over an await. */
@@ -175,13 +178,9 @@
   }
 
   async #acquire(): Promise<Claim | undefined> {
-    const { clock } = this.#parts.runtime;
     this.#noteEpoch(this.#parts.router.findLoad(this.#shard)?.epoch ?? 0);
     const claim = await this.#keeper.acquire(this.#highestEpoch);
-    if (claim.isOk() || claim.error.kind === 'notOwner') {
-      this.#unanswered = 0;
-      this.#lastAnswerAt = clock.now();
-    } else this.#unanswered += 1;
+    this.#contact.note(claim.isOk() || claim.error.kind === 'notOwner');
     if (claim.isErr()) {
       this.#noteFailure(claim.error);
       return undefined;
@@ -202,38 +201,51 @@
   }
 
   async #serve(claim: Claim, policy: Policy): Promise<void> {
-    this.#startHost(claim, policy, false);
-    await this.#keeper.keep(() => this.#wanted || this.#isPreparing);
+    this.#startHost(claim, policy, 'claimed');
+    await this.#keeper.keep(() => this.#wanted || this.#sender.isPreparing);
     if (this.#isWanted()) this.#endHost();
   }
 
-  /** Whether neither the store nor an owner was heard of for a while. */
-  get #mayTryWithoutStore(): boolean {
-    const { runtime, gateway } = this.#parts;
-    const isSilent = runtime.clock.now() - this.#lastAnswerAt > silenceMs;
-    const isDown = isSilent && this.#unanswered >= minUnanswered;
-    return this.#wanted && gateway.fences && isDown && !this.#seesOwner();
-  }
-
   #seesOwner(): boolean {
     const { router, runtime } = this.#parts;
     const load = router.findLoad(this.#shard, silenceMs);
     return load !== undefined && load.owner !== runtime.settings.process;
   }
 
-  /** Owns the shard provisionally until the store answers, another owner shows or no majority is held. */
-  async #serveWithoutStore(policy: Policy): Promise<void> {
+  /** Owns the shard without the store, if its owner handed it over or is silent like the store. */
+  async #tryWithoutStore(policy: Policy): Promise<void> {
+    if (!this.#isWanted() || !this.#parts.gateway.fences || this.#contact.isAnswering) return;
+    const handed = this.#inbox.complete;
+    // Nobody acted after the former owner, and the workers refuse this epoch if somebody did.
+    if (handed !== undefined && handed.epoch >= this.#highestEpoch) {
+      const waitedMs = this.#parts.runtime.clock.now() - this.#handedAt;
+      if (handed.claimed && waitedMs < releasedMs) return;
+      await this.#serveWithoutStore(handed.epoch + 1, policy, handed.owner);
+      return;
+    }
+    if (!this.#contact.isDown || this.#seesOwner()) return;
     const { runtime, gateway, readWorkers } = this.#parts;
-    const workers = readWorkers() ?? [];
     const { process } = runtime.settings;
-    const surveyed = await surveyEpochs(gateway, this.#shard, process, workers);
+    const surveyed = await surveyEpochs(gateway, this.#shard, process, readWorkers() ?? []);
     if (surveyed === undefined || !this.#isWanted() || this.#seesOwner()) return;
     this.#noteEpoch(surveyed);
-    const epoch = this.#highestEpoch + 1;
+    await this.#serveWithoutStore(this.#highestEpoch + 1, policy);
+  }
+
+  /**
+   * Owns the shard until the store answers, another owner shows or no majority is held.
+   *
+   * @param epoch - epoch of the ownership
+   * @param policy - policy in effect
+   * @param giver - former owner that handed the shard over; its claim in the store may outlast it
+   */
+  async #serveWithoutStore(epoch: number, policy: Policy, giver?: string): Promise<void> {
+    const { runtime } = this.#parts;
     this.#noteEpoch(epoch);
     const token = runtime.random.token();
-    const claim = { shard: this.#shard, epoch, owner: process, address: this.#address, token };
-    const host = this.#startHost(claim, policy, true);
+    const owner = runtime.settings.process;
+    const claim = { shard: this.#shard, epoch, owner, address: this.#address, token };
+    const host = this.#startHost(claim, policy, giver === undefined ? 'provisional' : 'handedOver');
     let lastMajorityAt = runtime.clock.now();
     while (this.#isWanted() && host.isActive) {
       await runtime.clock.sleep(provisionalPollMs);
@@ -241,24 +253,35 @@
       else if (runtime.clock.now() - lastMajorityAt > noMajorityMs || this.#seesOwner()) break;
       const stored = await this.#acquire();
       if (stored === undefined) {
-        if (this.#unanswered === 0) break;
+        const isHeld = this.#contact.isAnswering && this.#keeper.holder !== giver;
+        if (isHeld) break;
         continue;
       }
-      this.#endHost();
-      await this.#serve(stored, this.#parts.readPolicy() ?? policy);
+      await this.#serveWithStore(host, stored, this.#parts.readPolicy() ?? policy);
       return;
     }
     if (this.#isWanted()) this.#endHost();
   }
 
-  #startHost(claim: Claim, policy: Policy, provisional: boolean): ShardHost {
+  /** Goes on under a claim in the store, with the own state if no other owner claimed the shard meanwhile. */
+  async #serveWithStore(host: ShardHost, claim: Claim, policy: Policy): Promise<void> {
+    const { epoch } = host.shard;
+    if (host.isActive && this.#keeper.formerEpoch < epoch && claim.epoch === epoch + 1) {
+      const snapshot = await host.freeze();
+      this.#inbox.add({ call: 'handover', last: true, claimed: true, snapshot });
+    }
+    this.#endHost();
+    await this.#serve(claim, policy);
+  }
+
+  #startHost(claim: Claim, policy: Policy, basis: OwnershipBasis): ShardHost {
     const { runtime, gateway, readWorkers, onChange } = this.#parts;
     const host = new ShardHost(
       runtime,
       gateway,
       {
         claim,
-        provisional,
+        basis,
         readStanding: () => this.#keeper.standing,
         readContact: () => this.#keeper.contactAt,
         onServing: onChange,
@@ -289,72 +312,6 @@
     return this.#wanted && isSettled && this.#keeper.standing === 'confirmed';
   }
 
-  /** Hands the state to the first peer that takes it; returns whether one did. */
-  async #handOver(host: ShardHost, peers: readonly Link[]): Promise<boolean> {
-    const [peer] = peers;
-    this.#isPreparing = true;
-    const sent = peer === undefined ? undefined : await this.#prepare(host, peer);
-    this.#isPreparing = false;
-    if (!host.isActive) return false;
-    const rest = await host.freeze(sent);
-    const isTaken =
-      peer !== undefined &&
-      sent !== undefined &&
-      (await this.#sendParts(peer, divideSnapshot(rest)));
-    const whole = isTaken ? [] : divideSnapshot(await host.freeze());
-    const taker = isTaken ? peer : await this.#sendToFirst(whole, peers);
-    if (taker === undefined) return false;
-    const { shard, epoch } = rest;
-    const detail = taker.peer?.process ?? '';
-    this.#parts.runtime.recorder.record('claimHandedOver', { shard, epoch, detail });
-    return true;
-  }
-
-  /**
-   * Sends the finished requests while this process still acts: after a busy time they are most of the
-   * state. The small parts leave time for decisions in between.
-   */
-  async #prepare(host: ShardHost, peer: Link): Promise<ReadonlySet<string> | undefined> {
-    const { clock } = this.#parts.runtime;
-    const endsAt = clock.now() + prepareMs;
-    const { name: shard, epoch } = host.shard;
-    const sent = new Set<string>();
-    let requests: HeldRequest[] = [];
-    const send = async (): Promise<boolean> => {
-      const calls = divideSnapshot({ shard, epoch, drained: [], requests, reports: [] }, false);
-      const isSent = await this.#sendParts(peer, calls);
-      for (const { request } of requests) sent.add(request.id);
-      requests = [];
-      return isSent;
-    };
-    for (const held of host.shard.describeFinished()) {
-      requests.push(held);
-      if (requests.length < requestsPerPart) continue;
-      if (!(await send())) return undefined;
-      if (!host.isActive || clock.now() > endsAt) return sent;
-    }
-    return (await send()) ? sent : undefined;
-  }
-
-  /** Sends all parts to the first peer that takes them. */
-  async #sendToFirst(
-    calls: readonly HandoverCall[],
-    peers: readonly Link[],
-  ): Promise<Link | undefined> {
-    for (const peer of peers) {
-      if (await this.#sendParts(peer, calls)) return peer;
-    }
-    return undefined;
-  }
-
-  async #sendParts(peer: Link, calls: readonly HandoverCall[]): Promise<boolean> {
-    for (const call of calls) {
-      const reply = await peer.call(call, handoverTimeoutMs);
-      if (reply.isErr() || reply.value.reply !== 'done') return false;
-    }
-    return true;
-  }
-
   #endHost(): void {
     this.#host?.stop();
     this.#host = undefined;
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -25,6 +25,7 @@
 } from '@toucanline/schema';
 import type { ProcessRuntime } from '@toucanline/runtime';
 import { err, type Result } from 'neverthrow';
+import type { OwnershipBasis } from './OwnershipBasis.js';
 import { RequestWaiters } from './RequestWaiters.js';
 import type { SnapshotInbox } from './SnapshotInbox.js';
 import { WorkerDriver } from './WorkerDriver.js';
@@ -47,8 +48,7 @@
 /** The right by which a process acts as the owner. */
 interface Ownership {
   readonly claim: Claim;
-  /** True if taken without the store. */
-  readonly provisional: boolean;
+  readonly basis: OwnershipBasis;
   /** Reads what is known about the store lease at this moment. */
   readonly readStanding: () => ClaimStanding;
   /** Reads the local monotonic time before the last contact of an owner with the store. */
@@ -96,7 +96,8 @@
     this.#runtime = runtime;
     this.#ownership = ownership;
     const { clock, random, recorder, invariant, settings, store } = runtime;
-    const { provisional } = ownership;
+    // Workers need not keep the lease of a former owner that stopped to act.
+    const provisional = ownership.basis === 'provisional';
     const { shard, epoch, owner, address } = ownership.claim;
     const { dataCentre } = settings;
     this.#shard = new Shard(
@@ -113,7 +114,7 @@
         invariant,
         readLoad: () => this.#shard.describeLoad(),
         isRecovered: () => this.#shard.isRecovered,
-        isProvisional: ownership.provisional,
+        isProvisional: this.#isStoreless,
         onChange: (spendable, lowered) => {
           this.#shard.applyAllotments(spendable, lowered);
           this.#pump();
@@ -164,7 +165,7 @@
   /** Whether the claim was confirmed by the store a moment ago. */
   public get isConnected(): boolean {
     const isConfirmed = this.#ownership.readStanding() === 'confirmed';
-    return this.isServing && !this.#ownership.provisional && isConfirmed;
+    return this.isServing && !this.#isStoreless && isConfirmed;
   }
 
   /** Whether this process still acts as the owner. */
@@ -180,6 +181,7 @@
   public start(inheritance?: ReturnType<SnapshotInbox['take']>): void {
     if (inheritance !== undefined) {
       this.#shard.restoreSnapshot(inheritance.snapshot, inheritance.finished);
+      this.#allotments.inherit(inheritance.snapshot.allotments);
     }
     void this.#openJournal();
     void this.#keepTime();
@@ -392,9 +394,14 @@
     return { reply: 'failure', failure: createFailure('linkLost', detail) };
   }
 
+  /** Whether the ownership was taken without the store. */
+  get #isStoreless(): boolean {
+    return this.#ownership.basis !== 'claimed';
+  }
+
   /** Whether the claim was not left behind by a pause of this process. */
   get #isStanding(): boolean {
-    return this.#ownership.provisional || this.#ownership.readStanding() !== 'unsettled';
+    return this.#isStoreless || this.#ownership.readStanding() !== 'unsettled';
   }
 
   get #mayAct(): boolean {
@@ -409,12 +416,12 @@
 
   /** Whether the store lease behind the claim is certainly valid, so that no other owner exists. */
   get #isConfirmed(): boolean {
-    return !this.#ownership.provisional && this.#ownership.readStanding() === 'confirmed';
+    return !this.#isStoreless && this.#ownership.readStanding() === 'confirmed';
   }
 
   /** Whether the store cannot be reached, so that nothing can be committed. */
   get #isWithoutStore(): boolean {
-    return this.#ownership.provisional || this.#ownership.readStanding() === 'unreachable';
+    return this.#isStoreless || this.#ownership.readStanding() === 'unreachable';
   }
 
   get #canCommit(): boolean {
@@ -440,7 +447,7 @@
   }
 
   async #openJournal(): Promise<void> {
-    if (this.#ownership.provisional) return;
+    if (this.#isStoreless) return;
     while (this.#isActive()) {
       const [opened, roster] = await Promise.all([
         this.#succession
@@ -479,7 +486,6 @@
   /** Requests are taken once the journal is loaded, or without it while the store is unreachable. */
   #updateServing(): void {
     if (this.#serving) return;
-    const { provisional } = this.#ownership;
     const isAlone = this.#isWithoutStore && this.#shard.holdsMajority;
     if (!this.#journalOpen && !isAlone) return;
     this.#serving = true;
@@ -487,8 +493,8 @@
     this.#ownership.onServing();
     if (!this.#journalOpen) this.#shard.skipJournal();
     const { shard, epoch } = this.#ownership.claim;
-    if (provisional) {
-      const detail = 'provisional, by a majority of the leases of the workers';
+    if (this.#isStoreless) {
+      const detail = `${this.#ownership.basis}, by a majority of the leases of the workers`;
       this.#runtime.recorder.record('claimTaken', { shard, epoch, detail });
     }
   }
--- a/packages/scheduler/src/SnapshotInbox.ts
+++ b/packages/scheduler/src/SnapshotInbox.ts
@@ -20,19 +20,28 @@
   #reports: ShardSnapshot['reports'][number][] = [];
   #finished: RequestRecord[] = [];
   #complete = false;
+  #claimed = false;
 
   /** @param clock - source of time */
   public constructor(clock: Clock) {
     this.#clock = clock;
   }
 
+  /** Epoch and owner of a complete snapshot that was not taken yet, and whether its claim was confirmed. */
+  public get complete():
+    (Pick<ShardSnapshot, 'epoch' | 'owner'> & { claimed: boolean }) | undefined {
+    if (!this.#complete || this.#last === undefined) return undefined;
+    const { epoch, owner } = this.#last;
+    return { epoch, owner, claimed: this.#claimed };
+  }
+
   /**
    * Adds a part. A part of another epoch begins a new snapshot.
    *
    * @param call - the part
    * @returns true if the snapshot is complete
    */
-  public add({ snapshot, last }: HandoverCall): boolean {
+  public add({ snapshot, last, claimed }: HandoverCall): boolean {
     if (this.#complete || this.#last?.epoch !== snapshot.epoch) this.#clear();
     const now = this.#clock.now();
     for (const held of snapshot.requests) {
@@ -42,6 +51,7 @@
     this.#reports.push(...snapshot.reports);
     this.#last = snapshot;
     this.#complete = last;
+    this.#claimed = claimed;
     return last;
   }
 
--- a/packages/scheduler/src/divideSnapshot.ts
+++ b/packages/scheduler/src/divideSnapshot.ts
@@ -7,14 +7,16 @@
  * Divides a snapshot into calls that each fit into a frame.
  *
  * @param snapshot - the snapshot
+ * @param claimed - whether the claim of the former owner was confirmed a moment ago
  * @param isWhole - whether nothing follows the last part
  * @returns the calls in the order in which they are to be sent
  */
 export const divideSnapshot = (
   snapshot: ShardSnapshot,
+  claimed: boolean,
   isWhole = true,
 ): readonly HandoverCall[] => {
-  const { shard, epoch, drained } = snapshot;
+  const { shard, epoch, owner, drained, allotments } = snapshot;
   const create = (): {
     requests: (typeof snapshot.requests)[number][];
     reports: (typeof snapshot.reports)[number][];
@@ -34,7 +36,8 @@
   for (const report of snapshot.reports) makeRoom(report).reports.push(report);
   return parts.map((content, index) => ({
     call: 'handover',
+    claimed,
     last: isWhole && index === parts.length - 1,
-    snapshot: { shard, epoch, drained, ...content },
+    snapshot: { shard, epoch, owner, drained, allotments, ...content },
   }));
 };
