--- a/packages/core/__tests__/ClaimKeeper.test.ts
+++ b/packages/core/__tests__/ClaimKeeper.test.ts
@@ -58,10 +58,10 @@
     clock.advance(3000);
     const peer = create('two');
     expect((await peer.acquire(0, true))._unsafeUnwrapErr().kind).to.equal('notOwner');
-    expect(peer.isVacant).to.equal(true);
+    expect(peer.holder).to.equal(undefined);
     expect((await create('one').acquire())._unsafeUnwrap().epoch).to.equal(2);
     await peer.acquire(0, true);
-    expect(peer.isVacant).to.equal(false);
+    expect(peer.holder).to.equal('one');
   });
 
   it('counts the last contact from before a message that proved a claim of its data centre', async () => {
--- a/packages/core/src/ClaimKeeper.ts
+++ b/packages/core/src/ClaimKeeper.ts
@@ -40,7 +40,8 @@
   #validUntil = 0;
   #isUnreachable = false;
   #contactAt = -Infinity;
-  #isVacant = false;
+  #holder: string | undefined;
+  #formerEpoch = 0;
 
   /**
    * @param parts - what the keeper works with
@@ -69,9 +70,14 @@
     return this.#contactAt;
   }
 
-  /** Whether nobody held the claim when it was last read. */
-  public get isVacant(): boolean {
-    return this.#isVacant;
+  /** Process that held the claim at the last attempt to take it; undefined if nobody did. */
+  public get holder(): string | undefined {
+    return this.#holder;
+  }
+
+  /** Epoch that the store had before the last claim of this process. */
+  public get formerEpoch(): number {
+    return this.#formerEpoch;
   }
 
   /**
@@ -87,7 +93,7 @@
     const readAt = clock.now();
     const holder = await store.read(key);
     if (holder.isErr()) return err(holder.error);
-    this.#isVacant = holder.value.value === undefined;
+    this.#holder = holder.value.value?.split(' ')[0];
     if (holder.value.version !== 0 && holder.value.value !== undefined) {
       if (!holder.value.value.startsWith(ClaimKeeper.takeoverMark)) this.#contactAt = readAt;
       return err(createFailure('notOwner', `held by ${holder.value.value}`));
@@ -186,6 +192,7 @@
     if (current.value.value !== undefined) {
       const parsed = parseRecord(validators.Claim, current.value.value);
       if (parsed.isErr()) return err(parsed.error);
+      this.#formerEpoch = parsed.value.epoch;
       epoch = Math.max(epoch, parsed.value.epoch);
     }
     const claim: Claim = {
--- a/packages/scheduler/src/HostTimer.ts
+++ b/packages/scheduler/src/HostTimer.ts
@@ -39,7 +39,7 @@
         if (journal.isOpen) void succession.keepTerms();
         shard.tick();
         this.updateServing();
-        if (tick % ticksPerRoster === 0) journal.saveRoster();
+        if (tick % ticksPerRoster === 0) void journal.saveRoster();
       }
       onChange();
       await runtime.clock.sleep(tickMs);
@@ -55,9 +55,9 @@
     phase.beginServing();
     ownership.onServing();
     if (!journal.isOpen) shard.skipJournal();
-    if (ownership.provisional) {
+    if (phase.isStoreless) {
       const { shard: name, epoch } = ownership.claim;
-      const detail = 'provisional, by a majority of the leases of the workers';
+      const detail = `${ownership.basis}, by a majority of the leases of the workers`;
       runtime.recorder.record('claimTaken', { shard: name, epoch, detail });
     }
   }
--- a/packages/scheduler/src/OwnerPhase.ts
+++ b/packages/scheduler/src/OwnerPhase.ts
@@ -43,19 +43,24 @@
     return this.#clock.now() - (this.#servingAt ?? Infinity);
   }
 
+  /** Whether the ownership was taken without the store. */
+  public get isStoreless(): boolean {
+    return this.#ownership.basis !== 'claimed';
+  }
+
   /** Whether the claim was not left behind by a pause of this process. */
   public get isStanding(): boolean {
-    return this.#ownership.provisional || this.#ownership.readStanding() !== 'unsettled';
+    return this.isStoreless || this.#ownership.readStanding() !== 'unsettled';
   }
 
   /** Whether the store lease behind the claim is certainly valid, so that no other owner exists. */
   public get isConfirmed(): boolean {
-    return !this.#ownership.provisional && this.#ownership.readStanding() === 'confirmed';
+    return !this.isStoreless && this.#ownership.readStanding() === 'confirmed';
   }
 
   /** Whether the store cannot be reached, so that nothing can be committed. */
   public get isWithoutStore(): boolean {
-    return this.#ownership.provisional || this.#ownership.readStanding() === 'unreachable';
+    return this.isStoreless || this.#ownership.readStanding() === 'unreachable';
   }
 
   /** Whether commands, commits and answers may be sent. */
--- a/packages/scheduler/src/Ownership.ts
+++ b/packages/scheduler/src/Ownership.ts
@@ -1,11 +1,11 @@
 import type { ClaimStanding } from '@toucanline/core';
 import type { Claim } from '@toucanline/schema';
+import type { OwnershipBasis } from './OwnershipBasis.js';
 
 /** The right by which a process acts as the owner. */
 export interface Ownership {
   readonly claim: Claim;
-  /** True if taken without the store. */
-  readonly provisional: boolean;
+  readonly basis: OwnershipBasis;
   /** Reads what is known about the store lease at this moment. */
   readonly readStanding: () => ClaimStanding;
   /** Reads the local monotonic time before the last contact of an owner with the store. */
--- a/packages/scheduler/src/RequestCalls.ts
+++ b/packages/scheduler/src/RequestCalls.ts
@@ -11,6 +11,8 @@
 const commitPollMs = 250;
 /** Longest wait for the journal before the state is told without it; shorter than the margin of a call. */
 const journalWaitMs = 1000;
+/** Interval between attempts to write a drain. */
+const rosterRetryMs = 50;
 
 /** What the calls work with. */
 interface CallParts {
@@ -23,7 +25,7 @@
   readonly onChange: () => void;
 }
 
-/** Answers the calls of entries about requests. */
+/** Answers the calls of entries about requests and workers. */
 export class RequestCalls {
   readonly #parts: CallParts;
   readonly #waiters = new RequestWaiters();
@@ -119,6 +121,29 @@
     return this.#reply(shard.read(requestId, team));
   }
 
+  /**
+   * Starts or ends an operator's drain of a worker.
+   *
+   * @param worker - name of the worker
+   * @param drained - whether it shall take no new work
+   * @returns done, and whether the store has it, or the failure
+   */
+  public async drain(worker: string, drained: boolean): Promise<ReplyBody> {
+    const { clock, shard, phase, journal, onChange } = this.#parts;
+    if (!phase.mayAct || !phase.hasServed) return this.#replyLost();
+    const result = shard.drain(worker, drained);
+    onChange();
+    if (result.isErr()) return { reply: 'failure', failure: result.error };
+    const endsAt = clock.now() + journalWaitMs;
+    let durable = await journal.saveRoster();
+    while (!durable && journal.canCommit && clock.now() < endsAt) {
+      await clock.sleep(rosterRetryMs);
+      durable = await journal.saveRoster();
+    }
+    // A process that was superseded meanwhile does not know whether the next owner has the drain.
+    return durable || this.#isActive() ? { reply: 'done', durable } : this.#replyLost();
+  }
+
   /** A store that cannot be reached is not waited for. */
   async #waitForJournal(requestId: string, waitMs: number): Promise<void> {
     const { shard, phase, journal } = this.#parts;
--- a/packages/scheduler/src/ShardCandidate.ts
+++ b/packages/scheduler/src/ShardCandidate.ts
@@ -1,11 +1,13 @@
 import { ClaimKeeper, type Policy, type Router, type WorkerGateway } from '@toucanline/core';
 import type { ProcessRuntime } from '@toucanline/runtime';
-import type { Claim, Failure, HandoverCall, HeldRequest, HostRecord } from '@toucanline/schema';
+import type { Claim, Failure, HandoverCall, HostRecord } from '@toucanline/schema';
 import type { Link } from '@toucanline/wire';
-import { divideSnapshot } from './divideSnapshot.js';
+import { HandoverSender } from './HandoverSender.js';
+import type { OwnershipBasis } from './OwnershipBasis.js';
 import { RequestRelay } from './RequestRelay.js';
 import { ShardHost } from './ShardHost.js';
 import { SnapshotInbox } from './SnapshotInbox.js';
+import { StoreContact } from './StoreContact.js';
 import { surveyEpochs } from './surveyEpochs.js';
 import { Waker } from './Waker.js';
 
@@ -24,21 +26,19 @@
  */
 const renewalGraceMs = 1500;
 const vacancyPollMs = 250;
-/** Interval of attempts while the owner hands the shard over, and how long they go on. */
-const handoverPollMs = 20;
-const handoverWaitMs = 3000;
-const handoverTimeoutMs = 1000;
 /** How long an owner whose store lease expired tries to claim its shard again with its state, and how often. */
 const resumeMs = 3000;
 const resumePollMs = 100;
-/** Bound of the time in which finished requests are sent before the owner stops to act. */
-const prepareMs = 3000;
-/** Finished requests in one part; describing them takes a few milliseconds. */
-const requestsPerPart = 250;
-/** Silence of the owner and of the store before a candidate acts without the store. */
+/** Interval of attempts while the owner hands the shard over, and how long they go on. */
+const handoverPollMs = 20;
+const handoverWaitMs = 3000;
+/**
+ * Time in which a process that reaches the store claims a shard whose owner held a confirmed claim when it stopped:
+ * the lease of the claim, in case its release was lost, and two attempts.
+ */
+const releasedMs = 5000;
+/** Silence of an owner after which a candidate may act without the store. */
 const silenceMs = 4000;
-/** Attempts in a row that the store left unanswered, so that a pause alone does not look like an outage. */
-const minUnanswered = 3;
 /**
  * Time without a majority of worker leases after which a provisional ownership is given up. For as long, a
  * candidate leaves the attempt to the one with the first name: candidates that try at the same time split
@@ -72,20 +72,17 @@
   readonly #keeper: ClaimKeeper;
   readonly #waker: Waker;
   readonly #inbox: SnapshotInbox;
+  readonly #sender: HandoverSender;
+  readonly #contact: StoreContact;
   readonly #relay: RequestRelay;
   #host: ShardHost | undefined;
   #wanted = true;
-  /** Whether the owner still acts while a peer gets the finished requests. */
-  #isPreparing = false;
-  #handoverUntil = 0;
+  /** Local monotonic time when a peer handed the whole state over, in milliseconds. */
+  #handedAt = -Infinity;
   /** Local monotonic time until which a peer may take over what was handed to it, in milliseconds. */
   #yieldUntil = 0;
   /** Highest epoch that any message named. */
   #highestEpoch = 0;
-  #unanswered = 0;
-  /** Local monotonic time since which the claim was seen without a holder, in milliseconds. */
-  #vacantSince: number | undefined;
-  #lastAnswerAt: number;
 
   /**
    * @param parts - parts of the process
@@ -100,6 +97,8 @@
     this.#keeper = new ClaimKeeper(runtime, shard, runtime.settings.process, address);
     this.#waker = new Waker(runtime.clock);
     this.#inbox = new SnapshotInbox(runtime.clock);
+    this.#sender = new HandoverSender(runtime, () => this.#keeper.standing === 'confirmed');
+    this.#contact = new StoreContact(runtime.clock);
     this.#relay = new RequestRelay({
       clock: runtime.clock,
       router: parts.router,
@@ -108,7 +107,6 @@
       readHost: () => this.#host,
       isWanted: () => this.#wanted,
     });
-    this.#lastAnswerAt = runtime.clock.now();
   }
 
   /** The running ownership, if this process owns the shard. */
@@ -128,9 +126,7 @@
       const mayClaim = policy !== undefined && !this.#parts.mustYield();
       const claim = mayClaim ? await this.#acquire() : undefined;
       if (policy !== undefined && claim !== undefined) await this.#serve(claim, policy);
-      else if (mayClaim && this.#mayTryWithoutStore) {
-        await this.#serveWithoutStore(policy);
-      }
+      else if (mayClaim) await this.#tryWithoutStore(policy);
       await this.#waker.sleep(this.#choosePauseMs());
     }
   }
@@ -144,7 +140,7 @@
   public acceptHandover(call: HandoverCall): boolean {
     if (!this.#wanted || this.#host !== undefined) return false;
     if (this.#inbox.add(call)) {
-      this.#handoverUntil = this.#parts.runtime.clock.now() + handoverWaitMs;
+      this.#handedAt = this.#parts.runtime.clock.now();
       this.#waker.wake();
     }
     return true;
@@ -160,10 +156,9 @@
     const { clock } = this.#parts.runtime;
     const host = this.#host;
     if (host === undefined || !this.#mayHandOver(host)) return;
-    const status = await peer.call({ call: 'status' }, handoverTimeoutMs);
-    const isReady = status.isOk() && status.value.reply === 'status' && status.value.status.ready;
+    const isReady = await this.#sender.checkReady(peer);
     if (!isReady || this.#host !== host || !this.#mayHandOver(host)) return;
-    const isTaken = await this.#handOver(host, [peer]);
+    const isTaken = await this.#sender.send(host, [peer]);
     if (this.#host !== host) return;
     if (isTaken) this.#yieldUntil = clock.now() + handoverWaitMs;
     this.#endHost();
@@ -180,7 +175,7 @@
   public async stop(): Promise<void> {
     this.#wanted = false;
     const host = this.#host;
-    if (host !== undefined) await this.#handOver(host, this.#parts.listPeers());
+    if (host !== undefined) await this.#sender.send(host, this.#parts.listPeers());
     this.#endHost();
     await this.#keeper.release();
     this.#waker.wake();
@@ -191,19 +186,29 @@
   }
 
   #choosePauseMs(): number {
-    if (this.#parts.runtime.clock.now() < this.#handoverUntil) return handoverPollMs;
-    return this.#vacantSince !== undefined && this.#hasLivePeer
-      ? vacancyPollMs
-      : this.#drawPollMs();
+    if (this.#expectsClaim) return handoverPollMs;
+    const isReserved = this.#contact.vacantMs !== undefined && this.#hasLivePeer;
+    return isReserved ? vacancyPollMs : this.#drawPollMs();
+  }
+
+  /** Whether the former owner is about to release its claim for this process. */
+  get #expectsClaim(): boolean {
+    return this.#parts.runtime.clock.now() - this.#handedAt < handoverWaitMs;
   }
 
   /** Whether a peer owns the shard for all that is known, by the store and by its signs of life. */
   get #mayRest(): boolean {
-    const { clock } = this.#parts.runtime;
-    if (this.#unanswered > 0 || this.#vacantSince !== undefined) return false;
-    if (clock.now() < this.#handoverUntil) return false;
-    const isRecent = clock.now() - this.#lastAnswerAt < restMs;
-    return isRecent && this.#parts.router.hasOwner(this.#shard, ownerSilenceMs);
+    if (this.#expectsClaim || this.#contact.vacantMs !== undefined) return false;
+    return (
+      this.#contact.isRecent(restMs) && this.#parts.router.hasOwner(this.#shard, ownerSilenceMs)
+    );
+  }
+
+  /** Whether another process owns the shard by its own signs of life. */
+  get #hasLivePeer(): boolean {
+    const { router, runtime } = this.#parts;
+    const isOwn = router.findLoad(this.#shard)?.owner === runtime.settings.process;
+    return !isOwn && router.hasOwner(this.#shard, ownerSilenceMs);
   }
 
   /** A method, because the compiler would take a field as unchanged over an await. */
@@ -217,16 +222,12 @@
   }
 
   async #acquire(): Promise<Claim | undefined> {
-    const { clock } = this.#parts.runtime;
     this.#noteEpoch(this.#parts.router.findLoad(this.#shard)?.epoch ?? 0);
-    const vacantMs = clock.now() - (this.#vacantSince ?? clock.now());
-    const isReserved = this.#hasLivePeer && vacantMs < renewalGraceMs;
+    const isReserved = this.#hasLivePeer && (this.#contact.vacantMs ?? 0) < renewalGraceMs;
     const claim = await this.#keeper.acquire(this.#highestEpoch, isReserved);
-    if (claim.isOk() || claim.error.kind === 'notOwner') {
-      this.#unanswered = 0;
-      this.#lastAnswerAt = clock.now();
-      this.#vacantSince = this.#keeper.isVacant ? (this.#vacantSince ?? clock.now()) : undefined;
-    } else this.#unanswered += 1;
+    const isRefused = claim.isErr() && claim.error.kind === 'notOwner';
+    const isVacant = isRefused && this.#keeper.holder === undefined;
+    this.#contact.note(claim.isOk() || isRefused, isVacant);
     if (claim.isErr()) {
       this.#noteFailure(claim.error);
       return undefined;
@@ -249,8 +250,8 @@
   async #serve(claim: Claim, policy: Policy): Promise<void> {
     let next: Claim | undefined = claim;
     while (next !== undefined) {
-      this.#startHost(next, this.#parts.readPolicy() ?? policy, false);
-      await this.#keeper.keep(() => this.#wanted || this.#isPreparing);
+      this.#startHost(next, this.#parts.readPolicy() ?? policy, 'claimed');
+      await this.#keeper.keep(() => this.#wanted || this.#sender.isPreparing);
       if (!this.#isWanted()) return;
       next = await this.#resume();
       if (next === undefined) this.#loseHost();
@@ -272,7 +273,7 @@
       await this.#keeper.release();
       return undefined;
     }
-    for (const call of divideSnapshot(await host.freeze())) this.#inbox.add(call);
+    await this.#keepState(host);
     return claim;
   }
 
@@ -281,27 +282,17 @@
     const { clock } = this.#parts.runtime;
     const endsAt = clock.now() + ms;
     let claim = await this.#acquire();
-    while (claim === undefined && this.#unanswered > 0 && clock.now() < endsAt) {
+    while (claim === undefined && !this.#contact.isAnswering && clock.now() < endsAt) {
       await clock.sleep(resumePollMs);
       claim = await this.#acquire();
     }
     return claim;
   }
 
-  /** Whether neither the store nor an owner was heard of for a while. */
-  get #mayTryWithoutStore(): boolean {
-    const { runtime, gateway } = this.#parts;
-    const silentMs = runtime.clock.now() - this.#lastAnswerAt;
-    const isDown = silentMs > silenceMs && this.#unanswered >= minUnanswered;
-    const isTurn = this.#isFirstCandidate || silentMs > silenceMs + noMajorityMs;
-    return this.#wanted && gateway.fences && isDown && isTurn && !this.#seesOwner();
-  }
-
-  /** Whether another process owns the shard by its own signs of life. */
-  get #hasLivePeer(): boolean {
-    const { router, runtime } = this.#parts;
-    const isOwn = router.findLoad(this.#shard)?.owner === runtime.settings.process;
-    return !isOwn && router.hasOwner(this.#shard, ownerSilenceMs);
+  /** Keeps the state of an ownership for the next one of this process, which takes it if its epoch follows. */
+  async #keepState(host: ShardHost): Promise<void> {
+    const snapshot = await host.freeze();
+    this.#inbox.add({ call: 'handover', last: true, claimed: true, snapshot });
   }
 
   /** Whether no scheduler of the data centre that this process has a link to comes before it by name. */
@@ -316,19 +307,41 @@
     return load !== undefined && load.owner !== runtime.settings.process;
   }
 
-  /** Owns the shard provisionally until the store answers, another owner shows or no majority is held. */
-  async #serveWithoutStore(policy: Policy): Promise<void> {
+  /** Owns the shard without the store, if its owner handed it over or is silent like the store. */
+  async #tryWithoutStore(policy: Policy): Promise<void> {
+    if (!this.#isWanted() || !this.#parts.gateway.fences || this.#contact.isAnswering) return;
+    const handed = this.#inbox.complete;
+    // Nobody acted after the former owner, and the workers refuse this epoch if somebody did.
+    if (handed !== undefined && handed.epoch >= this.#highestEpoch) {
+      const waitedMs = this.#parts.runtime.clock.now() - this.#handedAt;
+      if (handed.claimed && waitedMs < releasedMs) return;
+      await this.#serveWithoutStore(handed.epoch + 1, policy, handed.owner);
+      return;
+    }
+    const waitMs = this.#isFirstCandidate ? 0 : noMajorityMs;
+    if (!this.#contact.isDown(waitMs) || this.#seesOwner()) return;
     const { runtime, gateway, readWorkers } = this.#parts;
-    const workers = readWorkers() ?? [];
     const { process } = runtime.settings;
-    const surveyed = await surveyEpochs(gateway, this.#shard, process, workers);
+    const surveyed = await surveyEpochs(gateway, this.#shard, process, readWorkers() ?? []);
     if (surveyed === undefined || !this.#isWanted() || this.#seesOwner()) return;
     this.#noteEpoch(surveyed);
-    const epoch = this.#highestEpoch + 1;
+    await this.#serveWithoutStore(this.#highestEpoch + 1, policy);
+  }
+
+  /**
+   * Owns the shard until the store answers, another owner shows or no majority is held.
+   *
+   * @param epoch - epoch of the ownership
+   * @param policy - policy in effect
+   * @param giver - former owner that handed the shard over; its claim in the store may outlast it
+   */
+  async #serveWithoutStore(epoch: number, policy: Policy, giver?: string): Promise<void> {
+    const { runtime } = this.#parts;
     this.#noteEpoch(epoch);
     const token = runtime.random.token();
-    const claim = { shard: this.#shard, epoch, owner: process, address: this.#address, token };
-    const host = this.#startHost(claim, policy, true);
+    const owner = runtime.settings.process;
+    const claim = { shard: this.#shard, epoch, owner, address: this.#address, token };
+    const host = this.#startHost(claim, policy, giver === undefined ? 'provisional' : 'handedOver');
     let lastMajorityAt = runtime.clock.now();
     while (this.#isWanted() && host.isActive) {
       await runtime.clock.sleep(provisionalPollMs);
@@ -336,24 +349,33 @@
       else if (runtime.clock.now() - lastMajorityAt > noMajorityMs || this.#seesOwner()) break;
       const stored = await this.#acquire();
       if (stored === undefined) {
-        if (this.#unanswered === 0) break;
+        const isHeld = this.#contact.isAnswering && this.#keeper.holder !== giver;
+        if (isHeld) break;
         continue;
       }
-      this.#endHost();
-      await this.#serve(stored, this.#parts.readPolicy() ?? policy);
+      await this.#serveWithStore(host, stored, this.#parts.readPolicy() ?? policy);
       return;
     }
     if (this.#isWanted()) this.#endHost();
   }
 
-  #startHost(claim: Claim, policy: Policy, provisional: boolean): ShardHost {
+  /** Goes on under a claim in the store, with the own state if no other owner claimed the shard meanwhile. */
+  async #serveWithStore(host: ShardHost, claim: Claim, policy: Policy): Promise<void> {
+    const { epoch } = host.shard;
+    const isNext = this.#keeper.formerEpoch < epoch && claim.epoch === epoch + 1;
+    if (host.isActive && isNext) await this.#keepState(host);
+    this.#endHost();
+    await this.#serve(claim, policy);
+  }
+
+  #startHost(claim: Claim, policy: Policy, basis: OwnershipBasis): ShardHost {
     const { runtime, gateway, readWorkers, onChange } = this.#parts;
     const host = new ShardHost(
       runtime,
       gateway,
       {
         claim,
-        provisional,
+        basis,
         readStanding: () => this.#keeper.standing,
         readContact: () => this.#keeper.contactAt,
         onServing: onChange,
@@ -393,72 +415,6 @@
     return this.#wanted && isSettled && this.#keeper.standing === 'confirmed';
   }
 
-  /** Hands the state to the first peer that takes it; returns whether one did. */
-  async #handOver(host: ShardHost, peers: readonly Link[]): Promise<boolean> {
-    const [peer] = peers;
-    this.#isPreparing = true;
-    const sent = peer === undefined ? undefined : await this.#prepare(host, peer);
-    this.#isPreparing = false;
-    if (!host.isActive) return false;
-    const rest = await host.freeze(sent);
-    const isTaken =
-      peer !== undefined &&
-      sent !== undefined &&
-      (await this.#sendParts(peer, divideSnapshot(rest)));
-    const whole = isTaken ? [] : divideSnapshot(await host.freeze());
-    const taker = isTaken ? peer : await this.#sendToFirst(whole, peers);
-    if (taker === undefined) return false;
-    const { shard, epoch } = rest;
-    const detail = taker.peer?.process ?? '';
-    this.#parts.runtime.recorder.record('claimHandedOver', { shard, epoch, detail });
-    return true;
-  }
-
-  /**
-   * Sends the finished requests while this process still acts: after a busy time they are most of the
-   * state. The small parts leave time for decisions in between.
-   */
-  async #prepare(host: ShardHost, peer: Link): Promise<ReadonlySet<string> | undefined> {
-    const { clock } = this.#parts.runtime;
-    const endsAt = clock.now() + prepareMs;
-    const { name: shard, epoch } = host.shard;
-    const sent = new Set<string>();
-    let requests: HeldRequest[] = [];
-    const send = async (): Promise<boolean> => {
-      const calls = divideSnapshot({ shard, epoch, requests, reports: [] }, false);
-      const isSent = await this.#sendParts(peer, calls);
-      for (const { request } of requests) sent.add(request.id);
-      requests = [];
-      return isSent;
-    };
-    for (const held of host.shard.describeFinished()) {
-      requests.push(held);
-      if (requests.length < requestsPerPart) continue;
-      if (!(await send())) return undefined;
-      if (!host.isActive || clock.now() > endsAt) return sent;
-    }
-    return (await send()) ? sent : undefined;
-  }
-
-  /** Sends all parts to the first peer that takes them. */
-  async #sendToFirst(
-    calls: readonly HandoverCall[],
-    peers: readonly Link[],
-  ): Promise<Link | undefined> {
-    for (const peer of peers) {
-      if (await this.#sendParts(peer, calls)) return peer;
-    }
-    return undefined;
-  }
-
-  async #sendParts(peer: Link, calls: readonly HandoverCall[]): Promise<boolean> {
-    for (const call of calls) {
-      const reply = await peer.call(call, handoverTimeoutMs);
-      if (reply.isErr() || reply.value.reply !== 'done') return false;
-    }
-    return true;
-  }
-
   #endHost(): void {
     this.#host?.stop();
     this.#host = undefined;
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -62,7 +62,8 @@
     this.#runtime = runtime;
     this.#ownership = ownership;
     const { clock, random, recorder, invariant, settings } = runtime;
-    const { provisional } = ownership;
+    // Workers need not keep the lease of a former owner that stopped to act.
+    const provisional = ownership.basis === 'provisional';
     const { shard, epoch, owner, address } = ownership.claim;
     const { dataCentre } = settings;
     const phase = new OwnerPhase(ownership, clock);
@@ -138,7 +139,7 @@
    */
   public canResume(): boolean {
     const isWhole = this.isServing && this.#shard.isRecovered && !this.#succession.hasReleased;
-    return isWhole && !this.#ownership.provisional && this.#shard.holdsMajority;
+    return isWhole && !this.#phase.isStoreless && this.#shard.holdsMajority;
   }
 
   /** Whether this process still acts as the owner. */
@@ -154,6 +155,7 @@
   public start(inheritance?: ReturnType<SnapshotInbox['take']>): void {
     if (inheritance !== undefined) {
       this.#shard.restoreSnapshot(inheritance.snapshot, inheritance.finished);
+      this.#allotments.inherit(inheritance.snapshot.allotments);
     }
     void this.#journal.open();
     void this.#timer.run();
@@ -279,17 +281,15 @@
    *
    * @param worker - name of the worker
    * @param drained - whether it shall take no new work
-   * @returns done, or the failure
+   * @returns done, and whether the store has it, or the failure
    */
-  public drain(worker: string, drained: boolean): ReplyBody {
-    const result = this.#shard.drain(worker, drained);
-    this.#effects.run();
-    return result.isOk() ? { reply: 'done' } : { reply: 'failure', failure: result.error };
+  public drain(worker: string, drained: boolean): Promise<ReplyBody> {
+    return this.#calls.drain(worker, drained);
   }
 
   #createAllotments(policy: Policy): AllotmentKeeper {
     const { store, clock, random, recorder, invariant, holder } = this.#runtime;
-    const { provisional, claim } = this.#ownership;
+    const { claim } = this.#ownership;
     return new AllotmentKeeper(
       {
         store,
@@ -299,7 +299,7 @@
         invariant,
         readLoad: () => this.#shard.describeLoad(),
         isRecovered: () => this.#shard.isRecovered,
-        isProvisional: provisional,
+        isProvisional: this.#phase.isStoreless,
         onChange: (spendable, lowered) => {
           this.#shard.applyAllotments(spendable, lowered);
           this.#effects.run();
--- a/packages/scheduler/src/ShardJournal.ts
+++ b/packages/scheduler/src/ShardJournal.ts
@@ -51,10 +51,10 @@
     return this.#isOpen && !this.#parts.phase.isWithoutStore;
   }
 
-  /** Loads the journal, again and again until that succeeds. A provisional owner serves without it. */
+  /** Loads the journal, again and again until that succeeds. An owner without the store serves without it. */
   public async open(): Promise<void> {
-    const { runtime, shard, ownership, succession, onOpen } = this.#parts;
-    if (ownership.provisional) return;
+    const { runtime, shard, phase, succession, onOpen } = this.#parts;
+    if (phase.isStoreless) return;
     while (this.#isActive()) {
       const [opened, roster] = await Promise.all([
         succession
@@ -103,9 +103,15 @@
     onChange();
   }
 
-  /** Writes the workers that the next owner has to know of, if the store can be expected to take them. */
-  public saveRoster(): void {
-    if (this.canCommit) void this.#roster.save(this.#parts.shard.listLeased());
+  /**
+   * Writes the workers that the next owner has to know of, if the store can be expected to take them.
+   *
+   * @returns whether the store has them
+   */
+  public async saveRoster(): Promise<boolean> {
+    if (!this.canCommit) return false;
+    const { shard } = this.#parts;
+    return this.#roster.save(shard.listLeased(), shard.drained);
   }
 
   /** Ends the commits of this ownership. */
--- /dev/null
+++ b/packages/scheduler/src/StoreContact.ts
@@ -0,0 +1,68 @@
+import type { Clock } from '@toucanline/core';
+
+/** Silence of the store before a candidate acts without it. */
+const silenceMs = 4000;
+/** Attempts in a row that the store left unanswered, so that a pause alone does not look like an outage. */
+const minUnanswered = 3;
+
+/** Tells what the store answers this process, from the outcome of its attempts to claim a shard. */
+export class StoreContact {
+  readonly #clock: Clock;
+  #unanswered = 0;
+  #lastAnswerAt: number;
+  /** Local monotonic time since which the claim was seen without a holder, in milliseconds. */
+  #vacantSince: number | undefined;
+
+  /** @param clock - source of time */
+  public constructor(clock: Clock) {
+    this.#clock = clock;
+    this.#lastAnswerAt = clock.now();
+  }
+
+  /** Whether the last attempt was answered. */
+  public get isAnswering(): boolean {
+    return this.#unanswered === 0;
+  }
+
+  /** Time since which the claim was seen without a holder, in milliseconds; undefined if it has one. */
+  public get vacantMs(): number | undefined {
+    return this.#vacantSince === undefined ? undefined : this.#clock.now() - this.#vacantSince;
+  }
+
+  /**
+   * Checks whether the store was silent for so long that owners may be replaced without it.
+   *
+   * @param extraMs - time that has to pass beyond that, in milliseconds
+   * @returns true if it was
+   */
+  public isDown(extraMs = 0): boolean {
+    return this.#sinceAnswerMs > silenceMs + extraMs && this.#unanswered >= minUnanswered;
+  }
+
+  /**
+   * Checks whether the last answer is recent.
+   *
+   * @param maxAgeMs - oldest answer that counts, in milliseconds
+   * @returns true if the last attempt was answered within that time
+   */
+  public isRecent(maxAgeMs: number): boolean {
+    return this.isAnswering && this.#sinceAnswerMs < maxAgeMs;
+  }
+
+  /**
+   * Notes the outcome of an attempt.
+   *
+   * @param isAnswered - whether the store answered
+   * @param isVacant - whether it said that nobody holds the claim
+   */
+  public note(isAnswered: boolean, isVacant: boolean): void {
+    this.#unanswered = isAnswered ? 0 : this.#unanswered + 1;
+    if (!isAnswered) return;
+    this.#lastAnswerAt = this.#clock.now();
+    this.#vacantSince = isVacant ? (this.#vacantSince ?? this.#lastAnswerAt) : undefined;
+  }
+
+  get #sinceAnswerMs(): number {
+    return this.#clock.now() - this.#lastAnswerAt;
+  }
+}
