Take an announced loss as such in the chaos program

Cause: `durable: false` tells the caller that the request is lost if its entry and its owner fail together, but the check of the chaos load reported each lost request. The pair is drawn by the program.

Trace of the case, by the new test of durability.test: the store is down, the caller gets `waiting`, `durable: false`, entry and owner are killed, the store answers again; the next owner answers `timeout` for 10 s and then 410 `recordMissing`, `ran: unknown`.

Change: a loss counts as announced, and is printed with the outcomes, only if the last answer about the request said `durable: false` and none before said otherwise, each entry that took a submission of it and the owner that the store named at that answer were killed after it, and the loss is answered `recordMissing` with `ran: unknown`. Any other loss is a violation as before, also one after a lost claim or after the kill of one of the two. A unit test holds the rule to each of these conditions.

--- /dev/null
+++ b/packages-private/testkit/__tests__/chaosLosses.test.ts
@@ -0,0 +1,39 @@
+import type { Problem, RequestView } from '@toucanline/schema';
+import { expect } from 'chai';
+import { ChaosLosses } from '../src/ChaosLosses.js';
+import type { ChaosRecord } from '../src/ChaosRecord.js';
+
+const id = 's1.q';
+const record = { text: 'planning-1' } as ChaosRecord;
+const missing = { title: 'recordMissing', ran: 'unknown' } as Problem;
+
+describe('the losses that the chaos program takes as announced', () => {
+  /** Checks a loss after answers with these values of `durable` and after these daemons were killed. */
+  const check = (
+    durable: readonly (boolean | undefined)[],
+    killed: readonly string[],
+    problem = missing,
+  ): boolean => {
+    const losses = new ChaosLosses({
+      readEntryName: () => 'e0',
+      findOwner: () => 's0',
+      wasKilledSince: (process) => killed.includes(process),
+    });
+    losses.noteEntry(record, 'dc1');
+    for (const each of durable) losses.noteAnswer({ id, durable: each } as RequestView);
+    return losses.isAnnounced(record, id, problem);
+  };
+
+  // Guards against a check that passes over losses which break a promise.
+  it('are those after durable: false with a killed entry and a killed owner, and an honest answer', () => {
+    expect(check([false], ['e0', 's0'])).to.equal(true);
+    expect(check([false], ['e0'])).to.equal(false);
+    expect(check([false], ['s0'])).to.equal(false);
+    expect(check([], ['e0', 's0'])).to.equal(false);
+    expect(check([undefined], ['e0', 's0'])).to.equal(false);
+    expect(check([true, false], ['e0', 's0'])).to.equal(false);
+    expect(check([false, true], ['e0', 's0'])).to.equal(false);
+    const absent = { title: 'unknownRequest', ran: 'unknown' } as Problem;
+    expect(check([false], ['e0', 's0'], absent)).to.equal(false);
+  });
+});
--- a/packages-private/testkit/__tests__/durability.test.ts
+++ b/packages-private/testkit/__tests__/durability.test.ts
@@ -127,4 +127,27 @@
     expect(site.ledger.countStarts(view.id)).to.equal(1);
     expect(site.ledger.violations).to.deep.equal([]);
   });
+
+  // Guards against "no such request" for one that is lost as its answer announced, and that may have run.
+  it('says that the record is missing after entry and owner were killed without a journal', async () => {
+    const entry = await site.addEntry('dc1', 'lost-dc1');
+    await entry.waitUntilHealthy();
+    const busy = { size, command: 'sleep 30000', deadlineSeconds: 60 };
+    for (const _ of site.workers) await create(1).submit('renders', busy, { wait: 0 });
+    const former = owner();
+    site.store.setFault('down');
+    const { view } = await new Caller(() => entry.url, 'key-broadcast').submit('renders', long, {
+      wait: 0,
+    });
+    expect(view).to.include({ state: 'waiting', durable: false });
+    entry.signal('SIGKILL');
+    former?.signal('SIGKILL');
+    site.store.setFault('none');
+    await (await site.addScheduler('dc1', 'last-dc1')).waitUntilHealthy();
+    let last = await create(1).wait(view.id, 20);
+    for (let asked = 0; last.status === 504 && asked < 5; asked += 1)
+      last = await create(1).wait(view.id, 20);
+    expect(last.problem).to.include({ status: 410, title: 'recordMissing', ran: 'unknown' });
+    expect(site.ledger.violations).to.deep.equal([]);
+  });
 });
--- a/packages-private/testkit/src/ChaosSite.ts
+++ b/packages-private/testkit/src/ChaosSite.ts
@@ -14,6 +14,8 @@
   readonly #starts = new Map<string, number>();
   /** Proxies in front of the schedulers, by process. */
   readonly #links = new Map<string, FaultProxy>();
+  /** Local monotonic times in milliseconds at which daemons were killed. */
+  readonly #kills = new Map<string, number>();
   #replaced = 0;
 
   public constructor() {
@@ -92,10 +94,38 @@
    * @returns its URL
    */
   public readEntryUrl(dataCentre: string): string {
-    return (
-      this.listDaemons('entry').find(({ settings }) => settings.dataCentre === dataCentre)?.url ??
-      'http://127.0.0.1:1'
-    );
+    return this.#findEntry(dataCentre)?.url ?? 'http://127.0.0.1:1';
+  }
+
+  /**
+   * Reads the name of the entry of a data centre.
+   *
+   * @param dataCentre - the data centre
+   * @returns name of the process, unless it is being replaced
+   */
+  public readEntryName(dataCentre: string): string | undefined {
+    return this.#findEntry(dataCentre)?.settings.process;
+  }
+
+  /**
+   * Finds the owner of a shard in the store.
+   *
+   * @param shard - name of the shard
+   * @returns name of the process, if one holds the claim
+   */
+  public findOwner(shard: string): string | undefined {
+    return this.site.store.peek(`owners/${shard}`).value?.split(' ')[0];
+  }
+
+  /**
+   * Checks whether a daemon was killed after a moment.
+   *
+   * @param process - name of the daemon
+   * @param sinceMs - local monotonic time in milliseconds
+   * @returns true if it was killed later
+   */
+  public wasKilledSince(process: string, sinceMs: number): boolean {
+    return (this.#kills.get(process) ?? -Infinity) > sinceMs;
   }
 
   /**
@@ -112,6 +142,7 @@
   ): Promise<void> {
     const { process: name, dataCentre } = daemon.settings;
     daemon.signal('SIGKILL');
+    this.#kills.set(name, performance.now());
     await daemon.exit;
     this.#daemons.delete(name);
     await pause();
@@ -140,6 +171,10 @@
     return count;
   }
 
+  #findEntry(dataCentre: string): DaemonProcess | undefined {
+    return this.listDaemons('entry').find(({ settings }) => settings.dataCentre === dataCentre);
+  }
+
   async #publishScheduler(address: string, process: string): Promise<string> {
     const proxy = new FaultProxy(
       () => address,
