Shorten the constructor of the host of a shard

Cause: it filled a screen and called the shard `decisions` in places.

Change: the shard is created in a method of its own, and the parts share one object. No behaviour changes.

--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -59,47 +59,37 @@
     ownership: Ownership,
     policy: Policy,
   ) {
-    this.#runtime = runtime;
-    this.#ownership = ownership;
-    const { clock, random, recorder, invariant, settings } = runtime;
-    const { provisional } = ownership;
-    const { shard, epoch, owner, address } = ownership.claim;
-    const { dataCentre } = settings;
+    const { clock } = runtime;
     const phase = new OwnerPhase(ownership, clock);
     const onChange = (): void => {
       this.#effects.run();
     };
+    this.#runtime = runtime;
+    this.#ownership = ownership;
     this.#phase = phase;
-    this.#shard = new Shard(
-      { shard, dataCentre, epoch, owner, provisional, clock, random, recorder, invariant },
-      address,
-      policy,
-    );
-    const decisions = this.#shard;
+    this.#shard = this.#createShard(policy);
+    const shard = this.#shard;
     this.#workers = new WorkerDriver({
       clock,
       gateway,
-      shard: decisions,
+      shard,
       isActive: () => phase.isActive,
       mayAct: () => phase.mayAct,
       onAnswer: onChange,
     });
-    this.#succession = new WorkSuccession(
-      { runtime, shard: decisions, isActive: () => phase.isOpen, onChange },
-      policy,
-    );
-    const succession = this.#succession;
+    const passing = { runtime, shard, isActive: () => phase.isOpen, onChange };
+    this.#succession = new WorkSuccession(passing, policy);
+    const parts = { runtime, shard, ownership, phase, succession: this.#succession, onChange };
     const onOpen = (): void => {
       this.#timer.updateServing();
       onChange();
     };
-    const parts = { runtime, shard: decisions, ownership, phase, succession, onChange };
     this.#journal = new ShardJournal({ ...parts, onOpen });
     const journal = this.#journal;
     this.#calls = new RequestCalls({ ...parts, clock, journal });
     this.#timer = new HostTimer({ ...parts, journal });
     this.#effects = new EffectRunner({
-      shard: decisions,
+      shard,
       phase,
       workers: this.#workers,
       journal,
@@ -277,6 +267,15 @@
     return result.isOk() ? { reply: 'done' } : { reply: 'failure', failure: result.error };
   }
 
+  #createShard(policy: Policy): Shard {
+    const { clock, random, recorder, invariant, settings } = this.#runtime;
+    const { claim, provisional } = this.#ownership;
+    const { shard, epoch, owner, address } = claim;
+    const { dataCentre } = settings;
+    const identity = { shard, dataCentre, epoch, owner, provisional };
+    return new Shard({ ...identity, clock, random, recorder, invariant }, address, policy);
+  }
+
   #createAllotments(policy: Policy): AllotmentKeeper {
     const { store, clock, random, recorder, invariant, holder } = this.#runtime;
     const { provisional, claim } = this.#ownership;
