--- a/packages/core/src/ClaimKeeper.ts
+++ b/packages/core/src/ClaimKeeper.ts
@@ -1,4 +1,4 @@
-import { validators, type Claim, type Failure } from '@toucanline/schema';
+import { validators, type Claim, type Failure, type StoreValue } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
 import type { ClaimStanding } from './ClaimStanding.js';
 import type { Clock } from './Clock.js';
@@ -11,10 +11,12 @@
 
 /** Part of the store lease that the holder relies on; the rest covers the drift of the two clocks. */
 const reliedFraction = 0.99;
-/** Pause before a renewal whose outcome decides whether the owner may act. */
-const urgentRenewalMs = 100;
+/** Shortest pause between renewals, and the one before a renewal that decides whether the owner may act. */
+const minPauseMs = 100;
 /** Pause before a renewal while the store does not answer: its owner has to be back before a peer takes the claim. */
-const outageRenewalMs = 250;
+const outagePauseMs = 250;
+/** Duration of the first calls of a claim from which its lease is renewed before the claim is complete. */
+const slowClaimMs = 1000;
 /** Reads that settle a write whose answer was lost. */
 const maxReadBacks = 3;
 
@@ -99,15 +101,23 @@
       return err(createFailure('notOwner', `held by ${holder.value.value}`));
     }
     if (isReserved) return err(createFailure('notOwner', 'left to the last owner, which is alive'));
-    const askedAt = clock.now();
-    const lease = await store.grantLease(periods.claimLeaseMs);
+    let askedAt = clock.now();
+    // A slow store leaves no time for a read between the two writes under the lease.
+    const [lease, record] = await Promise.all([
+      store.grantLease(periods.claimLeaseMs),
+      store.read(this.#recordKey),
+    ]);
     if (lease.isErr()) return err(lease.error);
     const { lease: leaseId } = lease.value;
     const value = `${this.#owner} ${random.token()}`;
     const taken = await this.#writeOnce(key, value, holder.value.version, leaseId);
-    const claim = taken.isErr()
-      ? err<Claim, Failure>(taken.error)
-      : await this.#raiseEpoch(minEpoch);
+    const takenAt = clock.now();
+    const isSlow = takenAt - askedAt > slowClaimMs;
+    const [claim, renewed] = await Promise.all([
+      taken.isErr() ? err<Claim, Failure>(taken.error) : this.#raiseEpoch(minEpoch, record),
+      isSlow && taken.isOk() ? store.renewLease(leaseId) : undefined,
+    ]);
+    if (renewed?.isOk() === true) askedAt = takenAt;
     const validUntil = askedAt + periods.claimLeaseMs * reliedFraction;
     if (claim.isErr() || clock.now() >= validUntil) {
       await store.revokeLease(leaseId);
@@ -130,11 +140,12 @@
    */
   public async keep(isWanted: () => boolean): Promise<string> {
     const { store, clock, recorder } = this.#parts;
+    let askedAt = clock.now();
     while (isWanted()) {
-      await clock.sleep(this.#chooseRenewalMs());
+      await clock.sleep(this.#choosePauseMs(clock.now() - askedAt));
       const lease = this.#lease;
       if (lease === undefined || !isWanted()) break;
-      const askedAt = clock.now();
+      askedAt = clock.now();
       const renewed = await store.renewLease(lease);
       if (this.#lease !== lease) break;
       if (renewed.isOk()) {
@@ -160,10 +171,12 @@
     if (lease !== undefined) await this.#parts.store.revokeLease(lease);
   }
 
-  #chooseRenewalMs(): number {
+  /** Counts from the former call: with a pause after each slow answer the lease would lapse in between. */
+  #choosePauseMs(sinceCallMs: number): number {
     const { standing } = this;
-    if (standing === 'confirmed') return periods.claimRenewalMs;
-    return standing === 'unsettled' ? urgentRenewalMs : outageRenewalMs;
+    if (standing === 'unsettled') return minPauseMs;
+    if (standing === 'unreachable') return outagePauseMs;
+    return Math.max(minPauseMs, periods.claimRenewalMs - sinceCallMs);
   }
 
   /** Writes a unique value; a lost answer is settled by reading back. */
@@ -184,9 +197,24 @@
     return err(written.error);
   }
 
-  async #raiseEpoch(minEpoch: number): Promise<Result<Claim, Failure>> {
-    const key = `claims/${this.#shard}`;
-    const current = await this.#parts.store.read(key);
+  get #recordKey(): string {
+    return `claims/${this.#shard}`;
+  }
+
+  /** Raises the epoch in the store; a record that changed since it was read is read again. */
+  async #raiseEpoch(
+    minEpoch: number,
+    known: Result<StoreValue, Failure>,
+  ): Promise<Result<Claim, Failure>> {
+    const raised = await this.#writeEpoch(minEpoch, known);
+    if (raised.isOk() || raised.error.kind !== 'storeConflict') return raised;
+    return this.#writeEpoch(minEpoch, await this.#parts.store.read(this.#recordKey));
+  }
+
+  async #writeEpoch(
+    minEpoch: number,
+    current: Result<StoreValue, Failure>,
+  ): Promise<Result<Claim, Failure>> {
     if (current.isErr()) return err(current.error);
     let epoch = minEpoch;
     if (current.value.value !== undefined) {
@@ -203,6 +231,7 @@
       token: this.#parts.random.token(),
     };
     const text = JSON.stringify(claim);
-    return (await this.#writeOnce(key, text, current.value.version)).map(() => claim);
+    const { version } = current.value;
+    return (await this.#writeOnce(this.#recordKey, text, version)).map(() => claim);
   }
 }
