Let two owners per data centre watch the record of takeovers

Cause: each daemon read the record each second, which was 0.35 KB/s and a call a second of each.

Change: the owners of the first two shards of a data centre keep a watch on the record and tell its version in their load notices, and whether the store answers the watch. The others (TakeoverSync) read a newer version at once, and the record each 10 s beside that. Without an open link to such a watcher a process reads it each second, as before. Only watchers look at the claims of other data centres; a declaration is still carried out by each connected owner.

Bound: before, a process knew a change after 1 s and a read. It still does (the notice leaves within 0.5 s). If all watchers that it hears lose the store or their links at the same moment, it takes 4 s and a read.

--- a/packages/core/__tests__/loadNotices.test.ts
+++ b/packages/core/__tests__/loadNotices.test.ts
@@ -34,6 +34,7 @@
   shards,
   configurationRevision: 1,
   keysRevision: 1,
+  takeovers: { version: 1, watched: true },
 });
 
 const sample = (use: ShardLoad['use']): ShardLoad => ({
--- a/packages/core/src/LoadFeed.ts
+++ b/packages/core/src/LoadFeed.ts
@@ -1,4 +1,10 @@
-import type { LoadNotice, Resources, ShardLoad, ShardNotice } from '@toucanline/schema';
+import type {
+  LoadNotice,
+  Resources,
+  ShardLoad,
+  ShardNotice,
+  TakeoversTold,
+} from '@toucanline/schema';
 import { toAmount } from './toAmount.js';
 
 /** Amounts per team. */
@@ -9,8 +15,17 @@
   readonly shards: readonly ShardLoad[];
   readonly configurationRevision: number;
   readonly keysRevision: number;
+  /** What is told of the record of takeovers. */
+  readonly takeovers: TakeoversTold;
 }
 
+const nothingTold: LoadState = {
+  shards: [],
+  configurationRevision: 0,
+  keysRevision: 0,
+  takeovers: { version: 0, watched: false },
+};
+
 const isSame = (left: Resources, right: Resources): boolean =>
   left.processors === right.processors &&
   left.memoryMb === right.memoryMb &&
@@ -68,12 +83,12 @@
     if (before === undefined) return undefined;
     if (shards.length === 0 && ended.length === 0 && !hasRevisions) return undefined;
     this.#toldAt = now;
-    const { configurationRevision, keysRevision } = state;
+    const { configurationRevision, keysRevision, takeovers } = state;
     return {
       notice: 'load',
       shards,
       ...(ended.length === 0 ? {} : { ended }),
-      ...(hasRevisions ? { configurationRevision, keysRevision } : {}),
+      ...(hasRevisions ? { configurationRevision, keysRevision, takeovers } : {}),
     };
   }
 
@@ -83,13 +98,9 @@
    * @returns the notice
    */
   public describeAll(): LoadNotice {
-    const { shards, configurationRevision, keysRevision } = this.#told ?? {
-      shards: [],
-      configurationRevision: 0,
-      keysRevision: 0,
-    };
+    const { shards, ...revisions } = this.#told ?? nothingTold;
     const described = shards.map((load) => this.#describe(load));
-    return { notice: 'load', whole: true, shards: described, configurationRevision, keysRevision };
+    return { notice: 'load', whole: true, shards: described, ...revisions };
   }
 
   #isUrgent(state: LoadState): boolean {
@@ -102,7 +113,9 @@
   #hasNewRevisions(state: LoadState): boolean {
     return (
       this.#told?.configurationRevision !== state.configurationRevision ||
-      this.#told.keysRevision !== state.keysRevision
+      this.#told.keysRevision !== state.keysRevision ||
+      this.#told.takeovers.version !== state.takeovers.version ||
+      this.#told.takeovers.watched !== state.takeovers.watched
     );
   }
 
--- a/packages/core/src/TakeoverBook.ts
+++ b/packages/core/src/TakeoverBook.ts
@@ -11,11 +11,17 @@
 
 /** Answers questions about what passed from lost or cut-off data centres to others. */
 export class TakeoverBook {
+  /** Version of the record in the store; 0 if there is none. */
+  public readonly version: number;
   readonly #record: Takeovers;
   readonly #places = new Map<string, { readonly from: string; readonly to: string }>();
 
-  /** @param record - the record in the store */
-  public constructor(record: Takeovers = emptyTakeovers) {
+  /**
+   * @param record - the record in the store
+   * @param version - its version
+   */
+  public constructor(record: Takeovers = emptyTakeovers, version = 0) {
+    this.version = version;
     this.#record = record;
     for (const { shard, requests } of record.takeovers) {
       for (const [id, to] of Object.entries(requests)) this.#places.set(id, { from: shard, to });
--- a/packages/core/src/TakeoverEditor.ts
+++ b/packages/core/src/TakeoverEditor.ts
@@ -2,6 +2,7 @@
   validators,
   type DataCentreChange,
   type Failure,
+  type StoreValue,
   type Takeover,
   type Takeovers,
 } from '@toucanline/schema';
@@ -29,6 +30,13 @@
 /** A new content of the record, or undefined if the wanted change is in effect already. */
 type Edit = Result<Omit<Takeovers, 'token'> | undefined, Failure>;
 
+const decodeBook = (stored: Result<StoreValue, Failure>): Result<TakeoverBook, Failure> =>
+  stored.andThen((value) =>
+    decodeStored(validators.Takeovers)(value).map(
+      (record) => new TakeoverBook(record, value.version),
+    ),
+  );
+
 /**
  * Gives what a lost shard was given, and did not take into its own journal, to other successors. What it took in
  * is among the requests of the new takeover. The part that moves becomes an entry of its own: a successor that
@@ -72,10 +80,18 @@
    * @returns the record, or `storeUnavailable`
    */
   public async read(): Promise<Result<TakeoverBook, Failure>> {
-    const stored = await this.#parts.store.read(recordKey);
-    return stored
-      .andThen(decodeStored(validators.Takeovers))
-      .map((record) => new TakeoverBook(record));
+    return decodeBook(await this.#parts.store.read(recordKey));
+  }
+
+  /**
+   * Waits for a change of the record.
+   *
+   * @param version - the known version
+   * @param waitMs - longest wait in milliseconds
+   * @returns the record, changed or not, or `storeUnavailable`
+   */
+  public async watch(version: number, waitMs: number): Promise<Result<TakeoverBook, Failure>> {
+    return decodeBook(await this.#parts.store.watch(recordKey, version, waitMs));
   }
 
   /**
@@ -233,7 +249,7 @@
       }
       const decoded = decodeStored(validators.Takeovers)(stored.value);
       if (decoded.isErr()) return err(decoded.error);
-      const book = new TakeoverBook(decoded.value);
+      const book = new TakeoverBook(decoded.value, stored.value.version);
       const edit = change(book);
       if (edit.isErr()) return err(edit.error);
       if (edit.value === undefined) return ok(book);
@@ -244,7 +260,7 @@
         return err(createFailure('bodyTooLarge', detail));
       }
       const written = await store.write(recordKey, text, stored.value.version);
-      if (written.isOk()) return ok(new TakeoverBook(next));
+      if (written.isOk()) return ok(new TakeoverBook(next, written.value));
       if (last.kind !== 'timeout') last = written.error;
     }
     return err(last);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -113,6 +113,7 @@
 export { ShardTakeover } from './ShardTakeover.js';
 export { TakeoverBook } from './TakeoverBook.js';
 export { TakeoverEditor } from './TakeoverEditor.js';
+export { TakeoverSync } from './TakeoverSync.js';
 export { listReleasedQueues } from './listReleasedQueues.js';
 export { planTakeover } from './planTakeover.js';
 export { readJournal } from './readJournal.js';
--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -1,4 +1,4 @@
-import { Router } from '@toucanline/core';
+import { Router, TakeoverEditor, TakeoverSync } from '@toucanline/core';
 import { addHealthRoutes, Daemon, PeerSet, type ProcessRuntime } from '@toucanline/runtime';
 import type { NoticeBody, ReplyBody } from '@toucanline/schema';
 import { LinkHandler, type Link } from '@toucanline/wire';
@@ -14,20 +14,21 @@
 import { RequestRoutes } from './RequestRoutes.js';
 import { RequestService } from './RequestService.js';
 import type { Route } from './Route.js';
-import { TakeoverReader } from './TakeoverReader.js';
 
 const defaultDrainSeconds = 60;
 /** Time for the load balancer to notice that the process is not ready, in milliseconds. */
 const noticeMs = 500;
 const pollMs = 50;
 
-/** Passes the notices of schedulers to the router. */
+/** Passes the notices of schedulers to the router and to the record of takeovers. */
 class EntryLinks extends LinkHandler {
   readonly #router: Router;
+  readonly #takeovers: TakeoverSync;
 
-  public constructor(router: Router) {
+  public constructor(router: Router, takeovers: TakeoverSync) {
     super();
     this.#router = router;
+    this.#takeovers = takeovers;
   }
 
   public override handleOpen(): void {
@@ -40,7 +41,11 @@
   }
 
   public override handleNotice(link: Link, body: NoticeBody): void {
-    if (link.peer !== undefined) this.#router.applyNotice(link.peer.process, body);
+    if (link.peer === undefined) return;
+    this.#router.applyNotice(link.peer.process, body);
+    const { takeovers } = body;
+    if (takeovers === undefined) return;
+    this.#takeovers.noteTold(link.peer.process, takeovers, () => !link.isClosed);
   }
 
   public override handleActivity(link: Link): void {
@@ -57,7 +62,7 @@
   readonly #runtime: ProcessRuntime;
   readonly #router: Router;
   readonly #peers: PeerSet;
-  readonly #takeovers: TakeoverReader;
+  readonly #takeovers: TakeoverSync;
   readonly #groups: Parameters<typeof createRoutes>[0];
   readonly #service = restana({
     errorHandler: (error, _request, response) => {
@@ -67,6 +72,7 @@
   });
   #inFlight = 0;
   #draining = false;
+  #stopped = false;
 
   /** @param runtime - the process */
   public constructor(runtime: ProcessRuntime) {
@@ -74,9 +80,14 @@
     this.#runtime = runtime;
     const { clock, recorder, settings, keyRing, keysContact } = runtime;
     this.#router = new Router(clock, settings.dataCentre);
-    this.#peers = new PeerSet(runtime, new EntryLinks(this.#router));
+    this.#takeovers = new TakeoverSync({
+      editor: new TakeoverEditor(runtime),
+      clock,
+      isWatcher: () => false,
+      onChange: () => undefined,
+    });
+    this.#peers = new PeerSet(runtime, new EntryLinks(this.#router, this.#takeovers));
     const authenticator = new Authenticator(keyRing, keysContact, settings.operatorKeyHash);
-    this.#takeovers = new TakeoverReader(runtime);
     const service = new RequestService({
       clock,
       random: runtime.random,
@@ -100,7 +111,7 @@
   public override async start(): Promise<void> {
     const { host, port } = this.#runtime.settings.http;
     this.#peers.start();
-    void this.#takeovers.run();
+    void this.#takeovers.run(() => !this.#stopped);
     this.#runtime.followRevisions(
       () => false,
       () => undefined,
@@ -123,7 +134,7 @@
     }
     server.closeIdleConnections();
     await Promise.race([closed, clock.sleep(noticeMs)]);
-    this.#takeovers.stop();
+    this.#stopped = true;
     this.#peers.stop();
   }
 
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -136,6 +136,7 @@
       address: this.#address,
       readPolicy: () => this.#runtime.holder.policy,
       isConnected: () => this.#hosts.some((host) => host.isConnected),
+      owns: (shard) => this.#candidates.get(shard)?.host !== undefined,
       onBook: (book) => {
         this.#applyTakeovers(book);
       },
@@ -246,7 +247,12 @@
     this.#teller.tell(
       [...this.#listener.links, ...(this.#peers?.links ?? [])],
       clock.now(),
-      { shards, configurationRevision: holder.revision, keysRevision: keyRing.revision },
+      {
+        shards,
+        configurationRevision: holder.revision,
+        keysRevision: keyRing.revision,
+        takeovers: this.#takeovers?.told ?? { version: 0, watched: false },
+      },
       { stamp: recorder.stamp(), ...(Number.isFinite(ageMs) ? { keysAgeMs: ageMs } : {}) },
     );
     this.#passLoads();
@@ -262,6 +268,7 @@
 
   #applyNotice(link: Link, body: NoticeBody): void {
     if (link.peer !== undefined) this.#router.applyNotice(link.peer.process, body);
+    this.#takeovers?.applyNotice(link, body);
     void this.#peers?.learnRevisions(link, body).then(() => {
       this.#applyNewRevision();
     });
--- a/packages/scheduler/src/TakeoverRunner.ts
+++ b/packages/scheduler/src/TakeoverRunner.ts
@@ -3,15 +3,19 @@
   parseRecord,
   ReleaseTermsKeeper,
   ShardTakeover,
-  TakeoverBook,
   TakeoverEditor,
+  TakeoverSync,
   type Policy,
   type Router,
+  type TakeoverBook,
 } from '@toucanline/core';
 import type { ProcessRuntime } from '@toucanline/runtime';
-import { validators } from '@toucanline/schema';
+import { validators, type LoadNotice } from '@toucanline/schema';
+import type { Link } from '@toucanline/wire';
 
-const pollMs = 1000;
+const roundMs = 1000;
+/** Shards of a data centre whose owners watch the record. */
+const watchedShards = 2;
 /** Age above which a load notice of a successor does not count, in milliseconds. */
 const silenceMs = 5000;
 /**
@@ -30,29 +34,54 @@
   readonly readPolicy: () => Policy | undefined;
   /** Whether this process owns a shard with a confirmed claim, so that it is not cut off itself. */
   readonly isConnected: () => boolean;
-  /** Called after each read of the record. */
+  /** Whether this process owns a shard. */
+  readonly owns: (shard: string) => boolean;
+  /** Called in each round and after each change of the record. */
   readonly onBook: (book: TakeoverBook) => void;
 }
 
 /** Follows the record of takeovers and takes work of lost data centres over. */
 export class TakeoverRunner {
   readonly #parts: RunnerParts;
-  readonly #editor: TakeoverEditor;
+  readonly #sync: TakeoverSync;
   readonly #watches = new Map<string, CutOffWatch>();
   readonly #checkedAt = new Map<string, number>();
-  #book = new TakeoverBook();
   /** First sight of the newest declaration about the own data centre. */
   #declaration: { readonly generation: number; readonly seenAt: number } | undefined;
 
   /** @param parts - what the runner uses of the scheduler */
   public constructor(parts: RunnerParts) {
     this.#parts = parts;
-    this.#editor = new TakeoverEditor(parts.runtime);
+    const { clock } = parts.runtime;
+    this.#sync = new TakeoverSync({
+      editor: new TakeoverEditor(parts.runtime),
+      clock,
+      isWatcher: () => this.#isWatcher,
+      onChange: () => {
+        this.#applyBook();
+      },
+    });
   }
 
-  /** The record as it was last read. */
+  /** The newest known record. */
   public get book(): TakeoverBook {
-    return this.#book;
+    return this.#sync.book;
+  }
+
+  /** What peers are told of the record. */
+  public get told(): TakeoverSync['told'] {
+    return this.#sync.told;
+  }
+
+  /**
+   * Takes what a peer tells of the record.
+   *
+   * @param link - link to the peer
+   * @param notice - its notice
+   */
+  public applyNotice(link: Link, { takeovers }: LoadNotice): void {
+    if (takeovers === undefined || link.peer === undefined) return;
+    this.#sync.noteTold(link.peer.process, takeovers, () => !link.isClosed);
   }
 
   /**
@@ -64,7 +93,7 @@
   public mustYield(shard: string): boolean {
     const { runtime } = this.#parts;
     const wallMs = runtime.clock.wallTime();
-    if (!this.#book.isPending(runtime.settings.dataCentre, shard, wallMs)) return false;
+    if (!this.book.isPending(runtime.settings.dataCentre, shard, wallMs)) return false;
     return runtime.clock.now() - (this.#declaration?.seenAt ?? -Infinity) < yieldMs;
   }
 
@@ -75,19 +104,26 @@
    */
   public async run(isWanted: () => boolean): Promise<void> {
     const { clock } = this.#parts.runtime;
+    void this.#sync.run(isWanted);
     while (isWanted()) {
-      const book = await this.#editor.read();
-      if (book.isOk()) {
-        this.#applyBook(book.value);
+      if (this.#sync.isLoaded) {
+        this.#applyBook();
         await this.#checkShards();
       }
-      await clock.sleep(pollMs);
+      await clock.sleep(roundMs);
     }
   }
 
-  #applyBook(book: TakeoverBook): void {
+  /** At most two processes of a data centre watch the record and the claims of other data centres. */
+  get #isWatcher(): boolean {
+    const { readPolicy, runtime, owns } = this.#parts;
+    const shards = readPolicy()?.listShards(runtime.settings.dataCentre) ?? [];
+    return shards.slice(0, watchedShards).some(owns);
+  }
+
+  #applyBook(): void {
     const { runtime, onBook } = this.#parts;
-    this.#book = book;
+    const { book } = this.#sync;
     const declaration = book.findDeclaration(runtime.settings.dataCentre);
     if (declaration !== undefined && declaration.generation !== this.#declaration?.generation) {
       this.#declaration = { generation: declaration.generation, seenAt: runtime.clock.now() };
@@ -104,9 +140,9 @@
       if (dataCentre === runtime.settings.dataCentre) continue;
       const successors = this.#listSuccessors(policy, dataCentre);
       if (successors.length === 0) continue;
-      const isLost = this.#book.isPending(dataCentre, shard, runtime.clock.wallTime());
+      const isLost = this.book.isPending(dataCentre, shard, runtime.clock.wallTime());
       if (isLost) await this.#take(shard, { reason: 'declaration', dataCentre }, successors);
-      else if (this.#isCheckDue(shard)) await this.#watch(shard, successors);
+      else if (this.#isWatcher && this.#isCheckDue(shard)) await this.#watch(shard, successors);
     }
   }
 
@@ -116,7 +152,7 @@
     const wallMs = runtime.clock.wallTime();
     return policy.shards.filter((shard) => {
       const dataCentre = policy.findDataCentre(shard) ?? '';
-      const isLost = dataCentre === lost || this.#book.isPending(dataCentre, shard, wallMs);
+      const isLost = dataCentre === lost || this.book.isPending(dataCentre, shard, wallMs);
       return !isLost && router.findLoad(shard, silenceMs) !== undefined;
     });
   }
@@ -147,7 +183,7 @@
     const parsed = parseRecord(validators.Claim, claim.value.value ?? 'null');
     if (parsed.isErr()) return;
     const { epoch } = parsed.value;
-    const formerEpoch = this.#book.findFormerEpoch(shard, epoch) ?? epoch;
+    const formerEpoch = this.book.findFormerEpoch(shard, epoch) ?? epoch;
     const watch = this.#watches.get(shard) ?? new CutOffWatch();
     this.#watches.set(shard, watch);
     const due = watch.observe(
@@ -159,7 +195,7 @@
       },
       runtime.clock.now(),
     );
-    const taken = this.#book.listTakenQueues(shard, formerEpoch);
+    const taken = this.book.listTakenQueues(shard, formerEpoch);
     if (taken === undefined) return;
     const queues = new Set([...due].filter((queue) => !taken.has(queue)));
     if (queues.size === 0) return;
@@ -185,7 +221,6 @@
       const { detail } = result.error;
       runtime.log.write('warn', 'cannot take the work of a shard over', { shard, detail });
     }
-    const book = await this.#editor.read();
-    if (book.isOk()) this.#applyBook(book.value);
+    await this.#sync.refresh();
   }
 }
