Drop the command of a request when nothing reads it any more

Cause: a finished request stays readable for 10 minutes with its command, up to 64 KB, although only its view with the output is read.

Readers that were checked: views and events never had it; the handover passes finished requests with their view, which the next owner restores; repeats are compared by digest; a start needs an open request. A confirmed end also ends the repetition of a cancellation that failed before.

Tests: endedCommand.test.ts (the acceptance has the command also after a failed commit), handover.test.ts (open requests pass it on, others do not).

--- /dev/null
+++ b/packages/core/__tests__/endedCommand.test.ts
@@ -0,0 +1,22 @@
+import { expect } from 'chai';
+import { createFailure } from '../src/index.js';
+import { createOwner } from './createOwner.js';
+
+describe('the command of a cancelled request', () => {
+  // Guards against an acceptance without a command in the journal: a new owner that finds it without the end
+  // would start the request with nothing to run.
+  it('is in each acceptance that is written, and kept until the journal has the end', () => {
+    const { shard, submission, journal, countStarts } = createOwner();
+    const request = { ...submission.request, command: 'render' };
+    shard.submit({ ...submission, request })._unsafeUnwrap();
+    shard.cancel(request.id, 'a');
+    const readCommand = (): string | undefined =>
+      shard.createSnapshot().requests[0]?.request.command;
+    countStarts(createFailure('storeUnavailable', 'down'));
+    expect(readCommand()).to.equal('render');
+    for (let round = 0; round < 4; round += 1) countStarts();
+    const accepted = journal.flatMap((entry) => (entry.entry === 'accepted' ? [entry] : []));
+    expect(accepted.map((entry) => entry.request.command)).to.deep.equal(['render']);
+    expect(readCommand()).to.equal('');
+  });
+});
--- a/packages/core/__tests__/handover.test.ts
+++ b/packages/core/__tests__/handover.test.ts
@@ -63,6 +63,20 @@
     expect(next.readState(id)).to.equal('failed');
   });
 
+  it('has the command of each request that may still run, and of no other', () => {
+    // Guards against the memory of large commands for the retention time, and against a start without one.
+    const former = new ShardModel([1], room);
+    const ended = former.submit({ size: large, command: 'first' });
+    former.submit({ size: large, command: 'second' });
+    former.step();
+    succeed(former, ended);
+    const commands = former.shard.createSnapshot().requests.map(({ request }) => request.command);
+    expect(commands).to.deep.equal(['', 'second']);
+    expect(former.step(100).map(({ assignment }) => assignment.request.command)).to.deep.equal([
+      'second',
+    ]);
+  });
+
   it('goes on with a cancellation', () => {
     // Guards against a cancelled request that the next owner lets run.
     const former = new ShardModel([1], room);
--- a/packages/core/src/EndWriter.ts
+++ b/packages/core/src/EndWriter.ts
@@ -81,8 +81,11 @@
     const { record, isEnd } = write;
     this.#writing.delete(record);
     if (failure !== undefined) this.#unwritten.add(record);
-    if (isEnd && failure === undefined) record.confirmEnd();
-    else if (isEnd) this.#showResult(record);
+    if (isEnd && failure === undefined) {
+      record.confirmEnd();
+      record.dropCommand();
+      this.#unwritten.delete(record);
+    } else if (isEnd) this.#showResult(record);
     if (!record.awaitsEnd) this.#hidden.delete(record);
     this.#context.emit({ effect: 'changed', requestId: record.id });
     return true;
--- a/packages/core/src/RequestLifecycle.ts
+++ b/packages/core/src/RequestLifecycle.ts
@@ -165,6 +165,7 @@
     emit({ effect: 'changed', requestId: record.id });
     // The entry that holds a cancelled request may not learn of it before the owner fails.
     if (record.isAccepted || state === 'cancelled') this.#ends.writeEnd(record);
+    else record.dropCommand();
   }
 
   #forgetOpen(record: RequestRecord): void {
--- a/packages/core/src/RequestRecord.ts
+++ b/packages/core/src/RequestRecord.ts
@@ -12,10 +12,10 @@
 
 /** One request as the shard owner knows it. */
 export class RequestRecord {
-  public readonly request: Request;
   /** Local monotonic time of the arrival, in milliseconds. */
   public readonly arrivedAt: number;
   readonly #tasks = new Map<number, TaskRecord>();
+  #request: Request;
   readonly #outputs = new Map<number, string>();
   readonly #done = new Set<number>();
   readonly #avoided = new Set<string>();
@@ -42,11 +42,16 @@
    * @param deadlineAt - local monotonic time of the deadline, in milliseconds
    */
   public constructor(request: Request, arrivedAt: number, deadlineAt: number) {
-    this.request = request;
+    this.#request = request;
     this.arrivedAt = arrivedAt;
     this.#deadlineAt = deadlineAt;
   }
 
+  /** The admitted request. */
+  public get request(): Request {
+    return this.#request;
+  }
+
   /** Identifier of the request. */
   public get id(): string {
     return this.request.id;
@@ -282,6 +287,16 @@
     this.#reason = undefined;
   }
 
+  /**
+   * Drops the command of a finished request, which stays readable for the retention time. Nobody reads the
+   * command after the end, except an acceptance that is written to the journal together with the end.
+   */
+  public dropCommand(): void {
+    if (!this.isFinished || this.#request.command === '') return;
+    this.#request = { ...this.#request, command: '' };
+    for (const task of this.#tasks.values()) task.setRequest(this.#request);
+  }
+
   /**
    * Restores a finished request from the journal or from a snapshot.
    *
@@ -294,6 +309,7 @@
     this.#ran = view.ran;
     this.#attempt = view.attempt;
     this.#finishedAt = now;
+    this.dropCommand();
   }
 
   /**
--- a/packages/core/src/TaskRecord.ts
+++ b/packages/core/src/TaskRecord.ts
@@ -1,4 +1,4 @@
-import type { Assignment, Resources, TaskState, TaskView } from '@toucanline/schema';
+import type { Assignment, Request, Resources, TaskState, TaskView } from '@toucanline/schema';
 import { addResources } from './addResources.js';
 import { coversResources } from './coversResources.js';
 import { maxResources } from './maxResources.js';
@@ -9,11 +9,11 @@
 
 /** One attempt of one task on one worker, as the shard owner knows it. */
 export class TaskRecord {
-  public readonly assignment: Assignment;
   public readonly worker: string;
   public readonly dataCentre: string;
   /** Local monotonic time of the placement, in milliseconds. */
   public readonly placedAt: number;
+  #assignment: Assignment;
   #state: TaskState = 'starting';
   #usage: Resources;
   /** Growth between the last two reports. */
@@ -29,13 +29,18 @@
    * @param placedAt - local monotonic time of the placement
    */
   public constructor(assignment: Assignment, worker: string, dataCentre: string, placedAt: number) {
-    this.assignment = assignment;
+    this.#assignment = assignment;
     this.worker = worker;
     this.dataCentre = dataCentre;
     this.placedAt = placedAt;
     this.#usage = assignment.request.size;
   }
 
+  /** The task as the worker got it; after the end of its request without the command. */
+  public get assignment(): Assignment {
+    return this.#assignment;
+  }
+
   /** Identifier of the attempt. */
   public get id(): string {
     return this.assignment.taskId;
@@ -96,6 +101,15 @@
     return !coversResources(this.assignment.request.size, this.#usage);
   }
 
+  /**
+   * Replaces the request by one without its command, which an ended task does not need.
+   *
+   * @param request - the request
+   */
+  public setRequest(request: Request): void {
+    this.#assignment = { ...this.#assignment, request };
+  }
+
   /**
    * Changes the state.
    *
