Compose no metrics without a server, and no reason why a report is no refusal

Cause: the CPU profile of a scheduler and an entry at 80 requests/s showed 5.3% and 3.7% of the busy time in a mocked statsd client that composes each message and drops it, and 3% in composing why an answer of a worker is not a refusal, which is the usual case.

Change: without a statsd server there is no client; an answer on a stream is tested as a refusal without a description of the difference.

With a statsd server nothing is saved at the metrics.

--- a/packages/platform/src/HttpWorkerGateway.ts
+++ b/packages/platform/src/HttpWorkerGateway.ts
@@ -110,10 +110,11 @@
       this.#streams.set(address, stream);
     }
     if (response.isErr()) return err(response.error);
-    const refusal = validateValue(validators.WorkerRefusal, response.value, 'internal');
-    if (refusal.isErr()) return ok(response.value);
+    const { value } = response;
+    // Nearly every line is an answer, so no reason is composed why it is no refusal.
+    if (!validators.WorkerRefusal(value)) return ok(value);
     stream.close();
-    return err(refusal.value);
+    return err(value);
   }
 
   /** Adds what the worker left out; undefined if it never described itself since its boot. */
--- a/packages/runtime/src/Metrics.ts
+++ b/packages/runtime/src/Metrics.ts
@@ -3,15 +3,15 @@
 
 /** Metrics of a process, sent by statsd over UDP. Without a server they are dropped. */
 export class Metrics {
-  readonly #client: StatsD;
+  readonly #client: StatsD | undefined;
 
   /** @param settings - settings of the process */
   public constructor(settings: ProcessSettings) {
     const { statsd, environment, process, dataCentre } = settings;
+    if (statsd === undefined) return;
     this.#client = new StatsD({
       prefix: 'toucanline.',
       globalTags: { environment, process, data_centre: dataCentre },
-      mock: statsd === undefined,
       ...statsd,
       errorHandler: () => undefined,
     });
@@ -23,6 +23,8 @@
    * @param event - the event
    */
   public countEvent(event: Event): void {
+    // A mocked client would compose each message, which was a twentieth of the CPU time at the peak.
+    if (this.#client === undefined) return;
     this.#client.increment(`events.${event.name}`);
     if (event.durationMs !== undefined) {
       this.#client.timing(`durations.${event.name}`, event.durationMs);
@@ -36,11 +38,11 @@
    * @param value - current value
    */
   public setGauge(name: string, value: number): void {
-    this.#client.gauge(name, value);
+    this.#client?.gauge(name, value);
   }
 
   /** Sends what is buffered and closes the socket. */
   public close(): void {
-    this.#client.close();
+    this.#client?.close();
   }
 }
