Carry the quarantine of workers over to the next owner

Cause: the quarantine was in the memory of the owner only, so a worker that fails everything got work again after each change of the owner.

The wall time is computed once per probe, so the record changes only with the quarantine: no write per failure. The next owner goes on with it, for workers that its host list misses for up to 60 s; the cap on the part of the workers and the longest interval hold, also for a wrong clock. A success on a worker that was not put into quarantine again yet removes it from the list.

The fake can forget them now (`forgetEnded`), as a worker may after the acknowledgement.

Conclusion: what is still lost are the failures of workers that were not in quarantine yet.

--- a/packages-private/testkit/__tests__/ownerLoss.test.ts
+++ b/packages-private/testkit/__tests__/ownerLoss.test.ts
@@ -1,16 +1,23 @@
-import type { Event } from '@toucanline/schema';
+import type { Event, SiteStatus } from '@toucanline/schema';
 import { expect } from 'chai';
 import { Caller, exampleDocument, Site, sleep, waitUntil } from '../src/index.js';
 
+const extraQueues = ['extracts', 'previews', 'exports'];
+const document =
+  exampleDocument.replace('limit = {', '# limit = {') +
+  extraQueues.map((name) => `\n[queues.${name}]\nkind = "batch"\nidempotent = true\n`).join('');
 const size = { processors: 1, memoryMb: 512, accelerators: 0 };
 /** Time in which events are collected for the peers, and some more for the messages. */
+const whole = { processors: 16, memoryMb: 512, accelerators: 0 };
+/** Longest time until the owner has written a change to its record. */
+const recordMs = 1500;
 const batchMs = 200;
 const marginMs = 150;
 const failoverMs = 10_000;
 
 describe('what is left of a killed owner with real processes', () => {
   const site = new Site({
-    document: exampleDocument,
+    document,
     dataCentres: ['dc1'],
     entriesPerDataCentre: 1,
     schedulersPerDataCentre: 3,
@@ -60,4 +67,46 @@
     expect(ends.map(({ requestId }) => requestId)).to.deep.equal(ids);
     for (const { keptBy } of events) expect(keptBy).to.be.a('string').and.not.equal(killed);
   });
+
+  it('shows which worker was in quarantine to the next owner', async () => {
+    // Guards against a worker that fails everything and gets work again after each takeover.
+    const [broken] = site.workers;
+    const planning = new Caller(() => site.entries[0]?.url ?? '', 'key-planning');
+    const callers = [planning, caller];
+    const queues = ['renders', ...extraQueues];
+    const listQuarantined = async (owner: string): Promise<readonly string[]> => {
+      const { processes } = (await site.readStatus()) as SiteStatus;
+      const shards = processes.flatMap((each) => (each.process === owner ? each.shards : []));
+      const workers = shards.flatMap((shard) => (shard.recovering ? [] : shard.workers));
+      return workers.flatMap(({ quarantined, worker }) => (quarantined ? [worker] : []));
+    };
+    const isQuarantined = async (): Promise<boolean> =>
+      (await listQuarantined(readOwner())).join() === broken?.options.id;
+    broken?.setFailsAll(true);
+    let next = 0;
+    let isFound = false;
+    const submit = async (): Promise<void> => {
+      while (!isFound) {
+        const index = next;
+        next += 1;
+        const command = `sleep 60; echo part${index}`;
+        await callers[index % 2]?.submit(queues[(index >> 1) % 4] ?? '', { size: whole, command });
+      }
+    };
+    const work = Array.from({ length: 12 }, submit);
+    await waitUntil(isQuarantined, 10_000, 'the worker is in quarantine').finally(() => {
+      isFound = true;
+    });
+    await Promise.all(work);
+    await sleep(recordMs);
+    // Otherwise the next owner learns the failures again from the first report.
+    broken?.forgetEnded();
+    await killOwner();
+    await waitUntil(isQuarantined, failoverMs, 'the worker is in quarantine at the next owner');
+    const answers = Array.from({ length: 10 }, (_, index) =>
+      caller.submit('renders', { size: whole, command: `echo ${index}` }),
+    );
+    for (const { view } of await Promise.all(answers)) expect(view.state).to.equal('succeeded');
+    expect(broken?.failed).to.equal(0);
+  });
 });
--- a/packages-private/testkit/src/WorkerFake.ts
+++ b/packages-private/testkit/src/WorkerFake.ts
@@ -106,6 +106,11 @@
     this.#failsAll = failsAll;
   }
 
+  /** Makes the worker forget its ended tasks, as one may once their ends were acknowledged. */
+  public forgetEnded(): void {
+    for (const [id, { state }] of this.#tasks) if (state !== 'running') this.#tasks.delete(id);
+  }
+
   /** Restarts the worker: its tasks are gone, its clock and boot id are new. */
   public reboot(): void {
     for (const task of this.#listRunning()) task.end('lapsed');
--- a/packages/core/__tests__/ModelSite.ts
+++ b/packages/core/__tests__/ModelSite.ts
@@ -252,7 +252,7 @@
       dataCentre: 'dc1',
       address: id,
     }));
-    shard.loadJournal(this.#journal, leased);
+    shard.loadJournal(this.#journal, { workers: leased ?? [] });
     const missing = unlisted === undefined ? undefined : unlisted % workerIds.length;
     shard.applyHosts(hosts.filter((_, index) => index !== missing));
     this.#after(unlistedMs, () => {
--- a/packages/core/__tests__/ShardModel.ts
+++ b/packages/core/__tests__/ShardModel.ts
@@ -3,6 +3,7 @@
   Report,
   Request,
   Resources,
+  Roster,
   ShardSnapshot,
   TaskCommand,
   TaskDelta,
@@ -62,7 +63,12 @@
   #nextId = 1;
 
   /** A former owner's snapshot makes this the next owner, which starts without reports of workers. */
-  public constructor(speeds: readonly number[], room: Resources, former?: ShardSnapshot) {
+  public constructor(
+    speeds: readonly number[],
+    room: Resources,
+    former?: ShardSnapshot,
+    roster?: Pick<Roster, 'workers' | 'quarantined'>,
+  ) {
     this.#room = room;
     this.#speeds = speeds;
     this.#epoch = (former?.epoch ?? 0) + 1;
@@ -91,7 +97,7 @@
       'model',
       policy,
     );
-    if (former === undefined) this.shard.loadJournal([]);
+    if (former === undefined) this.shard.loadJournal([], roster);
     this.shard.applyHosts(
       speeds.map((_, index) => ({
         id: `w${index}`,
@@ -103,7 +109,7 @@
     );
     if (former !== undefined) {
       this.shard.restoreSnapshot(former);
-      this.shard.loadJournal([]);
+      this.shard.loadJournal([], roster);
       this.shard.applyLoads([]);
       return;
     }
--- a/packages/core/__tests__/quarantine.test.ts
+++ b/packages/core/__tests__/quarantine.test.ts
@@ -1,3 +1,4 @@
+import type { QuarantinedWorker } from '@toucanline/schema';
 import { expect } from 'chai';
 import { ShardModel } from './ShardModel.js';
 
@@ -83,3 +84,70 @@
     expect(new Set(model.listEvents('workerQuarantined')).size).to.equal(1);
   });
 });
+
+describe('quarantine after a change of the owner', () => {
+  const speeds = [1, 1, 1, 1, 1];
+  const isolate = (worker: string, probes: number, probeAtMs: number): QuarantinedWorker => ({
+    worker,
+    probes,
+    probeAtMs,
+  });
+  /** Lets time pass while all workers report within their leases. Returns the workers of new starts. */
+  const pass = (model: ShardModel, ms: number): readonly string[] => {
+    const started: string[] = [];
+    for (let passed = 0; passed < ms; passed += 4000) {
+      const stepMs = Math.min(4000, ms - passed);
+      started.push(...model.step(stepMs).map(({ worker }) => worker));
+    }
+    return started;
+  };
+  /** Starts of as much work as all five workers can take, under names that no former owner used. */
+  const startAll = (model: ShardModel): readonly string[] => {
+    for (let index = 0; index < 5; index += 1) model.submit({ id: `next${index}`, size: whole });
+    return model.step(100).map(({ worker }) => worker);
+  };
+
+  // Guards against a worker that fails everything and gets work again after each handover.
+  it('goes on with the snapshot of the former owner, at the same time of the probe', () => {
+    const former = new ShardModel(speeds, room);
+    runJobs(former, 15, (worker) => worker === 'w0');
+    const [told] = former.shard.listQuarantined();
+    expect(told).to.include({ worker: 'w0', probes: 1 });
+    const stale = { workers: [], quarantined: [isolate('w1', 1, 0)] };
+    const next = new ShardModel(speeds, room, former.shard.createSnapshot(), stale);
+    expect(next.shard.listQuarantined()).to.deep.equal([told]);
+    next.clock.nowMs = former.clock.nowMs;
+    expect(startAll(next)).to.have.members(['w1', 'w2', 'w3', 'w4']);
+    const untilProbeMs = (told?.probeAtMs ?? 0) - next.clock.nowMs;
+    expect(pass(next, untilProbeMs - 1)).to.deep.equal([]);
+    expect(pass(next, 1)).to.deep.equal(['w0']);
+  });
+
+  // Guards against a lost quarantine when the owner was killed, and against intervals that begin anew.
+  it('goes on with the record of a killed owner and with the number of the probe', () => {
+    const probeAtMs = 1_000_000 + 20_000;
+    const quarantined = [isolate('w0', 3, probeAtMs), isolate('gone', 1, probeAtMs)];
+    const model = new ShardModel(speeds, room, undefined, { workers: [], quarantined });
+    expect(startAll(model)).to.have.members(['w1', 'w2', 'w3', 'w4']);
+    expect(pass(model, 20_000)).to.deep.equal(['w0']);
+    for (const task of [...model.running.values()]) {
+      model.change(task, task.worker === 'w0' ? 'failed' : 'succeeded');
+    }
+    // 30 s for the first probe, doubled three times for the fourth.
+    const probe = model.shard.listQuarantined().find(({ worker }) => worker === 'w0');
+    expect(probe).to.include({ probes: 4, probeAtMs: model.clock.nowMs + 240_000 });
+    pass(model, 60_000);
+    expect(model.shard.listQuarantined().map(({ worker }) => worker)).to.deep.equal(['w0']);
+  });
+
+  // Guards against a takeover that empties the fleet, and a probe that a wrong clock puts off for good.
+  it('keeps to a fifth of the workers and to the longest interval', () => {
+    const quarantined = ['w0', 'w1', 'w2'].map((worker) => isolate(worker, 1, 1e12));
+    const model = new ShardModel(speeds, room, undefined, { workers: [], quarantined });
+    expect(startAll(model)).to.have.members(['w1', 'w2', 'w3', 'w4']);
+    model.step(100);
+    expect(model.listEvents('workerQuarantined')).to.deep.equal(['w0']);
+    const [first] = model.shard.listQuarantined();
+    expect(first?.probeAtMs).to.equal(1_000_000 + 3_600_000);
+  });
+});
--- a/packages/core/src/FleetRoster.ts
+++ b/packages/core/src/FleetRoster.ts
@@ -1,11 +1,17 @@
-import { validators, type Failure, type HostRecord } from '@toucanline/schema';
+import {
+  validators,
+  type Failure,
+  type HostRecord,
+  type QuarantinedWorker,
+  type Roster,
+} from '@toucanline/schema';
 import { ok, type Result } from 'neverthrow';
 import { decodeStored } from './decodeStored.js';
 import type { Store } from './Store.js';
 
 /**
  * Workers of one shard in the store. The host list lags, so a new owner may miss a worker that runs tasks of
- * the former one; it reads here whom the former one leased.
+ * the former one; it reads here whom the former one leased, and who was in quarantine.
  */
 export class FleetRoster {
   readonly #store: Store;
@@ -30,16 +36,16 @@
   /**
    * Reads the workers of the former owner.
    *
-   * @returns the workers, or a store failure
+   * @returns the workers and those of them in quarantine, or a store failure
    */
-  public async load(): Promise<Result<readonly HostRecord[], Failure>> {
+  public async load(): Promise<Result<Pick<Roster, 'workers' | 'quarantined'>, Failure>> {
     const current = await this.#store.read(this.#key);
     return current.andThen((stored) => {
       const { version } = stored;
       return decodeStored(validators.Roster)(stored).andThen((roster) => {
         this.#version = version;
         this.#isLoaded = true;
-        return ok(roster?.workers ?? []);
+        return ok(roster ?? { workers: [] });
       });
     });
   }
@@ -49,9 +55,19 @@
    * version was read back.
    *
    * @param workers - workers that are leased
+   * @param quarantined - workers in quarantine
    */
-  public async save(workers: readonly HostRecord[]): Promise<void> {
-    const content = JSON.stringify({ shard: this.#shard, epoch: this.#epoch, workers });
+  public async save(
+    workers: readonly HostRecord[],
+    quarantined: readonly QuarantinedWorker[],
+  ): Promise<void> {
+    const roster: Roster = {
+      shard: this.#shard,
+      epoch: this.#epoch,
+      workers,
+      ...(quarantined.length === 0 ? {} : { quarantined }),
+    };
+    const content = JSON.stringify(roster);
     if (this.#isWriting || content === this.#written) return;
     this.#isWriting = true;
     if (!this.#isLoaded) await this.load();
--- a/packages/core/src/Quarantine.ts
+++ b/packages/core/src/Quarantine.ts
@@ -1,4 +1,4 @@
-import type { Request } from '@toucanline/schema';
+import type { QuarantinedWorker, Request } from '@toucanline/schema';
 import type { Fleet } from './Fleet.js';
 import { JobHistory } from './JobHistory.js';
 import type { Policy } from './Policy.js';
@@ -14,7 +14,10 @@
 
 /** Quarantine of one worker. */
 interface Isolation {
+  /** Local monotonic time of the next probe, in milliseconds. */
   readonly probeAt: number;
+  /** The same as wall time: computed once, so that the record of the next owner changes only with it. */
+  readonly probeAtMs: number;
   readonly probes: number;
   readonly probing: boolean;
 }
@@ -25,6 +28,10 @@
 const minKinds = 3;
 const minTeams = 2;
 const maxProbeMs = 3_600_000;
+/** Workers whose quarantine is told to the next owner; the schema of the record has the same bound. */
+const maxListed = 500;
+/** Time for which a quarantine of the former owner waits until its worker is known. */
+const maxCarriedMs = 60_000;
 
 /**
  * Tells bad workers from bad jobs. A worker is put in quarantine when distinct jobs fail there that
@@ -38,6 +45,10 @@
   readonly #history = new JobHistory();
   readonly #evidence = new Map<string, readonly Evidence[]>();
   readonly #isolations = new Map<string, Isolation>();
+  /** Quarantine of the former owner that did not take effect yet. */
+  readonly #carried = new Map<string, QuarantinedWorker>();
+  /** Local monotonic time at which that of the former owner was learned, in milliseconds. */
+  #carriedAt: number | undefined;
 
   /**
    * @param context - what the parts of the shard share
@@ -58,6 +69,7 @@
    */
   public noteSuccess(worker: WorkerRecord, request: Request): void {
     this.#history.noteSuccess(request, worker.id);
+    this.#carried.delete(worker.id);
     const isolation = this.#isolations.get(worker.id);
     if (isolation?.probing === true) this.#release(worker, 'a probe succeeded');
     const evidence = this.#evidence.get(worker.id) ?? [];
@@ -86,9 +98,51 @@
     this.#judge(worker.id);
   }
 
+  /**
+   * Lists the workers in quarantine, for the next owner.
+   *
+   * @returns the workers with their next probes
+   */
+  public list(): readonly QuarantinedWorker[] {
+    const isolated = [...this.#isolations].map(([worker, { probes, probeAtMs }]) => ({
+      worker,
+      probes,
+      probeAtMs,
+    }));
+    return [...isolated, ...this.#carried.values()].slice(0, maxListed);
+  }
+
+  /**
+   * Goes on with the quarantine of the former owner. The first list counts: a snapshot comes before the
+   * record in the store, which may be older.
+   *
+   * @param quarantined - workers that were in quarantine
+   */
+  public restore(quarantined: readonly QuarantinedWorker[]): void {
+    if (this.#carriedAt !== undefined) return;
+    this.#carriedAt = this.#context.clock.now();
+    for (const isolation of quarantined) this.#carried.set(isolation.worker, isolation);
+    this.applyHosts();
+  }
+
+  /** Puts workers of the former owner's quarantine into quarantine once they are known. */
+  public applyHosts(): void {
+    const { clock } = this.#context;
+    for (const [id, { probes, probeAtMs }] of this.#carried) {
+      const worker = this.#fleet.find(id);
+      if (worker === undefined || !this.#mayIsolate()) continue;
+      this.#carried.delete(id);
+      // The wall clock of the former owner may have been wrong.
+      const delayMs = Math.min(Math.max(0, probeAtMs - clock.wallTime()), maxProbeMs);
+      this.#enter(worker, probes, delayMs, 'the former owner had the worker in quarantine');
+    }
+  }
+
   /** Starts probes that are due and forgets workers that left. */
   public tick(): void {
     const now = this.#context.clock.now();
+    this.applyHosts();
+    if (now - (this.#carriedAt ?? now) > maxCarriedMs) this.#carried.clear();
     for (const [id, isolation] of this.#isolations) {
       const worker = this.#fleet.find(id);
       if (worker === undefined) {
@@ -129,12 +183,17 @@
   }
 
   #isolate(worker: WorkerRecord, probes: number, detail: string): void {
-    const { clock, recorder, shard, invariant } = this.#context;
     const { firstProbeMs } = this.#readPolicy().quarantine;
     const delayMs = Math.min(firstProbeMs * 2 ** (probes - 1), maxProbeMs);
+    this.#enter(worker, probes, delayMs, detail);
+  }
+
+  #enter(worker: WorkerRecord, probes: number, delayMs: number, detail: string): void {
+    const { clock, recorder, shard, invariant } = this.#context;
     const isNew = !this.#isolations.has(worker.id);
     const probeAt = clock.now() + delayMs;
-    this.#isolations.set(worker.id, { probeAt, probes, probing: false });
+    const probeAtMs = Math.round(clock.wallTime() + delayMs);
+    this.#isolations.set(worker.id, { probeAt, probeAtMs, probes, probing: false });
     this.#evidence.delete(worker.id);
     worker.setProbing(false);
     worker.setQuarantined(true);
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -3,10 +3,12 @@
   Failure,
   HostRecord,
   JournalEntry,
+  QuarantinedWorker,
   Renewal,
   Report,
   RequestView,
   Resources,
+  Roster,
   ShardLoad,
   ShardSnapshot,
   ShardStatus,
@@ -228,6 +230,7 @@
    */
   public applyHosts(hosts: readonly HostRecord[]): void {
     this.#fleet.applyHosts(hosts);
+    this.#quarantine.applyHosts();
     this.#recovery.noteHosts();
   }
 
@@ -271,7 +274,8 @@
   public createSnapshot(sent: ReadonlySet<string> = new Set()): ShardSnapshot {
     const { committing } = this.#acceptance;
     const isCommitting = (record: RequestRecord): boolean => committing.has(record);
-    return createSnapshot(this.#context, this.#table, this.#fleet, isCommitting, sent);
+    const snapshot = createSnapshot(this.#context, this.#table, this.#fleet, isCommitting, sent);
+    return { ...snapshot, quarantined: this.listQuarantined() };
   }
 
   /**
@@ -287,10 +291,15 @@
    * Loads the journal of earlier owners.
    *
    * @param entries - entries, oldest first
-   * @param workers - workers that the former owner leased: the host list may miss one that runs its tasks
+   * @param roster - workers that the former owner leased, because the host list may miss one that runs its
+   * tasks, and those of them in quarantine
    */
-  public loadJournal(entries: readonly JournalEntry[], workers: readonly HostRecord[] = []): void {
+  public loadJournal(
+    entries: readonly JournalEntry[],
+    { workers, quarantined = [] }: Pick<Roster, 'workers' | 'quarantined'> = { workers: [] },
+  ): void {
     if (!this.#recovery.isComplete) this.#fleet.inherit(workers);
+    this.#quarantine.restore(quarantined);
     this.#inherited.loadJournal(entries);
   }
 
@@ -302,6 +311,7 @@
    */
   public restoreSnapshot(snapshot: ShardSnapshot, finished: readonly RequestRecord[] = []): void {
     for (const record of finished) this.#table.add(record);
+    this.#quarantine.restore(snapshot.quarantined ?? []);
     this.#inherited.restoreSnapshot(snapshot);
   }
 
@@ -365,6 +375,15 @@
     return this.#fleet.listLeased();
   }
 
+  /**
+   * Lists the workers in quarantine, for the next owner.
+   *
+   * @returns the workers with their next probes
+   */
+  public listQuarantined(): readonly QuarantinedWorker[] {
+    return this.#quarantine.list();
+  }
+
   /** Serves without the journal of earlier owners, because the store cannot be reached. */
   public skipJournal(): void {
     this.#recovery.noteJournal();
--- /dev/null
+++ b/packages/scheduler/__tests__/SnapshotInbox.test.ts
@@ -0,0 +1,41 @@
+import type { Report, ShardSnapshot } from '@toucanline/schema';
+import { SystemClock } from '@toucanline/runtime';
+import { expect } from 'chai';
+import { divideSnapshot } from '../src/divideSnapshot.js';
+import { SnapshotInbox } from '../src/SnapshotInbox.js';
+
+const createReport = (worker: string): Report => ({
+  worker,
+  bootId: 'boot',
+  clockMs: 1,
+  sequence: 1,
+  state: 'live',
+  dataCentre: 'dc1',
+  rack: 'r'.repeat(400_000),
+  room: { processors: 1, memoryMb: 1, accelerators: 0 },
+  speed: 1,
+  epoch: 1,
+  owner: 's0',
+  leaseUntil: 1,
+  full: true,
+  tasks: [],
+  changes: [],
+});
+
+describe('the parts of a snapshot', () => {
+  it('bring everything to the next owner, the workers in quarantine once', () => {
+    // Guards against a part of the state that no part carries.
+    const snapshot: ShardSnapshot = {
+      shard: 's1',
+      epoch: 1,
+      requests: [],
+      reports: ['w0', 'w1', 'w2', 'w3'].map(createReport),
+      quarantined: [{ worker: 'w0', probes: 2, probeAtMs: 5 }],
+    };
+    const calls = divideSnapshot(snapshot);
+    expect(calls.length).to.be.above(1);
+    const inbox = new SnapshotInbox(new SystemClock());
+    expect(calls.map((call) => inbox.add(call)).lastIndexOf(false)).to.equal(calls.length - 2);
+    expect(inbox.take(2)?.snapshot).to.deep.equal(snapshot);
+  });
+});
--- a/packages/scheduler/src/ShardHost.ts
+++ b/packages/scheduler/src/ShardHost.ts
@@ -494,7 +494,7 @@
         this.#shard.tick();
         this.#updateServing();
         if (this.#canCommit && tick % ticksPerRoster === 0)
-          void this.#roster.save(this.#shard.listLeased());
+          void this.#roster.save(this.#shard.listLeased(), this.#shard.listQuarantined());
       }
       this.#pump();
       await this.#runtime.clock.sleep(tickMs);
--- a/packages/scheduler/src/divideSnapshot.ts
+++ b/packages/scheduler/src/divideSnapshot.ts
@@ -14,7 +14,7 @@
   snapshot: ShardSnapshot,
   isWhole = true,
 ): readonly HandoverCall[] => {
-  const { shard, epoch } = snapshot;
+  const { shard, epoch, quarantined } = snapshot;
   const create = (): {
     requests: (typeof snapshot.requests)[number][];
     reports: (typeof snapshot.reports)[number][];
@@ -32,9 +32,9 @@
   };
   for (const request of snapshot.requests) makeRoom(request).requests.push(request);
   for (const report of snapshot.reports) makeRoom(report).reports.push(report);
-  return parts.map((content, index) => ({
-    call: 'handover',
-    last: isWhole && index === parts.length - 1,
-    snapshot: { shard, epoch, ...content },
-  }));
+  return parts.map((content, index) => {
+    const last = isWhole && index === parts.length - 1;
+    const rest = last && quarantined !== undefined ? { quarantined } : {};
+    return { call: 'handover', last, snapshot: { shard, epoch, ...content, ...rest } };
+  });
 };
