Let a new entry wait for an owner in its own data centre

Cause: an entry was ready as soon as it knew document and keys. Until the first load notice of its own data centre came, the router knew owners of other data centres at best, and the first requests went there.

Change: an entry is not ready before it heard the owner of a shard of its own data centre, for 3 s after its start at most, and at once if none is configured. Afterwards the wait is over for good, so an entry goes on to serve when its data centre loses its owners.

Conclusion: requests that a caller sends to an entry that is not ready are still routed by what it knows.

--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -17,6 +17,7 @@
 import { HttpContext } from './HttpContext.js';
 import { KeyRoutes } from './KeyRoutes.js';
 import { OperatorRoutes } from './OperatorRoutes.js';
+import { OwnerWait } from './OwnerWait.js';
 import { RequestRoutes } from './RequestRoutes.js';
 import { RequestService } from './RequestService.js';
 import type { Route } from './Route.js';
@@ -68,6 +69,7 @@
   readonly #runtime: ProcessRuntime;
   readonly #router: Router;
   readonly #peers: PeerSet;
+  readonly #ownerWait: OwnerWait;
   readonly #events: EventTeller;
   readonly #takeovers: TakeoverReader;
   readonly #groups: Parameters<typeof createRoutes>[0];
@@ -86,6 +88,7 @@
     this.#runtime = runtime;
     const { clock, recorder, settings, keyRing, keysContact } = runtime;
     this.#router = new Router(clock, settings.dataCentre);
+    this.#ownerWait = new OwnerWait(clock, this.#router, settings.dataCentre);
     this.#peers = new PeerSet(runtime, new EntryLinks(this.#router, runtime.archive));
     this.#events = new EventTeller(runtime, () => this.#peers.links);
     const authenticator = new Authenticator(keyRing, keysContact, settings.operatorKeyHash);
@@ -156,7 +159,8 @@
     const { holder, keysContact } = this.#runtime;
     // Without a contact the keys are unknown, or too old for every queue.
     const knowsKeys = Number.isFinite(keysContact.ageMs);
-    return !this.#draining && holder.policy !== undefined && knowsKeys;
+    if (this.#draining || holder.policy === undefined || !knowsKeys) return false;
+    return this.#ownerWait.isOver(holder.policy);
   }
 
   #addRoutes(): void {
--- /dev/null
+++ b/packages/entry/src/OwnerWait.ts
@@ -0,0 +1,45 @@
+import type { Clock, Policy, Router } from '@toucanline/core';
+
+/** Longest wait of a new entry, in milliseconds: a link opens and tells the load within about a second. */
+const maxWaitMs = 3000;
+/** Age up to which a sign of life counts, in milliseconds. */
+const maxAgeMs = 5000;
+
+/**
+ * Whether an entry that has just started knows an owner in its own data centre. Without one it would route its
+ * first requests to other data centres.
+ */
+export class OwnerWait {
+  readonly #clock: Clock;
+  readonly #router: Pick<Router, 'hasOwner'>;
+  readonly #dataCentre: string;
+  readonly #startedAt: number;
+  #isOver = false;
+
+  /**
+   * @param clock - source of time
+   * @param router - knows the owners
+   * @param dataCentre - data centre of the entry
+   */
+  public constructor(clock: Clock, router: Pick<Router, 'hasOwner'>, dataCentre: string) {
+    this.#clock = clock;
+    this.#router = router;
+    this.#dataCentre = dataCentre;
+    this.#startedAt = clock.now();
+  }
+
+  /**
+   * Checks whether the wait is over. Once it is, it stays so: an entry goes on to serve when its own data centre
+   * loses its owners.
+   *
+   * @param policy - policy in effect
+   * @returns true if an owner is known, none can be, or the longest wait has passed
+   */
+  public isOver(policy: Policy): boolean {
+    const shards = policy.listShards(this.#dataCentre);
+    const isLate = this.#clock.now() - this.#startedAt >= maxWaitMs;
+    const hasOwner = shards.some((shard) => this.#router.hasOwner(shard, maxAgeMs));
+    this.#isOver ||= shards.length === 0 || isLate || hasOwner;
+    return this.#isOver;
+  }
+}
