--- a/packages/core/__tests__/ModelSite.ts
+++ b/packages/core/__tests__/ModelSite.ts
@@ -224,7 +224,7 @@
    * @param unlisted - index of a worker that the host list of the new owner misses for now
    */
   public failOver(unlisted?: number): void {
-    const leased = this.#owner?.shard.listLeased();
+    const leased = this.#owner?.shard.describeRoster().workers;
     for (const owner of this.#owners) owner.active = false;
     const stream = new EventStream();
     const epoch = this.#owners.length + 1;
--- a/packages/core/src/FleetRoster.ts
+++ b/packages/core/src/FleetRoster.ts
@@ -1,11 +1,14 @@
-import { validators, type Failure, type HostRecord, type Roster } from '@toucanline/schema';
+import { validators, type Failure, type Roster } from '@toucanline/schema';
 import { ok, type Result } from 'neverthrow';
 import { decodeStored } from './decodeStored.js';
 import type { Store } from './Store.js';
 
+/** Workers that are leased, drained and in quarantine. */
+type RosterContent = Omit<Roster, 'shard' | 'epoch'>;
+
 /**
  * Workers of one shard in the store. The host list lags, so a new owner may miss a worker that runs tasks of
- * the former one; it reads here whom the former one leased and which workers operators drained.
+ * the former one; it reads here whom the former one leased, and which workers were drained or in quarantine.
  */
 export class FleetRoster {
   readonly #store: Store;
@@ -30,9 +33,9 @@
   /**
    * Reads what the former owner wrote.
    *
-   * @returns its leased and its drained workers, or a store failure
+   * @returns its workers, those that operators drained and those in quarantine, or a store failure
    */
-  public async load(): Promise<Result<Pick<Roster, 'workers' | 'drained'>, Failure>> {
+  public async load(): Promise<Result<RosterContent, Failure>> {
     const current = await this.#store.read(this.#key);
     return current.andThen((stored) => {
       const { version } = stored;
@@ -48,26 +51,25 @@
    * Writes the workers if they changed. A write that fails is made again with the next call, after the
    * version was read back.
    *
-   * @param workers - workers that are leased
-   * @param drained - names of workers that operators drained
+   * @param content - workers that are leased, drained and in quarantine
    * @returns true if the store certainly has exactly this
    */
-  public async save(workers: readonly HostRecord[], drained: readonly string[]): Promise<boolean> {
-    const roster: Roster = { shard: this.#shard, epoch: this.#epoch, workers, drained };
-    const content = JSON.stringify(roster);
-    if (this.#isWriting || content === this.#written) return content === this.#written;
+  public async save(content: RosterContent): Promise<boolean> {
+    const roster: Roster = { shard: this.#shard, epoch: this.#epoch, ...content };
+    const text = JSON.stringify(roster);
+    if (this.#isWriting || text === this.#written) return text === this.#written;
     this.#isWriting = true;
     if (!this.#isLoaded) await this.load();
     if (this.#isLoaded) {
-      const written = await this.#store.write(this.#key, content, this.#version);
+      const written = await this.#store.write(this.#key, text, this.#version);
       this.#isLoaded = written.isOk();
       if (written.isOk()) {
         this.#version = written.value;
-        this.#written = content;
+        this.#written = text;
       }
     }
     this.#isWriting = false;
-    return content === this.#written;
+    return text === this.#written;
   }
 
   get #key(): string {
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -7,8 +7,8 @@
   Report,
   RequestView,
   Resources,
-  ShardLoad,
   Roster,
+  ShardLoad,
   ShardSnapshot,
   ShardStatus,
   SubmitCall,
@@ -230,6 +230,7 @@
    */
   public applyHosts(hosts: readonly HostRecord[]): void {
     this.#fleet.applyHosts(hosts);
+    this.#quarantine.applyHosts();
     this.#recovery.noteHosts();
   }
 
@@ -274,7 +275,9 @@
     const { committing } = this.#acceptance;
     const isCommitting = (record: RequestRecord): boolean => committing.has(record);
     const { allotments } = this.#ledger;
-    return createSnapshot(this.#context, this.#table, this.#fleet, allotments, isCommitting, sent);
+    const parts = [this.#context, this.#table, this.#fleet] as const;
+    const snapshot = createSnapshot(...parts, allotments, isCommitting, sent);
+    return { ...snapshot, quarantined: this.#quarantine.list() };
   }
 
   /**
@@ -291,14 +294,15 @@
    *
    * @param entries - entries, oldest first
    * @param roster - workers that the former owner leased, of which the host list may miss one that runs its
-   * tasks, and those that operators drained
+   * tasks, those that operators drained, and those in quarantine
    */
   public loadJournal(
     entries: readonly JournalEntry[],
-    { workers, drained = [] }: Pick<Roster, 'workers' | 'drained'> = { workers: [] },
+    { workers, drained = [], quarantined = [] }: Omit<Roster, 'shard' | 'epoch'> = { workers: [] },
   ): void {
     for (const worker of drained) this.#fleet.setDrained(worker, true);
     if (!this.#recovery.isComplete) this.#fleet.inherit(workers);
+    this.#quarantine.restore(quarantined);
     this.#inherited.loadJournal(entries);
   }
 
@@ -310,6 +314,7 @@
    */
   public restoreSnapshot(snapshot: ShardSnapshot, finished: readonly RequestRecord[] = []): void {
     for (const record of finished) this.#table.add(record);
+    this.#quarantine.restore(snapshot.quarantined ?? []);
     this.#inherited.restoreSnapshot(snapshot);
   }
 
@@ -365,17 +370,17 @@
   }
 
   /**
-   * Lists the workers that may run tasks, for the next owner.
+   * Lists the workers that the next owner has to know of.
    *
-   * @returns the workers
+   * @returns those that may run tasks, those that operators drained and those in quarantine
    */
-  public listLeased(): readonly HostRecord[] {
-    return this.#fleet.listLeased();
-  }
-
-  /** Names of the workers that operators drained. */
-  public get drained(): readonly string[] {
-    return this.#fleet.drained;
+  public describeRoster(): Omit<Roster, 'shard' | 'epoch'> {
+    const quarantined = this.#quarantine.list();
+    return {
+      workers: this.#fleet.listLeased(),
+      drained: this.#fleet.drained,
+      ...(quarantined.length === 0 ? {} : { quarantined }),
+    };
   }
 
   /** Serves without the journal of earlier owners, because the store cannot be reached. */
--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -1,5 +1,11 @@
 import { Router, TakeoverEditor, TakeoverSync } from '@toucanline/core';
-import { addHealthRoutes, Daemon, PeerSet, type ProcessRuntime } from '@toucanline/runtime';
+import {
+  addHealthRoutes,
+  Daemon,
+  EventTeller,
+  PeerSet,
+  type ProcessRuntime,
+} from '@toucanline/runtime';
 import type { NoticeBody, ReplyBody } from '@toucanline/schema';
 import { LinkHandler, type Link } from '@toucanline/wire';
 import restana from 'restana';
@@ -11,6 +17,7 @@
 import { HttpContext } from './HttpContext.js';
 import { KeyRoutes } from './KeyRoutes.js';
 import { OperatorRoutes } from './OperatorRoutes.js';
+import { OwnerWait } from './OwnerWait.js';
 import { RequestRoutes } from './RequestRoutes.js';
 import { RequestService } from './RequestService.js';
 import type { Route } from './Route.js';
@@ -20,15 +27,17 @@
 const noticeMs = 500;
 const pollMs = 50;
 
-/** Passes the notices of schedulers to the router and to the record of takeovers. */
+/** Passes the notices of schedulers to the router and to the record of takeovers, and keeps their events. */
 class EntryLinks extends LinkHandler {
   readonly #router: Router;
   readonly #takeovers: TakeoverSync;
+  readonly #archive: ProcessRuntime['archive'];
 
-  public constructor(router: Router, takeovers: TakeoverSync) {
+  public constructor(router: Router, takeovers: TakeoverSync, archive: ProcessRuntime['archive']) {
     super();
     this.#router = router;
     this.#takeovers = takeovers;
+    this.#archive = archive;
   }
 
   public override handleOpen(): void {
@@ -42,10 +51,15 @@
 
   public override handleNotice(link: Link, body: NoticeBody): void {
     if (link.peer === undefined) return;
-    this.#router.applyNotice(link.peer.process, body);
+    const { process, dataCentre } = link.peer;
+    if (body.notice === 'events') {
+      this.#archive.add(process, dataCentre, body);
+      return;
+    }
+    this.#router.applyNotice(process, body);
     const { takeovers } = body;
     if (takeovers === undefined) return;
-    this.#takeovers.noteTold(link.peer.process, takeovers, () => !link.isClosed);
+    this.#takeovers.noteTold(process, takeovers, () => !link.isClosed);
   }
 
   public override handleActivity(link: Link): void {
@@ -63,6 +77,8 @@
   readonly #router: Router;
   readonly #peers: PeerSet;
   readonly #takeovers: TakeoverSync;
+  readonly #ownerWait: OwnerWait;
+  readonly #events: EventTeller;
   readonly #groups: Parameters<typeof createRoutes>[0];
   readonly #service = restana({
     errorHandler: (error, _request, response) => {
@@ -86,7 +102,10 @@
       isWatcher: () => false,
       onChange: () => undefined,
     });
-    this.#peers = new PeerSet(runtime, new EntryLinks(this.#router, this.#takeovers));
+    this.#ownerWait = new OwnerWait(clock, this.#router, settings.dataCentre);
+    const links = new EntryLinks(this.#router, this.#takeovers, runtime.archive);
+    this.#peers = new PeerSet(runtime, links);
+    this.#events = new EventTeller(runtime, () => this.#peers.links);
     const authenticator = new Authenticator(keyRing, keysContact, settings.operatorKeyHash);
     const service = new RequestService({
       clock,
@@ -117,6 +136,7 @@
   public override async start(): Promise<void> {
     const { host, port } = this.#runtime.settings.http;
     this.#peers.start();
+    this.#events.start();
     void this.#takeovers.run(() => !this.#stopped);
     this.#runtime.followRevisions(
       () => false,
@@ -139,6 +159,7 @@
       await clock.sleep(pollMs);
     }
     server.closeIdleConnections();
+    this.#events.stop();
     await Promise.race([closed, clock.sleep(noticeMs)]);
     this.#stopped = true;
     this.#peers.stop();
@@ -158,7 +179,8 @@
     const { holder, keysContact } = this.#runtime;
     // Without a contact the keys are unknown, or too old for every queue.
     const knowsKeys = Number.isFinite(keysContact.ageMs);
-    return !this.#draining && holder.policy !== undefined && knowsKeys;
+    if (this.#draining || holder.policy === undefined || !knowsKeys) return false;
+    return this.#ownerWait.isOver(holder.policy);
   }
 
   #addRoutes(): void {
--- a/packages/scheduler/src/ShardJournal.ts
+++ b/packages/scheduler/src/ShardJournal.ts
@@ -110,8 +110,7 @@
    */
   public async saveRoster(): Promise<boolean> {
     if (!this.canCommit) return false;
-    const { shard } = this.#parts;
-    return this.#roster.save(shard.listLeased(), shard.drained);
+    return this.#roster.save(this.#parts.shard.describeRoster());
   }
 
   /** Ends the commits of this ownership. */
--- a/packages/scheduler/src/divideSnapshot.ts
+++ b/packages/scheduler/src/divideSnapshot.ts
@@ -16,7 +16,7 @@
   claimed: boolean,
   isWhole = true,
 ): readonly HandoverCall[] => {
-  const { shard, epoch, owner, drained, allotments } = snapshot;
+  const { shard, epoch, owner, drained, allotments, quarantined } = snapshot;
   const create = (): {
     requests: (typeof snapshot.requests)[number][];
     reports: (typeof snapshot.reports)[number][];
@@ -34,10 +34,10 @@
   };
   for (const request of snapshot.requests) makeRoom(request).requests.push(request);
   for (const report of snapshot.reports) makeRoom(report).reports.push(report);
-  return parts.map((content, index) => ({
-    call: 'handover',
-    claimed,
-    last: isWhole && index === parts.length - 1,
-    snapshot: { shard, epoch, owner, drained, allotments, ...content },
-  }));
+  return parts.map((content, index) => {
+    const last = isWhole && index === parts.length - 1;
+    const rest = last && quarantined !== undefined ? { quarantined } : {};
+    const part = { shard, epoch, owner, drained, allotments, ...content, ...rest };
+    return { call: 'handover', claimed, last, snapshot: part };
+  });
 };
