Hand a non-idempotent request in to the directly next owner only

A former owner that does not reach the next one would hand a request in to the one after that. The owner in between may have got it from its entry, run and answered it, and its worker may have forgotten the task, so that nothing would keep a non-idempotent request from a second run.

Change: such a request goes to the epoch after the one that held it only, and the time is 10 s, as long as the leases of the workers to the former owner last at least.

--- /dev/null
+++ b/packages/scheduler/__tests__/RequestRelay.test.ts
@@ -0,0 +1,59 @@
+import type { Clock, Router } from '@toucanline/core';
+import type { ReplyBody, ShardLoad, SubmitCall } from '@toucanline/schema';
+import { expect } from 'chai';
+import { RequestRelay } from '../src/RequestRelay.js';
+
+const heldEpoch = 3;
+
+describe('the requests that a former owner hands in', () => {
+  /** Runs a relay of one request to an owner with this epoch; returns the calls that it got. */
+  const relay = async (epoch: number, idempotent: boolean): Promise<readonly string[]> => {
+    const calls: string[] = [];
+    let now = 0;
+    const reply = (call: string): Promise<ReplyBody> => {
+      calls.push(call);
+      return Promise.resolve({ reply: 'done' });
+    };
+    const clock: Pick<Clock, 'now' | 'sleep'> = {
+      now: () => now,
+      sleep: (ms) => {
+        now += ms;
+        return Promise.resolve();
+      },
+    };
+    const load = { shard: 's1', owner: 'p', epoch } as ShardLoad;
+    const router: Pick<Router, 'findLoad'> = { findLoad: () => load };
+    await new RequestRelay({
+      clock,
+      router,
+      process: 'p',
+      listPeers: () => [],
+      readHost: () => ({ submit: () => reply('submit'), wait: () => reply('wait') }),
+      isWanted: () => true,
+    }).run([
+      {
+        call: 'submit',
+        shard: 's1',
+        request: { id: 's1.q', team: 'a', idempotent },
+        remainingMs: 20_000,
+        detached: 'no',
+        heldEpoch,
+      } as SubmitCall,
+    ]);
+    return calls;
+  };
+
+  it('reach the next owner, which writes them to the journal', async () => {
+    // Guards against a request that is lost because its owner lost its claim and its entry was killed.
+    const both = ['submit', 'wait'];
+    expect(await relay(heldEpoch + 1, false)).to.deep.equal(both);
+    expect(await relay(heldEpoch + 1, true)).to.deep.equal(both);
+    expect(await relay(heldEpoch, true)).to.deep.equal([]);
+  });
+
+  it('do not reach a later owner if they may run only once', async () => {
+    // Guards against a second run: the owner in between may have got the request from its entry.
+    expect(await relay(heldEpoch + 2, false)).to.deep.equal([]);
+    expect(await relay(heldEpoch + 2, true)).to.deep.equal(['submit', 'wait']);
+  });
+});
--- a/packages/scheduler/src/RequestRelay.ts
+++ b/packages/scheduler/src/RequestRelay.ts
@@ -6,7 +6,14 @@
 const pollMs = 250;
 const callTimeoutMs = 2000;
 /** Time after the end of an ownership in which its requests are handed in; a failover takes 10 s at most. */
-const relayMs = 15_000;
+const relayMs = 10_000;
+
+/**
+ * Whether an owner may get a request. One that followed on another owner may not get a non-idempotent request:
+ * that other one may have got it from the entry and run it, and its worker may have forgotten the task.
+ */
+const mayTake = ({ request, heldEpoch = 0 }: SubmitCall, epoch: number): boolean =>
+  request.idempotent ? epoch > heldEpoch : epoch === heldEpoch + 1;
 
 /** Failures after which the next owner may still take a request. */
 const transientKinds: ReadonlySet<Failure['kind']> = new Set([
@@ -19,14 +26,14 @@
 
 /** What the relay works with. */
 interface RelayParts {
-  readonly clock: Clock;
-  readonly router: Router;
+  readonly clock: Pick<Clock, 'now' | 'sleep'>;
+  readonly router: Pick<Router, 'findLoad'>;
   /** Name of this process. */
   readonly process: string;
   /** Lists open links to other schedulers of the data centre. */
   readonly listPeers: () => readonly Link[];
   /** Reads the running ownership of this process. */
-  readonly readHost: () => ShardHost | undefined;
+  readonly readHost: () => Pick<ShardHost, 'submit' | 'wait'> | undefined;
   /** Whether the process goes on. */
   readonly isWanted: () => boolean;
 }
@@ -57,7 +64,7 @@
       const later: SubmitCall[] = [];
       for (const call of left) {
         const load = router.findLoad(call.shard);
-        const isNext = load !== undefined && load.epoch > (call.heldEpoch ?? 0);
+        const isNext = load !== undefined && mayTake(call, load.epoch);
         const isTaken = isNext && (await this.#handIn(load.owner, call, clock.now() - endedAt));
         if (!isTaken) later.push(call);
       }
