--- a/packages-private/testkit/__tests__/durability.test.ts
+++ b/packages-private/testkit/__tests__/durability.test.ts
@@ -88,12 +88,18 @@
     const busy = { size, command: 'sleep 12000', deadlineSeconds: 60 };
     const first = await create(1).submit('renders', busy, { wait: 0 });
     site.store.setFault('hang');
-    const { view } = await new Caller(() => entry.url, 'key-broadcast').submit(
-      'renders',
-      { size, command: 'echo relayed', deadlineSeconds: 60 },
-      { wait: 0 },
-    );
+    const submit = (command: string): ReturnType<Caller['submit']> =>
+      new Caller(() => entry.url, 'key-broadcast').submit(
+        'renders',
+        { size, command, deadlineSeconds: 60 },
+        { wait: 0 },
+      );
+    const [{ view }, { view: other }] = await Promise.all([
+      submit('echo relayed'),
+      submit('echo cancelled'),
+    ]);
     expect(view).to.include({ state: 'waiting', durable: false });
+    expect((await create(1).cancel(other.id)).view.state).to.equal('stopping');
     entry.signal('SIGKILL');
     await sleep(4000);
     site.store.setFault('none');
@@ -101,6 +107,7 @@
     for (let asked = 0; last.view.output === undefined && asked < 2; asked += 1)
       last = await create(1).wait(view.id, 20);
     expect(last.view.output, JSON.stringify(last)).to.deep.equal(['relayed']);
+    expect((await create(1).wait(other.id, 5)).view.state).to.equal('cancelled');
     expect(site.ledger.countStarts(first.view.id)).to.equal(1);
     expect(site.ledger.violations).to.deep.equal([]);
   });
--- a/packages/core/__tests__/createHandIns.test.ts
+++ b/packages/core/__tests__/createHandIns.test.ts
@@ -41,6 +41,15 @@
     expect([count(started), count(repeatable)]).to.deep.equal([0, 1]);
   });
 
+  it('has what was cancelled, so that it can be cancelled again, but nothing else that ended', () => {
+    // Guards against a cancelled service that its entry hands in again and that then goes on.
+    const cancelled = create();
+    cancelled.finish('cancelled', clock.now());
+    const ended = create();
+    ended.finish('failed', clock.now());
+    expect([count(cancelled), count(ended)]).to.deep.equal([1, 0]);
+  });
+
   it('leaves out what the journal has', () => {
     const kept = create();
     kept.confirmAcceptance();
--- a/packages/core/src/EndWriter.ts
+++ b/packages/core/src/EndWriter.ts
@@ -66,6 +66,13 @@
     return this.#writing.has(record);
   }
 
+  /** Requests that were cancelled and whose cancellation the journal does not certainly have. */
+  public get unwrittenCancellations(): readonly RequestRecord[] {
+    return [...new Set([...this.#writing, ...this.#unwritten])].filter(
+      ({ state, stopPlan }) => state === 'cancelled' || stopPlan?.next === 'cancelled',
+    );
+  }
+
   /**
    * Applies the result of a write.
    *
--- a/packages/core/src/LostWork.ts
+++ b/packages/core/src/LostWork.ts
@@ -1,4 +1,5 @@
 import { createFailure } from './createFailure.js';
+import type { Request } from '@toucanline/schema';
 import type { Fleet } from './Fleet.js';
 import { periods } from './periods.js';
 import type { Recovery } from './Recovery.js';
@@ -51,6 +52,17 @@
     return this.#released.has(queue);
   }
 
+  /**
+   * Checks whether a request passed to another data centre or was given up for one.
+   *
+   * @param request - the request
+   * @returns true if the next owner of the shard must not get it from this one
+   */
+  public hasLost({ id, queue }: Request): boolean {
+    const isTaken = this.#book?.isTakenFrom(id, this.#context.shard) === true;
+    return isTaken || this.isReleased(queue);
+  }
+
   /**
    * Gives the work of queues up. That lasts until the ownership ends.
    *
--- a/packages/core/src/RequestLifecycle.ts
+++ b/packages/core/src/RequestLifecycle.ts
@@ -195,6 +195,11 @@
     return this.#ends.isWriting(record);
   }
 
+  /** Requests that were cancelled and whose cancellation the journal does not certainly have. */
+  public get unwrittenCancellations(): readonly RequestRecord[] {
+    return this.#ends.unwrittenCancellations;
+  }
+
   /**
    * Cancels a request.
    *
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -1,4 +1,5 @@
 import type {
+  CancelCall,
   HeldRequest,
   Failure,
   HostRecord,
@@ -417,17 +418,21 @@
   }
 
   /**
-   * Describes the requests that only this owner and their entries know, although their callers stopped to wait.
+   * Describes what only this owner and the entries know: requests whose callers stopped to wait, and cancellations.
    *
-   * @returns the calls that hand them in to the next owner
+   * @returns the calls that tell it to the next owner
    */
-  public describeUnkept(): readonly SubmitCall[] {
-    // What passed to other data centres is not in the table any more, or its queue was given up.
-    const own = this.#acceptance.unkept.filter(
-      (record) =>
-        this.#table.find(record.id) === record && !this.#lost.isReleased(record.request.queue),
-    );
-    return createHandIns(this.#context, own);
+  public describeUnkept(): readonly (SubmitCall | CancelCall)[] {
+    const isOwn = (record: RequestRecord): boolean =>
+      this.#table.find(record.id) === record && !this.#lost.hasLost(record.request);
+    const cancelled = this.#lifecycle.unwrittenCancellations.filter(isOwn);
+    const unkept = new Set([...this.#acceptance.unkept.filter(isOwn), ...cancelled]);
+    const cancellations = cancelled.map(({ id, request: { team } }): CancelCall => ({
+      call: 'cancel',
+      requestId: id,
+      team,
+    }));
+    return [...createHandIns(this.#context, [...unkept]), ...cancellations];
   }
 
   /**
--- a/packages/core/src/createHandIns.ts
+++ b/packages/core/src/createHandIns.ts
@@ -9,7 +9,7 @@
  *
  * @param context - what the parts of the shard share
  * @param records - the requests
- * @returns a call for each request that is open and that the journal does not certainly have
+ * @returns a call for each request that is open or cancelled and that the journal does not certainly have
  */
 export const createHandIns = (
   { shard, epoch, clock }: Pick<ShardContext, 'shard' | 'epoch' | 'clock'>,
@@ -17,7 +17,9 @@
 ): readonly SubmitCall[] => {
   const now = clock.now();
   return records
-    .filter(({ isFinished, isDurable, stopPlan }) => !isFinished && !isDurable && !stopPlan)
+    .filter(({ isDurable }) => !isDurable)
+    .filter(({ isFinished, state }) => !isFinished || state === 'cancelled')
+    .filter(({ stopPlan }) => stopPlan === undefined || stopPlan.next === 'cancelled')
     .filter(({ request, attempt }) => request.idempotent || attempt === 0)
     .filter(({ deadlineAt }) => Number.isFinite(deadlineAt))
     .map(({ request, arrivedAt, earliestStartAt, deadlineAt }) => {
--- a/packages/scheduler/__tests__/RequestRelay.test.ts
+++ b/packages/scheduler/__tests__/RequestRelay.test.ts
@@ -1,18 +1,19 @@
 import type { Clock, Router } from '@toucanline/core';
-import type { ReplyBody, ShardLoad, SubmitCall } from '@toucanline/schema';
+import type { ReplyBody, RequestView, ShardLoad, SubmitCall } from '@toucanline/schema';
 import { expect } from 'chai';
 import { RequestRelay } from '../src/RequestRelay.js';
 
 const heldEpoch = 3;
 
 describe('the requests that a former owner hands in', () => {
-  /** Runs a relay of one request to an owner with this epoch; returns the calls that it got. */
+  /** Runs a relay of a request and its cancellation to an owner with this epoch; returns the calls that it got. */
   const relay = async (epoch: number, idempotent: boolean): Promise<readonly string[]> => {
     const calls: string[] = [];
     let now = 0;
     const reply = (call: string): Promise<ReplyBody> => {
       calls.push(call);
-      return Promise.resolve({ reply: 'done' });
+      const view = { id: 's1.q' } as RequestView;
+      return Promise.resolve({ reply: 'view', view, epoch });
     };
     const clock: Pick<Clock, 'now' | 'sleep'> = {
       now: () => now,
@@ -26,11 +27,16 @@
     await new RequestRelay({
       clock,
       router,
+      shard: 's1',
       process: 'p',
       listPeers: () => [],
-      readHost: () => ({ submit: () => reply('submit'), wait: () => reply('wait') }),
+      readHost: () => ({
+        submit: () => reply('submit'),
+        wait: () => reply('wait'),
+        cancel: () => reply('cancel'),
+      }),
       isWanted: () => true,
-    }).run([
+    }).run(heldEpoch, [
       {
         call: 'submit',
         shard: 's1',
@@ -39,21 +45,22 @@
         detached: 'no',
         heldEpoch,
       } as SubmitCall,
+      { call: 'cancel', requestId: 's1.q', team: 'a' },
     ]);
     return calls;
   };
 
   it('reach the next owner, which writes them to the journal', async () => {
     // Guards against a request that is lost because its owner lost its claim and its entry was killed.
-    const both = ['submit', 'wait'];
-    expect(await relay(heldEpoch + 1, false)).to.deep.equal(both);
-    expect(await relay(heldEpoch + 1, true)).to.deep.equal(both);
+    const all = ['submit', 'wait', 'cancel'];
+    expect(await relay(heldEpoch + 1, false)).to.deep.equal(all);
+    expect(await relay(heldEpoch + 1, true)).to.deep.equal(all);
     expect(await relay(heldEpoch, true)).to.deep.equal([]);
   });
 
   it('do not reach a later owner if they may run only once', async () => {
     // Guards against a second run: the owner in between may have got the request from its entry.
-    expect(await relay(heldEpoch + 2, false)).to.deep.equal([]);
-    expect(await relay(heldEpoch + 2, true)).to.deep.equal(['submit', 'wait']);
+    expect(await relay(heldEpoch + 2, false)).to.deep.equal(['cancel']);
+    expect(await relay(heldEpoch + 2, true)).to.deep.equal(['submit', 'wait', 'cancel']);
   });
 });
--- a/packages/scheduler/__tests__/ShardHost.test.ts
+++ b/packages/scheduler/__tests__/ShardHost.test.ts
@@ -192,6 +192,26 @@
     expect(decisions.submit(second)._unsafeUnwrapErr().kind).to.equal('withdrawnKey');
   });
 
+  it('tells what the journal does not have: requests whose callers left, and cancellations', () => {
+    // Guards against a cancelled request that its entry hands in to the next owner and that then goes on.
+    const { shard: decisions } = createHost(new SplitWorkers(), true, () => 'unsettled');
+    decisions.skipJournal();
+    for (const name of ['waits', 'kept', 'cancelled']) {
+      const named = { ...call, request: { ...request, id: `${shard}.${name}` } };
+      decisions.submit(named)._unsafeUnwrap();
+    }
+    decisions.keep(`${shard}.kept`);
+    decisions.cancel(`${shard}.cancelled`, 'a')._unsafeUnwrap();
+    const told = decisions
+      .describeUnkept()
+      .map((each) => [each.call, each.call === 'submit' ? each.request.id : each.requestId]);
+    expect(told).to.deep.equal([
+      ['submit', `${shard}.kept`],
+      ['submit', `${shard}.cancelled`],
+      ['cancel', `${shard}.cancelled`],
+    ]);
+  });
+
   it('hands finished requests over while it serves, and the rest at the end', async () => {
     // Guards against a gap in decisions that grows with the finished requests, and against a next owner
     // that repeats a request which it does not know.
--- a/packages/scheduler/src/RequestRelay.ts
+++ b/packages/scheduler/src/RequestRelay.ts
@@ -1,5 +1,5 @@
 import type { Clock, Router } from '@toucanline/core';
-import type { CallBody, Failure, ReplyBody, SubmitCall } from '@toucanline/schema';
+import type { CancelCall, Failure, ReplyBody, SubmitCall, WaitCall } from '@toucanline/schema';
 import type { Link } from '@toucanline/wire';
 import type { ShardHost } from './ShardHost.js';
 
@@ -12,8 +12,10 @@
  * Whether an owner may get a request. One that followed on another owner may not get a non-idempotent request:
  * that other one may have got it from the entry and run it, and its worker may have forgotten the task.
  */
-const mayTake = ({ request, heldEpoch = 0 }: SubmitCall, epoch: number): boolean =>
-  request.idempotent ? epoch > heldEpoch : epoch === heldEpoch + 1;
+const mayTake = (call: RelayedCall, formerEpoch: number, epoch: number): boolean => {
+  const isOnce = call.call === 'submit' && !call.request.idempotent;
+  return isOnce ? epoch === formerEpoch + 1 : epoch > formerEpoch;
+};
 
 /** Failures after which the next owner may still take a request. */
 const transientKinds: ReadonlySet<Failure['kind']> = new Set([
@@ -24,16 +26,21 @@
   'timeout',
 ]);
 
+/** What the next owner is told. */
+type RelayedCall = SubmitCall | CancelCall;
+
 /** What the relay works with. */
 interface RelayParts {
   readonly clock: Pick<Clock, 'now' | 'sleep'>;
   readonly router: Pick<Router, 'findLoad'>;
+  /** Name of the shard. */
+  readonly shard: string;
   /** Name of this process. */
   readonly process: string;
   /** Lists open links to other schedulers of the data centre. */
   readonly listPeers: () => readonly Link[];
   /** Reads the running ownership of this process. */
-  readonly readHost: () => Pick<ShardHost, 'submit' | 'wait'> | undefined;
+  readonly readHost: () => Pick<ShardHost, 'submit' | 'wait' | 'cancel'> | undefined;
   /** Whether the process goes on. */
   readonly isWanted: () => boolean;
 }
@@ -51,35 +58,45 @@
   }
 
   /**
-   * Waits for the next owner and hands the requests in, for a bounded time.
+   * Waits for the next owner and tells it what the former one knew, for a bounded time.
    *
-   * @param calls - the requests as they were when the ownership ended
+   * @param epoch - epoch of the former owner
+   * @param calls - requests as they were when the ownership ended, and cancellations
    */
-  public async run(calls: readonly SubmitCall[]): Promise<void> {
-    const { clock, router, isWanted } = this.#parts;
+  public async run(epoch: number, calls: readonly RelayedCall[]): Promise<void> {
+    const { clock, router, shard, isWanted } = this.#parts;
     const endedAt = clock.now();
     let left = calls;
     while (left.length > 0 && isWanted() && clock.now() - endedAt < relayMs) {
       await clock.sleep(pollMs);
-      const later: SubmitCall[] = [];
+      const later: RelayedCall[] = [];
       for (const call of left) {
-        const load = router.findLoad(call.shard);
-        const isNext = load !== undefined && mayTake(call, load.epoch);
-        const isTaken = isNext && (await this.#handIn(load.owner, call, clock.now() - endedAt));
+        const load = router.findLoad(shard);
+        const isNext = load !== undefined && mayTake(call, epoch, load.epoch);
+        const isTaken = isNext && (await this.#tell(load.owner, call, clock.now() - endedAt));
         if (!isTaken) later.push(call);
       }
       left = later;
     }
   }
 
+  async #tell(owner: string, call: RelayedCall, agedMs: number): Promise<boolean> {
+    if (call.call === 'submit') return this.#handIn(owner, call, agedMs);
+    return this.#isTaken(await this.#send(owner, call));
+  }
+
+  #isTaken(reply: ReplyBody | undefined): boolean {
+    if (reply?.reply === 'failure') return !transientKinds.has(reply.failure.kind);
+    return reply !== undefined;
+  }
+
   async #handIn(owner: string, call: SubmitCall, agedMs: number): Promise<boolean> {
     const { request, remainingMs, heldMs } = call;
     const leftMs = remainingMs - agedMs;
     if (leftMs <= 0) return true;
     const held = heldMs === undefined ? {} : { heldMs: heldMs + agedMs };
     const reply = await this.#send(owner, { ...call, remainingMs: leftMs, ...held });
-    if (reply === undefined) return false;
-    if (reply.reply === 'failure') return !transientKinds.has(reply.failure.kind);
+    if (reply?.reply !== 'view') return this.#isTaken(reply);
     const { id, team } = request;
     const keep = {
       call: 'wait',
@@ -95,12 +112,13 @@
 
   async #send(
     owner: string,
-    body: Extract<CallBody, { call: 'submit' | 'wait' }>,
+    body: SubmitCall | CancelCall | WaitCall,
   ): Promise<ReplyBody | undefined> {
     const { process, listPeers, readHost } = this.#parts;
     if (owner === process) {
       const host = readHost();
       if (body.call === 'submit') return host?.submit(body);
+      if (body.call === 'cancel') return host?.cancel(body.requestId, body.team);
       return host?.wait(body.requestId, body.team, body.waitMs, body);
     }
     const link = listPeers().find(({ peer }) => peer?.process === owner);
--- a/packages/scheduler/src/ShardCandidate.ts
+++ b/packages/scheduler/src/ShardCandidate.ts
@@ -87,6 +87,7 @@
     this.#relay = new RequestRelay({
       clock: runtime.clock,
       router: parts.router,
+      shard,
       process: runtime.settings.process,
       listPeers: parts.listPeers,
       readHost: () => this.#host,
@@ -298,9 +299,10 @@
 
   /** Ends an ownership that was lost: the next owner gets what only this process and an entry know. */
   #loseHost(): void {
-    const calls = this.#host?.shard.describeUnkept() ?? [];
+    const shard = this.#host?.shard;
+    const calls = shard?.describeUnkept() ?? [];
     this.#endHost();
-    void this.#relay.run(calls);
+    void this.#relay.run(shard?.epoch ?? 0, calls);
   }
 
   #mayHandOver(host: ShardHost): boolean {
