Look at the claims of other data centres with one list

Cause: a watcher read the claim of each shard of other data centres every 5 s, 70 B/s per shard, which is 1.5 KB/s with 21 shards.

Change: one list of `owners/` per round in which a look is due. It is kept by its entity tag like single values, so only a change of claims transfers it. Lists above 64 K characters (journals) are not kept.

--- a/packages/platform/src/HttpStore.ts
+++ b/packages/platform/src/HttpStore.ts
@@ -6,13 +6,15 @@
 
 /** Values that are kept to be confirmed by their entity tag; a process reads few keys again and again. */
 const maxKnownValues = 32;
+/** Longest list that is kept, in characters: a journal is long and read rarely. */
+const maxKnownListLength = 65_536;
 
 /** Store over HTTP. Reads whose result is unknown count as unavailable, because they may be repeated. */
 export class HttpStore extends Store {
   readonly #exchange = new HttpExchange();
   readonly #url: string;
   readonly #timeoutMs: number;
-  /** Last responses with an entity tag, by key, least recently read first. */
+  /** Last responses with an entity tag, by key or path of a list, least recently read first. */
   readonly #known = new Map<string, HttpResponse>();
 
   /**
@@ -35,10 +37,14 @@
   /** {@inheritDoc Store.list} */
   public override async list(prefix: string): Promise<Result<readonly StoreValue[], Failure>> {
     const path = `/v1/values?prefix=${encodeURIComponent(prefix)}`;
-    const response = await this.#get(path, this.#timeoutMs);
+    const response = await this.#getKnown(path, path, this.#timeoutMs);
     return response
       .andThen(({ body }) => validateValue(validators.StoreValues, body, 'internal'))
-      .map(({ values }) => values);
+      .map(({ values }) => {
+        const length = values.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+        if (length > maxKnownListLength) this.#known.delete(path);
+        return values;
+      });
   }
 
   /** {@inheritDoc Store.write} */
@@ -97,19 +103,19 @@
     await this.#exchange.close();
   }
 
-  /** Gets the value of a key; its body is transferred only if it changed since the last time. */
+  /** Gets a value or a list; its body is transferred only if it changed since the last time. */
   async #getKnown(
-    key: string,
+    name: string,
     path: string,
     timeoutMs: number,
   ): Promise<Result<HttpResponse, Failure>> {
-    const known = this.#known.get(key);
+    const known = this.#known.get(name);
     const response = await this.#get(path, timeoutMs, known?.entityTag);
     if (response.isErr()) return response;
     const current = response.value.status === 304 ? known : response.value;
     if (current === undefined) return err(createFailure('storeUnavailable', 'no known value'));
-    this.#known.delete(key);
-    if (current.entityTag !== undefined) this.#known.set(key, current);
+    this.#known.delete(name);
+    if (current.entityTag !== undefined) this.#known.set(name, current);
     const [oldest] = this.#known.keys();
     if (this.#known.size > maxKnownValues && oldest !== undefined) this.#known.delete(oldest);
     return ok(current);
--- a/packages/scheduler/src/TakeoverRunner.ts
+++ b/packages/scheduler/src/TakeoverRunner.ts
@@ -14,6 +14,7 @@
 import type { Link } from '@toucanline/wire';
 
 const roundMs = 1000;
+const ownersPrefix = 'owners/';
 /** Shards of a data centre whose owners watch the record. */
 const watchedShards = 2;
 /** Age above which a load notice of a successor does not count, in milliseconds. */
@@ -135,6 +136,7 @@
     const { readPolicy, runtime, isConnected } = this.#parts;
     const policy = readPolicy();
     if (policy === undefined || !isConnected()) return;
+    const due = new Map<string, readonly string[]>();
     for (const shard of policy.shards) {
       const dataCentre = policy.findDataCentre(shard) ?? '';
       if (dataCentre === runtime.settings.dataCentre) continue;
@@ -142,7 +144,19 @@
       if (successors.length === 0) continue;
       const isLost = this.book.isPending(dataCentre, shard, runtime.clock.wallTime());
       if (isLost) await this.#take(shard, { reason: 'declaration', dataCentre }, successors);
-      else if (this.#isWatcher && this.#isCheckDue(shard)) await this.#watch(shard, successors);
+      else if (this.#isWatcher && this.#isCheckDue(shard)) due.set(shard, successors);
+    }
+    if (due.size > 0) await this.#lookAtClaims(due);
+  }
+
+  /** One list of all claims is a single call, and is transferred only when a claim changed. */
+  async #lookAtClaims(due: ReadonlyMap<string, readonly string[]>): Promise<void> {
+    const holders = await this.#parts.runtime.store.list(ownersPrefix);
+    if (holders.isErr()) return;
+    const claimed = new Set(holders.value.map(({ key }) => key));
+    for (const [shard, successors] of due) {
+      if (claimed.has(ownersPrefix + shard)) this.#watches.delete(shard);
+      else await this.#watch(shard, successors);
     }
   }
 
@@ -171,12 +185,6 @@
   async #watch(shard: string, successors: readonly string[]): Promise<void> {
     const { runtime } = this.#parts;
     const terms = new ReleaseTermsKeeper(runtime, shard);
-    const holder = await runtime.store.read(`owners/${shard}`);
-    if (holder.isErr()) return;
-    if (holder.value.version !== 0) {
-      this.#watches.delete(shard);
-      return;
-    }
     const claim = await runtime.store.read(`claims/${shard}`);
     const read = await terms.read();
     if (claim.isErr() || read.isErr()) return;
