--- a/packages/core/src/Fleet.ts
+++ b/packages/core/src/Fleet.ts
@@ -61,7 +61,7 @@
   }
 
   #withhold(worker: WorkerRecord): void {
-    worker.setWithheld(!this.#claimed && worker.hasForgotten(this.#context.clock.now()));
+    worker.setWithheld(!this.#claimed && worker.contact.hasForgotten(this.#context.clock.now()));
   }
 
   /** Notes a change, other than of single workers, that may let waiting work start. */
@@ -76,7 +76,7 @@
    */
   public keepPerAccelerator(kept: Resources): void {
     this.#kept = kept;
-    for (const worker of this.#workers.values()) worker.keepPerAccelerator(kept);
+    for (const worker of this.#workers.values()) worker.occupancy.keepPerAccelerator(kept);
   }
 
   /**
@@ -180,7 +180,7 @@
     const worker = new WorkerRecord(host, (changed) => {
       this.index.update(changed);
     });
-    worker.keepPerAccelerator(this.#kept);
+    worker.occupancy.keepPerAccelerator(this.#kept);
     this.#workers.set(host.id, worker);
     this.#list = undefined;
     this.#context.emit({ effect: 'poll', worker: host.id });
--- a/packages/core/src/GangReservation.ts
+++ b/packages/core/src/GangReservation.ts
@@ -92,10 +92,10 @@
    * @returns its result
    */
   public lend<Result>(worker: WorkerRecord, place: () => Result): Result {
-    worker.hold(zeroResources);
+    worker.occupancy.hold(zeroResources);
     const result = place();
     const size = this.#record?.request.size ?? zeroResources;
-    worker.hold(scaleResources(size, this.#plan.get(worker) ?? 0));
+    worker.occupancy.hold(scaleResources(size, this.#plan.get(worker) ?? 0));
     return result;
   }
 
@@ -127,14 +127,14 @@
     this.#record = record;
     if (!isKept) this.#heldSince = now;
     for (const [worker, count] of this.#plan) {
-      worker.hold(scaleResources(request.size, count));
+      worker.occupancy.hold(scaleResources(request.size, count));
     }
     return true;
   }
 
   /** Gives the reserved capacity back. */
   public release(): void {
-    for (const worker of this.#plan.keys()) worker.hold(zeroResources);
+    for (const worker of this.#plan.keys()) worker.occupancy.hold(zeroResources);
     this.#plan.clear();
     this.#record = undefined;
   }
@@ -144,7 +144,7 @@
     let compared = 0;
     let found = 0;
     for (const worker of this.#fleet.workers) {
-      if (!worker.isEligible || worker.hasReservation) continue;
+      if (!worker.isEligible || worker.occupancy.hasReservation) continue;
       if (worker.isQuarantined && !request.idempotent) continue;
       if (!worker.isSuitable(request.size, request.acceleratorType)) continue;
       if (compared >= minCompared && found >= 2 * request.tasks) break;
--- a/packages/core/src/InheritedWork.ts
+++ b/packages/core/src/InheritedWork.ts
@@ -109,8 +109,8 @@
       if (worker === undefined) continue;
       // The transport of the snapshot is not bounded, so only the lower bound of the clock is known.
       this.#parts.tracker.applyReport(worker, report, -Infinity);
-      worker.grantLease(report.leaseUntil);
-      worker.requestFull();
+      worker.contact.grantLease(report.leaseUntil);
+      worker.contact.requestFull();
     }
     for (const record of open) this.#enqueueRest(record);
     for (const record of cancelled) this.#parts.lifecycle.cancel(record);
--- a/packages/core/src/Recovery.ts
+++ b/packages/core/src/Recovery.ts
@@ -78,7 +78,7 @@
     if (missing.length > 0 && !this.#hasExpired(waitedMs)) return undefined;
     this.#complete = true;
     this.#fleet.releaseInherited();
-    const boots = this.#fleet.workers.map(({ bootedBy }) => bootedBy);
+    const boots = this.#fleet.workers.map(({ contact }) => contact.bootedBy);
     this.#provenSince = boots.length === 0 ? Infinity : Math.max(...boots);
     const { shard, epoch, recorder } = this.#context;
     recorder.record('recoveryFinished', { shard, epoch, durationMs: waitedMs });
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -523,7 +523,7 @@
     const worker = this.#fleet.find(workerId);
     if (worker === undefined) return undefined;
     const { shard, epoch, owner, provisional } = this.#context;
-    const isKnown = worker.clock !== undefined && !worker.isLapsed && !worker.hasRestarted;
+    const isKnown = worker.clock !== undefined && !worker.isLapsed && !worker.contact.hasRestarted;
     // A candidate without a majority asks for short leases, so that it does not block the one that wins.
     const isTrial = provisional && !this.holdsMajority;
     const leaseMs = isTrial ? periods.trialLeaseMs : periods.workerLeaseMs;
@@ -533,15 +533,15 @@
     const reportedMs = worker.clock?.reportedMs ?? 0;
     const mustLapse = isKnown && this.#lost.mustLapse(worker);
     const leaseUntil = mustLapse ? worker.leaseUntil : isKnown ? reportedMs + leaseMs : 0;
-    if (isKnown) worker.grantLease(leaseUntil);
+    if (isKnown) worker.contact.grantLease(leaseUntil);
     return {
       address: worker.address,
       renewal: {
         authority: { shard, epoch, owner, provisional, bootId: isKnown ? worker.bootId : '' },
         leaseUntil,
-        acknowledged: isKnown ? worker.sequence : 0,
-        full: worker.wantsFull,
-        waitMs: isKnown && !worker.wantsFull ? waitMs : 0,
+        acknowledged: isKnown ? worker.contact.sequence : 0,
+        full: worker.contact.wantsFull,
+        waitMs: isKnown && !worker.contact.wantsFull ? waitMs : 0,
       },
     };
   }
@@ -576,8 +576,8 @@
     const worker = this.#fleet.find(workerId);
     if (refusal.refusal === 'staleEpoch') {
       this.#standDown(`worker ${workerId}: ${refusal.detail}`, refusal.epoch);
-    } else if (refusal.refusal === 'wrongBoot') worker?.markRestarted();
-    else if (refusal.refusal !== 'leaseHeld') worker?.requestFull();
+    } else if (refusal.refusal === 'wrongBoot') worker?.contact.markRestarted();
+    else if (refusal.refusal !== 'leaseHeld') worker?.contact.requestFull();
   }
 
   /**
@@ -599,7 +599,7 @@
     if (response === undefined || !('refusal' in response)) return;
     if (response.refusal === 'staleEpoch') this.#standDown(response.detail, response.epoch);
     if (response.refusal === 'wrongBoot' && task !== undefined) {
-      this.#fleet.find(task.worker)?.markRestarted();
+      this.#fleet.find(task.worker)?.contact.markRestarted();
     }
   }
 
--- a/packages/core/src/TaskTracker.ts
+++ b/packages/core/src/TaskTracker.ts
@@ -53,7 +53,7 @@
     for (const task of report.tasks) this.#applyTask(worker, task);
     for (const change of report.changes) this.#applyChange(worker, change);
     this.#checkMissing(worker, report, sentAt);
-    worker.recount();
+    worker.occupancy.recount();
     this.#parts.outgrown.check(worker);
   }
 
@@ -73,7 +73,7 @@
     const worker = this.#parts.fleet.find(task.worker);
     if (!('refusal' in response)) {
       // The outcome is unknown: a full report made after the start window settles it.
-      worker?.requestFull();
+      worker?.contact.requestFull();
       if (worker !== undefined) {
         this.#context.emit({ effect: 'interrupt', worker: worker.id, address: worker.address });
       }
@@ -234,12 +234,12 @@
       if (record === undefined) this.#endOrphan(task, 'lapsed');
       else if (task.isConfirmed && sentAt < task.confirmedAt) {
         // The report may be older than the start, whose response overtook it.
-        worker.requestFull();
+        worker.contact.requestFull();
       } else if (task.isConfirmed)
         this.#loseTask(record, task, 'the worker no longer reports the task');
       else if (report.clockMs > task.latestStartAt) {
         this.disproveStart(record, task, 'the start command did not arrive in time');
-      } else if (task.latestStartAt !== Infinity) worker.requestFull();
+      } else if (task.latestStartAt !== Infinity) worker.contact.requestFull();
     }
   }
 
@@ -273,7 +273,7 @@
 
   #free(task: TaskRecord): void {
     const { team, size } = task.assignment.request;
-    this.#parts.fleet.find(task.worker)?.removeTask(task.id);
+    this.#parts.fleet.find(task.worker)?.occupancy.remove(task.id);
     this.#parts.ledger.release(team, size);
   }
 }
--- /dev/null
+++ b/packages/core/src/WorkerOccupancy.ts
@@ -0,0 +1,142 @@
+import type { Resources } from '@toucanline/schema';
+import { addResources } from './addResources.js';
+import type { Capacity } from './Capacity.js';
+import { minResources } from './minResources.js';
+import { scaleResources } from './scaleResources.js';
+import { subtractResources } from './subtractResources.js';
+import type { TaskRecord } from './TaskRecord.js';
+import { zeroResources } from './zeroResources.js';
+
+/** Part of a worker with accelerators that work without accelerators may always use. */
+const openFraction = 0.25;
+
+/** What the tasks and reservations of a worker take of its capacity. */
+export class WorkerOccupancy {
+  readonly #tasks = new Map<string, TaskRecord>();
+  readonly #readRoom: () => Resources;
+  readonly #onChange: () => void;
+  #allocated: Resources = zeroResources;
+  #margin: Resources = zeroResources;
+  #held: Resources = zeroResources;
+  #kept: Resources = zeroResources;
+  #capacity: Capacity | undefined;
+
+  /**
+   * @param readRoom - reads the capacity of the worker
+   * @param onChange - called after each change of what is left
+   */
+  public constructor(readRoom: () => Resources, onChange: () => void) {
+    this.#readRoom = readRoom;
+    this.#onChange = onChange;
+  }
+
+  /** Tasks that may occupy the worker. */
+  public get tasks(): readonly TaskRecord[] {
+    return [...this.#tasks.values()];
+  }
+
+  /** Number of tasks that may occupy the worker. */
+  public get size(): number {
+    return this.#tasks.size;
+  }
+
+  /** Sum of the charges of the tasks that may occupy the worker. */
+  public get allocated(): Resources {
+    return this.#allocated;
+  }
+
+  /** Capacity that no task occupies, reserved capacity included. */
+  public get unallocated(): Resources {
+    return subtractResources(this.#readRoom(), this.#allocated);
+  }
+
+  /** Capacity that is left for new tasks of each kind. */
+  public get capacity(): Capacity {
+    this.#capacity ??= this.#measureCapacity();
+    return this.#capacity;
+  }
+
+  /** Whether capacity is kept for a reservation. */
+  public get hasReservation(): boolean {
+    return this.#held !== zeroResources;
+  }
+
+  /** Measures anew what is left, after a change of the worker's own capacity. */
+  public refresh(): void {
+    this.#capacity = undefined;
+  }
+
+  /**
+   * Keeps capacity for a gang; it may be more than is free now.
+   *
+   * @param held - amount that other work may not take
+   */
+  public hold(held: Resources): void {
+    this.#held = held;
+    this.#noteChange();
+  }
+
+  /**
+   * Keeps processors and memory beside each free accelerator, so that other work does not strand it.
+   *
+   * @param kept - amount per free accelerator
+   */
+  public keepPerAccelerator(kept: Resources): void {
+    this.#kept = kept;
+    if (this.#readRoom().accelerators > 0) this.#noteChange();
+  }
+
+  /**
+   * Adds a task that may occupy the worker.
+   *
+   * @param task - the task
+   */
+  public add(task: TaskRecord): void {
+    this.#tasks.set(task.id, task);
+    this.#allocated = addResources(this.#allocated, task.charge);
+    this.#noteChange();
+  }
+
+  /**
+   * Removes a task that certainly does not occupy the worker any more.
+   *
+   * @param taskId - identifier of the task
+   */
+  public remove(taskId: string): void {
+    if (this.#tasks.delete(taskId)) this.recount();
+  }
+
+  /** Sums the charges of all tasks again. */
+  public recount(): void {
+    let sum = zeroResources;
+    let margin = zeroResources;
+    for (const task of this.#tasks.values()) {
+      sum = addResources(sum, task.charge);
+      margin = addResources(margin, task.margin);
+    }
+    this.#allocated = sum;
+    this.#margin = margin;
+    this.#noteChange();
+  }
+
+  #noteChange(): void {
+    this.refresh();
+    this.#onChange();
+  }
+
+  /** A part of the worker is open to all work, so that no team waits for ever for others to end. */
+  #measureCapacity(): Capacity {
+    const room = this.#readRoom();
+    const left = subtractResources(this.unallocated, this.#margin);
+    const free = subtractResources(left, this.#held);
+    const largest = scaleResources(room, openFraction);
+    if (room.accelerators === 0) return { free, open: free, largest: room };
+    const most = scaleResources(
+      subtractResources(room, largest),
+      free.accelerators / room.accelerators,
+    );
+    const kept = minResources(scaleResources(this.#kept, free.accelerators), most);
+    const open = { ...subtractResources(free, kept), accelerators: free.accelerators };
+    return { free, open, largest };
+  }
+}
--- a/packages/core/src/createSnapshot.ts
+++ b/packages/core/src/createSnapshot.ts
@@ -27,7 +27,7 @@
   now: number,
 ): Report | undefined => {
   const isSettled = worker.tasks.every(({ isConfirmed }) => isConfirmed);
-  const { report, clock } = worker;
+  const { report, clock } = worker.contact;
   if (report === undefined || clock === undefined || worker.isLapsed || !isSettled)
     return undefined;
   return {
