Count the work of a team against its entitlement in the waiting bench

Cause: the bench compared the time for which a team's tasks held capacity with the run times on a worker of speed 1 of all its arrivals. A task on a slow worker counted up to 1.25 times, one on a fast worker 0.77 times, and a request that arrived too late to end within the trace counted as denied.

Change: use is weighted by the speed of the worker, and demand is the part of each run that falls into the measured time if it starts on arrival. Workload, waits and packing are unchanged.

--- a/packages-private/bench/src/BaselineModel.ts
+++ b/packages-private/bench/src/BaselineModel.ts
@@ -108,7 +108,7 @@
       task.slot.free = addResources(task.slot.free, task.request.size);
       shard.isChanged = true;
       this.noteUse(task.request, index, -1);
-      this.#observer.noteEnd(task.request);
+      this.#observer.noteEnd(task.request, task.slot.report.speed);
     }
     shard.running = running;
   }
@@ -154,7 +154,7 @@
     this.noteUse(request, index, slots.length);
     slots.forEach((slot, task) => {
       shard.running.push({ slot, request, endsAt: nowMs + runMs / slot.report.speed });
-      this.#observer.noteStart(request, task, nowMs);
+      this.#observer.noteStart(request, task, nowMs, slot.report.speed);
     });
   }
 }
--- a/packages-private/bench/src/CoreModel.ts
+++ b/packages-private/bench/src/CoreModel.ts
@@ -1,5 +1,5 @@
 import { Policy } from '@toucanline/core';
-import type { Assignment, Report } from '@toucanline/schema';
+import type { Assignment, Report, TaskDelta } from '@toucanline/schema';
 import type { Arrival } from './Arrival.js';
 import { ModelShard } from './ModelShard.js';
 import { SchedulerModel } from './SchedulerModel.js';
@@ -48,11 +48,11 @@
     });
     const behaviour = {
       readRunMs: ({ request }: Assignment) => this.#runMs.get(request.id) ?? request.runTimeMs,
-      onStart: ({ request, index }: Assignment) => {
-        observer.noteStart(request, index, this.#clock.now());
+      onStart: ({ request, index }: Assignment, speed: number) => {
+        observer.noteStart(request, index, this.#clock.now(), speed);
       },
-      onEnd: ({ request }: Assignment) => {
-        observer.noteEnd(request);
+      onEnd: ({ request }: Assignment, _state: TaskDelta['state'], speed: number) => {
+        observer.noteEnd(request, speed);
       },
     };
     this.#shards = shards.map(
--- a/packages-private/bench/src/ModelShard.ts
+++ b/packages-private/bench/src/ModelShard.ts
@@ -90,11 +90,15 @@
       if (endsAt > now) continue;
       changes.push({ taskId, state: 'succeeded', usage: assignment.request.size, output: '' });
       this.#tasks.get(worker)?.delete(taskId);
-      this.#behaviour.onEnd(assignment, 'succeeded');
+      this.#behaviour.onEnd(assignment, 'succeeded', this.#readSpeed(worker));
     }
     if (isRenewal || changes.length > 0) this.#report(worker, changes);
   }
 
+  #readSpeed(worker: string): number {
+    return this.#workers.get(worker)?.speed ?? 1;
+  }
+
   #report(worker: string, changes: readonly TaskDelta[]): void {
     const now = this.#clock.now();
     const next = this.#shard.createRenewal(worker);
@@ -120,9 +124,9 @@
     for (const effect of this.#shard.takeEffects()) {
       if (effect.effect === 'start') {
         const { assignment } = effect.start;
-        const speed = this.#workers.get(effect.worker)?.speed ?? 1;
+        const speed = this.#readSpeed(effect.worker);
         const endsAt = this.#clock.now() + this.#behaviour.readRunMs(assignment) / speed;
-        this.#behaviour.onStart?.(assignment);
+        this.#behaviour.onStart?.(assignment, speed);
         this.#tasks.get(effect.worker)?.set(assignment.taskId, { assignment, endsAt });
         this.#shard.applyStartResponse(assignment.request.id, assignment.index, assignment.taskId);
       } else if (effect.effect === 'command') {
@@ -130,7 +134,7 @@
         const task = this.#tasks.get(effect.worker)?.get(taskId);
         if (task === undefined || action === 'throttle') continue;
         this.#tasks.get(effect.worker)?.delete(taskId);
-        this.#behaviour.onEnd(task.assignment, 'stopped');
+        this.#behaviour.onEnd(task.assignment, 'stopped', this.#readSpeed(effect.worker));
         const usage = task.assignment.request.size;
         this.#report(effect.worker, [{ taskId, state: 'stopped', usage }]);
       }
--- a/packages-private/bench/src/SiteRecord.ts
+++ b/packages-private/bench/src/SiteRecord.ts
@@ -7,6 +7,7 @@
 } from '@toucanline/core';
 import type { Report, Request, Resources } from '@toucanline/schema';
 import type { Arrival } from './Arrival.js';
+import type { Period } from './Period.js';
 import type { TaskObserver } from './TaskObserver.js';
 import type { TeamSummary } from './TeamSummary.js';
 import type { WaitSummary } from './WaitSummary.js';
@@ -41,19 +42,26 @@
   }
 
   /** A request counts as started when each of its tasks started once. */
-  public readonly noteStart = (request: Request, index: number, nowMs: number): void => {
+  public readonly noteStart = (
+    request: Request,
+    index: number,
+    nowMs: number,
+    speed: number,
+  ): void => {
     const { id, team, size, tasks } = request;
     this.#allocated = addResources(this.#allocated, size);
-    this.#use.set(team, addResources(this.#use.get(team) ?? zeroResources, size));
+    const done = scaleResources(size, speed);
+    this.#use.set(team, addResources(this.#use.get(team) ?? zeroResources, done));
     const started = this.#started.get(id) ?? new Set<number>();
     this.#started.set(id, started.add(index));
     if (started.size === tasks && !this.#startedAt.has(id)) this.#startedAt.set(id, nowMs);
   };
 
   /** Counts the end of a task. */
-  public readonly noteEnd = ({ team, size }: Request): void => {
+  public readonly noteEnd = ({ team, size }: Request, speed: number): void => {
     this.#allocated = subtractResources(this.#allocated, size);
-    this.#use.set(team, subtractResources(this.#use.get(team) ?? zeroResources, size));
+    const done = scaleResources(size, speed);
+    this.#use.set(team, subtractResources(this.#use.get(team) ?? zeroResources, done));
   };
 
   /** Takes a sample of what is allocated. */
@@ -86,24 +94,26 @@
   }
 
   /**
-   * Summarises the use of a team.
+   * Summarises the use of a team. Both figures count the work, so that neither the speed of the workers nor
+   * what arrives too late to end within the samples looks like a part of the share.
    *
    * @param team - name of the team
-   * @param arrivals - its requests during the samples
-   * @param durationMs - time over which they arrived
+   * @param arrivals - all its requests
+   * @param period - time of the simulation
    * @returns the summary
    */
   public summariseTeam(
     team: string,
     arrivals: readonly Arrival[],
-    durationMs: number,
+    { measuredFromMs, durationMs }: Period,
   ): TeamSummary {
     const use = scaleResources(this.#sums.get(team) ?? zeroResources, 1 / this.#samples);
-    const demand = arrivals.reduce(
-      (sum, { request, runMs }) =>
-        addResources(sum, scaleResources(request.size, (request.tasks * runMs) / durationMs)),
-      zeroResources,
-    );
+    const demand = arrivals.reduce((sum, { request, arrivesAt, runMs }) => {
+      const from = Math.max(arrivesAt, measuredFromMs);
+      const workMs = Math.max(0, Math.min(arrivesAt + runMs, durationMs) - from);
+      const part = workMs / (durationMs - measuredFromMs);
+      return addResources(sum, scaleResources(request.size, request.tasks * part));
+    }, zeroResources);
     return {
       use: calculateDominantShare(use, this.#room),
       demand: calculateDominantShare(demand, this.#room),
--- a/packages-private/bench/src/TaskBehaviour.ts
+++ b/packages-private/bench/src/TaskBehaviour.ts
@@ -4,6 +4,6 @@
 export interface TaskBehaviour {
   /** Run time of a task on a worker of speed 1, in milliseconds. */
   readonly readRunMs: (assignment: Assignment) => number;
-  readonly onStart?: (assignment: Assignment) => void;
-  readonly onEnd: (assignment: Assignment, state: TaskDelta['state']) => void;
+  readonly onStart?: (assignment: Assignment, speed: number) => void;
+  readonly onEnd: (assignment: Assignment, state: TaskDelta['state'], speed: number) => void;
 }
--- a/packages-private/bench/src/TaskObserver.ts
+++ b/packages-private/bench/src/TaskObserver.ts
@@ -2,8 +2,8 @@
 
 /** What follows the tasks of a simulated site. */
 export interface TaskObserver {
-  /** Called when a task starts. */
-  readonly noteStart: (request: Request, index: number, nowMs: number) => void;
-  /** Called when a task ends or is stopped. */
-  readonly noteEnd: (request: Request) => void;
+  /** Called when a task starts on a worker of a speed. */
+  readonly noteStart: (request: Request, index: number, nowMs: number, speed: number) => void;
+  /** Called when a task ends or is stopped on a worker of a speed. */
+  readonly noteEnd: (request: Request, speed: number) => void;
 }
--- a/packages-private/bench/src/TeamSummary.ts
+++ b/packages-private/bench/src/TeamSummary.ts
@@ -1,7 +1,7 @@
 /** Use of one team. */
 export interface TeamSummary {
-  /** Mean dominant share of the fleet that the team used. */
+  /** Mean dominant share of the fleet that the work done for the team is, on workers of speed 1. */
   readonly use: number;
-  /** Mean dominant share of the fleet that it asked for. */
+  /** The same if each of its tasks had started on arrival. */
   readonly demand: number;
 }
--- a/packages-private/bench/src/simulateSite.ts
+++ b/packages-private/bench/src/simulateSite.ts
@@ -18,9 +18,10 @@
 export const simulateSite = (
   profile: SiteProfile,
   arrivals: readonly Arrival[],
-  { measuredFromMs, durationMs, stepMs }: Period,
+  period: Period,
   create: (observer: TaskObserver) => SchedulerModel,
 ): SiteResult => {
+  const { measuredFromMs, durationMs, stepMs } = period;
   const record = new SiteRecord(profile.shards.flat());
   const model = create(record);
   let next = 0;
@@ -46,14 +47,16 @@
     profile.shapes.map(({ name }) => name),
     ({ request }) => request.queue,
   );
-  const measuredMs = durationMs - measuredFromMs;
   return {
     name: model.name,
     allocated: record.allocated,
     waits: readWaits(new Map([...byQueue, ['all', measured]])),
     teamWaits: readWaits(byTeam),
     teams: new Map(
-      [...byTeam].map(([team, list]) => [team, record.summariseTeam(team, list, measuredMs)]),
+      [...byTeam.keys()].map((team) => {
+        const list = arrivals.filter(({ request }) => request.team === team);
+        return [team, record.summariseTeam(team, list, period)];
+      }),
     ),
   };
 };
