Let reservations use their room; keep room only on saturated accelerators

Three faults: - A task reservation counted kept room as usable, but the start did not, so a reservation beside accelerators was made, found ready, failed and made again every 100 ms, and its room was lost to everybody. - Room was kept for a gang that had reserved its own. - Room was kept beside each free accelerator for a single waiting gang, which such a part of its need per accelerator does not help.

Change: reserved and lent room goes to the request without another search; room is kept only once the waiting work needs three quarters of all accelerators, less the gang that reserves; and a task without accelerators reserves on workers that keep room only if it fits on no other. Reservations and loans count the margin for growing tasks, which the search counted before.

--- a/packages/core/__tests__/placement.test.ts
+++ b/packages/core/__tests__/placement.test.ts
@@ -188,6 +188,46 @@
     expect(model.readState(large)).to.equal('running');
   });
 
+  // Guards against a reservation that is made, found unusable and made again because its room is kept.
+  it('starts a task that reserved room beside accelerators', () => {
+    const model = new ShardModel([1], { processors: 8, memoryMb: 8, accelerators: 2 });
+    const size = { processors: 5, memoryMb: 5, accelerators: 1 };
+    for (let index = 0; index < 3; index += 1) model.submit({ size, runTimeMs: 100_000 });
+    model.step(600);
+    const small = model.submit({ team: 'b' });
+    model.step(600);
+    expect(model.readState(small)).to.equal('waiting');
+    for (let round = 0; round < 10; round += 1) model.step(200);
+    expect(model.readState(small)).to.equal('running');
+  });
+
+  // Guards against work that waits beside idle accelerators which the little work for them cannot use.
+  it('keeps nothing beside accelerators of which most are not asked for', () => {
+    const model = new ShardModel([1], { processors: 8, memoryMb: 8, accelerators: 4 });
+    const size = { processors: 5, memoryMb: 5, accelerators: 1 };
+    const wanting = [0, 1].map(() => model.submit({ size, runTimeMs: 100_000 }));
+    model.step(600);
+    const others = [0, 1, 2].map(() => model.submit({ team: 'b', runTimeMs: 60_000 }));
+    model.step(600);
+    const states = [...wanting, ...others].map((id) => model.readState(id));
+    expect(states).to.deep.equal(['running', 'waiting', 'running', 'running', 'running']);
+  });
+
+  // Guards against room that is kept for a gang beside the room that it has reserved.
+  it('keeps nothing beside accelerators for a gang with a reservation', () => {
+    const model = new ShardModel([1, 1], { processors: 4, memoryMb: 4, accelerators: 2 });
+    const runTimeMs = 100_000;
+    model.submit({ size: { processors: 4, memoryMb: 4, accelerators: 2 }, runTimeMs });
+    model.submit({ size: { processors: 1, memoryMb: 1, accelerators: 0 }, runTimeMs });
+    model.step(600);
+    const size = { processors: 2, memoryMb: 2, accelerators: 1 };
+    const gang = model.submit({ kind: 'gang', tasks: 3, size });
+    for (let round = 0; round < 4; round += 1) model.step(600);
+    const other = model.submit({ team: 'b', runTimeMs: 60_000 });
+    for (let round = 0; round < 2; round += 1) model.step(600);
+    expect([gang, other].map((id) => model.readState(id))).to.deep.equal(['waiting', 'running']);
+  });
+
   // Guards against processors that stay idle because the memory went to work that needs few of them,
   // and against an older request that is passed over for ever.
   it('prefers work of the shape that is free, but not for ever', () => {
--- a/packages/core/src/AcceleratorReserve.ts
+++ b/packages/core/src/AcceleratorReserve.ts
@@ -1,11 +1,19 @@
 import type { Resources } from '@toucanline/schema';
 import type { DispatchOrder } from './DispatchOrder.js';
 import type { Fleet } from './Fleet.js';
+import { maxResources } from './maxResources.js';
+import type { RequestRecord } from './RequestRecord.js';
 import { scaleResources } from './scaleResources.js';
+import { subtractResources } from './subtractResources.js';
 import { zeroResources } from './zeroResources.js';
 
 /** Interval between looks at the waiting work. */
 const reviewMs = 500;
+/**
+ * Room is kept once the waiting work needs this part of all accelerators. Less work than that gets in by
+ * reservations, and room that is kept for it would hold back work that has enough capacity.
+ */
+const saturatedPart = 0.75;
 /** A change of the amount by less than this part is not worth trying everything again. */
 const minChange = 0.1;
 
@@ -33,11 +41,12 @@
    * Follows the waiting work.
    *
    * @param now - local monotonic time in milliseconds
+   * @param reserving - gang that has a reservation of its own, if there is one
    */
-  public review(now: number): void {
+  public review(now: number, reserving?: RequestRecord): void {
     if (now - this.#reviewedAt < reviewMs) return;
     this.#reviewedAt = now;
-    const kept = this.#calculate();
+    const kept = this.#calculate(reserving);
     if (!this.#differs(kept.processors, this.#kept.processors)) {
       if (!this.#differs(kept.memoryMb, this.#kept.memoryMb)) return;
     }
@@ -46,15 +55,26 @@
   }
 
   /** The mean need of waiting work per accelerator, for as many accelerators as it can use. */
-  #calculate(): Resources {
+  #calculate(reserving: RequestRecord | undefined): Resources {
     const free = this.#fleet.free.accelerators;
-    const waiting = this.#order.sumAcceleratorWork();
-    if (waiting.accelerators === 0) return zeroResources;
+    const waiting = this.#sumWaiting(reserving);
+    const saturating = saturatedPart * this.#fleet.room.accelerators;
+    if (waiting.accelerators === 0 || waiting.accelerators < saturating) return zeroResources;
     const needed = Math.min(1, waiting.accelerators / Math.max(1, free));
     const kept = scaleResources(waiting, needed / waiting.accelerators);
     return { ...kept, accelerators: 0 };
   }
 
+  #sumWaiting(reserving: RequestRecord | undefined): Resources {
+    const sum = this.#order.sumAcceleratorWork();
+    const request = reserving?.request;
+    if (request === undefined || request.size.accelerators === 0) return sum;
+    return maxResources(
+      zeroResources,
+      subtractResources(sum, scaleResources(request.size, request.tasks)),
+    );
+  }
+
   #differs(left: number, right: number): boolean {
     return Math.abs(left - right) > minChange * Math.max(left, right);
   }
--- a/packages/core/src/DispatchOrder.ts
+++ b/packages/core/src/DispatchOrder.ts
@@ -226,7 +226,7 @@
       for (const queue of fitting) {
         const group = queue.findFirst(team);
         const request = group?.first?.request;
-        if (request?.kind !== 'batch') continue;
+        if (request?.kind !== 'batch' || !worker.mayHost(request)) continue;
         if (request.runTimeMs / worker.speed <= maxRunMs) return group;
       }
     }
--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -94,7 +94,7 @@
     this.#parts.queue.releaseDue(now);
     // Workers reserved for urgent work are not in the index, so changes of them are not noticed.
     if (this.#parts.preemption.size > 0) this.#parts.queue.order.retryUrgent();
-    this.#reserve.review(now);
+    this.#reserve.review(now, this.#reservation.record);
     this.#serveReservation(now);
     this.#serveTasks(now);
     for (let starts = 0; starts < maxStarts;) {
@@ -217,10 +217,10 @@
     this.#tasks.serve(
       (record) => queue.findClass(record) !== undefined,
       (record, reservation) => {
-        const source = new CandidateSource(reservation.workers);
+        const { workers } = reservation;
         reservation.release();
         const group = queue.findClass(record);
-        if (group !== undefined) this.#start(record, group, now, source);
+        if (group !== undefined) this.#start(record, group, now, workers);
       },
     );
   }
@@ -247,18 +247,23 @@
     for (const worker of reservation.workers) {
       if (!worker.isEligible) continue;
       for (let isOpen = true; isOpen;) {
-        const group = order.findShort(worker, worker.unallocated, maxRunMs);
+        const group = order.findShort(worker, worker.available, maxRunMs);
         const record = group?.first;
-        const source = new CandidateSource([worker]);
         isOpen =
           group !== undefined &&
           record !== undefined &&
-          reservation.lend(worker, () => this.#start(record, group, now, source));
+          reservation.lend(worker, () => this.#start(record, group, now, [worker]));
       }
     }
   }
 
-  #start(record: RequestRecord, group: RequestClass, now: number, lent?: CandidateSource): boolean {
+  /** Starts a request on workers whose room was reserved or lent; otherwise looks for free workers. */
+  #start(
+    record: RequestRecord,
+    group: RequestClass,
+    now: number,
+    granted?: readonly WorkerRecord[],
+  ): boolean {
     const { request } = record;
     const pending = record.pendingIndexes;
     const count = this.#limitCount(request, pending.length);
@@ -267,14 +272,8 @@
       this.#parts.queue.order.limitClass(group);
       return false;
     }
-    const { fleet, preemption, queue } = this.#parts;
-    const occupied = this.#listOccupied(record);
-    const candidates = queue.order.findCandidates(group);
-    const found = candidates === undefined ? fleet.index : new CandidateSource(candidates);
-    const source = lent ?? found;
-    const place = (): readonly WorkerRecord[] =>
-      placements[request.kind].place(request, count, source, occupied, record.avoided);
-    const workers = request.urgent ? preemption.placeUrgent(place) : place();
+    const { queue } = this.#parts;
+    const workers = granted ?? this.#findWorkers(record, group, count);
     if (workers.length === 0 || (group.isGang && workers.length < count)) {
       record.setReason('waits for free capacity on suitable workers');
       queue.order.blockShape(group, workers.length);
@@ -292,6 +291,17 @@
     return true;
   }
 
+  #findWorkers(record: RequestRecord, group: RequestClass, count: number): readonly WorkerRecord[] {
+    const { fleet, preemption, queue } = this.#parts;
+    const { request, avoided } = record;
+    const occupied = this.#listOccupied(record);
+    const candidates = queue.order.findCandidates(group);
+    const source = candidates === undefined ? fleet.index : new CandidateSource(candidates);
+    const place = (): readonly WorkerRecord[] =>
+      placements[request.kind].place(request, count, source, occupied, avoided);
+    return request.urgent ? preemption.placeUrgent(place) : place();
+  }
+
   #listOccupied(record: RequestRecord): readonly WorkerRecord[] {
     return record.activeTasks
       .map(({ worker }) => this.#parts.fleet.find(worker))
--- a/packages/core/src/GangReservation.ts
+++ b/packages/core/src/GangReservation.ts
@@ -6,6 +6,7 @@
 import type { RequestRecord } from './RequestRecord.js';
 import { scaleResources } from './scaleResources.js';
 import type { TaskRecord } from './TaskRecord.js';
+import { usesKept } from './usesKept.js';
 import type { WorkerRecord } from './WorkerRecord.js';
 import { zeroResources } from './zeroResources.js';
 
@@ -47,11 +48,11 @@
 
   /** Whether all reserved capacity is free. */
   public get isReady(): boolean {
-    const size = this.#record?.request.size;
-    if (size === undefined) return false;
+    const request = this.#record?.request;
+    if (request === undefined) return false;
     for (const [worker, count] of this.#plan) {
-      const needed = scaleResources(size, count);
-      if (!worker.isEligible || !coversResources(worker.unallocated, needed)) return false;
+      const needed = scaleResources(request.size, count);
+      if (!worker.mayHost(request) || !coversResources(worker.available, needed)) return false;
     }
     return true;
   }
@@ -111,19 +112,11 @@
     const isKept = this.#record === record;
     this.release();
     const { request } = record;
-    let missing = tasks;
-    const slots = this.#listSlots(request, now).sort((left, right) => left.freeAt - right.freeAt);
-    for (const { worker, count, freeAt } of slots) {
-      if (missing === 0) break;
-      this.#startsAt = freeAt;
-      const taken = Math.min(count, missing);
-      this.#plan.set(worker, (this.#plan.get(worker) ?? 0) + taken);
-      missing -= taken;
-    }
-    if (missing > 0) {
-      this.#plan.clear();
-      return false;
-    }
+    // Large tasks would otherwise collect the room beside the accelerators, one reservation after the other.
+    const isPlanned =
+      this.#planTasks(request, tasks, now, usesKept(request)) ||
+      (!usesKept(request) && this.#planTasks(request, tasks, now, true));
+    if (!isPlanned) return false;
     this.#record = record;
     if (!isKept) this.#heldSince = now;
     for (const [worker, count] of this.#plan) {
@@ -139,13 +132,28 @@
     this.#record = undefined;
   }
 
-  #listSlots(request: Request, now: number): Slots[] {
+  #planTasks(request: Request, tasks: number, now: number, takesKept: boolean): boolean {
+    let missing = tasks;
+    const slots = this.#listSlots(request, now, takesKept);
+    slots.sort((left, right) => left.freeAt - right.freeAt);
+    for (const { worker, count, freeAt } of slots) {
+      if (missing === 0) break;
+      this.#startsAt = freeAt;
+      const taken = Math.min(count, missing);
+      this.#plan.set(worker, (this.#plan.get(worker) ?? 0) + taken);
+      missing -= taken;
+    }
+    if (missing > 0) this.#plan.clear();
+    return missing === 0;
+  }
+
+  #listSlots(request: Request, now: number, takesKept: boolean): Slots[] {
     const slots: Slots[] = [];
     let compared = 0;
     let found = 0;
     for (const worker of this.#fleet.workers) {
-      if (!worker.isEligible || worker.hasReservation) continue;
-      if (worker.isQuarantined && !request.idempotent) continue;
+      if (!worker.mayHost(request) || worker.hasReservation) continue;
+      if (worker.isKeeping && !takesKept) continue;
       if (!worker.isSuitable(request.size, request.acceleratorType)) continue;
       if (compared >= minCompared && found >= 2 * request.tasks) break;
       compared += 1;
@@ -159,7 +167,7 @@
 
   /** Services do not end, so the capacity they use is never expected to become free. */
   #forecast(worker: WorkerRecord, { size }: Request, now: number): readonly Slots[] {
-    let free = worker.unallocated;
+    let free = worker.available;
     let known = countTasks(free, size);
     const slots: Slots[] = known > 0 ? [{ worker, count: known, freeAt: now }] : [];
     const ending = worker.tasks
--- a/packages/core/src/WorkerRecord.ts
+++ b/packages/core/src/WorkerRecord.ts
@@ -104,6 +104,11 @@
     return subtractResources(this.room, this.#allocated);
   }
 
+  /** What is left for tasks if nothing is reserved or kept; running tasks may still grow into the rest. */
+  public get available(): Resources {
+    return subtractResources(this.unallocated, this.#margin);
+  }
+
   /** Last report; undefined before the first one. */
   public get report(): Report | undefined {
     return this.#report;
@@ -162,16 +167,16 @@
     return this.#leaving || this.#drained || this.#host.state === 'leaving';
   }
 
-  /** Whether the worker is in quarantine. */
-  public get isQuarantined(): boolean {
-    return this.#quarantined;
-  }
-
   /** Whether capacity is kept for a reservation. */
   public get hasReservation(): boolean {
     return this.#held !== zeroResources;
   }
 
+  /** Whether processors and memory are kept beside free accelerators. */
+  public get isKeeping(): boolean {
+    return this.room.accelerators > 0 && this.#kept !== zeroResources;
+  }
+
   /** Whether new tasks may be placed here. */
   public get isEligible(): boolean {
     const mayServe = this.hasReported && !this.#lapsed && !this.isLeaving && !this.#withheld;
@@ -252,6 +257,16 @@
     return selectFree(this.capacity, request.size, usesKept(request));
   }
 
+  /**
+   * Checks whether tasks of a request may start here once there is room.
+   *
+   * @param request - the request
+   * @returns false if the worker takes no tasks, or none that may run only once
+   */
+  public mayHost(request: Request): boolean {
+    return this.isEligible && (request.idempotent || !this.#quarantined);
+  }
+
   /**
    * Reserves the worker for urgent work or ends the reservation.
    *
@@ -442,8 +457,7 @@
   /** A part of the worker is open to all work, so that no team waits for ever for others to end. */
   #measureCapacity(): Capacity {
     const { room } = this;
-    const left = subtractResources(this.unallocated, this.#margin);
-    const free = subtractResources(left, this.#held);
+    const free = subtractResources(this.available, this.#held);
     const largest = scaleResources(room, openFraction);
     if (room.accelerators === 0) return { free, open: free, largest: room };
     const most = scaleResources(
