Keep all but a sixteenth of a worker beside waiting accelerator work

Cause: a quarter of each worker with accelerators stayed open to all work. The work for accelerators needs 16 GB for each of 8 accelerators of a 128 GB worker, so a quarter of the memory left a quarter of the accelerators idle on a full fleet: 72 to 77% allocated.

Change: the open part is a sixteenth. Tasks above a quarter of the worker are still exempt from what is kept; smaller ones have the open part, workers without accelerators and reservations.

--- a/packages/core/__tests__/placement.test.ts
+++ b/packages/core/__tests__/placement.test.ts
@@ -171,6 +171,20 @@
     expect(others.filter((id) => model.readState(id) === 'running')).to.have.length(2);
   });
 
+  // Guards against accelerators that stay idle because a quarter of the memory beside them is open to others.
+  it('keeps all but a small part of the room that waiting work for accelerators needs', () => {
+    const model = new ShardModel([1], { processors: 16, memoryMb: 16, accelerators: 4 });
+    const size = { processors: 4, memoryMb: 4, accelerators: 1 };
+    const wanting = Array.from({ length: 7 }, () => model.submit({ size, runTimeMs: 100_000 }));
+    const [first] = model.step(600);
+    const others = [0, 1].map(() => model.submit({ team: 'b', runTimeMs: 100_000 }));
+    model.step(600);
+    if (first !== undefined) model.change(first, 'succeeded');
+    model.step(600);
+    expect(wanting.filter((id) => model.readState(id) === 'running')).to.have.length(4);
+    expect(others.map((id) => model.readState(id))).to.deep.equal(['waiting', 'waiting']);
+  });
+
   // Guards against work that never starts because room is kept that it needs itself.
   it('starts a large task without accelerators although work for accelerators waits', () => {
     const model = new ShardModel([1], { processors: 8, memoryMb: 8, accelerators: 2 });
--- a/packages/core/src/WorkerRecord.ts
+++ b/packages/core/src/WorkerRecord.ts
@@ -15,8 +15,13 @@
 /** Covers clock drift between a lease that a worker granted before a restart and its clock since. */
 const rebootMarginMs = 1000;
 
-/** Part of a worker with accelerators that work without accelerators may always use. */
-const openFraction = 0.25;
+/**
+ * Part of a worker with accelerators that work without accelerators may always use. A quarter of the memory
+ * left a quarter of the accelerators idle, because their work needs all of it.
+ */
+const openFraction = 1 / 16;
+/** Tasks above this part of a worker do not wait for what is kept: it might leave them no room for ever. */
+const largeFraction = 0.25;
 
 /** One worker as the shard owner knows it. */
 export class WorkerRecord {
@@ -458,12 +463,10 @@
   #measureCapacity(): Capacity {
     const { room } = this;
     const free = subtractResources(this.available, this.#held);
-    const largest = scaleResources(room, openFraction);
     if (room.accelerators === 0) return { free, open: free, largest: room };
-    const most = scaleResources(
-      subtractResources(room, largest),
-      free.accelerators / room.accelerators,
-    );
+    const largest = scaleResources(room, largeFraction);
+    const mostPart = (1 - openFraction) * (free.accelerators / room.accelerators);
+    const most = scaleResources(room, mostPart);
     const kept = minResources(scaleResources(this.#kept, free.accelerators), most);
     const open = { ...subtractResources(free, kept), accelerators: free.accelerators };
     return { free, open, largest };
