Count task reservations by the workers that they may use

Cause: the number of task reservations was an eighth of all workers, but tasks without accelerators only reserve on workers that keep no room. On a shard of 8 or 9 such workers two reservations of 24 of 32 GB left small work little.

Change: the number is an eighth of the workers that keep no room, at least one.

--- a/packages/core/__tests__/placement.test.ts
+++ b/packages/core/__tests__/placement.test.ts
@@ -185,6 +185,21 @@
     expect(others.map((id) => model.readState(id))).to.deep.equal(['waiting', 'waiting']);
   });
 
+  // Guards against reservations for as many workers as if those beside accelerators could be reserved too.
+  it('reserves by the number of workers that keep no room', () => {
+    const speeds = Array.from({ length: 12 }, () => 1);
+    const model = new ShardModel(speeds, { processors: 16, memoryMb: 16, accelerators: 1 });
+    const size = { processors: 16, memoryMb: 16, accelerators: 1 };
+    for (let index = 0; index < 24; index += 1) model.submit({ size, runTimeMs: 100_000 });
+    model.step(600);
+    const small = { processors: 2, memoryMb: 2, accelerators: 0 };
+    const others = ['b', 'c'].map((team) => model.submit({ team, size: small }));
+    for (let round = 0; round < 10; round += 1) model.step(200);
+    for (const task of [...model.running.values()]) model.change(task, 'succeeded');
+    model.step(50);
+    expect(others.filter((id) => model.readState(id) === 'running')).to.have.length(1);
+  });
+
   // Guards against work that never starts because room is kept that it needs itself.
   it('starts a large task without accelerators although work for accelerators waits', () => {
     const model = new ShardModel([1], { processors: 8, memoryMb: 8, accelerators: 2 });
--- a/packages/core/src/TaskReservations.ts
+++ b/packages/core/src/TaskReservations.ts
@@ -10,7 +10,7 @@
 const replanMs = 5000;
 /** Longest time that a task waits for room before it reserves; a shorter one waits for its run time. */
 const maxPatienceMs = 60_000;
-/** One of this many workers may be reserved. */
+/** One of this many workers may be reserved, of those that keep no room beside accelerators. */
 const workersPerReservation = 8;
 const maxReservations = 16;
 
@@ -78,7 +78,8 @@
       this.#reserve(record, reservation, now);
       return;
     }
-    const part = Math.round(this.#fleet.workers.length / workersPerReservation);
+    const usable = this.#fleet.workers.filter(({ isKeeping }) => !isKeeping).length;
+    const part = Math.round(usable / workersPerReservation);
     if (this.#reserved.size >= Math.min(maxReservations, Math.max(1, part))) return;
     const group = this.#order.findBlocked(
       (other) => this.#mayReserve(other, now) && canCharge(other),
