--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -40,6 +40,11 @@
 const retryPlanMs = 100;
 /** Interval between searches for work that ends before a reservation is due. */
 const lendMs = 250;
+/**
+ * Reservations go by share, one of this many by age: by share alone, gangs of a large team would starve, and
+ * with every second one by age, small teams get too little of a full fleet.
+ */
+const turnsPerOldest = 4;
 /** Longest time that a gang waits for room before it reserves; a shorter one waits for its run time. */
 const maxPatienceMs = 60_000;
 
@@ -68,8 +73,8 @@
   #plannedAt = -Infinity;
   #lentAt = -Infinity;
   #resumesAt = -Infinity;
-  /** Reservations go by share and by age in turn: by share alone, gangs of a large team would starve. */
-  #isFairTurn = true;
+  /** Gangs that started in reserved room. */
+  #reservedStarts = 0;
 
   /**
    * @param context - what the parts of the shard share
@@ -185,7 +190,7 @@
       // Reserved capacity is idle for a while, so reservations take half of the time at most: other
       // gangs, which may be smaller, fit in between.
       this.#resumesAt = 2 * now - this.#reservation.heldSince;
-      this.#isFairTurn = !this.#isFairTurn;
+      this.#reservedStarts += 1;
       this.#reservation.release();
       this.#parts.queue.order.retryShape(group.shape);
       this.#start(record, group, now);
@@ -200,7 +205,8 @@
     const gangs = queue.order.listBlockedGangs();
     if (gangs.length === 0 && !isActive) return;
     this.#plannedAt = now;
-    for (const { first } of this.#isFairTurn ? queue.order.sortByRank(gangs) : gangs) {
+    const isOldestFirst = this.#reservedStarts % turnsPerOldest === turnsPerOldest - 1;
+    for (const { first } of isOldestFirst ? gangs : queue.order.sortByRank(gangs)) {
       if (first === undefined) continue;
       const { team, size, tasks, runTimeMs } = first.request;
       if (now - first.arrivedAt < Math.min(runTimeMs, maxPatienceMs)) continue;
