Split the start of tasks off the dispatcher

Cause: Dispatcher.ts chose work, reserved room, placed tasks, wrote intents and sent commands.

Change: TaskStarter creates the tasks on their workers, holds pending intents and sends start commands. confirmIntent is takeIntent, because it also returns a task whose intent failed. No change of behaviour.

--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -1,15 +1,11 @@
 import type { Request, WorkKind } from '@toucanline/schema';
 import { AcceleratorReserve } from './AcceleratorReserve.js';
 import { BatchPlacement } from './BatchPlacement.js';
-import { calculateDominantShare } from './calculateDominantShare.js';
 import { CandidateSource } from './CandidateSource.js';
-import { coversResources } from './coversResources.js';
 import type { FairShare } from './FairShare.js';
 import type { Fleet } from './Fleet.js';
 import { GangReservation } from './GangReservation.js';
 import { GangPlacement } from './GangPlacement.js';
-import { needsIntent } from './needsIntent.js';
-import { periods } from './periods.js';
 import type { Placement } from './Placement.js';
 import type { Recovery } from './Recovery.js';
 import type { RequestClass } from './RequestClass.js';
@@ -17,7 +13,8 @@
 import { scaleResources } from './scaleResources.js';
 import { ServicePlacement } from './ServicePlacement.js';
 import type { ShardContext } from './ShardContext.js';
-import { TaskRecord } from './TaskRecord.js';
+import type { TaskRecord } from './TaskRecord.js';
+import { TaskStarter } from './TaskStarter.js';
 import type { UrgentPreemption } from './UrgentPreemption.js';
 import { TaskReservations } from './TaskReservations.js';
 import type { TeamLedger } from './TeamLedger.js';
@@ -63,8 +60,7 @@
 export class Dispatcher {
   readonly #context: ShardContext;
   readonly #parts: DispatcherParts;
-  readonly #pendingIntents = new Map<number, TaskRecord>();
-  #nextTicket = 1;
+  readonly #starter: TaskStarter;
   #fleetVersion = -1;
   #rankedAt = -Infinity;
   readonly #reservation: GangReservation;
@@ -83,6 +79,7 @@
   public constructor(context: ShardContext, parts: DispatcherParts) {
     this.#context = context;
     this.#parts = parts;
+    this.#starter = new TaskStarter(context, parts.fleet, parts.ledger);
     this.#reservation = new GangReservation(parts.fleet);
     this.#tasks = new TaskReservations(parts.fleet, parts.queue.order);
     this.#reserve = new AcceleratorReserve(parts.fleet, parts.queue.order);
@@ -117,15 +114,13 @@
   }
 
   /**
-   * Sends a start command whose intent is in the journal.
+   * Takes the task whose intent was committed, or failed to be.
    *
    * @param ticket - ticket of the commit
    * @returns the task of the ticket, if there is one
    */
-  public confirmIntent(ticket: number): TaskRecord | undefined {
-    const task = this.#pendingIntents.get(ticket);
-    this.#pendingIntents.delete(ticket);
-    return task;
+  public takeIntent(ticket: number): TaskRecord | undefined {
+    return this.#starter.takeIntent(ticket);
   }
 
   /**
@@ -135,25 +130,7 @@
    * @returns false if the worker left the fleet since
    */
   public sendStart(task: TaskRecord): boolean {
-    const worker = this.#parts.fleet.find(task.worker);
-    if (worker?.clock === undefined) return false;
-    const now = this.#context.clock.now();
-    const latestStartAt = worker.clock.readLowerBound(now) + periods.startWindowMs;
-    task.setLatestStart(latestStartAt);
-    const { shard, epoch, owner, provisional, emit } = this.#context;
-    const authority = { shard, epoch, owner, provisional, bootId: worker.bootId };
-    emit({
-      effect: 'start',
-      worker: worker.id,
-      address: worker.address,
-      start: {
-        authority,
-        assignment: task.assignment,
-        latestStartAt,
-        leaseUntil: worker.leaseUntil,
-      },
-    });
-    return true;
+    return this.#starter.send(task);
   }
 
   /** Urgent work first, then the team that is furthest below its share. */
@@ -287,11 +264,7 @@
     }
     this.#parts.queue.remove(record);
     this.#parts.estimator.noteStart(request.team, now);
-    const attempt = record.attempt + 1;
-    workers.forEach((worker, position) => {
-      const index = pending[position];
-      if (index !== undefined) this.#placeTask(record, index, attempt, worker, now);
-    });
+    this.#starter.start(record, workers, pending, now);
     if (workers.length < pending.length) this.#parts.queue.add(record);
     this.#context.emit({ effect: 'changed', requestId: record.id });
     return true;
@@ -331,53 +304,4 @@
       ? `waits for the limit of team ${team} in shard ${this.#context.shard}`
       : 'waits until the new owner of the shard knows what is running';
   }
-
-  #placeTask(
-    record: RequestRecord,
-    index: number,
-    attempt: number,
-    worker: WorkerRecord,
-    now: number,
-  ): void {
-    const { request } = record;
-    // With the epoch, because a new owner that cannot reach all workers may count attempts again.
-    const taskId = `${request.id}/${index}/${this.#context.epoch}.${attempt}`;
-    const assignment = { taskId, index, attempt, request };
-    const task = new TaskRecord(assignment, worker.id, this.#context.dataCentre, now);
-    record.addTask(task);
-    worker.addTask(task);
-    this.#parts.ledger.charge(request.team, request.size);
-    this.#checkInvariants(request, worker);
-    if (!needsIntent(request)) {
-      this.sendStart(task);
-      return;
-    }
-    const ticket = this.#nextTicket;
-    this.#nextTicket += 1;
-    this.#pendingIntents.set(-ticket, task);
-    const entry = {
-      entry: 'intent',
-      requestId: request.id,
-      taskId,
-      worker: worker.id,
-      epoch: this.#context.epoch,
-    } as const;
-    this.#context.emit({ effect: 'commit', ticket: -ticket, entry });
-  }
-
-  #checkInvariants(request: Request, worker: WorkerRecord): void {
-    const { invariant } = this.#context;
-    invariant.check(
-      coversResources(worker.room, worker.allocated),
-      () =>
-        `worker ${worker.id} is allocated above its room: ` +
-        calculateDominantShare(worker.allocated, worker.room).toFixed(3),
-    );
-    const allotment = this.#parts.ledger.readAllotment(request.team);
-    invariant.check(
-      allotment === undefined ||
-        coversResources(allotment, this.#parts.ledger.readUse(request.team)),
-      () => `team ${request.team} started work above its allotment`,
-    );
-  }
 }
--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -659,7 +659,7 @@
   }
 
   #confirmIntent(ticket: number, failure?: Failure): void {
-    const task = this.#dispatcher.confirmIntent(ticket);
+    const task = this.#dispatcher.takeIntent(ticket);
     if (task?.isActive !== true) return;
     const record = this.#table.find(task.assignment.request.id);
     if (record === undefined) return;
