Split gang reservations and loans off the dispatcher

Cause: Dispatcher.ts also held the turns of gangs and the loans of reserved room, with their timers.

Change: GangTurns lets one gang after the other reserve and starts it once its room is free; RoomLender starts short work in reserved room. No change of behaviour.

--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -4,12 +4,13 @@
 import { CandidateSource } from './CandidateSource.js';
 import type { FairShare } from './FairShare.js';
 import type { Fleet } from './Fleet.js';
-import { GangReservation } from './GangReservation.js';
 import { GangPlacement } from './GangPlacement.js';
+import { GangTurns } from './GangTurns.js';
 import type { Placement } from './Placement.js';
 import type { Recovery } from './Recovery.js';
 import type { RequestClass } from './RequestClass.js';
 import type { RequestRecord } from './RequestRecord.js';
+import { RoomLender } from './RoomLender.js';
 import { scaleResources } from './scaleResources.js';
 import { ServicePlacement } from './ServicePlacement.js';
 import type { ShardContext } from './ShardContext.js';
@@ -31,20 +32,6 @@
 /** Remote use and decay change the rank of teams that start nothing here; ranks are refreshed. */
 const maxRankAgeMs = 100;
 
-/** Interval after which a reservation follows the end of other work that came late or early. */
-const replanMs = 5000;
-/** Interval between searches for a gang that can reserve. */
-const retryPlanMs = 100;
-/** Interval between searches for work that ends before a reservation is due. */
-const lendMs = 250;
-/**
- * Reservations go by share, one of this many by age: by share alone, gangs of a large team would starve, and
- * with every second one by age, small teams get too little of a full fleet.
- */
-const turnsPerOldest = 4;
-/** Longest time that a gang waits for room before it reserves; a shorter one waits for its run time. */
-const maxPatienceMs = 60_000;
-
 /** Parts of the shard that the dispatcher reads and changes. */
 interface DispatcherParts {
   readonly fleet: Fleet;
@@ -63,14 +50,10 @@
   readonly #starter: TaskStarter;
   #fleetVersion = -1;
   #rankedAt = -Infinity;
-  readonly #reservation: GangReservation;
+  readonly #gangs: GangTurns;
   readonly #tasks: TaskReservations;
+  readonly #lender: RoomLender;
   readonly #reserve: AcceleratorReserve;
-  #plannedAt = -Infinity;
-  #lentAt = -Infinity;
-  #resumesAt = -Infinity;
-  /** Gangs that started in reserved room. */
-  #reservedStarts = 0;
 
   /**
    * @param context - what the parts of the shard share
@@ -80,8 +63,9 @@
     this.#context = context;
     this.#parts = parts;
     this.#starter = new TaskStarter(context, parts.fleet, parts.ledger);
-    this.#reservation = new GangReservation(parts.fleet);
+    this.#gangs = new GangTurns(parts);
     this.#tasks = new TaskReservations(parts.fleet, parts.queue.order);
+    this.#lender = new RoomLender(parts.queue.order);
     this.#reserve = new AcceleratorReserve(parts.fleet, parts.queue.order);
   }
 
@@ -96,14 +80,14 @@
     this.#parts.queue.releaseDue(now);
     // Workers reserved for urgent work are not in the index, so changes of them are not noticed.
     if (this.#parts.preemption.size > 0) this.#parts.queue.order.retryUrgent();
-    this.#reserve.review(now, this.#reservation.record);
-    this.#serveReservation(now);
+    this.#reserve.review(now, this.#gangs.reservation.record);
+    this.#gangs.serve(now, (record, group) => this.#start(record, group, now));
     this.#serveTasks(now);
     for (let starts = 0; starts < maxStarts;) {
       const group = this.#chooseClass(now);
       const record = group?.first;
       if (group === undefined || record === undefined) {
-        this.#planReservation(now);
+        this.#gangs.plan(now);
         this.#planTasks(now);
         this.#lendReserved(now);
         return false;
@@ -157,43 +141,6 @@
     return order.findNext();
   }
 
-  /** Starts the gang that reserved capacity once all of it is free. */
-  #serveReservation(now: number): void {
-    const { record, isReady } = this.#reservation;
-    if (record === undefined) return;
-    const group = this.#parts.queue.findClass(record);
-    if (group === undefined) this.#reservation.release();
-    else if (isReady) {
-      // Reserved capacity is idle for a while, so reservations take half of the time at most: other
-      // gangs, which may be smaller, fit in between.
-      this.#resumesAt = 2 * now - this.#reservation.heldSince;
-      this.#reservedStarts += 1;
-      this.#reservation.release();
-      this.#parts.queue.order.retryShape(group.shape);
-      this.#start(record, group, now);
-    }
-  }
-
-  /** Lets the oldest gang that waits for capacity reserve it. */
-  #planReservation(now: number): void {
-    const { queue, ledger, recovery } = this.#parts;
-    const isActive = this.#reservation.record !== undefined && !this.#reservation.isBroken;
-    if (!recovery.isComplete || now - this.#plannedAt < (isActive ? replanMs : retryPlanMs)) return;
-    const gangs = queue.order.listBlockedGangs();
-    if (gangs.length === 0 && !isActive) return;
-    this.#plannedAt = now;
-    const isOldestFirst = this.#reservedStarts % turnsPerOldest === turnsPerOldest - 1;
-    for (const { first } of isOldestFirst ? gangs : queue.order.sortByRank(gangs)) {
-      if (first === undefined) continue;
-      const { team, size, tasks, runTimeMs } = first.request;
-      if (now - first.arrivedAt < Math.min(runTimeMs, maxPatienceMs)) continue;
-      if (now < this.#resumesAt && first !== this.#reservation.record) continue;
-      if (!ledger.canCharge(team, scaleResources(size, tasks))) continue;
-      if (this.#reservation.reserve(first, now)) return;
-    }
-    this.#reservation.release();
-  }
-
   /** Starts the tasks whose reserved capacity is free. */
   #serveTasks(now: number): void {
     const { queue } = this.#parts;
@@ -214,30 +161,11 @@
     this.#tasks.plan(now, ({ team, size }) => ledger.canCharge(team, size));
   }
 
-  /** Starts short work in reserved capacity that is idle until the reservation can be used. */
   #lendReserved(now: number): void {
-    if (now - this.#lentAt < lendMs) return;
-    this.#lentAt = now;
-    for (const reservation of [this.#reservation, ...this.#tasks.list]) {
-      this.#lend(reservation, now);
-    }
-  }
-
-  #lend(reservation: GangReservation, now: number): void {
-    const { order } = this.#parts.queue;
-    const maxRunMs = reservation.calculateLoanMs(now);
-    if (maxRunMs === 0) return;
-    for (const worker of reservation.workers) {
-      if (!worker.isEligible) continue;
-      for (let isOpen = true; isOpen;) {
-        const group = order.findShort(worker, worker.available, maxRunMs);
-        const record = group?.first;
-        isOpen =
-          group !== undefined &&
-          record !== undefined &&
-          reservation.lend(worker, () => this.#start(record, group, now, [worker]));
-      }
-    }
+    const reservations = [this.#gangs.reservation, ...this.#tasks.list];
+    this.#lender.lend(now, reservations, (record, group, worker) =>
+      this.#start(record, group, now, [worker]),
+    );
   }
 
   /** Starts a request on workers whose room was reserved or lent; otherwise looks for free workers. */
--- /dev/null
+++ b/packages/core/src/RoomLender.ts
@@ -0,0 +1,59 @@
+import type { DispatchOrder } from './DispatchOrder.js';
+import type { GangReservation } from './GangReservation.js';
+import type { RequestClass } from './RequestClass.js';
+import type { RequestRecord } from './RequestRecord.js';
+import type { WorkerRecord } from './WorkerRecord.js';
+
+/** Interval between searches for work that ends before a reservation is due. */
+const lendMs = 250;
+
+/**
+ * Starts a request on a worker.
+ *
+ * @param record - the request
+ * @param group - its class
+ * @param worker - the worker
+ * @returns false if the limit of the team does not admit it
+ */
+type Start = (record: RequestRecord, group: RequestClass, worker: WorkerRecord) => boolean;
+
+/** Lends reserved capacity that is idle to short work until the reservation can be used. */
+export class RoomLender {
+  readonly #order: DispatchOrder;
+  #lentAt = -Infinity;
+
+  /** @param order - waiting work */
+  public constructor(order: DispatchOrder) {
+    this.#order = order;
+  }
+
+  /**
+   * Starts work that ends before the reservations are due.
+   *
+   * @param now - local monotonic time in milliseconds
+   * @param reservations - the reservations
+   * @param start - starts a request
+   */
+  public lend(now: number, reservations: readonly GangReservation[], start: Start): void {
+    if (now - this.#lentAt < lendMs) return;
+    this.#lentAt = now;
+    for (const reservation of reservations) {
+      const maxRunMs = reservation.calculateLoanMs(now);
+      if (maxRunMs === 0) continue;
+      for (const worker of reservation.workers) {
+        if (worker.isEligible) this.#fill(worker, reservation, maxRunMs, start);
+      }
+    }
+  }
+
+  #fill(worker: WorkerRecord, reservation: GangReservation, maxRunMs: number, start: Start): void {
+    for (let isOpen = true; isOpen;) {
+      const group = this.#order.findShort(worker, worker.available, maxRunMs);
+      const record = group?.first;
+      isOpen =
+        group !== undefined &&
+        record !== undefined &&
+        reservation.lend(worker, () => start(record, group, worker));
+    }
+  }
+}
