Split the order of dispatch along its jobs

Cause: DispatchOrder.ts held the classes by shape and team, followed what fits, chose the next class and searched for reservations and loans.

Change: ClassLane holds the classes of one priority, ShapeRooms follows the shapes that fit nowhere or only on workers that have grown, WaitingSearch finds work for reservations, loans and the accelerator reserve, and DispatchOrder chooses. Who only searches gets the search alone. No change of behaviour.

--- a/packages/core/src/AcceleratorReserve.ts
+++ b/packages/core/src/AcceleratorReserve.ts
@@ -1,10 +1,10 @@
 import type { Resources } from '@toucanline/schema';
-import type { DispatchOrder } from './DispatchOrder.js';
 import type { Fleet } from './Fleet.js';
 import { maxResources } from './maxResources.js';
 import type { RequestRecord } from './RequestRecord.js';
 import { scaleResources } from './scaleResources.js';
 import { subtractResources } from './subtractResources.js';
+import type { WaitingSearch } from './WaitingSearch.js';
 import { zeroResources } from './zeroResources.js';
 
 /** Interval between looks at the waiting work. */
@@ -24,17 +24,17 @@
  */
 export class AcceleratorReserve {
   readonly #fleet: Fleet;
-  readonly #order: DispatchOrder;
+  readonly #search: WaitingSearch;
   #kept: Resources = zeroResources;
   #reviewedAt = -Infinity;
 
   /**
    * @param fleet - workers of the shard
-   * @param order - waiting work
+   * @param search - finds waiting work
    */
-  public constructor(fleet: Fleet, order: DispatchOrder) {
+  public constructor(fleet: Fleet, search: WaitingSearch) {
     this.#fleet = fleet;
-    this.#order = order;
+    this.#search = search;
   }
 
   /**
@@ -66,7 +66,7 @@
   }
 
   #sumWaiting(reserving: RequestRecord | undefined): Resources {
-    const sum = this.#order.sumAcceleratorWork();
+    const sum = this.#search.sumAcceleratorWork();
     const request = reserving?.request;
     if (request === undefined || request.size.accelerators === 0) return sum;
     return maxResources(
--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -64,9 +64,9 @@
     this.#parts = parts;
     this.#starter = new TaskStarter(context, parts.fleet, parts.ledger);
     this.#gangs = new GangTurns(parts);
-    this.#tasks = new TaskReservations(parts.fleet, parts.queue.order);
-    this.#lender = new RoomLender(parts.queue.order);
-    this.#reserve = new AcceleratorReserve(parts.fleet, parts.queue.order);
+    this.#tasks = new TaskReservations(parts.fleet, parts.queue.order.search);
+    this.#lender = new RoomLender(parts.queue.order.search);
+    this.#reserve = new AcceleratorReserve(parts.fleet, parts.queue.order.search);
   }
 
   /**
--- a/packages/core/src/GangTurns.ts
+++ b/packages/core/src/GangTurns.ts
@@ -78,11 +78,11 @@
     const { queue, ledger, recovery } = this.#parts;
     const isActive = this.#reservation.record !== undefined && !this.#reservation.isBroken;
     if (!recovery.isComplete || now - this.#plannedAt < (isActive ? replanMs : retryPlanMs)) return;
-    const gangs = queue.order.listBlockedGangs();
+    const gangs = queue.order.search.listBlockedGangs();
     if (gangs.length === 0 && !isActive) return;
     this.#plannedAt = now;
     const isOldestFirst = this.#reservedStarts % turnsPerOldest === turnsPerOldest - 1;
-    for (const { first } of isOldestFirst ? gangs : queue.order.sortByRank(gangs)) {
+    for (const { first } of isOldestFirst ? gangs : queue.order.search.sortByRank(gangs)) {
       if (first === undefined) continue;
       const { team, size, tasks, runTimeMs } = first.request;
       if (now - first.arrivedAt < Math.min(runTimeMs, maxPatienceMs)) continue;
--- a/packages/core/src/RoomLender.ts
+++ b/packages/core/src/RoomLender.ts
@@ -1,7 +1,7 @@
-import type { DispatchOrder } from './DispatchOrder.js';
 import type { GangReservation } from './GangReservation.js';
 import type { RequestClass } from './RequestClass.js';
 import type { RequestRecord } from './RequestRecord.js';
+import type { WaitingSearch } from './WaitingSearch.js';
 import type { WorkerRecord } from './WorkerRecord.js';
 
 /** Interval between searches for work that ends before a reservation is due. */
@@ -19,12 +19,12 @@
 
 /** Lends reserved capacity that is idle to short work until the reservation can be used. */
 export class RoomLender {
-  readonly #order: DispatchOrder;
+  readonly #search: WaitingSearch;
   #lentAt = -Infinity;
 
-  /** @param order - waiting work */
-  public constructor(order: DispatchOrder) {
-    this.#order = order;
+  /** @param search - finds waiting work */
+  public constructor(search: WaitingSearch) {
+    this.#search = search;
   }
 
   /**
@@ -48,7 +48,7 @@
 
   #fill(worker: WorkerRecord, reservation: GangReservation, maxRunMs: number, start: Start): void {
     for (let isOpen = true; isOpen;) {
-      const group = this.#order.findShort(worker, worker.available, maxRunMs);
+      const group = this.#search.findShort(worker, worker.available, maxRunMs);
       const record = group?.first;
       isOpen =
         group !== undefined &&
--- a/packages/core/src/TaskReservations.ts
+++ b/packages/core/src/TaskReservations.ts
@@ -1,8 +1,8 @@
-import type { DispatchOrder } from './DispatchOrder.js';
 import type { Fleet } from './Fleet.js';
 import { GangReservation } from './GangReservation.js';
 import type { RequestClass } from './RequestClass.js';
 import type { RequestRecord } from './RequestRecord.js';
+import type { WaitingSearch } from './WaitingSearch.js';
 
 /** Interval between searches for a task that can reserve; it bounds their cost. */
 const planMs = 100;
@@ -27,17 +27,17 @@
  */
 export class TaskReservations {
   readonly #fleet: Fleet;
-  readonly #order: DispatchOrder;
+  readonly #search: WaitingSearch;
   readonly #reserved = new Map<RequestRecord, Reserved>();
   #searchedAt = -Infinity;
 
   /**
    * @param fleet - workers of the shard
-   * @param order - waiting work
+   * @param search - finds waiting work
    */
-  public constructor(fleet: Fleet, order: DispatchOrder) {
+  public constructor(fleet: Fleet, search: WaitingSearch) {
     this.#fleet = fleet;
-    this.#order = order;
+    this.#search = search;
   }
 
   /** Reservations that are not used yet. */
@@ -81,7 +81,7 @@
     const usable = this.#fleet.workers.filter(({ isKeeping }) => !isKeeping).length;
     const part = Math.round(usable / workersPerReservation);
     if (this.#reserved.size >= Math.min(maxReservations, Math.max(1, part))) return;
-    const group = this.#order.findBlocked(
+    const group = this.#search.findBlocked(
       (other) => this.#mayReserve(other, now) && canCharge(other),
     );
     if (group?.first !== undefined) {
