--- a/packages/core/__tests__/placement.test.ts
+++ b/packages/core/__tests__/placement.test.ts
@@ -56,15 +56,15 @@
   });
 
   // Guards against gangs of a large team that keep those of others waiting, and the other way round.
-  it('reserves for gangs by share and by age in turn', () => {
+  it('reserves for gangs three times by share and then by age', () => {
     const model = new ShardModel([1, 1], room);
     for (let index = 0; index < 8; index += 1) model.submit({ runTimeMs: 2000 });
     model.step();
-    const names = ['a', 'a', 'b', 'b'].map((team) =>
+    const names = ['a', 'a', 'b', 'b', 'b', 'b'].map((team) =>
       model.submit({ team, kind: 'gang', tasks: 2, size: whole }),
     );
     const started: string[] = [];
-    for (let round = 0; round < 400 && started.length < 2; round += 1) {
+    for (let round = 0; round < 800 && started.length < 4; round += 1) {
       const [oldest] = model.running.values();
       if (oldest !== undefined) model.change(oldest, 'succeeded');
       for (let index = 0; index < 2; index += 1) model.submit({ team: 'c', runTimeMs: 2000 });
@@ -73,7 +73,7 @@
         if (names.includes(id) && !started.includes(id)) started.push(id);
       }
     }
-    expect(started).to.deep.equal([names[2], names[0]]);
+    expect(started).to.deep.equal([names[2], names[3], names[4], names[0]]);
   });
 
   // Guards against a large task that starves because smaller ones of others take each gap.
@@ -171,6 +171,35 @@
     expect(others.filter((id) => model.readState(id) === 'running')).to.have.length(2);
   });
 
+  // Guards against accelerators that stay idle because a quarter of the memory beside them is open to others.
+  it('keeps all but a small part of the room that waiting work for accelerators needs', () => {
+    const model = new ShardModel([1], { processors: 16, memoryMb: 16, accelerators: 4 });
+    const size = { processors: 4, memoryMb: 4, accelerators: 1 };
+    const wanting = Array.from({ length: 7 }, () => model.submit({ size, runTimeMs: 100_000 }));
+    const [first] = model.step(600);
+    const others = [0, 1].map(() => model.submit({ team: 'b', runTimeMs: 100_000 }));
+    model.step(600);
+    if (first !== undefined) model.change(first, 'succeeded');
+    model.step(600);
+    expect(wanting.filter((id) => model.readState(id) === 'running')).to.have.length(4);
+    expect(others.map((id) => model.readState(id))).to.deep.equal(['waiting', 'waiting']);
+  });
+
+  // Guards against reservations for as many workers as if those beside accelerators could be reserved too.
+  it('reserves by the number of workers that keep no room', () => {
+    const speeds = Array.from({ length: 12 }, () => 1);
+    const model = new ShardModel(speeds, { processors: 16, memoryMb: 16, accelerators: 1 });
+    const size = { processors: 16, memoryMb: 16, accelerators: 1 };
+    for (let index = 0; index < 24; index += 1) model.submit({ size, runTimeMs: 100_000 });
+    model.step(600);
+    const small = { processors: 2, memoryMb: 2, accelerators: 0 };
+    const others = ['b', 'c'].map((team) => model.submit({ team, size: small }));
+    for (let round = 0; round < 10; round += 1) model.step(200);
+    for (const task of [...model.running.values()]) model.change(task, 'succeeded');
+    model.step(50);
+    expect(others.filter((id) => model.readState(id) === 'running')).to.have.length(1);
+  });
+
   // Guards against work that never starts because room is kept that it needs itself.
   it('starts a large task without accelerators although work for accelerators waits', () => {
     const model = new ShardModel([1], { processors: 8, memoryMb: 8, accelerators: 2 });
@@ -188,6 +217,46 @@
     expect(model.readState(large)).to.equal('running');
   });
 
+  // Guards against a reservation that is made, found unusable and made again because its room is kept.
+  it('starts a task that reserved room beside accelerators', () => {
+    const model = new ShardModel([1], { processors: 8, memoryMb: 8, accelerators: 2 });
+    const size = { processors: 5, memoryMb: 5, accelerators: 1 };
+    for (let index = 0; index < 3; index += 1) model.submit({ size, runTimeMs: 100_000 });
+    model.step(600);
+    const small = model.submit({ team: 'b' });
+    model.step(600);
+    expect(model.readState(small)).to.equal('waiting');
+    for (let round = 0; round < 10; round += 1) model.step(200);
+    expect(model.readState(small)).to.equal('running');
+  });
+
+  // Guards against work that waits beside idle accelerators which the little work for them cannot use.
+  it('keeps nothing beside accelerators of which most are not asked for', () => {
+    const model = new ShardModel([1], { processors: 8, memoryMb: 8, accelerators: 4 });
+    const size = { processors: 5, memoryMb: 5, accelerators: 1 };
+    const wanting = [0, 1].map(() => model.submit({ size, runTimeMs: 100_000 }));
+    model.step(600);
+    const others = [0, 1, 2].map(() => model.submit({ team: 'b', runTimeMs: 60_000 }));
+    model.step(600);
+    const states = [...wanting, ...others].map((id) => model.readState(id));
+    expect(states).to.deep.equal(['running', 'waiting', 'running', 'running', 'running']);
+  });
+
+  // Guards against room that is kept for a gang beside the room that it has reserved.
+  it('keeps nothing beside accelerators for a gang with a reservation', () => {
+    const model = new ShardModel([1, 1], { processors: 4, memoryMb: 4, accelerators: 2 });
+    const runTimeMs = 100_000;
+    model.submit({ size: { processors: 4, memoryMb: 4, accelerators: 2 }, runTimeMs });
+    model.submit({ size: { processors: 1, memoryMb: 1, accelerators: 0 }, runTimeMs });
+    model.step(600);
+    const size = { processors: 2, memoryMb: 2, accelerators: 1 };
+    const gang = model.submit({ kind: 'gang', tasks: 3, size });
+    for (let round = 0; round < 4; round += 1) model.step(600);
+    const other = model.submit({ team: 'b', runTimeMs: 60_000 });
+    for (let round = 0; round < 2; round += 1) model.step(600);
+    expect([gang, other].map((id) => model.readState(id))).to.deep.equal(['waiting', 'running']);
+  });
+
   // Guards against processors that stay idle because the memory went to work that needs few of them,
   // and against an older request that is passed over for ever.
   it('prefers work of the shape that is free, but not for ever', () => {
--- a/packages/core/src/Dispatcher.ts
+++ b/packages/core/src/Dispatcher.ts
@@ -1,23 +1,21 @@
 import type { Request, WorkKind } from '@toucanline/schema';
 import { AcceleratorReserve } from './AcceleratorReserve.js';
 import { BatchPlacement } from './BatchPlacement.js';
-import { calculateDominantShare } from './calculateDominantShare.js';
 import { CandidateSource } from './CandidateSource.js';
-import { coversResources } from './coversResources.js';
 import type { FairShare } from './FairShare.js';
 import type { Fleet } from './Fleet.js';
-import { GangReservation } from './GangReservation.js';
 import { GangPlacement } from './GangPlacement.js';
-import { needsIntent } from './needsIntent.js';
-import { periods } from './periods.js';
+import { GangTurns } from './GangTurns.js';
 import type { Placement } from './Placement.js';
 import type { Recovery } from './Recovery.js';
 import type { RequestClass } from './RequestClass.js';
 import type { RequestRecord } from './RequestRecord.js';
+import { RoomLender } from './RoomLender.js';
 import { scaleResources } from './scaleResources.js';
 import { ServicePlacement } from './ServicePlacement.js';
 import type { ShardContext } from './ShardContext.js';
-import { TaskRecord } from './TaskRecord.js';
+import type { TaskRecord } from './TaskRecord.js';
+import { TaskStarter } from './TaskStarter.js';
 import type { UrgentPreemption } from './UrgentPreemption.js';
 import { TaskReservations } from './TaskReservations.js';
 import type { TeamLedger } from './TeamLedger.js';
@@ -34,15 +32,6 @@
 /** Remote use and decay change the rank of teams that start nothing here; ranks are refreshed. */
 const maxRankAgeMs = 100;
 
-/** Interval after which a reservation follows the end of other work that came late or early. */
-const replanMs = 5000;
-/** Interval between searches for a gang that can reserve. */
-const retryPlanMs = 100;
-/** Interval between searches for work that ends before a reservation is due. */
-const lendMs = 250;
-/** Longest time that a gang waits for room before it reserves; a shorter one waits for its run time. */
-const maxPatienceMs = 60_000;
-
 /** Parts of the shard that the dispatcher reads and changes. */
 interface DispatcherParts {
   readonly fleet: Fleet;
@@ -58,18 +47,13 @@
 export class Dispatcher {
   readonly #context: ShardContext;
   readonly #parts: DispatcherParts;
-  readonly #pendingIntents = new Map<number, TaskRecord>();
-  #nextTicket = 1;
+  readonly #starter: TaskStarter;
   #fleetVersion = -1;
   #rankedAt = -Infinity;
-  readonly #reservation: GangReservation;
+  readonly #gangs: GangTurns;
   readonly #tasks: TaskReservations;
+  readonly #lender: RoomLender;
   readonly #reserve: AcceleratorReserve;
-  #plannedAt = -Infinity;
-  #lentAt = -Infinity;
-  #resumesAt = -Infinity;
-  /** Reservations go by share and by age in turn: by share alone, gangs of a large team would starve. */
-  #isFairTurn = true;
 
   /**
    * @param context - what the parts of the shard share
@@ -78,9 +62,11 @@
   public constructor(context: ShardContext, parts: DispatcherParts) {
     this.#context = context;
     this.#parts = parts;
-    this.#reservation = new GangReservation(parts.fleet);
-    this.#tasks = new TaskReservations(parts.fleet, parts.queue.order);
-    this.#reserve = new AcceleratorReserve(parts.fleet, parts.queue.order);
+    this.#starter = new TaskStarter(context, parts.fleet, parts.ledger);
+    this.#gangs = new GangTurns(parts);
+    this.#tasks = new TaskReservations(parts.fleet, parts.queue.order.search);
+    this.#lender = new RoomLender(parts.queue.order.search);
+    this.#reserve = new AcceleratorReserve(parts.fleet, parts.queue.order.search);
   }
 
   /**
@@ -94,14 +80,14 @@
     this.#parts.queue.releaseDue(now);
     // Workers reserved for urgent work are not in the index, so changes of them are not noticed.
     if (this.#parts.preemption.size > 0) this.#parts.queue.order.retryUrgent();
-    this.#reserve.review(now);
-    this.#serveReservation(now);
+    this.#reserve.review(now, this.#gangs.reservation.record);
+    this.#gangs.serve(now, (record, group) => this.#start(record, group, now));
     this.#serveTasks(now);
     for (let starts = 0; starts < maxStarts;) {
       const group = this.#chooseClass(now);
       const record = group?.first;
       if (group === undefined || record === undefined) {
-        this.#planReservation(now);
+        this.#gangs.plan(now);
         this.#planTasks(now);
         this.#lendReserved(now);
         return false;
@@ -112,15 +98,13 @@
   }
 
   /**
-   * Sends a start command whose intent is in the journal.
+   * Takes the task whose intent was committed, or failed to be.
    *
    * @param ticket - ticket of the commit
    * @returns the task of the ticket, if there is one
    */
-  public confirmIntent(ticket: number): TaskRecord | undefined {
-    const task = this.#pendingIntents.get(ticket);
-    this.#pendingIntents.delete(ticket);
-    return task;
+  public takeIntent(ticket: number): TaskRecord | undefined {
+    return this.#starter.takeIntent(ticket);
   }
 
   /**
@@ -130,25 +114,7 @@
    * @returns false if the worker left the fleet since
    */
   public sendStart(task: TaskRecord): boolean {
-    const worker = this.#parts.fleet.find(task.worker);
-    if (worker?.clock === undefined) return false;
-    const now = this.#context.clock.now();
-    const latestStartAt = worker.clock.readLowerBound(now) + periods.startWindowMs;
-    task.setLatestStart(latestStartAt);
-    const { shard, epoch, owner, provisional, emit } = this.#context;
-    const authority = { shard, epoch, owner, provisional, bootId: worker.bootId };
-    emit({
-      effect: 'start',
-      worker: worker.id,
-      address: worker.address,
-      start: {
-        authority,
-        assignment: task.assignment,
-        latestStartAt,
-        leaseUntil: worker.leaseUntil,
-      },
-    });
-    return true;
+    return this.#starter.send(task);
   }
 
   /** Urgent work first, then the team that is furthest below its share. */
@@ -175,52 +141,16 @@
     return order.findNext();
   }
 
-  /** Starts the gang that reserved capacity once all of it is free. */
-  #serveReservation(now: number): void {
-    const { record, isReady } = this.#reservation;
-    if (record === undefined) return;
-    const group = this.#parts.queue.findClass(record);
-    if (group === undefined) this.#reservation.release();
-    else if (isReady) {
-      // Reserved capacity is idle for a while, so reservations take half of the time at most: other
-      // gangs, which may be smaller, fit in between.
-      this.#resumesAt = 2 * now - this.#reservation.heldSince;
-      this.#isFairTurn = !this.#isFairTurn;
-      this.#reservation.release();
-      this.#parts.queue.order.retryShape(group.shape);
-      this.#start(record, group, now);
-    }
-  }
-
-  /** Lets the oldest gang that waits for capacity reserve it. */
-  #planReservation(now: number): void {
-    const { queue, ledger, recovery } = this.#parts;
-    const isActive = this.#reservation.record !== undefined && !this.#reservation.isBroken;
-    if (!recovery.isComplete || now - this.#plannedAt < (isActive ? replanMs : retryPlanMs)) return;
-    const gangs = queue.order.listBlockedGangs();
-    if (gangs.length === 0 && !isActive) return;
-    this.#plannedAt = now;
-    for (const { first } of this.#isFairTurn ? queue.order.sortByRank(gangs) : gangs) {
-      if (first === undefined) continue;
-      const { team, size, tasks, runTimeMs } = first.request;
-      if (now - first.arrivedAt < Math.min(runTimeMs, maxPatienceMs)) continue;
-      if (now < this.#resumesAt && first !== this.#reservation.record) continue;
-      if (!ledger.canCharge(team, scaleResources(size, tasks))) continue;
-      if (this.#reservation.reserve(first, now)) return;
-    }
-    this.#reservation.release();
-  }
-
   /** Starts the tasks whose reserved capacity is free. */
   #serveTasks(now: number): void {
     const { queue } = this.#parts;
     this.#tasks.serve(
       (record) => queue.findClass(record) !== undefined,
       (record, reservation) => {
-        const source = new CandidateSource(reservation.workers);
+        const { workers } = reservation;
         reservation.release();
         const group = queue.findClass(record);
-        if (group !== undefined) this.#start(record, group, now, source);
+        if (group !== undefined) this.#start(record, group, now, workers);
       },
     );
   }
@@ -231,34 +161,20 @@
     this.#tasks.plan(now, ({ team, size }) => ledger.canCharge(team, size));
   }
 
-  /** Starts short work in reserved capacity that is idle until the reservation can be used. */
   #lendReserved(now: number): void {
-    if (now - this.#lentAt < lendMs) return;
-    this.#lentAt = now;
-    for (const reservation of [this.#reservation, ...this.#tasks.list]) {
-      this.#lend(reservation, now);
-    }
-  }
-
-  #lend(reservation: GangReservation, now: number): void {
-    const { order } = this.#parts.queue;
-    const maxRunMs = reservation.calculateLoanMs(now);
-    if (maxRunMs === 0) return;
-    for (const worker of reservation.workers) {
-      if (!worker.isEligible) continue;
-      for (let isOpen = true; isOpen;) {
-        const group = order.findShort(worker, worker.unallocated, maxRunMs);
-        const record = group?.first;
-        const source = new CandidateSource([worker]);
-        isOpen =
-          group !== undefined &&
-          record !== undefined &&
-          reservation.lend(worker, () => this.#start(record, group, now, source));
-      }
-    }
+    const reservations = [this.#gangs.reservation, ...this.#tasks.list];
+    this.#lender.lend(now, reservations, (record, group, worker) =>
+      this.#start(record, group, now, [worker]),
+    );
   }
 
-  #start(record: RequestRecord, group: RequestClass, now: number, lent?: CandidateSource): boolean {
+  /** Starts a request on workers whose room was reserved or lent; otherwise looks for free workers. */
+  #start(
+    record: RequestRecord,
+    group: RequestClass,
+    now: number,
+    granted?: readonly WorkerRecord[],
+  ): boolean {
     const { request } = record;
     const pending = record.pendingIndexes;
     const count = this.#limitCount(request, pending.length);
@@ -267,14 +183,8 @@
       this.#parts.queue.order.limitClass(group);
       return false;
     }
-    const { fleet, preemption, queue } = this.#parts;
-    const occupied = this.#listOccupied(record);
-    const candidates = queue.order.findCandidates(group);
-    const found = candidates === undefined ? fleet.index : new CandidateSource(candidates);
-    const source = lent ?? found;
-    const place = (): readonly WorkerRecord[] =>
-      placements[request.kind].place(request, count, source, occupied, record.avoided);
-    const workers = request.urgent ? preemption.placeUrgent(place) : place();
+    const { queue } = this.#parts;
+    const workers = granted ?? this.#findWorkers(record, group, count);
     if (workers.length === 0 || (group.isGang && workers.length < count)) {
       record.setReason('waits for free capacity on suitable workers');
       queue.order.blockShape(group, workers.length);
@@ -282,16 +192,23 @@
     }
     this.#parts.queue.remove(record);
     this.#parts.estimator.noteStart(request.team, now);
-    const attempt = record.attempt + 1;
-    workers.forEach((worker, position) => {
-      const index = pending[position];
-      if (index !== undefined) this.#placeTask(record, index, attempt, worker, now);
-    });
+    this.#starter.start(record, workers, pending, now);
     if (workers.length < pending.length) this.#parts.queue.add(record);
     this.#context.emit({ effect: 'changed', requestId: record.id });
     return true;
   }
 
+  #findWorkers(record: RequestRecord, group: RequestClass, count: number): readonly WorkerRecord[] {
+    const { fleet, preemption, queue } = this.#parts;
+    const { request, avoided } = record;
+    const occupied = this.#listOccupied(record);
+    const candidates = queue.order.findCandidates(group);
+    const source = candidates === undefined ? fleet.index : new CandidateSource(candidates);
+    const place = (): readonly WorkerRecord[] =>
+      placements[request.kind].place(request, count, source, occupied, avoided);
+    return request.urgent ? preemption.placeUrgent(place) : place();
+  }
+
   #listOccupied(record: RequestRecord): readonly WorkerRecord[] {
     return record.activeTasks
       .map(({ worker }) => this.#parts.fleet.find(worker))
@@ -315,53 +232,4 @@
       ? `waits for the limit of team ${team} in shard ${this.#context.shard}`
       : 'waits until the new owner of the shard knows what is running';
   }
-
-  #placeTask(
-    record: RequestRecord,
-    index: number,
-    attempt: number,
-    worker: WorkerRecord,
-    now: number,
-  ): void {
-    const { request } = record;
-    // With the epoch, because a new owner that cannot reach all workers may count attempts again.
-    const taskId = `${request.id}/${index}/${this.#context.epoch}.${attempt}`;
-    const assignment = { taskId, index, attempt, request };
-    const task = new TaskRecord(assignment, worker.id, this.#context.dataCentre, now);
-    record.addTask(task);
-    worker.addTask(task);
-    this.#parts.ledger.charge(request.team, request.size);
-    this.#checkInvariants(request, worker);
-    if (!needsIntent(request)) {
-      this.sendStart(task);
-      return;
-    }
-    const ticket = this.#nextTicket;
-    this.#nextTicket += 1;
-    this.#pendingIntents.set(-ticket, task);
-    const entry = {
-      entry: 'intent',
-      requestId: request.id,
-      taskId,
-      worker: worker.id,
-      epoch: this.#context.epoch,
-    } as const;
-    this.#context.emit({ effect: 'commit', ticket: -ticket, entry });
-  }
-
-  #checkInvariants(request: Request, worker: WorkerRecord): void {
-    const { invariant } = this.#context;
-    invariant.check(
-      coversResources(worker.room, worker.allocated),
-      () =>
-        `worker ${worker.id} is allocated above its room: ` +
-        calculateDominantShare(worker.allocated, worker.room).toFixed(3),
-    );
-    const allotment = this.#parts.ledger.readAllotment(request.team);
-    invariant.check(
-      allotment === undefined ||
-        coversResources(allotment, this.#parts.ledger.readUse(request.team)),
-      () => `team ${request.team} started work above its allotment`,
-    );
-  }
 }
--- a/packages/core/src/TaskReservations.ts
+++ b/packages/core/src/TaskReservations.ts
@@ -1,8 +1,8 @@
-import type { DispatchOrder } from './DispatchOrder.js';
 import type { Fleet } from './Fleet.js';
 import { GangReservation } from './GangReservation.js';
 import type { RequestClass } from './RequestClass.js';
 import type { RequestRecord } from './RequestRecord.js';
+import type { WaitingSearch } from './WaitingSearch.js';
 
 /** Interval between searches for a task that can reserve; it bounds their cost. */
 const planMs = 100;
@@ -10,7 +10,7 @@
 const replanMs = 5000;
 /** Longest time that a task waits for room before it reserves; a shorter one waits for its run time. */
 const maxPatienceMs = 60_000;
-/** One of this many workers may be reserved. */
+/** One of this many workers may be reserved, of those that keep no room beside accelerators. */
 const workersPerReservation = 8;
 const maxReservations = 16;
 
@@ -27,17 +27,17 @@
  */
 export class TaskReservations {
   readonly #fleet: Fleet;
-  readonly #order: DispatchOrder;
+  readonly #search: WaitingSearch;
   readonly #reserved = new Map<RequestRecord, Reserved>();
   #searchedAt = -Infinity;
 
   /**
    * @param fleet - workers of the shard
-   * @param order - waiting work
+   * @param search - finds waiting work
    */
-  public constructor(fleet: Fleet, order: DispatchOrder) {
+  public constructor(fleet: Fleet, search: WaitingSearch) {
     this.#fleet = fleet;
-    this.#order = order;
+    this.#search = search;
   }
 
   /** Reservations that are not used yet. */
@@ -78,9 +78,10 @@
       this.#reserve(record, reservation, now);
       return;
     }
-    const part = Math.round(this.#fleet.workers.length / workersPerReservation);
+    const usable = this.#fleet.workers.filter(({ occupancy }) => !occupancy.isKeeping).length;
+    const part = Math.round(usable / workersPerReservation);
     if (this.#reserved.size >= Math.min(maxReservations, Math.max(1, part))) return;
-    const group = this.#order.findBlocked(
+    const group = this.#search.findBlocked(
       (other) => this.#mayReserve(other, now) && canCharge(other),
     );
     if (group?.first !== undefined) {
--- a/packages/core/src/WorkerOccupancy.ts
+++ b/packages/core/src/WorkerOccupancy.ts
@@ -7,8 +7,13 @@
 import type { TaskRecord } from './TaskRecord.js';
 import { zeroResources } from './zeroResources.js';
 
-/** Part of a worker with accelerators that work without accelerators may always use. */
-const openFraction = 0.25;
+/**
+ * Part of a worker with accelerators that work without accelerators may always use. A quarter of the memory
+ * left a quarter of the accelerators idle, because their work needs all of it.
+ */
+const openFraction = 1 / 16;
+/** Tasks above this part of a worker do not wait for what is kept: it might leave them no room for ever. */
+const largeFraction = 0.25;
 
 /** What the tasks and reservations of a worker take of its capacity. */
 export class WorkerOccupancy {
@@ -50,6 +55,11 @@
     return subtractResources(this.#readRoom(), this.#allocated);
   }
 
+  /** What is left for tasks if nothing is reserved or kept; running tasks may still grow into the rest. */
+  public get available(): Resources {
+    return subtractResources(this.unallocated, this.#margin);
+  }
+
   /** Capacity that is left for new tasks of each kind. */
   public get capacity(): Capacity {
     this.#capacity ??= this.#measureCapacity();
@@ -61,6 +71,11 @@
     return this.#held !== zeroResources;
   }
 
+  /** Whether processors and memory are kept beside free accelerators. */
+  public get isKeeping(): boolean {
+    return this.#readRoom().accelerators > 0 && this.#kept !== zeroResources;
+  }
+
   /** Measures anew what is left, after a change of the worker's own capacity. */
   public refresh(): void {
     this.#capacity = undefined;
@@ -127,14 +142,11 @@
   /** A part of the worker is open to all work, so that no team waits for ever for others to end. */
   #measureCapacity(): Capacity {
     const room = this.#readRoom();
-    const left = subtractResources(this.unallocated, this.#margin);
-    const free = subtractResources(left, this.#held);
-    const largest = scaleResources(room, openFraction);
+    const free = subtractResources(this.available, this.#held);
     if (room.accelerators === 0) return { free, open: free, largest: room };
-    const most = scaleResources(
-      subtractResources(room, largest),
-      free.accelerators / room.accelerators,
-    );
+    const largest = scaleResources(room, largeFraction);
+    const mostPart = (1 - openFraction) * (free.accelerators / room.accelerators);
+    const most = scaleResources(room, mostPart);
     const kept = minResources(scaleResources(this.#kept, free.accelerators), most);
     const open = { ...subtractResources(free, kept), accelerators: free.accelerators };
     return { free, open, largest };
--- a/packages/core/src/WorkerRecord.ts
+++ b/packages/core/src/WorkerRecord.ts
@@ -90,6 +90,11 @@
     return this.occupancy.unallocated;
   }
 
+  /** What is left for tasks if nothing is reserved or kept; running tasks may still grow into the rest. */
+  public get available(): Resources {
+    return this.occupancy.available;
+  }
+
   /** Boot that the last report came from; empty before the first report. */
   public get bootId(): string {
     return this.contact.bootId;
@@ -120,11 +125,6 @@
     return this.#leaving || this.#drained || this.#host.state === 'leaving';
   }
 
-  /** Whether the worker is in quarantine. */
-  public get isQuarantined(): boolean {
-    return this.#quarantined;
-  }
-
   /** Whether new tasks may be placed here. */
   public get isEligible(): boolean {
     const mayServe = this.hasReported && !this.isLapsed && !this.isLeaving && !this.#withheld;
@@ -185,6 +185,16 @@
     return selectFree(this.capacity, request.size, usesKept(request));
   }
 
+  /**
+   * Checks whether tasks of a request may start here once there is room.
+   *
+   * @param request - the request
+   * @returns false if the worker takes no tasks, or none that may run only once
+   */
+  public mayHost(request: Request): boolean {
+    return this.isEligible && (request.idempotent || !this.#quarantined);
+  }
+
   /**
    * Reserves the worker for urgent work or ends the reservation.
    *
