Count an owner in the balance test once its claim is complete

The test read the epochs as soon as `owners/<shard>` named the new owner; the record of the epoch is written just after that. Change: an owner counts once both records name it.

--- a/packages-private/testkit/__tests__/balance.test.ts
+++ b/packages-private/testkit/__tests__/balance.test.ts
@@ -1,3 +1,4 @@
+import type { Claim } from '@toucanline/schema';
 import { expect } from 'chai';
 import { Caller, Site, sleep } from '../src/index.js';
 
@@ -24,12 +25,16 @@
   let isActive = true;
   let outcomes: Promise<readonly string[]>;
 
+  /** A claim is complete once the record of its epoch names the holder of the lease too. */
+  const readOwner = (shard: string): string | undefined => {
+    const holder = site.store.peek(`owners/${shard}`).value?.split(' ')[0];
+    const claim = JSON.parse(site.store.peek(`claims/${shard}`).value ?? '{}') as Partial<Claim>;
+    return holder === claim.owner ? holder : undefined;
+  };
+
   /** Number of shards by owner, largest first; shards without an owner are left out. */
   const countOwned = (): readonly number[] => {
-    const owners = shards.flatMap((shard) => {
-      const owner = site.store.peek(`owners/${shard}`).value?.split(' ')[0];
-      return owner === undefined ? [] : [owner];
-    });
+    const owners = shards.flatMap((shard) => readOwner(shard) ?? []);
     const counts = [...new Set(owners)].map((name) => owners.filter((owner) => owner === name));
     return counts.map(({ length }) => length).sort((left, right) => right - left);
   };
