--- a/packages/core/src/Shard.ts
+++ b/packages/core/src/Shard.ts
@@ -1,10 +1,9 @@
 import type {
-  HeldRequest,
   Failure,
+  HeldRequest,
   HostRecord,
   JournalEntry,
   QuarantinedWorker,
-  Renewal,
   Report,
   RequestView,
   Resources,
@@ -15,42 +14,21 @@
   SubmitCall,
   WorkerRefusal,
 } from '@toucanline/schema';
-import { err, ok, type Result } from 'neverthrow';
-import { Acceptance } from './Acceptance.js';
+import type { Result } from 'neverthrow';
 import { addResources } from './addResources.js';
-import { Admission } from './Admission.js';
-import { createFailure } from './createFailure.js';
-import { createSnapshot } from './createSnapshot.js';
-import { describeFinished } from './describeFinished.js';
-import { Dispatcher } from './Dispatcher.js';
+import { createShardParts } from './createShardParts.js';
 import type { Effect } from './Effect.js';
-import { FairShare } from './FairShare.js';
-import { Fleet } from './Fleet.js';
 import type { KeyRing } from './KeyRing.js';
-import { InheritedWork } from './InheritedWork.js';
-import { isAnswered } from './isAnswered.js';
-import { LimitEnforcer } from './LimitEnforcer.js';
-import { LostWork } from './LostWork.js';
 import type { LoweredLimit } from './LoweredLimit.js';
-import { LeaseMajority } from './LeaseMajority.js';
-import { OutgrownTasks } from './OutgrownTasks.js';
-import { periods } from './periods.js';
 import type { Policy } from './Policy.js';
-import { Quarantine } from './Quarantine.js';
-import { Recovery } from './Recovery.js';
-import { RequestLifecycle } from './RequestLifecycle.js';
 import type { RequestRecord } from './RequestRecord.js';
-import { RequestTable } from './RequestTable.js';
 import type { ShardContext } from './ShardContext.js';
-import { ShardDescription } from './ShardDescription.js';
+import { ShardInheritance } from './ShardInheritance.js';
+import type { ShardParts } from './ShardParts.js';
+import { ShardRequests } from './ShardRequests.js';
+import { ShardSettings } from './ShardSettings.js';
+import { ShardWorkers } from './ShardWorkers.js';
 import type { TakeoverBook } from './TakeoverBook.js';
-import { TakenWork } from './TakenWork.js';
-import { TaskStopper } from './TaskStopper.js';
-import { TaskTracker } from './TaskTracker.js';
-import { TeamLedger } from './TeamLedger.js';
-import { UrgentPreemption } from './UrgentPreemption.js';
-import { WaitEstimator } from './WaitEstimator.js';
-import { WaitingQueue } from './WaitingQueue.js';
 import { zeroResources } from './zeroResources.js';
 
 /**
@@ -59,29 +37,12 @@
  */
 export class Shard {
   readonly #context: ShardContext;
-  readonly #fleet: Fleet;
-  readonly #table = new RequestTable();
-  readonly #queue = new WaitingQueue();
-  readonly #ledger = new TeamLedger();
-  readonly #fairShare = new FairShare();
-  readonly #recovery: Recovery;
-  readonly #majority: LeaseMajority;
-  readonly #acceptance: Acceptance;
-  readonly #lifecycle: RequestLifecycle;
-  readonly #tracker: TaskTracker;
-  readonly #stopper: TaskStopper;
-  readonly #enforcer: LimitEnforcer;
-  readonly #preemption: UrgentPreemption;
-  readonly #quarantine: Quarantine;
-  readonly #outgrown: OutgrownTasks;
-  readonly #dispatcher: Dispatcher;
-  readonly #inherited: InheritedWork;
-  readonly #description: ShardDescription;
-  readonly #lost: LostWork;
-  readonly #taken: TakenWork;
+  readonly #settings: ShardSettings;
+  readonly #parts: ShardParts;
+  readonly #requests: ShardRequests;
+  readonly #workers: ShardWorkers;
+  readonly #inheritance: ShardInheritance;
   #effects: Effect[] = [];
-  #policy: Policy;
-  #keyRing: Pick<KeyRing, 'isWithdrawn'> | undefined;
 
   /**
    * @param context - identity of the ownership and the operations of the host process
@@ -90,77 +51,13 @@
    */
   public constructor(context: Omit<ShardContext, 'emit'>, address: string, policy: Policy) {
     this.#context = { ...context, emit: (effect) => this.#effects.push(effect) };
-    this.#policy = policy;
-    this.#fleet = new Fleet(this.#context);
-    this.#recovery = new Recovery(this.#context, this.#fleet);
-    this.#majority = new LeaseMajority(this.#context, this.#fleet);
-    const fleet = this.#fleet;
-    const recovery = this.#recovery;
-    const table = this.#table;
-    const queue = this.#queue;
-    const ledger = this.#ledger;
-    const estimator = new WaitEstimator();
-    const { clock } = context;
-    const admission = new Admission({ fleet, queue, recovery, estimator, clock });
-    const readPolicy = (): Policy => this.#policy;
-    this.#lifecycle = new RequestLifecycle(this.#context, {
-      fleet,
-      table,
-      queue,
-      recovery,
-      readPolicy,
-    });
-    const lifecycle = this.#lifecycle;
-    const quarantine = new Quarantine(this.#context, fleet, readPolicy);
-    const stopper = new TaskStopper(this.#context, { fleet, table, lifecycle });
-    const outgrown = new OutgrownTasks(this.#context, fleet, lifecycle, stopper);
-    this.#quarantine = quarantine;
-    this.#outgrown = outgrown;
-    this.#tracker = new TaskTracker(this.#context, {
-      fleet,
-      table,
-      ledger,
-      lifecycle,
-      quarantine,
-      outgrown,
-    });
-    const fairShare = this.#fairShare;
-    this.#stopper = stopper;
-    this.#enforcer = new LimitEnforcer(this.#context, { fleet, ledger, stopper, readPolicy });
-    this.#preemption = new UrgentPreemption(this.#context, {
-      fleet,
-      queue,
-      ledger,
-      fairShare,
-      stopper,
+    this.#settings = new ShardSettings(policy);
+    this.#parts = createShardParts(this.#context, address, this.#settings);
+    this.#requests = new ShardRequests(this.#context, this.#parts, this.#settings);
+    this.#workers = new ShardWorkers(this.#context, this.#parts, () => {
+      this.#requests.finishRecovery();
     });
-    this.#dispatcher = new Dispatcher(this.#context, {
-      fleet,
-      queue,
-      ledger,
-      fairShare,
-      recovery,
-      preemption: this.#preemption,
-      estimator,
-    });
-    const tracker = this.#tracker;
-    const inherited = { fleet, table, queue, recovery, lifecycle, tracker, readPolicy };
-    this.#inherited = new InheritedWork(this.#context, inherited);
-    this.#acceptance = new Acceptance(this.#context, {
-      table,
-      admission,
-      lifecycle,
-      inherited: this.#inherited,
-      readPolicy,
-      readKeyRing: () => this.#keyRing,
-    });
-    const isCommitting = (requestId: string): boolean => this.#acceptance.isCommitting(requestId);
-    const losing = { fleet, table, queue, recovery, lifecycle, isCommitting };
-    this.#lost = new LostWork(this.#context, losing);
-    const taken = { table, lifecycle, inherited: this.#inherited };
-    this.#taken = new TakenWork(this.#context, taken);
-    const described = { fleet, table, queue, ledger, recovery, readPolicy };
-    this.#description = new ShardDescription(this.#context, address, described);
+    this.#inheritance = new ShardInheritance(this.#context, this.#parts);
     this.applyPolicy(policy);
   }
 
@@ -176,12 +73,12 @@
 
   /** Whether all workers are accounted for. */
   public get isRecovered(): boolean {
-    return this.#recovery.isComplete;
+    return this.#parts.recovery.isComplete;
   }
 
   /** Whether this owner holds the leases of more than half of the known workers. */
   public get holdsMajority(): boolean {
-    return this.#majority.isHeld();
+    return this.#parts.majority.isHeld();
   }
 
   /**
@@ -201,37 +98,19 @@
    * @param policy - policy in effect
    */
   public applyPolicy(policy: Policy): void {
-    this.#policy = policy;
-    this.#fairShare.setWeights(policy.weights, policy.halfLifeMs);
-    this.#fleet.touch();
+    this.#settings.applyPolicy(policy);
+    this.#parts.fairShare.setWeights(policy.weights, policy.halfLifeMs);
+    this.#parts.fleet.touch();
   }
 
-  /**
-   * Applies a new list of keys: waiting requests of withdrawn keys are refused.
-   *
-   * @param keyRing - keys in effect
-   */
+  /** {@inheritDoc ShardRequests.applyKeys} */
   public applyKeys(keyRing: Pick<KeyRing, 'isWithdrawn'>): void {
-    this.#keyRing = keyRing;
-    // A request that is held back during recovery may run somewhere and is not in the queue.
-    for (const record of this.#queue.list()) {
-      const { keyId } = record.request;
-      const isWaiting = record.state === 'waiting' && record.stopPlan === undefined;
-      if (!isWaiting || keyId === undefined || !keyRing.isWithdrawn(keyId)) continue;
-      const failure = createFailure('withdrawnKey', `the key ${keyId} was withdrawn`);
-      this.#lifecycle.stopRequest(record, { next: 'failed', failure });
-    }
+    this.#requests.applyKeys(keyRing);
   }
 
-  /**
-   * Applies the host list.
-   *
-   * @param hosts - workers of this shard
-   */
+  /** {@inheritDoc ShardWorkers.applyHosts} */
   public applyHosts(hosts: readonly HostRecord[]): void {
-    this.#fleet.applyHosts(hosts);
-    this.#quarantine.applyHosts();
-    this.#recovery.noteHosts();
+    this.#workers.applyHosts(hosts);
   }
 
   /**
@@ -244,8 +123,8 @@
     allotments: ReadonlyMap<string, Resources>,
     lowered: ReadonlyMap<string, LoweredLimit> = new Map(),
   ): void {
-    this.#ledger.setAllotments(allotments);
-    this.#enforcer.setLowered(lowered);
+    this.#parts.ledger.setAllotments(allotments);
+    this.#parts.enforcer.setLowered(lowered);
   }
 
   /**
@@ -254,7 +133,7 @@
    * @param loads - newest load of each other shard
    */
   public applyLoads(loads: readonly ShardLoad[]): void {
-    let capacity = this.#fleet.room;
+    let capacity = this.#parts.fleet.room;
     const use = new Map<string, Resources>();
     for (const load of loads) {
       capacity = addResources(capacity, load.room);
@@ -262,57 +141,30 @@
         use.set(team, addResources(use.get(team) ?? zeroResources, amount));
       }
     }
-    this.#fairShare.setFleet(capacity, use);
+    this.#parts.fairShare.setFleet(capacity, use);
   }
 
-  /**
-   * Describes the state for a peer that takes the shard over.
-   *
-   * @param sent - identifiers of finished requests that the peer got before
-   * @returns the snapshot
-   */
-  public createSnapshot(sent: ReadonlySet<string> = new Set()): ShardSnapshot {
-    const { committing } = this.#acceptance;
-    const isCommitting = (record: RequestRecord): boolean => committing.has(record);
-    const snapshot = createSnapshot(this.#context, this.#table, this.#fleet, isCommitting, sent);
-    return { ...snapshot, quarantined: this.listQuarantined() };
+  /** {@inheritDoc ShardInheritance.createSnapshot} */
+  public createSnapshot(sent?: ReadonlySet<string>): ShardSnapshot {
+    return this.#inheritance.createSnapshot(sent);
   }
 
-  /**
-   * Describes the finished requests for a peer that will take the shard over.
-   *
-   * @returns the requests one by one, also while the shard goes on
-   */
+  /** {@inheritDoc ShardInheritance.describeFinished} */
   public describeFinished(): Generator<HeldRequest> {
-    return describeFinished(this.#context, this.#table);
+    return this.#inheritance.describeFinished();
   }
 
-  /**
-   * Loads the journal of earlier owners.
-   *
-   * @param entries - entries, oldest first
-   * @param roster - workers that the former owner leased, because the host list may miss one that runs its
-   * tasks, and those of them in quarantine
-   */
+  /** {@inheritDoc ShardInheritance.loadJournal} */
   public loadJournal(
     entries: readonly JournalEntry[],
-    { workers, quarantined = [] }: Pick<Roster, 'workers' | 'quarantined'> = { workers: [] },
+    roster?: Pick<Roster, 'workers' | 'quarantined'>,
   ): void {
-    if (!this.#recovery.isComplete) this.#fleet.inherit(workers);
-    this.#quarantine.restore(quarantined);
-    this.#inherited.loadJournal(entries);
+    this.#inheritance.loadJournal(entries, roster);
   }
 
-  /**
-   * Starts from the snapshot of the owner of the epoch before, after the host list was applied.
-   *
-   * @param snapshot - its state when it stopped to act
-   * @param finished - records of finished requests that it handed over before
-   */
-  public restoreSnapshot(snapshot: ShardSnapshot, finished: readonly RequestRecord[] = []): void {
-    for (const record of finished) this.#table.add(record);
-    this.#quarantine.restore(snapshot.quarantined ?? []);
-    this.#inherited.restoreSnapshot(snapshot);
+  /** {@inheritDoc ShardInheritance.restoreSnapshot} */
+  public restoreSnapshot(snapshot: ShardSnapshot, finished?: readonly RequestRecord[]): void {
+    this.#inheritance.restoreSnapshot(snapshot, finished);
   }
 
   /**
@@ -322,8 +174,8 @@
    * @param queues - names of the queues
    */
   public release(queues: ReadonlySet<string>): void {
-    this.#lost.release(queues);
-    this.#lost.tick();
+    this.#parts.lost.release(queues);
+    this.#parts.lost.tick();
   }
 
   /**
@@ -332,310 +184,134 @@
    * @param book - the record of takeovers
    */
   public applyTakeovers(book: TakeoverBook): void {
-    this.#lost.applyTakeovers(book);
-    this.#lost.tick();
+    this.#parts.lost.applyTakeovers(book);
+    this.#parts.lost.tick();
   }
 
-  /**
-   * Takes in requests of a lost data centre that this shard was given.
-   *
-   * @param entries - journal of the lost shard, oldest first
-   * @param ids - requests that this shard was given
-   * @returns true once the journal of this shard has all of them
-   */
+  /** {@inheritDoc ShardRequests.takeOver} */
   public takeOver(entries: readonly JournalEntry[], ids: ReadonlySet<string>): boolean {
-    return this.#taken.take(entries, ids);
+    return this.#requests.takeOver(entries, ids);
   }
 
-  /**
-   * Notes a request that a lost data centre may have started and that must not start again.
-   *
-   * @param request - the request
-   */
+  /** {@inheritDoc ShardRequests.addUnknown} */
   public addUnknown(request: SubmitCall['request']): void {
-    this.#taken.addUnknown(request);
+    this.#requests.addUnknown(request);
   }
 
-  /**
-   * Checks whether a request is known here.
-   *
-   * @param requestId - identifier of the request
-   * @returns true if it is
-   */
+  /** {@inheritDoc ShardRequests.knows} */
   public knows(requestId: string): boolean {
-    return this.#table.find(requestId) !== undefined;
+    return this.#requests.knows(requestId);
   }
 
-  /**
-   * Lists the workers that may run tasks, for the next owner.
-   *
-   * @returns the workers
-   */
+  /** {@inheritDoc ShardWorkers.listLeased} */
   public listLeased(): readonly HostRecord[] {
-    return this.#fleet.listLeased();
+    return this.#workers.listLeased();
   }
 
-  /**
-   * Lists the workers in quarantine, for the next owner.
-   *
-   * @returns the workers with their next probes
-   */
+  /** {@inheritDoc ShardInheritance.listQuarantined} */
   public listQuarantined(): readonly QuarantinedWorker[] {
-    return this.#quarantine.list();
+    return this.#inheritance.listQuarantined();
   }
 
   /** Serves without the journal of earlier owners, because the store cannot be reached. */
   public skipJournal(): void {
-    this.#recovery.noteJournal();
+    this.#parts.recovery.noteJournal();
   }
 
-  /**
-   * Checks whether the end of a request has to be in the journal.
-   *
-   * @param request - the request
-   * @returns true if it is accepted only after a commit
-   */
+  /** {@inheritDoc ShardRequests.isJournaled} */
   public isJournaled(request: SubmitCall['request']): boolean {
-    return this.#acceptance.isJournaled(request);
+    return this.#requests.isJournaled(request);
   }
 
-  /**
-   * Takes a request from an entry. The same request handed in again returns its current state.
-   *
-   * @param call - the request
-   * @returns its state; or the reason why it was not taken, which proves that it did not run
-   */
+  /** {@inheritDoc ShardRequests.submit} */
   public submit(call: SubmitCall): Result<RequestView, Failure> {
-    const { queue } = call.request;
-    if (this.#lost.isReleased(queue)) {
-      const detail = `the data centre of ${this.name} is cut off and gave queue ${queue} up`;
-      return err(createFailure('noOwner', detail, 1));
-    }
-    return this.#acceptance.submit(call);
+    return this.#requests.submit(call);
   }
 
-  /**
-   * Whether the acceptance of a request still waits for its commit.
-   *
-   * @param requestId - identifier of the request
-   * @returns true until the journal confirmed it
-   */
+  /** {@inheritDoc ShardRequests.isCommitting} */
   public isCommitting(requestId: string): boolean {
-    return this.#acceptance.isCommitting(requestId);
+    return this.#requests.isCommitting(requestId);
   }
 
-  /**
-   * Writes a request that goes on to the journal, because its caller stops to wait.
-   *
-   * @param requestId - identifier of the request
-   */
+  /** {@inheritDoc ShardRequests.keep} */
   public keep(requestId: string): void {
-    const record = this.#table.find(requestId);
-    if (record !== undefined) this.#acceptance.keep(record);
+    this.#requests.keep(requestId);
   }
 
-  /**
-   * Whether the journal has what is known about a request, or certainly will not have it for now.
-   *
-   * @param requestId - identifier of the request
-   * @returns false while the commit of its acceptance or of its end is under way
-   */
+  /** {@inheritDoc ShardRequests.isJournalSettled} */
   public isJournalSettled(requestId: string): boolean {
-    const record = this.#table.find(requestId);
-    if (record === undefined) return true;
-    if (this.#lifecycle.isWriting(record)) return false;
-    return record.isFinished || record.isDurable || !record.isAccepted;
+    return this.#requests.isJournalSettled(requestId);
   }
 
-  /**
-   * Confirms a commit.
-   *
-   * @param ticket - ticket of the effect
-   * @param failure - why the entry is not in the journal, unless it is
-   */
+  /** {@inheritDoc ShardRequests.confirmCommit} */
   public confirmCommit(ticket: number, failure?: Failure): void {
-    if (this.#taken.confirm(ticket, failure)) return;
-    if (this.#lifecycle.confirmFinish(ticket, failure)) return;
-    if (ticket < 0) {
-      this.#confirmIntent(ticket, failure);
-      return;
-    }
-    this.#acceptance.confirm(ticket, failure);
+    this.#requests.confirmCommit(ticket, failure);
   }
 
-  /**
-   * Reads the state of a request.
-   *
-   * @param requestId - identifier of the request
-   * @param team - team of the caller; undefined for an operator
-   * @returns the state; `unknownRequest` if there is none that the caller may see
-   */
+  /** {@inheritDoc ShardRequests.read} */
   public read(requestId: string, team?: string): Result<RequestView, Failure> {
-    return this.#find(requestId, team).map((record) => record.describe());
+    return this.#requests.read(requestId, team);
   }
 
-  /**
-   * Notes that somebody asks for a request.
-   *
-   * @param requestId - identifier of the request
-   */
+  /** {@inheritDoc ShardRequests.noteWanted} */
   public noteWanted(requestId: string): void {
-    const record = this.#table.find(requestId);
-    if (record !== undefined) this.#lifecycle.noteWanted(record);
+    this.#requests.noteWanted(requestId);
   }
 
-  /**
-   * Checks whether waiting longer for a request makes sense.
-   *
-   * @param requestId - identifier of the request
-   * @returns false while the request is known and not answered
-   */
+  /** {@inheritDoc ShardRequests.isSettled} */
   public isSettled(requestId: string): boolean {
-    const record = this.#table.find(requestId);
-    return record === undefined || isAnswered(record.describe());
+    return this.#requests.isSettled(requestId);
   }
 
-  /**
-   * Cancels a request.
-   *
-   * @param requestId - identifier of the request
-   * @param team - team of the caller; undefined for an operator
-   * @returns the state after the cancellation began
-   */
+  /** {@inheritDoc ShardRequests.cancel} */
   public cancel(requestId: string, team?: string): Result<RequestView, Failure> {
-    return this.#find(requestId, team).map((record) => {
-      this.#lifecycle.cancel(record);
-      return record.describe();
-    });
+    return this.#requests.cancel(requestId, team);
   }
 
-  /**
-   * Starts or ends an operator's drain of a worker.
-   *
-   * @param workerId - name of the worker
-   * @param drained - whether it shall take no new work
-   * @returns nothing, or `unknownWorker`
-   */
+  /** {@inheritDoc ShardWorkers.drain} */
   public drain(workerId: string, drained: boolean): Result<void, Failure> {
-    const worker = this.#fleet.find(workerId);
-    if (worker === undefined) {
-      return err(createFailure('unknownWorker', `no worker ${workerId} in ${this.name}`));
-    }
-    worker.setDrained(drained);
-    this.#fleet.touch();
-    this.#context.recorder.record('workerLeaving', {
-      worker: workerId,
-      detail: drained ? 'drained by an operator' : 'drain ended by an operator',
-    });
-    return ok(undefined);
+    return this.#workers.drain(workerId, drained);
   }
 
-  /**
-   * Creates the next renewal for a worker.
-   *
-   * @param workerId - name of the worker
-   * @returns address and message; undefined if the worker left the fleet
-   */
-  public createRenewal(
-    workerId: string,
-  ): { readonly address: string; readonly renewal: Renewal } | undefined {
-    const worker = this.#fleet.find(workerId);
-    if (worker === undefined) return undefined;
-    const { shard, epoch, owner, provisional } = this.#context;
-    const isKnown = worker.clock !== undefined && !worker.isLapsed && !worker.hasRestarted;
-    // A candidate without a majority asks for short leases, so that it does not block the one that wins.
-    const isTrial = provisional && !this.holdsMajority;
-    const leaseMs = isTrial ? periods.trialLeaseMs : periods.workerLeaseMs;
-    const waitMs = isTrial ? periods.trialRenewalMs : periods.workerRenewalMs;
-    // Counted from the last report, not from now: otherwise each attempt to reach a dead worker would
-    // extend the lease that it might hold, and its tasks would never be given up.
-    const reportedMs = worker.clock?.reportedMs ?? 0;
-    const mustLapse = isKnown && this.#lost.mustLapse(worker);
-    const leaseUntil = mustLapse ? worker.leaseUntil : isKnown ? reportedMs + leaseMs : 0;
-    if (isKnown) worker.grantLease(leaseUntil);
-    return {
-      address: worker.address,
-      renewal: {
-        authority: { shard, epoch, owner, provisional, bootId: isKnown ? worker.bootId : '' },
-        leaseUntil,
-        acknowledged: isKnown ? worker.sequence : 0,
-        full: worker.wantsFull,
-        waitMs: isKnown && !worker.wantsFull ? waitMs : 0,
-      },
-    };
+  /** {@inheritDoc ShardWorkers.createRenewal} */
+  public createRenewal(workerId: string): ReturnType<ShardWorkers['createRenewal']> {
+    return this.#workers.createRenewal(workerId);
   }
 
-  /**
-   * Applies the report of a worker.
-   *
-   * @param workerId - name of the worker
-   * @param report - the report
-   * @param sentAt - local monotonic time before the renewal was sent, in milliseconds
-   */
+  /** {@inheritDoc ShardWorkers.applyReport} */
   public applyReport(workerId: string, report: Report, sentAt: number): void {
-    const worker = this.#fleet.find(workerId);
-    if (worker === undefined) return;
-    const { epoch, owner } = this.#context;
-    if (report.epoch > epoch || (report.epoch === epoch && report.owner !== owner)) {
-      this.#standDown(`worker ${workerId} accepted epoch ${report.epoch}`, report.epoch);
-      return;
-    }
-    this.#tracker.applyReport(worker, report, sentAt);
-    this.#finishRecovery();
+    this.#workers.applyReport(workerId, report, sentAt);
   }
 
-  /**
-   * Applies a worker's refusal of a renewal or a command. A lease that another owner still holds is
-   * asked for again with the next renewal.
-   *
-   * @param workerId - name of the worker
-   * @param refusal - the refusal
-   */
+  /** {@inheritDoc ShardWorkers.applyRefusal} */
   public applyRefusal(workerId: string, refusal: WorkerRefusal): void {
-    const worker = this.#fleet.find(workerId);
-    if (refusal.refusal === 'staleEpoch') {
-      this.#standDown(`worker ${workerId}: ${refusal.detail}`, refusal.epoch);
-    } else if (refusal.refusal === 'wrongBoot') worker?.markRestarted();
-    else if (refusal.refusal !== 'leaseHeld') worker?.requestFull();
+    this.#workers.applyRefusal(workerId, refusal);
   }
 
-  /**
-   * Applies the response to a start command.
-   *
-   * @param requestId - identifier of the request
-   * @param index - index of the task
-   * @param taskId - identifier of the attempt
-   * @param response - undefined if accepted; a refusal; or a failure if the outcome is unknown
-   */
+  /** {@inheritDoc ShardWorkers.applyStartResponse} */
   public applyStartResponse(
     requestId: string,
     index: number,
     taskId: string,
     response?: WorkerRefusal | Failure,
   ): void {
-    const task = this.#table.find(requestId)?.findTask(index);
-    if (task?.id === taskId) this.#tracker.applyStartResponse(task, response);
-    if (response === undefined || !('refusal' in response)) return;
-    if (response.refusal === 'staleEpoch') this.#standDown(response.detail, response.epoch);
-    if (response.refusal === 'wrongBoot' && task !== undefined) {
-      this.#fleet.find(task.worker)?.markRestarted();
-    }
+    this.#workers.applyStartResponse(requestId, index, taskId, response);
   }
 
   /** Applies the passage of time: expired leases, deadlines, retention, the end of recovery. */
   public tick(): void {
-    this.#lost.tick();
-    this.#tracker.expireLeases();
-    this.#fleet.tick();
-    this.#lifecycle.tick();
-    this.#acceptance.tick();
-    this.#quarantine.tick();
-    this.#outgrown.tick();
-    this.#finishRecovery();
-    this.#fairShare.advance(this.#context.clock.now(), this.#ledger.use);
-    this.#stopper.tick();
-    this.#enforcer.tick();
-    this.#preemption.tick();
+    this.#parts.lost.tick();
+    this.#parts.tracker.expireLeases();
+    this.#parts.fleet.tick();
+    this.#parts.lifecycle.tick();
+    this.#parts.acceptance.tick();
+    this.#parts.quarantine.tick();
+    this.#parts.outgrown.tick();
+    this.#requests.finishRecovery();
+    this.#parts.fairShare.advance(this.#context.clock.now(), this.#parts.ledger.use);
+    this.#parts.stopper.tick();
+    this.#parts.enforcer.tick();
+    this.#parts.preemption.tick();
   }
 
   /**
@@ -646,9 +322,9 @@
    * @returns true if more could start
    */
   public dispatch(maxStarts: number, claimed = true): boolean {
-    this.#lost.forgetReleased();
-    this.#fleet.noteClaim(claimed);
-    return this.#dispatcher.run(maxStarts);
+    this.#parts.lost.forgetReleased();
+    this.#parts.fleet.noteClaim(claimed);
+    return this.#parts.dispatcher.run(maxStarts);
   }
 
   /**
@@ -657,7 +333,7 @@
    * @returns the load
    */
   public describeLoad(): ShardLoad {
-    return this.#description.describeLoad();
+    return this.#parts.description.describeLoad();
   }
 
   /**
@@ -666,32 +342,6 @@
    * @returns the status
    */
   public describeStatus(): ShardStatus {
-    return this.#description.describeStatus();
-  }
-
-  #find(requestId: string, team?: string): Result<RequestRecord, Failure> {
-    const record = this.#table.find(requestId);
-    if (record === undefined || (team !== undefined && record.request.team !== team)) {
-      return err(createFailure('unknownRequest', `no request ${requestId}`));
-    }
-    return ok(record);
-  }
-
-  #confirmIntent(ticket: number, failure?: Failure): void {
-    const task = this.#dispatcher.confirmIntent(ticket);
-    if (task?.isActive !== true) return;
-    const record = this.#table.find(task.assignment.request.id);
-    if (record === undefined) return;
-    if (failure === undefined && this.#dispatcher.sendStart(task)) return;
-    this.#tracker.disproveStart(record, task, failure?.detail ?? 'the worker left the fleet');
-  }
-
-  #finishRecovery(): void {
-    const hasEnded = this.#inherited.finishRecovery();
-    if (hasEnded && this.#keyRing !== undefined) this.applyKeys(this.#keyRing);
-  }
-
-  #standDown(detail: string, epoch: number): void {
-    this.#context.emit({ effect: 'standDown', detail, epoch });
+    return this.#parts.description.describeStatus();
   }
 }
--- /dev/null
+++ b/packages/core/src/ShardRequests.ts
@@ -0,0 +1,218 @@
+import type { Failure, JournalEntry, RequestView, SubmitCall } from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import { createFailure } from './createFailure.js';
+import { isAnswered } from './isAnswered.js';
+import type { KeyRing } from './KeyRing.js';
+import type { RequestRecord } from './RequestRecord.js';
+import type { ShardContext } from './ShardContext.js';
+import type { ShardParts } from './ShardParts.js';
+import type { ShardSettings } from './ShardSettings.js';
+
+/** What entries and the journal do with the requests of a shard. */
+export class ShardRequests {
+  readonly #context: ShardContext;
+  readonly #parts: ShardParts;
+  readonly #settings: ShardSettings;
+
+  /**
+   * @param context - what the parts of the shard share
+   * @param parts - the parts of the shard
+   * @param settings - policy and keys in effect
+   */
+  public constructor(context: ShardContext, parts: ShardParts, settings: ShardSettings) {
+    this.#context = context;
+    this.#parts = parts;
+    this.#settings = settings;
+  }
+
+  /**
+   * Applies a new list of keys: waiting requests of withdrawn keys are refused.
+   *
+   * @param keyRing - keys in effect
+   */
+  public applyKeys(keyRing: Pick<KeyRing, 'isWithdrawn'>): void {
+    this.#settings.applyKeys(keyRing);
+    // A request that is held back during recovery may run somewhere and is not in the queue.
+    for (const record of this.#parts.queue.list()) {
+      const { keyId } = record.request;
+      const isWaiting = record.state === 'waiting' && record.stopPlan === undefined;
+      if (!isWaiting || keyId === undefined || !keyRing.isWithdrawn(keyId)) continue;
+      const failure = createFailure('withdrawnKey', `the key ${keyId} was withdrawn`);
+      this.#parts.lifecycle.stopRequest(record, { next: 'failed', failure });
+    }
+  }
+
+  /**
+   * Checks whether the end of a request has to be in the journal.
+   *
+   * @param request - the request
+   * @returns true if it is accepted only after a commit
+   */
+  public isJournaled(request: SubmitCall['request']): boolean {
+    return this.#parts.acceptance.isJournaled(request);
+  }
+
+  /**
+   * Takes a request from an entry. The same request handed in again returns its current state.
+   *
+   * @param call - the request
+   * @returns its state; or the reason why it was not taken, which proves that it did not run
+   */
+  public submit(call: SubmitCall): Result<RequestView, Failure> {
+    const { queue } = call.request;
+    if (this.#parts.lost.isReleased(queue)) {
+      const detail = `the data centre of ${this.#context.shard} is cut off and gave queue ${queue} up`;
+      return err(createFailure('noOwner', detail, 1));
+    }
+    return this.#parts.acceptance.submit(call);
+  }
+
+  /**
+   * Whether the acceptance of a request still waits for its commit.
+   *
+   * @param requestId - identifier of the request
+   * @returns true until the journal confirmed it
+   */
+  public isCommitting(requestId: string): boolean {
+    return this.#parts.acceptance.isCommitting(requestId);
+  }
+
+  /**
+   * Writes a request that goes on to the journal, because its caller stops to wait.
+   *
+   * @param requestId - identifier of the request
+   */
+  public keep(requestId: string): void {
+    const record = this.#parts.table.find(requestId);
+    if (record !== undefined) this.#parts.acceptance.keep(record);
+  }
+
+  /**
+   * Whether the journal has what is known about a request, or certainly will not have it for now.
+   *
+   * @param requestId - identifier of the request
+   * @returns false while the commit of its acceptance or of its end is under way
+   */
+  public isJournalSettled(requestId: string): boolean {
+    const record = this.#parts.table.find(requestId);
+    if (record === undefined) return true;
+    if (this.#parts.lifecycle.isWriting(record)) return false;
+    return record.isFinished || record.isDurable || !record.isAccepted;
+  }
+
+  /**
+   * Confirms a commit.
+   *
+   * @param ticket - ticket of the effect
+   * @param failure - why the entry is not in the journal, unless it is
+   */
+  public confirmCommit(ticket: number, failure?: Failure): void {
+    if (this.#parts.taken.confirm(ticket, failure)) return;
+    if (this.#parts.lifecycle.confirmFinish(ticket, failure)) return;
+    if (ticket < 0) {
+      this.#confirmIntent(ticket, failure);
+      return;
+    }
+    this.#parts.acceptance.confirm(ticket, failure);
+  }
+
+  /**
+   * Reads the state of a request.
+   *
+   * @param requestId - identifier of the request
+   * @param team - team of the caller; undefined for an operator
+   * @returns the state; `unknownRequest` if there is none that the caller may see
+   */
+  public read(requestId: string, team?: string): Result<RequestView, Failure> {
+    return this.#find(requestId, team).map((record) => record.describe());
+  }
+
+  /**
+   * Notes that somebody asks for a request.
+   *
+   * @param requestId - identifier of the request
+   */
+  public noteWanted(requestId: string): void {
+    const record = this.#parts.table.find(requestId);
+    if (record !== undefined) this.#parts.lifecycle.noteWanted(record);
+  }
+
+  /**
+   * Checks whether waiting longer for a request makes sense.
+   *
+   * @param requestId - identifier of the request
+   * @returns false while the request is known and not answered
+   */
+  public isSettled(requestId: string): boolean {
+    const record = this.#parts.table.find(requestId);
+    return record === undefined || isAnswered(record.describe());
+  }
+
+  /**
+   * Checks whether a request is known here.
+   *
+   * @param requestId - identifier of the request
+   * @returns true if it is
+   */
+  public knows(requestId: string): boolean {
+    return this.#parts.table.find(requestId) !== undefined;
+  }
+
+  /**
+   * Cancels a request.
+   *
+   * @param requestId - identifier of the request
+   * @param team - team of the caller; undefined for an operator
+   * @returns the state after the cancellation began
+   */
+  public cancel(requestId: string, team?: string): Result<RequestView, Failure> {
+    return this.#find(requestId, team).map((record) => {
+      this.#parts.lifecycle.cancel(record);
+      return record.describe();
+    });
+  }
+
+  /**
+   * Notes a request that a lost data centre may have started and that must not start again.
+   *
+   * @param request - the request
+   */
+  public addUnknown(request: SubmitCall['request']): void {
+    this.#parts.taken.addUnknown(request);
+  }
+
+  /**
+   * Takes in requests of a lost data centre that this shard was given.
+   *
+   * @param entries - journal of the lost shard, oldest first
+   * @param ids - requests that this shard was given
+   * @returns true once the journal of this shard has all of them
+   */
+  public takeOver(entries: readonly JournalEntry[], ids: ReadonlySet<string>): boolean {
+    return this.#parts.taken.take(entries, ids);
+  }
+
+  /** Lets the requests that were held back go on once the recovery is over. */
+  public finishRecovery(): void {
+    const { keyRing } = this.#settings;
+    const hasEnded = this.#parts.inherited.finishRecovery();
+    if (hasEnded && keyRing !== undefined) this.applyKeys(keyRing);
+  }
+
+  #find(requestId: string, team?: string): Result<RequestRecord, Failure> {
+    const record = this.#parts.table.find(requestId);
+    if (record === undefined || (team !== undefined && record.request.team !== team)) {
+      return err(createFailure('unknownRequest', `no request ${requestId}`));
+    }
+    return ok(record);
+  }
+
+  #confirmIntent(ticket: number, failure?: Failure): void {
+    const task = this.#parts.dispatcher.confirmIntent(ticket);
+    if (task?.isActive !== true) return;
+    const record = this.#parts.table.find(task.assignment.request.id);
+    if (record === undefined) return;
+    if (failure === undefined && this.#parts.dispatcher.sendStart(task)) return;
+    this.#parts.tracker.disproveStart(record, task, failure?.detail ?? 'the worker left the fleet');
+  }
+}
--- /dev/null
+++ b/packages/core/src/ShardWorkers.ts
@@ -0,0 +1,161 @@
+import type { Failure, HostRecord, Renewal, Report, WorkerRefusal } from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import { createFailure } from './createFailure.js';
+import { periods } from './periods.js';
+import type { ShardContext } from './ShardContext.js';
+import type { ShardParts } from './ShardParts.js';
+
+/** What the owner of a shard and its workers tell each other. */
+export class ShardWorkers {
+  readonly #context: ShardContext;
+  readonly #parts: ShardParts;
+  readonly #onReport: () => void;
+
+  /**
+   * @param context - what the parts of the shard share
+   * @param parts - the parts of the shard
+   * @param onReport - called after each report that was applied
+   */
+  public constructor(context: ShardContext, parts: ShardParts, onReport: () => void) {
+    this.#context = context;
+    this.#parts = parts;
+    this.#onReport = onReport;
+  }
+
+  /**
+   * Applies the host list.
+   *
+   * @param hosts - workers of this shard
+   */
+  public applyHosts(hosts: readonly HostRecord[]): void {
+    this.#parts.fleet.applyHosts(hosts);
+    this.#parts.quarantine.applyHosts();
+    this.#parts.recovery.noteHosts();
+  }
+
+  /**
+   * Lists the workers that may run tasks, for the next owner.
+   *
+   * @returns the workers
+   */
+  public listLeased(): readonly HostRecord[] {
+    return this.#parts.fleet.listLeased();
+  }
+
+  /**
+   * Starts or ends an operator's drain of a worker.
+   *
+   * @param workerId - name of the worker
+   * @param drained - whether it shall take no new work
+   * @returns nothing, or `unknownWorker`
+   */
+  public drain(workerId: string, drained: boolean): Result<void, Failure> {
+    const worker = this.#parts.fleet.find(workerId);
+    if (worker === undefined) {
+      return err(createFailure('unknownWorker', `no worker ${workerId} in ${this.#context.shard}`));
+    }
+    worker.setDrained(drained);
+    this.#parts.fleet.touch();
+    this.#context.recorder.record('workerLeaving', {
+      worker: workerId,
+      detail: drained ? 'drained by an operator' : 'drain ended by an operator',
+    });
+    return ok(undefined);
+  }
+
+  /**
+   * Creates the next renewal for a worker.
+   *
+   * @param workerId - name of the worker
+   * @returns address and message; undefined if the worker left the fleet
+   */
+  public createRenewal(
+    workerId: string,
+  ): { readonly address: string; readonly renewal: Renewal } | undefined {
+    const worker = this.#parts.fleet.find(workerId);
+    if (worker === undefined) return undefined;
+    const { shard, epoch, owner, provisional } = this.#context;
+    const isKnown = worker.clock !== undefined && !worker.isLapsed && !worker.hasRestarted;
+    // A candidate without a majority asks for short leases, so that it does not block the one that wins.
+    const isTrial = provisional && !this.#parts.majority.isHeld();
+    const leaseMs = isTrial ? periods.trialLeaseMs : periods.workerLeaseMs;
+    const waitMs = isTrial ? periods.trialRenewalMs : periods.workerRenewalMs;
+    // Counted from the last report, not from now: otherwise each attempt to reach a dead worker would
+    // extend the lease that it might hold, and its tasks would never be given up.
+    const reportedMs = worker.clock?.reportedMs ?? 0;
+    const mustLapse = isKnown && this.#parts.lost.mustLapse(worker);
+    const leaseUntil = mustLapse ? worker.leaseUntil : isKnown ? reportedMs + leaseMs : 0;
+    if (isKnown) worker.grantLease(leaseUntil);
+    return {
+      address: worker.address,
+      renewal: {
+        authority: { shard, epoch, owner, provisional, bootId: isKnown ? worker.bootId : '' },
+        leaseUntil,
+        acknowledged: isKnown ? worker.sequence : 0,
+        full: worker.wantsFull,
+        waitMs: isKnown && !worker.wantsFull ? waitMs : 0,
+      },
+    };
+  }
+
+  /**
+   * Applies the report of a worker.
+   *
+   * @param workerId - name of the worker
+   * @param report - the report
+   * @param sentAt - local monotonic time before the renewal was sent, in milliseconds
+   */
+  public applyReport(workerId: string, report: Report, sentAt: number): void {
+    const worker = this.#parts.fleet.find(workerId);
+    if (worker === undefined) return;
+    const { epoch, owner } = this.#context;
+    if (report.epoch > epoch || (report.epoch === epoch && report.owner !== owner)) {
+      this.#standDown(`worker ${workerId} accepted epoch ${report.epoch}`, report.epoch);
+      return;
+    }
+    this.#parts.tracker.applyReport(worker, report, sentAt);
+    this.#onReport();
+  }
+
+  /**
+   * Applies a worker's refusal of a renewal or a command. A lease that another owner still holds is
+   * asked for again with the next renewal.
+   *
+   * @param workerId - name of the worker
+   * @param refusal - the refusal
+   */
+  public applyRefusal(workerId: string, refusal: WorkerRefusal): void {
+    const worker = this.#parts.fleet.find(workerId);
+    if (refusal.refusal === 'staleEpoch') {
+      this.#standDown(`worker ${workerId}: ${refusal.detail}`, refusal.epoch);
+    } else if (refusal.refusal === 'wrongBoot') worker?.markRestarted();
+    else if (refusal.refusal !== 'leaseHeld') worker?.requestFull();
+  }
+
+  /**
+   * Applies the response to a start command.
+   *
+   * @param requestId - identifier of the request
+   * @param index - index of the task
+   * @param taskId - identifier of the attempt
+   * @param response - undefined if accepted; a refusal; or a failure if the outcome is unknown
+   */
+  public applyStartResponse(
+    requestId: string,
+    index: number,
+    taskId: string,
+    response?: WorkerRefusal | Failure,
+  ): void {
+    const task = this.#parts.table.find(requestId)?.findTask(index);
+    if (task?.id === taskId) this.#parts.tracker.applyStartResponse(task, response);
+    if (response === undefined || !('refusal' in response)) return;
+    if (response.refusal === 'staleEpoch') this.#standDown(response.detail, response.epoch);
+    if (response.refusal === 'wrongBoot' && task !== undefined) {
+      this.#parts.fleet.find(task.worker)?.markRestarted();
+    }
+  }
+
+  #standDown(detail: string, epoch: number): void {
+    this.#context.emit({ effect: 'standDown', detail, epoch });
+  }
+}
--- /dev/null
+++ b/packages/core/src/createShardParts.ts
@@ -0,0 +1,93 @@
+import { Acceptance } from './Acceptance.js';
+import { Dispatcher } from './Dispatcher.js';
+import { FairShare } from './FairShare.js';
+import { Fleet } from './Fleet.js';
+import { InheritedWork } from './InheritedWork.js';
+import { LeaseMajority } from './LeaseMajority.js';
+import { LimitEnforcer } from './LimitEnforcer.js';
+import { LostWork } from './LostWork.js';
+import { OutgrownTasks } from './OutgrownTasks.js';
+import { Quarantine } from './Quarantine.js';
+import { Recovery } from './Recovery.js';
+import { RequestLifecycle } from './RequestLifecycle.js';
+import { RequestTable } from './RequestTable.js';
+import { ShardDescription } from './ShardDescription.js';
+import { TakenWork } from './TakenWork.js';
+import { TaskStopper } from './TaskStopper.js';
+import { TaskTracker } from './TaskTracker.js';
+import { TeamLedger } from './TeamLedger.js';
+import { UrgentPreemption } from './UrgentPreemption.js';
+import { WaitingQueue } from './WaitingQueue.js';
+import { WaitEstimator } from './WaitEstimator.js';
+import { Admission } from './Admission.js';
+import type { Policy } from './Policy.js';
+import type { ShardContext } from './ShardContext.js';
+import type { ShardParts } from './ShardParts.js';
+import type { ShardSettings } from './ShardSettings.js';
+
+/**
+ * Creates the parts of a shard and connects them.
+ *
+ * @param context - what the parts share
+ * @param address - link address of the owner, told to peers
+ * @param settings - policy and keys in effect
+ * @returns the parts
+ */
+export const createShardParts = (
+  context: ShardContext,
+  address: string,
+  settings: ShardSettings,
+): ShardParts => {
+  const { clock } = context;
+  const readPolicy = (): Policy => settings.policy;
+  const table = new RequestTable();
+  const queue = new WaitingQueue();
+  const ledger = new TeamLedger();
+  const fairShare = new FairShare();
+  const estimator = new WaitEstimator();
+  const fleet = new Fleet(context);
+  const recovery = new Recovery(context, fleet);
+  const majority = new LeaseMajority(context, fleet);
+  const admission = new Admission({ fleet, queue, recovery, estimator, clock });
+  const requests = { fleet, table, queue, recovery, readPolicy };
+  const lifecycle = new RequestLifecycle(context, requests);
+  const quarantine = new Quarantine(context, fleet, readPolicy);
+  const stopper = new TaskStopper(context, { fleet, table, lifecycle });
+  const outgrown = new OutgrownTasks(context, fleet, lifecycle, stopper);
+  const tracked = { fleet, table, ledger, lifecycle, quarantine, outgrown };
+  const tracker = new TaskTracker(context, tracked);
+  const enforcer = new LimitEnforcer(context, { fleet, ledger, stopper, readPolicy });
+  const preempted = { fleet, queue, ledger, fairShare, stopper };
+  const preemption = new UrgentPreemption(context, preempted);
+  const placed = { fleet, queue, ledger, fairShare, recovery, preemption, estimator };
+  const dispatcher = new Dispatcher(context, placed);
+  const inherited = new InheritedWork(context, { ...requests, lifecycle, tracker });
+  const readKeyRing = (): ShardSettings['keyRing'] => settings.keyRing;
+  const accepting = { table, admission, lifecycle, inherited, readPolicy, readKeyRing };
+  const acceptance = new Acceptance(context, accepting);
+  const isCommitting = (requestId: string): boolean => acceptance.isCommitting(requestId);
+  const losing = { fleet, table, queue, recovery, lifecycle, isCommitting };
+  const described = { fleet, table, queue, ledger, recovery, readPolicy };
+  return {
+    fleet,
+    table,
+    queue,
+    ledger,
+    fairShare,
+    recovery,
+    majority,
+    acceptance,
+    lifecycle,
+    tracker,
+    stopper,
+    enforcer,
+    preemption,
+    quarantine,
+    outgrown,
+    dispatcher,
+    inherited,
+    description: new ShardDescription(context, address, described),
+    lost: new LostWork(context, losing),
+    taken: new TakenWork(context, { table, lifecycle, inherited }),
+  };
+};
