--- /dev/null
+++ b/packages/core/src/ShardInheritance.ts
@@ -0,0 +1,116 @@
+import type {
+  CancelCall,
+  HeldRequest,
+  JournalEntry,
+  Roster,
+  ShardSnapshot,
+  SubmitCall,
+} from '@toucanline/schema';
+import { createHandIns } from './createHandIns.js';
+import { createSnapshot } from './createSnapshot.js';
+import { describeFinished } from './describeFinished.js';
+import type { RequestRecord } from './RequestRecord.js';
+import type { ShardContext } from './ShardContext.js';
+import type { ShardParts } from './ShardParts.js';
+
+/** What passes from one owner of a shard to the next. */
+export class ShardInheritance {
+  readonly #context: ShardContext;
+  readonly #parts: ShardParts;
+
+  /**
+   * @param context - what the parts of the shard share
+   * @param parts - the parts of the shard
+   */
+  public constructor(context: ShardContext, parts: ShardParts) {
+    this.#context = context;
+    this.#parts = parts;
+  }
+
+  /**
+   * Describes the state for a peer that takes the shard over.
+   *
+   * @param sent - identifiers of finished requests that the peer got before
+   * @returns the snapshot
+   */
+  public createSnapshot(sent: ReadonlySet<string> = new Set()): ShardSnapshot {
+    const { committing } = this.#parts.acceptance;
+    const isCommitting = (record: RequestRecord): boolean => committing.has(record);
+    const { table, fleet, ledger, quarantine } = this.#parts;
+    const parts = [this.#context, table, fleet, ledger.allotments] as const;
+    const snapshot = createSnapshot(...parts, isCommitting, sent);
+    return { ...snapshot, quarantined: quarantine.list() };
+  }
+
+  /**
+   * Describes the finished requests for a peer that will take the shard over.
+   *
+   * @returns the requests one by one, also while the shard goes on
+   */
+  public describeFinished(): Generator<HeldRequest> {
+    return describeFinished(this.#context, this.#parts.table);
+  }
+
+  /**
+   * Loads the journal of earlier owners.
+   *
+   * @param entries - entries, oldest first
+   * @param roster - workers that the former owner leased, of which the host list may miss one that runs its
+   * tasks, those that operators drained, and those in quarantine
+   */
+  public loadJournal(
+    entries: readonly JournalEntry[],
+    { workers, drained = [], quarantined = [] }: Omit<Roster, 'shard' | 'epoch'> = { workers: [] },
+  ): void {
+    for (const worker of drained) this.#parts.fleet.setDrained(worker, true);
+    if (!this.#parts.recovery.isComplete) this.#parts.fleet.inherit(workers);
+    this.#parts.quarantine.restore(quarantined);
+    this.#parts.inherited.loadJournal(entries);
+  }
+
+  /**
+   * Starts from the snapshot of the owner of the epoch before, after the host list was applied.
+   *
+   * @param snapshot - its state when it stopped to act
+   * @param finished - records of finished requests that it handed over before
+   */
+  public restoreSnapshot(snapshot: ShardSnapshot, finished: readonly RequestRecord[] = []): void {
+    for (const record of finished) this.#parts.table.add(record);
+    this.#parts.quarantine.restore(snapshot.quarantined ?? []);
+    this.#parts.inherited.restoreSnapshot(snapshot);
+  }
+
+  /**
+   * Lists the workers that the next owner has to know of.
+   *
+   * @returns those that may run tasks, those that operators drained and those in quarantine
+   */
+  public describeRoster(): Omit<Roster, 'shard' | 'epoch'> {
+    const { fleet, quarantine } = this.#parts;
+    const quarantined = quarantine.list();
+    return {
+      workers: fleet.listLeased(),
+      drained: fleet.drained,
+      ...(quarantined.length === 0 ? {} : { quarantined }),
+    };
+  }
+
+  /**
+   * Describes what only this owner and the entries know: requests whose callers stopped to wait, and cancellations.
+   *
+   * @returns the calls that tell it to the next owner
+   */
+  public describeUnkept(): readonly (SubmitCall | CancelCall)[] {
+    const { table, lost, lifecycle, acceptance } = this.#parts;
+    const isOwn = (record: RequestRecord): boolean =>
+      table.find(record.id) === record && !lost.hasLost(record.request);
+    const cancelled = lifecycle.unwrittenCancellations.filter(isOwn);
+    const unkept = new Set([...acceptance.unkept.filter(isOwn), ...cancelled]);
+    const cancellations = cancelled.map(({ id, request: { team } }): CancelCall => ({
+      call: 'cancel',
+      requestId: id,
+      team,
+    }));
+    return [...createHandIns(this.#context, [...unkept]), ...cancellations];
+  }
+}
