Say which tasks plan around kept room

Cause: the comment named large tasks, but the rule is for all tasks without accelerators.

Change: the comment, and one on the new step.

--- a/packages/core/src/GangReservation.ts
+++ b/packages/core/src/GangReservation.ts
@@ -112,7 +112,7 @@
     const isKept = this.#record === record;
     this.release();
     const { request } = record;
-    // Large tasks would otherwise collect the room beside the accelerators, one reservation after the other.
+    // Tasks without accelerators would otherwise take the room beside them, one reservation after the other.
     const isPlanned =
       this.#planTasks(request, tasks, now, usesKept(request)) ||
       (!usesKept(request) && this.#planTasks(request, tasks, now, true));
@@ -132,6 +132,7 @@
     this.#record = undefined;
   }
 
+  /** Plans for the workers that have room first; without room for all tasks nothing is planned. */
   #planTasks(request: Request, tasks: number, now: number, takesKept: boolean): boolean {
     let missing = tasks;
     const slots = this.#listSlots(request, now, takesKept);
