--- /dev/null
+++ b/packages/core/__tests__/AgendaClock.ts
@@ -0,0 +1,38 @@
+import { Clock } from '../src/index.js';
+import { settle } from './settle.js';
+
+/** Clock that a test moves, which wakes whoever sleeps until then. */
+export class AgendaClock extends Clock {
+  #now = 1_000_000;
+  #sleepers: { readonly at: number; readonly wake: () => void }[] = [];
+
+  /** {@inheritDoc Clock.now} */
+  public override now(): number {
+    return this.#now;
+  }
+
+  /** {@inheritDoc Clock.wallTime} */
+  public override wallTime(): number {
+    return this.#now;
+  }
+
+  /** {@inheritDoc Clock.sleep} */
+  public override sleep(ms: number): Promise<void> {
+    return new Promise((wake) => {
+      this.#sleepers.push({ at: this.#now + ms, wake });
+    });
+  }
+
+  /**
+   * Moves the clock on.
+   *
+   * @param ms - duration in milliseconds
+   */
+  public async advance(ms: number): Promise<void> {
+    this.#now += ms;
+    const due = this.#sleepers.filter(({ at }) => at <= this.#now);
+    this.#sleepers = this.#sleepers.filter(({ at }) => at > this.#now);
+    for (const { wake } of due) wake();
+    await settle();
+  }
+}
--- /dev/null
+++ b/packages/core/__tests__/ModelCentre.ts
@@ -0,0 +1,388 @@
+import type { Request, RequestView } from '@toucanline/schema';
+import type { Result } from 'neverthrow';
+import {
+  ClaimKeeper,
+  createFailure,
+  EventRecorder,
+  EventStream,
+  Invariant,
+  Journal,
+  listReleasedQueues,
+  readJournal,
+  ReleaseTermsKeeper,
+  Shard,
+  TakeoverEditor,
+  type Effect,
+  type Policy,
+  type RandomSource,
+  type Store,
+  type TakeoverBook,
+} from '../src/index.js';
+import type { AgendaClock } from './AgendaClock.js';
+import { CuttableStore } from './CuttableStore.js';
+import type { ModelLedger } from './ModelLedger.js';
+import { ModelWorker } from './ModelWorker.js';
+
+/** What the data centres of a model share. */
+export interface ModelWorld {
+  readonly clock: AgendaClock;
+  readonly random: RandomSource;
+  readonly store: Store;
+  readonly ledger: ModelLedger;
+  readonly policy: Policy;
+}
+
+/** One ownership of the shard. */
+interface Owner {
+  readonly shard: Shard;
+  readonly journal: Journal;
+  readonly polled: Set<string>;
+  isOpen: boolean;
+  isOpening: boolean;
+  releasedAt: number | undefined;
+}
+
+/** A data centre with one shard: its candidate for the ownership and its workers. */
+export class ModelCentre {
+  public readonly name: string;
+  public readonly shardName: string;
+  public readonly store: CuttableStore;
+  /** Whether all processes and workers have failed. */
+  public isDown = false;
+  readonly #world: ModelWorld;
+  readonly #workers: readonly ModelWorker[];
+  readonly #lostWorkers = new Set<string>();
+  #process = 0;
+  #keeper: ClaimKeeper;
+  #terms: ReleaseTermsKeeper;
+  #owner: Owner | undefined;
+  #isClaiming = false;
+
+  /**
+   * @param world - what the data centres share
+   * @param name - its name
+   * @param shardName - its shard
+   * @param rates - speed of the clock of each worker
+   */
+  public constructor(world: ModelWorld, name: string, shardName: string, rates: readonly number[]) {
+    this.#world = world;
+    this.name = name;
+    this.shardName = shardName;
+    this.store = new CuttableStore(world.store);
+    this.#workers = rates.map(
+      (rate, index) => new ModelWorker(`${name}-w${index}`, rate, world.ledger),
+    );
+    this.#keeper = this.#createKeeper();
+    this.#terms = this.#createTerms();
+  }
+
+  /** The owner, if one takes requests. */
+  public get shard(): Shard | undefined {
+    const isServing = this.#owner?.isOpen === true && this.#keeper.standing !== 'unsettled';
+    return isServing ? this.#owner?.shard : undefined;
+  }
+
+  /** Parts for the editors and takeovers that run here. */
+  public get parts(): Readonly<{
+    store: Store;
+    clock: AgendaClock;
+    random: RandomSource;
+    recorder: EventRecorder;
+    invariant: Invariant;
+    process: string;
+    address: string;
+  }> {
+    const { clock, random } = this.#world;
+    const process = `${this.name}-p${this.#process}`;
+    const recorder = new EventRecorder(clock, new EventStream(), process, this.name);
+    const invariant = new Invariant(recorder, true);
+    return { store: this.store, clock, random, recorder, invariant, process, address: process };
+  }
+
+  /** Kills the owner; another process takes its place, and the workers go on. */
+  public killOwner(): void {
+    this.#endOwner();
+    this.#process += 1;
+    this.#keeper = this.#createKeeper();
+    this.#terms = this.#createTerms();
+    this.#isClaiming = false;
+  }
+
+  /** Fails as a whole, or comes back with restarted workers. */
+  public setDown(isDown: boolean): void {
+    if (isDown === this.isDown) return;
+    this.isDown = isDown;
+    this.killOwner();
+    for (const worker of this.#workers) worker.reboot(this.#world.clock.now());
+  }
+
+  /**
+   * Cuts a worker off from the owner, or ends that.
+   *
+   * @param index - which worker
+   */
+  public toggleWorker(index: number): void {
+    const id = this.#workers[index % this.#workers.length]?.id ?? '';
+    if (!this.#lostWorkers.delete(id)) this.#lostWorkers.add(id);
+  }
+
+  /** Ends all faults. */
+  public heal(): void {
+    this.#lostWorkers.clear();
+    this.store.isCut = false;
+    this.setDown(false);
+  }
+
+  /** Lets the workers end what is over. */
+  public advanceWorkers(): void {
+    for (const worker of this.#workers) worker.advance(this.#world.clock.now());
+  }
+
+  /**
+   * Decides once: claims the shard or acts as its owner.
+   *
+   * @param book - newest record of takeovers that this data centre read
+   */
+  public tick(book: TakeoverBook): void {
+    if (this.isDown) return;
+    const owner = this.#owner;
+    if (owner === undefined) {
+      const wallMs = this.#world.clock.wallTime();
+      if (!this.#isClaiming && !book.isPending(this.name, this.shardName, wallMs)) {
+        void this.#claim();
+      }
+      return;
+    }
+    if (!owner.isOpen) void this.#open(owner);
+    if (this.#keeper.standing === 'unsettled') return;
+    if (!this.#checkCutOff(owner)) return;
+    if (owner.isOpen) owner.shard.applyTakeovers(book);
+    this.#poll(owner);
+    owner.shard.applyLoads([]);
+    owner.shard.tick();
+    if (owner.isOpen) void this.#inherit(owner, book);
+    this.pump();
+  }
+
+  /** Starts what may start and carries the effects out. */
+  public pump(): void {
+    const owner = this.#owner;
+    if (owner === undefined || this.#keeper.standing === 'unsettled') return;
+    const isConfirmed = this.#keeper.standing === 'confirmed';
+    if (owner.isOpen && (isConfirmed || owner.shard.holdsMajority)) {
+      owner.shard.dispatch(100, isConfirmed);
+    }
+    for (const effect of owner.shard.takeEffects()) this.#execute(owner, effect);
+  }
+
+  /**
+   * Hands a request in.
+   *
+   * @param request - the request
+   * @param remainingMs - time to its deadline
+   * @param heldEpoch - epoch of an owner that held it before
+   * @returns its state; undefined if there is no owner
+   */
+  public submit(
+    request: Request,
+    remainingMs: number,
+    heldEpoch?: number,
+  ): Result<RequestView, ReturnType<typeof createFailure>> | undefined {
+    const result = this.shard?.submit({
+      call: 'submit',
+      shard: this.shardName,
+      request,
+      remainingMs,
+      detached: request.detached ? 'yes' : 'no',
+      ...(heldEpoch === undefined ? {} : { heldEpoch }),
+    });
+    this.pump();
+    return result;
+  }
+
+  #createKeeper(): ClaimKeeper {
+    const { process } = this.parts;
+    return new ClaimKeeper(this.parts, this.shardName, process, process);
+  }
+
+  #createTerms(): ReleaseTermsKeeper {
+    return new ReleaseTermsKeeper(this.parts, this.shardName);
+  }
+
+  #endOwner(): void {
+    this.#owner?.journal.close();
+    this.#owner = undefined;
+  }
+
+  async #claim(): Promise<void> {
+    const keeper = this.#keeper;
+    this.#isClaiming = true;
+    const claim = await keeper.acquire();
+    if (keeper !== this.#keeper) return;
+    this.#isClaiming = false;
+    if (claim.isErr()) return;
+    const { clock, random, policy } = this.#world;
+    const { recorder, invariant, process } = this.parts;
+    const { epoch } = claim.value;
+    const dataCentre = this.name;
+    const shard = new Shard(
+      {
+        shard: this.shardName,
+        dataCentre,
+        epoch,
+        owner: process,
+        provisional: false,
+        clock,
+        random,
+        recorder,
+        invariant,
+      },
+      process,
+      policy,
+    );
+    const journal = new Journal(this.store, clock, random, this.shardName, epoch);
+    const owner: Owner = {
+      shard,
+      journal,
+      polled: new Set(),
+      isOpen: false,
+      isOpening: false,
+      releasedAt: undefined,
+    };
+    this.#owner = owner;
+    shard.applyHosts(
+      this.#workers.map(({ id }) => ({
+        id,
+        role: 'worker',
+        state: 'live',
+        dataCentre,
+        address: id,
+      })),
+    );
+    await keeper.keep(() => this.#owner === owner);
+    if (this.#owner === owner) this.#endOwner();
+  }
+
+  /** Learns what passed to others before anything of the journal can start, as a host does. */
+  async #open(owner: Owner): Promise<void> {
+    if (owner.isOpening) return;
+    owner.isOpening = true;
+    const book = await new TakeoverEditor(this.parts).read();
+    const isPublished = book.isOk() && (await this.#terms.write(this.#world.policy.releases));
+    if (book.isOk() && isPublished) {
+      owner.shard.applyTakeovers(book.value);
+      const entries = await owner.journal.open();
+      if (entries.isOk() && this.#owner === owner) {
+        const readId = (entry: (typeof entries.value)[number]): string => {
+          if (entry.entry === 'accepted') return entry.request.id;
+          return entry.entry === 'finished' ? entry.view.id : entry.requestId;
+        };
+        owner.shard.loadJournal(
+          entries.value.filter((entry) => !book.value.isTakenFrom(readId(entry), this.shardName)),
+        );
+        owner.isOpen = true;
+      }
+    }
+    owner.isOpening = false;
+  }
+
+  /** Gives queues up after their time without contact; returns false if the ownership ended. */
+  #checkCutOff(owner: Owner): boolean {
+    const { contactAt } = this.#keeper;
+    if (owner.releasedAt !== undefined && contactAt > owner.releasedAt) {
+      void this.#keeper.release();
+      this.#endOwner();
+      return false;
+    }
+    const { releases } = this.#world.policy;
+    const { published } = this.#terms;
+    const now = this.#world.clock.now();
+    const queues = listReleasedQueues({ releases, published, contactAt, now });
+    if (queues.size > 0) {
+      owner.releasedAt ??= now;
+      owner.journal.close();
+      owner.shard.release(queues);
+    }
+    return true;
+  }
+
+  async #inherit(owner: Owner, book: TakeoverBook): Promise<void> {
+    for (const takeover of book.listInheritances(this.shardName)) {
+      const ids = Object.entries(takeover.requests).flatMap(([id, to]) =>
+        to === this.shardName ? [id] : [],
+      );
+      const entries = await readJournal(this.store, takeover.shard);
+      if (entries.isErr() || this.#owner !== owner) return;
+      const isDone = owner.shard.takeOver(entries.value, new Set(ids));
+      this.pump();
+      if (isDone) await new TakeoverEditor(this.parts).noteInherited(takeover, this.shardName);
+    }
+  }
+
+  #poll(owner: Owner): void {
+    // The first renewal after a lease has ended only brings the clock of the worker; the second one a lease.
+    for (const id of owner.polled) for (const _ of [1, 2]) this.#renew(owner, id);
+  }
+
+  #renew(owner: Owner, id: string): void {
+    const now = this.#world.clock.now();
+    const worker = this.#findWorker(id);
+    const next = worker === undefined ? undefined : owner.shard.createRenewal(id);
+    if (worker === undefined || next === undefined) return;
+    const refusal = worker.renew(next.renewal);
+    if (refusal === undefined) owner.shard.applyReport(id, worker.report(now, next.renewal), now);
+    else owner.shard.applyRefusal(id, refusal);
+  }
+
+  /** Finds a worker that the owner reaches. */
+  #findWorker(id: string): ModelWorker | undefined {
+    return this.#lostWorkers.has(id) ? undefined : this.#workers.find((each) => each.id === id);
+  }
+
+  #execute(owner: Owner, effect: Effect): void {
+    const now = this.#world.clock.now();
+    switch (effect.effect) {
+      case 'start': {
+        const { request, index, taskId } = effect.start.assignment;
+        const worker = this.#findWorker(effect.worker);
+        const response =
+          worker === undefined
+            ? createFailure('timeout', 'no answer')
+            : worker.start(now, effect.start);
+        owner.shard.applyStartResponse(request.id, index, taskId, response);
+        break;
+      }
+      case 'command':
+        this.#findWorker(effect.worker)?.command(effect.command);
+        break;
+      case 'poll':
+        owner.polled.add(effect.worker);
+        break;
+      case 'commit':
+        void this.#commit(owner, effect);
+        break;
+      case 'standDown':
+        void this.#keeper.release();
+        if (this.#owner === owner) this.#endOwner();
+        break;
+      case 'changed':
+      case 'interrupt':
+        break;
+    }
+  }
+
+  async #commit(
+    owner: Owner,
+    { ticket, entry }: Extract<Effect, { effect: 'commit' }>,
+  ): Promise<void> {
+    const result = await owner.journal.append(entry);
+    if (this.#owner !== owner) return;
+    if (result.isErr() && result.error.kind === 'storeConflict') {
+      void this.#keeper.release();
+      this.#endOwner();
+      return;
+    }
+    owner.shard.confirmCommit(ticket, result.isErr() ? result.error : undefined);
+    this.pump();
+  }
+}
--- a/packages/core/__tests__/StoreModel.ts
+++ b/packages/core/__tests__/StoreModel.ts
@@ -13,6 +13,7 @@
   readonly #values = new Map<string, { value?: string; version: number; lease?: string }>();
   readonly #leases = new Map<string, number>();
   #late: (() => void)[] = [];
+  #granted = 0;
 
   public constructor(clock: Clock) {
     super();
@@ -68,7 +69,8 @@
   }
 
   public override grantLease(ttlMs: number): Promise<Result<StoreLease, Failure>> {
-    const lease = `lease-${this.#leases.size}`;
+    this.#granted += 1;
+    const lease = `lease-${this.#granted}`;
     this.#leases.set(lease, this.#clock.now() + ttlMs);
     return Promise.resolve(this.#check().map(() => ({ lease, ttlMs })));
   }
