--- a/packages/scheduler/src/ShardCandidate.ts
+++ b/packages/scheduler/src/ShardCandidate.ts
@@ -2,6 +2,7 @@
 import type { ProcessRuntime } from '@toucanline/runtime';
 import type { Claim, Failure, HandoverCall, HostRecord } from '@toucanline/schema';
 import type { Link } from '@toucanline/wire';
+import { ClaimTiming } from './ClaimTiming.js';
 import { HandoverSender } from './HandoverSender.js';
 import type { OwnershipBasis } from './OwnershipBasis.js';
 import { RequestRelay } from './RequestRelay.js';
@@ -11,39 +12,15 @@
 import { surveyEpochs } from './surveyEpochs.js';
 import { Waker } from './Waker.js';
 
-const pollMs = 1000;
-/**
- * While the owner gives signs of life, a candidate asks the store only this often: with many schedulers
- * and shards these reads would be most of the store's load. Two missing heartbeats end the rest, before
- * the claim of a dead owner expires.
- */
-const restMs = 4000;
-const ownerSilenceMs = 2000;
-/**
- * How long a claim that expired is left to an owner that gives signs of life, and how often it is looked at
- * meanwhile. The owner may have been without the store, like this process; it tries to claim its shard again
- * after 1.3 s at the latest, and only it knows the results that the journal missed.
- */
-const renewalGraceMs = 1500;
-const vacancyPollMs = 250;
 /** How long an owner whose store lease expired tries to claim its shard again with its state, and how often. */
 const resumeMs = 3000;
 const resumePollMs = 100;
-/** Interval of attempts while the owner hands the shard over, and how long they go on. */
-const handoverPollMs = 20;
-const handoverWaitMs = 3000;
 /**
  * Time in which a process that reaches the store claims a shard whose owner held a confirmed claim when it stopped:
  * the lease of the claim, in case its release was lost, and two attempts.
  */
 const releasedMs = 5000;
-/** Silence of an owner after which a candidate may act without the store. */
-const silenceMs = 4000;
-/**
- * Time without a majority of worker leases after which a provisional ownership is given up. For as long, a
- * candidate leaves the attempt to the one with the first name: candidates that try at the same time split
- * the workers, and each makes the others stand down by a higher epoch.
- */
+/** Time without a majority of worker leases after which a provisional ownership is given up. */
 const noMajorityMs = 20_000;
 const provisionalPollMs = 500;
 
@@ -74,13 +51,10 @@
   readonly #inbox: SnapshotInbox;
   readonly #sender: HandoverSender;
   readonly #contact: StoreContact;
+  readonly #timing: ClaimTiming;
   readonly #relay: RequestRelay;
   #host: ShardHost | undefined;
   #wanted = true;
-  /** Local monotonic time when a peer handed the whole state over, in milliseconds. */
-  #handedAt = -Infinity;
-  /** Local monotonic time until which a peer may take over what was handed to it, in milliseconds. */
-  #yieldUntil = 0;
   /** Highest epoch that any message named. */
   #highestEpoch = 0;
 
@@ -93,18 +67,18 @@
     this.#parts = parts;
     this.#shard = shard;
     this.#address = address;
-    const { runtime } = parts;
-    this.#keeper = new ClaimKeeper(runtime, shard, runtime.settings.process, address);
-    this.#waker = new Waker(runtime.clock);
-    this.#inbox = new SnapshotInbox(runtime.clock);
+    const { runtime, router, listPeers } = parts;
+    const { clock, random, settings } = runtime;
+    const { process } = settings;
+    this.#keeper = new ClaimKeeper(runtime, shard, process, address);
+    this.#waker = new Waker(clock);
+    this.#inbox = new SnapshotInbox(clock);
     this.#sender = new HandoverSender(runtime, () => this.#keeper.standing === 'confirmed');
-    this.#contact = new StoreContact(runtime.clock);
+    this.#contact = new StoreContact(clock);
+    const shared = { clock, router, shard, process, listPeers };
+    this.#timing = new ClaimTiming({ ...shared, random, contact: this.#contact });
     this.#relay = new RequestRelay({
-      clock: runtime.clock,
-      router: parts.router,
-      shard,
-      process: runtime.settings.process,
-      listPeers: parts.listPeers,
+      ...shared,
       readHost: () => this.#host,
       isWanted: () => this.#wanted,
     });
@@ -117,18 +91,17 @@
 
   /** Claims the shard again and again until the candidate is stopped. */
   public async run(): Promise<void> {
-    const { clock } = this.#parts.runtime;
     while (this.#wanted) {
       const policy = this.#parts.readPolicy();
-      if (this.#mayRest || clock.now() < this.#yieldUntil) {
-        await this.#waker.sleep(this.#drawPollMs());
+      if (this.#timing.mayRest) {
+        await this.#waker.sleep(this.#timing.choosePauseMs());
         continue;
       }
       const mayClaim = policy !== undefined && !this.#parts.mustYield();
       const claim = mayClaim ? await this.#acquire() : undefined;
       if (policy !== undefined && claim !== undefined) await this.#serve(claim, policy);
       else if (mayClaim) await this.#tryWithoutStore(policy);
-      await this.#waker.sleep(this.#choosePauseMs());
+      await this.#waker.sleep(this.#timing.choosePauseMs());
     }
   }
 
@@ -141,7 +114,7 @@
   public acceptHandover(call: HandoverCall): boolean {
     if (!this.#wanted || this.#host !== undefined) return false;
     if (this.#inbox.add(call)) {
-      this.#handedAt = this.#parts.runtime.clock.now();
+      this.#timing.noteHanded();
       this.#waker.wake();
     }
     return true;
@@ -154,14 +127,13 @@
    * @param peer - link to the peer
    */
   public async handTo(peer: Link): Promise<void> {
-    const { clock } = this.#parts.runtime;
     const host = this.#host;
     if (host === undefined || !this.#mayHandOver(host)) return;
     const isReady = await this.#sender.checkReady(peer);
     if (!isReady || this.#host !== host || !this.#mayHandOver(host)) return;
     const isTaken = await this.#sender.send(host, [peer]);
     if (this.#host !== host) return;
-    if (isTaken) this.#yieldUntil = clock.now() + handoverWaitMs;
+    if (isTaken) this.#timing.noteGiven();
     this.#endHost();
     await this.#keeper.release();
   }
@@ -182,36 +154,6 @@
     this.#waker.wake();
   }
 
-  #drawPollMs(): number {
-    return pollMs * (0.5 + this.#parts.runtime.random.next() / 2);
-  }
-
-  #choosePauseMs(): number {
-    if (this.#expectsClaim) return handoverPollMs;
-    const isReserved = this.#contact.vacantMs !== undefined && this.#hasLivePeer;
-    return isReserved ? vacancyPollMs : this.#drawPollMs();
-  }
-
-  /** Whether the former owner is about to release its claim for this process. */
-  get #expectsClaim(): boolean {
-    return this.#parts.runtime.clock.now() - this.#handedAt < handoverWaitMs;
-  }
-
-  /** Whether a peer owns the shard for all that is known, by the store and by its signs of life. */
-  get #mayRest(): boolean {
-    if (this.#expectsClaim || this.#contact.vacantMs !== undefined) return false;
-    return (
-      this.#contact.isRecent(restMs) && this.#parts.router.hasOwner(this.#shard, ownerSilenceMs)
-    );
-  }
-
-  /** Whether another process owns the shard by its own signs of life. */
-  get #hasLivePeer(): boolean {
-    const { router, runtime } = this.#parts;
-    const isOwn = router.findLoad(this.#shard)?.owner === runtime.settings.process;
-    return !isOwn && router.hasOwner(this.#shard, ownerSilenceMs);
-  }
-
   /** A method, because the compiler would take a field as unchanged over an await. */
   #isWanted(): boolean {
     return this.#wanted;
@@ -224,8 +166,7 @@
 
   async #acquire(): Promise<Claim | undefined> {
     this.#noteEpoch(this.#parts.router.findLoad(this.#shard)?.epoch ?? 0);
-    const isReserved = this.#hasLivePeer && (this.#contact.vacantMs ?? 0) < renewalGraceMs;
-    const claim = await this.#keeper.acquire(this.#highestEpoch, isReserved);
+    const claim = await this.#keeper.acquire(this.#highestEpoch, this.#timing.isReserved);
     const isRefused = claim.isErr() && claim.error.kind === 'notOwner';
     const isVacant = isRefused && this.#keeper.holder === undefined;
     this.#contact.note(claim.isOk() || isRefused, isVacant);
@@ -296,35 +237,21 @@
     this.#inbox.add({ call: 'handover', last: true, claimed: true, snapshot });
   }
 
-  /** Whether no scheduler of the data centre that this process has a link to comes before it by name. */
-  get #isFirstCandidate(): boolean {
-    const { process } = this.#parts.runtime.settings;
-    return this.#parts.listPeers().every((link) => process < (link.peer?.process ?? ''));
-  }
-
-  #seesOwner(): boolean {
-    const { router, runtime } = this.#parts;
-    const load = router.findLoad(this.#shard, silenceMs);
-    return load !== undefined && load.owner !== runtime.settings.process;
-  }
-
   /** Owns the shard without the store, if its owner handed it over or is silent like the store. */
   async #tryWithoutStore(policy: Policy): Promise<void> {
     if (!this.#isWanted() || !this.#parts.gateway.fences || this.#contact.isAnswering) return;
     const handed = this.#inbox.complete;
     // Nobody acted after the former owner, and the workers refuse this epoch if somebody did.
     if (handed !== undefined && handed.epoch >= this.#highestEpoch) {
-      const waitedMs = this.#parts.runtime.clock.now() - this.#handedAt;
-      if (handed.claimed && waitedMs < releasedMs) return;
+      if (handed.claimed && this.#timing.handedMs < releasedMs) return;
       await this.#serveWithoutStore(handed.epoch + 1, policy, handed.owner);
       return;
     }
-    const waitMs = this.#isFirstCandidate ? 0 : noMajorityMs;
-    if (!this.#contact.isDown(waitMs) || this.#seesOwner()) return;
+    if (!this.#timing.mayTryWithoutStore) return;
     const { runtime, gateway, readWorkers } = this.#parts;
     const { process } = runtime.settings;
     const surveyed = await surveyEpochs(gateway, this.#shard, process, readWorkers() ?? []);
-    if (surveyed === undefined || !this.#isWanted() || this.#seesOwner()) return;
+    if (surveyed === undefined || !this.#isWanted() || this.#timing.seesOwner) return;
     this.#noteEpoch(surveyed);
     await this.#serveWithoutStore(this.#highestEpoch + 1, policy);
   }
@@ -347,7 +274,7 @@
     while (this.#isWanted() && host.isActive) {
       await runtime.clock.sleep(provisionalPollMs);
       if (host.shard.holdsMajority) lastMajorityAt = runtime.clock.now();
-      else if (runtime.clock.now() - lastMajorityAt > noMajorityMs || this.#seesOwner()) break;
+      else if (runtime.clock.now() - lastMajorityAt > noMajorityMs || this.#timing.seesOwner) break;
       const stored = await this.#acquire();
       if (stored === undefined) {
         const isHeld = this.#contact.isAnswering && this.#keeper.holder !== giver;
