--- a/packages/scheduler/__tests__/ShardHost.test.ts
+++ b/packages/scheduler/__tests__/ShardHost.test.ts
@@ -210,7 +210,9 @@
     const requests = [...former.shard.describeFinished()];
     const empty = { drained: [], allotments: {}, reports: [] };
     const part = { shard, epoch: epoch - 1, owner, requests, ...empty };
-    expect(inbox.add({ call: 'handover', last: false, claimed: true, snapshot: part })).to.equal(false);
+    expect(inbox.add({ call: 'handover', last: false, claimed: true, snapshot: part })).to.equal(
+      false,
+    );
     const sent = new Set(requests.map((held) => held.request.id));
     const rest = await former.freeze(sent);
     expect(rest.requests.map((held) => held.request.id)).to.deep.equal([request.id]);
