Find the owner of a shard in one place of the testkit

Cause: eleven test files and a benchmark each had their own way from the store's record to the scheduler process. Change: Site.readOwner, findOwner and waitForOwner. Bounds of waits and assertions stay as they were.

--- a/packages-private/bench/src/HandoverBenchmark.ts
+++ b/packages-private/bench/src/HandoverBenchmark.ts
@@ -1,4 +1,4 @@
-import { Caller, createDocument, Site, sleep, waitUntil } from '@toucanline/testkit';
+import { Caller, createDocument, Site, sleep } from '@toucanline/testkit';
 import { build } from 'hdr-histogram-js';
 import { Benchmark } from './Benchmark.js';
 
@@ -63,10 +63,7 @@
 
   /** Stops the owner gracefully, measures the gap and starts a scheduler in its place. */
   async #handOver(site: Site, index: number): Promise<number> {
-    const readOwner = (): string => site.store.peek('owners/s1').value?.split(' ')[0] ?? '';
-    await waitUntil(() => readOwner() !== '', 10_000, 'the shard has an owner');
-    const owner = site.schedulers.find(({ settings }) => settings.process === readOwner());
-    if (owner === undefined) throw new Error('the owner is not a scheduler of the site');
+    const owner = await site.waitForOwner(10_000);
     const from = performance.now();
     owner.signal('SIGTERM');
     await owner.exit;
--- a/packages-private/testkit/__tests__/balance.test.ts
+++ b/packages-private/testkit/__tests__/balance.test.ts
@@ -82,9 +82,7 @@
   it('spreads the shards of a killed scheduler over the survivors', async () => {
     await (await site.addScheduler('dc1', 's2-dc1')).waitUntilHealthy();
     await waitForCounts([2, 1, 1], 30_000);
-    const owner = site.store.peek('owners/s4').value?.split(' ')[0];
-    const killed = site.schedulers.find(({ settings }) => settings.process === owner);
-    killed?.signal('SIGKILL');
+    site.findOwner('s4')?.signal('SIGKILL');
     await waitForCounts([2, 2], 30_000);
   });
 
--- a/packages-private/testkit/__tests__/drainFailover.test.ts
+++ b/packages-private/testkit/__tests__/drainFailover.test.ts
@@ -31,15 +31,14 @@
     if (worker === undefined) throw new Error(`the site has no worker ${index}`);
     return worker;
   };
-  const readOwner = (): string => site.store.peek('owners/s1').value?.split(' ')[0] ?? '';
   const findOwner = (): DaemonProcess => {
-    const owner = site.schedulers.find(({ settings }) => settings.process === readOwner());
+    const owner = site.findOwner();
     if (owner === undefined) throw new Error('no owner');
     return owner;
   };
   const waitForOther = (former: DaemonProcess): Promise<void> =>
     waitUntil(
-      () => !['', former.settings.process].includes(readOwner()),
+      () => !['', former.settings.process].includes(site.readOwner()),
       15_000,
       'a peer owns the shard',
     );
--- a/packages-private/testkit/__tests__/durability.test.ts
+++ b/packages-private/testkit/__tests__/durability.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { Caller, exampleDocument, Site, sleep, type DaemonProcess } from '../src/index.js';
+import { Caller, exampleDocument, Site, sleep } from '../src/index.js';
 
 const size = { processors: 16, memoryMb: 512, accelerators: 0 };
 const long = { size, command: 'sleep 5000', deadlineSeconds: 60 };
@@ -15,10 +15,6 @@
   });
   const create = (index: number): Caller =>
     new Caller(() => site.entries[index]?.url ?? '', 'key-broadcast');
-  const owner = (): DaemonProcess | undefined => {
-    const name = site.store.peek('owners/s1').value?.split(' ')[0];
-    return site.schedulers.find(({ settings }) => settings.process === name);
-  };
 
   before(() => site.start());
   after(() => site.stop());
@@ -50,7 +46,7 @@
 
   it('does not say that a request did not run because another owner wrote the journal', async () => {
     // Guards against a refusal by a superseded owner of a request that the next owner gets and runs.
-    const former = owner()?.settings.process;
+    const former = site.findOwner()?.settings.process;
     const { segments } = JSON.parse(site.store.peek('journals/s1').value ?? '{}') as {
       readonly segments: readonly number[];
     };
@@ -73,7 +69,7 @@
     expect(status).to.equal(202);
     expect(view).to.include({ state: 'waiting', durable: true });
     site.entries[0]?.signal('SIGKILL');
-    owner()?.signal('SIGKILL');
+    site.findOwner()?.signal('SIGKILL');
     let last = await create(1).wait(view.id, 20);
     if (last.status === 202) last = await create(1).wait(view.id, 20);
     expect(last.view.output).to.deep.equal(['kept']);
@@ -127,7 +123,7 @@
     const holder = worker?.running === 1 ? worker : other;
     site.hosts.remove(holder.options.id);
     await sleep(1500);
-    owner()?.signal('SIGKILL');
+    site.findOwner()?.signal('SIGKILL');
     await (await site.addScheduler('dc1', 'next-dc1')).waitUntilHealthy();
     const { view } = await answer;
     expect(view.output).to.deep.equal(['once']);
@@ -141,7 +137,7 @@
     await entry.waitUntilHealthy();
     const busy = { size, command: 'sleep 30000', deadlineSeconds: 60 };
     for (const _ of site.workers) await create(1).submit('renders', busy, { wait: 0 });
-    const former = owner();
+    const former = site.findOwner();
     site.store.setFault('down');
     const { view } = await new Caller(() => entry.url, 'key-broadcast').submit('renders', long, {
       wait: 0,
--- a/packages-private/testkit/__tests__/fencing.test.ts
+++ b/packages-private/testkit/__tests__/fencing.test.ts
@@ -26,7 +26,6 @@
     },
   });
   const caller = new Caller(() => site.entries[0]?.url ?? '', 'key-broadcast');
-  const readOwner = (): string => site.store.peek('owners/s1').value?.split(' ')[0] ?? '';
 
   before(() => site.start());
   after(async () => {
@@ -41,10 +40,14 @@
     load.add('render', caller, 'renders', 40, 200);
     load.add('roster', caller, 'rosters', 20, 200);
     await sleep(1000);
-    const former = readOwner();
-    const owner = site.schedulers.find(({ settings }) => settings.process === former);
+    const former = site.readOwner();
+    const owner = site.findOwner();
     stores.get(former)?.setFault('cut');
-    await waitUntil(() => !['', former].includes(readOwner()), 10_000, 'a peer claims the shard');
+    await waitUntil(
+      () => !['', former].includes(site.readOwner()),
+      10_000,
+      'a peer claims the shard',
+    );
     await waitUntil(
       () => owner?.log.some((line) => line.includes('claimLost')) === true,
       3000,
--- a/packages-private/testkit/__tests__/outage.test.ts
+++ b/packages-private/testkit/__tests__/outage.test.ts
@@ -16,7 +16,6 @@
   });
   const create = (index: number): Caller =>
     new Caller(() => site.entries[index]?.url ?? '', 'key-broadcast');
-  const readOwner = (): string => site.store.peek('owners/s1').value?.split(' ')[0] ?? '';
 
   before(() => site.start());
   after(() => site.stop());
@@ -26,7 +25,7 @@
     // peer that takes the shard from it at that moment: the results were readable by id until then.
     const ids: string[] = [];
     for (let round = 0; round < 3; round += 1) {
-      const owner = readOwner();
+      const owner = site.readOwner();
       site.store.setFault('down');
       await sleep(outageMs);
       const sent = ['renders', 'rosters'].map((queue) =>
@@ -37,8 +36,8 @@
         ids.push(view.id);
       }
       site.store.setFault('none');
-      await waitUntil(() => readOwner() !== '', 10_000, 'the shard is claimed again');
-      expect(readOwner()).to.equal(owner);
+      await waitUntil(() => site.readOwner() !== '', 10_000, 'the shard is claimed again');
+      expect(site.readOwner()).to.equal(owner);
       for (const id of ids) {
         const { view } = await create(1).wait(id, 10);
         expect([view.state, view.output]).to.deep.equal(['succeeded', ['kept']]);
--- a/packages-private/testkit/__tests__/outageShutdown.test.ts
+++ b/packages-private/testkit/__tests__/outageShutdown.test.ts
@@ -33,13 +33,6 @@
   const caller = new Caller(chooseUrl, 'key-broadcast');
   const capped = new Caller(chooseUrl, 'key-capped');
   const starts: number[] = [];
-  const readOwner = (): string => site.store.peek('owners/s1').value?.split(' ')[0] ?? '';
-  const findOwner = async (): Promise<DaemonProcess> => {
-    const find = (): DaemonProcess | undefined =>
-      site.schedulers.find(({ settings }) => settings.process === readOwner());
-    await waitUntil(() => find() !== undefined, 15_000, 'the shard has an owner');
-    return find() ?? Promise.reject(new Error('no owner'));
-  };
   const startLoad = (): SteadyLoad => {
     const load = new SteadyLoad(site);
     load.add('render', caller, 'renders', 8);
@@ -74,7 +67,7 @@
     outageMs: number,
     load: SteadyLoad,
   ): Promise<number> => {
-    const owner = await findOwner();
+    const owner = await site.waitForOwner(15_000);
     site.store.setFault(fault);
     await sleep(outageMs);
     const stoppedAt = performance.now();
@@ -117,7 +110,7 @@
     const ended = await caller.wait(detached, 10);
     expect(ended.view.output, JSON.stringify(ended.view)).to.deep.equal(['kept']);
     site.store.setFault('none');
-    await waitUntil(() => readOwner() !== '', 10_000, 'the shard is claimed in the store');
+    await waitUntil(() => site.readOwner() !== '', 10_000, 'the shard is claimed in the store');
     await waitForAnswers(load);
     await endLoad(load);
     expect((await caller.wait(detached, 10)).view.output).to.deep.equal(['kept']);
@@ -130,7 +123,7 @@
     const gapMs = await stopOwner('hang', 500, load);
     expect(gapMs).to.be.lessThan(10_000);
     site.store.setFault('none');
-    await waitUntil(() => readOwner() !== '', 10_000, 'the shard is claimed in the store');
+    await waitUntil(() => site.readOwner() !== '', 10_000, 'the shard is claimed in the store');
     await waitForAnswers(load);
     await endLoad(load);
   });
--- a/packages-private/testkit/__tests__/ownerLoss.test.ts
+++ b/packages-private/testkit/__tests__/ownerLoss.test.ts
@@ -26,7 +26,6 @@
   });
   const caller = new Caller(() => site.entries[0]?.url ?? '', 'key-broadcast');
 
-  const readOwner = (): string => site.store.peek('owners/s1').value?.split(' ')[0] ?? '';
   const readEvents = async (process: string): Promise<readonly Event[]> => {
     const { view } = await caller.send('GET', '/v1/events', undefined, site.operatorHeaders);
     const { events } = view as unknown as { readonly events: readonly Event[] };
@@ -35,13 +34,13 @@
   /** Kills the owner of the shard and waits for the next one. */
   const killOwner = async (): Promise<string> => {
     // On a busy machine the lease of an owner may lapse, and then there is none for a moment.
-    await waitUntil(() => readOwner() !== '', failoverMs, 'the shard has an owner');
-    const killed = readOwner();
-    const daemon = site.schedulers.find(({ settings }) => settings.process === killed);
+    await waitUntil(() => site.readOwner() !== '', failoverMs, 'the shard has an owner');
+    const killed = site.readOwner();
+    const daemon = site.findOwner();
     daemon?.signal('SIGKILL');
     await daemon?.exit;
     site.hosts.remove(killed);
-    const isReplaced = (): boolean => ![killed, ''].includes(readOwner());
+    const isReplaced = (): boolean => ![killed, ''].includes(site.readOwner());
     await waitUntil(isReplaced, failoverMs, 'the shard has another owner');
     return killed;
   };
@@ -90,7 +89,7 @@
       return workers.flatMap(({ quarantined, worker }) => (quarantined ? [worker] : []));
     };
     const isQuarantined = async (): Promise<boolean> =>
-      (await listQuarantined(readOwner())).join() === broken?.options.id;
+      (await listQuarantined(site.readOwner())).join() === broken?.options.id;
     broken?.setFailsAll(true);
     let next = 0;
     let isFound = false;
--- a/packages-private/testkit/__tests__/ownership.test.ts
+++ b/packages-private/testkit/__tests__/ownership.test.ts
@@ -24,17 +24,6 @@
   const starts: number[] = [];
   let added = 0;
 
-  const readOwnerName = (): string => site.store.peek('owners/s1').value?.split(' ')[0] ?? '';
-
-  const findOwner = async (): Promise<DaemonProcess> => {
-    const find = (): DaemonProcess | undefined =>
-      site.schedulers.find(({ settings }) => settings.process === readOwnerName());
-    await waitUntil(() => find() !== undefined, failoverMs, 'the shard has an owner');
-    const owner = find();
-    if (owner === undefined) throw new Error('no owner');
-    return owner;
-  };
-
   /** Replaces a scheduler that ended, so that each test begins with three. */
   const replace = async (ended: DaemonProcess): Promise<void> => {
     await ended.exit;
@@ -92,7 +81,7 @@
   });
 
   it('hands the shard over on SIGTERM without cutting a caller off', async () => {
-    const owner = await findOwner();
+    const owner = await site.waitForOwner(failoverMs);
     const load = createLoad();
     const roster = submit('rosters', 'sleep 1500; echo roster');
     await sleep(700);
@@ -113,7 +102,7 @@
   });
 
   it('goes on within 10 s after kill -9 of the owner and adopts what runs', async () => {
-    const owner = await findOwner();
+    const owner = await site.waitForOwner(failoverMs);
     const answers = [
       submit('rosters', 'sleep 7000; echo roster'),
       submit('renders', 'sleep 7000; echo render'),
@@ -144,12 +133,12 @@
   });
 
   it('stops an owner that was paused past its lease as soon as it wakes', async () => {
-    const owner = await findOwner();
+    const owner = await site.waitForOwner(failoverMs);
     const roster = submit('rosters', 'sleep 6000; echo roster');
     await waitUntil(() => site.ledger.running.length === 1, 5000, 'the task runs');
     owner.signal('SIGSTOP');
     await waitUntil(
-      () => readOwnerName() !== '' && readOwnerName() !== owner.settings.process,
+      () => site.readOwner() !== '' && site.readOwner() !== owner.settings.process,
       failoverMs,
       'a peer owns the shard',
     );
@@ -169,7 +158,7 @@
   });
 
   it('never calls a request not run whose commit has an unknown result', async () => {
-    const owner = await findOwner();
+    const owner = await site.waitForOwner(failoverMs);
     site.store.setFault('loseAnswers');
     const answers = Array.from({ length: 5 }, (_, index) =>
       caller.submit('rosters', { size, command: `echo ${index}`, detached: 'yes' }),
@@ -182,11 +171,11 @@
       expect((await caller.wait(view.id, 10)).view.state).to.equal('succeeded');
       expect(site.ledger.countStarts(view.id)).to.equal(1);
     }
-    expect((await findOwner()).settings.process).to.equal(owner.settings.process);
+    expect((await site.waitForOwner(failoverMs)).settings.process).to.equal(owner.settings.process);
   });
 
   it('starts new work while the store is down and the owner lives', async () => {
-    const owner = await findOwner();
+    const owner = await site.waitForOwner(failoverMs);
     site.store.setFault('down');
     await sleep(5000);
     expect((await submit('renders', 'echo alone')).view.output).to.deep.equal(['alone']);
@@ -202,7 +191,7 @@
   });
 
   it('fails over while the store is down, by the leases of the workers', async () => {
-    const owner = await findOwner();
+    const owner = await site.waitForOwner(failoverMs);
     const roster = submit('rosters', 'sleep 1000; echo roster');
     await waitUntil(() => site.ledger.running.length === 1, 5000, 'the task runs');
     site.store.setFault('down');
@@ -224,7 +213,7 @@
     expect((await caller.wait(id, 20)).view.output).to.deep.equal(['roster']);
     expect(site.ledger.countStarts(id)).to.equal(1);
     site.store.setFault('none');
-    await waitUntil(() => readOwnerName() !== '', failoverMs, 'the shard is claimed in the store');
+    await waitUntil(() => site.readOwner() !== '', failoverMs, 'the shard is claimed in the store');
     expect((await submit('renders', 'echo stored')).view.output).to.deep.equal(['stored']);
     const claims = site.schedulers
       .flatMap(({ log }) => log)
--- a/packages-private/testkit/__tests__/pairs.test.ts
+++ b/packages-private/testkit/__tests__/pairs.test.ts
@@ -30,16 +30,9 @@
     return balanced[turn % balanced.length]?.url ?? '';
   };
   const caller = new Caller(chooseUrl, 'key-broadcast');
-  const readOwner = (): string => site.store.peek('owners/s1').value?.split(' ')[0] ?? '';
-  const findOwner = async (): Promise<DaemonProcess> => {
-    const find = (): DaemonProcess | undefined =>
-      site.schedulers.find(({ settings }) => settings.process === readOwner());
-    await waitUntil(() => find() !== undefined, 20_000, 'the shard has an owner');
-    return find() ?? Promise.reject(new Error('no owner'));
-  };
   const waitForOther = (former: DaemonProcess): Promise<void> =>
     waitUntil(
-      () => !['', former.settings.process].includes(readOwner()),
+      () => !['', former.settings.process].includes(site.readOwner()),
       20_000,
       'a peer owns the shard',
     );
@@ -83,7 +76,7 @@
     // Guards against a takeover that outlasts its own lease, and a paused owner that acts on old reads.
     const load = startLoad();
     site.store.setFault('none', 400);
-    const owner = await findOwner();
+    const owner = await site.waitForOwner(20_000);
     owner.signal('SIGSTOP');
     await waitForOther(owner);
     await waitForAnswers(load);
@@ -97,7 +90,7 @@
     // Guards against a claim or an epoch that was written but is taken for not written, and against a new
     // owner and entries that still accept a key which was withdrawn while the shard had no owner.
     const load = startLoad();
-    const owner = await findOwner();
+    const owner = await site.waitForOwner(20_000);
     const leaver = new Caller(chooseUrl, 'key-leaver');
     site.store.setFault('loseAnswers');
     owner.signal('SIGKILL');
@@ -142,7 +135,7 @@
 
   it('keeps journaled work and adopts what runs when an entry and the owner are killed', async () => {
     // Guards against work that only the two killed processes knew.
-    const owner = await findOwner();
+    const owner = await site.waitForOwner(20_000);
     const entry = balanced.shift();
     const killed = new Caller(() => entry?.url ?? '', 'key-broadcast');
     const command = 'sleep 4000; echo done';
@@ -166,7 +159,7 @@
 
   it('does not repeat work that may run once when its worker restarts and its owner is killed', async () => {
     // Guards against taking the silence of restarted workers for proof that the work did not start.
-    const owner = await findOwner();
+    const owner = await site.waitForOwner(20_000);
     const specification = { size, command: 'sleep 60000', detached: 'yes' } as const;
     const { id } = (await caller.submit('rosters', specification)).view;
     await waitUntil(() => site.ledger.countStarts(id) === 1, 5000, 'the task runs');
--- a/packages-private/testkit/__tests__/partition.test.ts
+++ b/packages-private/testkit/__tests__/partition.test.ts
@@ -163,9 +163,8 @@
   it('serves on after its owner is killed during a cut that drops all bytes', async function () {
     this.timeout(150_000);
     // Guards against a pair of faults: no store, no other data centre, and a new owner in the cut-off one.
-    const readOwner = (): string => site.store.peek('owners/s2').value?.split(' ')[0] ?? '';
-    await waitUntil(() => readOwner() !== '', 5000, 'the shard of dc2 is claimed');
-    const owner = site.schedulers.find(({ settings }) => settings.process === readOwner());
+    await waitUntil(() => site.readOwner('s2') !== '', 5000, 'the shard of dc2 is claimed');
+    const owner = site.findOwner('s2');
     partition.cutOff('dc2', 'blackhole');
     await sleep(1500);
     owner?.signal('SIGKILL');
--- a/packages-private/testkit/__tests__/slowFailover.test.ts
+++ b/packages-private/testkit/__tests__/slowFailover.test.ts
@@ -1,12 +1,5 @@
 import { expect } from 'chai';
-import {
-  Caller,
-  createDocument,
-  Site,
-  SteadyLoad,
-  waitUntil,
-  type DaemonProcess,
-} from '../src/index.js';
+import { Caller, createDocument, Site, SteadyLoad, waitUntil } from '../src/index.js';
 
 describe('a shard owner that is killed while the store is slow', () => {
   const site = new Site({
@@ -18,10 +11,6 @@
     teams: ['broadcast'],
   });
   const caller = new Caller(() => site.entries[0]?.url ?? '', 'key-broadcast');
-  const findOwner = (): DaemonProcess | undefined => {
-    const holder = site.store.peek('owners/s1').value?.split(' ')[0];
-    return site.schedulers.find(({ settings }) => settings.process === holder);
-  };
 
   before(() => site.start());
   after(() => site.stop());
@@ -34,13 +23,13 @@
     const load = new SteadyLoad(site);
     load.add('render', caller, 'renders', 6);
     load.add('roster', caller, 'rosters', 3);
-    const owner = findOwner();
+    const owner = site.findOwner();
     await waitUntil(() => load.countAnswers('render') >= 20, 10_000, 'the load runs');
     site.store.setFault('none', 800);
     owner?.signal('SIGKILL');
     const killedAt = performance.now();
     const isTaken = (): boolean => {
-      const current = findOwner();
+      const current = site.findOwner();
       return current !== undefined && current !== owner;
     };
     await waitUntil(isTaken, 20_000, 'a peer owns the shard');
--- a/packages-private/testkit/src/Site.ts
+++ b/packages-private/testkit/src/Site.ts
@@ -7,6 +7,7 @@
 import type { Partition } from './Partition.js';
 import { sleep } from './sleep.js';
 import { StoreFake } from './StoreFake.js';
+import { waitUntil } from './waitUntil.js';
 import { WorkerFake } from './WorkerFake.js';
 
 const environment = 'test';
@@ -252,6 +253,41 @@
     throw new Error('a shard has no owner');
   }
 
+  /**
+   * Reads who holds the claim on a shard.
+   *
+   * @param shard - name of the shard
+   * @returns name of the process; empty if nobody does
+   */
+  public readOwner(shard = 's1'): string {
+    return this.store.peek(`owners/${shard}`).value?.split(' ')[0] ?? '';
+  }
+
+  /**
+   * Finds the scheduler that holds the claim on a shard.
+   *
+   * @param shard - name of the shard
+   * @returns the process, if it is one of this site
+   */
+  public findOwner(shard = 's1'): DaemonProcess | undefined {
+    const owner = this.readOwner(shard);
+    return this.#schedulers.find(({ settings }) => settings.process === owner);
+  }
+
+  /**
+   * Waits until a scheduler holds the claim on a shard.
+   *
+   * @param timeoutMs - longest wait in milliseconds
+   * @param shard - name of the shard
+   * @returns the process
+   * @throws Error if none does when the time is over
+   */
+  public async waitForOwner(timeoutMs: number, shard = 's1'): Promise<DaemonProcess> {
+    const what = `${shard} has an owner`;
+    await waitUntil(() => this.findOwner(shard) !== undefined, timeoutMs, what);
+    return this.findOwner(shard) ?? Promise.reject(new Error(`not lasting: ${what}`));
+  }
+
   /**
    * Reads the status of the site from an entry.
    *
