--- a/packages/core/src/OutgrownTasks.ts
+++ b/packages/core/src/OutgrownTasks.ts
@@ -66,7 +66,7 @@
       this.#actedAt.set(worker, now);
       for (const task of fresh) {
         this.#throttled.add(task);
-        this.#lifecycle.sendCommand(worker, task.id, 'throttle');
+        this.#lifecycle.commands.send(worker, task.id, 'throttle');
       }
       return;
     }
--- a/packages/core/src/RequestLifecycle.ts
+++ b/packages/core/src/RequestLifecycle.ts
@@ -1,11 +1,4 @@
-import type {
-  Failure,
-  Request,
-  RequestState,
-  RequestView,
-  TaskCommand,
-  TaskDelta,
-} from '@toucanline/schema';
+import type { Failure, Request, RequestState, RequestView, TaskDelta } from '@toucanline/schema';
 import { createFailure } from './createFailure.js';
 import { EndWriter } from './EndWriter.js';
 import type { Fleet } from './Fleet.js';
@@ -16,9 +9,9 @@
 import type { RequestTable } from './RequestTable.js';
 import type { ShardContext } from './ShardContext.js';
 import type { StopPlan } from './StopPlan.js';
+import { TaskCommands } from './TaskCommands.js';
 import type { TaskRecord } from './TaskRecord.js';
 import type { WaitingQueue } from './WaitingQueue.js';
-import type { WorkerRecord } from './WorkerRecord.js';
 
 /** Parts of the shard that the lifecycle reads and changes. */
 interface LifecycleParts {
@@ -31,6 +24,8 @@
 
 /** Moves requests between their states: retries, ends, cancellations, deadlines. */
 export class RequestLifecycle {
+  /** Commands for the tasks of requests. */
+  public readonly commands: TaskCommands;
   readonly #context: ShardContext;
   readonly #parts: LifecycleParts;
   /** Requests that a worker reported first. */
@@ -39,8 +34,6 @@
   readonly #unclaimed = new Set<RequestRecord>();
   /** Unclaimed requests that would have to start again. */
   readonly #parked = new Set<RequestRecord>();
-  /** Tasks that shall stop, with the local monotonic time of the last command. */
-  readonly #stopping = new Map<TaskRecord, number>();
   readonly #ends: EndWriter;
 
   /**
@@ -50,6 +43,7 @@
   public constructor(context: ShardContext, parts: LifecycleParts) {
     this.#context = context;
     this.#parts = parts;
+    this.commands = new TaskCommands(context, parts.fleet, parts.table);
     this.#ends = new EndWriter(context);
   }
 
@@ -135,7 +129,7 @@
     record.forgetTasks();
     for (const task of active) {
       const worker = this.#parts.fleet.find(task.worker);
-      if (worker !== undefined) this.stopTask(worker, task);
+      if (worker !== undefined) this.commands.stop(worker, task);
     }
     this.#context.emit({ effect: 'changed', requestId: record.id });
   }
@@ -240,7 +234,7 @@
   #markCancelled(record: RequestRecord): void {
     for (const task of record.tasks) {
       const worker = this.#parts.fleet.find(task.worker);
-      if (worker !== undefined && !task.isActive) this.sendCommand(worker, task.id, 'stop', true);
+      if (worker !== undefined && !task.isActive) this.commands.send(worker, task.id, 'stop', true);
     }
   }
 
@@ -256,52 +250,11 @@
     for (const task of record.activeTasks) {
       const worker = this.#parts.fleet.find(task.worker);
       if (worker === undefined || !task.isConfirmed || task.state === 'stopping') continue;
-      this.stopTask(worker, task);
+      this.commands.stop(worker, task);
     }
     this.#settle(record);
   }
 
-  /**
-   * Stops one task. The command is repeated until the task has ended, because it may be lost.
-   *
-   * @param worker - worker that runs the task
-   * @param task - the task
-   */
-  public stopTask(worker: WorkerRecord, task: TaskRecord): void {
-    task.setState('stopping');
-    this.#stopping.set(task, this.#context.clock.now());
-    this.sendCommand(worker, task.id, 'stop', this.#isCancelled(task));
-  }
-
-  #isCancelled(task: TaskRecord): boolean {
-    const record = this.#parts.table.find(task.assignment.request.id);
-    return record?.stopPlan?.next === 'cancelled' || record?.state === 'cancelled';
-  }
-
-  /**
-   * Sends a command for a task to its worker.
-   *
-   * @param worker - the worker
-   * @param taskId - identifier of the task
-   * @param action - what the worker shall do
-   * @param cancelled - whether the request was cancelled
-   */
-  public sendCommand(
-    worker: WorkerRecord,
-    taskId: string,
-    action: TaskCommand['action'],
-    cancelled = false,
-  ): void {
-    const { shard, epoch, owner, provisional, emit } = this.#context;
-    const authority = { shard, epoch, owner, provisional, bootId: worker.bootId };
-    emit({
-      effect: 'command',
-      worker: worker.id,
-      address: worker.address,
-      command: { authority, taskId, action, ...(cancelled ? { cancelled } : {}) },
-    });
-  }
-
   /**
    * Continues after a start was confirmed: a request that is being stopped stops this task too.
    *
@@ -376,7 +329,7 @@
   /** Repeats stop commands, applies deadlines and forgets finished requests after their retention. */
   public tick(): void {
     const now = this.#context.clock.now();
-    this.#repeatStops(now);
+    this.commands.repeatStops(now);
     this.#ends.tick();
     for (const record of this.#parts.table.listOpen()) {
       if (now >= record.deadlineAt) this.#expire(record);
@@ -384,17 +337,6 @@
     this.#forgetFinished(now);
   }
 
-  #repeatStops(now: number): void {
-    for (const [task, sentAt] of this.#stopping) {
-      const worker = this.#parts.fleet.find(task.worker);
-      if (!task.isActive || worker === undefined) this.#stopping.delete(task);
-      else if (now - sentAt > periods.startWindowMs) {
-        this.#stopping.set(task, now);
-        this.sendCommand(worker, task.id, 'stop', this.#isCancelled(task));
-      }
-    }
-  }
-
   #expire(record: RequestRecord): void {
     const isServing = record.request.kind === 'service' && record.state === 'running';
     if (isServing || record.stopPlan !== undefined) return;
--- a/packages/core/src/TaskStopper.ts
+++ b/packages/core/src/TaskStopper.ts
@@ -96,6 +96,6 @@
     const worker = this.#parts.fleet.find(task.worker);
     const { checkpointable, kind } = task.assignment.request;
     const action: TaskCommand['action'] = checkpointable && kind !== 'gang' ? 'checkpoint' : 'stop';
-    if (worker !== undefined) this.#parts.lifecycle.sendCommand(worker, task.id, action);
+    if (worker !== undefined) this.#parts.lifecycle.commands.send(worker, task.id, action);
   }
 }
--- a/packages/core/src/TaskTracker.ts
+++ b/packages/core/src/TaskTracker.ts
@@ -181,7 +181,7 @@
     task.setUsage(usage);
     worker.addTask(task);
     this.#parts.ledger.charge(assignment.request.team, assignment.request.size);
-    this.#parts.lifecycle.stopTask(worker, task);
+    this.#parts.lifecycle.commands.stop(worker, task);
   }
 
   /** The request of a task, unless the task is not its current attempt any more. */
