Give each worker of mocha its own ports

Cause: a run of outage.test beside five others ended with "listen EADDRINUSE 127.0.0.1:29036": two processes of mocha found the same port free. Change: the ports are divided by the number of the worker.

--- a/packages-private/testkit/src/findFreePort.ts
+++ b/packages-private/testkit/src/findFreePort.ts
@@ -4,8 +4,15 @@
  * Ports below the range that the kernel gives to outgoing connections (32768 and above on Linux): one of
  * those may be taken again between the check and the start of the process that listens on it.
  */
-const firstPort = 12_000;
-const lastPort = 32_000;
+const lowestPort = 12_000;
+/**
+ * Test files run side by side in workers of mocha, and each worker looks in a part of its own: two that look at the
+ * same time would find the same port free. A process that is no worker of mocha has the last part.
+ */
+const partSize = 5000;
+const parts = 4;
+const part = Number(process.env.MOCHA_WORKER_ID ?? parts - 1) % parts;
+const firstPort = lowestPort + part * partSize;
 const given = new Set<number>();
 
 const isFree = (port: number): Promise<boolean> =>
@@ -28,7 +35,7 @@
  */
 export const findFreePort = async (): Promise<number> => {
   for (;;) {
-    const port = firstPort + Math.floor(Math.random() * (lastPort - firstPort));
+    const port = firstPort + Math.floor(Math.random() * partSize);
     if (given.has(port) || !(await isFree(port))) continue;
     given.add(port);
     return port;
