--- a/packages/scheduler/src/ShardCandidate.ts
+++ b/packages/scheduler/src/ShardCandidate.ts
@@ -198,8 +198,7 @@
       await this.#keeper.keep(() => this.#wanted || this.#sender.isPreparing);
       if (!this.#isWanted()) return;
       next = await this.#resume();
-      if (next === undefined) this.#loseHost();
-      else this.#endHost();
+      this.#loseHost();
     }
   }
 
@@ -294,7 +293,7 @@
     const { epoch } = host.shard;
     const isNext = this.#keeper.formerEpoch < epoch && claim.epoch === epoch + 1;
     if (host.isActive && isNext) await this.#keepState(host);
-    this.#endHost();
+    this.#loseHost();
     await this.#serve(claim, policy);
   }
 
@@ -333,7 +332,10 @@
     await this.#keeper.release();
   }
 
-  /** Ends an ownership that was lost: the next owner gets what only this process and an entry know. */
+  /**
+   * Ends an ownership that was lost: the next owner gets what only this process and an entry know. A snapshot does
+   * not replace that, because it leaves out requests whose commit is under way, and the commit may fail.
+   */
   #loseHost(): void {
     const shard = this.#host?.shard;
     const calls = shard?.describeUnkept() ?? [];
