--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,6 +8,8 @@
       '**/dist/**',
       '**/node_modules/**',
       'packages/schema/generated/**',
+      'platform/generated/**',
+      'target/**',
       '**/*.mjs',
       '**/*.cjs',
     ],
--- a/packages-private/testkit/__tests__/renewalStream.test.ts
+++ b/packages-private/testkit/__tests__/renewalStream.test.ts
@@ -1,5 +1,5 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
-import { HttpWorkerGateway } from '@toucanline/platform';
+import { HttpWorkerGateway } from '@toucanline/clients';
 import type { Authority, Renewal, Report } from '@toucanline/schema';
 import { expect } from 'chai';
 import { Ledger, WorkerFake } from '../src/index.js';
--- a/packages-private/testkit/__tests__/storeList.test.ts
+++ b/packages-private/testkit/__tests__/storeList.test.ts
@@ -1,4 +1,4 @@
-import { HttpStore } from '@toucanline/platform';
+import { HttpStore } from '@toucanline/clients';
 import { expect } from 'chai';
 import { StoreFake } from '../src/index.js';
 
--- a/packages-private/testkit/__tests__/workerFake.test.ts
+++ b/packages-private/testkit/__tests__/workerFake.test.ts
@@ -1,4 +1,4 @@
-import { HttpWorkerGateway } from '@toucanline/platform';
+import { HttpWorkerGateway } from '@toucanline/clients';
 import type { Authority, TaskStart } from '@toucanline/schema';
 import { expect } from 'chai';
 import { Ledger, WorkerFake } from '../src/index.js';
--- a/packages-private/testkit/src/runEmbeddingExample.ts
+++ b/packages-private/testkit/src/runEmbeddingExample.ts
@@ -7,7 +7,7 @@
   EventStream,
   Invariant,
 } from '@toucanline/core';
-import { HttpStore } from '@toucanline/platform';
+import { HttpStore } from '@toucanline/clients';
 import { hashText, SystemClock, SystemRandom } from '@toucanline/runtime';
 import { exampleDocument } from './exampleDocument.js';
 
--- a/packages/platform/src/HttpExchange.ts
+++ b/packages/clients/src/HttpExchange.ts
@@ -7,6 +7,16 @@
 const maxConnections = 8;
 const keepAliveMs = 10_000;
 
+/** Further parts of an exchange. */
+interface ExchangeOptions {
+  /** Asks for the body only if its entity tag differs. */
+  readonly entityTag?: string | undefined;
+  /** Ends the exchange early. */
+  readonly interrupt?: AbortSignal | undefined;
+  /** Further request headers. */
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
 /** Bounded HTTP exchanges with one service of the platform. */
 export class HttpExchange {
   #agent: Agent;
@@ -23,8 +33,7 @@
    * @param url - absolute URL
    * @param body - JSON body, if any
    * @param timeoutMs - bound of the whole exchange, in milliseconds
-   * @param entityTag - asks for the body only if its entity tag differs
-   * @param interrupt - ends the exchange early
+   * @param options - further parts of the exchange
    * @returns the response; `storeUnavailable` if nothing was processed; `timeout` if that is unknown
    */
   public async send(
@@ -32,10 +41,10 @@
     url: string,
     body: unknown,
     timeoutMs: number,
-    entityTag?: string,
-    interrupt?: AbortSignal,
+    options: ExchangeOptions = {},
   ): Promise<Result<HttpResponse, Failure>> {
     const agent = this.#agent;
+    const { entityTag, interrupt } = options;
     try {
       const response = await request(url, {
         method,
@@ -45,6 +54,7 @@
             ? AbortSignal.timeout(timeoutMs)
             : AbortSignal.any([AbortSignal.timeout(timeoutMs), interrupt]),
         headers: {
+          ...options.headers,
           ...(body === undefined ? {} : { 'content-type': 'application/json' }),
           ...(entityTag === undefined ? {} : { 'if-none-match': entityTag }),
         },
--- a/packages/platform/src/HttpHostList.ts
+++ b/packages/clients/src/HttpHostList.ts
@@ -27,13 +27,9 @@
   public override async read(): Promise<Result<readonly HostRecord[], Failure>> {
     const url = `${this.#url}/v1/hosts`;
     const known = this.#known;
-    const response = await this.#exchange.send(
-      'GET',
-      url,
-      undefined,
-      this.#timeoutMs,
-      known?.entityTag,
-    );
+    const response = await this.#exchange.send('GET', url, undefined, this.#timeoutMs, {
+      entityTag: known?.entityTag,
+    });
     if (response.isErr()) return err(response.error);
     if (response.value.status === 304 && known !== undefined) return ok(known.hosts);
     if (response.value.status !== 200) {
--- a/packages/platform/src/HttpStore.ts
+++ b/packages/clients/src/HttpStore.ts
@@ -127,7 +127,7 @@
     entityTag?: string,
   ): Promise<Result<HttpResponse, Failure>> {
     const url = this.#url + path;
-    const response = await this.#exchange.send('GET', url, undefined, timeoutMs, entityTag);
+    const response = await this.#exchange.send('GET', url, undefined, timeoutMs, { entityTag });
     return response
       .mapErr(({ detail }) => createFailure('storeUnavailable', detail))
       .andThen((answered) => this.#accept(answered));
--- a/packages/platform/src/HttpWorkerGateway.ts
+++ b/packages/clients/src/HttpWorkerGateway.ts
@@ -141,7 +141,7 @@
     const exchange = this.#exchanges.get(address) ?? new HttpExchange();
     this.#exchanges.set(address, exchange);
     const url = `http://${address}/v1/${path}`;
-    const response = await exchange.send('POST', url, body, timeoutMs, undefined, interrupt);
+    const response = await exchange.send('POST', url, body, timeoutMs, { interrupt });
     if (response.isErr()) return err(response.error);
     const { status, body: content } = response.value;
     if (status === 200) return ok(response.value);
--- /dev/null
+++ b/packages/daemon/src/DecisionLog.ts
@@ -0,0 +1,49 @@
+import { Log } from '@toucanline/runtime/Log';
+
+/** Lines of one event name that are written within a second; the rest is counted. */
+const linesPerSecond = 40;
+
+/** Fields of a log line. */
+type Fields = Readonly<Record<string, string | number>>;
+
+/** Structured log of decisions with a bounded rate for each event name. */
+export class DecisionLog {
+  readonly #log: Log;
+  readonly #counts = new Map<string, number>();
+  #second = 0;
+
+  /** @param process - name of the process */
+  public constructor(process: string) {
+    this.#log = new Log(process, 'info');
+  }
+
+  /**
+   * Writes a line.
+   *
+   * @param event - name of the event
+   * @param fields - inputs, their age or version, and the outcome
+   */
+  public write(event: string, fields: Fields): void {
+    const second = Math.floor(performance.now() / 1000);
+    if (second !== this.#second) this.#startSecond(second);
+    const count = (this.#counts.get(event) ?? 0) + 1;
+    this.#counts.set(event, count);
+    if (count <= linesPerSecond) this.#log.write('info', event, fields);
+  }
+
+  /** Writes what is buffered, before the process ends. */
+  public flush(): void {
+    this.#startSecond(0);
+    this.#log.flush();
+  }
+
+  #startSecond(second: number): void {
+    this.#second = second;
+    for (const [event, count] of this.#counts) {
+      if (count > linesPerSecond) {
+        this.#log.write('warn', 'linesSuppressed', { event, lines: count - linesPerSecond });
+      }
+    }
+    this.#counts.clear();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/HostDaemon.ts
@@ -0,0 +1,130 @@
+import type {
+  MetadataStore,
+  OperatorFeed,
+  PlacementAdvisor,
+  WorkerControl,
+} from '@toucanline/jobs';
+import type { Hello } from '@toucanline/schema';
+import { ConfigurationWatch } from './ConfigurationWatch.js';
+import { DecisionLog } from './DecisionLog.js';
+import { Election } from './Election.js';
+import type { HostConfiguration } from './HostConfiguration.js';
+import { hostTimes } from './hostTimes.js';
+import { JobService } from './JobService.js';
+import { Leadership } from './Leadership.js';
+import { PeerLinks } from './PeerLinks.js';
+import { RemoteLeader } from './RemoteLeader.js';
+
+/** What the host environment provides. */
+interface HostParts {
+  readonly store: MetadataStore;
+  readonly operator: OperatorFeed;
+  readonly control: WorkerControl;
+  readonly advisor: PlacementAdvisor;
+}
+
+/** Version of the messages between hosts. */
+const linkProtocol = 1;
+
+/** One host: its service for callers, and its part in the election and the leader's work. */
+export class HostDaemon {
+  /** Answers callers. */
+  public readonly jobs: JobService;
+  /** Log of the process. */
+  public readonly log: DecisionLog;
+  readonly #configuration: ConfigurationWatch;
+  readonly #election: Election;
+  readonly #links: PeerLinks;
+  #leadership: Leadership | undefined;
+  #isDraining = false;
+
+  /**
+   * @param settings - settings of the host
+   * @param parts - what the host environment provides
+   */
+  public constructor(settings: HostConfiguration, parts: HostParts) {
+    this.log = new DecisionLog(settings.name);
+    this.#configuration = new ConfigurationWatch(parts.store, parts.operator, this.log);
+    const hello: Hello = {
+      type: 'hello',
+      protocol: linkProtocol,
+      environment: 'platform',
+      process: settings.name,
+      role: 'host',
+      dataCentre: settings.dataCentre,
+    };
+    const leadership = (): Leadership | undefined => this.#leadership;
+    this.#links = new PeerLinks(hello, settings.linkAddress, parts.advisor, leadership);
+    const leader = new RemoteLeader(this.#links, leadership);
+    this.jobs = new JobService(
+      parts.store,
+      this.#configuration,
+      leader,
+      this.log,
+      settings.revokeMs,
+    );
+    this.#election = new Election(parts.store, settings.name, settings.linkAddress, this.log, {
+      elected: (claim) => {
+        const work = new Leadership(
+          {
+            ...parts,
+            links: () => this.#links.incoming,
+            log: this.log,
+            lost: (reason) => {
+              this.#election.abandon(reason);
+            },
+          },
+          claim,
+          this.#configuration.current,
+        );
+        this.#leadership = work;
+        void work.start();
+      },
+      deposed: () => {
+        this.#leadership?.stop();
+        this.#leadership = undefined;
+      },
+      observed: (record) => {
+        this.#links.follow(record?.address);
+      },
+    });
+    this.#configuration.onChange((configuration) => {
+      this.#leadership?.configure(configuration);
+    });
+  }
+
+  /** Whether new connections are welcome. */
+  public get isReady(): boolean {
+    return (
+      !this.#isDraining &&
+      this.#configuration.current !== undefined &&
+      this.#configuration.storeSilenceMs < hostTimes.storeSilenceMs + hostTimes.configurationWaitMs
+    );
+  }
+
+  /** Whether the host is stopping. */
+  public get isDraining(): boolean {
+    return this.#isDraining;
+  }
+
+  /** Starts to follow the configuration and to take part in the election. */
+  public async start(): Promise<void> {
+    await this.#links.listen();
+    this.#configuration.start();
+    this.#election.start();
+  }
+
+  /** Takes no new connections, and hands the leader's work over. */
+  public async drain(): Promise<void> {
+    this.#isDraining = true;
+    await this.#leadership?.finish();
+    await this.#election.stop();
+  }
+
+  /** Ends what is left. */
+  public close(): void {
+    this.#configuration.stop();
+    this.#links.close();
+    this.log.flush();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/JobService.ts
@@ -0,0 +1,239 @@
+import { createFailure } from '@toucanline/core';
+import type { MetadataStore } from '@toucanline/jobs';
+import {
+  validators,
+  type Failure,
+  type JobRecord,
+  type JobSpecification,
+  type JobState,
+  type QueueConfiguration,
+} from '@toucanline/schema';
+import { err, ok, type Result } from 'neverthrow';
+import type { ConfigurationWatch } from './ConfigurationWatch.js';
+import type { DecisionLog } from './DecisionLog.js';
+import { findQueue } from './findQueue.js';
+import { hostTimes } from './hostTimes.js';
+import type { LeaderView } from './LeaderView.js';
+import { parseStored } from './parseStored.js';
+import { storeKeys } from './storeKeys.js';
+
+/** Where a call goes and who makes it. */
+interface CallTarget {
+  readonly host: string;
+  readonly path: string;
+  /** Key of the call, if it has one. */
+  readonly key: string | undefined;
+}
+
+/** An admitted call. */
+interface AdmittedCall {
+  readonly queue: QueueConfiguration;
+  /** Name of the account; empty on a queue open to all. */
+  readonly account: string;
+  /** Id of the job; empty for calls on the queue itself. */
+  readonly id: string;
+}
+
+/** Seconds after which a refused caller may come back: the store or a new leader is usually back by then. */
+const retryAfterSeconds = 1;
+
+const idPattern = /^[0-9a-f]{16}$/;
+
+/** Answers callers: accepts jobs into the store, tells their state, cancels them. */
+export class JobService {
+  readonly #store: MetadataStore;
+  readonly #configuration: ConfigurationWatch;
+  readonly #leader: LeaderView;
+  readonly #log: DecisionLog;
+  readonly #maxConfigurationAgeMs: number;
+
+  /**
+   * @param store - the store
+   * @param configuration - the operator's configuration
+   * @param leader - view of the leader's jobs
+   * @param log - log of the process
+   * @param revokeMs - time within which a withdrawn key must stop working, in milliseconds
+   */
+  public constructor(
+    store: MetadataStore,
+    configuration: ConfigurationWatch,
+    leader: LeaderView,
+    log: DecisionLog,
+    revokeMs: number,
+  ) {
+    this.#store = store;
+    this.#configuration = configuration;
+    this.#leader = leader;
+    this.#log = log;
+    this.#maxConfigurationAgeMs = revokeMs - hostTimes.revokeMarginMs;
+  }
+
+  /**
+   * Admits a call: finds its queue and checks its key.
+   *
+   * @param target - host, path and key
+   * @returns the admitted call
+   */
+  public async admit(target: CallTarget): Promise<Result<AdmittedCall, Failure>> {
+    const isFresh = await this.#configuration.confirm(this.#maxConfigurationAgeMs);
+    const configuration = this.#configuration.current;
+    if (configuration === undefined) return err(this.#notReady('no configuration is known yet'));
+    const match = findQueue(configuration, target.host, target.path);
+    if (match === undefined && isFresh) {
+      return err(createFailure('unknownQueue', `no queue at ${target.host}${target.path}`));
+    }
+    // A withdrawn key or a removed queue may be what this host could not learn.
+    if (!isFresh) return err(this.#notReady('the configuration could not be confirmed'));
+    if (match === undefined) return err(createFailure('unknownQueue', 'no such queue'));
+    const { queue, rest } = match;
+    if (rest !== '' && !idPattern.test(rest)) {
+      return err(createFailure('unknownQueue', `${rest} is not the id of a job`));
+    }
+    if (queue.isOpen) return ok({ queue, account: '', id: rest });
+    const account = this.#configuration.findAccount(target.key ?? '');
+    if (account === undefined) return err(createFailure('unauthenticated', 'unknown key'));
+    return ok({ queue, account, id: rest });
+  }
+
+  /**
+   * Accepts a job: it is stored before this returns.
+   *
+   * @param call - the admitted call
+   * @param specification - what to run
+   * @returns nothing; `storeUnavailable` if it was surely not accepted, `timeout` if that is unknown
+   */
+  public async submit(
+    call: AdmittedCall,
+    specification: JobSpecification,
+  ): Promise<Result<void, Failure>> {
+    const record: JobRecord = {
+      id: call.id,
+      queue: call.queue.name,
+      account: call.account,
+      specification,
+      acceptedAtMs: Date.now(),
+      isCancelled: false,
+    };
+    const key = storeKeys.jobs + call.id;
+    const sentAt = performance.now();
+    const outcome = await this.#store.commit({
+      expected: [{ key, revision: 0 }],
+      put: [{ key, value: JSON.stringify(record) }],
+    });
+    const result = outcome.isErr()
+      ? await this.#settleSubmit(key, record, outcome.error)
+      : outcome.value.committed
+        ? ok(undefined)
+        : this.#compare(outcome.value.items[0]?.value, record);
+    this.#log.write('jobSubmitted', {
+      request: call.id,
+      queue: call.queue.name,
+      account: call.account,
+      configurationVersion: this.#configuration.current?.version ?? 0,
+      storeMs: Math.round(performance.now() - sentAt),
+      outcome: result.isOk() ? 'accepted' : result.error.kind,
+    });
+    return result;
+  }
+
+  /**
+   * Tells the state of a job.
+   *
+   * @param call - the admitted call
+   * @returns the state; `recordMissing` if there is no such job
+   */
+  public async findState(call: AdmittedCall): Promise<Result<JobState, Failure>> {
+    const told = await this.#leader.findState(call.id);
+    if (told !== undefined && told !== 'unknown') return ok(told);
+    return this.#readState(call.id);
+  }
+
+  /**
+   * Cancels a job.
+   *
+   * @param call - the admitted call
+   * @returns nothing; `recordMissing` if there is no such job
+   */
+  public async cancel(call: AdmittedCall): Promise<Result<void, Failure>> {
+    const key = storeKeys.jobs + call.id;
+    for (let attempt = 0; attempt < 3; attempt += 1) {
+      const item = await this.#store.read(key);
+      if (item.isErr()) return err(item.error);
+      if (item.value?.value === undefined) return err(this.#missing(call.id));
+      const record = parseStored(validators.JobRecord, item.value.value);
+      if (record === undefined) return err(createFailure('internal', `${key} cannot be read`));
+      if (record.isCancelled) return ok(undefined);
+      const outcome = await this.#store.commit({
+        expected: [{ key, revision: item.value.revision }],
+        put: [{ key, value: JSON.stringify({ ...record, isCancelled: true }) }],
+      });
+      // After an unknown outcome the next read tells whether the cancellation was written.
+      if (outcome.isOk() && outcome.value.committed) {
+        this.#log.write('jobCancelled', { request: call.id, revision: outcome.value.revision });
+        return ok(undefined);
+      }
+    }
+    return err(createFailure('timeout', 'the cancellation could not be confirmed'));
+  }
+
+  /**
+   * Counts the jobs of a queue that have not begun.
+   *
+   * @param call - the admitted call
+   * @returns their number
+   */
+  public async countWaiting(call: AdmittedCall): Promise<Result<number, Failure>> {
+    const count = await this.#leader.countWaiting(call.queue.name);
+    return count === undefined ? err(this.#notReady('the leader did not answer')) : ok(count);
+  }
+
+  async #settleSubmit(
+    key: string,
+    record: JobRecord,
+    failure: Failure,
+  ): Promise<Result<void, Failure>> {
+    if (failure.kind === 'storeUnavailable') {
+      return err(createFailure('storeUnavailable', failure.detail, retryAfterSeconds));
+    }
+    const item = await this.#store.read(key);
+    if (item.isOk() && item.value?.value !== undefined) {
+      return this.#compare(item.value.value, record);
+    }
+    // The write may still take effect, so the caller must not be told that the job never runs.
+    return err(createFailure('timeout', failure.detail));
+  }
+
+  #compare(value: string | undefined, record: JobRecord): Result<void, Failure> {
+    const known = value === undefined ? undefined : parseStored(validators.JobRecord, value);
+    if (known === undefined) return err(createFailure('timeout', 'the stored job is unreadable'));
+    const isSame =
+      known.account === record.account &&
+      JSON.stringify(known.specification) === JSON.stringify(record.specification);
+    return isSame
+      ? ok(undefined)
+      : err(createFailure('conflictingKey', `${record.id} is the id of another job`));
+  }
+
+  /** The leader's answer is missing or it has not seen the job yet: the store decides. */
+  async #readState(id: string): Promise<Result<JobState, Failure>> {
+    const [progress, job] = await Promise.all([
+      this.#store.read(storeKeys.progress + id),
+      this.#store.read(storeKeys.jobs + id),
+    ]);
+    if (job.isErr()) return err(createFailure('storeUnavailable', job.error.detail));
+    if (job.value?.value === undefined) return err(this.#missing(id));
+    if (progress.isErr()) return err(createFailure('storeUnavailable', progress.error.detail));
+    const value = progress.value?.value;
+    const written = value === undefined ? undefined : parseStored(validators.JobProgress, value);
+    if (written === undefined) return ok('queued');
+    return ok(written.finishedAtMs === undefined ? 'running' : written.state);
+  }
+
+  #missing(id: string): Failure {
+    return createFailure('recordMissing', `no job ${id}`);
+  }
+
+  #notReady(detail: string): Failure {
+    return createFailure('notReady', detail, retryAfterSeconds);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/WorkerDriver.ts
@@ -0,0 +1,138 @@
+import type { Scheduler, Worker, WorkerControl } from '@toucanline/jobs';
+import type { DecisionLog } from './DecisionLog.js';
+import { hostTimes } from './hostTimes.js';
+import type { LeaderClaim } from './LeaderClaim.js';
+
+/** What the drivers of a leader's workers share. */
+export interface DriverContext {
+  readonly scheduler: Scheduler;
+  readonly control: WorkerControl;
+  readonly claim: LeaderClaim;
+  readonly log: DecisionLog;
+  /** Called when something changed that may allow new decisions. */
+  readonly changed: () => void;
+  /** Called when a worker has seen a newer fencing token. */
+  readonly fenced: () => void;
+}
+
+/** Refusals of a connection in a row after which an incarnation counts as ended. */
+const refusalsToEnd = 2;
+
+/** Keeps the leases of one worker's tasks and collects their ends. */
+export class WorkerDriver {
+  readonly #worker: Worker;
+  readonly #context: DriverContext;
+  #wake: (() => void) | undefined;
+  #stopped = false;
+  #refusals = 0;
+
+  /**
+   * @param worker - the worker
+   * @param context - what the drivers share
+   */
+  public constructor(worker: Worker, context: DriverContext) {
+    this.#worker = worker;
+    this.#context = context;
+  }
+
+  /** Runs until stopped or the incarnation ended. */
+  public async run(): Promise<void> {
+    while (!this.#stopped) {
+      if (!this.#isNeeded) await this.#rest(undefined);
+      else if (!this.#context.claim.mayOrder) await this.#rest(hostTimes.reportRetryMs);
+      else await this.#report();
+    }
+  }
+
+  /** Ends the driver. */
+  public stop(): void {
+    this.#stopped = true;
+    this.wake();
+  }
+
+  /** Ends a rest: the worker got work, or its ends were written. */
+  public wake(): void {
+    const wake = this.#wake;
+    this.#wake = undefined;
+    wake?.();
+  }
+
+  get #isNeeded(): boolean {
+    const { tasks, isSurveyed, seenThrough, acknowledgedThrough } = this.#worker;
+    return tasks.size > 0 || !isSurveyed || seenThrough > acknowledgedThrough;
+  }
+
+  get #isUnwritten(): boolean {
+    return this.#worker.seenThrough > this.#worker.acknowledgedThrough;
+  }
+
+  async #report(): Promise<void> {
+    const { control, claim, scheduler, log } = this.#context;
+    const worker = this.#worker;
+    // While ends are unwritten the worker would answer at once each time; the write wakes the driver.
+    if (this.#isUnwritten) await this.#rest(hostTimes.unwrittenPauseMs);
+    if (this.#stopped || !claim.mayOrder) return;
+    const sentAt = performance.now();
+    const waitMs = worker.isSurveyed && worker.tasks.size > 0 ? hostTimes.reportWaitMs : 0;
+    const leaseUntilMs = worker.isSurveyed ? worker.extendLease(sentAt) : undefined;
+    const report = await control.report(
+      worker.entry,
+      claim.term,
+      worker.acknowledgedThrough,
+      leaseUntilMs,
+      waitMs,
+    );
+    if (this.#stopped) return;
+    const now = performance.now();
+    if (typeof report === 'string') {
+      await this.#takeFailure(report, now);
+      return;
+    }
+    this.#refusals = 0;
+    const wasSurveyed = worker.isSurveyed;
+    const strays = scheduler.takeReport(worker, report, sentAt, now, Date.now());
+    for (const { task, run } of strays) {
+      log.write('strayRunStopped', { task, run, worker: worker.id });
+      void control.stop(worker.entry, task, run, claim.term);
+    }
+    this.#context.changed();
+    if (wasSurveyed) await this.#rest(hostTimes.reportPauseMs);
+  }
+
+  async #takeFailure(
+    failure: 'fenced' | 'otherLife' | 'refused' | 'unknown',
+    now: number,
+  ): Promise<void> {
+    const { scheduler, log, changed, fenced } = this.#context;
+    const worker = this.#worker;
+    log.write('workerUnreachable', {
+      worker: worker.id,
+      failure,
+      contactAgeMs: Math.round(Math.min(now - worker.lastContactAt, 1e9)),
+      tasks: worker.tasks.size,
+    });
+    if (failure === 'fenced') {
+      fenced();
+      return;
+    }
+    this.#refusals = failure === 'refused' ? this.#refusals + 1 : 0;
+    worker.noteCallFailure(now);
+    if (failure === 'otherLife' || this.#refusals >= refusalsToEnd) {
+      scheduler.endLife(worker, now);
+      changed();
+    }
+    await this.#rest(hostTimes.reportRetryMs);
+  }
+
+  /** Waits until woken, at most for a time. */
+  async #rest(ms: number | undefined): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = ms === undefined ? undefined : setTimeout(resolve, ms);
+      this.#wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+    this.#wake = undefined;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/hostTimes.ts
@@ -0,0 +1,54 @@
+/** Periods and bounds of a host's process. All in milliseconds. */
+export const hostTimes = Object.freeze({
+  /** Time to live of the leader's lease: a failover takes at least as long, a renewal must fit in thrice. */
+  leaderTtlMs: 2000,
+  /** Interval between renewals. */
+  renewalMs: 500,
+  /** The holder counts its lease shorter than the store: covers the drift of clocks and a slow loop. */
+  leaseMarginMs: 150,
+  /**
+   * How long a leader without contact to the store goes on with the work that it knows. Its successor counts
+   * this time on top of the workers' leases where it cannot reach a worker.
+   */
+  leaderGraceMs: 4000,
+  /** Longest wait of one watch on the operator's configuration; bounds the age of a confirmation. */
+  configurationWaitMs: 1500,
+  /** Longest wait of one watch on the leader. */
+  leaderWaitMs: 2000,
+  /** Longest wait of one watch on jobs and workers by the leader. */
+  leaderFeedWaitMs: 2000,
+  /** Pause after a watch that failed. */
+  watchRetryMs: 150,
+  /** A keyed call is refused this long before the bound for withdrawn keys. */
+  revokeMarginMs: 900,
+  /** Without any answer of the store for this long, the host takes no new connections. */
+  storeSilenceMs: 1500,
+  /** Longest spread of campaigns after the leader's lease ended, so that the hosts do not collide. */
+  campaignSpreadMs: 60,
+  /** Bound of a call to the leader by another host. */
+  leaderCallMs: 500,
+  /** Longest wait of a worker's report for an end. */
+  reportWaitMs: 1000,
+  /** Pause between two reports of a worker: ends that fall into it share one report and one write. */
+  reportPauseMs: 40,
+  /** Pause after a report that failed. */
+  reportRetryMs: 250,
+  /** Pause between reports while ends cannot be written. */
+  unwrittenPauseMs: 500,
+  /** Shortest time between two planning passes. */
+  planIntervalMs: 4,
+  /** Longest time between two planning passes. */
+  planIdleMs: 100,
+  /** Shortest time between two writes of progress. */
+  progressIntervalMs: 15,
+  /** Pause after a write of progress that failed. */
+  progressRetryMs: 100,
+  /** A gain of the wall clock over the monotonic clock that may be a suspension. */
+  suspensionMs: 400,
+  /** Time during which a stopping host still takes connections: the balancer needs two missed probes. */
+  drainMs: 2300,
+  /** Calls for permits expected to be shorter than this have a lane of their own. */
+  shortAdviceMs: 100,
+  /** Interval of the clean-up of finished jobs. */
+  cleanupMs: 20_000,
+});
--- a/packages/entry/src/RequestRoutes.ts
+++ b/packages/entry/src/RequestRoutes.ts
@@ -12,7 +12,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { Authenticator } from './Authenticator.js';
 import type { HttpContext } from './HttpContext.js';
-import { readBody } from './readBody.js';
+import { readBody } from '@toucanline/runtime/readBody';
 import type { RequestService } from './RequestService.js';
 
 const maxBodyBytes = 262_144;
--- a/packages/entry/src/readJsonBody.ts
+++ b/packages/entry/src/readJsonBody.ts
@@ -2,7 +2,7 @@
 import { createFailure } from '@toucanline/core';
 import type { Failure } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
-import { readBody } from './readBody.js';
+import { readBody } from '@toucanline/runtime/readBody';
 
 /**
  * Reads a JSON body.
--- /dev/null
+++ b/packages/jobs/src/AccountUsage.ts
@@ -0,0 +1,77 @@
+import type { Room } from '@toucanline/schema';
+import { EntitledRate } from './EntitledRate.js';
+import { rooms } from './rooms.js';
+
+/** What one client account has running on all workers, against its cap. */
+export class AccountUsage {
+  /** Name of the account. */
+  public readonly name: string;
+  #used: Room = rooms.none;
+  #cap: Room = rooms.none;
+  #weight = 1;
+  readonly #rate = new EntitledRate();
+
+  /** @param name - name of the account */
+  public constructor(name: string) {
+    this.name = name;
+  }
+
+  /** Room in use, orders without an answer included. */
+  public get used(): Room {
+    return this.#used;
+  }
+
+  /** Use relative to the weight; the lower, the sooner its work starts on a full fleet. */
+  public get relativeUse(): number {
+    return rooms.weigh(this.#used) / this.#weight;
+  }
+
+  /**
+   * Counts an accepted job against the rate that the account is entitled to: its weight in jobs per second.
+   *
+   * @param now - monotonic time
+   * @returns whether the job is within the rate
+   */
+  public takeEntitlement(now: number): boolean {
+    // An open queue has no account and so no rate.
+    return this.name === '' || this.#rate.take(this.#weight, now);
+  }
+
+  /**
+   * Sets the limits of the account.
+   *
+   * @param weight - share of a full fleet
+   * @param cap - most room in use; 0 is no limit
+   */
+  public configure(weight: number, cap: Room | undefined): void {
+    this.#weight = weight > 0 ? weight : 1;
+    this.#cap = cap ?? rooms.none;
+  }
+
+  /**
+   * Adds room to the use.
+   *
+   * @param size - room of a task
+   * @param times - 1 when it is placed, -1 when it left
+   */
+  public add(size: Room, times: number): void {
+    this.#used = rooms.add(this.#used, size, times);
+  }
+
+  /**
+   * Tells whether a task stays within the cap.
+   *
+   * @param size - room of the task
+   * @param count - how many of them
+   * @returns whether it does
+   */
+  public admits(size: Room, count = 1): boolean {
+    const next = rooms.add(this.#used, size, count);
+    const isWithin = (value: number, cap: number): boolean => cap <= 0 || value <= cap;
+    return (
+      isWithin(next.milliProcessors, this.#cap.milliProcessors) &&
+      isWithin(next.memoryMb, this.#cap.memoryMb) &&
+      isWithin(next.accelerators, this.#cap.accelerators)
+    );
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/EndIntake.ts
@@ -0,0 +1,140 @@
+import type { RunEnd, RunReport, WorkerReport } from '@toucanline/schema';
+import type { Job } from './Job.js';
+import type { JobBook } from './JobBook.js';
+import type { ImageDurations } from './ImageDurations.js';
+import type { Task } from './Task.js';
+import type { Worker } from './Worker.js';
+
+/** A run on a worker that nothing may go on with. */
+interface StrayRun {
+  readonly task: string;
+  readonly run: number;
+}
+
+/** Takes the reports of workers: which runs go on and which ended how. */
+export class EndIntake {
+  readonly #book: JobBook;
+  readonly #durations: ImageDurations;
+  readonly #markDirty: (job: Job) => void;
+  readonly #attemptsOf: (job: Job) => number;
+
+  /**
+   * @param book - the jobs
+   * @param durations - durations by image
+   * @param markDirty - called for jobs whose progress must be written
+   * @param attemptsOf - most failed runs of a task of the job
+   */
+  public constructor(
+    book: JobBook,
+    durations: ImageDurations,
+    markDirty: (job: Job) => void,
+    attemptsOf: (job: Job) => number,
+  ) {
+    this.#book = book;
+    this.#durations = durations;
+    this.#markDirty = markDirty;
+    this.#attemptsOf = attemptsOf;
+  }
+
+  /**
+   * Takes a report.
+   *
+   * @param worker - the worker
+   * @param report - what it runs and what ended
+   * @param sentAt - when the report was asked for; what was ordered later may be missing in it
+   * @param now - monotonic time
+   * @param wallMs - Unix time in milliseconds
+   * @returns runs that are to be stopped, since no task may have them
+   */
+  public take(
+    worker: Worker,
+    report: WorkerReport,
+    sentAt: number,
+    now: number,
+    wallMs: number,
+  ): readonly StrayRun[] {
+    for (const end of report.ended) {
+      if (end.number > worker.seenThrough) this.#takeEnd(worker, end, now, wallMs);
+      worker.noteSeen(end.number);
+    }
+    const strays = report.running.filter((run) => !this.#takeRun(worker, run, now));
+    // A full page of ends hides later ones, so absence proves nothing then.
+    if (report.ended.length < 500) this.#releaseAbsent(worker, report, sentAt, now);
+    return strays.map(({ task, run }) => ({ task, run }));
+  }
+
+  /** Returns whether the run belongs to a task. */
+  #takeRun(worker: Worker, report: RunReport, now: number): boolean {
+    const task = this.#book.findTask(report.task);
+    if (task === undefined) return false;
+    if (task.worker === worker && task.run === report.run) {
+      task.update(report.percent, report.checkpoint, report.load);
+      task.confirm(now);
+      task.step.job.noteStart();
+      return true;
+    }
+    task.raiseRun(report.run);
+    if (task.phase !== 'waiting' || task.step.job.isFinished) return false;
+    task.place(worker, report.run, now);
+    task.confirm(now);
+    task.update(report.percent, report.checkpoint, report.load);
+    task.step.job.noteStart();
+    return true;
+  }
+
+  #takeEnd(worker: Worker, end: RunEnd, now: number, wallMs: number): void {
+    const task = this.#book.findTask(end.task);
+    if (task === undefined || task.phase === 'done') return;
+    const isCurrent = task.worker === worker && task.run === end.run;
+    if (!isCurrent) task.raiseRun(end.run);
+    const { job } = task.step;
+    if (end.outcome === 'done') {
+      if (isCurrent) this.#learn(worker, task, now);
+      this.#complete(task, now, wallMs);
+      return;
+    }
+    if (end.outcome === 'failed' && !task.step.description.isLongRunning) {
+      this.#countFailure(task, job, wallMs);
+    }
+    if (end.outcome === 'failed') worker.noteOutcome(true, now);
+    if (isCurrent) task.release(end.checkpoint, now);
+  }
+
+  #complete(task: Task, now: number, wallMs: number): void {
+    const { step } = task;
+    // One reported end of a gang member stands for all members: they end together.
+    const finished = step.description.isGang === true ? step.tasks : [task];
+    for (const each of finished) if (each.phase !== 'done') each.complete(now);
+    step.job.completeIfDone(wallMs);
+    this.#markDirty(step.job);
+  }
+
+  #countFailure(task: Task, job: Job, wallMs: number): void {
+    const { step } = task;
+    if (step.description.isGang === true) step.addGangFailures(1);
+    else task.addFailures(1);
+    const failures = step.description.isGang === true ? step.gangFailures : task.failures;
+    if (failures >= this.#attemptsOf(job)) job.finish('failed', wallMs);
+    this.#markDirty(job);
+  }
+
+  #learn(worker: Worker, task: Task, now: number): void {
+    worker.noteOutcome(false, now);
+    const { image } = task.step.description;
+    const durationMs = now - task.since;
+    const meanMs = this.#durations.estimate(image, task.step.description.estimateMs);
+    worker.noteSpeed(durationMs / meanMs);
+    this.#durations.note(image, durationMs / worker.slowness);
+  }
+
+  /** Takes tasks off the worker which it would list if it had them. */
+  #releaseAbsent(worker: Worker, report: WorkerReport, sentAt: number, now: number): void {
+    const running = new Set(report.running.map(({ task, run }) => `${task}/${run}`));
+    for (const task of [...worker.tasks]) {
+      if (running.has(`${task.name}/${task.run}`)) continue;
+      const isStopped = task.stopConfirmedAt !== undefined && task.stopConfirmedAt <= sentAt;
+      const isMissing = task.phase === 'running' && task.since <= sentAt;
+      if ((task.phase === 'stopping' && isStopped) || isMissing) task.release('', now);
+    }
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/EntitledRate.ts
@@ -0,0 +1,24 @@
+/** Accepts jobs of an account at the rate of its weight; what comes beyond has its turn later. */
+export class EntitledRate {
+  /** Seconds of the rate that may come at once: callers send in bursts. */
+  static readonly #burstSeconds = 5;
+  #tokens: number | undefined;
+  #updatedAt = 0;
+
+  /**
+   * Counts a job.
+   *
+   * @param perSecond - entitled jobs per second
+   * @param now - monotonic time of the job
+   * @returns whether it is within the rate
+   */
+  public take(perSecond: number, now: number): boolean {
+    const most = Math.max(1, perSecond * EntitledRate.#burstSeconds);
+    const earned = ((now - this.#updatedAt) / 1000) * perSecond;
+    this.#tokens = this.#tokens === undefined ? most : Math.min(most, this.#tokens + earned);
+    this.#updatedAt = now;
+    if (this.#tokens < 1) return false;
+    this.#tokens -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/IndependentPlacement.ts
@@ -0,0 +1,38 @@
+import type { Candidate } from './Candidate.js';
+import type { Choice } from './Choice.js';
+import { PlannedRoom } from './PlannedRoom.js';
+import { rateWorker } from './rateWorker.js';
+import type { StepRun } from './StepRun.js';
+import { TaskPlacement } from './TaskPlacement.js';
+
+/** Places each waiting task for itself on the best worker with room. */
+export class IndependentPlacement extends TaskPlacement {
+  /** {@inheritDoc TaskPlacement.choose} */
+  public override choose(
+    step: StepRun,
+    candidates: readonly Candidate[],
+    limit: number,
+  ): readonly Choice[] {
+    const planned = new PlannedRoom(step);
+    const ranked = candidates
+      .map((candidate) => ({ ...candidate, rating: rateWorker(step, candidate.worker) }))
+      .sort((a, b) => a.rating - b.rating);
+    const choices: Choice[] = [];
+    let next = 0;
+    for (const task of step.tasks) {
+      if (choices.length >= limit) break;
+      if (task.phase !== 'waiting') continue;
+      // Candidates only fill up during the pass, so those that were passed stay full.
+      while (next < ranked.length && !this.#admits(planned, ranked[next])) next += 1;
+      const chosen = ranked[next];
+      if (chosen === undefined) break;
+      planned.take(chosen.worker);
+      choices.push({ task, worker: chosen.worker, permit: chosen.permit });
+    }
+    return choices;
+  }
+
+  #admits(planned: PlannedRoom, candidate: Candidate | undefined): boolean {
+    return candidate !== undefined && planned.admits(candidate.worker);
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/JobBook.ts
@@ -0,0 +1,116 @@
+import type { JobProgress, JobRecord, SiteConfiguration } from '@toucanline/schema';
+import { AccountUsage } from './AccountUsage.js';
+import { Job } from './Job.js';
+import type { Task } from './Task.js';
+
+/** All jobs and accounts that the leader knows. */
+export class JobBook {
+  readonly #jobs = new Map<string, Job>();
+  readonly #accounts = new Map<string, AccountUsage>();
+  /** Progress that was read before the job's own record. */
+  readonly #early = new Map<string, JobProgress>();
+  readonly #open = new Set<Job>();
+
+  /** Jobs that are not finished. */
+  public get open(): ReadonlySet<Job> {
+    return this.#open;
+  }
+
+  /** All jobs. */
+  public get all(): Iterable<Job> {
+    return this.#jobs.values();
+  }
+
+  /**
+   * Finds a job.
+   *
+   * @param id - its id
+   * @returns the job
+   */
+  public find(id: string): Job | undefined {
+    return this.#jobs.get(id);
+  }
+
+  /**
+   * Finds a task by the name that workers use.
+   *
+   * @param name - job, occurrence, step and index
+   * @returns the task
+   */
+  public findTask(name: string): Task | undefined {
+    const [id = '', occurrence, step, index] = name.split('.');
+    return this.#jobs.get(id)?.findTask(Number(occurrence), Number(step), Number(index));
+  }
+
+  /**
+   * Takes a job's record.
+   *
+   * @param record - the record
+   * @param revision - revision of the store at which it was created
+   * @param now - monotonic time of acceptance
+   * @returns the job
+   */
+  public add(record: JobRecord, revision: number, now: number): Job {
+    const known = this.#jobs.get(record.id);
+    if (known !== undefined) {
+      known.replaceRecord(record);
+      return known;
+    }
+    const job = new Job(record, this.findAccount(record.account), revision, now);
+    this.#jobs.set(job.id, job);
+    this.#open.add(job);
+    const progress = this.#early.get(job.id);
+    if (progress !== undefined) this.restore(progress, now);
+    return job;
+  }
+
+  /**
+   * Takes the progress that an earlier leader wrote.
+   *
+   * @param progress - the progress
+   * @param now - monotonic time
+   */
+  public restore(progress: JobProgress, now: number): void {
+    const job = this.#jobs.get(progress.id);
+    if (job === undefined) {
+      this.#early.set(progress.id, progress);
+      return;
+    }
+    this.#early.delete(progress.id);
+    job.restore(progress, now);
+    if (job.isFinished) this.close(job);
+  }
+
+  /** @param job - job that is finished */
+  public close(job: Job): void {
+    this.#open.delete(job);
+  }
+
+  /** @param id - job whose record was removed */
+  public remove(id: string): void {
+    const job = this.#jobs.get(id);
+    if (job !== undefined) this.#open.delete(job);
+    this.#jobs.delete(id);
+  }
+
+  /**
+   * Finds the usage of an account.
+   *
+   * @param name - name of the account
+   * @returns its usage
+   */
+  public findAccount(name: string): AccountUsage {
+    const known = this.#accounts.get(name);
+    if (known !== undefined) return known;
+    const created = new AccountUsage(name);
+    this.#accounts.set(name, created);
+    return created;
+  }
+
+  /** @param configuration - newest configuration */
+  public configure(configuration: SiteConfiguration): void {
+    for (const { name, weight, cap } of configuration.accounts) {
+      this.findAccount(name).configure(weight, cap);
+    }
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/JobTerms.ts
@@ -0,0 +1,38 @@
+import type { QueueConfiguration } from '@toucanline/schema';
+import type { Job } from './Job.js';
+
+/** What the configuration says of jobs' queues. A queue that was removed keeps its last terms. */
+export class JobTerms {
+  readonly #queues = new Map<string, QueueConfiguration>();
+
+  /** @param queues - queues of the newest configuration */
+  public configure(queues: readonly QueueConfiguration[]): void {
+    for (const queue of queues) this.#queues.set(queue.name, queue);
+  }
+
+  /**
+   * Finds the queue of a job.
+   *
+   * @param job - the job
+   * @returns its terms, if a configuration ever had the queue
+   */
+  public find(job: Job): QueueConfiguration | undefined {
+    return this.#queues.get(job.record.queue);
+  }
+
+  /**
+   * Computes how long a job may take and still meet its objective.
+   *
+   * @param job - the job
+   * @returns milliseconds from its acceptance, or from the due time of an occurrence
+   */
+  public objectiveMs(job: Job): number {
+    const queue = this.find(job);
+    if (queue === undefined) return Infinity;
+    const chains: number[] = [];
+    for (const { estimateMs, dependsOn } of job.record.specification.steps) {
+      chains.push(estimateMs + Math.max(0, ...dependsOn.map((number) => chains[number] ?? 0)));
+    }
+    return queue.stretch * Math.max(...chains) + queue.objectiveMs;
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/Order.ts
@@ -0,0 +1,23 @@
+import type { Task } from './Task.js';
+import type { Worker } from './Worker.js';
+
+/** What the scheduler wants done. The host environment carries it out and reports the outcome. */
+export type Order =
+  | {
+      readonly kind: 'start';
+      readonly task: Task;
+      readonly worker: Worker;
+      readonly run: number;
+      readonly permit: string | undefined;
+    }
+  | { readonly kind: 'stop'; readonly task: Task; readonly worker: Worker; readonly run: number }
+  | {
+      readonly kind: 'advise';
+      readonly stepKey: string;
+      /** Name of the queue, whose terms say how long permits are valid. */
+      readonly queue: string;
+      readonly workers: readonly Worker[];
+      /** Expected duration of the call, in milliseconds. */
+      readonly expectedMs: number;
+      readonly priority: number;
+    };
--- /dev/null
+++ b/packages/jobs/src/PermitBook.ts
@@ -0,0 +1,113 @@
+import type { PlacementPermit } from '@toucanline/schema';
+import { schedulingLimits } from './schedulingLimits.js';
+import type { Worker } from './Worker.js';
+
+/** Answer of the advice service for one step on one incarnation of a worker. */
+interface PermitEntry {
+  /** Empty if the policy forbids the worker. That verdict does not change. */
+  readonly permit: string;
+  readonly validUntil: number;
+}
+
+const nameLife = (worker: Worker): string => `${worker.id}/${worker.life}`;
+
+/** Placement permits by step and worker. */
+export class PermitBook {
+  readonly #steps = new Map<string, Map<string, PermitEntry>>();
+  readonly #pending = new Set<string>();
+  readonly #retryAt = new Map<string, number>();
+
+  /**
+   * Looks a permit up.
+   *
+   * @param stepKey - the step
+   * @param worker - the worker
+   * @param now - monotonic time
+   * @returns the valid permit; undefined if there is none
+   */
+  public find(stepKey: string, worker: Worker, now: number): string | undefined {
+    const entry = this.#steps.get(stepKey)?.get(nameLife(worker));
+    return entry !== undefined && entry.permit !== '' && entry.validUntil > now
+      ? entry.permit
+      : undefined;
+  }
+
+  /**
+   * Tells whether asking for a worker makes sense.
+   *
+   * @param stepKey - the step
+   * @param worker - the worker
+   * @returns false if the policy forbids it
+   */
+  public mayAllow(stepKey: string, worker: Worker): boolean {
+    return this.#steps.get(stepKey)?.get(nameLife(worker))?.permit !== '';
+  }
+
+  /**
+   * Tells whether a call for the step may be made now.
+   *
+   * @param stepKey - the step
+   * @param now - monotonic time
+   * @returns false while one is under way or has just failed
+   */
+  public canAsk(stepKey: string, now: number): boolean {
+    return !this.#pending.has(stepKey) && (this.#retryAt.get(stepKey) ?? 0) <= now;
+  }
+
+  /** @param stepKey - step for which a call was made */
+  public noteAsked(stepKey: string): void {
+    this.#pending.add(stepKey);
+  }
+
+  /**
+   * Takes an answer.
+   *
+   * @param stepKey - the step
+   * @param asked - workers that were named in the call
+   * @param permits - permits of those that are allowed
+   * @param validUntil - end of their validity on the monotonic clock
+   */
+  public noteAnswer(
+    stepKey: string,
+    asked: readonly Worker[],
+    permits: readonly PlacementPermit[],
+    validUntil: number,
+  ): void {
+    this.#pending.delete(stepKey);
+    const byWorker = new Map(permits.map(({ workerId, permit }) => [workerId, permit]));
+    const entries = this.#steps.get(stepKey) ?? new Map<string, PermitEntry>();
+    this.#steps.set(stepKey, entries);
+    for (const worker of asked) {
+      entries.set(nameLife(worker), { permit: byWorker.get(worker.id) ?? '', validUntil });
+    }
+  }
+
+  /**
+   * Notes a call without an answer.
+   *
+   * @param stepKey - the step
+   * @param now - monotonic time
+   */
+  public noteFailure(stepKey: string, now: number): void {
+    this.#pending.delete(stepKey);
+    this.#retryAt.set(stepKey, now + schedulingLimits.workerBackoffMs / 2);
+  }
+
+  /**
+   * Drops a permit that a worker refused; the verdict on the worker stays.
+   *
+   * @param stepKey - the step
+   * @param worker - the worker
+   */
+  public expire(stepKey: string, worker: Worker): void {
+    const entries = this.#steps.get(stepKey);
+    const entry = entries?.get(nameLife(worker));
+    if (entry !== undefined) entries?.set(nameLife(worker), { ...entry, validUntil: 0 });
+  }
+
+  /** @param stepKey - step that needs no more permits */
+  public forget(stepKey: string): void {
+    this.#steps.delete(stepKey);
+    this.#retryAt.delete(stepKey);
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/PlannedRoom.ts
@@ -0,0 +1,84 @@
+import type { Room } from '@toucanline/schema';
+import { rooms } from './rooms.js';
+import type { StepRun } from './StepRun.js';
+import type { Worker } from './Worker.js';
+
+/** Room of workers while the tasks of one step are being placed. */
+export class PlannedRoom {
+  readonly #step: StepRun;
+  readonly #free = new Map<Worker, Room>();
+  readonly #counts = new Map<Worker, number>();
+
+  /** @param step - the step */
+  public constructor(step: StepRun) {
+    this.#step = step;
+  }
+
+  /**
+   * Tells whether one more task of the step fits.
+   *
+   * @param worker - the worker
+   * @returns whether room and spread allow it, and opportunistic and serving tasks stay apart
+   */
+  public admits(worker: Worker): boolean {
+    const { size, maxPerWorker } = this.#step.description;
+    return (
+      rooms.fits(size, this.free(worker)) &&
+      (maxPerWorker === undefined || this.#count(worker) < maxPerWorker) &&
+      !this.#disturbs(worker)
+    );
+  }
+
+  /**
+   * Computes the free room of a worker after the choices made so far.
+   *
+   * @param worker - the worker
+   * @returns its free room
+   */
+  public free(worker: Worker): Room {
+    const known = this.#free.get(worker);
+    if (known !== undefined) return known;
+    const free = this.#step.description.isOpportunistic === true ? idleRoom(worker) : worker.free;
+    this.#free.set(worker, free);
+    return free;
+  }
+
+  /** @param worker - worker that is to run one more task of the step */
+  public take(worker: Worker): void {
+    this.#free.set(worker, rooms.add(this.free(worker), this.#step.description.size, -1));
+    this.#counts.set(worker, this.#count(worker) + 1);
+  }
+
+  #count(worker: Worker): number {
+    const known = this.#counts.get(worker);
+    if (known !== undefined) return known;
+    const { step } = { step: this.#step };
+    let count = 0;
+    for (const task of worker.tasks) if (task.step === step) count += 1;
+    this.#counts.set(worker, count);
+    return count;
+  }
+
+  /** Opportunistic tasks raise the response times of serving tasks on the same worker. */
+  #disturbs(worker: Worker): boolean {
+    const { isOpportunistic, latencyTargetMs } = this.#step.description;
+    if (isOpportunistic !== true && latencyTargetMs === undefined) return false;
+    for (const { step } of worker.tasks) {
+      const { description } = step;
+      if (isOpportunistic === true && description.latencyTargetMs !== undefined) return true;
+      if (latencyTargetMs !== undefined && description.isOpportunistic === true) return true;
+    }
+    return false;
+  }
+}
+
+/** Room that neither counted nor opportunistic tasks use. */
+const idleRoom = (worker: Worker): Room => {
+  let free = worker.free;
+  for (const { step } of worker.tasks) {
+    if (step.description.isOpportunistic !== true) continue;
+    const { milliProcessors } = step.description.size;
+    free = { ...free, milliProcessors: free.milliProcessors - milliProcessors };
+  }
+  return free;
+};
--- /dev/null
+++ b/packages/jobs/src/Preemption.ts
@@ -0,0 +1,82 @@
+import type { Room } from '@toucanline/schema';
+import type { Demand } from './Demand.js';
+import type { JobTerms } from './JobTerms.js';
+import { rooms } from './rooms.js';
+import { schedulingLimits } from './schedulingLimits.js';
+import type { Task } from './Task.js';
+import type { Worker } from './Worker.js';
+
+/** Chooses running work that gives way to more urgent work. Only tasks with checkpoints are stopped. */
+export class Preemption {
+  readonly #terms: JobTerms;
+  /** Room that stopping tasks will free and that blocked demands of this pass count on. */
+  readonly #promised = new Map<Worker, Room>();
+  readonly #chosen = new Set<Task>();
+
+  /** @param terms - terms of the queues */
+  public constructor(terms: JobTerms) {
+    this.#terms = terms;
+  }
+
+  /** Tasks that are to be stopped. */
+  public get chosen(): ReadonlySet<Task> {
+    return this.#chosen;
+  }
+
+  /**
+   * Makes room for one task of a demand.
+   *
+   * @param demand - the blocked demand
+   * @param workers - workers on which it may run
+   * @param now - monotonic time
+   * @returns whether a worker will have the room
+   */
+  public makeRoom(demand: Demand, workers: readonly Worker[], now: number): boolean {
+    const { size } = demand.step.description;
+    let best: { readonly worker: Worker; readonly victims: readonly Task[] } | undefined;
+    for (const worker of workers) {
+      const victims = this.#findVictims(worker, size, demand, now);
+      if (victims === undefined) continue;
+      if (best === undefined || victims.length < best.victims.length) best = { worker, victims };
+    }
+    if (best === undefined) return false;
+    for (const victim of best.victims) this.#chosen.add(victim);
+    const promised = this.#promised.get(best.worker) ?? rooms.none;
+    this.#promised.set(best.worker, rooms.add(promised, size));
+    return true;
+  }
+
+  /** Returns undefined if stopping whatever may be stopped does not suffice. */
+  #findVictims(
+    worker: Worker,
+    size: Room,
+    demand: Demand,
+    now: number,
+  ): readonly Task[] | undefined {
+    let free = rooms.add(worker.free, this.#promised.get(worker) ?? rooms.none, -1);
+    for (const task of worker.tasks) {
+      const isLeaving = task.phase === 'stopping' || this.#chosen.has(task);
+      if (isLeaving) free = rooms.add(free, task.occupiedRoom);
+    }
+    const victims: Task[] = [];
+    for (const task of worker.tasks) {
+      if (rooms.fits(size, free)) break;
+      if (!this.#mayStop(task, demand, now)) continue;
+      victims.push(task);
+      free = rooms.add(free, task.occupiedRoom);
+    }
+    return rooms.fits(size, free) ? victims : undefined;
+  }
+
+  #mayStop(task: Task, demand: Demand, now: number): boolean {
+    if (task.phase !== 'running' || this.#chosen.has(task)) return false;
+    const { description, job } = task.step;
+    if (description.hasCheckpoints !== true || description.isLongRunning === true) return false;
+    // Stopping one member ends the whole gang, which costs more than the room that it frees.
+    if (description.isGang === true) return false;
+    const priority = this.#terms.find(job)?.priority ?? 0;
+    return (
+      priority > demand.queue.priority && now - task.since >= schedulingLimits.minPreemptionAgeMs
+    );
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/Scheduler.ts
@@ -0,0 +1,415 @@
+import type {
+  JobProgress,
+  JobRecord,
+  JobState,
+  PlacementPermit,
+  Placements,
+  Room,
+  SiteConfiguration,
+  WorkerEntry,
+  WorkerReport,
+} from '@toucanline/schema';
+import { EndIntake } from './EndIntake.js';
+import { ImageDurations } from './ImageDurations.js';
+import type { Job } from './Job.js';
+import { JobBook } from './JobBook.js';
+import { JobTerms } from './JobTerms.js';
+import type { Order } from './Order.js';
+import { rooms } from './rooms.js';
+import { PermitBook } from './PermitBook.js';
+import { Planner } from './Planner.js';
+import { schedulingLimits } from './schedulingLimits.js';
+import type { StartOutcome } from './StartOutcome.js';
+import type { Task } from './Task.js';
+import type { Worker } from './Worker.js';
+import { WorkerPool } from './WorkerPool.js';
+
+/** Delay before a stop without an answer is repeated, in milliseconds. */
+const stopRetryMs = 300;
+
+/** Marks of ends that may be acknowledged once the progress beside them is written. */
+interface ProgressBatch {
+  readonly progress: readonly JobProgress[];
+  readonly seen: readonly { readonly worker: Worker; readonly through: number }[];
+}
+
+/** Decisions of the leader: takes what is known, gives orders. */
+export class Scheduler {
+  readonly #book = new JobBook();
+  readonly #pool = new WorkerPool();
+  readonly #terms = new JobTerms();
+  readonly #permits = new PermitBook();
+  readonly #durations = new ImageDurations();
+  readonly #intake: EndIntake;
+  readonly #planner: Planner;
+  readonly #dirty = new Set<Job>();
+  readonly #stopSentAt = new Map<Task, number>();
+  readonly #claimRevision: number;
+  readonly #startedAt: number;
+  #run: number;
+  /** Workers of the previous leader that were not surveyed yet. */
+  readonly #unsurveyed = new Set<Worker>();
+
+  /**
+   * @param term - fencing token of this leader
+   * @param claimRevision - revision of the store at which it became leader
+   * @param now - monotonic time
+   */
+  public constructor(term: number, claimRevision: number, now: number) {
+    this.#claimRevision = claimRevision;
+    this.#startedAt = now;
+    this.#run = (term - 1) * schedulingLimits.runsPerTerm;
+    this.#intake = new EndIntake(
+      this.#book,
+      this.#durations,
+      (job) => this.#dirty.add(job),
+      (job) => this.#terms.find(job)?.maxAttempts ?? Infinity,
+    );
+    this.#planner = new Planner(
+      this.#book,
+      this.#pool,
+      this.#terms,
+      this.#permits,
+      this.#durations,
+      (job, service) => this.#isHeld(job, service, this.#now),
+      () => this.#run + 1,
+    );
+  }
+
+  #now = 0;
+
+  /** Workers that may run something. */
+  public get workers(): readonly Worker[] {
+    return this.#pool.all;
+  }
+
+  /** Whether progress waits to be written. */
+  public get hasProgress(): boolean {
+    return (
+      this.#dirty.size > 0 ||
+      this.#pool.all.some((worker) => worker.seenThrough > worker.acknowledgedThrough)
+    );
+  }
+
+  /** @param configuration - newest configuration */
+  public configure(configuration: SiteConfiguration): void {
+    this.#terms.configure(configuration.queues);
+    this.#book.configure(configuration);
+  }
+
+  /**
+   * Takes a job's record.
+   *
+   * @param record - the record
+   * @param revision - revision at which the record was created
+   * @param now - monotonic time
+   */
+  public addJob(record: JobRecord, revision: number, now: number): void {
+    this.#book.add(record, revision, now);
+  }
+
+  /** @param id - job whose record was removed */
+  public removeJob(id: string): void {
+    this.#book.remove(id);
+  }
+
+  /**
+   * Takes the progress that an earlier leader wrote.
+   *
+   * @param progress - the progress
+   * @param now - monotonic time
+   */
+  public restore(progress: JobProgress, now: number): void {
+    this.#book.restore(progress, now);
+  }
+
+  /**
+   * Takes a worker's entry.
+   *
+   * @param entry - the entry
+   * @param isInherited - whether the previous leader may have given orders to the worker
+   * @returns the worker, if it must be surveyed
+   */
+  public updateWorker(entry: WorkerEntry, isInherited: boolean): Worker | undefined {
+    const worker = this.#pool.update(entry);
+    if (worker !== undefined && isInherited) this.#unsurveyed.add(worker);
+    return worker;
+  }
+
+  /** @param id - worker that the platform no longer lists */
+  public unlistWorker(id: string): void {
+    this.#pool.find(id)?.unlist();
+  }
+
+  /**
+   * Takes a worker's report.
+   *
+   * @param worker - the worker
+   * @param report - the report
+   * @param sentAt - when it was asked for
+   * @param now - monotonic time
+   * @param wallMs - Unix time in milliseconds
+   * @returns runs that are to be stopped
+   */
+  public takeReport(
+    worker: Worker,
+    report: WorkerReport,
+    sentAt: number,
+    now: number,
+    wallMs: number,
+  ): ReturnType<EndIntake['take']> {
+    worker.noteContact(report.clockMs, now);
+    if (report.life !== worker.life) {
+      if (report.life > worker.life) this.endLife(worker, now);
+      return [];
+    }
+    const strays = this.#intake.take(worker, report, sentAt, now, wallMs);
+    worker.noteSurvey();
+    this.#unsurveyed.delete(worker);
+    return strays;
+  }
+
+  /**
+   * Takes the outcome of a start order.
+   *
+   * @param order - the order
+   * @param outcome - its outcome
+   * @param now - monotonic time
+   */
+  public takeStart(
+    order: Extract<Order, { kind: 'start' }>,
+    outcome: StartOutcome,
+    now: number,
+  ): void {
+    const { task, worker, run } = order;
+    if (outcome === 'otherLife' || outcome === 'refused') this.endLife(worker, now);
+    if (task.worker !== worker || task.run !== run || task.phase !== 'starting') return;
+    switch (outcome) {
+      case 'started':
+        task.confirm(now);
+        task.step.job.noteStart();
+        return;
+      case 'unknown':
+        worker.noteCallFailure(now);
+        task.beginStop(now);
+        return;
+      case 'permit':
+        this.#permits.expire(task.step.key, worker);
+        break;
+      case 'room':
+      case 'unhealthy':
+      case 'late':
+        worker.noteCallFailure(now);
+        break;
+      case 'invalid':
+        task.step.delayUntil(now + schedulingLimits.maxWorkerBackoffMs);
+        break;
+      default:
+        break;
+    }
+    task.release('', now);
+  }
+
+  /**
+   * Takes the outcome of a stop order.
+   *
+   * @param task - the task
+   * @param run - the run
+   * @param isConfirmed - whether the worker confirmed it
+   * @param now - monotonic time
+   */
+  public takeStop(task: Task, run: number, isConfirmed: boolean, now: number): void {
+    if (task.run !== run || task.phase !== 'stopping') return;
+    if (isConfirmed) task.confirmStop(now);
+  }
+
+  /**
+   * Ends an incarnation of a worker: whatever it ran is gone.
+   *
+   * @param worker - the worker
+   * @param now - monotonic time
+   */
+  public endLife(worker: Worker, now: number): void {
+    this.#pool.remove(worker);
+    this.#unsurveyed.delete(worker);
+    for (const task of [...worker.tasks]) task.release('', now);
+  }
+
+  /**
+   * Takes an answer of the advice service.
+   *
+   * @param order - what was asked
+   * @param permits - the permits; undefined without an answer
+   * @param now - monotonic time
+   * @param validMs - validity in milliseconds
+   */
+  public takePermits(
+    order: Extract<Order, { kind: 'advise' }>,
+    permits: readonly PlacementPermit[] | undefined,
+    now: number,
+    validMs: number,
+  ): void {
+    if (permits === undefined) this.#permits.noteFailure(order.stepKey, now);
+    else {
+      const validUntil = now + validMs - schedulingLimits.permitMarginMs;
+      this.#permits.noteAnswer(order.stepKey, order.workers, permits, validUntil);
+    }
+  }
+
+  /**
+   * Finds the state that callers see.
+   *
+   * @param id - the job
+   * @returns its state, if it is known
+   */
+  public findState(id: string): JobState | undefined {
+    return this.#book.find(id)?.shownState;
+  }
+
+  /**
+   * Counts the jobs of a queue none of whose tasks started.
+   *
+   * @param queue - name of the queue
+   * @returns their number
+   */
+  public countWaiting(queue: string): number {
+    let count = 0;
+    for (const job of this.#book.open) {
+      if (job.record.queue === queue && !job.hasStarted) count += 1;
+    }
+    return count;
+  }
+
+  /**
+   * Plans one pass.
+   *
+   * @param now - monotonic time
+   * @param wallMs - Unix time in milliseconds
+   * @returns orders
+   */
+  public plan(now: number, wallMs: number): readonly Order[] {
+    this.#now = now;
+    this.#releaseLapsed(now);
+    for (const job of [...this.#book.open]) {
+      job.openDue(wallMs);
+      if (job.record.isCancelled && !job.isFinished) {
+        job.finish('cancelled', wallMs);
+        this.#dirty.add(job);
+      }
+    }
+    const stops = this.#collectStops(now);
+    const planned = this.#planner.plan(now);
+    this.#run += 1;
+    for (const order of planned) if (order.kind === 'stop') this.#stopSentAt.set(order.task, now);
+    return [...stops, ...planned];
+  }
+
+  /**
+   * Describes what each account has on each worker, for a successor that does not reach a worker.
+   *
+   * @returns room by worker and account
+   */
+  public describePlacements(): Placements {
+    return {
+      workers: this.#pool.all.flatMap(({ id, life, tasks }) => {
+        const byAccount = new Map<string, Room>();
+        for (const { step } of tasks) {
+          const { name } = step.job.account;
+          const used = byAccount.get(name) ?? rooms.none;
+          byAccount.set(name, rooms.add(used, step.description.size));
+        }
+        return [...byAccount].map(([account, room]) => ({ worker: id, life, account, room }));
+      }),
+    };
+  }
+
+  /**
+   * Hands out the progress that is to be written.
+   *
+   * @returns progress, and the ends that may be acknowledged after it was written
+   */
+  public takeProgress(): ProgressBatch {
+    const progress = [...this.#dirty].map((job) => job.describeProgress());
+    this.#dirty.clear();
+    const seen = this.#pool.all.map((worker) => ({ worker, through: worker.seenThrough }));
+    return { progress, seen };
+  }
+
+  /**
+   * Notes that progress was written.
+   *
+   * @param batch - the progress
+   */
+  public confirmProgress(batch: ProgressBatch): void {
+    for (const { id, state, finishedAtMs } of batch.progress) {
+      const job = this.#book.find(id);
+      if (job !== undefined && finishedAtMs !== undefined) job.show(state);
+    }
+    for (const { worker, through } of batch.seen) worker.acknowledge(through);
+  }
+
+  /**
+   * Notes that progress could not be written.
+   *
+   * @param batch - the progress
+   */
+  public returnProgress(batch: ProgressBatch): void {
+    for (const { id } of batch.progress) {
+      const job = this.#book.find(id);
+      if (job !== undefined) this.#dirty.add(job);
+    }
+  }
+
+  /** The previous leader may have started any task of a job that it knew, where this one has not looked yet. */
+  #isHeld(job: Job, service: string, now: number): boolean {
+    if (job.acceptedRevision > this.#claimRevision || this.#unsurveyed.size === 0) return false;
+    const { workerLeaseMs, slowestClockRate, lapseMarginMs } = schedulingLimits;
+    // Leases of up to 6 s were granted until the claim passed on.
+    const lapsedAt = this.#startedAt + (workerLeaseMs + 100) / slowestClockRate + lapseMarginMs;
+    if (now > lapsedAt) {
+      this.#unsurveyed.clear();
+      return false;
+    }
+    for (const { entry } of this.#unsurveyed) if (entry.service === service) return true;
+    return false;
+  }
+
+  #releaseLapsed(now: number): void {
+    for (const ended of this.#pool.takeEnded()) this.endLife(ended, now);
+    for (const worker of this.#pool.all) {
+      if (now <= worker.lapsesAt) continue;
+      for (const task of [...worker.tasks]) task.release('', now);
+      if (!worker.isListed) this.endLife(worker, now);
+    }
+  }
+
+  /** Stops what finished jobs still run, gangs that are incomplete, and repeats stops without an answer. */
+  #collectStops(now: number): readonly Order[] {
+    const orders: Order[] = [];
+    for (const worker of this.#pool.all) {
+      for (const task of worker.tasks) {
+        if (this.#mustStop(task)) task.beginStop(now);
+        if (task.phase !== 'stopping' || task.stopConfirmedAt !== undefined) continue;
+        if (now - (this.#stopSentAt.get(task) ?? -Infinity) < stopRetryMs) continue;
+        this.#stopSentAt.set(task, now);
+        orders.push({ kind: 'stop', task, worker, run: task.run });
+      }
+    }
+    for (const job of this.#book.open) if (job.isFinished) this.#closeJob(job);
+    return orders;
+  }
+
+  #mustStop(task: Task): boolean {
+    if (task.phase !== 'running' && task.phase !== 'starting') return false;
+    const { step } = task;
+    if (step.job.isFinished) return true;
+    if (step.description.isGang !== true || task.phase === 'starting') return false;
+    // A gang with a member that is waiting or being stopped cannot make progress.
+    return step.tasks.some(({ phase }) => phase === 'waiting' || phase === 'stopping');
+  }
+
+  #closeJob(job: Job): void {
+    for (const { key } of job.steps) this.#permits.forget(key);
+    this.#book.close(job);
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/Task.ts
@@ -0,0 +1,215 @@
+import type { Room } from '@toucanline/schema';
+import type { StepRun } from './StepRun.js';
+import type { Worker } from './Worker.js';
+
+/**
+ * Phases of a task. `starting`: the order is under way or unanswered; `stopping`: the task occupies its worker
+ * until its end is reported.
+ */
+type TaskPhase = 'waiting' | 'starting' | 'running' | 'stopping' | 'done';
+
+/** One task of a step. It belongs to at most one worker at a time and counts against its room until it left. */
+export class Task {
+  /** The step that it belongs to. */
+  public readonly step: StepRun;
+  /** Number within the step, from 0. */
+  public readonly index: number;
+  /** Name on the workers: job, occurrence, step and index. */
+  public readonly name: string;
+  #phase: TaskPhase = 'waiting';
+  #worker: Worker | undefined;
+  #run = 0;
+  #checkpoint = '';
+  #failures = 0;
+  #percent = 0;
+  #load = 0;
+  #since = 0;
+  #stopConfirmedAt: number | undefined;
+
+  /**
+   * @param step - the step
+   * @param index - number within the step
+   */
+  public constructor(step: StepRun, index: number) {
+    this.step = step;
+    this.index = index;
+    this.name = `${step.key}.${index}`;
+  }
+
+  /** Where the task stands. */
+  public get phase(): TaskPhase {
+    return this.#phase;
+  }
+
+  /** The worker that it occupies, if any. */
+  public get worker(): Worker | undefined {
+    return this.#worker;
+  }
+
+  /** Number of the latest run. */
+  public get run(): number {
+    return this.#run;
+  }
+
+  /** Latest checkpoint; empty without one. */
+  public get checkpoint(): string {
+    return this.#checkpoint;
+  }
+
+  /** Runs that ended as failed. */
+  public get failures(): number {
+    return this.#failures;
+  }
+
+  /** Reported progress of the run. */
+  public get percent(): number {
+    return this.#percent;
+  }
+
+  /** Reported load: tail latency of a serving task in milliseconds. */
+  public get load(): number {
+    return this.#load;
+  }
+
+  /** When the current phase began. */
+  public get since(): number {
+    return this.#since;
+  }
+
+  /** When the worker confirmed the stop of the current run, if it did. */
+  public get stopConfirmedAt(): number | undefined {
+    return this.#stopConfirmedAt;
+  }
+
+  /** What it occupies on its worker. Opportunistic tasks count no processors. */
+  public get occupiedRoom(): Room {
+    const { size, isOpportunistic } = this.step.description;
+    return isOpportunistic === true ? { ...size, milliProcessors: 0 } : size;
+  }
+
+  /** Whether it occupies a worker. */
+  public get isPlaced(): boolean {
+    return this.#worker !== undefined;
+  }
+
+  /**
+   * Assigns the task to a worker.
+   *
+   * @param worker - the worker
+   * @param run - number of the run
+   * @param now - monotonic time
+   */
+  public place(worker: Worker, run: number, now: number): void {
+    this.#worker = worker;
+    this.#run = run;
+    this.#percent = 0;
+    this.#stopConfirmedAt = undefined;
+    worker.add(this);
+    this.step.job.account.add(this.step.description.size, 1);
+    this.#enter('starting', now);
+  }
+
+  /**
+   * Notes that the worker runs the task.
+   *
+   * @param now - monotonic time
+   */
+  public confirm(now: number): void {
+    if (this.#phase === 'starting') this.#enter('running', now);
+  }
+
+  /**
+   * Takes the worker's report on the run.
+   *
+   * @param percent - progress
+   * @param checkpoint - latest checkpoint
+   * @param load - reported load
+   */
+  public update(percent: number, checkpoint: string, load: number): void {
+    this.#percent = percent;
+    this.#load = load;
+    if (checkpoint !== '') this.#checkpoint = checkpoint;
+  }
+
+  /**
+   * Notes that the run is to be stopped.
+   *
+   * @param now - monotonic time
+   */
+  public beginStop(now: number): void {
+    if (this.#phase === 'stopping') return;
+    this.#stopConfirmedAt = undefined;
+    this.#enter('stopping', now);
+  }
+
+  /**
+   * Notes that the worker confirmed the stop; the room is free once the run left its list.
+   *
+   * @param now - monotonic time
+   */
+  public confirmStop(now: number): void {
+    this.#stopConfirmedAt = now;
+  }
+
+  /**
+   * Takes the task off its worker.
+   *
+   * @param checkpoint - checkpoint of the end, if any
+   * @param now - monotonic time
+   */
+  public release(checkpoint: string, now: number): void {
+    if (checkpoint !== '') this.#checkpoint = checkpoint;
+    this.#leave();
+    this.#enter('waiting', now);
+  }
+
+  /**
+   * Notes that the task is done.
+   *
+   * @param now - monotonic time
+   */
+  public complete(now: number): void {
+    this.#leave();
+    this.#enter('done', now);
+  }
+
+  /**
+   * Counts runs that ended as failed.
+   *
+   * @param count - how many
+   */
+  public addFailures(count: number): void {
+    this.#failures += count;
+  }
+
+  /**
+   * Keeps run numbers rising after a change of the leader.
+   *
+   * @param run - number that was used before
+   */
+  public raiseRun(run: number): void {
+    this.#run = Math.max(this.#run, run);
+  }
+
+  /**
+   * Sets the checkpoint that the members of a gang share.
+   *
+   * @param checkpoint - the checkpoint
+   */
+  public resumeFrom(checkpoint: string): void {
+    this.#checkpoint = checkpoint;
+  }
+
+  #enter(phase: TaskPhase, now: number): void {
+    this.step.count(this.#phase, phase);
+    this.#phase = phase;
+    this.#since = now;
+  }
+
+  #leave(): void {
+    if (this.#worker === undefined) return;
+    this.#worker.remove(this);
+    this.step.job.account.add(this.step.description.size, -1);
+    this.#worker = undefined;
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/TaskPlacement.ts
@@ -0,0 +1,20 @@
+import type { Candidate } from './Candidate.js';
+import type { Choice } from './Choice.js';
+import type { StepRun } from './StepRun.js';
+
+/** Chooses workers for the waiting tasks of a step. */
+export abstract class TaskPlacement {
+  /**
+   * Chooses workers. The room of earlier choices of the same call is taken into account.
+   *
+   * @param step - the step
+   * @param candidates - workers on which it may run
+   * @param limit - most tasks to place
+   * @returns choices for some of the waiting tasks, or none
+   */
+  public abstract choose(
+    step: StepRun,
+    candidates: readonly Candidate[],
+    limit: number,
+  ): readonly Choice[];
+}
--- /dev/null
+++ b/packages/jobs/src/Worker.ts
@@ -0,0 +1,232 @@
+import type { Room, WorkerEntry } from '@toucanline/schema';
+import { rooms } from './rooms.js';
+import { schedulingLimits } from './schedulingLimits.js';
+import type { Task } from './Task.js';
+
+/** One incarnation of a worker, with what it runs and what is known of its clock and health. */
+export class Worker {
+  #entry: WorkerEntry;
+  readonly #tasks = new Set<Task>();
+  #used: Room = rooms.none;
+  #isListed = true;
+  #isSurveyed = false;
+  /** The worker's clock at a known time of ours. */
+  #clockMs = 0;
+  #clockReadAt: number | undefined;
+  /** Latest lease end that was sent, on the worker's clock. */
+  #leaseUntilMs = 0;
+  #lastContactAt = -Infinity;
+  #pausedUntil = 0;
+  #failuresInRow = 0;
+  #callFailures = 0;
+  #seenThrough = 0;
+  #acknowledgedThrough = 0;
+  /** Duration of its tasks relative to the mean of their images. */
+  #slowness = 1;
+
+  /** @param entry - entry of the worker in the platform's list */
+  public constructor(entry: WorkerEntry) {
+    this.#entry = entry;
+  }
+
+  /** Id in the platform's list. */
+  public get id(): string {
+    return this.#entry.id;
+  }
+
+  /** Incarnation. */
+  public get life(): number {
+    return this.#entry.life;
+  }
+
+  /** Newest entry. */
+  public get entry(): WorkerEntry {
+    return this.#entry;
+  }
+
+  /** Rack label: racks are the labels with a dash after a letter and a number. */
+  public get rack(): string {
+    return this.#entry.labels.find((label) => /^r\d+-/.test(label)) ?? '';
+  }
+
+  /** Tasks that occupy the worker. */
+  public get tasks(): ReadonlySet<Task> {
+    return this.#tasks;
+  }
+
+  /** Room that is not occupied. */
+  public get free(): Room {
+    return rooms.add(this.#entry.capacity, this.#used, -1);
+  }
+
+  /** Whether the platform lists this incarnation. */
+  public get isListed(): boolean {
+    return this.#isListed;
+  }
+
+  /** Whether the worker told this leader what it runs. */
+  public get isSurveyed(): boolean {
+    return this.#isSurveyed;
+  }
+
+  /** Number of the last end that was processed. */
+  public get seenThrough(): number {
+    return this.#seenThrough;
+  }
+
+  /** Number of the last end that lies in the store. */
+  public get acknowledgedThrough(): number {
+    return this.#acknowledgedThrough;
+  }
+
+  /** Monotonic time of the last answer. */
+  public get lastContactAt(): number {
+    return this.#lastContactAt;
+  }
+
+  /** Duration of its tasks relative to other workers. */
+  public get slowness(): number {
+    return this.#slowness;
+  }
+
+  /** Calls in a row without an answer. */
+  public get callFailures(): number {
+    return this.#callFailures;
+  }
+
+  /**
+   * Tells whether new tasks may go to the worker.
+   *
+   * @param now - monotonic time
+   * @returns whether it is listed, answers, and is neither draining nor paused
+   */
+  public isUsable(now: number): boolean {
+    return (
+      this.#isListed && this.#isSurveyed && !this.#entry.isDraining && now >= this.#pausedUntil
+    );
+  }
+
+  /**
+   * Takes a newer entry of the same incarnation.
+   *
+   * @param entry - the entry
+   */
+  public replaceEntry(entry: WorkerEntry): void {
+    this.#entry = entry;
+    this.#isListed = true;
+  }
+
+  /** Notes that the platform no longer lists the worker. */
+  public unlist(): void {
+    this.#isListed = false;
+  }
+
+  /** @param task - task that occupies the worker now */
+  public add(task: Task): void {
+    this.#tasks.add(task);
+    this.#used = rooms.add(this.#used, task.occupiedRoom);
+  }
+
+  /** @param task - task that left the worker */
+  public remove(task: Task): void {
+    if (this.#tasks.delete(task)) this.#used = rooms.add(this.#used, task.occupiedRoom, -1);
+  }
+
+  /**
+   * Takes an answer with the worker's clock.
+   *
+   * @param clockMs - the worker's clock
+   * @param now - monotonic time of the answer's arrival
+   */
+  public noteContact(clockMs: number, now: number): void {
+    this.#clockMs = clockMs;
+    this.#clockReadAt = now;
+    this.#lastContactAt = now;
+    this.#callFailures = 0;
+  }
+
+  /** Notes that the worker told what it runs. */
+  public noteSurvey(): void {
+    this.#isSurveyed = true;
+  }
+
+  /**
+   * Computes the end of a lease that is granted now.
+   *
+   * @param now - monotonic time
+   * @returns time on the worker's clock
+   */
+  public extendLease(now: number): number {
+    const elapsed = this.#clockReadAt === undefined ? 0 : now - this.#clockReadAt;
+    const until = Math.floor(this.#clockMs + elapsed + schedulingLimits.workerLeaseMs);
+    this.#leaseUntilMs = Math.max(this.#leaseUntilMs, until);
+    return until;
+  }
+
+  /**
+   * Tells by when everything on the worker has surely ended if it gets no further order.
+   *
+   * @returns monotonic time
+   */
+  public get lapsesAt(): number {
+    const { slowestClockRate, lapseMarginMs } = schedulingLimits;
+    if (this.#clockReadAt === undefined) return Infinity;
+    const left = Math.max(0, this.#leaseUntilMs - this.#clockMs) / slowestClockRate;
+    return this.#clockReadAt + left + lapseMarginMs;
+  }
+
+  /**
+   * Notes a call without an answer: the worker gets no new task for a while.
+   *
+   * @param now - monotonic time
+   */
+  public noteCallFailure(now: number): void {
+    this.#callFailures += 1;
+    const { workerBackoffMs, maxWorkerBackoffMs } = schedulingLimits;
+    const delay = Math.min(workerBackoffMs * 2 ** (this.#callFailures - 1), maxWorkerBackoffMs);
+    this.pauseUntil(now + delay);
+  }
+
+  /**
+   * Keeps new tasks away for a while.
+   *
+   * @param time - monotonic time
+   */
+  public pauseUntil(time: number): void {
+    this.#pausedUntil = Math.max(this.#pausedUntil, time);
+  }
+
+  /**
+   * Counts the end of a run for the worker's health.
+   *
+   * @param isFailure - whether it failed
+   * @param now - monotonic time
+   */
+  public noteOutcome(isFailure: boolean, now: number): void {
+    this.#failuresInRow = isFailure ? this.#failuresInRow + 1 : 0;
+    const { quarantineFailures, quarantineMs } = schedulingLimits;
+    if (this.#failuresInRow < quarantineFailures) return;
+    this.pauseUntil(now + quarantineMs);
+    this.#failuresInRow -= 1;
+  }
+
+  /**
+   * Learns the worker's speed from a finished task.
+   *
+   * @param ratio - duration relative to the mean of the task's image
+   */
+  public noteSpeed(ratio: number): void {
+    const weight = 0.3;
+    this.#slowness = this.#slowness * (1 - weight) + Math.min(ratio, 10) * weight;
+  }
+
+  /** @param number - number of the last end that was processed */
+  public noteSeen(number: number): void {
+    this.#seenThrough = Math.max(this.#seenThrough, number);
+  }
+
+  /** @param number - number of the last end that lies in the store */
+  public acknowledge(number: number): void {
+    this.#acknowledgedThrough = Math.max(this.#acknowledgedThrough, number);
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/schedulingLimits.ts
@@ -0,0 +1,33 @@
+/** Times and bounds of scheduling. All times in milliseconds. */
+export const schedulingLimits = Object.freeze({
+  /** Lease that each order grants: just under the longest that the platform's workers accept (6 s). */
+  workerLeaseMs: 5900,
+  /** Slowest clock of a worker against ours: the platform states a drift of 2%. */
+  slowestClockRate: 0.98,
+  /** Added to the computed end of a lease: covers the delivery of an order inside the worker. */
+  lapseMarginMs: 150,
+  /** A permit is not used in the last part of its validity, since an order takes a few milliseconds to arrive. */
+  permitMarginMs: 150,
+  /** A worker that did not answer gets no new task for this time; doubles with each failure in a row. */
+  workerBackoffMs: 500,
+  /** Longest pause of a worker that keeps failing. */
+  maxWorkerBackoffMs: 4000,
+  /** Most workers named in one call for permits: the platform's objective allows for a call on 30. */
+  workersPerAdvice: 30,
+  /** A step's permits are requested this long before its predecessors are expected to end. */
+  adviceLeadMs: 900,
+  /** A job that is this many times its objective late no longer earns anything and waits behind all others. */
+  hopelessFactor: 3,
+  /** Age below which a running task is not preempted, so that work is not stopped right after its start. */
+  minPreemptionAgeMs: 400,
+  /** Most tasks that one planning pass stops in favour of more urgent ones. */
+  maxPreemptionsPerPass: 12,
+  /** Failures in a row, of different jobs, after which a worker is quarantined. */
+  quarantineFailures: 4,
+  /** First quarantine of a worker. */
+  quarantineMs: 3000,
+  /** Run numbers reserved for each leader's term: no run of a later term is lower. */
+  runsPerTerm: 1000,
+  /** Time that a job's state stays readable after its end; the platform asks for 120 s. */
+  retentionMs: 180_000,
+});
--- a/packages/runtime/src/ProcessRuntime.ts
+++ b/packages/runtime/src/ProcessRuntime.ts
@@ -9,7 +9,7 @@
   mergeEvents,
   RevisionSync,
 } from '@toucanline/core';
-import { HttpHostList, HttpStore } from '@toucanline/platform';
+import { HttpHostList, HttpStore } from '@toucanline/clients';
 import type { Event, Hello, ProcessSettings } from '@toucanline/schema';
 import { Log } from './Log.js';
 import { Metrics } from './Metrics.js';
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -1,5 +1,5 @@
 import { createFailure, limitEvents, Router, type TakeoverBook } from '@toucanline/core';
-import { HttpWorkerGateway } from '@toucanline/platform';
+import { HttpWorkerGateway } from '@toucanline/clients';
 import {
   addHealthRoutes,
   Daemon,
@@ -333,6 +333,10 @@
         return this.#candidates.get(body.snapshot.shard)?.acceptHandover(body) === true
           ? { reply: 'done' }
           : fail('notOwner', 'the handover is not accepted');
+      case 'jobState':
+      case 'queueDepth':
+      case 'permits':
+        return fail('notOwner', 'schedulers of shards hold no jobs of steps');
     }
   }
 
