Reserve workers for blocked gangs by the policy's verdict

Change: reservation and preemption go by the verdict, which does not change; permits are renewed for chosen workers.

--- /dev/null
+++ b/packages/daemon/src/DriverContext.ts
@@ -0,0 +1,15 @@
+import type { Scheduler, WorkerControl } from '@toucanline/jobs';
+import type { DecisionLog } from './DecisionLog.js';
+import type { LeaderClaim } from './LeaderClaim.js';
+
+/** What the drivers of a leader's workers share. */
+export interface DriverContext {
+  readonly scheduler: Scheduler;
+  readonly control: WorkerControl;
+  readonly claim: LeaderClaim;
+  readonly log: DecisionLog;
+  /** Called when something changed that may allow new decisions. */
+  readonly changed: () => void;
+  /** Called when a worker has seen a newer fencing token. */
+  readonly fenced: () => void;
+}
--- a/packages/daemon/src/Election.ts
+++ b/packages/daemon/src/Election.ts
@@ -108,12 +108,16 @@
     if (this.#holder === undefined && this.#claim === undefined) void this.#campaign();
   }
 
+  get #isVacant(): boolean {
+    return this.#holder === undefined && !this.#stopped && this.#claim === undefined;
+  }
+
   async #campaign(): Promise<void> {
     if (this.#isCampaigning || this.#stopped) return;
     this.#isCampaigning = true;
     try {
       await this.#sleep(Math.random() * hostTimes.campaignSpreadMs);
-      while (this.#holder === undefined && !this.#stopped && this.#claim === undefined) {
+      while (this.#isVacant) {
         if (await this.#tryClaim()) break;
         await this.#sleep(hostTimes.watchRetryMs);
       }
--- a/packages/daemon/src/Leadership.ts
+++ b/packages/daemon/src/Leadership.ts
@@ -1,11 +1,4 @@
-import type {
-  MetadataStore,
-  OperatorFeed,
-  Order,
-  PlacementAdvisor,
-  Worker,
-  WorkerControl,
-} from '@toucanline/jobs';
+import type { Order, StoreItem, Worker } from '@toucanline/jobs';
 import { Scheduler } from '@toucanline/jobs';
 import {
   validators,
@@ -13,30 +6,16 @@
   type SiteConfiguration,
   type WorkerEntry,
 } from '@toucanline/schema';
-import type { Link } from '@toucanline/wire';
 import { AdviceDispatcher } from './AdviceDispatcher.js';
-import type { DecisionLog } from './DecisionLog.js';
 import { hostTimes } from './hostTimes.js';
 import type { LeaderClaim } from './LeaderClaim.js';
+import type { LeadershipParts } from './LeadershipParts.js';
 import { parseStored } from './parseStored.js';
 import { ProgressWriter } from './ProgressWriter.js';
 import { StoreFeed } from './StoreFeed.js';
 import { storeKeys } from './storeKeys.js';
-import { WorkerDriver, type DriverContext } from './WorkerDriver.js';
-
-type Item = Parameters<ConstructorParameters<typeof StoreFeed>[3]['change']>[0];
-
-/** What the leader's work needs of its host. */
-export interface LeadershipParts {
-  readonly store: MetadataStore;
-  readonly operator: OperatorFeed;
-  readonly control: WorkerControl;
-  readonly advisor: PlacementAdvisor;
-  readonly links: () => readonly Link[];
-  readonly log: DecisionLog;
-  /** Called when the claim proves to be lost. */
-  readonly lost: (reason: string) => void;
-}
+import type { DriverContext } from './DriverContext.js';
+import { WorkerDriver } from './WorkerDriver.js';
 
 /** The leader's work during one term: reads what is known, surveys the workers, schedules. */
 export class Leadership {
@@ -200,7 +179,7 @@
     return true;
   }
 
-  #follow(prefix: string, revision: number, take: (item: Item) => void): void {
+  #follow(prefix: string, revision: number, take: (item: StoreItem) => void): void {
     const feed = new StoreFeed(this.#parts.store, prefix, hostTimes.leaderFeedWaitMs, {
       replace: (items) => {
         for (const item of items) take(item);
@@ -216,12 +195,12 @@
     void feed.run(revision);
   }
 
-  #takeProgress({ value }: Item, now: number): void {
+  #takeProgress({ value }: StoreItem, now: number): void {
     const progress = value === undefined ? undefined : parseStored(validators.JobProgress, value);
     if (progress !== undefined) this.#scheduler.restore(progress, now);
   }
 
-  #takeJob({ key, value, revision }: Item): void {
+  #takeJob({ key, value, revision }: StoreItem): void {
     if (value === undefined) {
       this.#scheduler.removeJob(key.slice(storeKeys.jobs.length));
       return;
@@ -240,7 +219,7 @@
     this.#scheduler.addJob(record, revision, performance.now() - (this.#isLoaded ? 0 : ageMs));
   }
 
-  #deferred: Item[] = [];
+  #deferred: StoreItem[] = [];
 
   #isKnown(key: string): boolean {
     return this.#scheduler.findState(key.slice(storeKeys.jobs.length)) !== undefined;
@@ -252,7 +231,7 @@
     if (worker !== undefined) this.#drive(worker);
   }
 
-  #takeWorker({ key, value }: Item): void {
+  #takeWorker({ key, value }: StoreItem): void {
     const { operator, log } = this.#parts;
     const id = key.slice(operator.workerPrefix.length);
     if (value === undefined) {
@@ -271,7 +250,7 @@
     this.#drive(worker);
   }
 
-  #unlistAbsent(items: readonly Item[]): void {
+  #unlistAbsent(items: readonly StoreItem[]): void {
     const { workerPrefix } = this.#parts.operator;
     const listed = new Set(items.map(({ key }) => key.slice(workerPrefix.length)));
     for (const { id } of this.#scheduler.workers) {
@@ -367,7 +346,7 @@
     this.#changed();
   }
 
-  #takeRosterConflict(items: readonly Item[]): void {
+  #takeRosterConflict(items: readonly StoreItem[]): void {
     const holder = items.find(({ key }) => key === storeKeys.holder);
     if (holder?.revision !== this.#claim.revision) {
       this.#parts.lost('the store has another leader');
--- /dev/null
+++ b/packages/daemon/src/LeadershipParts.ts
@@ -0,0 +1,20 @@
+import type {
+  MetadataStore,
+  OperatorFeed,
+  PlacementAdvisor,
+  WorkerControl,
+} from '@toucanline/jobs';
+import type { Link } from '@toucanline/wire';
+import type { DecisionLog } from './DecisionLog.js';
+
+/** What the leader's work needs of its host. */
+export interface LeadershipParts {
+  readonly store: MetadataStore;
+  readonly operator: OperatorFeed;
+  readonly control: WorkerControl;
+  readonly advisor: PlacementAdvisor;
+  readonly links: () => readonly Link[];
+  readonly log: DecisionLog;
+  /** Called when the claim proves to be lost. */
+  readonly lost: (reason: string) => void;
+}
--- a/packages/daemon/src/StoreFeed.ts
+++ b/packages/daemon/src/StoreFeed.ts
@@ -1,28 +1,7 @@
 import type { MetadataStore } from '@toucanline/jobs';
+import type { FeedHandler } from './FeedHandler.js';
 import { hostTimes } from './hostTimes.js';
 
-type Item = Extract<
-  Awaited<ReturnType<MetadataStore['list']>>,
-  { value: unknown }
->['value']['items'][number];
-
-/** What a feed tells its user. */
-export interface FeedHandler {
-  /**
-   * Takes all items with the prefix.
-   *
-   * @param items - the items
-   * @param revision - revision of the store
-   */
-  readonly replace: (items: readonly Item[], revision: number) => void;
-  /** Takes one change. */
-  readonly change: (item: Item) => void;
-  /** Takes the moment at which a completed read or watch was sent. */
-  readonly confirm?: (monotonicAt: number, wallAt: number) => void;
-  /** Takes whether the store answered. */
-  readonly contact?: (isAnswered: boolean) => void;
-}
-
 /** Follows all items with a prefix: reads them once, then watches; reads again when the history is gone. */
 export class StoreFeed {
   readonly #store: MetadataStore;
--- a/packages/daemon/src/WorkerDriver.ts
+++ b/packages/daemon/src/WorkerDriver.ts
@@ -1,19 +1,6 @@
-import type { Scheduler, Worker, WorkerControl } from '@toucanline/jobs';
-import type { DecisionLog } from './DecisionLog.js';
+import type { Worker } from '@toucanline/jobs';
+import type { DriverContext } from './DriverContext.js';
 import { hostTimes } from './hostTimes.js';
-import type { LeaderClaim } from './LeaderClaim.js';
-
-/** What the drivers of a leader's workers share. */
-export interface DriverContext {
-  readonly scheduler: Scheduler;
-  readonly control: WorkerControl;
-  readonly claim: LeaderClaim;
-  readonly log: DecisionLog;
-  /** Called when something changed that may allow new decisions. */
-  readonly changed: () => void;
-  /** Called when a worker has seen a newer fencing token. */
-  readonly fenced: () => void;
-}
 
 /** Refusals of a connection in a row after which an incarnation counts as ended. */
 const refusalsToEnd = 2;
@@ -37,7 +24,7 @@
 
   /** Runs until stopped or the incarnation ended. */
   public async run(): Promise<void> {
-    while (!this.#stopped) {
+    while (!this.#hasStopped()) {
       if (!this.#isNeeded) await this.#rest(undefined);
       else if (!this.#context.claim.mayOrder) await this.#rest(hostTimes.reportRetryMs);
       else await this.#report();
@@ -57,6 +44,10 @@
     wake?.();
   }
 
+  #hasStopped(): boolean {
+    return this.#stopped;
+  }
+
   get #isNeeded(): boolean {
     const { tasks, isSurveyed, seenThrough, acknowledgedThrough } = this.#worker;
     return tasks.size > 0 || !isSurveyed || seenThrough > acknowledgedThrough;
@@ -71,7 +62,7 @@
     const worker = this.#worker;
     // While ends are unwritten the worker would answer at once each time; the write wakes the driver.
     if (this.#isUnwritten) await this.#rest(hostTimes.unwrittenPauseMs);
-    if (this.#stopped || !claim.mayOrder) return;
+    if (this.#hasStopped() || !claim.mayOrder) return;
     const sentAt = performance.now();
     const waitMs = worker.isSurveyed && worker.tasks.size > 0 ? hostTimes.reportWaitMs : 0;
     const leaseUntilMs = worker.isSurveyed ? worker.extendLease(sentAt) : undefined;
@@ -82,7 +73,7 @@
       leaseUntilMs,
       waitMs,
     );
-    if (this.#stopped) return;
+    if (this.#hasStopped()) return;
     const now = performance.now();
     if (typeof report === 'string') {
       await this.#takeFailure(report, now);
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -13,7 +13,7 @@
   #state: JobState = 'queued';
   #shownState: JobState = 'queued';
   #finishedAtMs = 0;
-  #occurrences: (readonly StepRun[])[] = [];
+  readonly #occurrences: (readonly StepRun[])[] = [];
   #hasStarted = false;
   readonly #acceptedAt: number;
   readonly #isExcess: boolean;
--- a/packages/jobs/src/MetadataStore.ts
+++ b/packages/jobs/src/MetadataStore.ts
@@ -1,14 +1,6 @@
 import type { Failure } from '@toucanline/schema';
 import type { Result } from 'neverthrow';
-
-/** An item of the store. */
-interface StoreItem {
-  readonly key: string;
-  /** Missing if the item was removed. */
-  readonly value: string | undefined;
-  /** Revision of its last change. */
-  readonly revision: number;
-}
+import type { StoreItem } from './StoreItem.js';
 
 /** Items and the revision of the store at which they were read. */
 interface StorePage {
--- a/packages/jobs/src/PermitBook.ts
+++ b/packages/jobs/src/PermitBook.ts
@@ -33,14 +33,26 @@
   }
 
   /**
-   * Tells whether asking for a worker makes sense.
+   * Tells whether the policy is known to allow a worker, even if the permit has expired.
    *
    * @param stepKey - the step
    * @param worker - the worker
-   * @returns false if the policy forbids it
+   * @returns whether it does
    */
-  public mayAllow(stepKey: string, worker: Worker): boolean {
-    return this.#steps.get(stepKey)?.get(nameLife(worker))?.permit !== '';
+  public isAllowed(stepKey: string, worker: Worker): boolean {
+    const permit = this.#steps.get(stepKey)?.get(nameLife(worker))?.permit;
+    return permit !== undefined && permit !== '';
+  }
+
+  /**
+   * Tells whether the policy's verdict on a worker is known.
+   *
+   * @param stepKey - the step
+   * @param worker - the worker
+   * @returns whether it is
+   */
+  public isKnown(stepKey: string, worker: Worker): boolean {
+    return this.#steps.get(stepKey)?.has(nameLife(worker)) === true;
   }
 
   /**
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -1,4 +1,5 @@
 import type { Candidate } from './Candidate.js';
+import type { Choice } from './Choice.js';
 import type { Demand } from './Demand.js';
 import { compareDemands } from './compareDemands.js';
 import { GangPlacement } from './GangPlacement.js';
@@ -10,6 +11,7 @@
 import type { Order } from './Order.js';
 import type { PermitBook } from './PermitBook.js';
 import { Preemption } from './Preemption.js';
+import { rooms } from './rooms.js';
 import { schedulingLimits } from './schedulingLimits.js';
 import type { StepRun } from './StepRun.js';
 import type { Worker } from './Worker.js';
@@ -69,12 +71,7 @@
     const all = this.#pool.all;
     for (const demand of this.#collect(now)) {
       const workers = all.filter((worker) => this.#suits(demand, worker, now));
-      const open = workers.filter((worker) => !reserved.has(worker));
-      this.#startWaiting(demand, open, now, orders);
-      if (demand.step.waitingCount === 0) continue;
-      this.#requestPermits(demand, workers, now, orders);
-      if (demand.step.description.isGang === true) this.#reserve(demand, workers, now, reserved);
-      else this.#preempt(demand, open, now, preemption);
+      this.#serve(demand, workers, reserved, preemption, now, orders);
     }
     for (const task of preemption.chosen) {
       const { worker } = task;
@@ -117,21 +114,53 @@
     );
   }
 
-  #startWaiting(demand: Demand, workers: readonly Worker[], now: number, orders: Order[]): void {
+  #serve(
+    demand: Demand,
+    workers: readonly Worker[],
+    reserved: Set<Worker>,
+    preemption: Preemption,
+    now: number,
+    orders: Order[],
+  ): void {
+    const { step, queue } = demand;
+    const open = workers.filter(
+      (worker) =>
+        !reserved.has(worker) &&
+        (queue.advice === undefined || this.#permits.isAllowed(step.key, worker)),
+    );
+    this.#startWaiting(demand, open, now, orders);
+    if (step.waitingCount === 0) return;
+    const feasible = this.#choose(
+      step,
+      open.map((worker) => ({ worker, permit: undefined })),
+    );
+    this.#requestPermits(demand, workers, feasible, now, orders);
+    // Room that is there stays there while the permits are being renewed.
+    if (step.description.isGang === true) for (const { worker } of feasible) reserved.add(worker);
+    if (feasible.length > 0) return;
+    if (step.description.isGang === true) {
+      this.#reserveForGang(demand, open, now, reserved, preemption);
+    } else this.#preempt(demand, open, now, preemption);
+  }
+
+  #choose(step: StepRun, candidates: readonly Candidate[]): readonly Choice[] {
+    const placement = step.description.isGang === true ? gang : independent;
+    return placement.choose(step, candidates, this.#countAdmitted(step));
+  }
+
+  #startWaiting(demand: Demand, open: readonly Worker[], now: number, orders: Order[]): void {
     const { step, queue } = demand;
     const { size, isGang } = step.description;
-    const candidates = workers.flatMap((worker): readonly Candidate[] => {
+    const candidates = open.flatMap((worker): readonly Candidate[] => {
       if (queue.advice === undefined) return [{ worker, permit: undefined }];
       const permit = this.#permits.find(step.key, worker, now);
       return permit === undefined ? [] : [{ worker, permit }];
     });
     if (candidates.length === 0) return;
-    const placement = isGang === true ? gang : independent;
-    const choices = placement.choose(step, candidates, this.#countAdmitted(step));
+    const choices = this.#choose(step, candidates);
     if (choices.length === 0) return;
     const run = this.#nextRun(step);
-    const shared =
-      isGang === true ? step.tasks.find(({ checkpoint }) => checkpoint !== '') : undefined;
+    const shared = step.tasks.find(({ checkpoint }) => checkpoint !== '');
     for (const { task, worker, permit } of choices) {
       if (!step.job.account.admits(size)) break;
       if (isGang === true) task.resumeFrom(shared?.checkpoint ?? '');
@@ -150,18 +179,21 @@
     return count;
   }
 
+  /** Asks for verdicts that are unknown, and for expired permits of workers that have the room now. */
   #requestPermits(
     { step, queue }: Demand,
     workers: readonly Worker[],
+    feasible: readonly Choice[],
     now: number,
     orders: Order[],
   ): void {
     const { advice } = queue;
     if (advice === undefined || !this.#permits.canAsk(step.key, now)) return;
-    const missing = workers.filter(
-      (worker) =>
-        this.#permits.mayAllow(step.key, worker) &&
-        this.#permits.find(step.key, worker, now) === undefined,
+    const chosen = new Set(feasible.map(({ worker }) => worker));
+    const missing = workers.filter((worker) =>
+      this.#permits.isKnown(step.key, worker)
+        ? chosen.has(worker) && this.#permits.find(step.key, worker, now) === undefined
+        : true,
     );
     if (missing.length === 0) return;
     const asked = [...missing]
@@ -188,7 +220,7 @@
         if (!this.#isDueSoon(step, queue.advice.baseMs, now)) continue;
         const demand = { step, queue, deadline: 0, isHopeless: false };
         const workers = all.filter((worker) => this.#suits(demand, worker, now));
-        this.#requestPermits(demand, workers, now, orders);
+        this.#requestPermits(demand, workers, [], now, orders);
       }
     }
   }
@@ -208,29 +240,38 @@
     });
   }
 
-  /** Keeps the workers free that a blocked gang would take if less urgent work were gone. */
-  #reserve(demand: Demand, workers: readonly Worker[], now: number, reserved: Set<Worker>): void {
-    const { step, queue } = demand;
-    if (!step.job.account.admits(step.description.size, step.tasks.length)) return;
-    if (now - step.job.acceptedAt < 200) return;
-    const allowed = workers.filter(
-      (worker) =>
-        queue.advice === undefined || this.#permits.find(step.key, worker, now) !== undefined,
-    );
-    const ranked = [...allowed].sort((a, b) => b.free.milliProcessors - a.free.milliProcessors);
-    for (const worker of ranked.slice(0, step.tasks.length)) reserved.add(worker);
+  /** Keeps the workers free that a blocked gang will use, and stops less urgent work on them. */
+  #reserveForGang(
+    demand: Demand,
+    open: readonly Worker[],
+    now: number,
+    reserved: Set<Worker>,
+    preemption: Preemption,
+  ): void {
+    const { step } = demand;
+    const { size } = step.description;
+    const count = step.tasks.length;
+    if (step.waitingCount < count || !step.job.account.admits(size, count)) return;
+    const ranked = [...open].sort((a, b) => rooms.weigh(b.free) - rooms.weigh(a.free));
+    const wanted: Worker[] = [];
+    let places = 0;
+    for (const worker of ranked) {
+      const fitting = rooms.count(size, worker.entry.capacity);
+      if (fitting === 0 || places >= count) continue;
+      wanted.push(worker);
+      places += fitting;
+    }
+    if (places < count) return;
+    for (const worker of wanted) reserved.add(worker);
+    if (!demand.isHopeless && !step.job.isExcess) preemption.makeRoomForAll(demand, wanted, now);
   }
 
-  #preempt(demand: Demand, workers: readonly Worker[], now: number, preemption: Preemption): void {
-    const { step, queue } = demand;
+  #preempt(demand: Demand, open: readonly Worker[], now: number, preemption: Preemption): void {
+    const { step } = demand;
     if (demand.isHopeless || step.job.isExcess || step.description.isOpportunistic === true) return;
-    const allowed = workers.filter(
-      (worker) =>
-        queue.advice === undefined || this.#permits.find(step.key, worker, now) !== undefined,
-    );
-    let wanted = Math.min(step.waitingCount, this.#countAdmitted(step));
+    let wanted = this.#countAdmitted(step);
     while (wanted > 0 && preemption.chosen.size < schedulingLimits.maxPreemptionsPerPass) {
-      if (!preemption.makeRoom(demand, allowed, now)) return;
+      if (!preemption.makeRoom(demand, open, now)) return;
       wanted -= 1;
     }
   }
--- a/packages/jobs/src/Preemption.ts
+++ b/packages/jobs/src/Preemption.ts
@@ -10,8 +10,8 @@
 export class Preemption {
   readonly #terms: JobTerms;
   /** Room that stopping tasks will free and that blocked demands of this pass count on. */
-  readonly #promised = new Map<Worker, Room>();
-  readonly #chosen = new Set<Task>();
+  #promised = new Map<Worker, Room>();
+  #chosen = new Set<Task>();
 
   /** @param terms - terms of the queues */
   public constructor(terms: JobTerms) {
@@ -46,6 +46,24 @@
     return true;
   }
 
+  /**
+   * Makes room for all tasks of a gang, or for none.
+   *
+   * @param demand - the blocked gang
+   * @param workers - workers that are kept for it
+   * @param now - monotonic time
+   */
+  public makeRoomForAll(demand: Demand, workers: readonly Worker[], now: number): void {
+    const promised = new Map(this.#promised);
+    const chosen = new Set(this.#chosen);
+    for (const _ of demand.step.tasks) {
+      if (this.makeRoom(demand, workers, now)) continue;
+      this.#promised = promised;
+      this.#chosen = chosen;
+      return;
+    }
+  }
+
   /** Returns undefined if stopping whatever may be stopped does not suffice. */
   #findVictims(
     worker: Worker,
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -14,6 +14,7 @@
 export { Job } from './Job.js';
 export { JobBook } from './JobBook.js';
 export { JobTerms } from './JobTerms.js';
+export type { StoreItem } from './StoreItem.js';
 export { MetadataStore } from './MetadataStore.js';
 export { OperatorFeed } from './OperatorFeed.js';
 export type { Order } from './Order.js';
--- a/packages/jobs/src/rooms.ts
+++ b/packages/jobs/src/rooms.ts
@@ -3,7 +3,7 @@
 /** Arithmetic of rooms. */
 export const rooms = Object.freeze({
   /** No room at all. */
-  none: Object.freeze({ milliProcessors: 0, memoryMb: 0, accelerators: 0 }) as Room,
+  none: Object.freeze({ milliProcessors: 0, memoryMb: 0, accelerators: 0 }),
 
   /**
    * Adds two rooms.
@@ -31,6 +31,26 @@
     size.memoryMb <= free.memoryMb &&
     size.accelerators <= free.accelerators,
 
+  /**
+   * Counts how often a size fits.
+   *
+   * @param size - room of one task
+   * @param free - what is free
+   * @returns whole number of tasks
+   */
+  count: (size: Room, free: Room): number => {
+    const times = (part: number, whole: number): number =>
+      part > 0 ? Math.floor(whole / part) : Infinity;
+    return Math.max(
+      0,
+      Math.min(
+        times(size.milliProcessors, free.milliProcessors),
+        times(size.memoryMb, free.memoryMb),
+        times(size.accelerators, free.accelerators),
+      ),
+    );
+  },
+
   /**
    * Weighs a room in processor seconds, in the proportion in which the users price accelerators (8 processors).
    *
