--- a/packages/daemon/src/DecisionLog.ts
+++ b/packages/daemon/src/DecisionLog.ts
@@ -1,7 +1,7 @@
 import { Log } from '@toucanline/runtime/Log';
 
 /** Lines of one event name that are written within a second; the rest is counted. */
-const linesPerSecond = 40;
+const linesPerSecond = 100;
 
 /** Fields of a log line. */
 type Fields = Readonly<Record<string, string | number>>;
--- a/packages/daemon/src/Leadership.ts
+++ b/packages/daemon/src/Leadership.ts
@@ -292,7 +292,9 @@
     if (this.#claim.isCurrent && this.#deferred.length > 0) this.#takeDeferred();
     this.#dropEnded();
     if (!this.#ensureRoster()) return;
-    for (const order of this.#scheduler.plan(this.#plannedAt, Date.now())) {
+    const orders = this.#scheduler.plan(this.#plannedAt, Date.now());
+    this.#logPlacements(orders);
+    for (const order of orders) {
       if (order.kind === 'start') void this.#start(order);
       else if (order.kind === 'stop') void this.#stop(order);
       else this.#advice.dispatch(order);
@@ -300,6 +302,30 @@
     this.#writer?.poke();
   }
 
+  /** Writes a line for each step whose tasks start; single starts are logged only if they do not go through. */
+  #logPlacements(orders: readonly Order[]): void {
+    const steps = new Map<string, Extract<Order, { kind: 'start' }>[]>();
+    for (const order of orders) {
+      if (order.kind !== 'start') continue;
+      const { key } = order.task.step;
+      steps.set(key, [...(steps.get(key) ?? []), order]);
+    }
+    for (const [step, starts] of steps) {
+      const [first] = starts;
+      if (first === undefined) continue;
+      const { job, waitingCount } = first.task.step;
+      this.#parts.log.write('tasksPlaced', {
+        request: job.id,
+        step,
+        run: first.run,
+        term: this.#claim.term,
+        placed: starts.map(({ task, worker }) => `${task.index}@${worker.id}`).join(' '),
+        stillWaiting: waitingCount,
+        jobAgeMs: Math.round(this.#plannedAt - job.acceptedAt),
+      });
+    }
+  }
+
   #takeDeferred(): void {
     const items = this.#deferred;
     this.#deferred = [];
@@ -375,16 +401,17 @@
     if (this.#stopped) return;
     const now = performance.now();
     if (clockMs !== undefined) worker.noteContact(clockMs, now);
-    log.write('taskStarted', {
-      request: task.step.job.id,
-      task: task.name,
-      run,
-      worker: worker.id,
-      term: this.#claim.term,
-      waitedMs: Math.round(sentAt - task.step.job.acceptedAt),
-      answerMs: Math.round(now - sentAt),
-      outcome,
-    });
+    if (outcome !== 'started') {
+      log.write('startNotConfirmed', {
+        request: task.step.job.id,
+        task: task.name,
+        run,
+        worker: worker.id,
+        term: this.#claim.term,
+        answerMs: Math.round(now - sentAt),
+        outcome,
+      });
+    }
     if (outcome === 'fenced') {
       this.#parts.lost('a worker has seen a newer fencing token');
       return;
--- a/packages/daemon/src/ProgressWriter.ts
+++ b/packages/daemon/src/ProgressWriter.ts
@@ -83,6 +83,10 @@
       return false;
     }
     this.#scheduler.confirmProgress(batch);
+    for (const { id, state, finishedAtMs } of batch.progress) {
+      if (finishedAtMs === undefined) continue;
+      this.#log.write('jobFinished', { request: id, state, revision: this.#revision });
+    }
     this.#written();
     return true;
   }
