Take a refused connection for no proof of a worker's end; reserve room for large tasks

Change: after a refusal the tasks stay placed until their leases lapsed or another incarnation shows; blocked large tasks reserve room on the worker where they fit first, in the order of their turn.

--- a/packages/daemon/src/WorkerDriver.ts
+++ b/packages/daemon/src/WorkerDriver.ts
@@ -2,16 +2,12 @@
 import type { DriverContext } from './DriverContext.js';
 import { hostTimes } from './hostTimes.js';
 
-/** Refusals of a connection in a row after which an incarnation counts as ended. */
-const refusalsToEnd = 2;
-
 /** Keeps the leases of one worker's tasks and collects their ends. */
 export class WorkerDriver {
   readonly #worker: Worker;
   readonly #context: DriverContext;
   #wake: (() => void) | undefined;
   #stopped = false;
-  #refusals = 0;
 
   /**
    * @param worker - the worker
@@ -79,7 +75,6 @@
       await this.#takeFailure(report, now);
       return;
     }
-    this.#refusals = 0;
     const wasSurveyed = worker.isSurveyed;
     const strays = scheduler.takeReport(worker, report, sentAt, now, Date.now());
     for (const { task, run } of strays) {
@@ -106,9 +101,9 @@
       fenced();
       return;
     }
-    this.#refusals = failure === 'refused' ? this.#refusals + 1 : 0;
     worker.noteCallFailure(now);
-    if (failure === 'otherLife' || this.#refusals >= refusalsToEnd) {
+    // A refused connection proves nothing: partitions refuse connections as well.
+    if (failure === 'otherLife') {
       scheduler.endLife(worker, now);
       changed();
     }
--- a/packages/jobs/src/GangPlacement.ts
+++ b/packages/jobs/src/GangPlacement.ts
@@ -1,6 +1,7 @@
 import type { Candidate } from './Candidate.js';
 import type { Choice } from './Choice.js';
 import { PlannedRoom } from './PlannedRoom.js';
+import type { Reservations } from './Reservations.js';
 import { rateWorker } from './rateWorker.js';
 import type { StepRun } from './StepRun.js';
 import { TaskPlacement } from './TaskPlacement.js';
@@ -12,6 +13,7 @@
     step: StepRun,
     candidates: readonly Candidate[],
     limit: number,
+    reservations: Reservations,
   ): readonly Choice[] {
     if (step.waitingCount < step.tasks.length || limit < step.tasks.length) return [];
     const ranked = [...candidates].sort(
@@ -22,15 +24,20 @@
         const choices = this.#fill(
           step,
           ranked.filter(({ worker }) => worker.rack === rack),
+          reservations,
         );
         if (choices.length > 0) return choices;
       }
     }
-    return this.#fill(step, ranked);
+    return this.#fill(step, ranked, reservations);
   }
 
-  #fill(step: StepRun, ranked: readonly Candidate[]): readonly Choice[] {
-    const planned = new PlannedRoom(step);
+  #fill(
+    step: StepRun,
+    ranked: readonly Candidate[],
+    reservations: Reservations,
+  ): readonly Choice[] {
+    const planned = new PlannedRoom(step, reservations);
     const choices: Choice[] = [];
     for (const task of step.tasks) {
       const chosen = ranked.find(({ worker }) => planned.admits(worker));
--- a/packages/jobs/src/IndependentPlacement.ts
+++ b/packages/jobs/src/IndependentPlacement.ts
@@ -1,6 +1,7 @@
 import type { Candidate } from './Candidate.js';
 import type { Choice } from './Choice.js';
 import { PlannedRoom } from './PlannedRoom.js';
+import type { Reservations } from './Reservations.js';
 import { rateWorker } from './rateWorker.js';
 import type { StepRun } from './StepRun.js';
 import { TaskPlacement } from './TaskPlacement.js';
@@ -12,8 +13,9 @@
     step: StepRun,
     candidates: readonly Candidate[],
     limit: number,
+    reservations: Reservations,
   ): readonly Choice[] {
-    const planned = new PlannedRoom(step);
+    const planned = new PlannedRoom(step, reservations);
     const ranked = candidates
       .map((candidate) => ({ ...candidate, rating: rateWorker(step, candidate.worker) }))
       .sort((a, b) => a.rating - b.rating);
--- a/packages/jobs/src/PlannedRoom.ts
+++ b/packages/jobs/src/PlannedRoom.ts
@@ -1,4 +1,5 @@
 import type { Room } from '@toucanline/schema';
+import type { Reservations } from './Reservations.js';
 import { rooms } from './rooms.js';
 import type { StepRun } from './StepRun.js';
 import type { Worker } from './Worker.js';
@@ -6,12 +7,17 @@
 /** Room of workers while the tasks of one step are being placed. */
 export class PlannedRoom {
   readonly #step: StepRun;
+  readonly #reservations: Reservations;
   readonly #free = new Map<Worker, Room>();
   readonly #counts = new Map<Worker, number>();
 
-  /** @param step - the step */
-  public constructor(step: StepRun) {
+  /**
+   * @param step - the step
+   * @param reservations - room that work with an earlier turn waits for
+   */
+  public constructor(step: StepRun, reservations: Reservations) {
     this.#step = step;
+    this.#reservations = reservations;
   }
 
   /**
@@ -38,7 +44,11 @@
   public free(worker: Worker): Room {
     const known = this.#free.get(worker);
     if (known !== undefined) return known;
-    const free = this.#step.description.isOpportunistic === true ? idleRoom(worker) : worker.free;
+    const unreserved = this.#reservations.freeOn(worker);
+    const free =
+      this.#step.description.isOpportunistic === true
+        ? leaveToOthers(worker, unreserved)
+        : unreserved;
     this.#free.set(worker, free);
     return free;
   }
@@ -52,9 +62,8 @@
   #count(worker: Worker): number {
     const known = this.#counts.get(worker);
     if (known !== undefined) return known;
-    const { step } = { step: this.#step };
     let count = 0;
-    for (const task of worker.tasks) if (task.step === step) count += 1;
+    for (const { step } of worker.tasks) if (step === this.#step) count += 1;
     this.#counts.set(worker, count);
     return count;
   }
@@ -73,8 +82,8 @@
 }
 
 /** Room that neither counted nor opportunistic tasks use. */
-const idleRoom = (worker: Worker): Room => {
-  let free = worker.free;
+const leaveToOthers = (worker: Worker, unreserved: Room): Room => {
+  let free = unreserved;
   for (const { step } of worker.tasks) {
     if (step.description.isOpportunistic !== true) continue;
     const { milliProcessors } = step.description.size;
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -11,6 +11,7 @@
 import type { Order } from './Order.js';
 import type { PermitBook } from './PermitBook.js';
 import { Preemption } from './Preemption.js';
+import { Reservations } from './Reservations.js';
 import { rooms } from './rooms.js';
 import { schedulingLimits } from './schedulingLimits.js';
 import type { StepRun } from './StepRun.js';
@@ -65,13 +66,12 @@
    */
   public plan(now: number): readonly Order[] {
     const orders: Order[] = [];
-    const preemption = new Preemption(this.#terms);
-    /** Workers that a blocked gang waits for; later demands of the pass leave them alone. */
-    const reserved = new Set<Worker>();
+    const reservations = new Reservations();
+    const preemption = new Preemption(this.#terms, reservations);
     const all = this.#pool.all;
     for (const demand of this.#collect(now)) {
       const workers = all.filter((worker) => this.#suits(demand, worker, now));
-      this.#serve(demand, workers, reserved, preemption, now, orders);
+      this.#serve(demand, workers, reservations, preemption, now, orders);
     }
     for (const task of preemption.chosen) {
       const { worker } = task;
@@ -117,38 +117,56 @@
   #serve(
     demand: Demand,
     workers: readonly Worker[],
-    reserved: Set<Worker>,
+    reservations: Reservations,
     preemption: Preemption,
     now: number,
     orders: Order[],
   ): void {
     const { step, queue } = demand;
-    const open = workers.filter(
-      (worker) =>
-        !reserved.has(worker) &&
-        (queue.advice === undefined || this.#permits.isAllowed(step.key, worker)),
+    const allowed = workers.filter(
+      (worker) => queue.advice === undefined || this.#permits.isAllowed(step.key, worker),
     );
-    this.#startWaiting(demand, open, now, orders);
+    this.#startWaiting(demand, allowed, reservations, now, orders);
     if (step.waitingCount === 0) return;
-    const feasible = this.#choose(
-      step,
-      open.map((worker) => ({ worker, permit: undefined })),
-    );
-    this.#requestPermits(demand, workers, feasible, now, orders);
-    // Room that is there stays there while the permits are being renewed.
-    if (step.description.isGang === true) for (const { worker } of feasible) reserved.add(worker);
-    if (feasible.length > 0) return;
-    if (step.description.isGang === true) {
-      this.#reserveForGang(demand, open, now, reserved, preemption);
-    } else this.#preempt(demand, open, now, preemption);
+    // Room that is there is kept while permits are being renewed.
+    const feasible = this.#choose(step, allowed.map(withoutPermit), reservations);
+    const kept = new Set(feasible.map(({ worker }) => worker));
+    for (const { worker } of feasible) reservations.add(worker, step.description.size);
+    if (feasible.length < step.waitingCount) {
+      const missing = Math.min(
+        step.waitingCount - feasible.length,
+        this.#countAdmitted(step) - feasible.length,
+      );
+      for (const worker of this.#waitForRoom(
+        demand,
+        allowed,
+        missing,
+        reservations,
+        preemption,
+        now,
+      )) {
+        kept.add(worker);
+      }
+    }
+    this.#requestPermits(demand, workers, kept, now, orders);
   }
 
-  #choose(step: StepRun, candidates: readonly Candidate[]): readonly Choice[] {
+  #choose(
+    step: StepRun,
+    candidates: readonly Candidate[],
+    reservations: Reservations,
+  ): readonly Choice[] {
     const placement = step.description.isGang === true ? gang : independent;
-    return placement.choose(step, candidates, this.#countAdmitted(step));
+    return placement.choose(step, candidates, this.#countAdmitted(step), reservations);
   }
 
-  #startWaiting(demand: Demand, open: readonly Worker[], now: number, orders: Order[]): void {
+  #startWaiting(
+    demand: Demand,
+    open: readonly Worker[],
+    reservations: Reservations,
+    now: number,
+    orders: Order[],
+  ): void {
     const { step, queue } = demand;
     const { size, isGang } = step.description;
     const candidates = open.flatMap((worker): readonly Candidate[] => {
@@ -157,7 +175,7 @@
       return permit === undefined ? [] : [{ worker, permit }];
     });
     if (candidates.length === 0) return;
-    const choices = this.#choose(step, candidates);
+    const choices = this.#choose(step, candidates, reservations);
     if (choices.length === 0) return;
     const run = this.#nextRun(step);
     const shared = step.tasks.find(({ checkpoint }) => checkpoint !== '');
@@ -183,16 +201,15 @@
   #requestPermits(
     { step, queue }: Demand,
     workers: readonly Worker[],
-    feasible: readonly Choice[],
+    kept: ReadonlySet<Worker>,
     now: number,
     orders: Order[],
   ): void {
     const { advice } = queue;
     if (advice === undefined || !this.#permits.canAsk(step.key, now)) return;
-    const chosen = new Set(feasible.map(({ worker }) => worker));
     const missing = workers.filter((worker) =>
       this.#permits.isKnown(step.key, worker)
-        ? chosen.has(worker) && this.#permits.find(step.key, worker, now) === undefined
+        ? kept.has(worker) && this.#permits.find(step.key, worker, now) === undefined
         : true,
     );
     if (missing.length === 0) return;
@@ -220,7 +237,7 @@
         if (!this.#isDueSoon(step, queue.advice.baseMs, now)) continue;
         const demand = { step, queue, deadline: 0, isHopeless: false };
         const workers = all.filter((worker) => this.#suits(demand, worker, now));
-        this.#requestPermits(demand, workers, [], now, orders);
+        this.#requestPermits(demand, workers, new Set(), now, orders);
       }
     }
   }
@@ -240,39 +257,55 @@
     });
   }
 
-  /** Keeps the workers free that a blocked gang will use, and stops less urgent work on them. */
-  #reserveForGang(
+  /**
+   * Makes room for tasks that fit nowhere: stops less urgent work, or reserves room where a large task will fit
+   * first, so that small tasks do not take it piece by piece.
+   */
+  #waitForRoom(
     demand: Demand,
-    open: readonly Worker[],
-    now: number,
-    reserved: Set<Worker>,
+    allowed: readonly Worker[],
+    missing: number,
+    reservations: Reservations,
     preemption: Preemption,
-  ): void {
+    now: number,
+  ): readonly Worker[] {
     const { step } = demand;
-    const { size } = step.description;
-    const count = step.tasks.length;
-    if (step.waitingCount < count || !step.job.account.admits(size, count)) return;
-    const ranked = [...open].sort((a, b) => rooms.weigh(b.free) - rooms.weigh(a.free));
-    const wanted: Worker[] = [];
-    let places = 0;
-    for (const worker of ranked) {
-      const fitting = rooms.count(size, worker.entry.capacity);
-      if (fitting === 0 || places >= count) continue;
-      wanted.push(worker);
-      places += fitting;
+    const { isGang, isOpportunistic } = step.description;
+    if (isOpportunistic === true || demand.isHopeless || step.job.isExcess) return [];
+    if (isGang === true && missing < step.tasks.length) return [];
+    const waited: Worker[] = [];
+    for (let count = 0; count < missing; count += 1) {
+      const canStop = preemption.chosen.size < schedulingLimits.maxPreemptionsPerPass;
+      if (canStop && preemption.makeRoom(demand, allowed, now)) continue;
+      const worker = this.#findFirstToFit(step, allowed, reservations);
+      if (worker === undefined) break;
+      reservations.add(worker, step.description.size);
+      waited.push(worker);
     }
-    if (places < count) return;
-    for (const worker of wanted) reserved.add(worker);
-    if (!demand.isHopeless && !step.job.isExcess) preemption.makeRoomForAll(demand, wanted, now);
+    return waited;
   }
 
-  #preempt(demand: Demand, open: readonly Worker[], now: number, preemption: Preemption): void {
-    const { step } = demand;
-    if (demand.isHopeless || step.job.isExcess || step.description.isOpportunistic === true) return;
-    let wanted = this.#countAdmitted(step);
-    while (wanted > 0 && preemption.chosen.size < schedulingLimits.maxPreemptionsPerPass) {
-      if (!preemption.makeRoom(demand, open, now)) return;
-      wanted -= 1;
+  /** Only large tasks wait for a worker: smaller ones find room as soon as anything ends. */
+  #findFirstToFit(
+    step: StepRun,
+    allowed: readonly Worker[],
+    reservations: Reservations,
+  ): Worker | undefined {
+    const { size } = step.description;
+    let best: Worker | undefined;
+    let bestFree = -Infinity;
+    for (const worker of allowed) {
+      const { capacity } = worker.entry;
+      const share = rooms.weigh(size) / Math.max(1, rooms.weigh(capacity));
+      if (share < schedulingLimits.largeTaskShare || !rooms.fits(size, capacity)) continue;
+      const free = rooms.weigh(reservations.freeOn(worker));
+      // A worker whose whole capacity is spoken for helps nobody sooner.
+      if (free <= bestFree || free <= -rooms.weigh(capacity)) continue;
+      best = worker;
+      bestFree = free;
     }
+    return best;
   }
 }
+
+const withoutPermit = (worker: Worker): Candidate => ({ worker, permit: undefined });
--- a/packages/jobs/src/Preemption.ts
+++ b/packages/jobs/src/Preemption.ts
@@ -1,6 +1,7 @@
 import type { Room } from '@toucanline/schema';
 import type { Demand } from './Demand.js';
 import type { JobTerms } from './JobTerms.js';
+import type { Reservations } from './Reservations.js';
 import { rooms } from './rooms.js';
 import { schedulingLimits } from './schedulingLimits.js';
 import type { Task } from './Task.js';
@@ -9,13 +10,16 @@
 /** Chooses running work that gives way to more urgent work. Only tasks with checkpoints are stopped. */
 export class Preemption {
   readonly #terms: JobTerms;
-  /** Room that stopping tasks will free and that blocked demands of this pass count on. */
-  #promised = new Map<Worker, Room>();
-  #chosen = new Set<Task>();
+  readonly #reservations: Reservations;
+  readonly #chosen = new Set<Task>();
 
-  /** @param terms - terms of the queues */
-  public constructor(terms: JobTerms) {
+  /**
+   * @param terms - terms of the queues
+   * @param reservations - room that blocked work waits for
+   */
+  public constructor(terms: JobTerms, reservations: Reservations) {
     this.#terms = terms;
+    this.#reservations = reservations;
   }
 
   /** Tasks that are to be stopped. */
@@ -24,7 +28,7 @@
   }
 
   /**
-   * Makes room for one task of a demand.
+   * Makes room for one task of a demand and reserves it.
    *
    * @param demand - the blocked demand
    * @param workers - workers on which it may run
@@ -41,29 +45,10 @@
     }
     if (best === undefined) return false;
     for (const victim of best.victims) this.#chosen.add(victim);
-    const promised = this.#promised.get(best.worker) ?? rooms.none;
-    this.#promised.set(best.worker, rooms.add(promised, size));
+    this.#reservations.add(best.worker, size);
     return true;
   }
 
-  /**
-   * Makes room for all tasks of a gang, or for none.
-   *
-   * @param demand - the blocked gang
-   * @param workers - workers that are kept for it
-   * @param now - monotonic time
-   */
-  public makeRoomForAll(demand: Demand, workers: readonly Worker[], now: number): void {
-    const promised = new Map(this.#promised);
-    const chosen = new Set(this.#chosen);
-    for (const _ of demand.step.tasks) {
-      if (this.makeRoom(demand, workers, now)) continue;
-      this.#promised = promised;
-      this.#chosen = chosen;
-      return;
-    }
-  }
-
   /** Returns undefined if stopping whatever may be stopped does not suffice. */
   #findVictims(
     worker: Worker,
@@ -71,7 +56,7 @@
     demand: Demand,
     now: number,
   ): readonly Task[] | undefined {
-    let free = rooms.add(worker.free, this.#promised.get(worker) ?? rooms.none, -1);
+    let free = this.#reservations.freeOn(worker);
     for (const task of worker.tasks) {
       const isLeaving = task.phase === 'stopping' || this.#chosen.has(task);
       if (isLeaving) free = rooms.add(free, task.occupiedRoom);
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -182,7 +182,7 @@
     now: number,
   ): void {
     const { task, worker, run } = order;
-    if (outcome === 'otherLife' || outcome === 'refused') this.endLife(worker, now);
+    if (outcome === 'otherLife') this.endLife(worker, now);
     if (task.worker !== worker || task.run !== run || task.phase !== 'starting') return;
     switch (outcome) {
       case 'started':
@@ -196,6 +196,7 @@
       case 'permit':
         this.#permits.expire(task.step.key, worker);
         break;
+      case 'refused':
       case 'room':
       case 'unhealthy':
       case 'late':
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -33,5 +33,6 @@
 export { WorkerPool } from './WorkerPool.js';
 export { compareDemands } from './compareDemands.js';
 export { rateWorker } from './rateWorker.js';
+export { Reservations } from './Reservations.js';
 export { rooms } from './rooms.js';
 export { schedulingLimits } from './schedulingLimits.js';
--- a/packages/jobs/src/schedulingLimits.ts
+++ b/packages/jobs/src/schedulingLimits.ts
@@ -22,6 +22,8 @@
   minPreemptionAgeMs: 400,
   /** Most tasks that one planning pass stops in favour of more urgent ones. */
   maxPreemptionsPerPass: 12,
+  /** A task of this share of a worker is large: it waits for a worker, or small tasks would keep it out. */
+  largeTaskShare: 0.2,
   /** Failures in a row, of different jobs, after which a worker is quarantined. */
   quarantineFailures: 4,
   /** First quarantine of a worker. */
