Let run numbers of a task rise over terms; write progress one after the other; count stray runs

At a graceful handover two writes ran side by side, and the empty one acknowledged ends that the other had not written. Runs that no task has took no room in the leader's count. Change: run numbers count for each task within a term; the flush waits for the write under way; strays take room until they have stopped.

--- a/packages/daemon/src/ProgressWriter.ts
+++ b/packages/daemon/src/ProgressWriter.ts
@@ -19,7 +19,8 @@
   readonly #written: () => void;
   readonly #lost: () => void;
   #revision: number;
-  #isRunning = false;
+  #running: Promise<void> | undefined;
+  #isFlushing = false;
   #stopped = false;
 
   /**
@@ -51,7 +52,11 @@
 
   /** Starts to write if there is something to write. */
   public poke(): void {
-    if (!this.#isRunning && !this.#stopped && this.#scheduler.hasProgress) void this.#run();
+    if (this.#running !== undefined || this.#stopped || this.#isFlushing) return;
+    if (!this.#scheduler.hasProgress) return;
+    this.#running = this.#run().finally(() => {
+      this.#running = undefined;
+    });
   }
 
   /** Ends the writer after the write that is under way. */
@@ -61,17 +66,19 @@
 
   /** Writes what there is to write, before the claim is given back. */
   public async flush(): Promise<void> {
+    // Two writes side by side could acknowledge ends that the slower one has not written yet.
+    this.#isFlushing = true;
+    await this.#running;
     if (this.#scheduler.hasProgress && !this.#stopped) await this.#write();
+    this.#stopped = true;
   }
 
   async #run(): Promise<void> {
-    this.#isRunning = true;
-    while (!this.#stopped && this.#scheduler.hasProgress) {
+    while (!this.#stopped && !this.#isFlushing && this.#scheduler.hasProgress) {
       const isWritten = await this.#write();
       const pauseMs = isWritten ? hostTimes.progressIntervalMs : hostTimes.progressRetryMs;
       await new Promise((resolve) => setTimeout(resolve, pauseMs));
     }
-    this.#isRunning = false;
   }
 
   async #write(): Promise<boolean> {
--- a/packages/daemon/src/WorkerDriver.ts
+++ b/packages/daemon/src/WorkerDriver.ts
@@ -45,8 +45,8 @@
   }
 
   get #isNeeded(): boolean {
-    const { tasks, isSurveyed, seenThrough, acknowledgedThrough } = this.#worker;
-    return tasks.size > 0 || !isSurveyed || seenThrough > acknowledgedThrough;
+    const { tasks, hasStrays, isSurveyed, seenThrough, acknowledgedThrough } = this.#worker;
+    return tasks.size > 0 || hasStrays || !isSurveyed || seenThrough > acknowledgedThrough;
   }
 
   get #isUnwritten(): boolean {
@@ -77,6 +77,17 @@
     }
     const wasSurveyed = worker.isSurveyed;
     const strays = scheduler.takeReport(worker, report, sentAt, now, Date.now());
+    if (!wasSurveyed) {
+      log.write('workerSurveyed', {
+        worker: worker.id,
+        life: worker.life,
+        running: report.running.length,
+        ended: report.ended.length,
+        strays: strays.length,
+        freeMilliProcessors: worker.free.milliProcessors,
+        freeMemoryMb: worker.free.memoryMb,
+      });
+    }
     for (const { task, run } of strays) {
       log.write('strayRunStopped', { task, run, worker: worker.id });
       void control.stop(worker.entry, task, run, claim.term);
--- a/packages/jobs/src/EndIntake.ts
+++ b/packages/jobs/src/EndIntake.ts
@@ -1,7 +1,8 @@
-import type { RunEnd, RunReport, WorkerReport } from '@toucanline/schema';
+import type { Room, RunEnd, RunReport, WorkerReport } from '@toucanline/schema';
 import type { Job } from './Job.js';
 import type { JobBook } from './JobBook.js';
 import type { ImageDurations } from './ImageDurations.js';
+import { rooms } from './rooms.js';
 import type { Task } from './Task.js';
 import type { Worker } from './Worker.js';
 
@@ -58,11 +59,18 @@
       worker.noteSeen(end.number);
     }
     const strays = report.running.filter((run) => !this.#takeRun(worker, run, now));
+    worker.noteStrays(
+      strays.reduce<Room>((sum, { task }) => rooms.add(sum, this.#findSize(task)), rooms.none),
+    );
     // A full page of ends hides later ones, so absence proves nothing then.
     if (report.ended.length < 500) this.#releaseAbsent(worker, report, sentAt, now);
     return strays.map(({ task, run }) => ({ task, run }));
   }
 
+  #findSize(name: string): Room {
+    return this.#book.findTask(name)?.step.description.size ?? rooms.none;
+  }
+
   /** Returns whether the run belongs to a task. */
   #takeRun(worker: Worker, report: RunReport, now: number): boolean {
     const task = this.#book.findTask(report.task);
@@ -74,7 +82,7 @@
       return true;
     }
     task.raiseRun(report.run);
-    if (task.phase !== 'waiting' || task.step.job.isFinished) return false;
+    if (task.phase !== 'waiting') return false;
     task.place(worker, report.run, now);
     task.confirm(now);
     task.update(report.percent, report.checkpoint, report.load);
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -29,7 +29,7 @@
   readonly #permits: PermitBook;
   readonly #durations: ImageDurations;
   readonly #isHeld: (job: Job, service: string) => boolean;
-  readonly #nextRun: (step: StepRun) => number;
+  readonly #firstRun: number;
 
   /**
    * @param book - the jobs
@@ -38,7 +38,7 @@
    * @param permits - placement permits
    * @param durations - durations by image
    * @param isHeld - whether a job's tasks may still run where this leader cannot look
-   * @param nextRun - allots run numbers
+   * @param firstRun - lowest run number of the leader's term
    */
   public constructor(
     book: JobBook,
@@ -47,7 +47,7 @@
     permits: PermitBook,
     durations: ImageDurations,
     isHeld: (job: Job, service: string) => boolean,
-    nextRun: (step: StepRun) => number,
+    firstRun: number,
   ) {
     this.#book = book;
     this.#pool = pool;
@@ -55,7 +55,7 @@
     this.#permits = permits;
     this.#durations = durations;
     this.#isHeld = isHeld;
-    this.#nextRun = nextRun;
+    this.#firstRun = firstRun;
   }
 
   /**
@@ -177,14 +177,15 @@
     if (candidates.length === 0) return;
     const choices = this.#choose(step, candidates, reservations);
     if (choices.length === 0) return;
-    const run = this.#nextRun(step);
+    // The members of a gang share the number of their run.
+    const gangRun = Math.max(this.#firstRun, ...step.tasks.map((task) => task.run + 1));
     const shared = step.tasks.find(({ checkpoint }) => checkpoint !== '');
     for (const { task, worker, permit } of choices) {
       if (!step.job.account.admits(size)) break;
       if (isGang === true) task.resumeFrom(shared?.checkpoint ?? '');
-      const taskRun = isGang === true ? run : Math.max(run, task.run + 1);
-      task.place(worker, taskRun, now);
-      orders.push({ kind: 'start', task, worker, run: taskRun, permit });
+      const run = isGang === true ? gangRun : Math.max(this.#firstRun, task.run + 1);
+      task.place(worker, run, now);
+      orders.push({ kind: 'start', task, worker, run, permit });
     }
   }
 
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -46,7 +46,8 @@
   readonly #stopSentAt = new Map<Task, number>();
   readonly #claimRevision: number;
   readonly #startedAt: number;
-  #run: number;
+  /** Run numbers of this term are higher than all of earlier terms. */
+  readonly #firstRun: number;
   /** Workers of the previous leader that were not surveyed yet. */
   readonly #unsurveyed = new Set<Worker>();
 
@@ -58,7 +59,7 @@
   public constructor(term: number, claimRevision: number, now: number) {
     this.#claimRevision = claimRevision;
     this.#startedAt = now;
-    this.#run = (term - 1) * schedulingLimits.runsPerTerm;
+    this.#firstRun = (term - 1) * schedulingLimits.runsPerTerm + 1;
     this.#intake = new EndIntake(
       this.#book,
       this.#durations,
@@ -72,7 +73,7 @@
       this.#permits,
       this.#durations,
       (job, service) => this.#isHeld(job, service, this.#now),
-      () => this.#run + 1,
+      this.#firstRun,
     );
   }
 
@@ -300,7 +301,6 @@
     }
     const stops = this.#collectStops(now);
     const planned = this.#planner.plan(now);
-    this.#run += 1;
     for (const order of planned) if (order.kind === 'stop') this.#stopSentAt.set(order.task, now);
     return [...stops, ...planned];
   }
--- a/packages/jobs/src/Worker.ts
+++ b/packages/jobs/src/Worker.ts
@@ -21,6 +21,8 @@
   #callFailures = 0;
   #seenThrough = 0;
   #acknowledgedThrough = 0;
+  /** Room of runs that no task has and that are being stopped. */
+  #strayRoom: Room = rooms.none;
   /** Duration of its tasks relative to the mean of their images. */
   #slowness = 1;
 
@@ -56,7 +58,7 @@
 
   /** Room that is not occupied. */
   public get free(): Room {
-    return rooms.add(this.#entry.capacity, this.#used, -1);
+    return rooms.add(rooms.add(this.#entry.capacity, this.#used, -1), this.#strayRoom, -1);
   }
 
   /** Whether the platform lists this incarnation. */
@@ -132,6 +134,20 @@
     if (this.#tasks.delete(task)) this.#used = rooms.add(this.#used, task.occupiedRoom, -1);
   }
 
+  /**
+   * Notes runs that no task has: they take room until they have stopped.
+   *
+   * @param room - their room
+   */
+  public noteStrays(room: Room): void {
+    this.#strayRoom = room;
+  }
+
+  /** Whether runs that no task has are left. */
+  public get hasStrays(): boolean {
+    return rooms.weigh(this.#strayRoom) > 0 || this.#strayRoom.memoryMb > 0;
+  }
+
   /**
    * Takes an answer with the worker's clock.
    *
--- a/packages/jobs/src/schedulingLimits.ts
+++ b/packages/jobs/src/schedulingLimits.ts
@@ -28,7 +28,7 @@
   quarantineFailures: 4,
   /** First quarantine of a worker. */
   quarantineMs: 3000,
-  /** Run numbers reserved for each leader's term: no run of a later term is lower. */
+  /** Run numbers of a task in one leader's term: a task is started far less often, so later terms are higher. */
   runsPerTerm: 1000,
   /** Time that a job's state stays readable after its end; the platform asks for 120 s. */
   retentionMs: 180_000,
