Test hosts as real processes on stand-ins for the users' platform; settle unknown submissions

Cause: after a write without an answer callers were told 504 at once, although the store could tell a moment later. Change: the submission is settled for up to 1.2 s: read back, or blocked by a mark before 503 is said.

--- /dev/null
+++ b/packages-private/testkit/src/PlatformSite.ts
@@ -0,0 +1,221 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { request } from 'undici';
+import { findFreePort } from './findFreePort.js';
+import { findProgram } from './findProgram.js';
+import { PlatformStoreFake } from './PlatformStoreFake.js';
+import { PlatformWorkerFake } from './PlatformWorkerFake.js';
+import { waitUntil } from './waitUntil.js';
+
+/** A host's process with its addresses. */
+interface SiteHost {
+  readonly name: string;
+  readonly caller: string;
+  readonly readiness: string;
+  readonly process: ChildProcess;
+}
+
+/** Answer to a caller. */
+interface CallerAnswer {
+  readonly status: number;
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+const queueConfiguration = (name: string, isOpen: boolean): unknown => ({
+  Name: name,
+  Host: 'site.example',
+  Prefix: `/${name}/`,
+  Service: 'render',
+  Priority: 1,
+  MaxAttempts: 2,
+  Stretch: 2,
+  SloMs: 1000,
+  Public: isOpen,
+});
+
+/** Hosts as real processes on stand-ins for the users' platform, all on loopback. */
+export class PlatformSite {
+  /** The store. */
+  public readonly store = new PlatformStoreFake();
+  readonly #workers: PlatformWorkerFake[] = [];
+  readonly #hosts: SiteHost[] = [];
+  readonly #folder = mkdtempSync(join(tmpdir(), 'toucanline-platform-'));
+  #version = 1;
+
+  /** The workers. */
+  public get workers(): readonly PlatformWorkerFake[] {
+    return this.#workers;
+  }
+
+  /** The hosts. */
+  public get hosts(): readonly SiteHost[] {
+    return this.#hosts;
+  }
+
+  /**
+   * Starts store, workers and hosts.
+   *
+   * @param hostCount - number of hosts
+   * @param workerCount - number of workers
+   */
+  public async start(hostCount: number, workerCount: number): Promise<void> {
+    await this.store.start();
+    this.configure(['key-1', 'key-2']);
+    for (let number = 1; number <= workerCount; number += 1) await this.#addWorker(`w${number}`);
+    for (let number = 1; number <= hostCount; number += 1) await this.#addHost(`host-${number}`);
+    await waitUntil(
+      async () =>
+        (await Promise.all(this.#hosts.map((host) => this.#isReady(host)))).every(Boolean),
+      20_000,
+      'all hosts are ready',
+    );
+    await waitUntil(() => this.leader !== undefined, 10_000, 'a leader is elected');
+  }
+
+  /** Host that holds the claim in the store. */
+  public get leader(): SiteHost | undefined {
+    const holder = this.store.get('toucanline/lead/holder') as
+      { readonly host: string } | undefined;
+    return this.#hosts.find(({ name }) => name === holder?.host);
+  }
+
+  /**
+   * Writes a new version of the operator's configuration.
+   *
+   * @param keys - keys of the only account
+   */
+  public configure(keys: readonly string[]): void {
+    this.#version += 1;
+    this.store.put('op/config', {
+      Version: this.#version,
+      Routes: [queueConfiguration('renders', false), queueConfiguration('open', true)],
+      Services: [{ Name: 'render', EnforcesCapacity: false }],
+      Tenants: [{ Name: 'planning', ApiKeys: keys, Weight: 100 }],
+      Limits: { MaxBodyBytes: 100_000 },
+    });
+  }
+
+  /**
+   * Calls a host as a caller does.
+   *
+   * @param host - the host
+   * @param method - HTTP method
+   * @param path - path of the call
+   * @param body - JSON body or text
+   * @param key - key of the call
+   * @returns status and body
+   */
+  public async call(
+    host: SiteHost | undefined,
+    method: 'GET' | 'POST' | 'DELETE',
+    path: string,
+    body?: unknown,
+    key = 'key-1',
+  ): Promise<CallerAnswer> {
+    if (host === undefined) throw new Error('no such host');
+    const response = await request(`http://${host.caller}${path}`, {
+      method,
+      headers: { host: 'site.example', authorization: `Token ${key}` },
+      signal: AbortSignal.timeout(5000),
+      ...(body === undefined
+        ? {}
+        : { body: typeof body === 'string' ? body : JSON.stringify(body) }),
+    });
+    const text = await response.body.text();
+    return {
+      status: response.statusCode,
+      body: JSON.parse(text === '' ? '{}' : text) as CallerAnswer['body'],
+    };
+  }
+
+  /**
+   * Waits until a host shows a job's state.
+   *
+   * @param host - the host
+   * @param path - path of the job
+   * @param state - expected state
+   * @param timeoutMs - longest wait in milliseconds
+   */
+  public async waitForState(
+    host: SiteHost | undefined,
+    path: string,
+    state: string,
+    timeoutMs = 10_000,
+  ): Promise<void> {
+    await waitUntil(
+      async () => (await this.call(host, 'GET', path)).body.State === state,
+      timeoutMs,
+      `${path} is ${state}`,
+    );
+  }
+
+  /** Counts how often a task ended as done, over all workers. */
+  public countDone(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const { records } of this.#workers) {
+      for (const { task, outcome } of records) {
+        if (outcome === 'done') counts.set(task, (counts.get(task) ?? 0) + 1);
+      }
+    }
+    return counts;
+  }
+
+  /** Ends everything that was started. */
+  public stop(): void {
+    for (const { process: child } of this.#hosts) child.kill('SIGKILL');
+    for (const worker of this.#workers) worker.stop();
+    this.store.stop();
+  }
+
+  async #addWorker(id: string): Promise<void> {
+    const worker = new PlatformWorkerFake(id);
+    await worker.start();
+    this.#workers.push(worker);
+    this.store.put(`servers/${id}`, worker.entry);
+  }
+
+  async #addHost(name: string): Promise<void> {
+    const [caller, readiness, link] = [
+      await findFreePort(),
+      await findFreePort(),
+      await findFreePort(),
+    ];
+    const file = join(this.#folder, `${name}.conf`);
+    writeFileSync(
+      file,
+      [
+        `NodeName=${name}`,
+        'Ip=127.0.0.1',
+        'Zone=dc1',
+        `Listen.Front=127.0.0.1:${caller}`,
+        `Listen.Readiness=127.0.0.1:${readiness}`,
+        `PortRange=${link},${link}`,
+        `platform.Address=${this.store.address}`,
+        'Unknown.Field=1',
+      ].join('\n'),
+    );
+    const child = spawn(process.execPath, [findProgram('platform', 'toucanline-host')], {
+      env: { ...process.env, TOUCANLINE_NODE_FILE: file },
+      stdio: ['ignore', 'ignore', 'inherit'],
+    });
+    this.#hosts.push({
+      name,
+      caller: `127.0.0.1:${caller}`,
+      readiness: `127.0.0.1:${readiness}`,
+      process: child,
+    });
+  }
+
+  async #isReady(host: SiteHost): Promise<boolean> {
+    try {
+      const response = await request(`http://${host.readiness}/ready`);
+      await response.body.dump();
+      return response.statusCode === 200;
+    } catch {
+      // The process does not listen yet.
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/packages-private/testkit/src/PlatformStoreFake.ts
@@ -0,0 +1,198 @@
+import type { IncomingMessage } from 'node:http';
+import { HttpFake } from './HttpFake.js';
+import { readJson } from './readJson.js';
+import { sleep } from './sleep.js';
+
+interface Item {
+  readonly Key: string;
+  readonly Value: string;
+  readonly Rev: number;
+  readonly Lease: number;
+}
+
+interface Removal {
+  readonly Key: string;
+  readonly Rev: number;
+  readonly Tombstone: true;
+}
+
+interface Transaction {
+  readonly ExpectedRev?: readonly { readonly Key: string; readonly Rev: number }[];
+  readonly SetKeys?: readonly {
+    readonly Key: string;
+    readonly Value: string;
+    readonly Lease?: number;
+  }[];
+  readonly Remove?: readonly string[];
+}
+
+type Answer = Awaited<ReturnType<HttpFake['handle']>>;
+
+/** The users' key-value store: transactions, leases, watches and a history that can be dropped. */
+export class PlatformStoreFake extends HttpFake {
+  readonly #items = new Map<string, Item>();
+  readonly #leases = new Map<number, { readonly ttlMs: number; endsAt: number }>();
+  readonly #expiry: NodeJS.Timeout;
+  #history: (Item | Removal)[] = [];
+  #revision = 1;
+  #nextLease = 1;
+  #oldest = 0;
+
+  public constructor() {
+    super();
+    this.#expiry = setInterval(() => {
+      this.#expire();
+    }, 20);
+  }
+
+  /** {@inheritDoc HttpFake.stop} */
+  public override stop(): void {
+    clearInterval(this.#expiry);
+    super.stop();
+  }
+
+  /**
+   * Writes a value as the operator or a worker does.
+   *
+   * @param key - the key
+   * @param value - value that is encoded as JSON
+   */
+  public put(key: string, value: unknown): void {
+    this.#revision += 1;
+    this.#write(key, Buffer.from(JSON.stringify(value)).toString('base64'), 0);
+  }
+
+  /**
+   * Reads a value.
+   *
+   * @param key - the key
+   * @returns decoded value, if the key exists
+   */
+  public get(key: string): unknown {
+    const item = this.#items.get(key);
+    return item && JSON.parse(Buffer.from(item.Value, 'base64').toString('utf8'));
+  }
+
+  /**
+   * Removes a key.
+   *
+   * @param key - the key
+   */
+  public remove(key: string): void {
+    this.#revision += 1;
+    this.#drop(key);
+  }
+
+  /** Drops the history: watches from before are refused. */
+  public compact(): void {
+    this.#history = [];
+    this.#oldest = this.#revision;
+  }
+
+  protected override async handle(request: IncomingMessage): Promise<Answer> {
+    const url = new URL(request.url ?? '', this.url);
+    const query = url.searchParams;
+    const [, call = '', id = ''] = url.pathname.split('/');
+    switch (call) {
+      case 'kv-key':
+        return this.#answerItem(query.get('Key') ?? '');
+      case 'kv-range':
+        return { status: 200, body: this.#list(query.get('Prefix') ?? '') };
+      case 'kv-watch':
+        return this.#watch(query);
+      case 'kv-txn':
+        return this.#commit((await readJson(request)) as Transaction);
+      case 'kv-lease':
+        return this.#grant((await readJson(request)) as { readonly TtlMs: number });
+      case 'kv-keep':
+        await readJson(request);
+        return this.#renew(Number(id));
+      case 'kv-lease-end':
+        return this.#endLease(Number(id));
+      default:
+        return { status: 404, body: {} };
+    }
+  }
+
+  protected override openStream(): undefined {
+    return undefined;
+  }
+
+  #answerItem(key: string): Answer {
+    const item = this.#items.get(key);
+    if (item === undefined) return { status: 404, body: { AsOf: this.#revision } };
+    return { status: 200, body: { ...item, AsOf: this.#revision } };
+  }
+
+  #list(prefix: string): unknown {
+    const items = [...this.#items.values()].filter(({ Key }) => Key.startsWith(prefix));
+    return { items, AsOf: this.#revision, HasMore: false };
+  }
+
+  async #watch(query: URLSearchParams): Promise<Answer> {
+    const after = Number(query.get('After'));
+    const prefix = query.get('Prefix') ?? '';
+    const endsAt = performance.now() + Number(query.get('WaitMs'));
+    for (;;) {
+      if (after < this.#oldest) return { status: 410, body: {} };
+      const events = this.#history.filter(({ Key, Rev }) => Rev > after && Key.startsWith(prefix));
+      if (events.length > 0 || performance.now() >= endsAt) {
+        return { status: 200, body: { events, AsOf: this.#revision } };
+      }
+      await sleep(5);
+    }
+  }
+
+  #commit({ ExpectedRev = [], SetKeys = [], Remove = [] }: Transaction): Answer {
+    const revisionOf = (key: string): number => this.#items.get(key)?.Rev ?? 0;
+    if (ExpectedRev.some(({ Key, Rev }) => revisionOf(Key) !== Rev)) {
+      const items = ExpectedRev.flatMap(({ Key }) => this.#items.get(Key) ?? []);
+      return { status: 412, body: { items } };
+    }
+    if (SetKeys.some(({ Lease = 0 }) => Lease !== 0 && !this.#leases.has(Lease))) {
+      return { status: 404, body: {} };
+    }
+    this.#revision += 1;
+    for (const { Key, Value, Lease = 0 } of SetKeys) this.#write(Key, Value, Lease);
+    for (const key of Remove) this.#drop(key);
+    return { status: 200, body: { Rev: this.#revision } };
+  }
+
+  #write(key: string, value: string, lease: number): void {
+    const item = { Key: key, Value: value, Rev: this.#revision, Lease: lease };
+    this.#items.set(key, item);
+    this.#history.push(item);
+  }
+
+  #drop(key: string): void {
+    if (!this.#items.delete(key)) return;
+    this.#history.push({ Key: key, Rev: this.#revision, Tombstone: true });
+  }
+
+  #grant({ TtlMs }: { readonly TtlMs: number }): Answer {
+    const lease = this.#nextLease;
+    this.#nextLease += 1;
+    this.#leases.set(lease, { ttlMs: TtlMs, endsAt: performance.now() + TtlMs });
+    return { status: 200, body: { Lease: lease, TtlMs } };
+  }
+
+  #renew(id: number): Answer {
+    const lease = this.#leases.get(id);
+    if (lease === undefined) return { status: 404, body: {} };
+    lease.endsAt = performance.now() + lease.ttlMs;
+    return { status: 200, body: {} };
+  }
+
+  #endLease(id: number): Answer {
+    if (!this.#leases.delete(id)) return { status: 404, body: {} };
+    this.#revision += 1;
+    for (const { Key, Lease } of [...this.#items.values()]) if (Lease === id) this.#drop(Key);
+    return { status: 200, body: {} };
+  }
+
+  #expire(): void {
+    for (const [id, { endsAt }] of this.#leases) {
+      if (performance.now() > endsAt) this.#endLease(id);
+    }
+  }
+}
--- a/packages-private/testkit/src/findProgram.ts
+++ b/packages-private/testkit/src/findProgram.ts
@@ -10,5 +10,8 @@
  * @param name - name of the program
  * @returns path of the built script
  */
-export const findProgram = (workspace: 'cli' | 'entry' | 'scheduler', name: string): string =>
+export const findProgram = (
+  workspace: 'cli' | 'entry' | 'platform' | 'scheduler',
+  name: string,
+): string =>
   require.resolve(`@toucanline/${workspace}`).replace(/index\.js$/, join('bin', `${name}.js`));
--- a/packages/daemon/src/JobService.ts
+++ b/packages/daemon/src/JobService.ts
@@ -210,17 +210,28 @@
     if (failure.kind === 'storeUnavailable') {
       return err(createFailure('storeUnavailable', failure.detail, retryAfterSeconds));
     }
-    const item = await this.#store.read(key);
-    if (item.isOk() && item.value?.value !== undefined) {
-      return this.#compare(item.value.value, record);
-    }
-    if (item.isOk() && (await this.#blockLateWrite(key))) {
-      return err(createFailure('storeUnavailable', failure.detail, retryAfterSeconds));
+    const startedAt = performance.now();
+    while (performance.now() - startedAt < hostTimes.settleMs) {
+      const item = await this.#store.read(key);
+      this.#configuration.noteStoreContact(item.isOk());
+      if (item.isOk()) return this.#settleRead(item.value?.value, record, failure);
+      await new Promise((resolve) => setTimeout(resolve, hostTimes.watchRetryMs));
     }
     // The write may still take effect, so the caller must not be told that the job never runs.
     return err(createFailure('timeout', failure.detail));
   }
 
+  async #settleRead(
+    value: string | undefined,
+    record: JobRecord,
+    failure: Failure,
+  ): Promise<Result<void, Failure>> {
+    if (value !== undefined) return this.#compare(value, record);
+    return (await this.#blockLateWrite(storeKeys.jobs + record.id))
+      ? err(createFailure('storeUnavailable', failure.detail, retryAfterSeconds))
+      : err(createFailure('timeout', failure.detail));
+  }
+
   /** Makes a write fail that may still take effect: its condition was that the key does not exist. */
   async #blockLateWrite(key: string): Promise<boolean> {
     const outcome = await this.#store.commit({
--- a/packages/daemon/src/hostTimes.ts
+++ b/packages/daemon/src/hostTimes.ts
@@ -20,6 +20,8 @@
   storeSilenceMs: 1500,
   /** Longest spread of campaigns after the leader's lease ended, so that the hosts do not collide. */
   campaignSpreadMs: 60,
+  /** How long a submission with an unknown outcome is settled before the caller is told so. */
+  settleMs: 1200,
   /** Bound of a call to the leader by another host. */
   leaderCallMs: 500,
   /** Longest wait of a worker's report for an end. */
