--- a/packages-private/testkit/src/PlatformSite.ts
+++ b/packages-private/testkit/src/PlatformSite.ts
@@ -177,7 +177,8 @@
   }
 
   async #addHost(name: string): Promise<void> {
-    const [caller, readiness, link] = [
+    const [caller, readiness, link, metrics] = [
+      await findFreePort(),
       await findFreePort(),
       await findFreePort(),
       await findFreePort(),
@@ -191,7 +192,7 @@
         'Zone=dc1',
         `Listen.Front=127.0.0.1:${caller}`,
         `Listen.Readiness=127.0.0.1:${readiness}`,
-        `PortRange=${link},${link}`,
+        `PortRange=${link},${metrics}`,
         `platform.Address=${this.store.address}`,
         'Unknown.Field=1',
       ].join('\n'),
--- a/packages/daemon/src/DecisionLog.ts
+++ b/packages/daemon/src/DecisionLog.ts
@@ -1,4 +1,5 @@
 import { Log } from '@toucanline/runtime/Log';
+import type { HostMetrics } from './HostMetrics.js';
 
 /** Lines of one event name that are written within a second; the rest is counted. */
 const linesPerSecond = 100;
@@ -9,11 +10,16 @@
 /** Structured log of decisions with a bounded rate for each event name. */
 export class DecisionLog {
   readonly #log: Log;
+  readonly #metrics: HostMetrics;
   readonly #counts = new Map<string, number>();
   #second = 0;
 
-  /** @param process - name of the process */
-  public constructor(process: string) {
+  /**
+   * @param process - name of the process
+   * @param metrics - counts the events
+   */
+  public constructor(process: string, metrics: HostMetrics) {
+    this.#metrics = metrics;
     this.#log = new Log(process, 'info');
   }
 
@@ -24,6 +30,7 @@
    * @param fields - inputs, their age or version, and the outcome
    */
   public write(event: string, fields: Fields): void {
+    this.#metrics.countEvent(event);
     const second = Math.floor(performance.now() / 1000);
     if (second !== this.#second) this.#startSecond(second);
     const count = (this.#counts.get(event) ?? 0) + 1;
--- a/packages/daemon/src/HostConfiguration.ts
+++ b/packages/daemon/src/HostConfiguration.ts
@@ -6,6 +6,8 @@
   readonly callerAddress: string;
   /** IP and port of the readiness endpoint. */
   readonly readinessAddress: string;
+  /** IP and port of the metrics. */
+  readonly metricsAddress: string;
   /** IP and port for links of other hosts. */
   readonly linkAddress: string;
   /** Time within which a withdrawn key must stop working, in milliseconds. */
--- a/packages/daemon/src/HostDaemon.ts
+++ b/packages/daemon/src/HostDaemon.ts
@@ -9,6 +9,7 @@
 import { DecisionLog } from './DecisionLog.js';
 import { Election } from './Election.js';
 import type { HostConfiguration } from './HostConfiguration.js';
+import { HostMetrics } from './HostMetrics.js';
 import { hostTimes } from './hostTimes.js';
 import { JobService } from './JobService.js';
 import { Leadership } from './Leadership.js';
@@ -30,6 +31,8 @@
 export class HostDaemon {
   /** Answers callers. */
   public readonly jobs: JobService;
+  /** Metrics of the process. */
+  public readonly metrics = new HostMetrics();
   /** Log of the process. */
   public readonly log: DecisionLog;
   readonly #configuration: ConfigurationWatch;
@@ -43,7 +46,7 @@
    * @param parts - what the host environment provides
    */
   public constructor(settings: HostConfiguration, parts: HostParts) {
-    this.log = new DecisionLog(settings.name);
+    this.log = new DecisionLog(settings.name, this.metrics);
     this.#configuration = new ConfigurationWatch(parts.store, parts.operator, this.log);
     const hello: Hello = {
       type: 'hello',
@@ -70,6 +73,7 @@
             ...parts,
             links: () => this.#links.incoming,
             log: this.log,
+            metrics: this.metrics,
             lost: (reason) => {
               this.#election.abandon(reason);
             },
--- a/packages/daemon/src/JobService.ts
+++ b/packages/daemon/src/JobService.ts
@@ -15,6 +15,7 @@
 import { hostTimes } from './hostTimes.js';
 import type { LeaderView } from './LeaderView.js';
 import { parseStored } from './parseStored.js';
+import { refusalMark } from './refusalMark.js';
 import { storeKeys } from './storeKeys.js';
 
 /** Where a call goes and who makes it. */
@@ -37,9 +38,6 @@
 /** Seconds after which a refused caller may come back: the store or a new leader is usually back by then. */
 const retryAfterSeconds = 1;
 
-/** Value of a job's key whose submission was refused although a write without an answer was sent. */
-const refusalMark = '"refused"';
-
 const idPattern = /^[0-9a-f]{16}$/;
 
 /** Answers callers: accepts jobs into the store, tells their state, cancels them. */
--- a/packages/daemon/src/Leadership.ts
+++ b/packages/daemon/src/Leadership.ts
@@ -1,5 +1,5 @@
 import type { Order, StoreItem, Worker } from '@toucanline/jobs';
-import { Scheduler } from '@toucanline/jobs';
+import { Scheduler, schedulingLimits } from '@toucanline/jobs';
 import {
   validators,
   type JobState,
@@ -12,6 +12,7 @@
 import type { LeadershipParts } from './LeadershipParts.js';
 import { parseStored } from './parseStored.js';
 import { ProgressWriter } from './ProgressWriter.js';
+import { refusalMark } from './refusalMark.js';
 import { StoreFeed } from './StoreFeed.js';
 import { storeKeys } from './storeKeys.js';
 import type { DriverContext } from './DriverContext.js';
@@ -29,6 +30,9 @@
   #writer: ProgressWriter | undefined;
   #planTimer: NodeJS.Timeout | undefined;
   #idleTimer: NodeJS.Timeout | undefined;
+  #cleanupTimer: NodeJS.Timeout | undefined;
+  /** Keys of refused submissions with the monotonic time at which they were seen. */
+  readonly #refusals = new Map<string, number>();
   #plannedAt = 0;
   #isLoaded = false;
   #stopped = false;
@@ -87,6 +91,9 @@
     this.#idleTimer = setInterval(() => {
       this.#changed();
     }, hostTimes.planIdleMs);
+    this.#cleanupTimer = setInterval(() => {
+      void this.#removeExpired();
+    }, hostTimes.cleanupMs);
     this.#changed();
   }
 
@@ -95,6 +102,7 @@
     this.#stopped = true;
     clearTimeout(this.#planTimer);
     clearInterval(this.#idleTimer);
+    clearInterval(this.#cleanupTimer);
     this.#writer?.stop();
     for (const feed of this.#feeds) feed.stop();
     for (const driver of this.#drivers.values()) driver.stop();
@@ -205,6 +213,11 @@
       this.#scheduler.removeJob(key.slice(storeKeys.jobs.length));
       return;
     }
+    if (value === refusalMark) {
+      this.#refusals.set(key, performance.now());
+      return;
+    }
+    this.#refusals.delete(key);
     // Without a current claim, a successor may already have started this job.
     if (this.#isLoaded && !this.#claim.isCurrent && !this.#isKnown(key)) {
       this.#deferred.push({ key, value, revision });
@@ -212,7 +225,6 @@
     }
     const record = parseStored(validators.JobRecord, value);
     if (record === undefined) {
-      // Also the mark of a refused submission.
       this.#parts.log.write('jobUnreadable', { key });
       return;
     }
@@ -402,6 +414,7 @@
     });
     if (this.#stopped) return;
     const now = performance.now();
+    this.#parts.metrics.noteStart(now - sentAt);
     if (clockMs !== undefined) worker.noteContact(clockMs, now);
     if (outcome !== 'started') {
       log.write('startNotConfirmed', {
@@ -444,6 +457,31 @@
     this.#changed();
   }
 
+  /** Removes jobs whose state was readable for long enough, a few in each transaction. */
+  async #removeExpired(): Promise<void> {
+    if (!this.#claim.isCurrent) return;
+    const { retentionMs } = schedulingLimits;
+    const finished = this.#scheduler.listExpired(Date.now() - retentionMs);
+    const refused = [...this.#refusals]
+      .filter(([, seenAt]) => performance.now() - seenAt > retentionMs)
+      .map(([key]) => key);
+    const keys = [
+      ...finished.flatMap((id) => [storeKeys.jobs + id, storeKeys.progress + id]),
+      ...refused,
+    ].slice(0, hostTimes.removalsPerWrite);
+    if (keys.length === 0) return;
+    const outcome = await this.#parts.store.commit({
+      expected: [{ key: storeKeys.holder, revision: this.#claim.revision }],
+      put: [],
+      remove: keys,
+    });
+    this.#parts.log.write('expiredJobsRemoved', {
+      keys: keys.length,
+      outcome: outcome.isOk() ? 'done' : outcome.error.kind,
+    });
+    if (outcome.isOk()) for (const key of refused) this.#refusals.delete(key);
+  }
+
   #afterWrite(): void {
     for (const driver of this.#drivers.values()) driver.wake();
     this.#changed();
--- a/packages/daemon/src/LeadershipParts.ts
+++ b/packages/daemon/src/LeadershipParts.ts
@@ -5,6 +5,7 @@
   WorkerControl,
 } from '@toucanline/jobs';
 import type { Link } from '@toucanline/wire';
+import type { HostMetrics } from './HostMetrics.js';
 import type { DecisionLog } from './DecisionLog.js';
 
 /** What the leader's work needs of its host. */
@@ -15,6 +16,7 @@
   readonly advisor: PlacementAdvisor;
   readonly links: () => readonly Link[];
   readonly log: DecisionLog;
+  readonly metrics: HostMetrics;
   /** Called when the claim proves to be lost. */
   readonly lost: (reason: string) => void;
 }
--- a/packages/daemon/src/hostTimes.ts
+++ b/packages/daemon/src/hostTimes.ts
@@ -48,4 +48,6 @@
   shortAdviceMs: 100,
   /** Interval of the clean-up of finished jobs. */
   cleanupMs: 20_000,
+  /** Keys removed in one transaction; the store takes 32 entries. */
+  removalsPerWrite: 30,
 });
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,3 +8,4 @@
 export { HostDaemon } from './HostDaemon.js';
 export { hostTimes } from './hostTimes.js';
 export { JobService } from './JobService.js';
+export { HostMetrics } from './HostMetrics.js';
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -268,6 +268,20 @@
     return this.#book.find(id)?.shownState;
   }
 
+  /**
+   * Lists finished jobs that nobody asks for any more.
+   *
+   * @param finishedBefore - Unix time in milliseconds
+   * @returns their ids
+   */
+  public listExpired(finishedBefore: number): readonly string[] {
+    const expired: string[] = [];
+    for (const job of this.#book.all) {
+      if (job.isFinished && job.finishedAtMs < finishedBefore) expired.push(job.id);
+    }
+    return expired;
+  }
+
   /**
    * Counts the jobs of a queue none of whose tasks started.
    *
