--- a/packages/daemon/src/ConfigurationWatch.ts
+++ b/packages/daemon/src/ConfigurationWatch.ts
@@ -18,6 +18,7 @@
   #accounts: ReadonlyMap<string, string> = new Map();
   #lastContactAt = -Infinity;
   #isStoreAnswering = false;
+  #isStopped = false;
 
   /**
    * @param store - the store
@@ -76,11 +77,13 @@
   /** Follows the configuration until the process ends. */
   public start(): void {
     void this.#feed.run();
+    void this.#ping();
   }
 
   /** Stops to follow. */
   public stop(): void {
     this.#feed.stop();
+    this.#isStopped = true;
   }
 
   /** @param listener - called with each new version */
@@ -113,6 +116,15 @@
     return this.#age.read() <= maxAgeMs;
   }
 
+  /** Waiting watches tell only late that the store is away. */
+  async #ping(): Promise<void> {
+    while (!this.#isStopped) {
+      const isAnswered = await this.#store.ping(hostTimes.pingTimeoutMs);
+      this.#noteContact(isAnswered);
+      await new Promise((resolve) => setTimeout(resolve, hostTimes.pingMs));
+    }
+  }
+
   async #read(): Promise<void> {
     const sentAt = performance.now();
     const sentWall = Date.now();
--- a/packages/daemon/src/HostDaemon.ts
+++ b/packages/daemon/src/HostDaemon.ts
@@ -102,7 +102,7 @@
     return (
       !this.#isDraining &&
       this.#configuration.current !== undefined &&
-      this.#configuration.storeSilenceMs < hostTimes.storeSilenceMs + hostTimes.configurationWaitMs
+      this.#configuration.storeSilenceMs < hostTimes.storeSilenceMs
     );
   }
 
--- a/packages/daemon/src/JobService.ts
+++ b/packages/daemon/src/JobService.ts
@@ -186,13 +186,17 @@
   /** Writes the record if its key still has a revision; a refusal left by an earlier try is replaced. */
   async #write(record: JobRecord, revision: number): Promise<Result<void, Failure>> {
     const key = storeKeys.jobs + record.id;
+    const value = JSON.stringify(record);
     const outcome = await this.#store.commit({
       expected: [{ key, revision }],
-      put: [{ key, value: JSON.stringify(record) }],
+      put: [{ key, value }],
     });
     this.#configuration.noteStoreContact(outcome.isOk());
     if (outcome.isErr()) return this.#settleSubmit(key, record, outcome.error);
-    if (outcome.value.committed) return ok(undefined);
+    if (outcome.value.committed) {
+      this.#leader.announce(key, value, outcome.value.revision);
+      return ok(undefined);
+    }
     const [known] = outcome.value.items;
     if (known?.value === refusalMark && known.revision !== revision) {
       return this.#write(record, known.revision);
--- a/packages/daemon/src/LeaderView.ts
+++ b/packages/daemon/src/LeaderView.ts
@@ -10,6 +10,15 @@
    */
   public abstract findState(id: string): Promise<JobState | 'unknown' | undefined>;
 
+  /**
+   * Tells the leader of an accepted job. Nothing depends on it: the leader's watch shows the job as well.
+   *
+   * @param key - key of the job in the store
+   * @param value - stored value
+   * @param revision - revision of the store
+   */
+  public abstract announce(key: string, value: string, revision: number): void;
+
   /**
    * Asks how many jobs of a queue have not begun.
    *
--- a/packages/daemon/src/Leadership.ts
+++ b/packages/daemon/src/Leadership.ts
@@ -115,6 +115,20 @@
     await this.#writer?.flush();
   }
 
+  /**
+   * Takes a job that another host has just accepted.
+   *
+   * @param key - key of the job in the store
+   * @param value - stored value
+   * @param revision - revision of the store
+   */
+  public announce(key: string, value: string, revision: number): void {
+    // Before the state is loaded the job is among what is read.
+    if (!this.#isLoaded || this.#isKnown(key)) return;
+    this.#takeJob({ key, value, revision });
+    this.#changed();
+  }
+
   /**
    * Finds the state that callers see.
    *
@@ -155,6 +169,9 @@
     const text = roster.value?.value;
     const known = text === undefined ? undefined : parseStored(validators.WorkerRoster, text);
     for (const entry of known?.workers ?? []) this.#takeInherited(entry);
+    const placed = placements.value?.value;
+    const inherited = placed === undefined ? undefined : parseStored(validators.Placements, placed);
+    if (inherited !== undefined) this.#scheduler.inheritPlacements(inherited);
     for (const item of workers.value.items) this.#takeWorker(item);
     this.#unlistAbsent(workers.value.items);
     this.#writer = new ProgressWriter(
@@ -437,6 +454,7 @@
   }
 
   async #stop({ task, worker, run }: Extract<Order, { kind: 'stop' }>): Promise<void> {
+    const wasUnconfirmed = !task.isConfirmed;
     const outcome = await this.#parts.control.stop(worker.entry, task.name, run, this.#claim.term);
     if (this.#stopped) return;
     const now = performance.now();
@@ -453,7 +471,10 @@
       return;
     }
     this.#scheduler.takeStop(task, run, outcome === 'confirmed', now);
-    this.#drivers.get(worker)?.wake();
+    const driver = this.#drivers.get(worker);
+    driver?.wake();
+    // A run that never arrived has no end that would end the wait of the report under way.
+    if (outcome === 'confirmed' && wasUnconfirmed) void driver?.look();
     this.#changed();
   }
 
--- a/packages/daemon/src/PeerLinks.ts
+++ b/packages/daemon/src/PeerLinks.ts
@@ -91,6 +91,10 @@
     }
     const leadership = this.#leadership();
     if (leadership?.isLoaded !== true) return this.#fail('this host is not the leader');
+    if (body.call === 'jobAccepted') {
+      leadership.announce(body.key, body.value, body.revision);
+      return { reply: 'done' };
+    }
     if (body.call === 'jobState') {
       const state = leadership.findState(body.id);
       return { reply: 'jobState', ...(state === undefined ? {} : { state }) };
--- a/packages/daemon/src/RemoteLeader.ts
+++ b/packages/daemon/src/RemoteLeader.ts
@@ -26,6 +26,13 @@
     return reply?.reply === 'jobState' ? (reply.state ?? 'unknown') : undefined;
   }
 
+  /** {@inheritDoc LeaderView.announce} */
+  public override announce(key: string, value: string, revision: number): void {
+    const own = this.#leadership();
+    if (own !== undefined) own.announce(key, value, revision);
+    else void this.#links.callLeader({ call: 'jobAccepted', key, value, revision });
+  }
+
   /** {@inheritDoc LeaderView.countWaiting} */
   public override async countWaiting(queue: string): Promise<number | undefined> {
     const own = this.#leadership();
--- a/packages/daemon/src/WorkerDriver.ts
+++ b/packages/daemon/src/WorkerDriver.ts
@@ -33,6 +33,24 @@
     this.wake();
   }
 
+  /** Reads at once what the worker runs, beside a report that waits for an end. */
+  public async look(): Promise<void> {
+    const { control, claim, scheduler, changed } = this.#context;
+    const worker = this.#worker;
+    const sentAt = performance.now();
+    const lease = worker.extendLease(sentAt);
+    const report = await control.report(
+      worker.entry,
+      claim.term,
+      worker.acknowledgedThrough,
+      lease,
+      0,
+    );
+    if (typeof report === 'string' || this.#hasStopped()) return;
+    scheduler.takeReport(worker, report, sentAt, performance.now(), Date.now());
+    changed();
+  }
+
   /** Ends a rest: the worker got work, or its ends were written. */
   public wake(): void {
     const wake = this.#wake;
--- a/packages/daemon/src/hostTimes.ts
+++ b/packages/daemon/src/hostTimes.ts
@@ -16,8 +16,11 @@
   watchRetryMs: 150,
   /** A keyed call is refused this long before the bound for withdrawn keys. */
   revokeMarginMs: 900,
+  /** Interval of signs of life of the store, and the longest wait for one: slow days take 240 ms. */
+  pingMs: 400,
+  pingTimeoutMs: 500,
   /** Without any answer of the store for this long, the host takes no new connections. */
-  storeSilenceMs: 1500,
+  storeSilenceMs: 1200,
   /** Longest spread of campaigns after the leader's lease ended, so that the hosts do not collide. */
   campaignSpreadMs: 60,
   /** How long a submission with an unknown outcome is settled before the caller is told so. */
--- a/packages/jobs/__tests__/takeover.test.ts
+++ b/packages/jobs/__tests__/takeover.test.ts
@@ -55,6 +55,26 @@
     expect(late?.run).to.equal(schedulingLimits.runsPerTerm + 1);
   });
 
+  // Guards against an account above its cap while a cut data centre goes on with its work.
+  it('counts what its predecessor gave on workers that it does not reach against the caps', () => {
+    const scheduler = new Scheduler(2, 100, 0);
+    const cap = { milliProcessors: 1000, memoryMb: 0, accelerators: 0 };
+    const accounts = [{ name: 'planning', weight: 1, keys: [], cap }];
+    scheduler.configure(configuration({ accounts }));
+    const reached = scheduler.updateWorker(worker('w1'), true);
+    const cutOff = scheduler.updateWorker(worker('w2'), true);
+    if (reached === undefined || cutOff === undefined) throw new Error('the worker is known');
+    const room = { milliProcessors: 800, memoryMb: 0, accelerators: 0 };
+    scheduler.inheritPlacements({
+      workers: [{ worker: 'w2', life: 1, account: 'planning', room }],
+    });
+    scheduler.addJob(job('new', [step(5, 200)]), 101, 0);
+    scheduler.takeReport(reached, noRuns, 0, 1, 1);
+    expect(starts(scheduler.plan(2, 2))).to.have.length(1);
+    scheduler.takeReport(cutOff, noRuns, 3, 4, 4);
+    expect(starts(scheduler.plan(5, 5))).to.have.length(4);
+  });
+
   it('goes on with what the workers run and counts it against their room', () => {
     const scheduler = new Scheduler(2, 100, 0);
     scheduler.configure(configuration());
--- a/packages/jobs/src/AccountUsage.ts
+++ b/packages/jobs/src/AccountUsage.ts
@@ -8,6 +8,8 @@
   public readonly name: string;
   #used: Room = rooms.none;
   #cap: Room = rooms.none;
+  /** Room that an earlier leader gave on workers which this one has not reached. */
+  readonly #unseen = new Map<string, Room>();
   #weight = 1;
   readonly #rate = new EntitledRate();
 
@@ -58,6 +60,17 @@
     this.#used = rooms.add(this.#used, size, times);
   }
 
+  /**
+   * Counts what an earlier leader gave on a worker that is not reached yet.
+   *
+   * @param worker - id of the worker
+   * @param room - the room; undefined once the worker told what it runs, or its leases lapsed
+   */
+  public noteUnseen(worker: string, room: Room | undefined): void {
+    if (room === undefined) this.#unseen.delete(worker);
+    else this.#unseen.set(worker, room);
+  }
+
   /**
    * Tells whether a task stays within the cap.
    *
@@ -66,7 +79,8 @@
    * @returns whether it does
    */
   public admits(size: Room, count = 1): boolean {
-    const next = rooms.add(this.#used, size, count);
+    let next = rooms.add(this.#used, size, count);
+    for (const room of this.#unseen.values()) next = rooms.add(next, room);
     const isWithin = (value: number, cap: number): boolean => cap <= 0 || value <= cap;
     return (
       isWithin(next.milliProcessors, this.#cap.milliProcessors) &&
--- a/packages/jobs/src/JobBook.ts
+++ b/packages/jobs/src/JobBook.ts
@@ -16,6 +16,11 @@
     return this.#open;
   }
 
+  /** Usage of all known accounts. */
+  public get accounts(): Iterable<AccountUsage> {
+    return this.#accounts.values();
+  }
+
   /** All jobs. */
   public get all(): Iterable<Job> {
     return this.#jobs.values();
--- a/packages/jobs/src/MetadataStore.ts
+++ b/packages/jobs/src/MetadataStore.ts
@@ -38,6 +38,14 @@
    */
   public abstract read(key: string): Promise<Result<StoreItem | undefined, Failure>>;
 
+  /**
+   * Asks for a sign of life with the cheapest call that there is.
+   *
+   * @param timeoutMs - longest wait in milliseconds
+   * @returns whether the store answered in time
+   */
+  public abstract ping(timeoutMs: number): Promise<boolean>;
+
   /**
    * Reads all items with a prefix.
    *
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -137,6 +137,19 @@
     return worker;
   }
 
+  /**
+   * Takes what the previous leader had on the workers: it counts against caps until they are surveyed.
+   *
+   * @param placements - the last that was written
+   */
+  public inheritPlacements(placements: Placements): void {
+    for (const { worker: id, life, account, room } of placements.workers) {
+      const worker = this.#pool.find(id);
+      if (worker === undefined || worker.life !== life || !this.#unsurveyed.has(worker)) continue;
+      this.#book.findAccount(account).noteUnseen(id, room);
+    }
+  }
+
   /** @param id - worker that the platform no longer lists */
   public unlistWorker(id: string): void {
     this.#pool.find(id)?.unlist();
@@ -166,7 +179,7 @@
     }
     const strays = this.#intake.take(worker, report, sentAt, now, wallMs);
     worker.noteSurvey();
-    this.#unsurveyed.delete(worker);
+    this.#forgetInherited(worker);
     return strays;
   }
 
@@ -233,7 +246,7 @@
    */
   public endLife(worker: Worker, now: number): void {
     this.#pool.remove(worker);
-    this.#unsurveyed.delete(worker);
+    this.#forgetInherited(worker);
     for (const task of [...worker.tasks]) task.release('', now);
   }
 
@@ -379,13 +392,18 @@
   #isHeld(job: Job, service: string, now: number): boolean {
     if (job.acceptedRevision > this.#claimRevision || this.#unsurveyed.size === 0) return false;
     if (now > this.#inheritedLapseAt) {
-      this.#unsurveyed.clear();
+      for (const worker of this.#unsurveyed) this.#forgetInherited(worker);
       return false;
     }
     for (const { entry } of this.#unsurveyed) if (entry.service === service) return true;
     return false;
   }
 
+  #forgetInherited(worker: Worker): void {
+    if (!this.#unsurveyed.delete(worker)) return;
+    for (const account of this.#book.accounts) account.noteUnseen(worker.id, undefined);
+  }
+
   /** By when everything that the previous leader started has ended where nobody renewed its leases. */
   get #inheritedLapseAt(): number {
     const { longestLeaseMs, leaderGraceMs, slowestClockRate, lapseMarginMs } = schedulingLimits;
--- a/packages/jobs/src/Task.ts
+++ b/packages/jobs/src/Task.ts
@@ -25,6 +25,7 @@
   #load = 0;
   #since = 0;
   #stopConfirmedAt: number | undefined;
+  #isConfirmed = false;
 
   /**
    * @param step - the step
@@ -87,6 +88,11 @@
     return isOpportunistic === true ? { ...size, milliProcessors: 0 } : size;
   }
 
+  /** Whether the worker was seen to run the current run. */
+  public get isConfirmed(): boolean {
+    return this.#isConfirmed;
+  }
+
   /** Whether it occupies a worker. */
   public get isPlaced(): boolean {
     return this.#worker !== undefined;
@@ -103,6 +109,7 @@
     this.#worker = worker;
     this.#run = run;
     this.#percent = 0;
+    this.#isConfirmed = false;
     this.#stopConfirmedAt = undefined;
     worker.add(this);
     this.step.job.account.add(this.step.description.size, 1);
@@ -115,6 +122,7 @@
    * @param now - monotonic time
    */
   public confirm(now: number): void {
+    this.#isConfirmed = true;
     if (this.#phase === 'starting') this.#enter('running', now);
   }
 
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -336,6 +336,7 @@
       case 'jobState':
       case 'queueDepth':
       case 'permits':
+      case 'jobAccepted':
         return fail('notOwner', 'schedulers of shards hold no jobs of steps');
     }
   }
