--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -145,7 +145,7 @@
   public inheritPlacements(placements: Placements): void {
     for (const { worker: id, life, account, room } of placements.workers) {
       const worker = this.#pool.find(id);
-      if (worker === undefined || worker.life !== life || !this.#unsurveyed.has(worker)) continue;
+      if (worker?.life !== life || !this.#unsurveyed.has(worker)) continue;
       this.#book.findAccount(account).noteUnseen(id, room);
     }
   }
