--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -42,14 +42,14 @@
   },
   {
     // The core knows no host environment: its operations are passed in.
-    files: ['packages/core/src/**/*.ts'],
+    files: ['packages/core/src/**/*.ts', 'packages/jobs/src/**/*.ts'],
     rules: {
       'no-restricted-imports': [
         'error',
         {
           patterns: [
             { group: ['node:*', 'undici', 'restana', 'cbor-x', 'roarr', 'hot-shots'] },
-            { group: ['@toucanline/*', '!@toucanline/schema'] },
+            { group: ['@toucanline/*', '!@toucanline/schema', '!@toucanline/core'] },
           ],
         },
       ],
--- /dev/null
+++ b/packages/daemon/__tests__/JobService.test.ts
@@ -0,0 +1,149 @@
+import { OperatorFeed } from '@toucanline/jobs';
+import type { JobSpecification, JobState, SiteConfiguration } from '@toucanline/schema';
+import { expect } from 'chai';
+import { ConfigurationWatch } from '../src/ConfigurationWatch.js';
+import { DecisionLog } from '../src/DecisionLog.js';
+import { HostMetrics } from '../src/HostMetrics.js';
+import { JobService } from '../src/JobService.js';
+import { LeaderView } from '../src/LeaderView.js';
+import { MemoryStore } from './MemoryStore.js';
+
+const id = '00000000000000aa';
+const key = `toucanline/job/${id}`;
+const specification: JobSpecification = { payload: 'x', steps: [] };
+
+const createConfiguration = (version: number, keys: readonly string[]): SiteConfiguration => ({
+  version,
+  queues: [
+    {
+      name: 'batch',
+      host: 'h',
+      prefix: '/b/',
+      service: 's',
+      priority: 1,
+      maxAttempts: 1,
+      stretch: 1,
+      objectiveMs: 1,
+      isOpen: false,
+    },
+  ],
+  services: [],
+  accounts: [{ name: 'planning', weight: 1, keys: [...keys] }],
+  maxBodyBytes: 1000,
+});
+
+class PlainFeed extends OperatorFeed {
+  public override readonly configurationKey = 'configuration';
+  public override readonly workerPrefix = 'workers/';
+
+  public override decodeConfiguration(value: string): SiteConfiguration {
+    return JSON.parse(value) as SiteConfiguration;
+  }
+
+  public override decodeWorker(): undefined {
+    return undefined;
+  }
+}
+
+/** A leader that does not answer. */
+class SilentLeader extends LeaderView {
+  public override findState(): Promise<JobState | undefined> {
+    return Promise.resolve(undefined);
+  }
+
+  public override announce(): void {
+    // Nothing depends on it.
+  }
+
+  public override countWaiting(): Promise<undefined> {
+    return Promise.resolve(undefined);
+  }
+}
+
+const call = { host: 'h', path: `/b/${id}`, key: 'k' };
+
+describe('accepting jobs', () => {
+  let store: MemoryStore;
+  let configuration: ConfigurationWatch;
+  let service: JobService;
+
+  const admit = async (): Promise<Parameters<JobService['submit']>[0]> =>
+    (await service.admit(call))._unsafeUnwrap();
+
+  beforeEach(async () => {
+    store = new MemoryStore();
+    store.put('configuration', JSON.stringify(createConfiguration(1, ['k'])));
+    const log = new DecisionLog('test', new HostMetrics());
+    configuration = new ConfigurationWatch(store, new PlainFeed(), log);
+    service = new JobService(store, configuration, new SilentLeader(), log, 5000);
+    await configuration.confirm(0);
+  });
+
+  afterEach(() => {
+    configuration.stop();
+  });
+
+  it('stores a job before it is accepted, and takes a repeat for the same job', async () => {
+    const admitted = await admit();
+    expect((await service.submit(admitted, specification)).isOk()).to.equal(true);
+    expect(store.get(key)).to.include('"account":"planning"');
+    expect((await service.submit(admitted, specification)).isOk()).to.equal(true);
+    const other = await service.submit(admitted, { payload: 'y', steps: [] });
+    expect(other._unsafeUnwrapErr().kind).to.equal('conflictingKey');
+  });
+
+  // Guards against a refusal of a job that was stored although the answer was lost.
+  it('accepts a job whose write took effect without an answer', async () => {
+    const admitted = await admit();
+    store.fault = 'lost';
+    expect((await service.submit(admitted, specification)).isOk()).to.equal(true);
+  });
+
+  // Guards against "not run" for a job whose write takes effect seconds later.
+  it('blocks a write that may still take effect before it says that the job never runs', async () => {
+    const admitted = await admit();
+    store.fault = 'late';
+    const refused = await service.submit(admitted, specification);
+    expect(refused._unsafeUnwrapErr().kind).to.equal('storeUnavailable');
+    store.releaseLate();
+    expect(store.get(key)).not.to.include('planning');
+    expect((await service.findState(admitted))._unsafeUnwrapErr().kind).to.equal('recordMissing');
+    expect((await service.submit(admitted, specification)).isOk()).to.equal(true);
+    expect(store.get(key)).to.include('planning');
+  });
+
+  it('refuses without a call while the store does not answer', async () => {
+    const admitted = await admit();
+    configuration.noteStoreContact(false);
+    const before = store.commits;
+    const refused = await service.submit(admitted, specification);
+    expect(refused._unsafeUnwrapErr().kind).to.equal('notReady');
+    expect(refused._unsafeUnwrapErr().retryAfterSeconds).to.equal(1);
+    expect(store.commits).to.equal(before);
+  });
+
+  it('cancels a job once and knows nothing of others', async () => {
+    const admitted = await admit();
+    expect((await service.cancel(admitted))._unsafeUnwrapErr().kind).to.equal('recordMissing');
+    await service.submit(admitted, specification);
+    store.fault = 'lost';
+    expect((await service.cancel(admitted)).isOk()).to.equal(true);
+    expect(store.get(key)).to.include('"isCancelled":true');
+  });
+
+  // Guards against a key that works on a host which could not learn of its withdrawal.
+  it('reads the configuration again once its confirmation is too old', async () => {
+    store.put('configuration', JSON.stringify(createConfiguration(2, [])));
+    expect((await service.admit(call)).isOk()).to.equal(true);
+    expect(await configuration.confirm(-1)).to.equal(false);
+    expect((await service.admit(call))._unsafeUnwrapErr().kind).to.equal('unauthenticated');
+  });
+
+  it('never goes back to an older version', async () => {
+    store.put('configuration', JSON.stringify(createConfiguration(5, [])));
+    await configuration.confirm(-1);
+    store.put('configuration', JSON.stringify(createConfiguration(4, ['k'])));
+    await configuration.confirm(-1);
+    expect(configuration.current?.version).to.equal(5);
+  });
+});
--- /dev/null
+++ b/packages/daemon/__tests__/MemoryStore.ts
@@ -0,0 +1,98 @@
+import { createFailure } from '@toucanline/core';
+import { MetadataStore, type StoreItem } from '@toucanline/jobs';
+import { err, ok } from 'neverthrow';
+
+type Transaction = Parameters<MetadataStore['commit']>[0];
+
+/** How the next commits behave: `lost` takes effect without an answer, `late` when the test lets it. */
+type CommitFault = 'none' | 'lost' | 'late' | 'refused';
+
+/** Store in memory whose commits may have no answer. */
+export class MemoryStore extends MetadataStore {
+  public fault: CommitFault = 'none';
+  public commits = 0;
+  readonly #items = new Map<string, StoreItem>();
+  #late: Transaction[] = [];
+  #revision = 1;
+  #lease = 0;
+
+  public get(key: string): string | undefined {
+    return this.#items.get(key)?.value;
+  }
+
+  public put(key: string, value: string): number {
+    this.#revision += 1;
+    this.#items.set(key, { key, value, revision: this.#revision });
+    return this.#revision;
+  }
+
+  /** Carries out the commits that were delayed. */
+  public releaseLate(): void {
+    const late = this.#late;
+    this.#late = [];
+    for (const transaction of late) this.#apply(transaction);
+  }
+
+  public override read(key: string): ReturnType<MetadataStore['read']> {
+    return Promise.resolve(ok(this.#items.get(key)));
+  }
+
+  public override ping(): Promise<boolean> {
+    return Promise.resolve(true);
+  }
+
+  public override list(prefix: string): ReturnType<MetadataStore['list']> {
+    const items = [...this.#items.values()].filter(({ key }) => key.startsWith(prefix));
+    return Promise.resolve(ok({ items, revision: this.#revision }));
+  }
+
+  public override async watch(
+    _prefix: string,
+    after: number,
+    waitMs: number,
+  ): ReturnType<MetadataStore['watch']> {
+    await new Promise((resolve) => setTimeout(resolve, Math.min(waitMs, 20)));
+    return ok({ items: [], revision: after });
+  }
+
+  public override commit(transaction: Transaction): ReturnType<MetadataStore['commit']> {
+    this.commits += 1;
+    const { fault } = this;
+    if (fault === 'refused') {
+      return Promise.resolve(err(createFailure('storeUnavailable', 'refused')));
+    }
+    if (fault === 'none') return Promise.resolve(ok(this.#apply(transaction)));
+    // Only the next commit meets the fault.
+    this.fault = 'none';
+    if (fault === 'lost') this.#apply(transaction);
+    else this.#late = [...this.#late, transaction];
+    return Promise.resolve(err(createFailure('timeout', 'no answer')));
+  }
+
+  public override grantLease(): ReturnType<MetadataStore['grantLease']> {
+    this.#lease += 1;
+    return Promise.resolve(ok(this.#lease));
+  }
+
+  public override renewLease(): ReturnType<MetadataStore['renewLease']> {
+    return Promise.resolve(ok(true));
+  }
+
+  public override endLease(): ReturnType<MetadataStore['endLease']> {
+    return Promise.resolve(ok(undefined));
+  }
+
+  #apply({ expected, put, remove = [] }: Transaction) {
+    const revisionOf = (key: string): number => this.#items.get(key)?.revision ?? 0;
+    if (expected.some(({ key, revision }) => revisionOf(key) !== revision)) {
+      const items = expected.flatMap(({ key }) => this.#items.get(key) ?? []);
+      return { committed: false as const, items };
+    }
+    this.#revision += 1;
+    for (const { key, value } of put) {
+      this.#items.set(key, { key, value, revision: this.#revision });
+    }
+    for (const key of remove) this.#items.delete(key);
+    return { committed: true as const, revision: this.#revision };
+  }
+}
--- /dev/null
+++ b/packages/jobs/__tests__/ModelFleet.ts
@@ -0,0 +1,238 @@
+import type { JobProgress, JobRecord } from '@toucanline/schema';
+import { Scheduler, schedulingLimits, type Order, type Worker } from '../src/index.js';
+import { fixtures } from './fixtures.js';
+import { ModelWorker } from './ModelWorker.js';
+import { Witness } from './Witness.js';
+
+const { configuration, job, step, worker } = fixtures;
+
+/** Steps of the simulated time, and how long a call waits for its answer. */
+const tickMs = 10;
+const answerMs = 400;
+
+interface Leader {
+  readonly scheduler: Scheduler;
+  readonly term: number;
+  /** When it was superseded; it goes on for its grace. */
+  supersededAt: number;
+}
+
+/** Leaders, workers and a store in one simulated time, with lost and late calls, takeovers, cuts and crashes. */
+export class ModelFleet {
+  public readonly witness = new Witness();
+  readonly #random: () => number;
+  readonly #workers = new Map<string, ModelWorker>();
+  readonly #cutUntil = new Map<string, number>();
+  readonly #records: { readonly record: JobRecord; readonly revision: number }[] = [];
+  readonly #stored = new Map<string, JobProgress>();
+  readonly #polledAt = new Map<string, number>();
+  #pending: { readonly at: number; readonly run: () => void }[] = [];
+  #leaders: Leader[] = [];
+  #revision = 1;
+  #term = 0;
+  #now = 0;
+
+  public constructor(random: () => number) {
+    this.#random = random;
+    for (let number = 0; number < 4; number += 1) this.#boot(`w${number}`, 1);
+    this.#elect();
+  }
+
+  /** Jobs that are not shown as finished by the newest leader. */
+  public get unfinished(): readonly string[] {
+    const leader = this.#leaders.at(-1);
+    return this.#records
+      .map(({ record }) => record.id)
+      .filter((id) => {
+        const state = leader?.scheduler.findState(id);
+        return state !== 'completed' && state !== 'failed';
+      });
+  }
+
+  /** Runs for a time. */
+  public run(durationMs: number, hasFaults: boolean): void {
+    const endsAt = this.#now + durationMs;
+    while (this.#now < endsAt) {
+      this.#now += tickMs;
+      if (hasFaults) this.#disturb();
+      this.#deliver();
+      for (const model of this.#workers.values()) model.advance(this.#now);
+      for (const leader of this.#leaders) this.#lead(leader);
+    }
+  }
+
+  public submit(): void {
+    const id = `job${this.#records.length}`;
+    const count = 1 + Math.floor(this.#random() * 4);
+    const size = 500 + Math.floor(this.#random() * 3) * 1500;
+    const record = job(id, [step(count, size), step(2, 1000, { dependsOn: [0] })], {
+      queue: this.#random() < 0.3 ? 'urgent' : 'batch',
+    });
+    this.#revision += 1;
+    this.#records.push({ record, revision: this.#revision });
+    this.witness.addJob(record);
+    this.#leaders.at(-1)?.scheduler.addJob(record, this.#revision, this.#now);
+  }
+
+  #disturb(): void {
+    const { witness } = this;
+    if (this.#random() < 0.06) this.submit();
+    if (this.#random() < 0.0007) this.#elect();
+    if (this.#random() < 0.0007) {
+      const id = `w${Math.floor(this.#random() * 4)}`;
+      this.#cutUntil.set(id, this.#now + this.#random() * 8000);
+    }
+    if (this.#random() < 0.0004) {
+      const id = `w${Math.floor(this.#random() * 4)}`;
+      const former = this.#workers.get(id);
+      if (former !== undefined) witness.alive.delete(former);
+      this.#boot(id, (former?.entry.life ?? 0) + 1);
+      this.#listEverywhere(id);
+    }
+  }
+
+  #boot(id: string, life: number): void {
+    const model = new ModelWorker(worker(id, { life }), this.witness);
+    this.#workers.set(id, model);
+    this.witness.alive.add(model);
+  }
+
+  #listEverywhere(id: string): void {
+    const entry = this.#workers.get(id)?.entry;
+    if (entry === undefined) return;
+    for (const { scheduler } of this.#leaders) scheduler.updateWorker(entry, false);
+  }
+
+  #elect(): void {
+    this.#term += 1;
+    this.#revision += 1;
+    const former = this.#leaders.at(-1);
+    if (former !== undefined) former.supersededAt = this.#now;
+    const scheduler = new Scheduler(this.#term, this.#revision, this.#now, 200);
+    scheduler.configure(configuration());
+    for (const progress of this.#stored.values()) scheduler.restore(progress, this.#now);
+    for (const { record, revision } of this.#records) {
+      scheduler.addJob(record, revision, this.#now);
+    }
+    for (const { entry } of this.#workers.values()) scheduler.updateWorker(entry, true);
+    this.#leaders = [
+      ...this.#leaders.filter((leader) => leader === former),
+      { scheduler, term: this.#term, supersededAt: Infinity },
+    ];
+  }
+
+  #lead(leader: Leader): void {
+    const { scheduler, supersededAt } = leader;
+    if (this.#now > supersededAt + schedulingLimits.leaderGraceMs) return;
+    for (const order of scheduler.plan(this.#now, this.#now)) this.#carryOut(leader, order);
+    for (const each of scheduler.workers) this.#poll(leader, each);
+    // Only the holder of the claim can write.
+    if (supersededAt !== Infinity || !scheduler.hasProgress) return;
+    const batch = scheduler.takeProgress();
+    if (this.#random() < 0.05) {
+      scheduler.returnProgress(batch);
+      return;
+    }
+    for (const progress of batch.progress) this.#stored.set(progress.id, progress);
+    scheduler.confirmProgress(batch);
+  }
+
+  #carryOut(leader: Leader, order: Order): void {
+    const { scheduler, term } = leader;
+    if (order.kind === 'advise') return;
+    const { task, run, worker: target } = order;
+    if (order.kind === 'stop') {
+      this.#call(
+        target,
+        (model) => model.stop(task.name, run, term, this.#now),
+        (answer) => {
+          scheduler.takeStop(task, run, answer === 'confirmed', this.#now);
+        },
+      );
+      return;
+    }
+    const lease = target.extendLease(this.#now);
+    const durationMs = 100 + this.#random() * 1500;
+    const outcome = this.#random() < 0.05 ? 'failed' : 'done';
+    const start = { task: task.name, run, term };
+    this.#call(
+      target,
+      (model) => model.start(start, lease, this.#now, durationMs, outcome),
+      (answer) => {
+        if (answer !== undefined) target.noteContact(this.#now, this.#now);
+        scheduler.takeStart(order, answer ?? 'unknown', this.#now);
+      },
+    );
+  }
+
+  #poll({ scheduler, term }: Leader, target: Worker): void {
+    const key = `${term}/${target.id}/${target.life}`;
+    if (this.#now - (this.#polledAt.get(key) ?? -Infinity) < 100) return;
+    this.#polledAt.set(key, this.#now);
+    const sentAt = this.#now;
+    const lease = target.isSurveyed ? target.extendLease(sentAt) : undefined;
+    const { acknowledgedThrough } = target;
+    this.#call(
+      target,
+      (model) => model.report(term, acknowledgedThrough, lease, this.#now),
+      (report) => {
+        if (report === undefined || report === 'fenced') {
+          target.noteCallFailure(this.#now);
+          return;
+        }
+        const strays = scheduler.takeReport(target, report, sentAt, this.#now, this.#now);
+        for (const { task, run } of strays) {
+          this.#call(target, (model) => model.stop(task, run, term, this.#now), ignore);
+        }
+      },
+    );
+  }
+
+  /** Delivers a call, loses its answer, or carries it out seconds later without an answer. */
+  #call<Answer>(
+    target: Worker,
+    act: (model: ModelWorker) => Answer,
+    take: (answer: Answer | undefined) => void,
+  ): void {
+    const reach = (): ModelWorker | undefined => {
+      const model = this.#workers.get(target.id);
+      const isCut = (this.#cutUntil.get(target.id) ?? 0) > this.#now;
+      return model?.entry.life === target.life && !isCut ? model : undefined;
+    };
+    const answerLater = (): void => {
+      this.#at(answerMs, () => {
+        take(undefined);
+      });
+    };
+    const luck = this.#random();
+    const model = reach();
+    if (model === undefined || luck < 0.02) answerLater();
+    else if (luck < 0.05) {
+      answerLater();
+      this.#at(2000 + this.#random() * 10_000, () => {
+        const late = reach();
+        if (late !== undefined) act(late);
+      });
+    } else if (luck < 0.07) {
+      act(model);
+      answerLater();
+    } else {
+      const answer = act(model);
+      this.#at(this.#random() * 30, () => {
+        take(answer);
+      });
+    }
+  }
+
+  #at(delayMs: number, run: () => void): void {
+    this.#pending.push({ at: this.#now + delayMs, run });
+  }
+
+  #deliver(): void {
+    const due = this.#pending.filter(({ at }) => at <= this.#now);
+    this.#pending = this.#pending.filter(({ at }) => at > this.#now);
+    for (const { run } of due) run();
+  }
+}
+
+const ignore = (): void => undefined;
--- a/packages/jobs/__tests__/ModelWorker.ts
+++ b/packages/jobs/__tests__/ModelWorker.ts
@@ -1,5 +1,6 @@
 import type { RunEnd, WorkerEntry, WorkerReport } from '@toucanline/schema';
 import type { StartOutcome } from '../src/index.js';
+import type { Witness } from './Witness.js';
 
 interface ModelRun {
   readonly task: string;
@@ -8,38 +9,39 @@
   readonly outcome: RunEnd['outcome'];
 }
 
+/** Time that a stop takes; meanwhile the run takes room and is on neither list. */
+const stopMs = 150;
+
 /** Worker of the platform, as far as the engine can tell: fencing, leases, run numbers and listed ends. */
 export class ModelWorker {
   public readonly entry: WorkerEntry;
+  readonly #witness: Witness;
   readonly #runs = new Map<string, ModelRun>();
+  readonly #stopping = new Map<string, ModelRun>();
   readonly #highest = new Map<string, number>();
   #ended: readonly RunEnd[] = [];
   #nextEnd = 1;
   #term = 0;
   #leaseUntil = 0;
 
-  public constructor(entry: WorkerEntry) {
+  public constructor(entry: WorkerEntry, witness: Witness) {
     this.entry = entry;
+    this.#witness = witness;
   }
 
   public get running(): readonly string[] {
-    return [...this.#runs.keys()];
-  }
-
-  public get fence(): number {
-    return this.#term;
+    return [...this.#runs.keys(), ...this.#stopping.keys()];
   }
 
   public start(
-    task: string,
-    run: number,
-    term: number,
+    order: { readonly task: string; readonly run: number; readonly term: number },
     leaseUntil: number,
     now: number,
-    endsAt: number,
+    durationMs: number,
     outcome: RunEnd['outcome'],
   ): StartOutcome {
     this.advance(now);
+    const { task, run, term } = order;
     if (term < this.#term) return 'fenced';
     this.#term = term;
     if (leaseUntil <= now) return 'late';
@@ -47,7 +49,8 @@
     if (this.#runs.get(task)?.run === run) return 'started';
     if (run <= (this.#highest.get(task) ?? 0)) return 'old';
     this.#highest.set(task, run);
-    this.#runs.set(task, { task, run, endsAt, outcome });
+    this.#witness.noteStart(this, task);
+    this.#runs.set(task, { task, run, endsAt: now + durationMs, outcome });
     return 'started';
   }
 
@@ -57,7 +60,10 @@
     this.#term = term;
     this.#highest.set(task, Math.max(run, this.#highest.get(task) ?? 0));
     const known = this.#runs.get(task);
-    if (known !== undefined && known.run <= run) this.#end(known, 'stopped');
+    if (known !== undefined && known.run <= run) {
+      this.#runs.delete(task);
+      this.#stopping.set(task, { ...known, endsAt: now + stopMs, outcome: 'stopped' });
+    }
     return 'confirmed';
   }
 
@@ -71,6 +77,9 @@
     if (term < this.#term) return 'fenced';
     this.#term = term;
     if (leaseUntil !== undefined) this.#extend(leaseUntil, now);
+    for (const { number, task, outcome } of this.#ended) {
+      if (number <= through && outcome === 'done') this.#witness.noteAcknowledged(task);
+    }
     this.#ended = this.#ended.filter(({ number }) => number > through);
     return {
       life: this.entry.life,
@@ -92,6 +101,9 @@
       if (run.endsAt <= Math.min(now, this.#leaseUntil)) this.#end(run, run.outcome);
       else if (this.#leaseUntil <= now) this.#end(run, 'lapsed');
     }
+    for (const run of [...this.#stopping.values()]) {
+      if (run.endsAt <= now) this.#end(run, 'stopped');
+    }
   }
 
   #extend(leaseUntil: number, now: number): void {
@@ -100,8 +112,8 @@
 
   #end({ task, run }: ModelRun, outcome: RunEnd['outcome']): void {
     this.#runs.delete(task);
-    const end = { number: this.#nextEnd, task, run, outcome, checkpoint: '' };
-    this.#ended = [...this.#ended, end];
+    this.#stopping.delete(task);
+    this.#ended = [...this.#ended, { number: this.#nextEnd, task, run, outcome, checkpoint: '' }];
     this.#nextEnd += 1;
   }
 }
--- /dev/null
+++ b/packages/jobs/__tests__/Witness.ts
@@ -0,0 +1,49 @@
+import type { JobRecord } from '@toucanline/schema';
+import type { ModelWorker } from './ModelWorker.js';
+
+/** Sees every start and end at the workers and checks the promises of the engine. */
+export class Witness {
+  /** Workers whose process still lives. */
+  public readonly alive = new Set<ModelWorker>();
+  readonly #jobs = new Map<string, JobRecord>();
+  readonly #acknowledged = new Set<string>();
+
+  public addJob(record: JobRecord): void {
+    this.#jobs.set(record.id, record);
+  }
+
+  public noteAcknowledged(task: string): void {
+    this.#acknowledged.add(task);
+  }
+
+  public noteStart(worker: ModelWorker, task: string): void {
+    if (this.#acknowledged.has(task)) throw new Error(`${task} starts again after its end`);
+    for (const other of this.alive) {
+      if (other.running.includes(task)) throw new Error(`${task} runs in two places`);
+    }
+    const used = [...worker.running, task].reduce((sum, name) => sum + this.#size(name), 0);
+    if (used > worker.entry.capacity.milliProcessors) {
+      throw new Error(`${worker.entry.id} has ${used} thousandths of processors to run`);
+    }
+    this.#checkOrder(task);
+  }
+
+  #checkOrder(task: string): void {
+    const [id = '', , step = '0'] = task.split('.');
+    const steps = this.#jobs.get(id)?.specification.steps ?? [];
+    for (const before of steps[Number(step)]?.dependsOn ?? []) {
+      const count = steps[before]?.taskCount ?? 0;
+      for (let index = 0; index < count; index += 1) {
+        // The end is known to the leader, so some worker listed it; it may not be acknowledged yet.
+        const name = `${id}.0.${before}.${index}`;
+        const isRunning = [...this.alive].some((worker) => worker.running.includes(name));
+        if (isRunning) throw new Error(`${task} starts before the end of ${name}`);
+      }
+    }
+  }
+
+  #size(task: string): number {
+    const [id = '', , step = '0'] = task.split('.');
+    return this.#jobs.get(id)?.specification.steps[Number(step)]?.size.milliProcessors ?? 0;
+  }
+}
