--- a/packages/daemon/src/hostTimes.ts
+++ b/packages/daemon/src/hostTimes.ts
@@ -45,8 +45,6 @@
   progressIntervalMs: 15,
   /** Pause after a write of progress that failed. */
   progressRetryMs: 100,
-  /** A gain of the wall clock over the monotonic clock that may be a suspension. */
-  suspensionMs: 400,
   /** Time during which a stopping host still takes connections: the balancer needs two missed probes. */
   drainMs: 2300,
   /** Calls for permits expected to be shorter than this have a lane of their own. */
--- a/packages/jobs/src/StartOutcome.ts
+++ b/packages/jobs/src/StartOutcome.ts
@@ -1,7 +1,12 @@
 /**
- * Outcome of a start order. `room`, `late`, `old`, `permit` and `unhealthy` are refusals: the run did not start.
- * `fenced`: a newer leader gave orders to the worker. `otherLife`: the incarnation is gone. `refused`: the
- * connection was refused, which a partition does as well, so nothing follows for what already runs there. `unknown`: the order may have been carried out, or may be later.
+ * Outcome of a start order.
+ *
+ * - `started`: the worker runs the task
+ * - `room`, `late`, `old`, `permit`, `unhealthy`, `invalid`: the worker refused, and the run did not start
+ * - `fenced`: a newer leader has given orders to the worker
+ * - `otherLife`: the incarnation that was meant has ended
+ * - `refused`: the connection was refused; a partition does that as well, so it says nothing of what runs there
+ * - `unknown`: the order may have been carried out, or may be carried out later
  */
 export type StartOutcome =
   | 'started'
