Keep the room of a later run when an earlier one turns out to be done

After a zone cut a worker tells that it had finished a task which was started again elsewhere; the task was taken for done at once, and the room of its later run was given away while that run went on. Change: the later run is stopped and takes room until it has left; the task counts as done in what is written.

--- a/packages/jobs/__tests__/takeover.test.ts
+++ b/packages/jobs/__tests__/takeover.test.ts
@@ -175,6 +175,28 @@
     expect(starts(scheduler.plan(1222, 1222))).to.have.length(1);
   });
 
+  // Guards against room that is given away while a second run of a task goes on (LIMIT on klsu, hunted days with a zone
+  // cut): the cut-off worker had finished the task, and tells it after the cut.
+  it('may tell late that a task is done, and the later run takes room until it was stopped', () => {
+    const { scheduler, order } = begin();
+    scheduler.takeStart(order, 'started', 2);
+    const [again] = starts(scheduler.plan(6300, 6300));
+    if (again === undefined) throw new Error('nothing was started again');
+    again.worker.extendLease(6300);
+    scheduler.takeStart(again, 'started', 6310);
+    const end = { number: 1, task: 'a.0.0.0', run: 1, outcome: 'done', checkpoint: '' } as const;
+    scheduler.takeReport(order.worker, { ...noRuns, ended: [end] }, 6400, 6401, 6401);
+    const held = again.worker.free.milliProcessors;
+    expect(held).to.equal(again.worker.entry.capacity.milliProcessors - 100);
+    expect(scheduler.plan(6402, 6402).map(({ kind }) => kind)).to.deep.equal(['stop']);
+    expect(scheduler.takeProgress().progress[0]?.steps[0]?.done).to.deep.equal([0]);
+    const stopped = { ...end, number: 2, run: 2, outcome: 'stopped' } as const;
+    scheduler.takeReport(again.worker, { ...noRuns, ended: [stopped] }, 6500, 6501, 6501);
+    expect(scheduler.plan(6502, 6502)).to.deep.equal([]);
+    expect(scheduler.takeProgress().progress[0]?.state).to.equal('completed');
+    expect(again.worker.free).to.deep.equal(again.worker.entry.capacity);
+  });
+
   it('has lost what it ran once another incarnation is listed', () => {
     const { scheduler, order } = begin();
     scheduler.takeStart(order, 'started', 2);
--- a/packages/jobs/src/EndIntake.ts
+++ b/packages/jobs/src/EndIntake.ts
@@ -101,7 +101,11 @@
     if (!isCurrent) task.raiseRun(end.run);
     if (end.outcome === 'done') {
       if (isCurrent) this.#learn(worker, task, now);
-      this.#complete(task, now, wallMs);
+      this.#complete(task, isCurrent, now, wallMs);
+      return;
+    }
+    if (task.isDoneElsewhere) {
+      if (isCurrent) task.release('', now);
       return;
     }
     if (end.outcome === 'failed' && !task.step.description.isLongRunning) {
@@ -111,11 +115,16 @@
     if (isCurrent) task.release(end.checkpoint, now);
   }
 
-  #complete(task: Task, now: number, wallMs: number): void {
+  #complete(task: Task, isCurrent: boolean, now: number, wallMs: number): void {
     const { step } = task;
     // One reported end of a gang member stands for all members: they end together.
     const finished = step.description.isGang === true ? step.tasks : [task];
-    for (const each of finished) if (each.phase !== 'done') each.complete(now);
+    for (const each of finished) {
+      if (each.phase === 'done') continue;
+      // A worker that was cut off tells late that it had finished; meanwhile the task was started again elsewhere.
+      if (!isCurrent && each.isPlaced) each.completeAfterStop(now);
+      else each.complete(now);
+    }
     step.job.completeIfDone(wallMs);
     this.#markDirty(step.job);
   }
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -231,7 +231,9 @@
 }
 
 const describeStep = (step: StepRun): readonly StepProgress[] => {
-  const done = step.tasks.filter(({ phase }) => phase === 'done').map(({ index }) => index);
+  const done = step.tasks
+    .filter(({ phase, isDoneElsewhere }) => phase === 'done' || isDoneElsewhere)
+    .map(({ index }) => index);
   const failures =
     step.failedGangRuns.size > 0
       ? [{ index: 0, runs: [...step.failedGangRuns] }]
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -323,10 +323,7 @@
     this.#releaseLapsed(now);
     for (const job of [...this.#book.open]) {
       job.openDue(wallMs);
-      if (job.record.isCancelled && !job.isFinished) {
-        job.finish('cancelled', wallMs);
-        this.#dirty.add(job);
-      }
+      if (!job.isFinished && this.#settle(job, wallMs)) this.#dirty.add(job);
     }
     const stops = this.#collectStops(now);
     const planned = this.#planner.plan(now);
@@ -401,6 +398,13 @@
     return false;
   }
 
+  /** Ends a job that was cancelled, or whose last run has left; returns whether it is finished. */
+  #settle(job: Job, wallMs: number): boolean {
+    if (job.record.isCancelled) job.finish('cancelled', wallMs);
+    else job.completeIfDone(wallMs);
+    return job.isFinished;
+  }
+
   #forgetInherited(worker: Worker): void {
     if (!this.#unsurveyed.delete(worker)) return;
     for (const account of this.#book.accounts) account.noteUnseen(worker.id, undefined);
--- a/packages/jobs/src/Task.ts
+++ b/packages/jobs/src/Task.ts
@@ -26,6 +26,7 @@
   #since = 0;
   #stopConfirmedAt: number | undefined;
   #isConfirmed = false;
+  #isDoneElsewhere = false;
 
   /**
    * @param step - the step
@@ -159,6 +160,21 @@
     this.#stopConfirmedAt = now;
   }
 
+  /** Whether an earlier run is done while a later one is still being stopped. */
+  public get isDoneElsewhere(): boolean {
+    return this.#isDoneElsewhere;
+  }
+
+  /**
+   * Notes that an earlier run is done. The current run takes room until it was stopped, and is done then as well.
+   *
+   * @param now - monotonic time
+   */
+  public completeAfterStop(now: number): void {
+    this.#isDoneElsewhere = true;
+    this.beginStop(now);
+  }
+
   /**
    * Takes the task off its worker.
    *
@@ -168,7 +184,7 @@
   public release(checkpoint: string, now: number): void {
     if (checkpoint !== '') this.#checkpoint = checkpoint;
     this.#leave();
-    this.#enter('waiting', now);
+    this.#enter(this.#isDoneElsewhere ? 'done' : 'waiting', now);
   }
 
   /**
