Wait in the stand-in site until each host reaches the leader

A host is ready without that link, since it accepts jobs without it. Change: the site of the tests waits until a count is answered by each host; no check is changed.

--- a/packages-private/testkit/src/PlatformSite.ts
+++ b/packages-private/testkit/src/PlatformSite.ts
@@ -72,6 +72,14 @@
       'all hosts are ready',
     );
     await waitUntil(() => this.leader !== undefined, 10_000, 'a leader is elected');
+    // A host is ready before its link to the new leader is open; until then counts are refused.
+    for (const host of this.#hosts) {
+      await waitUntil(
+        async () => (await this.call(host, 'GET', '/renders/')).status === 200,
+        10_000,
+        `${host.name} reaches the leader`,
+      );
+    }
   }
 
   /** Host that holds the claim in the store. */
