Leave fast workers to steps in a hurry

Cause: placement took the fastest worker with room for every step. Batch steps (loop-build, roster-build: 10 to 14 tasks of 3 processors for seconds, objective of four times the work) filled the fast workers, and the urgent jobs that came after them became late on slow ones.

Change: a placement request says how much time the step has left. Workers on which a task fits twice into it (a failed one is run again) are rated by how slow they are, all others by their speed behind them.

The new test fails when the preference is switched off.

--- a/packages/jobs/__tests__/speeds.test.ts
+++ b/packages/jobs/__tests__/speeds.test.ts
@@ -69,4 +69,32 @@
     model.run(8000);
     expect(speedOf('w0')).to.be.above(2 * speedOf('w1'));
   });
+
+  // Pattern: wide batch steps arrive before urgent ones on a half-full fleet (roster-build against stop-lookup).
+  // Guards against batch work on the fast workers, which it does not need, while urgent work becomes late on slow ones.
+  it('leaves fast workers to work in a hurry', () => {
+    const model = new LoadModel(configuration(), fleet(6), factorOf);
+    const warmUp = [...Array(30).keys()];
+    for (const number of warmUp) {
+      const record = job(`warm${number}`, [step(20, 1500, { estimateMs: 300 })], {
+        queue: 'urgent',
+      });
+      model.submit(number * 100, record, () => 300);
+    }
+    const batch = step(10, 3000, { estimateMs: 3000 });
+    for (const number of [0, 1]) model.submit(5000, job(`batch${number}`, [batch]), () => 3000);
+    const ids = [...Array(10).keys()].map((number) => `urgent${number}`);
+    ids.forEach((id, number) => {
+      const record = job(id, [step(4, 1500, { estimateMs: 500 })], { queue: 'urgent' });
+      model.submit(5100 + number * 100, record, () => 500);
+    });
+    model.run(20_000);
+    // The objective of the urgent queue is 1.5 times the work and 250 ms more.
+    ids.forEach((id, number) => {
+      expect(model.finishedAt(id) - (5100 + number * 100), id).to.be.at.most(1000);
+    });
+    for (const number of [0, 1]) {
+      expect(model.finishedAt(`batch${number}`)).to.be.at.most(5000 + 4 * 3000 + 3000);
+    }
+  });
 });
--- a/packages/jobs/src/GangPlacement.ts
+++ b/packages/jobs/src/GangPlacement.ts
@@ -1,5 +1,6 @@
 import type { Candidate } from './Candidate.js';
 import type { Choice } from './Choice.js';
+import type { PlacementRequest } from './PlacementRequest.js';
 import { PlannedRoom } from './PlannedRoom.js';
 import type { Reservations } from './Reservations.js';
 import { rateWorker } from './rateWorker.js';
@@ -10,14 +11,14 @@
 export class GangPlacement extends TaskPlacement {
   /** {@inheritDoc TaskPlacement.choose} */
   public override choose(
-    step: StepRun,
+    request: PlacementRequest,
     candidates: readonly Candidate[],
-    limit: number,
     reservations: Reservations,
   ): readonly Choice[] {
+    const { step, limit } = request;
     if (step.waitingCount < step.tasks.length || limit < step.tasks.length) return [];
     const ranked = [...candidates].sort(
-      (a, b) => rateWorker(step, a.worker) - rateWorker(step, b.worker),
+      (a, b) => rateWorker(request, a.worker) - rateWorker(request, b.worker),
     );
     if (step.description.wantsOneRack === true) {
       for (const rack of new Set(ranked.map(({ worker }) => worker.rack))) {
--- a/packages/jobs/src/IndependentPlacement.ts
+++ b/packages/jobs/src/IndependentPlacement.ts
@@ -1,23 +1,23 @@
 import type { Candidate } from './Candidate.js';
 import type { Choice } from './Choice.js';
+import type { PlacementRequest } from './PlacementRequest.js';
 import { PlannedRoom } from './PlannedRoom.js';
 import type { Reservations } from './Reservations.js';
 import { rateWorker } from './rateWorker.js';
-import type { StepRun } from './StepRun.js';
 import { TaskPlacement } from './TaskPlacement.js';
 
 /** Places each waiting task for itself on the best worker with room. */
 export class IndependentPlacement extends TaskPlacement {
   /** {@inheritDoc TaskPlacement.choose} */
   public override choose(
-    step: StepRun,
+    request: PlacementRequest,
     candidates: readonly Candidate[],
-    limit: number,
     reservations: Reservations,
   ): readonly Choice[] {
+    const { step, limit } = request;
     const planned = new PlannedRoom(step, reservations);
     const ranked = candidates
-      .map((candidate) => ({ ...candidate, rating: rateWorker(step, candidate.worker) }))
+      .map((candidate) => ({ ...candidate, rating: rateWorker(request, candidate.worker) }))
       .sort((a, b) => a.rating - b.rating);
     const choices: Choice[] = [];
     let next = 0;
--- a/packages/jobs/src/JobTerms.ts
+++ b/packages/jobs/src/JobTerms.ts
@@ -20,6 +20,25 @@
     return this.#queues.get(job.record.queue);
   }
 
+  /**
+   * Computes how long the steps after one take at least.
+   *
+   * @param job - the job
+   * @param number - number of the step
+   * @returns declared duration of the longest chain of steps that depend on it, in milliseconds
+   */
+  public tailMs(job: Job, number: number): number {
+    const { steps } = job.record.specification;
+    const tails = steps.map(() => 0);
+    // Steps depend on earlier ones only, so later tails are complete when they are read.
+    for (let later = steps.length - 1; later > number; later -= 1) {
+      const { estimateMs = 0, dependsOn = [] } = steps[later] ?? {};
+      const chainMs = estimateMs + (tails[later] ?? 0);
+      for (const before of dependsOn) tails[before] = Math.max(tails[before] ?? 0, chainMs);
+    }
+    return tails[number] ?? 0;
+  }
+
   /**
    * Computes how long a job may take and still meet its objective.
    *
--- /dev/null
+++ b/packages/jobs/src/PlacementRequest.ts
@@ -0,0 +1,12 @@
+import type { StepRun } from './StepRun.js';
+
+/** Tasks of a step for which workers are wanted. */
+export interface PlacementRequest {
+  readonly step: StepRun;
+  /** Most tasks to place. */
+  readonly limit: number;
+  /** Expected duration of one task on a mean worker near its data, in milliseconds. */
+  readonly expectedMs: number;
+  /** Time left for the step if the job is to meet its objective, in milliseconds; infinite without an objective. */
+  readonly leftMs: number;
+}
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -95,6 +95,7 @@
           step,
           queue,
           deadline: job.acceptedAt + objectiveMs,
+          dueAt: this.#findDue(step, objectiveMs),
           punctuality: this.#rateStep(step, objectiveMs, now),
         });
       }
@@ -102,6 +103,14 @@
     return demands.sort(compareDemands);
   }
 
+  #findDue(step: StepRun, objectiveMs: number): number {
+    const { job, number, description } = step;
+    if (description.isLongRunning === true) return Infinity;
+    // The time of an occurrence counts from its due time: such work takes the fast workers.
+    if (job.record.specification.schedule !== undefined) return -Infinity;
+    return job.acceptedAt + objectiveMs - this.#terms.tailMs(job, number);
+  }
+
   /** Lasting and scheduled work is never late by the age of its job. */
   #rateStep(step: StepRun, objectiveMs: number, now: number): Demand['punctuality'] {
     const { job, description } = step;
@@ -109,7 +118,7 @@
     if (job.record.specification.schedule !== undefined) return 'onTime';
     const ageMs = now - job.acceptedAt;
     if (ageMs > objectiveMs * schedulingLimits.hopelessFactor) return 'hopeless';
-    const leftMs = this.#durations.estimate(description.image, description.estimateMs);
+    const leftMs = this.#expectMs(step);
     return ageMs + leftMs * schedulingLimits.trustedEstimateShare > objectiveMs ? 'late' : 'onTime';
   }
 
@@ -137,7 +146,7 @@
     this.#startWaiting(demand, allowed, reservations, now, orders);
     if (step.waitingCount === 0) return;
     // Room that is there is kept while permits are being renewed.
-    const feasible = this.#choose(step, allowed.map(withoutPermit), reservations);
+    const feasible = this.#choose(demand, allowed.map(withoutPermit), reservations, now);
     const kept = new Set(feasible.map(({ worker }) => worker));
     for (const { worker } of feasible) reservations.add(worker, step.description.size);
     if (feasible.length < step.waitingCount) {
@@ -160,12 +169,25 @@
   }
 
   #choose(
-    step: StepRun,
+    { step, dueAt }: Demand,
     candidates: readonly Candidate[],
     reservations: Reservations,
+    now: number,
   ): readonly Choice[] {
     const placement = step.description.isGang === true ? gang : independent;
-    return placement.choose(step, candidates, this.#countAdmitted(step), reservations);
+    const request = {
+      step,
+      limit: this.#countAdmitted(step),
+      expectedMs: this.#expectMs(step),
+      leftMs: dueAt - now,
+    };
+    return placement.choose(request, candidates, reservations);
+  }
+
+  /** Expected duration of a task of the step on a mean worker, in milliseconds. */
+  #expectMs({ description, work }: StepRun): number {
+    const { image, estimateMs } = description;
+    return Math.exp(work.estimate(this.#durations.estimate(image, estimateMs)).logMs);
   }
 
   #startWaiting(
@@ -183,7 +205,7 @@
       return permit === undefined ? [] : [{ worker, permit }];
     });
     if (candidates.length === 0) return;
-    const choices = this.#choose(step, candidates, reservations);
+    const choices = this.#choose(demand, candidates, reservations, now);
     if (choices.length === 0) return;
     // The members of a gang share the number of their run.
     const gangRun = Math.max(this.#firstRun, ...step.tasks.map((task) => task.run + 1));
@@ -244,7 +266,7 @@
       for (const step of job.steps) {
         if (step.description.dependsOn.length === 0 || step.isDone || step.isReady) continue;
         if (!this.#isDueSoon(step, queue.advice.baseMs, now)) continue;
-        const demand = { step, queue, deadline: 0, punctuality: 'onTime' } as const;
+        const demand = { step, queue, deadline: 0, dueAt: 0, punctuality: 'onTime' } as const;
         const workers = all.filter((worker) => this.#suits(demand, worker, now));
         this.#requestPermits(demand, workers, new Set(), now, orders);
       }
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -20,6 +20,7 @@
 export type { Order } from './Order.js';
 export { PermitBook } from './PermitBook.js';
 export { PlacementAdvisor } from './PlacementAdvisor.js';
+export type { PlacementRequest } from './PlacementRequest.js';
 export { PlannedRoom } from './PlannedRoom.js';
 export { Planner } from './Planner.js';
 export { Preemption } from './Preemption.js';
--- a/packages/jobs/src/rateWorker.ts
+++ b/packages/jobs/src/rateWorker.ts
@@ -1,22 +1,30 @@
-import type { StepRun } from './StepRun.js';
+import type { PlacementRequest } from './PlacementRequest.js';
+import { schedulingLimits } from './schedulingLimits.js';
 import type { Worker } from './Worker.js';
 
 /** Cost of a task away from its data: the platform's factor is 3 at most, which adds two durations. */
 const farCost = 2;
 /** Cost of an empty worker against a full one: packs tasks tightly, but speed goes first. */
 const looseCost = 0.25;
+/** Cost that sets workers on which a step becomes late behind all on which it does not. */
+const lateCost = 100;
 
 /**
- * Rates a worker for a task of a step.
+ * Rates a worker for the tasks of a step. Steps with time left are placed where speed matters least, so that the
+ * fast workers are free for work in a hurry.
  *
- * @param step - the step
+ * @param request - the step and the time that it has left
  * @param worker - the worker
- * @returns expected duration relative to a sound worker near the data; lower is better
+ * @returns cost; lower is better
  */
-export const rateWorker = (step: StepRun, worker: Worker): number => {
+export const rateWorker = (request: PlacementRequest, worker: Worker): number => {
+  const { step, expectedMs, leftMs } = request;
   const { preferredRack } = step.description;
   const isFar = preferredRack !== undefined && worker.rack !== preferredRack;
   const { milliProcessors } = worker.entry.capacity;
   const looseness = milliProcessors > 0 ? worker.free.milliProcessors / milliProcessors : 0;
-  return worker.speed.factor * (isFar ? 1 + farCost : 1) + looseness * looseCost;
+  const far = isFar ? 1 + farCost : 1;
+  const { factor } = worker.speed;
+  const isInTime = expectedMs * factor * far * schedulingLimits.placementMargin <= leftMs;
+  return (isInTime ? far - factor : lateCost + factor * far) + looseness * looseCost;
 };
--- a/packages/jobs/src/schedulingLimits.ts
+++ b/packages/jobs/src/schedulingLimits.ts
@@ -31,6 +31,8 @@
   maxPreemptionsPerPass: 12,
   /** Share of an estimated duration that is believed: declared ones are off by a factor of up to two. */
   trustedEstimateShare: 0.6,
+  /** Times that a task must fit into the time left on a slow worker: a failed one is run again. */
+  placementMargin: 2.25,
   /** A task of this share of a worker is large: it waits for a worker, or small tasks would keep it out. */
   largeTaskShare: 0.2,
   /** Failures in a row, of different jobs, after which a worker is quarantined. */
