Suspend workers out of reach; settle after a takeover

The next two leaders each held all older jobs of its service for the longest lease and the grace, 9.3 s from their own election, so jobs of 33 s started at 52.7 s. Change: the leader writes which workers get neither orders nor leases from it any more, and how long something may still run there; a successor waits only for that. RosterKeeper writes roster and suspensions in one transaction; new workers no longer stop all planning until the roster is written.

A former leader in its grace released tasks of lapsed or ended workers and started them elsewhere, although its successor had reached these workers. A run that the predecessor stopped is on neither list of the survey and its room was given away. Change: reports of ended incarnations are dropped; without a current claim nothing is released and no new incarnation is taken up; after its first survey an inherited worker gets nothing for the longest time of a stop.

Leadership is split: OrderDispatcher, RosterKeeper, ExpiredJobs. The speeds of workers are written beside the placements and outlive the leader. The model of the random runs knows fenced leaders and suspensions.

--- a/packages/daemon/src/Leadership.ts
+++ b/packages/daemon/src/Leadership.ts
@@ -1,18 +1,15 @@
-import type { Order, StoreItem, Worker } from '@toucanline/jobs';
-import { Scheduler, schedulingLimits } from '@toucanline/jobs';
-import {
-  validators,
-  type JobState,
-  type SiteConfiguration,
-  type WorkerEntry,
-} from '@toucanline/schema';
+import { Scheduler, type StoreItem, type Worker } from '@toucanline/jobs';
+import { validators, type JobState, type SiteConfiguration } from '@toucanline/schema';
 import { AdviceDispatcher } from './AdviceDispatcher.js';
+import { ExpiredJobs } from './ExpiredJobs.js';
 import { hostTimes } from './hostTimes.js';
 import type { LeaderClaim } from './LeaderClaim.js';
 import type { LeadershipParts } from './LeadershipParts.js';
+import { OrderDispatcher } from './OrderDispatcher.js';
 import { parseStored } from './parseStored.js';
 import { ProgressWriter } from './ProgressWriter.js';
 import { refusalMark } from './refusalMark.js';
+import { RosterKeeper } from './RosterKeeper.js';
 import { StoreFeed } from './StoreFeed.js';
 import { storeKeys } from './storeKeys.js';
 import type { DriverContext } from './DriverContext.js';
@@ -30,16 +27,14 @@
   #writer: ProgressWriter | undefined;
   #planTimer: NodeJS.Timeout | undefined;
   #idleTimer: NodeJS.Timeout | undefined;
-  #cleanupTimer: NodeJS.Timeout | undefined;
-  /** Keys of refused submissions with the monotonic time at which they were seen. */
-  readonly #refusals = new Map<string, number>();
+  readonly #roster: RosterKeeper;
+  readonly #dispatcher: OrderDispatcher;
+  readonly #expired: ExpiredJobs;
   #plannedAt = 0;
   #isLoaded = false;
   #stopped = false;
-  /** Workers written to the roster, by id and incarnation: orders go to these only. */
-  #roster: readonly WorkerEntry[] = [];
-  #rosterRevision = 0;
-  #isWritingRoster = false;
+  /** Changes that were learned without a current claim: a successor may already have acted on them. */
+  #deferred: (() => void)[] = [];
 
   /**
    * @param parts - what it needs of its host
@@ -54,6 +49,18 @@
     this.#parts = parts;
     this.#claim = claim;
     this.#scheduler = new Scheduler(claim.term, claim.revision, performance.now(), parts.stopMs);
+    const changed = (): void => {
+      this.#changed();
+    };
+    this.#roster = new RosterKeeper(parts, claim, this.#scheduler, changed);
+    this.#dispatcher = new OrderDispatcher(
+      parts,
+      claim,
+      this.#scheduler,
+      (worker) => this.#drivers.get(worker),
+      changed,
+    );
+    this.#expired = new ExpiredJobs(parts, claim, this.#scheduler);
     if (configuration !== undefined) this.configure(configuration);
     this.#advice = new AdviceDispatcher(
       parts.advisor,
@@ -91,9 +98,7 @@
     this.#idleTimer = setInterval(() => {
       this.#changed();
     }, hostTimes.planIdleMs);
-    this.#cleanupTimer = setInterval(() => {
-      void this.#removeExpired();
-    }, hostTimes.cleanupMs);
+    this.#expired.start();
     this.#changed();
   }
 
@@ -102,7 +107,8 @@
     this.#stopped = true;
     clearTimeout(this.#planTimer);
     clearInterval(this.#idleTimer);
-    clearInterval(this.#cleanupTimer);
+    this.#expired.stop();
+    this.#dispatcher.stop();
     this.#writer?.stop();
     for (const feed of this.#feeds) feed.stop();
     for (const driver of this.#drivers.values()) driver.stop();
@@ -152,23 +158,22 @@
   async #load(): Promise<boolean> {
     const { store, operator, log } = this.#parts;
     const startedAt = performance.now();
-    const [roster, placements, progress, jobs, workers] = await Promise.all([
+    const [roster, suspensions, placements, progress, jobs, workers] = await Promise.all([
       store.read(storeKeys.roster),
+      store.read(storeKeys.suspensions),
       store.read(storeKeys.placements),
       store.list(storeKeys.progress),
       store.list(storeKeys.jobs),
       store.list(operator.workerPrefix),
     ]);
     if (this.#stopped) return false;
-    if (roster.isErr() || placements.isErr() || progress.isErr()) return false;
-    if (jobs.isErr() || workers.isErr()) return false;
+    if (roster.isErr() || suspensions.isErr() || placements.isErr()) return false;
+    if (progress.isErr() || jobs.isErr() || workers.isErr()) return false;
     const now = performance.now();
     for (const item of progress.value.items) this.#takeProgress(item, now);
     for (const item of jobs.value.items) this.#takeJob(item);
-    this.#rosterRevision = roster.value?.revision ?? 0;
-    const text = roster.value?.value;
-    const known = text === undefined ? undefined : parseStored(validators.WorkerRoster, text);
-    for (const entry of known?.workers ?? []) this.#takeInherited(entry);
+    const known = this.#roster.inherit(roster.value, suspensions.value);
+    for (const worker of known) this.#drive(worker);
     const placed = placements.value?.value;
     const inherited = placed === undefined ? undefined : parseStored(validators.Placements, placed);
     if (inherited !== undefined) this.#scheduler.inheritPlacements(inherited);
@@ -198,7 +203,8 @@
       jobs: jobs.value.items.length,
       progress: progress.value.items.length,
       workers: workers.value.items.length,
-      inherited: known?.workers.length ?? 0,
+      inherited: known.length,
+      suspended: known.filter(({ isSuspended }) => isSuspended).length,
       durationMs: Math.round(performance.now() - startedAt),
     });
     return true;
@@ -231,13 +237,14 @@
       return;
     }
     if (value === refusalMark) {
-      this.#refusals.set(key, performance.now());
+      this.#expired.addRefusal(key);
       return;
     }
-    this.#refusals.delete(key);
-    // Without a current claim, a successor may already have started this job.
-    if (this.#isLoaded && !this.#claim.isCurrent && !this.#isKnown(key)) {
-      this.#deferred.push({ key, value, revision });
+    this.#expired.dropRefusal(key);
+    if (!this.#isKnown(key) && this.#mustDefer) {
+      this.#deferred.push(() => {
+        this.#takeJob({ key, value, revision });
+      });
       return;
     }
     const record = parseStored(validators.JobRecord, value);
@@ -249,20 +256,18 @@
     this.#scheduler.addJob(record, revision, performance.now() - (this.#isLoaded ? 0 : ageMs));
   }
 
-  #deferred: StoreItem[] = [];
+  /** Without a current claim, a successor may already have started a new job, or tasks on a new worker. */
+  get #mustDefer(): boolean {
+    return this.#isLoaded && !this.#claim.isCurrent;
+  }
 
   #isKnown(key: string): boolean {
     return this.#scheduler.findState(key.slice(storeKeys.jobs.length)) !== undefined;
   }
 
-  #takeInherited(entry: WorkerEntry): void {
-    const worker = this.#scheduler.updateWorker(entry, true);
-    this.#roster = [...this.#roster, entry];
-    if (worker !== undefined) this.#drive(worker);
-  }
-
-  #takeWorker({ key, value }: StoreItem): void {
+  #takeWorker(item: StoreItem): void {
     const { operator, log } = this.#parts;
+    const { key, value } = item;
     const id = key.slice(operator.workerPrefix.length);
     if (value === undefined) {
       log.write('workerUnlisted', { worker: id });
@@ -274,12 +279,22 @@
       log.write('workerEntryUnreadable', { key });
       return;
     }
+    if (this.#mustDefer && !this.#hasLife(id, entry.life)) {
+      this.#deferred.push(() => {
+        this.#takeWorker(item);
+      });
+      return;
+    }
     const worker = this.#scheduler.updateWorker(entry, false);
     if (worker === undefined) return;
     log.write('workerListed', { worker: id, life: entry.life, service: entry.service });
     this.#drive(worker);
   }
 
+  #hasLife(id: string, life: number): boolean {
+    return this.#scheduler.workers.some((worker) => worker.id === id && worker.life === life);
+  }
+
   #unlistAbsent(items: readonly StoreItem[]): void {
     const { workerPrefix } = this.#parts.operator;
     const listed = new Set(items.map(({ key }) => key.slice(workerPrefix.length)));
@@ -321,45 +336,17 @@
     this.#plannedAt = performance.now();
     if (this.#claim.isCurrent && this.#deferred.length > 0) this.#takeDeferred();
     this.#dropEnded();
-    if (!this.#ensureRoster()) return;
-    const orders = this.#scheduler.plan(this.#plannedAt, Date.now());
-    this.#logPlacements(orders);
-    for (const order of orders) {
-      if (order.kind === 'start') void this.#start(order);
-      else if (order.kind === 'stop') void this.#stop(order);
-      else this.#advice.dispatch(order);
-    }
+    this.#roster.update(this.#plannedAt);
+    const orders = this.#scheduler.plan(this.#plannedAt, Date.now(), this.#claim.isCurrent);
+    this.#dispatcher.dispatch(orders, this.#plannedAt);
+    for (const order of orders) if (order.kind === 'advise') this.#advice.dispatch(order);
     this.#writer?.poke();
   }
 
-  /** Writes a line for each step whose tasks start; single starts are logged only if they do not go through. */
-  #logPlacements(orders: readonly Order[]): void {
-    const steps = new Map<string, Extract<Order, { kind: 'start' }>[]>();
-    for (const order of orders) {
-      if (order.kind !== 'start') continue;
-      const { key } = order.task.step;
-      steps.set(key, [...(steps.get(key) ?? []), order]);
-    }
-    for (const [step, starts] of steps) {
-      const [first] = starts;
-      if (first === undefined) continue;
-      const { job, waitingCount } = first.task.step;
-      this.#parts.log.write('tasksPlaced', {
-        request: job.id,
-        step,
-        run: first.run,
-        term: this.#claim.term,
-        placed: starts.map(({ task, worker }) => `${task.index}@${worker.id}`).join(' '),
-        stillWaiting: waitingCount,
-        jobAgeMs: Math.round(this.#plannedAt - job.acceptedAt),
-      });
-    }
-  }
-
   #takeDeferred(): void {
-    const items = this.#deferred;
+    const deferred = this.#deferred;
     this.#deferred = [];
-    for (const item of items) this.#takeJob(item);
+    for (const take of deferred) take();
   }
 
   #dropEnded(): void {
@@ -372,139 +359,6 @@
     }
   }
 
-  /** Returns whether all workers stand in the roster; otherwise writes it and plans again. */
-  #ensureRoster(): boolean {
-    const names = new Set(this.#roster.map(({ id, life }) => `${id}/${life}`));
-    const { workers } = this.#scheduler;
-    const isComplete = workers.every(({ id, life }) => names.has(`${id}/${life}`));
-    // A worker that has ended would make the next leader wait for the lapse of its leases.
-    if (!isComplete || workers.length < names.size) void this.#writeRoster();
-    return isComplete;
-  }
-
-  async #writeRoster(): Promise<void> {
-    if (this.#isWritingRoster || !this.#claim.isCurrent) return;
-    this.#isWritingRoster = true;
-    const entries = this.#scheduler.workers.map(({ entry }) => entry);
-    const outcome = await this.#parts.store.commit({
-      expected: [
-        { key: storeKeys.holder, revision: this.#claim.revision },
-        { key: storeKeys.roster, revision: this.#rosterRevision },
-      ],
-      put: [{ key: storeKeys.roster, value: JSON.stringify({ workers: entries }) }],
-    });
-    this.#isWritingRoster = false;
-    if (outcome.isErr()) {
-      await new Promise((resolve) => setTimeout(resolve, hostTimes.progressRetryMs));
-    } else if (outcome.value.committed) {
-      this.#rosterRevision = outcome.value.revision;
-      this.#roster = entries;
-    } else this.#takeRosterConflict(outcome.value.items);
-    this.#changed();
-  }
-
-  #takeRosterConflict(items: readonly StoreItem[]): void {
-    const holder = items.find(({ key }) => key === storeKeys.holder);
-    if (holder?.revision !== this.#claim.revision) {
-      this.#parts.lost('the store has another leader');
-      return;
-    }
-    this.#rosterRevision = items.find(({ key }) => key === storeKeys.roster)?.revision ?? 0;
-  }
-
-  async #start(order: Extract<Order, { kind: 'start' }>): Promise<void> {
-    const { control, log } = this.#parts;
-    const { task, worker, run, permit } = order;
-    if (!this.#claim.mayOrder) {
-      this.#scheduler.takeStart(order, 'late', performance.now());
-      return;
-    }
-    const sentAt = performance.now();
-    const { outcome, clockMs } = await control.start(worker.entry, {
-      task: task.name,
-      run,
-      payload: task.step.job.record.specification.payload,
-      leaseUntilMs: worker.extendLease(sentAt),
-      term: this.#claim.term,
-      ...(task.checkpoint === '' ? {} : { checkpoint: task.checkpoint }),
-      ...(permit === undefined ? {} : { permit }),
-    });
-    if (this.#stopped) return;
-    const now = performance.now();
-    this.#parts.metrics.noteStart(now - sentAt);
-    if (clockMs !== undefined) worker.noteContact(clockMs, now);
-    if (outcome !== 'started') {
-      log.write('startNotConfirmed', {
-        request: task.step.job.id,
-        task: task.name,
-        run,
-        worker: worker.id,
-        term: this.#claim.term,
-        answerMs: Math.round(now - sentAt),
-        outcome,
-      });
-    }
-    if (outcome === 'fenced') {
-      this.#parts.lost('a worker has seen a newer fencing token');
-      return;
-    }
-    this.#scheduler.takeStart(order, outcome, now);
-    if (outcome !== 'started') this.#changed();
-    this.#drivers.get(worker)?.wake();
-  }
-
-  async #stop({ task, worker, run }: Extract<Order, { kind: 'stop' }>): Promise<void> {
-    const wasUnconfirmed = !task.isConfirmed;
-    const outcome = await this.#parts.control.stop(worker.entry, task.name, run, this.#claim.term);
-    if (this.#stopped) return;
-    const now = performance.now();
-    this.#parts.log.write('taskStopped', {
-      request: task.step.job.id,
-      task: task.name,
-      run,
-      worker: worker.id,
-      state: task.step.job.state,
-      outcome,
-    });
-    if (outcome === 'fenced') {
-      this.#parts.lost('a worker has seen a newer fencing token');
-      return;
-    }
-    this.#scheduler.takeStop(task, run, outcome === 'confirmed', now);
-    const driver = this.#drivers.get(worker);
-    driver?.wake();
-    // A run that never arrived has no end that would end the wait of the report under way.
-    if (outcome === 'confirmed' && wasUnconfirmed) {
-      setTimeout(() => void driver?.look(), this.#parts.stopMs + hostTimes.lookMarginMs);
-    }
-    this.#changed();
-  }
-
-  /** Removes jobs whose state was readable for long enough, a few in each transaction. */
-  async #removeExpired(): Promise<void> {
-    if (!this.#claim.isCurrent) return;
-    const { retentionMs } = schedulingLimits;
-    const finished = this.#scheduler.listExpired(Date.now() - retentionMs);
-    const refused = [...this.#refusals]
-      .filter(([, seenAt]) => performance.now() - seenAt > retentionMs)
-      .map(([key]) => key);
-    const keys = [
-      ...finished.flatMap((id) => [storeKeys.jobs + id, storeKeys.progress + id]),
-      ...refused,
-    ].slice(0, hostTimes.removalsPerWrite);
-    if (keys.length === 0) return;
-    const outcome = await this.#parts.store.commit({
-      expected: [{ key: storeKeys.holder, revision: this.#claim.revision }],
-      put: [],
-      remove: keys,
-    });
-    this.#parts.log.write('expiredJobsRemoved', {
-      keys: keys.length,
-      outcome: outcome.isOk() ? 'done' : outcome.error.kind,
-    });
-    if (outcome.isOk()) for (const key of refused) this.#refusals.delete(key);
-  }
-
   #afterWrite(): void {
     for (const driver of this.#drivers.values()) driver.wake();
     this.#changed();
--- a/packages/daemon/src/WorkerDriver.ts
+++ b/packages/daemon/src/WorkerDriver.ts
@@ -38,7 +38,7 @@
     const { control, claim, scheduler, changed } = this.#context;
     const worker = this.#worker;
     const sentAt = performance.now();
-    const lease = worker.extendLease(sentAt);
+    const lease = this.#extendLease(sentAt);
     const report = await control.report(
       worker.entry,
       claim.term,
@@ -71,6 +71,12 @@
     return this.#worker.seenThrough > this.#worker.acknowledgedThrough;
   }
 
+  /** A successor counts on no lease beyond those granted before the suspension. */
+  #extendLease(now: number): number | undefined {
+    const worker = this.#worker;
+    return worker.isSurveyed && !worker.isSuspended ? worker.extendLease(now) : undefined;
+  }
+
   async #report(): Promise<void> {
     const { control, claim, scheduler, log } = this.#context;
     const worker = this.#worker;
@@ -79,7 +85,7 @@
     if (this.#hasStopped() || !claim.mayOrder) return;
     const sentAt = performance.now();
     const waitMs = worker.isSurveyed && worker.tasks.size > 0 ? hostTimes.reportWaitMs : 0;
-    const leaseUntilMs = worker.isSurveyed ? worker.extendLease(sentAt) : undefined;
+    const leaseUntilMs = this.#extendLease(sentAt);
     const report = await control.report(
       worker.entry,
       claim.term,
@@ -133,7 +139,7 @@
     worker.noteCallFailure(now);
     // A refused connection proves nothing: partitions refuse connections as well.
     if (failure === 'otherLife') {
-      scheduler.endLife(worker, now);
+      scheduler.endLife(worker);
       changed();
     }
     await this.#rest(hostTimes.reportRetryMs);
--- a/packages/daemon/src/hostTimes.ts
+++ b/packages/daemon/src/hostTimes.ts
@@ -45,6 +45,8 @@
   progressIntervalMs: 15,
   /** Pause after a write of progress that failed. */
   progressRetryMs: 100,
+  /** Interval at which the time left on suspended workers is written: a successor waits that much longer at most. */
+  suspensionRefreshMs: 500,
   /** Time during which a stopping host still takes connections: the balancer needs two missed probes. */
   drainMs: 2300,
   /** Calls for permits expected to be shorter than this have a lane of their own. */
--- a/packages/daemon/src/storeKeys.ts
+++ b/packages/daemon/src/storeKeys.ts
@@ -12,6 +12,8 @@
   progress: 'toucanline/progress/',
   /** Workers to which the leader gives orders. */
   roster: 'toucanline/roster',
+  /** Workers of the roster that get neither orders nor leases. */
+  suspensions: 'toucanline/suspensions',
   /** Written with each progress: orders the leader's writes, and says what runs where. */
   placements: 'toucanline/placements',
 });
--- a/packages/jobs/__tests__/ModelFleet.ts
+++ b/packages/jobs/__tests__/ModelFleet.ts
@@ -13,6 +13,8 @@
 interface Leader {
   readonly scheduler: Scheduler;
   readonly term: number;
+  /** A worker has refused its fencing token. */
+  isFenced: boolean;
   /** When it was superseded; it goes on for its grace. */
   supersededAt: number;
 }
@@ -26,6 +28,8 @@
   readonly #records: { readonly record: JobRecord; readonly revision: number }[] = [];
   readonly #stored = new Map<string, JobProgress>();
   readonly #polledAt = new Map<string, number>();
+  /** Suspended incarnations in the store, with the time left on them when that was written. */
+  #suspensions: ReadonlyMap<string, number> = new Map();
   #pending: { readonly at: number; readonly run: () => void }[] = [];
   #leaders: Leader[] = [];
   #revision = 1;
@@ -100,7 +104,10 @@
   #listEverywhere(id: string): void {
     const entry = this.#workers.get(id)?.entry;
     if (entry === undefined) return;
-    for (const { scheduler } of this.#leaders) scheduler.updateWorker(entry, false);
+    // A former leader takes up nothing that it learns after its last renewal.
+    for (const { scheduler, supersededAt } of this.#leaders) {
+      if (supersededAt === Infinity) scheduler.updateWorker(entry, false);
+    }
   }
 
   #elect(): void {
@@ -114,17 +121,26 @@
     for (const { record, revision } of this.#records) {
       scheduler.addJob(record, revision, this.#now);
     }
-    for (const { entry } of this.#workers.values()) scheduler.updateWorker(entry, true);
+    for (const { entry } of this.#workers.values()) {
+      const remainingMs = this.#suspensions.get(nameLife(entry));
+      const added = scheduler.updateWorker(entry, true, remainingMs);
+      if (remainingMs !== undefined) added?.suspend();
+    }
     this.#leaders = [
       ...this.#leaders.filter((leader) => leader === former),
-      { scheduler, term: this.#term, supersededAt: Infinity },
+      { scheduler, term: this.#term, isFenced: false, supersededAt: Infinity },
     ];
   }
 
   #lead(leader: Leader): void {
     const { scheduler, supersededAt } = leader;
-    if (this.#now > supersededAt + schedulingLimits.leaderGraceMs) return;
-    for (const order of scheduler.plan(this.#now, this.#now)) this.#carryOut(leader, order);
+    const isOver = this.#now > supersededAt + schedulingLimits.leaderGraceMs;
+    if (isOver || leader.isFenced) return;
+    const isCurrent = supersededAt === Infinity;
+    this.#keepRoster(scheduler, isCurrent && this.#random() < 0.2);
+    for (const order of scheduler.plan(this.#now, this.#now, isCurrent)) {
+      this.#carryOut(leader, order);
+    }
     for (const each of scheduler.workers) this.#poll(leader, each);
     // Only the holder of the claim can write.
     if (supersededAt !== Infinity || !scheduler.hasProgress) return;
@@ -137,6 +153,19 @@
     scheduler.confirmProgress(batch);
   }
 
+  /** Suspends workers that do not answer; in the store it is known a while later, and only to the holder of the claim. */
+  #keepRoster(scheduler: Scheduler, isWritten: boolean): void {
+    const { workers } = scheduler;
+    const isOut = ({ callFailures }: Worker): boolean => callFailures >= 2;
+    for (const each of workers) if (isOut(each)) each.suspend();
+    if (!isWritten) return;
+    const stay = workers.filter((each) => each.isSuspended && (isOut(each) || !each.isSurveyed));
+    this.#suspensions = new Map(
+      stay.map((each) => [nameLife(each), scheduler.remainingMs(each, this.#now)]),
+    );
+    for (const each of workers) if (!this.#suspensions.has(nameLife(each))) each.resume();
+  }
+
   #carryOut(leader: Leader, order: Order): void {
     const { scheduler, term } = leader;
     if (order.kind === 'advise') return;
@@ -146,6 +175,7 @@
         target,
         (model) => model.stop(task.name, run, term, this.#now),
         (answer) => {
+          if (answer === 'fenced') leader.isFenced = true;
           scheduler.takeStop(task, run, answer === 'confirmed', this.#now);
         },
       );
@@ -160,22 +190,26 @@
       (model) => model.start(start, lease, this.#now, durationMs, outcome),
       (answer) => {
         if (answer !== undefined) target.noteContact(this.#now, this.#now);
+        if (answer === 'fenced') leader.isFenced = true;
         scheduler.takeStart(order, answer ?? 'unknown', this.#now);
       },
     );
   }
 
-  #poll({ scheduler, term }: Leader, target: Worker): void {
+  #poll(leader: Leader, target: Worker): void {
+    const { scheduler, term } = leader;
     const key = `${term}/${target.id}/${target.life}`;
     if (this.#now - (this.#polledAt.get(key) ?? -Infinity) < 100) return;
     this.#polledAt.set(key, this.#now);
     const sentAt = this.#now;
-    const lease = target.isSurveyed ? target.extendLease(sentAt) : undefined;
+    const mayExtend = target.isSurveyed && !target.isSuspended;
+    const lease = mayExtend ? target.extendLease(sentAt) : undefined;
     const { acknowledgedThrough } = target;
     this.#call(
       target,
       (model) => model.report(term, acknowledgedThrough, lease, this.#now),
       (report) => {
+        if (report === 'fenced') leader.isFenced = true;
         if (report === undefined || report === 'fenced') {
           target.noteCallFailure(this.#now);
           return;
@@ -236,3 +270,6 @@
 }
 
 const ignore = (): void => undefined;
+
+const nameLife = ({ id, life }: { readonly id: string; readonly life: number }): string =>
+  `${id}/${life}`;
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -200,6 +200,7 @@
     const { step, queue } = demand;
     const { size, isGang } = step.description;
     const candidates = open.flatMap((worker): readonly Candidate[] => {
+      if (!worker.isSettled(now)) return [];
       if (queue.advice === undefined) return [{ worker, permit: undefined }];
       const permit = this.#permits.find(step.key, worker, now);
       return permit === undefined ? [] : [{ worker, permit }];
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -11,6 +11,7 @@
 } from '@toucanline/schema';
 import { EndIntake } from './EndIntake.js';
 import { ImageDurations } from './ImageDurations.js';
+import { Inheritance } from './Inheritance.js';
 import type { Job } from './Job.js';
 import { JobBook } from './JobBook.js';
 import { JobTerms } from './JobTerms.js';
@@ -44,12 +45,12 @@
   readonly #planner: Planner;
   readonly #dirty = new Set<Job>();
   readonly #stopSentAt = new Map<Task, number>();
-  readonly #claimRevision: number;
-  readonly #startedAt: number;
+  readonly #inheritance: Inheritance;
+  /** Incarnations that are known to have ended; their tasks are released with the next pass of a current claim. */
+  readonly #ended = new Set<Worker>();
+  readonly #stopMs: number;
   /** Run numbers of this term are higher than all of earlier terms. */
   readonly #firstRun: number;
-  /** Workers of the previous leader that were not surveyed yet. */
-  readonly #unsurveyed = new Set<Worker>();
 
   /**
    * @param term - fencing token of this leader
@@ -58,8 +59,8 @@
    * @param stopMs - longest time that a worker takes to stop a run, in milliseconds
    */
   public constructor(term: number, claimRevision: number, now: number, stopMs: number) {
-    this.#claimRevision = claimRevision;
-    this.#startedAt = now;
+    this.#stopMs = stopMs;
+    this.#inheritance = new Inheritance(this.#book, claimRevision, now);
     this.#firstRun = (term - 1) * schedulingLimits.runsPerTerm + 1;
     this.#intake = new EndIntake(
       this.#book,
@@ -74,13 +75,11 @@
       this.#terms,
       this.#permits,
       this.#durations,
-      (job, service) => this.#isHeld(job, service, this.#now),
+      (job, service) => this.#inheritance.isHeld(job, service),
       this.#firstRun,
     );
   }
 
-  #now = 0;
-
   /** Workers that may run something. */
   public get workers(): readonly Worker[] {
     return this.#pool.all;
@@ -131,24 +130,42 @@
    *
    * @param entry - the entry
    * @param isInherited - whether the previous leader may have given orders to the worker
+   * @param remainingMs - longest time for which something may run there, if the previous leader had suspended it
    * @returns the worker, if it must be surveyed
    */
-  public updateWorker(entry: WorkerEntry, isInherited: boolean): Worker | undefined {
+  public updateWorker(
+    entry: WorkerEntry,
+    isInherited: boolean,
+    remainingMs?: number,
+  ): Worker | undefined {
     const worker = this.#pool.update(entry);
-    if (worker !== undefined && isInherited) this.#unsurveyed.add(worker);
+    if (worker !== undefined && isInherited) this.#inheritance.add(worker, remainingMs);
     return worker;
   }
 
   /**
-   * Takes what the previous leader had on the workers: it counts against caps until they are surveyed.
+   * Tells how long something may still run on a worker that gets no further order.
+   *
+   * @param worker - the worker
+   * @param now - monotonic time
+   * @returns milliseconds
+   */
+  public remainingMs(worker: Worker, now: number): number {
+    const lapsesAt = worker.isSurveyed ? worker.lapsesAt : this.#inheritance.lapseOf(worker);
+    return Math.max(0, (lapsesAt ?? now) - now);
+  }
+
+  /**
+   * Takes what the previous leader wrote of the workers: their speeds, and what counts against caps until they are
+   * surveyed.
    *
    * @param placements - the last that was written
    */
   public inheritPlacements(placements: Placements): void {
-    for (const { worker: id, life, account, room } of placements.workers) {
+    this.#inheritance.countPlacements(placements, this.#pool);
+    for (const { worker: id, life, factor } of placements.speeds ?? []) {
       const worker = this.#pool.find(id);
-      if (worker?.life !== life || !this.#unsurveyed.has(worker)) continue;
-      this.#book.findAccount(account).noteUnseen(id, room);
+      if (worker?.life === life) worker.speed.inherit(factor);
     }
   }
 
@@ -174,14 +191,18 @@
     now: number,
     wallMs: number,
   ): ReturnType<EndIntake['take']> {
+    // A report that was under way when the incarnation ended would place its runs again.
+    if (this.#pool.find(worker.id) !== worker || this.#ended.has(worker)) return [];
     worker.noteContact(report.clockMs, now);
     if (report.life !== worker.life) {
-      if (report.life > worker.life) this.endLife(worker, now);
+      if (report.life > worker.life) this.endLife(worker);
       return [];
     }
     const strays = this.#intake.take(worker, report, sentAt, now, wallMs);
+    // Its predecessor's stops are fenced from now on, but those before may still be under way.
+    if (this.#inheritance.lapseOf(worker) !== undefined) worker.settleAt(now + this.#stopMs);
     worker.noteSurvey();
-    this.#forgetInherited(worker);
+    this.#inheritance.forget(worker);
     return strays;
   }
 
@@ -198,7 +219,7 @@
     now: number,
   ): void {
     const { task, worker, run } = order;
-    if (outcome === 'otherLife') this.endLife(worker, now);
+    if (outcome === 'otherLife') this.endLife(worker);
     if (task.worker !== worker || task.run !== run || task.phase !== 'starting') return;
     switch (outcome) {
       case 'started':
@@ -241,15 +262,13 @@
   }
 
   /**
-   * Ends an incarnation of a worker: whatever it ran is gone.
+   * Notes that an incarnation of a worker has ended: whatever it ran is gone.
    *
    * @param worker - the worker
-   * @param now - monotonic time
    */
-  public endLife(worker: Worker, now: number): void {
-    this.#pool.remove(worker);
-    this.#forgetInherited(worker);
-    for (const task of [...worker.tasks]) task.release('', now);
+  public endLife(worker: Worker): void {
+    worker.unlist();
+    this.#ended.add(worker);
   }
 
   /**
@@ -316,11 +335,12 @@
    *
    * @param now - monotonic time
    * @param wallMs - Unix time in milliseconds
+   * @param isCurrent - whether the claim is. Without, a successor may know better what runs, or ended, on workers
+   * that this leader does not reach, so nothing that was placed there is placed again.
    * @returns orders
    */
-  public plan(now: number, wallMs: number): readonly Order[] {
-    this.#now = now;
-    this.#releaseLapsed(now);
+  public plan(now: number, wallMs: number, isCurrent = true): readonly Order[] {
+    if (isCurrent) this.#releaseLapsed(now);
     for (const job of [...this.#book.open]) {
       job.openDue(wallMs);
       if (!job.isFinished && this.#settle(job, wallMs)) this.#dirty.add(job);
@@ -332,9 +352,9 @@
   }
 
   /**
-   * Describes what each account has on each worker, for a successor that does not reach a worker.
+   * Describes the workers for a successor: what each account has on them, and their speeds.
    *
-   * @returns room by worker and account
+   * @returns room by worker and account, and factors
    */
   public describePlacements(): Placements {
     return {
@@ -347,6 +367,11 @@
         }
         return [...byAccount].map(([account, room]) => ({ worker: id, life, account, room }));
       }),
+      speeds: this.#pool.all.map(({ id, life, speed }) => ({
+        worker: id,
+        life,
+        factor: Math.round(speed.factor * 100) / 100,
+      })),
     };
   }
 
@@ -387,17 +412,6 @@
     }
   }
 
-  /** The previous leader may have started any task of a job that it knew, where this one has not looked yet. */
-  #isHeld(job: Job, service: string, now: number): boolean {
-    if (job.acceptedRevision > this.#claimRevision || this.#unsurveyed.size === 0) return false;
-    if (now > this.#inheritedLapseAt) {
-      for (const worker of this.#unsurveyed) this.#forgetInherited(worker);
-      return false;
-    }
-    for (const { entry } of this.#unsurveyed) if (entry.service === service) return true;
-    return false;
-  }
-
   /** Ends a job that was cancelled, or whose last run has left; returns whether it is finished. */
   #settle(job: Job, wallMs: number): boolean {
     if (job.record.isCancelled) job.finish('cancelled', wallMs);
@@ -405,29 +419,25 @@
     return job.isFinished;
   }
 
-  #forgetInherited(worker: Worker): void {
-    if (!this.#unsurveyed.delete(worker)) return;
-    for (const account of this.#book.accounts) account.noteUnseen(worker.id, undefined);
-  }
-
-  /** By when everything that the previous leader started has ended where nobody renewed its leases. */
-  get #inheritedLapseAt(): number {
-    const { longestLeaseMs, leaderGraceMs, slowestClockRate, lapseMarginMs } = schedulingLimits;
-    return this.#startedAt + leaderGraceMs + longestLeaseMs / slowestClockRate + lapseMarginMs;
-  }
-
   #releaseLapsed(now: number): void {
-    for (const ended of this.#pool.takeEnded()) this.endLife(ended, now);
+    for (const ended of [...this.#ended, ...this.#pool.takeEnded()]) this.#drop(ended, now);
+    this.#ended.clear();
+    this.#inheritance.expire(now);
     for (const worker of this.#pool.all) {
-      if (!worker.isSurveyed && !worker.isListed && now > this.#inheritedLapseAt) {
-        this.endLife(worker, now);
-      }
+      const mayRun = worker.isSurveyed || this.#inheritance.lapseOf(worker) !== undefined;
+      if (!mayRun && !worker.isListed) this.#drop(worker, now);
       if (now <= worker.lapsesAt) continue;
       for (const task of [...worker.tasks]) task.release('', now);
-      if (!worker.isListed) this.endLife(worker, now);
+      if (!worker.isListed) this.#drop(worker, now);
     }
   }
 
+  #drop(worker: Worker, now: number): void {
+    this.#pool.remove(worker);
+    this.#inheritance.forget(worker);
+    for (const task of [...worker.tasks]) task.release('', now);
+  }
+
   /** Stops what finished jobs still run, gangs that are incomplete, and repeats stops without an answer. */
   #collectStops(now: number): readonly Order[] {
     const orders: Order[] = [];
--- a/packages/jobs/src/Worker.ts
+++ b/packages/jobs/src/Worker.ts
@@ -13,12 +13,14 @@
   #used: Room = rooms.none;
   #isListed = true;
   #isSurveyed = false;
+  #isSuspended = false;
   /** The worker's clock at a known time of ours. */
   #clockMs = 0;
   #clockReadAt: number | undefined;
   /** Latest lease end that was sent, on the worker's clock. */
   #leaseUntilMs = 0;
   #lastContactAt = -Infinity;
+  #settlesAt = -Infinity;
   #pausedUntil = 0;
   #failuresInRow = 0;
   #callFailures = 0;
@@ -72,6 +74,11 @@
     return this.#isSurveyed;
   }
 
+  /** Whether it gets neither orders nor leases, because a successor was told so. */
+  public get isSuspended(): boolean {
+    return this.#isSuspended;
+  }
+
   /** Number of the last end that was processed. */
   public get seenThrough(): number {
     return this.#seenThrough;
@@ -100,10 +107,29 @@
    */
   public isUsable(now: number): boolean {
     return (
-      this.#isListed && this.#isSurveyed && !this.#entry.isDraining && now >= this.#pausedUntil
+      this.#isListed &&
+      this.#isSurveyed &&
+      !this.#isSuspended &&
+      !this.#entry.isDraining &&
+      now >= this.#pausedUntil
     );
   }
 
+  /**
+   * Tells whether the room that the worker reports as free surely is.
+   *
+   * @param now - monotonic time
+   * @returns false while runs may be ending that an earlier leader stopped: they are on neither list
+   */
+  public isSettled(now: number): boolean {
+    return now >= this.#settlesAt;
+  }
+
+  /** @param time - monotonic time by which all runs have ended that an earlier leader stopped */
+  public settleAt(time: number): void {
+    this.#settlesAt = time;
+  }
+
   /**
    * Takes a newer entry of the same incarnation.
    *
@@ -119,6 +145,16 @@
     this.#isListed = false;
   }
 
+  /** Keeps orders and leases away: a successor counts only on the leases granted so far. */
+  public suspend(): void {
+    this.#isSuspended = true;
+  }
+
+  /** Lets orders and leases through again, once the suspension is no longer in the store. */
+  public resume(): void {
+    this.#isSuspended = false;
+  }
+
   /** @param task - task that occupies the worker now */
   public add(task: Task): void {
     this.#tasks.add(task);
--- a/packages/jobs/src/WorkerSpeed.ts
+++ b/packages/jobs/src/WorkerSpeed.ts
@@ -1,5 +1,7 @@
 /** Variance of the logarithm of a new worker's factor: most are within half and twice the mean. */
 const priorVariance = 0.25;
+/** Variance of a factor that an earlier leader learned. */
+const inheritedVariance = 0.02;
 /** Growth of the variance per second: lets the estimate follow a worker that becomes slow or sound again. */
 const driftPerSecond = 0.003;
 /** Residuals beyond this many standard deviations mean that the worker has changed. */
@@ -21,6 +23,12 @@
     return this.#logFactor;
   }
 
+  /** @param factor - factor that an earlier leader learned */
+  public inherit(factor: number): void {
+    this.#logFactor = Math.log(factor);
+    this.#variance = inheritedVariance;
+  }
+
   /**
    * Learns from a finished task.
    *
