Key placement permits by worker

Cause: each planning pass built the names of incarnations anew for each waiting step and worker. Change: the book of permits holds the workers themselves, each of which is one incarnation. The load model of the tests answers calls for permits.

--- a/packages/jobs/__tests__/LoadModel.ts
+++ b/packages/jobs/__tests__/LoadModel.ts
@@ -1,4 +1,9 @@
-import type { JobRecord, SiteConfiguration, WorkerEntry } from '@toucanline/schema';
+import type {
+  JobRecord,
+  PlacementPermit,
+  SiteConfiguration,
+  WorkerEntry,
+} from '@toucanline/schema';
 import { Scheduler, type Order } from '../src/index.js';
 import { ModelWorker } from './ModelWorker.js';
 import { Witness } from './Witness.js';
@@ -6,16 +11,25 @@
 /** Step of the simulated time. */
 const tickMs = 5;
 
+/** Validity of permits, as on the users' sites. */
+const permitValidMs = 2000;
+
 /** A sound fleet under a load: no call is lost, and each task takes the time that the test says. */
 export class LoadModel {
   public readonly scheduler: Scheduler;
   public readonly witness = new Witness();
   readonly #models = new Map<string, ModelWorker>();
   readonly #factorOf: (worker: string) => number;
+  readonly #allows: (worker: string) => boolean;
   readonly #workMs = new Map<string, (task: string) => number>();
   readonly #finishedAt = new Map<string, number>();
   readonly #startsOf = new Map<string, number>();
   #arrivals: readonly { readonly at: number; readonly record: JobRecord }[] = [];
+  #answers: readonly {
+    readonly at: number;
+    readonly order: Extract<Order, { kind: 'advise' }>;
+    readonly permits: readonly PlacementPermit[];
+  }[] = [];
   #revision = 10;
   #now = 0;
 
@@ -23,7 +37,9 @@
     site: SiteConfiguration,
     workers: readonly WorkerEntry[],
     factorOf: (worker: string) => number,
+    allows: (worker: string) => boolean = () => true,
   ) {
+    this.#allows = allows;
     this.scheduler = new Scheduler(1, this.#revision, 0, 200);
     this.scheduler.configure(site);
     this.#factorOf = factorOf;
@@ -57,6 +73,7 @@
       this.#now += tickMs;
       this.#admit();
       this.#collect();
+      this.#advise();
       for (const order of this.scheduler.plan(this.#now, this.#now)) this.#carryOut(order);
       this.#write();
     }
@@ -72,6 +89,13 @@
     }
   }
 
+  #advise(): void {
+    for (const { order, permits } of this.#answers.filter(({ at }) => at <= this.#now)) {
+      this.scheduler.takePermits(order, permits, this.#now, permitValidMs);
+    }
+    this.#answers = this.#answers.filter(({ at }) => at > this.#now);
+  }
+
   #collect(): void {
     for (const worker of this.scheduler.workers) {
       const model = this.#models.get(worker.id);
@@ -83,7 +107,14 @@
   }
 
   #carryOut(order: Order): void {
-    if (order.kind === 'advise') return;
+    if (order.kind === 'advise') {
+      const { workers } = order;
+      const permits = workers.flatMap(({ id }) =>
+        this.#allows(id) ? [{ workerId: id, permit: 'p' }] : [],
+      );
+      this.#answers = [...this.#answers, { at: this.#now + order.expectedMs, order, permits }];
+      return;
+    }
     const { task, worker, run } = order;
     const model = this.#models.get(worker.id);
     if (model === undefined) return;
--- a/packages/jobs/src/PermitBook.ts
+++ b/packages/jobs/src/PermitBook.ts
@@ -9,11 +9,9 @@
   readonly validUntil: number;
 }
 
-const nameLife = (worker: Worker): string => `${worker.id}/${worker.life}`;
-
 /** Placement permits by step and worker. */
 export class PermitBook {
-  readonly #steps = new Map<string, Map<string, PermitEntry>>();
+  readonly #steps = new Map<string, Map<Worker, PermitEntry>>();
   readonly #pending = new Set<string>();
   readonly #retryAt = new Map<string, number>();
 
@@ -26,7 +24,7 @@
    * @returns the valid permit; undefined if there is none
    */
   public find(stepKey: string, worker: Worker, now: number): string | undefined {
-    const entry = this.#steps.get(stepKey)?.get(nameLife(worker));
+    const entry = this.#steps.get(stepKey)?.get(worker);
     return entry !== undefined && entry.permit !== '' && entry.validUntil > now
       ? entry.permit
       : undefined;
@@ -40,7 +38,7 @@
    * @returns whether it does
    */
   public isAllowed(stepKey: string, worker: Worker): boolean {
-    const permit = this.#steps.get(stepKey)?.get(nameLife(worker))?.permit;
+    const permit = this.#steps.get(stepKey)?.get(worker)?.permit;
     return permit !== undefined && permit !== '';
   }
 
@@ -52,7 +50,7 @@
    * @returns whether it is
    */
   public isKnown(stepKey: string, worker: Worker): boolean {
-    return this.#steps.get(stepKey)?.has(nameLife(worker)) === true;
+    return this.#steps.get(stepKey)?.has(worker) === true;
   }
 
   /**
@@ -87,10 +85,10 @@
   ): void {
     this.#pending.delete(stepKey);
     const byWorker = new Map(permits.map(({ workerId, permit }) => [workerId, permit]));
-    const entries = this.#steps.get(stepKey) ?? new Map<string, PermitEntry>();
+    const entries = this.#steps.get(stepKey) ?? new Map<Worker, PermitEntry>();
     this.#steps.set(stepKey, entries);
     for (const worker of asked) {
-      entries.set(nameLife(worker), { permit: byWorker.get(worker.id) ?? '', validUntil });
+      entries.set(worker, { permit: byWorker.get(worker.id) ?? '', validUntil });
     }
   }
 
@@ -113,8 +111,8 @@
    */
   public expire(stepKey: string, worker: Worker): void {
     const entries = this.#steps.get(stepKey);
-    const entry = entries?.get(nameLife(worker));
-    if (entry !== undefined) entries?.set(nameLife(worker), { ...entry, validUntil: 0 });
+    const entry = entries?.get(worker);
+    if (entry !== undefined) entries?.set(worker, { ...entry, validUntil: 0 });
   }
 
   /** @param stepKey - step that needs no more permits */
