Bound the reports of all workers together

Cause: at eight times the usual rate each worker always has ends to tell, so its report returns at once and comes again 40 ms later: up to 800 calls a second for 33 workers, on two thirds of a core. Permits and starts waited behind them.

Change: the pause between two reports of a worker grows with the number of busy workers, so that all together stay under 330 a second.

--- a/packages/daemon/src/DriverContext.ts
+++ b/packages/daemon/src/DriverContext.ts
@@ -8,6 +8,8 @@
   readonly control: WorkerControl;
   readonly claim: LeaderClaim;
   readonly log: DecisionLog;
+  /** Pause between two reports of a worker, in milliseconds: the longer, the more workers are busy. */
+  readonly reportPauseMs: () => number;
   /** Called when something changed that may allow new decisions. */
   readonly changed: () => void;
   /** Called when a worker has seen a newer fencing token. */
--- a/packages/daemon/src/Leadership.ts
+++ b/packages/daemon/src/Leadership.ts
@@ -1,6 +1,7 @@
 import { Scheduler, type StoreItem, type Worker } from '@toucanline/jobs';
 import { validators, type JobState, type SiteConfiguration } from '@toucanline/schema';
 import { AdviceDispatcher } from './AdviceDispatcher.js';
+import { computeReportPause } from './computeReportPause.js';
 import { ExpiredJobs } from './ExpiredJobs.js';
 import { hostTimes } from './hostTimes.js';
 import type { LeaderClaim } from './LeaderClaim.js';
@@ -34,6 +35,7 @@
   readonly #dispatcher: OrderDispatcher;
   readonly #expired: ExpiredJobs;
   #plannedAt = 0;
+  #reportPauseMs: number = hostTimes.reportPauseMs;
   /** Duration of the last planning pass. */
   #planMs = 0;
   #isLoaded = false;
@@ -314,6 +316,7 @@
       control: this.#parts.control,
       claim: this.#claim,
       log: this.#parts.log,
+      reportPauseMs: () => this.#reportPauseMs,
       changed: () => {
         this.#changed();
       },
@@ -343,6 +346,7 @@
     if (this.#claim.isCurrent && this.#deferred.length > 0) this.#takeDeferred();
     this.#dropEnded();
     this.#roster.update(this.#plannedAt);
+    this.#setReportPause();
     const orders = this.#scheduler.plan(this.#plannedAt, Date.now(), this.#claim.isCurrent);
     this.#dispatcher.dispatch(orders, this.#plannedAt);
     for (const order of orders) if (order.kind === 'advise') this.#advice.dispatch(order);
@@ -350,6 +354,11 @@
     this.#planMs = performance.now() - this.#plannedAt;
   }
 
+  #setReportPause(): void {
+    const busy = this.#scheduler.workers.filter(({ tasks }) => tasks.size > 0).length;
+    this.#reportPauseMs = computeReportPause(busy);
+  }
+
   #takeDeferred(): void {
     const deferred = this.#deferred;
     this.#deferred = [];
--- a/packages/daemon/src/WorkerDriver.ts
+++ b/packages/daemon/src/WorkerDriver.ts
@@ -117,7 +117,7 @@
       void control.stop(worker.entry, task, run, claim.term);
     }
     this.#context.changed();
-    if (wasSurveyed) await this.#rest(hostTimes.reportPauseMs);
+    if (wasSurveyed) await this.#rest(this.#context.reportPauseMs());
   }
 
   async #takeFailure(
--- a/packages/daemon/src/hostTimes.ts
+++ b/packages/daemon/src/hostTimes.ts
@@ -31,6 +31,11 @@
   reportWaitMs: 1000,
   /** Pause between two reports of a worker: ends that fall into it share one report and one write. */
   reportPauseMs: 40,
+  /**
+   * Reports a second of all workers together: on a full fleet each report returns at once, and 800 a second took the
+   * processor that planning and permits need.
+   */
+  reportsPerSecond: 330,
   /** Added to the time of a stop before a worker is asked whether the run is gone. */
   lookMarginMs: 30,
   /** Pause after a report that failed. */
