End HTTP exchanges by a timer of their own

Ruled out: a blocked event loop (a lag monitor in a trial saw none above 0.4 s), the step of the wall clock at that moment (hosts without it behaved alike).

Change: an exchange ends at its bound whatever the client library does, and an attempt to connect is given up after 1 s.

Why the signal's own timer had no effect is not known.

--- a/packages/clients/__tests__/HttpExchange.test.ts
+++ b/packages/clients/__tests__/HttpExchange.test.ts
@@ -1,4 +1,5 @@
-import { createServer, type AddressInfo } from 'node:net';
+import { spawn } from 'node:child_process';
+import { connect, createServer, type AddressInfo } from 'node:net';
 import { expect } from 'chai';
 import { HttpExchange } from '../src/HttpExchange.js';
 
@@ -23,4 +24,40 @@
     silent.close();
     expect(rejections).to.deep.equal([]);
   });
+
+  // Pattern: a partition drops packets, so connecting takes 7 s (klsu trouble-1: hosts in a cut zone answered nobody, since
+  // their calls to the store waited for connections beyond their bound).
+  it('keeps its bound while a connection cannot be made', async () => {
+    const listener = spawn(process.execPath, ['-e', deafListener], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    const port = await new Promise<number>((resolve) => {
+      listener.stdout.once('data', (text: Buffer) => {
+        resolve(Number(text.toString()));
+      });
+    });
+    // The queue of connections is full after a few; the packets of further ones are dropped.
+    const filling = [...Array(4).keys()].map(() => connect(port, '127.0.0.1'));
+    for (const socket of filling) socket.on('error', () => socket.destroy());
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    const exchange = new HttpExchange();
+    const startedAt = performance.now();
+    const outcome = await exchange.send('GET', `http://127.0.0.1:${port}/`, undefined, 200);
+    const durationMs = performance.now() - startedAt;
+    for (const socket of filling) socket.destroy();
+    listener.kill('SIGKILL');
+    await exchange.close();
+    expect(outcome.isErr()).to.equal(true);
+    expect(durationMs).to.be.below(600);
+  });
 });
+
+/** Listens with the shortest queue and accepts nothing: its only thread sleeps. */
+const deafListener = `
+  const server = require('node:net').createServer();
+  server.listen(0, '127.0.0.1', 0, () => {
+    process.stdout.write(String(server.address().port), () => {
+      Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 20_000);
+    });
+  });
+`;
--- a/packages/clients/src/HttpExchange.ts
+++ b/packages/clients/src/HttpExchange.ts
@@ -6,6 +6,8 @@
 
 const maxConnections = 8;
 const keepAliveMs = 10_000;
+/** Time after which an attempt to connect is given up, in milliseconds: the longest bound of a short call. */
+const connectTimeoutMs = 1000;
 
 /** Further parts of an exchange. */
 interface ExchangeOptions {
@@ -44,33 +46,23 @@
     options: ExchangeOptions = {},
   ): Promise<Result<HttpResponse, Failure>> {
     const agent = this.#agent;
-    const { entityTag, interrupt } = options;
+    const limit = new AbortController();
+    const abort = (): void => {
+      limit.abort(new DOMException('no response in time', 'TimeoutError'));
+    };
+    const timer = setTimeout(abort, timeoutMs);
+    options.interrupt?.addEventListener('abort', abort, { once: true });
+    if (options.interrupt?.aborted === true) abort();
     try {
-      const response = await request(url, {
-        method,
-        dispatcher: agent,
-        signal:
-          interrupt === undefined
-            ? AbortSignal.timeout(timeoutMs)
-            : AbortSignal.any([AbortSignal.timeout(timeoutMs), interrupt]),
-        headers: {
-          ...options.headers,
-          ...(body === undefined ? {} : { 'content-type': 'application/json' }),
-          ...(entityTag === undefined ? {} : { 'if-none-match': entityTag }),
-        },
-        ...(body === undefined ? {} : { body: JSON.stringify(body) }),
-      });
-      const text = await response.body.text();
-      const { etag } = response.headers;
-      return ok({
-        status: response.statusCode,
-        body: text === '' ? undefined : (JSON.parse(text) as unknown),
-        ...(typeof etag === 'string' ? { entityTag: etag } : {}),
-      });
+      const response = this.#exchange(method, url, body, options, agent, limit.signal);
+      return ok(await endWith(response, limit.signal));
     } catch (error) {
       const failure = createHttpFailure(url, error);
       if (failure.kind === 'timeout') this.#replaceAgent(agent);
       return err(failure);
+    } finally {
+      clearTimeout(timer);
+      options.interrupt?.removeEventListener('abort', abort);
     }
   }
 
@@ -80,6 +72,34 @@
     await this.#agent.destroy();
   }
 
+  async #exchange(
+    method: 'GET' | 'PUT' | 'POST' | 'DELETE',
+    url: string,
+    body: unknown,
+    { entityTag, headers }: ExchangeOptions,
+    agent: Agent,
+    signal: AbortSignal,
+  ): Promise<HttpResponse> {
+    const response = await request(url, {
+      method,
+      dispatcher: agent,
+      signal,
+      headers: {
+        ...headers,
+        ...(body === undefined ? {} : { 'content-type': 'application/json' }),
+        ...(entityTag === undefined ? {} : { 'if-none-match': entityTag }),
+      },
+      ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+    });
+    const text = await response.body.text();
+    const { etag } = response.headers;
+    return {
+      status: response.statusCode,
+      body: text === '' ? undefined : (JSON.parse(text) as unknown),
+      ...(typeof etag === 'string' ? { entityTag: etag } : {}),
+    };
+  }
+
   /** A connection that timed out may be silent for good, so none of its agent is used again. */
   #replaceAgent(agent: Agent): void {
     if (this.#closed || this.#agent !== agent) return;
@@ -88,6 +108,27 @@
   }
 
   #createAgent(): Agent {
-    return new Agent({ connections: maxConnections, keepAliveTimeout: keepAliveMs, pipelining: 1 });
+    return new Agent({
+      connections: maxConnections,
+      connect: { timeout: connectTimeoutMs },
+      keepAliveTimeout: keepAliveMs,
+      pipelining: 1,
+    });
   }
 }
+
+/**
+ * Waits for a call until its signal is aborted. The client itself ends a request only once it has a connection, which
+ * takes seconds to fail behind a partition; the aborted request is not sent any more then.
+ */
+const endWith = <Value>(call: Promise<Value>, signal: AbortSignal): Promise<Value> =>
+  new Promise((resolve, reject) => {
+    signal.addEventListener(
+      'abort',
+      () => {
+        reject(signal.reason as Error);
+      },
+      { once: true },
+    );
+    call.then(resolve, reject);
+  });
--- a/packages/daemon/src/ConfigurationWatch.ts
+++ b/packages/daemon/src/ConfigurationWatch.ts
@@ -136,6 +136,12 @@
   }
 
   #noteContact(isAnswered: boolean): void {
+    if (isAnswered !== this.#isStoreAnswering) {
+      this.#log.write(isAnswered ? 'storeRegained' : 'storeLost', {
+        silenceMs: Math.round(Math.min(this.storeSilenceMs, 1e9)),
+        configurationAgeMs: Math.round(Math.min(this.ageMs, 1e9)),
+      });
+    }
     this.#isStoreAnswering = isAnswered;
     if (isAnswered) this.#lastContactAt = performance.now();
   }
--- a/packages/daemon/src/JobService.ts
+++ b/packages/daemon/src/JobService.ts
@@ -89,13 +89,13 @@
   public async admit(target: CallTarget): Promise<Result<AdmittedCall, Failure>> {
     const isFresh = await this.#configuration.confirm(this.#maxConfigurationAgeMs);
     const configuration = this.#configuration.current;
-    if (configuration === undefined) return err(this.#notReady('no configuration is known yet'));
+    if (configuration === undefined) return err(this.#refuse(target.path, 'no configuration yet'));
     const match = findQueue(configuration, target.host, target.path);
     if (match === undefined && isFresh) {
       return err(createFailure('unknownQueue', `no queue at ${target.host}${target.path}`));
     }
     // A withdrawn key or a removed queue may be what this host could not learn.
-    if (!isFresh) return err(this.#notReady('the configuration could not be confirmed'));
+    if (!isFresh) return err(this.#refuse(target.path, 'the configuration is not confirmed'));
     if (match === undefined) return err(createFailure('unknownQueue', 'no such queue'));
     const { queue, rest } = match;
     if (rest !== '' && !idPattern.test(rest)) {
@@ -127,7 +127,9 @@
       isCancelled: false,
     };
     // Nothing is sent to a store that does not answer: then it is sure that the job was not accepted.
-    if (!this.#configuration.isStoreAnswering) return err(this.#notReady('the store is away'));
+    if (!this.#configuration.isStoreAnswering) {
+      return err(this.#refuse(call.id, 'the store does not answer'));
+    }
     const sentAt = performance.now();
     const result = await this.#write(record, 0);
     this.#log.write('jobSubmitted', {
@@ -191,7 +193,9 @@
    */
   public async countWaiting(call: AdmittedCall): Promise<Result<number, Failure>> {
     const count = await this.#leader.countWaiting(call.queue.name);
-    return count === undefined ? err(this.#notReady('the leader did not answer')) : ok(count);
+    return count === undefined
+      ? err(this.#refuse(call.queue.name, 'the leader does not answer'))
+      : ok(count);
   }
 
   /** Writes the record if its key still has a revision; a refusal left by an earlier try is replaced. */
@@ -288,7 +292,16 @@
     return createFailure('recordMissing', `no job ${id}`);
   }
 
-  #notReady(detail: string): Failure {
-    return createFailure('notReady', detail, retryAfterSeconds);
+  /** Refuses a call as not run, and says what this host knew. */
+  #refuse(request: string, reason: string): Failure {
+    this.#log.write('callRefused', {
+      request: request.slice(request.lastIndexOf('/') + 1),
+      reason,
+      configurationVersion: this.#configuration.current?.version ?? 0,
+      configurationAgeMs: Math.round(Math.min(this.#configuration.ageMs, 1e9)),
+      storeSilenceMs: Math.round(Math.min(this.#configuration.storeSilenceMs, 1e9)),
+      retryAfterSeconds,
+    });
+    return createFailure('notReady', reason, retryAfterSeconds);
   }
 }
