Move tasks that stand still

Cause: on workers whose tasks make no progress (`srv_grey`, hang) jobs waited for the end of the trouble, and new tasks went there, since nothing that ended there told of it.

Change: reports tell the progress of each run. A task whose progress has not moved for 1.5 s (or a tenth of its expected duration) is stopped and starts again elsewhere, and its worker gets nothing new for 1.5 s.

The new test fails without the change (jobs never end).

--- a/packages/jobs/__tests__/LoadModel.ts
+++ b/packages/jobs/__tests__/LoadModel.ts
@@ -68,6 +68,12 @@
     return this.#startsOf.get(worker) ?? 0;
   }
 
+  /** Lets the tasks of a worker stand still from now on. */
+  public hang(id: string): void {
+    const model = this.#models.get(id);
+    if (model !== undefined) model.isHanging = true;
+  }
+
   public run(untilMs: number): void {
     while (this.#now < untilMs) {
       this.#now += tickMs;
--- a/packages/jobs/__tests__/ModelWorker.ts
+++ b/packages/jobs/__tests__/ModelWorker.ts
@@ -5,6 +5,7 @@
 interface ModelRun {
   readonly task: string;
   readonly run: number;
+  readonly startedAt: number;
   readonly endsAt: number;
   readonly outcome: RunEnd['outcome'];
 }
@@ -15,6 +16,8 @@
 /** Worker of the platform, as far as the engine can tell: fencing, leases, run numbers and listed ends. */
 export class ModelWorker {
   public readonly entry: WorkerEntry;
+  /** Its tasks stand still, though it answers. */
+  public isHanging = false;
   readonly #witness: Witness;
   readonly #runs = new Map<string, ModelRun>();
   readonly #stopping = new Map<string, ModelRun>();
@@ -50,7 +53,7 @@
     if (run <= (this.#highest.get(task) ?? 0)) return 'old';
     this.#highest.set(task, run);
     this.#witness.noteStart(this, task);
-    this.#runs.set(task, { task, run, endsAt: now + durationMs, outcome });
+    this.#runs.set(task, { task, run, startedAt: now, endsAt: now + durationMs, outcome });
     return 'started';
   }
 
@@ -84,11 +87,11 @@
     return {
       life: this.entry.life,
       clockMs: now,
-      running: [...this.#runs.values()].map(({ task, run }) => ({
+      running: [...this.#runs.values()].map(({ task, run, startedAt, endsAt }) => ({
         task,
         run,
         checkpoint: '',
-        percent: 0,
+        percent: this.isHanging ? 0 : Math.floor((100 * (now - startedAt)) / (endsAt - startedAt)),
         load: 0,
       })),
       ended: [...this.#ended],
@@ -98,7 +101,8 @@
   /** Ends what is over by now. */
   public advance(now: number): void {
     for (const run of [...this.#runs.values()]) {
-      if (run.endsAt <= Math.min(now, this.#leaseUntil)) this.#end(run, run.outcome);
+      const isOver = run.endsAt <= Math.min(now, this.#leaseUntil);
+      if (isOver && !this.isHanging) this.#end(run, run.outcome);
       else if (this.#leaseUntil <= now) this.#end(run, 'lapsed');
     }
     for (const run of [...this.#stopping.values()]) {
--- a/packages/jobs/src/EndIntake.ts
+++ b/packages/jobs/src/EndIntake.ts
@@ -80,7 +80,7 @@
     const task = this.#book.findTask(report.task);
     if (task === undefined) return false;
     if (task.worker === worker && task.run === report.run) {
-      task.update(report.percent, report.checkpoint, report.load);
+      task.update(report.percent, report.checkpoint, report.load, now);
       task.confirm(now);
       task.step.job.noteStart();
       return true;
@@ -88,7 +88,7 @@
     task.raiseRun(report.run);
     if (task.phase !== 'waiting') return false;
     task.adopt(worker, report.run, now);
-    task.update(report.percent, report.checkpoint, report.load);
+    task.update(report.percent, report.checkpoint, report.load, now);
     task.step.job.noteStart();
     return true;
   }
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -12,6 +12,7 @@
 import { EndIntake } from './EndIntake.js';
 import { ImageDurations } from './ImageDurations.js';
 import { Inheritance } from './Inheritance.js';
+import { isStalled } from './isStalled.js';
 import type { Job } from './Job.js';
 import { JobBook } from './JobBook.js';
 import { JobTerms } from './JobTerms.js';
@@ -444,6 +445,7 @@
     for (const worker of this.#pool.all) {
       for (const task of worker.tasks) {
         if (this.#mustStop(task)) task.beginStop(now);
+        else if (isStalled(task, worker)) this.#moveStalled(task, worker, now);
         if (task.phase !== 'stopping' || task.stopConfirmedAt !== undefined) continue;
         if (now - (this.#stopSentAt.get(task) ?? -Infinity) < stopRetryMs) continue;
         this.#stopSentAt.set(task, now);
@@ -454,6 +456,12 @@
     return orders;
   }
 
+  /** What stands still is stopped and starts again elsewhere; the worker gets nothing new for a while. */
+  #moveStalled(task: Task, worker: Worker, now: number): void {
+    worker.pauseUntil(now + schedulingLimits.stallPauseMs);
+    task.beginStop(now);
+  }
+
   #mustStop(task: Task): boolean {
     if (task.phase !== 'running' && task.phase !== 'starting') return false;
     const { step } = task;
--- a/packages/jobs/src/Task.ts
+++ b/packages/jobs/src/Task.ts
@@ -22,6 +22,8 @@
   #checkpoint = '';
   readonly #failedRuns = new Set<number>();
   #percent = 0;
+  /** When the reported progress last changed. */
+  #movedAt = 0;
   #load = 0;
   #since = 0;
   #stopConfirmedAt: number | undefined;
@@ -69,6 +71,11 @@
     return this.#percent;
   }
 
+  /** When the reported progress last changed, or the phase began. */
+  public get movedAt(): number {
+    return Math.max(this.#movedAt, this.#since);
+  }
+
   /** Reported load: tail latency of a serving task in milliseconds. */
   public get load(): number {
     return this.#load;
@@ -153,8 +160,10 @@
    * @param percent - progress
    * @param checkpoint - latest checkpoint
    * @param load - reported load
+   * @param now - monotonic time
    */
-  public update(percent: number, checkpoint: string, load: number): void {
+  public update(percent: number, checkpoint: string, load: number, now: number): void {
+    if (percent !== this.#percent) this.#movedAt = now;
     this.#percent = percent;
     this.#load = load;
     if (checkpoint !== '') this.#checkpoint = checkpoint;
--- a/packages/jobs/src/schedulingLimits.ts
+++ b/packages/jobs/src/schedulingLimits.ts
@@ -39,6 +39,12 @@
   quarantineFailures: 4,
   /** First quarantine of a worker. */
   quarantineMs: 3000,
+  /** A task whose reported progress does not change for this long stands still: reports come each second. */
+  stallMs: 1500,
+  /** The same as a share of the expected duration: progress is told in whole percents, and estimates are off. */
+  stallShare: 0.1,
+  /** Time for which a worker on which a task stands still gets nothing new. */
+  stallPauseMs: 1500,
   /** Run numbers of a task in one leader's term: a task is started far less often, so later terms are higher. */
   runsPerTerm: 1000,
   /** Time that a job's state stays readable after its end; the platform asks for 120 s. */
