Add `toucanline explain`

It reads the logs of all hosts and prints the lines of one request in order, with changes of the leader meanwhile, and says in words what decided: who accepted or refused it and what that host knew, permits, starts, why a task ran again, and the longest wait.

--- /dev/null
+++ b/packages/cli/__tests__/explainLog.test.ts
@@ -0,0 +1,111 @@
+import { expect } from 'chai';
+import { explainLog } from '../src/explainLog.js';
+import { parseLog } from '../src/parseLog.js';
+
+const id = '0123456789abcdef';
+let sequence = 0;
+
+const write = (time: number, process: string, message: string, fields: object): string => {
+  sequence += 1;
+  return JSON.stringify({ context: { process, ...fields, logLevel: 30 }, message, sequence, time });
+};
+
+const submitted = {
+  request: id,
+  queue: 'batch',
+  account: 'planning',
+  configurationVersion: 4,
+  storeMs: 9,
+  outcome: 'accepted',
+};
+
+const place = (run: number, term: number, placed: string, jobAgeMs: number): object => ({
+  request: id,
+  step: `${id}.0.0`,
+  run,
+  term,
+  placed,
+  stillWaiting: 0,
+  jobAgeMs,
+});
+
+const permits = (allowed: number): object => ({
+  step: `${id}.0.0`,
+  asked: 10,
+  allowed,
+  through: 'host-2',
+  durationMs: 31,
+});
+
+const explain = (...files: readonly (readonly string[])[]): string =>
+  explainLog(parseLog(files.map((lines) => lines.join('\n'))), id).sentences.join('\n');
+
+describe('the explanation of a request', () => {
+  // Guards against lines of several hosts that are told out of order, or that are of other requests.
+  it('tells the lines of all hosts in order, and nothing of other requests', () => {
+    const first = [
+      write(1000, 'host-1', 'jobSubmitted', submitted),
+      write(1500, 'host-1', 'jobSubmitted', { ...submitted, request: 'another' }),
+      'this is no line of a log',
+      '{"cut": ',
+    ];
+    const second = [
+      `12.5 host-2 ${write(1040, 'host-2', 'permitsAnswered', permits(3))}`,
+      write(1900, 'host-2', 'tasksPlaced', place(1, 1, '0@w1 1@w2', 900)),
+      write(2500, 'host-2', 'jobFinished', { request: id, state: 'completed', revision: 7 }),
+    ];
+    const { lines, sentences } = explainLog(parseLog([second.join('\n'), first.join('\n')]), id);
+    expect(lines.map(({ event }) => event)).to.deep.equal([
+      'jobSubmitted',
+      'permitsAnswered',
+      'tasksPlaced',
+      'jobFinished',
+    ]);
+    expect(sentences).to.have.length(5);
+    expect(sentences[0]).to.include('Accepted by host-1');
+    expect(sentences[2]).to.include('2 tasks started by host-2 (term 1), 900 ms after');
+    expect(sentences[4]).to.include('860 ms, between permitsAnswered');
+  });
+
+  it('says why a task ran again', () => {
+    const stop = {
+      request: id,
+      task: `${id}.0.0.1`,
+      run: 1,
+      worker: 'w2',
+      state: 'running',
+      reason: 'stalled',
+      outcome: 'confirmed',
+    };
+    const text = explain([
+      write(1000, 'host-1', 'tasksPlaced', place(1, 1, '0@w1 1@w2', 10)),
+      write(3000, 'host-1', 'taskStopped', stop),
+      write(3300, 'host-1', 'tasksPlaced', place(2, 1, '1@w3', 2300)),
+      write(3400, 'host-1', 'tasksPlaced', place(2, 1, '0@w3', 2400)),
+    ]);
+    expect(text).to.include(`${id}.0.0.1 runs again: run 1 was stopped on w2 (stalled, confirmed)`);
+    expect(text).to.include(`${id}.0.0.0 runs again: the run before failed, lapsed`);
+  });
+
+  it('names a refusal with what the host knew, and a change of the leader meanwhile', () => {
+    const refused = {
+      request: id,
+      reason: 'the store does not answer',
+      configurationVersion: 4,
+      configurationAgeMs: 3100,
+      storeSilenceMs: 980,
+      retryAfterSeconds: 1,
+    };
+    const text = explain([
+      write(1000, 'host-1', 'callRefused', refused),
+      write(1800, 'host-2', 'leaderElected', { term: 3, revision: 90 }),
+      write(9000, 'host-3', 'leaderElected', { term: 4, revision: 95 }),
+      write(2200, 'host-2', 'permitsAnswered', permits(0)),
+    ]);
+    expect(text).to.include('Refused as not run by host-1: the store does not answer');
+    expect(text).to.include('the store last answered 980 ms before');
+    expect(text).to.include('host-2 became leader in term 3');
+    expect(text).not.to.include('term 4');
+    expect(text).to.include('the policy allows none of 10 workers');
+  });
+});
--- /dev/null
+++ b/packages/cli/src/ExplainCommand.ts
@@ -0,0 +1,66 @@
+import { Args, Flags } from '@oclif/core';
+import { BaseCommand } from './BaseCommand.js';
+import { exitCodes } from './exitCodes.js';
+import { explainLog } from './explainLog.js';
+import { formatTable } from './formatTable.js';
+import type { LogLine } from './LogLine.js';
+import { parseLog } from './parseLog.js';
+import { readText } from './readText.js';
+
+const formatFields = ({ fields }: LogLine): string =>
+  Object.entries(fields)
+    .map(([name, value]) => `${name}=${value}`)
+    .join(' ');
+
+/** `toucanline explain`. */
+export class ExplainCommand extends BaseCommand {
+  public static override readonly summary =
+    'Explains from the logs of the hosts what happened to a request.';
+
+  public static override readonly examples = [
+    'toucanline explain 0123456789abcdef --logs host-1.log host-2.log',
+    'toucanline explain --logs host-*.log 0123456789abcdef',
+  ];
+
+  public static override readonly args = {
+    request: Args.string({ description: 'Id of the job.' }),
+  };
+
+  public static override readonly flags = {
+    logs: Flags.string({ summary: 'Log files of the hosts.', multiple: true, required: true }),
+  };
+
+  /** {@inheritDoc} */
+  public override async run(): Promise<{
+    readonly lines: readonly LogLine[];
+    readonly sentences: readonly string[];
+  }> {
+    const { args, flags } = await this.parse(ExplainCommand);
+    // Without an argument before the option, the id is the last of its values.
+    const request = args.request ?? flags.logs.at(-1) ?? '';
+    const paths = args.request === undefined ? flags.logs.slice(0, -1) : flags.logs;
+    const explanation = explainLog(
+      parseLog(paths.map((path) => this.take(readText(path)))),
+      request,
+    );
+    const { lines, sentences } = explanation;
+    const [first] = lines;
+    if (first === undefined) {
+      return this.fail({
+        message: `no line in ${paths.length} files is about ${request}`,
+        next: 'Give the logs of all hosts. A call with an unknown key or queue (401, 404) leaves no line.',
+        exit: exitCodes.invalid,
+      });
+    }
+    const rows = lines.map((line) => [
+      String(line.timeMs - first.timeMs),
+      line.process,
+      line.event,
+      formatFields(line),
+    ]);
+    this.log(formatTable([['AFTER MS', 'PROCESS', 'EVENT', 'FIELDS'], ...rows]));
+    this.log('');
+    for (const sentence of sentences) this.log(sentence);
+    return explanation;
+  }
+}
--- a/packages/cli/src/commandTable.ts
+++ b/packages/cli/src/commandTable.ts
@@ -9,6 +9,7 @@
 import { DataCentreLostCommand } from './DataCentreLostCommand.js';
 import { DataCentreReturnedCommand } from './DataCentreReturnedCommand.js';
 import { DrainCommand } from './DrainCommand.js';
+import { ExplainCommand } from './ExplainCommand.js';
 import { KeyGrantCommand } from './KeyGrantCommand.js';
 import { KeyListCommand } from './KeyListCommand.js';
 import { KeyWithdrawCommand } from './KeyWithdrawCommand.js';
@@ -41,6 +42,7 @@
   shards: ShardsCommand,
   teams: TeamsCommand,
   why: WhyCommand,
+  explain: ExplainCommand,
   drain: DrainCommand,
   'datacentre:lost': DataCentreLostCommand,
   'datacentre:returned': DataCentreReturnedCommand,
