Never wait for the reader of the log

Cause: Node.js writes to a pipe on standard output synchronously. A process whose output is not read stands still once the pipe is full.

Change: the descriptor is switched to non-blocking mode; up to 256 KiB wait for a slow reader, further lines are dropped and counted in a line.

--- a/packages/runtime/src/Log.ts
+++ b/packages/runtime/src/Log.ts
@@ -1,6 +1,7 @@
 import './enableRoarr.js';
 import type { Event } from '@toucanline/schema';
 import { ROARR, Roarr, type Logger } from 'roarr';
+import { LineOutput } from './LineOutput.js';
 
 const levels = { debug: 20, info: 30, warn: 40, error: 50 } as const;
 
@@ -16,6 +17,9 @@
   'storeUnreachable',
 ]);
 
+/** Output of the process, which all its logs share. */
+const output = new LineOutput();
+
 /** JSON-lines log of a process on standard output. */
 export class Log {
   readonly #logger: Logger;
@@ -62,15 +66,15 @@
 
   /** Writes the lines that are still buffered, before the process ends. */
   public flush(): void {
-    if (this.#lines.length === 0) return;
-    const text = `${this.#lines.join('\n')}\n`;
+    const dropped = output.takeDropped();
+    if (dropped > 0) this.write('warn', 'linesSuppressed', { event: 'any', lines: dropped });
+    const lines = this.#lines;
     this.#lines = [];
-    globalThis.process.stdout.write(text);
+    if (lines.length > 0) output.write(lines);
   }
 
   /**
-   * A write to a pipe blocks the loop, so the lines of one turn go out in one write: 5,000 cancellations
-   * log 10,000 lines and more.
+   * The lines of one turn go out in one write: 5,000 cancellations log 10,000 lines and more.
    */
   #buffer(line: string): void {
     if (this.#lines.length === 0) {
