--- a/packages/daemon/src/DecisionLog.ts
+++ b/packages/daemon/src/DecisionLog.ts
@@ -1,12 +1,10 @@
 import { Log } from '@toucanline/runtime/Log';
+import type { HostEvents } from '@toucanline/schema';
 import type { HostMetrics } from './HostMetrics.js';
 
 /** Lines of one event name that are written within a second; the rest is counted. */
 const linesPerSecond = 100;
 
-/** Fields of a log line. */
-type Fields = Readonly<Record<string, string | number>>;
-
 /** Structured log of decisions with a bounded rate for each event name. */
 export class DecisionLog {
   readonly #log: Log;
@@ -27,9 +25,9 @@
    * Writes a line.
    *
    * @param event - name of the event
-   * @param fields - inputs, their age or version, and the outcome
+   * @param fields - inputs, their age or version, and the outcome, as the schema lists them
    */
-  public write(event: string, fields: Fields): void {
+  public write<Name extends keyof HostEvents>(event: Name, fields: HostEvents[Name]): void {
     this.#metrics.countEvent(event);
     const second = Math.floor(performance.now() / 1000);
     if (second !== this.#second) this.#startSecond(second);
--- a/packages/daemon/src/OrderDispatcher.ts
+++ b/packages/daemon/src/OrderDispatcher.ts
@@ -123,6 +123,7 @@
 
   async #stop({ task, worker, run }: StopOrder): Promise<void> {
     const wasUnconfirmed = !task.isConfirmed;
+    const reason = task.stopReason;
     const outcome = await this.#parts.control.stop(worker.entry, task.name, run, this.#claim.term);
     if (this.#stopped) return;
     const now = performance.now();
@@ -132,6 +133,7 @@
       run,
       worker: worker.id,
       state: task.step.job.state,
+      reason,
       outcome,
     });
     if (outcome === 'fenced') {
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -76,7 +76,7 @@
     for (const task of preemption.chosen) {
       const { worker } = task;
       if (worker === undefined) continue;
-      task.beginStop(now);
+      task.beginStop(now, 'preempted');
       orders.push({ kind: 'stop', task, worker, run: task.run });
     }
     this.#prefetchPermits(all, now, orders);
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -229,7 +229,7 @@
         return;
       case 'unknown':
         worker.noteCallFailure(now);
-        task.beginStop(now);
+        task.beginStop(now, 'unanswered');
         return;
       case 'permit':
         this.#permits.expire(task.step.key, worker);
@@ -444,7 +444,8 @@
     const orders: Order[] = [];
     for (const worker of this.#pool.all) {
       for (const task of worker.tasks) {
-        if (this.#mustStop(task)) task.beginStop(now);
+        const reason = this.#findStopReason(task);
+        if (reason !== undefined) task.beginStop(now, reason);
         else if (isStalled(task, worker)) this.#moveStalled(task, worker, now);
         if (task.phase !== 'stopping' || task.stopConfirmedAt !== undefined) continue;
         if (now - (this.#stopSentAt.get(task) ?? -Infinity) < stopRetryMs) continue;
@@ -459,16 +460,19 @@
   /** What stands still is stopped and starts again elsewhere; the worker gets nothing new for a while. */
   #moveStalled(task: Task, worker: Worker, now: number): void {
     worker.pauseUntil(now + schedulingLimits.stallPauseMs);
-    task.beginStop(now);
+    task.beginStop(now, 'stalled');
   }
 
-  #mustStop(task: Task): boolean {
-    if (task.phase !== 'running' && task.phase !== 'starting') return false;
+  #findStopReason(task: Task): 'jobEnded' | 'gangIncomplete' | undefined {
+    if (task.phase !== 'running' && task.phase !== 'starting') return undefined;
     const { step } = task;
-    if (step.job.isFinished) return true;
-    if (step.description.isGang !== true || task.phase === 'starting') return false;
+    if (step.job.isFinished) return 'jobEnded';
+    if (step.description.isGang !== true || task.phase === 'starting') return undefined;
     // A gang with a member that is waiting or being stopped cannot make progress.
-    return step.tasks.some(({ phase }) => phase === 'waiting' || phase === 'stopping');
+    const isIncomplete = step.tasks.some(
+      ({ phase }) => phase === 'waiting' || phase === 'stopping',
+    );
+    return isIncomplete ? 'gangIncomplete' : undefined;
   }
 
   #closeJob(job: Job): void {
--- a/packages/jobs/src/Task.ts
+++ b/packages/jobs/src/Task.ts
@@ -1,4 +1,4 @@
-import type { Room } from '@toucanline/schema';
+import type { HostEvents, Room } from '@toucanline/schema';
 import type { StepRun } from './StepRun.js';
 import type { Worker } from './Worker.js';
 
@@ -8,6 +8,9 @@
  */
 type TaskPhase = 'waiting' | 'starting' | 'running' | 'stopping' | 'done';
 
+/** Why a run is stopped. */
+type StopReason = HostEvents['taskStopped']['reason'];
+
 /** One task of a step. It belongs to at most one worker at a time and counts against its room until it left. */
 export class Task {
   /** The step that it belongs to. */
@@ -27,6 +30,7 @@
   #load = 0;
   #since = 0;
   #stopConfirmedAt: number | undefined;
+  #stopReason: StopReason = 'jobEnded';
   #isConfirmed = false;
   #isDoneElsewhere = false;
   #isMeasured = false;
@@ -169,13 +173,20 @@
     if (checkpoint !== '') this.#checkpoint = checkpoint;
   }
 
+  /** Why the run is being stopped. */
+  public get stopReason(): StopReason {
+    return this.#stopReason;
+  }
+
   /**
    * Notes that the run is to be stopped.
    *
    * @param now - monotonic time
+   * @param reason - why
    */
-  public beginStop(now: number): void {
+  public beginStop(now: number, reason: StopReason): void {
     if (this.#phase === 'stopping') return;
+    this.#stopReason = reason;
     this.#stopConfirmedAt = undefined;
     this.#enter('stopping', now);
   }
@@ -201,7 +212,7 @@
    */
   public completeAfterStop(now: number): void {
     this.#isDoneElsewhere = true;
-    this.beginStop(now);
+    this.beginStop(now, 'doneElsewhere');
   }
 
   /**
