Split the scheduler and the planner

RunStops decides which runs are stopped, ProgressLedger keeps what must be written before ends are acknowledged, PermitRequests decides when permits are asked for.

--- a/packages/daemon/__tests__/ProgressWriter.test.ts
+++ b/packages/daemon/__tests__/ProgressWriter.test.ts
@@ -85,7 +85,7 @@
     await writer.flush();
     expect(worker.acknowledgedThrough).to.equal(0);
     store.fault = 'none';
-    expect(scheduler.hasProgress).to.equal(true);
+    expect(scheduler.progress.isPending).to.equal(true);
   });
 
   // Guards against two writes side by side, the empty one of which acknowledges what the other has not written
--- a/packages/daemon/src/ProgressWriter.ts
+++ b/packages/daemon/src/ProgressWriter.ts
@@ -1,4 +1,9 @@
-import type { MetadataStore, Scheduler } from '@toucanline/jobs';
+import {
+  describePlacements,
+  type MetadataStore,
+  type ProgressLedger,
+  type Scheduler,
+} from '@toucanline/jobs';
 import type { DecisionLog } from './DecisionLog.js';
 import { hostTimes } from './hostTimes.js';
 import type { LeaderClaim } from './LeaderClaim.js';
@@ -53,7 +58,7 @@
   /** Starts to write if there is something to write. */
   public poke(): void {
     if (this.#running !== undefined || this.#stopped || this.#isFlushing) return;
-    if (!this.#scheduler.hasProgress) return;
+    if (!this.#scheduler.progress.isPending) return;
     this.#running = this.#run().finally(() => {
       this.#running = undefined;
     });
@@ -69,12 +74,12 @@
     // Two writes side by side could acknowledge ends that the slower one has not written yet.
     this.#isFlushing = true;
     await this.#running;
-    if (this.#scheduler.hasProgress && !this.#stopped) await this.#write();
+    if (this.#scheduler.progress.isPending && !this.#stopped) await this.#write();
     this.#stopped = true;
   }
 
   async #run(): Promise<void> {
-    while (!this.#stopped && !this.#isFlushing && this.#scheduler.hasProgress) {
+    while (!this.#stopped && !this.#isFlushing && this.#scheduler.progress.isPending) {
       const isWritten = await this.#write();
       const pauseMs = isWritten ? hostTimes.progressIntervalMs : hostTimes.progressRetryMs;
       await new Promise((resolve) => setTimeout(resolve, pauseMs));
@@ -82,14 +87,14 @@
   }
 
   async #write(): Promise<boolean> {
-    const batch = this.#scheduler.takeProgress();
+    const batch = this.#scheduler.progress.take();
     for (let from = 0; from < batch.progress.length; from += recordsPerWrite) {
       const records = batch.progress.slice(from, from + recordsPerWrite);
       if (await this.#commit(records)) continue;
-      this.#scheduler.returnProgress(batch);
+      this.#scheduler.progress.putBack(batch);
       return false;
     }
-    this.#scheduler.confirmProgress(batch);
+    this.#scheduler.progress.confirm(batch);
     for (const { id, state, finishedAtMs } of batch.progress) {
       if (finishedAtMs === undefined) continue;
       this.#log.write('jobFinished', { request: id, state, revision: this.#revision });
@@ -98,14 +103,17 @@
     return true;
   }
 
-  async #commit(records: ReturnType<Scheduler['takeProgress']>['progress']): Promise<boolean> {
+  async #commit(records: ReturnType<ProgressLedger['take']>['progress']): Promise<boolean> {
     const outcome = await this.#store.commit({
       expected: [
         { key: storeKeys.holder, revision: this.#claim.revision },
         { key: storeKeys.placements, revision: this.#revision },
       ],
       put: [
-        { key: storeKeys.placements, value: JSON.stringify(this.#scheduler.describePlacements()) },
+        {
+          key: storeKeys.placements,
+          value: JSON.stringify(describePlacements(this.#scheduler.workers)),
+        },
         ...records.map((record) => ({
           key: storeKeys.progress + record.id,
           value: JSON.stringify(record),
--- a/packages/jobs/__tests__/LoadModel.ts
+++ b/packages/jobs/__tests__/LoadModel.ts
@@ -139,8 +139,8 @@
   }
 
   #write(): void {
-    const batch = this.scheduler.takeProgress();
-    this.scheduler.confirmProgress(batch);
+    const batch = this.scheduler.progress.take();
+    this.scheduler.progress.confirm(batch);
     for (const { id, state } of batch.progress) {
       if (state === 'completed' && !this.#finishedAt.has(id)) this.#finishedAt.set(id, this.#now);
     }
--- a/packages/jobs/__tests__/ModelFleet.ts
+++ b/packages/jobs/__tests__/ModelFleet.ts
@@ -143,14 +143,14 @@
     }
     for (const each of scheduler.workers) this.#poll(leader, each);
     // Only the holder of the claim can write.
-    if (supersededAt !== Infinity || !scheduler.hasProgress) return;
-    const batch = scheduler.takeProgress();
+    if (supersededAt !== Infinity || !scheduler.progress.isPending) return;
+    const batch = scheduler.progress.take();
     if (this.#random() < 0.05) {
-      scheduler.returnProgress(batch);
+      scheduler.progress.putBack(batch);
       return;
     }
     for (const progress of batch.progress) this.#stored.set(progress.id, progress);
-    scheduler.confirmProgress(batch);
+    scheduler.progress.confirm(batch);
   }
 
   /** Suspends workers that do not answer; in the store it is known a while later, and only to the holder of the claim. */
--- a/packages/jobs/__tests__/takeover.test.ts
+++ b/packages/jobs/__tests__/takeover.test.ts
@@ -233,11 +233,11 @@
     const held = again.worker.free.milliProcessors;
     expect(held).to.equal(again.worker.entry.capacity.milliProcessors - 100);
     expect(scheduler.plan(6402, 6402).map(({ kind }) => kind)).to.deep.equal(['stop']);
-    expect(scheduler.takeProgress().progress[0]?.steps[0]?.done).to.deep.equal([0]);
+    expect(scheduler.progress.take().progress[0]?.steps[0]?.done).to.deep.equal([0]);
     const stopped = { ...end, number: 2, run: 2, outcome: 'stopped' } as const;
     scheduler.takeReport(again.worker, { ...noRuns, ended: [stopped] }, 6500, 6501, 6501);
     expect(scheduler.plan(6502, 6502)).to.deep.equal([]);
-    expect(scheduler.takeProgress().progress[0]?.state).to.equal('completed');
+    expect(scheduler.progress.take().progress[0]?.state).to.equal('completed');
     expect(again.worker.free).to.deep.equal(again.worker.entry.capacity);
   });
 
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -10,6 +10,7 @@
 import type { JobTerms } from './JobTerms.js';
 import type { Order } from './Order.js';
 import type { PermitBook } from './PermitBook.js';
+import { PermitRequests } from './PermitRequests.js';
 import { Preemption } from './Preemption.js';
 import { Reservations } from './Reservations.js';
 import { rooms } from './rooms.js';
@@ -28,6 +29,7 @@
   readonly #terms: JobTerms;
   readonly #permits: PermitBook;
   readonly #durations: ImageDurations;
+  readonly #requests: PermitRequests;
   readonly #isHeld: (job: Job, service: string) => boolean;
   readonly #firstRun: number;
 
@@ -54,6 +56,7 @@
     this.#terms = terms;
     this.#permits = permits;
     this.#durations = durations;
+    this.#requests = new PermitRequests(permits, durations);
     this.#isHeld = isHeld;
     this.#firstRun = firstRun;
   }
@@ -79,7 +82,7 @@
       task.beginStop(now, 'preempted');
       orders.push({ kind: 'stop', task, worker, run: task.run });
     }
-    this.#prefetchPermits(all, now, orders);
+    this.#prefetch(all, now, orders);
     return orders;
   }
 
@@ -168,7 +171,7 @@
         kept.add(worker);
       }
     }
-    this.#requestPermits(demand, workers, kept, now, orders);
+    this.#requests.ask(demand, workers, kept, now, orders);
   }
 
   #choose(
@@ -235,66 +238,20 @@
     return count;
   }
 
-  /** Asks for verdicts that are unknown, and for expired permits of workers that have the room now. */
-  #requestPermits(
-    { step, queue }: Demand,
-    workers: readonly Worker[],
-    kept: ReadonlySet<Worker>,
-    now: number,
-    orders: Order[],
-  ): void {
-    const { advice } = queue;
-    if (advice === undefined || !this.#permits.canAsk(step.key, now)) return;
-    const missing = workers.filter((worker) =>
-      this.#permits.isKnown(step.key, worker)
-        ? kept.has(worker) && this.#permits.find(step.key, worker, now) === undefined
-        : true,
-    );
-    if (missing.length === 0) return;
-    const asked = [...missing]
-      .sort((a, b) => b.free.milliProcessors - a.free.milliProcessors)
-      .slice(0, schedulingLimits.workersPerAdvice);
-    this.#permits.noteAsked(step.key);
-    orders.push({
-      kind: 'advise',
-      stepKey: step.key,
-      queue: queue.name,
-      workers: asked,
-      expectedMs: advice.baseMs + advice.perWorkerMs * asked.length,
-      priority: queue.priority,
-    });
-  }
-
   /** Asks for the permits of steps whose predecessors are about to end. */
-  #prefetchPermits(all: readonly Worker[], now: number, orders: Order[]): void {
+  #prefetch(all: readonly Worker[], now: number, orders: Order[]): void {
     for (const job of this.#book.open) {
       const queue = this.#terms.find(job);
       if (queue?.advice === undefined || this.#isHeld(job, queue.service)) continue;
       for (const step of job.steps) {
-        if (step.description.dependsOn.length === 0 || step.isDone || step.isReady) continue;
-        if (!this.#isDueSoon(step, queue.advice.baseMs, now)) continue;
+        if (!this.#requests.isDueSoon(step, queue.advice.baseMs, now)) continue;
         const demand = { step, queue, deadline: 0, dueAt: 0, punctuality: 'onTime' } as const;
         const workers = all.filter((worker) => this.#suits(demand, worker, now));
-        this.#requestPermits(demand, workers, new Set(), now, orders);
+        this.#requests.ask(demand, workers, new Set(), now, orders);
       }
     }
   }
 
-  #isDueSoon(step: StepRun, leadMs: number, now: number): boolean {
-    return step.description.dependsOn.every((number) => {
-      const before = step.job.findStep(step.occurrence, number);
-      if (before === undefined) return false;
-      const { image, estimateMs } = before.description;
-      const expectedMs = this.#durations.estimate(image, estimateMs);
-      return before.tasks.every(
-        (task) =>
-          task.phase === 'done' ||
-          (task.phase === 'running' &&
-            now - task.since >= expectedMs - leadMs - schedulingLimits.adviceLeadMs),
-      );
-    });
-  }
-
   /**
    * Makes room for tasks that fit nowhere: stops less urgent work, or reserves room where a large task will fit
    * first, so that small tasks do not take it piece by piece.
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -4,7 +4,6 @@
   JobState,
   PlacementPermit,
   Placements,
-  Room,
   SiteConfiguration,
   WorkerEntry,
   WorkerReport,
@@ -12,31 +11,24 @@
 import { EndIntake } from './EndIntake.js';
 import { ImageDurations } from './ImageDurations.js';
 import { Inheritance } from './Inheritance.js';
-import { isStalled } from './isStalled.js';
 import type { Job } from './Job.js';
 import { JobBook } from './JobBook.js';
 import { JobTerms } from './JobTerms.js';
 import type { Order } from './Order.js';
-import { rooms } from './rooms.js';
 import { PermitBook } from './PermitBook.js';
 import { Planner } from './Planner.js';
+import { ProgressLedger } from './ProgressLedger.js';
+import { RunStops } from './RunStops.js';
 import { schedulingLimits } from './schedulingLimits.js';
 import type { StartOutcome } from './StartOutcome.js';
 import type { Task } from './Task.js';
 import type { Worker } from './Worker.js';
 import { WorkerPool } from './WorkerPool.js';
 
-/** Delay before a stop without an answer is repeated, in milliseconds. */
-const stopRetryMs = 300;
-
-/** Marks of ends that may be acknowledged once the progress beside them is written. */
-interface ProgressBatch {
-  readonly progress: readonly JobProgress[];
-  readonly seen: readonly { readonly worker: Worker; readonly through: number }[];
-}
-
 /** Decisions of the leader: takes what is known, gives orders. */
 export class Scheduler {
+  /** Progress that waits to be written. */
+  public readonly progress: ProgressLedger;
   readonly #book = new JobBook();
   readonly #pool = new WorkerPool();
   readonly #terms = new JobTerms();
@@ -44,8 +36,7 @@
   readonly #durations = new ImageDurations();
   readonly #intake: EndIntake;
   readonly #planner: Planner;
-  readonly #dirty = new Set<Job>();
-  readonly #stopSentAt = new Map<Task, number>();
+  readonly #stops = new RunStops();
   readonly #inheritance: Inheritance;
   /** Incarnations that are known to have ended; their tasks are released with the next pass of a current claim. */
   readonly #ended = new Set<Worker>();
@@ -61,12 +52,15 @@
    */
   public constructor(term: number, claimRevision: number, now: number, stopMs: number) {
     this.#stopMs = stopMs;
+    this.progress = new ProgressLedger(this.#book, this.#pool);
     this.#inheritance = new Inheritance(this.#book, claimRevision, now);
     this.#firstRun = (term - 1) * schedulingLimits.runsPerTerm + 1;
     this.#intake = new EndIntake(
       this.#book,
       this.#durations,
-      (job) => this.#dirty.add(job),
+      (job) => {
+        this.progress.add(job);
+      },
       (job) => this.#terms.find(job)?.maxAttempts ?? Infinity,
       stopMs,
     );
@@ -86,14 +80,6 @@
     return this.#pool.all;
   }
 
-  /** Whether progress waits to be written. */
-  public get hasProgress(): boolean {
-    return (
-      this.#dirty.size > 0 ||
-      this.#pool.all.some((worker) => worker.seenThrough > worker.acknowledgedThrough)
-    );
-  }
-
   /** @param configuration - newest configuration */
   public configure(configuration: SiteConfiguration): void {
     this.#terms.configure(configuration.queues);
@@ -344,75 +330,15 @@
     if (isCurrent) this.#releaseLapsed(now);
     for (const job of [...this.#book.open]) {
       job.openDue(wallMs);
-      if (!job.isFinished && this.#settle(job, wallMs)) this.#dirty.add(job);
+      if (!job.isFinished && this.#settle(job, wallMs)) this.progress.add(job);
     }
-    const stops = this.#collectStops(now);
+    const stops = this.#stops.collect(this.#pool.all, now);
+    for (const job of this.#book.open) if (job.isFinished) this.#closeJob(job);
     const planned = this.#planner.plan(now);
-    for (const order of planned) if (order.kind === 'stop') this.#stopSentAt.set(order.task, now);
+    for (const order of planned) if (order.kind === 'stop') this.#stops.noteSent(order.task, now);
     return [...stops, ...planned];
   }
 
-  /**
-   * Describes the workers for a successor: what each account has on them, and their speeds.
-   *
-   * @returns room by worker and account, and factors
-   */
-  public describePlacements(): Placements {
-    return {
-      workers: this.#pool.all.flatMap(({ id, life, tasks }) => {
-        const byAccount = new Map<string, Room>();
-        for (const { step } of tasks) {
-          const { name } = step.job.account;
-          const used = byAccount.get(name) ?? rooms.none;
-          byAccount.set(name, rooms.add(used, step.description.size));
-        }
-        return [...byAccount].map(([account, room]) => ({ worker: id, life, account, room }));
-      }),
-      speeds: this.#pool.all.map(({ id, life, speed }) => ({
-        worker: id,
-        life,
-        factor: Math.round(speed.factor * 100) / 100,
-      })),
-    };
-  }
-
-  /**
-   * Hands out the progress that is to be written.
-   *
-   * @returns progress, and the ends that may be acknowledged after it was written
-   */
-  public takeProgress(): ProgressBatch {
-    const progress = [...this.#dirty].map((job) => job.describeProgress());
-    this.#dirty.clear();
-    const seen = this.#pool.all.map((worker) => ({ worker, through: worker.seenThrough }));
-    return { progress, seen };
-  }
-
-  /**
-   * Notes that progress was written.
-   *
-   * @param batch - the progress
-   */
-  public confirmProgress(batch: ProgressBatch): void {
-    for (const { id, state, finishedAtMs } of batch.progress) {
-      const job = this.#book.find(id);
-      if (job !== undefined && finishedAtMs !== undefined) job.show(state);
-    }
-    for (const { worker, through } of batch.seen) worker.acknowledge(through);
-  }
-
-  /**
-   * Notes that progress could not be written.
-   *
-   * @param batch - the progress
-   */
-  public returnProgress(batch: ProgressBatch): void {
-    for (const { id } of batch.progress) {
-      const job = this.#book.find(id);
-      if (job !== undefined) this.#dirty.add(job);
-    }
-  }
-
   /** Ends a job that was cancelled, or whose last run has left; returns whether it is finished. */
   #settle(job: Job, wallMs: number): boolean {
     if (job.record.isCancelled) job.finish('cancelled', wallMs);
@@ -439,42 +365,6 @@
     for (const task of [...worker.tasks]) task.release('', now);
   }
 
-  /** Stops what finished jobs still run, gangs that are incomplete, and repeats stops without an answer. */
-  #collectStops(now: number): readonly Order[] {
-    const orders: Order[] = [];
-    for (const worker of this.#pool.all) {
-      for (const task of worker.tasks) {
-        const reason = this.#findStopReason(task);
-        if (reason !== undefined) task.beginStop(now, reason);
-        else if (isStalled(task, worker)) this.#moveStalled(task, worker, now);
-        if (task.phase !== 'stopping' || task.stopConfirmedAt !== undefined) continue;
-        if (now - (this.#stopSentAt.get(task) ?? -Infinity) < stopRetryMs) continue;
-        this.#stopSentAt.set(task, now);
-        orders.push({ kind: 'stop', task, worker, run: task.run });
-      }
-    }
-    for (const job of this.#book.open) if (job.isFinished) this.#closeJob(job);
-    return orders;
-  }
-
-  /** What stands still is stopped and starts again elsewhere; the worker gets nothing new for a while. */
-  #moveStalled(task: Task, worker: Worker, now: number): void {
-    worker.pauseUntil(now + schedulingLimits.stallPauseMs);
-    task.beginStop(now, 'stalled');
-  }
-
-  #findStopReason(task: Task): 'jobEnded' | 'gangIncomplete' | undefined {
-    if (task.phase !== 'running' && task.phase !== 'starting') return undefined;
-    const { step } = task;
-    if (step.job.isFinished) return 'jobEnded';
-    if (step.description.isGang !== true || task.phase === 'starting') return undefined;
-    // A gang with a member that is waiting or being stopped cannot make progress.
-    const isIncomplete = step.tasks.some(
-      ({ phase }) => phase === 'waiting' || phase === 'stopping',
-    );
-    return isIncomplete ? 'gangIncomplete' : undefined;
-  }
-
   #closeJob(job: Job): void {
     for (const { key } of job.steps) this.#permits.forget(key);
     this.#book.close(job);
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -35,6 +35,8 @@
 export { WorkerPool } from './WorkerPool.js';
 export { WorkerSpeed } from './WorkerSpeed.js';
 export { compareDemands } from './compareDemands.js';
+export { describePlacements } from './describePlacements.js';
+export { ProgressLedger } from './ProgressLedger.js';
 export { rateWorker } from './rateWorker.js';
 export { Reservations } from './Reservations.js';
 export { rooms } from './rooms.js';
