Leave workers to steps that have no others

Cause: the policy allows large tasks on a third of few workers (flyover-render: three of nine), some on a single one.

Change: Contention counts for each worker the waiting large tasks that depend on it, in parts where they have a choice, and the rating of workers takes it into account. The new test fails without.

--- a/packages/jobs/__tests__/placement.test.ts
+++ b/packages/jobs/__tests__/placement.test.ts
@@ -148,6 +148,28 @@
     expect(next).to.include('other');
   });
 
+  // Pattern: large tasks that the policy allows on few workers (flyover-render: a third of nine). Guards against a step
+  // with a choice that takes the only worker of another, which then waits for the end of its work.
+  it('leaves a worker to the step that has no other', () => {
+    const advice = { baseMs: 100, perWorkerMs: 1, validMs: 2000 };
+    const site = configuration({ queues: [queue('batch', { advice })] });
+    const scheduler = createScheduler([worker('w1'), worker('w2')], site);
+    scheduler.addJob(job('choice', [step(1, 16_000)]), 11, 0);
+    scheduler.addJob(job('tied', [step(1, 16_000)]), 12, 1);
+    for (const order of scheduler.plan(2, 2)) {
+      if (order.kind !== 'advise') continue;
+      const allowed = order.stepKey.startsWith('choice') ? ['w1', 'w2'] : ['w1'];
+      const permits = allowed.map((workerId) => ({ workerId, permit: 'p' }));
+      scheduler.takePermits(order, permits, 100, 2000);
+    }
+    const placed = starts(scheduler.plan(101, 101));
+    const places = placed.map(({ task, worker: { id } }) => [task.step.job.id, id]);
+    expect(places).to.have.deep.members([
+      ['choice', 'w2'],
+      ['tied', 'w1'],
+    ]);
+  });
+
   // Guards against a call for permits on each pass, and against starts without one.
   it('asks for permits once and starts where they allow it', () => {
     const advice = { baseMs: 100, perWorkerMs: 1, validMs: 2000 };
--- /dev/null
+++ b/packages/jobs/src/Contention.ts
@@ -0,0 +1,39 @@
+import type { Demand } from './Demand.js';
+import { rooms } from './rooms.js';
+import { schedulingLimits } from './schedulingLimits.js';
+import type { Worker } from './Worker.js';
+
+/**
+ * How much the large tasks that wait depend on each worker. A step that has a choice leaves the workers to others
+ * that have none: the policy allows some steps on one or two workers only.
+ */
+export class Contention {
+  readonly #weights = new Map<Worker, number>();
+
+  /**
+   * Counts a step that waits.
+   *
+   * @param demand - the step
+   * @param allowed - workers on which it may run
+   */
+  public add({ step }: Demand, allowed: readonly Worker[]): void {
+    const { size } = step.description;
+    const fitting = allowed.filter(({ entry: { capacity } }) => {
+      const share = rooms.weigh(size) / Math.max(1, rooms.weigh(capacity));
+      return share >= schedulingLimits.largeTaskShare && rooms.fits(size, capacity);
+    });
+    for (const worker of fitting) {
+      this.#weights.set(worker, this.of(worker) + step.waitingCount / fitting.length);
+    }
+  }
+
+  /**
+   * Tells how much waiting steps depend on a worker.
+   *
+   * @param worker - the worker
+   * @returns tasks that need it, those that have a choice counted in part
+   */
+  public of(worker: Worker): number {
+    return this.#weights.get(worker) ?? 0;
+  }
+}
--- a/packages/jobs/src/PlacementRequest.ts
+++ b/packages/jobs/src/PlacementRequest.ts
@@ -1,3 +1,4 @@
+import type { Contention } from './Contention.js';
 import type { StepRun } from './StepRun.js';
 
 /** Tasks of a step for which workers are wanted. */
@@ -9,4 +10,6 @@
   readonly expectedMs: number;
   /** Time left for the step if the job is to meet its objective, in milliseconds; infinite without an objective. */
   readonly leftMs: number;
+  /** How much other steps depend on the workers. */
+  readonly contention: Contention;
 }
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -2,6 +2,7 @@
 import type { Choice } from './Choice.js';
 import type { Demand } from './Demand.js';
 import { compareDemands } from './compareDemands.js';
+import { Contention } from './Contention.js';
 import { GangPlacement } from './GangPlacement.js';
 import { IndependentPlacement } from './IndependentPlacement.js';
 import type { ImageDurations } from './ImageDurations.js';
@@ -22,6 +23,15 @@
 const independent = new IndependentPlacement();
 const gang = new GangPlacement();
 
+/** A step with waiting tasks, and where it may run. */
+interface ReadyDemand {
+  readonly demand: Demand;
+  /** Workers that suit it, as far as service, labels and health go. */
+  readonly workers: readonly Worker[];
+  /** Those among them that the policy is known to allow. */
+  readonly allowed: readonly Worker[];
+}
+
 /** Decides which waiting tasks start where. */
 export class Planner {
   readonly #book: JobBook;
@@ -72,9 +82,15 @@
     const reservations = new Reservations();
     const preemption = new Preemption(this.#terms, reservations);
     const all = this.#pool.all;
-    for (const demand of this.#collect(now)) {
+    const contention = new Contention();
+    const ready = this.#collect(now).map((demand): ReadyDemand => {
       const workers = all.filter((worker) => this.#suits(demand, worker, now));
-      this.#serve(demand, workers, reservations, preemption, now, orders);
+      const allowed = this.#allow(demand, workers);
+      contention.add(demand, allowed);
+      return { demand, workers, allowed };
+    });
+    for (const each of ready) {
+      this.#serve(each, contention, reservations, preemption, now, orders);
     }
     for (const task of preemption.chosen) {
       const { worker } = task;
@@ -134,25 +150,27 @@
     );
   }
 
+  #allow({ step, queue }: Demand, workers: readonly Worker[]): readonly Worker[] {
+    if (queue.advice === undefined) return workers;
+    return workers.filter((worker) => this.#permits.isAllowed(step.key, worker));
+  }
+
   #serve(
-    demand: Demand,
-    workers: readonly Worker[],
+    { demand, workers, allowed }: ReadyDemand,
+    contention: Contention,
     reservations: Reservations,
     preemption: Preemption,
     now: number,
     orders: Order[],
   ): void {
     const { step, queue } = demand;
-    const allowed = workers.filter(
-      (worker) => queue.advice === undefined || this.#permits.isAllowed(step.key, worker),
-    );
-    this.#startWaiting(demand, allowed, reservations, now, orders);
+    this.#startWaiting(demand, allowed, contention, reservations, now, orders);
     if (step.waitingCount === 0) return;
     // Room that is there is kept while permits are being renewed.
     const feasible =
       queue.advice === undefined
         ? []
-        : this.#choose(demand, allowed.map(withoutPermit), reservations, now);
+        : this.#choose(demand, allowed.map(withoutPermit), contention, reservations, now);
     const kept = new Set(feasible.map(({ worker }) => worker));
     for (const { worker } of feasible) reservations.add(worker, step.description.size);
     if (feasible.length < step.waitingCount) {
@@ -177,6 +195,7 @@
   #choose(
     { step, dueAt }: Demand,
     candidates: readonly Candidate[],
+    contention: Contention,
     reservations: Reservations,
     now: number,
   ): readonly Choice[] {
@@ -189,6 +208,7 @@
       limit: this.#countAdmitted(step),
       expectedMs: this.#expectMs(step),
       leftMs: dueAt - now,
+      contention,
     };
     return placement.choose(request, roomy, reservations);
   }
@@ -202,6 +222,7 @@
   #startWaiting(
     demand: Demand,
     open: readonly Worker[],
+    contention: Contention,
     reservations: Reservations,
     now: number,
     orders: Order[],
@@ -215,7 +236,7 @@
       return permit === undefined ? [] : [{ worker, permit }];
     });
     if (candidates.length === 0) return;
-    const choices = this.#choose(demand, candidates, reservations, now);
+    const choices = this.#choose(demand, candidates, contention, reservations, now);
     if (choices.length === 0) return;
     // The members of a gang share the number of their run.
     const gangRun = Math.max(this.#firstRun, ...step.tasks.map((task) => task.run + 1));
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -6,6 +6,7 @@
 export type { Candidate } from './Candidate.js';
 export type { Choice } from './Choice.js';
 export type { Demand } from './Demand.js';
+export { Contention } from './Contention.js';
 export { EndIntake } from './EndIntake.js';
 export { EntitledRate } from './EntitledRate.js';
 export { GangPlacement } from './GangPlacement.js';
--- a/packages/jobs/src/rateWorker.ts
+++ b/packages/jobs/src/rateWorker.ts
@@ -6,6 +6,8 @@
 const farCost = 2;
 /** Cost of an empty worker against a full one: packs tasks tightly, but speed goes first. */
 const looseCost = 0.25;
+/** Cost for each waiting task that depends on the worker: less than the difference between a fast and a slow worker. */
+const contentionCost = 0.15;
 /** Cost that sets workers on which a step becomes late behind all on which it does not. */
 const lateCost = 100;
 
@@ -18,7 +20,7 @@
  * @returns cost; lower is better
  */
 export const rateWorker = (request: PlacementRequest, worker: Worker): number => {
-  const { step, expectedMs, leftMs } = request;
+  const { step, expectedMs, leftMs, contention } = request;
   const { preferredRack } = step.description;
   const isFar = preferredRack !== undefined && worker.rack !== preferredRack;
   const { milliProcessors } = worker.entry.capacity;
@@ -26,5 +28,6 @@
   const far = isFar ? 1 + farCost : 1;
   const { factor } = worker.speed;
   const isInTime = expectedMs * factor * far * schedulingLimits.placementMargin <= leftMs;
-  return (isInTime ? far - factor : lateCost + factor * far) + looseness * looseCost;
+  const comfort = looseness * looseCost + contention.of(worker) * contentionCost;
+  return (isInTime ? far - factor : lateCost + factor * far) + comfort;
 };
