Renew the leader's claim without waiting for lost answers

A renewal without an answer held up the next one for 0.7 s, and the lease of 1.5 s ended.

Change: renewals are sent each 0.3 s, whatever became of the ones before. The new test fails on the former code.

--- /dev/null
+++ b/packages/daemon/__tests__/Election.test.ts
@@ -0,0 +1,44 @@
+import { createFailure } from '@toucanline/core';
+import { expect } from 'chai';
+import { err } from 'neverthrow';
+import { DecisionLog, HostMetrics } from '../src/index.js';
+import { Election } from '../src/Election.js';
+import { hostTimes } from '../src/hostTimes.js';
+import type { LeaderClaim } from '../src/LeaderClaim.js';
+import { MemoryStore } from './MemoryStore.js';
+
+/** Store that does not answer the first renewal until it is given up. */
+class ForgetfulStore extends MemoryStore {
+  #renewals = 0;
+
+  public override async renewLease(): ReturnType<MemoryStore['renewLease']> {
+    this.#renewals += 1;
+    if (this.#renewals > 1) return super.renewLease();
+    await new Promise((resolve) => setTimeout(resolve, 700));
+    return err(createFailure('timeout', 'no answer'));
+  }
+}
+
+describe('the claim of a leader', () => {
+  // Pattern: the store loses a third of its answers (recorded day of cpwgo: three changes of the leader in 4 s). Guards
+  // against a claim that is lost because one renewal had no answer.
+  it('stays current when one renewal has no answer', async () => {
+    let claim: LeaderClaim | undefined;
+    const log = new DecisionLog('test', new HostMetrics());
+    const election = new Election(new ForgetfulStore(), 'host-1', '127.0.0.1:1', log, {
+      elected: (won) => {
+        claim = won;
+      },
+      deposed: () => undefined,
+      observed: () => undefined,
+    });
+    election.start();
+    const endsAt = performance.now() + hostTimes.leaderTtlMs + hostTimes.campaignSpreadMs;
+    while (performance.now() < endsAt) {
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      if (claim !== undefined) expect(claim.isCurrent).to.equal(true);
+    }
+    expect(claim).not.to.equal(undefined);
+    await election.stop();
+  });
+});
--- a/packages/daemon/src/Election.ts
+++ b/packages/daemon/src/Election.ts
@@ -176,17 +176,22 @@
   async #renew(claim: LeaderClaim): Promise<void> {
     while (this.#claim === claim) {
       await this.#sleep(hostTimes.renewalMs);
-      if (this.#claim !== claim) return;
-      const sentAt = performance.now();
-      const sentWall = Date.now();
-      const renewed = await this.#store.renewLease(claim.lease);
-      if (renewed.isErr()) {
-        if (!claim.mayOrder) this.#depose('the claim could not be renewed');
-      } else if (renewed.value) claim.confirm(sentAt, sentWall);
-      else this.#depose('the lease ended');
+      // A renewal without an answer must not hold up the next one, or the lease ends meanwhile.
+      if (this.#claim === claim) void this.#renewOnce(claim);
     }
   }
 
+  async #renewOnce(claim: LeaderClaim): Promise<void> {
+    const sentAt = performance.now();
+    const sentWall = Date.now();
+    const renewed = await this.#store.renewLease(claim.lease);
+    if (this.#claim !== claim) return;
+    if (renewed.isErr()) {
+      if (!claim.mayOrder) this.#depose('the claim could not be renewed');
+    } else if (renewed.value) claim.confirm(sentAt, sentWall);
+    else this.#depose('the lease ended');
+  }
+
   #depose(reason: string): void {
     const claim = this.#claim;
     if (claim === undefined) return;
--- a/packages/daemon/src/hostTimes.ts
+++ b/packages/daemon/src/hostTimes.ts
@@ -2,8 +2,8 @@
 export const hostTimes = Object.freeze({
   /** Time to live of the leader's lease: a failover takes at least as long, a renewal must fit in thrice. */
   leaderTtlMs: 1500,
-  /** Interval between renewals. */
-  renewalMs: 400,
+  /** Interval between renewals: four fit into a lease, since the store loses a third of its answers at times. */
+  renewalMs: 300,
   /** The holder counts its lease shorter than the store: covers the drift of clocks and a slow loop. */
   leaseMarginMs: 150,
   /** Longest wait of one watch on the operator's configuration; bounds the age of a confirmation. */
