Learn from every call whether the store answers

Change: ObservedStore wraps the store of a host and tells StoreContact of each call; a failure counts only if nothing was answered after the call was sent. The code for it in ConfigurationWatch, StoreFeed and JobService goes, and a single lost answer no longer makes a host refuse jobs until the next sign of life. What becomes of a submission without an answer is JobSubmission's job now.

--- a/packages/daemon/__tests__/JobService.test.ts
+++ b/packages/daemon/__tests__/JobService.test.ts
@@ -6,6 +6,8 @@
 import { HostMetrics } from '../src/HostMetrics.js';
 import { JobService } from '../src/JobService.js';
 import { LeaderView } from '../src/LeaderView.js';
+import { ObservedStore } from '../src/ObservedStore.js';
+import { StoreContact } from '../src/StoreContact.js';
 import { MemoryStore } from './MemoryStore.js';
 
 const id = '00000000000000aa';
@@ -65,6 +67,7 @@
 describe('accepting jobs', () => {
   let store: MemoryStore;
   let configuration: ConfigurationWatch;
+  let contact: StoreContact;
   let service: JobService;
 
   const admit = async (): Promise<Parameters<JobService['submit']>[0]> =>
@@ -74,8 +77,10 @@
     store = new MemoryStore();
     store.put('configuration', JSON.stringify(createConfiguration(1, ['k'])));
     const log = new DecisionLog('test', new HostMetrics());
-    configuration = new ConfigurationWatch(store, new PlainFeed(), log);
-    service = new JobService(store, configuration, new SilentLeader(), log, 5000);
+    contact = new StoreContact(log);
+    const observed = new ObservedStore(store, contact);
+    configuration = new ConfigurationWatch(observed, new PlainFeed(), log);
+    service = new JobService(observed, contact, configuration, new SilentLeader(), log, 5000);
     await configuration.confirm(0);
   });
 
@@ -126,7 +131,7 @@
 
   it('refuses without a call while the store does not answer', async () => {
     const admitted = await admit();
-    configuration.noteStoreContact(false);
+    contact.note(false, performance.now());
     const before = store.commits;
     const refused = await service.submit(admitted, specification);
     expect(refused._unsafeUnwrapErr().kind).to.equal('notReady');
--- a/packages/daemon/src/ConfigurationWatch.ts
+++ b/packages/daemon/src/ConfigurationWatch.ts
@@ -16,9 +16,6 @@
   #current: SiteConfiguration | undefined;
   #refresh: Promise<void> | undefined;
   #accounts: ReadonlyMap<string, string> = new Map();
-  #lastContactAt = -Infinity;
-  #isStoreAnswering = false;
-  #isStopped = false;
 
   /**
    * @param store - the store
@@ -39,9 +36,6 @@
       confirm: (monotonicAt, wallAt) => {
         this.#age.confirm(monotonicAt, wallAt);
       },
-      contact: (isAnswered) => {
-        this.#noteContact(isAnswered);
-      },
     });
   }
 
@@ -55,35 +49,14 @@
     return this.#age.read();
   }
 
-  /** Time since the store last answered, in milliseconds. */
-  public get storeSilenceMs(): number {
-    return performance.now() - this.#lastContactAt;
-  }
-
-  /** Whether the store answered the last call that this process knows the outcome of. */
-  public get isStoreAnswering(): boolean {
-    return this.#isStoreAnswering;
-  }
-
-  /**
-   * Takes the outcome of another call to the store.
-   *
-   * @param isAnswered - whether the store answered
-   */
-  public noteStoreContact(isAnswered: boolean): void {
-    this.#noteContact(isAnswered);
-  }
-
   /** Follows the configuration until the process ends. */
   public start(): void {
     void this.#feed.run();
-    void this.#ping();
   }
 
   /** Stops to follow. */
   public stop(): void {
     this.#feed.stop();
-    this.#isStopped = true;
   }
 
   /** @param listener - called with each new version */
@@ -116,36 +89,15 @@
     return this.#age.read() <= maxAgeMs;
   }
 
-  /** Waiting watches tell only late that the store is away. */
-  async #ping(): Promise<void> {
-    while (!this.#isStopped) {
-      const isAnswered = await this.#store.ping(hostTimes.pingTimeoutMs);
-      this.#noteContact(isAnswered);
-      await new Promise((resolve) => setTimeout(resolve, hostTimes.pingMs));
-    }
-  }
-
   async #read(): Promise<void> {
     const sentAt = performance.now();
     const sentWall = Date.now();
     const item = await this.#store.read(this.#operator.configurationKey);
-    this.#noteContact(item.isOk());
     if (item.isErr()) return;
     if (item.value !== undefined) this.#take(item.value.key, item.value.value);
     this.#age.confirm(sentAt, sentWall);
   }
 
-  #noteContact(isAnswered: boolean): void {
-    if (isAnswered !== this.#isStoreAnswering) {
-      this.#log.write(isAnswered ? 'storeRegained' : 'storeLost', {
-        silenceMs: Math.round(Math.min(this.storeSilenceMs, 1e9)),
-        configurationAgeMs: Math.round(Math.min(this.ageMs, 1e9)),
-      });
-    }
-    this.#isStoreAnswering = isAnswered;
-    if (isAnswered) this.#lastContactAt = performance.now();
-  }
-
   #take(key: string, value: string | undefined): void {
     if (key !== this.#operator.configurationKey || value === undefined) return;
     const configuration = this.#operator.decodeConfiguration(value);
--- a/packages/daemon/src/FeedHandler.ts
+++ b/packages/daemon/src/FeedHandler.ts
@@ -13,6 +13,4 @@
   readonly change: (item: StoreItem) => void;
   /** Takes the moment at which a completed read or watch was sent. */
   readonly confirm?: (monotonicAt: number, wallAt: number) => void;
-  /** Takes whether the store answered. */
-  readonly contact?: (isAnswered: boolean) => void;
 }
--- a/packages/daemon/src/HostDaemon.ts
+++ b/packages/daemon/src/HostDaemon.ts
@@ -13,8 +13,10 @@
 import { hostTimes } from './hostTimes.js';
 import { JobService } from './JobService.js';
 import { Leadership } from './Leadership.js';
+import { ObservedStore } from './ObservedStore.js';
 import { PeerLinks } from './PeerLinks.js';
 import { RemoteLeader } from './RemoteLeader.js';
+import { StoreContact } from './StoreContact.js';
 
 /** What the host environment provides. */
 interface HostParts {
@@ -35,6 +37,8 @@
   public readonly metrics = new HostMetrics();
   /** Log of the process. */
   public readonly log: DecisionLog;
+  readonly #contact: StoreContact;
+  readonly #store: ObservedStore;
   readonly #configuration: ConfigurationWatch;
   readonly #election: Election;
   readonly #links: PeerLinks;
@@ -47,7 +51,10 @@
    */
   public constructor(settings: HostConfiguration, parts: HostParts) {
     this.log = new DecisionLog(settings.name, this.metrics);
-    this.#configuration = new ConfigurationWatch(parts.store, parts.operator, this.log);
+    this.#contact = new StoreContact(this.log);
+    const store = new ObservedStore(parts.store, this.#contact);
+    this.#store = store;
+    this.#configuration = new ConfigurationWatch(store, parts.operator, this.log);
     const hello: Hello = {
       type: 'hello',
       protocol: linkProtocol,
@@ -60,17 +67,19 @@
     this.#links = new PeerLinks(hello, settings.linkAddress, parts.advisor, leadership);
     const leader = new RemoteLeader(this.#links, leadership);
     this.jobs = new JobService(
-      parts.store,
+      store,
+      this.#contact,
       this.#configuration,
       leader,
       this.log,
       settings.revokeMs,
     );
-    this.#election = new Election(parts.store, settings.name, settings.linkAddress, this.log, {
+    this.#election = new Election(store, settings.name, settings.linkAddress, this.log, {
       elected: (claim) => {
         const work = new Leadership(
           {
             ...parts,
+            store,
             links: () => this.#links.incoming,
             stopMs: settings.stopMs,
             log: this.log,
@@ -103,7 +112,7 @@
     return (
       !this.#isDraining &&
       this.#configuration.current !== undefined &&
-      this.#configuration.storeSilenceMs < hostTimes.storeSilenceMs
+      this.#contact.silenceMs < hostTimes.storeSilenceMs
     );
   }
 
@@ -115,6 +124,7 @@
   /** Starts to follow the configuration and to take part in the election. */
   public async start(): Promise<void> {
     await this.#links.listen();
+    void this.#store.run();
     this.#configuration.start();
     this.#election.start();
   }
@@ -128,6 +138,7 @@
 
   /** Ends what is left. */
   public close(): void {
+    this.#store.stop();
     this.#configuration.stop();
     this.#links.close();
     this.log.flush();
--- a/packages/daemon/src/JobService.ts
+++ b/packages/daemon/src/JobService.ts
@@ -13,9 +13,12 @@
 import type { DecisionLog } from './DecisionLog.js';
 import { findQueue } from './findQueue.js';
 import { hostTimes } from './hostTimes.js';
+import { JobSubmission } from './JobSubmission.js';
 import type { LeaderView } from './LeaderView.js';
 import { parseStored } from './parseStored.js';
 import { refusalMark } from './refusalMark.js';
+import { retryAfterSeconds } from './retryAfterSeconds.js';
+import type { StoreContact } from './StoreContact.js';
 import { storeKeys } from './storeKeys.js';
 
 /** Where a call goes and who makes it. */
@@ -35,25 +38,13 @@
   readonly id: string;
 }
 
-/** Seconds after which a refused caller may come back: the store or a new leader is usually back by then. */
-const retryAfterSeconds = 1;
-
-/** Waits for a call, but not longer than the caller of this host can. */
-const waitAtMost = <Value>(call: Promise<Value>, ms: number): Promise<Value | undefined> =>
-  new Promise((resolve, reject) => {
-    const timer = setTimeout(() => {
-      resolve(undefined);
-    }, ms);
-    call.then(resolve, reject).finally(() => {
-      clearTimeout(timer);
-    });
-  });
-
 const idPattern = /^[0-9a-f]{16}$/;
 
 /** Answers callers: accepts jobs into the store, tells their state, cancels them. */
 export class JobService {
   readonly #store: MetadataStore;
+  readonly #contact: StoreContact;
+  readonly #submission: JobSubmission;
   readonly #configuration: ConfigurationWatch;
   readonly #leader: LeaderView;
   readonly #log: DecisionLog;
@@ -61,6 +52,7 @@
 
   /**
    * @param store - the store
+   * @param contact - whether the store answers
    * @param configuration - the operator's configuration
    * @param leader - view of the leader's jobs
    * @param log - log of the process
@@ -68,12 +60,15 @@
    */
   public constructor(
     store: MetadataStore,
+    contact: StoreContact,
     configuration: ConfigurationWatch,
     leader: LeaderView,
     log: DecisionLog,
     revokeMs: number,
   ) {
     this.#store = store;
+    this.#contact = contact;
+    this.#submission = new JobSubmission(store, leader);
     this.#configuration = configuration;
     this.#leader = leader;
     this.#log = log;
@@ -127,11 +122,11 @@
       isCancelled: false,
     };
     // Nothing is sent to a store that does not answer: then it is sure that the job was not accepted.
-    if (!this.#configuration.isStoreAnswering) {
+    if (!this.#contact.isAnswering) {
       return err(this.#refuse(call.id, 'the store does not answer'));
     }
     const sentAt = performance.now();
-    const result = await this.#write(record, 0);
+    const result = await this.#submission.write(record);
     this.#log.write('jobSubmitted', {
       request: call.id,
       queue: call.queue.name,
@@ -198,79 +193,6 @@
       : ok(count);
   }
 
-  /** Writes the record if its key still has a revision; a refusal left by an earlier try is replaced. */
-  async #write(record: JobRecord, revision: number): Promise<Result<void, Failure>> {
-    const key = storeKeys.jobs + record.id;
-    const value = JSON.stringify(record);
-    const outcome = await this.#store.commit({
-      expected: [{ key, revision }],
-      put: [{ key, value }],
-    });
-    this.#configuration.noteStoreContact(outcome.isOk());
-    if (outcome.isErr()) return this.#settleSubmit(key, record, outcome.error);
-    if (outcome.value.committed) {
-      this.#leader.announce(key, value, outcome.value.revision);
-      return ok(undefined);
-    }
-    const [known] = outcome.value.items;
-    if (known?.value === refusalMark && known.revision !== revision) {
-      return this.#write(record, known.revision);
-    }
-    return this.#compare(known?.value, record);
-  }
-
-  async #settleSubmit(
-    key: string,
-    record: JobRecord,
-    failure: Failure,
-  ): Promise<Result<void, Failure>> {
-    if (failure.kind === 'storeUnavailable') {
-      return err(createFailure('storeUnavailable', failure.detail, retryAfterSeconds));
-    }
-    const startedAt = performance.now();
-    for (;;) {
-      const leftMs = startedAt + hostTimes.settleMs - performance.now();
-      const item = leftMs > 0 ? await waitAtMost(this.#store.read(key), leftMs) : undefined;
-      if (item === undefined) break;
-      this.#configuration.noteStoreContact(item.isOk());
-      if (item.isOk()) return this.#settleRead(item.value?.value, record, failure);
-      await new Promise((resolve) => setTimeout(resolve, hostTimes.watchRetryMs));
-    }
-    // The write may still take effect, so the caller must not be told that the job never runs.
-    return err(createFailure('timeout', failure.detail));
-  }
-
-  async #settleRead(
-    value: string | undefined,
-    record: JobRecord,
-    failure: Failure,
-  ): Promise<Result<void, Failure>> {
-    if (value !== undefined) return this.#compare(value, record);
-    return (await this.#blockLateWrite(storeKeys.jobs + record.id))
-      ? err(createFailure('storeUnavailable', failure.detail, retryAfterSeconds))
-      : err(createFailure('timeout', failure.detail));
-  }
-
-  /** Makes a write fail that may still take effect: its condition was that the key does not exist. */
-  async #blockLateWrite(key: string): Promise<boolean> {
-    const outcome = await this.#store.commit({
-      expected: [{ key, revision: 0 }],
-      put: [{ key, value: refusalMark }],
-    });
-    return outcome.isOk() && outcome.value.committed;
-  }
-
-  #compare(value: string | undefined, record: JobRecord): Result<void, Failure> {
-    const known = value === undefined ? undefined : parseStored(validators.JobRecord, value);
-    if (known === undefined) return err(createFailure('timeout', 'the stored job is unreadable'));
-    const isSame =
-      known.account === record.account &&
-      JSON.stringify(known.specification) === JSON.stringify(record.specification);
-    return isSame
-      ? ok(undefined)
-      : err(createFailure('conflictingKey', `${record.id} is the id of another job`));
-  }
-
   /** The leader's answer is missing or it has not seen the job yet: the store decides. */
   async #readState(id: string): Promise<Result<JobState, Failure>> {
     const [progress, job] = await Promise.all([
@@ -299,7 +221,7 @@
       reason,
       configurationVersion: this.#configuration.current?.version ?? 0,
       configurationAgeMs: Math.round(Math.min(this.#configuration.ageMs, 1e9)),
-      storeSilenceMs: Math.round(Math.min(this.#configuration.storeSilenceMs, 1e9)),
+      storeSilenceMs: Math.round(Math.min(this.#contact.silenceMs, 1e9)),
       retryAfterSeconds,
     });
     return createFailure('notReady', reason, retryAfterSeconds);
--- a/packages/daemon/src/StoreFeed.ts
+++ b/packages/daemon/src/StoreFeed.ts
@@ -50,7 +50,6 @@
     const sentWall = Date.now();
     const page = await this.#store.list(this.#prefix);
     if (this.#stopped) return undefined;
-    this.#handler.contact?.(page.isOk());
     if (page.isErr()) {
       await this.#pause();
       return undefined;
@@ -65,7 +64,6 @@
     const sentWall = Date.now();
     const page = await this.#store.watch(this.#prefix, after, this.#waitMs);
     if (this.#stopped) return undefined;
-    this.#handler.contact?.(page.isOk() || page.error.kind === 'staleRevision');
     if (page.isErr()) {
       if (page.error.kind !== 'staleRevision') await this.#pause();
       return undefined;
