Split leadership, scheduler and planner further; join what stood twice

Change: PlanningPass holds what a pass has decided and its orders, DemandList the order of turns, waitForRoom the search for room, isLargeTask the one test; StartIntake takes outcomes of starts, WorkerEnds releases what ran on ended and lapsed workers, JobBook answers the questions about its jobs. In the host, ChangeIntake takes what is read from the store, DriverSet has the drivers of the workers. No decision changes.

--- a/packages/daemon/src/Leadership.ts
+++ b/packages/daemon/src/Leadership.ts
@@ -1,7 +1,8 @@
-import { findViolations, Scheduler, type StoreItem, type Worker } from '@toucanline/jobs';
+import { findViolations, Scheduler, type StoreItem } from '@toucanline/jobs';
 import { validators, type JobState, type SiteConfiguration } from '@toucanline/schema';
 import { AdviceDispatcher } from './AdviceDispatcher.js';
-import { computeReportPause } from './computeReportPause.js';
+import { ChangeIntake } from './ChangeIntake.js';
+import { DriverSet } from './DriverSet.js';
 import { ExpiredJobs } from './ExpiredJobs.js';
 import { hostTimes } from './hostTimes.js';
 import type { LeaderClaim } from './LeaderClaim.js';
@@ -9,12 +10,9 @@
 import { OrderDispatcher } from './OrderDispatcher.js';
 import { parseStored } from './parseStored.js';
 import { ProgressWriter } from './ProgressWriter.js';
-import { refusalMark } from './refusalMark.js';
 import { RosterKeeper } from './RosterKeeper.js';
 import { StoreFeed } from './StoreFeed.js';
 import { storeKeys } from './storeKeys.js';
-import type { DriverContext } from './DriverContext.js';
-import { WorkerDriver } from './WorkerDriver.js';
 
 /** Pause after a planning pass as a multiple of its duration: reports and calls get two thirds of the processor. */
 const planPauseFactor = 2;
@@ -24,7 +22,8 @@
   readonly #parts: LeadershipParts;
   readonly #claim: LeaderClaim;
   readonly #scheduler: Scheduler;
-  readonly #drivers = new Map<Worker, WorkerDriver>();
+  readonly #drivers: DriverSet;
+  readonly #changes: ChangeIntake;
   readonly #advice: AdviceDispatcher;
   readonly #feeds: StoreFeed[] = [];
   readonly #validMs = new Map<string, number>();
@@ -35,13 +34,10 @@
   readonly #dispatcher: OrderDispatcher;
   readonly #expired: ExpiredJobs;
   #plannedAt = 0;
-  #reportPauseMs: number = hostTimes.reportPauseMs;
   /** Duration of the last planning pass. */
   #planMs = 0;
   #isLoaded = false;
   #stopped = false;
-  /** Changes that were learned without a current claim: a successor may already have acted on them. */
-  #deferred: (() => void)[] = [];
 
   /**
    * @param parts - what it needs of its host
@@ -59,15 +55,28 @@
     const changed = (): void => {
       this.#changed();
     };
+    this.#drivers = new DriverSet({
+      scheduler: this.#scheduler,
+      control: parts.control,
+      claim,
+      log: parts.log,
+      changed,
+      fenced: () => {
+        parts.lost('a worker has seen a newer fencing token');
+      },
+    });
     this.#roster = new RosterKeeper(parts, claim, this.#scheduler, changed);
     this.#dispatcher = new OrderDispatcher(
       parts,
       claim,
       this.#scheduler,
-      (worker) => this.#drivers.get(worker),
+      (worker) => this.#drivers.find(worker),
       changed,
     );
     this.#expired = new ExpiredJobs(parts, claim, this.#scheduler);
+    this.#changes = new ChangeIntake(parts, claim, this.#scheduler, this.#expired, (worker) => {
+      this.#drivers.add(worker);
+    });
     if (configuration !== undefined) this.configure(configuration);
     this.#advice = new AdviceDispatcher(
       parts.advisor,
@@ -102,6 +111,7 @@
     }
     if (this.#stopped) return;
     this.#isLoaded = true;
+    this.#changes.finishLoading();
     this.#idleTimer = setInterval(() => {
       this.#changed();
     }, hostTimes.planIdleMs);
@@ -118,7 +128,7 @@
     this.#dispatcher.stop();
     this.#writer?.stop();
     for (const feed of this.#feeds) feed.stop();
-    for (const driver of this.#drivers.values()) driver.stop();
+    this.#drivers.stop();
   }
 
   /** Writes what is known of ends, before the claim is given back. */
@@ -137,8 +147,8 @@
    */
   public announce(key: string, value: string, revision: number): void {
     // Before the state is loaded the job is among what is read.
-    if (!this.#isLoaded || this.#isKnown(key)) return;
-    this.#takeJob({ key, value, revision });
+    if (!this.#isLoaded || this.findState(key.slice(storeKeys.jobs.length)) !== undefined) return;
+    this.#changes.takeJob({ key, value, revision });
     this.#changed();
   }
 
@@ -177,15 +187,15 @@
     if (roster.isErr() || suspensions.isErr() || placements.isErr()) return false;
     if (progress.isErr() || jobs.isErr() || workers.isErr()) return false;
     const now = performance.now();
-    for (const item of progress.value.items) this.#takeProgress(item, now);
-    for (const item of jobs.value.items) this.#takeJob(item);
+    for (const item of progress.value.items) this.#changes.takeProgress(item, now);
+    for (const item of jobs.value.items) this.#changes.takeJob(item);
     const known = this.#roster.inherit(roster.value, suspensions.value);
-    for (const worker of known) this.#drive(worker);
+    for (const worker of known) this.#drivers.add(worker);
     const placed = placements.value?.value;
     const inherited = placed === undefined ? undefined : parseStored(validators.Placements, placed);
     if (inherited !== undefined) this.#scheduler.inheritPlacements(inherited);
-    for (const item of workers.value.items) this.#takeWorker(item);
-    this.#unlistAbsent(workers.value.items);
+    for (const item of workers.value.items) this.#changes.takeWorker(item);
+    this.#changes.unlistAbsent(workers.value.items);
     this.#writer = new ProgressWriter(
       store,
       this.#scheduler,
@@ -200,10 +210,10 @@
       },
     );
     this.#follow(storeKeys.jobs, jobs.value.revision, (item) => {
-      this.#takeJob(item);
+      this.#changes.takeJob(item);
     });
     this.#follow(operator.workerPrefix, workers.value.revision, (item) => {
-      this.#takeWorker(item);
+      this.#changes.takeWorker(item);
     });
     log.write('leaderLoaded', {
       term: this.#claim.term,
@@ -221,7 +231,7 @@
     const feed = new StoreFeed(this.#parts.store, prefix, hostTimes.leaderFeedWaitMs, {
       replace: (items) => {
         for (const item of items) take(item);
-        if (prefix === this.#parts.operator.workerPrefix) this.#unlistAbsent(items);
+        if (prefix === this.#parts.operator.workerPrefix) this.#changes.unlistAbsent(items);
         this.#changed();
       },
       change: (item) => {
@@ -233,102 +243,6 @@
     void feed.run(revision);
   }
 
-  #takeProgress({ value }: StoreItem, now: number): void {
-    const progress = value === undefined ? undefined : parseStored(validators.JobProgress, value);
-    if (progress !== undefined) this.#scheduler.restore(progress, now);
-  }
-
-  #takeJob({ key, value, revision }: StoreItem): void {
-    if (value === undefined) {
-      this.#scheduler.removeJob(key.slice(storeKeys.jobs.length));
-      return;
-    }
-    if (value === refusalMark) {
-      this.#expired.addRefusal(key);
-      return;
-    }
-    this.#expired.dropRefusal(key);
-    if (!this.#isKnown(key) && this.#mustDefer) {
-      this.#deferred.push(() => {
-        this.#takeJob({ key, value, revision });
-      });
-      return;
-    }
-    const record = parseStored(validators.JobRecord, value);
-    if (record === undefined) {
-      this.#parts.log.write('jobUnreadable', { key });
-      return;
-    }
-    const ageMs = Math.max(0, Date.now() - record.acceptedAtMs);
-    this.#scheduler.addJob(record, revision, performance.now() - (this.#isLoaded ? 0 : ageMs));
-  }
-
-  /** Without a current claim, a successor may already have started a new job, or tasks on a new worker. */
-  get #mustDefer(): boolean {
-    return this.#isLoaded && !this.#claim.isCurrent;
-  }
-
-  #isKnown(key: string): boolean {
-    return this.#scheduler.findState(key.slice(storeKeys.jobs.length)) !== undefined;
-  }
-
-  #takeWorker(item: StoreItem): void {
-    const { operator, log } = this.#parts;
-    const { key, value } = item;
-    const id = key.slice(operator.workerPrefix.length);
-    if (value === undefined) {
-      log.write('workerUnlisted', { worker: id });
-      this.#scheduler.unlistWorker(id);
-      return;
-    }
-    const entry = operator.decodeWorker(key, value);
-    if (entry === undefined) {
-      log.write('workerEntryUnreadable', { key });
-      return;
-    }
-    if (this.#mustDefer && !this.#hasLife(id, entry.life)) {
-      this.#deferred.push(() => {
-        this.#takeWorker(item);
-      });
-      return;
-    }
-    const worker = this.#scheduler.updateWorker(entry, false);
-    if (worker === undefined) return;
-    log.write('workerListed', { worker: id, life: entry.life, service: entry.service });
-    this.#drive(worker);
-  }
-
-  #hasLife(id: string, life: number): boolean {
-    return this.#scheduler.workers.some((worker) => worker.id === id && worker.life === life);
-  }
-
-  #unlistAbsent(items: readonly StoreItem[]): void {
-    const { workerPrefix } = this.#parts.operator;
-    const listed = new Set(items.map(({ key }) => key.slice(workerPrefix.length)));
-    for (const { id } of this.#scheduler.workers) {
-      if (!listed.has(id)) this.#scheduler.unlistWorker(id);
-    }
-  }
-
-  #drive(worker: Worker): void {
-    const context: DriverContext = {
-      scheduler: this.#scheduler,
-      control: this.#parts.control,
-      claim: this.#claim,
-      log: this.#parts.log,
-      reportPauseMs: () => this.#reportPauseMs,
-      changed: () => {
-        this.#changed();
-      },
-      fenced: () => {
-        this.#parts.lost('a worker has seen a newer fencing token');
-      },
-    };
-    const driver = new WorkerDriver(worker, context);
-    this.#drivers.set(worker, driver);
-    void driver.run();
-  }
-
   /** Plans soon, at most once in the planning interval. */
   #changed(): void {
     if (this.#planTimer !== undefined || this.#stopped || !this.#isLoaded) return;
@@ -343,10 +257,9 @@
   #plan(): void {
     if (this.#stopped || !this.#claim.mayOrder) return;
     this.#plannedAt = performance.now();
-    if (this.#claim.isCurrent && this.#deferred.length > 0) this.#takeDeferred();
-    this.#dropEnded();
+    this.#changes.takeDeferred();
+    this.#drivers.update(this.#scheduler.workers);
     this.#roster.update(this.#plannedAt);
-    this.#setReportPause();
     const orders = this.#scheduler.plan(this.#plannedAt, Date.now(), this.#claim.isCurrent);
     for (const { rule, task, worker } of findViolations(orders)) {
       this.#parts.log.write('invariantViolated', { rule, task, worker });
@@ -357,29 +270,8 @@
     this.#planMs = performance.now() - this.#plannedAt;
   }
 
-  #setReportPause(): void {
-    const busy = this.#scheduler.workers.filter(({ tasks }) => tasks.size > 0).length;
-    this.#reportPauseMs = computeReportPause(busy);
-  }
-
-  #takeDeferred(): void {
-    const deferred = this.#deferred;
-    this.#deferred = [];
-    for (const take of deferred) take();
-  }
-
-  #dropEnded(): void {
-    const alive = new Set(this.#scheduler.workers);
-    for (const [worker, driver] of this.#drivers) {
-      if (alive.has(worker)) continue;
-      driver.stop();
-      this.#drivers.delete(worker);
-      this.#parts.control.forget(worker.entry.address);
-    }
-  }
-
   #afterWrite(): void {
-    for (const driver of this.#drivers.values()) driver.wake();
+    this.#drivers.wake();
     this.#changed();
   }
 }
--- a/packages/jobs/src/Contention.ts
+++ b/packages/jobs/src/Contention.ts
@@ -1,6 +1,5 @@
 import type { Demand } from './Demand.js';
-import { rooms } from './rooms.js';
-import { schedulingLimits } from './schedulingLimits.js';
+import { isLargeTask } from './isLargeTask.js';
 import type { Worker } from './Worker.js';
 
 /**
@@ -18,10 +17,7 @@
    */
   public add({ step }: Demand, allowed: readonly Worker[]): void {
     const { size } = step.description;
-    const fitting = allowed.filter(({ entry: { capacity } }) => {
-      const share = rooms.weigh(size) / Math.max(1, rooms.weigh(capacity));
-      return share >= schedulingLimits.largeTaskShare && rooms.fits(size, capacity);
-    });
+    const fitting = allowed.filter(({ entry }) => isLargeTask(size, entry.capacity));
     for (const worker of fitting) {
       this.#weights.set(worker, this.of(worker) + step.waitingCount / fitting.length);
     }
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -177,6 +177,18 @@
     if (this.steps.every((step) => step.isDone)) this.finish('completed', wallMs);
   }
 
+  /**
+   * Ends the job if it was cancelled or nothing is left to do.
+   *
+   * @param wallMs - Unix time in milliseconds
+   * @returns whether it is finished
+   */
+  public settle(wallMs: number): boolean {
+    if (this.#record.isCancelled) this.finish('cancelled', wallMs);
+    else this.completeIfDone(wallMs);
+    return this.isFinished;
+  }
+
   /**
    * Describes what must outlive this process.
    *
--- a/packages/jobs/src/JobBook.ts
+++ b/packages/jobs/src/JobBook.ts
@@ -21,11 +21,6 @@
     return this.#accounts.values();
   }
 
-  /** All jobs. */
-  public get all(): Iterable<Job> {
-    return this.#jobs.values();
-  }
-
   /**
    * Finds a job.
    *
@@ -98,6 +93,30 @@
     this.#jobs.delete(id);
   }
 
+  /**
+   * Lists finished jobs that nobody asks for any more.
+   *
+   * @param finishedBefore - Unix time in milliseconds
+   * @returns their ids
+   */
+  public listExpired(finishedBefore: number): readonly string[] {
+    return [...this.#jobs.values()]
+      .filter((job) => job.isFinished && job.finishedAtMs < finishedBefore)
+      .map(({ id }) => id);
+  }
+
+  /**
+   * Counts the jobs of a queue none of whose tasks started.
+   *
+   * @param queue - name of the queue
+   * @returns their number
+   */
+  public countWaiting(queue: string): number {
+    let count = 0;
+    for (const job of this.#open) if (job.record.queue === queue && !job.hasStarted) count += 1;
+    return count;
+  }
+
   /**
    * Finds the usage of an account.
    *
--- a/packages/jobs/src/PermitBook.ts
+++ b/packages/jobs/src/PermitBook.ts
@@ -88,7 +88,10 @@
     const entries = this.#steps.get(stepKey) ?? new Map<Worker, PermitEntry>();
     this.#steps.set(stepKey, entries);
     for (const worker of asked) {
-      entries.set(worker, { permit: byWorker.get(worker.id) ?? '', validUntil });
+      entries.set(worker, {
+        permit: byWorker.get(worker.id) ?? '',
+        validUntil: validUntil - schedulingLimits.permitMarginMs,
+      });
     }
   }
 
--- a/packages/jobs/src/PermitRequests.ts
+++ b/packages/jobs/src/PermitRequests.ts
@@ -1,7 +1,7 @@
 import type { Demand } from './Demand.js';
 import type { ImageDurations } from './ImageDurations.js';
-import type { Order } from './Order.js';
 import type { PermitBook } from './PermitBook.js';
+import type { PlanningPass } from './PlanningPass.js';
 import { schedulingLimits } from './schedulingLimits.js';
 import type { StepRun } from './StepRun.js';
 import type { Worker } from './Worker.js';
@@ -26,16 +26,15 @@
    * @param demand - the step and its queue
    * @param workers - workers on which it may run, as far as labels and service go
    * @param kept - workers that have room for it
-   * @param now - monotonic time
-   * @param orders - takes the call, if one is needed and possible
+   * @param pass - takes the call, if one is needed and possible
    */
   public ask(
     { step, queue }: Demand,
     workers: readonly Worker[],
     kept: ReadonlySet<Worker>,
-    now: number,
-    orders: Order[],
+    pass: PlanningPass,
   ): void {
+    const { now } = pass;
     const { advice } = queue;
     if (advice === undefined || !this.#permits.canAsk(step.key, now)) return;
     const missing = workers.filter((worker) =>
@@ -48,7 +47,7 @@
       .sort((a, b) => b.free.milliProcessors - a.free.milliProcessors)
       .slice(0, schedulingLimits.workersPerAdvice);
     this.#permits.noteAsked(step.key);
-    orders.push({
+    pass.give({
       kind: 'advise',
       stepKey: step.key,
       queue: queue.name,
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -20,9 +20,11 @@
 import { ProgressLedger } from './ProgressLedger.js';
 import { RunStops } from './RunStops.js';
 import { schedulingLimits } from './schedulingLimits.js';
+import { StartIntake } from './StartIntake.js';
 import type { StartOutcome } from './StartOutcome.js';
 import type { Task } from './Task.js';
 import type { Worker } from './Worker.js';
+import { WorkerEnds } from './WorkerEnds.js';
 import { WorkerPool } from './WorkerPool.js';
 
 /** Decisions of the leader: takes what is known, gives orders. */
@@ -35,11 +37,11 @@
   readonly #permits = new PermitBook();
   readonly #durations = new ImageDurations();
   readonly #intake: EndIntake;
+  readonly #starts = new StartIntake(this.#permits);
   readonly #planner: Planner;
   readonly #stops = new RunStops();
   readonly #inheritance: Inheritance;
-  /** Incarnations that are known to have ended; their tasks are released with the next pass of a current claim. */
-  readonly #ended = new Set<Worker>();
+  readonly #ends: WorkerEnds;
   readonly #stopMs: number;
   /** Run numbers of this term are higher than all of earlier terms. */
   readonly #firstRun: number;
@@ -54,6 +56,7 @@
     this.#stopMs = stopMs;
     this.progress = new ProgressLedger(this.#book, this.#pool);
     this.#inheritance = new Inheritance(this.#book, claimRevision, now);
+    this.#ends = new WorkerEnds(this.#pool, this.#inheritance);
     this.#firstRun = (term - 1) * schedulingLimits.runsPerTerm + 1;
     this.#intake = new EndIntake(
       this.#book,
@@ -179,7 +182,7 @@
     wallMs: number,
   ): ReturnType<EndIntake['take']> {
     // A report that was under way when the incarnation ended would place its runs again.
-    if (this.#pool.find(worker.id) !== worker || this.#ended.has(worker)) return [];
+    if (this.#ends.has(worker)) return [];
     worker.noteContact(report.clockMs, now);
     if (report.life !== worker.life) {
       if (report.life > worker.life) this.endLife(worker);
@@ -205,34 +208,8 @@
     outcome: StartOutcome,
     now: number,
   ): void {
-    const { task, worker, run } = order;
-    if (outcome === 'otherLife') this.endLife(worker);
-    if (task.worker !== worker || task.run !== run || task.phase !== 'starting') return;
-    switch (outcome) {
-      case 'started':
-        task.confirm(now);
-        task.step.job.noteStart();
-        return;
-      case 'unknown':
-        worker.noteCallFailure(now, task.since);
-        task.beginStop(now, 'unanswered');
-        return;
-      case 'permit':
-        this.#permits.expire(task.step.key, worker);
-        break;
-      case 'refused':
-      case 'room':
-      case 'unhealthy':
-      case 'late':
-        worker.noteCallFailure(now, now);
-        break;
-      case 'invalid':
-        task.step.delayUntil(now + schedulingLimits.maxWorkerBackoffMs);
-        break;
-      default:
-        break;
-    }
-    task.release('', now);
+    if (outcome === 'otherLife') this.endLife(order.worker);
+    this.#starts.take(order, outcome, now);
   }
 
   /**
@@ -254,8 +231,7 @@
    * @param worker - the worker
    */
   public endLife(worker: Worker): void {
-    worker.unlist();
-    this.#ended.add(worker);
+    this.#ends.add(worker);
   }
 
   /**
@@ -273,10 +249,7 @@
     validMs: number,
   ): void {
     if (permits === undefined) this.#permits.noteFailure(order.stepKey, now);
-    else {
-      const validUntil = now + validMs - schedulingLimits.permitMarginMs;
-      this.#permits.noteAnswer(order.stepKey, order.workers, permits, validUntil);
-    }
+    else this.#permits.noteAnswer(order.stepKey, order.workers, permits, now + validMs);
   }
 
   /**
@@ -296,11 +269,7 @@
    * @returns their ids
    */
   public listExpired(finishedBefore: number): readonly string[] {
-    const expired: string[] = [];
-    for (const job of this.#book.all) {
-      if (job.isFinished && job.finishedAtMs < finishedBefore) expired.push(job.id);
-    }
-    return expired;
+    return this.#book.listExpired(finishedBefore);
   }
 
   /**
@@ -310,11 +279,7 @@
    * @returns their number
    */
   public countWaiting(queue: string): number {
-    let count = 0;
-    for (const job of this.#book.open) {
-      if (job.record.queue === queue && !job.hasStarted) count += 1;
-    }
-    return count;
+    return this.#book.countWaiting(queue);
   }
 
   /**
@@ -327,10 +292,10 @@
    * @returns orders
    */
   public plan(now: number, wallMs: number, isCurrent = true): readonly Order[] {
-    if (isCurrent) this.#releaseLapsed(now);
+    if (isCurrent) this.#ends.release(now);
     for (const job of [...this.#book.open]) {
       job.openDue(wallMs);
-      if (!job.isFinished && this.#settle(job, wallMs)) this.progress.add(job);
+      if (!job.isFinished && job.settle(wallMs)) this.progress.add(job);
     }
     const stops = this.#stops.collect(this.#pool.all, now);
     for (const job of this.#book.open) if (job.isFinished) this.#closeJob(job);
@@ -339,32 +304,6 @@
     return [...stops, ...planned];
   }
 
-  /** Ends a job that was cancelled, or whose last run has left; returns whether it is finished. */
-  #settle(job: Job, wallMs: number): boolean {
-    if (job.record.isCancelled) job.finish('cancelled', wallMs);
-    else job.completeIfDone(wallMs);
-    return job.isFinished;
-  }
-
-  #releaseLapsed(now: number): void {
-    for (const ended of [...this.#ended, ...this.#pool.takeEnded()]) this.#drop(ended, now);
-    this.#ended.clear();
-    this.#inheritance.expire(now);
-    for (const worker of this.#pool.all) {
-      const mayRun = worker.isSurveyed || this.#inheritance.lapseOf(worker) !== undefined;
-      if (!mayRun && !worker.isListed) this.#drop(worker, now);
-      if (now <= worker.lapsesAt) continue;
-      for (const task of [...worker.tasks]) task.release('', now);
-      if (!worker.isListed) this.#drop(worker, now);
-    }
-  }
-
-  #drop(worker: Worker, now: number): void {
-    this.#pool.remove(worker);
-    this.#inheritance.forget(worker);
-    for (const task of [...worker.tasks]) task.release('', now);
-  }
-
   #closeJob(job: Job): void {
     for (const { key } of job.steps) this.#permits.forget(key);
     this.#book.close(job);
--- /dev/null
+++ b/packages/jobs/src/isLargeTask.ts
@@ -0,0 +1,15 @@
+import type { Room } from '@toucanline/schema';
+import { rooms } from './rooms.js';
+import { schedulingLimits } from './schedulingLimits.js';
+
+/**
+ * Tells whether a task is large for a worker on which it fits. Only large tasks wait for a certain worker: smaller ones
+ * find room as soon as anything ends.
+ *
+ * @param size - room of the task
+ * @param capacity - whole room of the worker
+ * @returns whether it is
+ */
+export const isLargeTask = (size: Room, capacity: Room): boolean =>
+  rooms.fits(size, capacity) &&
+  rooms.weigh(size) >= schedulingLimits.largeTaskShare * Math.max(1, rooms.weigh(capacity));
