Judge standing tasks by their reports alone

Cause (found in review): a task counted as standing still if its worker had answered any call 1.5 s after its progress last moved. With an overloaded leader reports come late while starts are answered, so work could be stopped of which nothing was known.

Change: only the time between reports counts. The new test fails on the former rule.

--- a/packages/jobs/__tests__/stalls.test.ts
+++ b/packages/jobs/__tests__/stalls.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { Scheduler } from '../src/index.js';
 import { fixtures } from './fixtures.js';
 import { LoadModel } from './LoadModel.js';
 
@@ -34,4 +35,21 @@
     const starts = fleet.reduce((sum, { id }) => sum + model.countStarts(id), 0);
     expect(starts).to.equal(4);
   });
+
+  // Guards against work that is stopped because its reports are late while the worker answers other calls, as with an
+  // overloaded leader.
+  it('is told from one of which nothing was reported yet', () => {
+    const scheduler = new Scheduler(1, 1, 0, 200);
+    scheduler.configure(configuration());
+    const w0 = scheduler.updateWorker(worker('w0'), false);
+    if (w0 === undefined) throw new Error('the worker is known');
+    scheduler.takeReport(w0, { life: 1, clockMs: 0, running: [], ended: [] }, 0, 0, 0);
+    scheduler.addJob(job('a', [step(1, 1500, { estimateMs: 500 })]), 2, 0);
+    const [order] = scheduler.plan(1, 1);
+    if (order?.kind !== 'start') throw new Error('nothing was started');
+    w0.extendLease(1);
+    scheduler.takeStart(order, 'started', 5);
+    w0.noteContact(2500, 2500);
+    expect(scheduler.plan(2501, 2501)).to.deep.equal([]);
+  });
 });
--- a/packages/jobs/src/Task.ts
+++ b/packages/jobs/src/Task.ts
@@ -27,6 +27,7 @@
   #percent = 0;
   /** When the reported progress last changed. */
   #movedAt = 0;
+  #reportedAt = 0;
   #load = 0;
   #since = 0;
   #stopConfirmedAt: number | undefined;
@@ -75,9 +76,9 @@
     return this.#percent;
   }
 
-  /** When the reported progress last changed, or the phase began. */
-  public get movedAt(): number {
-    return Math.max(this.#movedAt, this.#since);
+  /** How long the reports have shown no progress, in milliseconds; what happened since the last one is not known. */
+  public get stalledMs(): number {
+    return this.#reportedAt - Math.max(this.#movedAt, this.#since);
   }
 
   /** Reported load: tail latency of a serving task in milliseconds. */
@@ -168,6 +169,7 @@
    */
   public update(percent: number, checkpoint: string, load: number, now: number): void {
     if (percent !== this.#percent) this.#movedAt = now;
+    this.#reportedAt = now;
     this.#percent = percent;
     this.#load = load;
     if (checkpoint !== '') this.#checkpoint = checkpoint;
--- a/packages/jobs/src/isStalled.ts
+++ b/packages/jobs/src/isStalled.ts
@@ -16,5 +16,5 @@
   if (isGang === true || isLongRunning === true || isOpportunistic === true) return false;
   const { stallMs, stallShare } = schedulingLimits;
   const limitMs = Math.max(stallMs, estimateMs * worker.speed.factor * stallShare);
-  return worker.lastContactAt - task.movedAt > limitMs;
+  return task.stalledMs > limitMs;
 };
