--- a/packages/clients/__tests__/HttpClient.test.ts
+++ b/packages/clients/__tests__/HttpClient.test.ts
@@ -1,4 +1,5 @@
 import { spawn } from 'node:child_process';
+import { createServer as createHttpServer } from 'node:http';
 import { connect, createServer, type AddressInfo } from 'node:net';
 import { expect } from 'chai';
 import { HttpClient } from '../src/HttpClient.js';
@@ -51,6 +52,33 @@
     expect(outcome.isErr()).to.equal(true);
     expect(durationMs).to.be.below(600);
   });
+
+  // Guards against a large response that is given up while it arrives over a slow link, and against one that is waited
+  // for although nothing arrives any more.
+  it('restarts the timeout with each received part of a response, if asked to', async () => {
+    const parts = ['{"text":"', 'a'.repeat(8), 'b'.repeat(8), 'c'.repeat(8), '"}'];
+    const server = createHttpServer((request, response) => {
+      response.writeHead(200, { 'content-type': 'application/json' });
+      const stopsAfter = request.url === '/stalled' ? 2 : parts.length;
+      for (const [index, part] of parts.entries()) {
+        setTimeout(() => {
+          if (index < stopsAfter) response.write(part);
+          if (index === parts.length - 1 && stopsAfter === parts.length) response.end();
+        }, index * 100);
+      }
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const { port } = server.address() as AddressInfo;
+    const client = new HttpClient();
+    const send = (path: string, isTimeoutPerChunk: boolean): ReturnType<HttpClient['send']> =>
+      client.send('GET', `http://127.0.0.1:${port}/${path}`, undefined, 250, { isTimeoutPerChunk });
+    expect((await send('whole', true))._unsafeUnwrap().body).to.have.property('text');
+    expect((await send('stalled', true)).isErr()).to.equal(true);
+    expect((await send('whole', false)).isErr()).to.equal(true);
+    await client.close();
+    server.closeAllConnections();
+    server.close();
+  });
 });
 
 /** Script that listens with the shortest accept queue and accepts no connection, because its only thread sleeps. */
--- a/packages/clients/src/HttpClient.ts
+++ b/packages/clients/src/HttpClient.ts
@@ -11,6 +11,11 @@
 
 /** Options of a request. */
 interface RequestOptions {
+  /**
+   * Restarts the timeout with each received part of the response, so that a large response over a slow link is not
+   * given up while it still arrives.
+   */
+  readonly isTimeoutPerChunk?: boolean;
   /** Requests the body only if its entity tag differs from this one. */
   readonly entityTag?: string | undefined;
   /** Aborts the request. */
@@ -34,7 +39,8 @@
    * @param method - HTTP method
    * @param url - absolute URL
    * @param body - JSON body, if any
-   * @param timeoutMs - timeout of the request and its response, in milliseconds
+   * @param timeoutMs - timeout of the request and its response, in milliseconds; with `isTimeoutPerChunk` the longest
+   * time without a received byte
    * @param options - options of the request
    * @returns the response; `storeUnavailable` if the request was not processed; `timeout` if that is unknown
    */
@@ -61,6 +67,9 @@
         options,
         agent,
         controller.signal,
+        () => {
+          if (options.isTimeoutPerChunk === true) timer.refresh();
+        },
       );
       return ok(await rejectOnAbort(pendingResponse, controller.signal));
     } catch (error) {
@@ -86,6 +95,7 @@
     { entityTag, headers }: RequestOptions,
     agent: Agent,
     signal: AbortSignal,
+    onChunk: () => void,
   ): Promise<HttpResponse> {
     const response = await request(url, {
       method,
@@ -98,7 +108,12 @@
       },
       ...(body === undefined ? {} : { body: JSON.stringify(body) }),
     });
-    const text = await response.body.text();
+    const chunks: Buffer[] = [];
+    for await (const chunk of response.body as AsyncIterable<Buffer>) {
+      onChunk();
+      chunks.push(chunk);
+    }
+    const text = Buffer.concat(chunks).toString('utf8');
     const { etag } = response.headers;
     return {
       status: response.statusCode,
