Let the fittest host lead, write less of the fleet at a time, and survive odd entries

Cause: any host could lead, also one with a quarter of a core and 10 Mbit/s. Each write of progress (up to 60 a second) carried the placements of the whole fleet, and each change of a suspension the whole roster. An entry of another writer with a port out of range, a start of 1e300 or a capacity of 1e300 was decoded as a worker, got into the roster, and each new leader waited for it for up to 9.3 s. An error thrown in one callback ended the process. Change: hosts campaign later the less fit they are (processor, memory, link from the settings) and hand over to a much fitter one; a leader that has not loaded within 5 s gives up. Placements are written each 200 ms and with the last write; a small key orders the writes. The roster is written when its workers change, without workers that never answered. An unreadable roster makes older jobs wait for the longest lease. Callbacks of watches, sessions, planning and calls are guarded, with a log line each.

--- a/packages-private/testkit/__tests__/platformHosts.test.ts
+++ b/packages-private/testkit/__tests__/platformHosts.test.ts
@@ -142,4 +142,76 @@
     await site.waitForState(host, path(1), 'completed', 15_000);
     expect([...site.countCompletions().values()]).to.deep.equal([1, 1, 1, 1, 1]);
   });
+
+  // Guards against processes that end, or stop following the list of workers, after one odd entry of another writer.
+  it('keep following the workers beside odd entries, through a change of the leader', async () => {
+    const depth = 100_000;
+    const nested = '['.repeat(depth) + ']'.repeat(depth);
+    const listed = JSON.stringify(site.workers[0]?.serverRecord);
+    const oddEntries = [
+      nested,
+      listed.replace(/"Service":"[^"]*"/, `"Service":${nested}`),
+      listed.replace(/"Address":"[^"]*"/, '"Address":"127.0.0.1:99999"'),
+      listed.replace(/"Address":"[^"]*"/, '"Address":"127.0.0.1:-1"'),
+      listed.replace(/"born":\d+/, '"born":1e999'),
+      listed.replace(/"Cpu":\d+/, '"Cpu":1e300'),
+      `{"Service":"${'x'.repeat(500_000)}"`,
+    ];
+    const writeOddEntries = (): void => {
+      for (const [index, text] of oddEntries.entries())
+        site.store.putBytes(`servers/odd-${index}`, Buffer.from(text));
+      site.store.putBytes('servers/odd bytes', Buffer.from([0xff, 0x00, 0xfe]));
+    };
+    writeOddEntries();
+    await sleep(300);
+    const [host] = followers();
+    expect((await site.call(host, 'POST', path(1), createTwoSteps(40))).status).to.equal(200);
+    await site.waitForState(host, path(1), 'completed');
+    const { leader } = site;
+    writeOddEntries();
+    leader?.process.kill('SIGKILL');
+    await waitUntil(
+      () => site.leader !== undefined && site.leader !== leader,
+      10_000,
+      'a new leader',
+    );
+    const survivors = site.hosts.filter((each) => each !== leader);
+    for (const each of survivors) expect(each.process.exitCode).to.equal(null);
+    const [caller] = survivors;
+    expect((await site.call(caller, 'POST', path(2), createTwoSteps(40))).status).to.equal(200);
+    await site.waitForState(caller, path(2), 'completed', 5000);
+    expect([...site.countCompletions().values()].every((count) => count === 1)).to.equal(true);
+    const roster = JSON.stringify(site.store.get('toucanline/roster'));
+    expect(roster).to.include('"w1"').and.not.to.include('odd');
+  });
+});
+
+describe('hosts that differ in their resources', () => {
+  // Guards against a leader on a host whose link cannot carry the stored state, while a fitter host is there.
+  it('let the fittest host lead, also after it was started last or its predecessor was killed', async () => {
+    const site = new PlatformSite();
+    try {
+      await site.start(4, 1, [10, 10]);
+      const fittest = site.hosts.slice(2);
+      const isFit = (): boolean => fittest.some((host) => host === site.leader);
+      await waitUntil(isFit, 5000, 'a fit host leads');
+      const first = site.leader;
+      first?.process.kill('SIGKILL');
+      await waitUntil(
+        () => site.leader !== undefined && site.leader !== first,
+        5000,
+        'a new leader is elected',
+      );
+      expect(isFit()).to.equal(true);
+      site.leader?.process.kill('SIGKILL');
+      const rest = site.hosts.slice(0, 2);
+      await waitUntil(
+        () => rest.some((host) => host === site.leader),
+        6000,
+        'another host leads when no fit one is left',
+      );
+    } finally {
+      site.stop();
+    }
+  });
 });
--- a/packages-private/testkit/src/PlatformSite.ts
+++ b/packages-private/testkit/src/PlatformSite.ts
@@ -59,12 +59,18 @@
    *
    * @param hostCount - number of hosts
    * @param workerCount - number of workers
+   * @param linkMbps - declared bandwidth of each host's link, in megabits per second; later hosts are not limited
    */
-  public async start(hostCount: number, workerCount: number): Promise<void> {
+  public async start(
+    hostCount: number,
+    workerCount: number,
+    linkMbps: readonly number[] = [],
+  ): Promise<void> {
     await this.store.start();
     this.writeConfiguration(['key-1', 'key-2']);
     for (let number = 1; number <= workerCount; number += 1) await this.#addWorker(`w${number}`);
-    for (let number = 1; number <= hostCount; number += 1) await this.#addHost(`host-${number}`);
+    for (let number = 1; number <= hostCount; number += 1)
+      await this.#addHost(`host-${number}`, linkMbps[number - 1]);
     await waitUntil(
       async () =>
         (await Promise.all(this.#hosts.map((host) => this.#isReady(host)))).every(Boolean),
@@ -189,7 +195,7 @@
     this.store.put(`servers/${id}`, worker.serverRecord);
   }
 
-  async #addHost(name: string): Promise<void> {
+  async #addHost(name: string, linkMbps: number | undefined): Promise<void> {
     const [callerPort, readinessPort, linkPort, metricsPort] = [
       await findFreePort(),
       await findFreePort(),
@@ -208,6 +214,7 @@
         `PortRange=${linkPort},${metricsPort}`,
         `platform.Address=${this.store.address}`,
         'Unknown.Field=1',
+        ...(linkMbps === undefined ? [] : [`Limits.LinkMbps=${linkMbps}`]),
       ].join('\n'),
     );
     const child = spawn(process.execPath, [findProgram('platform', 'toucanline-host')], {
--- a/packages-private/testkit/src/PlatformStoreFake.ts
+++ b/packages-private/testkit/src/PlatformStoreFake.ts
@@ -62,8 +62,18 @@
    * @param value - value to encode as JSON
    */
   public put(key: string, value: unknown): void {
+    this.putBytes(key, Buffer.from(JSON.stringify(value)));
+  }
+
+  /**
+   * Writes bytes that need not be a valid value, in place of another writer.
+   *
+   * @param key - the key
+   * @param bytes - bytes to write
+   */
+  public putBytes(key: string, bytes: Buffer): void {
     this.#revision += 1;
-    this.#writeItem(key, Buffer.from(JSON.stringify(value)).toString('base64'), 0);
+    this.#writeItem(key, bytes.toString('base64'), 0);
   }
 
   /**
--- a/packages/daemon/__tests__/Election.test.ts
+++ b/packages/daemon/__tests__/Election.test.ts
@@ -25,7 +25,7 @@
   it('stays valid when one renewal has no answer', async () => {
     let lease: LeaderLease | undefined;
     const log = new EventLog('test', new HostMetrics());
-    const election = new Election(new UnresponsiveStore(), 'host-1', '127.0.0.1:1', log, {
+    const election = new Election(new UnresponsiveStore(), 'host-1', '127.0.0.1:1', 1, log, {
       onElected: (acquired) => {
         lease = acquired;
       },
--- a/packages/daemon/__tests__/ProgressWriter.test.ts
+++ b/packages/daemon/__tests__/ProgressWriter.test.ts
@@ -114,6 +114,38 @@
     expect(store.get(`${storeKeys.progressPrefix}a`)).to.equal(written);
   });
 
+  // Guards against placements of the whole fleet in each write of progress, which on 245 workers took more than the
+  // link of the leader carries; and against a successor that learns stale ones at a planned hand-over.
+  it('writes the placements at intervals, and with the last write', async () => {
+    const readRevision = async (): Promise<number | undefined> =>
+      (await store.read(storeKeys.placements))._unsafeUnwrap()?.revision;
+    reportEnd(1, 0);
+    writer.requestWrite();
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    const first = await readRevision();
+    reportEnd(2, 1);
+    writer.requestWrite();
+    await new Promise((resolve) => setTimeout(resolve, 40));
+    expect(store.get(`${storeKeys.progressPrefix}a`)).to.include('completed');
+    expect(await readRevision()).to.equal(first);
+    scheduler.addJob({ ...record, id: 'b' }, 2, 0);
+    scheduler.plan(0, 0);
+    scheduler.handleReport(
+      worker,
+      {
+        life: 1,
+        clockMs: 0,
+        running: [],
+        ended: [{ number: 3, task: 'b.0.0.0', run: 1, outcome: 'done', checkpoint: '' }],
+      },
+      0,
+      0,
+      0,
+    );
+    await writer.flush();
+    expect(await readRevision()).to.be.above(first ?? 0);
+  });
+
   it('stops when the store has another leader', async () => {
     store.put(storeKeys.holder, 'other');
     reportEnd(1, 0);
--- a/packages/daemon/__tests__/RosterManager.test.ts
+++ b/packages/daemon/__tests__/RosterManager.test.ts
@@ -121,6 +121,67 @@
     expect(worker.isSuspended).to.equal(false);
   });
 
+  // Guards against a next leader that waits for an entry that leads to no worker, as for one that is cut off.
+  it('does not list a worker that has never answered', async () => {
+    const { scheduler, manager } = createLeader(1);
+    addSurveyedWorker(scheduler);
+    scheduler.updateWorker({ ...entry, id: 'odd', address: '10.0.0.9:9' }, false);
+    manager.update(1);
+    await waitForWrite();
+    expect(store.get(storeKeys.roster)).to.include('"id":"w1"');
+    expect(store.get(storeKeys.roster)).not.to.include('odd');
+    expect(await restore(createLeader(2).manager)).to.have.length(1);
+  });
+
+  // Guards against writes of the whole roster at each change of a suspension: on a fleet of 245 workers they filled
+  // the leader's link while any worker was suspended.
+  it('writes the roster only when its workers change', async () => {
+    const { scheduler, manager } = createLeader(1);
+    const worker = addSurveyedWorker(scheduler);
+    manager.update(1);
+    await waitForWrite();
+    const { revision } = (await store.read(storeKeys.roster))._unsafeUnwrap() ?? {};
+    worker.recordCallFailure(1400, 1000);
+    worker.recordCallFailure(2100, 1700);
+    manager.update(2100);
+    await waitForWrite();
+    expect(store.get(storeKeys.suspensions)).to.include('w1');
+    expect((await store.read(storeKeys.roster))._unsafeUnwrap()?.revision).to.equal(revision);
+  });
+
+  // Guards against a leader that starts tasks again at once which the previous leader's workers still run.
+  it('waits for the longest lease when the stored roster cannot be read', async () => {
+    store.put(storeKeys.roster, '{"workers":[{"id":"w1"');
+    const { scheduler, manager } = createLeader(2);
+    const size = { milliProcessors: 1, memoryMb: 1, accelerators: 0 };
+    const specification = {
+      payload: '',
+      steps: [{ taskCount: 1, size, estimateMs: 1, dependsOn: [] }],
+    };
+    const record = {
+      ...{ id: 'a', queue: 'q', account: '', specification },
+      ...{ acceptedAtMs: 0, isCancelled: false },
+    };
+    scheduler.configure({
+      ...{ version: 1, services: [], accounts: [], maxBodyBytes: 1 },
+      queues: [
+        {
+          ...{ name: 'q', host: 'h', prefix: '/', service: 'render', priority: 1 },
+          ...{ maxAttempts: 1, stretch: 1, objectiveMs: 1, isOpen: true },
+        },
+      ],
+    });
+    scheduler.addJob(record, 1, 0);
+    expect(await restore(manager)).to.deep.equal([]);
+    addSurveyedWorker(scheduler);
+    manager.update(1);
+    await waitForWrite();
+    const countStarts = (now: number): number =>
+      scheduler.plan(now, now).filter(({ kind }) => kind === 'start').length;
+    expect(countStarts(6000)).to.equal(0);
+    expect(countStarts(20_000)).to.equal(1);
+  });
+
   it('reports the lease as lost when another host is leader', async () => {
     const { scheduler, manager } = createLeader(1);
     addSurveyedWorker(scheduler);
--- a/packages/daemon/src/ConfigurationWatch.ts
+++ b/packages/daemon/src/ConfigurationWatch.ts
@@ -37,6 +37,9 @@
         onChange: (item) => {
           this.#apply(item.key, item.value);
         },
+        onError: (error) => {
+          log.writeError('configuration', error);
+        },
         onConfirmed: (monotonicAt, wallAt) => {
           this.#confirmationAge.confirm(monotonicAt, wallAt);
         },
--- a/packages/daemon/src/DaemonSettings.ts
+++ b/packages/daemon/src/DaemonSettings.ts
@@ -10,6 +10,8 @@
   readonly metricsAddress: string;
   /** IP and port for links from other hosts. */
   readonly linkAddress: string;
+  /** How well this host can carry the leader, relative to the needs of a small site. */
+  readonly leaderFitness: number;
   /** Time within which a withdrawn key must no longer be accepted, in milliseconds. */
   readonly revokeMs: number;
   /** Longest time a worker takes to stop a run, in milliseconds. */
--- a/packages/daemon/src/Election.ts
+++ b/packages/daemon/src/Election.ts
@@ -1,5 +1,6 @@
 import type { MetadataStore } from '@toucanline/jobs';
 import { validators, type LeaderRecord } from '@toucanline/schema';
+import { CampaignDelay } from './CampaignDelay.js';
 import type { EventLog } from './EventLog.js';
 import { hostLimits } from './hostLimits.js';
 import { LeaderLease } from './LeaderLease.js';
@@ -25,9 +26,11 @@
   readonly #log: EventLog;
   readonly #handler: ElectionHandler;
   readonly #watch: PrefixWatch;
+  readonly #campaignDelay: CampaignDelay;
   #holder: LeaderRecord | undefined;
   #termRevision = 0;
   #term = 0;
+  #fitnessRevision = 0;
   #lease: LeaderLease | undefined;
   #isCampaigning = false;
   #hasCampaigned = false;
@@ -37,6 +40,7 @@
    * @param store - metadata store
    * @param host - name of this host
    * @param address - IP and port for links from other hosts
+   * @param fitness - how well this host can carry the leader
    * @param log - event log of this process
    * @param handler - callbacks of the election
    */
@@ -44,9 +48,11 @@
     store: MetadataStore,
     host: string,
     address: string,
+    fitness: number,
     log: EventLog,
     handler: ElectionHandler,
   ) {
+    this.#campaignDelay = new CampaignDelay(fitness);
     this.#store = store;
     this.#host = host;
     this.#address = address;
@@ -57,11 +63,16 @@
         this.#holder = undefined;
         for (const { key, value, revision } of items) this.#applyItem(key, value, revision);
         this.#endFormerLease();
+        void this.#publishFitness();
         this.#handleHolderChange();
       },
       onChange: ({ key, value, revision }) => {
         this.#applyItem(key, value, revision);
-        this.#handleHolderChange();
+        if (key === storeKeys.bestFitness) void this.#publishFitness();
+        else this.#handleHolderChange();
+      },
+      onError: (error) => {
+        log.writeError('election', error);
       },
     });
   }
@@ -95,6 +106,40 @@
     this.#handleHolderChange();
   }
 
+  /**
+   * Hands over the leadership, so that another host can be elected at once.
+   *
+   * @param reason - reason for the log
+   */
+  public async resign(reason: string): Promise<void> {
+    const lease = this.#lease;
+    if (lease === undefined) return;
+    this.#campaignDelay.holdBack(performance.now());
+    this.#depose(reason);
+    await this.#store.revokeLease(lease.leaseId);
+  }
+
+  /**
+   * Checks whether a host is so much fitter than this one that the leadership should move there.
+   *
+   * @param fitness - fitness that the other host announced
+   * @returns true if a hand-over is worth its cost
+   */
+  public isOutranked(fitness: number): boolean {
+    return this.#campaignDelay.isOutranked(fitness);
+  }
+
+  /** Writes the fitness of this host to the store if no fitter host has written its own. */
+  async #publishFitness(): Promise<void> {
+    if (this.#isStopped || !this.#campaignDelay.isBest) return;
+    const { fitness } = this.#campaignDelay;
+    // If another host wrote at the same time, the watch delivers its value.
+    await this.#store.commit({
+      expected: [{ key: storeKeys.bestFitness, revision: this.#fitnessRevision }],
+      put: [{ key: storeKeys.bestFitness, value: String(fitness) }],
+    });
+  }
+
   /**
    * Revokes the lease of an earlier process of this host, so that the election need not wait until it expires. A holder
    * with this host's name that exists before this process has campaigned is a process that was killed.
@@ -112,6 +157,9 @@
     } else if (key === storeKeys.term) {
       this.#term = Number(value ?? 0);
       this.#termRevision = revision;
+    } else if (key === storeKeys.bestFitness) {
+      this.#campaignDelay.recordBest(Number(value));
+      this.#fitnessRevision = revision;
     }
   }
 
@@ -133,7 +181,7 @@
     if (this.#isCampaigning || this.#isStopped) return;
     this.#isCampaigning = true;
     try {
-      await this.#sleep(Math.random() * hostLimits.campaignJitterMs);
+      await this.#sleep(this.#campaignDelay.computeMs(performance.now(), Math.random()));
       while (this.#canCampaign) {
         if (await this.#tryAcquireLease()) break;
         await this.#sleep(hostLimits.watchRetryMs);
--- a/packages/daemon/src/EventLog.ts
+++ b/packages/daemon/src/EventLog.ts
@@ -5,6 +5,9 @@
 /** Maximum number of lines written per second for one event name; further lines are only counted. */
 const maxLinesPerSecond = 100;
 
+/** Longest text of an unexpected error, in characters: the first frames of its stack name the place. */
+const maxErrorLength = 600;
+
 /** Structured event log with a rate limit for each event name. */
 export class EventLog {
   readonly #log: Log;
@@ -36,6 +39,17 @@
     if (count <= maxLinesPerSecond) this.#log.write('info', event, fields);
   }
 
+  /**
+   * Writes an unexpected error.
+   *
+   * @param part - part of the process in which it was thrown
+   * @param error - value that was thrown
+   */
+  public writeError(part: string, error: unknown): void {
+    const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    this.write('unexpectedError', { part, detail: detail.slice(0, maxErrorLength) });
+  }
+
   /** Logs how many lines were suppressed and writes buffered output, before the process exits. */
   public flush(): void {
     this.#startSecond(0);
--- a/packages/daemon/src/HostDaemon.ts
+++ b/packages/daemon/src/HostDaemon.ts
@@ -57,6 +57,7 @@
       process: settings.name,
       role: 'host',
       dataCentre: settings.dataCentre,
+      leaderFitness: settings.leaderFitness,
     };
     const getLocalLeader = (): LeaderController | undefined => this.#leader;
     this.#links = new PeerLinks(hello, settings.linkAddress, dependencies.advisor, getLocalLeader);
@@ -69,7 +70,8 @@
       this.log,
       settings.revokeMs,
     );
-    this.#election = new Election(store, settings.name, settings.linkAddress, this.log, {
+    const { name, linkAddress, leaderFitness } = settings;
+    this.#election = new Election(store, name, linkAddress, leaderFitness, this.log, {
       onElected: (leaderLease) => {
         const controller = new LeaderController(
           {
@@ -82,6 +84,8 @@
             onLeaseLost: (reason) => {
               this.#election.stepDown(reason);
             },
+            onResign: (reason) => this.#election.resign(reason),
+            isOutranked: (fitness) => this.#election.isOutranked(fitness),
           },
           leaderLease,
           this.#configuration.current,
--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -11,7 +11,9 @@
 import { parseStoredRecord } from './parseStoredRecord.js';
 import { ProgressWriter } from './ProgressWriter.js';
 import { RosterManager } from './RosterManager.js';
+import { StoredStateReader } from './StoredStateReader.js';
 import { PrefixWatch } from './PrefixWatch.js';
+import { runGuarded } from './runGuarded.js';
 import { storeKeys } from './storeKeys.js';
 
 /** Pause after a planning pass as a multiple of its duration: two thirds of the processor stay for reports and calls. */
@@ -25,6 +27,7 @@
   readonly #sessions: WorkerSessions;
   readonly #changeHandler: StoreChangeHandler;
   readonly #adviceDispatcher: AdviceDispatcher;
+  readonly #stateReader: StoredStateReader;
   readonly #watches: PrefixWatch[] = [];
   readonly #permitValidityMs = new Map<string, number>();
   #progressWriter: ProgressWriter | undefined;
@@ -33,6 +36,7 @@
   readonly #rosterManager: RosterManager;
   readonly #commandDispatcher: CommandDispatcher;
   readonly #cleanup: JobCleanup;
+  readonly #startedAt = performance.now();
   #lastPlanAt = 0;
   /** Duration of the last planning pass, in milliseconds. */
   #lastPlanMs = 0;
@@ -51,6 +55,7 @@
   ) {
     this.#dependencies = dependencies;
     this.#leaderLease = leaderLease;
+    this.#stateReader = new StoredStateReader(dependencies.store, dependencies.decoder);
     this.#scheduler = new Scheduler(
       leaderLease.term,
       leaderLease.holderRevision,
@@ -127,12 +132,17 @@
   /** Loads the stored state, with retries, and starts to schedule. */
   public async start(): Promise<void> {
     while (!this.#isStopped && !(await this.#loadState())) {
+      if (performance.now() - this.#startedAt > hostLimits.leaderLoadTimeoutMs) {
+        await this.#dependencies.onResign('the stored state was not loaded in time');
+        return;
+      }
       await new Promise((resolve) => setTimeout(resolve, hostLimits.watchRetryMs));
     }
     if (this.#isStopped) return;
     this.#isLoaded = true;
     this.#changeHandler.markLoaded();
     this.#idleTimer = setInterval(() => {
+      if (this.#shouldHandOver) void this.#handOver();
       this.#schedulePlan();
     }, hostLimits.maxPlanIntervalMs);
     this.#cleanup.start();
@@ -195,36 +205,50 @@
 
   async #loadState(): Promise<boolean> {
     const { store, decoder, log } = this.#dependencies;
-    const startedAt = performance.now();
-    const [roster, suspensions, placements, progress, jobs, workers] = await Promise.all([
-      store.read(storeKeys.roster),
-      store.read(storeKeys.suspensions),
-      store.read(storeKeys.placements),
-      store.list(storeKeys.progressPrefix),
-      store.list(storeKeys.jobPrefix),
-      store.list(decoder.workerPrefix),
-    ]);
+    const state = await this.#stateReader.read();
     if (this.#isStopped) return false;
-    if (roster.isErr() || suspensions.isErr() || placements.isErr()) return false;
-    if (progress.isErr() || jobs.isErr() || workers.isErr()) return false;
+    if (state === undefined) {
+      log.write('leaderNotLoaded', {
+        term: this.#leaderLease.term,
+        missing: this.#stateReader.missingKeys.join(' '),
+        durationMs: Math.round(performance.now() - this.#startedAt),
+      });
+      return false;
+    }
+    const { roster, suspensions, placements, progressOrder, progress, jobs, workers } = state;
     const now = performance.now();
-    for (const item of progress.value.items) this.#changeHandler.applyProgress(item, now);
-    for (const item of jobs.value.items) this.#changeHandler.applyJob(item);
-    const restored = this.#rosterManager.restore(roster.value, suspensions.value);
+    const onError = (error: unknown): void => {
+      log.writeError('stored state', error);
+    };
+    for (const item of progress.items) {
+      runGuarded(() => {
+        this.#changeHandler.applyProgress(item, now);
+      }, onError);
+    }
+    for (const item of jobs.items) {
+      runGuarded(() => {
+        this.#changeHandler.applyJob(item);
+      }, onError);
+    }
+    const restored = this.#rosterManager.restore(roster, suspensions);
     for (const worker of restored) this.#sessions.add(worker);
-    const storedPlacements = placements.value?.value;
+    const storedPlacements = placements?.value;
     const restoredPlacements =
       storedPlacements === undefined
         ? undefined
         : parseStoredRecord(validators.Placements, storedPlacements);
     if (restoredPlacements !== undefined) this.#scheduler.restorePlacements(restoredPlacements);
-    for (const item of workers.value.items) this.#changeHandler.applyWorker(item);
-    this.#changeHandler.unlistAbsentWorkers(workers.value.items);
+    for (const item of workers.items) {
+      runGuarded(() => {
+        this.#changeHandler.applyWorker(item);
+      }, onError);
+    }
+    this.#changeHandler.unlistAbsentWorkers(workers.items);
     this.#progressWriter = new ProgressWriter(
       store,
       this.#scheduler,
       this.#leaderLease,
-      placements.value?.revision ?? 0,
+      progressOrder?.revision ?? 0,
       log,
       () => {
         this.#handleProgressWritten();
@@ -233,28 +257,36 @@
         this.#dependencies.onLeaseLost('the store has another leader');
       },
     );
-    this.#watchPrefix(storeKeys.jobPrefix, jobs.value.revision, (item) => {
+    this.#watchPrefix(storeKeys.jobPrefix, jobs.revision, (item) => {
       this.#changeHandler.applyJob(item);
     });
-    this.#watchPrefix(decoder.workerPrefix, workers.value.revision, (item) => {
+    this.#watchPrefix(decoder.workerPrefix, workers.revision, (item) => {
       this.#changeHandler.applyWorker(item);
     });
     log.write('leaderLoaded', {
       term: this.#leaderLease.term,
-      jobs: jobs.value.items.length,
-      progress: progress.value.items.length,
-      workers: workers.value.items.length,
+      jobs: jobs.items.length,
+      progress: progress.items.length,
+      workers: workers.items.length,
       inherited: restored.length,
       suspended: restored.filter(({ isSuspended }) => isSuspended).length,
-      durationMs: Math.round(performance.now() - startedAt),
+      durationMs: Math.round(performance.now() - this.#startedAt),
     });
     return true;
   }
 
   #watchPrefix(prefix: string, revision: number, apply: (item: StoreItem) => void): void {
-    const watch = new PrefixWatch(this.#dependencies.store, prefix, hostLimits.leaderWatchMs, {
+    const { store, log } = this.#dependencies;
+    const onError = (error: unknown): void => {
+      log.writeError(prefix, error);
+    };
+    const watch = new PrefixWatch(store, prefix, hostLimits.leaderWatchMs, {
+      onError,
       onSnapshot: (items) => {
-        for (const item of items) apply(item);
+        for (const item of items)
+          runGuarded(() => {
+            apply(item);
+          }, onError);
         if (prefix === this.#dependencies.decoder.workerPrefix)
           this.#changeHandler.unlistAbsentWorkers(items);
         this.#schedulePlan();
@@ -268,6 +300,21 @@
     void watch.run(revision);
   }
 
+  /** Whether a host that can carry the leader much better has a link to this one. */
+  get #shouldHandOver(): boolean {
+    if (performance.now() - this.#startedAt < hostLimits.minLeadershipMs) return false;
+    if (!this.#leaderLease.isValid) return false;
+    const { listPeerLinks, isOutranked } = this.#dependencies;
+    return listPeerLinks().some(
+      ({ peer, isClosed }) => !isClosed && isOutranked(peer?.leaderFitness ?? 0),
+    );
+  }
+
+  async #handOver(): Promise<void> {
+    await this.flushProgress();
+    if (!this.#isStopped) await this.#dependencies.onResign('a fitter host can lead');
+  }
+
   /** Schedules a planning pass, unless one is scheduled already. */
   #schedulePlan(): void {
     if (this.#planTimer !== undefined || this.#isStopped || !this.#isLoaded) return;
@@ -275,7 +322,14 @@
     const waitMs = Math.max(0, this.#lastPlanAt + this.#lastPlanMs + pauseMs - performance.now());
     this.#planTimer = setTimeout(() => {
       this.#planTimer = undefined;
-      this.#plan();
+      runGuarded(
+        () => {
+          this.#plan();
+        },
+        (error) => {
+          this.#dependencies.log.writeError('planning', error);
+        },
+      );
     }, waitMs);
   }
 
--- a/packages/daemon/src/LeaderDependencies.ts
+++ b/packages/daemon/src/LeaderDependencies.ts
@@ -17,4 +17,8 @@
   readonly metrics: HostMetrics;
   /** Called when a worker or the store shows that the leader lease is lost. */
   readonly onLeaseLost: (reason: string) => void;
+  /** Gives up the leadership, so that another host can be elected at once. */
+  readonly onResign: (reason: string) => Promise<void>;
+  /** Checks whether a host with this fitness should lead in place of this one. */
+  readonly isOutranked: (fitness: number) => boolean;
 }
--- a/packages/daemon/src/PrefixWatch.ts
+++ b/packages/daemon/src/PrefixWatch.ts
@@ -1,6 +1,7 @@
 import type { MetadataStore } from '@toucanline/jobs';
 import type { WatchHandler } from './WatchHandler.js';
 import { hostLimits } from './hostLimits.js';
+import { runGuarded } from './runGuarded.js';
 
 /** Watches all items with a key prefix: lists them, then watches for changes; lists again if the history is gone. */
 export class PrefixWatch {
@@ -59,7 +60,9 @@
       await this.#pause();
       return undefined;
     }
-    this.#handler.onSnapshot(page.value.items, page.value.revision);
+    this.#guard(() => {
+      this.#handler.onSnapshot(page.value.items, page.value.revision);
+    });
     this.#handler.onConfirmed?.(sentAt, sentAtWall);
     return page.value.revision;
   }
@@ -73,12 +76,21 @@
       if (page.error.kind !== 'staleRevision') await this.#pause();
       return undefined;
     }
-    for (const item of page.value.items) this.#handler.onChange(item);
+    for (const item of page.value.items) {
+      this.#guard(() => {
+        this.#handler.onChange(item);
+      });
+    }
     // Only the time of the request is confirmed, although the answer includes every change up to the answer.
     this.#handler.onConfirmed?.(sentAt, sentAtWall);
     return Math.max(after, page.value.revision);
   }
 
+  /** Keeps the watch going when a callback throws. */
+  #guard(callback: () => void): void {
+    runGuarded(callback, this.#handler.onError);
+  }
+
   #pause(): Promise<void> {
     return new Promise((resolve) => setTimeout(resolve, hostLimits.watchRetryMs));
   }
--- a/packages/daemon/src/ProgressWriter.ts
+++ b/packages/daemon/src/ProgressWriter.ts
@@ -9,13 +9,13 @@
 import type { LeaderLease } from './LeaderLease.js';
 import { storeKeys } from './storeKeys.js';
 
-/** Records in one transaction: the store accepts 32 entries, three of which serialize the leader's writes. */
+/** Records in one transaction: the store accepts 32 entries, two conditions, the order and the placements included. */
 const maxRecordsPerWrite = 28;
 
 /**
  * Writes the progress of jobs, so that the ends of runs are stored before they are acknowledged to the workers. Each
- * write replaces `placements` on condition of its revision, so a write that takes effect late cannot overwrite newer
- * progress.
+ * write replaces the order key on condition of its revision, so a write that takes effect late cannot overwrite newer
+ * progress. The placements are written along at intervals.
  */
 export class ProgressWriter {
   readonly #store: MetadataStore;
@@ -24,7 +24,8 @@
   readonly #log: EventLog;
   readonly #onWritten: () => void;
   readonly #onLeaseLost: () => void;
-  #placementsRevision: number;
+  #orderRevision: number;
+  #placementsWrittenAt = -Infinity;
   #activeRun: Promise<void> | undefined;
   #isFlushing = false;
   #isStopped = false;
@@ -33,7 +34,7 @@
    * @param store - metadata store
    * @param scheduler - owns the pending progress
    * @param leaderLease - leader lease of this term
-   * @param placementsRevision - store revision of the key `placements`
+   * @param orderRevision - store revision of the order key
    * @param log - event log of this process
    * @param onWritten - called after each successful write
    * @param onLeaseLost - called when the store shows another leader
@@ -42,7 +43,7 @@
     store: MetadataStore,
     scheduler: Scheduler,
     leaderLease: LeaderLease,
-    placementsRevision: number,
+    orderRevision: number,
     log: EventLog,
     onWritten: () => void,
     onLeaseLost: () => void,
@@ -50,7 +51,7 @@
     this.#store = store;
     this.#scheduler = scheduler;
     this.#leaderLease = leaderLease;
-    this.#placementsRevision = placementsRevision;
+    this.#orderRevision = orderRevision;
     this.#log = log;
     this.#onWritten = onWritten;
     this.#onLeaseLost = onLeaseLost;
@@ -75,6 +76,7 @@
     // Of two concurrent writes, one could acknowledge ends that the slower one has not written yet.
     this.#isFlushing = true;
     await this.#activeRun;
+    this.#placementsWrittenAt = -Infinity;
     if (this.#scheduler.progress.hasPending && !this.#isStopped) await this.#writeBatch();
     this.#isStopped = true;
   }
@@ -98,23 +100,24 @@
     this.#scheduler.progress.confirmBatch(batch);
     for (const { id, state, finishedAtMs } of batch.progress) {
       if (finishedAtMs === undefined) continue;
-      this.#log.write('jobFinished', { request: id, state, revision: this.#placementsRevision });
+      this.#log.write('jobFinished', { request: id, state, revision: this.#orderRevision });
     }
     this.#onWritten();
     return true;
   }
 
   async #commit(records: ReturnType<PendingProgress['takeBatch']>['progress']): Promise<boolean> {
+    const startedAt = performance.now();
+    const arePlacementsDue =
+      startedAt - this.#placementsWrittenAt >= hostLimits.placementsIntervalMs;
     const outcome = await this.#store.commit({
       expected: [
         { key: storeKeys.holder, revision: this.#leaderLease.holderRevision },
-        { key: storeKeys.placements, revision: this.#placementsRevision },
+        { key: storeKeys.progressOrder, revision: this.#orderRevision },
       ],
       put: [
-        {
-          key: storeKeys.placements,
-          value: JSON.stringify(describePlacements(this.#scheduler.workers)),
-        },
+        { key: storeKeys.progressOrder, value: String(this.#leaderLease.term) },
+        ...(arePlacementsDue ? [this.#describePlacements()] : []),
         ...records.map((record) => ({
           key: storeKeys.progressPrefix + record.id,
           value: JSON.stringify(record),
@@ -126,12 +129,18 @@
       return false;
     }
     if (outcome.value.committed) {
-      this.#placementsRevision = outcome.value.revision;
+      this.#orderRevision = outcome.value.revision;
+      if (arePlacementsDue) this.#placementsWrittenAt = startedAt;
       return true;
     }
     return this.#handleConflict(outcome.value.items);
   }
 
+  #describePlacements(): { readonly key: string; readonly value: string } {
+    const value = JSON.stringify(describePlacements(this.#scheduler.workers));
+    return { key: storeKeys.placements, value };
+  }
+
   #handleConflict(items: readonly { readonly key: string; readonly revision: number }[]): false {
     const holder = items.find(({ key }) => key === storeKeys.holder);
     if (holder?.revision !== this.#leaderLease.holderRevision) {
@@ -140,7 +149,7 @@
       return false;
     }
     // An earlier write without an answer did take effect.
-    this.#placementsRevision = items.find(({ key }) => key === storeKeys.placements)?.revision ?? 0;
+    this.#orderRevision = items.find(({ key }) => key === storeKeys.progressOrder)?.revision ?? 0;
     return false;
   }
 }
--- a/packages/daemon/src/RosterManager.ts
+++ b/packages/daemon/src/RosterManager.ts
@@ -29,6 +29,8 @@
   #storedIncarnations = new Set<string>();
   /** Worker incarnations that the store lists as suspended. */
   #suspendedIncarnations = new Set<string>();
+  /** Whether the store holds a roster that differs from the last one whose write was confirmed. */
+  #isRosterUnknown = false;
   #rosterRevision = 0;
   #suspensionsRevision = 0;
   #lastWriteAt = 0;
@@ -75,7 +77,13 @@
     );
     this.#suspendedIncarnations = new Set(remainingMsByName.keys());
     const workers: Worker[] = [];
-    for (const entry of readRoster(roster)) {
+    const entries = readRoster(roster);
+    if (entries === undefined) {
+      this.#log.write('rosterUnreadable', { revision: this.#rosterRevision });
+      this.#isRosterUnknown = true;
+      this.#scheduler.assumeUnknownWorkers();
+    }
+    for (const entry of entries ?? []) {
       const name = formatIncarnation(entry);
       this.#storedIncarnations.add(name);
       const worker = this.#scheduler.updateWorker(entry, true, remainingMsByName.get(name));
@@ -92,8 +100,7 @@
    * @param now - monotonic time in milliseconds
    */
   public update(now: number): void {
-    const { workers } = this.#scheduler;
-    for (const worker of workers) {
+    for (const worker of this.#scheduler.workers) {
       const name = formatIncarnation(worker);
       const isActive = this.#storedIncarnations.has(name) && !this.#suspendedIncarnations.has(name);
       if (worker.isSuspended || (isActive && !isUnreachable(worker))) continue;
@@ -106,21 +113,32 @@
         remainingMs: Math.round(this.#scheduler.computeRemainingMs(worker, now)),
       });
     }
+    // An entry that nothing has answered for may lead to no worker, and the next leader would wait for it.
+    const workers = this.#scheduler.workers.filter(
+      (worker) => worker.isSurveyed || this.#storedIncarnations.has(formatIncarnation(worker)),
+    );
     if (this.#isWriting || !this.#leaderLease.isValid || !this.#isWriteNeeded(workers, now)) return;
     void this.#write(workers, now);
   }
 
   #isWriteNeeded(workers: readonly Worker[], now: number): boolean {
-    if (workers.length !== this.#storedIncarnations.size) return true;
+    if (!this.#isRosterStored(workers)) return true;
     const isStale = now - this.#lastWriteAt >= hostLimits.suspensionRefreshMs;
     return workers.some((worker) => {
       const name = formatIncarnation(worker);
-      if (!this.#storedIncarnations.has(name)) return true;
       if (this.#suspendedIncarnations.has(name) !== isStillSuspended(worker)) return true;
       return isStale && worker.isSuspended && this.#scheduler.computeRemainingMs(worker, now) > 0;
     });
   }
 
+  #isRosterStored(workers: readonly Worker[]): boolean {
+    return (
+      !this.#isRosterUnknown &&
+      workers.length === this.#storedIncarnations.size &&
+      workers.every((worker) => this.#storedIncarnations.has(formatIncarnation(worker)))
+    );
+  }
+
   async #write(workers: readonly Worker[], now: number): Promise<void> {
     this.#isWriting = true;
     this.#lastWriteAt = now;
@@ -129,7 +147,15 @@
       const remainingMs = Math.ceil(this.#scheduler.computeRemainingMs(worker, now));
       return { worker: worker.id, life: worker.life, remainingMs };
     });
-    const entries = workers.map(({ entry }) => entry);
+    // The roster holds the entries of all workers, so it is written only when an incarnation was added or has ended.
+    const roster = this.#isRosterStored(workers)
+      ? []
+      : [
+          {
+            key: storeKeys.roster,
+            value: JSON.stringify({ workers: workers.map(({ entry }) => entry) }),
+          },
+        ];
     const outcome = await this.#dependencies.store.commit({
       expected: [
         { key: storeKeys.holder, revision: this.#leaderLease.holderRevision },
@@ -137,14 +163,17 @@
         { key: storeKeys.suspensions, revision: this.#suspensionsRevision },
       ],
       put: [
-        { key: storeKeys.roster, value: JSON.stringify({ workers: entries }) },
+        ...roster,
         { key: storeKeys.suspensions, value: JSON.stringify({ workers: suspensionRecords }) },
       ],
     });
     if (outcome.isErr()) {
       await new Promise((resolve) => setTimeout(resolve, hostLimits.progressRetryMs));
     } else if (outcome.value.committed) {
-      this.#rosterRevision = outcome.value.revision;
+      if (roster.length > 0) {
+        this.#rosterRevision = outcome.value.revision;
+        this.#isRosterUnknown = false;
+      }
       this.#suspensionsRevision = outcome.value.revision;
       this.#applyWritten(workers, suspended);
     } else this.#handleConflict(outcome.value.items);
@@ -171,6 +200,7 @@
       return;
     }
     // An earlier write without an answer did take effect; the next write replaces it.
+    if (revisionOf(storeKeys.roster) !== this.#rosterRevision) this.#isRosterUnknown = true;
     this.#rosterRevision = revisionOf(storeKeys.roster);
     this.#suspensionsRevision = revisionOf(storeKeys.suspensions);
   }
@@ -187,11 +217,13 @@
 const isStillSuspended = (worker: Worker): boolean =>
   worker.isSuspended && (isUnreachable(worker) || !worker.isSurveyed);
 
-const readRoster = (item: StoreItem | undefined): readonly WorkerEntry[] => {
+/** Reads the workers of the stored roster; undefined if it cannot be decoded, so that any worker may run tasks. */
+const readRoster = (item: StoreItem | undefined): readonly WorkerEntry[] | undefined => {
   if (item?.value === undefined) return [];
-  return parseStoredRecord(validators.WorkerRoster, item.value)?.workers ?? [];
+  return parseStoredRecord(validators.WorkerRoster, item.value)?.workers;
 };
 
+/** Reads the stored suspensions. Without them the next leader waits for the longest lease, which is always safe. */
 const readSuspensions = (item: StoreItem | undefined): readonly Suspension[] => {
   if (item?.value === undefined) return [];
   return parseStoredRecord(validators.Suspensions, item.value)?.workers ?? [];
--- a/packages/daemon/src/StoreChangeHandler.ts
+++ b/packages/daemon/src/StoreChangeHandler.ts
@@ -113,6 +113,7 @@
     const entry = decoder.decodeWorker(key, value);
     if (entry === undefined) {
       log.write('workerEntryUnreadable', { key });
+      this.#scheduler.unlistWorker(id);
       return;
     }
     if (this.#isDeferring && !this.#hasIncarnation(id, entry.life)) {
--- a/packages/daemon/src/WatchHandler.ts
+++ b/packages/daemon/src/WatchHandler.ts
@@ -11,6 +11,12 @@
   readonly onSnapshot: (items: readonly StoreItem[], revision: number) => void;
   /** Called with each changed or removed item. */
   readonly onChange: (item: StoreItem) => void;
+  /**
+   * Called when a callback threw an error. The watch goes on with the next item.
+   *
+   * @param error - value that was thrown
+   */
+  readonly onError: (error: unknown) => void;
   /**
    * Called after each successful call.
    *
--- a/packages/daemon/src/WorkerSession.ts
+++ b/packages/daemon/src/WorkerSession.ts
@@ -21,13 +21,22 @@
   /** Polls the worker until the session is stopped. */
   public async run(): Promise<void> {
     while (!this.#hasStopped()) {
-      if (!this.#isReportNeeded) await this.#sleep(undefined);
-      else if (!this.#context.leaderLease.canIssueCommands)
+      try {
+        await this.#step();
+      } catch (error) {
+        this.#context.log.writeError(`session of worker ${this.#worker.id}`, error);
         await this.#sleep(hostLimits.reportRetryMs);
-      else await this.#pollReport();
+      }
     }
   }
 
+  async #step(): Promise<void> {
+    if (!this.#isReportNeeded) await this.#sleep(undefined);
+    else if (!this.#context.leaderLease.canIssueCommands)
+      await this.#sleep(hostLimits.reportRetryMs);
+    else await this.#pollReport();
+  }
+
   /** Stops the session. */
   public stop(): void {
     this.#isStopped = true;
--- a/packages/daemon/src/hostLimits.ts
+++ b/packages/daemon/src/hostLimits.ts
@@ -27,6 +27,14 @@
   storeSilenceLimitMs: 900,
   /** Longest random delay of a campaign after the leader lease has expired, so that the hosts do not collide. */
   campaignJitterMs: 60,
+  /** Longest delay of the campaign of a host that can carry the leader less well than another host of the site. */
+  maxUnfitDelayMs: 900,
+  /** Time for which a host that gave up the leadership for another one does not campaign. */
+  resignationPauseMs: 2500,
+  /** Time without the complete stored state after which a new leader gives up the leadership for another host. */
+  leaderLoadTimeoutMs: 5000,
+  /** Time after its election before a leader hands over to a fitter host. */
+  minLeadershipMs: 500,
   /**
    * Time for resolving a submission whose outcome is unknown, before it is reported to the caller as unknown. Together
    * with the timeout of the write this leaves callers, who wait 3 s, enough time to try another host.
@@ -55,6 +63,11 @@
   maxPlanIntervalMs: 100,
   /** Pause between two writes of progress. */
   minProgressIntervalMs: 15,
+  /**
+   * Shortest time between two writes of the placements: on a large fleet they are larger than all other writes of the
+   * leader together.
+   */
+  placementsIntervalMs: 200,
   /** Pause after a failed write of progress or of the roster. */
   progressRetryMs: 100,
   /**
--- a/packages/jobs/src/InheritedWorkers.ts
+++ b/packages/jobs/src/InheritedWorkers.ts
@@ -5,6 +5,15 @@
 import type { Worker } from './Worker.js';
 import type { WorkerPool } from './WorkerPool.js';
 
+/**
+ * Longest time for which runs of the previous leader may continue after the election, in milliseconds. It may send
+ * commands until its grace period ends, except to workers that it suspended.
+ */
+const longestWaitMs =
+  schedulingLimits.leaderGraceMs +
+  schedulingLimits.maxWorkerLeaseMs / schedulingLimits.minClockRate +
+  schedulingLimits.leaseExpiryMarginMs;
+
 /** Workers on which the previous leader may have started runs and which this leader has not surveyed yet. */
 export class InheritedWorkers {
   readonly #jobs: JobRegistry;
@@ -12,6 +21,7 @@
   readonly #electedAt: number;
   /** Unsurveyed workers, with the monotonic time in milliseconds by which all leases on them have expired. */
   readonly #leaseExpiries = new Map<Worker, number>();
+  #areWorkersUnknown = false;
 
   /**
    * @param jobs - known jobs
@@ -32,13 +42,18 @@
    * suspended the worker; undefined otherwise
    */
   public add(worker: Worker, remainingMs: number | undefined): void {
-    const { maxWorkerLeaseMs, leaderGraceMs, minClockRate, leaseExpiryMarginMs } = schedulingLimits;
-    // The previous leader may send commands until its grace period ends, except to workers that it suspended.
-    const longestMs = leaderGraceMs + maxWorkerLeaseMs / minClockRate + leaseExpiryMarginMs;
-    const waitMs = Math.min(remainingMs ?? longestMs, longestMs);
+    const waitMs = Math.min(remainingMs ?? longestWaitMs, longestWaitMs);
     if (waitMs > 0) this.#leaseExpiries.set(worker, this.#electedAt + waitMs);
   }
 
+  /**
+   * Assumes that any worker may run tasks of the previous leader, because its list of workers cannot be read. All jobs
+   * accepted before the election wait for the longest lease.
+   */
+  public assumeUnknownWorkers(): void {
+    this.#areWorkersUnknown = true;
+  }
+
   /**
    * Counts the usage that the previous leader had placed on the workers against account caps until they are surveyed.
    *
@@ -72,6 +87,7 @@
    */
   public canStillRun(job: Job, service: string): boolean {
     if (job.acceptedRevision > this.#electionRevision) return false;
+    if (this.#areWorkersUnknown) return true;
     for (const { entry } of this.#leaseExpiries.keys()) if (entry.service === service) return true;
     return false;
   }
@@ -82,6 +98,7 @@
    * @param now - monotonic time in milliseconds
    */
   public removeExpired(now: number): void {
+    if (now > this.#electedAt + longestWaitMs) this.#areWorkersUnknown = false;
     for (const [worker, expiresAt] of this.#leaseExpiries) if (now > expiresAt) this.remove(worker);
   }
 
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -145,6 +145,14 @@
     return worker;
   }
 
+  /**
+   * Makes all jobs accepted before the election wait for the longest lease, because the previous leader's list of
+   * workers cannot be read.
+   */
+  public assumeUnknownWorkers(): void {
+    this.#inheritedWorkers.assumeUnknownWorkers();
+  }
+
   /**
    * Computes how long runs may continue on a worker that gets no further commands or leases.
    *
