Plan in bounded parts, with workers grouped once a pass

Cause: a planning pass cost pending steps times workers, several times over: eligibility, verdicts, preemption and reservations each scanned the fleet for each step, and preemption was tried again for each missing task of a step. Change: workers are grouped by service and label once a pass; a step that exceeds the largest free capacity of its group is not placed; reservations come from one sorted list a step; preemption stops at the first task that frees nothing; verdicts beyond 12 allowed workers are requested only where the step fits; a pass examines the first 96 steps and 64 further ones in turn.

--- /dev/null
+++ b/packages/jobs/src/EligibleWorkers.ts
@@ -0,0 +1,55 @@
+import type { Room } from '@toucanline/schema';
+import type { PendingStep } from './PendingStep.js';
+import { resources } from './resources.js';
+import type { Worker } from './Worker.js';
+
+/** Workers of one service and label that accept tasks, as a list and as a set. */
+interface EligibleGroup {
+  readonly workers: readonly Worker[];
+  readonly members: ReadonlySet<Worker>;
+  /** Largest free capacity in each dimension: a task that exceeds it fits on no worker of the group. */
+  readonly maxFree: Room;
+}
+
+/** Workers that accept tasks during one planning pass, grouped once for all steps with the same requirements. */
+export class EligibleWorkers {
+  readonly #accepting: readonly Worker[];
+  readonly #groups = new Map<string, EligibleGroup>();
+
+  /**
+   * @param all - all known workers
+   * @param now - monotonic time of the pass, in milliseconds
+   */
+  public constructor(all: readonly Worker[], now: number) {
+    this.#accepting = all.filter((worker) => worker.canAcceptTasks(now));
+  }
+
+  /**
+   * Finds the workers on which a step may run, by service and label.
+   *
+   * @param pending - step and its queue
+   * @returns workers that match and accept tasks
+   */
+  public find({ step, queue }: Pick<PendingStep, 'step' | 'queue'>): EligibleGroup {
+    const { requiredLabel } = step.description;
+    const key = JSON.stringify([queue.service, requiredLabel]);
+    const known = this.#groups.get(key);
+    if (known !== undefined) return known;
+    const workers = this.#accepting.filter(
+      ({ entry }) =>
+        entry.service === queue.service &&
+        (requiredLabel === undefined || entry.labels.includes(requiredLabel)),
+    );
+    const maxFree = workers.reduce<Room>(
+      (max, { free }) => ({
+        milliProcessors: Math.max(max.milliProcessors, free.milliProcessors),
+        memoryMb: Math.max(max.memoryMb, free.memoryMb),
+        accelerators: Math.max(max.accelerators, free.accelerators),
+      }),
+      resources.none,
+    );
+    const group = { workers, members: new Set(workers), maxFree };
+    this.#groups.set(key, group);
+    return group;
+  }
+}
--- a/packages/jobs/src/PermitCache.ts
+++ b/packages/jobs/src/PermitCache.ts
@@ -32,15 +32,16 @@
   }
 
   /**
-   * Checks whether the policy is known to allow a worker, even if the permit has expired.
+   * Lists the workers that the policy is known to allow, even if their permits have expired.
    *
    * @param stepKey - key of the step
-   * @param worker - worker to check
-   * @returns whether the policy allows it
+   * @returns allowed workers, also ones that have ended meanwhile
    */
-  public isAllowed(stepKey: string, worker: Worker): boolean {
-    const permit = this.#entriesByStep.get(stepKey)?.get(worker)?.permit;
-    return permit !== undefined && permit !== '';
+  public listAllowed(stepKey: string): readonly Worker[] {
+    const allowed: Worker[] = [];
+    for (const [worker, { permit }] of this.#entriesByStep.get(stepKey) ?? [])
+      if (permit !== '') allowed.push(worker);
+    return allowed;
   }
 
   /**
--- a/packages/jobs/src/PermitRequests.ts
+++ b/packages/jobs/src/PermitRequests.ts
@@ -2,10 +2,23 @@
 import type { ImageDurations } from './ImageDurations.js';
 import type { PermitCache } from './PermitCache.js';
 import type { PlanningPass } from './PlanningPass.js';
+import { resources } from './resources.js';
 import { schedulingLimits } from './schedulingLimits.js';
 import type { StepInstance } from './StepInstance.js';
 import type { Worker } from './Worker.js';
 
+/** Workers for which permits may be requested. */
+interface PermitCandidates {
+  /** Workers that match the service and labels of the step. */
+  readonly workers: readonly Worker[];
+  /** Workers that the policy is known to allow. */
+  readonly allowed: readonly Worker[];
+  /** Workers on which capacity is reserved for the step. */
+  readonly reserved: ReadonlySet<Worker>;
+  /** Whether a task may fit on one of the workers now. */
+  readonly mayFit: boolean;
+}
+
 /** Decides for which steps and workers placement permits are requested, and when. */
 export class PermitRequests {
   readonly #permits: PermitCache;
@@ -24,25 +37,30 @@
    * Requests unknown verdicts, and renews expired permits of workers that have the capacity now.
    *
    * @param pending - step and its queue
-   * @param workers - workers that match its service and labels
-   * @param reservedWorkers - workers on which capacity is reserved for it
+   * @param candidates - workers of the step, and what is known about them
    * @param pass - planning pass, which receives the request if one is needed and possible
    */
   public requestPermits(
     { step, queue }: PendingStep,
-    workers: readonly Worker[],
-    reservedWorkers: ReadonlySet<Worker>,
+    { workers, allowed, reserved, mayFit }: PermitCandidates,
     pass: PlanningPass,
   ): void {
-    const { now } = pass;
+    const { now, reservations } = pass;
     const { advice } = queue;
     if (advice === undefined || !this.#permits.canRequest(step.key, now)) return;
-    const missing = workers.filter((worker) =>
-      this.#permits.hasVerdict(step.key, worker)
-        ? reservedWorkers.has(worker) &&
-          this.#permits.findPermit(step.key, worker, now) === undefined
-        : true,
-    );
+    const hasChoice = allowed.length >= schedulingLimits.minAllowedWorkers;
+    const { size } = step.description;
+    const missing =
+      hasChoice && !mayFit
+        ? []
+        : workers.filter(
+            (worker) =>
+              !this.#permits.hasVerdict(step.key, worker) &&
+              (!hasChoice || resources.fits(size, reservations.freeOn(worker))),
+          );
+    for (const worker of reserved) {
+      if (this.#permits.findPermit(step.key, worker, now) === undefined) missing.push(worker);
+    }
     if (missing.length === 0) return;
     const requested = [...missing]
       .sort((a, b) => b.free.milliProcessors - a.free.milliProcessors)
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -10,8 +10,10 @@
 import type { QueueSettings } from './QueueSettings.js';
 import type { Command } from './Command.js';
 import type { PermitCache } from './PermitCache.js';
+import { EligibleWorkers } from './EligibleWorkers.js';
 import { PermitRequests } from './PermitRequests.js';
 import { PlanningPass } from './PlanningPass.js';
+import { PlanningWindow } from './PlanningWindow.js';
 import { resources } from './resources.js';
 import type { StepInstance } from './StepInstance.js';
 import { reserveCapacity } from './reserveCapacity.js';
@@ -26,6 +28,8 @@
   readonly pending: PendingStep;
   /** Workers that match its service and labels and accept tasks. */
   readonly workers: readonly Worker[];
+  /** Whether a task may fit on one of the workers now. */
+  readonly mayFit: boolean;
   /** Subset of the workers that the placement policy is known to allow. */
   readonly allowed: readonly Worker[];
 }
@@ -38,6 +42,7 @@
   readonly #permits: PermitCache;
   readonly #pendingSteps: PendingSteps;
   readonly #permitRequests: PermitRequests;
+  readonly #window = new PlanningWindow();
   readonly #canStillRun: (job: Job, service: string) => boolean;
   readonly #firstRunNumber: number;
 
@@ -77,12 +82,17 @@
    */
   public plan(now: number): readonly Command[] {
     const pass = new PlanningPass(now, this.#queues);
-    const all = this.#pool.all;
-    const ready = this.#pendingSteps.collect(now).map((pending): PlaceableStep => {
-      const workers = all.filter((worker) => this.#isEligible(pending, worker, now));
-      const allowed = this.#filterAllowed(pending, workers);
+    const eligible = new EligibleWorkers(this.#pool.all, now);
+    const selected = this.#window.select(this.#pendingSteps.collect(now));
+    const ready = selected.map((pending): PlaceableStep => {
+      const { workers, members, maxFree } = eligible.find(pending);
+      const { step, queue } = pending;
+      const allowed =
+        queue.advice === undefined
+          ? workers
+          : this.#permits.listAllowed(step.key).filter((worker) => members.has(worker));
       pass.contention.addStep(pending, allowed);
-      return { pending, workers, allowed };
+      return { pending, workers, mayFit: resources.fits(step.description.size, maxFree), allowed };
     });
     for (const each of ready) this.#planStep(each, pass);
     for (const task of pass.preemption.victims) {
@@ -91,31 +101,17 @@
       task.beginStop(now, 'preempted');
       pass.addCommand({ kind: 'stop', task, worker, run: task.run });
     }
-    this.#prefetchPermits(all, pass);
+    this.#prefetchPermits(eligible, pass);
     return pass.commands;
   }
 
-  #isEligible({ step, queue }: PendingStep, worker: Worker, now: number): boolean {
-    const { requiredLabel } = step.description;
-    return (
-      worker.entry.service === queue.service &&
-      worker.canAcceptTasks(now) &&
-      (requiredLabel === undefined || worker.entry.labels.includes(requiredLabel))
-    );
-  }
-
-  #filterAllowed({ step, queue }: PendingStep, workers: readonly Worker[]): readonly Worker[] {
-    if (queue.advice === undefined) return workers;
-    return workers.filter((worker) => this.#permits.isAllowed(step.key, worker));
-  }
-
-  #planStep({ pending, workers, allowed }: PlaceableStep, pass: PlanningPass): void {
+  #planStep({ pending, workers, mayFit, allowed }: PlaceableStep, pass: PlanningPass): void {
     const { step, queue } = pending;
-    this.#startWaiting(pending, allowed, pass);
+    if (mayFit) this.#startWaiting(pending, allowed, pass);
     if (step.waitingCount === 0) return;
     // Capacity that is already free is reserved while permits are being renewed.
     const feasible =
-      queue.advice === undefined
+      queue.advice === undefined || !mayFit
         ? []
         : this.#chooseWorkers(pending, allowed.map(withoutPermit), pass);
     const reservedWorkers = new Set(feasible.map(({ worker }) => worker));
@@ -123,7 +119,8 @@
     const missing = Math.min(step.waitingCount, this.#countWithinCap(step)) - feasible.length;
     for (const worker of reserveCapacity(pending, allowed, missing, pass))
       reservedWorkers.add(worker);
-    this.#permitRequests.requestPermits(pending, workers, reservedWorkers, pass);
+    const candidates = { workers, allowed, reserved: reservedWorkers, mayFit };
+    this.#permitRequests.requestPermits(pending, candidates, pass);
   }
 
   #chooseWorkers(
@@ -182,7 +179,7 @@
   }
 
   /** Requests permits for steps whose dependencies are about to complete. */
-  #prefetchPermits(all: readonly Worker[], pass: PlanningPass): void {
+  #prefetchPermits(eligible: EligibleWorkers, pass: PlanningPass): void {
     for (const job of this.#jobs.openJobs) {
       const queue = this.#queues.findQueue(job);
       if (queue?.advice === undefined || this.#canStillRun(job, queue.service)) continue;
@@ -195,8 +192,9 @@
           stepDeadline: 0,
           lateness: 'onTime',
         } as const;
-        const workers = all.filter((worker) => this.#isEligible(pending, worker, pass.now));
-        this.#permitRequests.requestPermits(pending, workers, new Set(), pass);
+        const { workers } = eligible.find(pending);
+        const candidates = { workers, allowed: [], reserved: new Set<Worker>(), mayFit: false };
+        this.#permitRequests.requestPermits(pending, candidates, pass);
       }
     }
   }
--- a/packages/jobs/src/Preemption.ts
+++ b/packages/jobs/src/Preemption.ts
@@ -7,13 +7,21 @@
 import type { Task } from './Task.js';
 import type { Worker } from './Worker.js';
 
+/** Tasks of a worker whose resources are being freed or can be freed. */
+interface FreeableTasks {
+  readonly preemptible: readonly Task[];
+  /** Lowest urgency among the preemptible tasks, as the priority of their queue; 0 if there are none. */
+  readonly maxPriority: number;
+  readonly hasStopping: boolean;
+}
+
 /** Chooses running tasks to stop in favour of more urgent work. Only tasks with checkpoints are preempted. */
 export class Preemption {
   readonly #queues: QueueSettings;
   readonly #reservations: Reservations;
   readonly #victims = new Set<Task>();
-  /** Cached preemptible tasks by worker; most workers have none. */
-  readonly #preemptible = new Map<Worker, readonly Task[]>();
+  /** Cached tasks whose resources are or can be freed, by worker; most workers have none. */
+  readonly #freeable = new Map<Worker, FreeableTasks>();
 
   /**
    * @param queues - settings of the queues
@@ -41,7 +49,8 @@
     const { size } = pending.step.description;
     let best: { readonly worker: Worker; readonly victims: readonly Task[] } | undefined;
     for (const worker of workers) {
-      if (!this.#canFreeResources(worker, now)) continue;
+      const { maxPriority, hasStopping } = this.#findFreeable(worker, now);
+      if (maxPriority <= pending.queue.priority && !hasStopping) continue;
       const victims = this.#findVictims(worker, size, pending, now);
       if (victims === undefined) continue;
       if (best === undefined || victims.length < best.victims.length) best = { worker, victims };
@@ -65,7 +74,7 @@
       if (isLeaving) free = resources.add(free, task.occupiedResources);
     }
     const victims: Task[] = [];
-    for (const task of this.#listPreemptible(worker, now)) {
+    for (const task of this.#findFreeable(worker, now).preemptible) {
       if (resources.fits(size, free)) break;
       if (!this.#canPreempt(task, pending)) continue;
       victims.push(task);
@@ -74,31 +83,40 @@
     return resources.fits(size, free) ? victims : undefined;
   }
 
-  #canFreeResources(worker: Worker, now: number): boolean {
-    if (this.#listPreemptible(worker, now).length > 0) return true;
-    for (const { phase } of worker.tasks) if (phase === 'stopping') return true;
-    return false;
+  #findFreeable(worker: Worker, now: number): FreeableTasks {
+    const known = this.#freeable.get(worker);
+    if (known !== undefined) return known;
+    const preemptible: Task[] = [];
+    let maxPriority = 0;
+    let hasStopping = false;
+    for (const task of worker.tasks) {
+      if (task.phase === 'stopping') hasStopping = true;
+      else if (isPreemptible(task, now)) {
+        preemptible.push(task);
+        maxPriority = Math.max(maxPriority, this.#findPriority(task));
+      }
+    }
+    const freeable = { preemptible, maxPriority, hasStopping };
+    this.#freeable.set(worker, freeable);
+    return freeable;
   }
 
-  #listPreemptible(worker: Worker, now: number): readonly Task[] {
-    const known = this.#preemptible.get(worker);
-    if (known !== undefined) return known;
-    const tasks = [...worker.tasks].filter(({ phase, phaseStartedAt, step: { description } }) => {
-      if (phase !== 'running' || now - phaseStartedAt < schedulingLimits.minPreemptionAgeMs)
-        return false;
-      // Stopping one member ends the whole gang, which costs more work than the freed capacity is worth.
-      return (
-        description.hasCheckpoints === true &&
-        description.isLongRunning !== true &&
-        description.isGang !== true
-      );
-    });
-    this.#preemptible.set(worker, tasks);
-    return tasks;
+  #findPriority(task: Task): number {
+    return this.#queues.findQueue(task.step.job)?.priority ?? 0;
   }
 
   #canPreempt(task: Task, pending: PendingStep): boolean {
-    const priority = this.#queues.findQueue(task.step.job)?.priority ?? 0;
-    return priority > pending.queue.priority && !this.#victims.has(task);
+    return this.#findPriority(task) > pending.queue.priority && !this.#victims.has(task);
   }
 }
+
+/** Stopping one member ends the whole gang, which costs more work than the freed capacity is worth. */
+const isPreemptible = (
+  { phase, phaseStartedAt, step: { description } }: Task,
+  now: number,
+): boolean =>
+  phase === 'running' &&
+  now - phaseStartedAt >= schedulingLimits.minPreemptionAgeMs &&
+  description.hasCheckpoints === true &&
+  description.isLongRunning !== true &&
+  description.isGang !== true;
--- a/packages/jobs/src/Reservations.ts
+++ b/packages/jobs/src/Reservations.ts
@@ -2,9 +2,17 @@
 import { resources } from './resources.js';
 import type { Worker } from './Worker.js';
 
+/** Reservation on one worker, and the free capacity that follows from it. */
+interface WorkerReservation {
+  readonly reserved: Room;
+  /** Free capacity of the worker from which `free` was computed. */
+  readonly workerFree: Room;
+  readonly free: Room;
+}
+
 /** Capacity reserved during one planning pass for steps that are served earlier. */
 export class Reservations {
-  readonly #reserved = new Map<Worker, Room>();
+  readonly #reservations = new Map<Worker, WorkerReservation>();
 
   /**
    * Reserves capacity on a worker. It may exceed the free capacity: then nothing else starts there until enough is
@@ -14,17 +22,8 @@
    * @param size - resources of one task
    */
   public reserve(worker: Worker, size: Room): void {
-    this.#reserved.set(worker, resources.add(this.reservedOn(worker), size));
-  }
-
-  /**
-   * Finds the capacity that is reserved on a worker.
-   *
-   * @param worker - worker to check
-   * @returns reserved capacity
-   */
-  public reservedOn(worker: Worker): Room {
-    return this.#reserved.get(worker) ?? resources.none;
+    const known = this.#reservations.get(worker)?.reserved ?? resources.none;
+    this.#update(worker, resources.add(known, size));
   }
 
   /**
@@ -34,7 +33,16 @@
    * @returns free capacity minus reservations; negative if more is reserved than is free
    */
   public freeOn(worker: Worker): Room {
-    const reserved = this.#reserved.get(worker);
-    return reserved === undefined ? worker.free : resources.add(worker.free, reserved, -1);
+    const known = this.#reservations.get(worker);
+    if (known === undefined) return worker.free;
+    // The free capacity of a worker is replaced when a task is placed there.
+    return known.workerFree === worker.free ? known.free : this.#update(worker, known.reserved);
+  }
+
+  #update(worker: Worker, reserved: Room): Room {
+    const workerFree = worker.free;
+    const free = resources.add(workerFree, reserved, -1);
+    this.#reservations.set(worker, { reserved, workerFree, free });
+    return free;
   }
 }
--- a/packages/jobs/src/reserveCapacity.ts
+++ b/packages/jobs/src/reserveCapacity.ts
@@ -17,24 +17,45 @@
   return slots >= step.tasks.length;
 };
 
-const findEarliestFit = (
+/** Worker on which a large task may wait, and its free capacity in processor equivalents. */
+interface WaitingPlace {
+  readonly worker: Worker;
+  readonly free: number;
+}
+
+/**
+ * Checks whether a reservation makes sense. On a worker whose whole capacity is reserved already, another one would not
+ * be served sooner.
+ */
+const isReservable = ({ worker, free }: WaitingPlace): boolean =>
+  free > -resources.toProcessorEquivalents(worker.entry.capacity);
+
+/** Lists the workers for which the tasks are large, the one that is freed last first. */
+const listWaitingPlaces = (
   step: StepInstance,
   allowed: readonly Worker[],
   reservations: Reservations,
-): Worker | undefined => {
+): WaitingPlace[] => {
   const { size } = step.description;
-  let best: Worker | undefined;
-  let bestFree = -Infinity;
+  const places: WaitingPlace[] = [];
   for (const worker of allowed) {
-    const { capacity } = worker.entry;
-    if (!isLargeTask(size, capacity)) continue;
+    if (!isLargeTask(size, worker.entry.capacity)) continue;
     const free = resources.toProcessorEquivalents(reservations.freeOn(worker));
-    // On a worker whose whole capacity is reserved already, another reservation would not be served sooner.
-    if (free <= bestFree || free <= -resources.toProcessorEquivalents(capacity)) continue;
-    best = worker;
-    bestFree = free;
+    if (isReservable({ worker, free })) places.push({ worker, free });
   }
-  return best;
+  return places.sort((a, b) => a.free - b.free);
+};
+
+/** Inserts a place into a list that is sorted by free capacity, before places with the same one. */
+const insertPlace = (places: WaitingPlace[], place: WaitingPlace): void => {
+  let from = 0;
+  let to = places.length;
+  while (from < to) {
+    const middle = (from + to) >> 1;
+    if ((places[middle]?.free ?? 0) < place.free) from = middle + 1;
+    else to = middle;
+  }
+  places.splice(from, 0, place);
 };
 
 /**
@@ -58,15 +79,27 @@
   if (isOpportunistic === true || lateness === 'hopeless' || step.job.isOverRate) return [];
   if (isGang === true && (missing < step.tasks.length || !hasCapacityForGang(step, allowed)))
     return [];
+  let count = 0;
+  if (lateness === 'onTime') {
+    while (
+      count < missing &&
+      preemption.victims.size < schedulingLimits.maxPreemptionsPerPass &&
+      preemption.preemptFor(pending, allowed, now)
+    )
+      count += 1;
+  }
+  const { size } = step.description;
   const reservedWorkers: Worker[] = [];
-  for (let count = 0; count < missing; count += 1) {
-    const canStop =
-      lateness === 'onTime' && preemption.victims.size < schedulingLimits.maxPreemptionsPerPass;
-    if (canStop && preemption.preemptFor(pending, allowed, now)) continue;
-    const worker = findEarliestFit(step, allowed, reservations);
-    if (worker === undefined) break;
-    reservations.reserve(worker, step.description.size);
+  if (count >= missing) return reservedWorkers;
+  const places = listWaitingPlaces(step, allowed, reservations);
+  for (; count < missing; count += 1) {
+    const earliest = places.pop();
+    if (earliest === undefined) break;
+    const { worker } = earliest;
+    reservations.reserve(worker, size);
     reservedWorkers.push(worker);
+    const place = { worker, free: earliest.free - resources.toProcessorEquivalents(size) };
+    if (isReservable(place)) insertPlace(places, place);
   }
   return reservedWorkers;
 };
--- a/packages/jobs/src/schedulingLimits.ts
+++ b/packages/jobs/src/schedulingLimits.ts
@@ -21,6 +21,15 @@
   maxWorkerBackoffMs: 4000,
   /** Maximum number of workers in one request for permits: the platform's objective allows for a call on 30. */
   maxWorkersPerAdvice: 30,
+  /**
+   * Number of allowed workers with which a step has a choice. Verdicts on further workers are requested only where the
+   * step has room, since each request takes time of the advice service.
+   */
+  minAllowedWorkers: 12,
+  /** Pending steps that each planning pass examines, from the first in the order of service. */
+  maxFirstSteps: 96,
+  /** Pending steps behind these that a planning pass examines in addition, others in each pass. */
+  maxFurtherSteps: 64,
   /** Time before the expected completion of its dependencies at which the permits of a step are requested. */
   adviceLeadMs: 900,
   /**
