Keep workers that refuse starts, remove all expired markers, scale reports with the leader's processor

Change: refused starts pause a worker only; an unknown run takes the whole worker; late answers are ignored; the cleanup writes in batches; 700 reports per second of processor time.

--- a/packages/daemon/src/DaemonSettings.ts
+++ b/packages/daemon/src/DaemonSettings.ts
@@ -10,6 +10,8 @@
   readonly metricsAddress: string;
   /** IP and port for links from other hosts. */
   readonly linkAddress: string;
+  /** Processor time of this host per second, in seconds. */
+  readonly processors: number;
   /** How well this host can carry the leader, relative to the needs of a small site. */
   readonly leaderFitness: number;
   /** Time within which a withdrawn key must no longer be accepted, in milliseconds. */
--- a/packages/daemon/src/HostDaemon.ts
+++ b/packages/daemon/src/HostDaemon.ts
@@ -79,6 +79,7 @@
             store,
             listPeerLinks: () => this.#links.incomingLinks,
             maxStopMs: settings.stopMs,
+            processors: settings.processors,
             log: this.log,
             metrics: this.metrics,
             onLeaseLost: (reason) => {
--- a/packages/daemon/src/JobCleanup.ts
+++ b/packages/daemon/src/JobCleanup.ts
@@ -61,9 +61,8 @@
     this.#refusalMarkers.delete(key);
   }
 
-  /** Removes as many expired keys as one transaction allows, jobs before markers, and forgets all expired markers. */
+  /** Removes expired jobs and markers, as many as the transactions of one cleanup allow; the others follow later. */
   async #removeExpired(): Promise<void> {
-    if (!this.#leaderLease.isValid) return;
     const { retentionMs } = schedulingLimits;
     const finished = this.#scheduler.listExpiredJobs(Date.now() - retentionMs);
     const expiredMarkers = [...this.#refusalMarkers]
@@ -72,8 +71,15 @@
     const keys = [
       ...finished.flatMap((id) => [storeKeys.jobPrefix + id, storeKeys.progressPrefix + id]),
       ...expiredMarkers,
-    ].slice(0, hostLimits.maxRemovalsPerWrite);
-    if (keys.length === 0) return;
+    ];
+    const { maxRemovalsPerWrite, maxWritesPerCleanup } = hostLimits;
+    for (let write = 0; write < maxWritesPerCleanup; write += 1) {
+      const batch = keys.slice(write * maxRemovalsPerWrite, (write + 1) * maxRemovalsPerWrite);
+      if (batch.length === 0 || !this.#leaderLease.isValid || !(await this.#remove(batch))) return;
+    }
+  }
+
+  async #remove(keys: readonly string[]): Promise<boolean> {
     const outcome = await this.#dependencies.store.commit({
       expected: [{ key: storeKeys.holder, revision: this.#leaderLease.holderRevision }],
       put: [],
@@ -83,6 +89,8 @@
       keys: keys.length,
       outcome: outcome.isOk() ? 'done' : outcome.error.kind,
     });
-    if (outcome.isOk()) for (const key of expiredMarkers) this.#refusalMarkers.delete(key);
+    if (outcome.isErr() || !outcome.value.committed) return false;
+    for (const key of keys) this.#refusalMarkers.delete(key);
+    return true;
   }
 }
--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -65,16 +65,19 @@
     const schedulePlan = (): void => {
       this.#schedulePlan();
     };
-    this.#sessions = new WorkerSessions({
-      scheduler: this.#scheduler,
-      workerClient: dependencies.workerClient,
-      leaderLease,
-      log: dependencies.log,
-      onChange: schedulePlan,
-      onFenced: () => {
-        dependencies.onLeaseLost('a worker has seen a newer fencing token');
+    this.#sessions = new WorkerSessions(
+      {
+        scheduler: this.#scheduler,
+        workerClient: dependencies.workerClient,
+        leaderLease,
+        log: dependencies.log,
+        onChange: schedulePlan,
+        onFenced: () => {
+          dependencies.onLeaseLost('a worker has seen a newer fencing token');
+        },
       },
-    });
+      dependencies.processors,
+    );
     this.#rosterManager = new RosterManager(
       dependencies,
       leaderLease,
--- a/packages/daemon/src/LeaderDependencies.ts
+++ b/packages/daemon/src/LeaderDependencies.ts
@@ -13,6 +13,8 @@
   readonly listPeerLinks: () => readonly Link[];
   /** Longest time a worker takes to stop a run, in milliseconds. */
   readonly maxStopMs: number;
+  /** Processor time of this host per second, in seconds. */
+  readonly processors: number;
   readonly log: EventLog;
   readonly metrics: HostMetrics;
   /** Called when a worker or the store shows that the leader lease is lost. */
--- a/packages/daemon/src/WorkerSessions.ts
+++ b/packages/daemon/src/WorkerSessions.ts
@@ -8,10 +8,15 @@
 export class WorkerSessions {
   readonly #context: SessionContext;
   readonly #sessions = new Map<Worker, WorkerSession>();
+  readonly #processors: number;
   #reportPauseMs: number = hostLimits.minReportPauseMs;
 
-  /** @param context - what the sessions share, without the pause between reports */
-  public constructor(context: Omit<SessionContext, 'getReportPauseMs'>) {
+  /**
+   * @param context - what the sessions share, without the pause between reports
+   * @param processors - processor time of this host per second, in seconds
+   */
+  public constructor(context: Omit<SessionContext, 'getReportPauseMs'>, processors: number) {
+    this.#processors = processors;
     this.#context = { ...context, getReportPauseMs: () => this.#reportPauseMs };
   }
 
@@ -50,7 +55,7 @@
       this.#context.workerClient.releaseAddress(worker.entry.address);
     }
     const busyCount = workers.filter(({ tasks }) => tasks.size > 0).length;
-    this.#reportPauseMs = computeReportPause(busyCount);
+    this.#reportPauseMs = computeReportPause(busyCount, this.#processors);
   }
 
   /** Wakes all sessions, because written ends can be acknowledged. */
--- a/packages/daemon/src/computeReportPause.ts
+++ b/packages/daemon/src/computeReportPause.ts
@@ -5,7 +5,11 @@
  * fleet each report returns at once.
  *
  * @param busyWorkers - number of workers that run tasks
+ * @param processors - processor time of this host per second, in seconds
  * @returns pause in milliseconds
  */
-export const computeReportPause = (busyWorkers: number): number =>
-  Math.max(hostLimits.minReportPauseMs, (busyWorkers * 1000) / hostLimits.maxReportsPerSecond);
+export const computeReportPause = (busyWorkers: number, processors: number): number =>
+  Math.max(
+    hostLimits.minReportPauseMs,
+    (busyWorkers * 1000) / (hostLimits.maxReportsPerProcessorSecond * processors),
+  );
--- a/packages/daemon/src/hostLimits.ts
+++ b/packages/daemon/src/hostLimits.ts
@@ -47,10 +47,10 @@
   /** Shortest pause between two reports of a worker: ends within it share one report and one write. */
   minReportPauseMs: 40,
   /**
-   * Reports per second of all workers together. On a full fleet each report returns at once, and 800 per second used up
-   * the processor time that planning and permits need.
+   * Reports per second of all workers together, for each second of processor time that the leader has per second. The
+   * rest is needed for planning, permits and starts.
    */
-  maxReportsPerSecond: 330,
+  maxReportsPerProcessorSecond: 700,
   /** Added to the time a worker takes to stop a run before a report is requested that shows whether the run ended. */
   stopCheckMarginMs: 30,
   /** Pause after a failed report. */
@@ -83,4 +83,6 @@
   cleanupIntervalMs: 20_000,
   /** Keys removed in one transaction: the store accepts 32 entries. */
   maxRemovalsPerWrite: 30,
+  /** Transactions of one cleanup: with the interval they remove the jobs of a day at the peak rate. */
+  maxWritesPerCleanup: 60,
 });
--- a/packages/jobs/__tests__/takeover.test.ts
+++ b/packages/jobs/__tests__/takeover.test.ts
@@ -209,6 +209,36 @@
     expect(again.map(({ run }) => run)).to.deep.equal([2]);
   });
 
+  // Guards against leases that are not renewed, so that running work is lost, on a worker that answers each call but
+  // refuses starts.
+  it('is not one that refuses starts: it is only paused', () => {
+    for (const outcome of ['room', 'late', 'unhealthy'] as const) {
+      const { scheduler, command } = startTask();
+      scheduler.handleStartOutcome(command, outcome, 2);
+      const [again] = selectStarts(scheduler.plan(3, 3));
+      if (again === undefined) throw new Error('the task is not placed again');
+      expect(again.worker).not.to.equal(command.worker);
+      command.worker.recordRefusedStart(4);
+      expect(command.worker.callFailures).to.equal(0);
+      expect(command.worker.canAcceptTasks(5)).to.equal(false);
+      expect(command.worker.canAcceptTasks(5000)).to.equal(true);
+    }
+  });
+
+  // Guards against starts beyond the capacity of a worker that still runs what this leader does not know.
+  it('gets no tasks while it runs a job that is unknown', () => {
+    const scheduler = new Scheduler(1, 1, 0, 200);
+    scheduler.configure(configuration());
+    const added = scheduler.updateWorker(worker('w1'), false);
+    if (added === undefined) throw new Error('the worker is known');
+    const running = [{ task: 'b.0.0.0', run: 1, checkpoint: '', percent: 1, load: 0 }];
+    scheduler.handleReport(added, { ...noRuns, running }, 0, 0, 0);
+    scheduler.addJob(job('a', [step(1, 100)]), 2, 0);
+    expect(selectStarts(scheduler.plan(1, 1))).to.deep.equal([]);
+    scheduler.handleReport(added, noRuns, 2, 3, 3);
+    expect(selectStarts(scheduler.plan(4, 4))).to.have.length(1);
+  });
+
   it('may still execute a start without a response, so the run is stopped before the next one', () => {
     const { scheduler, command } = startTask();
     scheduler.handleStartOutcome(command, 'unknown', 1000);
--- a/packages/jobs/src/PermitCache.ts
+++ b/packages/jobs/src/PermitCache.ts
@@ -89,7 +89,8 @@
     permits: readonly PlacementPermit[],
     validUntil: number,
   ): void {
-    this.#requestedSteps.delete(stepKey);
+    // The step may have been removed while the request was in flight.
+    if (!this.#requestedSteps.delete(stepKey)) return;
     const byWorker = new Map(permits.map(({ workerId, permit }) => [workerId, permit]));
     const entries = this.#entriesByStep.get(stepKey) ?? new Map<Worker, PermitEntry>();
     this.#entriesByStep.set(stepKey, entries);
@@ -108,7 +109,7 @@
    * @param now - monotonic time in milliseconds
    */
   public recordFailure(stepKey: string, now: number): void {
-    this.#requestedSteps.delete(stepKey);
+    if (!this.#requestedSteps.delete(stepKey)) return;
     this.#retryAt.set(stepKey, now + schedulingLimits.workerBackoffMs / 2);
   }
 
@@ -131,6 +132,7 @@
    */
   public removeStep(stepKey: string): void {
     this.#entriesByStep.delete(stepKey);
+    this.#requestedSteps.delete(stepKey);
     this.#retryAt.delete(stepKey);
   }
 }
--- a/packages/jobs/src/ReportHandler.ts
+++ b/packages/jobs/src/ReportHandler.ts
@@ -66,7 +66,7 @@
     const strays = report.running.filter((run) => !this.#handleRun(worker, run, now));
     worker.setStrayResources(
       strays.reduce<Room>(
-        (sum, { task }) => resources.add(sum, this.#findSize(task)),
+        (sum, { task }) => resources.add(sum, this.#findSize(task, worker)),
         resources.none,
       ),
     );
@@ -75,8 +75,9 @@
     return strays.map(({ task, run }) => ({ task, run }));
   }
 
-  #findSize(name: string): Room {
-    return this.#jobs.findTask(name)?.step.description.size ?? resources.none;
+  /** Finds the resources of a stray run. One of an unknown job may use the whole worker. */
+  #findSize(name: string, worker: Worker): Room {
+    return this.#jobs.findTask(name)?.step.description.size ?? worker.entry.capacity;
   }
 
   /** Updates or adopts the task of a running run; returns false if the run belongs to no task. */
--- a/packages/jobs/src/StartOutcomeHandler.ts
+++ b/packages/jobs/src/StartOutcomeHandler.ts
@@ -30,6 +30,7 @@
       case 'started':
         task.confirmStart(now);
         task.step.job.markStarted();
+        worker.recordAcceptedStart();
         return;
       case 'unknown':
         worker.recordCallFailure(now, task.phaseStartedAt);
@@ -39,10 +40,12 @@
         this.#permits.expirePermit(task.step.key, worker);
         break;
       case 'refused':
+        worker.recordCallFailure(now, now);
+        break;
       case 'room':
       case 'unhealthy':
       case 'late':
-        worker.recordCallFailure(now, now);
+        worker.recordRefusedStart(now);
         break;
       case 'invalid':
         task.step.delayRetryUntil(now + schedulingLimits.maxWorkerBackoffMs);
--- a/packages/jobs/src/Worker.ts
+++ b/packages/jobs/src/Worker.ts
@@ -26,6 +26,8 @@
   #pausedUntil = 0;
   #consecutiveFailures = 0;
   #callFailures = 0;
+  /** Consecutive starts that the worker has refused. */
+  #refusedStarts = 0;
   #processedThrough = 0;
   #acknowledgedThrough = 0;
   /** Resources of stray runs, which belong to no task and are being stopped. */
@@ -265,9 +267,23 @@
   public recordCallFailure(now: number, sentAt: number): void {
     if (this.#lastContactAt > sentAt) return;
     this.#callFailures += 1;
-    const { workerBackoffMs, maxWorkerBackoffMs } = schedulingLimits;
-    const delayMs = Math.min(workerBackoffMs * 2 ** (this.#callFailures - 1), maxWorkerBackoffMs);
-    this.pauseUntil(now + delayMs);
+    this.pauseUntil(now + computeBackoffMs(this.#callFailures));
+  }
+
+  /**
+   * Records a start that the worker has refused, and pauses it with exponential backoff. A worker that answers is
+   * reachable, so its tasks keep their leases.
+   *
+   * @param now - monotonic time in milliseconds
+   */
+  public recordRefusedStart(now: number): void {
+    this.#refusedStarts += 1;
+    this.pauseUntil(now + computeBackoffMs(this.#refusedStarts));
+  }
+
+  /** Records a start that the worker has accepted. */
+  public recordAcceptedStart(): void {
+    this.#refusedStarts = 0;
   }
 
   /**
@@ -311,3 +327,9 @@
     this.#acknowledgedThrough = Math.max(this.#acknowledgedThrough, number);
   }
 }
+
+/** Computes the pause after a number of consecutive failures, in milliseconds. */
+const computeBackoffMs = (failures: number): number => {
+  const { workerBackoffMs, maxWorkerBackoffMs } = schedulingLimits;
+  return Math.min(workerBackoffMs * 2 ** (failures - 1), maxWorkerBackoffMs);
+};
