Pace reports by their rate, so that ends are learned at once while the leader has the time

Cause: with 245 busy workers each paused 0.26 to 0.74 s between reports although only about 490 tasks ended a second, so half of the stock lookups of 0.8 s took 1.2 s. Change: the pause follows the rate of all reports; it is the shortest below 85% of the limit and at most the former one.

--- a/packages/daemon/src/WorkerSession.ts
+++ b/packages/daemon/src/WorkerSession.ts
@@ -112,6 +112,7 @@
       await this.#handleFailure(report, now, sentAt);
       return;
     }
+    this.#context.pacing.recordReport();
     const wasSurveyed = worker.isSurveyed;
     const strays = scheduler.handleReport(worker, report, sentAt, now, Date.now());
     if (!wasSurveyed) {
@@ -130,7 +131,7 @@
       void workerClient.stop(worker.entry, task, run, leaderLease.term);
     }
     this.#context.onChange();
-    if (wasSurveyed) await this.#sleep(this.#context.getReportPauseMs());
+    if (wasSurveyed) await this.#sleep(this.#context.pacing.pauseMs);
   }
 
   async #handleFailure(
--- a/packages/daemon/src/WorkerSessions.ts
+++ b/packages/daemon/src/WorkerSessions.ts
@@ -1,23 +1,21 @@
 import type { Worker } from '@toucanline/jobs';
-import { computeReportPause } from './computeReportPause.js';
+import { ReportPacing } from './ReportPacing.js';
 import type { SessionContext } from './SessionContext.js';
-import { hostLimits } from './hostLimits.js';
 import { WorkerSession } from './WorkerSession.js';
 
 /** Sessions of a leader with all workers. */
 export class WorkerSessions {
   readonly #context: SessionContext;
   readonly #sessions = new Map<Worker, WorkerSession>();
-  readonly #processors: number;
-  #reportPauseMs: number = hostLimits.minReportPauseMs;
+  readonly #pacing: ReportPacing;
 
   /**
-   * @param context - what the sessions share, without the pause between reports
+   * @param context - what the sessions share, without the pacing of reports
    * @param processors - processor time of this host per second, in seconds
    */
-  public constructor(context: Omit<SessionContext, 'getReportPauseMs'>, processors: number) {
-    this.#processors = processors;
-    this.#context = { ...context, getReportPauseMs: () => this.#reportPauseMs };
+  public constructor(context: Omit<SessionContext, 'pacing'>, processors: number) {
+    this.#pacing = new ReportPacing(processors, performance.now());
+    this.#context = { ...context, pacing: this.#pacing };
   }
 
   /**
@@ -55,7 +53,7 @@
       this.#context.workerClient.releaseAddress(worker.entry.address);
     }
     const busyCount = workers.filter(({ tasks }) => tasks.size > 0).length;
-    this.#reportPauseMs = computeReportPause(busyCount, this.#processors);
+    this.#pacing.update(busyCount, performance.now());
   }
 
   /** Wakes all sessions, because written ends can be acknowledged. */
