--- a/packages/daemon/__tests__/ReportPacing.test.ts
+++ b/packages/daemon/__tests__/ReportPacing.test.ts
@@ -5,6 +5,10 @@
 const processors = 1.35;
 const limitPerSecond = hostLimits.maxReportsPerProcessorSecond * processors;
 
+/** The load is played for a while before it is measured, over many pauses. */
+const measuredFromMs = 5000;
+const measuredMs = 40_000;
+
 /**
  * Plays reports of busy workers: each asks again after the pause and gets its answer when its next task ends.
  *
@@ -16,17 +20,17 @@
 ): { readonly perSecond: number; readonly delayMs: number } => {
   const pacing = new ReportPacing(processors, 0);
   const endEveryMs = 1000 / endsPerWorkerSecond;
-  const askAt = Array.from({ length: workers }, (_, index) => (index * 37) % 200);
+  const askAt = Array.from({ length: workers }, (_, index) => (index * 37) % 1400);
   const endAt = Array.from({ length: workers }, (_, index) => (index * 61) % endEveryMs);
   let reports = 0;
   let delaySumMs = 0;
-  for (let now = 0; now < 10_000; now += 5) {
+  for (let now = 0; now < measuredFromMs + measuredMs; now += 5) {
     for (let index = 0; index < workers; index += 1) {
       const asked = askAt[index] ?? 0;
       const ended = endAt[index] ?? 0;
       if (now < asked || now < ended) continue;
       pacing.recordReport();
-      if (now >= 5000) {
+      if (now >= measuredFromMs) {
         reports += 1;
         delaySumMs += now - ended;
       }
@@ -35,7 +39,7 @@
     }
     pacing.update(workers, now);
   }
-  return { perSecond: reports / 5, delayMs: delaySumMs / reports };
+  return { perSecond: (reports * 1000) / measuredMs, delayMs: delaySumMs / reports };
 };
 
 describe('pacing of reports', () => {
