--- a/packages-private/testkit/__tests__/platformHosts.test.ts
+++ b/packages-private/testkit/__tests__/platformHosts.test.ts
@@ -143,6 +143,35 @@
     expect([...site.countCompletions().values()]).to.deep.equal([1, 1, 1, 1, 1]);
   });
 
+  // Guards against a key that was withdrawn, or a worker that has left, and is in use again after a restart.
+  it('use no withdrawn key and no worker that has left after each was restarted', async () => {
+    const [gone] = site.workers;
+    if (gone === undefined) throw new Error('the site has no worker');
+    const countStarts = (): number => gone.endedRuns.length;
+    site.writeConfiguration(['key-2']);
+    site.store.remove(`servers/${gone.id}`);
+    await sleep(500);
+    const startsBefore = countStarts();
+    for (const host of [...site.hosts]) {
+      const restarted = await site.restartHost(host);
+      const refused = await site.call(restarted, 'POST', path(1), createTwoSteps(10), 'key-1');
+      expect(refused.status).to.equal(401);
+    }
+    await waitUntil(() => site.leader !== undefined, 10_000, 'a leader is elected');
+    const [caller] = site.hosts;
+    for (let number = 2; number < 6; number += 1) {
+      const accepted = await site.call(caller, 'POST', path(number), createTwoSteps(10), 'key-2');
+      expect(accepted.status).to.equal(200);
+    }
+    await waitUntil(
+      async () =>
+        (await site.call(caller, 'GET', path(5), undefined, 'key-2')).body.State === 'completed',
+      15_000,
+      'the last job is completed',
+    );
+    expect(countStarts()).to.equal(startsBefore);
+  });
+
   // Guards against processes that end, or stop following the list of workers, after one odd entry of another writer.
   it('keep following the workers beside odd entries, through a change of the leader', async () => {
     const depth = 100_000;
--- a/packages-private/testkit/src/PlatformSite.ts
+++ b/packages-private/testkit/src/PlatformSite.ts
@@ -181,6 +181,20 @@
     return counts;
   }
 
+  /**
+   * Kills a host and starts it again with the same settings.
+   *
+   * @param host - the host
+   * @returns the new process, once it is ready
+   */
+  public async restartHost(host: SiteHost): Promise<SiteHost> {
+    host.process.kill('SIGKILL');
+    const restarted = { ...host, process: this.#startProcess(host.name) };
+    this.#hosts.splice(this.#hosts.indexOf(host), 1, restarted);
+    await waitUntil(() => this.#isReady(restarted), 20_000, `${host.name} is ready again`);
+    return restarted;
+  }
+
   /** Kills the hosts and stops the workers and the store. */
   public stop(): void {
     for (const { process: child } of this.#hosts) child.kill('SIGKILL');
@@ -217,15 +231,19 @@
         ...(linkMbps === undefined ? [] : [`Limits.LinkMbps=${linkMbps}`]),
       ].join('\n'),
     );
-    const child = spawn(process.execPath, [findProgram('platform', 'toucanline-host')], {
-      env: { ...process.env, TOUCANLINE_NODE_FILE: file },
-      stdio: ['ignore', 'ignore', 'inherit'],
-    });
     this.#hosts.push({
       name,
       callerAddress: `127.0.0.1:${callerPort}`,
       readinessAddress: `127.0.0.1:${readinessPort}`,
-      process: child,
+      process: this.#startProcess(name),
+    });
+  }
+
+  #startProcess(name: string): ChildProcess {
+    const file = join(this.#folder, `${name}.conf`);
+    return spawn(process.execPath, [findProgram('platform', 'toucanline-host')], {
+      env: { ...process.env, TOUCANLINE_NODE_FILE: file },
+      stdio: ['ignore', 'ignore', 'inherit'],
     });
   }
 
--- a/packages/daemon/__tests__/ProgressWriter.test.ts
+++ b/packages/daemon/__tests__/ProgressWriter.test.ts
@@ -100,6 +100,16 @@
     expect(scheduler.findJobState('a')).to.equal('completed');
   });
 
+  // Guards against two last writes side by side, when the process is asked to stop during a hand-over to a fitter host.
+  it('writes a last time only once', async () => {
+    reportEnd(1, 0);
+    const before = store.commits;
+    await Promise.all([writer.flush(), writer.flush()]);
+    await writer.flush();
+    expect(store.commits - before).to.equal(1);
+    expect(worker.acknowledgedThrough).to.equal(1);
+  });
+
   // Guards against an older write that takes effect after newer ones, so that completed tasks run again.
   it('is not overwritten by an earlier write that takes effect late', async () => {
     reportEnd(1, 0);
--- a/packages/daemon/src/ProgressWriter.ts
+++ b/packages/daemon/src/ProgressWriter.ts
@@ -28,6 +28,7 @@
   #placementsWrittenAt = -Infinity;
   #activeRun: Promise<void> | undefined;
   #isFlushing = false;
+  #flushed: Promise<void> | undefined;
   #isStopped = false;
 
   /**
@@ -71,8 +72,13 @@
     this.#isStopped = true;
   }
 
-  /** Writes pending progress a last time, before the leader lease is given up. */
-  public async flush(): Promise<void> {
+  /** Writes pending progress a last time, before the leader lease is given up. Further calls wait for the same write. */
+  public flush(): Promise<void> {
+    this.#flushed ??= this.#flush();
+    return this.#flushed;
+  }
+
+  async #flush(): Promise<void> {
     // Of two concurrent writes, one could acknowledge ends that the slower one has not written yet.
     this.#isFlushing = true;
     await this.#activeRun;
