Renew permits of further workers along with a request that is needed

Change: a request that is needed is filled up with expired permits of allowed workers, by at most a quarter of its base. Test: backlog.test.ts.

--- a/packages-private/testkit/__tests__/platformHosts.test.ts
+++ b/packages-private/testkit/__tests__/platformHosts.test.ts
@@ -143,6 +143,36 @@
     expect([...site.countCompletions().values()]).to.deep.equal([1, 1, 1, 1, 1]);
   });
 
+  // Guards against a leader, or a host that answers callers, that was paused for seconds and acts on a lease, or on a
+  // confirmed configuration, that ran out meanwhile.
+  it('act on nothing that ran out while they were paused', async () => {
+    const paused = site.leader;
+    if (paused === undefined) throw new Error('the site has no leader');
+    expect((await site.call(paused, 'POST', path(1), createTwoSteps(1500))).status).to.equal(200);
+    await sleep(200);
+    paused.process.kill('SIGSTOP');
+    await waitUntil(
+      () => site.leader !== undefined && site.leader !== paused,
+      10_000,
+      'a takeover',
+    );
+    const [caller] = followers().filter((host) => host !== paused);
+    expect((await site.call(caller, 'POST', path(2), createTwoSteps(300))).status).to.equal(200);
+    site.writeConfiguration(['key-2']);
+    await sleep(6000);
+    const late = site.call(paused, 'POST', path(3), createTwoSteps(10), 'key-1');
+    await sleep(50);
+    paused.process.kill('SIGCONT');
+    expect((await late).status).to.be.oneOf([401, 503]);
+    const isCompleted = async (number: number): Promise<boolean> =>
+      (await site.call(caller, 'GET', path(number), undefined, 'key-2')).body.State === 'completed';
+    await waitUntil(() => isCompleted(1), 15_000, 'the first job is completed');
+    await waitUntil(() => isCompleted(2), 15_000, 'the second job is completed');
+    expect(site.leader).not.to.equal(paused);
+    expect([...site.countCompletions().values()]).to.deep.equal(Array<number>(10).fill(1));
+    expect(paused.process.exitCode).to.equal(null);
+  });
+
   // Guards against a key that was withdrawn, or a worker that has left, and is in use again after a restart.
   it('use no withdrawn key and no worker that has left after each was restarted', async () => {
     const [gone] = site.workers;
--- a/packages/jobs/__tests__/backlog.test.ts
+++ b/packages/jobs/__tests__/backlog.test.ts
@@ -108,6 +108,21 @@
         for (const each of command.workers) expect(verdicts.has(each)).to.equal(true);
   });
 
+  // Guards against a request for each single worker whose permit has expired: with a base duration of 340 ms they kept
+  // all channels to the advice service busy on a fleet of 245 workers.
+  it('are renewed for further allowed workers where that costs little', () => {
+    const scheduler = createFullFleet();
+    scheduler.addJob(job('a', [step(4, 16_000)]), 12, 2);
+    const [first] = selectAdvice(scheduler.plan(3, 3));
+    if (first?.kind !== 'advise') throw new Error('no permits were requested');
+    const permits = first.workers.map(({ id }) => ({ workerId: id, permit: 'p' }));
+    scheduler.handlePermits(first, permits, 4, 100);
+    const [renewal] = selectAdvice(scheduler.plan(500, 500));
+    if (renewal?.kind !== 'advise') throw new Error('no permits were renewed');
+    expect(renewal.workers.length).to.be.above(4 + 10);
+    expect(renewal.expectedMs).to.be.below(advice.baseMs * 1.4);
+  });
+
   it('reach a worker that becomes free outside of the first choice', () => {
     const simulation = new LoadSimulation(
       site,
--- a/packages/jobs/src/PermitRequests.ts
+++ b/packages/jobs/src/PermitRequests.ts
@@ -1,3 +1,4 @@
+import type { AdviceTerms } from '@toucanline/schema';
 import type { PendingStep } from './PendingStep.js';
 import type { ImageDurations } from './ImageDurations.js';
 import type { PermitCache } from './PermitCache.js';
@@ -34,7 +35,8 @@
   }
 
   /**
-   * Requests unknown verdicts, and renews expired permits of workers that have the capacity now.
+   * Requests unknown verdicts, and renews expired permits of workers that have the capacity now. A request is filled up
+   * with expired permits of other allowed workers.
    *
    * @param pending - step and its queue
    * @param candidates - workers of the step, and what is known about them
@@ -62,9 +64,19 @@
       if (this.#permits.findPermit(step.key, worker, now) === undefined) missing.push(worker);
     }
     if (missing.length === 0) return;
-    const requested = [...missing]
-      .sort((a, b) => b.free.milliProcessors - a.free.milliProcessors)
-      .slice(0, schedulingLimits.maxWorkersPerAdvice);
+    const byFreeCapacity = (a: Worker, b: Worker): number =>
+      b.free.milliProcessors - a.free.milliProcessors;
+    const needed = missing.sort(byFreeCapacity).slice(0, schedulingLimits.maxWorkersPerAdvice);
+    const named = new Set(needed);
+    const renewable = allowed.filter(
+      (worker) =>
+        !named.has(worker) && this.#permits.findPermit(step.key, worker, now) === undefined,
+    );
+    const extraCount = Math.min(
+      schedulingLimits.maxWorkersPerAdvice - needed.length,
+      countCheapWorkers(advice),
+    );
+    const requested = [...needed, ...renewable.sort(byFreeCapacity).slice(0, extraCount)];
     this.#permits.markRequested(step.key);
     pass.addCommand({
       kind: 'advise',
@@ -100,3 +112,12 @@
     });
   }
 }
+
+/**
+ * Counts the workers by which a request can be extended for a small part of its duration. Their permits let tasks start
+ * as soon as one of the workers has room, without another request.
+ */
+const countCheapWorkers = ({ baseMs, perWorkerMs }: AdviceTerms): number =>
+  perWorkerMs > 0
+    ? Math.floor((baseMs * schedulingLimits.permitRenewalShare) / perWorkerMs)
+    : schedulingLimits.maxWorkersPerAdvice;
--- a/packages/jobs/src/schedulingLimits.ts
+++ b/packages/jobs/src/schedulingLimits.ts
@@ -26,6 +26,8 @@
    * step has room, since each request takes time of the advice service.
    */
   minAllowedWorkers: 12,
+  /** Share of its base duration by which a request for permits may grow to renew those of further workers. */
+  permitRenewalShare: 0.25,
   /** Pending steps that each planning pass examines, from the first in the order of service. */
   maxFirstSteps: 96,
   /** Pending steps behind these that a planning pass examines in addition, others in each pass. */
