Apply unfinished jobs first and in the order of their acceptance after a takeover

Jobs were added in the order of their random ids, and a job from before the latest one took away the tokens of its account for the time between them, so after each takeover accounts counted as beyond their rate and were served last.

--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -228,11 +228,7 @@
         this.#changeHandler.applyProgress(item, now);
       }, onError);
     }
-    for (const item of jobs.items) {
-      runGuarded(() => {
-        this.#changeHandler.applyJob(item);
-      }, onError);
-    }
+    const finishedJobs = this.#changeHandler.applyStoredJobs(jobs.items);
     const restored = this.#rosterManager.restore(roster, suspensions);
     for (const worker of restored) this.#sessions.add(worker);
     const storedPlacements = placements?.value;
@@ -266,6 +262,7 @@
     this.#watchPrefix(decoder.workerPrefix, workers.revision, (item) => {
       this.#changeHandler.applyWorker(item);
     });
+    void this.#applyFinishedJobs(finishedJobs);
     log.write('leaderLoaded', {
       term: this.#leaderLease.term,
       jobs: jobs.items.length,
@@ -278,6 +275,24 @@
     return true;
   }
 
+  /** Applies finished jobs in parts, since a takeover must not wait for jobs that need no decision. */
+  async #applyFinishedJobs(items: readonly StoreItem[]): Promise<void> {
+    const { finishedJobsPerTurn } = hostLimits;
+    for (let from = 0; from < items.length && !this.#isStopped; from += finishedJobsPerTurn) {
+      await new Promise((resolve) => setTimeout(resolve, hostLimits.minPlanIntervalMs));
+      for (const item of items.slice(from, from + finishedJobsPerTurn)) {
+        runGuarded(
+          () => {
+            this.#changeHandler.applyJob(item);
+          },
+          (error) => {
+            this.#dependencies.log.writeError(item.key, error);
+          },
+        );
+      }
+    }
+  }
+
   #watchPrefix(prefix: string, revision: number, apply: (item: StoreItem) => void): void {
     const { store, log } = this.#dependencies;
     const onError = (error: unknown): void => {
--- a/packages/daemon/src/StoreChangeHandler.ts
+++ b/packages/daemon/src/StoreChangeHandler.ts
@@ -4,6 +4,7 @@
 import type { LeaderLease } from './LeaderLease.js';
 import type { LeaderDependencies } from './LeaderDependencies.js';
 import { parseStoredRecord } from './parseStoredRecord.js';
+import { runGuarded } from './runGuarded.js';
 import { refusalMarker } from './refusalMarker.js';
 import { storeKeys } from './storeKeys.js';
 
@@ -16,6 +17,8 @@
   readonly #onWorkerAdded: (worker: Worker) => void;
   /** Changes received without a valid leader lease: the next leader may already have acted on them. */
   #deferred: readonly (() => void)[] = [];
+  /** Jobs whose stored progress says that they are finished, until the stored jobs are applied. */
+  readonly #finishedIds = new Set<string>();
   #isLoaded = false;
 
   /**
@@ -61,7 +64,38 @@
   public applyProgress({ value }: StoreItem, now: number): void {
     const progress =
       value === undefined ? undefined : parseStoredRecord(validators.JobProgress, value);
-    if (progress !== undefined) this.#scheduler.restoreProgress(progress, now);
+    if (progress === undefined) return;
+    if (progress.finishedAtMs !== undefined) this.#finishedIds.add(progress.id);
+    this.#scheduler.restoreProgress(progress, now);
+  }
+
+  /**
+   * Applies the stored jobs, after their progress: unfinished ones at once, in the order of their acceptance, on which
+   * the rates of the accounts depend.
+   *
+   * @param items - all items under the prefix of the job keys
+   * @returns items of finished jobs, which are applied later; until then hosts read their state from the store
+   */
+  public applyStoredJobs(items: readonly StoreItem[]): readonly StoreItem[] {
+    const finished: StoreItem[] = [];
+    const open: { readonly acceptedAtMs: number; readonly item: StoreItem }[] = [];
+    for (const item of items) {
+      const id = item.key.slice(storeKeys.jobPrefix.length);
+      if (this.#finishedIds.has(id)) finished.push(item);
+      else open.push({ acceptedAtMs: readAcceptanceTime(item), item });
+    }
+    this.#finishedIds.clear();
+    for (const { item } of open.sort((a, b) => a.acceptedAtMs - b.acceptedAtMs)) {
+      runGuarded(
+        () => {
+          this.applyJob(item);
+        },
+        (error) => {
+          this.#dependencies.log.writeError(item.key, error);
+        },
+      );
+    }
+    return finished;
   }
 
   /**
@@ -157,3 +191,7 @@
     return this.#scheduler.workers.some((worker) => worker.id === id && worker.life === life);
   }
 }
+
+/** Reads when a job was accepted, without validating its record; 0 for a refusal marker or an unreadable record. */
+const readAcceptanceTime = ({ value }: StoreItem): number =>
+  Number(/"acceptedAtMs":(\d+)/.exec(value ?? '')?.[1] ?? 0);
--- a/packages/daemon/src/hostLimits.ts
+++ b/packages/daemon/src/hostLimits.ts
@@ -33,6 +33,8 @@
   resignationPauseMs: 2500,
   /** Time without the complete stored state after which a new leader gives up the leadership for another host. */
   leaderLoadTimeoutMs: 5000,
+  /** Finished jobs that a new leader applies at a time, between other work. */
+  finishedJobsPerTurn: 40,
   /** Time after its election before a leader hands over to a fitter host. */
   minLeadershipMs: 500,
   /**
