--- a/packages-private/bench/src/bin/bench.ts
+++ b/packages-private/bench/src/bin/bench.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { HandoverBenchmark } from '../HandoverBenchmark.js';
 import { PlacementBenchmark } from '../PlacementBenchmark.js';
+import { PlanningBenchmark } from '../PlanningBenchmark.js';
 import type { Benchmark } from '../Benchmark.js';
 import { SiteBenchmark } from '../SiteBenchmark.js';
 import { SharesBenchmark } from '../SharesBenchmark.js';
@@ -13,6 +14,7 @@
   new SiteBenchmark(),
   new WaitingBenchmark(),
   new HandoverBenchmark(),
+  new PlanningBenchmark(),
 ];
 
 const print = (line: string): void => {
