--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -1,5 +1,5 @@
 import { findViolations, Scheduler, type StoreItem } from '@toucanline/jobs';
-import { validators, type JobState, type SiteConfiguration } from '@toucanline/schema';
+import type { JobState, SiteConfiguration } from '@toucanline/schema';
 import { AdviceDispatcher } from './AdviceDispatcher.js';
 import { StoreChangeHandler } from './StoreChangeHandler.js';
 import { WorkerSessions } from './WorkerSessions.js';
@@ -8,10 +8,9 @@
 import type { LeaderLease } from './LeaderLease.js';
 import type { LeaderDependencies } from './LeaderDependencies.js';
 import { CommandDispatcher } from './CommandDispatcher.js';
-import { parseStoredRecord } from './parseStoredRecord.js';
 import { ProgressWriter } from './ProgressWriter.js';
 import { RosterManager } from './RosterManager.js';
-import { StoredStateReader } from './StoredStateReader.js';
+import { StateLoader } from './StateLoader.js';
 import { PrefixWatch } from './PrefixWatch.js';
 import { runGuarded } from './runGuarded.js';
 import { storeKeys } from './storeKeys.js';
@@ -27,7 +26,7 @@
   readonly #sessions: WorkerSessions;
   readonly #changeHandler: StoreChangeHandler;
   readonly #adviceDispatcher: AdviceDispatcher;
-  readonly #stateReader: StoredStateReader;
+  readonly #loader: StateLoader;
   readonly #watches: PrefixWatch[] = [];
   readonly #permitValidityMs = new Map<string, number>();
   #progressWriter: ProgressWriter | undefined;
@@ -36,7 +35,6 @@
   readonly #rosterManager: RosterManager;
   readonly #commandDispatcher: CommandDispatcher;
   readonly #cleanup: JobCleanup;
-  readonly #startedAt = performance.now();
   #lastPlanAt = 0;
   /** Duration of the last planning pass, in milliseconds. */
   #lastPlanMs = 0;
@@ -55,7 +53,6 @@
   ) {
     this.#dependencies = dependencies;
     this.#leaderLease = leaderLease;
-    this.#stateReader = new StoredStateReader(dependencies.store, dependencies.decoder);
     this.#scheduler = new Scheduler(
       leaderLease.term,
       leaderLease.holderRevision,
@@ -101,6 +98,16 @@
         this.#sessions.add(worker);
       },
     );
+    this.#loader = new StateLoader(
+      dependencies,
+      leaderLease,
+      this.#scheduler,
+      this.#changeHandler,
+      this.#rosterManager,
+      (worker) => {
+        this.#sessions.add(worker);
+      },
+    );
     if (configuration !== undefined) this.configure(configuration);
     this.#adviceDispatcher = new AdviceDispatcher(
       dependencies.advisor,
@@ -135,7 +142,7 @@
   /** Loads the stored state, with retries, and starts to schedule. */
   public async start(): Promise<void> {
     while (!this.#isStopped && !(await this.#loadState())) {
-      if (performance.now() - this.#startedAt > hostLimits.leaderLoadTimeoutMs) {
+      if (this.#loader.ageMs > hostLimits.leaderLoadTimeoutMs) {
         await this.#dependencies.onResign('the stored state was not loaded in time');
         return;
       }
@@ -157,6 +164,7 @@
     this.#isStopped = true;
     clearTimeout(this.#planTimer);
     clearInterval(this.#idleTimer);
+    this.#loader.stop();
     this.#cleanup.stop();
     this.#commandDispatcher.stop();
     this.#progressWriter?.stop();
@@ -208,46 +216,13 @@
 
   async #loadState(): Promise<boolean> {
     const { store, decoder, log } = this.#dependencies;
-    const state = await this.#stateReader.read();
-    if (this.#isStopped) return false;
-    if (state === undefined) {
-      log.write('leaderNotLoaded', {
-        term: this.#leaderLease.term,
-        missing: this.#stateReader.missingKeys.join(' '),
-        durationMs: Math.round(performance.now() - this.#startedAt),
-      });
-      return false;
-    }
-    const { roster, suspensions, placements, progressOrder, progress, jobs, workers } = state;
-    const now = performance.now();
-    const onError = (error: unknown): void => {
-      log.writeError('stored state', error);
-    };
-    for (const item of progress.items) {
-      runGuarded(() => {
-        this.#changeHandler.applyProgress(item, now);
-      }, onError);
-    }
-    const finishedJobs = this.#changeHandler.applyStoredJobs(jobs.items);
-    const restored = this.#rosterManager.restore(roster, suspensions);
-    for (const worker of restored) this.#sessions.add(worker);
-    const storedPlacements = placements?.value;
-    const restoredPlacements =
-      storedPlacements === undefined
-        ? undefined
-        : parseStoredRecord(validators.Placements, storedPlacements);
-    if (restoredPlacements !== undefined) this.#scheduler.restorePlacements(restoredPlacements);
-    for (const item of workers.items) {
-      runGuarded(() => {
-        this.#changeHandler.applyWorker(item);
-      }, onError);
-    }
-    this.#changeHandler.unlistAbsentWorkers(workers.items);
+    const revisions = await this.#loader.load();
+    if (revisions === undefined) return false;
     this.#progressWriter = new ProgressWriter(
       store,
       this.#scheduler,
       this.#leaderLease,
-      progressOrder?.revision ?? 0,
+      revisions.progressOrder,
       log,
       () => {
         this.#handleProgressWritten();
@@ -256,43 +231,15 @@
         this.#dependencies.onLeaseLost('the store has another leader');
       },
     );
-    this.#watchPrefix(storeKeys.jobPrefix, jobs.revision, (item) => {
+    this.#watchPrefix(storeKeys.jobPrefix, revisions.jobs, (item) => {
       this.#changeHandler.applyJob(item);
     });
-    this.#watchPrefix(decoder.workerPrefix, workers.revision, (item) => {
+    this.#watchPrefix(decoder.workerPrefix, revisions.workers, (item) => {
       this.#changeHandler.applyWorker(item);
     });
-    void this.#applyFinishedJobs(finishedJobs);
-    log.write('leaderLoaded', {
-      term: this.#leaderLease.term,
-      jobs: jobs.items.length,
-      progress: progress.items.length,
-      workers: workers.items.length,
-      inherited: restored.length,
-      suspended: restored.filter(({ isSuspended }) => isSuspended).length,
-      durationMs: Math.round(performance.now() - this.#startedAt),
-    });
     return true;
   }
 
-  /** Applies finished jobs in parts, since a takeover must not wait for jobs that need no decision. */
-  async #applyFinishedJobs(items: readonly StoreItem[]): Promise<void> {
-    const { finishedJobsPerTurn } = hostLimits;
-    for (let from = 0; from < items.length && !this.#isStopped; from += finishedJobsPerTurn) {
-      await new Promise((resolve) => setTimeout(resolve, hostLimits.minPlanIntervalMs));
-      for (const item of items.slice(from, from + finishedJobsPerTurn)) {
-        runGuarded(
-          () => {
-            this.#changeHandler.applyJob(item);
-          },
-          (error) => {
-            this.#dependencies.log.writeError(item.key, error);
-          },
-        );
-      }
-    }
-  }
-
   #watchPrefix(prefix: string, revision: number, apply: (item: StoreItem) => void): void {
     const { store, log } = this.#dependencies;
     const onError = (error: unknown): void => {
@@ -320,7 +267,7 @@
 
   /** Whether a host that can carry the leader much better has a link to this one. */
   get #shouldHandOver(): boolean {
-    if (performance.now() - this.#startedAt < hostLimits.minLeadershipMs) return false;
+    if (this.#loader.ageMs < hostLimits.minLeadershipMs) return false;
     if (!this.#leaderLease.isValid) return false;
     const { listPeerLinks, isOutranked } = this.#dependencies;
     return listPeerLinks().some(
