--- a/packages/jobs/src/PermitRequests.ts
+++ b/packages/jobs/src/PermitRequests.ts
@@ -1,5 +1,6 @@
 import type { AdviceTerms } from '@toucanline/schema';
 import type { PendingStep } from './PendingStep.js';
+import { computeServiceRank } from './computeServiceRank.js';
 import type { ImageDurations } from './ImageDurations.js';
 import type { PermitCache } from './PermitCache.js';
 import type { PlanningPass } from './PlanningPass.js';
@@ -38,15 +39,16 @@
    * Requests unknown verdicts, and renews expired permits of workers that have the capacity now. A request is filled up
    * with expired permits of other allowed workers.
    *
-   * @param pending - step and its queue
+   * @param pending - step, its queue and its lateness
    * @param candidates - workers of the step, and what is known about them
    * @param pass - planning pass, which receives the request if one is needed and possible
    */
   public requestPermits(
-    { step, queue }: PendingStep,
+    pending: PendingStep,
     { workers, allowed, reserved, mayFit }: PermitCandidates,
     pass: PlanningPass,
   ): void {
+    const { step, queue } = pending;
     const { now, reservations } = pass;
     const { advice } = queue;
     if (advice === undefined || !this.#permits.canRequest(step.key, now)) return;
@@ -84,6 +86,7 @@
       queue: queue.name,
       workers: requested,
       expectedMs: advice.baseMs + advice.perWorkerMs * requested.length,
+      rank: computeServiceRank(pending),
       priority: queue.priority,
     });
   }
