--- a/packages/daemon/__tests__/AdviceDispatcher.test.ts
+++ b/packages/daemon/__tests__/AdviceDispatcher.test.ts
@@ -1,4 +1,4 @@
-import type { Command, PlacementAdvisor } from '@toucanline/jobs';
+import { PlacementAdvisor, type Command } from '@toucanline/jobs';
 import type { Link } from '@toucanline/wire';
 import { expect } from 'chai';
 import { AdviceDispatcher } from '../src/AdviceDispatcher.js';
@@ -8,6 +8,20 @@
 
 const channelCount = 20;
 
+/** Advisor whose answers the test gives. */
+class PendingAdvisor extends PlacementAdvisor {
+  readonly #call: (stepKey: string) => Promise<undefined>;
+
+  public constructor(call: (stepKey: string) => Promise<undefined>) {
+    super();
+    this.#call = call;
+  }
+
+  public override requestPermits(stepKey: string): Promise<undefined> {
+    return this.#call(stepKey);
+  }
+}
+
 const createCommand = (stepKey: string, overrides: Partial<AdviceCommand> = {}): AdviceCommand => ({
   kind: 'advise',
   stepKey,
@@ -45,7 +59,7 @@
       },
     }));
     dispatcher = new AdviceDispatcher(
-      { requestPermits: call },
+      new PendingAdvisor(call),
       () => links as unknown as readonly Link[],
       () => undefined,
       new EventLog('test', new HostMetrics()),
