--- a/packages/jobs/src/PermitRequests.ts
+++ b/packages/jobs/src/PermitRequests.ts
@@ -45,40 +45,20 @@
    */
   public requestPermits(
     pending: PendingStep,
-    { workers, allowed, reserved, mayFit }: PermitCandidates,
+    candidates: PermitCandidates,
     pass: PlanningPass,
   ): void {
     const { step, queue } = pending;
-    const { now, reservations } = pass;
     const { advice } = queue;
-    if (advice === undefined || !this.#permits.canRequest(step.key, now)) return;
-    const hasChoice = allowed.length >= schedulingLimits.minAllowedWorkers;
-    const { size } = step.description;
-    const missing =
-      hasChoice && !mayFit
-        ? []
-        : workers.filter(
-            (worker) =>
-              !this.#permits.hasVerdict(step.key, worker) &&
-              (!hasChoice || resources.fits(size, reservations.freeOn(worker))),
-          );
-    for (const worker of reserved) {
-      if (this.#permits.findPermit(step.key, worker, now) === undefined) missing.push(worker);
-    }
-    if (missing.length === 0) return;
-    const byFreeCapacity = (a: Worker, b: Worker): number =>
-      b.free.milliProcessors - a.free.milliProcessors;
-    const needed = missing.sort(byFreeCapacity).slice(0, schedulingLimits.maxWorkersPerAdvice);
-    const named = new Set(needed);
-    const renewable = allowed.filter(
-      (worker) =>
-        !named.has(worker) && this.#permits.findPermit(step.key, worker, now) === undefined,
-    );
+    if (advice === undefined || !this.#permits.canRequest(step.key, pass.now)) return;
+    const needed = this.#listNeeded(step, candidates, pass);
+    if (needed.length === 0) return;
     const extraCount = Math.min(
       schedulingLimits.maxWorkersPerAdvice - needed.length,
       countCheapWorkers(advice),
     );
-    const requested = [...needed, ...renewable.sort(byFreeCapacity).slice(0, extraCount)];
+    const renewable = this.#listRenewable(step, candidates.allowed, needed, pass.now);
+    const requested = [...needed, ...renewable.slice(0, extraCount)];
     this.#permits.markRequested(step.key);
     pass.addCommand({
       kind: 'advise',
@@ -91,6 +71,45 @@
     });
   }
 
+  /** Lists the workers whose permits are worth a request, those with the most free capacity first. */
+  #listNeeded(
+    step: StepInstance,
+    { workers, allowed, reserved, mayFit }: PermitCandidates,
+    { now, reservations }: PlanningPass,
+  ): readonly Worker[] {
+    const { size } = step.description;
+    const hasChoice = allowed.length >= schedulingLimits.minAllowedWorkers;
+    const unknown =
+      hasChoice && !mayFit
+        ? []
+        : workers.filter(
+            (worker) =>
+              !this.#permits.hasVerdict(step.key, worker) &&
+              (!hasChoice || resources.fits(size, reservations.freeOn(worker))),
+          );
+    const expired = [...reserved].filter(
+      (worker) => this.#permits.findPermit(step.key, worker, now) === undefined,
+    );
+    return [...unknown, ...expired]
+      .sort(compareFreeCapacity)
+      .slice(0, schedulingLimits.maxWorkersPerAdvice);
+  }
+
+  /** Lists the other allowed workers whose permits have expired, those with the most free capacity first. */
+  #listRenewable(
+    { key }: StepInstance,
+    allowed: readonly Worker[],
+    needed: readonly Worker[],
+    now: number,
+  ): readonly Worker[] {
+    const named = new Set(needed);
+    return allowed
+      .filter(
+        (worker) => !named.has(worker) && this.#permits.findPermit(key, worker, now) === undefined,
+      )
+      .sort(compareFreeCapacity);
+  }
+
   /**
    * Checks whether the dependencies of a step are about to complete, so that its permits should be requested.
    *
@@ -124,3 +143,6 @@
   perWorkerMs > 0
     ? Math.floor((baseMs * schedulingLimits.permitRenewalShare) / perWorkerMs)
     : schedulingLimits.maxWorkersPerAdvice;
+
+const compareFreeCapacity = (a: Worker, b: Worker): number =>
+  b.free.milliProcessors - a.free.milliProcessors;
