Take back the order of permit requests and the channels kept for short calls

Lookups of accounts that count as beyond their rate got their permits last and then could not use room that was free, although the users still count part of them as owed. Which of the two changes did what was not separated. Change: both reverted, the split of PermitRequests stays. Conclusion: an order of permits needs a rate that agrees with the users' first.

--- a/packages/daemon/src/AdviceDispatcher.ts
+++ b/packages/daemon/src/AdviceDispatcher.ts
@@ -22,8 +22,7 @@
 
 /**
  * Distributes requests for permits over the hosts, since the advice service serves each calling host one call at a
- * time. The leader's own channel and a part of the others are reserved for short calls, so that urgent steps do not wait
- * behind long ones.
+ * time. The leader's own channel is reserved for short calls, so that urgent steps do not wait behind long ones.
  */
 export class AdviceDispatcher {
   readonly #advisor: PlacementAdvisor;
@@ -36,7 +35,6 @@
   readonly #localChannel: Channel = { link: undefined, isBusy: false, pausedUntil: 0 };
   readonly #peerChannels = new Map<Link, Channel>();
   #queue: readonly AdviceCommand[] = [];
-  #longCallCount = 0;
 
   /**
    * @param advisor - client of the advice service on this host
@@ -63,7 +61,7 @@
    */
   public dispatch(command: AdviceCommand): void {
     this.#queue = [...this.#queue, command].sort(
-      (a, b) => a.rank - b.rank || a.priority - b.priority || a.expectedMs - b.expectedMs,
+      (a, b) => a.priority - b.priority || a.expectedMs - b.expectedMs,
     );
     this.#sendQueued();
   }
@@ -95,14 +93,15 @@
 
   #isAvailable(channel: Channel, command: AdviceCommand, channelCount: number): boolean {
     if (channel.isBusy || channel.pausedUntil > performance.now()) return false;
-    if (isShort(command) || channelCount === 1) return true;
-    const maxLongCalls = Math.ceil(channelCount * hostLimits.longAdviceCallShare);
-    return channel !== this.#localChannel && this.#longCallCount < maxLongCalls;
+    return (
+      channel !== this.#localChannel ||
+      channelCount === 1 ||
+      command.expectedMs < hostLimits.shortAdviceCallMs
+    );
   }
 
   async #send(channel: Channel, command: AdviceCommand): Promise<void> {
     channel.isBusy = true;
-    if (!isShort(command)) this.#longCallCount += 1;
     const sentAt = performance.now();
     const workers = command.workers.map(({ id }) => id);
     const permits =
@@ -110,7 +109,6 @@
         ? await this.#advisor.requestPermits(command.stepKey, workers)
         : await this.#sendToPeer(channel.link, command, workers);
     channel.isBusy = false;
-    if (!isShort(command)) this.#longCallCount -= 1;
     if (permits === undefined) channel.pausedUntil = performance.now() + channelRetryMs;
     this.#log.write('permitsAnswered', {
       step: command.stepKey,
@@ -133,6 +131,3 @@
     return reply.isOk() && reply.value.reply === 'permits' ? reply.value.permits : undefined;
   }
 }
-
-const isShort = ({ expectedMs }: AdviceCommand): boolean =>
-  expectedMs < hostLimits.shortAdviceCallMs;
--- a/packages/daemon/src/hostLimits.ts
+++ b/packages/daemon/src/hostLimits.ts
@@ -79,10 +79,8 @@
   suspensionRefreshMs: 500,
   /** Time for which a stopping host still accepts connections: the load balancer needs two failed probes. */
   drainMs: 2300,
-  /** Advice calls with a shorter expected duration may use all channels, the leader's own included. */
+  /** Advice calls with a shorter expected duration may use the leader's own channel. */
   shortAdviceCallMs: 100,
-  /** Share of the channels that longer advice calls may use at the same time. */
-  longAdviceCallShare: 0.8,
   /** Interval of the cleanup of finished jobs. */
   cleanupIntervalMs: 20_000,
   /** Keys removed in one transaction: the store accepts 32 entries. */
--- a/packages/jobs/src/Command.ts
+++ b/packages/jobs/src/Command.ts
@@ -19,7 +19,5 @@
       readonly workers: readonly Worker[];
       /** Expected duration of the call, in milliseconds. */
       readonly expectedMs: number;
-      /** Rank of the step in the order of service, which goes before its priority. */
-      readonly rank: number;
       readonly priority: number;
     };
--- a/packages/jobs/src/PermitRequests.ts
+++ b/packages/jobs/src/PermitRequests.ts
@@ -1,6 +1,5 @@
 import type { AdviceTerms } from '@toucanline/schema';
 import type { PendingStep } from './PendingStep.js';
-import { computeServiceRank } from './computeServiceRank.js';
 import type { ImageDurations } from './ImageDurations.js';
 import type { PermitCache } from './PermitCache.js';
 import type { PlanningPass } from './PlanningPass.js';
@@ -39,16 +38,15 @@
    * Requests unknown verdicts, and renews expired permits of workers that have the capacity now. A request is filled up
    * with expired permits of other allowed workers.
    *
-   * @param pending - step, its queue and its lateness
+   * @param pending - step and its queue
    * @param candidates - workers of the step, and what is known about them
    * @param pass - planning pass, which receives the request if one is needed and possible
    */
   public requestPermits(
-    pending: PendingStep,
+    { step, queue }: PendingStep,
     candidates: PermitCandidates,
     pass: PlanningPass,
   ): void {
-    const { step, queue } = pending;
     const { advice } = queue;
     if (advice === undefined || !this.#permits.canRequest(step.key, pass.now)) return;
     const needed = this.#listNeeded(step, candidates, pass);
@@ -66,7 +64,6 @@
       queue: queue.name,
       workers: requested,
       expectedMs: advice.baseMs + advice.perWorkerMs * requested.length,
-      rank: computeServiceRank(pending),
       priority: queue.priority,
     });
   }
