--- a/packages/daemon/src/StoreChangeHandler.ts
+++ b/packages/daemon/src/StoreChangeHandler.ts
@@ -61,10 +61,13 @@
    * @param item - stored item of the progress
    * @param now - monotonic time in milliseconds
    */
-  public applyProgress({ value }: StoreItem, now: number): void {
-    const progress =
-      value === undefined ? undefined : parseStoredRecord(validators.JobProgress, value);
-    if (progress === undefined) return;
+  public applyProgress({ key, value }: StoreItem, now: number): void {
+    if (value === undefined) return;
+    const progress = parseStoredRecord(validators.JobProgress, value);
+    if (progress === undefined) {
+      this.#dependencies.log.writeError(key, 'the stored progress cannot be decoded');
+      return;
+    }
     if (progress.finishedAtMs !== undefined) this.#finishedIds.add(progress.id);
     this.#scheduler.restoreProgress(progress, now);
   }
--- a/packages/daemon/src/WorkerSession.ts
+++ b/packages/daemon/src/WorkerSession.ts
@@ -30,13 +30,6 @@
     }
   }
 
-  async #step(): Promise<void> {
-    if (!this.#isReportNeeded) await this.#sleep(undefined);
-    else if (!this.#context.leaderLease.canIssueCommands)
-      await this.#sleep(hostLimits.reportRetryMs);
-    else await this.#pollReport();
-  }
-
   /** Stops the session. */
   public stop(): void {
     this.#isStopped = true;
@@ -68,6 +61,13 @@
     wake?.();
   }
 
+  async #step(): Promise<void> {
+    if (!this.#isReportNeeded) await this.#sleep(undefined);
+    else if (!this.#context.leaderLease.canIssueCommands)
+      await this.#sleep(hostLimits.reportRetryMs);
+    else await this.#pollReport();
+  }
+
   #hasStopped(): boolean {
     return this.#isStopped;
   }
