Derive leases, retention and waits from the bounds in the settings

Cause: the longest lease (6 s), the retention of finished jobs (180 s), the age of a confirmed configuration and the wait before an exit were constants that fit the sites in hand. At a site whose workers accept 2 s, a lease would end between two reports and a new leader would wait 9.3 s instead of 5.2; with a key bound of 0.9 s no keyed call would ever be accepted; with a grace period of 2 s a host would be killed while it accepts calls.

Change: `computeHostTimes` derives these times in one place.

Conclusion: the derived times of the sites in hand are as before but for the lease (5.88 s in place of 5.9 s).

--- a/packages-private/bench/src/PlanningBenchmark.ts
+++ b/packages-private/bench/src/PlanningBenchmark.ts
@@ -91,7 +91,7 @@
     { workers, waitingSteps }: PlanningCase,
     generator: RandomGenerator,
   ): ReturnType<typeof build> {
-    const scheduler = new Scheduler(1, 1, 0, 200);
+    const scheduler = new Scheduler(1, 1, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
     const service = { name: 'render', enforcesCapacity: false, isSpare: false };
     scheduler.configure({
       ...{ version: 1, accounts: [], maxBodyBytes: 1 },
--- a/packages/daemon/__tests__/JobCleanup.test.ts
+++ b/packages/daemon/__tests__/JobCleanup.test.ts
@@ -1,4 +1,4 @@
-import { schedulingLimits, Scheduler } from '@toucanline/jobs';
+import { Scheduler } from '@toucanline/jobs';
 import { expect } from 'chai';
 import { EventLog, HostMetrics } from '../src/index.js';
 import { JobCleanup } from '../src/JobCleanup.js';
@@ -28,11 +28,16 @@
     const store = new MemoryStore();
     const revision = store.put(storeKeys.holder, 'leader');
     const leaderLease = new LeaderLease(1, revision, 1);
-    const dependencies = { store, log: new EventLog('test', new HostMetrics()) };
+    const retentionMs = 180_000;
+    const dependencies = {
+      store,
+      log: new EventLog('test', new HostMetrics()),
+      times: { retentionMs },
+    };
     const cleanup = new JobCleanup(
       dependencies as unknown as LeaderDependencies,
       leaderLease,
-      new Scheduler(1, revision, 0, 200),
+      new Scheduler(1, revision, 0, { maxStopMs: 200, maxLeaseMs: 6000 }),
     );
     const count = 2 * hostLimits.maxRemovalsPerWrite + 5;
     const keys = Array.from({ length: count }, (_, index) => `${storeKeys.jobPrefix}${index}`);
@@ -41,7 +46,7 @@
       cleanup.addRefusalMarker(key);
     }
     cleanup.start();
-    const later = originalNow() + schedulingLimits.retentionMs + 1000;
+    const later = originalNow() + retentionMs + 1000;
     performance.now = () => later;
     leaderLease.recordRenewal(later, Date.now());
     runCleanup?.();
--- a/packages/daemon/__tests__/JobService.test.ts
+++ b/packages/daemon/__tests__/JobService.test.ts
@@ -79,14 +79,14 @@
     const log = new EventLog('test', new HostMetrics());
     storeHealth = new StoreHealth(log);
     const monitored = new MonitoredStore(store, storeHealth);
-    configuration = new ConfigurationWatch(monitored, new JsonDecoder(), log);
+    configuration = new ConfigurationWatch(monitored, new JsonDecoder(), log, 1500);
     service = new JobService(
       monitored,
       storeHealth,
       configuration,
       new UnresponsiveLeader(),
       log,
-      5000,
+      4100,
     );
     await configuration.ensureFresh(0);
   });
--- a/packages/daemon/__tests__/ProgressWriter.test.ts
+++ b/packages/daemon/__tests__/ProgressWriter.test.ts
@@ -55,7 +55,10 @@
   beforeEach(() => {
     store = new MemoryStore();
     const leaderLease = new LeaderLease(1, store.put(storeKeys.holder, 'leader'), 1);
-    scheduler = new Scheduler(1, leaderLease.holderRevision, 0, 200);
+    scheduler = new Scheduler(1, leaderLease.holderRevision, 0, {
+      maxStopMs: 200,
+      maxLeaseMs: 6000,
+    });
     const added = scheduler.updateWorker(entry, false);
     if (added === undefined) throw new Error('the worker is known');
     worker = added;
--- a/packages/daemon/__tests__/RosterManager.test.ts
+++ b/packages/daemon/__tests__/RosterManager.test.ts
@@ -39,7 +39,7 @@
     const revision = store.put(storeKeys.holder, String(term));
     const leaderLease = new LeaderLease(term, revision, term);
     leaderLease.recordRenewal(performance.now(), Date.now());
-    const scheduler = new Scheduler(term, revision, 0, 200);
+    const scheduler = new Scheduler(term, revision, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
     const dependencies = {
       store,
       log: new EventLog('test', new HostMetrics()),
--- a/packages/daemon/__tests__/StoreChangeHandler.test.ts
+++ b/packages/daemon/__tests__/StoreChangeHandler.test.ts
@@ -39,7 +39,7 @@
     readonly scheduler: Scheduler;
     readonly handler: StoreChangeHandler;
   } => {
-    const scheduler = new Scheduler(2, 10, 0, 200);
+    const scheduler = new Scheduler(2, 10, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
     const leaderLease = new LeaderLease(2, 10, 1);
     leaderLease.recordRenewal(performance.now(), Date.now());
     const log = new EventLog('test', new HostMetrics());
--- a/packages/daemon/src/CommandDispatcher.ts
+++ b/packages/daemon/src/CommandDispatcher.ts
@@ -152,7 +152,7 @@
     if (outcome === 'confirmed' && wasUnconfirmed) {
       setTimeout(
         () => void session?.pollNow(),
-        this.#dependencies.maxStopMs + hostLimits.stopCheckMarginMs,
+        this.#dependencies.times.worker.maxStopMs + hostLimits.stopCheckMarginMs,
       );
     }
     this.#onChange();
--- a/packages/daemon/src/ConfigurationWatch.ts
+++ b/packages/daemon/src/ConfigurationWatch.ts
@@ -2,7 +2,6 @@
 import type { SiteConfiguration } from '@toucanline/schema';
 import { ConfirmationAge } from './ConfirmationAge.js';
 import type { EventLog } from './EventLog.js';
-import { hostLimits } from './hostLimits.js';
 import { PrefixWatch } from './PrefixWatch.js';
 
 /** Watches the operator's configuration. Within one process it never returns to an older version. */
@@ -21,30 +20,31 @@
    * @param store - metadata store
    * @param decoder - decoder of the stored configuration
    * @param log - event log of this process
+   * @param maxWaitMs - longest wait of one watch call, in milliseconds
    */
-  public constructor(store: MetadataStore, decoder: StoreDecoder, log: EventLog) {
+  public constructor(
+    store: MetadataStore,
+    decoder: StoreDecoder,
+    log: EventLog,
+    maxWaitMs: number,
+  ) {
     this.#store = store;
     this.#decoder = decoder;
     this.#log = log;
-    this.#watch = new PrefixWatch(
-      store,
-      decoder.configurationKey,
-      hostLimits.configurationWatchMs,
-      {
-        onSnapshot: (items) => {
-          for (const item of items) this.#apply(item.key, item.value);
-        },
-        onChange: (item) => {
-          this.#apply(item.key, item.value);
-        },
-        onError: (error) => {
-          log.writeError('configuration', error);
-        },
-        onConfirmed: (monotonicAt, wallAt) => {
-          this.#confirmationAge.confirm(monotonicAt, wallAt);
-        },
+    this.#watch = new PrefixWatch(store, decoder.configurationKey, maxWaitMs, {
+      onSnapshot: (items) => {
+        for (const item of items) this.#apply(item.key, item.value);
       },
-    );
+      onChange: (item) => {
+        this.#apply(item.key, item.value);
+      },
+      onError: (error) => {
+        log.writeError('configuration', error);
+      },
+      onConfirmed: (monotonicAt, wallAt) => {
+        this.#confirmationAge.confirm(monotonicAt, wallAt);
+      },
+    });
   }
 
   /** Newest configuration; undefined if none is known. */
--- a/packages/daemon/src/DaemonSettings.ts
+++ b/packages/daemon/src/DaemonSettings.ts
@@ -18,6 +18,10 @@
   readonly revokeMs: number;
   /** Longest time a worker takes to stop a run, in milliseconds. */
   readonly stopMs: number;
+  /** Longest lease that a worker accepts, in milliseconds. */
+  readonly maxLeaseMs: number;
+  /** Time for which the state of a finished job must stay readable, in milliseconds. */
+  readonly statusMs: number;
   /** Time between the request to stop this process and its kill, in milliseconds. */
   readonly graceMs: number;
 }
--- a/packages/daemon/src/HostDaemon.ts
+++ b/packages/daemon/src/HostDaemon.ts
@@ -1,5 +1,6 @@
 import type { MetadataStore, StoreDecoder, PlacementAdvisor, WorkerClient } from '@toucanline/jobs';
 import type { Hello } from '@toucanline/schema';
+import { computeHostTimes } from './computeHostTimes.js';
 import { ConfigurationWatch } from './ConfigurationWatch.js';
 import { EventLog } from './EventLog.js';
 import { Election } from './Election.js';
@@ -49,7 +50,13 @@
     this.#storeHealth = new StoreHealth(this.log);
     const store = new MonitoredStore(dependencies.store, this.#storeHealth);
     this.#store = store;
-    this.#configuration = new ConfigurationWatch(store, dependencies.decoder, this.log);
+    const times = computeHostTimes(settings);
+    this.#configuration = new ConfigurationWatch(
+      store,
+      dependencies.decoder,
+      this.log,
+      times.configurationWatchMs,
+    );
     const hello: Hello = {
       type: 'hello',
       protocol: linkProtocolVersion,
@@ -68,7 +75,7 @@
       this.#configuration,
       leaderClient,
       this.log,
-      settings.revokeMs,
+      times.maxConfigurationAgeMs,
     );
     const { name, linkAddress, leaderFitness } = settings;
     this.#election = new Election(store, name, linkAddress, leaderFitness, this.log, {
@@ -78,7 +85,7 @@
             ...dependencies,
             store,
             listPeerLinks: () => this.#links.incomingLinks,
-            maxStopMs: settings.stopMs,
+            times,
             processors: settings.processors,
             log: this.log,
             metrics: this.metrics,
--- /dev/null
+++ b/packages/daemon/src/HostTimes.ts
@@ -0,0 +1,16 @@
+import type { WorkerBounds } from '@toucanline/jobs';
+
+/** Times of a host process that depend on the bounds of the site, in milliseconds. */
+export interface HostTimes {
+  readonly worker: WorkerBounds;
+  /** Longest time for which a worker delays a report until a run ends. */
+  readonly reportWaitMs: number;
+  /** Time for which the state of a finished job stays readable. */
+  readonly retentionMs: number;
+  /** Age of the confirmation of a configuration from which it is read again before a keyed call is accepted. */
+  readonly maxConfigurationAgeMs: number;
+  /** Longest wait of one watch call for the configuration. */
+  readonly configurationWatchMs: number;
+  /** Time for which a stopping host still accepts connections. */
+  readonly drainMs: number;
+}
--- a/packages/daemon/src/JobCleanup.ts
+++ b/packages/daemon/src/JobCleanup.ts
@@ -1,4 +1,4 @@
-import { schedulingLimits, type Scheduler } from '@toucanline/jobs';
+import type { Scheduler } from '@toucanline/jobs';
 import type { EventLog } from './EventLog.js';
 import { hostLimits } from './hostLimits.js';
 import type { LeaderLease } from './LeaderLease.js';
@@ -63,7 +63,7 @@
 
   /** Removes expired jobs and markers, as many as the transactions of one cleanup allow; the others follow later. */
   async #removeExpired(): Promise<void> {
-    const { retentionMs } = schedulingLimits;
+    const { retentionMs } = this.#dependencies.times;
     const finished = this.#scheduler.listExpiredJobs(Date.now() - retentionMs);
     const expiredMarkers = [...this.#refusalMarkers]
       .filter(([, seenAt]) => performance.now() - seenAt > retentionMs)
--- a/packages/daemon/src/JobService.ts
+++ b/packages/daemon/src/JobService.ts
@@ -12,7 +12,6 @@
 import type { ConfigurationWatch } from './ConfigurationWatch.js';
 import type { EventLog } from './EventLog.js';
 import { findQueue } from './findQueue.js';
-import { hostLimits } from './hostLimits.js';
 import { JobWriter } from './JobWriter.js';
 import type { LeaderClient } from './LeaderClient.js';
 import { parseStoredRecord } from './parseStoredRecord.js';
@@ -57,7 +56,8 @@
    * @param configuration - watch of the operator's configuration
    * @param leader - client of the leader
    * @param log - event log of this process
-   * @param revokeMs - time within which a withdrawn key must no longer be accepted, in milliseconds
+   * @param maxConfigurationAgeMs - age of the confirmation of a configuration from which it is read again, in
+   * milliseconds
    */
   public constructor(
     store: MetadataStore,
@@ -65,7 +65,7 @@
     configuration: ConfigurationWatch,
     leader: LeaderClient,
     log: EventLog,
-    revokeMs: number,
+    maxConfigurationAgeMs: number,
   ) {
     this.#store = store;
     this.#storeHealth = storeHealth;
@@ -73,7 +73,7 @@
     this.#configuration = configuration;
     this.#leader = leader;
     this.#log = log;
-    this.#maxConfigurationAgeMs = revokeMs - hostLimits.keyRevocationMarginMs;
+    this.#maxConfigurationAgeMs = maxConfigurationAgeMs;
   }
 
   /**
--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -57,7 +57,7 @@
       leaderLease.term,
       leaderLease.holderRevision,
       performance.now(),
-      dependencies.maxStopMs,
+      dependencies.times.worker,
     );
     const schedulePlan = (): void => {
       this.#schedulePlan();
@@ -66,6 +66,7 @@
       {
         scheduler: this.#scheduler,
         workerClient: dependencies.workerClient,
+        reportWaitMs: dependencies.times.reportWaitMs,
         leaderLease,
         log: dependencies.log,
         onChange: schedulePlan,
--- a/packages/daemon/src/LeaderDependencies.ts
+++ b/packages/daemon/src/LeaderDependencies.ts
@@ -1,6 +1,7 @@
 import type { MetadataStore, StoreDecoder, PlacementAdvisor, WorkerClient } from '@toucanline/jobs';
 import type { Link } from '@toucanline/wire';
 import type { HostMetrics } from './HostMetrics.js';
+import type { HostTimes } from './HostTimes.js';
 import type { EventLog } from './EventLog.js';
 
 /** What the leader needs from its host. */
@@ -11,8 +12,7 @@
   readonly advisor: PlacementAdvisor;
   /** Lists the links that other hosts have opened to this one. */
   readonly listPeerLinks: () => readonly Link[];
-  /** Longest time a worker takes to stop a run, in milliseconds. */
-  readonly maxStopMs: number;
+  readonly times: HostTimes;
   /** Processor time of this host per second, in seconds. */
   readonly processors: number;
   readonly log: EventLog;
--- a/packages/daemon/src/SessionContext.ts
+++ b/packages/daemon/src/SessionContext.ts
@@ -9,6 +9,8 @@
   readonly workerClient: WorkerClient;
   readonly leaderLease: LeaderLease;
   readonly log: EventLog;
+  /** Longest time for which a worker delays a report until a run ends, in milliseconds. */
+  readonly reportWaitMs: number;
   /** Controls the pause between two reports of a worker. */
   readonly pacing: ReportPacing;
   /** Called when a change may allow new decisions. */
--- a/packages/daemon/src/WorkerSession.ts
+++ b/packages/daemon/src/WorkerSession.ts
@@ -91,13 +91,13 @@
   }
 
   async #pollReport(): Promise<void> {
-    const { workerClient, leaderLease, scheduler, log } = this.#context;
+    const { workerClient, leaderLease, scheduler, log, reportWaitMs } = this.#context;
     const worker = this.#worker;
     // While ends are unwritten, the worker would answer each request at once; the write wakes the session.
     if (this.#hasUnwrittenEnds) await this.#sleep(hostLimits.unwrittenEndsPauseMs);
     if (this.#hasStopped() || !leaderLease.canIssueCommands) return;
     const sentAt = performance.now();
-    const waitMs = worker.isSurveyed && worker.tasks.size > 0 ? hostLimits.reportWaitMs : 0;
+    const waitMs = worker.isSurveyed && worker.tasks.size > 0 ? reportWaitMs : 0;
     const leaseUntilMs = this.#extendWorkerLease(sentAt);
     const report = await workerClient.requestReport(
       worker.entry,
--- a/packages/daemon/src/hostLimits.ts
+++ b/packages/daemon/src/hostLimits.ts
@@ -6,7 +6,7 @@
   leaseRenewalIntervalMs: 300,
   /** The leader treats its lease as expired this long before the store: covers clock drift and a slow event loop. */
   leaseSafetyMarginMs: 150,
-  /** Longest wait of one watch call for the configuration; bounds the age of its confirmation. */
+  /** Longest wait of one watch call for the configuration, if keys need not be withdrawn sooner. */
   configurationWatchMs: 1500,
   /** Longest wait of one watch call for the keys of the election. */
   electionWatchMs: 2000,
@@ -44,7 +44,7 @@
   unknownOutcomeTimeoutMs: 400,
   /** Timeout of a call from another host to the leader. */
   leaderCallTimeoutMs: 500,
-  /** Longest time for which a worker delays a report until a run ends. */
+  /** Longest time for which a worker delays a report until a run ends, if the leases are long enough. */
   reportWaitMs: 1000,
   /** Shortest pause between two reports of a worker: ends within it share one report and one write. */
   minReportPauseMs: 40,
@@ -84,6 +84,10 @@
   suspensionRefreshMs: 500,
   /** Time for which a stopping host still accepts connections: the load balancer needs two failed probes. */
   drainMs: 2300,
+  /** Time before its kill at which a stopping host exits even if calls are open. */
+  exitMarginMs: 1000,
+  /** Shortest time for which the state of a finished job stays readable. */
+  minRetentionMs: 180_000,
   /** Advice calls with a shorter expected duration may use the leader's own channel. */
   shortAdviceCallMs: 100,
   /** Interval of the cleanup of finished jobs. */
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+export { computeHostTimes } from './computeHostTimes.js';
 export { computeLeaderFitness } from './computeLeaderFitness.js';
 export { EventLog } from './EventLog.js';
 export type { DaemonSettings } from './DaemonSettings.js';
--- a/packages/jobs/__tests__/LoadSimulation.ts
+++ b/packages/jobs/__tests__/LoadSimulation.ts
@@ -41,7 +41,7 @@
     isAllowed: (worker: string) => boolean = () => true,
   ) {
     this.#isAllowed = isAllowed;
-    this.scheduler = new Scheduler(1, this.#revision, 0, 200);
+    this.scheduler = new Scheduler(1, this.#revision, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
     this.scheduler.configure(site);
     this.#factorOf = factorOf;
     for (const entry of workers) {
--- a/packages/jobs/__tests__/SchedulerSimulation.ts
+++ b/packages/jobs/__tests__/SchedulerSimulation.ts
@@ -126,7 +126,10 @@
     this.#revision += 1;
     const previous = this.#leaders.at(-1);
     if (previous !== undefined) previous.supersededAt = this.#now;
-    const scheduler = new Scheduler(this.#term, this.#revision, this.#now, 200);
+    const scheduler = new Scheduler(this.#term, this.#revision, this.#now, {
+      maxStopMs: 200,
+      maxLeaseMs: 6000,
+    });
     scheduler.configure(configuration());
     for (const progress of this.#stored.values()) scheduler.restoreProgress(progress, this.#now);
     for (const { record, revision } of this.#records) {
--- a/packages/jobs/__tests__/backlog.test.ts
+++ b/packages/jobs/__tests__/backlog.test.ts
@@ -49,7 +49,7 @@
   });
 
   it('groups the workers once for all steps with the same needs', () => {
-    const scheduler = new Scheduler(1, 10, 0, 200);
+    const scheduler = new Scheduler(1, 10, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
     scheduler.configure(configuration());
     const labels = ['b', 'r1-2'];
     for (const entry of [worker('w1'), worker('w2', { labels }), worker('w3', { service: 'x' })]) {
@@ -77,7 +77,7 @@
   const fleet = Array.from({ length: 100 }, (_, index) => worker(`w${index}`));
 
   const createFullFleet = (): Scheduler => {
-    const scheduler = new Scheduler(1, 10, 0, 200);
+    const scheduler = new Scheduler(1, 10, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
     scheduler.configure(configuration({ queues: [queue('full'), queue('batch', { advice })] }));
     for (const entry of fleet) {
       const added = scheduler.updateWorker(entry, false);
--- a/packages/jobs/__tests__/placement.test.ts
+++ b/packages/jobs/__tests__/placement.test.ts
@@ -14,7 +14,7 @@
   workers: readonly ReturnType<typeof worker>[],
   site = configuration(),
 ): Scheduler => {
-  const scheduler = new Scheduler(1, 10, 0, 200);
+  const scheduler = new Scheduler(1, 10, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
   scheduler.configure(site);
   for (const entry of workers) {
     const added = scheduler.updateWorker(entry, false);
--- a/packages/jobs/__tests__/stalls.test.ts
+++ b/packages/jobs/__tests__/stalls.test.ts
@@ -39,7 +39,7 @@
   // Guards against tasks that are stopped because their reports are late although the worker responds to other calls,
   // as with an overloaded leader.
   it('is distinguished from a worker without a report yet', () => {
-    const scheduler = new Scheduler(1, 1, 0, 200);
+    const scheduler = new Scheduler(1, 1, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
     scheduler.configure(configuration());
     const w0 = scheduler.updateWorker(worker('w0'), false);
     if (w0 === undefined) throw new Error('updateWorker returned no new worker');
--- a/packages/jobs/__tests__/takeover.test.ts
+++ b/packages/jobs/__tests__/takeover.test.ts
@@ -18,7 +18,7 @@
   // Guards against a second run of a task on a worker that the new leader cannot reach, for example when a network
   // partition isolates a zone with the leader in it: the previous leader may have started any task that it knew.
   it('delays jobs that the previous leader knew until the workers are surveyed', () => {
-    const scheduler = new Scheduler(2, 100, 0, noStopMs);
+    const scheduler = new Scheduler(2, 100, 0, { maxStopMs: noStopMs, maxLeaseMs: 6000 });
     scheduler.configure(configuration());
     const reached = scheduler.updateWorker(worker('w1'), true);
     scheduler.updateWorker(worker('w2'), true);
@@ -40,7 +40,7 @@
 
   // Guards against runs that a worker refuses as old, because an earlier term has used the run numbers of this one.
   it('numbers runs above those of earlier terms, regardless of their number of planning passes', () => {
-    const first = new Scheduler(1, 1, 0, 200);
+    const first = new Scheduler(1, 1, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
     first.configure(configuration());
     const w1 = first.updateWorker(worker('w1'), false);
     if (w1 === undefined) throw new Error('updateWorker returned no new worker');
@@ -49,7 +49,7 @@
     first.addJob(job('a', [step(1, 100)]), 2, 5000);
     const [early] = selectStarts(first.plan(5001, 5001));
     expect(early?.run).to.equal(1);
-    const second = new Scheduler(2, 10, 0, 200);
+    const second = new Scheduler(2, 10, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
     second.configure(configuration());
     const again = second.updateWorker(worker('w1'), false);
     if (again === undefined) throw new Error('updateWorker returned no new worker');
@@ -59,9 +59,25 @@
     expect(late?.run).to.equal(schedulingLimits.runsPerTerm + 1);
   });
 
+  // Guards against jobs that wait for leases which no worker of the site accepts.
+  it('waits for unreachable workers no longer than their longest lease and the grace period', () => {
+    const maxLeaseMs = 2000;
+    const scheduler = new Scheduler(2, 100, 0, { maxStopMs: noStopMs, maxLeaseMs });
+    scheduler.configure(configuration());
+    const reached = scheduler.updateWorker(worker('w1'), true);
+    scheduler.updateWorker(worker('w2'), true);
+    if (reached === undefined) throw new Error('updateWorker returned no new worker');
+    scheduler.addJob(job('old', [step(1, 200)]), 50, 0);
+    scheduler.handleReport(reached, noRuns, 0, 1, 1);
+    const { leaderGraceMs, minClockRate, leaseExpiryMarginMs } = schedulingLimits;
+    const expiresAt = leaderGraceMs + maxLeaseMs / minClockRate + leaseExpiryMarginMs;
+    expect(selectStarts(scheduler.plan(expiresAt - 1, 1))).to.deep.equal([]);
+    expect(selectStarts(scheduler.plan(expiresAt + 1, 1))).to.have.length(1);
+  });
+
   // Guards against an account that exceeds its cap while a partitioned data centre continues its tasks.
   it('counts the usage that the previous leader placed on unreachable workers against the caps', () => {
-    const scheduler = new Scheduler(2, 100, 0, noStopMs);
+    const scheduler = new Scheduler(2, 100, 0, { maxStopMs: noStopMs, maxLeaseMs: 6000 });
     const cap = { milliProcessors: 1000, memoryMb: 0, accelerators: 0 };
     const accounts = [{ name: 'planning', weight: 1, keys: [], cap }];
     scheduler.configure(configuration({ accounts }));
@@ -83,7 +99,7 @@
   // Guards against a job that is published as failed after one failed run (seen as LOST on klsu, day bf6d): the run end
   // was written, but the leader lost power before it was acknowledged, so the worker reports it again.
   it('counts a failed run once although its end is reported again', () => {
-    const scheduler = new Scheduler(2, 100, 0, noStopMs);
+    const scheduler = new Scheduler(2, 100, 0, { maxStopMs: noStopMs, maxLeaseMs: 6000 });
     scheduler.configure(configuration());
     const w1 = scheduler.updateWorker(worker('w1'), true);
     if (w1 === undefined) throw new Error('updateWorker returned no new worker');
@@ -97,7 +113,7 @@
   });
 
   it('adopts the runs of the workers and counts them against their capacity', () => {
-    const scheduler = new Scheduler(2, 100, 0, noStopMs);
+    const scheduler = new Scheduler(2, 100, 0, { maxStopMs: noStopMs, maxLeaseMs: 6000 });
     scheduler.configure(configuration());
     const w1 = scheduler.updateWorker(worker('w1'), true);
     if (w1 === undefined) throw new Error('updateWorker returned no new worker');
@@ -112,7 +128,7 @@
   // Guards against tasks whose leases are considered expired while their worker waits for its first renewal by the new
   // leader (seen as LIMIT on cpwgo trouble-3: the renewal waited until run ends were written).
   it('assumes the longest lease of the previous leader for adopted runs', () => {
-    const scheduler = new Scheduler(2, 100, 0, 200);
+    const scheduler = new Scheduler(2, 100, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
     scheduler.configure(configuration());
     const w1 = scheduler.updateWorker(worker('w1'), true);
     if (w1 === undefined) throw new Error('updateWorker returned no new worker');
@@ -125,7 +141,7 @@
 
   // Guards against a stray run that holds resources which the leader does not count (seen as LIMIT on cpwgo trouble-3).
   it('counts the resources of stray runs and returns the runs to be stopped', () => {
-    const scheduler = new Scheduler(2, 100, 0, noStopMs);
+    const scheduler = new Scheduler(2, 100, 0, { maxStopMs: noStopMs, maxLeaseMs: 6000 });
     scheduler.configure(configuration());
     const w1 = scheduler.updateWorker(worker('w1'), true);
     if (w1 === undefined) throw new Error('updateWorker returned no new worker');
@@ -145,7 +161,7 @@
   // Guards against capacity that is reused while a run that the previous leader stopped is still ending: the first
   // report lists it neither as running nor as ended (random simulation, seed 2).
   it('starts nothing on a worker until the stops of the previous leader are over', () => {
-    const scheduler = new Scheduler(2, 10, 0, 200);
+    const scheduler = new Scheduler(2, 10, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
     scheduler.configure(configuration());
     const w1 = scheduler.updateWorker(worker('w1'), true);
     if (w1 === undefined) throw new Error('updateWorker returned no new worker');
@@ -158,7 +174,7 @@
   // Pattern: a worker left permanently before the takeover. Guards against waiting for leases that nobody grants any
   // more: on cpwgo scale-2 all jobs of a service waited for 9 s after each change of the leader.
   it('waits for a suspended worker only until its last leases have expired', () => {
-    const scheduler = new Scheduler(2, 10, 0, 200);
+    const scheduler = new Scheduler(2, 10, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
     scheduler.configure(configuration());
     const reached = scheduler.updateWorker(worker('w1'), true);
     scheduler.updateWorker(worker('w2'), true, 1500);
@@ -171,7 +187,7 @@
 
   // Guards against commands to a worker that a successor, by the stored suspension, assumes to run nothing any more.
   it('starts nothing on a suspended worker until it is resumed', () => {
-    const scheduler = new Scheduler(1, 1, 0, 200);
+    const scheduler = new Scheduler(1, 1, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
     scheduler.configure(configuration());
     const only = scheduler.updateWorker(worker('w1'), false);
     if (only === undefined) throw new Error('updateWorker returned no new worker');
@@ -186,7 +202,7 @@
 
 describe('an unreachable worker', () => {
   const startTask = (): { readonly scheduler: Scheduler; readonly command: StartCommand } => {
-    const scheduler = new Scheduler(1, 1, 0, 200);
+    const scheduler = new Scheduler(1, 1, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
     scheduler.configure(configuration());
     for (const id of ['w1', 'w2']) {
       const added = scheduler.updateWorker(worker(id), false);
@@ -227,7 +243,7 @@
 
   // Guards against starts beyond the capacity of a worker that still runs what this leader does not know.
   it('gets no tasks while it runs a job that is unknown', () => {
-    const scheduler = new Scheduler(1, 1, 0, 200);
+    const scheduler = new Scheduler(1, 1, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
     scheduler.configure(configuration());
     const added = scheduler.updateWorker(worker('w1'), false);
     if (added === undefined) throw new Error('the worker is known');
--- a/packages/jobs/src/InheritedWorkers.ts
+++ b/packages/jobs/src/InheritedWorkers.ts
@@ -5,20 +5,16 @@
 import type { Worker } from './Worker.js';
 import type { WorkerPool } from './WorkerPool.js';
 
-/**
- * Longest time for which runs of the previous leader may continue after the election, in milliseconds. It may send
- * commands until its grace period ends, except to workers that it suspended.
- */
-const longestWaitMs =
-  schedulingLimits.leaderGraceMs +
-  schedulingLimits.maxWorkerLeaseMs / schedulingLimits.minClockRate +
-  schedulingLimits.leaseExpiryMarginMs;
-
 /** Workers on which the previous leader may have started runs and which this leader has not surveyed yet. */
 export class InheritedWorkers {
   readonly #jobs: JobRegistry;
   readonly #electionRevision: number;
   readonly #electedAt: number;
+  /**
+   * Longest time for which runs of the previous leader may continue after the election, in milliseconds. It may send
+   * commands until its grace period ends, except to workers that it suspended.
+   */
+  readonly #longestWaitMs: number;
   /** Unsurveyed workers, with the monotonic time in milliseconds by which all leases on them have expired. */
   readonly #leaseExpiries = new Map<Worker, number>();
   #areWorkersUnknown = false;
@@ -27,11 +23,20 @@
    * @param jobs - known jobs
    * @param electionRevision - revision of the store at which this leader was elected
    * @param electedAt - monotonic time of the election, in milliseconds
+   * @param maxLeaseMs - longest lease that a worker accepts, in milliseconds
    */
-  public constructor(jobs: JobRegistry, electionRevision: number, electedAt: number) {
+  public constructor(
+    jobs: JobRegistry,
+    electionRevision: number,
+    electedAt: number,
+    maxLeaseMs: number,
+  ) {
     this.#jobs = jobs;
     this.#electionRevision = electionRevision;
     this.#electedAt = electedAt;
+    const { leaderGraceMs, longestLeaseMs, minClockRate, leaseExpiryMarginMs } = schedulingLimits;
+    this.#longestWaitMs =
+      leaderGraceMs + Math.min(maxLeaseMs, longestLeaseMs) / minClockRate + leaseExpiryMarginMs;
   }
 
   /**
@@ -42,7 +47,7 @@
    * suspended the worker; undefined otherwise
    */
   public add(worker: Worker, remainingMs: number | undefined): void {
-    const waitMs = Math.min(remainingMs ?? longestWaitMs, longestWaitMs);
+    const waitMs = Math.min(remainingMs ?? this.#longestWaitMs, this.#longestWaitMs);
     if (waitMs > 0) this.#leaseExpiries.set(worker, this.#electedAt + waitMs);
   }
 
@@ -98,7 +103,7 @@
    * @param now - monotonic time in milliseconds
    */
   public removeExpired(now: number): void {
-    if (now > this.#electedAt + longestWaitMs) this.#areWorkersUnknown = false;
+    if (now > this.#electedAt + this.#longestWaitMs) this.#areWorkersUnknown = false;
     for (const [worker, expiresAt] of this.#leaseExpiries) if (now > expiresAt) this.remove(worker);
   }
 
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -25,6 +25,7 @@
 import type { Task } from './Task.js';
 import type { Worker } from './Worker.js';
 import { EndedWorkers } from './EndedWorkers.js';
+import type { WorkerBounds } from './WorkerBounds.js';
 import { WorkerPool } from './WorkerPool.js';
 
 /**
@@ -35,7 +36,7 @@
   /** Progress that is not yet written to the store. */
   public readonly progress: PendingProgress;
   readonly #jobs = new JobRegistry();
-  readonly #pool = new WorkerPool();
+  readonly #pool: WorkerPool;
   readonly #queues = new QueueSettings();
   readonly #permits = new PermitCache();
   readonly #durations = new ImageDurations();
@@ -53,12 +54,14 @@
    * @param term - fencing token of this leader
    * @param electionRevision - revision of the store at which this leader was elected
    * @param now - monotonic time in milliseconds
-   * @param maxStopMs - longest time that a worker takes to stop a run, in milliseconds
+   * @param bounds - times that hold for all workers of the site
    */
-  public constructor(term: number, electionRevision: number, now: number, maxStopMs: number) {
+  public constructor(term: number, electionRevision: number, now: number, bounds: WorkerBounds) {
+    const { maxStopMs, maxLeaseMs } = bounds;
     this.#maxStopMs = maxStopMs;
+    this.#pool = new WorkerPool(maxLeaseMs);
     this.progress = new PendingProgress(this.#jobs, this.#pool);
-    this.#inheritedWorkers = new InheritedWorkers(this.#jobs, electionRevision, now);
+    this.#inheritedWorkers = new InheritedWorkers(this.#jobs, electionRevision, now, maxLeaseMs);
     this.#endedWorkers = new EndedWorkers(this.#pool, this.#inheritedWorkers);
     this.#firstRunNumber = (term - 1) * schedulingLimits.runsPerTerm + 1;
     this.#reportHandler = new ReportHandler(
--- a/packages/jobs/src/StartOutcomeHandler.ts
+++ b/packages/jobs/src/StartOutcomeHandler.ts
@@ -48,7 +48,7 @@
         worker.recordRefusedStart(now);
         break;
       case 'invalid':
-        task.step.delayRetryUntil(now + schedulingLimits.maxWorkerBackoffMs);
+        task.step.delayRetryUntil(now + schedulingLimits.invalidStartDelayMs);
         break;
       default:
         break;
--- a/packages/jobs/src/Worker.ts
+++ b/packages/jobs/src/Worker.ts
@@ -10,6 +10,8 @@
   /** Estimated duration of tasks on this worker relative to the mean of the fleet. */
   public readonly speed = new WorkerSpeed();
   #entry: WorkerEntry;
+  /** Longest lease on the worker that any leader grants. */
+  readonly #maxLeaseMs: number;
   readonly #tasks = new Set<Task>();
   #used: Room = resources.none;
   /** Cached free capacity, read for each waiting step of a pass; undefined after a change. */
@@ -37,9 +39,13 @@
   /** Id and life: identifies the incarnation. */
   public readonly incarnation: string;
 
-  /** @param entry - entry of the worker in the platform's list */
-  public constructor(entry: WorkerEntry) {
+  /**
+   * @param entry - entry of the worker in the platform's list
+   * @param maxLeaseMs - longest lease that the worker accepts, in milliseconds
+   */
+  public constructor(entry: WorkerEntry, maxLeaseMs: number) {
     this.#entry = entry;
+    this.#maxLeaseMs = Math.min(maxLeaseMs, schedulingLimits.longestLeaseMs);
     this.incarnation = formatIncarnation(entry.id, entry.life);
   }
 
@@ -233,7 +239,7 @@
    * assumed to last the longest time that a worker accepts.
    */
   public markSurveyed(): void {
-    if (!this.#isSurveyed) this.#leaseUntilMs = this.#clockMs + schedulingLimits.maxWorkerLeaseMs;
+    if (!this.#isSurveyed) this.#leaseUntilMs = this.#clockMs + this.#maxLeaseMs;
     this.#isSurveyed = true;
   }
 
@@ -245,7 +251,8 @@
    */
   public extendLease(now: number): number {
     const elapsedMs = this.#clockReadAt === undefined ? 0 : now - this.#clockReadAt;
-    const leaseUntilMs = Math.floor(this.#clockMs + elapsedMs + schedulingLimits.workerLeaseMs);
+    const grantedMs = this.#maxLeaseMs * schedulingLimits.grantedLeaseShare;
+    const leaseUntilMs = Math.floor(this.#clockMs + elapsedMs + grantedMs);
     this.#leaseUntilMs = Math.max(this.#leaseUntilMs, leaseUntilMs);
     return leaseUntilMs;
   }
@@ -272,7 +279,7 @@
   public recordCallFailure(now: number, sentAt: number): void {
     if (this.#lastContactAt > sentAt) return;
     this.#callFailures += 1;
-    this.pauseUntil(now + computeBackoffMs(this.#callFailures));
+    this.pauseUntil(now + this.#computeBackoffMs(this.#callFailures));
   }
 
   /**
@@ -283,7 +290,7 @@
    */
   public recordRefusedStart(now: number): void {
     this.#refusedStarts += 1;
-    this.pauseUntil(now + computeBackoffMs(this.#refusedStarts));
+    this.pauseUntil(now + this.#computeBackoffMs(this.#refusedStarts));
   }
 
   /** Records a start that the worker has accepted. */
@@ -331,10 +338,11 @@
   public acknowledge(number: number): void {
     this.#acknowledgedThrough = Math.max(this.#acknowledgedThrough, number);
   }
-}
 
-/** Computes the pause after a number of consecutive failures, in milliseconds. */
-const computeBackoffMs = (failures: number): number => {
-  const { workerBackoffMs, maxWorkerBackoffMs } = schedulingLimits;
-  return Math.min(workerBackoffMs * 2 ** (failures - 1), maxWorkerBackoffMs);
-};
+  /** Computes the pause after a number of consecutive failures, in milliseconds. */
+  #computeBackoffMs(failures: number): number {
+    const { workerBackoffMs, maxWorkerBackoffShare } = schedulingLimits;
+    const longestMs = this.#maxLeaseMs * maxWorkerBackoffShare;
+    return Math.min(workerBackoffMs * 2 ** (failures - 1), longestMs);
+  }
+}
--- a/packages/jobs/src/WorkerPool.ts
+++ b/packages/jobs/src/WorkerPool.ts
@@ -3,12 +3,18 @@
 
 /** Workers that the platform lists, and unlisted ones that may still run tasks. */
 export class WorkerPool {
+  readonly #maxLeaseMs: number;
   readonly #byId = new Map<string, Worker>();
   /** Cached list of all workers, because each planning pass reads it several times. */
   #all: readonly Worker[] | undefined;
   /** Replaced incarnations, which have ended; unlisted workers stay in the pool until their leases have expired. */
   #replaced: Worker[] = [];
 
+  /** @param maxLeaseMs - longest lease that a worker accepts, in milliseconds */
+  public constructor(maxLeaseMs: number) {
+    this.#maxLeaseMs = maxLeaseMs;
+  }
+
   /** All workers that may run tasks. */
   public get all(): readonly Worker[] {
     this.#all ??= [...this.#byId.values()];
@@ -38,7 +44,7 @@
       return undefined;
     }
     if (known !== undefined) this.#replaced.push(known);
-    const worker = new Worker(entry);
+    const worker = new Worker(entry, this.#maxLeaseMs);
     this.#byId.set(entry.id, worker);
     this.#all = undefined;
     return worker;
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -33,6 +33,7 @@
 export { Task } from './Task.js';
 export { TaskPlacement } from './TaskPlacement.js';
 export { Worker } from './Worker.js';
+export type { WorkerBounds } from './WorkerBounds.js';
 export { WorkerClient } from './WorkerClient.js';
 export { WorkerPool } from './WorkerPool.js';
 export { WorkerSpeed } from './WorkerSpeed.js';
--- a/packages/jobs/src/schedulingLimits.ts
+++ b/packages/jobs/src/schedulingLimits.ts
@@ -1,9 +1,12 @@
 /** Times and limits of scheduling. All times are in milliseconds. */
 export const schedulingLimits = Object.freeze({
-  /** Lease that each command grants: just under the longest that the platform's workers accept (6 s). */
-  workerLeaseMs: 5900,
-  /** Longest lease that a worker accepts, whatever a command requests. */
-  maxWorkerLeaseMs: 6000,
+  /**
+   * Longest lease that is used even if workers accept longer ones: the tasks of a worker that is lost start again only
+   * after their leases.
+   */
+  longestLeaseMs: 6000,
+  /** Lease that each command grants, as a share of the longest one. */
+  grantedLeaseShare: 0.98,
   /**
    * Grace period for which a leader without contact to the store continues with known work. For workers that it cannot
    * reach, its successor waits for this period on top of the workers' leases.
@@ -17,8 +20,10 @@
   permitMarginMs: 150,
   /** Time for which a worker that did not respond gets no new task; doubles with each consecutive failure. */
   workerBackoffMs: 500,
-  /** Longest pause of a worker that keeps failing to respond. */
-  maxWorkerBackoffMs: 4000,
+  /** Longest pause of a worker that keeps failing to respond, as a share of the longest lease: its tasks go on. */
+  maxWorkerBackoffShare: 0.65,
+  /** Time after which a task is started again whose start a worker could not read. */
+  invalidStartDelayMs: 4000,
   /** Maximum number of workers in one request for permits: the platform's objective allows for a call on 30. */
   maxWorkersPerAdvice: 30,
   /**
@@ -64,6 +69,4 @@
   stallPauseMs: 1500,
   /** Run numbers reserved for each term: a task is started far less often, so those of later terms are higher. */
   runsPerTerm: 1000,
-  /** Time for which the state of a finished job stays readable; the platform requires 120 s. */
-  retentionMs: 180_000,
 });
