--- a/packages-private/testkit/src/DaemonProcess.ts
+++ b/packages-private/testkit/src/DaemonProcess.ts
@@ -84,7 +84,8 @@
    */
   public async waitUntilHealthy(path = '/readyz'): Promise<void> {
     const endsAt = performance.now() + startTimeoutMs;
-    while (performance.now() < endsAt) {
+    // Another process may answer at the address if this one could not bind it.
+    while (this.isRunning && performance.now() < endsAt) {
       try {
         const response = await fetch(this.url + path);
         await response.text();
--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -5,6 +5,7 @@
   EventReplicator,
   PeerSet,
   type ProcessRuntime,
+  startHttpService,
 } from '@toucanline/runtime';
 import type { NoticeBody, ReplyBody } from '@toucanline/schema';
 import { LinkHandler, type Link } from '@toucanline/wire';
@@ -146,7 +147,7 @@
       () => false,
       () => undefined,
     );
-    await this.#httpService.start(port, host);
+    await startHttpService(this.#httpService, port, host);
     this.#runtime.log.write('info', 'listening for HTTP', { address: `${host}:${port}` });
   }
 
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -12,5 +12,6 @@
 export { Metrics } from './Metrics.js';
 export { PeerSet } from './PeerSet.js';
 export { ProcessRuntime } from './ProcessRuntime.js';
+export { startHttpService } from './startHttpService.js';
 export { SystemClock } from './SystemClock.js';
 export { SystemRandom } from './SystemRandom.js';
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -6,6 +6,7 @@
   EventReplicator,
   PeerSet,
   type ProcessRuntime,
+  startHttpService,
 } from '@toucanline/runtime';
 import type { CallBody, HostRecord, NoticeBody, ReplyBody } from '@toucanline/schema';
 import { LinkHandler, LinkListener, type Link } from '@toucanline/wire';
@@ -129,7 +130,7 @@
     this.#events.start();
     const service = restana();
     addHealthRoutes(service, () => this.#isReady);
-    await service.start(settings.http.port, settings.http.host);
+    await startHttpService(service, settings.http.port, settings.http.host);
     this.#runtime.followRevisions(
       () => this.#runners.length > 0,
       () => {
--- a/packages/wire/src/LinkListener.ts
+++ b/packages/wire/src/LinkListener.ts
@@ -34,7 +34,7 @@
    */
   public listen(host: string, port: number): Promise<string> {
     return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
+      this.#server.on('error', reject);
       this.#server.listen(port, host, () => {
         const { port: boundPort } = this.#server.address() as AddressInfo;
         resolve(`${host}:${boundPort}`);
