Heal the network after each partition test, and print who owned what if one fails

A failure in the first test left the data centre isolated, so the second one failed as well. The log lines about claims, allotments and links of the schedulers are printed, since a failure on the users' machine can't be traced otherwise.

--- a/packages-private/testkit/__tests__/partition.test.ts
+++ b/packages-private/testkit/__tests__/partition.test.ts
@@ -26,6 +26,9 @@
     },
   );
 
+/** Whether a log line shows who owns a shard and how the limits of teams are divided. */
+const isAboutOwnership = (line: string): boolean => /"message":"(allotment|claim|link)/.test(line);
+
 describe('a data centre that is isolated from the store and all others', () => {
   const network = new SimulatedNetwork(dataCentres);
   const site = new Site({
@@ -110,7 +113,11 @@
     await sleep(3000);
   });
   after(() => site.stop());
-  afterEach(() => {
+  afterEach(function () {
+    network.heal();
+    if (this.currentTest?.state === 'failed') {
+      for (const { log } of site.schedulers) console.log(log.filter(isAboutOwnership).join('\n'));
+    }
     expect(site.monitor.violations).to.deep.equal([]);
   });
 
