Send short requests for permits ahead of the answers

A call of 19 ms occupied its channel for 53 ms, since the leader, at 0.63 of its 0.675 cores, took that long to handle the answer and to send the next call. Ruled out: the service (calls of 19 ms), the planning window (the requests were issued).

Change: a channel takes calls of up to 100 ms together, so it is not idle while the leader is busy. A call of 100 ms or longer still has a channel of its own, and no short one waits behind it. Test: AdviceDispatcher.test.ts, a burst of short jobs.

--- /dev/null
+++ b/packages/daemon/__tests__/AdviceDispatcher.test.ts
@@ -0,0 +1,81 @@
+import { PlacementAdvisor, type Command } from '@toucanline/jobs';
+import type { Link } from '@toucanline/wire';
+import { expect } from 'chai';
+import { AdviceDispatcher } from '../src/AdviceDispatcher.js';
+import { EventLog, HostMetrics } from '../src/index.js';
+
+type AdviceCommand = Extract<Command, { kind: 'advise' }>;
+
+/** Advisor that answers no call. */
+class SilentAdvisor extends PlacementAdvisor {
+  public readonly steps: string[] = [];
+
+  public override requestPermits(step: string): Promise<undefined> {
+    this.steps.push(step);
+    return new Promise(() => undefined);
+  }
+}
+
+/** Link to a host that answers no call. */
+class SilentLink {
+  public readonly peer = { process: 'peer' };
+  public readonly isClosed = false;
+  public readonly steps: string[] = [];
+
+  public call({ step }: { readonly step: string }): Promise<never> {
+    this.steps.push(step);
+    return new Promise(() => undefined);
+  }
+}
+
+const createCommand = (stepKey: string, expectedMs: number, priority: number): AdviceCommand => ({
+  kind: 'advise',
+  stepKey,
+  queue: 'lookups',
+  workers: [],
+  expectedMs,
+  priority,
+});
+
+describe('requests for permits', () => {
+  let advisor: SilentAdvisor;
+  let links: readonly SilentLink[];
+  let dispatcher: AdviceDispatcher;
+
+  beforeEach(() => {
+    advisor = new SilentAdvisor();
+    links = [new SilentLink(), new SilentLink()];
+    dispatcher = new AdviceDispatcher(
+      advisor,
+      () => links as unknown as readonly Link[],
+      () => undefined,
+      new EventLog('test', new HostMetrics()),
+    );
+  });
+
+  const countCalls = (): readonly number[] => [
+    advisor.steps.length,
+    ...links.map(({ steps }) => steps.length),
+  ];
+
+  // Guards against channels that are idle while a leader that is short of processor time handles their answers: in a
+  // burst of short jobs 114 requests waited while the service had time for all of them.
+  it('are sent ahead of the answers in a burst of short jobs, evenly over the hosts', () => {
+    for (let number = 0; number < 12; number += 1) dispatcher.dispatch(createCommand('s', 20, 0));
+    expect(countCalls()).to.deep.equal([4, 4, 4]);
+  });
+
+  it('are held back once the calls of all channels take their longest time together', () => {
+    for (let number = 0; number < 100; number += 1) dispatcher.dispatch(createCommand('s', 20, 0));
+    expect(countCalls()).to.deep.equal([5, 5, 5]);
+  });
+
+  it('do not wait behind a long call, and long calls have a channel of their own', () => {
+    for (let number = 0; number < 3; number += 1) {
+      dispatcher.dispatch(createCommand(`long${number}`, 700, 1));
+    }
+    expect(countCalls()).to.deep.equal([0, 1, 1]);
+    dispatcher.dispatch(createCommand('short', 20, 0));
+    expect(advisor.steps).to.deep.equal(['short']);
+  });
+});
--- a/packages/daemon/src/AdviceDispatcher.ts
+++ b/packages/daemon/src/AdviceDispatcher.ts
@@ -11,18 +11,21 @@
 /** Time for which a host is not used after a failed call, in milliseconds. */
 const channelRetryMs = 1000;
 
-/** Host through which permits are requested, one call at a time. */
+/** Host through which permits are requested. */
 interface Channel {
   /** Link to the host; undefined for this host. */
   readonly link: Link | undefined;
-  isBusy: boolean;
+  /** Calls that were sent and not answered. */
+  readonly pending: Set<AdviceCommand>;
   /** Monotonic time until which the host is not used, in milliseconds. */
   pausedUntil: number;
 }
 
 /**
  * Distributes requests for permits over the hosts, since the advice service serves each calling host one call at a
- * time. The leader's own channel is reserved for short calls, so that urgent steps do not wait behind long ones.
+ * time. The leader's own channel is reserved for short calls, so that urgent steps do not wait behind long ones. Short
+ * calls are sent before the ones ahead of them are answered: a busy leader takes longer to handle an answer than the
+ * service to give it, and the channel would be idle meanwhile.
  */
 export class AdviceDispatcher {
   readonly #advisor: PlacementAdvisor;
@@ -32,7 +35,7 @@
     permits: readonly PlacementPermit[] | undefined,
   ) => void;
   readonly #log: EventLog;
-  readonly #localChannel: Channel = { link: undefined, isBusy: false, pausedUntil: 0 };
+  readonly #localChannel: Channel = { link: undefined, pending: new Set(), pausedUntil: 0 };
   readonly #peerChannels = new Map<Link, Channel>();
   #queue: readonly AdviceCommand[] = [];
 
@@ -70,9 +73,7 @@
     const channels = this.#listChannels();
     const remaining: AdviceCommand[] = [];
     for (const command of this.#queue) {
-      const channel = channels.find((candidate) =>
-        this.#isAvailable(candidate, command, channels.length),
-      );
+      const channel = this.#chooseChannel(channels, command);
       if (channel === undefined) remaining.push(command);
       else void this.#send(channel, command);
     }
@@ -84,31 +85,47 @@
     for (const known of this.#peerChannels.keys())
       if (!links.includes(known)) this.#peerChannels.delete(known);
     const others = links.map((link) => {
-      const channel = this.#peerChannels.get(link) ?? { link, isBusy: false, pausedUntil: 0 };
+      const channel = this.#peerChannels.get(link) ?? { link, pending: new Set(), pausedUntil: 0 };
       this.#peerChannels.set(link, channel);
       return channel;
     });
     return [this.#localChannel, ...others];
   }
 
-  #isAvailable(channel: Channel, command: AdviceCommand, channelCount: number): boolean {
-    if (channel.isBusy || channel.pausedUntil > performance.now()) return false;
-    return (
-      channel !== this.#localChannel ||
-      channelCount === 1 ||
-      command.expectedMs < hostLimits.shortAdviceCallMs
-    );
+  /** Chooses the available channel on which the call is served first; the leader's own one needs no hop. */
+  #chooseChannel(channels: readonly Channel[], command: AdviceCommand): Channel | undefined {
+    const now = performance.now();
+    return channels
+      .filter((channel) => this.#isAvailable(channel, command, channels.length, now))
+      .reduce<Channel | undefined>(
+        (best, channel) =>
+          best === undefined || sumExpectedMs(channel) < sumExpectedMs(best) ? channel : best,
+        undefined,
+      );
+  }
+
+  #isAvailable(
+    channel: Channel,
+    { expectedMs }: AdviceCommand,
+    channelCount: number,
+    now: number,
+  ): boolean {
+    if (channel.pausedUntil > now) return false;
+    const { shortAdviceCallMs } = hostLimits;
+    const isReserved = channel.link === undefined && channelCount > 1;
+    if (isReserved && expectedMs >= shortAdviceCallMs) return false;
+    return channel.pending.size === 0 || sumExpectedMs(channel) + expectedMs <= shortAdviceCallMs;
   }
 
   async #send(channel: Channel, command: AdviceCommand): Promise<void> {
-    channel.isBusy = true;
+    channel.pending.add(command);
     const sentAt = performance.now();
     const workers = command.workers.map(({ id }) => id);
     const permits =
       channel.link === undefined
         ? await this.#advisor.requestPermits(command.stepKey, workers)
         : await this.#sendToPeer(channel.link, command, workers);
-    channel.isBusy = false;
+    channel.pending.delete(command);
     if (permits === undefined) channel.pausedUntil = performance.now() + channelRetryMs;
     this.#log.write('permitsAnswered', {
       step: command.stepKey,
@@ -131,3 +148,9 @@
     return reply.isOk() && reply.value.reply === 'permits' ? reply.value.permits : undefined;
   }
 }
+
+const sumExpectedMs = ({ pending }: Channel): number => {
+  let sum = 0;
+  for (const { expectedMs } of pending) sum += expectedMs;
+  return sum;
+};
--- a/packages/daemon/src/hostLimits.ts
+++ b/packages/daemon/src/hostLimits.ts
@@ -88,7 +88,10 @@
   exitMarginMs: 1000,
   /** Shortest time for which the state of a finished job stays readable. */
   minRetentionMs: 180_000,
-  /** Advice calls with a shorter expected duration may use the leader's own channel. */
+  /**
+   * Advice calls with a shorter expected duration may use the leader's own channel. Also the longest expected duration of
+   * all calls that are sent through one channel at the same time.
+   */
   shortAdviceCallMs: 100,
   /** Interval of the cleanup of finished jobs. */
   cleanupIntervalMs: 20_000,
