Bundle the host from sources alone

Cause: startHttpService was read from the build output of its package, since the bundle lists the modules of @toucanline/runtime one by one. Where only the sources are, as on the users' machines, the build of a host fails.

Change: the alias covers the whole package, and the script fails if it reads any build output.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -6,7 +6,8 @@
 const root = join(import.meta.dirname, '..');
 const sourceFolder = (name) => join(root, 'packages', name, 'src');
 
-await build({
+const { metafile } = await build({
+  metafile: true,
   entryPoints: [join(root, 'platform', 'src', 'bin', 'toucanline-host.ts')],
   outfile: join(root, 'target', 'toucanline-host.mjs'),
   bundle: true,
@@ -15,8 +16,7 @@
   format: 'esm',
   legalComments: 'none',
   alias: {
-    '@toucanline/runtime/Log': join(sourceFolder('runtime'), 'Log.ts'),
-    '@toucanline/runtime/readBody': join(sourceFolder('runtime'), 'readBody.ts'),
+    '@toucanline/runtime': sourceFolder('runtime'),
     ...Object.fromEntries(
       ['schema', 'core', 'jobs', 'daemon', 'clients', 'wire'].map((name) => [
         `@toucanline/${name}`,
@@ -29,3 +29,9 @@
     js: "import { createRequire as createRequireOfBundle } from 'node:module'; const require = createRequireOfBundle(import.meta.url);",
   },
 });
+
+// A package that is missing from the aliases is read from its build output, which hosts do not have.
+const built = Object.keys(metafile.inputs).filter((path) =>
+  /^(packages|platform).*\/dist\//.test(path),
+);
+if (built.length > 0) throw new Error(`add an alias for the package of ${built.join(', ')}`);
