Describe a deeply nested value without an error

Cause: `validateValue` formats the value that it rejects, and `JSON.stringify` throws a RangeError for nesting that the parser accepts. A message with deep nesting where another type is expected so ended the handling of the message, for every kind of message from outside. Found by the new fuzz of worker reports.

Change: such a value is described in words.

--- a/packages/core/src/describeIssue.ts
+++ b/packages/core/src/describeIssue.ts
@@ -15,8 +15,17 @@
   return value;
 };
 
+const formatValue = (value: unknown): string => {
+  try {
+    return JSON.stringify(value);
+  } catch {
+    // The parser accepts deeper nesting than the serializer, whose recursion fills the stack.
+    return 'a deeply nested value';
+  }
+};
+
 const describeFound = (value: unknown): string => {
-  const text = value === undefined ? 'nothing' : JSON.stringify(value);
+  const text = value === undefined ? 'nothing' : formatValue(value);
   return text.length > maxFoundLength ? `${text.slice(0, maxFoundLength)}…` : text;
 };
 
