Refuse a submission without an id

Cause: a POST to the prefix of a queue was stored under an empty id and answered with 200. The leader cannot read a record with an empty id, so the job was accepted and never ran.

Change: POST and DELETE without an id are malformed. Test: platformHosts.test.ts, "answer invalid calls", got 200 before.

--- a/packages-private/testkit/__tests__/platformHosts.test.ts
+++ b/packages-private/testkit/__tests__/platformHosts.test.ts
@@ -51,6 +51,8 @@
     expect(await status(host, 'POST', '/nowhere/0000000000000001', createTwoSteps(1))).to.equal(
       404,
     );
+    expect(await status(host, 'POST', '/renders/', createTwoSteps(1))).to.equal(400);
+    expect(await status(host, 'DELETE', '/renders/')).to.equal(400);
     expect(await status(host, 'GET', path(7))).to.equal(410);
     expect(await status(host, 'DELETE', path(7))).to.equal(410);
     expect(await status(host, 'POST', path(1), createTwoSteps(1))).to.equal(200);
