Follow the configuration and the keys past an unreadable record

Cause: `RevisionSync` parsed stored records without a guard. One value that is no JSON ended the loop with an unhandled rejection, which ends an entry or a scheduler, and all of them at once; an unreadable key list counted as confirmed, so a withdrawn key would have stayed in use for as long as it was there. Allotments were parsed without a guard as well.

Change: all three use `parseRecord`; an unreadable record is not confirmed. Test: revisions.test.ts, which failed before.

--- a/packages/core/__tests__/revisions.test.ts
+++ b/packages/core/__tests__/revisions.test.ts
@@ -1,6 +1,8 @@
 import { expect } from 'chai';
-import { ConfigurationHolder, KeyRing } from '../src/index.js';
+import { ConfigurationHolder, KeyListAge, KeyRing, RevisionSync } from '../src/index.js';
 import { DriftingClock } from './DriftingClock.js';
+import { StoreStub } from './StoreStub.js';
+import { TimerClock } from './TimerClock.js';
 import { createDependencies } from './createDependencies.js';
 
 describe('revisions in a process', () => {
@@ -34,4 +36,29 @@
     expect(holder.apply(create(1))._unsafeUnwrap()).to.equal(false);
     expect([holder.revision, holder.policy?.weights.get('a')]).to.deep.equal([2, 2]);
   });
+
+  // Guards against processes that all end because of one stored value, and against a withdrawn key that stays in use
+  // because an unreadable key list counts as confirmed.
+  it('keeps what it knows of an unreadable record, does not confirm it, and goes on', async () => {
+    const clock = new TimerClock();
+    const store = new StoreStub();
+    const keyRing = new KeyRing(recorder);
+    const keyListAge = new KeyListAge(clock);
+    const configurationHolder = new ConfigurationHolder(recorder);
+    const dependencies = { store, clock, configurationHolder, keyRing, keyListAge };
+    const sync = new RevisionSync(
+      { ...dependencies, isWatcher: () => false, onChange: () => undefined },
+      'site',
+    );
+    await store.write('configuration/site', '{', 0);
+    await store.write('keys/site', '['.repeat(100_000), 0);
+    sync.start();
+    await clock.advance(50);
+    expect([keyRing.revision, keyListAge.ageMs]).to.deep.equal([0, Infinity]);
+    await store.write('keys/site', JSON.stringify({ revision: 3, token: 't', keys: [] }), 1);
+    await clock.advance(3000);
+    sync.stop();
+    expect(keyRing.revision).to.equal(3);
+    expect(keyListAge.ageMs).to.be.below(3000);
+  });
 });
--- a/packages/core/src/AllotmentReconciler.ts
+++ b/packages/core/src/AllotmentReconciler.ts
@@ -20,12 +20,12 @@
 import { maxResources } from './maxResources.js';
 import { minResources } from './minResources.js';
 import { periods } from './periods.js';
+import { parseRecord } from './parseRecord.js';
 import type { Policy } from './Policy.js';
 import type { RandomSource } from './RandomSource.js';
 import { scaleResources } from './scaleResources.js';
 import type { Store } from './Store.js';
 import { sumAllotments } from './sumAllotments.js';
-import { validateValue } from './validateValue.js';
 import { zeroResources } from './zeroResources.js';
 
 const recordKey = 'allotments';
@@ -289,8 +289,7 @@
 
   #parse(text: string | undefined): Result<Allotments | undefined, Failure> {
     if (text === undefined) return ok(undefined);
-    const data: unknown = JSON.parse(text);
-    return validateValue(validators.Allotments, data, 'internal');
+    return parseRecord(validators.Allotments, text);
   }
 
   async #write({ allotments, use }: Plan): Promise<void> {
--- a/packages/core/src/RevisionSync.ts
+++ b/packages/core/src/RevisionSync.ts
@@ -4,8 +4,8 @@
 import type { ConfigurationHolder } from './ConfigurationHolder.js';
 import type { KeyListAge } from './KeyListAge.js';
 import type { KeyRing } from './KeyRing.js';
+import { parseRecord } from './parseRecord.js';
 import type { Store } from './Store.js';
-import { validateValue } from './validateValue.js';
 
 /** Longest wait of one watch call. */
 const watchWaitMs = 2000;
@@ -20,6 +20,9 @@
 /** Delay after a failed call. */
 const retryDelayMs = 500;
 
+/** Outcome of a stored record: applied, no newer than the known one, or unreadable. */
+type Outcome = 'applied' | 'unchanged' | 'unreadable';
+
 /** Services and callbacks that the synchronisation uses. */
 interface SyncDependencies {
   readonly store: Store;
@@ -52,13 +55,15 @@
   /** Starts following both records. */
   public start(): void {
     const { configurationHolder, keyRing, clock, keyListAge } = this.#dependencies;
-    void this.#follow(`configuration/${this.#environment}`, configurationReadIntervalMs, (data) => {
-      const parsed = validateValue(validators.Configuration, data, 'internal');
-      return parsed.isOk() && configurationHolder.apply(parsed.value).unwrapOr(false);
+    void this.#follow(`configuration/${this.#environment}`, configurationReadIntervalMs, (text) => {
+      const parsed = parseRecord(validators.Configuration, text);
+      if (parsed.isErr()) return 'unreadable';
+      return configurationHolder.apply(parsed.value).unwrapOr(false) ? 'applied' : 'unchanged';
     });
-    const applyKeys = (data: unknown): boolean => {
-      const parsed = validateValue(validators.KeyList, data, 'internal');
-      return parsed.isOk() && keyRing.apply(parsed.value);
+    const applyKeys = (text: string): Outcome => {
+      const parsed = parseRecord(validators.KeyList, text);
+      if (parsed.isErr()) return 'unreadable';
+      return keyRing.apply(parsed.value) ? 'applied' : 'unchanged';
     };
     void this.#follow(`keys/${this.#environment}`, keysReadIntervalMs, applyKeys, (confirmedAt) => {
       keyListAge.confirm(clock.now() - confirmedAt);
@@ -73,11 +78,12 @@
   async #follow(
     key: string,
     readIntervalMs: number,
-    apply: (data: unknown) => boolean,
+    apply: (text: string) => Outcome,
     onConfirmed?: (confirmedAt: number) => void,
   ): Promise<void> {
     const { clock, onChange } = this.#dependencies;
     let version = 0;
+    let isReadable = true;
     while (!this.#isStopped()) {
       const sentAt = clock.now();
       const isWatching = this.#dependencies.isWatcher();
@@ -93,8 +99,13 @@
       const isHeld = isWatching && newVersion === version;
       const confirmedAt = isHeld ? Math.min(clock.now(), sentAt + watchWaitMs) : sentAt;
       version = newVersion;
-      if (isNewer && apply(JSON.parse(value))) onChange();
-      onConfirmed?.(confirmedAt);
+      if (isNewer) {
+        const outcome = apply(value);
+        isReadable = outcome !== 'unreadable';
+        if (outcome === 'applied') onChange();
+      }
+      // What this process knows is not the newest record if the newest one cannot be read.
+      if (isReadable) onConfirmed?.(confirmedAt);
       await this.#waitForNextRead(readIntervalMs);
     }
   }
--- a/packages/entry/src/DataCentreRoutes.ts
+++ b/packages/entry/src/DataCentreRoutes.ts
@@ -3,6 +3,7 @@
   listJournaledRequests,
   readJournal,
   TakeoverEditor,
+  parseRecord,
   validateValue,
   type Policy,
   type Router,
@@ -146,8 +147,7 @@
     const stored = await this.#runtime.store.read('allotments');
     if (stored.isErr()) return err(stored.error);
     if (stored.value.value === undefined) return ok({});
-    const data: unknown = JSON.parse(stored.value.value);
-    return validateValue(validators.Allotments, data, 'internal').map(({ teams }) => teams);
+    return parseRecord(validators.Allotments, stored.value.value).map(({ teams }) => teams);
   }
 
   async #describeShard(
