Release busy flags and answer waiting callers after an unexpected error

An error in a timer or a socket callback ended an entry or a scheduler.

Change: the flags are cleared in `finally`; a commit that fails unexpectedly has an unknown outcome; `runDaemon` logs uncaught errors once the daemon has started, as it did for rejections.

--- a/packages/core/__tests__/Journal.test.ts
+++ b/packages/core/__tests__/Journal.test.ts
@@ -50,6 +50,22 @@
     return { store, clock, create, accept, finish, load };
   };
 
+  // Guards against a shard that accepts nothing any more after one error.
+  it('answers and goes on after an unexpected error of the store', async () => {
+    const { store, create, accept, load } = setUp();
+    const journal = create(1);
+    await journal.open();
+    const write = store.write.bind(store);
+    store.write = () => {
+      store.write = write;
+      throw new Error('unexpected');
+    };
+    const failed = await journal.append(accept('a'));
+    expect(failed._unsafeUnwrapErr().kind).to.equal('outcomeUnknown');
+    expect((await journal.append(accept('b'))).isOk()).to.equal(true);
+    expect(await load(2)).to.deep.equal(['s1.b']);
+  });
+
   it('refuses commits of a superseded owner, including those to a new segment', async () => {
     const { create, accept, load } = setUp();
     const previous = create(1);
--- a/packages/core/src/FleetRoster.ts
+++ b/packages/core/src/FleetRoster.ts
@@ -60,6 +60,15 @@
     const text = JSON.stringify(roster);
     if (this.#isWriting || text === this.#lastWritten) return text === this.#lastWritten;
     this.#isWriting = true;
+    try {
+      await this.#write(text);
+    } finally {
+      this.#isWriting = false;
+    }
+    return text === this.#lastWritten;
+  }
+
+  async #write(text: string): Promise<void> {
     if (!this.#isLoaded) await this.load();
     if (this.#isLoaded) {
       const written = await this.#store.write(this.#key, text, this.#version);
@@ -69,8 +78,6 @@
         this.#lastWritten = text;
       }
     }
-    this.#isWriting = false;
-    return text === this.#lastWritten;
   }
 
   get #key(): string {
--- a/packages/core/src/Journal.ts
+++ b/packages/core/src/Journal.ts
@@ -159,7 +159,9 @@
       await this.#clock.sleep(periods.groupCommitMs);
       const batch = this.#pendingEntries;
       this.#pendingEntries = [];
-      const result = await this.#commit(batch.map(({ entry }) => entry));
+      const result = await this.#commit(batch.map(({ entry }) => entry)).catch((error: unknown) =>
+        err(createFailure('outcomeUnknown', `unexpected error: ${String(error)}`)),
+      );
       for (const { resolve } of batch) resolve(result);
     }
     this.#isCommitting = false;
--- a/packages/runtime/src/EventReplicator.ts
+++ b/packages/runtime/src/EventReplicator.ts
@@ -46,12 +46,15 @@
   async #sendUntilEmpty(): Promise<void> {
     this.#isSending = true;
     let delayMs = batchDelayMs;
-    while (this.#outbox.hasPending && !this.#isStopped) {
-      await this.#runtime.clock.sleep(delayMs);
-      this.#sendBatch();
-      delayMs = retryDelayMs;
+    try {
+      while (this.#outbox.hasPending && !this.#isStopped) {
+        await this.#runtime.clock.sleep(delayMs);
+        this.#sendBatch();
+        delayMs = retryDelayMs;
+      }
+    } finally {
+      this.#isSending = false;
     }
-    this.#isSending = false;
   }
 
   /** Sends a batch to the chosen peers. Without a peer the events stay in the outbox, which is bounded. */
--- a/packages/runtime/src/runDaemon.ts
+++ b/packages/runtime/src/runDaemon.ts
@@ -20,11 +20,15 @@
   };
   process.on('SIGTERM', () => void stop('SIGTERM'));
   process.on('SIGINT', () => void stop('SIGINT'));
-  process.on('unhandledRejection', (reason) => {
-    runtime.log.write('error', 'unhandled rejection', {
+  // An error that nothing has caught concerns one callback: callers and running work still need the process.
+  const logError = (reason: unknown): void => {
+    runtime.log.write('error', 'unexpected error', {
       detail: reason instanceof Error ? (reason.stack ?? reason.message) : String(reason),
     });
-  });
+  };
+  process.on('unhandledRejection', logError);
   await daemon.start();
+  // An error before this point prevents the start, so it ends the process.
+  process.on('uncaughtException', logError);
   runtime.recorder.record('processStarted', {});
 };
--- a/packages/scheduler/src/EffectRunner.ts
+++ b/packages/scheduler/src/EffectRunner.ts
@@ -39,9 +39,13 @@
     if (!phase.canAct || this.#isRunning) return;
     prepareDispatch();
     this.#isRunning = true;
-    const hasMore = this.#canStartTasks && shard.dispatch(maxStartsPerTurn, phase.isClaimConfirmed);
-    for (const effect of shard.takeEffects()) this.#execute(effect);
-    this.#isRunning = false;
+    let hasMore = false;
+    try {
+      hasMore = this.#canStartTasks && shard.dispatch(maxStartsPerTurn, phase.isClaimConfirmed);
+      for (const effect of shard.takeEffects()) this.#execute(effect);
+    } finally {
+      this.#isRunning = false;
+    }
     if (hasMore) {
       setImmediate(() => {
         this.run();
--- a/packages/scheduler/src/HandoverSender.ts
+++ b/packages/scheduler/src/HandoverSender.ts
@@ -53,8 +53,10 @@
   public async send(runner: ShardRunner, peers: readonly Link[]): Promise<boolean> {
     const [peer] = peers;
     this.#isPreparing = true;
-    const sent = peer === undefined ? undefined : await this.#sendFinishedRequests(runner, peer);
-    this.#isPreparing = false;
+    const prepared = peer === undefined ? undefined : this.#sendFinishedRequests(runner, peer);
+    const sent = await Promise.resolve(prepared).finally(() => {
+      this.#isPreparing = false;
+    });
     if (!runner.isActive) return false;
     const remaining = await runner.freeze(sent);
     const isAccepted =
--- a/packages/scheduler/src/ShardBalancer.ts
+++ b/packages/scheduler/src/ShardBalancer.ts
@@ -45,7 +45,10 @@
     const peer = peers.get(move?.to ?? '');
     if (move === undefined || peer === undefined) return;
     this.#isMoving = true;
-    await findCandidate(move.shard)?.handOverTo(peer);
-    this.#isMoving = false;
+    try {
+      await findCandidate(move.shard)?.handOverTo(peer);
+    } finally {
+      this.#isMoving = false;
+    }
   }
 }
--- a/packages/scheduler/src/WorkTransfer.ts
+++ b/packages/scheduler/src/WorkTransfer.ts
@@ -102,9 +102,12 @@
     const { releaseDelaysMs: releases } = this.#policy;
     if (this.#isPublishing || this.#releaseTerms.isUpToDate(releases)) return;
     this.#isPublishing = true;
-    if (!(await this.#releaseTerms.write(releases)))
-      await this.#dependencies.runtime.clock.sleep(retryDelayMs);
-    this.#isPublishing = false;
+    try {
+      if (!(await this.#releaseTerms.write(releases)))
+        await this.#dependencies.runtime.clock.sleep(retryDelayMs);
+    } finally {
+      this.#isPublishing = false;
+    }
   }
 
   /**
