Examine fewer steps in a pass while passes take long

A pass took 30 to 60 ms with the commands that it sent, and the pause after it twice as long, so lookups that were in time waited up to 180 ms for the pass that asked for their permits and for the one that started them.

Change: the planning window shrinks, down to a quarter, while passes take over 12 ms, and grows again after short ones. The first steps in the order of service are examined more often, the others still in turn. Test: backlog.test.ts, a backlog on a slow processor.

--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -314,6 +314,7 @@
       if (command.kind === 'advise') this.#adviceDispatcher.dispatch(command);
     this.#progressWriter?.requestWrite();
     this.#lastPlanMs = performance.now() - this.#lastPlanAt;
+    this.#scheduler.recordPassDuration(this.#lastPlanMs);
   }
 
   #handleProgressWritten(): void {
--- a/packages/jobs/__tests__/backlog.test.ts
+++ b/packages/jobs/__tests__/backlog.test.ts
@@ -35,6 +35,23 @@
     expect(window.select(few)).to.equal(few);
   });
 
+  // Guards against urgent steps that wait for passes of 60 ms, in which a leader with two thirds of a core examined all
+  // other steps of the backlog.
+  it('is examined in smaller parts while passes take long, and still as a whole', () => {
+    const window = new PlanningWindow();
+    for (let pass = 0; pass < 20; pass += 1) window.recordDuration(schedulingLimits.longPassMs * 2);
+    const seen = new Set<PendingStep>();
+    for (let pass = 0; pass < 40; pass += 1) {
+      const selected = window.select(pending);
+      expect(selected.length).to.be.at.most((maxFirstSteps + maxFurtherSteps) / 4);
+      expect(selected[0]).to.equal(pending[0]);
+      for (const each of selected) seen.add(each);
+    }
+    expect(seen.size).to.equal(pending.length);
+    for (let pass = 0; pass < 20; pass += 1) window.recordDuration(1);
+    expect(window.select(pending)).to.have.length(maxFirstSteps + maxFurtherSteps);
+  });
+
   // Guards against small tasks that wait behind large ones although there is room that only they can use.
   it('leaves no room unused that a step far behind can use', () => {
     const simulation = new LoadSimulation(configuration(), [worker('w1')], () => 1);
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -102,6 +102,15 @@
     return pass.commands;
   }
 
+  /**
+   * Adapts later passes to the processor.
+   *
+   * @param durationMs - duration of the last pass, in milliseconds
+   */
+  public recordPassDuration(durationMs: number): void {
+    this.#window.recordDuration(durationMs);
+  }
+
   #listAllowed({ key }: StepInstance, members: ReadonlySet<Worker>): readonly Worker[] {
     return this.#permits.listAllowed(key).filter((worker) => members.has(worker));
   }
--- a/packages/jobs/src/PlanningWindow.ts
+++ b/packages/jobs/src/PlanningWindow.ts
@@ -1,13 +1,20 @@
 import type { PendingStep } from './PendingStep.js';
 import { schedulingLimits } from './schedulingLimits.js';
 
+/** Change of the window after a long and after a short pass. */
+const shrinkFactor = 0.75;
+const growthFactor = 1.1;
+
 /**
  * Limits the steps that one planning pass examines, so that a pass does not grow with the backlog: the first ones in
  * the order of service, and a part of the others that advances from pass to pass. Small tasks far behind still get
- * capacity that the first steps cannot use, a few passes later.
+ * capacity that the first steps cannot use, a few passes later. The window shrinks while passes take long, so that the
+ * first steps need not wait for a slow processor to examine all others.
  */
 export class PlanningWindow {
   #nextOffset = 0;
+  /** Share of the largest window that a pass examines. */
+  #share = 1;
 
   /**
    * Selects the steps of the next pass.
@@ -16,12 +23,24 @@
    * @returns the selected steps in the same order
    */
   public select(pending: readonly PendingStep[]): readonly PendingStep[] {
-    const { maxFirstSteps, maxFurtherSteps } = schedulingLimits;
-    if (pending.length <= maxFirstSteps + maxFurtherSteps) return pending;
-    const furtherCount = pending.length - maxFirstSteps;
+    const firstSteps = Math.ceil(schedulingLimits.maxFirstSteps * this.#share);
+    const furtherSteps = Math.ceil(schedulingLimits.maxFurtherSteps * this.#share);
+    if (pending.length <= firstSteps + furtherSteps) return pending;
+    const furtherCount = pending.length - firstSteps;
     const offset = this.#nextOffset < furtherCount ? this.#nextOffset : 0;
-    this.#nextOffset = offset + maxFurtherSteps;
-    const from = maxFirstSteps + offset;
-    return [...pending.slice(0, maxFirstSteps), ...pending.slice(from, from + maxFurtherSteps)];
+    this.#nextOffset = offset + furtherSteps;
+    const from = firstSteps + offset;
+    return [...pending.slice(0, firstSteps), ...pending.slice(from, from + furtherSteps)];
+  }
+
+  /**
+   * Adapts the window to the processor.
+   *
+   * @param durationMs - duration of the last pass, in milliseconds
+   */
+  public recordDuration(durationMs: number): void {
+    const { longPassMs, minWindowShare } = schedulingLimits;
+    if (durationMs > longPassMs) this.#share = Math.max(minWindowShare, this.#share * shrinkFactor);
+    else if (durationMs < longPassMs / 2) this.#share = Math.min(1, this.#share * growthFactor);
   }
 }
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -335,6 +335,15 @@
     return [...stops, ...planned];
   }
 
+  /**
+   * Adapts later planning passes to the processor.
+   *
+   * @param durationMs - duration of the last pass and of sending its commands, in milliseconds
+   */
+  public recordPassDuration(durationMs: number): void {
+    this.#planner.recordPassDuration(durationMs);
+  }
+
   #closeJob(job: Job): void {
     for (const { key } of job.steps) this.#permits.removeStep(key);
     this.#jobs.markFinished(job);
--- a/packages/jobs/src/schedulingLimits.ts
+++ b/packages/jobs/src/schedulingLimits.ts
@@ -37,6 +37,10 @@
   maxFirstSteps: 96,
   /** Pending steps behind these that a planning pass examines in addition, others in each pass. */
   maxFurtherSteps: 64,
+  /** Duration from which a planning pass is long, so that the next ones examine fewer steps. */
+  longPassMs: 12,
+  /** Smallest share of these steps that a pass examines. */
+  minWindowShare: 0.25,
   /** Time before the expected completion of its dependencies at which the permits of a step are requested. */
   adviceLeadMs: 900,
   /**
