Pause three times as long as a planning pass took

Change: `computePlanningPause`, with a factor of 3 in place of 2. Test: computePlanningPause.test.ts, the share of a busy processor.

--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -4,6 +4,7 @@
 import { StoreChangeHandler } from './StoreChangeHandler.js';
 import { WorkerSessions } from './WorkerSessions.js';
 import { JobCleanup } from './JobCleanup.js';
+import { computePlanningPause } from './computePlanningPause.js';
 import { hostLimits } from './hostLimits.js';
 import type { LeaderLease } from './LeaderLease.js';
 import type { LeaderDependencies } from './LeaderDependencies.js';
@@ -15,9 +16,6 @@
 import { runGuarded } from './runGuarded.js';
 import { storeKeys } from './storeKeys.js';
 
-/** Pause after a planning pass as a multiple of its duration: two thirds of the processor stay for reports and calls. */
-const planPauseFactor = 2;
-
 /** Runs the leader for one term: loads the stored state, surveys the workers, then plans and dispatches commands. */
 export class LeaderController {
   readonly #dependencies: LeaderDependencies;
@@ -284,8 +282,8 @@
   /** Schedules a planning pass, unless one is scheduled already. */
   #schedulePlan(): void {
     if (this.#planTimer !== undefined || this.#isStopped || !this.#isLoaded) return;
-    const pauseMs = Math.max(hostLimits.minPlanIntervalMs, this.#lastPlanMs * planPauseFactor);
-    const waitMs = Math.max(0, this.#lastPlanAt + this.#lastPlanMs + pauseMs - performance.now());
+    const plannedAt = this.#lastPlanAt + this.#lastPlanMs + computePlanningPause(this.#lastPlanMs);
+    const waitMs = Math.max(0, plannedAt - performance.now());
     this.#planTimer = setTimeout(() => {
       this.#planTimer = undefined;
       runGuarded(
