--- a/packages/daemon/src/AdviceDispatcher.ts
+++ b/packages/daemon/src/AdviceDispatcher.ts
@@ -15,8 +15,10 @@
 interface Channel {
   /** Link to the host; undefined for this host. */
   readonly link: Link | undefined;
-  /** Calls that were sent and not answered. */
-  readonly pending: Set<AdviceCommand>;
+  /** Number of calls that were sent and not answered. */
+  pendingCalls: number;
+  /** Expected duration of these calls together, in milliseconds. */
+  pendingMs: number;
   /** Monotonic time until which the host is not used, in milliseconds. */
   pausedUntil: number;
 }
@@ -35,7 +37,12 @@
     permits: readonly PlacementPermit[] | undefined,
   ) => void;
   readonly #log: EventLog;
-  readonly #localChannel: Channel = { link: undefined, pending: new Set(), pausedUntil: 0 };
+  readonly #localChannel: Channel = {
+    link: undefined,
+    pendingCalls: 0,
+    pendingMs: 0,
+    pausedUntil: 0,
+  };
   readonly #peerChannels = new Map<Link, Channel>();
   #queue: readonly AdviceCommand[] = [];
 
@@ -72,10 +79,16 @@
   #sendQueued(): void {
     const channels = this.#listChannels();
     const remaining: AdviceCommand[] = [];
+    // A channel that cannot take a call cannot take a longer one either.
+    let refusedMs = Infinity;
     for (const command of this.#queue) {
-      const channel = this.#chooseChannel(channels, command);
-      if (channel === undefined) remaining.push(command);
-      else void this.#send(channel, command);
+      const { expectedMs } = command;
+      const channel = expectedMs < refusedMs ? this.#chooseChannel(channels, command) : undefined;
+      if (channel !== undefined) void this.#send(channel, command);
+      else {
+        remaining.push(command);
+        refusedMs = Math.min(refusedMs, expectedMs);
+      }
     }
     this.#queue = remaining;
   }
@@ -85,7 +98,12 @@
     for (const known of this.#peerChannels.keys())
       if (!links.includes(known)) this.#peerChannels.delete(known);
     const others = links.map((link) => {
-      const channel = this.#peerChannels.get(link) ?? { link, pending: new Set(), pausedUntil: 0 };
+      const channel = this.#peerChannels.get(link) ?? {
+        link,
+        pendingCalls: 0,
+        pendingMs: 0,
+        pausedUntil: 0,
+      };
       this.#peerChannels.set(link, channel);
       return channel;
     });
@@ -99,7 +117,7 @@
       .filter((channel) => this.#isAvailable(channel, command, channels.length, now))
       .reduce<Channel | undefined>(
         (best, channel) =>
-          best === undefined || sumExpectedMs(channel) < sumExpectedMs(best) ? channel : best,
+          best === undefined || channel.pendingMs < best.pendingMs ? channel : best,
         undefined,
       );
   }
@@ -114,18 +132,21 @@
     const { shortAdviceCallMs } = hostLimits;
     const isReserved = channel.link === undefined && channelCount > 1;
     if (isReserved && expectedMs >= shortAdviceCallMs) return false;
-    return channel.pending.size === 0 || sumExpectedMs(channel) + expectedMs <= shortAdviceCallMs;
+    return channel.pendingCalls === 0 || channel.pendingMs + expectedMs <= shortAdviceCallMs;
   }
 
   async #send(channel: Channel, command: AdviceCommand): Promise<void> {
-    channel.pending.add(command);
+    channel.pendingCalls += 1;
+    channel.pendingMs += command.expectedMs;
     const sentAt = performance.now();
     const workers = command.workers.map(({ id }) => id);
     const permits =
       channel.link === undefined
         ? await this.#advisor.requestPermits(command.stepKey, workers)
         : await this.#sendToPeer(channel.link, command, workers);
-    channel.pending.delete(command);
+    channel.pendingCalls -= 1;
+    // Without calls the sum starts anew, since rounding errors would add up.
+    channel.pendingMs = channel.pendingCalls === 0 ? 0 : channel.pendingMs - command.expectedMs;
     if (permits === undefined) channel.pausedUntil = performance.now() + channelRetryMs;
     this.#log.write('permitsAnswered', {
       step: command.stepKey,
@@ -148,9 +169,3 @@
     return reply.isOk() && reply.value.reply === 'permits' ? reply.value.permits : undefined;
   }
 }
-
-const sumExpectedMs = ({ pending }: Channel): number => {
-  let sum = 0;
-  for (const { expectedMs } of pending) sum += expectedMs;
-  return sum;
-};
