--- a/packages/daemon/__tests__/AdviceDispatcher.test.ts
+++ b/packages/daemon/__tests__/AdviceDispatcher.test.ts
@@ -70,6 +70,14 @@
     expect(countCalls()).to.deep.equal([5, 5, 5]);
   });
 
+  // Guards against requests that wait for the timeouts of hosts that are cut off.
+  it('are held back from hosts that do not answer', async () => {
+    for (let number = 0; number < 3; number += 1) dispatcher.dispatch(createCommand('s', 20, 0));
+    await new Promise((resolve) => setTimeout(resolve, 250));
+    dispatcher.dispatch(createCommand('s', 20, 0));
+    expect(countCalls()).to.deep.equal([1, 1, 1]);
+  });
+
   it('do not wait behind a long call, and long calls have a channel of their own', () => {
     for (let number = 0; number < 3; number += 1) {
       dispatcher.dispatch(createCommand(`long${number}`, 700, 1));
--- a/packages/daemon/src/AdviceDispatcher.ts
+++ b/packages/daemon/src/AdviceDispatcher.ts
@@ -8,6 +8,8 @@
 
 /** Added to the timeout of a call, in milliseconds: the advice service may be slow for a while. */
 const timeoutMarginMs = 1500;
+/** Delay of an answer from which its host, which may be cut off, gets no further calls, in milliseconds. */
+const overdueMs = 150;
 /** Time for which a host is not used after a failed call, in milliseconds. */
 const channelRetryMs = 1000;
 
@@ -19,6 +21,8 @@
   pendingCalls: number;
   /** Expected duration of these calls together, in milliseconds. */
   pendingMs: number;
+  /** Monotonic time of the last answer, or of the first of these calls if that is later, in milliseconds. */
+  progressAt: number;
   /** Monotonic time until which the host is not used, in milliseconds. */
   pausedUntil: number;
 }
@@ -41,6 +45,7 @@
     link: undefined,
     pendingCalls: 0,
     pendingMs: 0,
+    progressAt: 0,
     pausedUntil: 0,
   };
   readonly #peerChannels = new Map<Link, Channel>();
@@ -102,6 +107,7 @@
         link,
         pendingCalls: 0,
         pendingMs: 0,
+        progressAt: 0,
         pausedUntil: 0,
       };
       this.#peerChannels.set(link, channel);
@@ -132,18 +138,22 @@
     const { shortAdviceCallMs } = hostLimits;
     const isReserved = channel.link === undefined && channelCount > 1;
     if (isReserved && expectedMs >= shortAdviceCallMs) return false;
-    return channel.pendingCalls === 0 || channel.pendingMs + expectedMs <= shortAdviceCallMs;
+    if (channel.pendingCalls === 0) return true;
+    const isOverdue = now - channel.progressAt > channel.pendingMs + overdueMs;
+    return !isOverdue && channel.pendingMs + expectedMs <= shortAdviceCallMs;
   }
 
   async #send(channel: Channel, command: AdviceCommand): Promise<void> {
+    const sentAt = performance.now();
+    if (channel.pendingCalls === 0) channel.progressAt = sentAt;
     channel.pendingCalls += 1;
     channel.pendingMs += command.expectedMs;
-    const sentAt = performance.now();
     const workers = command.workers.map(({ id }) => id);
     const permits =
       channel.link === undefined
         ? await this.#advisor.requestPermits(command.stepKey, workers)
         : await this.#sendToPeer(channel.link, command, workers);
+    channel.progressAt = performance.now();
     channel.pendingCalls -= 1;
     // Without calls the sum starts anew, since rounding errors would add up.
     channel.pendingMs = channel.pendingCalls === 0 ? 0 : channel.pendingMs - command.expectedMs;
