--- a/packages/daemon/src/AdviceDispatcher.ts
+++ b/packages/daemon/src/AdviceDispatcher.ts
@@ -1,6 +1,7 @@
 import type { Command, PlacementAdvisor } from '@toucanline/jobs';
 import type { PlacementPermit } from '@toucanline/schema';
 import type { Link } from '@toucanline/wire';
+import { AdviceChannel } from './AdviceChannel.js';
 import type { EventLog } from './EventLog.js';
 import { hostLimits } from './hostLimits.js';
 
@@ -8,24 +9,6 @@
 
 /** Added to the timeout of a call, in milliseconds: the advice service may be slow for a while. */
 const timeoutMarginMs = 1500;
-/** Delay of an answer from which its host, which may be cut off, gets no further calls, in milliseconds. */
-const overdueMs = 150;
-/** Time for which a host is not used after a failed call, in milliseconds. */
-const channelRetryMs = 1000;
-
-/** Host through which permits are requested. */
-interface Channel {
-  /** Link to the host; undefined for this host. */
-  readonly link: Link | undefined;
-  /** Number of calls that were sent and not answered. */
-  pendingCalls: number;
-  /** Expected duration of these calls together, in milliseconds. */
-  pendingMs: number;
-  /** Monotonic time of the last answer, or of the first of these calls if that is later, in milliseconds. */
-  progressAt: number;
-  /** Monotonic time until which the host is not used, in milliseconds. */
-  pausedUntil: number;
-}
 
 /**
  * Distributes requests for permits over the hosts, since the advice service serves each calling host one call at a
@@ -41,14 +24,8 @@
     permits: readonly PlacementPermit[] | undefined,
   ) => void;
   readonly #log: EventLog;
-  readonly #localChannel: Channel = {
-    link: undefined,
-    pendingCalls: 0,
-    pendingMs: 0,
-    progressAt: 0,
-    pausedUntil: 0,
-  };
-  readonly #peerChannels = new Map<Link, Channel>();
+  readonly #localChannel = new AdviceChannel(undefined);
+  readonly #peerChannels = new Map<Link, AdviceChannel>();
   #queue: readonly AdviceCommand[] = [];
 
   /**
@@ -98,66 +75,44 @@
     this.#queue = remaining;
   }
 
-  #listChannels(): readonly Channel[] {
+  #listChannels(): readonly AdviceChannel[] {
     const links = this.#listLinks().filter((link) => link.peer !== undefined && !link.isClosed);
     for (const known of this.#peerChannels.keys())
       if (!links.includes(known)) this.#peerChannels.delete(known);
     const others = links.map((link) => {
-      const channel = this.#peerChannels.get(link) ?? {
-        link,
-        pendingCalls: 0,
-        pendingMs: 0,
-        progressAt: 0,
-        pausedUntil: 0,
-      };
+      const channel = this.#peerChannels.get(link) ?? new AdviceChannel(link);
       this.#peerChannels.set(link, channel);
       return channel;
     });
     return [this.#localChannel, ...others];
   }
 
-  /** Chooses the available channel on which the call is served first; the leader's own one needs no hop. */
-  #chooseChannel(channels: readonly Channel[], command: AdviceCommand): Channel | undefined {
+  /** Chooses the channel on which the call is served first; the leader's own one needs no hop. */
+  #chooseChannel(
+    channels: readonly AdviceChannel[],
+    { expectedMs }: AdviceCommand,
+  ): AdviceChannel | undefined {
     const now = performance.now();
+    const isReserved = channels.length > 1 && expectedMs >= hostLimits.shortAdviceCallMs;
     return channels
-      .filter((channel) => this.#isAvailable(channel, command, channels.length, now))
-      .reduce<Channel | undefined>(
+      .filter((channel) => channel.link !== undefined || !isReserved)
+      .filter((channel) => channel.canTake(expectedMs, now))
+      .reduce<AdviceChannel | undefined>(
         (best, channel) =>
           best === undefined || channel.pendingMs < best.pendingMs ? channel : best,
         undefined,
       );
   }
 
-  #isAvailable(
-    channel: Channel,
-    { expectedMs }: AdviceCommand,
-    channelCount: number,
-    now: number,
-  ): boolean {
-    if (channel.pausedUntil > now) return false;
-    const { shortAdviceCallMs } = hostLimits;
-    const isReserved = channel.link === undefined && channelCount > 1;
-    if (isReserved && expectedMs >= shortAdviceCallMs) return false;
-    if (channel.pendingCalls === 0) return true;
-    const isOverdue = now - channel.progressAt > channel.pendingMs + overdueMs;
-    return !isOverdue && channel.pendingMs + expectedMs <= shortAdviceCallMs;
-  }
-
-  async #send(channel: Channel, command: AdviceCommand): Promise<void> {
+  async #send(channel: AdviceChannel, command: AdviceCommand): Promise<void> {
     const sentAt = performance.now();
-    if (channel.pendingCalls === 0) channel.progressAt = sentAt;
-    channel.pendingCalls += 1;
-    channel.pendingMs += command.expectedMs;
+    channel.begin(command.expectedMs, sentAt);
     const workers = command.workers.map(({ id }) => id);
     const permits =
       channel.link === undefined
         ? await this.#advisor.requestPermits(command.stepKey, workers)
         : await this.#sendToPeer(channel.link, command, workers);
-    channel.progressAt = performance.now();
-    channel.pendingCalls -= 1;
-    // Without calls the sum starts anew, since rounding errors would add up.
-    channel.pendingMs = channel.pendingCalls === 0 ? 0 : channel.pendingMs - command.expectedMs;
-    if (permits === undefined) channel.pausedUntil = performance.now() + channelRetryMs;
+    channel.end(command.expectedMs, performance.now(), permits !== undefined);
     this.#log.write('permitsAnswered', {
       step: command.stepKey,
       asked: workers.length,
