--- a/review/standins/Runner.mjs
+++ b/review/standins/Runner.mjs
@@ -39,6 +39,8 @@
     this.heartbeatMs = 1500;
     /** Chooses how a run ends: `{ afterMs, how }`; undefined means as its specification says. */
     this.chooseEnd = () => undefined;
+    /** Checks the ticket of a start. */
+    this.hasTicket = () => true;
   }
 
   get address() {
@@ -158,13 +160,14 @@
     return { status: 400, body: {} };
   }
 
-  #startRun(life, { Task, Run, Spec, DeadlineMs, FencingToken }) {
+  #startRun(life, { Task, Run, Spec, DeadlineMs, FencingToken, Ticket }) {
     const now = this.#now(life);
     if (DeadlineMs <= now) return this.#refuse(life, 'late');
     this.#extend(life, DeadlineMs);
     const running = life.runs.get(Task);
     if (running?.run === Run) return this.#accept(life);
     if (Run <= (life.highest.get(Task) ?? 0)) return this.#refuse(life, 'old');
+    if (!this.hasTicket(Ticket, this.id, Task)) return this.#refuse(life, 'ticket');
     life.highest.set(Task, Run);
     const end = this.chooseEnd(Task, Run) ?? {
       afterMs: Number(/ms=(\d+)/.exec(Spec)?.[1] ?? 50),
--- a/review/standins/Site.mjs
+++ b/review/standins/Site.mjs
@@ -48,6 +48,8 @@
   store = new Store();
   runners = [];
   hosts = [];
+  /** Stand-in of the advice service, if the case has one. */
+  advice;
   #folder = mkdtempSync(join(tmpdir(), 'review-'));
   #record;
   #version = 10;
@@ -130,7 +132,7 @@
       'Bounds.StopMs': 400,
       'Bounds.status_s': 120,
       Orders: 'invoke',
-      Advice: '',
+      Advice: (await this.advice?.open(name)) ?? '',
       'platform.Address': this.store.address,
       'platform.form': 'kv',
       ...more,
@@ -264,6 +266,7 @@
   stop() {
     for (const { process: child } of this.hosts) child.kill('SIGKILL');
     for (const runner of this.runners) runner.stop();
+    this.advice?.stop();
     this.store.stop();
   }
 
