Review: a job runs on whose cancelling was answered with 410

Cause: a cancellation leaves nothing in the store that blocks a submission whose write is still pending. Case: review/5.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec node case.mjs
