--- a/review/standins/Site.mjs
+++ b/review/standins/Site.mjs
@@ -302,6 +302,12 @@
     console.log('the case took too long');
     process.exit(2);
   }, 110_000);
+  for (const signal of ['SIGTERM', 'SIGINT']) {
+    process.once(signal, () => {
+      site.stop();
+      process.exit(2);
+    });
+  }
   let code = 0;
   let message = 'the rule held';
   try {
