--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -35,7 +35,12 @@
 
   const { leader } = site;
   const peer = site.hosts.find((host) => host !== leader);
-  await site.call(peer, 'GET', '/rosters/');
+  // The other host counts jobs only once its link to the leader is open.
+  await site.until(
+    async () => (await site.call(peer, 'GET', '/rosters/')).status === 200,
+    5000,
+    'the hosts are linked',
+  );
   await site.submit(leader, path, {
     Spec: 'ms=1000',
     Steps: [{ Count: 4, Cpu: 2000, MemMb: 2000, EstimateMs: 1000 }],
--- a/review/standins/Advice.mjs
+++ b/review/standins/Advice.mjs
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { platformIp } from './address.mjs';
 
 const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
@@ -21,7 +22,7 @@
   findTerms = () => ({ DecideMs: 10, PerItemMs: 1, ValidMs: 2000 });
 
   /** Opens the address for one machine. */
-  async open(machine, host = '127.0.0.1') {
+  async open(machine, host = platformIp) {
     let waiting = 0;
     let last = Promise.resolve();
     const server = http.createServer((request, response) => {
--- a/review/standins/Runner.mjs
+++ b/review/standins/Runner.mjs
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { platformIp } from './address.mjs';
 
 const maxHoldMs = 6000;
 const stopMs = 300;
@@ -52,7 +53,7 @@
   }
 
   /** Starts the first or a further life. The entry in the store is written after `registerAfterMs`. */
-  async start({ host = '127.0.0.1', registerAfterMs = 0 } = {}) {
+  async start({ host = platformIp, registerAfterMs = 0 } = {}) {
     this.#host = host;
     const life = {
       born: Date.now(),
--- a/review/standins/Site.mjs
+++ b/review/standins/Site.mjs
@@ -4,6 +4,7 @@
 import net from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { addressPrefix } from './address.mjs';
 import { Runner } from './Runner.mjs';
 import { Store } from './Store.mjs';
 
@@ -11,10 +12,11 @@
 export const hasTrouble = process.env.TROUBLE !== '0';
 const root = join(import.meta.dirname, '..', '..');
 
-const findFreePort = () =>
-  new Promise((resolve) => {
+const findFreePort = (ip) =>
+  new Promise((resolve, reject) => {
     const server = net.createServer();
-    server.listen(0, '127.0.0.1', () => {
+    server.on('error', reject);
+    server.listen(0, ip, () => {
       const { port } = server.address();
       server.close(() => resolve(port));
     });
@@ -103,11 +105,12 @@
   }
 
   async #addHost(name, more) {
+    const ip = `${addressPrefix}.${this.hosts.length + 1}`;
     const [front, ready, first, metrics] = [
-      await findFreePort(),
-      await findFreePort(),
-      await findFreePort(),
-      await findFreePort(),
+      await findFreePort(ip),
+      await findFreePort(ip),
+      await findFreePort(ip),
+      await findFreePort(ip),
     ];
     const file = join(this.#folder, `${name}.conf`);
     const settings = {
@@ -115,11 +118,11 @@
       Role: 'host',
       MachineClass: 'front',
       Serves: 'front',
-      Ip: '127.0.0.1',
+      Ip: ip,
       Zone: 'zone-a',
       Region: 'region',
-      'Listen.Front': `127.0.0.1:${front}`,
-      'Listen.Readiness': `127.0.0.1:${ready}`,
+      'Listen.Front': `${ip}:${front}`,
+      'Listen.Readiness': `${ip}:${ready}`,
       PortRange: `${first},${metrics}`,
       'Limits.CpuShare': 0.675,
       'Limits.Cores': 1,
@@ -145,8 +148,8 @@
     );
     const host = {
       name,
-      front: `127.0.0.1:${front}`,
-      ready: `127.0.0.1:${ready}`,
+      front: `${ip}:${front}`,
+      ready: `${ip}:${ready}`,
       metrics,
       file,
     };
--- a/review/standins/Store.mjs
+++ b/review/standins/Store.mjs
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { platformIp } from './address.mjs';
 
 const readBody = async (request) => {
   const chunks = [];
@@ -30,7 +31,7 @@
   /** Called after each change with the key and the decoded value. */
   onChange = () => undefined;
 
-  async start(host = '127.0.0.1') {
+  async start(host = platformIp) {
     this.#server = http.createServer((request, response) => {
       this.#handle(request, response).catch(() => response.destroy());
     });
