Send queued requests for permits when a channel becomes available

Cause: AdviceDispatcher sent its queue only when a request was dispatched or answered. The repeated request was queued while the channel of the frozen host was paused after a failed call, and nothing sent it when the pause was over. PermitCache allows one request for a step at a time, so none followed.

The logs did not show a queued request; permitsDelayed is new.

Change: while requests are queued the dispatcher tries to send them every 100 ms, whatever made a channel available: the end of a pause, or a link that was opened or closed. The dispatcher stops with the term of its leader, and an error in a call counts as no answer instead of occupying the channel.

Tests: two of the three new ones in AdviceDispatcher.test.ts failed before (calls [1, 0], expected [2, 1]; no call by the leader itself). The suite stops its dispatchers now, since they outlive a test while requests are queued.

--- a/packages/daemon/__tests__/AdviceDispatcher.test.ts
+++ b/packages/daemon/__tests__/AdviceDispatcher.test.ts
@@ -1,6 +1,8 @@
 import { PlacementAdvisor, type Command } from '@toucanline/jobs';
 import type { Link } from '@toucanline/wire';
+import { createFailure } from '@toucanline/core';
 import { expect } from 'chai';
+import { err, ok } from 'neverthrow';
 import { AdviceDispatcher } from '../src/AdviceDispatcher.js';
 import { EventLog, HostMetrics } from '../src/index.js';
 
@@ -28,6 +30,22 @@
   }
 }
 
+/** Link to a host whose first call gets no answer; later ones are granted. */
+class FailingLink {
+  public readonly peer = { process: 'peer' };
+  public isClosed = false;
+  public calls = 0;
+
+  public call(): Promise<unknown> {
+    this.calls += 1;
+    return Promise.resolve(
+      this.calls === 1
+        ? err(createFailure('timeout', 'no reply'))
+        : ok({ reply: 'permits', permits: [{ workerId: 'w0', permit: 'p' }] }),
+    );
+  }
+}
+
 const createCommand = (stepKey: string, expectedMs: number, priority: number): AdviceCommand => ({
   kind: 'advise',
   stepKey,
@@ -53,6 +71,10 @@
     );
   });
 
+  afterEach(() => {
+    dispatcher.stop();
+  });
+
   const countCalls = (): readonly number[] => [
     advisor.steps.length,
     ...links.map(({ steps }) => steps.length),
@@ -86,4 +108,52 @@
     dispatcher.dispatch(createCommand('short', 20, 0));
     expect(advisor.steps).to.deep.equal(['short']);
   });
+
+  describe('that no host can make at first', () => {
+    let link: FailingLink;
+    let answers: number;
+
+    beforeEach(() => {
+      link = new FailingLink();
+      answers = 0;
+      dispatcher = new AdviceDispatcher(
+        advisor,
+        () => [link as unknown as Link],
+        (_command, permits) => {
+          if (permits !== undefined) answers += 1;
+        },
+        new EventLog('test', new HostMetrics()),
+      );
+    });
+
+    // Guards against a job that never starts: the repeated request was queued while the only other host was paused
+    // after a failed call, and nothing sent it once the pause was over.
+    it('are sent when the pause of a host ends', async () => {
+      dispatcher.dispatch(createCommand('s', 700, 1));
+      await new Promise((resolve) => setTimeout(resolve, 250));
+      dispatcher.dispatch(createCommand('s', 700, 1));
+      expect([link.calls, answers]).to.deep.equal([1, 0]);
+      await new Promise((resolve) => setTimeout(resolve, 1200));
+      expect([link.calls, answers]).to.deep.equal([2, 1]);
+    });
+
+    it('are made by the leader itself once no other host is linked', async () => {
+      dispatcher.dispatch(createCommand('s', 700, 1));
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      dispatcher.dispatch(createCommand('s', 700, 1));
+      expect(advisor.steps).to.deep.equal([]);
+      link.isClosed = true;
+      await new Promise((resolve) => setTimeout(resolve, 250));
+      expect(advisor.steps).to.deep.equal(['s']);
+    });
+
+    it('are dropped when the leader stops', async () => {
+      dispatcher.dispatch(createCommand('s', 700, 1));
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      dispatcher.dispatch(createCommand('s', 700, 1));
+      dispatcher.stop();
+      await new Promise((resolve) => setTimeout(resolve, 1200));
+      expect(link.calls).to.equal(1);
+    });
+  });
 });
--- a/packages/daemon/src/AdviceDispatcher.ts
+++ b/packages/daemon/src/AdviceDispatcher.ts
@@ -27,6 +27,11 @@
   readonly #localChannel = new AdviceChannel(undefined);
   readonly #peerChannels = new Map<Link, AdviceChannel>();
   #queue: readonly AdviceCommand[] = [];
+  /** Monotonic time since which requests have been queued without a break, in milliseconds; undefined if none are. */
+  #queuedSince: number | undefined;
+  #reportedAt = -Infinity;
+  #retryTimer: NodeJS.Timeout | undefined;
+  #isStopped = false;
 
   /**
    * @param advisor - client of the advice service on this host
@@ -52,13 +57,22 @@
    * @param command - step and candidate workers
    */
   public dispatch(command: AdviceCommand): void {
+    if (this.#isStopped) return;
     this.#queue = [...this.#queue, command].sort(
       (a, b) => a.priority - b.priority || a.expectedMs - b.expectedMs,
     );
     this.#sendQueued();
   }
 
+  /** Drops the queued requests and sends no further ones. */
+  public stop(): void {
+    this.#isStopped = true;
+    this.#queue = [];
+    clearInterval(this.#retryTimer);
+  }
+
   #sendQueued(): void {
+    if (this.#isStopped) return;
     const channels = this.#listChannels();
     const remaining: AdviceCommand[] = [];
     // A channel that cannot take a call cannot take a longer one either.
@@ -73,6 +87,40 @@
       }
     }
     this.#queue = remaining;
+    this.#updateRetryTimer();
+  }
+
+  /**
+   * Retries while requests are queued. A channel also becomes available without an answer: when its pause ends, or when
+   * a link is opened or closed.
+   */
+  #updateRetryTimer(): void {
+    if (this.#queue.length === 0) {
+      clearInterval(this.#retryTimer);
+      this.#retryTimer = undefined;
+      this.#queuedSince = undefined;
+      return;
+    }
+    this.#queuedSince ??= performance.now();
+    this.#retryTimer ??= setInterval(() => {
+      this.#sendQueued();
+      this.#logDelay();
+    }, hostLimits.adviceRetryMs);
+  }
+
+  /** Logs at intervals that requests have been queued for long. */
+  #logDelay(): void {
+    const now = performance.now();
+    const [first] = this.#queue;
+    if (first === undefined || this.#queuedSince === undefined) return;
+    if (now - Math.max(this.#queuedSince, this.#reportedAt) < hostLimits.adviceDelayLogMs) return;
+    this.#reportedAt = now;
+    this.#log.write('permitsDelayed', {
+      step: first.stepKey,
+      queued: this.#queue.length,
+      hosts: 1 + this.#peerChannels.size,
+      queuedMs: Math.round(now - this.#queuedSince),
+    });
   }
 
   #listChannels(): readonly AdviceChannel[] {
@@ -108,10 +156,7 @@
     const sentAt = performance.now();
     channel.begin(command.expectedMs, sentAt);
     const workers = command.workers.map(({ id }) => id);
-    const permits =
-      channel.link === undefined
-        ? await this.#advisor.requestPermits(command.stepKey, workers)
-        : await this.#sendToPeer(channel.link, command, workers);
+    const permits = await this.#requestPermits(channel.link, command, workers);
     channel.end(command.expectedMs, performance.now(), permits !== undefined);
     this.#log.write('permitsAnswered', {
       step: command.stepKey,
@@ -120,10 +165,27 @@
       through: channel.link?.peer?.process ?? 'self',
       durationMs: Math.round(performance.now() - sentAt),
     });
+    if (this.#isStopped) return;
     this.#onAnswer(command, permits);
     this.#sendQueued();
   }
 
+  /** Requests permits through a host; an error counts as no answer, so that the channel is used again. */
+  async #requestPermits(
+    link: Link | undefined,
+    command: AdviceCommand,
+    workers: readonly string[],
+  ): Promise<readonly PlacementPermit[] | undefined> {
+    try {
+      return link === undefined
+        ? await this.#advisor.requestPermits(command.stepKey, workers)
+        : await this.#sendToPeer(link, command, workers);
+    } catch (error) {
+      this.#log.writeError(`permits for ${command.stepKey}`, error);
+      return undefined;
+    }
+  }
+
   async #sendToPeer(
     link: Link,
     command: AdviceCommand,
--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -166,6 +166,7 @@
     this.#loader.stop();
     this.#cleanup.stop();
     this.#commandDispatcher.stop();
+    this.#adviceDispatcher.stop();
     this.#progressWriter?.stop();
     for (const watch of this.#watches) watch.stop();
     this.#sessions.stopAll();
--- a/packages/daemon/src/hostLimits.ts
+++ b/packages/daemon/src/hostLimits.ts
@@ -93,6 +93,10 @@
    * all calls that are sent through one channel at the same time.
    */
   shortAdviceCallMs: 100,
+  /** Interval at which queued advice calls are tried again. */
+  adviceRetryMs: 100,
+  /** Time after which queued advice calls are logged, and interval of the further lines. */
+  adviceDelayLogMs: 1000,
   /** Interval of the cleanup of finished jobs. */
   cleanupIntervalMs: 20_000,
   /** Keys removed in one transaction: the store accepts 32 entries. */
