Keep tasks that a restarted worker has accepted

Cause: commands name a worker by its id, which both incarnations share, and the answer to a start does not tell which one gave it. An idle worker is not polled, so its restart goes unnoticed. The leader took the start for one of the incarnation that it knew, and released all tasks of that one when a report showed the next.

Change: only runs that the earlier incarnation has reported end with it. Tasks that it has not reported move to the next one: a confirmed run stays until the first report there, a start without an answer is stopped there before its task starts again. An incarnation that only a report has shown is surveyed at once and gets no tasks until it is listed.

Found by reading, without a test of its own: an unsurveyed next incarnation was missing from the roster.

--- a/packages/daemon/src/CommandDispatcher.ts
+++ b/packages/daemon/src/CommandDispatcher.ts
@@ -121,7 +121,8 @@
     this.#findSession(worker)?.wake();
   }
 
-  async #stop({ task, worker, run }: StopCommand): Promise<void> {
+  async #stop(command: StopCommand): Promise<void> {
+    const { task, worker, run } = command;
     const wasUnconfirmed = !task.isStartConfirmed;
     const reason = task.stopReason;
     const outcome = await this.#dependencies.workerClient.stop(
@@ -145,7 +146,7 @@
       this.#dependencies.onLeaseLost('a worker has seen a newer fencing token');
       return;
     }
-    this.#scheduler.handleStopOutcome(task, run, outcome === 'confirmed', now);
+    this.#scheduler.handleStopOutcome(command, outcome === 'confirmed', now);
     const session = this.#findSession(worker);
     session?.wake();
     // If the start never reached the worker, no run ends, and the pending report would wait for its full time.
--- a/packages/daemon/src/RosterManager.ts
+++ b/packages/daemon/src/RosterManager.ts
@@ -110,9 +110,13 @@
         remainingMs: Math.round(this.#scheduler.computeRemainingMs(worker, now)),
       });
     }
-    // An entry that nothing has answered for may lead to no worker, and the next leader would wait for it.
+    // An entry that nothing has answered for may lead to no worker, and the next leader would wait for it, unless an
+    // earlier incarnation was given tasks.
     const workers = this.#scheduler.workers.filter(
-      (worker) => worker.isSurveyed || this.#storedIncarnations.has(worker.incarnation),
+      (worker) =>
+        worker.isSurveyed ||
+        this.#storedIncarnations.has(worker.incarnation) ||
+        this.#scheduler.computeRemainingMs(worker, now) > 0,
     );
     if (this.#isWriting || !this.#leaderLease.isValid || !this.#isWriteNeeded(workers, now)) return;
     void this.#write(workers, now);
--- a/packages/daemon/src/WorkerSession.ts
+++ b/packages/daemon/src/WorkerSession.ts
@@ -45,7 +45,7 @@
     const report = await workerClient.requestReport(
       worker.entry,
       leaderLease.term,
-      worker.acknowledgedThrough,
+      worker.acknowledgement,
       leaseUntilMs,
       0,
     );
@@ -73,8 +73,10 @@
   }
 
   get #isReportNeeded(): boolean {
-    const { tasks, hasStrays, isSurveyed, processedThrough, acknowledgedThrough } = this.#worker;
-    return tasks.size > 0 || hasStrays || !isSurveyed || processedThrough > acknowledgedThrough;
+    const { tasks, hasStrays, isSurveyed, acknowledgement } = this.#worker;
+    return (
+      tasks.size > 0 || hasStrays || !isSurveyed || this.#hasUnwrittenEnds || acknowledgement > 0
+    );
   }
 
   get #hasUnwrittenEnds(): boolean {
@@ -102,7 +104,7 @@
     const report = await workerClient.requestReport(
       worker.entry,
       leaderLease.term,
-      worker.acknowledgedThrough,
+      worker.acknowledgement,
       leaseUntilMs,
       waitMs,
     );
@@ -113,6 +115,14 @@
       return;
     }
     this.#context.pacing.recordReport();
+    if (report.life > worker.life) {
+      log.write('workerRestarted', {
+        worker: worker.id,
+        life: worker.life,
+        nextLife: report.life,
+        tasks: worker.tasks.size,
+      });
+    }
     const wasSurveyed = worker.isSurveyed;
     const strays = scheduler.handleReport(worker, report, sentAt, now, Date.now());
     if (!wasSurveyed) {
--- a/packages/daemon/src/WorkerSessions.ts
+++ b/packages/daemon/src/WorkerSessions.ts
@@ -40,11 +40,13 @@
   }
 
   /**
-   * Stops the sessions of worker incarnations that have ended, and updates the pause between reports.
+   * Opens the sessions of incarnations that are known only from a report, stops those of incarnations that have ended,
+   * and updates the pause between reports.
    *
    * @param workers - workers that may run tasks
    */
   public update(workers: readonly Worker[]): void {
+    for (const worker of workers) if (!this.#sessions.has(worker)) this.add(worker);
     const current = new Set(workers);
     for (const [worker, session] of this.#sessions) {
       if (current.has(worker)) continue;
--- a/packages/jobs/__tests__/LoadSimulation.ts
+++ b/packages/jobs/__tests__/LoadSimulation.ts
@@ -109,7 +109,7 @@
     for (const worker of this.scheduler.workers) {
       const model = this.#models.get(worker.id);
       const lease = worker.isSurveyed ? worker.extendLease(this.#now) : undefined;
-      const report = model?.report(1, worker.acknowledgedThrough, lease, this.#now);
+      const report = model?.report(1, worker.acknowledgement, lease, this.#now);
       if (report === undefined || report === 'fenced') continue;
       this.scheduler.handleReport(worker, report, this.#now, this.#now, this.#now);
     }
@@ -132,7 +132,7 @@
     if (model === undefined) return;
     if (command.kind === 'stop') {
       model.stop(task.name, run, 1, this.#now);
-      this.scheduler.handleStopOutcome(task, run, true, this.#now);
+      this.scheduler.handleStopOutcome(command, true, this.#now);
       return;
     }
     this.#startCounts.set(worker.id, this.countStarts(worker.id) + 1);
--- a/packages/jobs/__tests__/SchedulerSimulation.ts
+++ b/packages/jobs/__tests__/SchedulerSimulation.ts
@@ -198,7 +198,7 @@
         (model) => model.stop(task.name, run, term, this.#now),
         (response) => {
           if (response === 'fenced') leader.isFenced = true;
-          scheduler.handleStopOutcome(task, run, response === 'confirmed', this.#now);
+          scheduler.handleStopOutcome(command, response === 'confirmed', this.#now);
         },
       );
       return;
@@ -226,10 +226,10 @@
     const sentAt = this.#now;
     const mayExtend = target.isSurveyed && !target.isSuspended;
     const lease = mayExtend ? target.extendLease(sentAt) : undefined;
-    const { acknowledgedThrough } = target;
+    const { acknowledgement } = target;
     this.#call(
       target,
-      (model) => model.report(term, acknowledgedThrough, lease, this.#now),
+      (model) => model.report(term, acknowledgement, lease, this.#now),
       (report) => {
         if (report === 'fenced') leader.isFenced = true;
         if (report === undefined || report === 'fenced') {
--- a/packages/jobs/src/EndedWorkers.ts
+++ b/packages/jobs/src/EndedWorkers.ts
@@ -28,6 +28,19 @@
     this.#ended.add(worker);
   }
 
+  /**
+   * Moves what the next incarnation of a worker may run to it. Commands name a worker by its id, so the next incarnation
+   * executes those that were meant for the one before. Only runs that the earlier one has reported have ended with it.
+   *
+   * @param worker - incarnation that has ended
+   * @param next - next incarnation under the same id
+   */
+  public replace(worker: Worker, next: Worker): void {
+    this.#inheritedWorkers.replace(worker, next);
+    next.inheritLeases(worker);
+    for (const task of [...worker.tasks]) if (!task.isReported) task.moveToIncarnation(next);
+  }
+
   /**
    * Checks whether an incarnation has ended.
    *
@@ -51,7 +64,9 @@
     this.#inheritedWorkers.removeExpired(now);
     for (const worker of this.#pool.all) {
       const mayRun =
-        worker.isSurveyed || this.#inheritedWorkers.findLeaseExpiry(worker) !== undefined;
+        worker.isSurveyed ||
+        worker.tasks.size > 0 ||
+        this.#inheritedWorkers.findLeaseExpiry(worker) !== undefined;
       const hasExpired = now > worker.leasesExpireAt;
       if (!worker.isListed && (!mayRun || hasExpired)) this.#removeWorker(worker, now);
       else if (hasExpired) releaseTasks(worker, now);
--- a/packages/jobs/src/InheritedWorkers.ts
+++ b/packages/jobs/src/InheritedWorkers.ts
@@ -97,6 +97,20 @@
     return false;
   }
 
+  /**
+   * Replaces an unsurveyed worker with its next incarnation, on which the previous leader may have started runs without
+   * knowing of it.
+   *
+   * @param worker - incarnation that has ended
+   * @param next - next incarnation under the same id
+   */
+  public replace(worker: Worker, next: Worker): void {
+    const expiresAt = this.#leaseExpiries.get(worker);
+    if (expiresAt === undefined) return;
+    this.#leaseExpiries.delete(worker);
+    this.#leaseExpiries.set(next, expiresAt);
+  }
+
   /**
    * Removes workers on which all leases have expired.
    *
--- a/packages/jobs/src/ReportHandler.ts
+++ b/packages/jobs/src/ReportHandler.ts
@@ -63,6 +63,7 @@
       if (end.number > worker.processedThrough) this.#handleEnd(worker, end, now, wallMs);
       worker.markProcessed(end.number);
     }
+    worker.recordListedEnds(report.ended.at(-1)?.number ?? 0);
     const strays = report.running.filter((run) => !this.#handleRun(worker, run, now));
     worker.setStrayResources(
       strays.reduce<Room>(
@@ -86,7 +87,7 @@
     if (task === undefined) return false;
     if (task.worker === worker && task.run === report.run) {
       task.updateProgress(report.percent, report.checkpoint, report.load, now);
-      task.confirmStart(now);
+      task.confirmReport(now);
       task.step.job.markStarted();
       return true;
     }
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -22,7 +22,6 @@
 import { schedulingLimits } from './schedulingLimits.js';
 import { StartOutcomeHandler } from './StartOutcomeHandler.js';
 import type { StartOutcome } from './StartOutcome.js';
-import type { Task } from './Task.js';
 import type { Worker } from './Worker.js';
 import { EndedWorkers } from './EndedWorkers.js';
 import type { WorkerBounds } from './WorkerBounds.js';
@@ -143,7 +142,10 @@
     isInherited: boolean,
     maxRemainingMs?: number,
   ): Worker | undefined {
+    const previous = this.#pool.find(entry.id);
     const worker = this.#pool.update(entry);
+    if (worker !== undefined && previous !== undefined)
+      this.#endedWorkers.replace(previous, worker);
     if (worker !== undefined && isInherited) this.#inheritedWorkers.add(worker, maxRemainingMs);
     return worker;
   }
@@ -164,9 +166,10 @@
    * @returns time in milliseconds; 0 if nothing can run there any more
    */
   public computeRemainingMs(worker: Worker, now: number): number {
-    const expiresAt = worker.isSurveyed
-      ? worker.leasesExpireAt
-      : this.#inheritedWorkers.findLeaseExpiry(worker);
+    const expiresAt =
+      worker.isSurveyed || worker.tasks.size > 0
+        ? worker.leasesExpireAt
+        : this.#inheritedWorkers.findLeaseExpiry(worker);
     return Math.max(0, (expiresAt ?? now) - now);
   }
 
@@ -214,7 +217,7 @@
     if (this.#endedWorkers.has(worker)) return [];
     worker.recordContact(report.clockMs, now);
     if (report.life !== worker.life) {
-      if (report.life > worker.life) this.endIncarnation(worker);
+      if (report.life > worker.life) this.#addReportedIncarnation(worker, report.life);
       return [];
     }
     const strays = this.#reportHandler.handleReport(worker, report, sentAt, now, wallMs);
@@ -245,13 +248,17 @@
   /**
    * Handles the outcome of a stop command.
    *
-   * @param task - task whose run is being stopped
-   * @param run - number of the run
+   * @param command - stop command that was sent
    * @param isConfirmed - whether the worker confirmed the stop
    * @param now - monotonic time in milliseconds
    */
-  public handleStopOutcome(task: Task, run: number, isConfirmed: boolean, now: number): void {
-    if (task.run !== run || task.phase !== 'stopping') return;
+  public handleStopOutcome(
+    { task, worker, run }: Extract<Command, { kind: 'stop' }>,
+    isConfirmed: boolean,
+    now: number,
+  ): void {
+    // The next incarnation of the worker does not know of a stop that the earlier one confirmed.
+    if (task.worker !== worker || task.run !== run || task.phase !== 'stopping') return;
     if (isConfirmed) task.confirmStop(now);
   }
 
@@ -344,6 +351,14 @@
     this.#planner.recordPassDuration(durationMs);
   }
 
+  /**
+   * Adds an incarnation that is known only from its reports. It must be surveyed, but gets no tasks until it is listed,
+   * since its capacity and labels may differ.
+   */
+  #addReportedIncarnation({ entry }: Worker, life: number): void {
+    this.updateWorker({ ...entry, life }, false)?.unlist();
+  }
+
   #closeJob(job: Job): void {
     for (const { key } of job.steps) this.#permits.removeStep(key);
     this.#jobs.markFinished(job);
--- a/packages/jobs/src/Task.ts
+++ b/packages/jobs/src/Task.ts
@@ -33,6 +33,7 @@
   #stopConfirmedAt: number | undefined;
   #stopReason: StopReason = 'jobEnded';
   #isStartConfirmed = false;
+  #isReported = false;
   #isDoneElsewhere = false;
   #hasFullDuration = false;
 
@@ -110,6 +111,11 @@
     return this.#isStartConfirmed;
   }
 
+  /** Whether its incarnation of the worker has reported the current run. */
+  public get isReported(): boolean {
+    return this.#isReported;
+  }
+
   /** Whether the task is placed on a worker. */
   public get isPlaced(): boolean {
     return this.#worker !== undefined;
@@ -128,6 +134,7 @@
     this.#percent = 0;
     this.#hasFullDuration = this.#checkpoint === '';
     this.#isStartConfirmed = false;
+    this.#isReported = false;
     this.#stopConfirmedAt = undefined;
     worker.addTask(this);
     this.step.job.account.add(this.step.description.size, 1);
@@ -144,7 +151,22 @@
   public adopt(worker: Worker, run: number, now: number): void {
     this.place(worker, run, now);
     this.#hasFullDuration = false;
-    this.confirmStart(now);
+    this.confirmReport(now);
+  }
+
+  /**
+   * Moves the task to the next incarnation of its worker, which may have executed its start command. A confirmed run
+   * stays until the incarnation reports its runs; one whose start is not confirmed may still start, so it is stopped.
+   *
+   * @param worker - next incarnation under the same id
+   */
+  public moveToIncarnation(worker: Worker): void {
+    this.#worker?.removeTask(this);
+    this.#worker = worker;
+    worker.addTask(this);
+    this.#hasFullDuration = false;
+    this.#stopConfirmedAt = undefined;
+    if (this.#phase === 'starting') this.beginStop(this.#phaseStartedAt, 'unanswered');
   }
 
   /** Whether the time since the start of the run covers the whole task: false after an adoption or a checkpoint. */
@@ -162,6 +184,16 @@
     if (this.#phase === 'starting') this.#enterPhase('running', now);
   }
 
+  /**
+   * Records that the worker reports the run.
+   *
+   * @param now - monotonic time in milliseconds
+   */
+  public confirmReport(now: number): void {
+    this.#isReported = true;
+    this.confirmStart(now);
+  }
+
   /**
    * Updates the run from a report of the worker.
    *
--- a/packages/jobs/src/Worker.ts
+++ b/packages/jobs/src/Worker.ts
@@ -24,6 +24,8 @@
   #clockReadAt: number | undefined;
   /** Latest lease expiry that was sent, on the worker's clock. */
   #leaseUntilMs = 0;
+  /** Monotonic time in milliseconds at which leases that the previous incarnation was granted have expired. */
+  #previousLeasesExpireAt: number | undefined;
   #lastContactAt = -Infinity;
   #capacityConfirmedAt = -Infinity;
   #pausedUntil = 0;
@@ -33,6 +35,8 @@
   #refusedStarts = 0;
   #processedThrough = 0;
   #acknowledgedThrough = 0;
+  /** Number of the last run end in the latest report; 0 if it listed none. */
+  #listedThrough = 0;
   /** Resources of stray runs, which belong to no task and are being stopped. */
   #strayResources: Room = resources.none;
 
@@ -109,6 +113,15 @@
     return this.#acknowledgedThrough;
   }
 
+  /**
+   * Number up to which the next report request acknowledges run ends; 0 if there is nothing to acknowledge. Only ends
+   * that the latest report listed are acknowledged, and none after a failed call: the worker may have started anew, and
+   * would discard ends of its next incarnation that have the same numbers.
+   */
+  public get acknowledgement(): number {
+    return this.#callFailures > 0 ? 0 : Math.min(this.#acknowledgedThrough, this.#listedThrough);
+  }
+
   /** Monotonic time of the last response, in milliseconds. */
   public get lastContactAt(): number {
     return this.#lastContactAt;
@@ -230,6 +243,8 @@
   public recordContact(clockMs: number, now: number): void {
     this.#clockMs = clockMs;
     this.#clockReadAt = now;
+    // The clock starts anew with the worker, which then shortens a lease that was granted on the earlier one.
+    this.#leaseUntilMs = Math.min(this.#leaseUntilMs, clockMs + this.#maxLeaseMs);
     this.#lastContactAt = now;
     this.#callFailures = 0;
   }
@@ -260,13 +275,27 @@
   /**
    * Computes when all leases on the worker have certainly expired if it gets no further command.
    *
-   * @returns monotonic time in milliseconds; infinite while the worker's clock is unknown
+   * @returns monotonic time in milliseconds; infinite while neither the worker's clock nor a previous incarnation is
+   * known
    */
   public get leasesExpireAt(): number {
     const { minClockRate, leaseExpiryMarginMs } = schedulingLimits;
-    if (this.#clockReadAt === undefined) return Infinity;
+    if (this.#clockReadAt === undefined) return this.#previousLeasesExpireAt ?? Infinity;
     const leftMs = Math.max(0, this.#leaseUntilMs - this.#clockMs) / minClockRate;
-    return this.#clockReadAt + leftMs + leaseExpiryMarginMs;
+    return Math.max(
+      this.#clockReadAt + leftMs + leaseExpiryMarginMs,
+      this.#previousLeasesExpireAt ?? 0,
+    );
+  }
+
+  /**
+   * Takes over the leases of the previous incarnation, since this one may have executed the commands that granted them.
+   *
+   * @param previous - previous incarnation under the same id
+   */
+  public inheritLeases(previous: Worker): void {
+    const { leasesExpireAt } = previous;
+    if (Number.isFinite(leasesExpireAt)) this.#previousLeasesExpireAt = leasesExpireAt;
   }
 
   /**
@@ -330,6 +359,15 @@
     this.#processedThrough = Math.max(this.#processedThrough, number);
   }
 
+  /**
+   * Records which run ends the latest report listed.
+   *
+   * @param number - number of the last one; 0 if it listed none
+   */
+  public recordListedEnds(number: number): void {
+    this.#listedThrough = number;
+  }
+
   /**
    * Records that the run ends up to a number are written to the store.
    *
