Wait for the workers of all services of a queue after a takeover

Cause: a new leader held back older jobs only while unsurveyed workers of the service that the newest configuration gives to the queue may run their tasks.

Change: the store lists the services on whose workers tasks of each queue may run (toucanline/queue-services). A service is written before the first task of the queue starts there, with the roster and on the same conditions, and an earlier one is dropped when nothing of the queue runs there. A new leader waits for the unsurveyed workers of all listed services, and for all unsurveyed workers if the record cannot be read, as after an upgrade.

Tests: four in RosterManager.test.ts, all of which failed before.

--- a/packages/daemon/__tests__/RosterManager.test.ts
+++ b/packages/daemon/__tests__/RosterManager.test.ts
@@ -1,5 +1,5 @@
 import { Scheduler, type Worker } from '@toucanline/jobs';
-import type { WorkerEntry } from '@toucanline/schema';
+import type { JobRecord, WorkerEntry } from '@toucanline/schema';
 import { expect } from 'chai';
 import { EventLog, HostMetrics } from '../src/index.js';
 import { LeaderLease } from '../src/LeaderLease.js';
@@ -57,7 +57,8 @@
   const restore = async (manager: RosterManager): Promise<readonly Worker[]> => {
     const roster = (await store.read(storeKeys.roster))._unsafeUnwrap();
     const suspensions = (await store.read(storeKeys.suspensions))._unsafeUnwrap();
-    return manager.restore(roster, suspensions);
+    const queueServices = (await store.read(storeKeys.queueServices))._unsafeUnwrap();
+    return manager.restore(roster, suspensions, queueServices);
   };
 
   const addSurveyedWorker = (scheduler: Scheduler): Worker => {
@@ -190,4 +191,126 @@
     await waitForWrite();
     expect(lossReasons).to.deep.equal(['the store has another leader']);
   });
+
+  describe('of a queue that is given another service', () => {
+    const size = { milliProcessors: 1, memoryMb: 1, accelerators: 0 };
+    const createRecord = (id: string): JobRecord => ({
+      ...{ id, queue: 'q', account: '', acceptedAtMs: 0, isCancelled: false },
+      specification: {
+        payload: '',
+        steps: [{ taskCount: 1, size, estimateMs: 1, dependsOn: [] }],
+      },
+    });
+    const configure = (scheduler: Scheduler, service: string): void => {
+      scheduler.configure({
+        ...{ version: 1, services: [], accounts: [], maxBodyBytes: 1 },
+        queues: [
+          {
+            ...{ name: 'q', host: 'h', prefix: '/', service, priority: 1 },
+            ...{ maxAttempts: 1, stretch: 1, objectiveMs: 1, isOpen: true },
+          },
+        ],
+      });
+    };
+    const survey = (scheduler: Scheduler, id: string, service: string): void => {
+      const worker = scheduler.updateWorker({ ...entry, id, service }, false);
+      if (worker === undefined) throw new Error('the worker is known');
+      scheduler.handleReport(worker, emptyReport, 0, 0, 0);
+    };
+    const listStarts = (scheduler: Scheduler, now: number): readonly string[] =>
+      scheduler
+        .plan(now, now)
+        .flatMap((each) =>
+          each.kind === 'start' ? [`${each.task.step.job.id}@${each.worker.id}`] : [],
+        );
+
+    /** Creates a leader that runs a job on the worker of the first service when the queue is moved to the second. */
+    const moveQueue = async (): Promise<ReturnType<typeof createLeader>> => {
+      const leader = createLeader(1);
+      const { scheduler, manager } = leader;
+      await restore(manager);
+      configure(scheduler, 'render');
+      survey(scheduler, 'w1', 'render');
+      survey(scheduler, 'w2', 'studio');
+      manager.update(1);
+      await waitForWrite();
+      scheduler.addJob(createRecord('a'), 1, 1);
+      expect(listStarts(scheduler, 2)).to.deep.equal(['a@w1']);
+      configure(scheduler, 'studio');
+      return leader;
+    };
+
+    // Guards against a second run of a task: the queue of its job was moved, its worker was cut off, and the next leader
+    // waited only for the workers of the new service.
+    it('makes the next leader wait for the workers of both services', async () => {
+      for (const isMoveStored of [true, false]) {
+        store = new MemoryStore();
+        const { manager } = await moveQueue();
+        if (isMoveStored) {
+          manager.update(3);
+          await waitForWrite();
+        }
+        const next = createLeader(2);
+        await restore(next.manager);
+        configure(next.scheduler, 'studio');
+        next.scheduler.addJob(createRecord('a'), 1, 0);
+        const w2 = next.scheduler.workers.find(({ id }) => id === 'w2');
+        if (w2 === undefined) throw new Error('the roster does not list w2');
+        next.scheduler.handleReport(w2, emptyReport, 0, 0, 0);
+        next.manager.update(1);
+        await waitForWrite();
+        expect(listStarts(next.scheduler, 300)).to.deep.equal([]);
+        expect(listStarts(next.scheduler, 5900)).to.deep.equal([]);
+        expect(listStarts(next.scheduler, 9400)).to.deep.equal(['a@w2']);
+      }
+    });
+
+    // Guards against a task on a worker for which the next leader would not wait.
+    it('starts no task there before the store lists the service', async () => {
+      const { scheduler, manager } = await moveQueue();
+      scheduler.addJob(createRecord('b'), 2, 3);
+      store.fault = 'late';
+      manager.update(3);
+      await waitForWrite();
+      expect(listStarts(scheduler, 4)).to.deep.equal([]);
+      await new Promise((resolve) => setTimeout(resolve, 150));
+      manager.update(200);
+      await waitForWrite();
+      expect(listStarts(scheduler, 201)).to.deep.equal(['b@w2']);
+      expect(store.get(storeKeys.queueServices)).to.equal(
+        '{"queues":[{"queue":"q","services":["render","studio"]}]}',
+      );
+    });
+
+    it('lists the earlier service until no task runs there', async () => {
+      const { scheduler, manager } = await moveQueue();
+      manager.update(3);
+      await waitForWrite();
+      const w1 = scheduler.workers.find(({ id }) => id === 'w1');
+      if (w1 === undefined) throw new Error('w1 is not known');
+      const end = { number: 1, task: 'a.0.0.0', run: 1, outcome: 'done', checkpoint: '' } as const;
+      scheduler.handleReport(w1, { ...emptyReport, ended: [end] }, 4, 5, 5);
+      scheduler.updateWorker({ ...entry, id: 'w3' }, false);
+      survey(scheduler, 'w4', 'studio');
+      manager.update(600);
+      await waitForWrite();
+      expect(store.get(storeKeys.queueServices)).to.equal(
+        '{"queues":[{"queue":"q","services":["studio"]}]}',
+      );
+    });
+
+    it('makes the next leader wait for all workers if the services cannot be read', async () => {
+      await moveQueue();
+      store.put(storeKeys.queueServices, '{"queues":');
+      const next = createLeader(2);
+      await restore(next.manager);
+      configure(next.scheduler, 'archive');
+      next.scheduler.addJob(createRecord('a'), 1, 0);
+      survey(next.scheduler, 'w3', 'archive');
+      next.manager.update(1);
+      await waitForWrite();
+      expect(listStarts(next.scheduler, 5900)).to.deep.equal([]);
+      expect(listStarts(next.scheduler, 9400)).to.deep.equal(['a@w3']);
+    });
+  });
 });
--- a/packages/daemon/src/RosterManager.ts
+++ b/packages/daemon/src/RosterManager.ts
@@ -1,5 +1,10 @@
 import { formatIncarnation, type Scheduler, type StoreItem, type Worker } from '@toucanline/jobs';
-import { validators, type Suspension, type WorkerEntry } from '@toucanline/schema';
+import {
+  validators,
+  type QueueServicesRecord,
+  type Suspension,
+  type WorkerEntry,
+} from '@toucanline/schema';
 import type { EventLog } from './EventLog.js';
 import { hostLimits } from './hostLimits.js';
 import type { LeaderDependencies } from './LeaderDependencies.js';
@@ -11,8 +16,9 @@
 const suspensionFailureCount = 2;
 
 /**
- * Maintains the roster in the store, from which the next leader learns which workers may run tasks. Commands and
- * leases go only to workers that the stored roster lists and that are not suspended in the store. A worker that does
+ * Maintains the roster in the store, from which the next leader learns which workers may run tasks, and the services on
+ * whose workers those of each queue may run. Commands and leases go only to workers that the stored roster lists and that
+ * are not suspended in the store. A worker that does
  * not answer is suspended: if the next leader cannot reach it either, it waits only for the rest of the worker's
  * leases, not for the longest possible lease.
  */
@@ -30,6 +36,9 @@
   #isRosterUnknown = false;
   #rosterRevision = 0;
   #suspensionsRevision = 0;
+  #queueServicesRevision = 0;
+  /** Stored services of the queues, as JSON; undefined if they are not known for certain. */
+  #storedQueueServices: string | undefined;
   #lastWriteAt = 0;
   #isWriting = false;
 
@@ -57,12 +66,16 @@
    *
    * @param roster - stored roster
    * @param suspensions - stored suspensions
+   * @param queueServices - stored services of the queues
    * @returns the workers that must be surveyed
    */
   public restore(
     roster: StoreItem | undefined,
     suspensions: StoreItem | undefined,
+    queueServices: StoreItem | undefined,
   ): readonly Worker[] {
+    this.#queueServicesRevision = queueServices?.revision ?? 0;
+    this.#scheduler.queueServices.restore(readQueueServices(queueServices));
     this.#rosterRevision = roster?.revision ?? 0;
     this.#suspensionsRevision = suspensions?.revision ?? 0;
     const suspensionRecords = readSuspensions(suspensions);
@@ -123,7 +136,7 @@
   }
 
   #isWriteNeeded(workers: readonly Worker[], now: number): boolean {
-    if (!this.#isRosterStored(workers)) return true;
+    if (!this.#isRosterStored(workers) || this.#scheduler.queueServices.isWriteNeeded) return true;
     const isStale = now - this.#lastWriteAt >= hostLimits.suspensionRefreshMs;
     return workers.some((worker) => {
       const name = worker.incarnation;
@@ -157,14 +170,17 @@
             value: JSON.stringify({ workers: workers.map(({ entry }) => entry) }),
           },
         ];
+    const queueServices = this.#beginQueueServicesWrite();
     const outcome = await this.#dependencies.store.commit({
       expected: [
         { key: storeKeys.holder, revision: this.#leaderLease.holderRevision },
         { key: storeKeys.roster, revision: this.#rosterRevision },
         { key: storeKeys.suspensions, revision: this.#suspensionsRevision },
+        { key: storeKeys.queueServices, revision: this.#queueServicesRevision },
       ],
       put: [
         ...roster,
+        ...(queueServices === undefined ? [] : [queueServices.item]),
         { key: storeKeys.suspensions, value: JSON.stringify({ workers: suspensionRecords }) },
       ],
     });
@@ -175,6 +191,11 @@
         this.#rosterRevision = outcome.value.revision;
         this.#isRosterUnknown = false;
       }
+      if (queueServices !== undefined) {
+        this.#queueServicesRevision = outcome.value.revision;
+        this.#storedQueueServices = queueServices.item.value;
+        this.#scheduler.queueServices.confirmWrite(queueServices.record);
+      }
       this.#suspensionsRevision = outcome.value.revision;
       this.#applyWritten(workers, suspended);
     } else this.#handleConflict(outcome.value.items);
@@ -182,6 +203,19 @@
     this.#onChange();
   }
 
+  /** Describes the services of the queues for the next write; undefined if the store lists them already. */
+  #beginQueueServicesWrite():
+    | { readonly record: QueueServicesRecord; readonly item: { key: string; value: string } }
+    | undefined {
+    const { queueServices } = this.#scheduler;
+    const record = queueServices.describe();
+    const value = JSON.stringify(record);
+    if (value === this.#storedQueueServices) return undefined;
+    this.#storedQueueServices = undefined;
+    queueServices.beginWrite(record);
+    return { record, item: { key: storeKeys.queueServices, value } };
+  }
+
   #applyWritten(workers: readonly Worker[], suspended: readonly Worker[]): void {
     this.#storedIncarnations = new Set(workers.map(({ incarnation }) => incarnation));
     this.#suspendedIncarnations = new Set(suspended.map(({ incarnation }) => incarnation));
@@ -203,6 +237,7 @@
     if (revisionOf(storeKeys.roster) !== this.#rosterRevision) this.#isRosterUnknown = true;
     this.#rosterRevision = revisionOf(storeKeys.roster);
     this.#suspensionsRevision = revisionOf(storeKeys.suspensions);
+    this.#queueServicesRevision = revisionOf(storeKeys.queueServices);
   }
 }
 
@@ -228,3 +263,9 @@
   if (item?.value === undefined) return [];
   return parseStoredRecord(validators.Suspensions, item.value)?.workers ?? [];
 };
+
+/** Reads the stored services of the queues; undefined if they are missing or cannot be decoded. */
+const readQueueServices = (item: StoreItem | undefined): QueueServicesRecord | undefined =>
+  item?.value === undefined
+    ? undefined
+    : parseStoredRecord(validators.QueueServicesRecord, item.value);
--- a/packages/daemon/src/StateLoader.ts
+++ b/packages/daemon/src/StateLoader.ts
@@ -82,13 +82,14 @@
       log.write('leaderNotLoaded', { term, missing, durationMs: Math.round(this.ageMs) });
       return undefined;
     }
-    const { roster, suspensions, placements, progressOrder, progress, jobs, workers } = state;
+    const { roster, suspensions, queueServices, placements, progressOrder } = state;
+    const { progress, jobs, workers } = state;
     const now = performance.now();
     this.#applyEach(progress.items, (item) => {
       this.#changeHandler.applyProgress(item, now);
     });
     const finishedJobs = this.#changeHandler.applyStoredJobs(jobs.items);
-    const restored = this.#rosterManager.restore(roster, suspensions);
+    const restored = this.#rosterManager.restore(roster, suspensions, queueServices);
     for (const worker of restored) this.#onWorkerRestored(worker);
     this.#restorePlacements(placements);
     this.#applyEach(workers.items, (item) => {
--- a/packages/daemon/src/StoredStateReader.ts
+++ b/packages/daemon/src/StoredStateReader.ts
@@ -9,6 +9,7 @@
 interface StoredState {
   readonly roster: StoreItem | undefined;
   readonly suspensions: StoreItem | undefined;
+  readonly queueServices: StoreItem | undefined;
   readonly placements: StoreItem | undefined;
   readonly progressOrder: StoreItem | undefined;
   readonly progress: StorePage;
@@ -18,7 +19,7 @@
 
 /**
  * Reads the state that a new leader needs. What was read stays valid for later attempts: only the leader writes roster,
- * suspensions, placements and progress, and the changes of jobs and workers follow by watches.
+ * suspensions, services of queues, placements and progress, and the changes of jobs and workers follow by watches.
  */
 export class StoredStateReader {
   readonly #store: MetadataStore;
@@ -63,6 +64,7 @@
     return {
       roster: this.#items.get(storeKeys.roster),
       suspensions: this.#items.get(storeKeys.suspensions),
+      queueServices: this.#items.get(storeKeys.queueServices),
       placements: this.#items.get(storeKeys.placements),
       progressOrder: this.#items.get(storeKeys.progressOrder),
       progress,
@@ -72,7 +74,13 @@
   }
 
   get #itemKeys(): readonly string[] {
-    return [storeKeys.roster, storeKeys.suspensions, storeKeys.placements, storeKeys.progressOrder];
+    return [
+      storeKeys.roster,
+      storeKeys.suspensions,
+      storeKeys.queueServices,
+      storeKeys.placements,
+      storeKeys.progressOrder,
+    ];
   }
 
   get #prefixes(): readonly string[] {
--- a/packages/daemon/src/storeKeys.ts
+++ b/packages/daemon/src/storeKeys.ts
@@ -16,6 +16,8 @@
   roster: 'toucanline/roster',
   /** Workers of the roster that receive neither commands nor leases. */
   suspensions: 'toucanline/suspensions',
+  /** Services on whose workers tasks of each queue may run. */
+  queueServices: 'toucanline/queue-services',
   /** Resources in use by worker and account, and the speeds of workers. */
   placements: 'toucanline/placements',
   /** Replaced by each write of progress on condition of its revision, which serializes these writes. */
--- a/packages/jobs/src/InheritedWorkers.ts
+++ b/packages/jobs/src/InheritedWorkers.ts
@@ -83,17 +83,23 @@
     return this.#leaseExpiries.get(worker);
   }
 
+  /** Services of the unsurveyed workers. */
+  public get services(): ReadonlySet<string> {
+    return new Set([...this.#leaseExpiries.keys()].map(({ entry }) => entry.service));
+  }
+
   /**
    * Checks whether tasks of a job may still run on workers that this leader has not surveyed.
    *
    * @param job - job that may have started under the previous leader
-   * @param service - service of its queue
+   * @param mayHaveRunOn - checks whether tasks of its queue may have started on workers of a service
    * @returns whether the job must wait
    */
-  public canStillRun(job: Job, service: string): boolean {
+  public canStillRun(job: Job, mayHaveRunOn: (service: string) => boolean): boolean {
     if (job.acceptedRevision > this.#electionRevision) return false;
     if (this.#areWorkersUnknown) return true;
-    for (const { entry } of this.#leaseExpiries.keys()) if (entry.service === service) return true;
+    for (const { entry } of this.#leaseExpiries.keys())
+      if (mayHaveRunOn(entry.service)) return true;
     return false;
   }
 
--- a/packages/jobs/src/PendingSteps.ts
+++ b/packages/jobs/src/PendingSteps.ts
@@ -1,3 +1,4 @@
+import type { QueueConfiguration } from '@toucanline/schema';
 import { comparePendingSteps } from './comparePendingSteps.js';
 import type { PendingStep } from './PendingStep.js';
 import type { ImageDurations } from './ImageDurations.js';
@@ -12,24 +13,24 @@
   readonly #jobs: JobRegistry;
   readonly #queues: QueueSettings;
   readonly #durations: ImageDurations;
-  readonly #canStillRun: (job: Job, service: string) => boolean;
+  readonly #isHeld: (job: Job, queue: QueueConfiguration) => boolean;
 
   /**
    * @param jobs - known jobs
    * @param queues - settings of the queues
    * @param durations - mean durations by image
-   * @param canStillRun - checks whether tasks of a job may still run on workers that this leader has not surveyed
+   * @param isHeld - checks whether no tasks of a job may start now
    */
   public constructor(
     jobs: JobRegistry,
     queues: QueueSettings,
     durations: ImageDurations,
-    canStillRun: (job: Job, service: string) => boolean,
+    isHeld: (job: Job, queue: QueueConfiguration) => boolean,
   ) {
     this.#jobs = jobs;
     this.#queues = queues;
     this.#durations = durations;
-    this.#canStillRun = canStillRun;
+    this.#isHeld = isHeld;
   }
 
   /**
@@ -42,7 +43,7 @@
     const pendingSteps: PendingStep[] = [];
     for (const job of this.#jobs.openJobs) {
       const queue = this.#queues.findQueue(job);
-      if (queue === undefined || this.#canStillRun(job, queue.service)) continue;
+      if (queue === undefined || this.#isHeld(job, queue)) continue;
       const objectiveMs = this.#queues.computeObjectiveMs(job);
       for (const step of job.steps) {
         if (step.waitingCount === 0 || step.retryAt > now || !step.isReady) continue;
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -1,3 +1,4 @@
+import type { QueueConfiguration } from '@toucanline/schema';
 import type { Candidate } from './Candidate.js';
 import type { TaskAssignment } from './TaskAssignment.js';
 import type { PendingStep } from './PendingStep.js';
@@ -43,7 +44,7 @@
   readonly #pendingSteps: PendingSteps;
   readonly #permitRequests: PermitRequests;
   readonly #window = new PlanningWindow();
-  readonly #canStillRun: (job: Job, service: string) => boolean;
+  readonly #isHeld: (job: Job, queue: QueueConfiguration) => boolean;
   readonly #firstRunNumber: number;
 
   /**
@@ -52,7 +53,7 @@
    * @param queues - settings of the queues
    * @param permits - placement permits
    * @param durations - mean durations by image
-   * @param canStillRun - checks whether tasks of a job may still run on workers that this leader has not surveyed
+   * @param isHeld - checks whether no tasks of a job may start now
    * @param firstRunNumber - lowest run number of the leader's term
    */
   public constructor(
@@ -61,16 +62,16 @@
     queues: QueueSettings,
     permits: PermitCache,
     durations: ImageDurations,
-    canStillRun: (job: Job, service: string) => boolean,
+    isHeld: (job: Job, queue: QueueConfiguration) => boolean,
     firstRunNumber: number,
   ) {
     this.#jobs = jobs;
     this.#pool = pool;
     this.#queues = queues;
     this.#permits = permits;
-    this.#pendingSteps = new PendingSteps(jobs, queues, durations, canStillRun);
+    this.#pendingSteps = new PendingSteps(jobs, queues, durations, isHeld);
     this.#permitRequests = new PermitRequests(permits, durations);
-    this.#canStillRun = canStillRun;
+    this.#isHeld = isHeld;
     this.#firstRunNumber = firstRunNumber;
   }
 
@@ -192,7 +193,7 @@
   #prefetchPermits(eligible: EligibleWorkers, pass: PlanningPass): void {
     for (const job of this.#jobs.openJobs) {
       const queue = this.#queues.findQueue(job);
-      if (queue?.advice === undefined || this.#canStillRun(job, queue.service)) continue;
+      if (queue?.advice === undefined || this.#isHeld(job, queue)) continue;
       for (const step of job.steps) {
         if (!this.#permitRequests.isDueSoon(step, queue.advice.baseMs, pass.now)) continue;
         const pending = {
--- a/packages/jobs/src/QueueSettings.ts
+++ b/packages/jobs/src/QueueSettings.ts
@@ -5,6 +5,11 @@
 export class QueueSettings {
   readonly #queues = new Map<string, QueueConfiguration>();
 
+  /** Settings of all queues, removed ones included. */
+  public get all(): Iterable<QueueConfiguration> {
+    return this.#queues.values();
+  }
+
   /**
    * Applies the settings of a configuration.
    *
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -4,6 +4,7 @@
   JobState,
   PlacementPermit,
   Placements,
+  QueueConfiguration,
   SiteConfiguration,
   WorkerEntry,
   WorkerReport,
@@ -13,6 +14,7 @@
 import { InheritedWorkers } from './InheritedWorkers.js';
 import type { Job } from './Job.js';
 import { JobRegistry } from './JobRegistry.js';
+import { QueueServices } from './QueueServices.js';
 import { QueueSettings } from './QueueSettings.js';
 import type { Command } from './Command.js';
 import { PermitCache } from './PermitCache.js';
@@ -34,6 +36,8 @@
 export class Scheduler {
   /** Progress that is not yet written to the store. */
   public readonly progress: PendingProgress;
+  /** Services on whose workers tasks of each queue may run. */
+  public readonly queueServices: QueueServices;
   readonly #jobs = new JobRegistry();
   readonly #pool: WorkerPool;
   readonly #queues = new QueueSettings();
@@ -61,6 +65,7 @@
     this.#pool = new WorkerPool(maxLeaseMs);
     this.progress = new PendingProgress(this.#jobs, this.#pool);
     this.#inheritedWorkers = new InheritedWorkers(this.#jobs, electionRevision, now, maxLeaseMs);
+    this.queueServices = new QueueServices(this.#queues, this.#pool, this.#inheritedWorkers);
     this.#endedWorkers = new EndedWorkers(this.#pool, this.#inheritedWorkers);
     this.#firstRunNumber = (term - 1) * schedulingLimits.runsPerTerm + 1;
     this.#reportHandler = new ReportHandler(
@@ -78,7 +83,7 @@
       this.#queues,
       this.#permits,
       this.#durations,
-      (job, service) => this.#inheritedWorkers.canStillRun(job, service),
+      (job, queue) => this.#isHeld(job, queue),
       this.#firstRunNumber,
     );
   }
@@ -359,6 +364,19 @@
     this.updateWorker({ ...entry, life }, false)?.unlist();
   }
 
+  /**
+   * Checks whether no tasks of a job may start: the next leader would not know where, or tasks of the previous leader
+   * may still run.
+   */
+  #isHeld(job: Job, queue: QueueConfiguration): boolean {
+    return (
+      !this.queueServices.isStored(queue) ||
+      this.#inheritedWorkers.canStillRun(job, (service) =>
+        this.queueServices.mayHaveRunOn(queue, service),
+      )
+    );
+  }
+
   #closeJob(job: Job): void {
     for (const { key } of job.steps) this.#permits.removeStep(key);
     this.#jobs.markFinished(job);
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -15,6 +15,7 @@
 export { IndependentTaskPlacement } from './IndependentTaskPlacement.js';
 export { Job } from './Job.js';
 export { JobRegistry } from './JobRegistry.js';
+export { QueueServices } from './QueueServices.js';
 export { QueueSettings } from './QueueSettings.js';
 export type { StoreItem } from './StoreItem.js';
 export { MetadataStore } from './MetadataStore.js';
