Block pending submissions of a job that is cancelled

Cause: JobService.cancel read the key once and answered 410 if it was absent. A write on condition of that absence could still be pending in the store.

Change: the cancellation writes a marker before 410 is answered, on condition of the revision that it has read: of an absent key, or of a refusal marker, which a repeated submission may be replacing. Whatever is pending depends on that revision too and can no longer take effect. A submission after that is refused with `cancelled` (409, not run): it can only be a retry of what the caller has cancelled. Markers are removed after the retention time, as refusal markers were.

Tests: four new ones in JobService.test.ts failed before. "cancels a stored job" cancelled an unknown id and then submitted a job under it; it uses another id for the unknown job now, and a new test checks the former order, which is refused.

--- a/packages/daemon/__tests__/JobCleanup.test.ts
+++ b/packages/daemon/__tests__/JobCleanup.test.ts
@@ -43,7 +43,7 @@
     const keys = Array.from({ length: count }, (_, index) => `${storeKeys.jobPrefix}${index}`);
     for (const key of keys) {
       store.put(key, refusalMarker);
-      cleanup.addRefusalMarker(key);
+      cleanup.addMarker(key);
     }
     cleanup.start();
     const later = originalNow() + retentionMs + 1000;
--- a/packages/daemon/__tests__/JobService.test.ts
+++ b/packages/daemon/__tests__/JobService.test.ts
@@ -148,11 +148,66 @@
 
   it('cancels a stored job, also if the answer is lost, and no unknown job', async () => {
     const admitted = await admit();
-    expect((await service.cancel(admitted))._unsafeUnwrapErr().kind).to.equal('recordMissing');
     await service.submit(admitted, specification);
     store.fault = 'lost';
     expect((await service.cancel(admitted)).isOk()).to.equal(true);
     expect(store.get(key)).to.include('"isCancelled":true');
+    const other = (await service.admit({ ...call, path: '/b/00000000000000bb' }))._unsafeUnwrap();
+    expect((await service.cancel(other))._unsafeUnwrapErr().kind).to.equal('recordMissing');
+  });
+
+  // Guards against a job that runs after its cancellation was acknowledged: its write had no answer and took effect
+  // seconds after the cancellation had found no record.
+  it('blocks a pending write of a job that is cancelled', async () => {
+    const admitted = await admit();
+    store.fault = 'late';
+    store.hasUnansweredReads = true;
+    const unknown = await service.submit(admitted, specification);
+    expect(unknown._unsafeUnwrapErr().kind).to.equal('timeout');
+    store.hasUnansweredReads = false;
+    expect((await service.cancel(admitted))._unsafeUnwrapErr().kind).to.equal('recordMissing');
+    store.applyLateCommits();
+    expect(store.get(key) ?? '').not.to.include('planning');
+    expect((await service.findState(admitted))._unsafeUnwrapErr().kind).to.equal('recordMissing');
+  });
+
+  it('blocks the pending write of a submission that was refused once and repeated', async () => {
+    const admitted = await admit();
+    store.fault = 'late';
+    expect((await service.submit(admitted, specification)).isErr()).to.equal(true);
+    // The first write of the retry finds the refusal marker, and the one that replaces the marker has no answer.
+    const commit = store.commit.bind(store);
+    const { commits } = store;
+    store.commit = (transaction) => {
+      if (store.commits === commits + 1) store.fault = 'late';
+      return commit(transaction);
+    };
+    store.hasUnansweredReads = true;
+    const repeated = await service.submit(admitted, specification);
+    expect(repeated._unsafeUnwrapErr().kind).to.equal('timeout');
+    store.hasUnansweredReads = false;
+    expect((await service.cancel(admitted))._unsafeUnwrapErr().kind).to.equal('recordMissing');
+    store.applyLateCommits();
+    expect(store.get(key) ?? '').not.to.include('planning');
+  });
+
+  // Guards against a job that runs because a retry of its submission arrives after the cancellation.
+  it('does not accept a job after its cancellation, which can be repeated', async () => {
+    const admitted = await admit();
+    expect((await service.cancel(admitted))._unsafeUnwrapErr().kind).to.equal('recordMissing');
+    expect((await service.cancel(admitted))._unsafeUnwrapErr().kind).to.equal('recordMissing');
+    const refused = await service.submit(admitted, specification);
+    expect(refused._unsafeUnwrapErr().kind).to.equal('cancelled');
+  });
+
+  // Guards against an acknowledged cancellation that was not written.
+  it('acknowledges the cancellation of an unknown job only once it is written', async () => {
+    const admitted = await admit();
+    store.fault = 'refused';
+    expect((await service.cancel(admitted))._unsafeUnwrapErr().kind).to.equal('timeout');
+    store.fault = 'lost';
+    expect((await service.cancel(admitted))._unsafeUnwrapErr().kind).to.equal('recordMissing');
+    expect(store.get(key)).to.equal('"cancelled"');
   });
 
   // Guards against accepting a withdrawn key on a host that could not learn of the withdrawal.
--- a/packages/daemon/__tests__/StoreChangeHandler.test.ts
+++ b/packages/daemon/__tests__/StoreChangeHandler.test.ts
@@ -43,7 +43,7 @@
     const leaderLease = new LeaderLease(2, 10, 1);
     leaderLease.recordRenewal(performance.now(), Date.now());
     const log = new EventLog('test', new HostMetrics());
-    const cleanup = { removeRefusalMarker: () => undefined } as unknown as JobCleanup;
+    const cleanup = { removeMarker: () => undefined } as unknown as JobCleanup;
     const handler = new StoreChangeHandler(
       { log } as unknown as LeaderDependencies,
       leaderLease,
--- a/packages/daemon/src/JobCleanup.ts
+++ b/packages/daemon/src/JobCleanup.ts
@@ -5,14 +5,14 @@
 import type { LeaderDependencies } from './LeaderDependencies.js';
 import { storeKeys } from './storeKeys.js';
 
-/** Removes finished jobs and refusal markers from the store after the retention time. */
+/** Removes finished jobs and markers from the store after the retention time. */
 export class JobCleanup {
   readonly #dependencies: LeaderDependencies;
   readonly #leaderLease: LeaderLease;
   readonly #scheduler: Scheduler;
   readonly #log: EventLog;
-  /** Keys with a refusal marker, and the monotonic time in milliseconds at which the marker was seen. */
-  readonly #refusalMarkers = new Map<string, number>();
+  /** Keys with a marker, and the monotonic time in milliseconds at which the marker was seen. */
+  readonly #markers = new Map<string, number>();
   #timer: NodeJS.Timeout | undefined;
 
   /**
@@ -44,28 +44,28 @@
   }
 
   /**
-   * Adds a refusal marker to remove later.
+   * Adds a marker to remove later.
    *
    * @param key - job key that holds the marker
    */
-  public addRefusalMarker(key: string): void {
-    this.#refusalMarkers.set(key, performance.now());
+  public addMarker(key: string): void {
+    this.#markers.set(key, performance.now());
   }
 
   /**
-   * Forgets a refusal marker, because its job was accepted later.
+   * Forgets a marker, because its job was accepted later.
    *
    * @param key - job key
    */
-  public removeRefusalMarker(key: string): void {
-    this.#refusalMarkers.delete(key);
+  public removeMarker(key: string): void {
+    this.#markers.delete(key);
   }
 
   /** Removes expired jobs and markers, as many as the transactions of one cleanup allow; the others follow later. */
   async #removeExpired(): Promise<void> {
     const { retentionMs } = this.#dependencies.times;
     const finished = this.#scheduler.listExpiredJobs(Date.now() - retentionMs);
-    const expiredMarkers = [...this.#refusalMarkers]
+    const expiredMarkers = [...this.#markers]
       .filter(([, seenAt]) => performance.now() - seenAt > retentionMs)
       .map(([key]) => key);
     const keys = [
@@ -90,7 +90,7 @@
       outcome: outcome.isOk() ? 'done' : outcome.error.kind,
     });
     if (outcome.isErr() || !outcome.value.committed) return false;
-    for (const key of keys) this.#refusalMarkers.delete(key);
+    for (const key of keys) this.#markers.delete(key);
     return true;
   }
 }
--- a/packages/daemon/src/JobService.ts
+++ b/packages/daemon/src/JobService.ts
@@ -9,9 +9,11 @@
   type QueueConfiguration,
 } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
+import { cancellationMarker } from './cancellationMarker.js';
 import type { ConfigurationWatch } from './ConfigurationWatch.js';
 import type { EventLog } from './EventLog.js';
 import { findQueue } from './findQueue.js';
+import { isMarker } from './isMarker.js';
 import { JobWriter } from './JobWriter.js';
 import type { LeaderClient } from './LeaderClient.js';
 import { parseStoredRecord } from './parseStoredRecord.js';
@@ -110,7 +112,7 @@
    * @param call - admitted call
    * @param specification - steps and payload of the job
    * @returns nothing; `notReady` or `storeUnavailable` if the job was certainly not accepted, `timeout` if that is
-   * unknown, `conflictingKey` if the id belongs to another job
+   * unknown, `cancelled` if the job was cancelled before, `conflictingKey` if the id belongs to another job
    */
   public async submit(
     call: AdmittedCall,
@@ -154,25 +156,30 @@
   }
 
   /**
-   * Cancels a job, by marking its stored record.
+   * Cancels a job, by marking its stored record. If there is none, a marker takes its place: a write of the job may still
+   * be pending at another host, or its submission may be repeated.
    *
    * @param call - admitted call
-   * @returns nothing; `recordMissing` if there is no such job, `timeout` if it is unknown whether the job was cancelled
+   * @returns nothing; `recordMissing` if there is no such job and none can be stored any more, `timeout` if it is unknown
+   * whether the job was cancelled
    */
   public async cancel(call: AdmittedCall): Promise<Result<void, Failure>> {
     const key = storeKeys.jobPrefix + call.id;
     for (let attempt = 0; attempt < 3; attempt += 1) {
       const item = await this.#store.read(key);
       if (item.isErr()) return err(item.error);
-      if (item.value?.value === undefined || item.value.value === refusalMarker) {
+      const { value, revision = 0 } = item.value ?? {};
+      if (value === cancellationMarker) return err(this.#createMissingFailure(call.id));
+      if (value === undefined || value === refusalMarker) {
+        if (!(await this.#markCancelled(call.id, revision))) continue;
         return err(this.#createMissingFailure(call.id));
       }
-      const record = parseStoredRecord(validators.JobRecord, item.value.value);
+      const record = parseStoredRecord(validators.JobRecord, value);
       if (record === undefined)
         return err(createFailure('internal', `the record at ${key} is invalid`));
       if (record.isCancelled) return ok(undefined);
       const outcome = await this.#store.commit({
-        expected: [{ key, revision: item.value.revision }],
+        expected: [{ key, revision }],
         put: [{ key, value: JSON.stringify({ ...record, isCancelled: true }) }],
       });
       // If the outcome is unknown, the next read shows whether the cancellation was written.
@@ -197,6 +204,18 @@
       : ok(count);
   }
 
+  /** Writes a cancellation marker if the key of the job is still at the given revision. */
+  async #markCancelled(id: string, revision: number): Promise<boolean> {
+    const key = storeKeys.jobPrefix + id;
+    const outcome = await this.#store.commit({
+      expected: [{ key, revision }],
+      put: [{ key, value: cancellationMarker }],
+    });
+    if (outcome.isErr() || !outcome.value.committed) return false;
+    this.#log.write('unknownJobCancelled', { request: id, revision: outcome.value.revision });
+    return true;
+  }
+
   /** Reads the state of a job from the store, for when the leader did not answer or does not know the job yet. */
   async #readStoredState(id: string): Promise<Result<JobState, Failure>> {
     const [progress, job] = await Promise.all([
@@ -204,7 +223,7 @@
       this.#store.read(storeKeys.jobPrefix + id),
     ]);
     if (job.isErr()) return err(createFailure('storeUnavailable', job.error.detail));
-    if (job.value?.value === undefined || job.value.value === refusalMarker) {
+    if (job.value?.value === undefined || isMarker(job.value.value)) {
       return err(this.#createMissingFailure(id));
     }
     if (progress.isErr()) return err(createFailure('storeUnavailable', progress.error.detail));
--- a/packages/daemon/src/JobWriter.ts
+++ b/packages/daemon/src/JobWriter.ts
@@ -2,6 +2,7 @@
 import type { MetadataStore } from '@toucanline/jobs';
 import { validators, type Failure, type JobRecord } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
+import { cancellationMarker } from './cancellationMarker.js';
 import { hostLimits } from './hostLimits.js';
 import type { LeaderClient } from './LeaderClient.js';
 import { parseStoredRecord } from './parseStoredRecord.js';
@@ -42,7 +43,7 @@
    *
    * @param record - job record
    * @returns nothing; `storeUnavailable` if the job was certainly not accepted, `timeout` if that is unknown,
-   * `conflictingKey` if the id belongs to another job
+   * `cancelled` if the job was cancelled before it was stored, `conflictingKey` if the id belongs to another job
    */
   public write(record: JobRecord): Promise<Result<void, Failure>> {
     return this.#write(record, 0);
@@ -109,6 +110,9 @@
   }
 
   #compareWithStored(value: string | undefined, record: JobRecord): Result<void, Failure> {
+    if (value === cancellationMarker) {
+      return err(createFailure('cancelled', `the job ${record.id} was cancelled`));
+    }
     const stored = value === undefined ? undefined : parseStoredRecord(validators.JobRecord, value);
     if (stored === undefined)
       return err(createFailure('timeout', 'the stored job record is invalid'));
--- a/packages/daemon/src/StoreChangeHandler.ts
+++ b/packages/daemon/src/StoreChangeHandler.ts
@@ -3,9 +3,9 @@
 import type { JobCleanup } from './JobCleanup.js';
 import type { LeaderLease } from './LeaderLease.js';
 import type { LeaderDependencies } from './LeaderDependencies.js';
+import { isMarker } from './isMarker.js';
 import { parseStoredRecord } from './parseStoredRecord.js';
 import { runGuarded } from './runGuarded.js';
-import { refusalMarker } from './refusalMarker.js';
 import { storeKeys } from './storeKeys.js';
 
 /** Applies what the leader reads from the store to the scheduler: jobs, their progress, and workers. */
@@ -104,7 +104,7 @@
   /**
    * Applies an item under a job key.
    *
-   * @param item - job record, refusal marker, or removal
+   * @param item - job record, marker, or removal
    */
   public applyJob(item: StoreItem): void {
     const { key, value, revision } = item;
@@ -113,11 +113,11 @@
       this.#scheduler.removeJob(id);
       return;
     }
-    if (value === refusalMarker) {
-      this.#cleanup.addRefusalMarker(key);
+    if (isMarker(value)) {
+      this.#cleanup.addMarker(key);
       return;
     }
-    this.#cleanup.removeRefusalMarker(key);
+    this.#cleanup.removeMarker(key);
     if (this.#isDeferring && this.#scheduler.findJobState(id) === undefined) {
       this.#defer(() => {
         this.applyJob(item);
@@ -198,6 +198,6 @@
   }
 }
 
-/** Reads when a job was accepted, without validating its record; 0 for a refusal marker or an unreadable record. */
+/** Reads when a job was accepted, without validating its record; 0 for a marker or an unreadable record. */
 const readAcceptanceTime = ({ value }: StoreItem): number =>
   Number(/"acceptedAtMs":(\d+)/.exec(value ?? '')?.[1] ?? 0);
