Store the usage of capped accounts although nothing has ended

Cause: the next leader counts what may run on workers that it cannot reach by toucanline/placements, which ProgressWriter wrote only together with ends of runs.

Change: the placements are also written without progress once the usage of an account with a cap has changed, at most every 200 ms, and before the leader lease is given up. A leader that is lost within that time still leaves a gap.

Tests: three in ProgressWriter.test.ts, which fail without the change since nothing is written.

--- a/packages/daemon/__tests__/ProgressWriter.test.ts
+++ b/packages/daemon/__tests__/ProgressWriter.test.ts
@@ -203,4 +203,55 @@
     expect(leaseLossCount).to.equal(1);
     expect(worker.acknowledgedThrough).to.equal(0);
   });
+
+  describe('of an account with a cap', () => {
+    beforeEach(() => {
+      const size = { milliProcessors: 400, memoryMb: 1, accelerators: 0 };
+      scheduler.configure({
+        ...{ version: 1, services: [], maxBodyBytes: 1 },
+        accounts: [{ name: 'planning', weight: 1, keys: [], cap: size }],
+        queues: [
+          {
+            ...{ name: 'batch', host: 'h', prefix: '/', service: 's', priority: 1 },
+            ...{ maxAttempts: 1, stretch: 1, objectiveMs: 1, isOpen: false },
+          },
+        ],
+      });
+      scheduler.handleReport(worker, { life: 1, clockMs: 0, running: [], ended: [] }, 0, 0, 0);
+      const specification = { payload: '', steps: [{ ...step, size }] };
+      scheduler.addJob({ ...record, id: 'b', account: 'planning', specification }, 2, 0);
+      expect(scheduler.plan(1, 1).filter(({ kind }) => kind === 'start').length).to.be.above(0);
+    });
+
+    // Guards against a cap that is exceeded after a change of the leader: nothing had ended since the tasks of the
+    // account had started, so the next leader did not count them on a worker that it could not reach.
+    it('writes the usage although nothing has ended', async () => {
+      expect(scheduler.progress.hasPending).to.equal(false);
+      writer.requestWrite();
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      expect(store.get(storeKeys.placements)).to.include('"account":"planning"');
+      const { commits } = store;
+      writer.requestWrite();
+      await new Promise((resolve) => setTimeout(resolve, 250));
+      writer.requestWrite();
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      expect(store.commits).to.equal(commits);
+    });
+
+    it('writes the usage before the leader lease is given up', async () => {
+      await writer.flush();
+      expect(store.get(storeKeys.placements)).to.include('"account":"planning"');
+    });
+
+    it('writes the usage again after a write without effect', async () => {
+      store.fault = 'refused';
+      writer.requestWrite();
+      await new Promise((resolve) => setTimeout(resolve, 150));
+      expect(store.get(storeKeys.placements)).to.equal(undefined);
+      store.fault = 'none';
+      writer.requestWrite();
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      expect(store.get(storeKeys.placements)).to.include('"account":"planning"');
+    });
+  });
 });
--- a/packages/daemon/src/ProgressWriter.ts
+++ b/packages/daemon/src/ProgressWriter.ts
@@ -17,7 +17,8 @@
 /**
  * Writes the progress of jobs, so that the ends of runs are stored before they are acknowledged to the workers. Each
  * write replaces the order key on condition of its revision, so a write that takes effect late cannot overwrite newer
- * progress. The placements are written along at intervals.
+ * progress. The placements are written along at intervals, and without progress once the usage of an account with a cap
+ * has changed: the next leader counts them for workers that it cannot reach.
  */
 export class ProgressWriter {
   readonly #store: MetadataStore;
@@ -28,6 +29,8 @@
   readonly #onLeaseLost: () => void;
   #orderRevision: number;
   #placementsWrittenAt = -Infinity;
+  /** Changes of capped usage that the stored placements include. */
+  #writtenUsageChanges = 0;
   /** Monotonic time in milliseconds at which the last batch was taken that left nothing unwritten. */
   #wholeBatchAt = performance.now();
   #activeRun: Promise<void> | undefined;
@@ -65,7 +68,8 @@
   /** Starts to write pending progress, unless a write is already running. */
   public requestWrite(): void {
     if (this.#activeRun !== undefined || this.#isStopped || this.#isFlushing) return;
-    if (!this.#scheduler.progress.hasPending) return;
+    const isUsageDue = this.#hasUnwrittenUsage && this.#arePlacementsDue(performance.now());
+    if (!this.#scheduler.progress.hasPending && !isUsageDue) return;
     this.#activeRun = this.#writePending().finally(() => {
       this.#activeRun = undefined;
     });
@@ -88,10 +92,21 @@
     await this.#activeRun;
     this.#placementsWrittenAt = -Infinity;
     if (this.#scheduler.progress.hasPending && !this.#isStopped) await this.#writeBatch();
+    if (this.#hasUnwrittenUsage && !this.#isStopped) await this.#commit([]);
     this.#isStopped = true;
   }
 
+  get #hasUnwrittenUsage(): boolean {
+    return this.#scheduler.cappedUsageChanges !== this.#writtenUsageChanges;
+  }
+
+  #arePlacementsDue(now: number): boolean {
+    return now - this.#placementsWrittenAt >= hostLimits.placementsIntervalMs;
+  }
+
   async #writePending(): Promise<void> {
+    if (!this.#scheduler.progress.hasPending && !(await this.#commit([])))
+      await new Promise((resolve) => setTimeout(resolve, hostLimits.progressRetryMs));
     while (!this.#isStopped && !this.#isFlushing && this.#scheduler.progress.hasPending) {
       const isWritten = await this.#writeBatch();
       const pauseMs = isWritten ? hostLimits.minProgressIntervalMs : hostLimits.progressRetryMs;
@@ -130,8 +145,8 @@
 
   async #commit(records: ProgressRecords): Promise<boolean> {
     const startedAt = performance.now();
-    const arePlacementsDue =
-      startedAt - this.#placementsWrittenAt >= hostLimits.placementsIntervalMs;
+    const arePlacementsDue = this.#arePlacementsDue(startedAt);
+    const usageChanges = this.#scheduler.cappedUsageChanges;
     const outcome = await this.#store.commit({
       expected: [
         { key: storeKeys.holder, revision: this.#leaderLease.holderRevision },
@@ -152,7 +167,10 @@
     }
     if (outcome.value.committed) {
       this.#orderRevision = outcome.value.revision;
-      if (arePlacementsDue) this.#placementsWrittenAt = startedAt;
+      if (arePlacementsDue) {
+        this.#placementsWrittenAt = startedAt;
+        this.#writtenUsageChanges = usageChanges;
+      }
       return true;
     }
     return this.#handleConflict(outcome.value.items);
--- a/packages/jobs/src/AccountUsage.ts
+++ b/packages/jobs/src/AccountUsage.ts
@@ -8,6 +8,7 @@
   public readonly name: string;
   #used: Room = resources.none;
   #cap: Room = resources.none;
+  #changeCount = 0;
   /** Resources that a previous leader had placed on workers which this leader has not surveyed, by worker id. */
   readonly #inheritedUsage = new Map<string, Room>();
   #weight = 1;
@@ -36,6 +37,12 @@
     return !this.canAdmit(resources.none);
   }
 
+  /** Number of changes of the usage since the account has been known; 0 without a cap. */
+  public get cappedChangeCount(): number {
+    const { milliProcessors, memoryMb, accelerators } = this.#cap;
+    return milliProcessors > 0 || memoryMb > 0 || accelerators > 0 ? this.#changeCount : 0;
+  }
+
   /**
    * Counts an accepted job against the entitled rate of the account: its weight in jobs per second.
    *
@@ -67,6 +74,7 @@
    */
   public add(size: Room, times: number): void {
     this.#used = resources.add(this.#used, size, times);
+    this.#changeCount += 1;
   }
 
   /**
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -93,6 +93,13 @@
     return this.#pool.all;
   }
 
+  /** Number of changes of the usage of accounts with a cap. It changes whenever the usage does. */
+  public get cappedUsageChanges(): number {
+    let count = 0;
+    for (const { cappedChangeCount } of this.#jobs.accounts) count += cappedChangeCount;
+    return count;
+  }
+
   /**
    * Applies a configuration.
    *
