Request no report at once after the leader lease is lost

Seen by reading in the review: WorkerSession.pollNow runs on a timer after a stop, and did not check whether its leader had been deposed or its lease had run out meanwhile, so it could extend a lease under the old term.

Change: it checks both first, like the session's own polls.

Tests: WorkerSession.test.ts, which fails without the check (calls [1, 1, 1], expected [1]).

--- /dev/null
+++ b/packages/daemon/__tests__/WorkerSession.test.ts
@@ -0,0 +1,126 @@
+import { Scheduler, WorkerClient, type Worker } from '@toucanline/jobs';
+import type { WorkerEntry, WorkerReport } from '@toucanline/schema';
+import { expect } from 'chai';
+import { EventLog, HostMetrics } from '../src/index.js';
+import { LeaderLease } from '../src/LeaderLease.js';
+import { ReportPacing } from '../src/ReportPacing.js';
+import type { SessionContext } from '../src/SessionContext.js';
+import { WorkerSession } from '../src/WorkerSession.js';
+import { WorkerSessions } from '../src/WorkerSessions.js';
+
+const entry: WorkerEntry = {
+  id: 'w1',
+  life: 1,
+  service: 'render',
+  address: 'w1:1',
+  dataCentre: 'dc1',
+  isDraining: false,
+  capacity: { milliProcessors: 16_000, memoryMb: 32_000, accelerators: 0 },
+  labels: [],
+};
+
+/** Client of workers that run as the given incarnation. */
+class StubWorkerClient extends WorkerClient {
+  public life = 1;
+  /** Incarnations to which report requests were addressed. */
+  public readonly polledLives: number[] = [];
+
+  public override start(): ReturnType<WorkerClient['start']> {
+    return Promise.resolve({ outcome: 'started', clockMs: 0 });
+  }
+
+  public override stop(): ReturnType<WorkerClient['stop']> {
+    return Promise.resolve('confirmed');
+  }
+
+  public override requestReport({ life }: WorkerEntry): Promise<WorkerReport> {
+    this.polledLives.push(life);
+    return Promise.resolve({ life: this.life, clockMs: 0, running: [], ended: [] });
+  }
+
+  public override releaseAddress(): void {
+    // Holds no connections.
+  }
+}
+
+const waitForReports = (): Promise<void> => new Promise((resolve) => setTimeout(resolve, 20));
+
+describe('worker session', () => {
+  let workerClient: StubWorkerClient;
+  let leaderLease: LeaderLease;
+  let scheduler: Scheduler;
+  let worker: Worker;
+  let context: SessionContext;
+
+  beforeEach(() => {
+    workerClient = new StubWorkerClient();
+    leaderLease = new LeaderLease(1, 1, 1);
+    leaderLease.recordRenewal(performance.now(), Date.now());
+    scheduler = new Scheduler(1, 1, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
+    const added = scheduler.updateWorker(entry, false);
+    if (added === undefined) throw new Error('the worker is known');
+    worker = added;
+    context = {
+      ...{ scheduler, workerClient, leaderLease, reportWaitMs: 0 },
+      log: new EventLog('test', new HostMetrics()),
+      pacing: new ReportPacing(1, 0),
+      onChange: () => undefined,
+      onFenced: () => undefined,
+    };
+  });
+
+  // Guards against a lease that a former leader extends: the report that checks a stop is requested by a timer, which may
+  // fire after the leader was deposed.
+  it('requests no report at once after the leader lease was lost or the session was stopped', async () => {
+    const session = new WorkerSession(worker, context);
+    await session.pollNow();
+    expect(workerClient.polledLives).to.deep.equal([1]);
+    leaderLease.markLost();
+    await session.pollNow();
+    const stopped = new WorkerSession(worker, {
+      ...context,
+      leaderLease: new LeaderLease(2, 2, 2),
+    });
+    stopped.stop();
+    await stopped.pollNow();
+    expect(workerClient.polledLives).to.deep.equal([1]);
+  });
+
+  // Guards against an incarnation that nobody surveys because its entry has not arrived.
+  it('is opened for an incarnation that only a report has shown', async () => {
+    const sessions = new WorkerSessions(context, 1);
+    const size = { milliProcessors: 1, memoryMb: 1, accelerators: 0 };
+    scheduler.configure({
+      ...{ version: 1, services: [], accounts: [], maxBodyBytes: 1 },
+      queues: [
+        {
+          ...{ name: 'q', host: 'h', prefix: '/', service: 'render', priority: 1 },
+          ...{ maxAttempts: 1, stretch: 1, objectiveMs: 1, isOpen: true },
+        },
+      ],
+    });
+    scheduler.handleReport(worker, { life: 1, clockMs: 0, running: [], ended: [] }, 0, 0, 0);
+    const specification = {
+      payload: '',
+      steps: [{ taskCount: 1, size, estimateMs: 1, dependsOn: [] }],
+    };
+    scheduler.addJob(
+      { id: 'a', queue: 'q', account: '', specification, acceptedAtMs: 0, isCancelled: false },
+      2,
+      0,
+    );
+    const [start] = scheduler.plan(1, 1);
+    if (start?.kind !== 'start') throw new Error('the plan has no start command');
+    scheduler.handleStartOutcome(start, 'started', 2);
+    workerClient.life = 9;
+    sessions.add(worker);
+    await waitForReports();
+    sessions.update(scheduler.workers);
+    await waitForReports();
+    sessions.stopAll();
+    expect(workerClient.polledLives).to.include(9);
+    expect(scheduler.workers.map(({ life, isSurveyed }) => ({ life, isSurveyed }))).to.deep.equal([
+      { life: 9, isSurveyed: true },
+    ]);
+  });
+});
--- a/packages/daemon/src/WorkerSession.ts
+++ b/packages/daemon/src/WorkerSession.ts
@@ -36,9 +36,13 @@
     this.wake();
   }
 
-  /** Requests a report at once, in parallel to a pending one that waits for the end of a run. */
+  /**
+   * Requests a report at once, in parallel to a pending one that waits for the end of a run. Does nothing once commands
+   * must not be issued any more.
+   */
   public async pollNow(): Promise<void> {
     const { workerClient, leaderLease, scheduler, onChange } = this.#context;
+    if (this.#isStopped || !leaderLease.canIssueCommands) return;
     const worker = this.#worker;
     const sentAt = performance.now();
     const leaseUntilMs = this.#extendWorkerLease(sentAt);
