Restart workers under their ids and move a queue in the random simulation

Change: workers restart under their ids, with a clock of their own, a short downtime and a late entry, and execute prompt calls that were meant for the incarnation before; idle ones are not polled; a queue is moved between two services, also right before a takeover; the new leader gets the stored roster and services; writes of progress and of the roster lose answers.

A call that is carried out seconds late is lost if its worker restarts in between.

--- a/packages/jobs/__tests__/ModelWorker.ts
+++ b/packages/jobs/__tests__/ModelWorker.ts
@@ -13,12 +13,16 @@
 /** Duration of a stop in milliseconds; meanwhile the run holds its resources, but is reported in neither list. */
 const stopMs = 150;
 
-/** Model of a platform worker as the engine sees it: fencing, leases, run numbers and reported run ends. */
+/**
+ * Model of one incarnation of a platform worker as the engine sees it: a clock that starts with it, fencing, leases, run
+ * numbers and reported run ends.
+ */
 export class ModelWorker {
   public readonly entry: WorkerEntry;
   /** Whether its tasks make no progress, although it responds. */
   public isStalled = false;
   readonly #checker: InvariantChecker;
+  readonly #startedAt: number;
   readonly #runs = new Map<string, ModelRun>();
   readonly #stopping = new Map<string, ModelRun>();
   readonly #highestRuns = new Map<string, number>();
@@ -27,8 +31,9 @@
   #term = 0;
   #leaseUntil = 0;
 
-  public constructor(entry: WorkerEntry, checker: InvariantChecker) {
+  public constructor(entry: WorkerEntry, checker: InvariantChecker, startedAt = 0) {
     this.entry = entry;
+    this.#startedAt = startedAt;
     this.#checker = checker;
   }
 
@@ -36,6 +41,11 @@
     return [...this.#runs.keys(), ...this.#stopping.keys()];
   }
 
+  /** Reads the clock of the worker. */
+  public readClock(now: number): number {
+    return now - this.#startedAt;
+  }
+
   public start(
     command: { readonly task: string; readonly run: number; readonly term: number },
     leaseUntil: number,
@@ -47,7 +57,7 @@
     const { task, run, term } = command;
     if (term < this.#term) return 'fenced';
     this.#term = term;
-    if (leaseUntil <= now) return 'late';
+    if (leaseUntil <= this.readClock(now)) return 'late';
     this.#extendLease(leaseUntil, now);
     if (this.#runs.get(task)?.run === run) return 'started';
     if (run <= (this.#highestRuns.get(task) ?? 0)) return 'old';
@@ -86,7 +96,7 @@
     this.#ended = this.#ended.filter(({ number }) => number > through);
     return {
       life: this.entry.life,
-      clockMs: now,
+      clockMs: this.readClock(now),
       running: [...this.#runs.values()].map(({ task, run, startedAt, endsAt }) => ({
         task,
         run,
@@ -111,7 +121,8 @@
   }
 
   #extendLease(leaseUntil: number, now: number): void {
-    this.#leaseUntil = Math.max(this.#leaseUntil, Math.min(leaseUntil, now + 6000));
+    const expiresAt = Math.min(this.#startedAt + leaseUntil, now + 6000);
+    this.#leaseUntil = Math.max(this.#leaseUntil, expiresAt);
   }
 
   #endRun({ task, run }: ModelRun, outcome: RunEnd['outcome']): void {
--- a/packages/jobs/__tests__/SchedulerSimulation.ts
+++ b/packages/jobs/__tests__/SchedulerSimulation.ts
@@ -1,4 +1,10 @@
-import type { JobProgress, JobRecord } from '@toucanline/schema';
+import type {
+  JobProgress,
+  JobRecord,
+  QueueServicesRecord,
+  SiteConfiguration,
+  WorkerEntry,
+} from '@toucanline/schema';
 import { expect } from 'chai';
 import {
   findViolations,
@@ -11,12 +17,18 @@
 import { ModelWorker } from './ModelWorker.js';
 import { InvariantChecker } from './InvariantChecker.js';
 
-const { configuration, job, step, worker } = fixtures;
+const { configuration, job, queue, step, worker } = fixtures;
 
 /** Step of the simulated time. */
 const tickMs = 10;
 /** Timeout of a call without a response. */
 const callTimeoutMs = 400;
+/** Services of the workers; each has its own workers, and the queue `batch` is moved from one to the other. */
+const services = ['render', 'render', 'render', 'render', 'studio', 'studio'];
+/** Longest time from the start of a worker to its entry in the platform's list. */
+const maxEntryDelayMs = 1500;
+/** Longest time for which a worker that restarts is unreachable. */
+const maxDowntimeMs = 500;
 
 interface Leader {
   readonly scheduler: Scheduler;
@@ -28,8 +40,8 @@
 }
 
 /**
- * Simulates leaders, workers and a store on one clock, with lost and late calls, takeovers, partitions and crashes of
- * workers.
+ * Simulates leaders, workers and a store on one clock, with lost and late calls, lost answers of the store, takeovers,
+ * partitions, workers that restart under their ids, and a queue that is moved between services.
  */
 export class SchedulerSimulation {
   public readonly checker = new InvariantChecker();
@@ -39,6 +51,13 @@
   readonly #records: { readonly record: JobRecord; readonly revision: number }[] = [];
   readonly #stored = new Map<string, JobProgress>();
   readonly #polledAt = new Map<string, number>();
+  /** Listed entries of the workers; that of a restarted worker still shows the earlier incarnation for a while. */
+  readonly #listed = new Map<string, WorkerEntry>();
+  /** Roster in the store, and the services of the queues. */
+  #roster: readonly WorkerEntry[] = [];
+  #queueServices: QueueServicesRecord | undefined;
+  /** Current service of the queue `batch`. */
+  #service = 'render';
   /** Suspended incarnations in the store, with the remaining run time in milliseconds when that was written. */
   #suspensions: ReadonlyMap<string, number> = new Map();
   #pending: { readonly at: number; readonly run: () => void }[] = [];
@@ -49,7 +68,8 @@
 
   public constructor(random: () => number) {
     this.#random = random;
-    for (let number = 0; number < 4; number += 1) this.#startWorker(`w${number}`, 1);
+    for (const [number, service] of services.entries())
+      this.#listWorker(this.#startWorker(worker(`w${number}`, { service })));
     this.#electLeader();
   }
 
@@ -90,31 +110,73 @@
   }
 
   #injectFaults(): void {
-    const { checker } = this;
     if (this.#random() < 0.06) this.submit();
     if (this.#random() < 0.0007) this.#electLeader();
-    if (this.#random() < 0.0007) {
-      const id = `w${Math.floor(this.#random() * 4)}`;
-      this.#partitionedUntil.set(id, this.#now + this.#random() * 8000);
-    }
-    if (this.#random() < 0.0004) {
-      const id = `w${Math.floor(this.#random() * 4)}`;
-      const previous = this.#workers.get(id);
-      if (previous !== undefined) checker.liveWorkers.delete(previous);
-      this.#startWorker(id, (previous?.entry.life ?? 0) + 1);
-      this.#announceWorker(id);
+    if (this.#random() < 0.0015) {
+      this.#partition(this.#chooseWorker(), this.#random() * 8000);
     }
+    if (this.#random() < 0.001) this.#restartWorker(this.#chooseWorker());
+    if (this.#random() < 0.002) this.#moveQueue();
+    if (this.#random() < 0.0007) this.#moveQueueBeforeTakeover();
+  }
+
+  #chooseWorker(): string {
+    return `w${Math.floor(this.#random() * services.length)}`;
+  }
+
+  #partition(id: string, durationMs: number): void {
+    const until = Math.max(this.#partitionedUntil.get(id) ?? 0, this.#now + durationMs);
+    this.#partitionedUntil.set(id, until);
+  }
+
+  /** Restarts a worker under its id, which takes a moment; its entry follows later. */
+  #restartWorker(id: string): void {
+    const previous = this.#workers.get(id);
+    if (previous === undefined) return;
+    this.checker.liveWorkers.delete(previous);
+    this.#partition(id, this.#random() * maxDowntimeMs);
+    const entry = this.#startWorker({ ...previous.entry, life: previous.entry.life + 1 });
+    this.#schedule(this.#random() * maxEntryDelayMs, () => {
+      this.#listWorker(entry);
+    });
+  }
+
+  #moveQueue(): void {
+    this.#service = this.#service === 'render' ? 'studio' : 'render';
+    // A previous leader cannot read the configuration.
+    this.#leaders.at(-1)?.scheduler.configure(this.#createConfiguration());
   }
 
-  #startWorker(id: string, life: number): void {
-    const model = new ModelWorker(worker(id, { life }), this.checker);
-    this.#workers.set(id, model);
+  /** Moves the queue, cuts off a worker that may run its tasks, and replaces the leader. */
+  #moveQueueBeforeTakeover(): void {
+    this.#moveQueue();
+    this.#schedule(this.#random() * 1000, () => {
+      this.#partition(this.#chooseWorker(), 6000);
+      this.#schedule(this.#random() * 300, () => {
+        this.#electLeader();
+      });
+    });
+  }
+
+  #createConfiguration(): SiteConfiguration {
+    return configuration({
+      queues: [
+        queue('batch', { service: this.#service }),
+        queue('urgent', { priority: 0, objectiveMs: 250, stretch: 1.5 }),
+      ],
+    });
+  }
+
+  #startWorker(entry: WorkerEntry): WorkerEntry {
+    const model = new ModelWorker(entry, this.checker, this.#now);
+    this.#workers.set(entry.id, model);
     this.checker.liveWorkers.add(model);
+    return entry;
   }
 
-  #announceWorker(id: string): void {
-    const entry = this.#workers.get(id)?.entry;
-    if (entry === undefined) return;
+  #listWorker(entry: WorkerEntry): void {
+    if ((this.#listed.get(entry.id)?.life ?? 0) >= entry.life) return;
+    this.#listed.set(entry.id, entry);
     // A previous leader ignores entries that it receives after its last renewal of the leader lease.
     for (const { scheduler, supersededAt } of this.#leaders) {
       if (supersededAt === Infinity) scheduler.updateWorker(entry, false);
@@ -130,16 +192,18 @@
       maxStopMs: 200,
       maxLeaseMs: 6000,
     });
-    scheduler.configure(configuration());
+    scheduler.configure(this.#createConfiguration());
     for (const progress of this.#stored.values()) scheduler.restoreProgress(progress, this.#now);
     for (const { record, revision } of this.#records) {
       scheduler.addJob(record, revision, this.#now);
     }
-    for (const { entry } of this.#workers.values()) {
+    scheduler.queueServices.restore(this.#queueServices);
+    for (const entry of this.#roster) {
       const remainingMs = this.#suspensions.get(formatIncarnation(entry));
       const added = scheduler.updateWorker(entry, true, remainingMs);
       if (remainingMs !== undefined) added?.suspend();
     }
+    for (const entry of this.#listed.values()) scheduler.updateWorker(entry, false);
     this.#leaders = [
       ...this.#leaders.filter((leader) => leader === previous),
       { scheduler, term: this.#term, isFenced: false, supersededAt: Infinity },
@@ -151,32 +215,42 @@
     const isGraceOver = this.#now > supersededAt + schedulingLimits.leaderGraceMs;
     if (isGraceOver || leader.isFenced) return;
     const isCurrent = supersededAt === Infinity;
-    this.#updateSuspensions(scheduler, isCurrent && this.#random() < 0.2);
+    this.#updateRoster(scheduler, isCurrent && this.#random() < 0.2);
     const commands = scheduler.plan(this.#now, this.#now, isCurrent);
     expect(findViolations(commands)).to.deep.equal([]);
     for (const command of commands) this.#execute(leader, command);
-    for (const each of scheduler.workers) this.#requestReport(leader, each);
+    for (const each of scheduler.workers)
+      if (isReportNeeded(each)) this.#requestReport(leader, each);
     // Only the holder of the leader lease can write.
     if (supersededAt !== Infinity || !scheduler.progress.hasPending) return;
     const batch = scheduler.progress.takeBatch();
-    if (this.#random() < 0.05) {
-      scheduler.progress.requeueBatch(batch);
-      return;
-    }
-    for (const progress of batch.progress) this.#stored.set(progress.id, progress);
-    scheduler.progress.confirmBatch(batch);
+    const chance = this.#random();
+    if (chance >= 0.05)
+      for (const progress of batch.progress) this.#stored.set(progress.id, progress);
+    // The second half of these writes takes effect, but its answers are lost.
+    if (chance < 0.1) scheduler.progress.requeueBatch(batch);
+    else scheduler.progress.confirmBatch(batch);
   }
 
   /**
-   * Suspends workers that do not respond; only the holder of the leader lease writes that to the store, some time
-   * later.
+   * Suspends workers that do not respond or are not in the stored roster. Only the holder of the leader lease writes the
+   * roster to the store, some time later, and may not learn that the write took effect.
    */
-  #updateSuspensions(scheduler: Scheduler, isWritten: boolean): void {
-    const { workers } = scheduler;
-    const isUnreachable = ({ callFailures }: Worker): boolean => callFailures >= 2;
-    for (const each of workers) if (isUnreachable(each)) each.suspend();
+  #updateRoster(scheduler: Scheduler, isWritten: boolean): void {
+    const { workers, queueServices } = scheduler;
+    const stored = new Set(this.#roster.map(formatIncarnation));
+    const isUnreachable = ({ callFailures, isListed, tasks }: Worker): boolean =>
+      callFailures >= 2 || (!isListed && tasks.size === 0);
+    for (const each of workers)
+      if (isUnreachable(each) || !stored.has(formatIncarnation(each))) each.suspend();
     if (!isWritten) return;
-    const staying = workers.filter(
+    const members = workers.filter(
+      (each) =>
+        each.isSurveyed ||
+        stored.has(formatIncarnation(each)) ||
+        scheduler.computeRemainingMs(each, this.#now) > 0,
+    );
+    const staying = members.filter(
       (each) => each.isSuspended && (isUnreachable(each) || !each.isSurveyed),
     );
     this.#suspensions = new Map(
@@ -185,7 +259,12 @@
         scheduler.computeRemainingMs(each, this.#now),
       ]),
     );
-    for (const each of workers) if (!this.#suspensions.has(formatIncarnation(each))) each.resume();
+    this.#roster = members.map(({ entry }) => entry);
+    this.#queueServices = queueServices.describe();
+    queueServices.beginWrite(this.#queueServices);
+    if (this.#random() < 0.1) return;
+    queueServices.confirmWrite(this.#queueServices);
+    for (const each of members) if (!this.#suspensions.has(formatIncarnation(each))) each.resume();
   }
 
   #execute(leader: Leader, command: Command): void {
@@ -209,11 +288,14 @@
     const start = { task: task.name, run, term };
     this.#call(
       target,
-      (model) => model.start(start, lease, this.#now, durationMs, outcome),
+      (model) => ({
+        outcome: model.start(start, lease, this.#now, durationMs, outcome),
+        clockMs: model.readClock(this.#now),
+      }),
       (response) => {
-        if (response !== undefined) target.recordContact(this.#now, this.#now);
-        if (response === 'fenced') leader.isFenced = true;
-        scheduler.handleStartOutcome(command, response ?? 'unknown', this.#now);
+        if (response !== undefined) target.recordContact(response.clockMs, this.#now);
+        if (response?.outcome === 'fenced') leader.isFenced = true;
+        scheduler.handleStartOutcome(command, response?.outcome ?? 'unknown', this.#now);
       },
     );
   }
@@ -250,11 +332,11 @@
     act: (model: ModelWorker) => Answer,
     handle: (response: Answer | undefined) => void,
   ): void {
-    const findReachable = (): ModelWorker | undefined => {
-      const model = this.#workers.get(target.id);
-      const isPartitioned = (this.#partitionedUntil.get(target.id) ?? 0) > this.#now;
-      return model?.entry.life === target.life && !isPartitioned ? model : undefined;
-    };
+    // A call names the worker by its id, so any incarnation executes it.
+    const findReachable = (): ModelWorker | undefined =>
+      (this.#partitionedUntil.get(target.id) ?? 0) > this.#now
+        ? undefined
+        : this.#workers.get(target.id);
     const timeOut = (): void => {
       this.#schedule(callTimeoutMs, () => {
         handle(undefined);
@@ -262,12 +344,14 @@
     };
     const chance = this.#random();
     const model = findReachable();
+    const sentTo = this.#workers.get(target.id);
     if (model === undefined || chance < 0.02) timeOut();
     else if (chance < 0.05) {
       timeOut();
       this.#schedule(2000 + this.#random() * 10_000, () => {
         const lateModel = findReachable();
-        if (lateModel !== undefined) act(lateModel);
+        // A late call is lost if its worker restarts: the next incarnation does not know that its run was stopped.
+        if (lateModel !== undefined && lateModel === sentTo) act(lateModel);
       });
     } else if (chance < 0.07) {
       act(model);
@@ -291,6 +375,13 @@
   }
 }
 
+/** Checks whether a worker is polled: the restart of an idle one goes unnoticed. */
+const isReportNeeded = (target: Worker): boolean => {
+  const { tasks, hasStrays, isSurveyed, acknowledgement } = target;
+  const hasUnwrittenEnds = target.processedThrough > target.acknowledgedThrough;
+  return tasks.size > 0 || hasStrays || !isSurveyed || hasUnwrittenEnds || acknowledgement > 0;
+};
+
 const ignore = (): void => undefined;
 
 const formatIncarnation = ({ id, life }: { readonly id: string; readonly life: number }): string =>
