Give each service a turn in the queue for permits

Cause: AdviceDispatcher sends requests for permits by priority over all services. Steps that wait for a full service repeat theirs, and some ten of them take all channels; requests of lower priority for another service are never sent. Short calls keep each channel from becoming idle, so long ones can starve, too.

Change: priorities order work that competes for the same workers, so a service none of whose queued requests was sent for 1 s goes first with one request. If that is a long call and no channel is idle, one channel is left to become idle.

Tests: two loads in AdviceDispatcher.test.ts (a backlog of long and of short calls), which fail without the change: no request of the second service within 1.3 s.

--- a/packages/daemon/__tests__/AdviceDispatcher.test.ts
+++ b/packages/daemon/__tests__/AdviceDispatcher.test.ts
@@ -46,10 +46,34 @@
   }
 }
 
-const createCommand = (stepKey: string, expectedMs: number, priority: number): AdviceCommand => ({
+/** Link to a host that grants each call after a time. */
+class AnsweringLink {
+  public readonly peer = { process: 'peer' };
+  public readonly isClosed = false;
+  public readonly steps: string[] = [];
+  readonly #durationMs: number;
+
+  public constructor(durationMs: number) {
+    this.#durationMs = durationMs;
+  }
+
+  public async call({ step }: { readonly step: string }): Promise<unknown> {
+    this.steps.push(step);
+    await new Promise((resolve) => setTimeout(resolve, this.#durationMs));
+    return ok({ reply: 'permits', permits: [] });
+  }
+}
+
+const createCommand = (
+  stepKey: string,
+  expectedMs: number,
+  priority: number,
+  service = 'render',
+): AdviceCommand => ({
   kind: 'advise',
   stepKey,
   queue: 'lookups',
+  service,
   workers: [],
   expectedMs,
   priority,
@@ -156,4 +180,33 @@
       expect(link.calls).to.equal(1);
     });
   });
+
+  // Load pattern: a service with a backlog repeats its requests as soon as they are answered (review, case 4: jobs of a
+  // service with room for them were never started).
+  for (const expectedMs of [600, 20]) {
+    it(`get a turn for each service in a backlog of calls of ${expectedMs} ms`, async () => {
+      const answering = [new AnsweringLink(10), new AnsweringLink(10)];
+      dispatcher = new AdviceDispatcher(
+        advisor,
+        () => answering as unknown as readonly Link[],
+        ({ stepKey, service }) => {
+          if (service === 'render')
+            dispatcher.dispatch(createCommand(stepKey, expectedMs, 0, 'render'));
+        },
+        new EventLog('test', new HostMetrics()),
+      );
+      for (let number = 0; number < 30; number += 1)
+        dispatcher.dispatch(createCommand(`backlog${number}`, expectedMs, 0, 'render'));
+      dispatcher.dispatch(createCommand('first', 600, 2, 'desk'));
+      dispatcher.dispatch(createCommand('second', 600, 2, 'desk'));
+      await new Promise((resolve) => setTimeout(resolve, 900));
+      const countOf = (step: string): number =>
+        answering.flatMap(({ steps }) => steps).filter((each) => each === step).length;
+      expect(countOf('first')).to.equal(0);
+      await new Promise((resolve) => setTimeout(resolve, 400));
+      expect([countOf('first'), countOf('second')]).to.deep.equal([1, 0]);
+      await new Promise((resolve) => setTimeout(resolve, 1100));
+      expect([countOf('first'), countOf('second')]).to.deep.equal([1, 1]);
+    });
+  }
 });
--- a/packages/daemon/src/AdviceDispatcher.ts
+++ b/packages/daemon/src/AdviceDispatcher.ts
@@ -2,6 +2,7 @@
 import type { PlacementPermit } from '@toucanline/schema';
 import type { Link } from '@toucanline/wire';
 import { AdviceChannel } from './AdviceChannel.js';
+import { AdviceQueue } from './AdviceQueue.js';
 import type { EventLog } from './EventLog.js';
 import { hostLimits } from './hostLimits.js';
 
@@ -26,7 +27,7 @@
   readonly #log: EventLog;
   readonly #localChannel = new AdviceChannel(undefined);
   readonly #peerChannels = new Map<Link, AdviceChannel>();
-  #queue: readonly AdviceCommand[] = [];
+  readonly #queue = new AdviceQueue();
   /** Monotonic time since which requests have been queued without a break, in milliseconds; undefined if none are. */
   #queuedSince: number | undefined;
   #reportedAt = -Infinity;
@@ -58,44 +59,59 @@
    */
   public dispatch(command: AdviceCommand): void {
     if (this.#isStopped) return;
-    this.#queue = [...this.#queue, command].sort(
-      (a, b) => a.priority - b.priority || a.expectedMs - b.expectedMs,
-    );
+    this.#queue.add(command, performance.now());
     this.#sendQueued();
   }
 
   /** Drops the queued requests and sends no further ones. */
   public stop(): void {
     this.#isStopped = true;
-    this.#queue = [];
+    this.#queue.clear();
     clearInterval(this.#retryTimer);
   }
 
   #sendQueued(): void {
     if (this.#isStopped) return;
+    const now = performance.now();
     const channels = this.#listChannels();
-    const remaining: AdviceCommand[] = [];
+    const held = new Set<AdviceChannel>();
+    for (const command of this.#queue.listOverdue(now)) {
+      const channel = this.#chooseChannel(channels, held, command, now);
+      if (channel !== undefined) this.#sendNow(channel, command, now);
+      // Short calls would keep each channel from taking a long one, so one channel is left idle for it.
+      else this.#holdChannel(channels, held, now);
+    }
     // A channel that cannot take a call cannot take a longer one either.
     let refusedMs = Infinity;
-    for (const command of this.#queue) {
+    for (const command of this.#queue.list()) {
       const { expectedMs } = command;
-      const channel = expectedMs < refusedMs ? this.#chooseChannel(channels, command) : undefined;
-      if (channel !== undefined) void this.#send(channel, command);
-      else {
-        remaining.push(command);
-        refusedMs = Math.min(refusedMs, expectedMs);
-      }
+      if (expectedMs >= refusedMs) continue;
+      const channel = this.#chooseChannel(channels, held, command, now);
+      if (channel !== undefined) this.#sendNow(channel, command, now);
+      else refusedMs = expectedMs;
     }
-    this.#queue = remaining;
     this.#updateRetryTimer();
   }
 
+  #sendNow(channel: AdviceChannel, command: AdviceCommand, now: number): void {
+    this.#queue.takeSent(command, now);
+    void this.#send(channel, command);
+  }
+
+  /** Holds the channel to another host that is idle first. */
+  #holdChannel(channels: readonly AdviceChannel[], held: Set<AdviceChannel>, now: number): void {
+    const channel = findLeastPending(
+      channels.filter((each) => each.link !== undefined && !held.has(each) && each.canTake(0, now)),
+    );
+    if (channel !== undefined) held.add(channel);
+  }
+
   /**
    * Retries while requests are queued. A channel also becomes available without an answer: when its pause ends, or when
    * a link is opened or closed.
    */
   #updateRetryTimer(): void {
-    if (this.#queue.length === 0) {
+    if (this.#queue.size === 0) {
       clearInterval(this.#retryTimer);
       this.#retryTimer = undefined;
       this.#queuedSince = undefined;
@@ -111,13 +127,13 @@
   /** Logs at intervals that requests have been queued for long. */
   #logDelay(): void {
     const now = performance.now();
-    const [first] = this.#queue;
+    const { first, size } = this.#queue;
     if (first === undefined || this.#queuedSince === undefined) return;
     if (now - Math.max(this.#queuedSince, this.#reportedAt) < hostLimits.adviceDelayLogMs) return;
     this.#reportedAt = now;
     this.#log.write('permitsDelayed', {
       step: first.stepKey,
-      queued: this.#queue.length,
+      queued: size,
       hosts: 1 + this.#peerChannels.size,
       queuedMs: Math.round(now - this.#queuedSince),
     });
@@ -138,18 +154,16 @@
   /** Chooses the channel on which the call is served first; the leader's own one needs no hop. */
   #chooseChannel(
     channels: readonly AdviceChannel[],
+    held: ReadonlySet<AdviceChannel>,
     { expectedMs }: AdviceCommand,
+    now: number,
   ): AdviceChannel | undefined {
-    const now = performance.now();
     const isReserved = channels.length > 1 && expectedMs >= hostLimits.shortAdviceCallMs;
-    return channels
-      .filter((channel) => channel.link !== undefined || !isReserved)
-      .filter((channel) => channel.canTake(expectedMs, now))
-      .reduce<AdviceChannel | undefined>(
-        (best, channel) =>
-          best === undefined || channel.pendingMs < best.pendingMs ? channel : best,
-        undefined,
-      );
+    return findLeastPending(
+      channels
+        .filter((channel) => !held.has(channel) && (channel.link !== undefined || !isReserved))
+        .filter((channel) => channel.canTake(expectedMs, now)),
+    );
   }
 
   async #send(channel: AdviceChannel, command: AdviceCommand): Promise<void> {
@@ -196,3 +210,9 @@
     return reply.isOk() && reply.value.reply === 'permits' ? reply.value.permits : undefined;
   }
 }
+
+const findLeastPending = (channels: readonly AdviceChannel[]): AdviceChannel | undefined =>
+  channels.reduce<AdviceChannel | undefined>(
+    (best, channel) => (best === undefined || channel.pendingMs < best.pendingMs ? channel : best),
+    undefined,
+  );
--- /dev/null
+++ b/packages/daemon/src/AdviceQueue.ts
@@ -0,0 +1,89 @@
+import type { Command } from '@toucanline/jobs';
+import { hostLimits } from './hostLimits.js';
+
+type AdviceCommand = Extract<Command, { kind: 'advise' }>;
+
+interface QueuedRequest {
+  readonly command: AdviceCommand;
+  /** Monotonic time at which it was queued, in milliseconds. */
+  readonly queuedAt: number;
+}
+
+/**
+ * Queued requests for permits, by priority. Priorities order work that competes for the same workers, so a service of
+ * which no request was sent for long gets a turn before those of other services.
+ */
+export class AdviceQueue {
+  #requests: readonly QueuedRequest[] = [];
+  /** Monotonic time in milliseconds at which the last request was sent, by service. */
+  readonly #sentAt = new Map<string, number>();
+
+  /** Number of queued requests. */
+  public get size(): number {
+    return this.#requests.length;
+  }
+
+  /** First request by priority; undefined if none is queued. */
+  public get first(): AdviceCommand | undefined {
+    return this.#requests[0]?.command;
+  }
+
+  /**
+   * Adds a request.
+   *
+   * @param command - step and candidate workers
+   * @param now - monotonic time in milliseconds
+   */
+  public add(command: AdviceCommand, now: number): void {
+    this.#requests = [...this.#requests, { command, queuedAt: now }].sort(
+      ({ command: a }, { command: b }) => a.priority - b.priority || a.expectedMs - b.expectedMs,
+    );
+  }
+
+  /** Removes all requests. */
+  public clear(): void {
+    this.#requests = [];
+  }
+
+  /**
+   * Removes a request that is sent.
+   *
+   * @param command - request to remove
+   * @param now - monotonic time in milliseconds
+   */
+  public takeSent(command: AdviceCommand, now: number): void {
+    this.#requests = this.#requests.filter((each) => each.command !== command);
+    this.#sentAt.set(command.service, now);
+  }
+
+  /**
+   * Lists the requests of services that must get a turn: the first one by priority of each service that has waited for
+   * the longest time.
+   *
+   * @param now - monotonic time in milliseconds
+   * @returns at most one request of each service, the one that has waited longest first
+   */
+  public listOverdue(now: number): readonly AdviceCommand[] {
+    const waits = new Map<string, { readonly command: AdviceCommand; readonly since: number }>();
+    for (const { command, queuedAt } of this.#requests) {
+      const { service } = command;
+      const known = waits.get(service);
+      const since = Math.max(queuedAt, this.#sentAt.get(service) ?? 0);
+      if (known === undefined || since < known.since)
+        waits.set(service, { command: known?.command ?? command, since });
+    }
+    return [...waits.values()]
+      .filter(({ since }) => now - since >= hostLimits.adviceTurnMs)
+      .sort((a, b) => a.since - b.since)
+      .map(({ command }) => command);
+  }
+
+  /**
+   * Lists all requests by priority.
+   *
+   * @returns requests in the order in which they are sent, without regard to the turns of services
+   */
+  public list(): readonly AdviceCommand[] {
+    return this.#requests.map(({ command }) => command);
+  }
+}
--- a/packages/daemon/src/hostLimits.ts
+++ b/packages/daemon/src/hostLimits.ts
@@ -93,6 +93,8 @@
    * all calls that are sent through one channel at the same time.
    */
   shortAdviceCallMs: 100,
+  /** Longest time for which queued advice calls for one service wait behind those for others. */
+  adviceTurnMs: 1000,
   /** Interval at which queued advice calls are tried again. */
   adviceRetryMs: 100,
   /** Time after which queued advice calls are logged, and interval of the further lines. */
--- a/packages/jobs/src/Command.ts
+++ b/packages/jobs/src/Command.ts
@@ -16,6 +16,8 @@
       readonly stepKey: string;
       /** Name of the queue, whose settings define how long permits are valid. */
       readonly queue: string;
+      /** Service whose workers may run the step. */
+      readonly service: string;
       readonly workers: readonly Worker[];
       /** Expected duration of the call, in milliseconds. */
       readonly expectedMs: number;
--- a/packages/jobs/src/PermitRequests.ts
+++ b/packages/jobs/src/PermitRequests.ts
@@ -62,6 +62,7 @@
       kind: 'advise',
       stepKey: step.key,
       queue: queue.name,
+      service: queue.service,
       workers: requested,
       expectedMs: advice.baseMs + advice.perWorkerMs * requested.length,
       priority: queue.priority,
