--- a/packages/daemon/src/RosterManager.ts
+++ b/packages/daemon/src/RosterManager.ts
@@ -12,15 +12,20 @@
 import { parseStoredRecord } from './parseStoredRecord.js';
 import { storeKeys } from './storeKeys.js';
 
+/** Services of the queues that are being written, and the item that holds them. */
+interface QueueServicesWrite {
+  readonly record: QueueServicesRecord;
+  readonly item: { readonly key: string; readonly value: string };
+}
+
 /** Consecutive failed calls after which a worker is suspended. */
 const suspensionFailureCount = 2;
 
 /**
  * Maintains the roster in the store, from which the next leader learns which workers may run tasks, and the services on
  * whose workers those of each queue may run. Commands and leases go only to workers that the stored roster lists and that
- * are not suspended in the store. A worker that does
- * not answer is suspended: if the next leader cannot reach it either, it waits only for the rest of the worker's
- * leases, not for the longest possible lease.
+ * are not suspended in the store. A worker that does not answer is suspended: if the next leader cannot reach it either,
+ * it waits only for the rest of the worker's leases, not for the longest possible lease.
  */
 export class RosterManager {
   readonly #dependencies: LeaderDependencies;
@@ -204,9 +209,7 @@
   }
 
   /** Describes the services of the queues for the next write; undefined if the store lists them already. */
-  #beginQueueServicesWrite():
-    | { readonly record: QueueServicesRecord; readonly item: { key: string; value: string } }
-    | undefined {
+  #beginQueueServicesWrite(): QueueServicesWrite | undefined {
     const { queueServices } = this.#scheduler;
     const record = queueServices.describe();
     const value = JSON.stringify(record);
