--- a/review/standins-2/site.mjs
+++ b/review/standins-2/site.mjs
@@ -324,6 +324,8 @@
   #leaseUntil = 0;
   #state = 'ready';
   #isDown = false;
+  /** How far the time of day of this machine is ahead, in milliseconds. */
+  timeOfDayOffsetMs = 0;
   /** Called with the path and the body of each call; a returned promise delays the call. */
   onCall = undefined;
   /** Says whether the sender of a call with a fencing token has a path to this runner now; undefined: all have. */
@@ -383,7 +385,7 @@
 
   /** Begins an incarnation: nothing of an earlier one is known. Runs that were active end with it. */
   boot() {
-    this.#born = Date.now();
+    this.#born = Date.now() + this.timeOfDayOffsetMs;
     this.#bornAt = performance.now();
     this.#sequence = 0;
     this.#highest.clear();
