--- a/review/standins-2/site.mjs
+++ b/review/standins-2/site.mjs
@@ -28,11 +28,11 @@
   throw new Error(`not reached in ${timeoutMs} ms: ${what}`);
 };
 
-const findFreePort = () =>
+const findFreePort = (ip) =>
   new Promise((resolve, reject) => {
     const server = createTcpServer();
     server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => {
+    server.listen(0, ip, () => {
       const { port } = server.address();
       server.close(() => resolve(port));
     });
@@ -146,8 +146,6 @@
   #waiting = new Set();
   #server;
   #timer;
-  /** Called before each call with the method, the path and the body; a returned promise delays the call. */
-  onCall = undefined;
 
   async start() {
     this.#server = await startServer((incoming, response) => this.#serve(incoming, response));
@@ -171,12 +169,6 @@
     this.#wake();
   }
 
-  remove(key) {
-    this.#revision += 1;
-    this.#delete(key);
-    this.#wake();
-  }
-
   /** Reads the JSON value of a key; undefined if there is none. */
   get(key) {
     const item = this.#items.get(key);
@@ -187,7 +179,6 @@
     const url = new URL(incoming.url, 'http://store');
     const text = await readBody(incoming);
     const body = text === '' ? {} : JSON.parse(text);
-    await this.onCall?.(incoming.method, url.pathname, body);
     await sleep(storeAnswerMs);
     const [, call, id] = url.pathname.split('/');
     const query = url.searchParams;
@@ -332,8 +323,6 @@
   hasPathFrom = undefined;
   /** Called with each run that begins. */
   onStart = undefined;
-  /** Called with the path and the body after a call was carried out; `false` keeps the answer back. */
-  onAnswer = undefined;
 
   constructor(id, service, store, recorder, capacity, labels) {
     this.id = id;
@@ -449,7 +438,6 @@
     else if (path === '/run-stop') answer = this.#stopRun(call);
     else if (path === '/hold') answer = await this.#hold(call);
     else answer = { status: 404, body: {} };
-    if ((await this.onAnswer?.(path, call)) === false) return;
     if (await this.#waitForPath(call, response)) sendJson(response, answer.status, answer.body);
   }
 
@@ -553,8 +541,10 @@
 
   /** Prepares a host; `storeAddress` may be that of a proxy in front of the store. */
   async add(name, storeAddress = this.#store.address) {
+    // An address of its own: a free port of 127.0.0.1 may be taken by a connection before the process binds it.
+    const ip = `127.${100 + (process.pid % 100)}.${1 + (process.pid % 250)}.${this.#hosts.size + 1}`;
     const [front, ready, control, first, last, metrics] = await Promise.all(
-      Array.from({ length: 6 }, findFreePort),
+      Array.from({ length: 6 }, () => findFreePort(ip)),
     );
     const file = join(this.#folder, `${name}.conf`);
     const lines = [
@@ -562,13 +552,13 @@
       'Role=host',
       'MachineClass=front',
       'Serves=front',
-      'Ip=127.0.0.1',
+      `Ip=${ip}`,
       'Zone=zone-a',
       'Region=region',
       'Zones.zone-a=region',
-      `Listen.Front=127.0.0.1:${front}`,
-      `Listen.Readiness=127.0.0.1:${ready}`,
-      `Listen.Control=127.0.0.1:${control}`,
+      `Listen.Front=${ip}:${front}`,
+      `Listen.Readiness=${ip}:${ready}`,
+      `Listen.Control=${ip}:${control}`,
       `PortRange=${first},${last}`,
       'Bootstrap=true',
       'Limits.CpuShare=0.675',
@@ -606,7 +596,7 @@
       'platform.TtlMinMs=1000',
     ];
     writeFileSync(file, `${lines.join('\n')}\n`);
-    const host = { name, file, front, ready, metrics, child: undefined, exits: 0 };
+    const host = { name, file, ip, front, ready, metrics, child: undefined, exits: 0 };
     this.#hosts.set(name, host);
     this.run(name);
   }
@@ -665,7 +655,8 @@
   }
 
   async isReady(name) {
-    const answer = await send(this.#hosts.get(name).ready, 'GET', '/ready', {}, undefined, 1000);
+    const { ip, ready } = this.#hosts.get(name);
+    const answer = await send(ip, ready, 'GET', '/ready', {}, undefined, 1000);
     return answer.status === 200;
   }
 
@@ -681,9 +672,9 @@
 
   /** Sends a client's call to a host; status 0 stands for no answer. */
   async call(name, method, path, body, { key = 'key-1', host = 'desk.example' } = {}) {
-    const { front } = this.#hosts.get(name);
+    const { ip, front } = this.#hosts.get(name);
     const headers = { host, authorization: `Token ${key}` };
-    const answer = await send(front, method, path, headers, body, 3000);
+    const answer = await send(ip, front, method, path, headers, body, 3000);
     this.#recorder.write(
       `client: ${method} ${path} to ${name}: ${answer.status} ${answer.body.slice(0, 80)}`,
     );
@@ -691,13 +682,13 @@
   }
 }
 
-/** Sends a request to a loopback port; status 0 stands for no answer. */
-const send = (port, method, path, headers, body, timeoutMs) =>
+/** Sends a request to a loopback address; status 0 stands for no answer. */
+const send = (ip, port, method, path, headers, body, timeoutMs) =>
   new Promise((resolve) => {
     const text = body === undefined ? '' : JSON.stringify(body);
     const outgoing = request(
       {
-        host: '127.0.0.1',
+        host: ip,
         port,
         method,
         path,
