jobs: keep the settings under which a job was accepted

Cause: a job record held only the name of its queue. A leader elected after the queue was removed had no settings for its jobs and never started their tasks again; the cap of a removed account was lost in the same way.

Change: the record of a job has the optional object terms. The configuration in effect applies if it names the queue or the account, otherwise the terms: service, priority, attempts, objective, advice, weight and cap. The services of queues that only open jobs name are stored before a start. A request for permits carries their validity. Ids are accepted in uppercase as well and mean the same job.

--- a/packages/daemon/__tests__/AdviceDispatcher.test.ts
+++ b/packages/daemon/__tests__/AdviceDispatcher.test.ts
@@ -72,10 +72,10 @@
 ): AdviceCommand => ({
   kind: 'advise',
   stepKey,
-  queue: 'lookups',
   service,
   workers: [],
   expectedMs,
+  validMs: 2000,
   priority,
 });
 
--- a/packages/daemon/__tests__/JobService.test.ts
+++ b/packages/daemon/__tests__/JobService.test.ts
@@ -1,5 +1,11 @@
 import { StoreDecoder } from '@toucanline/jobs';
-import type { JobSpecification, JobState, SiteConfiguration } from '@toucanline/schema';
+import {
+  validators,
+  type JobRecord,
+  type JobSpecification,
+  type JobState,
+  type SiteConfiguration,
+} from '@toucanline/schema';
 import { expect } from 'chai';
 import { ConfigurationWatch } from '../src/ConfigurationWatch.js';
 import { EventLog } from '../src/EventLog.js';
@@ -104,6 +110,32 @@
     expect(other._unsafeUnwrapErr().kind).to.equal('conflictingKey');
   });
 
+  // Guards against jobs whose settings are lost with the memory of a leader (review, case 6).
+  it('stores the settings under which a job was accepted', async () => {
+    const cap = { milliProcessors: 8000, memoryMb: 0, accelerators: 0 };
+    const changed = createConfiguration(2, ['k']);
+    const accounts = [{ name: 'planning', weight: 3, keys: ['k'], cap }];
+    store.put('configuration', JSON.stringify({ ...changed, accounts }));
+    await configuration.ensureFresh(-1);
+    await service.submit(await admit(), specification);
+    const record = JSON.parse(store.get(key) ?? '') as JobRecord;
+    const terms = { service: 's', priority: 1, maxAttempts: 1, stretch: 1, objectiveMs: 1 };
+    expect(record.terms).to.deep.equal({ ...terms, weight: 3, cap });
+    expect(validators.JobRecord(record)).to.equal(true);
+    const { terms: _terms, ...former } = record;
+    expect(validators.JobRecord(former)).to.equal(true);
+  });
+
+  // Guards against answering 404 to an id with uppercase digits, and against two jobs under one id.
+  it('treats an id in uppercase and lowercase as one job', async () => {
+    const upper = { ...call, path: `/b/${id.toUpperCase()}` };
+    const admitted = (await service.admit(upper))._unsafeUnwrap();
+    expect((await service.submit(admitted, specification)).isOk()).to.equal(true);
+    expect(store.get(key)).to.include('"account":"planning"');
+    const other = await service.submit(await admit(), { payload: 'y', steps: [] });
+    expect(other._unsafeUnwrapErr().kind).to.equal('conflictingKey');
+  });
+
   // Guards against refusing a job that was stored, because the answer of the store was lost.
   it('accepts a job if its write took effect without an answer', async () => {
     const admitted = await admit();
--- a/packages/daemon/src/JobService.ts
+++ b/packages/daemon/src/JobService.ts
@@ -6,11 +6,13 @@
   type JobRecord,
   type JobSpecification,
   type JobState,
+  type JobTerms,
   type QueueConfiguration,
 } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
 import { cancellationMarker } from './cancellationMarker.js';
 import type { ConfigurationWatch } from './ConfigurationWatch.js';
+import { createJobTerms } from './createJobTerms.js';
 import type { EventLog } from './EventLog.js';
 import { findQueue } from './findQueue.js';
 import { isMarker } from './isMarker.js';
@@ -36,11 +38,13 @@
   readonly queue: QueueConfiguration;
   /** Name of the client account; empty on a queue that is open to all. */
   readonly account: string;
-  /** Job id; empty for calls to the queue itself. */
+  /** Job id in lowercase; empty for calls to the queue itself. */
   readonly id: string;
+  /** Settings of the queue and the account, under which a submitted job is accepted. */
+  readonly terms: JobTerms;
 }
 
-const idPattern = /^[0-9a-f]{16}$/;
+const idPattern = /^[0-9a-f]{16}$/i;
 
 /** Handles the calls of callers: stores accepted jobs, reports their state and cancels them. */
 export class JobService {
@@ -96,14 +100,17 @@
     // Without a confirmation, this host may have missed that a key was withdrawn or a queue was removed.
     if (!isFresh) return err(this.#refuse(target.path, 'the configuration is not confirmed'));
     if (match === undefined) return err(createFailure('unknownQueue', 'no such queue'));
-    const { queue, suffix: id } = match;
-    if (id !== '' && !idPattern.test(id)) {
-      return err(createFailure('unknownQueue', `${id} is not the id of a job`));
+    const { queue, suffix } = match;
+    if (suffix !== '' && !idPattern.test(suffix)) {
+      return err(createFailure('unknownQueue', `${suffix} is not the id of a job`));
     }
-    if (queue.isOpen) return ok({ queue, account: '', id });
+    const id = suffix.toLowerCase();
+    if (queue.isOpen)
+      return ok({ queue, account: '', id, terms: createJobTerms(queue, undefined) });
     const account = this.#configuration.findAccount(target.key ?? '');
     if (account === undefined) return err(createFailure('unauthenticated', 'unknown key'));
-    return ok({ queue, account, id });
+    const settings = configuration.accounts.find(({ name }) => name === account);
+    return ok({ queue, account, id, terms: createJobTerms(queue, settings) });
   }
 
   /**
@@ -125,6 +132,7 @@
       specification,
       acceptedAtMs: Date.now(),
       isCancelled: false,
+      terms: call.terms,
     };
     // Without a write to a store that does not answer, it is certain that the job was not accepted.
     if (!this.#storeHealth.isReachable) {
--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -26,7 +26,6 @@
   readonly #adviceDispatcher: AdviceDispatcher;
   readonly #loader: StateLoader;
   readonly #watches: PrefixWatch[] = [];
-  readonly #permitValidityMs = new Map<string, number>();
   #progressWriter: ProgressWriter | undefined;
   #planTimer: NodeJS.Timeout | undefined;
   #idleTimer: NodeJS.Timeout | undefined;
@@ -112,8 +111,7 @@
       dependencies.advisor,
       dependencies.listPeerLinks,
       (command, permits) => {
-        const validMs = this.#permitValidityMs.get(command.queue) ?? 0;
-        this.#scheduler.handlePermits(command, permits, performance.now(), validMs);
+        this.#scheduler.handlePermits(command, permits, performance.now(), command.validMs);
         this.#schedulePlan();
       },
       dependencies.log,
@@ -132,9 +130,6 @@
    */
   public configure(configuration: SiteConfiguration): void {
     this.#scheduler.configure(configuration);
-    for (const { name, advice } of configuration.queues) {
-      if (advice !== undefined) this.#permitValidityMs.set(name, advice.validMs);
-    }
     this.#schedulePlan();
   }
 
--- a/packages/jobs/src/Command.ts
+++ b/packages/jobs/src/Command.ts
@@ -14,12 +14,12 @@
   | {
       readonly kind: 'advise';
       readonly stepKey: string;
-      /** Name of the queue, whose settings define how long permits are valid. */
-      readonly queue: string;
       /** Service whose workers may run the step. */
       readonly service: string;
       readonly workers: readonly Worker[];
       /** Expected duration of the call, in milliseconds. */
       readonly expectedMs: number;
+      /** Validity of the permits, by the settings that apply to the job, in milliseconds. */
+      readonly validMs: number;
       readonly priority: number;
     };
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -1,5 +1,6 @@
 import type { JobProgress, JobRecord, JobState, StepProgress } from '@toucanline/schema';
 import type { AccountUsage } from './AccountUsage.js';
+import type { QueueTerms } from './QueueTerms.js';
 import { StepInstance } from './StepInstance.js';
 import type { Task } from './Task.js';
 
@@ -19,6 +20,8 @@
   #hasStarted = false;
   readonly #acceptedAt: number;
   readonly #isOverRate: boolean;
+  /** Created on first use: only jobs whose queue is not configured need it. */
+  #queueTerms: QueueTerms | undefined;
 
   /**
    * @param record - record of the accepted job
@@ -54,6 +57,13 @@
     return this.#record;
   }
 
+  /** Settings of the queue when the job was accepted; undefined if the record does not hold them. */
+  public get queueTerms(): QueueTerms | undefined {
+    const { queue, terms } = this.#record;
+    if (terms !== undefined) this.#queueTerms ??= { name: queue, ...terms };
+    return this.#queueTerms;
+  }
+
   /** Monotonic time of acceptance, in milliseconds. */
   public get acceptedAt(): number {
     return this.#acceptedAt;
--- a/packages/jobs/src/JobRegistry.ts
+++ b/packages/jobs/src/JobRegistry.ts
@@ -1,8 +1,16 @@
-import type { JobProgress, JobRecord, SiteConfiguration } from '@toucanline/schema';
+import type { JobProgress, JobRecord, Room, SiteConfiguration } from '@toucanline/schema';
 import { AccountUsage } from './AccountUsage.js';
 import { Job } from './Job.js';
 import type { Task } from './Task.js';
 
+/** Weight and cap of an account when the latest of its jobs was accepted. */
+interface AccountTerms {
+  /** Store revision at which that job was accepted. */
+  readonly revision: number;
+  readonly weight: number;
+  readonly cap: Room | undefined;
+}
+
 /** All jobs and client accounts that the leader knows. */
 export class JobRegistry {
   readonly #jobs = new Map<string, Job>();
@@ -10,6 +18,9 @@
   /** Progress that was read before the record of its job, by job id. */
   readonly #earlyProgress = new Map<string, JobProgress>();
   readonly #openJobs = new Set<Job>();
+  /** Accounts that the configuration in effect names. */
+  #configuredAccounts: ReadonlySet<string> = new Set();
+  readonly #accountTerms = new Map<string, AccountTerms>();
 
   /** Jobs that are not finished. */
   public get openJobs(): ReadonlySet<Job> {
@@ -56,6 +67,8 @@
       known.mergeCancellation(record);
       return known;
     }
+    // The weight decides whether the account has exceeded its rate, so the terms apply before the job is created.
+    this.#recordAccountTerms(record, revision);
     const job = new Job(record, this.ensureAccount(record.account), revision, now);
     this.#jobs.set(job.id, job);
     this.#openJobs.add(job);
@@ -140,7 +153,8 @@
   }
 
   /**
-   * Applies the weights and caps of the accounts.
+   * Applies the weights and caps of the accounts. To accounts that the configuration does not name, the terms of their
+   * latest job apply.
    *
    * @param configuration - latest configuration of the site
    */
@@ -148,5 +162,22 @@
     for (const { name, weight, cap } of configuration.accounts) {
       this.ensureAccount(name).configure(weight, cap);
     }
+    this.#configuredAccounts = new Set(configuration.accounts.map(({ name }) => name));
+    for (const name of this.#accountTerms.keys()) this.#applyAccountTerms(name);
+  }
+
+  #recordAccountTerms({ account, terms }: JobRecord, revision: number): void {
+    if (terms === undefined || account === '') return;
+    const { weight, cap } = terms;
+    // A leader reads stored jobs in another order than that of their acceptance.
+    if (revision < (this.#accountTerms.get(account)?.revision ?? 0)) return;
+    this.#accountTerms.set(account, { revision, weight, cap });
+    this.#applyAccountTerms(account);
+  }
+
+  #applyAccountTerms(name: string): void {
+    const terms = this.#accountTerms.get(name);
+    if (terms === undefined || this.#configuredAccounts.has(name)) return;
+    this.ensureAccount(name).configure(terms.weight, terms.cap);
   }
 }
--- a/packages/jobs/src/PendingStep.ts
+++ b/packages/jobs/src/PendingStep.ts
@@ -1,10 +1,10 @@
-import type { QueueConfiguration } from '@toucanline/schema';
+import type { QueueTerms } from './QueueTerms.js';
 import type { StepInstance } from './StepInstance.js';
 
 /** A ready step with waiting tasks, and the properties that decide when it is served. */
 export interface PendingStep {
   readonly step: StepInstance;
-  readonly queue: QueueConfiguration;
+  readonly queue: QueueTerms;
   /** Monotonic time in milliseconds by which the job should be completed. */
   readonly jobDeadline: number;
   /**
--- a/packages/jobs/src/PendingSteps.ts
+++ b/packages/jobs/src/PendingSteps.ts
@@ -1,4 +1,4 @@
-import type { QueueConfiguration } from '@toucanline/schema';
+import type { QueueTerms } from './QueueTerms.js';
 import { comparePendingSteps } from './comparePendingSteps.js';
 import type { PendingStep } from './PendingStep.js';
 import type { ImageDurations } from './ImageDurations.js';
@@ -13,7 +13,7 @@
   readonly #jobs: JobRegistry;
   readonly #queues: QueueSettings;
   readonly #durations: ImageDurations;
-  readonly #isHeld: (job: Job, queue: QueueConfiguration) => boolean;
+  readonly #isHeld: (job: Job, queue: QueueTerms) => boolean;
 
   /**
    * @param jobs - known jobs
@@ -25,7 +25,7 @@
     jobs: JobRegistry,
     queues: QueueSettings,
     durations: ImageDurations,
-    isHeld: (job: Job, queue: QueueConfiguration) => boolean,
+    isHeld: (job: Job, queue: QueueTerms) => boolean,
   ) {
     this.#jobs = jobs;
     this.#queues = queues;
--- a/packages/jobs/src/PermitRequests.ts
+++ b/packages/jobs/src/PermitRequests.ts
@@ -61,10 +61,10 @@
     pass.addCommand({
       kind: 'advise',
       stepKey: step.key,
-      queue: queue.name,
       service: queue.service,
       workers: requested,
       expectedMs: advice.baseMs + advice.perWorkerMs * requested.length,
+      validMs: advice.validMs,
       priority: queue.priority,
     });
   }
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -1,4 +1,4 @@
-import type { QueueConfiguration } from '@toucanline/schema';
+import type { QueueTerms } from './QueueTerms.js';
 import type { Candidate } from './Candidate.js';
 import type { TaskAssignment } from './TaskAssignment.js';
 import type { PendingStep } from './PendingStep.js';
@@ -44,7 +44,7 @@
   readonly #pendingSteps: PendingSteps;
   readonly #permitRequests: PermitRequests;
   readonly #window = new PlanningWindow();
-  readonly #isHeld: (job: Job, queue: QueueConfiguration) => boolean;
+  readonly #isHeld: (job: Job, queue: QueueTerms) => boolean;
   readonly #firstRunNumber: number;
 
   /**
@@ -62,7 +62,7 @@
     queues: QueueSettings,
     permits: PermitCache,
     durations: ImageDurations,
-    isHeld: (job: Job, queue: QueueConfiguration) => boolean,
+    isHeld: (job: Job, queue: QueueTerms) => boolean,
     firstRunNumber: number,
   ) {
     this.#jobs = jobs;
--- a/packages/jobs/src/QueueServices.ts
+++ b/packages/jobs/src/QueueServices.ts
@@ -1,6 +1,8 @@
-import type { QueueConfiguration, QueueServicesRecord } from '@toucanline/schema';
+import type { QueueServicesRecord } from '@toucanline/schema';
 import type { InheritedWorkers } from './InheritedWorkers.js';
+import type { JobRegistry } from './JobRegistry.js';
 import type { QueueSettings } from './QueueSettings.js';
+import type { QueueTerms } from './QueueTerms.js';
 import type { WorkerPool } from './WorkerPool.js';
 
 type ServicesByQueue = ReadonlyMap<string, ReadonlySet<string>>;
@@ -12,6 +14,7 @@
  */
 export class QueueServices {
   readonly #queues: QueueSettings;
+  readonly #jobs: JobRegistry;
   readonly #pool: WorkerPool;
   readonly #inheritedWorkers: InheritedWorkers;
   /** Services that the previous leader may have used; undefined if its record is missing or cannot be decoded. */
@@ -21,18 +24,26 @@
 
   /**
    * @param queues - settings of the queues
+   * @param jobs - known jobs
    * @param pool - known workers
    * @param inheritedWorkers - unsurveyed workers on which the previous leader may have started runs
    */
-  public constructor(queues: QueueSettings, pool: WorkerPool, inheritedWorkers: InheritedWorkers) {
+  public constructor(
+    queues: QueueSettings,
+    jobs: JobRegistry,
+    pool: WorkerPool,
+    inheritedWorkers: InheritedWorkers,
+  ) {
     this.#queues = queues;
+    this.#jobs = jobs;
     this.#pool = pool;
     this.#inheritedWorkers = inheritedWorkers;
   }
 
   /** Whether a queue has a service that the store does not list yet. */
   public get isWriteNeeded(): boolean {
-    return [...this.#queues.all].some((queue) => !this.isStored(queue));
+    for (const queue of this.#listInUse()) if (!this.isStored(queue)) return true;
+    return false;
   }
 
   /**
@@ -52,7 +63,7 @@
    * @param queue - current settings of the queue
    * @returns whether the store lists the service for the queue
    */
-  public isStored({ name, service }: QueueConfiguration): boolean {
+  public isStored({ name, service }: QueueTerms): boolean {
     return this.#stored === undefined || this.#stored.get(name)?.has(service) === true;
   }
 
@@ -63,13 +74,13 @@
    * @param service - service to check
    * @returns whether such tasks may run
    */
-  public mayHaveRunOn(queue: QueueConfiguration, service: string): boolean {
+  public mayHaveRunOn(queue: QueueTerms, service: string): boolean {
     if (this.#inherited === undefined || queue.service === service) return true;
     return this.#inherited.get(queue.name)?.has(service) === true;
   }
 
   /**
-   * Describes the services that the store must list: those of the configuration, those of running tasks, and those that
+   * Describes the services that the store must list: those of the configuration, those of open jobs, those of running tasks, and those that
    * the previous leader may have used on unsurveyed workers.
    *
    * @returns record to write to the store
@@ -79,7 +90,7 @@
     const add = (queue: string, service: string): void => {
       services.set(queue, (services.get(queue) ?? new Set()).add(service));
     };
-    for (const queue of this.#queues.all) {
+    for (const queue of this.#listInUse()) {
       add(queue.name, queue.service);
       for (const service of this.#inheritedWorkers.services)
         if (this.mayHaveRunOn(queue, service)) add(queue.name, service);
@@ -113,6 +124,15 @@
   public confirmWrite(record: QueueServicesRecord): void {
     this.#stored = readServices(record);
   }
+
+  /** Lists the queues of the configuration, and for open jobs of other queues the terms that apply to them. */
+  *#listInUse(): Iterable<QueueTerms> {
+    yield* this.#queues.configured;
+    for (const job of this.#jobs.openJobs) {
+      const queue = this.#queues.isConfigured(job) ? undefined : this.#queues.findQueue(job);
+      if (queue !== undefined) yield queue;
+    }
+  }
 }
 
 const readServices = ({ queues }: QueueServicesRecord): ServicesByQueue =>
--- a/packages/jobs/src/QueueSettings.ts
+++ b/packages/jobs/src/QueueSettings.ts
@@ -1,13 +1,17 @@
 import type { QueueConfiguration } from '@toucanline/schema';
 import type { Job } from './Job.js';
+import type { QueueTerms } from './QueueTerms.js';
 
-/** Configured settings of the queues. A queue that was removed from the configuration keeps its last settings. */
+/** Settings of the queues: those of the configuration in effect, or those under which a job was accepted. */
 export class QueueSettings {
-  readonly #queues = new Map<string, QueueConfiguration>();
+  /** Queues of the configuration in effect; undefined until one is known. */
+  #current: ReadonlyMap<string, QueueTerms> | undefined;
+  /** Last settings of removed queues, for jobs whose record has no terms. */
+  readonly #removed = new Map<string, QueueTerms>();
 
-  /** Settings of all queues, removed ones included. */
-  public get all(): Iterable<QueueConfiguration> {
-    return this.#queues.values();
+  /** Settings of all queues that the configuration in effect names. */
+  public get configured(): Iterable<QueueTerms> {
+    return this.#current?.values() ?? [];
   }
 
   /**
@@ -16,17 +20,33 @@
    * @param queues - queues of the latest configuration
    */
   public configure(queues: readonly QueueConfiguration[]): void {
-    for (const queue of queues) this.#queues.set(queue.name, queue);
+    for (const [name, queue] of this.#current ?? []) this.#removed.set(name, queue);
+    this.#current = new Map(queues.map((queue) => [queue.name, queue]));
+    for (const { name } of queues) this.#removed.delete(name);
   }
 
   /**
-   * Finds the settings of a job's queue.
+   * Checks whether the configuration in effect names the queue of a job.
    *
    * @param job - job to look up
-   * @returns settings of the queue; undefined if no configuration has named it
+   * @returns false if the terms of the job apply instead
    */
-  public findQueue(job: Job): QueueConfiguration | undefined {
-    return this.#queues.get(job.record.queue);
+  public isConfigured(job: Job): boolean {
+    return this.#current?.has(job.record.queue) === true;
+  }
+
+  /**
+   * Finds the settings that apply to a job: those of the configuration in effect if it names the queue, otherwise the
+   * terms under which the job was accepted.
+   *
+   * @param job - job to look up
+   * @returns settings of the queue; undefined if no configuration is known yet, which may lower caps, or if neither the
+   * job nor any configuration has settings
+   */
+  public findQueue(job: Job): QueueTerms | undefined {
+    if (this.#current === undefined) return undefined;
+    const name = job.record.queue;
+    return this.#current.get(name) ?? job.queueTerms ?? this.#removed.get(name);
   }
 
   /**
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -4,7 +4,6 @@
   JobState,
   PlacementPermit,
   Placements,
-  QueueConfiguration,
   SiteConfiguration,
   WorkerEntry,
   WorkerReport,
@@ -16,6 +15,7 @@
 import { JobRegistry } from './JobRegistry.js';
 import { QueueServices } from './QueueServices.js';
 import { QueueSettings } from './QueueSettings.js';
+import type { QueueTerms } from './QueueTerms.js';
 import type { Command } from './Command.js';
 import { PermitCache } from './PermitCache.js';
 import { Planner } from './Planner.js';
@@ -65,7 +65,12 @@
     this.#pool = new WorkerPool(maxLeaseMs);
     this.progress = new PendingProgress(this.#jobs, this.#pool);
     this.#inheritedWorkers = new InheritedWorkers(this.#jobs, electionRevision, now, maxLeaseMs);
-    this.queueServices = new QueueServices(this.#queues, this.#pool, this.#inheritedWorkers);
+    this.queueServices = new QueueServices(
+      this.#queues,
+      this.#jobs,
+      this.#pool,
+      this.#inheritedWorkers,
+    );
     this.#endedWorkers = new EndedWorkers(this.#pool, this.#inheritedWorkers);
     this.#firstRunNumber = (term - 1) * schedulingLimits.runsPerTerm + 1;
     this.#reportHandler = new ReportHandler(
@@ -375,7 +380,7 @@
    * Checks whether no tasks of a job may start: the next leader would not know where, or tasks of the previous leader
    * may still run.
    */
-  #isHeld(job: Job, queue: QueueConfiguration): boolean {
+  #isHeld(job: Job, queue: QueueTerms): boolean {
     return (
       !this.queueServices.isStored(queue) ||
       this.#inheritedWorkers.canStillRun(job, (service) =>
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -17,6 +17,7 @@
 export { JobRegistry } from './JobRegistry.js';
 export { QueueServices } from './QueueServices.js';
 export { QueueSettings } from './QueueSettings.js';
+export type { QueueTerms } from './QueueTerms.js';
 export type { StoreItem } from './StoreItem.js';
 export { MetadataStore } from './MetadataStore.js';
 export { StoreDecoder } from './StoreDecoder.js';
