daemon: end a campaign in progress when the host stops

Cause: Election.stop ended only a leadership; a lease that was being acquired made the stopping host the leader.

Change: a campaign checks after each of its calls whether the host stops, and then revokes its lease; stop waits for it.

--- a/packages/daemon/src/Election.ts
+++ b/packages/daemon/src/Election.ts
@@ -33,6 +33,8 @@
   #fitnessRevision = 0;
   #lease: LeaderLease | undefined;
   #isCampaigning = false;
+  /** Attempt to become the leader that is in progress. */
+  #attempt: Promise<boolean> | undefined;
   #hasCampaigned = false;
   #isStopped = false;
 
@@ -82,10 +84,14 @@
     void this.#watch.run();
   }
 
-  /** Leaves the election and revokes the leader lease, so that another host can take over at once. */
+  /**
+   * Leaves the election, ends a campaign that is in progress, and revokes the leader lease, so that another host can
+   * take over at once.
+   */
   public async stop(): Promise<void> {
     this.#isStopped = true;
     this.#watch.stop();
+    await this.#attempt;
     const lease = this.#lease;
     if (lease === undefined) return;
     this.#depose('stopping');
@@ -183,7 +189,8 @@
     try {
       await this.#sleep(this.#campaignDelay.computeMs(performance.now(), Math.random()));
       while (this.#canCampaign) {
-        if (await this.#tryAcquireLease()) break;
+        this.#attempt = this.#tryAcquireLease();
+        if (await this.#attempt) break;
         await this.#sleep(hostLimits.watchRetryMs);
       }
     } finally {
@@ -197,6 +204,7 @@
     const sentAtWall = Date.now();
     const granted = await this.#store.grantLease(hostLimits.leaderLeaseTtlMs);
     if (granted.isErr()) return false;
+    if (await this.#abandonIfStopped(granted.value)) return false;
     const term = this.#term + 1;
     const record: LeaderRecord = {
       host: this.#host,
@@ -219,6 +227,8 @@
       void this.#store.revokeLease(granted.value);
       return false;
     }
+    // The host began to stop while the write was in progress.
+    if (await this.#abandonIfStopped(granted.value)) return false;
     const lease = new LeaderLease(term, outcome.value.revision, granted.value);
     lease.recordRenewal(sentAt, sentAtWall);
     this.#lease = lease;
@@ -229,6 +239,12 @@
     return true;
   }
 
+  /** Revokes the lease of a campaign if this host stops, so that another host can be elected at once. */
+  async #abandonIfStopped(leaseId: number): Promise<boolean> {
+    if (this.#isStopped) await this.#store.revokeLease(leaseId);
+    return this.#isStopped;
+  }
+
   async #renewPeriodically(lease: LeaderLease): Promise<void> {
     while (this.#lease === lease) {
       await this.#sleep(hostLimits.leaseRenewalIntervalMs);
