daemon: report a submission as not run only if no earlier attempt is stored

Cause: a host that does not reach the store, has no confirmed configuration, or whose write the store refuses answered 503 (never runs), although an earlier attempt of the submission, perhaps at another host, may be stored and run.

Change: without a store the answer is 504 with Retry-After, still at once and without a write. After a refused write the record is read: a stored job is accepted, and 503 follows only once a refusal marker blocks any pending write.

--- a/packages/daemon/src/JobService.ts
+++ b/packages/daemon/src/JobService.ts
@@ -31,6 +31,8 @@
   readonly path: string;
   /** API key of the caller; undefined if the call has none. */
   readonly key: string | undefined;
+  /** Whether the call submits a job, so that an earlier attempt of it may be stored. Absent: false. */
+  readonly isSubmission?: boolean;
 }
 
 /** Call whose queue was found and whose key was checked. */
@@ -87,18 +89,18 @@
    *
    * @param target - host name, path and key
    * @returns the admitted call; `unknownQueue` if the path leads to no queue or job id, `unauthenticated` if the key is
-   * unknown, `notReady` if there is no configuration or it could not be confirmed
+   * unknown, `notReady` if there is no configuration or it could not be confirmed, `timeout` instead for a submission
    */
   public async admit(target: CallTarget): Promise<Result<AdmittedCall, Failure>> {
     const isFresh = await this.#configuration.ensureFresh(this.#maxConfigurationAgeMs);
     const configuration = this.#configuration.current;
-    if (configuration === undefined) return err(this.#refuse(target.path, 'no configuration yet'));
+    if (configuration === undefined) return err(this.#refuse(target, 'no configuration yet'));
     const match = findQueue(configuration, target.host, target.path);
     if (match === undefined && isFresh) {
       return err(createFailure('unknownQueue', `no queue at ${target.host}${target.path}`));
     }
     // Without a confirmation, this host may have missed that a key was withdrawn or a queue was removed.
-    if (!isFresh) return err(this.#refuse(target.path, 'the configuration is not confirmed'));
+    if (!isFresh) return err(this.#refuse(target, 'the configuration is not confirmed'));
     if (match === undefined) return err(createFailure('unknownQueue', 'no such queue'));
     const { queue, suffix } = match;
     if (suffix !== '' && !idPattern.test(suffix)) {
@@ -118,8 +120,7 @@
    *
    * @param call - admitted call
    * @param specification - steps and payload of the job
-   * @returns nothing; `notReady` or `storeUnavailable` if the job was certainly not accepted, `timeout` if that is
-   * unknown, `cancelled` if the job was cancelled before, `conflictingKey` if the id belongs to another job
+   * @returns nothing; `storeUnavailable` if the job was certainly not accepted, `timeout` if that is unknown, `cancelled` if the job was cancelled before, `conflictingKey` if the id belongs to another job
    */
   public async submit(
     call: AdmittedCall,
@@ -134,9 +135,9 @@
       isCancelled: false,
       terms: call.terms,
     };
-    // Without a write to a store that does not answer, it is certain that the job was not accepted.
+    // An earlier attempt, perhaps at another host, may be stored; only the store could tell.
     if (!this.#storeHealth.isReachable) {
-      return err(this.#refuse(call.id, 'the store does not answer'));
+      return err(this.#refuse({ path: call.id, isSubmission: true }, 'the store does not answer'));
     }
     const sentAt = performance.now();
     const result = await this.#jobWriter.write(record);
@@ -208,7 +209,7 @@
   public async countWaiting(call: AdmittedCall): Promise<Result<number, Failure>> {
     const count = await this.#leader.countWaiting(call.queue.name);
     return count === undefined
-      ? err(this.#refuse(call.queue.name, 'the leader does not answer'))
+      ? err(this.#refuse({ path: call.queue.name }, 'the leader does not answer'))
       : ok(count);
   }
 
@@ -246,16 +247,22 @@
     return createFailure('recordMissing', `no job ${id}`);
   }
 
-  /** Creates the failure of a call that was not carried out, and logs the age of what this host knew. */
-  #refuse(request: string, reason: string): Failure {
+  /**
+   * Creates the failure of a call that was not carried out, and logs the age of what this host knew. A submission gets
+   * `timeout`: it is unknown whether an earlier attempt of it was stored.
+   */
+  #refuse(
+    { path, isSubmission = false }: Pick<CallTarget, 'path' | 'isSubmission'>,
+    reason: string,
+  ): Failure {
     this.#log.write('callRefused', {
-      request: request.slice(request.lastIndexOf('/') + 1),
+      request: path.slice(path.lastIndexOf('/') + 1),
       reason,
       configurationVersion: this.#configuration.current?.version ?? 0,
       configurationAgeMs: Math.round(Math.min(this.#configuration.ageMs, 1e9)),
       storeSilenceMs: Math.round(Math.min(this.#storeHealth.lastAnswerAgeMs, 1e9)),
       retryAfterSeconds,
     });
-    return createFailure('notReady', reason, retryAfterSeconds);
+    return createFailure(isSubmission ? 'timeout' : 'notReady', reason, retryAfterSeconds);
   }
 }
--- a/packages/daemon/src/JobWriter.ts
+++ b/packages/daemon/src/JobWriter.ts
@@ -1,5 +1,5 @@
 import { createFailure } from '@toucanline/core';
-import type { MetadataStore } from '@toucanline/jobs';
+import type { MetadataStore, StoreItem } from '@toucanline/jobs';
 import { validators, type Failure, type JobRecord } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
 import { cancellationMarker } from './cancellationMarker.js';
@@ -42,7 +42,8 @@
    * Writes a job. Writing the same job again is idempotent.
    *
    * @param record - job record
-   * @returns nothing; `storeUnavailable` if the job was certainly not accepted, `timeout` if that is unknown,
+   * @returns nothing; `storeUnavailable` if neither this nor an earlier attempt was or will be stored, `timeout` if
+   * that is unknown,
    * `cancelled` if the job was cancelled before it was stored, `conflictingKey` if the id belongs to another job
    */
   public write(record: JobRecord): Promise<Result<void, Failure>> {
@@ -74,36 +75,36 @@
     record: JobRecord,
     failure: Failure,
   ): Promise<Result<void, Failure>> {
-    if (failure.kind === 'storeUnavailable') {
-      return err(createFailure('storeUnavailable', failure.detail, retryAfterSeconds));
-    }
+    // Even if this write was refused, an earlier attempt of the submission may be stored or pending.
     const startedAt = performance.now();
     for (;;) {
       const leftMs = startedAt + hostLimits.unknownOutcomeTimeoutMs - performance.now();
       const item = leftMs > 0 ? await waitWithTimeout(this.#store.read(key), leftMs) : undefined;
       if (item === undefined) break;
-      if (item.isOk()) return this.#resolveByStoredValue(item.value?.value, record, failure);
+      if (item.isOk()) return this.#resolveByStoredItem(item.value, record, failure);
       await new Promise((resolve) => setTimeout(resolve, hostLimits.watchRetryMs));
     }
     // The write may still take effect, so the failure must not say that the job never runs.
-    return err(createFailure('timeout', failure.detail));
+    return err(createFailure('timeout', failure.detail, retryAfterSeconds));
   }
 
-  async #resolveByStoredValue(
-    value: string | undefined,
+  async #resolveByStoredItem(
+    item: StoreItem | undefined,
     record: JobRecord,
     failure: Failure,
   ): Promise<Result<void, Failure>> {
-    if (value !== undefined) return this.#compareWithStored(value, record);
-    return (await this.#blockLateWrite(storeKeys.jobPrefix + record.id))
+    const { value, revision = 0 } = item ?? {};
+    if (value !== undefined && value !== refusalMarker)
+      return this.#compareWithStored(value, record);
+    return (await this.#blockLateWrite(storeKeys.jobPrefix + record.id, revision))
       ? err(createFailure('storeUnavailable', failure.detail, retryAfterSeconds))
-      : err(createFailure('timeout', failure.detail));
+      : err(createFailure('timeout', failure.detail, retryAfterSeconds));
   }
 
-  /** Blocks a pending write, which depends on the absence of the key, by writing a refusal marker to it. */
-  async #blockLateWrite(key: string): Promise<boolean> {
+  /** Blocks pending writes, which depend on the revision of the key, by writing a refusal marker to it. */
+  async #blockLateWrite(key: string, revision: number): Promise<boolean> {
     const outcome = await this.#store.commit({
-      expected: [{ key, revision: 0 }],
+      expected: [{ key, revision }],
       put: [{ key, value: refusalMarker }],
     });
     return outcome.isOk() && outcome.value.committed;
