--- a/packages/daemon/src/JobService.ts
+++ b/packages/daemon/src/JobService.ts
@@ -6,11 +6,13 @@
   type JobRecord,
   type JobSpecification,
   type JobState,
+  type JobTerms,
   type QueueConfiguration,
 } from '@toucanline/schema';
 import { err, ok, type Result } from 'neverthrow';
 import { cancellationMarker } from './cancellationMarker.js';
 import type { ConfigurationWatch } from './ConfigurationWatch.js';
+import { createJobTerms } from './createJobTerms.js';
 import type { EventLog } from './EventLog.js';
 import { findQueue } from './findQueue.js';
 import { isMarker } from './isMarker.js';
@@ -29,6 +31,8 @@
   readonly path: string;
   /** API key of the caller; undefined if the call has none. */
   readonly key: string | undefined;
+  /** Whether the call submits a job, so that an earlier attempt of it may be stored. Absent: false. */
+  readonly isSubmission?: boolean;
 }
 
 /** Call whose queue was found and whose key was checked. */
@@ -36,11 +40,13 @@
   readonly queue: QueueConfiguration;
   /** Name of the client account; empty on a queue that is open to all. */
   readonly account: string;
-  /** Job id; empty for calls to the queue itself. */
+  /** Job id in lowercase; empty for calls to the queue itself. */
   readonly id: string;
+  /** Settings of the queue and the account, under which a submitted job is accepted. */
+  readonly terms: JobTerms;
 }
 
-const idPattern = /^[0-9a-f]{16}$/;
+const idPattern = /^[0-9a-f]{16}$/i;
 
 /** Handles the calls of callers: stores accepted jobs, reports their state and cancels them. */
 export class JobService {
@@ -83,27 +89,30 @@
    *
    * @param target - host name, path and key
    * @returns the admitted call; `unknownQueue` if the path leads to no queue or job id, `unauthenticated` if the key is
-   * unknown, `notReady` if there is no configuration or it could not be confirmed
+   * unknown, `notReady` if there is no configuration or it could not be confirmed, `timeout` instead for a submission
    */
   public async admit(target: CallTarget): Promise<Result<AdmittedCall, Failure>> {
     const isFresh = await this.#configuration.ensureFresh(this.#maxConfigurationAgeMs);
     const configuration = this.#configuration.current;
-    if (configuration === undefined) return err(this.#refuse(target.path, 'no configuration yet'));
+    if (configuration === undefined) return err(this.#refuse(target, 'no configuration yet'));
     const match = findQueue(configuration, target.host, target.path);
     if (match === undefined && isFresh) {
       return err(createFailure('unknownQueue', `no queue at ${target.host}${target.path}`));
     }
     // Without a confirmation, this host may have missed that a key was withdrawn or a queue was removed.
-    if (!isFresh) return err(this.#refuse(target.path, 'the configuration is not confirmed'));
+    if (!isFresh) return err(this.#refuse(target, 'the configuration is not confirmed'));
     if (match === undefined) return err(createFailure('unknownQueue', 'no such queue'));
-    const { queue, suffix: id } = match;
-    if (id !== '' && !idPattern.test(id)) {
-      return err(createFailure('unknownQueue', `${id} is not the id of a job`));
+    const { queue, suffix } = match;
+    if (suffix !== '' && !idPattern.test(suffix)) {
+      return err(createFailure('unknownQueue', `${suffix} is not the id of a job`));
     }
-    if (queue.isOpen) return ok({ queue, account: '', id });
+    const id = suffix.toLowerCase();
+    if (queue.isOpen)
+      return ok({ queue, account: '', id, terms: createJobTerms(queue, undefined) });
     const account = this.#configuration.findAccount(target.key ?? '');
     if (account === undefined) return err(createFailure('unauthenticated', 'unknown key'));
-    return ok({ queue, account, id });
+    const settings = configuration.accounts.find(({ name }) => name === account);
+    return ok({ queue, account, id, terms: createJobTerms(queue, settings) });
   }
 
   /**
@@ -111,8 +120,7 @@
    *
    * @param call - admitted call
    * @param specification - steps and payload of the job
-   * @returns nothing; `notReady` or `storeUnavailable` if the job was certainly not accepted, `timeout` if that is
-   * unknown, `cancelled` if the job was cancelled before, `conflictingKey` if the id belongs to another job
+   * @returns nothing; `storeUnavailable` if the job was certainly not accepted, `timeout` if that is unknown, `cancelled` if the job was cancelled before, `conflictingKey` if the id belongs to another job
    */
   public async submit(
     call: AdmittedCall,
@@ -125,10 +133,11 @@
       specification,
       acceptedAtMs: Date.now(),
       isCancelled: false,
+      terms: call.terms,
     };
-    // Without a write to a store that does not answer, it is certain that the job was not accepted.
+    // An earlier attempt, perhaps at another host, may be stored; only the store could tell.
     if (!this.#storeHealth.isReachable) {
-      return err(this.#refuse(call.id, 'the store does not answer'));
+      return err(this.#refuse({ path: call.id, isSubmission: true }, 'the store does not answer'));
     }
     const sentAt = performance.now();
     const result = await this.#jobWriter.write(record);
@@ -200,7 +209,7 @@
   public async countWaiting(call: AdmittedCall): Promise<Result<number, Failure>> {
     const count = await this.#leader.countWaiting(call.queue.name);
     return count === undefined
-      ? err(this.#refuse(call.queue.name, 'the leader does not answer'))
+      ? err(this.#refuse({ path: call.queue.name }, 'the leader does not answer'))
       : ok(count);
   }
 
@@ -238,16 +247,22 @@
     return createFailure('recordMissing', `no job ${id}`);
   }
 
-  /** Creates the failure of a call that was not carried out, and logs the age of what this host knew. */
-  #refuse(request: string, reason: string): Failure {
+  /**
+   * Creates the failure of a call that was not carried out, and logs the age of what this host knew. A submission gets
+   * `timeout`: it is unknown whether an earlier attempt of it was stored.
+   */
+  #refuse(
+    { path, isSubmission = false }: Pick<CallTarget, 'path' | 'isSubmission'>,
+    reason: string,
+  ): Failure {
     this.#log.write('callRefused', {
-      request: request.slice(request.lastIndexOf('/') + 1),
+      request: path.slice(path.lastIndexOf('/') + 1),
       reason,
       configurationVersion: this.#configuration.current?.version ?? 0,
       configurationAgeMs: Math.round(Math.min(this.#configuration.ageMs, 1e9)),
       storeSilenceMs: Math.round(Math.min(this.#storeHealth.lastAnswerAgeMs, 1e9)),
       retryAfterSeconds,
     });
-    return createFailure('notReady', reason, retryAfterSeconds);
+    return createFailure(isSubmission ? 'timeout' : 'notReady', reason, retryAfterSeconds);
   }
 }
