Answer a submission with 503 while no configuration is known

Cause: the platform's contract names 503 for a host without a configuration. Change: only an unconfirmed configuration or an unreachable store gives 504 to a submission.

--- a/packages/daemon/src/JobService.ts
+++ b/packages/daemon/src/JobService.ts
@@ -89,12 +89,15 @@
    *
    * @param target - host name, path and key
    * @returns the admitted call; `unknownQueue` if the path leads to no queue or job id, `unauthenticated` if the key is
-   * unknown, `notReady` if there is no configuration or it could not be confirmed, `timeout` instead for a submission
+   * unknown, `notReady` if there is no configuration or it could not be confirmed; in the latter case `timeout` for a
+   * submission
    */
   public async admit(target: CallTarget): Promise<Result<AdmittedCall, Failure>> {
     const isFresh = await this.#configuration.ensureFresh(this.#maxConfigurationAgeMs);
     const configuration = this.#configuration.current;
-    if (configuration === undefined) return err(this.#refuse(target, 'no configuration yet'));
+    // The platform asks for 503 in this case, also for submissions.
+    if (configuration === undefined)
+      return err(this.#refuse({ path: target.path }, 'no configuration yet'));
     const match = findQueue(configuration, target.host, target.path);
     if (match === undefined && isFresh) {
       return err(createFailure('unknownQueue', `no queue at ${target.host}${target.path}`));
@@ -120,7 +123,8 @@
    *
    * @param call - admitted call
    * @param specification - steps and payload of the job
-   * @returns nothing; `storeUnavailable` if the job was certainly not accepted, `timeout` if that is unknown, `cancelled` if the job was cancelled before, `conflictingKey` if the id belongs to another job
+   * @returns nothing; `storeUnavailable` if the job was certainly not accepted, `timeout` if that is unknown,
+   * `cancelled` if the job was cancelled before, `conflictingKey` if the id belongs to another job
    */
   public async submit(
     call: AdmittedCall,
--- a/packages/jobs/src/QueueServices.ts
+++ b/packages/jobs/src/QueueServices.ts
@@ -80,8 +80,8 @@
   }
 
   /**
-   * Describes the services that the store must list: those of the configuration, those of open jobs, those of running tasks, and those that
-   * the previous leader may have used on unsurveyed workers.
+   * Describes the services that the store must list: those of the configuration, those of open jobs, those of running
+   * tasks, and those that the previous leader may have used on unsurveyed workers.
    *
    * @returns record to write to the store
    */
