jobs, daemon: give a turn to steps that were passed over for long

Cause: a hot account's requests for permits, by priority before those of others, kept all channels to the advice service busy. Jobs of other accounts had nothing running although most of their service was free.

Change: TurnOrder selects up to 8 steps that have had nothing running for 1 s, or no start for 3 s, while less than 60% of their service is in use: accounts by turns, the longest since its last turn first. These steps come first in a planning pass, and their requests for permits alternate with the others on half of the channels (TurnShare). A turn without a start passes on, and the step keeps its age. Without overdue steps the order of service is unchanged.

AdviceDispatcher.test.ts: one new test.

--- a/packages/daemon/__tests__/AdviceDispatcher.test.ts
+++ b/packages/daemon/__tests__/AdviceDispatcher.test.ts
@@ -181,6 +181,25 @@
     });
   });
 
+  // Load pattern: a hot account has many requests queued, and one of an account with a single job is the last of its
+  // service by priority. Guards against its starvation, and against turns that leave no channel to the others.
+  it('of steps with a turn go first, on a share of the channels', async () => {
+    const answering = [new AnsweringLink(40), new AnsweringLink(40), new AnsweringLink(40)];
+    dispatcher = new AdviceDispatcher(
+      advisor,
+      () => answering as unknown as readonly Link[],
+      () => undefined,
+      new EventLog('test', new HostMetrics()),
+    );
+    for (let number = 0; number < 12; number += 1)
+      dispatcher.dispatch(createCommand(`hot${number}`, 600, 0));
+    for (const name of ['a', 'b', 'c']) dispatcher.dispatch(createCommand(name, 600, 2));
+    dispatcher.setTurns(['c', 'b', 'a']);
+    await new Promise((resolve) => setTimeout(resolve, 60));
+    const sent = answering.flatMap(({ steps }) => steps.slice(1, 2)).sort();
+    expect(sent).to.deep.equal(['b', 'c', 'hot3']);
+  });
+
   // Load pattern: a service with a backlog repeats its requests as soon as they are answered (review, case 4: jobs of a
   // service with room for them were never started).
   for (const expectedMs of [600, 20]) {
--- a/packages/daemon/src/AdviceDispatcher.ts
+++ b/packages/daemon/src/AdviceDispatcher.ts
@@ -1,4 +1,4 @@
-import type { Command, PlacementAdvisor } from '@toucanline/jobs';
+import { TurnShare, type Command, type PlacementAdvisor } from '@toucanline/jobs';
 import type { PlacementPermit } from '@toucanline/schema';
 import type { Link } from '@toucanline/wire';
 import { AdviceChannel } from './AdviceChannel.js';
@@ -28,6 +28,7 @@
   readonly #localChannel = new AdviceChannel(undefined);
   readonly #peerChannels = new Map<Link, AdviceChannel>();
   readonly #queue = new AdviceQueue();
+  readonly #turnShare = new TurnShare();
   /** Monotonic time since which requests have been queued without a break, in milliseconds; undefined if none are. */
   #queuedSince: number | undefined;
   #reportedAt = -Infinity;
@@ -63,6 +64,15 @@
     this.#sendQueued();
   }
 
+  /**
+   * Sets the steps whose requests go before others, within their share of the channels.
+   *
+   * @param keys - keys of the steps that have a turn, the first one first
+   */
+  public setTurns(keys: readonly string[]): void {
+    this.#queue.setTurns(keys);
+  }
+
   /** Drops the queued requests and sends no further ones. */
   public stop(): void {
     this.#isStopped = true;
@@ -77,25 +87,57 @@
     const held = new Set<AdviceChannel>();
     for (const command of this.#queue.listOverdue(now)) {
       const channel = this.#chooseChannel(channels, held, command, now);
-      if (channel !== undefined) this.#sendNow(channel, command, now);
+      if (channel !== undefined) this.#sendNow(channel, command, now, false);
       // Short calls would keep each channel from taking a long one, so one channel is left idle for it.
       else this.#holdChannel(channels, held, now);
     }
     // A channel that cannot take a call cannot take a longer one either.
     let refusedMs = Infinity;
+    let turns = this.#queue.listTurns();
+    const sent = new Set<AdviceCommand>();
     for (const command of this.#queue.list()) {
+      turns = this.#sendTurns(turns, channels, held, sent, now);
       const { expectedMs } = command;
-      if (expectedMs >= refusedMs) continue;
+      if (expectedMs >= refusedMs || sent.has(command)) continue;
       const channel = this.#chooseChannel(channels, held, command, now);
-      if (channel !== undefined) this.#sendNow(channel, command, now);
-      else refusedMs = expectedMs;
+      if (channel === undefined) {
+        refusedMs = expectedMs;
+        continue;
+      }
+      sent.add(command);
+      this.#sendNow(channel, command, now, false);
     }
     this.#updateRetryTimer();
   }
 
-  #sendNow(channel: AdviceChannel, command: AdviceCommand, now: number): void {
+  /** Sends requests of steps with a turn, up to their share; returns those that may follow after other requests. */
+  #sendTurns(
+    turns: readonly AdviceCommand[],
+    channels: readonly AdviceChannel[],
+    held: Set<AdviceChannel>,
+    sent: Set<AdviceCommand>,
+    now: number,
+  ): readonly AdviceCommand[] {
+    let rest = turns.filter((command) => !sent.has(command));
+    for (;;) {
+      const [command] = rest;
+      if (command === undefined || !this.#turnShare.canTake(channels.length)) return rest;
+      const channel = this.#chooseChannel(channels, held, command, now);
+      if (channel === undefined) {
+        // As for services: short calls would keep each channel from taking a long one.
+        if (held.size === 0) this.#holdChannel(channels, held, now);
+        return [];
+      }
+      sent.add(command);
+      this.#sendNow(channel, command, now, true);
+      rest = rest.slice(1);
+    }
+  }
+
+  #sendNow(channel: AdviceChannel, command: AdviceCommand, now: number, hasTurn: boolean): void {
     this.#queue.takeSent(command, now);
-    void this.#send(channel, command);
+    this.#turnShare.recordSent(hasTurn);
+    void this.#send(channel, command, hasTurn);
   }
 
   /** Holds the channel to another host that is idle first. */
@@ -166,12 +208,13 @@
     );
   }
 
-  async #send(channel: AdviceChannel, command: AdviceCommand): Promise<void> {
+  async #send(channel: AdviceChannel, command: AdviceCommand, hasTurn: boolean): Promise<void> {
     const sentAt = performance.now();
     channel.begin(command.expectedMs, sentAt);
     const workers = command.workers.map(({ id }) => id);
     const permits = await this.#requestPermits(channel.link, command, workers);
     channel.end(command.expectedMs, performance.now(), permits !== undefined);
+    this.#turnShare.recordEnd(hasTurn);
     this.#log.write('permitsAnswered', {
       step: command.stepKey,
       asked: workers.length,
--- a/packages/daemon/src/AdviceQueue.ts
+++ b/packages/daemon/src/AdviceQueue.ts
@@ -15,6 +15,8 @@
  */
 export class AdviceQueue {
   #requests: readonly QueuedRequest[] = [];
+  /** Keys of the steps that have a turn, the first one first. */
+  #turnKeys: readonly string[] = [];
   /** Monotonic time in milliseconds at which the last request was sent, by service. */
   readonly #sentAt = new Map<string, number>();
 
@@ -40,6 +42,26 @@
     );
   }
 
+  /**
+   * Sets the steps whose requests go before others.
+   *
+   * @param keys - keys of the steps that have a turn, the first one first
+   */
+  public setTurns(keys: readonly string[]): void {
+    this.#turnKeys = keys;
+  }
+
+  /**
+   * Lists the requests of steps that have a turn.
+   *
+   * @returns requests in the order of the turns
+   */
+  public listTurns(): readonly AdviceCommand[] {
+    if (this.#turnKeys.length === 0 || this.#requests.length === 0) return [];
+    const byStep = new Map(this.#requests.map(({ command }) => [command.stepKey, command]));
+    return this.#turnKeys.flatMap((key) => byStep.get(key) ?? []);
+  }
+
   /** Removes all requests. */
   public clear(): void {
     this.#requests = [];
--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -304,6 +304,7 @@
       this.#dependencies.log.write('invariantViolated', { rule, task, worker });
     }
     this.#commandDispatcher.dispatch(commands, this.#lastPlanAt);
+    this.#adviceDispatcher.setTurns(this.#scheduler.turnKeys);
     for (const command of commands)
       if (command.kind === 'advise') this.#adviceDispatcher.dispatch(command);
     this.#progressWriter?.requestWrite();
--- a/packages/jobs/__tests__/LoadSimulation.ts
+++ b/packages/jobs/__tests__/LoadSimulation.ts
@@ -5,7 +5,7 @@
   WorkerEntry,
 } from '@toucanline/schema';
 import { expect } from 'chai';
-import { findViolations, Scheduler, type Command } from '../src/index.js';
+import { findViolations, Scheduler, TurnShare, type Command } from '../src/index.js';
 import { ModelWorker } from './ModelWorker.js';
 import { InvariantChecker } from './InvariantChecker.js';
 
@@ -15,6 +15,8 @@
 /** Validity of permits in milliseconds, as on the users' sites. */
 const permitValidMs = 2000;
 
+type AdviceCommand = Extract<Command, { kind: 'advise' }>;
+
 /** Simulates a fleet under load without faults: no call is lost, and each task takes the time that the test sets. */
 export class LoadSimulation {
   public readonly scheduler: Scheduler;
@@ -28,9 +30,16 @@
   #arrivals: readonly { readonly at: number; readonly record: JobRecord }[] = [];
   #responses: readonly {
     readonly at: number;
-    readonly command: Extract<Command, { kind: 'advise' }>;
-    readonly permits: readonly PlacementPermit[];
+    readonly command: AdviceCommand;
+    readonly permits: readonly PlacementPermit[] | undefined;
+    readonly hasTurn: boolean;
   }[] = [];
+  /** Number of calls that the advice service handles at the same time. */
+  public channels = Infinity;
+  /** Whether the advice service never answers calls for a step. */
+  public isSilent: (stepKey: string) => boolean = () => false;
+  #queuedAdvice: readonly AdviceCommand[] = [];
+  readonly #turnShare = new TurnShare();
   #revision = 10;
   #now = 0;
 
@@ -84,6 +93,7 @@
       const commands = this.scheduler.plan(this.#now, this.#now);
       expect(findViolations(commands)).to.deep.equal([]);
       for (const command of commands) this.#execute(command);
+      this.#sendAdvice();
       this.#writeProgress();
     }
   }
@@ -99,12 +109,42 @@
   }
 
   #deliverPermits(): void {
-    for (const { command, permits } of this.#responses.filter(({ at }) => at <= this.#now)) {
+    for (const { command, permits, hasTurn } of this.#responses.filter(
+      ({ at }) => at <= this.#now,
+    )) {
+      this.#turnShare.recordEnd(hasTurn);
       this.scheduler.handlePermits(command, permits, this.#now, permitValidMs);
     }
     this.#responses = this.#responses.filter(({ at }) => at > this.#now);
   }
 
+  /** Sends the queued requests by priority, those of steps with a turn first within their share. */
+  #sendAdvice(): void {
+    while (this.#responses.length < this.channels) {
+      const turn = this.#turnShare.canTake(this.channels)
+        ? this.scheduler.turnKeys
+            .map((key) => this.#queuedAdvice.find(({ stepKey }) => stepKey === key))
+            .find((queued) => queued !== undefined)
+        : undefined;
+      const command = turn ?? this.#queuedAdvice[0];
+      if (command === undefined) break;
+      this.#queuedAdvice = this.#queuedAdvice.filter((each) => each !== command);
+      this.#turnShare.recordSent(turn !== undefined);
+      const { workers, expectedMs, stepKey } = command;
+      const permits = workers.flatMap(({ id }) =>
+        this.#isAllowed(id) ? [{ workerId: id, permit: 'p' }] : [],
+      );
+      const isSilent = this.isSilent(stepKey);
+      const response = {
+        at: this.#now + (isSilent ? expectedMs * 2 + 1500 : expectedMs),
+        command,
+        permits: isSilent ? undefined : permits,
+        hasTurn: turn !== undefined,
+      };
+      this.#responses = [...this.#responses, response];
+    }
+  }
+
   #collectReports(): void {
     for (const worker of this.scheduler.workers) {
       const model = this.#models.get(worker.id);
@@ -117,14 +157,9 @@
 
   #execute(command: Command): void {
     if (command.kind === 'advise') {
-      const { workers } = command;
-      const permits = workers.flatMap(({ id }) =>
-        this.#isAllowed(id) ? [{ workerId: id, permit: 'p' }] : [],
+      this.#queuedAdvice = [...this.#queuedAdvice, command].sort(
+        (a, b) => a.priority - b.priority || a.expectedMs - b.expectedMs,
       );
-      this.#responses = [
-        ...this.#responses,
-        { at: this.#now + command.expectedMs, command, permits },
-      ];
       return;
     }
     const { task, worker, run } = command;
--- /dev/null
+++ b/packages/jobs/__tests__/turns.test.ts
@@ -0,0 +1,136 @@
+import type { JobRecord, SiteConfiguration } from '@toucanline/schema';
+import { expect } from 'chai';
+import { TurnOrder } from '../src/backlog/TurnOrder.js';
+import { StepTurn } from '../src/backlog/StepTurn.js';
+import type { EligibleWorkers } from '../src/EligibleWorkers.js';
+import { PlanningWindow } from '../src/PlanningWindow.js';
+import type { PendingStep } from '../src/PendingStep.js';
+import { schedulingLimits } from '../src/schedulingLimits.js';
+import { fixtures } from './fixtures.js';
+import { LoadSimulation } from './LoadSimulation.js';
+
+const { configuration, job, queue, room, step, worker } = fixtures;
+const { idleTurnMs, maxTurnSteps, maxTurnUse, turnMs } = schedulingLimits;
+
+const advice = { baseMs: 500, perWorkerMs: 5, validMs: 2000 };
+const fleet = Array.from({ length: 40 }, (_, index) => worker(`w${index}`));
+const names = Array.from({ length: 8 }, (_, index) => `small${index}`);
+
+const site: SiteConfiguration = configuration({
+  queues: [
+    queue('hot', { priority: 1, advice, objectiveMs: 2000, stretch: 2 }),
+    queue('batch', { priority: 2, advice, objectiveMs: 500, stretch: 1 }),
+  ],
+  accounts: ['hot', ...names].map((name) => ({ name, weight: 100, keys: [] })),
+});
+
+/**
+ * Load pattern: a hot account submits twelve jobs a second, every other one wide, while the advice service handles four
+ * calls of up to 0.65 s at a time; beside it each of eight accounts submits one wide step. Little of the fleet is in use.
+ */
+const createLoad = (): LoadSimulation => {
+  const simulation = new LoadSimulation(site, fleet, () => 1);
+  simulation.channels = 4;
+  for (let number = 0; number < 180; number += 1) {
+    const steps = [step(number % 2 === 0 ? 16 : 1, 1000)];
+    const record = job(`hot${number}`, steps, { queue: 'hot', account: 'hot' });
+    simulation.submit((number * 1000) / 12, record, () => 2000);
+  }
+  for (const account of names) {
+    const record: JobRecord = job(account, [step(8, 2000)], { account });
+    simulation.submit(2000, record, () => 100);
+  }
+  return simulation;
+};
+
+const listFinishTimes = (simulation: LoadSimulation): readonly number[] =>
+  names.map((name) => simulation.finishedAt(name) - 2000).sort((a, b) => a - b);
+
+describe('steps behind a hot account', () => {
+  // Guards against accepted jobs that have nothing running for seconds although most of the service is free (review,
+  // case 4): their requests for permits waited behind those of the hot account.
+  it('start within a bound while the service has room', () => {
+    const simulation = createLoad();
+    simulation.run(16_000);
+    expect(listFinishTimes(simulation).at(-1)).to.be.below(5000);
+  });
+
+  // Guards against turns that are blocked by steps whose permits never arrive.
+  it('get their turn beside steps whose permits never arrive', () => {
+    const simulation = createLoad();
+    simulation.isSilent = (key) => /^hot\d*[05]\./.test(key) || key.startsWith('small0.');
+    simulation.run(16_000);
+    expect(listFinishTimes(simulation).at(-2)).to.be.below(8000);
+  });
+});
+
+describe('the order of turns', () => {
+  let use: number;
+  const eligible = {
+    measureUse: () => use,
+    find: () => ({ maxFree: room(16_000) }),
+  } as unknown as EligibleWorkers;
+
+  const createStep = (account: string, activeCount = 0): PendingStep =>
+    ({
+      step: {
+        key: account,
+        turn: new StepTurn(),
+        activeCount,
+        description: { size: room(1000) },
+        job: { record: { account, queue: 'batch' }, account: { canAdmit: () => true } },
+      },
+      queue: { service: 'render' },
+    }) as unknown as PendingStep;
+
+  const selectAt = (pending: readonly PendingStep[], now: number): readonly PendingStep[] =>
+    new TurnOrder(() => false).select(pending, eligible, now);
+
+  beforeEach(() => {
+    use = 0;
+  });
+
+  it('alternates between accounts, and leaves the others in the order of service', () => {
+    const hot = Array.from({ length: 200 }, () => createStep('hot'));
+    const small = [createStep('a'), createStep('b')];
+    const pending = [...hot, ...small];
+    expect(selectAt(pending, 0)).to.deep.equal([]);
+    const turns = selectAt(pending, idleTurnMs);
+    expect(turns).to.have.length(maxTurnSteps);
+    expect(turns.slice(0, 3)).to.have.members([hot[0], ...small]);
+    const selected = new PlanningWindow().select(pending, turns);
+    expect(selected.slice(0, maxTurnSteps)).to.deep.equal(turns);
+    const rest = new PlanningWindow().select(pending).filter((each) => !turns.includes(each));
+    expect(selected.slice(maxTurnSteps)).to.deep.equal(rest);
+  });
+
+  // Guards against late work that delays work on time on a service that is full.
+  it('is not used on a service that is in use for the most part', () => {
+    const pending = [createStep('a')];
+    use = maxTurnUse;
+    selectAt(pending, 0);
+    expect(selectAt(pending, 10 * idleTurnMs)).to.deep.equal([]);
+  });
+
+  it('passes the turn on when its time is over, and keeps the age of the step', () => {
+    const pending = Array.from({ length: maxTurnSteps + 1 }, (_, index) => createStep(`a${index}`));
+    selectAt(pending, 0);
+    const first = selectAt(pending, idleTurnMs);
+    const last = pending.at(-1);
+    expect(first).not.to.include(last);
+    expect(selectAt(pending, idleTurnMs + turnMs - 1)).to.deep.equal(first);
+    const next = selectAt(pending, idleTurnMs + turnMs);
+    expect(next[0]).to.equal(last);
+    expect(pending[0]?.step.turn.idleSince).to.equal(0);
+  });
+
+  it('puts steps without running tasks first, and ends a turn with a start', () => {
+    const running = createStep('a', 1);
+    const idle = createStep('b');
+    const pending = [running, idle];
+    selectAt(pending, 0);
+    expect(selectAt(pending, schedulingLimits.partialTurnMs)).to.deep.equal([idle, running]);
+    idle.step.turn.recordStart(schedulingLimits.partialTurnMs);
+    expect(selectAt(pending, schedulingLimits.partialTurnMs + 1)).to.deep.equal([running]);
+  });
+});
--- a/packages/jobs/src/EligibleWorkers.ts
+++ b/packages/jobs/src/EligibleWorkers.ts
@@ -15,6 +15,8 @@
 export class EligibleWorkers {
   readonly #accepting: readonly Worker[];
   readonly #groups = new Map<string, EligibleGroup>();
+  /** Share of the processors in use, by service; undefined until it is needed. */
+  #useByService: ReadonlyMap<string, number> | undefined;
 
   /**
    * @param all - all known workers
@@ -52,4 +54,26 @@
     this.#groups.set(key, group);
     return group;
   }
+
+  /**
+   * Measures how much of a service is in use.
+   *
+   * @param service - name of the service
+   * @returns share of the processors of its workers that tasks use; 1 without workers
+   */
+  public measureUse(service: string): number {
+    this.#useByService ??= this.#measureAll();
+    return this.#useByService.get(service) ?? 1;
+  }
+
+  #measureAll(): ReadonlyMap<string, number> {
+    const sums = new Map<string, { free: number; total: number }>();
+    for (const { entry, free } of this.#accepting) {
+      const sum = sums.get(entry.service) ?? { free: 0, total: 0 };
+      sum.free += Math.max(0, free.milliProcessors);
+      sum.total += entry.capacity.milliProcessors;
+      sums.set(entry.service, sum);
+    }
+    return new Map([...sums].map(([service, { free, total }]) => [service, 1 - free / total]));
+  }
 }
--- a/packages/jobs/src/PermitCache.ts
+++ b/packages/jobs/src/PermitCache.ts
@@ -66,6 +66,16 @@
     return !this.#requestedSteps.has(stepKey) && (this.#retryAt.get(stepKey) ?? 0) <= now;
   }
 
+  /**
+   * Checks whether a request for permits for a step has no answer yet.
+   *
+   * @param stepKey - key of the step
+   * @returns whether a request is queued or in flight
+   */
+  public isRequested(stepKey: string): boolean {
+    return this.#requestedSteps.has(stepKey);
+  }
+
   /**
    * Records that permits for a step were requested.
    *
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -15,6 +15,7 @@
 import { PermitRequests } from './PermitRequests.js';
 import { PlanningPass } from './PlanningPass.js';
 import { PlanningWindow } from './PlanningWindow.js';
+import { TurnOrder } from './backlog/TurnOrder.js';
 import { resources } from './resources.js';
 import type { StepInstance } from './StepInstance.js';
 import { reserveCapacity } from './reserveCapacity.js';
@@ -44,6 +45,8 @@
   readonly #pendingSteps: PendingSteps;
   readonly #permitRequests: PermitRequests;
   readonly #window = new PlanningWindow();
+  readonly #turnOrder: TurnOrder;
+  #turnKeys: readonly string[] = [];
   readonly #isHeld: (job: Job, queue: QueueTerms) => boolean;
   readonly #firstRunNumber: number;
 
@@ -70,11 +73,17 @@
     this.#queues = queues;
     this.#permits = permits;
     this.#pendingSteps = new PendingSteps(jobs, queues, durations, isHeld);
+    this.#turnOrder = new TurnOrder((stepKey) => permits.isRequested(stepKey));
     this.#permitRequests = new PermitRequests(permits, durations);
     this.#isHeld = isHeld;
     this.#firstRunNumber = firstRunNumber;
   }
 
+  /** Keys of the steps that have a turn since the last pass, the first one first. */
+  public get turnKeys(): readonly string[] {
+    return this.#turnKeys;
+  }
+
   /**
    * Runs one planning pass.
    *
@@ -84,7 +93,10 @@
   public plan(now: number): readonly Command[] {
     const pass = new PlanningPass(now, this.#queues);
     const eligible = new EligibleWorkers(this.#pool.all, now);
-    const selected = this.#window.select(this.#pendingSteps.collect(now));
+    const pendingSteps = this.#pendingSteps.collect(now);
+    const turns = this.#turnOrder.select(pendingSteps, eligible, now);
+    this.#turnKeys = turns.map(({ step }) => step.key);
+    const selected = this.#window.select(pendingSteps, turns);
     const ready = selected.map((pending): PlaceableStep => {
       const { workers, members, maxFree } = eligible.find(pending);
       const { step, queue } = pending;
@@ -176,6 +188,7 @@
       if (isGang === true) task.resumeFrom(shared?.checkpoint ?? '');
       const run = isGang === true ? gangRun : Math.max(this.#firstRunNumber, task.run + 1);
       task.place(worker, run, now);
+      step.turn.recordStart(now);
       pass.addCommand({ kind: 'start', task, worker, run, permit });
     }
   }
--- a/packages/jobs/src/PlanningWindow.ts
+++ b/packages/jobs/src/PlanningWindow.ts
@@ -20,9 +20,20 @@
    * Selects the steps of the next pass.
    *
    * @param pending - all pending steps in the order in which they are served
-   * @returns the selected steps in the same order
+   * @param turns - steps among them that have a turn
+   * @returns the steps that have a turn, then the selected ones in the same order
    */
-  public select(pending: readonly PendingStep[]): readonly PendingStep[] {
+  public select(
+    pending: readonly PendingStep[],
+    turns: readonly PendingStep[] = [],
+  ): readonly PendingStep[] {
+    const selected = this.#selectInOrder(pending);
+    if (turns.length === 0) return selected;
+    const preferred = new Set(turns);
+    return [...turns, ...selected.filter((each) => !preferred.has(each))];
+  }
+
+  #selectInOrder(pending: readonly PendingStep[]): readonly PendingStep[] {
     const firstSteps = Math.ceil(schedulingLimits.maxFirstSteps * this.#share);
     const furtherSteps = Math.ceil(schedulingLimits.maxFurtherSteps * this.#share);
     if (pending.length <= firstSteps + furtherSteps) return pending;
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -359,6 +359,11 @@
     return [...stops, ...planned];
   }
 
+  /** Keys of the steps whose requests for permits go before others, the first one first. */
+  public get turnKeys(): readonly string[] {
+    return this.#planner.turnKeys;
+  }
+
   /**
    * Adapts later planning passes to the processor.
    *
--- a/packages/jobs/src/StepInstance.ts
+++ b/packages/jobs/src/StepInstance.ts
@@ -1,5 +1,6 @@
 import type { JobStep } from '@toucanline/schema';
 import type { Job } from './Job.js';
+import { StepTurn } from './backlog/StepTurn.js';
 import { StepDuration } from './StepDuration.js';
 import { Task } from './Task.js';
 
@@ -19,6 +20,8 @@
   public readonly tasks: readonly Task[];
   /** Estimated duration of its tasks. */
   public readonly durationEstimate = new StepDuration();
+  /** Time that the step has waited, and its last turn. */
+  public readonly turn = new StepTurn();
   /** Counts of done and waiting tasks, updated with each phase change because each planning pass reads them. */
   #doneCount = 0;
   #waitingCount: number;
@@ -52,6 +55,11 @@
     return this.#waitingCount;
   }
 
+  /** Number of tasks that are neither waiting nor done: their runs are being started, are running or being stopped. */
+  public get activeCount(): number {
+    return this.tasks.length - this.#doneCount - this.#waitingCount;
+  }
+
   /** Whether all dependencies are done, so that the tasks may start. */
   public get isReady(): boolean {
     return this.description.dependsOn.every(
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -30,6 +30,7 @@
 export { Preemption } from './Preemption.js';
 export { Scheduler } from './Scheduler.js';
 export type { StartOutcome } from './StartOutcome.js';
+export { TurnShare } from './backlog/TurnShare.js';
 export { StepInstance } from './StepInstance.js';
 export { StepDuration } from './StepDuration.js';
 export { Task } from './Task.js';
--- a/packages/jobs/src/schedulingLimits.ts
+++ b/packages/jobs/src/schedulingLimits.ts
@@ -41,6 +41,29 @@
   longPassMs: 12,
   /** Smallest share of these steps that a pass examines. */
   minWindowShare: 0.25,
+  /**
+   * Time without a running task after which a waiting step gets a turn while its service has room. The users' platform
+   * allows 3 s, and a request for permits takes up to 1 s of it.
+   */
+  idleTurnMs: 1000,
+  /** Time without a start after which a waiting step gets a turn although some of its tasks run. */
+  partialTurnMs: 3000,
+  /** Longest time of a turn without a start once no request for permits is open. */
+  turnMs: 1000,
+  /**
+   * Longest time of a turn without a start: the requests of all steps that have a turn at the same time take about 5 s
+   * on one channel.
+   */
+  maxTurnMs: 5000,
+  /** Steps that have a turn at the same time: a twelfth of the first steps of a pass, so that the others keep theirs. */
+  maxTurnSteps: 8,
+  /**
+   * Share of the processors of a service in use from which there are no turns. The users' platform counts jobs as
+   * starved below one half; the margin covers tasks that end meanwhile.
+   */
+  maxTurnUse: 0.6,
+  /** Share of the channels to the advice service that requests of steps with a turn use at the same time. */
+  turnChannelShare: 0.5,
   /** Time before the expected completion of its dependencies at which the permits of a step are requested. */
   adviceLeadMs: 900,
   /**
