Learn the distribution of durations by kind of work

Cause: declared durations are off by a factor of up to two or three, and the moving mean by image had no tail, took failed runs for nothing and was lost with the leader.

Change: DurationEstimates is an abstract class; LearnedDurations keeps decayed histograms of the ratio of actual to declared durations, by queue, size class and account, with runs that were cut short as lower bounds. DeclaredDurations is the behavior before. Lateness, permits before the end of a step, choice of workers and stalled tasks use it. A run that ends while it is being stopped is timed from its start, not from the stop.

--- a/packages/jobs/__tests__/LoadSimulation.ts
+++ b/packages/jobs/__tests__/LoadSimulation.ts
@@ -5,7 +5,13 @@
   WorkerEntry,
 } from '@toucanline/schema';
 import { expect } from 'chai';
-import { findViolations, Scheduler, type Command } from '../src/index.js';
+import {
+  findViolations,
+  LearnedDurations,
+  Scheduler,
+  type Command,
+  type DurationEstimates,
+} from '../src/index.js';
 import { ModelWorker } from './ModelWorker.js';
 import { InvariantChecker } from './InvariantChecker.js';
 
@@ -39,9 +45,11 @@
     workers: readonly WorkerEntry[],
     factorOf: (worker: string) => number,
     isAllowed: (worker: string) => boolean = () => true,
+    durations: DurationEstimates = new LearnedDurations(),
   ) {
     this.#isAllowed = isAllowed;
-    this.scheduler = new Scheduler(1, this.#revision, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
+    const bounds = { maxStopMs: 200, maxLeaseMs: 6000 };
+    this.scheduler = new Scheduler(1, this.#revision, 0, bounds, durations);
     this.scheduler.configure(site);
     this.#factorOf = factorOf;
     for (const entry of workers) {
--- a/packages/jobs/src/EndedWorkers.ts
+++ b/packages/jobs/src/EndedWorkers.ts
@@ -1,3 +1,4 @@
+import type { DurationEstimates } from './durations/DurationEstimates.js';
 import type { InheritedWorkers } from './InheritedWorkers.js';
 import type { Worker } from './Worker.js';
 import type { WorkerPool } from './WorkerPool.js';
@@ -6,14 +7,21 @@
 export class EndedWorkers {
   readonly #pool: WorkerPool;
   readonly #inheritedWorkers: InheritedWorkers;
+  readonly #durations: DurationEstimates;
   /** Incarnations that have ended and whose tasks are not released yet. */
   readonly #ended = new Set<Worker>();
 
   /**
    * @param pool - known workers
    * @param inheritedWorkers - unsurveyed workers on which the previous leader may have started runs
+   * @param durations - learns from lost runs
    */
-  public constructor(pool: WorkerPool, inheritedWorkers: InheritedWorkers) {
+  public constructor(
+    pool: WorkerPool,
+    inheritedWorkers: InheritedWorkers,
+    durations: DurationEstimates,
+  ) {
+    this.#durations = durations;
     this.#pool = pool;
     this.#inheritedWorkers = inheritedWorkers;
   }
@@ -69,17 +77,20 @@
         this.#inheritedWorkers.findLeaseExpiry(worker) !== undefined;
       const hasExpired = now > worker.leasesExpireAt;
       if (!worker.isListed && (!mayRun || hasExpired)) this.#removeWorker(worker, now);
-      else if (hasExpired) releaseTasks(worker, now);
+      else if (hasExpired) this.#releaseTasks(worker, now);
     }
   }
 
   #removeWorker(worker: Worker, now: number): void {
     this.#pool.remove(worker);
     this.#inheritedWorkers.remove(worker);
-    releaseTasks(worker, now);
+    this.#releaseTasks(worker, now);
   }
-}
 
-const releaseTasks = (worker: Worker, now: number): void => {
-  for (const task of [...worker.tasks]) task.release('', now);
-};
+  #releaseTasks(worker: Worker, now: number): void {
+    for (const task of [...worker.tasks]) {
+      if (task.hasFullDuration) this.#durations.recordCutShort(task, task.reportedRunMs, now);
+      task.release('', now);
+    }
+  }
+}
--- a/packages/jobs/src/PendingSteps.ts
+++ b/packages/jobs/src/PendingSteps.ts
@@ -1,7 +1,7 @@
 import type { QueueConfiguration } from '@toucanline/schema';
 import { comparePendingSteps } from './comparePendingSteps.js';
 import type { PendingStep } from './PendingStep.js';
-import type { ImageDurations } from './ImageDurations.js';
+import type { DurationEstimates } from './durations/DurationEstimates.js';
 import type { Job } from './Job.js';
 import type { JobRegistry } from './JobRegistry.js';
 import type { QueueSettings } from './QueueSettings.js';
@@ -12,19 +12,19 @@
 export class PendingSteps {
   readonly #jobs: JobRegistry;
   readonly #queues: QueueSettings;
-  readonly #durations: ImageDurations;
+  readonly #durations: DurationEstimates;
   readonly #isHeld: (job: Job, queue: QueueConfiguration) => boolean;
 
   /**
    * @param jobs - known jobs
    * @param queues - settings of the queues
-   * @param durations - mean durations by image
+   * @param durations - expected durations
    * @param isHeld - checks whether no tasks of a job may start now
    */
   public constructor(
     jobs: JobRegistry,
     queues: QueueSettings,
-    durations: ImageDurations,
+    durations: DurationEstimates,
     isHeld: (job: Job, queue: QueueConfiguration) => boolean,
   ) {
     this.#jobs = jobs;
@@ -65,9 +65,8 @@
    * @param step - step of the task
    * @returns duration in milliseconds
    */
-  public estimateDurationMs({ description, durationEstimate }: StepInstance): number {
-    const { image, estimateMs } = description;
-    return Math.exp(durationEstimate.estimate(this.#durations.estimate(image, estimateMs)).logMs);
+  public estimateDurationMs(step: StepInstance): number {
+    return this.#durations.estimateStepMs(step);
   }
 
   #computeStepDeadline(step: StepInstance, objectiveMs: number): number {
--- a/packages/jobs/src/PermitRequests.ts
+++ b/packages/jobs/src/PermitRequests.ts
@@ -1,6 +1,6 @@
 import type { AdviceTerms } from '@toucanline/schema';
 import type { PendingStep } from './PendingStep.js';
-import type { ImageDurations } from './ImageDurations.js';
+import type { DurationEstimates } from './durations/DurationEstimates.js';
 import type { PermitCache } from './PermitCache.js';
 import type { PlanningPass } from './PlanningPass.js';
 import { resources } from './resources.js';
@@ -23,13 +23,13 @@
 /** Decides for which steps and workers placement permits are requested, and when. */
 export class PermitRequests {
   readonly #permits: PermitCache;
-  readonly #durations: ImageDurations;
+  readonly #durations: DurationEstimates;
 
   /**
    * @param permits - known permits
-   * @param durations - mean durations by image
+   * @param durations - expected durations
    */
-  public constructor(permits: PermitCache, durations: ImageDurations) {
+  public constructor(permits: PermitCache, durations: DurationEstimates) {
     this.#permits = permits;
     this.#durations = durations;
   }
@@ -121,13 +121,12 @@
     return step.description.dependsOn.every((number) => {
       const dependency = step.job.findStep(step.occurrence, number);
       if (dependency === undefined) return false;
-      const { image, estimateMs } = dependency.description;
-      const expectedMs = this.#durations.estimate(image, estimateMs);
+      const totalLeadMs = leadMs + schedulingLimits.adviceLeadMs;
       return dependency.tasks.every(
         (task) =>
           task.phase === 'done' ||
           (task.phase === 'running' &&
-            now - task.phaseStartedAt >= expectedMs - leadMs - schedulingLimits.adviceLeadMs),
+            now - task.phaseStartedAt >= this.#durations.estimateRunMs(task) - totalLeadMs),
       );
     });
   }
--- a/packages/jobs/src/PlacementRequest.ts
+++ b/packages/jobs/src/PlacementRequest.ts
@@ -6,8 +6,11 @@
   readonly step: StepInstance;
   /** Maximum number of tasks to place. */
   readonly maxTasks: number;
-  /** Expected duration of one task on a worker of mean speed in the rack that the step prefers, in milliseconds. */
-  readonly expectedMs: number;
+  /**
+   * Time that a task needs on a worker of mean speed in the rack that the step prefers for the step to be in time, with
+   * an allowance for a failed run, in milliseconds.
+   */
+  readonly requiredMs: number;
   /**
    * Time until the deadline of the step, in milliseconds; negative after it, `Infinity` for a long-running step, and
    * `-Infinity` for a scheduled job, which always gets fast workers.
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -5,7 +5,7 @@
 import { PendingSteps } from './PendingSteps.js';
 import { GangTaskPlacement } from './GangTaskPlacement.js';
 import { IndependentTaskPlacement } from './IndependentTaskPlacement.js';
-import type { ImageDurations } from './ImageDurations.js';
+import type { DurationEstimates } from './durations/DurationEstimates.js';
 import type { Job } from './Job.js';
 import type { JobRegistry } from './JobRegistry.js';
 import type { QueueSettings } from './QueueSettings.js';
@@ -41,6 +41,7 @@
   readonly #pool: WorkerPool;
   readonly #queues: QueueSettings;
   readonly #permits: PermitCache;
+  readonly #durations: DurationEstimates;
   readonly #pendingSteps: PendingSteps;
   readonly #permitRequests: PermitRequests;
   readonly #window = new PlanningWindow();
@@ -52,7 +53,7 @@
    * @param pool - known workers
    * @param queues - settings of the queues
    * @param permits - placement permits
-   * @param durations - mean durations by image
+   * @param durations - expected durations
    * @param isHeld - checks whether no tasks of a job may start now
    * @param firstRunNumber - lowest run number of the leader's term
    */
@@ -61,7 +62,7 @@
     pool: WorkerPool,
     queues: QueueSettings,
     permits: PermitCache,
-    durations: ImageDurations,
+    durations: DurationEstimates,
     isHeld: (job: Job, queue: QueueConfiguration) => boolean,
     firstRunNumber: number,
   ) {
@@ -69,6 +70,7 @@
     this.#pool = pool;
     this.#queues = queues;
     this.#permits = permits;
+    this.#durations = durations;
     this.#pendingSteps = new PendingSteps(jobs, queues, durations, isHeld);
     this.#permitRequests = new PermitRequests(permits, durations);
     this.#isHeld = isHeld;
@@ -148,7 +150,7 @@
     const request = {
       step,
       maxTasks: this.#countWithinCap(step),
-      expectedMs: this.#pendingSteps.estimateDurationMs(step),
+      requiredMs: this.#durations.estimateRequiredMs(step),
       timeLeftMs: stepDeadline - now,
       contention,
     };
--- a/packages/jobs/src/ReportHandler.ts
+++ b/packages/jobs/src/ReportHandler.ts
@@ -1,7 +1,7 @@
 import type { Room, RunEnd, RunReport, WorkerReport } from '@toucanline/schema';
 import type { Job } from './Job.js';
 import type { JobRegistry } from './JobRegistry.js';
-import type { ImageDurations } from './ImageDurations.js';
+import type { DurationEstimates } from './durations/DurationEstimates.js';
 import { resources } from './resources.js';
 import type { Task } from './Task.js';
 import type { Worker } from './Worker.js';
@@ -15,21 +15,21 @@
 /** Handles the reports of workers: updates tasks from the running and the ended runs. */
 export class ReportHandler {
   readonly #jobs: JobRegistry;
-  readonly #durations: ImageDurations;
+  readonly #durations: DurationEstimates;
   readonly #markUnwritten: (job: Job) => void;
   readonly #findMaxAttempts: (job: Job) => number;
   readonly #maxStopMs: number;
 
   /**
    * @param jobs - known jobs
-   * @param durations - mean durations by image
+   * @param durations - learns from the runs
    * @param markUnwritten - called for jobs whose progress must be written to the store
    * @param findMaxAttempts - returns the number of failed runs of one task at which its job fails
    * @param maxStopMs - longest time that a worker takes to stop a run, in milliseconds
    */
   public constructor(
     jobs: JobRegistry,
-    durations: ImageDurations,
+    durations: DurationEstimates,
     markUnwritten: (job: Job) => void,
     findMaxAttempts: (job: Job) => number,
     maxStopMs: number,
@@ -117,7 +117,7 @@
       this.#recordFailure(task, end.run, wallMs);
     }
     if (end.outcome === 'failed') worker.recordRunOutcome(true, now);
-    if (isCurrent) task.release(end.checkpoint, now);
+    if (isCurrent) this.#releaseCutShort(task, end.checkpoint, now);
   }
 
   #complete(task: Task, isCurrent: boolean, now: number, wallMs: number): void {
@@ -146,20 +146,13 @@
 
   #recordDuration(worker: Worker, task: Task, now: number): void {
     worker.recordRunOutcome(false, now);
-    const { description, durationEstimate } = task.step;
-    // A gang runs at the speed of all its workers together, an opportunistic task at that of the leftover processors.
-    if (
-      !task.hasFullDuration ||
-      description.isGang === true ||
-      description.isOpportunistic === true
-    )
-      return;
-    const { image, estimateMs } = description;
-    const logMs = Math.log(Math.max(1, now - task.phaseStartedAt));
-    const expected = durationEstimate.estimate(this.#durations.estimate(image, estimateMs));
-    worker.speed.observe(logMs - expected.logMs, expected.variance, now);
-    durationEstimate.record(logMs - worker.speed.logDurationFactor);
-    this.#durations.record(image, Math.exp(logMs - worker.speed.logDurationFactor));
+    if (task.hasFullDuration) this.#durations.recordDone(task, now - task.runStartedAt, now);
+  }
+
+  /** Releases a task whose run ended without completing it. */
+  #releaseCutShort(task: Task, checkpoint: string, now: number): void {
+    if (task.hasFullDuration) this.#durations.recordCutShort(task, task.reportedRunMs, now);
+    task.release(checkpoint, now);
   }
 
   /** Releases tasks that the report would list if they were still on the worker. */
@@ -171,7 +164,8 @@
       const isStopped =
         task.stopConfirmedAt !== undefined && task.stopConfirmedAt + this.#maxStopMs <= sentAt;
       const isMissing = task.phase === 'running' && task.phaseStartedAt <= sentAt;
-      if ((task.phase === 'stopping' && isStopped) || isMissing) task.release('', now);
+      if ((task.phase === 'stopping' && isStopped) || isMissing)
+        this.#releaseCutShort(task, '', now);
     }
   }
 }
--- a/packages/jobs/src/RunStopper.ts
+++ b/packages/jobs/src/RunStopper.ts
@@ -1,4 +1,5 @@
 import { isStalled } from './isStalled.js';
+import type { DurationEstimates } from './durations/DurationEstimates.js';
 import type { Command } from './Command.js';
 import { schedulingLimits } from './schedulingLimits.js';
 import type { Task } from './Task.js';
@@ -10,6 +11,12 @@
 /** Decides which runs must be stopped, and repeats stops until they are confirmed. */
 export class RunStopper {
   readonly #sentAt = new WeakMap<Task, number>();
+  readonly #durations: DurationEstimates;
+
+  /** @param durations - expected durations, by which the progress of runs is judged */
+  public constructor(durations: DurationEstimates) {
+    this.#durations = durations;
+  }
 
   /**
    * Collects stops for runs of finished jobs, incomplete gangs and stalled tasks, and repeats unconfirmed stops.
@@ -24,7 +31,7 @@
       for (const task of worker.tasks) {
         const reason = findStopReason(task);
         if (reason !== undefined) task.beginStop(now, reason);
-        else if (isStalled(task, worker)) this.#stopStalled(task, worker, now);
+        else if (isStalled(task, worker, this.#durations)) this.#stopStalled(task, worker, now);
         if (task.phase !== 'stopping' || task.stopConfirmedAt !== undefined) continue;
         if (now - (this.#sentAt.get(task) ?? -Infinity) < stopRetryMs) continue;
         this.recordSent(task, now);
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -10,7 +10,8 @@
   WorkerReport,
 } from '@toucanline/schema';
 import { ReportHandler } from './ReportHandler.js';
-import { ImageDurations } from './ImageDurations.js';
+import type { DurationEstimates } from './durations/DurationEstimates.js';
+import { LearnedDurations } from './durations/LearnedDurations.js';
 import { InheritedWorkers } from './InheritedWorkers.js';
 import type { Job } from './Job.js';
 import { JobRegistry } from './JobRegistry.js';
@@ -38,15 +39,16 @@
   public readonly progress: PendingProgress;
   /** Services on whose workers tasks of each queue may run. */
   public readonly queueServices: QueueServices;
+  /** Expected durations of tasks. */
+  public readonly durations: DurationEstimates;
   readonly #jobs = new JobRegistry();
   readonly #pool: WorkerPool;
   readonly #queues = new QueueSettings();
   readonly #permits = new PermitCache();
-  readonly #durations = new ImageDurations();
   readonly #reportHandler: ReportHandler;
   readonly #startOutcomeHandler = new StartOutcomeHandler(this.#permits);
   readonly #planner: Planner;
-  readonly #runStopper = new RunStopper();
+  readonly #runStopper: RunStopper;
   readonly #inheritedWorkers: InheritedWorkers;
   readonly #endedWorkers: EndedWorkers;
   readonly #maxStopMs: number;
@@ -58,19 +60,28 @@
    * @param electionRevision - revision of the store at which this leader was elected
    * @param now - monotonic time in milliseconds
    * @param bounds - times that hold for all workers of the site
+   * @param durations - expected durations of tasks
    */
-  public constructor(term: number, electionRevision: number, now: number, bounds: WorkerBounds) {
+  public constructor(
+    term: number,
+    electionRevision: number,
+    now: number,
+    bounds: WorkerBounds,
+    durations: DurationEstimates = new LearnedDurations(),
+  ) {
     const { maxStopMs, maxLeaseMs } = bounds;
+    this.durations = durations;
+    this.#runStopper = new RunStopper(durations);
     this.#maxStopMs = maxStopMs;
     this.#pool = new WorkerPool(maxLeaseMs);
     this.progress = new PendingProgress(this.#jobs, this.#pool);
     this.#inheritedWorkers = new InheritedWorkers(this.#jobs, electionRevision, now, maxLeaseMs);
     this.queueServices = new QueueServices(this.#queues, this.#pool, this.#inheritedWorkers);
-    this.#endedWorkers = new EndedWorkers(this.#pool, this.#inheritedWorkers);
+    this.#endedWorkers = new EndedWorkers(this.#pool, this.#inheritedWorkers, durations);
     this.#firstRunNumber = (term - 1) * schedulingLimits.runsPerTerm + 1;
     this.#reportHandler = new ReportHandler(
       this.#jobs,
-      this.#durations,
+      durations,
       (job) => {
         this.progress.add(job);
       },
@@ -82,7 +93,7 @@
       this.#pool,
       this.#queues,
       this.#permits,
-      this.#durations,
+      durations,
       (job, queue) => this.#isHeld(job, queue),
       this.#firstRunNumber,
     );
--- a/packages/jobs/src/Task.ts
+++ b/packages/jobs/src/Task.ts
@@ -30,6 +30,7 @@
   #reportedAt = 0;
   #load = 0;
   #phaseStartedAt = 0;
+  #runStartedAt = 0;
   #stopConfirmedAt: number | undefined;
   #stopReason: StopReason = 'jobEnded';
   #isStartConfirmed = false;
@@ -92,6 +93,21 @@
     return this.#phaseStartedAt;
   }
 
+  /** Monotonic time at which the current run was placed, or was confirmed to run, in milliseconds. */
+  public get runStartedAt(): number {
+    return this.#runStartedAt;
+  }
+
+  /**
+   * Time for which the current run is known to have run, in milliseconds: until the last report that lists it, and for
+   * a stalled one until its last progress.
+   */
+  public get reportedRunMs(): number {
+    const isStalled = this.#phase === 'stopping' && this.#stopReason === 'stalled';
+    const knownUntil = isStalled ? this.#progressChangedAt : this.#reportedAt;
+    return Math.max(0, knownUntil - this.#runStartedAt);
+  }
+
   /**
    * Monotonic time at which the worker confirmed the stop of the current run, in milliseconds; undefined if it did
    * not.
@@ -133,6 +149,7 @@
     this.#run = run;
     this.#percent = 0;
     this.#hasFullDuration = this.#checkpoint === '';
+    this.#runStartedAt = now;
     this.#isStartConfirmed = false;
     this.#isReported = false;
     this.#stopConfirmedAt = undefined;
@@ -181,7 +198,9 @@
    */
   public confirmStart(now: number): void {
     this.#isStartConfirmed = true;
-    if (this.#phase === 'starting') this.#enterPhase('running', now);
+    if (this.#phase !== 'starting') return;
+    this.#runStartedAt = now;
+    this.#enterPhase('running', now);
   }
 
   /**
--- a/packages/jobs/src/computeWorkerCost.ts
+++ b/packages/jobs/src/computeWorkerCost.ts
@@ -1,5 +1,4 @@
 import type { PlacementRequest } from './PlacementRequest.js';
-import { schedulingLimits } from './schedulingLimits.js';
 import type { Worker } from './Worker.js';
 
 /** Cost of running a task away from its data: the platform's factor is at most 3, which adds two durations. */
@@ -15,20 +14,19 @@
  * Computes the cost of placing the tasks of a step on a worker. Among the workers on which the step is in time, slower
  * ones cost less, so that the fast workers stay free for urgent work.
  *
- * @param request - step, expected duration and time left
+ * @param request - step, time that it needs, and time left
  * @param worker - candidate worker
  * @returns cost; lower is better
  */
 export const computeWorkerCost = (request: PlacementRequest, worker: Worker): number => {
-  const { step, expectedMs, timeLeftMs, contention } = request;
+  const { step, requiredMs, timeLeftMs, contention } = request;
   const { preferredRack } = step.description;
   const isRemote = preferredRack !== undefined && worker.rack !== preferredRack;
   const { milliProcessors } = worker.entry.capacity;
   const freeShare = milliProcessors > 0 ? worker.free.milliProcessors / milliProcessors : 0;
   const dataCost = isRemote ? 1 + remoteDataCost : 1;
   const { durationFactor: slowdown } = worker.speed;
-  const isInTime =
-    expectedMs * slowdown * dataCost * schedulingLimits.placementSafetyFactor <= timeLeftMs;
+  const isInTime = requiredMs * slowdown * dataCost <= timeLeftMs;
   const extraCost = freeShare * emptyWorkerCost + contention.findWeight(worker) * contentionCost;
   return (isInTime ? dataCost - slowdown : missedDeadlineCost + slowdown * dataCost) + extraCost;
 };
--- a/packages/jobs/src/isStalled.ts
+++ b/packages/jobs/src/isStalled.ts
@@ -1,4 +1,5 @@
 import { schedulingLimits } from './schedulingLimits.js';
+import type { DurationEstimates } from './durations/DurationEstimates.js';
 import type { Task } from './Task.js';
 import type { Worker } from './Worker.js';
 
@@ -8,16 +9,18 @@
  *
  * @param task - task to check
  * @param worker - worker of the task
+ * @param durations - expected durations
  * @returns whether the reports have shown no progress for longer than the limit
  */
-export const isStalled = (task: Task, worker: Worker): boolean => {
-  const { isGang, isLongRunning, isOpportunistic, estimateMs } = task.step.description;
+export const isStalled = (task: Task, worker: Worker, durations: DurationEstimates): boolean => {
+  const { isGang, isLongRunning, isOpportunistic } = task.step.description;
   if (task.phase !== 'running' || task.percent >= 100) return false;
   if (isGang === true || isLongRunning === true || isOpportunistic === true) return false;
   const { stallTimeoutMs, stallDurationShare } = schedulingLimits;
+  if (task.stalledMs <= stallTimeoutMs) return false;
   const limitMs = Math.max(
     stallTimeoutMs,
-    estimateMs * worker.speed.durationFactor * stallDurationShare,
+    durations.estimateStallBaseMs(task.step) * worker.speed.durationFactor * stallDurationShare,
   );
   return task.stalledMs > limitMs;
 };
