Store, report and switch the learned durations

Cause: a new leader must have the learned durations at once, and their effect must be visible and measurable.

Change: DurationStore reads toucanline/durations at the start of a term and writes it every 10 s if it changed and at a handover, at most 256 KB. DurationReporter feeds toucanline_duration_ratio and durationsReported. TOUCANLINE_DURATION_ESTIMATES selects learned (default) or declared.

--- a/packages/daemon/src/DaemonSettings.ts
+++ b/packages/daemon/src/DaemonSettings.ts
@@ -24,4 +24,6 @@
   readonly statusMs: number;
   /** Time between the request to stop this process and its kill, in milliseconds. */
   readonly graceMs: number;
+  /** Whether the durations of tasks are learned from finished runs, or expected as declared. */
+  readonly durationEstimates: 'learned' | 'declared';
 }
--- a/packages/daemon/src/HostDaemon.ts
+++ b/packages/daemon/src/HostDaemon.ts
@@ -87,6 +87,7 @@
             listPeerLinks: () => this.#links.incomingLinks,
             times,
             processors: settings.processors,
+            durationEstimates: settings.durationEstimates,
             log: this.log,
             metrics: this.metrics,
             onLeaseLost: (reason) => {
--- a/packages/daemon/src/HostMetrics.ts
+++ b/packages/daemon/src/HostMetrics.ts
@@ -3,12 +3,16 @@
 /** Upper bounds of the buckets, in seconds: accepting a job takes a store call of 4 ms, callers wait 3 s at most. */
 const durationBucketsSeconds = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
 
+/** Upper bounds of the buckets of the ratio of actual to expected durations. */
+const ratioBuckets = [0.1, 0.25, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1, 1.1, 1.25, 1.5, 2, 3, 5, 7, 10];
+
 /** Counters and latency histograms of a host process, rendered in the Prometheus text format. */
 export class HostMetrics {
   readonly #registry = new Registry();
   readonly #events: Counter<'event'>;
   readonly #calls: Histogram<'method' | 'status'>;
   readonly #starts: Histogram;
+  readonly #durationRatios: Histogram<'level'>;
 
   public constructor() {
     const registers = [this.#registry];
@@ -31,6 +35,13 @@
       buckets: durationBucketsSeconds,
       registers,
     });
+    this.#durationRatios = new Histogram({
+      name: 'toucanline_duration_ratio',
+      help: 'Actual duration of finished runs relative to the expected one, by level of the estimate.',
+      labelNames: ['level'],
+      buckets: ratioBuckets,
+      registers,
+    });
   }
 
   /** Media type of the rendered text. */
@@ -67,6 +78,16 @@
     this.#starts.observe(durationMs / 1000);
   }
 
+  /**
+   * Records how exact the expected duration of a finished run was.
+   *
+   * @param level - most specific kind of work on which the estimate mostly rested; `declared` if it was not learned
+   * @param ratio - ratio of the actual to the expected duration
+   */
+  public observeDuration(level: string, ratio: number): void {
+    this.#durationRatios.observe({ level }, ratio);
+  }
+
   /**
    * Renders all metrics.
    *
--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -1,9 +1,17 @@
-import { findViolations, Scheduler, type StoreItem } from '@toucanline/jobs';
+import {
+  DeclaredDurations,
+  findViolations,
+  LearnedDurations,
+  Scheduler,
+  type StoreItem,
+} from '@toucanline/jobs';
 import type { JobState, SiteConfiguration } from '@toucanline/schema';
 import { AdviceDispatcher } from './AdviceDispatcher.js';
 import { StoreChangeHandler } from './StoreChangeHandler.js';
 import { WorkerSessions } from './WorkerSessions.js';
 import { JobCleanup } from './JobCleanup.js';
+import { DurationReporter } from './DurationReporter.js';
+import { DurationStore } from './DurationStore.js';
 import { computePlanningPause } from './computePlanningPause.js';
 import { hostLimits } from './hostLimits.js';
 import type { LeaderLease } from './LeaderLease.js';
@@ -33,6 +41,8 @@
   readonly #rosterManager: RosterManager;
   readonly #commandDispatcher: CommandDispatcher;
   readonly #cleanup: JobCleanup;
+  readonly #durationStore: DurationStore;
+  readonly #durationReporter: DurationReporter;
   #lastPlanAt = 0;
   /** Duration of the last planning pass, in milliseconds. */
   #lastPlanMs = 0;
@@ -56,7 +66,13 @@
       leaderLease.holderRevision,
       performance.now(),
       dependencies.times.worker,
+      dependencies.durationEstimates === 'learned'
+        ? new LearnedDurations()
+        : new DeclaredDurations(),
     );
+    const { store, log, metrics } = dependencies;
+    this.#durationStore = new DurationStore(store, this.#scheduler, leaderLease, log);
+    this.#durationReporter = new DurationReporter(this.#scheduler, metrics, log);
     const schedulePlan = (): void => {
       this.#schedulePlan();
     };
@@ -140,6 +156,7 @@
 
   /** Loads the stored state, with retries, and starts to schedule. */
   public async start(): Promise<void> {
+    void this.#durationStore.start();
     while (!this.#isStopped && !(await this.#loadState())) {
       if (this.#loader.ageMs > hostLimits.leaderLoadTimeoutMs) {
         await this.#dependencies.onResign('the stored state was not loaded in time');
@@ -168,6 +185,7 @@
     this.#commandDispatcher.stop();
     this.#adviceDispatcher.stop();
     this.#progressWriter?.stop();
+    this.#durationStore.stop();
     for (const watch of this.#watches) watch.stop();
     this.#sessions.stopAll();
   }
@@ -176,7 +194,7 @@
   public async flushProgress(): Promise<void> {
     clearInterval(this.#idleTimer);
     clearTimeout(this.#planTimer);
-    await this.#progressWriter?.flush();
+    await Promise.all([this.#progressWriter?.flush(), this.#durationStore.flush()]);
   }
 
   /**
@@ -312,6 +330,7 @@
     for (const command of commands)
       if (command.kind === 'advise') this.#adviceDispatcher.dispatch(command);
     this.#progressWriter?.requestWrite();
+    this.#durationReporter.update(this.#lastPlanAt);
     this.#lastPlanMs = performance.now() - this.#lastPlanAt;
     this.#scheduler.recordPassDuration(this.#lastPlanMs);
   }
--- a/packages/daemon/src/LeaderDependencies.ts
+++ b/packages/daemon/src/LeaderDependencies.ts
@@ -15,6 +15,8 @@
   readonly times: HostTimes;
   /** Processor time of this host per second, in seconds. */
   readonly processors: number;
+  /** Whether the durations of tasks are learned from finished runs, or expected as declared. */
+  readonly durationEstimates: 'learned' | 'declared';
   readonly log: EventLog;
   readonly metrics: HostMetrics;
   /** Called when a worker or the store shows that the leader lease is lost. */
--- a/packages/daemon/src/hostLimits.ts
+++ b/packages/daemon/src/hostLimits.ts
@@ -75,6 +75,14 @@
    * progress is written.
    */
   maxWholeBatchDelayMs: 1000,
+  /** Interval at which learned durations are written: a leader that is killed loses what it learned since. */
+  durationsIntervalMs: 10_000,
+  /** Pause after a failed read of the learned durations. */
+  durationsRetryMs: 1000,
+  /** Largest record of learned durations in bytes; the store accepts 1 MiB. */
+  maxDurationsBytes: 262_144,
+  /** Interval of the log lines about the error of the expected durations. */
+  durationsReportMs: 30_000,
   /** Pause after a failed write of progress or of the roster. */
   progressRetryMs: 100,
   /**
--- a/packages/daemon/src/storeKeys.ts
+++ b/packages/daemon/src/storeKeys.ts
@@ -20,6 +20,8 @@
   queueServices: 'toucanline/queue-services',
   /** Resources in use by worker and account, and the speeds of workers. */
   placements: 'toucanline/placements',
+  /** Learned durations by kind of work. */
+  durations: 'toucanline/durations',
   /** Replaced by each write of progress on condition of its revision, which serializes these writes. */
   progressOrder: 'toucanline/progress-order',
 });
