--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -5,7 +5,7 @@
 import { PendingSteps } from './PendingSteps.js';
 import { GangTaskPlacement } from './GangTaskPlacement.js';
 import { IndependentTaskPlacement } from './IndependentTaskPlacement.js';
-import type { ImageDurations } from './ImageDurations.js';
+import type { DurationEstimates } from './durations/DurationEstimates.js';
 import type { Job } from './Job.js';
 import type { JobRegistry } from './JobRegistry.js';
 import type { QueueSettings } from './QueueSettings.js';
@@ -42,6 +42,7 @@
   readonly #pool: WorkerPool;
   readonly #queues: QueueSettings;
   readonly #permits: PermitCache;
+  readonly #durations: DurationEstimates;
   readonly #pendingSteps: PendingSteps;
   readonly #permitRequests: PermitRequests;
   readonly #window = new PlanningWindow();
@@ -55,7 +56,7 @@
    * @param pool - known workers
    * @param queues - settings of the queues
    * @param permits - placement permits
-   * @param durations - mean durations by image
+   * @param durations - expected durations
    * @param isHeld - checks whether no tasks of a job may start now
    * @param firstRunNumber - lowest run number of the leader's term
    */
@@ -64,7 +65,7 @@
     pool: WorkerPool,
     queues: QueueSettings,
     permits: PermitCache,
-    durations: ImageDurations,
+    durations: DurationEstimates,
     isHeld: (job: Job, queue: QueueTerms) => boolean,
     firstRunNumber: number,
   ) {
@@ -72,6 +73,7 @@
     this.#pool = pool;
     this.#queues = queues;
     this.#permits = permits;
+    this.#durations = durations;
     this.#pendingSteps = new PendingSteps(jobs, queues, durations, isHeld);
     this.#turnOrder = new TurnOrder((stepKey) => permits.isRequested(stepKey));
     this.#permitRequests = new PermitRequests(permits, durations);
@@ -160,7 +162,7 @@
     const request = {
       step,
       maxTasks: this.#countWithinCap(step),
-      expectedMs: this.#pendingSteps.estimateDurationMs(step),
+      requiredMs: this.#durations.estimateRequiredMs(step),
       timeLeftMs: stepDeadline - now,
       contention,
     };
