--- a/packages/daemon/__tests__/JobService.test.ts
+++ b/packages/daemon/__tests__/JobService.test.ts
@@ -37,6 +37,7 @@
 class JsonDecoder extends StoreDecoder {
   public override readonly configurationKey = 'configuration';
   public override readonly workerPrefix = 'workers/';
+  public override readonly evacuationPrefix = 'evacuations/';
 
   public override decodeConfiguration(value: string): SiteConfiguration {
     return JSON.parse(value) as SiteConfiguration;
--- a/packages/daemon/src/DaemonSettings.ts
+++ b/packages/daemon/src/DaemonSettings.ts
@@ -16,6 +16,11 @@
   readonly leaderFitness: number;
   /** Time within which a withdrawn key must no longer be accepted, in milliseconds. */
   readonly revokeMs: number;
+  /**
+   * Time after the request to evacuate a data centre after which nothing may start there, in milliseconds. Absent if data
+   * centres are not evacuated.
+   */
+  readonly evacuationMs?: number;
   /** Longest time a worker takes to stop a run, in milliseconds. */
   readonly stopMs: number;
   /** Longest lease that a worker accepts, in milliseconds. */
--- a/packages/jobs/src/StoreDecoder.ts
+++ b/packages/jobs/src/StoreDecoder.ts
@@ -6,6 +6,8 @@
   public abstract readonly configurationKey: string;
   /** Key prefix of the workers' entries. */
   public abstract readonly workerPrefix: string;
+  /** Prefix of the keys that evacuate a data centre: the rest of such a key is the name of the data centre. */
+  public abstract readonly evacuationPrefix: string;
 
   /**
    * Decodes a site configuration.
--- a/scripts/checkWireNames.mjs
+++ b/scripts/checkWireNames.mjs
@@ -12,6 +12,8 @@
   'AntiAffinity',
   'MayMiss',
   'ColdLeftMs',
+  'EvacMs',
+  'op/evacuate',
   'EnforcesCapacity',
   'RemainingMs',
   'ExpectedRev',
