Start nothing on workers of evacuated data centres

Decisions for the evacuation of a data centre: its workers accept no tasks, so no start, reservation, preemption or request for permits names them. Nothing starts while the list of evacuated data centres is not confirmed. A step that fits only on evacuated workers is left out of the pass. Cold workers cost more, and their estimates are longer. A lease can be limited, so that a worker refuses a start that arrives late.

--- a/packages/jobs/src/EligibleWorkers.ts
+++ b/packages/jobs/src/EligibleWorkers.ts
@@ -1,5 +1,6 @@
 import type { Room } from '@toucanline/schema';
 import type { PendingStep } from './PendingStep.js';
+import type { Evacuations } from './placement/Evacuations.js';
 import { resources } from './resources.js';
 import type { Worker } from './Worker.js';
 
@@ -9,19 +10,36 @@
   readonly members: ReadonlySet<Worker>;
   /** Largest free capacity in each dimension: a task that exceeds it fits on no worker of the group. */
   readonly maxFree: Room;
+  /** Matching workers outside the evacuated data centres, also ones that accept no tasks now; empty without evacuation. */
+  readonly staying: readonly Worker[];
+  /** Matching workers in evacuated data centres, none of which accepts tasks. */
+  readonly evacuated: readonly Worker[];
 }
 
 /** Workers that accept tasks during one planning pass, grouped once for all steps with the same requirements. */
 export class EligibleWorkers {
   readonly #accepting: readonly Worker[];
+  readonly #staying: readonly Worker[];
+  readonly #evacuated: readonly Worker[];
   readonly #groups = new Map<string, EligibleGroup>();
 
   /**
    * @param all - all known workers
    * @param now - monotonic time of the pass, in milliseconds
+   * @param evacuations - data centres whose workers accept no tasks; undefined if none can be evacuated
    */
-  public constructor(all: readonly Worker[], now: number) {
-    this.#accepting = all.filter((worker) => worker.canAcceptTasks(now));
+  public constructor(all: readonly Worker[], now: number, evacuations?: Evacuations) {
+    const accepting = all.filter((worker) => worker.canAcceptTasks(now));
+    if (evacuations === undefined || evacuations.dataCentres.size === 0) {
+      this.#accepting = accepting;
+      this.#staying = [];
+      this.#evacuated = [];
+      return;
+    }
+    const lasting = all.filter(({ isListed, entry }) => isListed && !entry.isDraining);
+    this.#accepting = accepting.filter((worker) => !evacuations.covers(worker));
+    this.#staying = lasting.filter((worker) => !evacuations.covers(worker));
+    this.#evacuated = lasting.filter((worker) => evacuations.covers(worker));
   }
 
   /**
@@ -35,11 +53,10 @@
     const key = JSON.stringify([queue.service, requiredLabel]);
     const known = this.#groups.get(key);
     if (known !== undefined) return known;
-    const workers = this.#accepting.filter(
-      ({ entry }) =>
-        entry.service === queue.service &&
-        (requiredLabel === undefined || entry.labels.includes(requiredLabel)),
-    );
+    const isMatching = ({ entry }: Worker): boolean =>
+      entry.service === queue.service &&
+      (requiredLabel === undefined || entry.labels.includes(requiredLabel));
+    const workers = this.#accepting.filter(isMatching);
     const maxFree = workers.reduce<Room>(
       (max, { free }) => ({
         milliProcessors: Math.max(max.milliProcessors, free.milliProcessors),
@@ -48,7 +65,13 @@
       }),
       resources.none,
     );
-    const group = { workers, members: new Set(workers), maxFree };
+    const group = {
+      workers,
+      members: new Set(workers),
+      maxFree,
+      staying: this.#staying.filter(isMatching),
+      evacuated: this.#evacuated.filter(isMatching),
+    };
     this.#groups.set(key, group);
     return group;
   }
--- a/packages/jobs/src/PlacementRequest.ts
+++ b/packages/jobs/src/PlacementRequest.ts
@@ -1,5 +1,6 @@
 import type { Contention } from './Contention.js';
 import type { StepInstance } from './StepInstance.js';
+import type { Worker } from './Worker.js';
 
 /** Request to choose workers for the waiting tasks of a step. */
 export interface PlacementRequest {
@@ -15,4 +16,11 @@
   readonly timeLeftMs: number;
   /** How much the pending large tasks depend on each worker. */
   readonly contention: Contention;
+  /**
+   * Computes for how long a worker stays cold, and therefore slow.
+   *
+   * @param worker - worker to check
+   * @returns time in milliseconds; 0 if the worker is warm
+   */
+  readonly computeColdLeftMs: (worker: Worker) => number;
 }
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -13,6 +13,9 @@
 import type { PermitCache } from './PermitCache.js';
 import { EligibleWorkers } from './EligibleWorkers.js';
 import { PermitRequests } from './PermitRequests.js';
+import { BlockedSteps } from './placement/BlockedSteps.js';
+import { ColdWorkers } from './placement/ColdWorkers.js';
+import type { Evacuations } from './placement/Evacuations.js';
 import { PlanningPass } from './PlanningPass.js';
 import { PlanningWindow } from './PlanningWindow.js';
 import { resources } from './resources.js';
@@ -37,6 +40,10 @@
 
 /** Decides which waiting tasks start on which workers. */
 export class Planner {
+  /** Steps that wait for the end of an evacuation. */
+  public readonly blockedSteps: BlockedSteps;
+  readonly #evacuations: Evacuations;
+  readonly #coldWorkers = new ColdWorkers();
   readonly #jobs: JobRegistry;
   readonly #pool: WorkerPool;
   readonly #queues: QueueSettings;
@@ -55,6 +62,7 @@
    * @param durations - mean durations by image
    * @param isHeld - checks whether no tasks of a job may start now
    * @param firstRunNumber - lowest run number of the leader's term
+   * @param evacuations - data centres on whose workers nothing starts
    */
   public constructor(
     jobs: JobRegistry,
@@ -64,7 +72,10 @@
     durations: ImageDurations,
     isHeld: (job: Job, queue: QueueConfiguration) => boolean,
     firstRunNumber: number,
+    evacuations: Evacuations,
   ) {
+    this.#evacuations = evacuations;
+    this.blockedSteps = new BlockedSteps(evacuations, permits);
     this.#jobs = jobs;
     this.#pool = pool;
     this.#queues = queues;
@@ -83,8 +94,10 @@
    */
   public plan(now: number): readonly Command[] {
     const pass = new PlanningPass(now, this.#queues);
-    const eligible = new EligibleWorkers(this.#pool.all, now);
-    const selected = this.#window.select(this.#pendingSteps.collect(now));
+    const eligible = new EligibleWorkers(this.#pool.all, now, this.#evacuations);
+    this.#coldWorkers.update(this.#pool.all, now);
+    const unblocked = this.blockedSteps.selectUnblocked(this.#pendingSteps.collect(now), now);
+    const selected = this.blockedSteps.examine(this.#window.select(unblocked), eligible, now);
     const ready = selected.map((pending): PlaceableStep => {
       const { workers, members, maxFree } = eligible.find(pending);
       const { step, queue } = pending;
@@ -151,6 +164,7 @@
       expectedMs: this.#pendingSteps.estimateDurationMs(step),
       timeLeftMs: stepDeadline - now,
       contention,
+      computeColdLeftMs: (worker: Worker) => this.#coldWorkers.computeLeftMs(worker, now),
     };
     return placement.choose(request, fitting, reservations);
   }
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -19,6 +19,8 @@
 import type { Command } from './Command.js';
 import { PermitCache } from './PermitCache.js';
 import { Planner } from './Planner.js';
+import type { BlockedSteps } from './placement/BlockedSteps.js';
+import { Evacuations } from './placement/Evacuations.js';
 import { PendingProgress } from './PendingProgress.js';
 import { RunStopper } from './RunStopper.js';
 import { schedulingLimits } from './schedulingLimits.js';
@@ -38,6 +40,8 @@
   public readonly progress: PendingProgress;
   /** Services on whose workers tasks of each queue may run. */
   public readonly queueServices: QueueServices;
+  /** Data centres on whose workers nothing starts. */
+  public readonly evacuations = new Evacuations();
   readonly #jobs = new JobRegistry();
   readonly #pool: WorkerPool;
   readonly #queues = new QueueSettings();
@@ -85,6 +89,7 @@
       this.#durations,
       (job, queue) => this.#isHeld(job, queue),
       this.#firstRunNumber,
+      this.evacuations,
     );
   }
 
@@ -93,6 +98,11 @@
     return this.#pool.all;
   }
 
+  /** Steps that wait for the end of an evacuation. */
+  public get blockedSteps(): BlockedSteps {
+    return this.#planner.blockedSteps;
+  }
+
   /** Number of changes of the usage of accounts with a cap. It changes whenever the usage does. */
   public get cappedUsageChanges(): number {
     let count = 0;
@@ -348,7 +358,8 @@
     }
     const stops = this.#runStopper.collectStops(this.#pool.all, now);
     for (const job of this.#jobs.openJobs) if (job.isFinished) this.#closeJob(job);
-    const planned = this.#planner.plan(now);
+    // Nothing starts while another data centre may have been evacuated; stops go on.
+    const planned = this.evacuations.isConfirmed ? this.#planner.plan(now) : [];
     for (const command of planned)
       if (command.kind === 'stop') this.#runStopper.recordSent(command.task, now);
     return [...stops, ...planned];
--- a/packages/jobs/src/Worker.ts
+++ b/packages/jobs/src/Worker.ts
@@ -262,12 +262,15 @@
    * Computes the expiry of a lease that is granted now, and records it.
    *
    * @param now - monotonic time in milliseconds
+   * @param longestMs - time in milliseconds after which the lease has certainly expired, also if the worker's clock runs
+   * slowly; unlimited by default
    * @returns expiry on the worker's clock, in milliseconds
    */
-  public extendLease(now: number): number {
+  public extendLease(now: number, longestMs = Infinity): number {
     const elapsedMs = this.#clockReadAt === undefined ? 0 : now - this.#clockReadAt;
     const grantedMs = this.#maxLeaseMs * schedulingLimits.grantedLeaseShare;
-    const leaseUntilMs = Math.floor(this.#clockMs + elapsedMs + grantedMs);
+    const limitMs = (elapsedMs + longestMs) * schedulingLimits.minClockRate;
+    const leaseUntilMs = Math.floor(this.#clockMs + Math.min(elapsedMs + grantedMs, limitMs));
     this.#leaseUntilMs = Math.max(this.#leaseUntilMs, leaseUntilMs);
     return leaseUntilMs;
   }
--- a/packages/jobs/src/computeWorkerCost.ts
+++ b/packages/jobs/src/computeWorkerCost.ts
@@ -1,3 +1,4 @@
+import { computeColdFactor } from './placement/computeColdFactor.js';
 import type { PlacementRequest } from './PlacementRequest.js';
 import { schedulingLimits } from './schedulingLimits.js';
 import type { Worker } from './Worker.js';
@@ -8,27 +9,37 @@
 const emptyWorkerCost = 0.25;
 /** Cost of each waiting task that depends on the worker: less than the difference between a fast and a slow worker. */
 const contentionCost = 0.15;
+/**
+ * Cost of a task that takes twice as long because the worker is cold: more than the difference between an empty and a
+ * full worker, so that a data centre that returns to use does not get all work at once.
+ */
+const coldWorkerCost = 1;
 /** Cost that ranks workers on which a step would be late behind all on which it would not. */
 const missedDeadlineCost = 100;
 
 /**
  * Computes the cost of placing the tasks of a step on a worker. Among the workers on which the step is in time, slower
- * ones cost less, so that the fast workers stay free for urgent work.
+ * ones cost less, so that the fast workers stay free for urgent work. Cold workers cost more: they are slow only for a
+ * while, and warm up without work as well.
  *
  * @param request - step, expected duration and time left
  * @param worker - candidate worker
  * @returns cost; lower is better
  */
 export const computeWorkerCost = (request: PlacementRequest, worker: Worker): number => {
-  const { step, expectedMs, timeLeftMs, contention } = request;
+  const { step, expectedMs, timeLeftMs, contention, computeColdLeftMs } = request;
   const { preferredRack } = step.description;
   const isRemote = preferredRack !== undefined && worker.rack !== preferredRack;
   const { milliProcessors } = worker.entry.capacity;
   const freeShare = milliProcessors > 0 ? worker.free.milliProcessors / milliProcessors : 0;
   const dataCost = isRemote ? 1 + remoteDataCost : 1;
   const { durationFactor: slowdown } = worker.speed;
-  const isInTime =
-    expectedMs * slowdown * dataCost * schedulingLimits.placementSafetyFactor <= timeLeftMs;
-  const extraCost = freeShare * emptyWorkerCost + contention.findWeight(worker) * contentionCost;
+  const warmMs = expectedMs * slowdown * dataCost;
+  const coldFactor = computeColdFactor(warmMs, computeColdLeftMs(worker));
+  const isInTime = warmMs * coldFactor * schedulingLimits.placementSafetyFactor <= timeLeftMs;
+  const extraCost =
+    freeShare * emptyWorkerCost +
+    contention.findWeight(worker) * contentionCost +
+    (coldFactor - 1) * coldWorkerCost;
   return (isInTime ? dataCost - slowdown : missedDeadlineCost + slowdown * dataCost) + extraCost;
 };
--- a/packages/jobs/src/findViolations.ts
+++ b/packages/jobs/src/findViolations.ts
@@ -1,9 +1,10 @@
 import type { Room } from '@toucanline/schema';
 import type { Command } from './Command.js';
+import type { Evacuations } from './placement/Evacuations.js';
 
 /** An invariant that a start command violates. */
 interface Violation {
-  readonly rule: 'room' | 'cap' | 'dependencies' | 'suspension';
+  readonly rule: 'room' | 'cap' | 'dependencies' | 'suspension' | 'evacuation';
   readonly task: string;
   readonly worker: string;
 }
@@ -16,9 +17,13 @@
  * planner independently, so that a planner fault appears in logs and metrics, not only on the workers.
  *
  * @param commands - commands of the pass; tasks to be started are already placed
+ * @param evacuations - evacuated data centres; undefined if none can be evacuated
  * @returns violated invariants; empty unless the planner is faulty
  */
-export const findViolations = (commands: readonly Command[]): readonly Violation[] =>
+export const findViolations = (
+  commands: readonly Command[],
+  evacuations?: Evacuations,
+): readonly Violation[] =>
   commands.flatMap((command): readonly Violation[] => {
     if (command.kind !== 'start') return [];
     const { task, worker } = command;
@@ -33,5 +38,7 @@
     if (task.step.job.account.isOverCap) violations.push(createViolation('cap'));
     if (!task.step.isReady) violations.push(createViolation('dependencies'));
     if (worker.isSuspended) violations.push(createViolation('suspension'));
+    if (evacuations?.covers(worker) === true || evacuations?.isConfirmed === false)
+      violations.push(createViolation('evacuation'));
     return violations;
   });
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -40,6 +40,8 @@
 export { WorkerSpeed } from './WorkerSpeed.js';
 export { comparePendingSteps } from './comparePendingSteps.js';
 export { describePlacements } from './describePlacements.js';
+export type { BlockedSteps } from './placement/BlockedSteps.js';
+export { Evacuations } from './placement/Evacuations.js';
 export { PendingProgress } from './PendingProgress.js';
 export { formatIncarnation } from './formatIncarnation.js';
 export { findViolations } from './findViolations.js';
