Follow the evacuations of the operator in the leader

The leader lists and watches the keys of evacuated data centres if the settings have a bound, and starts nothing while its view is older than the bound less 1.2 s. The lease of each start ends 0.2 s before the age of the view reaches the bound, so a start that is delayed on its way is refused by the worker. Idle workers report every 20 s, because that lease depends on their clocks.

--- a/packages/daemon/src/CommandDispatcher.ts
+++ b/packages/daemon/src/CommandDispatcher.ts
@@ -14,6 +14,7 @@
   readonly #scheduler: Scheduler;
   readonly #findSession: (worker: Worker) => WorkerSession | undefined;
   readonly #onChange: () => void;
+  readonly #computeStartTimeLeftMs: () => number;
   #isStopped = false;
 
   /**
@@ -22,6 +23,8 @@
    * @param scheduler - receives the outcomes
    * @param findSession - finds the session of a worker
    * @param onChange - called when an outcome may allow new decisions
+   * @param computeStartTimeLeftMs - computes for how long a start that is sent now may be executed, in milliseconds; 0 or
+   * less if none may be sent
    */
   public constructor(
     dependencies: LeaderDependencies,
@@ -29,12 +32,14 @@
     scheduler: Scheduler,
     findSession: (worker: Worker) => WorkerSession | undefined,
     onChange: () => void,
+    computeStartTimeLeftMs: () => number,
   ) {
     this.#dependencies = dependencies;
     this.#leaderLease = leaderLease;
     this.#scheduler = scheduler;
     this.#findSession = findSession;
     this.#onChange = onChange;
+    this.#computeStartTimeLeftMs = computeStartTimeLeftMs;
   }
 
   /** Ignores all outcomes from now on. */
@@ -83,7 +88,8 @@
   async #start(command: StartCommand): Promise<void> {
     const { workerClient, log } = this.#dependencies;
     const { task, worker, run, permit } = command;
-    if (!this.#leaderLease.canIssueCommands) {
+    const startTimeLeftMs = this.#computeStartTimeLeftMs();
+    if (!this.#leaderLease.canIssueCommands || startTimeLeftMs <= 0) {
       this.#scheduler.handleStartOutcome(command, 'late', performance.now());
       return;
     }
@@ -92,7 +98,8 @@
       task: task.name,
       run,
       payload: task.step.job.record.specification.payload,
-      leaseUntilMs: worker.extendLease(sentAt),
+      // The worker refuses a start that arrives after its lease, however long it was on the way.
+      leaseUntilMs: worker.extendLease(sentAt, startTimeLeftMs),
       term: this.#leaderLease.term,
       ...(task.checkpoint === '' ? {} : { checkpoint: task.checkpoint }),
       ...(permit === undefined ? {} : { permit }),
--- a/packages/daemon/src/HostMetrics.ts
+++ b/packages/daemon/src/HostMetrics.ts
@@ -1,4 +1,4 @@
-import { Counter, Histogram, Registry } from 'prom-client';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 /** Upper bounds of the buckets, in seconds: accepting a job takes a store call of 4 ms, callers wait 3 s at most. */
 const durationBucketsSeconds = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
@@ -9,6 +9,8 @@
   readonly #events: Counter<'event'>;
   readonly #calls: Histogram<'method' | 'status'>;
   readonly #starts: Histogram;
+  readonly #evacuatedDataCentres: Gauge;
+  readonly #blockedSteps: Gauge<'reason'>;
 
   public constructor() {
     const registers = [this.#registry];
@@ -31,6 +33,17 @@
       buckets: durationBucketsSeconds,
       registers,
     });
+    this.#evacuatedDataCentres = new Gauge({
+      name: 'toucanline_evacuated_data_centres',
+      help: 'Data centres on whose workers the leader starts nothing; 0 on other hosts.',
+      registers,
+    });
+    this.#blockedSteps = new Gauge({
+      name: 'toucanline_blocked_steps',
+      help: 'Steps that cannot start at present, by reason; 0 on hosts other than the leader.',
+      labelNames: ['reason'],
+      registers,
+    });
   }
 
   /** Media type of the rendered text. */
@@ -67,6 +80,25 @@
     this.#starts.observe(durationMs / 1000);
   }
 
+  /**
+   * Sets the number of evacuated data centres.
+   *
+   * @param count - number of data centres
+   */
+  public setEvacuatedDataCentres(count: number): void {
+    this.#evacuatedDataCentres.set(count);
+  }
+
+  /**
+   * Sets the number of steps that cannot start.
+   *
+   * @param reason - why they cannot start
+   * @param count - number of steps
+   */
+  public setBlockedSteps(reason: 'evacuation', count: number): void {
+    this.#blockedSteps.set({ reason }, count);
+  }
+
   /**
    * Renders all metrics.
    *
--- a/packages/daemon/src/HostTimes.ts
+++ b/packages/daemon/src/HostTimes.ts
@@ -1,4 +1,5 @@
 import type { WorkerBounds } from '@toucanline/jobs';
+import type { EvacuationTimes } from './EvacuationTimes.js';
 
 /** Times of a host process that depend on the bounds of the site, in milliseconds. */
 export interface HostTimes {
@@ -11,6 +12,8 @@
   readonly maxConfigurationAgeMs: number;
   /** Longest wait of one watch call for the configuration. */
   readonly configurationWatchMs: number;
+  /** Times that keep the bound for evacuations; absent if data centres are not evacuated. */
+  readonly evacuation?: EvacuationTimes;
   /** Time for which a stopping host still accepts connections. */
   readonly drainMs: number;
 }
--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -12,6 +12,7 @@
 import { ProgressWriter } from './ProgressWriter.js';
 import { RosterManager } from './RosterManager.js';
 import { StateLoader } from './StateLoader.js';
+import { EvacuationWatch } from './EvacuationWatch.js';
 import { PrefixWatch } from './PrefixWatch.js';
 import { runGuarded } from './runGuarded.js';
 import { storeKeys } from './storeKeys.js';
@@ -33,6 +34,8 @@
   readonly #rosterManager: RosterManager;
   readonly #commandDispatcher: CommandDispatcher;
   readonly #cleanup: JobCleanup;
+  /** Undefined if data centres are not evacuated. */
+  readonly #evacuationWatch: EvacuationWatch | undefined;
   #lastPlanAt = 0;
   /** Duration of the last planning pass, in milliseconds. */
   #lastPlanMs = 0;
@@ -60,11 +63,24 @@
     const schedulePlan = (): void => {
       this.#schedulePlan();
     };
+    const { evacuation } = dependencies.times;
+    this.#evacuationWatch =
+      evacuation &&
+      new EvacuationWatch({
+        store: dependencies.store,
+        prefix: dependencies.decoder.evacuationPrefix,
+        times: evacuation,
+        evacuations: this.#scheduler.evacuations,
+        log: dependencies.log,
+        metrics: dependencies.metrics,
+        onChange: schedulePlan,
+      });
     this.#sessions = new WorkerSessions(
       {
         scheduler: this.#scheduler,
         workerClient: dependencies.workerClient,
         reportWaitMs: dependencies.times.reportWaitMs,
+        ...(evacuation !== undefined && { idleReportMs: hostLimits.idleReportMs }),
         leaderLease,
         log: dependencies.log,
         onChange: schedulePlan,
@@ -86,6 +102,7 @@
       this.#scheduler,
       (worker) => this.#sessions.find(worker),
       schedulePlan,
+      () => this.#evacuationWatch?.startTimeLeftMs ?? Infinity,
     );
     this.#cleanup = new JobCleanup(dependencies, leaderLease, this.#scheduler);
     this.#changeHandler = new StoreChangeHandler(
@@ -140,6 +157,7 @@
 
   /** Loads the stored state, with retries, and starts to schedule. */
   public async start(): Promise<void> {
+    this.#evacuationWatch?.start();
     while (!this.#isStopped && !(await this.#loadState())) {
       if (this.#loader.ageMs > hostLimits.leaderLoadTimeoutMs) {
         await this.#dependencies.onResign('the stored state was not loaded in time');
@@ -170,6 +188,9 @@
     this.#progressWriter?.stop();
     for (const watch of this.#watches) watch.stop();
     this.#sessions.stopAll();
+    this.#evacuationWatch?.stop();
+    if (this.#evacuationWatch !== undefined)
+      this.#dependencies.metrics.setBlockedSteps('evacuation', 0);
   }
 
   /** Stops planning and writes pending progress, before the leader lease is given up. */
@@ -304,18 +325,35 @@
     this.#changeHandler.applyDeferred();
     this.#sessions.update(this.#scheduler.workers);
     this.#rosterManager.update(this.#lastPlanAt);
+    this.#evacuationWatch?.update();
     const commands = this.#scheduler.plan(this.#lastPlanAt, Date.now(), this.#leaderLease.isValid);
-    for (const { rule, task, worker } of findViolations(commands)) {
+    const violations = findViolations(commands, this.#scheduler.evacuations);
+    for (const { rule, task, worker } of violations) {
       this.#dependencies.log.write('invariantViolated', { rule, task, worker });
     }
     this.#commandDispatcher.dispatch(commands, this.#lastPlanAt);
     for (const command of commands)
       if (command.kind === 'advise') this.#adviceDispatcher.dispatch(command);
+    if (this.#evacuationWatch !== undefined) this.#reportBlockedSteps();
     this.#progressWriter?.requestWrite();
     this.#lastPlanMs = performance.now() - this.#lastPlanAt;
     this.#scheduler.recordPassDuration(this.#lastPlanMs);
   }
 
+  #reportBlockedSteps(): void {
+    const { log, metrics } = this.#dependencies;
+    const { blockedSteps, evacuations } = this.#scheduler;
+    metrics.setBlockedSteps('evacuation', blockedSteps.count);
+    for (const { key, job, description, waitingCount } of blockedSteps.takeAdded())
+      log.write('stepBlockedByEvacuation', {
+        request: job.id,
+        step: key,
+        dataCentres: [...evacuations.dataCentres].join(' '),
+        label: description.requiredLabel ?? '',
+        tasks: waitingCount,
+      });
+  }
+
   #handleProgressWritten(): void {
     this.#sessions.wakeAll();
     this.#schedulePlan();
--- a/packages/daemon/src/SessionContext.ts
+++ b/packages/daemon/src/SessionContext.ts
@@ -11,6 +11,8 @@
   readonly log: EventLog;
   /** Longest time for which a worker delays a report until a run ends, in milliseconds. */
   readonly reportWaitMs: number;
+  /** Interval of the reports of an idle worker, in milliseconds; absent if idle workers need not report. */
+  readonly idleReportMs?: number;
   /** Controls the pause between two reports of a worker. */
   readonly pacing: ReportPacing;
   /** Called when a change may allow new decisions. */
--- a/packages/daemon/src/WorkerSession.ts
+++ b/packages/daemon/src/WorkerSession.ts
@@ -66,12 +66,28 @@
   }
 
   async #step(): Promise<void> {
-    if (!this.#isReportNeeded) await this.#sleep(undefined);
+    if (!this.#isReportNeeded) await this.#sleepIdle();
     else if (!this.#context.leaderLease.canIssueCommands)
       await this.#sleep(hostLimits.reportRetryMs);
     else await this.#pollReport();
   }
 
+  /** Waits until a report is needed, and meanwhile reads the clock of the worker at intervals if that is required. */
+  async #sleepIdle(): Promise<void> {
+    const { idleReportMs, leaderLease, workerClient } = this.#context;
+    await this.#sleep(idleReportMs);
+    if (idleReportMs === undefined || this.#hasStopped() || this.#isReportNeeded) return;
+    const worker = this.#worker;
+    if (!leaderLease.canIssueCommands || performance.now() - worker.lastContactAt < idleReportMs)
+      return;
+    const sentAt = performance.now();
+    const { term } = leaderLease;
+    const report = await workerClient.requestReport(worker.entry, term, 0, undefined, 0);
+    // A worker that is started again under its id is found out by the next call to it, as without this report.
+    if (this.#hasStopped() || typeof report === 'string' || report.life !== worker.life) return;
+    if (worker.lastContactAt < sentAt) worker.recordContact(report.clockMs, performance.now());
+  }
+
   #hasStopped(): boolean {
     return this.#isStopped;
   }
--- a/packages/daemon/src/computeHostTimes.ts
+++ b/packages/daemon/src/computeHostTimes.ts
@@ -1,11 +1,12 @@
 import type { DaemonSettings } from './DaemonSettings.js';
+import type { EvacuationTimes } from './EvacuationTimes.js';
 import { hostLimits } from './hostLimits.js';
 import type { HostTimes } from './HostTimes.js';
 
 /** Bounds of a site, from the settings of a host. */
 type SiteBounds = Pick<
   DaemonSettings,
-  'stopMs' | 'maxLeaseMs' | 'statusMs' | 'revokeMs' | 'graceMs'
+  'stopMs' | 'maxLeaseMs' | 'statusMs' | 'revokeMs' | 'graceMs' | 'evacuationMs'
 >;
 
 /** Number of delayed reports that a lease outlives: reports renew leases, and some are lost. */
@@ -14,6 +15,11 @@
 const watchCallsPerAge = 2.5;
 /** Retention relative to the time for which the platform requires it: clocks jump, and the cleanup is periodic. */
 const retentionFactor = 1.5;
+/** Number of watch calls for evacuations in the longest age of their list. */
+const evacuationCallsPerAge = 6;
+/** Largest shares of the bound for evacuations that are kept as margins. */
+const maxEvacuationMarginShare = 0.4;
+const maxStartExpiryMarginShare = 0.1;
 /** Largest share of the time for withdrawing a key that is kept as a margin. */
 const maxRevocationMarginShare = 0.4;
 
@@ -24,7 +30,7 @@
  * @returns times that keep the bounds
  */
 export const computeHostTimes = (bounds: SiteBounds): HostTimes => {
-  const { stopMs, maxLeaseMs, statusMs, revokeMs, graceMs } = bounds;
+  const { stopMs, maxLeaseMs, statusMs, revokeMs, graceMs, evacuationMs } = bounds;
   const maxConfigurationAgeMs = Math.floor(
     revokeMs - Math.min(hostLimits.keyRevocationMarginMs, revokeMs * maxRevocationMarginShare),
   );
@@ -36,6 +42,21 @@
     configurationWatchMs: Math.floor(
       Math.min(hostLimits.configurationWatchMs, maxConfigurationAgeMs / watchCallsPerAge),
     ),
+    ...(evacuationMs !== undefined && { evacuation: computeEvacuationTimes(evacuationMs) }),
     drainMs: Math.max(0, Math.min(hostLimits.drainMs, graceMs - hostLimits.exitMarginMs)),
   };
 };
+
+const computeEvacuationTimes = (boundMs: number): EvacuationTimes => {
+  const { evacuationMarginMs, startExpiryMarginMs } = hostLimits;
+  const { evacuationWatchMs, minEvacuationWatchMs } = hostLimits;
+  const maxAgeMs = boundMs - Math.min(evacuationMarginMs, boundMs * maxEvacuationMarginShare);
+  return {
+    maxAgeMs,
+    startExpiryMs: boundMs - Math.min(startExpiryMarginMs, boundMs * maxStartExpiryMarginShare),
+    watchMs: Math.max(
+      minEvacuationWatchMs,
+      Math.floor(Math.min(evacuationWatchMs, maxAgeMs / evacuationCallsPerAge)),
+    ),
+  };
+};
--- a/packages/daemon/src/hostLimits.ts
+++ b/packages/daemon/src/hostLimits.ts
@@ -8,6 +8,27 @@
   leaseSafetyMarginMs: 150,
   /** Longest wait of one watch call for the configuration, if keys need not be withdrawn sooner. */
   configurationWatchMs: 1500,
+  /**
+   * Starts are held this long before the age of the evacuations reaches the bound of the site. A start that is sent just
+   * before has a lease of this time less the next margin, which must last until the first report renews it.
+   */
+  evacuationMarginMs: 1200,
+  /** The lease of a start ends this long before the bound: covers clocks that differ by 2% over the bound. */
+  startExpiryMarginMs: 200,
+  /**
+   * Longest wait of one watch call for evacuations. After a watch call without an answer, three further calls fit into
+   * the longest age, since the store at times loses a third of its answers.
+   */
+  evacuationWatchMs: 600,
+  /** Shortest wait of one watch call for evacuations, so that a small bound does not flood the store with calls. */
+  minEvacuationWatchMs: 50,
+  /** Time for which starts are held before that is logged: a new leader holds them until its first read. */
+  evacuationHoldLogMs: 500,
+  /**
+   * Interval of the reports of an idle worker where data centres can be evacuated. Its clock must be known well for a
+   * lease that ends at a given time: within 20 s it drifts by 400 ms.
+   */
+  idleReportMs: 20_000,
   /** Longest wait of one watch call for the keys of the election. */
   electionWatchMs: 2000,
   /** Longest wait of one watch call of the leader for jobs or workers. */
