--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -20,6 +20,7 @@
 import { ProgressWriter } from './ProgressWriter.js';
 import { RosterManager } from './RosterManager.js';
 import { StateLoader } from './StateLoader.js';
+import { EvacuationWatch } from './EvacuationWatch.js';
 import { PrefixWatch } from './PrefixWatch.js';
 import { runGuarded } from './runGuarded.js';
 import { storeKeys } from './storeKeys.js';
@@ -42,6 +43,8 @@
   readonly #cleanup: JobCleanup;
   readonly #durationStore: DurationStore;
   readonly #durationReporter: DurationReporter;
+  /** Undefined if data centres are not evacuated. */
+  readonly #evacuationWatch: EvacuationWatch | undefined;
   #lastPlanAt = 0;
   /** Duration of the last planning pass, in milliseconds. */
   #lastPlanMs = 0;
@@ -75,11 +78,24 @@
     const schedulePlan = (): void => {
       this.#schedulePlan();
     };
+    const { evacuation } = dependencies.times;
+    this.#evacuationWatch =
+      evacuation &&
+      new EvacuationWatch({
+        store: dependencies.store,
+        prefix: dependencies.decoder.evacuationPrefix,
+        times: evacuation,
+        evacuations: this.#scheduler.evacuations,
+        log: dependencies.log,
+        metrics: dependencies.metrics,
+        onChange: schedulePlan,
+      });
     this.#sessions = new WorkerSessions(
       {
         scheduler: this.#scheduler,
         workerClient: dependencies.workerClient,
         reportWaitMs: dependencies.times.reportWaitMs,
+        ...(evacuation !== undefined && { idleReportMs: hostLimits.idleReportMs }),
         leaderLease,
         log: dependencies.log,
         onChange: schedulePlan,
@@ -101,6 +117,7 @@
       this.#scheduler,
       (worker) => this.#sessions.find(worker),
       schedulePlan,
+      () => this.#evacuationWatch?.startTimeLeftMs ?? Infinity,
     );
     this.#cleanup = new JobCleanup(dependencies, leaderLease, this.#scheduler);
     this.#changeHandler = new StoreChangeHandler(
@@ -152,6 +169,7 @@
   /** Loads the stored state, with retries, and starts to schedule. */
   public async start(): Promise<void> {
     void this.#durationStore.start();
+    this.#evacuationWatch?.start();
     while (!this.#isStopped && !(await this.#loadState())) {
       if (this.#loader.ageMs > hostLimits.leaderLoadTimeoutMs) {
         await this.#dependencies.onResign('the stored state was not loaded in time');
@@ -183,6 +201,9 @@
     this.#durationStore.stop();
     for (const watch of this.#watches) watch.stop();
     this.#sessions.stopAll();
+    this.#evacuationWatch?.stop();
+    if (this.#evacuationWatch !== undefined)
+      this.#dependencies.metrics.setBlockedSteps('evacuation', 0);
   }
 
   /** Stops planning and writes pending progress, before the leader lease is given up. */
@@ -317,20 +338,37 @@
     this.#changeHandler.applyDeferred();
     this.#sessions.update(this.#scheduler.workers);
     this.#rosterManager.update(this.#lastPlanAt);
+    this.#evacuationWatch?.update();
     const commands = this.#scheduler.plan(this.#lastPlanAt, Date.now(), this.#leaderLease.isValid);
-    for (const { rule, task, worker } of findViolations(commands)) {
+    const violations = findViolations(commands, this.#scheduler.evacuations);
+    for (const { rule, task, worker } of violations) {
       this.#dependencies.log.write('invariantViolated', { rule, task, worker });
     }
     this.#commandDispatcher.dispatch(commands, this.#lastPlanAt);
     this.#adviceDispatcher.setTurns(this.#scheduler.turnKeys);
     for (const command of commands)
       if (command.kind === 'advise') this.#adviceDispatcher.dispatch(command);
+    if (this.#evacuationWatch !== undefined) this.#reportBlockedSteps();
     this.#progressWriter?.requestWrite();
     this.#durationReporter.update(this.#lastPlanAt);
     this.#lastPlanMs = performance.now() - this.#lastPlanAt;
     this.#scheduler.recordPassDuration(this.#lastPlanMs);
   }
 
+  #reportBlockedSteps(): void {
+    const { log, metrics } = this.#dependencies;
+    const { blockedSteps, evacuations } = this.#scheduler;
+    metrics.setBlockedSteps('evacuation', blockedSteps.count);
+    for (const { key, job, description, waitingCount } of blockedSteps.takeAdded())
+      log.write('stepBlockedByEvacuation', {
+        request: job.id,
+        step: key,
+        dataCentres: [...evacuations.dataCentres].join(' '),
+        label: description.requiredLabel ?? '',
+        tasks: waitingCount,
+      });
+  }
+
   #handleProgressWritten(): void {
     this.#sessions.wakeAll();
     this.#schedulePlan();
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -13,6 +13,9 @@
 import type { PermitCache } from './PermitCache.js';
 import { EligibleWorkers } from './EligibleWorkers.js';
 import { PermitRequests } from './PermitRequests.js';
+import { BlockedSteps } from './placement/BlockedSteps.js';
+import { ColdWorkers } from './placement/ColdWorkers.js';
+import type { Evacuations } from './placement/Evacuations.js';
 import { PlanningPass } from './PlanningPass.js';
 import { PlanningWindow } from './PlanningWindow.js';
 import { TurnOrder } from './backlog/TurnOrder.js';
@@ -38,6 +41,10 @@
 
 /** Decides which waiting tasks start on which workers. */
 export class Planner {
+  /** Steps that wait for the end of an evacuation. */
+  public readonly blockedSteps: BlockedSteps;
+  readonly #evacuations: Evacuations;
+  readonly #coldWorkers = new ColdWorkers();
   readonly #jobs: JobRegistry;
   readonly #pool: WorkerPool;
   readonly #queues: QueueSettings;
@@ -59,6 +66,7 @@
    * @param durations - expected durations
    * @param isHeld - checks whether no tasks of a job may start now
    * @param firstRunNumber - lowest run number of the leader's term
+   * @param evacuations - data centres on whose workers nothing starts
    */
   public constructor(
     jobs: JobRegistry,
@@ -68,7 +76,10 @@
     durations: DurationEstimates,
     isHeld: (job: Job, queue: QueueTerms) => boolean,
     firstRunNumber: number,
+    evacuations: Evacuations,
   ) {
+    this.#evacuations = evacuations;
+    this.blockedSteps = new BlockedSteps(evacuations, permits);
     this.#jobs = jobs;
     this.#pool = pool;
     this.#queues = queues;
@@ -94,11 +105,13 @@
    */
   public plan(now: number): readonly Command[] {
     const pass = new PlanningPass(now, this.#queues);
-    const eligible = new EligibleWorkers(this.#pool.all, now);
-    const pendingSteps = this.#pendingSteps.collect(now);
-    const turns = this.#turnOrder.select(pendingSteps, eligible, now);
+    const eligible = new EligibleWorkers(this.#pool.all, now, this.#evacuations);
+    this.#coldWorkers.update(this.#pool.all, now);
+    const unblocked = this.blockedSteps.selectUnblocked(this.#pendingSteps.collect(now), now);
+    const turns = this.#turnOrder.select(unblocked, eligible, now);
     this.#turnKeys = turns.map(({ step }) => step.key);
-    const selected = this.#window.select(pendingSteps, turns);
+    const windowed = this.#window.select(unblocked, turns);
+    const selected = this.blockedSteps.examine(windowed, eligible, now);
     const ready = selected.map((pending): PlaceableStep => {
       const { workers, members, maxFree } = eligible.find(pending);
       const { step, queue } = pending;
@@ -165,6 +178,7 @@
       requiredMs: this.#durations.estimateRequiredMs(step),
       timeLeftMs: stepDeadline - now,
       contention,
+      computeColdLeftMs: (worker: Worker) => this.#coldWorkers.computeLeftMs(worker, now),
     };
     return placement.choose(request, fitting, reservations);
   }
