--- a/packages-private/testkit/src/PlatformSite.ts
+++ b/packages-private/testkit/src/PlatformSite.ts
@@ -42,8 +42,19 @@
   readonly #workers: PlatformWorkerFake[] = [];
   readonly #hosts: SiteHost[] = [];
   readonly #folder = mkdtempSync(join(tmpdir(), 'toucanline-platform-'));
+  readonly #settings: readonly string[];
+  readonly #dataCentres: readonly string[];
   #configurationVersion = 1;
 
+  /**
+   * @param settings - further lines of the settings file of each host
+   * @param dataCentres - data centres of the workers, by turns
+   */
+  public constructor(settings: readonly string[] = [], dataCentres: readonly string[] = ['dc1']) {
+    this.#settings = settings;
+    this.#dataCentres = dataCentres;
+  }
+
   /** Fakes of the workers. */
   public get workers(): readonly PlatformWorkerFake[] {
     return this.#workers;
@@ -203,7 +214,8 @@
   }
 
   async #addWorker(id: string): Promise<void> {
-    const worker = new PlatformWorkerFake(id);
+    const dataCentre = this.#dataCentres[this.#workers.length % this.#dataCentres.length];
+    const worker = new PlatformWorkerFake(id, dataCentre);
     await worker.start();
     this.#workers.push(worker);
     this.store.put(`servers/${id}`, worker.serverRecord);
@@ -228,6 +240,7 @@
         `PortRange=${linkPort},${metricsPort}`,
         `platform.Address=${this.store.address}`,
         'Unknown.Field=1',
+        ...this.#settings,
         ...(linkMbps === undefined ? [] : [`Limits.LinkMbps=${linkMbps}`]),
       ].join('\n'),
     );
--- a/packages-private/testkit/src/PlatformWorkerFake.ts
+++ b/packages-private/testkit/src/PlatformWorkerFake.ts
@@ -37,6 +37,7 @@
   /** Runs that have ended on this worker, in the order of their ends. */
   public readonly endedRuns: EndedRun[] = [];
   readonly #id: string;
+  readonly #dataCentre: string;
   readonly #incarnation = Date.now();
   readonly #startedAt = performance.now();
   readonly #activeRuns = new Map<string, ActiveRun>();
@@ -48,10 +49,14 @@
   #fencingToken = 0;
   #leaseDeadlineMs = 0;
 
-  /** @param id - identifier in the list of workers */
-  public constructor(id: string) {
+  /**
+   * @param id - identifier in the list of workers
+   * @param dataCentre - data centre of the worker
+   */
+  public constructor(id: string, dataCentre = 'dc1') {
     super();
     this.#id = id;
+    this.#dataCentre = dataCentre;
     this.#timer = setInterval(() => {
       this.#endDueRuns();
     }, 5);
@@ -62,7 +67,7 @@
     return {
       Service: 'render',
       Address: this.address,
-      Zone: 'dc1',
+      Zone: this.#dataCentre,
       State: 'ready',
       Capacity: { Cpu: 4000, MemMb: 4000, Gpu: 0 },
       Labels: ['a', 'r1-1'],
@@ -135,7 +140,13 @@
     this.#unacknowledgedEnds = this.#unacknowledgedEnds.filter(([number]) => number > AckedThrough);
     const endsAt = performance.now() + WaitMs;
     while (this.#unacknowledgedEnds.length === 0 && performance.now() < endsAt) await sleep(5);
-    const runs = [...this.#activeRuns.values()].map(({ task, run }) => [task, run, '', 50, 0]);
+    const runs = [...this.#activeRuns.values()].map((active) => [
+      active.task,
+      active.run,
+      '',
+      computePercent(active),
+      0,
+    ]);
     return {
       status: 200,
       body: {
@@ -172,3 +183,7 @@
     return { status: 409, body: { ClockMs: this.#now, Reason: reason } };
   }
 }
+
+/** Computes the progress of a run: a task without progress would be stopped as stalled. */
+const computePercent = ({ startedAt, endsAt }: ActiveRun): number =>
+  Math.floor((100 * (performance.now() - startedAt)) / (endsAt - startedAt));
