Refuse first submissions as not run again while the store does not answer

Change: a host remembers its recent submissions and asks the leader within 50 ms. Known jobs are accepted, unresolved attempts get 504, all others 503 as before. Left: an attempt at another host whose write is still pending and unknown to the leader.

--- a/packages/daemon/src/JobService.ts
+++ b/packages/daemon/src/JobService.ts
@@ -19,10 +19,13 @@
 import { JobWriter } from './JobWriter.js';
 import type { LeaderClient } from './LeaderClient.js';
 import { parseStoredRecord } from './parseStoredRecord.js';
+import { RecentSubmissions } from './RecentSubmissions.js';
 import { refusalMarker } from './refusalMarker.js';
+import { hostLimits } from './hostLimits.js';
 import { retryAfterSeconds } from './retryAfterSeconds.js';
 import type { StoreHealth } from './StoreHealth.js';
 import { storeKeys } from './storeKeys.js';
+import { waitWithTimeout } from './waitWithTimeout.js';
 
 /** Target and key of a call, as the front end has read them. */
 interface CallTarget {
@@ -31,8 +34,6 @@
   readonly path: string;
   /** API key of the caller; undefined if the call has none. */
   readonly key: string | undefined;
-  /** Whether the call submits a job, so that an earlier attempt of it may be stored. Absent: false. */
-  readonly isSubmission?: boolean;
 }
 
 /** Call whose queue was found and whose key was checked. */
@@ -57,6 +58,7 @@
   readonly #leader: LeaderClient;
   readonly #log: EventLog;
   readonly #maxConfigurationAgeMs: number;
+  readonly #submissions = new RecentSubmissions();
 
   /**
    * @param store - metadata store
@@ -89,21 +91,19 @@
    *
    * @param target - host name, path and key
    * @returns the admitted call; `unknownQueue` if the path leads to no queue or job id, `unauthenticated` if the key is
-   * unknown, `notReady` if there is no configuration or it could not be confirmed; in the latter case `timeout` for a
-   * submission
+   * unknown, `notReady` if there is no configuration or it could not be confirmed, `timeout` instead if
+   * an earlier attempt of the submission is unresolved
    */
   public async admit(target: CallTarget): Promise<Result<AdmittedCall, Failure>> {
     const isFresh = await this.#configuration.ensureFresh(this.#maxConfigurationAgeMs);
     const configuration = this.#configuration.current;
-    // The platform asks for 503 in this case, also for submissions.
-    if (configuration === undefined)
-      return err(this.#refuse({ path: target.path }, 'no configuration yet'));
+    if (configuration === undefined) return err(this.#refuse(target.path, 'no configuration yet'));
     const match = findQueue(configuration, target.host, target.path);
     if (match === undefined && isFresh) {
       return err(createFailure('unknownQueue', `no queue at ${target.host}${target.path}`));
     }
     // Without a confirmation, this host may have missed that a key was withdrawn or a queue was removed.
-    if (!isFresh) return err(this.#refuse(target, 'the configuration is not confirmed'));
+    if (!isFresh) return err(this.#refuse(target.path, 'the configuration is not confirmed'));
     if (match === undefined) return err(createFailure('unknownQueue', 'no such queue'));
     const { queue, suffix } = match;
     if (suffix !== '' && !idPattern.test(suffix)) {
@@ -123,7 +123,7 @@
    *
    * @param call - admitted call
    * @param specification - steps and payload of the job
-   * @returns nothing; `storeUnavailable` if the job was certainly not accepted, `timeout` if that is unknown,
+   * @returns nothing; `notReady` or `storeUnavailable` if the job was not accepted, `timeout` if that is unknown,
    * `cancelled` if the job was cancelled before, `conflictingKey` if the id belongs to another job
    */
   public async submit(
@@ -139,12 +139,21 @@
       isCancelled: false,
       terms: call.terms,
     };
-    // An earlier attempt, perhaps at another host, may be stored; only the store could tell.
+    const isRepeated = this.#submissions.find(call.id) === 'unknown';
+    // Without a write to a store that does not answer, it is certain that this attempt was not accepted.
     if (!this.#storeHealth.isReachable) {
-      return err(this.#refuse({ path: call.id, isSubmission: true }, 'the store does not answer'));
+      if (await this.#isAccepted(call.id)) return ok(undefined);
+      return err(this.#refuse(call.id, 'the store does not answer'));
     }
     const sentAt = performance.now();
-    const result = await this.#jobWriter.write(record);
+    const written = await this.#jobWriter.write(record, isRepeated);
+    const isStoredBefore =
+      written.isErr() &&
+      written.error.kind === 'storeUnavailable' &&
+      (await this.#isAccepted(call.id));
+    const result = isStoredBefore ? ok(undefined) : written;
+    if (result.isOk()) this.#submissions.record(call.id, 'accepted');
+    else this.#submissions.record(call.id, result.error.kind === 'timeout' ? 'unknown' : undefined);
     this.#log.write('jobSubmitted', {
       request: call.id,
       queue: call.queue.name,
@@ -213,7 +222,7 @@
   public async countWaiting(call: AdmittedCall): Promise<Result<number, Failure>> {
     const count = await this.#leader.countWaiting(call.queue.name);
     return count === undefined
-      ? err(this.#refuse({ path: call.queue.name }, 'the leader does not answer'))
+      ? err(this.#refuse(call.queue.name, 'the leader does not answer'))
       : ok(count);
   }
 
@@ -251,22 +260,32 @@
     return createFailure('recordMissing', `no job ${id}`);
   }
 
+  /**
+   * Checks without the store whether a job is known to be stored: accepted by this host, or known to the leader. A
+   * submission that is repeated after its first answer was lost must not be reported as not run.
+   */
+  async #isAccepted(id: string): Promise<boolean> {
+    if (this.#submissions.find(id) === 'accepted') return true;
+    const query = this.#leader.findState(id);
+    const state = await waitWithTimeout(query, hostLimits.repeatCheckTimeoutMs);
+    return state !== undefined && state !== 'unknown';
+  }
+
   /**
    * Creates the failure of a call that was not carried out, and logs the age of what this host knew. A submission gets
-   * `timeout`: it is unknown whether an earlier attempt of it was stored.
+   * `timeout` if the outcome of an earlier attempt at this host is unknown.
    */
-  #refuse(
-    { path, isSubmission = false }: Pick<CallTarget, 'path' | 'isSubmission'>,
-    reason: string,
-  ): Failure {
+  #refuse(path: string, reason: string): Failure {
+    const request = path.slice(path.lastIndexOf('/') + 1).toLowerCase();
     this.#log.write('callRefused', {
-      request: path.slice(path.lastIndexOf('/') + 1),
+      request,
       reason,
       configurationVersion: this.#configuration.current?.version ?? 0,
       configurationAgeMs: Math.round(Math.min(this.#configuration.ageMs, 1e9)),
       storeSilenceMs: Math.round(Math.min(this.#storeHealth.lastAnswerAgeMs, 1e9)),
       retryAfterSeconds,
     });
-    return createFailure(isSubmission ? 'timeout' : 'notReady', reason, retryAfterSeconds);
+    const kind = this.#submissions.find(request) === 'unknown' ? 'timeout' : 'notReady';
+    return createFailure(kind, reason, retryAfterSeconds);
   }
 }
--- a/packages/daemon/src/JobWriter.ts
+++ b/packages/daemon/src/JobWriter.ts
@@ -9,20 +9,7 @@
 import { refusalMarker } from './refusalMarker.js';
 import { retryAfterSeconds } from './retryAfterSeconds.js';
 import { storeKeys } from './storeKeys.js';
-
-/** Waits for a call, but no longer than callers of this host can wait; undefined after the timeout. */
-const waitWithTimeout = <Value>(
-  call: Promise<Value>,
-  timeoutMs: number,
-): Promise<Value | undefined> =>
-  new Promise((resolve, reject) => {
-    const timer = setTimeout(() => {
-      resolve(undefined);
-    }, timeoutMs);
-    call.then(resolve, reject).finally(() => {
-      clearTimeout(timer);
-    });
-  });
+import { waitWithTimeout } from './waitWithTimeout.js';
 
 /** Writes accepted jobs to the store, and resolves the outcome of writes that had no answer. */
 export class JobWriter {
@@ -42,30 +29,38 @@
    * Writes a job. Writing the same job again is idempotent.
    *
    * @param record - job record
-   * @returns nothing; `storeUnavailable` if neither this nor an earlier attempt was or will be stored, `timeout` if
-   * that is unknown,
-   * `cancelled` if the job was cancelled before it was stored, `conflictingKey` if the id belongs to another job
+   * @param isRepeated - whether the outcome of an earlier attempt is unknown, which may be stored or pending
+   * @returns nothing; `storeUnavailable` if neither this nor a known earlier attempt was or will be stored, `timeout` if
+   * that is unknown, `cancelled` if the job was cancelled before it was stored, `conflictingKey` if the id belongs to another job
    */
-  public write(record: JobRecord): Promise<Result<void, Failure>> {
-    return this.#write(record, 0);
+  public write(record: JobRecord, isRepeated: boolean): Promise<Result<void, Failure>> {
+    return this.#write(record, 0, isRepeated);
   }
 
   /** Writes the record if its key is still at the given revision; replaces the refusal marker of an earlier attempt. */
-  async #write(record: JobRecord, revision: number): Promise<Result<void, Failure>> {
+  async #write(
+    record: JobRecord,
+    revision: number,
+    isRepeated: boolean,
+  ): Promise<Result<void, Failure>> {
     const key = storeKeys.jobPrefix + record.id;
     const value = JSON.stringify(record);
     const outcome = await this.#store.commit({
       expected: [{ key, revision }],
       put: [{ key, value }],
     });
-    if (outcome.isErr()) return this.#resolveFailedWrite(key, record, outcome.error);
+    if (outcome.isErr()) {
+      if (outcome.error.kind === 'storeUnavailable' && !isRepeated)
+        return err(createFailure('storeUnavailable', outcome.error.detail, retryAfterSeconds));
+      return this.#resolveFailedWrite(key, record, outcome.error);
+    }
     if (outcome.value.committed) {
       this.#leader.announceJob(key, value, outcome.value.revision);
       return ok(undefined);
     }
     const [stored] = outcome.value.items;
     if (stored?.value === refusalMarker && stored.revision !== revision) {
-      return this.#write(record, stored.revision);
+      return this.#write(record, stored.revision, isRepeated);
     }
     return this.#compareWithStored(stored?.value, record);
   }
@@ -75,7 +70,6 @@
     record: JobRecord,
     failure: Failure,
   ): Promise<Result<void, Failure>> {
-    // Even if this write was refused, an earlier attempt of the submission may be stored or pending.
     const startedAt = performance.now();
     for (;;) {
       const leftMs = startedAt + hostLimits.unknownOutcomeTimeoutMs - performance.now();
--- a/packages/daemon/src/hostLimits.ts
+++ b/packages/daemon/src/hostLimits.ts
@@ -63,6 +63,11 @@
    * with the timeout of the write this leaves callers, who wait 3 s, enough time to try another host.
    */
   unknownOutcomeTimeoutMs: 400,
+  /**
+   * Timeout for asking the leader whether a submission that is about to be refused repeats a stored one. A refusal that
+   * comes late leaves the caller less time to try again.
+   */
+  repeatCheckTimeoutMs: 50,
   /** Timeout of a call from another host to the leader. */
   leaderCallTimeoutMs: 500,
   /** Longest time for which a worker delays a report until a run ends, if the leases are long enough. */
