Start tasks of capped accounts only within a stored allowance

Cause: a leader that is cut off from the store goes on to start tasks for leaderGraceMs past its lease. Its successor counts only the stored placements, which lack those starts and all starts since the last write. After a second change of the leader the record lacked what the first one had placed on workers that the second one never reached. Runs that belong to no task, and runs that the previous leader was stopping, counted against no account.

Change: the leader stores an allowance for each account with a cap, as high as the demand with headroom. A lower value binds from the start of its write, a higher one from the confirmation. The next leader counts the previous allowance, less what the surveyed workers have reported, until all workers are surveyed or their leases have expired; but no more than the workers that are not surveyed can run. Missing or unreadable allowances count as the whole cap. Inherited usage is listed again, stray runs count until they have ended. The placements are written at once if starts wait for a higher allowance, at most four times a second more than before; allowanceDelayed and toucanline_accounts_awaiting_allowance report starts that wait for long.

--- a/packages/daemon/src/HostMetrics.ts
+++ b/packages/daemon/src/HostMetrics.ts
@@ -1,4 +1,4 @@
-import { Counter, Histogram, Registry } from 'prom-client';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 /** Upper bounds of the buckets, in seconds: accepting a job takes a store call of 4 ms, callers wait 3 s at most. */
 const durationBucketsSeconds = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
@@ -9,6 +9,7 @@
   readonly #events: Counter<'event'>;
   readonly #calls: Histogram<'method' | 'status'>;
   readonly #starts: Histogram;
+  readonly #accountsAwaitingAllowance: Gauge;
 
   public constructor() {
     const registers = [this.#registry];
@@ -31,6 +32,11 @@
       buckets: durationBucketsSeconds,
       registers,
     });
+    this.#accountsAwaitingAllowance = new Gauge({
+      name: 'toucanline_accounts_awaiting_allowance',
+      help: 'Accounts whose starts wait until a higher allowance is stored.',
+      registers,
+    });
   }
 
   /** Media type of the rendered text. */
@@ -67,6 +73,15 @@
     this.#starts.observe(durationMs / 1000);
   }
 
+  /**
+   * Sets the number of accounts whose starts wait for a higher allowance.
+   *
+   * @param count - number of accounts
+   */
+  public setAccountsAwaitingAllowance(count: number): void {
+    this.#accountsAwaitingAllowance.set(count);
+  }
+
   /**
    * Renders all metrics.
    *
--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -1,6 +1,7 @@
 import { findViolations, Scheduler, type StoreItem } from '@toucanline/jobs';
 import type { JobState, SiteConfiguration } from '@toucanline/schema';
 import { AdviceDispatcher } from './AdviceDispatcher.js';
+import { AllowanceMonitor } from './AllowanceMonitor.js';
 import { StoreChangeHandler } from './StoreChangeHandler.js';
 import { WorkerSessions } from './WorkerSessions.js';
 import { JobCleanup } from './JobCleanup.js';
@@ -33,6 +34,7 @@
   readonly #rosterManager: RosterManager;
   readonly #commandDispatcher: CommandDispatcher;
   readonly #cleanup: JobCleanup;
+  readonly #allowanceMonitor: AllowanceMonitor;
   #lastPlanAt = 0;
   /** Duration of the last planning pass, in milliseconds. */
   #lastPlanMs = 0;
@@ -87,6 +89,11 @@
       (worker) => this.#sessions.find(worker),
       schedulePlan,
     );
+    this.#allowanceMonitor = new AllowanceMonitor(
+      this.#scheduler.capAllowances,
+      dependencies.log,
+      dependencies.metrics,
+    );
     this.#cleanup = new JobCleanup(dependencies, leaderLease, this.#scheduler);
     this.#changeHandler = new StoreChangeHandler(
       dependencies,
@@ -170,6 +177,7 @@
     this.#progressWriter?.stop();
     for (const watch of this.#watches) watch.stop();
     this.#sessions.stopAll();
+    this.#allowanceMonitor.stop();
   }
 
   /** Stops planning and writes pending progress, before the leader lease is given up. */
@@ -224,11 +232,16 @@
       this.#leaderLease,
       revisions.progressOrder,
       log,
-      () => {
-        this.#handleProgressWritten();
-      },
-      () => {
-        this.#dependencies.onLeaseLost('the store has another leader');
+      {
+        onWritten: () => {
+          this.#handleProgressWritten();
+        },
+        onAllowancesRaised: () => {
+          this.#schedulePlan();
+        },
+        onLeaseLost: () => {
+          this.#dependencies.onLeaseLost('the store has another leader');
+        },
       },
     );
     this.#watchPrefix(storeKeys.jobPrefix, revisions.jobs, (item) => {
@@ -312,6 +325,7 @@
     for (const command of commands)
       if (command.kind === 'advise') this.#adviceDispatcher.dispatch(command);
     this.#progressWriter?.requestWrite();
+    this.#allowanceMonitor.update(this.#lastPlanAt);
     this.#lastPlanMs = performance.now() - this.#lastPlanAt;
     this.#scheduler.recordPassDuration(this.#lastPlanMs);
   }
--- a/packages/daemon/src/ProgressWriter.ts
+++ b/packages/daemon/src/ProgressWriter.ts
@@ -1,9 +1,5 @@
-import {
-  describePlacements,
-  type MetadataStore,
-  type PendingProgress,
-  type Scheduler,
-} from '@toucanline/jobs';
+import type { MetadataStore, PendingProgress, Scheduler } from '@toucanline/jobs';
+import type { Placements } from '@toucanline/schema';
 import type { EventLog } from './EventLog.js';
 import { hostLimits } from './hostLimits.js';
 import type { LeaderLease } from './LeaderLease.js';
@@ -14,21 +10,33 @@
 
 type ProgressRecords = ReturnType<PendingProgress['takeBatch']>['progress'];
 
+/** Called on events of the writer. */
+interface ProgressWriterListener {
+  /** Called after each successful write of progress. */
+  readonly onWritten: () => void;
+  /** Called when higher allowances are stored, so that more tasks may start. */
+  readonly onAllowancesRaised: () => void;
+  /** Called when the store shows another leader. */
+  readonly onLeaseLost: () => void;
+}
+
 /**
  * Writes the progress of jobs, so that the ends of runs are stored before they are acknowledged to the workers. Each
  * write replaces the order key on condition of its revision, so a write that takes effect late cannot overwrite newer
- * progress. The placements are written along at intervals, and without progress once the usage of an account with a cap
- * has changed: the next leader counts them for workers that it cannot reach.
+ * progress. The placements are written along at intervals, and without progress once the usage or an allowance of an
+ * account with a cap has changed: the next leader counts them for workers that it cannot reach. They are written at once
+ * if starts wait for a higher allowance.
  */
 export class ProgressWriter {
   readonly #store: MetadataStore;
   readonly #scheduler: Scheduler;
   readonly #leaderLease: LeaderLease;
   readonly #log: EventLog;
-  readonly #onWritten: () => void;
-  readonly #onLeaseLost: () => void;
+  readonly #listener: ProgressWriterListener;
   #orderRevision: number;
   #placementsWrittenAt = -Infinity;
+  /** Monotonic time in milliseconds of the last write of placements that did not wait for their interval. */
+  #urgentWriteAt = -Infinity;
   /** Changes of capped usage that the stored placements include. */
   #writtenUsageChanges = 0;
   /** Monotonic time in milliseconds at which the last batch was taken that left nothing unwritten. */
@@ -36,6 +44,7 @@
   #activeRun: Promise<void> | undefined;
   #isFlushing = false;
   #flushed: Promise<void> | undefined;
+  #areFinalAllowancesWritten = false;
   #isStopped = false;
 
   /**
@@ -44,8 +53,7 @@
    * @param leaderLease - leader lease of this term
    * @param orderRevision - store revision of the order key
    * @param log - event log of this process
-   * @param onWritten - called after each successful write
-   * @param onLeaseLost - called when the store shows another leader
+   * @param listener - called on events of the writer
    */
   public constructor(
     store: MetadataStore,
@@ -53,23 +61,20 @@
     leaderLease: LeaderLease,
     orderRevision: number,
     log: EventLog,
-    onWritten: () => void,
-    onLeaseLost: () => void,
+    listener: ProgressWriterListener,
   ) {
     this.#store = store;
     this.#scheduler = scheduler;
     this.#leaderLease = leaderLease;
     this.#orderRevision = orderRevision;
     this.#log = log;
-    this.#onWritten = onWritten;
-    this.#onLeaseLost = onLeaseLost;
+    this.#listener = listener;
   }
 
   /** Starts to write pending progress, unless a write is already running. */
   public requestWrite(): void {
     if (this.#activeRun !== undefined || this.#isStopped || this.#isFlushing) return;
-    const isUsageDue = this.#hasUnwrittenUsage && this.#arePlacementsDue(performance.now());
-    if (!this.#scheduler.progress.hasPending && !isUsageDue) return;
+    if (!this.#isWriteNeeded) return;
     this.#activeRun = this.#writePending().finally(() => {
       this.#activeRun = undefined;
     });
@@ -92,10 +97,20 @@
     await this.#activeRun;
     this.#placementsWrittenAt = -Infinity;
     if (this.#scheduler.progress.hasPending && !this.#isStopped) await this.#writeBatch();
-    if (this.#hasUnwrittenUsage && !this.#isStopped) await this.#commit([]);
+    const hasAllowances =
+      this.#scheduler.capAllowances.hasAccounts && !this.#areFinalAllowancesWritten;
+    if ((this.#hasUnwrittenUsage || hasAllowances) && !this.#isStopped) await this.#commit([]);
     this.#isStopped = true;
   }
 
+  get #isWriteNeeded(): boolean {
+    const { progress, capAllowances } = this.#scheduler;
+    if (progress.hasPending) return true;
+    const now = performance.now();
+    if (this.#arePlacementsDue(now)) return this.#hasUnwrittenUsage || capAllowances.isWriteNeeded;
+    return this.#isAllowanceUrgent(now);
+  }
+
   get #hasUnwrittenUsage(): boolean {
     return this.#scheduler.cappedUsageChanges !== this.#writtenUsageChanges;
   }
@@ -104,13 +119,22 @@
     return now - this.#placementsWrittenAt >= hostLimits.placementsIntervalMs;
   }
 
+  /** Whether starts wait for a higher allowance, and the placements may be written before their interval is over. */
+  #isAllowanceUrgent(now: number): boolean {
+    const { isShort, isWriteNeeded } = this.#scheduler.capAllowances;
+    return (
+      isShort && isWriteNeeded && now - this.#urgentWriteAt >= hostLimits.urgentPlacementsIntervalMs
+    );
+  }
+
   async #writePending(): Promise<void> {
-    if (!this.#scheduler.progress.hasPending && !(await this.#commit([])))
-      await new Promise((resolve) => setTimeout(resolve, hostLimits.progressRetryMs));
-    while (!this.#isStopped && !this.#isFlushing && this.#scheduler.progress.hasPending) {
-      const isWritten = await this.#writeBatch();
+    while (!this.#isStopped && !this.#isFlushing && this.#isWriteNeeded) {
+      const hasProgress = this.#scheduler.progress.hasPending;
+      const isWritten = hasProgress ? await this.#writeBatch() : await this.#commit([]);
+      if (isWritten && !hasProgress) continue;
       const pauseMs = isWritten ? hostLimits.minProgressIntervalMs : hostLimits.progressRetryMs;
       await new Promise((resolve) => setTimeout(resolve, pauseMs));
+      if (!hasProgress) return;
     }
   }
 
@@ -131,7 +155,7 @@
       this.#publish(records);
     }
     progress.confirmBatch(batch);
-    this.#onWritten();
+    this.#listener.onWritten();
     return true;
   }
 
@@ -145,8 +169,12 @@
 
   async #commit(records: ProgressRecords): Promise<boolean> {
     const startedAt = performance.now();
-    const arePlacementsDue = this.#arePlacementsDue(startedAt);
+    const isRegular = this.#arePlacementsDue(startedAt);
+    const isUrgent = !isRegular && this.#isAllowanceUrgent(startedAt);
+    if (isUrgent) this.#urgentWriteAt = startedAt;
     const usageChanges = this.#scheduler.cappedUsageChanges;
+    const placements =
+      isRegular || isUrgent ? this.#scheduler.beginPlacementsWrite(this.#isFlushing) : undefined;
     const outcome = await this.#store.commit({
       expected: [
         { key: storeKeys.holder, revision: this.#leaderLease.holderRevision },
@@ -154,7 +182,9 @@
       ],
       put: [
         { key: storeKeys.progressOrder, value: String(this.#leaderLease.term) },
-        ...(arePlacementsDue ? [this.#describePlacements()] : []),
+        ...(placements === undefined
+          ? []
+          : [{ key: storeKeys.placements, value: JSON.stringify(placements) }]),
         ...records.map((record) => ({
           key: storeKeys.progressPrefix + record.id,
           value: JSON.stringify(record),
@@ -165,27 +195,26 @@
       this.#log.write('progressNotWritten', { jobs: records.length, reason: outcome.error.kind });
       return false;
     }
-    if (outcome.value.committed) {
-      this.#orderRevision = outcome.value.revision;
-      if (arePlacementsDue) {
-        this.#placementsWrittenAt = startedAt;
-        this.#writtenUsageChanges = usageChanges;
-      }
-      return true;
+    if (!outcome.value.committed) return this.#handleConflict(outcome.value.items);
+    this.#orderRevision = outcome.value.revision;
+    if (placements !== undefined) {
+      this.#placementsWrittenAt = startedAt;
+      this.#writtenUsageChanges = usageChanges;
+      this.#confirmPlacements(placements);
     }
-    return this.#handleConflict(outcome.value.items);
+    return true;
   }
 
-  #describePlacements(): { readonly key: string; readonly value: string } {
-    const value = JSON.stringify(describePlacements(this.#scheduler.workers));
-    return { key: storeKeys.placements, value };
+  #confirmPlacements({ allowances }: Placements): void {
+    if (this.#isFlushing) this.#areFinalAllowancesWritten = true;
+    if (this.#scheduler.capAllowances.confirmWrite(allowances)) this.#listener.onAllowancesRaised();
   }
 
   #handleConflict(items: readonly { readonly key: string; readonly revision: number }[]): false {
     const holder = items.find(({ key }) => key === storeKeys.holder);
     if (holder?.revision !== this.#leaderLease.holderRevision) {
       this.#isStopped = true;
-      this.#onLeaseLost();
+      this.#listener.onLeaseLost();
       return false;
     }
     // An earlier write without an answer did take effect.
--- a/packages/daemon/src/StateLoader.ts
+++ b/packages/daemon/src/StateLoader.ts
@@ -114,9 +114,11 @@
   }
 
   #restorePlacements(item: StoreItem | undefined): void {
-    if (item?.value === undefined) return;
-    const placements = parseStoredRecord(validators.Placements, item.value);
-    if (placements !== undefined) this.#scheduler.restorePlacements(placements);
+    const placements =
+      item?.value === undefined ? undefined : parseStoredRecord(validators.Placements, item.value);
+    if (item?.value !== undefined && placements === undefined)
+      this.#dependencies.log.writeError(item.key, 'the stored placements cannot be decoded');
+    this.#scheduler.restorePlacements(placements);
   }
 
   /** Applies finished jobs in parts, since a takeover must not wait for jobs that need no decision. */
--- a/packages/daemon/src/hostLimits.ts
+++ b/packages/daemon/src/hostLimits.ts
@@ -70,6 +70,13 @@
    * leader together.
    */
   placementsIntervalMs: 200,
+  /**
+   * Shortest time between two writes of the placements that are made at once because starts wait for a higher allowance:
+   * at most four further writes a second.
+   */
+  urgentPlacementsIntervalMs: 250,
+  /** Time for which starts wait for a higher allowance before it is logged, and interval of the further lines. */
+  allowanceDelayLogMs: 1000,
   /**
    * Longest time for which the writes of progress may leave a part over: run ends are acknowledged only once all
    * progress is written.
--- a/packages/jobs/__tests__/takeover.test.ts
+++ b/packages/jobs/__tests__/takeover.test.ts
@@ -88,9 +88,12 @@
     const room = { milliProcessors: 800, memoryMb: 0, accelerators: 0 };
     scheduler.restorePlacements({
       workers: [{ worker: 'w2', life: 1, account: 'planning', room }],
+      allowances: [{ account: 'planning', room }],
     });
     scheduler.addJob(job('new', [step(5, 200)]), 101, 0);
     scheduler.handleReport(reached, noRuns, 0, 1, 1);
+    expect(selectStarts(scheduler.plan(2, 2))).to.have.length(0);
+    fixtures.storeAllowances(scheduler);
     expect(selectStarts(scheduler.plan(2, 2))).to.have.length(1);
     scheduler.handleReport(unreachable, noRuns, 3, 4, 4);
     expect(selectStarts(scheduler.plan(5, 5))).to.have.length(4);
--- a/packages/jobs/src/AccountUsage.ts
+++ b/packages/jobs/src/AccountUsage.ts
@@ -1,4 +1,6 @@
 import type { Room } from '@toucanline/schema';
+import { combineRooms } from './accounts/combineRooms.js';
+import { isWithinLimit } from './accounts/isWithinLimit.js';
 import { JobRateLimiter } from './JobRateLimiter.js';
 import { resources } from './resources.js';
 
@@ -11,6 +13,13 @@
   #changeCount = 0;
   /** Resources that a previous leader had placed on workers which this leader has not surveyed, by worker id. */
   readonly #inheritedUsage = new Map<string, Room>();
+  /** Sum of the inherited usage of all workers. */
+  #inheritedSum: Room = resources.none;
+  /** Resources that a previous leader may use on unsurveyed workers by its allowance. */
+  #unseenUsage: Room = resources.none;
+  #strayUsage: Room = resources.none;
+  /** Resources that this leader may have in use by its stored allowance. */
+  #allowance: Room = resources.none;
   #weight = 1;
   readonly #rateLimit = new JobRateLimiter();
 
@@ -24,6 +33,29 @@
     return this.#used;
   }
 
+  /** Maximum resources in use; 0 for no limit in a dimension. */
+  public get cap(): Room {
+    return this.#cap;
+  }
+
+  /** Whether any resource is limited. */
+  public get hasCap(): boolean {
+    const { milliProcessors, memoryMb, accelerators } = this.#cap;
+    return milliProcessors > 0 || memoryMb > 0 || accelerators > 0;
+  }
+
+  /** Resources that are or may be in use: those of placed tasks, of stray runs and of runs of previous leaders. */
+  public get total(): Room {
+    // The allowance of the previous leader includes what its record says of the unsurveyed workers.
+    const inherited = combineRooms(this.#inheritedSum, this.#unseenUsage, Math.max);
+    return resources.add(resources.add(this.#used, this.#strayUsage), inherited);
+  }
+
+  /** Resources that a previous leader had placed on workers which this leader has not surveyed, by worker id. */
+  public get inheritedUsage(): ReadonlyMap<string, Room> {
+    return this.#inheritedUsage;
+  }
+
   /**
    * Usage in processor equivalents relative to the weight; on a full fleet, work of accounts with a low value goes
    * first.
@@ -32,15 +64,17 @@
     return resources.toProcessorEquivalents(this.#used) / this.#weight;
   }
 
-  /** Whether the usage exceeds the cap. This happens after the cap was lowered; no task of the account starts then. */
+  /**
+   * Whether the usage exceeds the cap or the allowance. This happens after the cap was lowered, or if runs become known
+   * late; no task of the account starts then.
+   */
   public get isOverCap(): boolean {
     return !this.canAdmit(resources.none);
   }
 
   /** Number of changes of the usage since the account has been known; 0 without a cap. */
   public get cappedChangeCount(): number {
-    const { milliProcessors, memoryMb, accelerators } = this.#cap;
-    return milliProcessors > 0 || memoryMb > 0 || accelerators > 0 ? this.#changeCount : 0;
+    return this.hasCap ? this.#changeCount : 0;
   }
 
   /**
@@ -86,23 +120,64 @@
   public setInheritedUsage(worker: string, used: Room | undefined): void {
     if (used === undefined) this.#inheritedUsage.delete(worker);
     else this.#inheritedUsage.set(worker, used);
+    this.#inheritedSum = [...this.#inheritedUsage.values()].reduce<Room>(
+      (sum, each) => resources.add(sum, each),
+      resources.none,
+    );
+  }
+
+  /**
+   * Sets what a previous leader may use on unsurveyed workers by its allowance.
+   *
+   * @param unseen - resources, including those of the inherited usage
+   */
+  public setUnseenUsage(unseen: Room): void {
+    this.#unseenUsage = unseen;
   }
 
   /**
-   * Checks whether further tasks stay within the cap.
+   * Adds the resources of a stray run to the usage.
+   *
+   * @param size - resources of the run
+   * @param times - 1 when the run is reported, -1 when it has ended
+   */
+  public addStray(size: Room, times: number): void {
+    this.#strayUsage = resources.add(this.#strayUsage, size, times);
+  }
+
+  /**
+   * Sets the allowance. Until then, no task of an account with a cap starts.
+   *
+   * @param allowance - resources that this leader may have in use
+   */
+  public setAllowance(allowance: Room): void {
+    this.#allowance = allowance;
+  }
+
+  /**
+   * Checks whether further tasks may start.
    *
    * @param size - resources of one task
    * @param count - number of tasks
-   * @returns whether the usage stays within the cap
+   * @returns whether the usage stays within the cap and the allowance
    */
   public canAdmit(size: Room, count = 1): boolean {
-    let next = resources.add(this.#used, size, count);
-    for (const used of this.#inheritedUsage.values()) next = resources.add(next, used);
-    const isWithin = (value: number, cap: number): boolean => cap <= 0 || value <= cap;
+    if (!this.hasCap) return true;
+    const next = resources.add(this.total, size, count);
     return (
-      isWithin(next.milliProcessors, this.#cap.milliProcessors) &&
-      isWithin(next.memoryMb, this.#cap.memoryMb) &&
-      isWithin(next.accelerators, this.#cap.accelerators)
+      isWithinLimit(next, this.#cap, this.#cap) && isWithinLimit(next, this.#allowance, this.#cap)
     );
   }
+
+  /**
+   * Checks whether further tasks may start once the allowance suffices.
+   *
+   * @param size - resources of one task
+   * @param count - number of tasks
+   * @returns whether the usage stays within the cap
+   */
+  public isWithinCap(size: Room, count: number): boolean {
+    if (!this.hasCap) return true;
+    return isWithinLimit(resources.add(this.total, size, count), this.#cap, this.#cap);
+  }
 }
--- a/packages/jobs/src/InheritedWorkers.ts
+++ b/packages/jobs/src/InheritedWorkers.ts
@@ -1,6 +1,7 @@
 import type { Placements } from '@toucanline/schema';
 import type { Job } from './Job.js';
 import type { JobRegistry } from './JobRegistry.js';
+import { resources } from './resources.js';
 import { schedulingLimits } from './schedulingLimits.js';
 import type { Worker } from './Worker.js';
 import type { WorkerPool } from './WorkerPool.js';
@@ -69,7 +70,10 @@
     for (const { worker: id, life, account, room } of placements.workers) {
       const worker = pool.find(id);
       if (worker?.life !== life || !this.#leaseExpiries.has(worker)) continue;
-      this.#jobs.ensureAccount(account).setInheritedUsage(id, room);
+      const usage = this.#jobs.ensureAccount(account);
+      // A worker is listed twice if an earlier leader had placed tasks there as well.
+      const listed = usage.inheritedUsage.get(id) ?? resources.none;
+      usage.setInheritedUsage(id, resources.add(listed, room));
     }
   }
 
@@ -83,6 +87,11 @@
     return this.#leaseExpiries.get(worker);
   }
 
+  /** Workers that are not surveyed; undefined if these are not known, so that any worker may run tasks. */
+  public get unsurveyed(): readonly Worker[] | undefined {
+    return this.#areWorkersUnknown ? undefined : [...this.#leaseExpiries.keys()];
+  }
+
   /** Services of the unsurveyed workers. */
   public get services(): ReadonlySet<string> {
     return new Set([...this.#leaseExpiries.keys()].map(({ entry }) => entry.service));
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -120,14 +120,15 @@
     const { step, queue } = pending;
     if (mayFit) this.#startWaiting(pending, allowed, pass);
     if (step.waitingCount === 0) return;
-    // Capacity that is already free is reserved while permits are being renewed.
+    // Capacity that is already free is reserved while permits are being renewed or a higher allowance is being stored.
+    const maxTasks = this.#countWithinCap(step);
     const feasible =
       queue.advice === undefined || !mayFit
         ? []
-        : this.#chooseWorkers(pending, allowed.map(withoutPermit), pass);
+        : this.#chooseWorkers(pending, allowed.map(withoutPermit), maxTasks, pass);
     const reservedWorkers = new Set(feasible.map(({ worker }) => worker));
     for (const { worker } of feasible) pass.reservations.reserve(worker, step.description.size);
-    const missing = Math.min(step.waitingCount, this.#countWithinCap(step)) - feasible.length;
+    const missing = maxTasks - feasible.length;
     for (const worker of reserveCapacity(pending, allowed, missing, pass))
       reservedWorkers.add(worker);
     const candidates = { workers, allowed, reserved: reservedWorkers, mayFit };
@@ -137,6 +138,7 @@
   #chooseWorkers(
     { step, stepDeadline }: PendingStep,
     candidates: readonly Candidate[],
+    maxTasks: number,
     { now, contention, reservations }: PlanningPass,
   ): readonly TaskAssignment[] {
     const { isGang, size } = step.description;
@@ -147,7 +149,7 @@
     const placement = isGang === true ? gang : independent;
     const request = {
       step,
-      maxTasks: this.#countWithinCap(step),
+      maxTasks,
       expectedMs: this.#pendingSteps.estimateDurationMs(step),
       timeLeftMs: stepDeadline - now,
       contention,
@@ -166,7 +168,8 @@
       const permit = this.#permits.findPermit(step.key, worker, now);
       return permit === undefined ? [] : [{ worker, permit }];
     });
-    const assignments = this.#chooseWorkers(pending, candidates, pass);
+    const maxTasks = this.#countStartable(step);
+    const assignments = this.#chooseWorkers(pending, candidates, maxTasks, pass);
     if (assignments.length === 0) return;
     // The members of a gang share the number of their run.
     const gangRun = Math.max(this.#firstRunNumber, ...step.tasks.map((task) => task.run + 1));
@@ -180,12 +183,17 @@
     }
   }
 
+  /** Counts the waiting tasks of the step that may start now under the cap and the allowance of the account. */
+  #countStartable({ job, description, waitingCount }: StepInstance): number {
+    let count = 0;
+    while (count < waitingCount && job.account.canAdmit(description.size, count + 1)) count += 1;
+    return count;
+  }
+
   /** Counts the waiting tasks of the step that fit under the cap of the account. */
-  #countWithinCap(step: StepInstance): number {
-    const { account } = step.job;
-    const { size } = step.description;
+  #countWithinCap({ job, description, waitingCount }: StepInstance): number {
     let count = 0;
-    while (count < step.waitingCount && account.canAdmit(size, count + 1)) count += 1;
+    while (count < waitingCount && job.account.isWithinCap(description.size, count + 1)) count += 1;
     return count;
   }
 
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -9,6 +9,7 @@
   WorkerEntry,
   WorkerReport,
 } from '@toucanline/schema';
+import { CapAllowances } from './accounts/CapAllowances.js';
 import { ReportHandler } from './ReportHandler.js';
 import { ImageDurations } from './ImageDurations.js';
 import { InheritedWorkers } from './InheritedWorkers.js';
@@ -17,6 +18,7 @@
 import { QueueServices } from './QueueServices.js';
 import { QueueSettings } from './QueueSettings.js';
 import type { Command } from './Command.js';
+import { describePlacements } from './describePlacements.js';
 import { PermitCache } from './PermitCache.js';
 import { Planner } from './Planner.js';
 import { PendingProgress } from './PendingProgress.js';
@@ -38,6 +40,8 @@
   public readonly progress: PendingProgress;
   /** Services on whose workers tasks of each queue may run. */
   public readonly queueServices: QueueServices;
+  /** Allowances within which tasks of accounts with a cap start. */
+  public readonly capAllowances: CapAllowances;
   readonly #jobs = new JobRegistry();
   readonly #pool: WorkerPool;
   readonly #queues = new QueueSettings();
@@ -65,6 +69,7 @@
     this.#pool = new WorkerPool(maxLeaseMs);
     this.progress = new PendingProgress(this.#jobs, this.#pool);
     this.#inheritedWorkers = new InheritedWorkers(this.#jobs, electionRevision, now, maxLeaseMs);
+    this.capAllowances = new CapAllowances(this.#jobs, this.#inheritedWorkers, maxStopMs);
     this.queueServices = new QueueServices(this.#queues, this.#pool, this.#inheritedWorkers);
     this.#endedWorkers = new EndedWorkers(this.#pool, this.#inheritedWorkers);
     this.#firstRunNumber = (term - 1) * schedulingLimits.runsPerTerm + 1;
@@ -186,12 +191,15 @@
   }
 
   /**
-   * Restores what the previous leader wrote about the workers: their speeds, and the usage that counts against account
-   * caps until the workers are surveyed.
+   * Restores what the previous leader wrote about the workers: their speeds, and the usage and allowances that count
+   * against account caps until the workers are surveyed.
    *
-   * @param placements - last placements that were written to the store
+   * @param placements - last placements that were written to the store; undefined if they are missing or cannot be
+   * decoded
    */
-  public restorePlacements(placements: Placements): void {
+  public restorePlacements(placements: Placements | undefined): void {
+    this.capAllowances.restore(placements);
+    if (placements === undefined) return;
     this.#inheritedWorkers.countPlacements(placements, this.#pool);
     for (const { worker: id, life, factor } of placements.speeds ?? []) {
       const worker = this.#pool.find(id);
@@ -199,6 +207,18 @@
     }
   }
 
+  /**
+   * Describes the placements for the next leader, and begins a write of the allowances.
+   *
+   * @param isFinal - whether nothing is started after the write
+   * @returns placements to write
+   */
+  public beginPlacementsWrite(isFinal: boolean): Placements {
+    const allowances = this.capAllowances.beginWrite(isFinal);
+    const placements = describePlacements(this.#pool, this.#jobs.accounts);
+    return { ...placements, ...(allowances === undefined ? {} : { allowances }) };
+  }
+
   /**
    * Marks a worker as no longer listed.
    *
@@ -233,9 +253,10 @@
       return [];
     }
     const strays = this.#reportHandler.handleReport(worker, report, sentAt, now, wallMs);
+    const isInherited = this.#inheritedWorkers.findLeaseExpiry(worker) !== undefined;
+    this.capAllowances.recordReport(worker, strays, isInherited, now);
     // The worker now fences stops of the previous leader, but earlier ones may still be in progress.
-    if (this.#inheritedWorkers.findLeaseExpiry(worker) !== undefined)
-      worker.confirmCapacityAt(now + this.#maxStopMs);
+    if (isInherited) worker.confirmCapacityAt(now + this.#maxStopMs);
     worker.markSurveyed();
     this.#inheritedWorkers.remove(worker);
     return strays;
@@ -348,7 +369,9 @@
     }
     const stops = this.#runStopper.collectStops(this.#pool.all, now);
     for (const job of this.#jobs.openJobs) if (job.isFinished) this.#closeJob(job);
+    this.capAllowances.apply(now, isCurrent);
     const planned = this.#planner.plan(now);
+    this.capAllowances.updateTargets(now);
     for (const command of planned)
       if (command.kind === 'stop') this.#runStopper.recordSent(command.task, now);
     return [...stops, ...planned];
