Let a burst of accounts raise allowances without waiting

Cause: starts that waited for an allowance caused a write at most each 250 ms, so the second account that became active within that time waited for the interval of the placements, up to 200 ms.

Change: three such writes in any second, without a pause between them; further ones wait for the interval. Test: ProgressWriter.test.ts plays four rises in a row.

--- a/packages/daemon/__tests__/ProgressWriter.test.ts
+++ b/packages/daemon/__tests__/ProgressWriter.test.ts
@@ -309,13 +309,16 @@
       const { commits } = store;
       addJob('c', 20);
       expect(await plan(2)).to.equal(20);
-      expect(store.commits - commits).to.equal(1);
-      expect(raiseCount).to.equal(2);
-      addJob('d', 40);
-      expect(await plan(3)).to.be.below(60);
-      expect(store.commits - commits).to.equal(1);
+      addJob('d', 12);
+      expect(await plan(3)).to.equal(32);
+      addJob('e', 12);
+      expect(await plan(4)).to.equal(44);
+      expect(raiseCount).to.equal(4);
+      addJob('f', 20);
+      expect(await plan(5)).to.be.below(64);
+      expect(store.commits - commits).to.equal(3);
       await new Promise((resolve) => setTimeout(resolve, 250));
-      expect(await plan(4)).to.equal(60);
+      expect(await plan(6)).to.equal(64);
     });
 
     // Guards against a higher allowance that is used although its write may have had no effect, and against an earlier
--- a/packages/daemon/src/ProgressWriter.ts
+++ b/packages/daemon/src/ProgressWriter.ts
@@ -35,8 +35,8 @@
   readonly #listener: ProgressWriterListener;
   #orderRevision: number;
   #placementsWrittenAt = -Infinity;
-  /** Monotonic time in milliseconds of the last write of placements that did not wait for their interval. */
-  #urgentWriteAt = -Infinity;
+  /** Monotonic times in milliseconds of the last writes of placements that did not wait for their interval. */
+  #urgentWriteTimes: readonly number[] = [];
   /** Changes of capped usage that the stored placements include. */
   #writtenUsageChanges = 0;
   /** Monotonic time in milliseconds at which the last batch was taken that left nothing unwritten. */
@@ -122,9 +122,14 @@
   /** Whether starts wait for a higher allowance, and the placements may be written before their interval is over. */
   #isAllowanceUrgent(now: number): boolean {
     const { isShort, isWriteNeeded } = this.#scheduler.capAllowances;
-    return (
-      isShort && isWriteNeeded && now - this.#urgentWriteAt >= hostLimits.urgentPlacementsIntervalMs
-    );
+    if (!isShort || !isWriteNeeded) return false;
+    const recent = this.#urgentWriteTimes.filter((time) => now - time < 1000);
+    return recent.length < hostLimits.maxUrgentPlacementsPerSecond;
+  }
+
+  #recordUrgentWrite(now: number): void {
+    const { maxUrgentPlacementsPerSecond } = hostLimits;
+    this.#urgentWriteTimes = [...this.#urgentWriteTimes, now].slice(-maxUrgentPlacementsPerSecond);
   }
 
   async #writePending(): Promise<void> {
@@ -171,7 +176,7 @@
     const startedAt = performance.now();
     const isRegular = this.#arePlacementsDue(startedAt);
     const isUrgent = !isRegular && this.#isAllowanceUrgent(startedAt);
-    if (isUrgent) this.#urgentWriteAt = startedAt;
+    if (isUrgent) this.#recordUrgentWrite(startedAt);
     const usageChanges = this.#scheduler.cappedUsageChanges;
     const placements =
       isRegular || isUrgent ? this.#scheduler.beginPlacementsWrite(this.#isFlushing) : undefined;
--- a/packages/daemon/src/hostLimits.ts
+++ b/packages/daemon/src/hostLimits.ts
@@ -71,10 +71,10 @@
    */
   placementsIntervalMs: 200,
   /**
-   * Shortest time between two writes of the placements that are made at once because starts wait for a higher allowance:
-   * at most four further writes a second.
+   * Further writes of the placements in each second that are made at once because starts wait for a higher allowance:
+   * accounts that become active together share one, and a burst of them does not wait for the interval.
    */
-  urgentPlacementsIntervalMs: 250,
+  maxUrgentPlacementsPerSecond: 3,
   /** Time for which starts wait for a higher allowance before it is logged, and interval of the further lines. */
   allowanceDelayLogMs: 1000,
   /**
