--- a/packages/daemon/src/HostMetrics.ts
+++ b/packages/daemon/src/HostMetrics.ts
@@ -15,6 +15,7 @@
   readonly #durationRatios: Histogram<'level'>;
   readonly #evacuatedDataCentres: Gauge;
   readonly #blockedSteps: Gauge<'reason'>;
+  readonly #accountsAwaitingAllowance: Gauge;
 
   public constructor() {
     const registers = [this.#registry];
@@ -55,6 +56,11 @@
       labelNames: ['reason'],
       registers,
     });
+    this.#accountsAwaitingAllowance = new Gauge({
+      name: 'toucanline_accounts_awaiting_allowance',
+      help: 'Accounts whose starts wait until a higher allowance is stored.',
+      registers,
+    });
   }
 
   /** Media type of the rendered text. */
@@ -120,6 +126,15 @@
     this.#blockedSteps.set({ reason }, count);
   }
 
+  /**
+   * Sets the number of accounts whose starts wait for a higher allowance.
+   *
+   * @param count - number of accounts
+   */
+  public setAccountsAwaitingAllowance(count: number): void {
+    this.#accountsAwaitingAllowance.set(count);
+  }
+
   /**
    * Renders all metrics.
    *
--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -7,6 +7,7 @@
 } from '@toucanline/jobs';
 import type { JobState, SiteConfiguration } from '@toucanline/schema';
 import { AdviceDispatcher } from './AdviceDispatcher.js';
+import { AllowanceMonitor } from './AllowanceMonitor.js';
 import { StoreChangeHandler } from './StoreChangeHandler.js';
 import { WorkerSessions } from './WorkerSessions.js';
 import { JobCleanup } from './JobCleanup.js';
@@ -45,6 +46,7 @@
   readonly #durationReporter: DurationReporter;
   /** Undefined if data centres are not evacuated. */
   readonly #evacuationWatch: EvacuationWatch | undefined;
+  readonly #allowanceMonitor: AllowanceMonitor;
   #lastPlanAt = 0;
   /** Duration of the last planning pass, in milliseconds. */
   #lastPlanMs = 0;
@@ -119,6 +121,11 @@
       schedulePlan,
       () => this.#evacuationWatch?.startTimeLeftMs ?? Infinity,
     );
+    this.#allowanceMonitor = new AllowanceMonitor(
+      this.#scheduler.capAllowances,
+      dependencies.log,
+      dependencies.metrics,
+    );
     this.#cleanup = new JobCleanup(dependencies, leaderLease, this.#scheduler);
     this.#changeHandler = new StoreChangeHandler(
       dependencies,
@@ -204,6 +211,7 @@
     this.#evacuationWatch?.stop();
     if (this.#evacuationWatch !== undefined)
       this.#dependencies.metrics.setBlockedSteps('evacuation', 0);
+    this.#allowanceMonitor.stop();
   }
 
   /** Stops planning and writes pending progress, before the leader lease is given up. */
@@ -258,11 +266,16 @@
       this.#leaderLease,
       revisions.progressOrder,
       log,
-      () => {
-        this.#handleProgressWritten();
-      },
-      () => {
-        this.#dependencies.onLeaseLost('the store has another leader');
+      {
+        onWritten: () => {
+          this.#handleProgressWritten();
+        },
+        onAllowancesRaised: () => {
+          this.#schedulePlan();
+        },
+        onLeaseLost: () => {
+          this.#dependencies.onLeaseLost('the store has another leader');
+        },
       },
     );
     this.#watchPrefix(storeKeys.jobPrefix, revisions.jobs, (item) => {
@@ -351,6 +364,7 @@
     if (this.#evacuationWatch !== undefined) this.#reportBlockedSteps();
     this.#progressWriter?.requestWrite();
     this.#durationReporter.update(this.#lastPlanAt);
+    this.#allowanceMonitor.update(this.#lastPlanAt);
     this.#lastPlanMs = performance.now() - this.#lastPlanAt;
     this.#scheduler.recordPassDuration(this.#lastPlanMs);
   }
--- a/packages/daemon/src/hostLimits.ts
+++ b/packages/daemon/src/hostLimits.ts
@@ -96,6 +96,13 @@
    * leader together.
    */
   placementsIntervalMs: 200,
+  /**
+   * Further writes of the placements in each second that are made at once because starts wait for a higher allowance:
+   * accounts that become active together share one, and a burst of them does not wait for the interval.
+   */
+  maxUrgentPlacementsPerSecond: 3,
+  /** Time for which starts wait for a higher allowance before it is logged, and interval of the further lines. */
+  allowanceDelayLogMs: 1000,
   /**
    * Longest time for which the writes of progress may leave a part over: run ends are acknowledged only once all
    * progress is written.
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -145,16 +145,18 @@
 
   #planStep({ pending, workers, mayFit, allowed }: PlaceableStep, pass: PlanningPass): void {
     const { step, queue } = pending;
+    const { size } = step.description;
     if (mayFit) this.#startWaiting(pending, allowed, pass);
     if (step.waitingCount === 0) return;
-    // Capacity that is already free is reserved while permits are being renewed.
+    // Capacity that is already free is reserved while permits are being renewed or a higher allowance is being stored.
+    const maxTasks = Math.min(step.waitingCount, step.job.account.countWithinCap(size));
     const feasible =
       queue.advice === undefined || !mayFit
         ? []
-        : this.#chooseWorkers(pending, allowed.map(withoutPermit), pass);
+        : this.#chooseWorkers(pending, allowed.map(withoutPermit), maxTasks, pass);
     const reservedWorkers = new Set(feasible.map(({ worker }) => worker));
-    for (const { worker } of feasible) pass.reservations.reserve(worker, step.description.size);
-    const missing = Math.min(step.waitingCount, this.#countWithinCap(step)) - feasible.length;
+    for (const { worker } of feasible) pass.reservations.reserve(worker, size);
+    const missing = maxTasks - feasible.length;
     for (const worker of reserveCapacity(pending, allowed, missing, pass))
       reservedWorkers.add(worker);
     const candidates = { workers, allowed, reserved: reservedWorkers, mayFit };
@@ -164,6 +166,7 @@
   #chooseWorkers(
     { step, stepDeadline }: PendingStep,
     candidates: readonly Candidate[],
+    maxTasks: number,
     { now, contention, reservations }: PlanningPass,
   ): readonly TaskAssignment[] {
     const { isGang, size } = step.description;
@@ -174,7 +177,7 @@
     const placement = isGang === true ? gang : independent;
     const request = {
       step,
-      maxTasks: this.#countWithinCap(step),
+      maxTasks,
       requiredMs: this.#durations.estimateRequiredMs(step),
       timeLeftMs: stepDeadline - now,
       contention,
@@ -194,13 +197,17 @@
       const permit = this.#permits.findPermit(step.key, worker, now);
       return permit === undefined ? [] : [{ worker, permit }];
     });
-    const assignments = this.#chooseWorkers(pending, candidates, pass);
+    const { account } = step.job;
+    const maxTasks = Math.min(step.waitingCount, account.countStartable(size));
+    if (maxTasks < Math.min(step.waitingCount, account.countWithinCap(size)))
+      account.recordShortage();
+    const assignments = this.#chooseWorkers(pending, candidates, maxTasks, pass);
     if (assignments.length === 0) return;
     // The members of a gang share the number of their run.
     const gangRun = Math.max(this.#firstRunNumber, ...step.tasks.map((task) => task.run + 1));
     const shared = step.tasks.find(({ checkpoint }) => checkpoint !== '');
     for (const { task, worker, permit } of assignments) {
-      if (!step.job.account.canAdmit(size)) break;
+      if (!account.canAdmit(size)) break;
       if (isGang === true) task.resumeFrom(shared?.checkpoint ?? '');
       const run = isGang === true ? gangRun : Math.max(this.#firstRunNumber, task.run + 1);
       task.place(worker, run, now);
@@ -209,15 +216,6 @@
     }
   }
 
-  /** Counts the waiting tasks of the step that fit under the cap of the account. */
-  #countWithinCap(step: StepInstance): number {
-    const { account } = step.job;
-    const { size } = step.description;
-    let count = 0;
-    while (count < step.waitingCount && account.canAdmit(size, count + 1)) count += 1;
-    return count;
-  }
-
   /** Requests permits for steps whose dependencies are about to complete. */
   #prefetchPermits(eligible: EligibleWorkers, pass: PlanningPass): void {
     for (const job of this.#jobs.openJobs) {
