Treat the life of a worker as an identity, not as an order

Cause: the life of a worker is the time of day of its start, which may jump back.

Change: a different life is another incarnation. The order follows from the store revisions of the entries, and from the fact that the request of a report was sent after the known incarnation had been learned of. If only a report has shown the known incarnation, an entry of another one does not end its runs: they move, and the next report decides.

--- a/packages/daemon/src/StoreChangeHandler.ts
+++ b/packages/daemon/src/StoreChangeHandler.ts
@@ -143,7 +143,7 @@
    */
   public applyWorker(item: StoreItem): void {
     const { decoder, log } = this.#dependencies;
-    const { key, value } = item;
+    const { key, value, revision } = item;
     const id = key.slice(decoder.workerPrefix.length);
     if (value === undefined) {
       log.write('workerUnlisted', { worker: id });
@@ -162,7 +162,7 @@
       });
       return;
     }
-    const worker = this.#scheduler.updateWorker(entry, false);
+    const worker = this.#scheduler.updateWorker(entry, false, undefined, revision);
     if (worker === undefined) return;
     log.write('workerListed', { worker: id, life: entry.life, service: entry.service });
     this.#onWorkerAdded(worker);
--- a/packages/daemon/src/WorkerSession.ts
+++ b/packages/daemon/src/WorkerSession.ts
@@ -119,7 +119,7 @@
       return;
     }
     this.#context.pacing.recordReport();
-    if (report.life > worker.life) {
+    if (report.life !== worker.life) {
       log.write('workerRestarted', {
         worker: worker.id,
         life: worker.life,
--- a/packages/jobs/__tests__/restarts.test.ts
+++ b/packages/jobs/__tests__/restarts.test.ts
@@ -166,4 +166,64 @@
       expect(scheduler.findJobState('a')).to.equal('running');
     }
   });
+
+  // Guards against a worker that is never used again, with tasks that are never started again: the time of day of its
+  // machine had jumped back, so that a restart lowered its life (review/8).
+  it('is another incarnation also if its life is lower', () => {
+    for (const isReportFirst of [true, false]) {
+      const { scheduler, command } = startTask();
+      scheduler.handleStartOutcome(command, 'started', 2);
+      scheduler.handleReport(command.worker, { ...noRuns, running: [run] }, 3, 4, 4);
+      if (isReportFirst) scheduler.handleReport(command.worker, { ...noRuns, life: 0 }, 5, 6, 6);
+      scheduler.updateWorker(worker('w0', { life: 0 }), false);
+      const next = findWorker(scheduler, 'w0');
+      expect(next.life).to.equal(0);
+      expect(selectStarts(scheduler.plan(7, 7))).to.have.length(1);
+      scheduler.handleReport(next, { ...noRuns, life: 0 }, 8, 9, 9);
+      expect(next.canAcceptTasks(10)).to.equal(true);
+    }
+  });
+
+  // Guards against tasks that are released from a running incarnation because an entry of an ended one arrives late:
+  // no comparison of the lives tells which of the two is newer.
+  it('is not replaced by an entry that is older or shows an incarnation that has ended', () => {
+    for (const lives of [
+      [1, 5, 3],
+      [5, 1, 3],
+      [3, 5, 1],
+    ] as const) {
+      const [first, second, third] = lives;
+      const scheduler = new Scheduler(1, 1, 0, bounds);
+      scheduler.updateWorker(worker('w0', { life: first }), false, undefined, 10);
+      scheduler.updateWorker(worker('w0', { life: second }), false, undefined, 12);
+      scheduler.updateWorker(worker('w0', { life: third }), false, undefined, 11);
+      expect(findWorker(scheduler, 'w0').life).to.equal(second);
+      scheduler.updateWorker(worker('w0', { life: first }), false, undefined, 13);
+      expect(findWorker(scheduler, 'w0').life).to.equal(second);
+      scheduler.updateWorker(worker('w0', { life: third }), false, undefined, 14);
+      expect(findWorker(scheduler, 'w0').life).to.equal(third);
+    }
+  });
+
+  // Guards against a second run of a task: a report had shown an incarnation whose entry had not arrived when a late
+  // entry of an incarnation between the two arrived, and its runs were taken for ended.
+  it('keeps its runs if an entry of an unknown incarnation arrives before its own', () => {
+    for (const isNewer of [true, false]) {
+      const { scheduler, command } = startTask();
+      scheduler.handleStartOutcome(command, 'started', 2);
+      scheduler.handleReport(command.worker, { ...noRuns, life: 9 }, 3, 4, 4);
+      const reported = findWorker(scheduler, 'w0');
+      scheduler.handleReport(reported, { ...noRuns, life: 9, running: [run] }, 5, 6, 6);
+      scheduler.updateWorker(worker('w0', { life: 4 }), false, undefined, 12);
+      const listed = findWorker(scheduler, 'w0');
+      expect(listed.life).to.equal(4);
+      expect(scheduler.plan(7, 7)).to.deep.equal([]);
+      const life = isNewer ? 4 : 9;
+      scheduler.handleReport(listed, { ...noRuns, life, running: isNewer ? [] : [run] }, 8, 9, 9);
+      expect(selectStarts(scheduler.plan(10, 10))).to.have.length(isNewer ? 1 : 0);
+      const ended = worker('w0', { life: isNewer ? 9 : 4 });
+      scheduler.updateWorker(ended, false, undefined, 13);
+      expect(findWorker(scheduler, 'w0').life).to.equal(life);
+    }
+  });
 });
--- a/packages/jobs/src/EndedWorkers.ts
+++ b/packages/jobs/src/EndedWorkers.ts
@@ -32,13 +32,16 @@
    * Moves what the next incarnation of a worker may run to it. Commands name a worker by its id, so the next incarnation
    * executes those that were meant for the one before. Only runs that the earlier one has reported have ended with it.
    *
-   * @param worker - incarnation that has ended
+   * @param worker - incarnation that was known so far
    * @param next - next incarnation under the same id
+   * @param hasEnded - whether the earlier one has certainly ended; otherwise its reported runs move as well, and the
+   * next report tells which of them run
    */
-  public replace(worker: Worker, next: Worker): void {
+  public replace(worker: Worker, next: Worker, hasEnded: boolean): void {
     this.#inheritedWorkers.replace(worker, next);
     next.inheritLeases(worker);
-    for (const task of [...worker.tasks]) if (!task.isReported) task.moveToIncarnation(next);
+    for (const task of [...worker.tasks])
+      if (!hasEnded || !task.isReported) task.moveToIncarnation(next);
   }
 
   /**
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -147,17 +147,22 @@
    * @param isInherited - whether the previous leader may have sent commands to the worker
    * @param maxRemainingMs - longest time for which runs may continue there, in milliseconds, if the previous leader had
    * suspended the worker
+   * @param revision - store revision of the entry; without it the entry counts as newer than those before
    * @returns the worker if the incarnation is new and must be surveyed; undefined otherwise
    */
   public updateWorker(
     entry: WorkerEntry,
     isInherited: boolean,
     maxRemainingMs?: number,
+    revision?: number,
   ): Worker | undefined {
     const previous = this.#pool.find(entry.id);
-    const worker = this.#pool.update(entry);
+    // An entry that follows one in the store shows that the incarnation of that one has ended. The entry of an
+    // incarnation that only a report has shown is still missing, so this one may be older.
+    const hasEnded = previous?.hasEntry ?? true;
+    const worker = this.#pool.update(entry, revision);
     if (worker !== undefined && previous !== undefined)
-      this.#endedWorkers.replace(previous, worker);
+      this.#endedWorkers.replace(previous, worker, hasEnded);
     if (worker !== undefined && isInherited) this.#inheritedWorkers.add(worker, maxRemainingMs);
     return worker;
   }
@@ -229,9 +234,11 @@
     if (this.#endedWorkers.has(worker)) return [];
     worker.recordContact(report.clockMs, now);
     if (report.life !== worker.life) {
-      if (report.life > worker.life) this.#addReportedIncarnation(worker, report.life);
+      // The request was sent after this leader had learned of the known incarnation, so the other one is newer.
+      this.#endedWorkers.replace(worker, this.#pool.addReported(worker, report.life), true);
       return [];
     }
+    this.#pool.confirmIncarnation(worker);
     const strays = this.#reportHandler.handleReport(worker, report, sentAt, now, wallMs);
     // The worker now fences stops of the previous leader, but earlier ones may still be in progress.
     if (this.#inheritedWorkers.findLeaseExpiry(worker) !== undefined)
@@ -363,14 +370,6 @@
     this.#planner.recordPassDuration(durationMs);
   }
 
-  /**
-   * Adds an incarnation that is known only from its reports. It must be surveyed, but gets no tasks until it is listed,
-   * since its capacity and labels may differ.
-   */
-  #addReportedIncarnation({ entry }: Worker, life: number): void {
-    this.updateWorker({ ...entry, life }, false)?.unlist();
-  }
-
   /**
    * Checks whether no tasks of a job may start: the next leader would not know where, or tasks of the previous leader
    * may still run.
--- a/packages/jobs/src/Task.ts
+++ b/packages/jobs/src/Task.ts
@@ -165,6 +165,7 @@
     this.#worker = worker;
     worker.addTask(this);
     this.#hasFullDuration = false;
+    this.#isReported = false;
     this.#stopConfirmedAt = undefined;
     if (this.#phase === 'starting') this.beginStop(this.#phaseStartedAt, 'unanswered');
   }
--- a/packages/jobs/src/Worker.ts
+++ b/packages/jobs/src/Worker.ts
@@ -17,6 +17,7 @@
   /** Cached free capacity, read for each waiting step of a pass; undefined after a change. */
   #free: Room | undefined;
   #isListed = true;
+  #hasEntry = true;
   #isSurveyed = false;
   #isSuspended = false;
   /** Last reading of the worker's clock, taken at `#clockReadAt` on the leader's monotonic clock. */
@@ -58,7 +59,10 @@
     return this.#entry.id;
   }
 
-  /** Incarnation of the worker: rises with each restart. */
+  /**
+   * Incarnation of the worker: each restart gives it another value. The value may be lower than that of an earlier
+   * incarnation, since the time of day on the worker's machine may jump.
+   */
   public get life(): number {
     return this.#entry.life;
   }
@@ -93,6 +97,11 @@
     return this.#isListed;
   }
 
+  /** Whether an entry has shown this incarnation; otherwise only a report has. */
+  public get hasEntry(): boolean {
+    return this.#hasEntry;
+  }
+
   /** Whether the worker has reported its runs to this leader. */
   public get isSurveyed(): boolean {
     return this.#isSurveyed;
@@ -177,6 +186,13 @@
     this.#entry = entry;
     this.#free = undefined;
     this.#isListed = true;
+    this.#hasEntry = true;
+  }
+
+  /** Records that only a report has shown this incarnation: its capacity and labels are not known yet. */
+  public markEntryMissing(): void {
+    this.#isListed = false;
+    this.#hasEntry = false;
   }
 
   /** Records that the platform no longer lists the worker. */
