Bind a task to the worker that may execute its start late

Cause: a start without a response may be executed 2 to 12 s later. The task started on another worker once the stop was confirmed. A late acknowledgement made the next incarnation discard ends of its own runs.

Change: LateStarts keeps each start until it is known to be executed or refused, or can no longer be executed: 12 s and a margin after the call failed. Meanwhile the task starts again only on the incarnation that has confirmed the stop, and its resources are kept free there. The next incarnation must confirm a stop of its own first, also for a task that is done. A worker that may execute a start late is asked for reports although it is idle. An incarnation gets no tasks while it may execute an acknowledgement of the one before, and a request that acknowledges ends does not wait, so that a restart rarely meets one. A run with a number below the latest one is no longer adopted.

--- a/packages/daemon/src/WorkerSession.ts
+++ b/packages/daemon/src/WorkerSession.ts
@@ -1,4 +1,4 @@
-import type { Worker } from '@toucanline/jobs';
+import type { Worker, WorkerClient } from '@toucanline/jobs';
 import type { SessionContext } from './SessionContext.js';
 import { hostLimits } from './hostLimits.js';
 
@@ -46,13 +46,16 @@
     const worker = this.#worker;
     const sentAt = performance.now();
     const leaseUntilMs = this.#extendWorkerLease(sentAt);
+    const { acknowledgement } = worker;
+    if (acknowledgement > 0) worker.recordAcknowledgementSent(sentAt);
     const report = await workerClient.requestReport(
       worker.entry,
       leaderLease.term,
-      worker.acknowledgement,
+      acknowledgement,
       leaseUntilMs,
       0,
     );
+    if (!isUnanswered(report)) worker.recordAcknowledgementAnswered(sentAt);
     if (typeof report === 'string' || this.#hasStopped()) return;
     scheduler.handleReport(worker, report, sentAt, performance.now(), Date.now());
     onChange();
@@ -66,7 +69,7 @@
   }
 
   async #step(): Promise<void> {
-    if (!this.#isReportNeeded) await this.#sleep(undefined);
+    if (!this.#context.scheduler.isReportNeeded(this.#worker)) await this.#sleep(undefined);
     else if (!this.#context.leaderLease.canIssueCommands)
       await this.#sleep(hostLimits.reportRetryMs);
     else await this.#pollReport();
@@ -76,13 +79,6 @@
     return this.#isStopped;
   }
 
-  get #isReportNeeded(): boolean {
-    const { tasks, hasStrays, isSurveyed, acknowledgement } = this.#worker;
-    return (
-      tasks.size > 0 || hasStrays || !isSurveyed || this.#hasUnwrittenEnds || acknowledgement > 0
-    );
-  }
-
   get #hasUnwrittenEnds(): boolean {
     return this.#worker.processedThrough > this.#worker.acknowledgedThrough;
   }
@@ -103,15 +99,20 @@
     if (this.#hasUnwrittenEnds) await this.#sleep(hostLimits.unwrittenEndsPauseMs);
     if (this.#hasStopped() || !leaderLease.canIssueCommands) return;
     const sentAt = performance.now();
-    const waitMs = worker.isSurveyed && worker.tasks.size > 0 ? reportWaitMs : 0;
+    const { acknowledgement } = worker;
+    // A request that acknowledges ends does not wait: the next incarnation of a worker that restarts meanwhile is paused.
+    const mayWait = worker.isSurveyed && worker.tasks.size > 0 && acknowledgement === 0;
+    const waitMs = mayWait ? reportWaitMs : 0;
+    if (acknowledgement > 0) worker.recordAcknowledgementSent(sentAt);
     const leaseUntilMs = this.#extendWorkerLease(sentAt);
     const report = await workerClient.requestReport(
       worker.entry,
       leaderLease.term,
-      worker.acknowledgement,
+      acknowledgement,
       leaseUntilMs,
       waitMs,
     );
+    if (!isUnanswered(report)) worker.recordAcknowledgementAnswered(sentAt);
     if (this.#hasStopped()) return;
     const now = performance.now();
     if (typeof report === 'string') {
@@ -190,3 +191,7 @@
     this.#wake = undefined;
   }
 }
+
+/** Checks whether a request may be executed later. */
+const isUnanswered = (report: Awaited<ReturnType<WorkerClient['requestReport']>>): boolean =>
+  report === 'unknown';
--- a/packages/daemon/src/WorkerSessions.ts
+++ b/packages/daemon/src/WorkerSessions.ts
@@ -54,7 +54,10 @@
       this.#sessions.delete(worker);
       this.#context.workerClient.releaseAddress(worker.entry.address);
     }
-    const busyCount = workers.filter(({ tasks }) => tasks.size > 0).length;
+    const { scheduler } = this.#context;
+    const busyCount = workers.filter(
+      (worker) => worker.tasks.size > 0 || scheduler.hasLateStarts(worker),
+    ).length;
     this.#pacing.update(busyCount, performance.now());
   }
 
--- a/packages/jobs/__tests__/SchedulerSimulation.ts
+++ b/packages/jobs/__tests__/SchedulerSimulation.ts
@@ -27,6 +27,10 @@
 const services = ['render', 'render', 'render', 'render', 'studio', 'studio'];
 /** Longest time from the start of a worker to its entry in the platform's list. */
 const maxEntryDelayMs = 1500;
+/** Life of each worker at the beginning. */
+const firstLife = 1_700_000_000_000;
+/** Longest jump of the time of day of a worker's machine. */
+const maxClockJumpSeconds = 10;
 /** Longest time for which a worker that restarts is unreachable. */
 const maxDowntimeMs = 500;
 
@@ -53,6 +57,8 @@
   readonly #polledAt = new Map<string, number>();
   /** Listed entries of the workers; that of a restarted worker still shows the earlier incarnation for a while. */
   readonly #listed = new Map<string, WorkerEntry>();
+  /** Numbers of the restarts that the listed entries show, by worker. */
+  readonly #listedOrders = new Map<string, number>();
   /** Roster in the store, and the services of the queues. */
   #roster: readonly WorkerEntry[] = [];
   #queueServices: QueueServicesRecord | undefined;
@@ -63,13 +69,14 @@
   #pending: { readonly at: number; readonly run: () => void }[] = [];
   #leaders: Leader[] = [];
   #revision = 1;
+  #restartCount = 0;
   #term = 0;
   #now = 0;
 
   public constructor(random: () => number) {
     this.#random = random;
     for (const [number, service] of services.entries())
-      this.#listWorker(this.#startWorker(worker(`w${number}`, { service })));
+      this.#listWorker(this.#startWorker(worker(`w${number}`, { service, life: firstLife })));
     this.#electLeader();
   }
 
@@ -135,8 +142,17 @@
     if (previous === undefined) return;
     this.checker.liveWorkers.delete(previous);
     this.#partition(id, this.#random() * maxDowntimeMs);
-    const entry = this.#startWorker({ ...previous.entry, life: previous.entry.life + 1 });
+    this.#restartCount += 1;
+    // The time of day of the worker's machine may have jumped back. Each life has another value.
+    const jumpMs = Math.floor((this.#random() - 0.5) * 2 * maxClockJumpSeconds) * 1000;
+    const entry = this.#startWorker({
+      ...previous.entry,
+      life: firstLife + jumpMs + this.#restartCount,
+    });
+    const order = this.#restartCount;
     this.#schedule(this.#random() * maxEntryDelayMs, () => {
+      if ((this.#listedOrders.get(id) ?? 0) > order) return;
+      this.#listedOrders.set(id, order);
       this.#listWorker(entry);
     });
   }
@@ -175,11 +191,12 @@
   }
 
   #listWorker(entry: WorkerEntry): void {
-    if ((this.#listed.get(entry.id)?.life ?? 0) >= entry.life) return;
     this.#listed.set(entry.id, entry);
+    this.#revision += 1;
     // A previous leader ignores entries that it receives after its last renewal of the leader lease.
     for (const { scheduler, supersededAt } of this.#leaders) {
-      if (supersededAt === Infinity) scheduler.updateWorker(entry, false);
+      if (supersededAt === Infinity)
+        scheduler.updateWorker(entry, false, undefined, this.#revision);
     }
   }
 
@@ -220,7 +237,7 @@
     expect(findViolations(commands)).to.deep.equal([]);
     for (const command of commands) this.#execute(leader, command);
     for (const each of scheduler.workers)
-      if (isReportNeeded(each)) this.#requestReport(leader, each);
+      if (scheduler.isReportNeeded(each)) this.#requestReport(leader, each);
     // Only the holder of the leader lease can write.
     if (supersededAt !== Infinity || !scheduler.progress.hasPending) return;
     const batch = scheduler.progress.takeBatch();
@@ -273,6 +290,7 @@
     const { task, run, worker: target } = command;
     if (command.kind === 'stop') {
       this.#call(
+        leader,
         target,
         (model) => model.stop(task.name, run, term, this.#now),
         (response) => {
@@ -287,6 +305,7 @@
     const outcome = this.#random() < 0.05 ? 'failed' : 'done';
     const start = { task: task.name, run, term };
     this.#call(
+      leader,
       target,
       (model) => ({
         outcome: model.start(start, lease, this.#now, durationMs, outcome),
@@ -309,10 +328,13 @@
     const mayExtend = target.isSurveyed && !target.isSuspended;
     const lease = mayExtend ? target.extendLease(sentAt) : undefined;
     const { acknowledgement } = target;
+    if (acknowledgement > 0) target.recordAcknowledgementSent(sentAt);
     this.#call(
+      leader,
       target,
       (model) => model.report(term, acknowledgement, lease, this.#now),
       (report) => {
+        if (report !== undefined) target.recordAcknowledgementAnswered(sentAt);
         if (report === 'fenced') leader.isFenced = true;
         if (report === undefined || report === 'fenced') {
           target.recordCallFailure(this.#now, sentAt);
@@ -320,7 +342,7 @@
         }
         const strays = scheduler.handleReport(target, report, sentAt, this.#now, this.#now);
         for (const { task, run } of strays) {
-          this.#call(target, (model) => model.stop(task, run, term, this.#now), ignore);
+          this.#call(leader, target, (model) => model.stop(task, run, term, this.#now), ignore);
         }
       },
     );
@@ -328,6 +350,7 @@
 
   /** Delivers a call, loses its response, or executes it seconds later without a response. */
   #call<Answer>(
+    leader: Leader,
     target: Worker,
     act: (model: ModelWorker) => Answer,
     handle: (response: Answer | undefined) => void,
@@ -349,9 +372,11 @@
       timeOut();
       this.#schedule(2000 + this.#random() * 10_000, () => {
         const lateModel = findReachable();
-        // A late call reaches only the incarnation that it is meant for: the next one knows neither that its run was
-        // stopped nor that it acknowledges ends of the one before, and nothing in the call says so.
-        if (lateModel?.entry.life === target.life) act(lateModel);
+        // Late calls of the leader reach the next incarnation as well, which knows of no stop. Those of a previous leader
+        // do not: its successor does not know of them (docs/incidents/2026-12-06-late-start.md).
+        const isCurrent = leader.supersededAt === Infinity;
+        if (lateModel !== undefined && (isCurrent || lateModel.entry.life === target.life))
+          act(lateModel);
       });
     } else if (chance < 0.07) {
       act(model);
@@ -375,13 +400,6 @@
   }
 }
 
-/** Checks whether a worker is polled: the restart of an idle one goes unnoticed. */
-const isReportNeeded = (target: Worker): boolean => {
-  const { tasks, hasStrays, isSurveyed, acknowledgement } = target;
-  const hasUnwrittenEnds = target.processedThrough > target.acknowledgedThrough;
-  return tasks.size > 0 || hasStrays || !isSurveyed || hasUnwrittenEnds || acknowledgement > 0;
-};
-
 const ignore = (): void => undefined;
 
 const formatIncarnation = ({ id, life }: { readonly id: string; readonly life: number }): string =>
--- a/packages/jobs/__tests__/restarts.test.ts
+++ b/packages/jobs/__tests__/restarts.test.ts
@@ -226,4 +226,154 @@
       expect(findWorker(scheduler, 'w0').life).to.equal(life);
     }
   });
+
+  /** Plays a start without a response on `w0`, whose stop is confirmed and whose run is gone from the report. */
+  const loseStart = (): ReturnType<typeof startTask> => {
+    const started = startTask();
+    const { scheduler, command } = started;
+    scheduler.handleStartOutcome(command, 'unknown', 100);
+    confirmStops(scheduler, 101);
+    report(scheduler, 400, 1);
+    return started;
+  };
+  const confirmStops = (scheduler: Scheduler, now: number): readonly StopCommand[] => {
+    const stops = selectStops(scheduler.plan(now, now));
+    for (const stop of stops) scheduler.handleStopOutcome(stop, true, now);
+    return stops;
+  };
+  const report = (scheduler: Scheduler, now: number, life: number): void => {
+    const w0 = findWorker(scheduler, 'w0');
+    scheduler.handleReport(w0, { ...noRuns, life, clockMs: now }, now, now, now);
+    w0.extendLease(now);
+  };
+
+  // Guards against two runs of a task at the same time: the start without a response was executed seconds later by the
+  // next incarnation, beside the run on another worker (review/7).
+  it('gets a task again whose start it may execute late, and no other worker does', () => {
+    const { scheduler, command } = loseStart();
+    const [again] = selectStarts(scheduler.plan(401, 401));
+    expect(again?.worker.id).to.equal('w0');
+    expect(again?.run).to.equal(2);
+    if (again === undefined) throw new Error('the task does not start again');
+    scheduler.handleStartOutcome(again, 'started', 402);
+    scheduler.handleReport(
+      again.worker,
+      { ...noRuns, running: [{ ...run, run: 2 }] },
+      403,
+      404,
+      404,
+    );
+    scheduler.updateWorker(worker('w0', { life: 9 }), false);
+    const [stop] = confirmStops(scheduler, 500);
+    expect(stop?.worker).to.equal(findWorker(scheduler, 'w0'));
+    expect(stop?.run).to.equal(2);
+    expect(selectStarts(scheduler.plan(501, 501))).to.deep.equal([]);
+    expect(command.task.phase).to.equal('stopping');
+    report(scheduler, 800, 9);
+    expect(selectStarts(scheduler.plan(801, 801)).map(({ worker: { id } }) => id)).to.deep.equal([
+      'w0',
+    ]);
+  });
+
+  // Guards against a run that is adopted, or that uses resources which were given to other tasks, on the next incarnation.
+  it('keeps the resources of a waiting task free and stops its late run first', () => {
+    const { scheduler, command } = loseStart();
+    scheduler.updateWorker(worker('w0', { isDraining: true }), false);
+    scheduler.addJob(job('b', [step(320, 100)]), 3, 401);
+    expect(
+      selectStarts(scheduler.plan(402, 402)).map(({ task }) => task.step.job.id),
+    ).to.not.include('a');
+    scheduler.updateWorker(worker('w0', { life: 9 }), false);
+    const next = findWorker(scheduler, 'w0');
+    expect(command.task.phase).to.equal('stopping');
+    expect(next.tasks.has(command.task)).to.equal(true);
+    const late = { ...noRuns, life: 9, running: [run] };
+    expect(scheduler.handleReport(next, late, 500, 501, 501)).to.deep.equal([]);
+    const starts = selectStarts(scheduler.plan(502, 502)).filter(
+      ({ worker: { id } }) => id === 'w0',
+    );
+    expect(starts).to.have.length(159);
+    expect(command.task.phase).to.equal('stopping');
+  });
+
+  // Guards against a job that waits for ever for a worker that drains, is full or is lost.
+  it('blocks other workers only until it can no longer execute the start', () => {
+    for (const isLost of [true, false]) {
+      const { scheduler } = loseStart();
+      if (isLost) scheduler.unlistWorker('w0');
+      else scheduler.updateWorker(worker('w0', { isDraining: true }), false);
+      expect(selectStarts(scheduler.plan(12_500, 12_500))).to.deep.equal([]);
+      if (!isLost) report(scheduler, 12_601, 1);
+      const releasedAt = isLost ? 18_900 : 12_602;
+      const starts = selectStarts(scheduler.plan(releasedAt, releasedAt));
+      expect(starts.map(({ worker: { id } }) => id)).to.deep.equal(['w1']);
+    }
+  });
+
+  // Guards against a run of a task that is done: its late start is still to be blocked on the next incarnation.
+  it('is asked for reports and must confirm a stop also after the task is done', () => {
+    const { scheduler } = loseStart();
+    const [again] = selectStarts(scheduler.plan(401, 401));
+    if (again === undefined) throw new Error('the task does not start again');
+    scheduler.handleStartOutcome(again, 'started', 402);
+    const end = { number: 1, task: 'a.0.0.0', run: 2, outcome: 'done', checkpoint: '' } as const;
+    scheduler.handleReport(again.worker, { ...noRuns, ended: [end] }, 500, 501, 501);
+    scheduler.progress.confirmBatch(scheduler.progress.takeBatch());
+    report(scheduler, 600, 1);
+    expect(scheduler.isReportNeeded(again.worker)).to.equal(true);
+    expect(scheduler.plan(601, 601)).to.deep.equal([]);
+    scheduler.handleReport(again.worker, { ...noRuns, life: 9 }, 700, 701, 701);
+    const [stop] = confirmStops(scheduler, 702);
+    expect(stop?.worker.life).to.equal(9);
+    expect(scheduler.plan(1500, 1500)).to.deep.equal([]);
+    report(scheduler, 12_700, 9);
+    expect(scheduler.isReportNeeded(findWorker(scheduler, 'w0'))).to.equal(false);
+  });
+
+  // Guards against a gang that is never placed, or placed elsewhere: one of its members may start on one worker only.
+  it('gets the member of a gang whose start it may execute late, and the gang waits while it cannot', () => {
+    for (const isDraining of [true, false]) {
+      const scheduler = new Scheduler(1, 1, 0, bounds);
+      scheduler.configure(configuration());
+      const ids = ['w0', 'w1', 'w2'];
+      const reportAll = (now: number): void => {
+        for (const id of ids) {
+          const each = findWorker(scheduler, id);
+          scheduler.handleReport(each, { ...noRuns, clockMs: now }, now, now, now);
+          each.extendLease(now);
+        }
+      };
+      for (const id of ids) scheduler.updateWorker(worker(id), false);
+      reportAll(0);
+      scheduler.addJob(job('a', [step(2, 9000, { isGang: true })]), 2, 0);
+      const [lost, answered] = selectStarts(scheduler.plan(1, 1));
+      if (lost === undefined || answered === undefined) throw new Error('the gang does not start');
+      scheduler.handleStartOutcome(lost, 'unknown', 100);
+      scheduler.handleStartOutcome(answered, 'started', 100);
+      expect(confirmStops(scheduler, 101)).to.have.length(2);
+      reportAll(400);
+      if (isDraining) scheduler.updateWorker(worker(lost.worker.id, { isDraining }), false);
+      const again = selectStarts(scheduler.plan(401, 401));
+      expect(again).to.have.length(isDraining ? 0 : 2);
+      if (!isDraining)
+        expect(again.find(({ task }) => task === lost.task)?.worker).to.equal(lost.worker);
+      reportAll(12_601);
+      expect(selectStarts(scheduler.plan(12_602, 12_602))).to.have.length(isDraining ? 2 : 0);
+    }
+  });
+
+  // Guards against a second run of a completed task: an acknowledgement that was meant for the earlier incarnation made
+  // the next one discard the end of a run with the same number (random simulation, seeds 218 and 278).
+  it('gets no tasks while it may execute an acknowledgement of the earlier incarnation', () => {
+    for (const isAnswered of [true, false]) {
+      const { scheduler, command } = startTask();
+      command.worker.recordAcknowledgementSent(50);
+      if (isAnswered) command.worker.recordAcknowledgementAnswered(50);
+      scheduler.updateWorker(worker('w0', { life: 9 }), false);
+      report(scheduler, 60, 9);
+      const next = findWorker(scheduler, 'w0');
+      expect(next.canAcceptTasks(12_000)).to.equal(isAnswered);
+      expect(next.canAcceptTasks(12_600)).to.equal(true);
+    }
+  });
 });
--- a/packages/jobs/src/EndedWorkers.ts
+++ b/packages/jobs/src/EndedWorkers.ts
@@ -1,4 +1,5 @@
 import type { InheritedWorkers } from './InheritedWorkers.js';
+import type { LateStarts } from './membership/LateStarts.js';
 import type { Worker } from './Worker.js';
 import type { WorkerPool } from './WorkerPool.js';
 
@@ -6,15 +7,18 @@
 export class EndedWorkers {
   readonly #pool: WorkerPool;
   readonly #inheritedWorkers: InheritedWorkers;
+  readonly #lateStarts: LateStarts;
   /** Incarnations that have ended and whose tasks are not released yet. */
   readonly #ended = new Set<Worker>();
 
   /**
    * @param pool - known workers
    * @param inheritedWorkers - unsurveyed workers on which the previous leader may have started runs
+   * @param lateStarts - starts that may still be executed
    */
-  public constructor(pool: WorkerPool, inheritedWorkers: InheritedWorkers) {
+  public constructor(pool: WorkerPool, inheritedWorkers: InheritedWorkers, lateStarts: LateStarts) {
     this.#pool = pool;
+    this.#lateStarts = lateStarts;
     this.#inheritedWorkers = inheritedWorkers;
   }
 
@@ -30,7 +34,8 @@
 
   /**
    * Moves what the next incarnation of a worker may run to it. Commands name a worker by its id, so the next incarnation
-   * executes those that were meant for the one before. Only runs that the earlier one has reported have ended with it.
+   * executes those that were meant for the one before. Only runs that the earlier one has reported have ended with it. A
+   * task whose start may still be executed is stopped on the next incarnation.
    *
    * @param worker - incarnation that was known so far
    * @param next - next incarnation under the same id
@@ -40,8 +45,12 @@
   public replace(worker: Worker, next: Worker, hasEnded: boolean): void {
     this.#inheritedWorkers.replace(worker, next);
     next.inheritLeases(worker);
-    for (const task of [...worker.tasks])
-      if (!hasEnded || !task.isReported) task.moveToIncarnation(next);
+    next.inheritAcknowledgements(worker);
+    for (const task of [...worker.tasks]) {
+      const mustStop = this.#lateStarts.isPending(task);
+      if (!hasEnded || !task.isReported || mustStop) task.moveToIncarnation(next, mustStop);
+    }
+    this.#lateStarts.moveToIncarnation(next);
   }
 
   /**
@@ -69,6 +78,7 @@
       const mayRun =
         worker.isSurveyed ||
         worker.tasks.size > 0 ||
+        this.#lateStarts.hasAny(worker) ||
         this.#inheritedWorkers.findLeaseExpiry(worker) !== undefined;
       const hasExpired = now > worker.leasesExpireAt;
       if (!worker.isListed && (!mayRun || hasExpired)) this.#removeWorker(worker, now);
--- a/packages/jobs/src/IndependentTaskPlacement.ts
+++ b/packages/jobs/src/IndependentTaskPlacement.ts
@@ -14,16 +14,22 @@
     candidates: readonly Candidate[],
     reservations: Reservations,
   ): readonly TaskAssignment[] {
-    const { step, maxTasks } = request;
+    const { step, maxTasks, bound } = request;
     const planned = new PlannedResources(step, reservations);
     const ranked = candidates
       .map((candidate) => ({ ...candidate, cost: computeWorkerCost(request, candidate.worker) }))
       .sort((a, b) => a.cost - b.cost);
     const assignments: TaskAssignment[] = [];
+    for (const [task, candidate] of bound) {
+      if (assignments.length >= maxTasks) break;
+      if (candidate === undefined || !planned.canAdmit(candidate.worker)) continue;
+      planned.addTask(candidate.worker);
+      assignments.push({ task, ...candidate });
+    }
     let next = 0;
     for (const task of step.tasks) {
       if (assignments.length >= maxTasks) break;
-      if (task.phase !== 'waiting') continue;
+      if (task.phase !== 'waiting' || bound.has(task)) continue;
       // Candidates only fill up during the pass, so a skipped one is still full and need not be checked again.
       while (next < ranked.length && !this.#canAdmit(planned, ranked[next])) next += 1;
       const chosen = ranked[next];
--- a/packages/jobs/src/PlacementRequest.ts
+++ b/packages/jobs/src/PlacementRequest.ts
@@ -1,5 +1,7 @@
+import type { Candidate } from './Candidate.js';
 import type { Contention } from './Contention.js';
 import type { StepInstance } from './StepInstance.js';
+import type { Task } from './Task.js';
 
 /** Request to choose workers for the waiting tasks of a step. */
 export interface PlacementRequest {
@@ -15,4 +17,9 @@
   readonly timeLeftMs: number;
   /** How much the pending large tasks depend on each worker. */
   readonly contention: Contention;
+  /**
+   * Tasks that may start on one worker only, since it may execute an earlier start of them; undefined if that worker
+   * cannot take them now.
+   */
+  readonly bound: ReadonlyMap<Task, Candidate | undefined>;
 }
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -11,12 +11,14 @@
 import type { QueueSettings } from './QueueSettings.js';
 import type { Command } from './Command.js';
 import type { PermitCache } from './PermitCache.js';
+import type { LateStarts } from './membership/LateStarts.js';
 import { EligibleWorkers } from './EligibleWorkers.js';
 import { PermitRequests } from './PermitRequests.js';
 import { PlanningPass } from './PlanningPass.js';
 import { PlanningWindow } from './PlanningWindow.js';
 import { resources } from './resources.js';
 import type { StepInstance } from './StepInstance.js';
+import type { Task } from './Task.js';
 import { reserveCapacity } from './reserveCapacity.js';
 import type { Worker } from './Worker.js';
 import type { WorkerPool } from './WorkerPool.js';
@@ -35,6 +37,11 @@
   readonly allowed: readonly Worker[];
 }
 
+/** Waiting tasks that may start on one worker only; undefined if they cannot start there now. */
+type BoundTasks = ReadonlyMap<Task, Worker | undefined>;
+
+const noBoundTasks: BoundTasks = new Map();
+
 /** Decides which waiting tasks start on which workers. */
 export class Planner {
   readonly #jobs: JobRegistry;
@@ -46,6 +53,7 @@
   readonly #window = new PlanningWindow();
   readonly #isHeld: (job: Job, queue: QueueConfiguration) => boolean;
   readonly #firstRunNumber: number;
+  readonly #lateStarts: LateStarts;
 
   /**
    * @param jobs - known jobs
@@ -55,6 +63,7 @@
    * @param durations - mean durations by image
    * @param isHeld - checks whether no tasks of a job may start now
    * @param firstRunNumber - lowest run number of the leader's term
+   * @param lateStarts - starts that may still be executed; their tasks are bound to a worker
    */
   public constructor(
     jobs: JobRegistry,
@@ -64,7 +73,9 @@
     durations: ImageDurations,
     isHeld: (job: Job, queue: QueueConfiguration) => boolean,
     firstRunNumber: number,
+    lateStarts: LateStarts,
   ) {
+    this.#lateStarts = lateStarts;
     this.#jobs = jobs;
     this.#pool = pool;
     this.#queues = queues;
@@ -84,6 +95,10 @@
   public plan(now: number): readonly Command[] {
     const pass = new PlanningPass(now, this.#queues);
     const eligible = new EligibleWorkers(this.#pool.all, now);
+    const boundTasks = this.#lateStarts.listWaiting();
+    for (const { task, worker } of boundTasks)
+      if (worker !== undefined) pass.reservations.reserve(worker, task.occupiedResources);
+    const boundSteps = new Set(boundTasks.map(({ task }) => task.step));
     const selected = this.#window.select(this.#pendingSteps.collect(now));
     const ready = selected.map((pending): PlaceableStep => {
       const { workers, members, maxFree } = eligible.find(pending);
@@ -92,7 +107,10 @@
       pass.contention.addStep(pending, allowed);
       return { pending, workers, mayFit: resources.fits(step.description.size, maxFree), allowed };
     });
-    for (const each of ready) this.#planStep(each, pass);
+    for (const each of ready) {
+      if (boundSteps.has(each.pending.step)) this.#planBoundStep(each, boundTasks, pass);
+      else this.#planStep(each, noBoundTasks, pass);
+    }
     for (const task of pass.preemption.victims) {
       const { worker } = task;
       if (worker === undefined) continue;
@@ -116,18 +134,58 @@
     return this.#permits.listAllowed(key).filter((worker) => members.has(worker));
   }
 
-  #planStep({ pending, workers, mayFit, allowed }: PlaceableStep, pass: PlanningPass): void {
+  /** Plans a step with bound tasks: the capacity that is kept free for them is available to this step only. */
+  #planBoundStep(
+    each: PlaceableStep,
+    boundTasks: ReturnType<LateStarts['listWaiting']>,
+    pass: PlanningPass,
+  ): void {
+    const { reservations } = pass;
+    const own = boundTasks.filter(({ task }) => task.step === each.pending.step);
+    for (const { task, worker } of own)
+      if (worker !== undefined) reservations.cancel(worker, task.occupiedResources);
+    const bound = new Map(
+      own.map(({ task }) => [task, this.#findBoundWorker(task, each.pending.queue)]),
+    );
+    this.#planStep(each, bound, pass);
+    for (const { task, worker } of own)
+      if (worker !== undefined && task.phase === 'waiting')
+        reservations.reserve(worker, task.occupiedResources);
+  }
+
+  /**
+   * Finds the only worker on which a task with a pending start may start. A pause does not matter: the worker was paused
+   * because that start got no response, and has confirmed its stop since.
+   */
+  #findBoundWorker(task: Task, { service }: QueueConfiguration): Worker | undefined {
+    const worker = this.#lateStarts.findWorker(task);
+    const { requiredLabel } = task.step.description;
+    const isEligible =
+      worker?.isAvailable === true &&
+      worker.entry.service === service &&
+      (requiredLabel === undefined || worker.entry.labels.includes(requiredLabel));
+    return isEligible ? worker : undefined;
+  }
+
+  #planStep(
+    { pending, workers, mayFit, allowed }: PlaceableStep,
+    bound: BoundTasks,
+    pass: PlanningPass,
+  ): void {
     const { step, queue } = pending;
-    if (mayFit) this.#startWaiting(pending, allowed, pass);
+    if (mayFit || bound.size > 0) this.#startWaiting(pending, allowed, bound, pass);
     if (step.waitingCount === 0) return;
     // Capacity that is already free is reserved while permits are being renewed.
     const feasible =
       queue.advice === undefined || !mayFit
         ? []
-        : this.#chooseWorkers(pending, allowed.map(withoutPermit), pass);
+        : this.#chooseWorkers(pending, allowed.map(withoutPermit), bound, withoutPermit, pass);
     const reservedWorkers = new Set(feasible.map(({ worker }) => worker));
     for (const { worker } of feasible) pass.reservations.reserve(worker, step.description.size);
-    const missing = Math.min(step.waitingCount, this.#countWithinCap(step)) - feasible.length;
+    // Capacity on other workers is of no use for bound tasks, nor for a gang with a member that must wait.
+    const mustWait = step.description.isGang === true && [...bound.values()].includes(undefined);
+    const waitingCount = mustWait ? 0 : step.waitingCount - countWaiting(bound);
+    const missing = Math.min(waitingCount, this.#countWithinCap(step)) - feasible.length;
     for (const worker of reserveCapacity(pending, allowed, missing, pass))
       reservedWorkers.add(worker);
     const candidates = { workers, allowed, reserved: reservedWorkers, mayFit };
@@ -137,13 +195,15 @@
   #chooseWorkers(
     { step, stepDeadline }: PendingStep,
     candidates: readonly Candidate[],
+    bound: BoundTasks,
+    findCandidate: (worker: Worker) => Candidate | undefined,
     { now, contention, reservations }: PlanningPass,
   ): readonly TaskAssignment[] {
     const { isGang, size } = step.description;
     const fitting = candidates.filter(({ worker }) =>
       resources.fits(size, reservations.freeOn(worker)),
     );
-    if (fitting.length === 0) return [];
+    if (fitting.length === 0 && bound.size === 0) return [];
     const placement = isGang === true ? gang : independent;
     const request = {
       step,
@@ -151,22 +211,33 @@
       expectedMs: this.#pendingSteps.estimateDurationMs(step),
       timeLeftMs: stepDeadline - now,
       contention,
+      bound: new Map(
+        [...bound]
+          .filter(([{ phase }]) => phase === 'waiting')
+          .map(([task, worker]) => [task, worker && findCandidate(worker)]),
+      ),
     };
     return placement.choose(request, fitting, reservations);
   }
 
-  #startWaiting(pending: PendingStep, allowed: readonly Worker[], pass: PlanningPass): void {
+  #startWaiting(
+    pending: PendingStep,
+    allowed: readonly Worker[],
+    bound: BoundTasks,
+    pass: PlanningPass,
+  ): void {
     const { step, queue } = pending;
     const { size, isGang } = step.description;
     const { now, reservations } = pass;
-    const candidates = allowed.flatMap((worker): readonly Candidate[] => {
+    const findCandidate = (worker: Worker): Candidate | undefined => {
       if (!worker.isCapacityConfirmed(now) || !resources.fits(size, reservations.freeOn(worker)))
-        return [];
-      if (queue.advice === undefined) return [withoutPermit(worker)];
+        return undefined;
+      if (queue.advice === undefined) return withoutPermit(worker);
       const permit = this.#permits.findPermit(step.key, worker, now);
-      return permit === undefined ? [] : [{ worker, permit }];
-    });
-    const assignments = this.#chooseWorkers(pending, candidates, pass);
+      return permit === undefined ? undefined : { worker, permit };
+    };
+    const candidates = allowed.flatMap((worker) => findCandidate(worker) ?? []);
+    const assignments = this.#chooseWorkers(pending, candidates, bound, findCandidate, pass);
     if (assignments.length === 0) return;
     // The members of a gang share the number of their run.
     const gangRun = Math.max(this.#firstRunNumber, ...step.tasks.map((task) => task.run + 1));
@@ -176,6 +247,7 @@
       if (isGang === true) task.resumeFrom(shared?.checkpoint ?? '');
       const run = isGang === true ? gangRun : Math.max(this.#firstRunNumber, task.run + 1);
       task.place(worker, run, now);
+      this.#lateStarts.record(task, worker.id, run, now);
       pass.addCommand({ kind: 'start', task, worker, run, permit });
     }
   }
@@ -212,4 +284,7 @@
   }
 }
 
+const countWaiting = (bound: BoundTasks): number =>
+  [...bound.keys()].filter(({ phase }) => phase === 'waiting').length;
+
 const withoutPermit = (worker: Worker): Candidate => ({ worker, permit: undefined });
--- a/packages/jobs/src/ReportHandler.ts
+++ b/packages/jobs/src/ReportHandler.ts
@@ -19,6 +19,7 @@
   readonly #markUnwritten: (job: Job) => void;
   readonly #findMaxAttempts: (job: Job) => number;
   readonly #maxStopMs: number;
+  readonly #mustStopFirst: (task: Task) => boolean;
 
   /**
    * @param jobs - known jobs
@@ -26,6 +27,7 @@
    * @param markUnwritten - called for jobs whose progress must be written to the store
    * @param findMaxAttempts - returns the number of failed runs of one task at which its job fails
    * @param maxStopMs - longest time that a worker takes to stop a run, in milliseconds
+   * @param mustStopFirst - checks whether a start of a task may still be executed, so that no run of it is adopted
    */
   public constructor(
     jobs: JobRegistry,
@@ -33,8 +35,10 @@
     markUnwritten: (job: Job) => void,
     findMaxAttempts: (job: Job) => number,
     maxStopMs: number,
+    mustStopFirst: (task: Task) => boolean,
   ) {
     this.#maxStopMs = maxStopMs;
+    this.#mustStopFirst = mustStopFirst;
     this.#jobs = jobs;
     this.#durations = durations;
     this.#markUnwritten = markUnwritten;
@@ -92,7 +96,9 @@
       return true;
     }
     task.raiseRunNumber(report.run);
-    if (task.phase !== 'waiting') return false;
+    // A lower number than the latest one would be used again, and a delayed stop could then stop the newer run.
+    if (task.phase !== 'waiting' || task.run > report.run) return false;
+    if (this.#mustStopFirst(task)) return false;
     task.adopt(worker, report.run, now);
     task.updateProgress(report.percent, report.checkpoint, report.load, now);
     task.step.job.markStarted();
--- a/packages/jobs/src/Reservations.ts
+++ b/packages/jobs/src/Reservations.ts
@@ -26,6 +26,17 @@
     this.#update(worker, resources.add(known, size));
   }
 
+  /**
+   * Ends a reservation.
+   *
+   * @param worker - worker on which capacity was reserved
+   * @param size - resources of one task
+   */
+  public cancel(worker: Worker, size: Room): void {
+    const known = this.#reservations.get(worker)?.reserved ?? resources.none;
+    this.#update(worker, resources.add(known, size, -1));
+  }
+
   /**
    * Computes the free capacity for steps that are served later.
    *
--- a/packages/jobs/src/RunStopper.ts
+++ b/packages/jobs/src/RunStopper.ts
@@ -4,12 +4,10 @@
 import type { Task } from './Task.js';
 import type { Worker } from './Worker.js';
 
-/** Delay before an unconfirmed stop is repeated, in milliseconds. */
-const stopRetryMs = 300;
-
 /** Decides which runs must be stopped, and repeats stops until they are confirmed. */
 export class RunStopper {
-  readonly #sentAt = new WeakMap<Task, number>();
+  /** Last stop of each task: the incarnation that it was sent to, and the monotonic time in milliseconds. */
+  readonly #sent = new WeakMap<Task, { readonly worker: Worker; readonly at: number }>();
 
   /**
    * Collects stops for runs of finished jobs, incomplete gangs and stalled tasks, and repeats unconfirmed stops.
@@ -26,8 +24,9 @@
         if (reason !== undefined) task.beginStop(now, reason);
         else if (isStalled(task, worker)) this.#stopStalled(task, worker, now);
         if (task.phase !== 'stopping' || task.stopConfirmedAt !== undefined) continue;
-        if (now - (this.#sentAt.get(task) ?? -Infinity) < stopRetryMs) continue;
-        this.recordSent(task, now);
+        const sent = this.#sent.get(task);
+        if (sent?.worker === worker && now - sent.at < schedulingLimits.stopRetryMs) continue;
+        this.recordSent(task, worker, now);
         commands.push({ kind: 'stop', task, worker, run: task.run });
       }
     }
@@ -38,10 +37,11 @@
    * Records that a stop was sent.
    *
    * @param task - task that is being stopped
+   * @param worker - incarnation to which the stop was sent
    * @param now - monotonic time in milliseconds
    */
-  public recordSent(task: Task, now: number): void {
-    this.#sentAt.set(task, now);
+  public recordSent(task: Task, worker: Worker, now: number): void {
+    this.#sent.set(task, { worker, at: now });
   }
 
   /** Stops a stalled task, which then starts again on another worker, and pauses the stalled worker. */
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -11,6 +11,7 @@
 } from '@toucanline/schema';
 import { ReportHandler } from './ReportHandler.js';
 import { ImageDurations } from './ImageDurations.js';
+import { LateStarts } from './membership/LateStarts.js';
 import { InheritedWorkers } from './InheritedWorkers.js';
 import type { Job } from './Job.js';
 import { JobRegistry } from './JobRegistry.js';
@@ -44,7 +45,8 @@
   readonly #permits = new PermitCache();
   readonly #durations = new ImageDurations();
   readonly #reportHandler: ReportHandler;
-  readonly #startOutcomeHandler = new StartOutcomeHandler(this.#permits);
+  readonly #startOutcomeHandler: StartOutcomeHandler;
+  readonly #lateStarts: LateStarts;
   readonly #planner: Planner;
   readonly #runStopper = new RunStopper();
   readonly #inheritedWorkers: InheritedWorkers;
@@ -66,7 +68,9 @@
     this.progress = new PendingProgress(this.#jobs, this.#pool);
     this.#inheritedWorkers = new InheritedWorkers(this.#jobs, electionRevision, now, maxLeaseMs);
     this.queueServices = new QueueServices(this.#queues, this.#pool, this.#inheritedWorkers);
-    this.#endedWorkers = new EndedWorkers(this.#pool, this.#inheritedWorkers);
+    this.#lateStarts = new LateStarts(this.#pool, maxLeaseMs);
+    this.#startOutcomeHandler = new StartOutcomeHandler(this.#permits, this.#lateStarts);
+    this.#endedWorkers = new EndedWorkers(this.#pool, this.#inheritedWorkers, this.#lateStarts);
     this.#firstRunNumber = (term - 1) * schedulingLimits.runsPerTerm + 1;
     this.#reportHandler = new ReportHandler(
       this.#jobs,
@@ -76,6 +80,7 @@
       },
       (job) => this.#queues.findQueue(job)?.maxAttempts ?? Infinity,
       maxStopMs,
+      (task) => this.#lateStarts.isPending(task),
     );
     this.#planner = new Planner(
       this.#jobs,
@@ -85,6 +90,7 @@
       this.#durations,
       (job, queue) => this.#isHeld(job, queue),
       this.#firstRunNumber,
+      this.#lateStarts,
     );
   }
 
@@ -175,6 +181,35 @@
     this.#inheritedWorkers.assumeUnknownWorkers();
   }
 
+  /**
+   * Checks whether a worker must be asked for reports: it runs tasks, has run ends to acknowledge, or may execute a start
+   * late, so that its restart must be noticed.
+   *
+   * @param worker - worker to check
+   * @returns whether its next report is needed
+   */
+  public isReportNeeded(worker: Worker): boolean {
+    const { tasks, hasStrays, isSurveyed, acknowledgement } = worker;
+    return (
+      tasks.size > 0 ||
+      hasStrays ||
+      !isSurveyed ||
+      worker.processedThrough > worker.acknowledgedThrough ||
+      acknowledgement > 0 ||
+      this.hasLateStarts(worker)
+    );
+  }
+
+  /**
+   * Checks whether a worker may execute a start late.
+   *
+   * @param worker - worker to check
+   * @returns whether it is asked for reports although it may be idle
+   */
+  public hasLateStarts(worker: Worker): boolean {
+    return this.#lateStarts.hasAny(worker);
+  }
+
   /**
    * Computes how long runs may continue on a worker that gets no further commands or leases.
    *
@@ -239,6 +274,7 @@
       return [];
     }
     this.#pool.confirmIncarnation(worker);
+    this.#lateStarts.handleReport(worker, report, sentAt);
     const strays = this.#reportHandler.handleReport(worker, report, sentAt, now, wallMs);
     // The worker now fences stops of the previous leader, but earlier ones may still be in progress.
     if (this.#inheritedWorkers.findLeaseExpiry(worker) !== undefined)
@@ -272,10 +308,12 @@
    * @param now - monotonic time in milliseconds
    */
   public handleStopOutcome(
-    { task, worker, run }: Extract<Command, { kind: 'stop' }>,
+    command: Extract<Command, { kind: 'stop' }>,
     isConfirmed: boolean,
     now: number,
   ): void {
+    if (isConfirmed) this.#lateStarts.confirmStop(command);
+    const { task, worker, run } = command;
     // The next incarnation of the worker does not know of a stop that the earlier one confirmed.
     if (task.worker !== worker || task.run !== run || task.phase !== 'stopping') return;
     if (isConfirmed) task.confirmStop(now);
@@ -353,12 +391,13 @@
       job.openDueOccurrences(wallMs);
       if (!job.isFinished && job.finishIfEnded(wallMs)) this.progress.add(job);
     }
+    const lateStops = this.#lateStarts.update(now);
     const stops = this.#runStopper.collectStops(this.#pool.all, now);
     for (const job of this.#jobs.openJobs) if (job.isFinished) this.#closeJob(job);
     const planned = this.#planner.plan(now);
     for (const command of planned)
-      if (command.kind === 'stop') this.#runStopper.recordSent(command.task, now);
-    return [...stops, ...planned];
+      if (command.kind === 'stop') this.#runStopper.recordSent(command.task, command.worker, now);
+    return [...lateStops, ...stops, ...planned];
   }
 
   /**
--- a/packages/jobs/src/StartOutcomeHandler.ts
+++ b/packages/jobs/src/StartOutcomeHandler.ts
@@ -1,4 +1,5 @@
 import type { Command } from './Command.js';
+import type { LateStarts } from './membership/LateStarts.js';
 import type { PermitCache } from './PermitCache.js';
 import { schedulingLimits } from './schedulingLimits.js';
 import type { StartOutcome } from './StartOutcome.js';
@@ -6,10 +7,15 @@
 /** Handles the outcomes of start commands. */
 export class StartOutcomeHandler {
   readonly #permits: PermitCache;
+  readonly #lateStarts: LateStarts;
 
-  /** @param permits - placement permits; those that a worker refuses expire */
-  public constructor(permits: PermitCache) {
+  /**
+   * @param permits - placement permits; those that a worker refuses expire
+   * @param lateStarts - starts that may still be executed
+   */
+  public constructor(permits: PermitCache, lateStarts: LateStarts) {
     this.#permits = permits;
+    this.#lateStarts = lateStarts;
   }
 
   /**
@@ -25,6 +31,8 @@
     outcome: StartOutcome,
     now: number,
   ): void {
+    if (outcome === 'unknown') this.#lateStarts.recordNoResponse(task, run, now);
+    else this.#lateStarts.resolve(task, run);
     if (task.worker !== worker || task.run !== run || task.phase !== 'starting') return;
     switch (outcome) {
       case 'started':
--- a/packages/jobs/src/Task.ts
+++ b/packages/jobs/src/Task.ts
@@ -159,15 +159,28 @@
    * stays until the incarnation reports its runs; one whose start is not confirmed may still start, so it is stopped.
    *
    * @param worker - next incarnation under the same id
+   * @param mustStop - whether an earlier start of the task may still be executed there
    */
-  public moveToIncarnation(worker: Worker): void {
+  public moveToIncarnation(worker: Worker, mustStop: boolean): void {
     this.#worker?.removeTask(this);
     this.#worker = worker;
     worker.addTask(this);
     this.#hasFullDuration = false;
     this.#isReported = false;
     this.#stopConfirmedAt = undefined;
-    if (this.#phase === 'starting') this.beginStop(this.#phaseStartedAt, 'unanswered');
+    if (mustStop || this.#phase === 'starting') this.beginStop(this.#phaseStartedAt, 'unanswered');
+  }
+
+  /**
+   * Places a waiting task on a worker that may execute an earlier start of it, and enters the phase `stopping`: the task
+   * holds its resources there until the worker has confirmed the stop and reports no run.
+   *
+   * @param worker - incarnation that may execute the start
+   * @param now - monotonic time in milliseconds
+   */
+  public holdForStop(worker: Worker, now: number): void {
+    this.place(worker, this.#run, now);
+    this.beginStop(now, 'unanswered');
   }
 
   /** Whether the time since the start of the run covers the whole task: false after an adoption or a checkpoint. */
--- a/packages/jobs/src/Worker.ts
+++ b/packages/jobs/src/Worker.ts
@@ -38,6 +38,8 @@
   #acknowledgedThrough = 0;
   /** Number of the last run end in the latest report; 0 if it listed none. */
   #listedThrough = 0;
+  /** Monotonic times in milliseconds at which acknowledgements were sent that may still be executed. */
+  readonly #pendingAcknowledgements = new Set<number>();
   /** Resources of stray runs, which belong to no task and are being stopped. */
   #strayResources: Room = resources.none;
 
@@ -131,6 +133,39 @@
     return this.#callFailures > 0 ? 0 : Math.min(this.#acknowledgedThrough, this.#listedThrough);
   }
 
+  /**
+   * Records that a request for a report acknowledges run ends.
+   *
+   * @param sentAt - monotonic time in milliseconds
+   */
+  public recordAcknowledgementSent(sentAt: number): void {
+    for (const time of this.#pendingAcknowledgements)
+      if (sentAt > getLastExecutionTime(time)) this.#pendingAcknowledgements.delete(time);
+    this.#pendingAcknowledgements.add(sentAt);
+  }
+
+  /**
+   * Records that such a request was answered, so that it is not executed later.
+   *
+   * @param sentAt - monotonic time at which it was sent, in milliseconds
+   */
+  public recordAcknowledgementAnswered(sentAt: number): void {
+    this.#pendingAcknowledgements.delete(sentAt);
+  }
+
+  /**
+   * Pauses this incarnation while it may execute an acknowledgement that was meant for the previous one: it would
+   * discard ends of its own runs that have the same numbers.
+   *
+   * @param previous - previous incarnation under the same id
+   */
+  public inheritAcknowledgements(previous: Worker): void {
+    for (const time of previous.#pendingAcknowledgements) {
+      this.#pendingAcknowledgements.add(time);
+      this.pauseUntil(getLastExecutionTime(time));
+    }
+  }
+
   /** Monotonic time of the last response, in milliseconds. */
   public get lastContactAt(): number {
     return this.#lastContactAt;
@@ -141,6 +176,15 @@
     return this.#callFailures;
   }
 
+  /**
+   * Checks whether the worker may get commands, pauses aside.
+   *
+   * @returns whether it is listed and surveyed, and is neither suspended nor draining
+   */
+  public get isAvailable(): boolean {
+    return this.#isListed && this.#isSurveyed && !this.#isSuspended && !this.#entry.isDraining;
+  }
+
   /**
    * Checks whether new tasks may be placed on the worker.
    *
@@ -148,13 +192,7 @@
    * @returns whether it is listed and surveyed, and is neither suspended, draining nor paused
    */
   public canAcceptTasks(now: number): boolean {
-    return (
-      this.#isListed &&
-      this.#isSurveyed &&
-      !this.#isSuspended &&
-      !this.#entry.isDraining &&
-      now >= this.#pausedUntil
-    );
+    return this.isAvailable && now >= this.#pausedUntil;
   }
 
   /**
@@ -400,3 +438,7 @@
     return Math.min(workerBackoffMs * 2 ** (failures - 1), longestMs);
   }
 }
+
+/** Returns until when a report request may be executed late, as monotonic time in milliseconds. */
+const getLastExecutionTime = (sentAt: number): number =>
+  sentAt + schedulingLimits.lateCallMs + schedulingLimits.lateCallMarginMs;
--- a/packages/jobs/src/schedulingLimits.ts
+++ b/packages/jobs/src/schedulingLimits.ts
@@ -16,6 +16,12 @@
   minClockRate: 0.98,
   /** Margin added to the computed expiry of a lease: covers the delivery of a command inside the worker. */
   leaseExpiryMarginMs: 150,
+  /** Longest time after which a command without a response is executed: the platform states 2 to 12 s. */
+  lateCallMs: 12_000,
+  /** Margin added to it: covers the delivery of a command and a drift of the leader's clock. */
+  lateCallMarginMs: 500,
+  /** Delay before an unconfirmed stop is repeated. */
+  stopRetryMs: 300,
   /** Time before its expiry at which a permit is no longer used: a command takes a few milliseconds to arrive. */
   permitMarginMs: 150,
   /** Time for which a worker that did not respond gets no new task; doubles with each consecutive failure. */
