Shorten the tests of incarnations

Cause: the same checks took more lines than needed.

Change: entries and workers are listed in place; no check is changed.

--- a/packages/daemon/__tests__/StoreChangeHandler.test.ts
+++ b/packages/daemon/__tests__/StoreChangeHandler.test.ts
@@ -111,12 +111,9 @@
       {} as unknown as JobCleanup,
       ({ life }) => added.push(life),
     );
-    const items = [
-      { value: '9', revision: 10 },
-      { value: '4', revision: 12 },
-      { value: '7', revision: 11 },
-    ];
-    for (const item of items) handler.applyWorker({ key: 'w/w1', ...item });
+    handler.applyWorker({ key: 'w/w1', value: '9', revision: 10 });
+    handler.applyWorker({ key: 'w/w1', value: '4', revision: 12 });
+    handler.applyWorker({ key: 'w/w1', value: '7', revision: 11 });
     expect(added).to.deep.equal([9, 4]);
   });
 });
--- a/packages/jobs/__tests__/restarts.test.ts
+++ b/packages/jobs/__tests__/restarts.test.ts
@@ -187,12 +187,11 @@
   // Guards against tasks that are released from a running incarnation because an entry of an ended one arrives late:
   // no comparison of the lives tells which of the two is newer.
   it('is not replaced by an entry that is older or shows an incarnation that has ended', () => {
-    for (const lives of [
+    for (const [first, second, third] of [
       [1, 5, 3],
       [5, 1, 3],
       [3, 5, 1],
     ] as const) {
-      const [first, second, third] = lives;
       const scheduler = new Scheduler(1, 1, 0, bounds);
       scheduler.updateWorker(worker('w0', { life: first }), false, undefined, 10);
       scheduler.updateWorker(worker('w0', { life: second }), false, undefined, 12);
@@ -356,15 +355,13 @@
     for (const isDraining of [true, false]) {
       const scheduler = new Scheduler(1, 1, 0, bounds);
       scheduler.configure(configuration());
-      const ids = ['w0', 'w1', 'w2'];
       const reportAll = (now: number): void => {
-        for (const id of ids) {
-          const each = findWorker(scheduler, id);
+        for (const each of scheduler.workers) {
           scheduler.handleReport(each, { ...noRuns, clockMs: now }, now, now, now);
           each.extendLease(now);
         }
       };
-      for (const id of ids) scheduler.updateWorker(worker(id), false);
+      for (const id of ['w0', 'w1', 'w2']) scheduler.updateWorker(worker(id), false);
       reportAll(0);
       scheduler.addJob(job('a', [step(2, 9000, { isGang: true })]), 2, 0);
       const [lost, answered] = selectStarts(scheduler.plan(1, 1));
