--- a/packages/jobs/src/EndedWorkers.ts
+++ b/packages/jobs/src/EndedWorkers.ts
@@ -1,5 +1,6 @@
 import type { DurationEstimates } from './durations/DurationEstimates.js';
 import type { InheritedWorkers } from './InheritedWorkers.js';
+import type { LateStarts } from './membership/LateStarts.js';
 import type { Worker } from './Worker.js';
 import type { WorkerPool } from './WorkerPool.js';
 
@@ -8,6 +9,7 @@
   readonly #pool: WorkerPool;
   readonly #inheritedWorkers: InheritedWorkers;
   readonly #durations: DurationEstimates;
+  readonly #lateStarts: LateStarts;
   /** Incarnations that have ended and whose tasks are not released yet. */
   readonly #ended = new Set<Worker>();
 
@@ -15,14 +17,17 @@
    * @param pool - known workers
    * @param inheritedWorkers - unsurveyed workers on which the previous leader may have started runs
    * @param durations - learns from lost runs
+   * @param lateStarts - starts that may still be executed
    */
   public constructor(
     pool: WorkerPool,
     inheritedWorkers: InheritedWorkers,
     durations: DurationEstimates,
+    lateStarts: LateStarts,
   ) {
     this.#durations = durations;
     this.#pool = pool;
+    this.#lateStarts = lateStarts;
     this.#inheritedWorkers = inheritedWorkers;
   }
 
@@ -38,15 +43,23 @@
 
   /**
    * Moves what the next incarnation of a worker may run to it. Commands name a worker by its id, so the next incarnation
-   * executes those that were meant for the one before. Only runs that the earlier one has reported have ended with it.
+   * executes those that were meant for the one before. Only runs that the earlier one has reported have ended with it. A
+   * task whose start may still be executed is stopped on the next incarnation.
    *
-   * @param worker - incarnation that has ended
+   * @param worker - incarnation that was known so far
    * @param next - next incarnation under the same id
+   * @param hasEnded - whether the earlier one has certainly ended; otherwise its reported runs move as well, and the
+   * next report tells which of them run
    */
-  public replace(worker: Worker, next: Worker): void {
+  public replace(worker: Worker, next: Worker, hasEnded: boolean): void {
     this.#inheritedWorkers.replace(worker, next);
     next.inheritLeases(worker);
-    for (const task of [...worker.tasks]) if (!task.isReported) task.moveToIncarnation(next);
+    next.inheritAcknowledgements(worker);
+    for (const task of [...worker.tasks]) {
+      const mustStop = this.#lateStarts.isPending(task);
+      if (!hasEnded || !task.isReported || mustStop) task.moveToIncarnation(next, mustStop);
+    }
+    this.#lateStarts.moveToIncarnation(next);
   }
 
   /**
@@ -74,6 +87,7 @@
       const mayRun =
         worker.isSurveyed ||
         worker.tasks.size > 0 ||
+        this.#lateStarts.hasAny(worker) ||
         this.#inheritedWorkers.findLeaseExpiry(worker) !== undefined;
       const hasExpired = now > worker.leasesExpireAt;
       if (!worker.isListed && (!mayRun || hasExpired)) this.#removeWorker(worker, now);
--- a/packages/jobs/src/PlacementRequest.ts
+++ b/packages/jobs/src/PlacementRequest.ts
@@ -1,6 +1,8 @@
+import type { Candidate } from './Candidate.js';
 import type { Contention } from './Contention.js';
 import type { StepInstance } from './StepInstance.js';
 import type { Worker } from './Worker.js';
+import type { Task } from './Task.js';
 
 /** Request to choose workers for the waiting tasks of a step. */
 export interface PlacementRequest {
@@ -26,4 +28,9 @@
    * @returns time in milliseconds; 0 if the worker is warm
    */
   readonly computeColdLeftMs: (worker: Worker) => number;
+  /**
+   * Tasks that may start on one worker only, since it may execute an earlier start of them; undefined if that worker
+   * cannot take them now.
+   */
+  readonly bound: ReadonlyMap<Task, Candidate | undefined>;
 }
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -11,6 +11,7 @@
 import type { QueueSettings } from './QueueSettings.js';
 import type { Command } from './Command.js';
 import type { PermitCache } from './PermitCache.js';
+import type { LateStarts } from './membership/LateStarts.js';
 import { EligibleWorkers } from './EligibleWorkers.js';
 import { PermitRequests } from './PermitRequests.js';
 import { BlockedSteps } from './placement/BlockedSteps.js';
@@ -21,6 +22,7 @@
 import { TurnOrder } from './backlog/TurnOrder.js';
 import { resources } from './resources.js';
 import type { StepInstance } from './StepInstance.js';
+import type { Task } from './Task.js';
 import { reserveCapacity } from './reserveCapacity.js';
 import type { Worker } from './Worker.js';
 import type { WorkerPool } from './WorkerPool.js';
@@ -39,6 +41,11 @@
   readonly allowed: readonly Worker[];
 }
 
+/** Waiting tasks that may start on one worker only; undefined if they cannot start there now. */
+type BoundTasks = ReadonlyMap<Task, Worker | undefined>;
+
+const noBoundTasks: BoundTasks = new Map();
+
 /** Decides which waiting tasks start on which workers. */
 export class Planner {
   /** Steps that wait for the end of an evacuation. */
@@ -57,6 +64,7 @@
   #turnKeys: readonly string[] = [];
   readonly #isHeld: (job: Job, queue: QueueTerms) => boolean;
   readonly #firstRunNumber: number;
+  readonly #lateStarts: LateStarts;
 
   /**
    * @param jobs - known jobs
@@ -67,6 +75,7 @@
    * @param isHeld - checks whether no tasks of a job may start now
    * @param firstRunNumber - lowest run number of the leader's term
    * @param evacuations - data centres on whose workers nothing starts
+   * @param lateStarts - starts that may still be executed; their tasks are bound to a worker
    */
   public constructor(
     jobs: JobRegistry,
@@ -77,9 +86,11 @@
     isHeld: (job: Job, queue: QueueTerms) => boolean,
     firstRunNumber: number,
     evacuations: Evacuations,
+    lateStarts: LateStarts,
   ) {
     this.#evacuations = evacuations;
     this.blockedSteps = new BlockedSteps(evacuations, permits);
+    this.#lateStarts = lateStarts;
     this.#jobs = jobs;
     this.#pool = pool;
     this.#queues = queues;
@@ -107,6 +118,10 @@
     const pass = new PlanningPass(now, this.#queues);
     const eligible = new EligibleWorkers(this.#pool.all, now, this.#evacuations);
     this.#coldWorkers.update(this.#pool.all, now);
+    const boundTasks = this.#lateStarts.listWaiting();
+    for (const { task, worker } of boundTasks)
+      if (worker !== undefined) pass.reservations.reserve(worker, task.occupiedResources);
+    const boundSteps = new Set(boundTasks.map(({ task }) => task.step));
     const unblocked = this.blockedSteps.selectUnblocked(this.#pendingSteps.collect(now), now);
     const turns = this.#turnOrder.select(unblocked, eligible, now);
     this.#turnKeys = turns.map(({ step }) => step.key);
@@ -119,7 +134,10 @@
       pass.contention.addStep(pending, allowed);
       return { pending, workers, mayFit: resources.fits(step.description.size, maxFree), allowed };
     });
-    for (const each of ready) this.#planStep(each, pass);
+    for (const each of ready) {
+      if (boundSteps.has(each.pending.step)) this.#planBoundStep(each, boundTasks, pass);
+      else this.#planStep(each, noBoundTasks, pass);
+    }
     for (const task of pass.preemption.victims) {
       const { worker } = task;
       if (worker === undefined) continue;
@@ -143,20 +161,68 @@
     return this.#permits.listAllowed(key).filter((worker) => members.has(worker));
   }
 
-  #planStep({ pending, workers, mayFit, allowed }: PlaceableStep, pass: PlanningPass): void {
+  /** Plans a step with bound tasks: the capacity that is kept free for them is available to this step only. */
+  #planBoundStep(
+    each: PlaceableStep,
+    boundTasks: ReturnType<LateStarts['listWaiting']>,
+    pass: PlanningPass,
+  ): void {
+    const { reservations } = pass;
+    const own = boundTasks.filter(({ task }) => task.step === each.pending.step);
+    for (const { task, worker } of own)
+      if (worker !== undefined) reservations.cancel(worker, task.occupiedResources);
+    const bound = new Map(
+      own.map(({ task }) => [task, this.#findBoundWorker(task, each.pending.queue)]),
+    );
+    this.#planStep(each, bound, pass);
+    for (const { task, worker } of own)
+      if (worker !== undefined && task.phase === 'waiting')
+        reservations.reserve(worker, task.occupiedResources);
+  }
+
+  /**
+   * Finds the only worker on which a task with a pending start may start. A pause does not matter: the worker was paused
+   * because that start got no response, and has confirmed its stop since.
+   */
+  #findBoundWorker(task: Task, { service }: QueueTerms): Worker | undefined {
+    const worker = this.#lateStarts.findWorker(task);
+    const { requiredLabel } = task.step.description;
+    const isEligible =
+      worker?.isAvailable === true &&
+      !this.#evacuations.covers(worker) &&
+      worker.entry.service === service &&
+      (requiredLabel === undefined || worker.entry.labels.includes(requiredLabel));
+    return isEligible ? worker : undefined;
+  }
+
+  #planStep(
+    { pending, workers, mayFit, allowed }: PlaceableStep,
+    bound: BoundTasks,
+    pass: PlanningPass,
+  ): void {
     const { step, queue } = pending;
     const { size } = step.description;
-    if (mayFit) this.#startWaiting(pending, allowed, pass);
+    if (mayFit || bound.size > 0) this.#startWaiting(pending, allowed, bound, pass);
     if (step.waitingCount === 0) return;
     // Capacity that is already free is reserved while permits are being renewed or a higher allowance is being stored.
     const maxTasks = Math.min(step.waitingCount, step.job.account.countWithinCap(size));
     const feasible =
       queue.advice === undefined || !mayFit
         ? []
-        : this.#chooseWorkers(pending, allowed.map(withoutPermit), maxTasks, pass);
+        : this.#chooseWorkers(
+            pending,
+            allowed.map(withoutPermit),
+            maxTasks,
+            bound,
+            withoutPermit,
+            pass,
+          );
     const reservedWorkers = new Set(feasible.map(({ worker }) => worker));
     for (const { worker } of feasible) pass.reservations.reserve(worker, size);
-    const missing = maxTasks - feasible.length;
+    // Capacity on other workers is of no use for bound tasks, nor for a gang with a member that must wait.
+    const mustWait = step.description.isGang === true && [...bound.values()].includes(undefined);
+    const waitingCount = mustWait ? 0 : step.waitingCount - countWaiting(bound);
+    const missing = Math.min(waitingCount, maxTasks) - feasible.length;
     for (const worker of reserveCapacity(pending, allowed, missing, pass))
       reservedWorkers.add(worker);
     const candidates = { workers, allowed, reserved: reservedWorkers, mayFit };
@@ -167,13 +233,15 @@
     { step, stepDeadline }: PendingStep,
     candidates: readonly Candidate[],
     maxTasks: number,
+    bound: BoundTasks,
+    findCandidate: (worker: Worker) => Candidate | undefined,
     { now, contention, reservations }: PlanningPass,
   ): readonly TaskAssignment[] {
     const { isGang, size } = step.description;
     const fitting = candidates.filter(({ worker }) =>
       resources.fits(size, reservations.freeOn(worker)),
     );
-    if (fitting.length === 0) return [];
+    if (fitting.length === 0 && bound.size === 0) return [];
     const placement = isGang === true ? gang : independent;
     const request = {
       step,
@@ -182,26 +250,44 @@
       timeLeftMs: stepDeadline - now,
       contention,
       computeColdLeftMs: (worker: Worker) => this.#coldWorkers.computeLeftMs(worker, now),
+      bound: new Map(
+        [...bound]
+          .filter(([{ phase }]) => phase === 'waiting')
+          .map(([task, worker]) => [task, worker && findCandidate(worker)]),
+      ),
     };
     return placement.choose(request, fitting, reservations);
   }
 
-  #startWaiting(pending: PendingStep, allowed: readonly Worker[], pass: PlanningPass): void {
+  #startWaiting(
+    pending: PendingStep,
+    allowed: readonly Worker[],
+    bound: BoundTasks,
+    pass: PlanningPass,
+  ): void {
     const { step, queue } = pending;
     const { size, isGang } = step.description;
     const { now, reservations } = pass;
-    const candidates = allowed.flatMap((worker): readonly Candidate[] => {
+    const findCandidate = (worker: Worker): Candidate | undefined => {
       if (!worker.isCapacityConfirmed(now) || !resources.fits(size, reservations.freeOn(worker)))
-        return [];
-      if (queue.advice === undefined) return [withoutPermit(worker)];
+        return undefined;
+      if (queue.advice === undefined) return withoutPermit(worker);
       const permit = this.#permits.findPermit(step.key, worker, now);
-      return permit === undefined ? [] : [{ worker, permit }];
-    });
+      return permit === undefined ? undefined : { worker, permit };
+    };
+    const candidates = allowed.flatMap((worker) => findCandidate(worker) ?? []);
     const { account } = step.job;
     const maxTasks = Math.min(step.waitingCount, account.countStartable(size));
     if (maxTasks < Math.min(step.waitingCount, account.countWithinCap(size)))
       account.recordShortage();
-    const assignments = this.#chooseWorkers(pending, candidates, maxTasks, pass);
+    const assignments = this.#chooseWorkers(
+      pending,
+      candidates,
+      maxTasks,
+      bound,
+      findCandidate,
+      pass,
+    );
     if (assignments.length === 0) return;
     // The members of a gang share the number of their run.
     const gangRun = Math.max(this.#firstRunNumber, ...step.tasks.map((task) => task.run + 1));
@@ -212,6 +298,7 @@
       const run = isGang === true ? gangRun : Math.max(this.#firstRunNumber, task.run + 1);
       task.place(worker, run, now);
       step.turn.recordStart(now);
+      this.#lateStarts.record(task, worker.id, run, now);
       pass.addCommand({ kind: 'start', task, worker, run, permit });
     }
   }
@@ -239,4 +326,7 @@
   }
 }
 
+const countWaiting = (bound: BoundTasks): number =>
+  [...bound.keys()].filter(({ phase }) => phase === 'waiting').length;
+
 const withoutPermit = (worker: Worker): Candidate => ({ worker, permit: undefined });
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -12,6 +12,7 @@
 import { ReportHandler } from './ReportHandler.js';
 import type { DurationEstimates } from './durations/DurationEstimates.js';
 import { LearnedDurations } from './durations/LearnedDurations.js';
+import { LateStarts } from './membership/LateStarts.js';
 import { InheritedWorkers } from './InheritedWorkers.js';
 import type { Job } from './Job.js';
 import { JobRegistry } from './JobRegistry.js';
@@ -54,7 +55,8 @@
   readonly #queues = new QueueSettings();
   readonly #permits = new PermitCache();
   readonly #reportHandler: ReportHandler;
-  readonly #startOutcomeHandler = new StartOutcomeHandler(this.#permits);
+  readonly #startOutcomeHandler: StartOutcomeHandler;
+  readonly #lateStarts: LateStarts;
   readonly #planner: Planner;
   readonly #runStopper: RunStopper;
   readonly #inheritedWorkers: InheritedWorkers;
@@ -91,7 +93,14 @@
       this.#pool,
       this.#inheritedWorkers,
     );
-    this.#endedWorkers = new EndedWorkers(this.#pool, this.#inheritedWorkers, durations);
+    this.#lateStarts = new LateStarts(this.#pool, maxLeaseMs);
+    this.#startOutcomeHandler = new StartOutcomeHandler(this.#permits, this.#lateStarts);
+    this.#endedWorkers = new EndedWorkers(
+      this.#pool,
+      this.#inheritedWorkers,
+      durations,
+      this.#lateStarts,
+    );
     this.#firstRunNumber = (term - 1) * schedulingLimits.runsPerTerm + 1;
     this.#reportHandler = new ReportHandler(
       this.#jobs,
@@ -101,6 +110,7 @@
       },
       (job) => this.#queues.findQueue(job)?.maxAttempts ?? Infinity,
       maxStopMs,
+      (task) => this.#lateStarts.isPending(task),
     );
     this.#planner = new Planner(
       this.#jobs,
@@ -111,6 +121,7 @@
       (job, queue) => this.#isHeld(job, queue),
       this.#firstRunNumber,
       this.evacuations,
+      this.#lateStarts,
     );
   }
 
@@ -178,17 +189,22 @@
    * @param isInherited - whether the previous leader may have sent commands to the worker
    * @param maxRemainingMs - longest time for which runs may continue there, in milliseconds, if the previous leader had
    * suspended the worker
+   * @param revision - store revision of the entry; without it the entry counts as newer than those before
    * @returns the worker if the incarnation is new and must be surveyed; undefined otherwise
    */
   public updateWorker(
     entry: WorkerEntry,
     isInherited: boolean,
     maxRemainingMs?: number,
+    revision?: number,
   ): Worker | undefined {
     const previous = this.#pool.find(entry.id);
-    const worker = this.#pool.update(entry);
+    // An entry that follows one in the store shows that the incarnation of that one has ended. The entry of an
+    // incarnation that only a report has shown is still missing, so this one may be older.
+    const hasEnded = previous?.hasEntry ?? true;
+    const worker = this.#pool.update(entry, revision);
     if (worker !== undefined && previous !== undefined)
-      this.#endedWorkers.replace(previous, worker);
+      this.#endedWorkers.replace(previous, worker, hasEnded);
     if (worker !== undefined && isInherited) this.#inheritedWorkers.add(worker, maxRemainingMs);
     return worker;
   }
@@ -201,6 +217,35 @@
     this.#inheritedWorkers.assumeUnknownWorkers();
   }
 
+  /**
+   * Checks whether a worker must be asked for reports: it runs tasks, has run ends to acknowledge, or may execute a start
+   * late, so that its restart must be noticed.
+   *
+   * @param worker - worker to check
+   * @returns whether its next report is needed
+   */
+  public isReportNeeded(worker: Worker): boolean {
+    const { tasks, hasStrays, isSurveyed, acknowledgement } = worker;
+    return (
+      tasks.size > 0 ||
+      hasStrays ||
+      !isSurveyed ||
+      worker.processedThrough > worker.acknowledgedThrough ||
+      acknowledgement > 0 ||
+      this.hasLateStarts(worker)
+    );
+  }
+
+  /**
+   * Checks whether a worker may execute a start late.
+   *
+   * @param worker - worker to check
+   * @returns whether it is asked for reports although it may be idle
+   */
+  public hasLateStarts(worker: Worker): boolean {
+    return this.#lateStarts.hasAny(worker);
+  }
+
   /**
    * Computes how long runs may continue on a worker that gets no further commands or leases.
    *
@@ -275,9 +320,12 @@
     if (this.#endedWorkers.has(worker)) return [];
     worker.recordContact(report.clockMs, now);
     if (report.life !== worker.life) {
-      if (report.life > worker.life) this.#addReportedIncarnation(worker, report.life);
+      // The request was sent after this leader had learned of the known incarnation, so the other one is newer.
+      this.#endedWorkers.replace(worker, this.#pool.addReported(worker, report.life), true);
       return [];
     }
+    this.#pool.confirmIncarnation(worker);
+    this.#lateStarts.handleReport(worker, report, sentAt);
     const strays = this.#reportHandler.handleReport(worker, report, sentAt, now, wallMs);
     const isInherited = this.#inheritedWorkers.findLeaseExpiry(worker) !== undefined;
     this.capAllowances.recordReport(worker, strays, isInherited, now);
@@ -312,10 +360,12 @@
    * @param now - monotonic time in milliseconds
    */
   public handleStopOutcome(
-    { task, worker, run }: Extract<Command, { kind: 'stop' }>,
+    command: Extract<Command, { kind: 'stop' }>,
     isConfirmed: boolean,
     now: number,
   ): void {
+    if (isConfirmed) this.#lateStarts.confirmStop(command);
+    const { task, worker, run } = command;
     // The next incarnation of the worker does not know of a stop that the earlier one confirmed.
     if (task.worker !== worker || task.run !== run || task.phase !== 'stopping') return;
     if (isConfirmed) task.confirmStop(now);
@@ -393,6 +443,7 @@
       job.openDueOccurrences(wallMs);
       if (!job.isFinished && job.finishIfEnded(wallMs)) this.progress.add(job);
     }
+    const lateStops = this.#lateStarts.update(now);
     const stops = this.#runStopper.collectStops(this.#pool.all, now);
     for (const job of this.#jobs.openJobs) if (job.isFinished) this.#closeJob(job);
     this.capAllowances.apply(now, isCurrent);
@@ -400,8 +451,8 @@
     const planned = this.evacuations.isConfirmed ? this.#planner.plan(now) : [];
     this.capAllowances.updateTargets(now);
     for (const command of planned)
-      if (command.kind === 'stop') this.#runStopper.recordSent(command.task, now);
-    return [...stops, ...planned];
+      if (command.kind === 'stop') this.#runStopper.recordSent(command.task, command.worker, now);
+    return [...lateStops, ...stops, ...planned];
   }
 
   /** Keys of the steps whose requests for permits go before others, the first one first. */
@@ -418,14 +469,6 @@
     this.#planner.recordPassDuration(durationMs);
   }
 
-  /**
-   * Adds an incarnation that is known only from its reports. It must be surveyed, but gets no tasks until it is listed,
-   * since its capacity and labels may differ.
-   */
-  #addReportedIncarnation({ entry }: Worker, life: number): void {
-    this.updateWorker({ ...entry, life }, false)?.unlist();
-  }
-
   /**
    * Checks whether no tasks of a job may start: the next leader would not know where, or tasks of the previous leader
    * may still run.
