jobs, daemon: bound the turns by service, room and overdue calls

Cause: the turns of one service could use those of another, a step that fits nowhere kept its turn, and calls to hosts that are cut off used up the share of turns until their timeout.

Change: up to 8 turns in each service; a step whose task, or whose gang, does not fit now passes its turn on at once; a call whose answer is overdue no longer counts. Turns are given up to a use of 75%, since one half of all workers is three quarters of the rest while a third of them is cut off. Steps with a turn take the places of further steps of the window.

--- a/packages/daemon/src/AdviceDispatcher.ts
+++ b/packages/daemon/src/AdviceDispatcher.ts
@@ -87,7 +87,7 @@
     const held = new Set<AdviceChannel>();
     for (const command of this.#queue.listOverdue(now)) {
       const channel = this.#chooseChannel(channels, held, command, now);
-      if (channel !== undefined) this.#sendNow(channel, command, now, false);
+      if (channel !== undefined) this.#sendNow(channel, command, now);
       // Short calls would keep each channel from taking a long one, so one channel is left idle for it.
       else this.#holdChannel(channels, held, now);
     }
@@ -105,7 +105,7 @@
         continue;
       }
       sent.add(command);
-      this.#sendNow(channel, command, now, false);
+      this.#sendNow(channel, command, now);
     }
     this.#updateRetryTimer();
   }
@@ -121,7 +121,7 @@
     let rest = turns.filter((command) => !sent.has(command));
     for (;;) {
       const [command] = rest;
-      if (command === undefined || !this.#turnShare.canTake(channels.length)) return rest;
+      if (command === undefined || !this.#turnShare.canTake(channels.length, now)) return rest;
       const channel = this.#chooseChannel(channels, held, command, now);
       if (channel === undefined) {
         // As for services: short calls would keep each channel from taking a long one.
@@ -129,15 +129,16 @@
         return [];
       }
       sent.add(command);
-      this.#sendNow(channel, command, now, true);
+      this.#queue.takeSent(command, now);
+      void this.#send(channel, command, this.#turnShare.begin(now + command.expectedMs));
       rest = rest.slice(1);
     }
   }
 
-  #sendNow(channel: AdviceChannel, command: AdviceCommand, now: number, hasTurn: boolean): void {
+  #sendNow(channel: AdviceChannel, command: AdviceCommand, now: number): void {
     this.#queue.takeSent(command, now);
-    this.#turnShare.recordSent(hasTurn);
-    void this.#send(channel, command, hasTurn);
+    this.#turnShare.recordOther();
+    void this.#send(channel, command);
   }
 
   /** Holds the channel to another host that is idle first. */
@@ -208,13 +209,13 @@
     );
   }
 
-  async #send(channel: AdviceChannel, command: AdviceCommand, hasTurn: boolean): Promise<void> {
+  async #send(channel: AdviceChannel, command: AdviceCommand, endTurn?: () => void): Promise<void> {
     const sentAt = performance.now();
     channel.begin(command.expectedMs, sentAt);
     const workers = command.workers.map(({ id }) => id);
     const permits = await this.#requestPermits(channel.link, command, workers);
     channel.end(command.expectedMs, performance.now(), permits !== undefined);
-    this.#turnShare.recordEnd(hasTurn);
+    endTurn?.();
     this.#log.write('permitsAnswered', {
       step: command.stepKey,
       asked: workers.length,
--- a/packages/jobs/__tests__/LoadSimulation.ts
+++ b/packages/jobs/__tests__/LoadSimulation.ts
@@ -32,7 +32,7 @@
     readonly at: number;
     readonly command: AdviceCommand;
     readonly permits: readonly PlacementPermit[] | undefined;
-    readonly hasTurn: boolean;
+    readonly endTurn: (() => void) | undefined;
   }[] = [];
   /** Number of calls that the advice service handles at the same time. */
   public channels = Infinity;
@@ -109,10 +109,10 @@
   }
 
   #deliverPermits(): void {
-    for (const { command, permits, hasTurn } of this.#responses.filter(
+    for (const { command, permits, endTurn } of this.#responses.filter(
       ({ at }) => at <= this.#now,
     )) {
-      this.#turnShare.recordEnd(hasTurn);
+      endTurn?.();
       this.scheduler.handlePermits(command, permits, this.#now, permitValidMs);
     }
     this.#responses = this.#responses.filter(({ at }) => at > this.#now);
@@ -121,7 +121,7 @@
   /** Sends the queued requests by priority, those of steps with a turn first within their share. */
   #sendAdvice(): void {
     while (this.#responses.length < this.channels) {
-      const turn = this.#turnShare.canTake(this.channels)
+      const turn = this.#turnShare.canTake(this.channels, this.#now)
         ? this.scheduler.turnKeys
             .map((key) => this.#queuedAdvice.find(({ stepKey }) => stepKey === key))
             .find((queued) => queued !== undefined)
@@ -129,7 +129,7 @@
       const command = turn ?? this.#queuedAdvice[0];
       if (command === undefined) break;
       this.#queuedAdvice = this.#queuedAdvice.filter((each) => each !== command);
-      this.#turnShare.recordSent(turn !== undefined);
+      if (turn === undefined) this.#turnShare.recordOther();
       const { workers, expectedMs, stepKey } = command;
       const permits = workers.flatMap(({ id }) =>
         this.#isAllowed(id) ? [{ workerId: id, permit: 'p' }] : [],
@@ -139,7 +139,7 @@
         at: this.#now + (isSilent ? expectedMs * 2 + 1500 : expectedMs),
         command,
         permits: isSilent ? undefined : permits,
-        hasTurn: turn !== undefined,
+        endTurn: turn && this.#turnShare.begin(this.#now + expectedMs),
       };
       this.#responses = [...this.#responses, response];
     }
--- a/packages/jobs/src/PlanningWindow.ts
+++ b/packages/jobs/src/PlanningWindow.ts
@@ -27,15 +27,19 @@
     pending: readonly PendingStep[],
     turns: readonly PendingStep[] = [],
   ): readonly PendingStep[] {
-    const selected = this.#selectInOrder(pending);
+    const selected = this.#selectInOrder(pending, turns.length);
     if (turns.length === 0) return selected;
     const preferred = new Set(turns);
     return [...turns, ...selected.filter((each) => !preferred.has(each))];
   }
 
-  #selectInOrder(pending: readonly PendingStep[]): readonly PendingStep[] {
+  /** Steps with a turn take the places of further steps, so that a pass does not take longer. */
+  #selectInOrder(pending: readonly PendingStep[], turnCount: number): readonly PendingStep[] {
     const firstSteps = Math.ceil(schedulingLimits.maxFirstSteps * this.#share);
-    const furtherSteps = Math.ceil(schedulingLimits.maxFurtherSteps * this.#share);
+    const furtherSteps = Math.max(
+      1,
+      Math.ceil(schedulingLimits.maxFurtherSteps * this.#share) - turnCount,
+    );
     if (pending.length <= firstSteps + furtherSteps) return pending;
     const furtherCount = pending.length - firstSteps;
     const offset = this.#nextOffset < furtherCount ? this.#nextOffset : 0;
--- a/packages/jobs/src/backlog/TurnOrder.ts
+++ b/packages/jobs/src/backlog/TurnOrder.ts
@@ -3,13 +3,6 @@
 import { resources } from '../resources.js';
 import { schedulingLimits } from '../schedulingLimits.js';
 
-/** Step that has been passed over for longer than its bound. */
-interface OverdueStep {
-  readonly pending: PendingStep;
-  /** Number of steps of the same account before it. */
-  readonly accountRank: number;
-}
-
 /**
  * Decides which waiting steps get a turn before the order of service: those that have been passed over for longest while
  * their service has room. Otherwise late work could wait without end behind work that is on time but waits for permits.
@@ -37,23 +30,22 @@
     eligible: EligibleWorkers,
     now: number,
   ): readonly PendingStep[] {
-    const overdue: PendingStep[] = [];
+    const overdueByService = new Map<string, PendingStep[]>();
     for (const each of pending) {
       const { turn, activeCount, key } = each.step;
       turn.update(activeCount === 0, now);
       if (turn.isHeld && this.#isOver(turn.startedAt, key, now)) turn.end();
       if (!isOverdue(each, now)) continue;
-      if (eligible.measureUse(each.queue.service) < schedulingLimits.maxTurnUse) overdue.push(each);
+      const { service } = each.queue;
+      if (eligible.measureUse(service) >= schedulingLimits.maxTurnUse) continue;
+      const overdue = overdueByService.get(service);
+      if (overdue === undefined) overdueByService.set(service, [each]);
+      else overdue.push(each);
     }
-    if (overdue.length === 0) return overdue;
-    const selected: PendingStep[] = [];
-    for (const { pending: each } of rankByAccount(overdue)) {
-      if (selected.length >= schedulingLimits.maxTurnSteps) break;
-      if (!canStart(each, eligible)) continue;
-      if (!each.step.turn.isHeld) each.step.turn.begin(now);
-      selected.push(each);
-    }
-    return selected;
+    const selected = [...overdueByService.values()].map((overdue) =>
+      selectOfService(overdue, eligible, now),
+    );
+    return selected.length === 1 ? (selected[0] ?? []) : [...alternate(selected)];
   }
 
   /** A turn goes on while its request for permits waits for a channel, or most turns would end unused. */
@@ -67,35 +59,72 @@
   now - turn.idleSince >= schedulingLimits.idleTurnMs ||
   now - turn.passedOverSince >= schedulingLimits.partialTurnMs;
 
+/** Selects the steps of one service; a step without room passes its turn on at once. */
+const selectOfService = (
+  overdue: readonly PendingStep[],
+  eligible: EligibleWorkers,
+  now: number,
+): readonly PendingStep[] => {
+  const { maxTurnSteps, maxTurnChecks } = schedulingLimits;
+  const selected: PendingStep[] = [];
+  let checkedCount = 0;
+  for (const pending of listByTurns(overdue)) {
+    if (selected.length >= maxTurnSteps || checkedCount >= maxTurnChecks) break;
+    checkedCount += 1;
+    const { turn } = pending.step;
+    if (!turn.isHeld) turn.begin(now);
+    if (canStart(pending, eligible)) selected.push(pending);
+    else turn.end();
+  }
+  return selected;
+};
+
+/** Checks whether a task, or all tasks of a gang, fit under the cap of the account and on the workers. */
 const canStart = (pending: PendingStep, eligible: EligibleWorkers): boolean => {
-  const { size } = pending.step.description;
-  return (
-    pending.step.job.account.canAdmit(size) && resources.fits(size, eligible.find(pending).maxFree)
-  );
+  const { description, job, waitingCount } = pending.step;
+  const { size, isGang } = description;
+  let missing = isGang === true ? waitingCount : 1;
+  if (!job.account.canAdmit(size, missing)) return false;
+  const { workers, maxFree } = eligible.find(pending);
+  if (!resources.fits(size, maxFree)) return false;
+  for (const { free } of workers) {
+    missing -= resources.countFitting(size, free);
+    if (missing <= 0) return true;
+  }
+  return false;
 };
 
-/** A step without running tasks comes first. */
-const compareActivity = ({ step: a }: PendingStep, { step: b }: PendingStep): number =>
-  Math.min(a.activeCount, 1) - Math.min(b.activeCount, 1);
+/** Lists steps without running tasks, then the others; the accounts take turns, so that none holds back another. */
+function* listByTurns(overdue: readonly PendingStep[]): Iterable<PendingStep> {
+  yield* alternate(groupByAccount(overdue.filter(({ step }) => step.activeCount === 0)));
+  yield* alternate(groupByAccount(overdue.filter(({ step }) => step.activeCount > 0)));
+}
 
-/** A step that has its turn comes first, then the one that has waited for longest since its last turn. */
+/** Groups the steps by account, each group in the order of its turns. */
+const groupByAccount = (overdue: readonly PendingStep[]): readonly (readonly PendingStep[])[] => {
+  const groups = new Map<string, PendingStep[]>();
+  for (const pending of [...overdue].sort(compareWaiting)) {
+    const { account, queue } = pending.step.job.record;
+    // Jobs of open queues have no account.
+    const name = account === '' ? `queue ${queue}` : account;
+    const group = groups.get(name);
+    if (group === undefined) groups.set(name, [pending]);
+    else group.push(pending);
+  }
+  return [...groups.values()];
+};
+
+/** Compares steps: one that has its turn comes first, then the one that has waited for longest since its last turn. */
 const compareWaiting = ({ step: a }: PendingStep, { step: b }: PendingStep): number =>
   Number(b.turn.isHeld) - Number(a.turn.isHeld) || a.turn.waitingSince - b.turn.waitingSince;
 
-/** Orders the steps so that the accounts take turns: one with many steps must not hold back one with a single step. */
-const rankByAccount = (overdue: readonly PendingStep[]): readonly OverdueStep[] => {
-  const counts = new Map<string, number>();
-  const ranked = [...overdue]
-    .sort((a, b) => compareActivity(a, b) || compareWaiting(a, b))
-    .map((pending): OverdueStep => {
-      const { account, queue } = pending.step.job.record;
-      // Jobs of open queues have no account.
-      const name = account === '' ? `queue ${queue}` : `account ${account}`;
-      const accountRank = counts.get(name) ?? 0;
-      counts.set(name, accountRank + 1);
-      return { pending, accountRank };
-    });
-  return ranked.sort(
-    (a, b) => compareActivity(a.pending, b.pending) || a.accountRank - b.accountRank,
-  );
-};
+/** Lists the first step of each group, then the second one of each, and so on. */
+function* alternate(groups: readonly (readonly PendingStep[])[]): Iterable<PendingStep> {
+  const longest = Math.max(0, ...groups.map(({ length }) => length));
+  for (let rank = 0; rank < longest; rank += 1) {
+    for (const group of groups) {
+      const pending = group[rank];
+      if (pending !== undefined) yield pending;
+    }
+  }
+}
--- a/packages/jobs/src/backlog/TurnShare.ts
+++ b/packages/jobs/src/backlog/TurnShare.ts
@@ -1,11 +1,18 @@
 import { schedulingLimits } from '../schedulingLimits.js';
 
+/** Request for permits that was sent because its step has a turn. */
+interface OpenTurn {
+  /** Monotonic time in milliseconds at which its answer is expected. */
+  readonly expectedAt: number;
+}
+
 /**
  * Limits the requests for permits that are sent because their step has a turn, before others of higher priority: they
- * alternate with the others, and use only a share of the channels at the same time.
+ * alternate with the others, and use only a share of the channels at the same time. Calls whose answers are overdue do
+ * not count, since their hosts may be partitioned and would block the turns until the timeout.
  */
 export class TurnShare {
-  #openCount = 0;
+  readonly #open = new Set<OpenTurn>();
   /** Whether a request without a turn was sent since the last one with a turn. */
   #hasAlternated = true;
 
@@ -13,29 +20,35 @@
    * Checks whether a request with a turn may be sent now.
    *
    * @param channelCount - number of channels to the advice service
+   * @param now - monotonic time in milliseconds
    * @returns false while requests with a turn use their share
    */
-  public canTake(channelCount: number): boolean {
-    const maxOpen = Math.max(1, Math.round(channelCount * schedulingLimits.turnChannelShare));
-    return this.#hasAlternated && this.#openCount < maxOpen;
+  public canTake(channelCount: number, now: number): boolean {
+    if (!this.#hasAlternated) return false;
+    const { turnChannelShare, turnAnswerMarginMs } = schedulingLimits;
+    let openCount = 0;
+    for (const { expectedAt } of this.#open)
+      if (expectedAt + turnAnswerMarginMs > now) openCount += 1;
+    return openCount < Math.max(1, Math.round(channelCount * turnChannelShare));
   }
 
-  /**
-   * Records that a request is sent.
-   *
-   * @param hasTurn - whether it is sent because of the turn of its step
-   */
-  public recordSent(hasTurn: boolean): void {
-    this.#hasAlternated = !hasTurn;
-    if (hasTurn) this.#openCount += 1;
+  /** Records that a request without a turn is sent. */
+  public recordOther(): void {
+    this.#hasAlternated = true;
   }
 
   /**
-   * Records that a request was answered or has failed.
+   * Records that a request with a turn is sent.
    *
-   * @param hasTurn - whether it was sent because of the turn of its step
+   * @param expectedAt - monotonic time in milliseconds at which the answer is expected
+   * @returns function to call when the request was answered or has failed
    */
-  public recordEnd(hasTurn: boolean): void {
-    if (hasTurn) this.#openCount -= 1;
+  public begin(expectedAt: number): () => void {
+    const turn: OpenTurn = { expectedAt };
+    this.#open.add(turn);
+    this.#hasAlternated = false;
+    return () => {
+      this.#open.delete(turn);
+    };
   }
 }
--- a/packages/jobs/src/schedulingLimits.ts
+++ b/packages/jobs/src/schedulingLimits.ts
@@ -55,13 +55,17 @@
    * on one channel.
    */
   maxTurnMs: 5000,
-  /** Steps that have a turn at the same time: a twelfth of the first steps of a pass, so that the others keep theirs. */
+  /** Steps of one service with a turn at the same time: a twelfth of the first steps of a pass, which go on after them. */
   maxTurnSteps: 8,
+  /** Steps of one service that a pass checks for room, which takes time; the others follow in the next passes. */
+  maxTurnChecks: 32,
   /**
    * Share of the processors of a service in use from which there are no turns. The users' platform counts jobs as
-   * starved below one half; the margin covers tasks that end meanwhile.
+   * starved below one half of all workers, which is three quarters of the rest while a third of them is partitioned.
    */
-  maxTurnUse: 0.6,
+  maxTurnUse: 0.75,
+  /** Delay of the answer to a request of a step with a turn from which it no longer counts against the share of turns. */
+  turnAnswerMarginMs: 150,
   /** Share of the channels to the advice service that requests of steps with a turn use at the same time. */
   turnChannelShare: 0.5,
   /** Time before the expected completion of its dependencies at which the permits of a step are requested. */
