--- a/packages/daemon/__tests__/JobService.test.ts
+++ b/packages/daemon/__tests__/JobService.test.ts
@@ -1,4 +1,4 @@
-import { StoreDecoder } from '@toucanline/jobs';
+import { StoreDecoder, type MetadataStore } from '@toucanline/jobs';
 import {
   validators,
   type JobRecord,
@@ -76,6 +76,18 @@
   let storeHealth: StoreHealth;
   let service: JobService;
 
+  const createService = (used: MetadataStore, maxAgeMs: number): JobService => {
+    const log = new EventLog('test', new HostMetrics());
+    return new JobService(
+      used,
+      storeHealth,
+      configuration,
+      new UnresponsiveLeader(),
+      log,
+      maxAgeMs,
+    );
+  };
+
   const admit = async (): Promise<Parameters<JobService['submit']>[0]> =>
     (await service.admit(call))._unsafeUnwrap();
 
@@ -86,14 +98,7 @@
     storeHealth = new StoreHealth(log);
     const monitored = new MonitoredStore(store, storeHealth);
     configuration = new ConfigurationWatch(monitored, new JsonDecoder(), log, 1500);
-    service = new JobService(
-      monitored,
-      storeHealth,
-      configuration,
-      new UnresponsiveLeader(),
-      log,
-      4100,
-    );
+    service = createService(monitored, 4100);
     await configuration.ensureFresh(0);
   });
 
@@ -182,9 +187,7 @@
 
   it('reports a submission as unknown while the configuration is not confirmed', async () => {
     expect(await configuration.ensureFresh(-1)).to.equal(false);
-    const log = new EventLog('test', new HostMetrics());
-    const leader = new UnresponsiveLeader();
-    const unconfirmed = new JobService(store, storeHealth, configuration, leader, log, -1);
+    const unconfirmed = createService(store, -1);
     const submission = await unconfirmed.admit({ ...call, isSubmission: true });
     expect(submission._unsafeUnwrapErr().kind).to.equal('timeout');
     expect((await unconfirmed.admit(call))._unsafeUnwrapErr().kind).to.equal('notReady');
--- a/packages/jobs/__tests__/turns.test.ts
+++ b/packages/jobs/__tests__/turns.test.ts
@@ -1,4 +1,3 @@
-import type { JobRecord, SiteConfiguration } from '@toucanline/schema';
 import { expect } from 'chai';
 import { TurnOrder } from '../src/backlog/TurnOrder.js';
 import { TurnShare } from '../src/backlog/TurnShare.js';
@@ -11,25 +10,13 @@
 import { LoadSimulation } from './LoadSimulation.js';
 
 const { configuration, job, queue, room, step, worker } = fixtures;
-const {
-  idleTurnMs,
-  turnAnswerMarginMs,
-  maxFirstSteps,
-  maxFurtherSteps,
-  maxTurnSteps,
-  maxTurnUse,
-  turnMs,
-} = schedulingLimits;
-
+const limits = schedulingLimits;
 const advice = { baseMs: 500, perWorkerMs: 5, validMs: 2000 };
 const fleet = Array.from({ length: 40 }, (_, index) => worker(`w${index}`));
 const names = Array.from({ length: 8 }, (_, index) => `small${index}`);
 
-const site: SiteConfiguration = configuration({
-  queues: [
-    queue('hot', { priority: 1, advice, objectiveMs: 2000, stretch: 2 }),
-    queue('batch', { priority: 2, advice, objectiveMs: 500, stretch: 1 }),
-  ],
+const site = configuration({
+  queues: [queue('hot', { priority: 1, advice, objectiveMs: 2000 }), queue('batch', { advice })],
   accounts: ['hot', ...names].map((name) => ({ name, weight: 100, keys: [] })),
 });
 
@@ -37,48 +24,40 @@
  * Load pattern: a hot account submits twelve jobs a second, every other one wide, while the advice service handles four
  * calls of up to 0.65 s at a time; beside it each of eight accounts submits one wide step. Little of the fleet is in use.
  */
-const createLoad = (): LoadSimulation => {
+const finishLoad = (isSilent: (stepKey: string) => boolean): readonly number[] => {
   const simulation = new LoadSimulation(site, fleet, () => 1);
   simulation.channels = 4;
+  simulation.isSilent = isSilent;
   for (let number = 0; number < 180; number += 1) {
     const steps = [step(number % 2 === 0 ? 16 : 1, 1000)];
     const record = job(`hot${number}`, steps, { queue: 'hot', account: 'hot' });
     simulation.submit((number * 1000) / 12, record, () => 2000);
   }
-  for (const account of names) {
-    const record: JobRecord = job(account, [step(8, 2000)], { account });
-    simulation.submit(2000, record, () => 100);
-  }
-  return simulation;
+  for (const account of names)
+    simulation.submit(2000, job(account, [step(8, 2000)], { account }), () => 100);
+  simulation.run(16_000);
+  return names.map((name) => simulation.finishedAt(name) - 2000).sort((a, b) => a - b);
 };
 
-const listFinishTimes = (simulation: LoadSimulation): readonly number[] =>
-  names.map((name) => simulation.finishedAt(name) - 2000).sort((a, b) => a - b);
-
 describe('steps behind a hot account', () => {
   // Guards against accepted jobs that have nothing running for seconds although most of the service is free (review,
   // case 4): their requests for permits waited behind those of the hot account.
   it('start within a bound while the service has room', () => {
-    const simulation = createLoad();
-    simulation.run(16_000);
-    expect(listFinishTimes(simulation).at(-1)).to.be.below(6000);
+    expect(finishLoad(() => false).at(-1)).to.be.below(6000);
   });
 
   // Guards against turns that are blocked by steps whose permits never arrive.
   it('get their turn beside steps whose permits never arrive', () => {
-    const simulation = createLoad();
-    simulation.isSilent = (key) => /^hot\d*[05]\./.test(key) || key.startsWith('small0.');
-    simulation.run(16_000);
-    expect(listFinishTimes(simulation).at(-2)).to.be.below(8000);
+    const finished = finishLoad((key) => /^hot\d*[05]\./.test(key) || key.startsWith('small0.'));
+    expect(finished.at(-2)).to.be.below(8000);
   });
 });
 
 describe('the order of turns', () => {
-  let use: number;
-  const eligible = {
+  const createEligible = (use: number): unknown => ({
     measureUse: () => use,
     find: () => ({ workers: [{ free: room(16_000) }], maxFree: room(16_000) }),
-  } as unknown as EligibleWorkers;
+  });
 
   const createStep = (account: string, activeCount = 0): PendingStep =>
     ({
@@ -92,47 +71,42 @@
       queue: { service: 'render' },
     }) as unknown as PendingStep;
 
-  const selectAt = (pending: readonly PendingStep[], now: number): readonly PendingStep[] =>
-    new TurnOrder(() => false).select(pending, eligible, now);
-
-  beforeEach(() => {
-    use = 0;
-  });
+  const selectAt = (pending: readonly PendingStep[], now: number, use = 0) =>
+    new TurnOrder(() => false).select(pending, createEligible(use) as EligibleWorkers, now);
 
   it('alternates between accounts, and leaves the others in the order of service', () => {
     const hot = Array.from({ length: 200 }, () => createStep('hot'));
     const small = [createStep('a'), createStep('b')];
     const pending = [...hot, ...small];
     expect(selectAt(pending, 0)).to.deep.equal([]);
-    const turns = selectAt(pending, idleTurnMs);
-    expect(turns).to.have.length(maxTurnSteps);
+    const turns = selectAt(pending, limits.idleTurnMs);
+    expect(turns).to.have.length(limits.maxTurnSteps);
     expect(turns.slice(0, 3)).to.have.members([hot[0], ...small]);
     const selected = new PlanningWindow().select(pending, turns);
-    expect(selected.slice(0, maxTurnSteps)).to.deep.equal(turns);
+    expect(selected.slice(0, limits.maxTurnSteps)).to.deep.equal(turns);
     const rest = new PlanningWindow().select(pending).filter((each) => !turns.includes(each));
-    const others = selected.slice(maxTurnSteps);
-    expect(others.slice(0, maxFirstSteps - maxTurnSteps)).to.deep.equal(
-      rest.slice(0, maxFirstSteps - maxTurnSteps),
-    );
-    expect(selected.length).to.be.at.most(maxFirstSteps + maxFurtherSteps);
+    const first = rest.slice(0, limits.maxFirstSteps - limits.maxTurnSteps);
+    expect(selected.slice(limits.maxTurnSteps, limits.maxFirstSteps)).to.deep.equal(first);
+    expect(selected.length).to.be.at.most(limits.maxFirstSteps + limits.maxFurtherSteps);
   });
 
   // Guards against late work that delays work on time on a service that is full.
   it('is not used on a service that is in use for the most part', () => {
     const pending = [createStep('a')];
-    use = maxTurnUse;
     selectAt(pending, 0);
-    expect(selectAt(pending, 10 * idleTurnMs)).to.deep.equal([]);
+    expect(selectAt(pending, 10 * limits.idleTurnMs, limits.maxTurnUse)).to.deep.equal([]);
   });
 
   it('passes the turn on when its time is over, and keeps the age of the step', () => {
-    const pending = Array.from({ length: maxTurnSteps + 1 }, (_, index) => createStep(`a${index}`));
+    const pending = Array.from({ length: limits.maxTurnSteps + 1 }, (_, index) =>
+      createStep(`a${index}`),
+    );
     selectAt(pending, 0);
-    const first = selectAt(pending, idleTurnMs);
+    const first = selectAt(pending, limits.idleTurnMs);
     const last = pending.at(-1);
     expect(first).not.to.include(last);
-    expect(selectAt(pending, idleTurnMs + turnMs - 1)).to.deep.equal(first);
-    const next = selectAt(pending, idleTurnMs + turnMs);
+    expect(selectAt(pending, limits.idleTurnMs + limits.turnMs - 1)).to.deep.equal(first);
+    const next = selectAt(pending, limits.idleTurnMs + limits.turnMs);
     expect(next[0]).to.equal(last);
     expect(pending[0]?.step.turn.idleSince).to.equal(0);
   });
@@ -142,9 +116,9 @@
     const idle = createStep('b');
     const pending = [running, idle];
     selectAt(pending, 0);
-    expect(selectAt(pending, schedulingLimits.partialTurnMs)).to.deep.equal([idle, running]);
-    idle.step.turn.recordStart(schedulingLimits.partialTurnMs);
-    expect(selectAt(pending, schedulingLimits.partialTurnMs + 1)).to.deep.equal([running]);
+    expect(selectAt(pending, limits.partialTurnMs)).to.deep.equal([idle, running]);
+    idle.step.turn.recordStart(limits.partialTurnMs);
+    expect(selectAt(pending, limits.partialTurnMs + 1)).to.deep.equal([running]);
   });
 
   // Guards against turns that wait for the timeouts of hosts that are cut off.
@@ -154,6 +128,6 @@
     expect(share.canTake(6, 0)).to.equal(false);
     share.recordOther();
     expect([share.canTake(6, 0), share.canTake(3, 0)]).to.deep.equal([true, false]);
-    expect(share.canTake(3, 100 + turnAnswerMarginMs)).to.equal(true);
+    expect(share.canTake(3, 100 + limits.turnAnswerMarginMs)).to.equal(true);
   });
 });
