--- a/packages/daemon/__tests__/JobService.test.ts
+++ b/packages/daemon/__tests__/JobService.test.ts
@@ -1,4 +1,4 @@
-import { StoreDecoder } from '@toucanline/jobs';
+import { StoreDecoder, type MetadataStore } from '@toucanline/jobs';
 import {
   validators,
   type JobRecord,
@@ -84,6 +84,15 @@
   let storeHealth: StoreHealth;
   let service: JobService;
 
+  const createService = (
+    used: MetadataStore,
+    maxAgeMs: number,
+    leader: LeaderClient = new UnresponsiveLeader(),
+  ): JobService => {
+    const log = new EventLog('test', new HostMetrics());
+    return new JobService(used, storeHealth, configuration, leader, log, maxAgeMs);
+  };
+
   const admit = async (): Promise<Parameters<JobService['submit']>[0]> =>
     (await service.admit(call))._unsafeUnwrap();
 
@@ -94,14 +103,7 @@
     storeHealth = new StoreHealth(log);
     const monitored = new MonitoredStore(store, storeHealth);
     configuration = new ConfigurationWatch(monitored, new JsonDecoder(), log, 1500);
-    service = new JobService(
-      monitored,
-      storeHealth,
-      configuration,
-      new UnresponsiveLeader(),
-      log,
-      4100,
-    );
+    service = createService(monitored, 4100);
     await configuration.ensureFresh(0);
   });
 
@@ -188,15 +190,7 @@
 
   // Guards against reporting a repeated submission as not run although its first attempt is stored and runs.
   it('accepts a job that the leader knows while the store does not answer', async () => {
-    const log = new EventLog('test', new HostMetrics());
-    const knowing = new JobService(
-      store,
-      storeHealth,
-      configuration,
-      new KnowingLeader(),
-      log,
-      4000,
-    );
+    const knowing = createService(store, 4000, new KnowingLeader());
     const admitted = await admit();
     storeHealth.recordOutcome(false, performance.now());
     expect((await knowing.submit(admitted, specification)).isOk()).to.equal(true);
--- a/packages/jobs/src/EligibleWorkers.ts
+++ b/packages/jobs/src/EligibleWorkers.ts
@@ -18,6 +18,7 @@
 
 /** Workers that accept tasks during one planning pass, grouped once for all steps with the same requirements. */
 export class EligibleWorkers {
+  readonly #all: readonly Worker[];
   readonly #accepting: readonly Worker[];
   readonly #staying: readonly Worker[];
   readonly #evacuated: readonly Worker[];
@@ -31,6 +32,7 @@
    * @param evacuations - data centres whose workers accept no tasks; undefined if none can be evacuated
    */
   public constructor(all: readonly Worker[], now: number, evacuations?: Evacuations) {
+    this.#all = all;
     const accepting = all.filter((worker) => worker.canAcceptTasks(now));
     if (evacuations === undefined || evacuations.dataCentres.size === 0) {
       this.#accepting = accepting;
@@ -79,7 +81,7 @@
   }
 
   /**
-   * Measures how much of a service is in use.
+   * Measures how much of a service is in use, also on workers that accept no tasks now.
    *
    * @param service - name of the service
    * @returns share of the processors of its workers that tasks use; 1 without workers
@@ -91,7 +93,7 @@
 
   #measureAll(): ReadonlyMap<string, number> {
     const sums = new Map<string, { free: number; total: number }>();
-    for (const { entry, free } of this.#accepting) {
+    for (const { entry, free } of this.#all) {
       const sum = sums.get(entry.service) ?? { free: 0, total: 0 };
       sum.free += Math.max(0, free.milliProcessors);
       sum.total += entry.capacity.milliProcessors;
