Poll an unreachable worker until it answers, also when it is idle

A worker that did not answer for longer than its leases loses its tasks. It was not polled any more after that, since an idle worker need not report, and stayed suspended until the leader changed. The new test of the session failed before. Also tests the reports of idle workers.

--- a/packages/daemon/__tests__/WorkerSession.test.ts
+++ b/packages/daemon/__tests__/WorkerSession.test.ts
@@ -86,6 +86,35 @@
     expect(workerClient.polledLives).to.deep.equal([1]);
   });
 
+  // Guards against a worker that stays suspended for ever: it did not answer for longer than its leases, so its tasks were
+  // released, and nothing called it any more.
+  it('polls an idle worker that did not answer until it does', async () => {
+    scheduler.handleReport(worker, { life: 1, clockMs: 0, running: [], ended: [] }, 0, 0, 0);
+    for (const failedAt of [1, 2]) worker.recordCallFailure(failedAt, failedAt);
+    const session = new WorkerSession(worker, context);
+    void session.run();
+    await waitForReports();
+    session.stop();
+    expect(worker.callFailures).to.equal(0);
+  });
+
+  // Guards against a clock that is extrapolated for minutes, where the lease of a start must end at a given time, and
+  // against calls to idle workers elsewhere.
+  it('reads the clock of an idle worker at intervals only if that is required', async () => {
+    scheduler.handleReport(worker, { life: 1, clockMs: 0, running: [], ended: [] }, 0, 0, 0);
+    const session = new WorkerSession(worker, context);
+    void session.run();
+    await waitForReports();
+    session.stop();
+    expect(workerClient.polledLives).to.deep.equal([]);
+    const reading = new WorkerSession(worker, { ...context, idleReportMs: 5 });
+    void reading.run();
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    reading.stop();
+    expect(workerClient.polledLives.length).to.be.above(1);
+    expect(worker.lastContactAt).to.be.above(0);
+  });
+
   // Guards against an incarnation that nobody surveys because its entry has not arrived.
   it('is opened for an incarnation that only a report has shown', async () => {
     const sessions = new WorkerSessions(context, 1);
--- a/packages/daemon/src/WorkerSession.ts
+++ b/packages/daemon/src/WorkerSession.ts
@@ -93,9 +93,16 @@
   }
 
   get #isReportNeeded(): boolean {
-    const { tasks, hasStrays, isSurveyed, acknowledgement } = this.#worker;
+    const { tasks, hasStrays, isSurveyed, isListed, callFailures, acknowledgement } = this.#worker;
+    // A worker that did not answer stays suspended until it does, also after its tasks were released.
+    const isUnreachable = isListed && callFailures > 0;
     return (
-      tasks.size > 0 || hasStrays || !isSurveyed || this.#hasUnwrittenEnds || acknowledgement > 0
+      tasks.size > 0 ||
+      hasStrays ||
+      !isSurveyed ||
+      isUnreachable ||
+      this.#hasUnwrittenEnds ||
+      acknowledgement > 0
     );
   }
 
--- a/packages/jobs/__tests__/SchedulerSimulation.ts
+++ b/packages/jobs/__tests__/SchedulerSimulation.ts
@@ -81,6 +81,7 @@
   #leaders: Leader[] = [];
   #revision = 1;
   #term = 0;
+  #hasFaults = false;
   #now = 0;
 
   public constructor(random: () => number, evacuationRandom?: () => number) {
@@ -109,6 +110,7 @@
   /** Advances the simulation by a duration, with or without injected faults. */
   public run(durationMs: number, hasFaults: boolean): void {
     const endsAt = this.#now + durationMs;
+    this.#hasFaults = hasFaults;
     if (!hasFaults) for (const dataCentre of dataCentres) this.#withdraw(dataCentre);
     while (this.#now < endsAt) {
       this.#now += tickMs;
@@ -146,16 +148,26 @@
 
   #injectEvacuations(random: () => number): void {
     const dataCentre = dataCentres[Math.floor(random() * dataCentres.length)] ?? '';
-    if (random() < 0.0015 && !this.#evacuated.includes(dataCentre)) {
-      this.#evacuated = [...this.#evacuated, dataCentre];
-      this.checker.evacuate(dataCentre, this.#now);
-    } else if (random() < 0.001) this.#withdraw(dataCentre);
+    if (random() < 0.0015) this.#evacuate(dataCentre);
+    else if (random() < 0.001) this.#withdraw(dataCentre);
     const leader = this.#leaders[Math.floor(random() * this.#leaders.length)];
     if (leader === undefined) return;
     if (random() < 0.001) leader.pausedUntil = this.#now + random() * 8000;
     if (random() < 0.002) leader.storeLostUntil = this.#now + random() * 8000;
   }
 
+  #evacuate(dataCentre: string): void {
+    if (this.#evacuated.includes(dataCentre)) return;
+    this.#evacuated = [...this.#evacuated, dataCentre];
+    this.checker.evacuate(dataCentre, this.#now);
+  }
+
+  /** Pauses the leader after it has sent a start that is delayed, so that it sends no stop, and evacuates the target. */
+  #evacuateBeforeStart(leader: Leader, { entry }: Worker): void {
+    leader.pausedUntil = this.#now + 8000;
+    this.#evacuate(entry.dataCentre);
+  }
+
   #withdraw(dataCentre: string): void {
     this.#evacuated = this.#evacuated.filter((each) => each !== dataCentre);
     this.checker.withdraw(dataCentre, this.#now);
@@ -364,6 +376,9 @@
     const durationMs = 100 + this.#random() * 1500;
     const outcome = this.#random() < 0.05 ? 'failed' : 'done';
     const start = { task: task.name, run, term };
+    const isDelayed =
+      this.#hasFaults && this.#evacuationRandom !== undefined && this.#evacuationRandom() < 0.002;
+    if (isDelayed) this.#evacuateBeforeStart(leader, target);
     this.#call(
       target,
       (model) => ({
@@ -375,6 +390,7 @@
         if (response?.outcome === 'fenced') leader.isFenced = true;
         scheduler.handleStartOutcome(command, response?.outcome ?? 'unknown', this.#now);
       },
+      isDelayed,
     );
   }
 
@@ -409,6 +425,7 @@
     target: Worker,
     act: (model: ModelWorker) => Answer,
     handle: (response: Answer | undefined) => void,
+    isDelayed = false,
   ): void {
     // A call names the worker by its id, so any incarnation executes it.
     const findReachable = (): ModelWorker | undefined =>
@@ -422,10 +439,11 @@
     };
     const chance = this.#random();
     const model = findReachable();
-    if (model === undefined || chance < 0.02) timeOut();
-    else if (chance < 0.05) {
+    if (model === undefined || (chance < 0.02 && !isDelayed)) timeOut();
+    else if (chance < 0.05 || isDelayed) {
       timeOut();
-      this.#schedule(2000 + this.#random() * 10_000, () => {
+      // A delayed start is mostly executed before a lease of full length ends.
+      this.#schedule(2000 + this.#random() * (isDelayed ? 4000 : 10_000), () => {
         const lateModel = findReachable();
         // A late call reaches only the incarnation that it is meant for: the next one knows neither that its run was
         // stopped nor that it acknowledges ends of the one before, and nothing in the call says so.
@@ -455,9 +473,17 @@
 
 /** Checks whether a worker is polled: the restart of an idle one goes unnoticed. */
 const isReportNeeded = (target: Worker): boolean => {
-  const { tasks, hasStrays, isSurveyed, acknowledgement } = target;
+  const { tasks, hasStrays, isSurveyed, isListed, callFailures, acknowledgement } = target;
+  const isUnreachable = isListed && callFailures > 0;
   const hasUnwrittenEnds = target.processedThrough > target.acknowledgedThrough;
-  return tasks.size > 0 || hasStrays || !isSurveyed || hasUnwrittenEnds || acknowledgement > 0;
+  return (
+    tasks.size > 0 ||
+    hasStrays ||
+    !isSurveyed ||
+    isUnreachable ||
+    hasUnwrittenEnds ||
+    acknowledgement > 0
+  );
 };
 
 const ignore = (): void => undefined;
