--- a/packages/jobs/__tests__/scheduler.random.test.ts
+++ b/packages/jobs/__tests__/scheduler.random.test.ts
@@ -12,6 +12,8 @@
  * only for the workers of the current service (8, 11, 23), or in both cases (17).
  */
 const regressionSeeds = [...earlierSeeds, 5, 8, 11, 16, 17, 23, 26];
+/** Seeds that fail with evacuations if the lease of a start is not limited, as seed 8 does. */
+const evacuationSeeds = [33];
 /** Seeds of the simulation, fixed for reproducible results; TOUCANLINE_SEED replaces them with a list of its own. */
 const seeds = process.env.TOUCANLINE_SEED?.split(',').map(Number) ?? [
   1,
@@ -19,6 +21,7 @@
   4,
   6,
   ...regressionSeeds,
+  ...evacuationSeeds,
 ];
 
 const createRandom = (seed: number): (() => number) => {
