--- a/packages/jobs/__tests__/SchedulerSimulation.ts
+++ b/packages/jobs/__tests__/SchedulerSimulation.ts
@@ -123,6 +123,7 @@
   #revision = 1;
   #restartCount = 0;
   #term = 0;
+  #hasFaults = false;
   #now = 0;
 
   public constructor(random: () => number, options: SimulationOptions = {}) {
@@ -153,6 +154,7 @@
   /** Advances the simulation by a duration, with or without injected faults. */
   public run(durationMs: number, hasFaults: boolean): void {
     const endsAt = this.#now + durationMs;
+    this.#hasFaults = hasFaults;
     if (!hasFaults) for (const dataCentre of dataCentres) this.#withdraw(dataCentre);
     while (this.#now < endsAt) {
       this.#now += tickMs;
@@ -192,16 +194,26 @@
 
   #injectEvacuations(random: () => number): void {
     const dataCentre = dataCentres[Math.floor(random() * dataCentres.length)] ?? '';
-    if (random() < 0.0015 && !this.#evacuated.includes(dataCentre)) {
-      this.#evacuated = [...this.#evacuated, dataCentre];
-      this.checker.evacuate(dataCentre, this.#now);
-    } else if (random() < 0.001) this.#withdraw(dataCentre);
+    if (random() < 0.0015) this.#evacuate(dataCentre);
+    else if (random() < 0.001) this.#withdraw(dataCentre);
     const leader = this.#leaders[Math.floor(random() * this.#leaders.length)];
     if (leader === undefined) return;
     if (random() < 0.001) leader.pausedUntil = this.#now + random() * 8000;
     if (random() < 0.002) leader.storeLostUntil = this.#now + random() * 8000;
   }
 
+  #evacuate(dataCentre: string): void {
+    if (this.#evacuated.includes(dataCentre)) return;
+    this.#evacuated = [...this.#evacuated, dataCentre];
+    this.checker.evacuate(dataCentre, this.#now);
+  }
+
+  /** Pauses the leader after it has sent a start that is delayed, so that it sends no stop, and evacuates the target. */
+  #evacuateBeforeStart(leader: Leader, { entry }: Worker): void {
+    leader.pausedUntil = this.#now + 8000;
+    this.#evacuate(entry.dataCentre);
+  }
+
   #withdraw(dataCentre: string): void {
     this.#evacuated = this.#evacuated.filter((each) => each !== dataCentre);
     this.checker.withdraw(dataCentre, this.#now);
@@ -488,6 +500,9 @@
     const durationMs = 100 + this.#random() * 1500;
     const outcome = this.#random() < 0.05 ? 'failed' : 'done';
     const start = { task: task.name, run, term };
+    const isDelayed =
+      this.#hasFaults && this.#evacuationRandom !== undefined && this.#evacuationRandom() < 0.002;
+    if (isDelayed) this.#evacuateBeforeStart(leader, target);
     this.#call(
       leader,
       target,
@@ -500,6 +515,7 @@
         if (response?.outcome === 'fenced') leader.isFenced = true;
         scheduler.handleStartOutcome(command, response?.outcome ?? 'unknown', this.#now);
       },
+      isDelayed,
     );
   }
 
@@ -538,6 +554,7 @@
     target: Worker,
     act: (model: ModelWorker) => Answer,
     handle: (response: Answer | undefined) => void,
+    isDelayed = false,
   ): void {
     // A call names the worker by its id, so any incarnation executes it.
     const findReachable = (): ModelWorker | undefined =>
@@ -551,10 +568,11 @@
     };
     const chance = this.#random();
     const model = findReachable();
-    if (model === undefined || chance < 0.02) timeOut();
-    else if (chance < 0.05) {
+    if (model === undefined || (chance < 0.02 && !isDelayed)) timeOut();
+    else if (chance < 0.05 || isDelayed) {
       timeOut();
-      this.#schedule(2000 + this.#random() * 10_000, () => {
+      // A delayed start is mostly executed before a lease of full length ends.
+      this.#schedule(2000 + this.#random() * (isDelayed ? 4000 : 10_000), () => {
         const lateModel = findReachable();
         // The next incarnation executes the call as well: it knows neither that the run was stopped nor that the call
         // acknowledges ends of the one before.
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -225,11 +225,14 @@
    * @returns whether its next report is needed
    */
   public isReportNeeded(worker: Worker): boolean {
-    const { tasks, hasStrays, isSurveyed, acknowledgement } = worker;
+    const { tasks, hasStrays, isSurveyed, isListed, callFailures, acknowledgement } = worker;
+    // A worker that did not answer stays suspended until it does, also after its tasks were released.
+    const isUnreachable = isListed && callFailures > 0;
     return (
       tasks.size > 0 ||
       hasStrays ||
       !isSurveyed ||
+      isUnreachable ||
       worker.processedThrough > worker.acknowledgedThrough ||
       acknowledgement > 0 ||
       this.hasLateStarts(worker)
