Test untrusted callers, and declare limits of memory and descriptors

Cause: nothing showed what callers outside our control do to a process, and the settings did not hold the memory and descriptors of the machine from which budgets have to follow.

--- a/packages-private/testkit/src/PlatformSite.ts
+++ b/packages-private/testkit/src/PlatformSite.ts
@@ -14,9 +14,21 @@
   readonly name: string;
   readonly callerAddress: string;
   readonly readinessAddress: string;
+  readonly metricsAddress: string;
+  readonly linkAddress: string;
   readonly process: ChildProcess;
 }
 
+/** Changes of the settings of the hosts and of the configuration. */
+interface PlatformSiteOptions {
+  /** Further lines of the settings file of each host. */
+  readonly settingsLines?: readonly string[];
+  /** Options of Node.js for each host. */
+  readonly nodeOptions?: string;
+  /** Largest body of a call, in bytes; 100,000 by default. */
+  readonly maxBodyBytes?: number;
+}
+
 /** HTTP response to a caller. */
 interface CallerAnswer {
   readonly status: number;
@@ -42,8 +54,14 @@
   readonly #workers: PlatformWorkerFake[] = [];
   readonly #hosts: SiteHost[] = [];
   readonly #folder = mkdtempSync(join(tmpdir(), 'toucanline-platform-'));
+  readonly #options: PlatformSiteOptions;
   #configurationVersion = 1;
 
+  /** @param options - changes of the settings of the hosts and of the configuration */
+  public constructor(options: PlatformSiteOptions = {}) {
+    this.#options = options;
+  }
+
   /** Fakes of the workers. */
   public get workers(): readonly PlatformWorkerFake[] {
     return this.#workers;
@@ -107,7 +125,7 @@
       Routes: [createQueueConfiguration('renders', false), createQueueConfiguration('open', true)],
       Services: [{ Name: 'render', EnforcesCapacity: false }],
       Tenants: [{ Name: 'planning', ApiKeys: keys, Weight: 100 }],
-      Limits: { MaxBodyBytes: 100_000 },
+      Limits: { MaxBodyBytes: this.#options.maxBodyBytes ?? 100_000 },
     });
   }
 
@@ -229,12 +247,15 @@
         `platform.Address=${this.store.address}`,
         'Unknown.Field=1',
         ...(linkMbps === undefined ? [] : [`Limits.LinkMbps=${linkMbps}`]),
+        ...(this.#options.settingsLines ?? []),
       ].join('\n'),
     );
     this.#hosts.push({
       name,
       callerAddress: `127.0.0.1:${callerPort}`,
       readinessAddress: `127.0.0.1:${readinessPort}`,
+      metricsAddress: `127.0.0.1:${metricsPort}`,
+      linkAddress: `127.0.0.1:${linkPort}`,
       process: this.#startProcess(name),
     });
   }
@@ -242,7 +263,13 @@
   #startProcess(name: string): ChildProcess {
     const file = join(this.#folder, `${name}.conf`);
     return spawn(process.execPath, [findProgram('platform', 'toucanline-host')], {
-      env: { ...process.env, TOUCANLINE_NODE_FILE: file },
+      env: {
+        ...process.env,
+        TOUCANLINE_NODE_FILE: file,
+        ...(this.#options.nodeOptions === undefined
+          ? {}
+          : { NODE_OPTIONS: this.#options.nodeOptions }),
+      },
       stdio: ['ignore', 'ignore', 'inherit'],
     });
   }
--- a/packages-private/testkit/src/Site.ts
+++ b/packages-private/testkit/src/Site.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import type { Key, Resources, ShardStatus } from '@toucanline/schema';
+import type { Key, ProcessSettings, Resources, ShardStatus } from '@toucanline/schema';
 import { DaemonProcess } from './DaemonProcess.js';
 import { findFreePort } from './findFreePort.js';
 import { HostListFake } from './HostListFake.js';
@@ -42,6 +42,8 @@
   readonly findHostListUrl?: (dataCentre: string) => string | undefined;
   /** Puts a proxy in front of a scheduler and returns its address, which the host list then publishes. */
   readonly proxyScheduler?: (address: string, process: string) => Promise<string>;
+  /** Limits of all daemons; the defaults of the settings if absent. */
+  readonly limits?: ProcessSettings['limits'];
   /** Network that connects the data centres to the platform and to each other. */
   readonly network?: SimulatedNetwork;
 }
@@ -333,6 +335,7 @@
         ...this.#options.network?.findPlatformUrls(dataCentre),
       },
       operatorKeyHash: hashText(operatorKey),
+      ...(this.#options.limits === undefined ? {} : { limits: this.#options.limits }),
       ...(this.#options.production === undefined ? {} : { production: this.#options.production }),
     };
   }
