--- a/packages/wire/__tests__/frames.test.ts
+++ b/packages/wire/__tests__/frames.test.ts
@@ -127,6 +127,15 @@
     fc.assert(property, checks);
   });
 
+  // Guards against a peer that sends single bytes: a list of chunks would cost many times their length.
+  it('keeps single bytes of an unfinished frame in a buffer of at most twice their length', () => {
+    const reader = new FrameReader();
+    reader.add(Buffer.from([0, 0x40, 0, 0]));
+    for (let count = 0; count < 50_000; count += 1) reader.add(Buffer.from([1]));
+    expect(reader.readNext()).to.equal(undefined);
+    expect(reader.bufferedBytes).to.be.within(50_000, 100_008);
+  });
+
   it('refuses an oversized frame as soon as its prefix is complete, and keeps refusing', () => {
     const sizes = fc.integer({ min: frameLimits.maxFrameBytes + 1, max: 0xffff_ffff });
     const property = fc.property(frames, sizes, cuts, (sent, size, at) => {
--- a/packages/wire/src/FrameReader.ts
+++ b/packages/wire/src/FrameReader.ts
@@ -4,12 +4,24 @@
 import { codec } from './codec.js';
 import { frameLimits } from './frameLimits.js';
 
-/** Splits a stream of bytes into validated frames. */
+/** Smallest buffer for an unfinished frame, in bytes. */
+const minCapacityBytes = 1024;
+
+const empty = Buffer.alloc(0);
+
+/**
+ * Splits a stream of bytes into validated frames. Bytes of an unfinished frame are copied into one growing buffer: a
+ * list of received chunks would cost many times their length if the peer sends single bytes.
+ */
 export class FrameReader {
-  readonly #chunks: Buffer[] = [];
-  #bufferedLength = 0;
-  /** Length in bytes of the body of the frame that is being received; undefined until its prefix is complete. */
-  #bodyLength: number | undefined;
+  /** Received bytes that belong to no complete frame, or to frames that were not read yet. */
+  #buffer: Buffer = empty;
+  #length = 0;
+
+  /** Bytes of memory that unfinished frames occupy. */
+  public get bufferedBytes(): number {
+    return this.#buffer.length;
+  }
 
   /**
    * Adds received bytes.
@@ -17,53 +29,45 @@
    * @param chunk - bytes from the peer
    */
   public add(chunk: Buffer): void {
-    this.#chunks.push(chunk);
-    this.#bufferedLength += chunk.length;
+    if (this.#length === 0) {
+      // A chunk of whole frames, which is the usual case, is not copied.
+      this.#buffer = chunk;
+      this.#length = chunk.length;
+      return;
+    }
+    const needed = this.#length + chunk.length;
+    if (needed > this.#buffer.length) {
+      const grown = Buffer.allocUnsafeSlow(Math.max(minCapacityBytes, needed, this.#length * 2));
+      this.#buffer.copy(grown, 0, 0, this.#length);
+      this.#buffer = grown;
+    }
+    chunk.copy(this.#buffer, this.#length);
+    this.#length = needed;
   }
 
   /**
-   * Returns and removes the next complete frame. Chunks are joined only once the whole frame was received, because
-   * joining them after each chunk takes quadratic time for a large frame.
+   * Returns and removes the next complete frame.
    *
    * @returns the frame; undefined if more bytes are needed; `malformedRequest` if the bytes are not a valid frame or
    * exceed the size limit
    */
   public readNext(): Result<Frame, Failure> | undefined {
     const { prefixBytes, maxFrameBytes } = frameLimits;
-    if (this.#bufferedLength < prefixBytes) return undefined;
-    this.#bodyLength ??= this.#readBodyLength();
-    const bodyLength = this.#bodyLength;
+    if (this.#length < prefixBytes) return undefined;
+    const bodyLength = this.#buffer.readUInt32BE(0);
     if (bodyLength > maxFrameBytes) {
       return err(
         createFailure('malformedRequest', `frame of ${bodyLength} bytes exceeds the size limit`),
       );
     }
-    if (this.#bufferedLength < prefixBytes + bodyLength) return undefined;
-    const buffer = this.#joinChunks();
-    this.#replaceChunks(buffer.subarray(prefixBytes + bodyLength));
-    this.#bodyLength = undefined;
+    const frameLength = prefixBytes + bodyLength;
+    if (this.#length < frameLength) return undefined;
+    const body = this.#buffer.subarray(prefixBytes, frameLength);
+    this.#buffer = this.#buffer.subarray(frameLength, this.#length);
+    this.#length -= frameLength;
+    if (this.#length === 0) this.#buffer = empty;
     if (bodyLength === 0) return ok({ type: 'heartbeat' });
-    return this.#decode(buffer.subarray(prefixBytes, prefixBytes + bodyLength));
-  }
-
-  #readBodyLength(): number {
-    const [first] = this.#chunks;
-    const hasPrefix = first !== undefined && first.length >= frameLimits.prefixBytes;
-    return (hasPrefix ? first : this.#joinChunks()).readUInt32BE(0);
-  }
-
-  #joinChunks(): Buffer {
-    const [first] = this.#chunks;
-    if (first !== undefined && this.#chunks.length === 1) return first;
-    const joined = Buffer.concat(this.#chunks);
-    this.#replaceChunks(joined);
-    return joined;
-  }
-
-  #replaceChunks(rest: Buffer): void {
-    this.#chunks.length = 0;
-    this.#bufferedLength = rest.length;
-    if (rest.length > 0) this.#chunks.push(rest);
+    return this.#decode(body);
   }
 
   #decode(body: Buffer): Result<Frame, Failure> {
--- a/packages/wire/src/Link.ts
+++ b/packages/wire/src/Link.ts
@@ -65,6 +65,11 @@
     return this.#peer;
   }
 
+  /** Bytes of memory that unfinished frames of the peer occupy. */
+  public get bufferedBytes(): number {
+    return this.#reader.bufferedBytes;
+  }
+
   /** Whether the link is closed. */
   public get isClosed(): boolean {
     return this.#isClosed;
--- /dev/null
+++ b/packages/wire/src/LinkRefusal.ts
@@ -0,0 +1,2 @@
+/** Reason for which a link was refused or closed. */
+export type LinkRefusal = 'links' | 'helloTime' | 'helloBytes' | 'linkBytes' | 'acceptFailed';
