Bound connections, received bytes and time at every HTTP port

Cause: bodies were kept as slices of received chunks, the parser created thousands of requests from one buffer, and connections had no bound, so callers outside our control ended a process or used up its memory.

Change: ConnectionGuard creates the HTTP servers of all programs. Budgets follow from memory and descriptors.

--- a/packages/daemon/src/DaemonSettings.ts
+++ b/packages/daemon/src/DaemonSettings.ts
@@ -12,6 +12,10 @@
   readonly linkAddress: string;
   /** Processor time of this host per second, in seconds. */
   readonly processors: number;
+  /** Memory of this host, in MB. */
+  readonly memoryMb: number;
+  /** Number of descriptors that the process may open. */
+  readonly maxDescriptors: number;
   /** How well this host can carry the leader, relative to the needs of a small site. */
   readonly leaderFitness: number;
   /** Time within which a withdrawn key must no longer be accepted, in milliseconds. */
--- a/packages/daemon/src/HostDaemon.ts
+++ b/packages/daemon/src/HostDaemon.ts
@@ -1,4 +1,6 @@
 import type { MetadataStore, StoreDecoder, PlacementAdvisor, WorkerClient } from '@toucanline/jobs';
+import { computeConnectionBudgets } from '@toucanline/runtime/computeConnectionBudgets';
+import { ConnectionGuard } from '@toucanline/runtime/ConnectionGuard';
 import type { Hello } from '@toucanline/schema';
 import { computeHostTimes } from './computeHostTimes.js';
 import { ConfigurationWatch } from './ConfigurationWatch.js';
@@ -6,6 +8,7 @@
 import { Election } from './Election.js';
 import type { DaemonSettings } from './DaemonSettings.js';
 import { HostMetrics } from './HostMetrics.js';
+import { HostRefusalReporter } from './HostRefusalReporter.js';
 import { hostLimits } from './hostLimits.js';
 import { JobService } from './JobService.js';
 import { LeaderController } from './LeaderController.js';
@@ -33,6 +36,8 @@
   public readonly metrics = new HostMetrics();
   /** Event log of this process. */
   public readonly log: EventLog;
+  /** Limits the connections that others open to this process. */
+  public readonly connectionGuard: ConnectionGuard;
   readonly #storeHealth: StoreHealth;
   readonly #store: MonitoredStore;
   readonly #configuration: ConfigurationWatch;
@@ -47,6 +52,11 @@
    */
   public constructor(settings: DaemonSettings, dependencies: HostDependencies) {
     this.log = new EventLog(settings.name, this.metrics);
+    const { memoryMb, maxDescriptors } = settings;
+    this.connectionGuard = new ConnectionGuard(
+      computeConnectionBudgets({ memoryMb, maxDescriptors }),
+      new HostRefusalReporter(this.log, this.metrics),
+    );
     this.#storeHealth = new StoreHealth(this.log);
     const store = new MonitoredStore(dependencies.store, this.#storeHealth);
     this.#store = store;
@@ -67,7 +77,13 @@
       leaderFitness: settings.leaderFitness,
     };
     const getLocalLeader = (): LeaderController | undefined => this.#leader;
-    this.#links = new PeerLinks(hello, settings.linkAddress, dependencies.advisor, getLocalLeader);
+    this.#links = new PeerLinks(
+      hello,
+      settings.linkAddress,
+      dependencies.advisor,
+      getLocalLeader,
+      this.connectionGuard,
+    );
     const leaderClient = new LeaderRouter(this.#links, getLocalLeader);
     this.jobs = new JobService(
       store,
@@ -123,6 +139,11 @@
     );
   }
 
+  /** Largest body of a call, in bytes, by the configuration in effect; undefined if there is none. */
+  public get maxBodyBytes(): number | undefined {
+    return this.#configuration.current?.maxBodyBytes;
+  }
+
   /** Whether the host is shutting down. */
   public get isDraining(): boolean {
     return this.#isDraining;
--- a/packages/daemon/src/HostMetrics.ts
+++ b/packages/daemon/src/HostMetrics.ts
@@ -1,3 +1,4 @@
+import type { RefusalReason } from '@toucanline/schema';
 import { Counter, Histogram, Registry } from 'prom-client';
 
 /** Upper bounds of the buckets, in seconds: accepting a job takes a store call of 4 ms, callers wait 3 s at most. */
@@ -9,6 +10,7 @@
   readonly #events: Counter<'event'>;
   readonly #calls: Histogram<'method' | 'status'>;
   readonly #starts: Histogram;
+  readonly #refusals: Counter<'port' | 'reason'>;
 
   public constructor() {
     const registers = [this.#registry];
@@ -25,6 +27,12 @@
       buckets: durationBucketsSeconds,
       registers,
     });
+    this.#refusals = new Counter({
+      name: 'toucanline_refused_connections_total',
+      help: 'Connections and requests that were refused or closed because of a limit.',
+      labelNames: ['port', 'reason'],
+      registers,
+    });
     this.#starts = new Histogram({
       name: 'toucanline_start_seconds',
       help: 'Time from a start order to the answer of the worker.',
@@ -67,6 +75,16 @@
     this.#starts.observe(durationMs / 1000);
   }
 
+  /**
+   * Counts a connection or request that was refused or closed because of a limit.
+   *
+   * @param port - name of the port
+   * @param reason - reason for the refusal
+   */
+  public countRefusal(port: string, reason: RefusalReason): void {
+    this.#refusals.inc({ port, reason });
+  }
+
   /**
    * Renders all metrics.
    *
--- a/packages/daemon/src/PeerLinks.ts
+++ b/packages/daemon/src/PeerLinks.ts
@@ -1,5 +1,6 @@
 import { createFailure } from '@toucanline/core';
 import type { PlacementAdvisor } from '@toucanline/jobs';
+import type { ConnectionGuard } from '@toucanline/runtime/ConnectionGuard';
 import type { CallBody, Hello, ReplyBody } from '@toucanline/schema';
 import { LinkDialer, LinkHandler, LinkListener, type Link } from '@toucanline/wire';
 import { hostLimits } from './hostLimits.js';
@@ -19,19 +20,23 @@
    * @param address - IP and port on which this host listens for links
    * @param advisor - client of the advice service
    * @param getLocalLeader - returns the leader on this host; undefined if this host is not the leader
+   * @param connectionGuard - limits the links that other hosts open
    */
   public constructor(
     hello: Hello,
     address: string,
     advisor: PlacementAdvisor,
     getLocalLeader: () => LeaderController | undefined,
+    connectionGuard: ConnectionGuard,
   ) {
     super();
     this.#hello = hello;
     this.#address = address;
     this.#advisor = advisor;
     this.#getLocalLeader = getLocalLeader;
-    this.#listener = new LinkListener(hello, this);
+    this.#listener = new LinkListener(hello, this, connectionGuard.budgets.links, (reason) => {
+      connectionGuard.reportLink(reason);
+    });
   }
 
   /** Links that other hosts have opened to this one. */
--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -9,7 +9,7 @@
 } from '@toucanline/runtime';
 import type { NoticeBody, ReplyBody } from '@toucanline/schema';
 import { LinkHandler, type Link } from '@toucanline/wire';
-import restana from 'restana';
+import restana, { type Protocol, type Service } from 'restana';
 import { Authenticator } from './Authenticator.js';
 import { ConfigurationRoutes } from './ConfigurationRoutes.js';
 import { createOpenApi } from './createOpenApi.js';
@@ -85,12 +85,7 @@
   readonly #ownerDiscovery: OwnerDiscovery;
   readonly #eventReplicator: EventReplicator;
   readonly #routeGroups: Parameters<typeof createRoutes>[0];
-  readonly #httpService = restana({
-    errorHandler: (error, _request, response) => {
-      this.#runtime.log.write('error', 'unexpected error in a route', { detail: error.message });
-      response.send({ title: 'internal', ran: 'unknown' }, 500);
-    },
-  });
+  readonly #httpService: Service<Protocol.HTTP>;
   #inFlightCount = 0;
   #isDraining = false;
   #isStopped = false;
@@ -100,6 +95,13 @@
     super();
     this.#runtime = runtime;
     const { clock, recorder, settings, keyRing, keyListAge } = runtime;
+    this.#httpService = restana({
+      server: runtime.connectionGuard.createServer('callers', 'callers'),
+      errorHandler: (error, _request, response) => {
+        runtime.log.write('error', 'unexpected error in a route', { detail: error.message });
+        response.send({ title: 'internal', ran: 'unknown' }, 500);
+      },
+    });
     this.#router = new Router(clock, settings.dataCentre);
     this.#takeovers = new TakeoverSync({
       editor: new TakeoverEditor(runtime),
--- a/packages/runtime/src/Metrics.ts
+++ b/packages/runtime/src/Metrics.ts
@@ -1,4 +1,4 @@
-import type { Event, ProcessSettings } from '@toucanline/schema';
+import type { Event, ProcessSettings, RefusalReason } from '@toucanline/schema';
 import { StatsD } from 'hot-shots';
 
 /** Metrics of a process, sent to a statsd server over UDP. Without a server in the settings they are dropped. */
@@ -31,6 +31,15 @@
     }
   }
 
+  /**
+   * Counts a refused or closed connection.
+   *
+   * @param reason - reason for the refusal
+   */
+  public countRefusal(reason: RefusalReason): void {
+    this.#client?.increment(`refusals.${reason}`);
+  }
+
   /**
    * Sets a gauge.
    *
--- a/packages/runtime/src/ProcessRuntime.ts
+++ b/packages/runtime/src/ProcessRuntime.ts
@@ -11,8 +11,11 @@
 } from '@toucanline/core';
 import { HttpHostList, HttpStore } from '@toucanline/clients';
 import type { Event, Hello, ProcessSettings } from '@toucanline/schema';
+import { computeConnectionBudgets } from './computeConnectionBudgets.js';
+import { ConnectionGuard } from './ConnectionGuard.js';
 import { Log } from './Log.js';
 import { Metrics } from './Metrics.js';
+import { ProcessRefusalReporter } from './ProcessRefusalReporter.js';
 import { SystemClock } from './SystemClock.js';
 import { SystemRandom } from './SystemRandom.js';
 
@@ -31,6 +34,8 @@
   public readonly invariant: Invariant;
   public readonly log: Log;
   public readonly metrics: Metrics;
+  /** Limits the connections that others open to this process. */
+  public readonly connectionGuard: ConnectionGuard;
   public readonly store: HttpStore;
   public readonly hostList: HttpHostList;
   public readonly configurationHolder: ConfigurationHolder;
@@ -47,6 +52,10 @@
     const { process: name, dataCentre, platform } = settings;
     this.log = new Log(name, settings.logLevel ?? 'info');
     this.metrics = new Metrics(settings);
+    this.connectionGuard = new ConnectionGuard(
+      computeConnectionBudgets(settings.limits),
+      new ProcessRefusalReporter(this.log, this.metrics),
+    );
     this.recorder = new EventRecorder(this.clock, this.eventStream, name, dataCentre);
     this.eventArchive = new EventArchive(name);
     this.eventStream.on('events', (events) => {
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -114,7 +114,14 @@
       listPeers: () => this.#listPeers(),
       findCandidate: (shard) => this.#candidates.get(shard),
     });
-    this.#listener = new LinkListener(runtime.hello, this.#linkHandler);
+    this.#listener = new LinkListener(
+      runtime.hello,
+      this.#linkHandler,
+      runtime.connectionGuard.budgets.links,
+      (reason) => {
+        runtime.connectionGuard.reportLink(reason);
+      },
+    );
   }
 
   /** {@inheritDoc Daemon.start} */
@@ -128,7 +135,9 @@
     });
     this.#peers.start();
     this.#events.start();
-    const service = restana();
+    const service = restana({
+      server: this.#runtime.connectionGuard.createServer('health', 'service'),
+    });
     addHealthRoutes(service, () => this.#isReady);
     await startHttpService(service, settings.http.port, settings.http.host);
     this.#runtime.followRevisions(
--- a/scripts/generateReference.mjs
+++ b/scripts/generateReference.mjs
@@ -90,12 +90,15 @@
 };
 
 const renderMetrics = () => {
-  const rows = definitions.EventName.enum.map(
-    (name) => `| \`toucanline.events.${name}\` | counter |`,
-  );
+  const names = [
+    ...definitions.EventName.enum.map((name) => `events.${name}`),
+    ...definitions.RefusalReason.enum.map((reason) => `refusals.${reason}`),
+  ];
+  const rows = names.map((name) => `| \`toucanline.${name}\` | counter |`);
   const intro =
     'If the settings have a `statsd` section, metrics are sent to statsd over UDP with the tags ' +
     '`environment`, `process` and `data_centre`. Each timeline event increments the counter of its name. ' +
+    'Each refused or closed connection increments the counter of its reason. ' +
     'The duration of an event, if it has one, is also sent as the timer `toucanline.durations.NAME`, in ' +
     'milliseconds.';
   return `# Metrics\n\n${intro}\n\n| Metric | Type |\n| --- | --- |\n${rows.join('\n')}\n`;
