Keep half of the received bytes for connections that hold nothing

Cause: pipelined requests could use up the whole budget of bytes, so that the first request of another connection was refused.

Change: while half of the budget is used, a connection with unanswered requests is not read further.

--- a/packages/runtime/src/GuardedConnection.ts
+++ b/packages/runtime/src/GuardedConnection.ts
@@ -168,7 +168,7 @@
   get #mustWait(): boolean {
     const { bytes, budgets } = this.#port;
     const count = this.#acceptedCount;
-    return count >= budgets.maxPipelinedRequests || (count > 0 && !bytes.hasRoom(requestBytes));
+    return count >= budgets.maxPipelinedRequests || (count > 0 && bytes.isHalfUsed);
   }
 
   #receive(chunk: Buffer): void {
--- a/packages/runtime/src/ResourceLedger.ts
+++ b/packages/runtime/src/ResourceLedger.ts
@@ -32,14 +32,9 @@
     return [...this.#amounts.keys()];
   }
 
-  /**
-   * Checks whether an amount is available without closing a connection.
-   *
-   * @param amount - the amount
-   * @returns whether it is available
-   */
-  public hasRoom(amount: number): boolean {
-    return this.#usedAmount + amount <= this.#maxAmount;
+  /** Whether half of the budget is used. The rest is kept for connections that hold nothing yet. */
+  public get isHalfUsed(): boolean {
+    return this.#usedAmount > this.#maxAmount / 2;
   }
 
   /**
@@ -50,7 +45,7 @@
    * @returns false if it is not available; the connection itself may have been closed in favour of newer ones
    */
   public reserve(connection: GuardedConnection, amount: number): boolean {
-    while (!this.hasRoom(amount)) {
+    while (this.#usedAmount + amount > this.#maxAmount) {
       const victim = this.#findVictim();
       if (victim === undefined) return false;
       victim.refuse(this.#reason);
