--- a/packages-private/testkit/__tests__/platformEvacuation.test.ts
+++ b/packages-private/testkit/__tests__/platformEvacuation.test.ts
@@ -16,7 +16,10 @@
   // Guards against starts in an evacuated data centre after the bound, while the leader is killed or paused, against
   // running tasks that are stopped, and against a data centre that is not used after its return.
   it('starts nothing there after the bound, lets running tasks end, and is withdrawn', async () => {
-    const site = new PlatformSite([`Bounds.EvacMs=${boundMs}`], ['dc1', 'dc2']);
+    const site = new PlatformSite({
+      settingsLines: [`Bounds.EvacMs=${boundMs}`],
+      dataCentres: ['dc1', 'dc2'],
+    });
     try {
       await site.start(3, 2);
       const [first, second] = site.workers;
--- a/packages-private/testkit/src/PlatformSite.ts
+++ b/packages-private/testkit/src/PlatformSite.ts
@@ -14,9 +14,23 @@
   readonly name: string;
   readonly callerAddress: string;
   readonly readinessAddress: string;
+  readonly metricsAddress: string;
+  readonly linkAddress: string;
   readonly process: ChildProcess;
 }
 
+/** Changes of the settings of the hosts and of the configuration. */
+interface PlatformSiteOptions {
+  /** Further lines of the settings file of each host. */
+  readonly settingsLines?: readonly string[];
+  /** Data centres of the workers, by turns; `dc1` by default. */
+  readonly dataCentres?: readonly string[];
+  /** Options of Node.js for each host. */
+  readonly nodeOptions?: string;
+  /** Largest body of a call, in bytes; 100,000 by default. */
+  readonly maxBodyBytes?: number;
+}
+
 /** HTTP response to a caller. */
 interface CallerAnswer {
   readonly status: number;
@@ -42,17 +56,12 @@
   readonly #workers: PlatformWorkerFake[] = [];
   readonly #hosts: SiteHost[] = [];
   readonly #folder = mkdtempSync(join(tmpdir(), 'toucanline-platform-'));
-  readonly #settings: readonly string[];
-  readonly #dataCentres: readonly string[];
+  readonly #options: PlatformSiteOptions;
   #configurationVersion = 1;
 
-  /**
-   * @param settings - further lines of the settings file of each host
-   * @param dataCentres - data centres of the workers, by turns
-   */
-  public constructor(settings: readonly string[] = [], dataCentres: readonly string[] = ['dc1']) {
-    this.#settings = settings;
-    this.#dataCentres = dataCentres;
+  /** @param options - changes of the settings of the hosts and of the configuration */
+  public constructor(options: PlatformSiteOptions = {}) {
+    this.#options = options;
   }
 
   /** Fakes of the workers. */
@@ -118,7 +127,7 @@
       Routes: [createQueueConfiguration('renders', false), createQueueConfiguration('open', true)],
       Services: [{ Name: 'render', EnforcesCapacity: false }],
       Tenants: [{ Name: 'planning', ApiKeys: keys, Weight: 100 }],
-      Limits: { MaxBodyBytes: 100_000 },
+      Limits: { MaxBodyBytes: this.#options.maxBodyBytes ?? 100_000 },
     });
   }
 
@@ -214,7 +223,8 @@
   }
 
   async #addWorker(id: string): Promise<void> {
-    const dataCentre = this.#dataCentres[this.#workers.length % this.#dataCentres.length];
+    const { dataCentres = ['dc1'] } = this.#options;
+    const dataCentre = dataCentres[this.#workers.length % dataCentres.length];
     const worker = new PlatformWorkerFake(id, dataCentre);
     await worker.start();
     this.#workers.push(worker);
@@ -240,14 +250,16 @@
         `PortRange=${linkPort},${metricsPort}`,
         `platform.Address=${this.store.address}`,
         'Unknown.Field=1',
-        ...this.#settings,
         ...(linkMbps === undefined ? [] : [`Limits.LinkMbps=${linkMbps}`]),
+        ...(this.#options.settingsLines ?? []),
       ].join('\n'),
     );
     this.#hosts.push({
       name,
       callerAddress: `127.0.0.1:${callerPort}`,
       readinessAddress: `127.0.0.1:${readinessPort}`,
+      metricsAddress: `127.0.0.1:${metricsPort}`,
+      linkAddress: `127.0.0.1:${linkPort}`,
       process: this.#startProcess(name),
     });
   }
@@ -255,7 +267,13 @@
   #startProcess(name: string): ChildProcess {
     const file = join(this.#folder, `${name}.conf`);
     return spawn(process.execPath, [findProgram('platform', 'toucanline-host')], {
-      env: { ...process.env, TOUCANLINE_NODE_FILE: file },
+      env: {
+        ...process.env,
+        TOUCANLINE_NODE_FILE: file,
+        ...(this.#options.nodeOptions === undefined
+          ? {}
+          : { NODE_OPTIONS: this.#options.nodeOptions }),
+      },
       stdio: ['ignore', 'ignore', 'inherit'],
     });
   }
