Forecast the backlog and decide on submissions by it

Cause: with three hot accounts and two bursts everything is accepted and then waits; jobs with an objective of 2 s wait 13 s.

Change: BacklogForecast sums the waiting work of each service by the order of service and measures the rate at which it drains; ForecastAdmission decides on a host which submissions would be completed after three times their objective, six times for accounts within their rate and share, and when to return.

--- a/packages/entry/src/EntryDaemon.ts
+++ b/packages/entry/src/EntryDaemon.ts
@@ -61,6 +61,7 @@
       this.#archive.add(process, dataCentre, body);
       return;
     }
+    if (body.notice !== 'load') return;
     this.#router.applyNotice(process, body);
     const { takeovers } = body;
     if (takeovers === undefined) return;
--- a/packages/jobs/__tests__/LoadSimulation.ts
+++ b/packages/jobs/__tests__/LoadSimulation.ts
@@ -1,4 +1,5 @@
 import type {
+  ForecastNotice,
   JobRecord,
   PlacementPermit,
   SiteConfiguration,
@@ -11,6 +12,7 @@
   Scheduler,
   type Command,
   type DurationEstimates,
+  type ForecastAdmission,
 } from '../src/index.js';
 import { ModelWorker } from './ModelWorker.js';
 import { InvariantChecker } from './InvariantChecker.js';
@@ -31,6 +33,11 @@
   readonly #workMs = new Map<string, (task: string) => number>();
   readonly #finishedAt = new Map<string, number>();
   readonly #startCounts = new Map<string, number>();
+  readonly #site: SiteConfiguration;
+  readonly #refusals: { readonly id: string; readonly at: number; readonly returnsAt: number }[] =
+    [];
+  readonly #forecasts: ForecastNotice[] = [];
+  #hosts: readonly ForecastAdmission[] = [];
   #arrivals: readonly { readonly at: number; readonly record: JobRecord }[] = [];
   #responses: readonly {
     readonly at: number;
@@ -47,6 +54,7 @@
     isAllowed: (worker: string) => boolean = () => true,
     durations: DurationEstimates = new LearnedDurations(),
   ) {
+    this.#site = site;
     this.#isAllowed = isAllowed;
     const bounds = { maxStopMs: 200, maxLeaseMs: 6000 };
     this.scheduler = new Scheduler(1, this.#revision, 0, bounds, durations);
@@ -72,11 +80,36 @@
     return this.#finishedAt.get(id) ?? Infinity;
   }
 
+  /** Simulated time at which the last job with this prefix of its id was published as completed, in milliseconds. */
+  public lastFinishedAt(prefix: string): number {
+    const times = [...this.#finishedAt].flatMap(([id, at]) => (id.startsWith(prefix) ? [at] : []));
+    return Math.max(0, ...times);
+  }
+
   /** Counts the runs that were started on a worker. */
   public countStarts(worker: string): number {
     return this.#startCounts.get(worker) ?? 0;
   }
 
+  /** Refused submissions, and when their callers return. */
+  public get refusals(): readonly {
+    readonly id: string;
+    readonly at: number;
+    readonly returnsAt: number;
+  }[] {
+    return this.#refusals;
+  }
+
+  /** Forecasts that the leader has sent. */
+  public get forecasts(): readonly ForecastNotice[] {
+    return this.#forecasts;
+  }
+
+  /** Lets submissions pass hosts in turn, which get the forecasts and refuse by them. Refused callers return when told. */
+  public admitThrough(hosts: readonly ForecastAdmission[]): void {
+    this.#hosts = hosts;
+  }
+
   /** Stalls all tasks of a worker from now on. */
   public stallTasks(id: string): void {
     const model = this.#models.get(id);
@@ -93,14 +126,39 @@
       expect(findViolations(commands)).to.deep.equal([]);
       for (const command of commands) this.#execute(command);
       this.#writeProgress();
+      this.#sendForecast();
     }
   }
 
+  #sendForecast(): void {
+    if (this.#hosts.length === 0) return;
+    const forecast = this.scheduler.forecast.update(this.#now, this.#hosts.length);
+    if (forecast === undefined) return;
+    this.#forecasts.push(forecast);
+    for (const host of this.#hosts) host.apply(forecast, this.#now);
+  }
+
+  /** Submits to the host whose turn it is; returns false if the host refuses. */
+  #admit(record: JobRecord): boolean {
+    const queue = this.#site.queues.find(({ name }) => name === record.queue);
+    const account = this.#site.accounts.find(({ name }) => name === record.account);
+    const host = this.#hosts[this.#revision % this.#hosts.length];
+    if (queue === undefined || host === undefined) return true;
+    const submission = { queue, account, specification: record.specification };
+    const refusal = host.check(submission, this.#now);
+    if (refusal === undefined) return true;
+    const returnsAt = this.#now + refusal.retryAfterSeconds * 1000;
+    this.#refusals.push({ id: record.id, at: this.#now, returnsAt });
+    this.#arrivals = [...this.#arrivals, { at: returnsAt, record }];
+    return false;
+  }
+
   #submitDue(): void {
     const due = this.#arrivals.filter(({ at }) => at <= this.#now);
     this.#arrivals = this.#arrivals.filter(({ at }) => at > this.#now);
     for (const { record } of due) {
       this.#revision += 1;
+      if (!this.#admit(record)) continue;
       this.checker.addJob(record);
       this.scheduler.addJob(record, this.#revision, this.#now);
     }
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -10,6 +10,7 @@
   WorkerReport,
 } from '@toucanline/schema';
 import { ReportHandler } from './ReportHandler.js';
+import { BacklogForecast } from './backlog/BacklogForecast.js';
 import type { DurationEstimates } from './durations/DurationEstimates.js';
 import { LearnedDurations } from './durations/LearnedDurations.js';
 import { InheritedWorkers } from './InheritedWorkers.js';
@@ -21,6 +22,7 @@
 import { PermitCache } from './PermitCache.js';
 import { Planner } from './Planner.js';
 import { PendingProgress } from './PendingProgress.js';
+import { PendingSteps } from './PendingSteps.js';
 import { RunStopper } from './RunStopper.js';
 import { schedulingLimits } from './schedulingLimits.js';
 import { StartOutcomeHandler } from './StartOutcomeHandler.js';
@@ -39,6 +41,8 @@
   public readonly progress: PendingProgress;
   /** Services on whose workers tasks of each queue may run. */
   public readonly queueServices: QueueServices;
+  /** Forecast of when a job that arrives now would be served. */
+  public readonly forecast: BacklogForecast;
   /** Expected durations of tasks. */
   public readonly durations: DurationEstimates;
   readonly #jobs = new JobRegistry();
@@ -88,6 +92,10 @@
       (job) => this.#queues.findQueue(job)?.maxAttempts ?? Infinity,
       maxStopMs,
     );
+    const pendingSteps = new PendingSteps(this.#jobs, this.#queues, durations, (job, queue) =>
+      this.#isHeld(job, queue),
+    );
+    this.forecast = new BacklogForecast(pendingSteps, this.#pool, durations, now);
     this.#planner = new Planner(
       this.#jobs,
       this.#pool,
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -292,9 +292,9 @@
     if (link.peer !== undefined) {
       const { process, dataCentre } = link.peer;
       if (body.notice === 'events') this.#runtime.eventArchive.add(process, dataCentre, body);
-      else this.#router.applyNotice(process, body);
+      else if (body.notice === 'load') this.#router.applyNotice(process, body);
     }
-    if (body.notice === 'events') return;
+    if (body.notice !== 'load') return;
     this.#takeoverCoordinator?.applyNotice(link, body);
     void this.#peers?.applyRevisions(link, body).then(() => {
       this.#applyNewRevision();
