Refuse submissions by the leader's backlog forecast

Cause: hosts accept what cannot be served in a useful time.

JobService checks a submission before it is stored and refuses with the error kind overloaded, unless a record of the job is or may be stored. Event submissionRefused, metrics of backlog, delay and refusals; TOUCANLINE_ADMISSION=open accepts everything.

--- a/packages/daemon/__tests__/JobService.test.ts
+++ b/packages/daemon/__tests__/JobService.test.ts
@@ -1,4 +1,4 @@
-import { StoreDecoder } from '@toucanline/jobs';
+import { ForecastAdmission, forecastLimits, StoreDecoder } from '@toucanline/jobs';
 import type { JobSpecification, JobState, SiteConfiguration } from '@toucanline/schema';
 import { expect } from 'chai';
 import { ConfigurationWatch } from '../src/ConfigurationWatch.js';
@@ -69,6 +69,7 @@
   let configuration: ConfigurationWatch;
   let storeHealth: StoreHealth;
   let service: JobService;
+  let admission: ForecastAdmission;
 
   const admit = async (): Promise<Parameters<JobService['submit']>[0]> =>
     (await service.admit(call))._unsafeUnwrap();
@@ -80,6 +81,7 @@
     storeHealth = new StoreHealth(log);
     const monitored = new MonitoredStore(store, storeHealth);
     configuration = new ConfigurationWatch(monitored, new JsonDecoder(), log, 1500);
+    admission = new ForecastAdmission(() => 0.5);
     service = new JobService(
       monitored,
       storeHealth,
@@ -87,6 +89,8 @@
       new UnresponsiveLeader(),
       log,
       4100,
+      admission,
+      new HostMetrics(),
     );
     await configuration.ensureFresh(0);
   });
@@ -146,6 +150,56 @@
     expect(store.commits).to.equal(commitsBefore);
   });
 
+  describe('with a backlog', () => {
+    const task: JobSpecification['steps'][number] = {
+      taskCount: 1,
+      size: { milliProcessors: 1000, memoryMb: 1, accelerators: 0 },
+      estimateMs: 100,
+      dependsOn: [],
+    };
+    const work: JobSpecification = { payload: 'x', steps: [task] };
+
+    const applyBacklog = (): void => {
+      const sums = forecastLimits.horizonsMs.map(() => 60_000);
+      const classes = [{ priority: 1, onTimeMs: sums, overRateMs: sums }];
+      const rates = { drainRate: 10, overRateDrainRate: 5, lateMs: 0 };
+      const services = [{ service: 's', ...rates, classes }];
+      const forecast = { notice: 'forecast', hosts: 1, services, accounts: [] } as const;
+      admission.apply(forecast, performance.now());
+    };
+
+    it('refuses a job without a write, and accepts it once the backlog is gone', async () => {
+      const admitted = await admit();
+      applyBacklog();
+      const commitsBefore = store.commits;
+      const refused = (await service.submit(admitted, work))._unsafeUnwrapErr();
+      expect(refused.kind).to.equal('overloaded');
+      expect(refused.retryAfterSeconds).to.be.within(1, 30);
+      expect(store.commits).to.equal(commitsBefore);
+      const idle = { notice: 'forecast', hosts: 1, services: [], accounts: [] } as const;
+      admission.apply(idle, performance.now());
+      expect((await service.submit(admitted, work)).isOk()).to.equal(true);
+    });
+
+    // Guards against a refusal, which says that the job never runs, of one that is stored or may still be.
+    it('refuses no job that is stored or may be stored', async () => {
+      const admitted = await admit();
+      expect((await service.submit(admitted, work)).isOk()).to.equal(true);
+      applyBacklog();
+      expect((await service.submit(admitted, work)).isOk()).to.equal(true);
+      store.fault = 'late';
+      store.hasUnansweredReads = true;
+      const other = (await service.admit({ ...call, path: '/b/00000000000000bb' }))._unsafeUnwrap();
+      const idle = { notice: 'forecast', hosts: 1, services: [], accounts: [] } as const;
+      admission.apply(idle, performance.now());
+      expect((await service.submit(other, work))._unsafeUnwrapErr().kind).to.equal('timeout');
+      store.hasUnansweredReads = false;
+      storeHealth.recordOutcome(true, performance.now());
+      applyBacklog();
+      expect((await service.submit(other, work)).isOk()).to.equal(true);
+    });
+  });
+
   it('cancels a stored job, also if the answer is lost, and no unknown job', async () => {
     const admitted = await admit();
     await service.submit(admitted, specification);
--- a/packages/daemon/src/DaemonSettings.ts
+++ b/packages/daemon/src/DaemonSettings.ts
@@ -24,6 +24,8 @@
   readonly statusMs: number;
   /** Time between the request to stop this process and its kill, in milliseconds. */
   readonly graceMs: number;
+  /** Whether submissions that the backlog forecast says would be served too late are refused, or all are accepted. */
+  readonly admission: 'forecast' | 'open';
   /** Whether the durations of tasks are learned from finished runs, or expected as declared. */
   readonly durationEstimates: 'learned' | 'declared';
 }
--- a/packages/daemon/src/HostDaemon.ts
+++ b/packages/daemon/src/HostDaemon.ts
@@ -1,5 +1,11 @@
-import type { MetadataStore, StoreDecoder, PlacementAdvisor, WorkerClient } from '@toucanline/jobs';
-import type { Hello } from '@toucanline/schema';
+import {
+  ForecastAdmission,
+  type MetadataStore,
+  type PlacementAdvisor,
+  type StoreDecoder,
+  type WorkerClient,
+} from '@toucanline/jobs';
+import type { ForecastNotice, Hello } from '@toucanline/schema';
 import { computeHostTimes } from './computeHostTimes.js';
 import { ConfigurationWatch } from './ConfigurationWatch.js';
 import { EventLog } from './EventLog.js';
@@ -23,7 +29,7 @@
 }
 
 /** Version of the protocol between hosts. */
-const linkProtocolVersion = 1;
+const linkProtocolVersion = 2;
 
 /** One host of the site: serves callers, takes part in the leader election, and runs the leader while elected. */
 export class HostDaemon {
@@ -67,7 +73,18 @@
       leaderFitness: settings.leaderFitness,
     };
     const getLocalLeader = (): LeaderController | undefined => this.#leader;
-    this.#links = new PeerLinks(hello, settings.linkAddress, dependencies.advisor, getLocalLeader);
+    const admission =
+      settings.admission === 'forecast' ? new ForecastAdmission(Math.random) : undefined;
+    const applyForecast = (forecast: ForecastNotice): void => {
+      admission?.apply(forecast, performance.now());
+    };
+    this.#links = new PeerLinks(
+      hello,
+      settings.linkAddress,
+      dependencies.advisor,
+      getLocalLeader,
+      applyForecast,
+    );
     const leaderClient = new LeaderRouter(this.#links, getLocalLeader);
     this.jobs = new JobService(
       store,
@@ -76,6 +93,8 @@
       leaderClient,
       this.log,
       times.maxConfigurationAgeMs,
+      admission,
+      this.metrics,
     );
     const { name, linkAddress, leaderFitness } = settings;
     this.#election = new Election(store, name, linkAddress, leaderFitness, this.log, {
@@ -85,6 +104,7 @@
             ...dependencies,
             store,
             listPeerLinks: () => this.#links.incomingLinks,
+            onForecast: applyForecast,
             times,
             processors: settings.processors,
             durationEstimates: settings.durationEstimates,
--- a/packages/daemon/src/HostMetrics.ts
+++ b/packages/daemon/src/HostMetrics.ts
@@ -1,4 +1,4 @@
-import { Counter, Histogram, Registry } from 'prom-client';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 /** Upper bounds of the buckets, in seconds: accepting a job takes a store call of 4 ms, callers wait 3 s at most. */
 const durationBucketsSeconds = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
@@ -13,6 +13,9 @@
   readonly #calls: Histogram<'method' | 'status'>;
   readonly #starts: Histogram;
   readonly #durationRatios: Histogram<'level'>;
+  readonly #backlog: Gauge<'service' | 'state'>;
+  readonly #forecastDelay: Gauge<'service'>;
+  readonly #forecastRefusals: Counter<'entitled'>;
 
   public constructor() {
     const registers = [this.#registry];
@@ -35,6 +38,24 @@
       buckets: durationBucketsSeconds,
       registers,
     });
+    this.#backlog = new Gauge({
+      name: 'toucanline_backlog_processor_seconds',
+      help: 'Work of a service that waits or runs, on the leader.',
+      labelNames: ['service', 'state'],
+      registers,
+    });
+    this.#forecastDelay = new Gauge({
+      name: 'toucanline_forecast_delay_seconds',
+      help: 'Time that the waiting work of a service takes to drain, on the leader.',
+      labelNames: ['service'],
+      registers,
+    });
+    this.#forecastRefusals = new Counter({
+      name: 'toucanline_forecast_refusals_total',
+      help: 'Submissions refused by the forecast, by whether the account was within its rate and share.',
+      labelNames: ['entitled'],
+      registers,
+    });
     this.#durationRatios = new Histogram({
       name: 'toucanline_duration_ratio',
       help: 'Actual duration of finished runs relative to the expected one, by level of the estimate.',
@@ -88,6 +109,35 @@
     this.#durationRatios.observe({ level }, ratio);
   }
 
+  /**
+   * Records the backlog of a service.
+   *
+   * @param service - name of the service
+   * @param waiting - waiting work in processor seconds
+   * @param running - running work in processor seconds
+   * @param delayMs - time that the waiting work takes to drain, in milliseconds
+   */
+  public setBacklog(service: string, waiting: number, running: number, delayMs: number): void {
+    this.#backlog.set({ service, state: 'waiting' }, waiting);
+    this.#backlog.set({ service, state: 'running' }, running);
+    this.#forecastDelay.set({ service }, delayMs / 1000);
+  }
+
+  /** Removes the backlog of all services, because this host does not lead any more. */
+  public clearBacklog(): void {
+    this.#backlog.reset();
+    this.#forecastDelay.reset();
+  }
+
+  /**
+   * Counts a submission that was refused by the forecast.
+   *
+   * @param isEntitled - whether the account was within its entitled rate and share
+   */
+  public countForecastRefusal(isEntitled: boolean): void {
+    this.#forecastRefusals.inc({ entitled: isEntitled ? 'yes' : 'no' });
+  }
+
   /**
    * Renders all metrics.
    *
--- a/packages/daemon/src/JobService.ts
+++ b/packages/daemon/src/JobService.ts
@@ -1,5 +1,5 @@
 import { createFailure } from '@toucanline/core';
-import type { MetadataStore } from '@toucanline/jobs';
+import type { ForecastAdmission, ForecastRefusal, MetadataStore } from '@toucanline/jobs';
 import {
   validators,
   type Failure,
@@ -12,6 +12,8 @@
 import { cancellationMarker } from './cancellationMarker.js';
 import type { ConfigurationWatch } from './ConfigurationWatch.js';
 import type { EventLog } from './EventLog.js';
+import type { HostMetrics } from './HostMetrics.js';
+import { hostLimits } from './hostLimits.js';
 import { findQueue } from './findQueue.js';
 import { isMarker } from './isMarker.js';
 import { JobWriter } from './JobWriter.js';
@@ -51,6 +53,12 @@
   readonly #leader: LeaderClient;
   readonly #log: EventLog;
   readonly #maxConfigurationAgeMs: number;
+  readonly #admission: ForecastAdmission | undefined;
+  readonly #metrics: HostMetrics;
+  /** Ids of the jobs that are being written. */
+  readonly #writing = new Set<string>();
+  /** Monotonic time of the last submission whose outcome is unknown, in milliseconds. */
+  #unknownOutcomeAt = -Infinity;
 
   /**
    * @param store - metadata store
@@ -60,6 +68,8 @@
    * @param log - event log of this process
    * @param maxConfigurationAgeMs - age of the confirmation of a configuration from which it is read again, in
    * milliseconds
+   * @param admission - refuses submissions by the forecast; undefined to refuse none
+   * @param metrics - metrics of this process
    */
   public constructor(
     store: MetadataStore,
@@ -68,7 +78,11 @@
     leader: LeaderClient,
     log: EventLog,
     maxConfigurationAgeMs: number,
+    admission: ForecastAdmission | undefined,
+    metrics: HostMetrics,
   ) {
+    this.#admission = admission;
+    this.#metrics = metrics;
     this.#store = store;
     this.#storeHealth = storeHealth;
     this.#jobWriter = new JobWriter(store, leader);
@@ -111,7 +125,7 @@
    *
    * @param call - admitted call
    * @param specification - steps and payload of the job
-   * @returns nothing; `notReady` or `storeUnavailable` if the job was certainly not accepted, `timeout` if that is
+   * @returns nothing; `notReady`, `overloaded` or `storeUnavailable` if the job was certainly not accepted, `timeout` if that is
    * unknown, `cancelled` if the job was cancelled before, `conflictingKey` if the id belongs to another job
    */
   public async submit(
@@ -130,8 +144,15 @@
     if (!this.#storeHealth.isReachable) {
       return err(this.#refuse(call.id, 'the store does not answer'));
     }
+    const refusal = await this.#checkForecast(call, specification);
+    if (refusal !== undefined) return err(refusal);
     const sentAt = performance.now();
-    const result = await this.#jobWriter.write(record);
+    this.#writing.add(call.id);
+    const result = await this.#jobWriter.write(record).finally(() => {
+      this.#writing.delete(call.id);
+    });
+    if (result.isErr() && result.error.kind === 'timeout')
+      this.#unknownOutcomeAt = performance.now();
     this.#log.write('jobSubmitted', {
       request: call.id,
       queue: call.queue.name,
@@ -204,6 +225,44 @@
       : ok(count);
   }
 
+  /** Checks a submission by the forecast; returns undefined if it is accepted or repeats that of a stored job. */
+  async #checkForecast(
+    call: AdmittedCall,
+    specification: JobSpecification,
+  ): Promise<Failure | undefined> {
+    const { queue } = call;
+    const now = performance.now();
+    const account = this.#configuration.current?.accounts.find(({ name }) => name === call.account);
+    const refusal = this.#admission?.check({ queue, account, specification }, now);
+    if (refusal === undefined) return undefined;
+    // A refusal says that the job never runs, so no earlier attempt may take effect later.
+    if (this.#writing.has(call.id)) return undefined;
+    if (now - this.#unknownOutcomeAt < hostLimits.unknownOutcomeMemoryMs) return undefined;
+    const stored = await this.#store.read(storeKeys.jobPrefix + call.id);
+    if (stored.isErr()) return undefined;
+    const value = stored.value?.value;
+    if (value !== undefined && value !== refusalMarker) return undefined;
+    return this.#refuseByForecast(call, refusal);
+  }
+
+  #refuseByForecast(call: AdmittedCall, refusal: ForecastRefusal): Failure {
+    const { isEntitled, delayMs, completionMs, usefulMs } = refusal;
+    this.#metrics.countForecastRefusal(isEntitled);
+    this.#log.write('submissionRefused', {
+      request: call.id,
+      queue: call.queue.name,
+      account: call.account,
+      entitled: isEntitled ? 'yes' : 'no',
+      delayMs: Math.round(delayMs),
+      completionMs: Math.round(completionMs),
+      usefulMs: Math.round(usefulMs),
+      retryAfterSeconds: refusal.retryAfterSeconds,
+    });
+    const seconds = (completionMs / 1000).toFixed(1);
+    const detail = `the job would be done in ${seconds} s, too late for its objective`;
+    return createFailure('overloaded', detail, refusal.retryAfterSeconds);
+  }
+
   /** Writes a cancellation marker if the key of the job is still at the given revision. */
   async #markCancelled(id: string, revision: number): Promise<boolean> {
     const key = storeKeys.jobPrefix + id;
--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -13,6 +13,7 @@
 import { DurationReporter } from './DurationReporter.js';
 import { DurationStore } from './DurationStore.js';
 import { computePlanningPause } from './computePlanningPause.js';
+import { ForecastSender } from './ForecastSender.js';
 import { hostLimits } from './hostLimits.js';
 import type { LeaderLease } from './LeaderLease.js';
 import type { LeaderDependencies } from './LeaderDependencies.js';
@@ -43,6 +44,7 @@
   readonly #cleanup: JobCleanup;
   readonly #durationStore: DurationStore;
   readonly #durationReporter: DurationReporter;
+  readonly #forecastSender: ForecastSender;
   #lastPlanAt = 0;
   /** Duration of the last planning pass, in milliseconds. */
   #lastPlanMs = 0;
@@ -73,6 +75,12 @@
     const { store, log, metrics } = dependencies;
     this.#durationStore = new DurationStore(store, this.#scheduler, leaderLease, log);
     this.#durationReporter = new DurationReporter(this.#scheduler, metrics, log);
+    this.#forecastSender = new ForecastSender(
+      this.#scheduler,
+      metrics,
+      dependencies.listPeerLinks,
+      dependencies.onForecast,
+    );
     const schedulePlan = (): void => {
       this.#schedulePlan();
     };
@@ -186,6 +194,7 @@
     this.#adviceDispatcher.stop();
     this.#progressWriter?.stop();
     this.#durationStore.stop();
+    this.#dependencies.metrics.clearBacklog();
     for (const watch of this.#watches) watch.stop();
     this.#sessions.stopAll();
   }
@@ -331,6 +340,8 @@
       if (command.kind === 'advise') this.#adviceDispatcher.dispatch(command);
     this.#progressWriter?.requestWrite();
     this.#durationReporter.update(this.#lastPlanAt);
+    // A leader whose lease is not current may not know of jobs that its successor serves.
+    if (this.#leaderLease.isValid) this.#forecastSender.update(this.#lastPlanAt);
     this.#lastPlanMs = performance.now() - this.#lastPlanAt;
     this.#scheduler.recordPassDuration(this.#lastPlanMs);
   }
--- a/packages/daemon/src/LeaderDependencies.ts
+++ b/packages/daemon/src/LeaderDependencies.ts
@@ -1,4 +1,5 @@
 import type { MetadataStore, StoreDecoder, PlacementAdvisor, WorkerClient } from '@toucanline/jobs';
+import type { ForecastNotice } from '@toucanline/schema';
 import type { Link } from '@toucanline/wire';
 import type { HostMetrics } from './HostMetrics.js';
 import type { HostTimes } from './HostTimes.js';
@@ -12,6 +13,8 @@
   readonly advisor: PlacementAdvisor;
   /** Lists the links that other hosts have opened to this one. */
   readonly listPeerLinks: () => readonly Link[];
+  /** Applies a forecast of the local leader on this host. */
+  readonly onForecast: (forecast: ForecastNotice) => void;
   readonly times: HostTimes;
   /** Processor time of this host per second, in seconds. */
   readonly processors: number;
--- a/packages/daemon/src/PeerLinks.ts
+++ b/packages/daemon/src/PeerLinks.ts
@@ -1,6 +1,6 @@
 import { createFailure } from '@toucanline/core';
 import type { PlacementAdvisor } from '@toucanline/jobs';
-import type { CallBody, Hello, ReplyBody } from '@toucanline/schema';
+import type { CallBody, ForecastNotice, Hello, NoticeBody, ReplyBody } from '@toucanline/schema';
 import { LinkDialer, LinkHandler, LinkListener, type Link } from '@toucanline/wire';
 import { hostLimits } from './hostLimits.js';
 import type { LeaderController } from './LeaderController.js';
@@ -11,6 +11,7 @@
   readonly #address: string;
   readonly #advisor: PlacementAdvisor;
   readonly #getLocalLeader: () => LeaderController | undefined;
+  readonly #onForecast: (forecast: ForecastNotice) => void;
   readonly #listener: LinkListener;
   #dialer: LinkDialer | undefined;
 
@@ -19,14 +20,17 @@
    * @param address - IP and port on which this host listens for links
    * @param advisor - client of the advice service
    * @param getLocalLeader - returns the leader on this host; undefined if this host is not the leader
+   * @param onForecast - called for each forecast of the leader
    */
   public constructor(
     hello: Hello,
     address: string,
     advisor: PlacementAdvisor,
     getLocalLeader: () => LeaderController | undefined,
+    onForecast: (forecast: ForecastNotice) => void,
   ) {
     super();
+    this.#onForecast = onForecast;
     this.#hello = hello;
     this.#address = address;
     this.#advisor = advisor;
@@ -107,8 +111,9 @@
   }
 
   /** {@inheritDoc LinkHandler.handleNotice} */
-  public override handleNotice(): void {
-    // Hosts send no notices.
+  public override handleNotice(link: Link, body: NoticeBody): void {
+    // A previous leader may send its last forecast over a link that is being replaced.
+    if (body.notice === 'forecast' && link === this.#dialer?.link) this.#onForecast(body);
   }
 
   /** {@inheritDoc LinkHandler.handleActivity} */
--- a/packages/daemon/src/hostLimits.ts
+++ b/packages/daemon/src/hostLimits.ts
@@ -83,6 +83,13 @@
   maxDurationsBytes: 262_144,
   /** Interval of the log lines about the error of the expected durations. */
   durationsReportMs: 30_000,
+  /** Interval at which an unchanged forecast is repeated while work waits: hosts use one for 2 s. */
+  forecastRepeatMs: 750,
+  /**
+   * Time after a submission with an unknown outcome in which this host refuses none by the forecast: a write without a
+   * response takes effect up to 12 s later, and a refusal says that the job never runs.
+   */
+  unknownOutcomeMemoryMs: 15_000,
   /** Pause after a failed write of progress or of the roster. */
   progressRetryMs: 100,
   /**
