Measure shares over time, refuse by an account's own backlog, reuse estimates

Cause: on a fleet that is too small for accounts within their rate, late jobs wait behind new ones, so the forecast stayed short and nothing was refused. The use of one moment took a light account for one beyond its share. Estimates of all waiting steps in each pass cost 2 ms of 15 with 1,000 steps.

Change: the forecast names the time in which the work of an account within its rate drains, and measures use as a moving mean.

--- a/packages/jobs/__tests__/forecast.test.ts
+++ b/packages/jobs/__tests__/forecast.test.ts
@@ -129,6 +129,46 @@
   });
 });
 
+/**
+ * Load: 4 workers of 16 processors. Eight accounts with the same rate and share submit twice what the fleet can do for
+ * 25 s, all within their rate. Another account submits a small job every half second.
+ */
+const runEntitledOverload = (hosts: readonly ForecastAdmission[]) => {
+  const busy = [...Array(8).keys()].map((number) => `busy${number}`);
+  const accounts = [...busy, 'light'].map((name) => ({ name, weight: 100, keys: [] }));
+  const queues = [queue('batch', { stretch: 1, objectiveMs: objectiveMs - 500 })];
+  const fleet = [...Array(4).keys()].map((number) =>
+    worker(`w${number}`, { capacity: room(16_000, 64_000) }),
+  );
+  const model = new LoadSimulation(configuration({ queues, accounts }), fleet, () => 1);
+  model.admitThrough(hosts);
+  const submittedAt = new Map<string, number>();
+  const submit = (account: string, at: number, workMs: number, taskCount: number): void => {
+    const id = `${account}-${at}`;
+    submittedAt.set(id, at);
+    const steps = [step(taskCount, 1500, { estimateMs: workMs })];
+    model.submit(at, job(id, steps, { account }), () => workMs);
+  };
+  for (let count = 0; count * 75 < 25_000; count += 1)
+    submit(busy[count % busy.length] ?? '', count * 75, 1000, 6);
+  for (let at = 0; at < 25_000; at += 500) submit('light', at, 500, 4);
+  model.run(90_000);
+  const returns = new Map(model.refusals.map(({ id, returnsAt }) => [id, returnsAt]));
+  const waits = [...submittedAt].map(([id, at]) => model.finishedAt(id) - (returns.get(id) ?? at));
+  return { model, waits };
+};
+
+describe('accounts within their rate on a fleet that is too small for them', () => {
+  // Guards against a forecast that is always short, because jobs that are late wait behind new ones.
+  it('are refused by their own backlog, and a light account is not', () => {
+    const open = runEntitledOverload([]);
+    const { model, waits } = runEntitledOverload(createHosts());
+    expect(countWithin(waits, usefulMs)).to.be.above(1.3 * countWithin(open.waits, usefulMs));
+    expect(model.refusals).to.not.be.empty;
+    expect(model.refusals.filter(({ id }) => id.startsWith('light'))).to.be.empty;
+  });
+});
+
 describe('a submission', () => {
   const now = 1000;
   const account = { name: 'a', weight: 100, keys: [] };
--- a/packages/jobs/src/backlog/BacklogForecast.ts
+++ b/packages/jobs/src/backlog/BacklogForecast.ts
@@ -4,6 +4,7 @@
 import type { PendingStep } from '../PendingStep.js';
 import type { PendingSteps } from '../PendingSteps.js';
 import { resources } from '../resources.js';
+import type { StepInstance } from '../StepInstance.js';
 import type { Task } from '../Task.js';
 import type { WorkerPool } from '../WorkerPool.js';
 import { forecastLimits } from './forecastLimits.js';
@@ -12,6 +13,8 @@
 /** Waiting work of one account, in processor seconds, and whether it has jobs beyond its rate. */
 interface AccountBacklog {
   readonly waiting: number;
+  /** Part of it that is within the rate of the account. */
+  readonly withinRate: number;
   readonly hasOverRate: boolean;
 }
 
@@ -22,6 +25,10 @@
   readonly #durations: DurationEstimates;
   readonly #startedAt: number;
   readonly #services = new Map<string, ServiceBacklog>();
+  /** Moving means of the rates at which the tasks of each account within its rate work, in processor seconds per second. */
+  #accountRates: ReadonlyMap<AccountUsage, number> = new Map();
+  /** Moving means of the use of accounts by weight. The use of a single moment says little about their shares. */
+  #meanUses: ReadonlyMap<AccountUsage, number> = new Map();
   #measuredAt = -Infinity;
 
   /**
@@ -63,6 +70,7 @@
     for (const service of this.#services.values()) service.reset();
     this.#countRunning(now, smallestTasks);
     const accounts = this.#countWaiting(now);
+    this.#measureUses([...accounts.keys()]);
     const isWarm = now - this.#startedAt >= forecastLimits.warmUpMs;
     const services = isWarm
       ? [...this.#services].flatMap(([name, backlog]) => backlog.describe(name) ?? [])
@@ -86,6 +94,8 @@
   /** Counts the running work and the free capacity. Remainders that are too small for any waiting task are not free. */
   #countRunning(now: number, smallestTasks: ReadonlyMap<string, Room | undefined>): void {
     const rates = new Map<string, { readonly others: number; readonly overRate: number }>();
+    const accountRates = new Map<AccountUsage, number>();
+    const durationsMs = new Map<StepInstance, number>();
     for (const worker of this.#pool.all) {
       const { service } = worker.entry;
       let { others, overRate } = rates.get(service) ?? { others: 0, overRate: 0 };
@@ -97,13 +107,26 @@
       for (const task of worker.tasks) {
         if (!isCounted(task.step.description) || task.phase === 'stopping') continue;
         const processors = resources.toProcessorEquivalents(task.step.description.size);
-        if (task.step.job.isOverRate) overRate += processors / durationFactor;
-        else others += processors / durationFactor;
-        const leftMs = this.#estimateLeftMs(task, now);
+        const { account, isOverRate } = task.step.job;
+        const rate = processors / durationFactor;
+        if (isOverRate) overRate += rate;
+        else others += rate;
+        if (!isOverRate) accountRates.set(account, (accountRates.get(account) ?? 0) + rate);
+        const { step } = task;
+        const durationMs = durationsMs.get(step) ?? this.#durations.estimateStepMs(step);
+        durationsMs.set(step, durationMs);
+        const leftMs = Math.max(0, durationMs - (now - task.phaseStartedAt) / durationFactor);
         this.#ensureService(service).addRunning((processors * leftMs) / 1000);
       }
       rates.set(service, { others, overRate });
     }
+    // An account whose tasks have just begun to run has the rate of now, not that of the past.
+    this.#accountRates = new Map(
+      [...accountRates].map(([account, rate]) => {
+        const mean = this.#accountRates.get(account) ?? rate;
+        return [account, Math.max(rate, mean + (rate - mean) * forecastLimits.drainWeight)];
+      }),
+    );
     // A service whose workers are gone is forgotten, so that the table does not grow with renamed services.
     for (const name of [...this.#services.keys()])
       if (!rates.has(name)) this.#services.delete(name);
@@ -111,12 +134,6 @@
       this.#ensureService(name).measureDrain(others, overRate);
   }
 
-  #estimateLeftMs(task: Task, now: number): number {
-    const factor = task.worker?.speed.durationFactor ?? 1;
-    const ranMs = (now - task.phaseStartedAt) / factor;
-    return Math.max(0, this.#durations.estimateStepMs(task.step) - ranMs);
-  }
-
   #countWaiting(now: number): ReadonlyMap<AccountUsage, AccountBacklog> {
     const accounts = new Map<AccountUsage, AccountBacklog>();
     for (const pending of this.#pendingSteps.collect(now)) {
@@ -142,24 +159,56 @@
       const known = accounts.get(job.account);
       accounts.set(job.account, {
         waiting: (known?.waiting ?? 0) + work,
+        withinRate: (known?.withinRate ?? 0) + (job.isOverRate ? 0 : work),
         hasOverRate: (known?.hasOverRate ?? false) || job.isOverRate,
       });
     }
     return accounts;
   }
 
+  /** Computes the time in which waiting work of an account drains; 0 if the rate is not known. */
+  #computeBacklogMs(account: AccountUsage, waiting: number): number {
+    const { resolutionMs } = forecastLimits;
+    const rate = this.#accountRates.get(account) ?? 0;
+    if (rate <= 0) return 0;
+    return Math.round(((waiting / rate) * 1000) / resolutionMs) * resolutionMs;
+  }
+
+  #findUse(account: AccountUsage): number {
+    return this.#meanUses.get(account) ?? 0;
+  }
+
+  /** Measures the use of the accounts that wait or have been measured, until they use nothing. */
+  #measureUses(waiting: readonly AccountUsage[]): void {
+    const { drainWeight, minMeanUse } = forecastLimits;
+    const uses = [...new Set([...waiting, ...this.#meanUses.keys()])].map((account) => {
+      const mean = this.#findUse(account);
+      return [account, mean + (account.relativeUse - mean) * drainWeight] as const;
+    });
+    this.#meanUses = new Map(uses.filter(([, use]) => use >= minMeanUse));
+  }
+
   #describeAccounts(
     accounts: ReadonlyMap<AccountUsage, AccountBacklog>,
   ): readonly ForecastAccount[] {
     const named = [...accounts].filter(([{ name }]) => name !== '');
-    const meanUse = named.reduce((sum, [{ relativeUse }]) => sum + relativeUse, 0) / named.length;
+    const meanUse = named.reduce((sum, [usage]) => sum + this.#findUse(usage), 0) / named.length;
     return named
       .sort(([, a], [, b]) => b.waiting - a.waiting)
       .slice(0, forecastLimits.maxAccounts)
-      .flatMap(([usage, { hasOverRate }]): readonly ForecastAccount[] => {
-        const isOverShare = usage.relativeUse > meanUse * forecastLimits.shareFactor;
-        if (!hasOverRate && !isOverShare) return [];
-        return [{ account: usage.name, isOverRate: hasOverRate, isOverShare }];
+      .flatMap(([usage, { hasOverRate, withinRate }]): readonly ForecastAccount[] => {
+        const isOverShare = this.#findUse(usage) > meanUse * forecastLimits.shareFactor;
+        const backlogMs = this.#computeBacklogMs(usage, withinRate);
+        const hasBacklog = backlogMs >= forecastLimits.minDelayMs;
+        if (!hasOverRate && !isOverShare && !hasBacklog) return [];
+        return [
+          {
+            account: usage.name,
+            isOverRate: hasOverRate,
+            isOverShare,
+            ...(hasBacklog && { backlogMs }),
+          },
+        ];
       });
   }
 }
--- a/packages/jobs/src/backlog/ForecastAdmission.ts
+++ b/packages/jobs/src/backlog/ForecastAdmission.ts
@@ -73,10 +73,11 @@
     const { usefulFactor, entitledUsefulFactor } = forecastLimits;
     const usefulMs = objectiveMs * (isEntitled ? entitledUsefulFactor : usefulFactor);
     const acceptedMs = isWithinRate ? 0 : this.#computeAcceptedMs(service);
-    const delayMs =
-      computeDelayMs(service, queue.priority, objectiveMs, !isWithinRate) +
-      (isEntitled ? 0 : service.lateMs) +
-      acceptedMs;
+    const orderMs = computeDelayMs(service, queue.priority, objectiveMs, !isWithinRate);
+    // Work of an account within its rate and share precedes the late work of others, but not its own backlog for long.
+    const delayMs = isEntitled
+      ? Math.max(orderMs, listed?.backlogMs ?? 0)
+      : orderMs + service.lateMs + acceptedMs;
     const ownMs = computeOwnMs(service, specification);
     const completionMs = delayMs + ownMs;
     // A job that alone takes longer than is useful would not be served in time later either.
--- a/packages/jobs/src/backlog/forecastLimits.ts
+++ b/packages/jobs/src/backlog/forecastLimits.ts
@@ -28,6 +28,8 @@
   minOverRateShare: 0.1,
   /** Use relative to the mean of all accounts, both by weight, from which an account is beyond its share. */
   shareFactor: 1.25,
+  /** Mean use by weight, in processors, below which an account is no longer measured. */
+  minMeanUse: 0.001,
   /** Resolution of the delays in a forecast, so that it does not change with each measurement. */
   resolutionMs: 50,
   /** Largest numbers of services, priorities of a service and accounts in a forecast, which bound its size. */
--- a/packages/jobs/src/durations/DurationHistogram.ts
+++ b/packages/jobs/src/durations/DurationHistogram.ts
@@ -45,6 +45,7 @@
   #updatedAt: number;
   #quantiles: Quantiles | undefined;
   #weight = 0;
+  #runCount = 0;
 
   /** @param now - monotonic time in milliseconds */
   public constructor(now: number) {
@@ -56,6 +57,11 @@
     return this.#weight;
   }
 
+  /** Number of runs that were added, without stored ones. */
+  public get runCount(): number {
+    return this.#runCount;
+  }
+
   /** Bins by number, in no particular order. */
   public get bins(): Iterable<readonly [number, DurationBin]> {
     return this.#bins;
@@ -73,6 +79,7 @@
     const elapsedMs = Math.max(0, now - this.#updatedAt);
     this.#decay(retainedPerRun ** weight * 0.5 ** (elapsedMs / halfLifeMs));
     this.#updatedAt = now;
+    this.#runCount += 1;
     const bin = { ended: isCutShort ? 0 : weight, cutShort: isCutShort ? weight : 0 };
     this.addBin(Math.floor(logRatio / binWidth), bin);
   }
--- a/packages/jobs/src/durations/LearnedDurations.ts
+++ b/packages/jobs/src/durations/LearnedDurations.ts
@@ -9,6 +9,7 @@
 import type { DurationKind } from './DurationKind.js';
 import type { DurationLevel } from './DurationLevel.js';
 import type { DurationSummary } from './DurationSummary.js';
+import { KindEstimate } from './KindEstimate.js';
 import { findDurationKind } from './findDurationKind.js';
 
 /** Maximum number of kinds. A kind takes a few hundred bytes in the stored record and about 2 KB of memory. */
@@ -38,7 +39,7 @@
 export class LearnedDurations extends DurationEstimates {
   /** Distributions by key of the kind, the least recently used first. */
   readonly #histograms = new Map<string, DurationHistogram>();
-  readonly #kinds = new WeakMap<StepInstance, DurationKind>();
+  readonly #kinds = new WeakMap<StepInstance, KindEstimate>();
   /** Gang steps whose run was recorded, because each member reports the end of the same run. */
   readonly #recordedGangs = new WeakSet<StepInstance>();
   /**
@@ -46,27 +47,14 @@
    * same runs, so without a common reference all of them could rise while all ratios fall.
    */
   #meanLogFactor = 0;
+  /** Changes whenever distributions are added or removed. */
+  #tableVersion = 0;
+  readonly #findHistogram = (key: string): DurationHistogram | undefined =>
+    this.#histograms.get(key);
 
   /** {@inheritDoc DurationEstimates.estimateKind} */
   public override estimateKind(step: StepInstance): DurationEstimate {
-    const { keys, baseMs } = this.#findKind(step);
-    let summary = declared;
-    let level: DurationLevel = 'declared';
-    for (const each of keys) {
-      const histogram = this.#histograms.get(each.key);
-      if (histogram === undefined) continue;
-      const share = histogram.weight / (histogram.weight + generalWeight);
-      summary = mix(summary, histogram.summarize(summary), share);
-      if (share >= 0.5) level = each.level;
-    }
-    const medianMs = Math.max(minDurationMs, baseMs * Math.exp(summary.median));
-    const stepVariance = summary.deviation ** 2 - StepDuration.taskVariance;
-    return {
-      medianMs,
-      tailMs: Math.max(medianMs, baseMs * Math.exp(summary.tail)),
-      stepVariance: Math.max(minStepVariance, stepVariance),
-      level,
-    };
+    return this.#findKind(step).get(this.#tableVersion, this.#findHistogram, computeEstimate);
   }
 
   /** {@inheritDoc DurationEstimates.estimateRunMs} */
@@ -135,6 +123,7 @@
     // Kinds that this leader has already used count as used more recently than all stored ones.
     const current = [...this.#histograms];
     this.#histograms.clear();
+    this.#tableVersion += 1;
     for (const { key, bins } of [...kinds].reverse()) {
       const histogram = new DurationHistogram(now);
       for (const { bin, ended = 0, cutShort = 0 } of bins)
@@ -150,25 +139,28 @@
     this.#evict();
   }
 
-  #findKind(step: StepInstance): DurationKind {
+  #findKind(step: StepInstance): KindEstimate {
     const known = this.#kinds.get(step);
     if (known !== undefined) return known;
     const kind = findDurationKind(step);
-    this.#kinds.set(step, kind);
+    const created = new KindEstimate(kind);
+    this.#kinds.set(step, created);
     // The first estimate of a step also counts as a use of its kinds.
     for (const { key } of kind.keys) {
       const histogram = this.#histograms.get(key);
       if (histogram !== undefined) this.#markUsed(key, histogram);
     }
-    return kind;
+    return created;
   }
 
   #add(step: StepInstance, logMs: number, isCutShort: boolean, now: number): void {
-    const { keys, baseMs } = this.#findKind(step);
+    const { keys, baseMs } = this.#findKind(step).kind;
     const weight = computeWeight(step, isCutShort);
     const logRatio = logMs + this.#meanLogFactor - Math.log(baseMs);
     for (const { key } of keys) {
-      const histogram = this.#histograms.get(key) ?? new DurationHistogram(now);
+      const known = this.#histograms.get(key);
+      if (known === undefined) this.#tableVersion += 1;
+      const histogram = known ?? new DurationHistogram(now);
       histogram.add(logRatio, isCutShort, weight, now);
       this.#markUsed(key, histogram);
     }
@@ -184,10 +176,35 @@
     for (const key of this.#histograms.keys()) {
       if (this.#histograms.size <= maxKinds) return;
       this.#histograms.delete(key);
+      this.#tableVersion += 1;
     }
   }
 }
 
+/** Mixes the distributions of the kinds of a step, from general to specific. */
+const computeEstimate = (
+  { keys, baseMs }: DurationKind,
+  histograms: readonly (DurationHistogram | undefined)[],
+): DurationEstimate => {
+  let summary = declared;
+  let level: DurationLevel = 'declared';
+  keys.forEach((each, index) => {
+    const histogram = histograms[index];
+    if (histogram === undefined) return;
+    const share = histogram.weight / (histogram.weight + generalWeight);
+    summary = mix(summary, histogram.summarize(summary), share);
+    if (share >= 0.5) level = each.level;
+  });
+  const medianMs = Math.max(minDurationMs, baseMs * Math.exp(summary.median));
+  const stepVariance = summary.deviation ** 2 - StepDuration.taskVariance;
+  return {
+    medianMs,
+    tailMs: Math.max(medianMs, baseMs * Math.exp(summary.tail)),
+    stepVariance: Math.max(minStepVariance, stepVariance),
+    level,
+  };
+};
+
 const mix = (general: DurationSummary, own: DurationSummary, share: number): DurationSummary => ({
   median: general.median + (own.median - general.median) * share,
   tail: general.tail + (own.tail - general.tail) * share,
