--- a/packages/daemon/__tests__/leaderEvacuation.test.ts
+++ b/packages/daemon/__tests__/leaderEvacuation.test.ts
@@ -141,6 +141,7 @@
           ...(evacuationMs !== undefined && { evacuationMs }),
         }),
         durationEstimates: 'declared',
+        onForecast: () => undefined,
         processors: 1,
         log: new EventLog('test', metrics),
         metrics,
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -10,6 +10,7 @@
 } from '@toucanline/schema';
 import { CapAllowances } from './accounts/CapAllowances.js';
 import { ReportHandler } from './ReportHandler.js';
+import { BacklogForecast } from './backlog/BacklogForecast.js';
 import type { DurationEstimates } from './durations/DurationEstimates.js';
 import { LearnedDurations } from './durations/LearnedDurations.js';
 import { LateStarts } from './membership/LateStarts.js';
@@ -26,6 +27,7 @@
 import type { BlockedSteps } from './placement/BlockedSteps.js';
 import { Evacuations } from './placement/Evacuations.js';
 import { PendingProgress } from './PendingProgress.js';
+import { PendingSteps } from './PendingSteps.js';
 import { RunStopper } from './RunStopper.js';
 import { schedulingLimits } from './schedulingLimits.js';
 import { StartOutcomeHandler } from './StartOutcomeHandler.js';
@@ -44,6 +46,8 @@
   public readonly progress: PendingProgress;
   /** Services on whose workers tasks of each queue may run. */
   public readonly queueServices: QueueServices;
+  /** Forecast of when a job that arrives now would be served. */
+  public readonly forecast: BacklogForecast;
   /** Expected durations of tasks. */
   public readonly durations: DurationEstimates;
   /** Data centres on whose workers nothing starts. */
@@ -112,6 +116,10 @@
       maxStopMs,
       (task) => this.#lateStarts.isPending(task),
     );
+    const pendingSteps = new PendingSteps(this.#jobs, this.#queues, durations, (job, queue) =>
+      this.#isHeld(job, queue),
+    );
+    this.forecast = new BacklogForecast(pendingSteps, this.#pool, durations, now);
     this.#planner = new Planner(
       this.#jobs,
       this.#pool,
