Wait for the end of a killed leader in the evacuation test

Cause: the test chose the killed host for its next call until the exit event arrived: ECONNRESET in 2 of 6 runs. Change: it waits for the exit.

--- a/packages-private/testkit/__tests__/platformEvacuation.test.ts
+++ b/packages-private/testkit/__tests__/platformEvacuation.test.ts
@@ -49,7 +49,10 @@
       site.store.put('op/evacuate/dc1', '');
       const acknowledgedAt = performance.now();
       await submitFor(1000);
-      site.leader?.process.kill('SIGKILL');
+      const killed = site.leader;
+      killed?.process.kill('SIGKILL');
+      // Its exit is noticed later; until then a call to it would fail.
+      await waitUntil(() => killed?.process.signalCode !== null, 10_000, 'the leader has ended');
       await waitUntil(() => site.leader?.process.signalCode === null, 10_000, 'another leader');
       await submitFor(boundMs);
       const done = (): readonly string[] =>
