--- a/packages/daemon/src/JobWriter.ts
+++ b/packages/daemon/src/JobWriter.ts
@@ -31,7 +31,8 @@
    * @param record - job record
    * @param isRepeated - whether the outcome of an earlier attempt is unknown, which may be stored or pending
    * @returns nothing; `storeUnavailable` if neither this nor a known earlier attempt was or will be stored, `timeout` if
-   * that is unknown, `cancelled` if the job was cancelled before it was stored, `conflictingKey` if the id belongs to another job
+   * that is unknown, `cancelled` if the job was cancelled before it was stored, `conflictingKey` if the id belongs to
+   * another job
    */
   public write(record: JobRecord, isRepeated: boolean): Promise<Result<void, Failure>> {
     return this.#write(record, 0, isRepeated);
