Expect declared durations and accept all submissions by default

Change: learned durations and the backlog forecast are switched on by TOUCANLINE_DURATION_ESTIMATES=learned and TOUCANLINE_ADMISSION=forecast. Without the latter the leader neither computes nor sends forecasts.

--- a/packages/daemon/src/HostDaemon.ts
+++ b/packages/daemon/src/HostDaemon.ts
@@ -115,7 +115,7 @@
             ...dependencies,
             store,
             listPeerLinks: () => this.#links.incomingLinks,
-            onForecast: applyForecast,
+            onForecast: admission && applyForecast,
             times,
             processors: settings.processors,
             durationEstimates: settings.durationEstimates,
--- a/packages/daemon/src/LeaderController.ts
+++ b/packages/daemon/src/LeaderController.ts
@@ -48,7 +48,8 @@
   /** Undefined if data centres are not evacuated. */
   readonly #evacuationWatch: EvacuationWatch | undefined;
   readonly #allowanceMonitor: AllowanceMonitor;
-  readonly #forecastSender: ForecastSender;
+  /** Undefined if no host refuses submissions by a forecast. */
+  readonly #forecastSender: ForecastSender | undefined;
   #lastPlanAt = 0;
   /** Duration of the last planning pass, in milliseconds. */
   #lastPlanMs = 0;
@@ -79,12 +80,9 @@
     const { store, log, metrics } = dependencies;
     this.#durationStore = new DurationStore(store, this.#scheduler, leaderLease, log);
     this.#durationReporter = new DurationReporter(this.#scheduler, metrics, log);
-    this.#forecastSender = new ForecastSender(
-      this.#scheduler,
-      metrics,
-      dependencies.listPeerLinks,
-      dependencies.onForecast,
-    );
+    const { listPeerLinks, onForecast } = dependencies;
+    this.#forecastSender =
+      onForecast && new ForecastSender(this.#scheduler, metrics, listPeerLinks, onForecast);
     const schedulePlan = (): void => {
       this.#schedulePlan();
     };
@@ -375,7 +373,7 @@
     this.#durationReporter.update(this.#lastPlanAt);
     this.#allowanceMonitor.update(this.#lastPlanAt);
     // A leader whose lease is not current may not know of jobs that its successor serves.
-    if (this.#leaderLease.isValid) this.#forecastSender.update(this.#lastPlanAt);
+    if (this.#leaderLease.isValid) this.#forecastSender?.update(this.#lastPlanAt);
     this.#lastPlanMs = performance.now() - this.#lastPlanAt;
     this.#scheduler.recordPassDuration(this.#lastPlanMs);
   }
--- a/packages/daemon/src/LeaderDependencies.ts
+++ b/packages/daemon/src/LeaderDependencies.ts
@@ -13,8 +13,8 @@
   readonly advisor: PlacementAdvisor;
   /** Lists the links that other hosts have opened to this one. */
   readonly listPeerLinks: () => readonly Link[];
-  /** Applies a forecast of the local leader on this host. */
-  readonly onForecast: (forecast: ForecastNotice) => void;
+  /** Applies a forecast of the local leader on this host; undefined if no submissions are refused by forecasts. */
+  readonly onForecast: ((forecast: ForecastNotice) => void) | undefined;
   readonly times: HostTimes;
   /** Processor time of this host per second, in seconds. */
   readonly processors: number;
