Log skipped numbers of run ends and unanswered acknowledgements

Cause: the logs do not tell an end that a worker discarded before the leader saw it from progress that the leader lost. Change: events runEndsMissing and acknowledgementUnanswered, and the first listed end in workerSurveyed.

--- a/packages/daemon/src/WorkerSession.ts
+++ b/packages/daemon/src/WorkerSession.ts
@@ -1,4 +1,5 @@
 import type { Worker, WorkerClient } from '@toucanline/jobs';
+import type { WorkerReport } from '@toucanline/schema';
 import type { SessionContext } from './SessionContext.js';
 import { hostLimits } from './hostLimits.js';
 
@@ -132,6 +133,14 @@
     if (!isUnanswered(report)) worker.recordAcknowledgementAnswered(sentAt);
     if (this.#hasStopped()) return;
     const now = performance.now();
+    if (acknowledgement > 0 && isUnanswered(report)) {
+      log.write('acknowledgementUnanswered', {
+        worker: worker.id,
+        life: worker.life,
+        through: acknowledgement,
+        ageMs: Math.round(now - sentAt),
+      });
+    }
     if (typeof report === 'string') {
       await this.#handleFailure(report, now, sentAt);
       return;
@@ -145,6 +154,7 @@
         tasks: worker.tasks.size,
       });
     }
+    this.#logMissingEnds(report);
     const wasSurveyed = worker.isSurveyed;
     const strays = scheduler.handleReport(worker, report, sentAt, now, Date.now());
     if (!wasSurveyed) {
@@ -153,6 +163,7 @@
         life: worker.life,
         running: report.running.length,
         ended: report.ended.length,
+        firstEnd: report.ended[0]?.number ?? 0,
         strays: strays.length,
         freeMilliProcessors: worker.free.milliProcessors,
         freeMemoryMb: worker.free.memoryMb,
@@ -166,6 +177,20 @@
     if (wasSurveyed) await this.#sleep(this.#context.pacing.pauseMs);
   }
 
+  /** Logs a gap in the numbers of run ends. A leader does not know how far its predecessor has acknowledged them. */
+  #logMissingEnds({ life, ended }: WorkerReport): void {
+    const worker = this.#worker;
+    const firstListed = ended[0]?.number ?? 0;
+    if (!worker.isSurveyed || life !== worker.life) return;
+    if (firstListed <= worker.processedThrough + 1) return;
+    this.#context.log.write('runEndsMissing', {
+      worker: worker.id,
+      life,
+      processedThrough: worker.processedThrough,
+      firstListed,
+    });
+  }
+
   async #handleFailure(
     failure: 'fenced' | 'otherLife' | 'refused' | 'unknown',
     now: number,
