Ask a worker for its run ends before its tasks start again

What callers saw: a completed task runs a second time on another worker (TWICE). Cause: when the leases on a worker had expired, the leader released its tasks without asking whether it could be reached. Change: tasks are released only if a call to the worker failed within the last 2 s; otherwise its report decides. The same holds for the workers of a previous leader that are not surveyed. After a release the worker must report, whatever the state of its calls (isReportRequired).

--- a/packages/daemon/__tests__/RosterManager.test.ts
+++ b/packages/daemon/__tests__/RosterManager.test.ts
@@ -217,6 +217,11 @@
       if (worker === undefined) throw new Error('the worker is known');
       scheduler.handleReport(worker, emptyReport, 0, 0, 0);
     };
+    /** Records that the workers which are not surveyed did not answer. */
+    const failSurveys = (scheduler: Scheduler, now: number): void => {
+      for (const worker of scheduler.workers)
+        if (!worker.isSurveyed) worker.recordCallFailure(now, now - 400);
+    };
     const listStarts = (scheduler: Scheduler, now: number): readonly string[] =>
       scheduler
         .plan(now, now)
@@ -261,6 +266,7 @@
         await waitForWrite();
         expect(listStarts(next.scheduler, 300)).to.deep.equal([]);
         expect(listStarts(next.scheduler, 5900)).to.deep.equal([]);
+        failSurveys(next.scheduler, 9400);
         expect(listStarts(next.scheduler, 9400)).to.deep.equal(['a@w2']);
       }
     });
@@ -310,6 +316,7 @@
       next.manager.update(1);
       await waitForWrite();
       expect(listStarts(next.scheduler, 5900)).to.deep.equal([]);
+      failSurveys(next.scheduler, 9400);
       expect(listStarts(next.scheduler, 9400)).to.deep.equal(['a@w3']);
     });
   });
--- a/packages/jobs/src/EndedWorkers.ts
+++ b/packages/jobs/src/EndedWorkers.ts
@@ -73,8 +73,8 @@
   }
 
   /**
-   * Releases the tasks of ended workers and of those whose leases have expired. Called only while the leader lease is
-   * current.
+   * Releases the tasks of ended workers, and of those whose leases have expired and that do not answer. Called only while
+   * the leader lease is current.
    *
    * @param now - monotonic time in milliseconds
    */
@@ -89,9 +89,14 @@
         worker.tasks.size > 0 ||
         this.#lateStarts.hasAny(worker) ||
         this.#inheritedWorkers.findLeaseExpiry(worker) !== undefined;
-      const hasExpired = now > worker.leasesExpireAt;
-      if (!worker.isListed && (!mayRun || hasExpired)) this.#removeWorker(worker, now);
-      else if (hasExpired) this.#releaseTasks(worker, now);
+      // A leader that could not issue commands for a while has not asked for the ends of the runs yet.
+      const isLost =
+        now > worker.leasesExpireAt && (worker.tasks.size === 0 || worker.isUnreachable(now));
+      if (!worker.isListed && (!mayRun || isLost)) this.#removeWorker(worker, now);
+      else if (isLost && worker.tasks.size > 0) {
+        worker.requireReport(now);
+        this.#releaseTasks(worker, now);
+      }
     }
   }
 
--- a/packages/jobs/src/InheritedWorkers.ts
+++ b/packages/jobs/src/InheritedWorkers.ts
@@ -127,13 +127,15 @@
   }
 
   /**
-   * Removes workers on which all leases have expired.
+   * Removes workers on which all leases have expired and that do not answer. A leader that could not issue commands
+   * after its election has not asked for their runs yet.
    *
    * @param now - monotonic time in milliseconds
    */
   public removeExpired(now: number): void {
     if (now > this.#electedAt + this.#longestWaitMs) this.#areWorkersUnknown = false;
-    for (const [worker, expiresAt] of this.#leaseExpiries) if (now > expiresAt) this.remove(worker);
+    for (const [worker, expiresAt] of this.#leaseExpiries)
+      if (now > expiresAt && worker.isUnreachable(now)) this.remove(worker);
   }
 
   /**
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -241,6 +241,7 @@
       hasStrays ||
       !isSurveyed ||
       isUnreachable ||
+      worker.isReportRequired ||
       worker.processedThrough > worker.acknowledgedThrough ||
       acknowledgement > 0 ||
       this.hasLateStarts(worker)
@@ -343,6 +344,7 @@
     // The worker now fences stops of the previous leader, but earlier ones may still be in progress.
     if (isInherited) worker.confirmCapacityAt(now + this.#maxStopMs);
     worker.markSurveyed();
+    worker.recordReport(sentAt);
     this.#inheritedWorkers.remove(worker);
     return strays;
   }
--- a/packages/jobs/src/Worker.ts
+++ b/packages/jobs/src/Worker.ts
@@ -32,6 +32,9 @@
   #pausedUntil = 0;
   #consecutiveFailures = 0;
   #callFailures = 0;
+  #lastFailureAt = -Infinity;
+  /** Monotonic time in milliseconds from which on the worker must report; undefined if nothing is unknown. */
+  #reportRequiredSince: number | undefined;
   /** Consecutive starts that the worker has refused. */
   #refusedStarts = 0;
   #processedThrough = 0;
@@ -171,6 +174,40 @@
     return this.#lastContactAt;
   }
 
+  /**
+   * Checks whether a recent call got no response. While a worker may be reachable, only its report tells how its runs
+   * ended, also after their leases have expired.
+   *
+   * @param now - monotonic time in milliseconds
+   * @returns whether the worker is known not to respond
+   */
+  public isUnreachable(now: number): boolean {
+    return this.#callFailures > 0 && now - this.#lastFailureAt <= schedulingLimits.recentFailureMs;
+  }
+
+  /** Whether runs of released tasks ended in a way that only the next report tells. */
+  public get isReportRequired(): boolean {
+    return this.#reportRequiredSince !== undefined;
+  }
+
+  /**
+   * Records that tasks were released without a report of their ends.
+   *
+   * @param now - monotonic time in milliseconds
+   */
+  public requireReport(now: number): void {
+    this.#reportRequiredSince = now;
+  }
+
+  /**
+   * Records a report of this incarnation.
+   *
+   * @param sentAt - monotonic time at which it was requested, in milliseconds
+   */
+  public recordReport(sentAt: number): void {
+    if (sentAt >= (this.#reportRequiredSince ?? Infinity)) this.#reportRequiredSince = undefined;
+  }
+
   /** Number of consecutive calls without a response. */
   public get callFailures(): number {
     return this.#callFailures;
@@ -365,6 +402,7 @@
   public recordCallFailure(now: number, sentAt: number): void {
     if (this.#lastContactAt > sentAt) return;
     this.#callFailures += 1;
+    this.#lastFailureAt = now;
     this.pauseUntil(now + this.#computeBackoffMs(this.#callFailures));
   }
 
--- a/packages/jobs/src/schedulingLimits.ts
+++ b/packages/jobs/src/schedulingLimits.ts
@@ -16,6 +16,11 @@
   minClockRate: 0.98,
   /** Margin added to the computed expiry of a lease: covers the delivery of a command inside the worker. */
   leaseExpiryMarginMs: 150,
+  /**
+   * Time for which a call without a response shows that a worker cannot be reached: longer than the wait, the timeout
+   * and the pause of a report together.
+   */
+  recentFailureMs: 2000,
   /** Longest time after which a command without a response is executed: the platform states 2 to 12 s. */
   lateCallMs: 12_000,
   /** Margin added to it: covers the delivery of a command and a drift of the leader's clock. */
