Give each incarnation of a worker fencing tokens of its own

What callers could see: a completed task runs a second time. Cause: a command without a response is executed seconds later, also by the next incarnation of its worker, since all incarnations share the id. Change: the fencing token is the term times 10^10 plus a number that rises with each incarnation, and with a start while an acknowledgement has no response, so that the worker itself refuses what was meant for the one before. No acknowledgements while a start has no response or after a response with another clock. A command that is overtaken by a later one of the same leader ends no term. The pause of new incarnations is gone, and requests that acknowledge wait again unless a start may be late.

--- a/packages/daemon/__tests__/RestartingWorkers.ts
+++ b/packages/daemon/__tests__/RestartingWorkers.ts
@@ -23,7 +23,8 @@
   }
 
   public get clockMs(): number {
-    return performance.now() - this.#startedAt;
+    // The clock of each incarnation starts at another time.
+    return performance.now() - this.#startedAt + this.life * 100_000;
   }
 
   /** Returns whether the worker accepts a fencing token, and keeps the highest one. */
@@ -73,7 +74,7 @@
     const execute = (): Awaited<ReturnType<WorkerClient['start']>> => {
       const incarnation = this.#find(worker.id);
       const { clockMs, life, runs } = incarnation;
-      if (!incarnation.accept(start.term)) return { outcome: 'fenced', clockMs };
+      if (!incarnation.accept(start.fencingToken)) return { outcome: 'fenced', clockMs };
       runs.set(start.task, start.run);
       this.starts.push({ task: start.task, life });
       return { outcome: 'started', clockMs };
--- a/packages/daemon/src/CommandDispatcher.ts
+++ b/packages/daemon/src/CommandDispatcher.ts
@@ -94,20 +94,21 @@
       return;
     }
     const sentAt = performance.now();
+    const fencingToken = worker.beginStart();
     const { outcome, clockMs } = await workerClient.start(worker.entry, {
       task: task.name,
       run,
       payload: task.step.job.record.specification.payload,
       // The worker refuses a start that arrives after its lease, however long it was on the way.
       leaseUntilMs: worker.extendLease(sentAt, startTimeLeftMs),
-      term: this.#leaderLease.term,
+      fencingToken,
       ...(task.checkpoint === '' ? {} : { checkpoint: task.checkpoint }),
       ...(permit === undefined ? {} : { permit }),
     });
-    if (this.#isStopped) return;
     const now = performance.now();
+    worker.endStart(clockMs, sentAt, now);
+    if (this.#isStopped) return;
     this.#dependencies.metrics.observeStart(now - sentAt);
-    if (clockMs !== undefined) worker.recordContact(clockMs, now);
     if (outcome !== 'started') {
       log.write('startNotConfirmed', {
         request: task.step.job.id,
@@ -119,7 +120,7 @@
         outcome,
       });
     }
-    if (outcome === 'fenced') {
+    if (outcome === 'fenced' && !this.#scheduler.isOvertaken(worker, fencingToken)) {
       this.#dependencies.onLeaseLost('a worker has seen a newer fencing token');
       return;
     }
@@ -132,11 +133,12 @@
     const { task, worker, run } = command;
     const wasUnconfirmed = !task.isStartConfirmed;
     const reason = task.stopReason;
+    const { fencingToken } = worker;
     const outcome = await this.#dependencies.workerClient.stop(
       worker.entry,
       task.name,
       run,
-      this.#leaderLease.term,
+      fencingToken,
     );
     if (this.#isStopped) return;
     const now = performance.now();
@@ -149,7 +151,7 @@
       reason,
       outcome,
     });
-    if (outcome === 'fenced') {
+    if (outcome === 'fenced' && !this.#scheduler.isOvertaken(worker, fencingToken)) {
       this.#dependencies.onLeaseLost('a worker has seen a newer fencing token');
       return;
     }
--- a/packages/daemon/src/WorkerSession.ts
+++ b/packages/daemon/src/WorkerSession.ts
@@ -42,21 +42,12 @@
    * must not be issued any more.
    */
   public async pollNow(): Promise<void> {
-    const { workerClient, leaderLease, scheduler, onChange } = this.#context;
+    const { leaderLease, scheduler, onChange } = this.#context;
     if (this.#isStopped || !leaderLease.canIssueCommands) return;
     const worker = this.#worker;
     const sentAt = performance.now();
     const leaseUntilMs = this.#extendWorkerLease(sentAt);
-    const { acknowledgement } = worker;
-    if (acknowledgement > 0) worker.recordAcknowledgementSent(sentAt);
-    const report = await workerClient.requestReport(
-      worker.entry,
-      leaderLease.term,
-      acknowledgement,
-      leaseUntilMs,
-      0,
-    );
-    if (!isUnanswered(report)) worker.recordAcknowledgementAnswered(sentAt);
+    const report = await this.#requestReport(leaseUntilMs, 0);
     if (typeof report === 'string' || this.#hasStopped()) return;
     scheduler.handleReport(worker, report, sentAt, performance.now(), Date.now());
     onChange();
@@ -86,8 +77,8 @@
     if (!leaderLease.canIssueCommands || performance.now() - worker.lastContactAt < idleReportMs)
       return;
     const sentAt = performance.now();
-    const { term } = leaderLease;
-    const report = await workerClient.requestReport(worker.entry, term, 0, undefined, 0);
+    const { entry, fencingToken } = worker;
+    const report = await workerClient.requestReport(entry, fencingToken, 0, undefined, 0);
     // A worker that is started again under its id is found out by the next call to it, as without this report.
     if (this.#hasStopped() || typeof report === 'string' || report.life !== worker.life) return;
     if (worker.lastContactAt < sentAt) worker.recordContact(report.clockMs, performance.now());
@@ -115,25 +106,22 @@
     const worker = this.#worker;
     // While ends are unwritten, the worker would answer each request at once; the write wakes the session.
     if (this.#hasUnwrittenEnds) await this.#sleep(hostLimits.unwrittenEndsPauseMs);
+    // Without the acknowledgement the worker would answer at once and list the same ends again.
+    if (worker.isAcknowledgementDelayed) await this.#sleep(hostLimits.startAnswerPauseMs);
     if (this.#hasStopped() || !leaderLease.canIssueCommands) return;
     const sentAt = performance.now();
-    const { acknowledgement } = worker;
-    // A request that acknowledges ends does not wait: the next incarnation of a worker that restarts meanwhile is paused.
-    const mayWait = worker.isSurveyed && worker.tasks.size > 0 && acknowledgement === 0;
-    const waitMs = mayWait ? reportWaitMs : 0;
-    if (acknowledgement > 0) worker.recordAcknowledgementSent(sentAt);
+    const { acknowledgement, fencingToken } = worker;
+    // A crash leaves a waiting request without a response. With an acknowledgement that is safe only while no start may be
+    // executed late: both could be executed by an incarnation that this leader does not know yet.
+    const mayWait =
+      worker.isSurveyed &&
+      worker.tasks.size > 0 &&
+      (acknowledgement === 0 || !scheduler.hasLateStarts(worker));
     const leaseUntilMs = this.#extendWorkerLease(sentAt);
-    const report = await workerClient.requestReport(
-      worker.entry,
-      leaderLease.term,
-      acknowledgement,
-      leaseUntilMs,
-      waitMs,
-    );
-    if (!isUnanswered(report)) worker.recordAcknowledgementAnswered(sentAt);
+    const report = await this.#requestReport(leaseUntilMs, mayWait ? reportWaitMs : 0);
     if (this.#hasStopped()) return;
     const now = performance.now();
-    if (acknowledgement > 0 && isUnanswered(report)) {
+    if (acknowledgement > 0 && report === 'unknown') {
       log.write('acknowledgementUnanswered', {
         worker: worker.id,
         life: worker.life,
@@ -142,7 +130,7 @@
       });
     }
     if (typeof report === 'string') {
-      await this.#handleFailure(report, now, sentAt);
+      await this.#handleFailure(report, now, sentAt, fencingToken);
       return;
     }
     this.#context.pacing.recordReport();
@@ -171,12 +159,32 @@
     }
     for (const { task, run } of strays) {
       log.write('strayRunStopped', { task, run, worker: worker.id });
-      void workerClient.stop(worker.entry, task, run, leaderLease.term);
+      void workerClient.stop(worker.entry, task, run, worker.fencingToken);
     }
     this.#context.onChange();
     if (wasSurveyed) await this.#sleep(this.#context.pacing.pauseMs);
   }
 
+  /** Requests a report that acknowledges run ends if the worker certainly has not started anew. */
+  async #requestReport(
+    leaseUntilMs: number | undefined,
+    waitMs: number,
+  ): ReturnType<WorkerClient['requestReport']> {
+    const worker = this.#worker;
+    const { entry, acknowledgement } = worker;
+    const token = acknowledgement > 0 ? worker.beginAcknowledgement() : worker.fencingToken;
+    const { workerClient } = this.#context;
+    const report = await workerClient.requestReport(
+      entry,
+      token,
+      acknowledgement,
+      leaseUntilMs,
+      waitMs,
+    );
+    if (acknowledgement > 0 && report !== 'unknown') worker.endAcknowledgement(token);
+    return report;
+  }
+
   /** Logs a gap in the numbers of run ends. A leader does not know how far its predecessor has acknowledged them. */
   #logMissingEnds({ life, ended }: WorkerReport): void {
     const worker = this.#worker;
@@ -195,6 +203,7 @@
     failure: 'fenced' | 'otherLife' | 'refused' | 'unknown',
     now: number,
     sentAt: number,
+    fencingToken: number,
   ): Promise<void> {
     const { scheduler, log, onChange, onFenced } = this.#context;
     const worker = this.#worker;
@@ -205,7 +214,9 @@
       tasks: worker.tasks.size,
     });
     if (failure === 'fenced') {
-      onFenced();
+      if (scheduler.isOvertaken(worker, fencingToken))
+        await this.#sleep(hostLimits.minReportPauseMs);
+      else onFenced();
       return;
     }
     worker.recordCallFailure(now, sentAt);
@@ -233,7 +244,3 @@
     this.#wake = undefined;
   }
 }
-
-/** Checks whether a request may be executed later. */
-const isUnanswered = (report: Awaited<ReturnType<WorkerClient['requestReport']>>): boolean =>
-  report === 'unknown';
--- a/packages/daemon/src/hostLimits.ts
+++ b/packages/daemon/src/hostLimits.ts
@@ -83,6 +83,8 @@
   stopCheckMarginMs: 30,
   /** Pause after a failed report. */
   reportRetryMs: 250,
+  /** Longest pause before a report that cannot acknowledge run ends because a start has no response yet. */
+  startAnswerPauseMs: 50,
   /** Longest pause between reports while the ends of runs are not written yet. */
   unwrittenEndsPauseMs: 500,
   /** Shortest pause between two planning passes. */
--- a/packages/jobs/__tests__/LoadSimulation.ts
+++ b/packages/jobs/__tests__/LoadSimulation.ts
@@ -241,7 +241,7 @@
     const workMs = this.#workMs.get(task.step.job.id)?.(task.name) ?? 0;
     const durationMs = workMs * this.#factorOf(worker.id);
     const lease = worker.extendLease(this.#now);
-    const start = { task: task.name, run, term: 1 };
+    const start = { task: task.name, run, token: 1 };
     const outcome = model.start(start, lease, this.#now, durationMs, 'done');
     this.scheduler.handleStartOutcome(command, outcome, this.#now);
   }
--- a/packages/jobs/__tests__/ModelWorker.ts
+++ b/packages/jobs/__tests__/ModelWorker.ts
@@ -28,7 +28,7 @@
   readonly #highestRuns = new Map<string, number>();
   #ended: readonly RunEnd[] = [];
   #nextEndNumber = 1;
-  #term = 0;
+  #token = 0;
   #leaseUntil = 0;
 
   public constructor(entry: WorkerEntry, checker: InvariantChecker, startedAt = 0) {
@@ -47,16 +47,16 @@
   }
 
   public start(
-    command: { readonly task: string; readonly run: number; readonly term: number },
+    command: { readonly task: string; readonly run: number; readonly token: number },
     leaseUntil: number,
     now: number,
     durationMs: number,
     outcome: RunEnd['outcome'],
   ): StartOutcome {
     this.advance(now);
-    const { task, run, term } = command;
-    if (term < this.#term) return 'fenced';
-    this.#term = term;
+    const { task, run, token } = command;
+    if (token < this.#token) return 'fenced';
+    this.#token = token;
     if (leaseUntil <= this.readClock(now)) return 'late';
     this.#extendLease(leaseUntil, now);
     if (this.#runs.get(task)?.run === run) return 'started';
@@ -67,10 +67,10 @@
     return 'started';
   }
 
-  public stop(task: string, run: number, term: number, now: number): 'confirmed' | 'fenced' {
+  public stop(task: string, run: number, token: number, now: number): 'confirmed' | 'fenced' {
     this.advance(now);
-    if (term < this.#term) return 'fenced';
-    this.#term = term;
+    if (token < this.#token) return 'fenced';
+    this.#token = token;
     this.#highestRuns.set(task, Math.max(run, this.#highestRuns.get(task) ?? 0));
     const current = this.#runs.get(task);
     if (current !== undefined && current.run <= run) {
@@ -81,14 +81,14 @@
   }
 
   public report(
-    term: number,
+    token: number,
     through: number,
     leaseUntil: number | undefined,
     now: number,
   ): WorkerReport | 'fenced' {
     this.advance(now);
-    if (term < this.#term) return 'fenced';
-    this.#term = term;
+    if (token < this.#token) return 'fenced';
+    this.#token = token;
     if (leaseUntil !== undefined) this.#extendLease(leaseUntil, now);
     for (const { number, task, outcome } of this.#ended) {
       if (number <= through && outcome === 'done') this.#checker.recordAcknowledged(task);
--- a/packages/jobs/__tests__/SchedulerSimulation.ts
+++ b/packages/jobs/__tests__/SchedulerSimulation.ts
@@ -477,16 +477,18 @@
   }
 
   #execute(leader: Leader, command: Command): void {
-    const { scheduler, term } = leader;
+    const { scheduler } = leader;
     if (command.kind === 'advise') return;
     const { task, run, worker: target } = command;
     if (command.kind === 'stop') {
+      const { fencingToken } = target;
       this.#call(
         leader,
         target,
-        (model) => model.stop(task.name, run, term, this.#now),
+        (model) => model.stop(task.name, run, fencingToken, this.#now),
         (response) => {
-          if (response === 'fenced') leader.isFenced = true;
+          if (response === 'fenced' && !scheduler.isOvertaken(target, fencingToken))
+            leader.isFenced = true;
           scheduler.handleStopOutcome(command, response === 'confirmed', this.#now);
         },
       );
@@ -499,7 +501,9 @@
     const lease = target.extendLease(this.#now, startTimeLeftMs);
     const durationMs = 100 + this.#random() * 1500;
     const outcome = this.#random() < 0.05 ? 'failed' : 'done';
-    const start = { task: task.name, run, term };
+    const sentAt = this.#now;
+    const token = target.beginStart();
+    const start = { task: task.name, run, token };
     const isDelayed =
       this.#hasFaults && this.#evacuationRandom !== undefined && this.#evacuationRandom() < 0.002;
     if (isDelayed) this.#evacuateBeforeStart(leader, target);
@@ -511,8 +515,9 @@
         clockMs: model.readClock(this.#now),
       }),
       (response) => {
-        if (response !== undefined) target.recordContact(response.clockMs, this.#now);
-        if (response?.outcome === 'fenced') leader.isFenced = true;
+        target.endStart(response?.clockMs, sentAt, this.#now);
+        if (response?.outcome === 'fenced' && !scheduler.isOvertaken(target, token))
+          leader.isFenced = true;
         scheduler.handleStartOutcome(command, response?.outcome ?? 'unknown', this.#now);
       },
       isDelayed,
@@ -528,21 +533,30 @@
     const mayExtend = target.isSurveyed && !target.isSuspended;
     const lease = mayExtend ? target.extendLease(sentAt) : undefined;
     const { acknowledgement } = target;
-    if (acknowledgement > 0) target.recordAcknowledgementSent(sentAt);
+    const token = acknowledgement > 0 ? target.beginAcknowledgement() : target.fencingToken;
     this.#call(
       leader,
       target,
-      (model) => model.report(term, acknowledgement, lease, this.#now),
+      (model) => model.report(token, acknowledgement, lease, this.#now),
       (report) => {
-        if (report !== undefined) target.recordAcknowledgementAnswered(sentAt);
-        if (report === 'fenced') leader.isFenced = true;
-        if (report === undefined || report === 'fenced') {
+        if (report !== undefined && acknowledgement > 0) target.endAcknowledgement(token);
+        if (report === 'fenced') {
+          if (!scheduler.isOvertaken(target, token)) leader.isFenced = true;
+          return;
+        }
+        if (report === undefined) {
           target.recordCallFailure(this.#now, sentAt);
           return;
         }
         const strays = scheduler.handleReport(target, report, sentAt, this.#now, this.#now);
         for (const { task, run } of strays) {
-          this.#call(leader, target, (model) => model.stop(task, run, term, this.#now), ignore);
+          const { fencingToken } = target;
+          this.#call(
+            leader,
+            target,
+            (model) => model.stop(task, run, fencingToken, this.#now),
+            ignore,
+          );
         }
       },
     );
--- a/packages/jobs/src/EndedWorkers.ts
+++ b/packages/jobs/src/EndedWorkers.ts
@@ -54,7 +54,6 @@
   public replace(worker: Worker, next: Worker, hasEnded: boolean): void {
     this.#inheritedWorkers.replace(worker, next);
     next.inheritLeases(worker);
-    next.inheritAcknowledgements(worker);
     for (const task of [...worker.tasks]) {
       const mustStop = this.#lateStarts.isPending(task);
       if (!hasEnded || !task.isReported || mustStop) task.moveToIncarnation(next, mustStop);
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -13,6 +13,7 @@
 import { BacklogForecast } from './backlog/BacklogForecast.js';
 import type { DurationEstimates } from './durations/DurationEstimates.js';
 import { LearnedDurations } from './durations/LearnedDurations.js';
+import { FencingTokens } from './membership/FencingTokens.js';
 import { LateStarts } from './membership/LateStarts.js';
 import { InheritedWorkers } from './InheritedWorkers.js';
 import type { Job } from './Job.js';
@@ -70,7 +71,7 @@
   readonly #firstRunNumber: number;
 
   /**
-   * @param term - fencing token of this leader
+   * @param term - term of this leader
    * @param electionRevision - revision of the store at which this leader was elected
    * @param now - monotonic time in milliseconds
    * @param bounds - times that hold for all workers of the site
@@ -87,7 +88,7 @@
     this.durations = durations;
     this.#runStopper = new RunStopper(durations);
     this.#maxStopMs = maxStopMs;
-    this.#pool = new WorkerPool(maxLeaseMs);
+    this.#pool = new WorkerPool(maxLeaseMs, new FencingTokens(term));
     this.progress = new PendingProgress(this.#jobs, this.#pool);
     this.#inheritedWorkers = new InheritedWorkers(this.#jobs, electionRevision, now, maxLeaseMs);
     this.capAllowances = new CapAllowances(this.#jobs, this.#inheritedWorkers, maxStopMs);
@@ -248,6 +249,17 @@
     );
   }
 
+  /**
+   * Checks whether a refused command was overtaken by a later one of this leader. Otherwise another leader has taken over.
+   *
+   * @param worker - worker that refused the command
+   * @param token - fencing token of the command
+   * @returns whether this leader has issued a higher token for the worker
+   */
+  public isOvertaken(worker: Worker, token: number): boolean {
+    return (this.#pool.find(worker.id)?.fencingToken ?? Infinity) > token;
+  }
+
   /**
    * Checks whether a worker may execute a start late.
    *
--- a/packages/jobs/src/Worker.ts
+++ b/packages/jobs/src/Worker.ts
@@ -1,6 +1,7 @@
 import type { Room, WorkerEntry } from '@toucanline/schema';
 import { resources } from './resources.js';
 import { formatIncarnation } from './formatIncarnation.js';
+import type { FencingTokens } from './membership/FencingTokens.js';
 import { schedulingLimits } from './schedulingLimits.js';
 import type { Task } from './Task.js';
 import { WorkerSpeed } from './WorkerSpeed.js';
@@ -41,8 +42,13 @@
   #acknowledgedThrough = 0;
   /** Number of the last run end in the latest report; 0 if it listed none. */
   #listedThrough = 0;
-  /** Monotonic times in milliseconds at which acknowledgements were sent that may still be executed. */
-  readonly #pendingAcknowledgements = new Set<number>();
+  readonly #tokens: FencingTokens;
+  #fencingToken: number;
+  /** Acknowledgements with the current fencing token that have no response yet. */
+  #pendingAcknowledgements = 0;
+  #startsInFlight = 0;
+  /** Monotonic time in milliseconds at which a response showed the clock of another incarnation. */
+  #otherClockSeenAt: number | undefined;
   /** Resources of stray runs, which belong to no task and are being stopped. */
   #strayResources: Room = resources.none;
 
@@ -52,9 +58,12 @@
   /**
    * @param entry - entry of the worker in the platform's list
    * @param maxLeaseMs - longest lease that the worker accepts, in milliseconds
+   * @param tokens - issues the fencing tokens of commands
    */
-  public constructor(entry: WorkerEntry, maxLeaseMs: number) {
+  public constructor(entry: WorkerEntry, maxLeaseMs: number, tokens: FencingTokens) {
     this.#entry = entry;
+    this.#tokens = tokens;
+    this.#fencingToken = tokens.issue();
     this.#maxLeaseMs = Math.min(maxLeaseMs, schedulingLimits.longestLeaseMs);
     this.incarnation = formatIncarnation(entry.id, entry.life);
   }
@@ -127,46 +136,91 @@
     return this.#acknowledgedThrough;
   }
 
+  /**
+   * Fencing token of the next command, which is higher than those of all commands for earlier incarnations: once the
+   * worker has seen it, it refuses what was meant for them.
+   */
+  public get fencingToken(): number {
+    return this.#fencingToken;
+  }
+
   /**
    * Number up to which the next report request acknowledges run ends; 0 if there is nothing to acknowledge. Only ends
-   * that the latest report listed are acknowledged, and none after a failed call: the worker may have started anew, and
-   * would discard ends of its next incarnation that have the same numbers.
+   * that the latest report listed are acknowledged, and none while the worker may have started anew: it would discard
+   * ends of its next incarnation that have the same numbers. It may have after a failed call, while a start has no
+   * response, and if a response shows another clock.
    */
   public get acknowledgement(): number {
-    return this.#callFailures > 0 ? 0 : Math.min(this.#acknowledgedThrough, this.#listedThrough);
+    if (this.#callFailures > 0 || this.#otherClockSeenAt !== undefined) return 0;
+    return this.#startsInFlight > 0 ? 0 : this.#acknowledgeableThrough;
+  }
+
+  /** Whether run ends can be acknowledged as soon as the starts that were sent are answered. */
+  public get isAcknowledgementDelayed(): boolean {
+    return this.#startsInFlight > 0 && this.#acknowledgeableThrough > 0;
+  }
+
+  get #acknowledgeableThrough(): number {
+    return Math.min(this.#acknowledgedThrough, this.#listedThrough);
   }
 
   /**
    * Records that a request for a report acknowledges run ends.
    *
-   * @param sentAt - monotonic time in milliseconds
+   * @returns fencing token of the request
    */
-  public recordAcknowledgementSent(sentAt: number): void {
-    for (const time of this.#pendingAcknowledgements)
-      if (sentAt > getLastExecutionTime(time)) this.#pendingAcknowledgements.delete(time);
-    this.#pendingAcknowledgements.add(sentAt);
+  public beginAcknowledgement(): number {
+    this.#pendingAcknowledgements += 1;
+    return this.#fencingToken;
   }
 
   /**
    * Records that such a request was answered, so that it is not executed later.
    *
-   * @param sentAt - monotonic time at which it was sent, in milliseconds
+   * @param token - fencing token of the request
    */
-  public recordAcknowledgementAnswered(sentAt: number): void {
-    this.#pendingAcknowledgements.delete(sentAt);
+  public endAcknowledgement(token: number): void {
+    if (token === this.#fencingToken) this.#pendingAcknowledgements -= 1;
   }
 
   /**
-   * Pauses this incarnation while it may execute an acknowledgement that was meant for the previous one: it would
-   * discard ends of its own runs that have the same numbers.
+   * Records that a start is being sent. It has a higher fencing token than every acknowledgement that may still be
+   * executed: also an incarnation that this leader does not know yet keeps the end of the run until it is seen.
    *
-   * @param previous - previous incarnation under the same id
+   * @returns fencing token of the start
    */
-  public inheritAcknowledgements(previous: Worker): void {
-    for (const time of previous.#pendingAcknowledgements) {
-      this.#pendingAcknowledgements.add(time);
-      this.pauseUntil(getLastExecutionTime(time));
+  public beginStart(): number {
+    if (this.#pendingAcknowledgements > 0) {
+      this.#fencingToken = this.#tokens.issue();
+      this.#pendingAcknowledgements = 0;
     }
+    this.#startsInFlight += 1;
+    return this.#fencingToken;
+  }
+
+  /**
+   * Records the response of a start, or that there was none in time.
+   *
+   * @param clockMs - reading of the worker's clock in milliseconds; undefined without a response
+   * @param sentAt - monotonic time at which the start was sent, in milliseconds
+   * @param now - monotonic time in milliseconds
+   */
+  public endStart(clockMs: number | undefined, sentAt: number, now: number): void {
+    this.#startsInFlight -= 1;
+    if (clockMs === undefined) return;
+    // The response names no incarnation, but each incarnation has a clock of its own.
+    if (this.#isOtherClock(clockMs, sentAt, now)) this.#otherClockSeenAt = now;
+    else this.recordContact(clockMs, now);
+  }
+
+  /** Checks whether a reading of the clock does not fit the last one. */
+  #isOtherClock(clockMs: number, sentAt: number, now: number): boolean {
+    if (this.#clockReadAt === undefined) return false;
+    const { minClockRate, clockJumpMs } = schedulingLimits;
+    const elapsedMs = sentAt - this.#clockReadAt;
+    const earliestMs = this.#clockMs + Math.min(elapsedMs, elapsedMs * minClockRate);
+    const latestMs = this.#clockMs + now - this.#clockReadAt;
+    return clockMs < earliestMs - clockJumpMs || clockMs > latestMs + clockJumpMs;
   }
 
   /** Monotonic time of the last response, in milliseconds. */
@@ -206,6 +260,7 @@
    */
   public recordReport(sentAt: number): void {
     if (sentAt >= (this.#reportRequiredSince ?? Infinity)) this.#reportRequiredSince = undefined;
+    if (sentAt >= (this.#otherClockSeenAt ?? Infinity)) this.#otherClockSeenAt = undefined;
   }
 
   /** Number of consecutive calls without a response. */
@@ -479,7 +534,3 @@
     return Math.min(workerBackoffMs * 2 ** (failures - 1), longestMs);
   }
 }
-
-/** Returns until when a report request may be executed late, as monotonic time in milliseconds. */
-const getLastExecutionTime = (sentAt: number): number =>
-  sentAt + schedulingLimits.lateCallMs + schedulingLimits.lateCallMarginMs;
--- a/packages/jobs/src/WorkerClient.ts
+++ b/packages/jobs/src/WorkerClient.ts
@@ -4,7 +4,10 @@
 /** Reason why a worker returned no report. */
 type ReportFailure = 'fenced' | 'otherLife' | 'refused' | 'unknown';
 
-/** Sends commands to workers. Each command names the incarnation that it is meant for. */
+/**
+ * Sends commands to workers. A command names a worker by its id, so that any incarnation executes it; the fencing token
+ * tells them apart.
+ */
 export abstract class WorkerClient {
   /**
    * Starts a run of a task.
@@ -24,21 +27,21 @@
    * @param worker - entry of the worker
    * @param task - name of the task
    * @param run - number of the run
-   * @param term - fencing token
+   * @param fencingToken - fencing token
    * @returns `confirmed`, or the reason why the worker did not confirm the stop
    */
   public abstract stop(
     worker: WorkerEntry,
     task: string,
     run: number,
-    term: number,
+    fencingToken: number,
   ): Promise<'confirmed' | ReportFailure>;
 
   /**
    * Extends the leases on a worker and reads its running tasks and ended runs.
    *
    * @param worker - entry of the worker
-   * @param term - fencing token
+   * @param fencingToken - fencing token
    * @param acknowledgedThrough - number of the last run end that the worker may discard
    * @param leaseUntilMs - new expiry of the leases on the worker's clock, in milliseconds; undefined leaves it
    * unchanged
@@ -47,7 +50,7 @@
    */
   public abstract requestReport(
     worker: WorkerEntry,
-    term: number,
+    fencingToken: number,
     acknowledgedThrough: number,
     leaseUntilMs: number | undefined,
     waitMs: number,
--- a/packages/jobs/src/WorkerPool.ts
+++ b/packages/jobs/src/WorkerPool.ts
@@ -1,11 +1,13 @@
 import type { WorkerEntry } from '@toucanline/schema';
 import { formatIncarnation } from './formatIncarnation.js';
+import type { FencingTokens } from './membership/FencingTokens.js';
 import { EndedIncarnations } from './membership/EndedIncarnations.js';
 import { Worker } from './Worker.js';
 
 /** Workers that the platform lists, and unlisted ones that may still run tasks. */
 export class WorkerPool {
   readonly #maxLeaseMs: number;
+  readonly #tokens: FencingTokens;
   readonly #byId = new Map<string, Worker>();
   /** Cached list of all workers, because each planning pass reads it several times. */
   #all: readonly Worker[] | undefined;
@@ -17,9 +19,13 @@
   /** Names of incarnations that have ended if the worker turns out to be newer, by worker. */
   readonly #unconfirmedEnds = new Map<Worker, readonly string[]>();
 
-  /** @param maxLeaseMs - longest lease that a worker accepts, in milliseconds */
-  public constructor(maxLeaseMs: number) {
+  /**
+   * @param maxLeaseMs - longest lease that a worker accepts, in milliseconds
+   * @param tokens - issues the fencing tokens of commands
+   */
+  public constructor(maxLeaseMs: number, tokens: FencingTokens) {
     this.#maxLeaseMs = maxLeaseMs;
+    this.#tokens = tokens;
   }
 
   /** All workers that may run tasks. */
@@ -57,7 +63,7 @@
       return undefined;
     }
     if (this.#endedIncarnations.has(formatIncarnation(id, life))) return undefined;
-    const worker = new Worker(entry, this.#maxLeaseMs);
+    const worker = new Worker(entry, this.#maxLeaseMs, this.#tokens);
     if (known === undefined) this.#set(worker);
     else {
       if (known.hasEntry) this.#endedIncarnations.add(known.incarnation);
@@ -79,7 +85,7 @@
    * @returns the new incarnation
    */
   public addReported(known: Worker, life: number): Worker {
-    const worker = new Worker({ ...known.entry, life }, this.#maxLeaseMs);
+    const worker = new Worker({ ...known.entry, life }, this.#maxLeaseMs, this.#tokens);
     worker.markEntryMissing();
     this.#endedIncarnations.add(known.incarnation);
     // The order of entries may have suggested that it had ended.
--- a/packages/jobs/src/schedulingLimits.ts
+++ b/packages/jobs/src/schedulingLimits.ts
@@ -21,6 +21,8 @@
    * and the pause of a report together.
    */
   recentFailureMs: 2000,
+  /** Difference from the expected time beyond which a worker's clock is that of another incarnation: covers the delay of responses. */
+  clockJumpMs: 1000,
   /** Longest time after which a command without a response is executed: the platform states 2 to 12 s. */
   lateCallMs: 12_000,
   /** Margin added to it: covers the delivery of a command and a drift of the leader's clock. */
@@ -118,6 +120,11 @@
   stallDurationShare: 0.1,
   /** Time for which a worker with a stalled task gets no new tasks. */
   stallPauseMs: 1500,
+  /**
+   * Fencing tokens reserved for each term: a term of years at the target rate of starts uses fewer, and 900,000 terms fit
+   * into a safe integer.
+   */
+  tokensPerTerm: 10_000_000_000,
   /** Run numbers reserved for each term: a task is started far less often, so those of later terms are higher. */
   runsPerTerm: 1000,
 });
