Simulate leaders that issue no commands, and restarts before a cut

Cause: the random simulation polled every worker all the time and checked only ends that were acknowledged before a start, so it could not show a worker that is not asked. runEndsMissing was also logged for ends that a previous leader had acknowledged. Change: outages longer than the leases, restarts that are followed by a cut of 9 s, and a check that no task starts while a reachable worker has listed for 3 s that it is done. The number of the next end counts as unknown until a new leader has processed one.

--- a/packages/daemon/src/WorkerSession.ts
+++ b/packages/daemon/src/WorkerSession.ts
@@ -185,11 +185,11 @@
     return report;
   }
 
-  /** Logs a gap in the numbers of run ends. A leader does not know how far its predecessor has acknowledged them. */
+  /** Logs a gap in the numbers of run ends. */
   #logMissingEnds({ life, ended }: WorkerReport): void {
     const worker = this.#worker;
     const firstListed = ended[0]?.number ?? 0;
-    if (!worker.isSurveyed || life !== worker.life) return;
+    if (!worker.isSurveyed || !worker.isNumberingKnown || life !== worker.life) return;
     if (firstListed <= worker.processedThrough + 1) return;
     this.#context.log.write('runEndsMissing', {
       worker: worker.id,
--- a/packages/jobs/__tests__/InvariantChecker.ts
+++ b/packages/jobs/__tests__/InvariantChecker.ts
@@ -3,11 +3,15 @@
 
 /** Time after the acknowledgement from which nothing may start in an evacuated data centre, in milliseconds. */
 const evacuationBoundMs = 5000;
+/** Time for which a reachable worker may list an end that no leader has asked for, in milliseconds. */
+const unreadBoundMs = 3000;
 
 /** Observes every start and completion on the workers and checks the invariants of the engine. */
 export class InvariantChecker {
   /** Workers whose process is running. */
   public readonly liveWorkers = new Set<ModelWorker>();
+  /** Simulated time in milliseconds from which on each worker could be reached, by worker id; set by the simulation. */
+  public readonly reachableSince = new Map<string, number>();
   /** Number of evacuations whose bound has passed. */
   public boundsPassed = 0;
   /** Time in milliseconds at which the operator got the acknowledgement, by evacuated data centre. */
@@ -54,6 +58,9 @@
     if (this.#acknowledged.has(task))
       throw new Error(`${task} was started again after its completion was acknowledged`);
     for (const other of this.liveWorkers) {
+      const since = this.reachableSince.get(other.entry.id) ?? 0;
+      if (now - Math.max(since, other.findListedSince(task)) > unreadBoundMs)
+        throw new Error(`${task} was started again while ${other.entry.id} lists that it is done`);
       if (other.running.includes(task)) throw new Error(`${task} runs on two workers at once`);
     }
     const used = [...worker.running, task].reduce((sum, name) => sum + this.#size(name), 0);
--- a/packages/jobs/__tests__/ModelWorker.ts
+++ b/packages/jobs/__tests__/ModelWorker.ts
@@ -27,6 +27,7 @@
   readonly #stopping = new Map<string, ModelRun>();
   readonly #highestRuns = new Map<string, number>();
   #ended: readonly RunEnd[] = [];
+  readonly #doneAt = new Map<string, number>();
   #nextEndNumber = 1;
   #token = 0;
   #leaseUntil = 0;
@@ -37,6 +38,16 @@
     this.#checker = checker;
   }
 
+  /**
+   * Finds since when the worker has listed that a task is done.
+   *
+   * @returns simulated time in milliseconds; infinite if it does not list that
+   */
+  public findListedSince(task: string): number {
+    const isListed = this.#ended.some((end) => end.task === task && end.outcome === 'done');
+    return isListed ? (this.#doneAt.get(task) ?? Infinity) : Infinity;
+  }
+
   public get running(): readonly string[] {
     return [...this.#runs.keys(), ...this.#stopping.keys()];
   }
@@ -125,8 +136,11 @@
     this.#leaseUntil = Math.max(this.#leaseUntil, expiresAt);
   }
 
-  #endRun({ task, run }: ModelRun, outcome: RunEnd['outcome']): void {
-    if (outcome === 'done') this.#checker.recordDone(task);
+  #endRun({ task, run, endsAt }: ModelRun, outcome: RunEnd['outcome']): void {
+    if (outcome === 'done') {
+      this.#checker.recordDone(task);
+      this.#doneAt.set(task, endsAt);
+    }
     this.#runs.delete(task);
     this.#stopping.delete(task);
     this.#ended = [
--- a/packages/jobs/__tests__/SchedulerSimulation.ts
+++ b/packages/jobs/__tests__/SchedulerSimulation.ts
@@ -60,6 +60,11 @@
 interface SimulationOptions {
   /** Whether an account has a cap, leaders are cut off with some workers, and several change in a row. */
   readonly hasCaps?: boolean;
+  /**
+   * Whether no leader issues commands during some periods, longer than the leases, and workers restart and are cut off
+   * soon after.
+   */
+  readonly hasOutages?: boolean;
   /** Random numbers of evacuations, paused leaders and leaders that are cut off from the store; absent: none of these. */
   readonly evacuationRandom?: () => number;
 }
@@ -96,6 +101,9 @@
   #evacuated: readonly string[] = [];
   /** Whether an account has a cap, leaders are cut off with some workers, and several change in a row. */
   readonly #hasCaps: boolean;
+  readonly #hasOutages: boolean;
+  /** Simulated time in milliseconds until which no leader issues commands, because the store is unreachable. */
+  #outageUntil = 0;
   readonly #workers = new Map<string, ModelWorker>();
   readonly #partitionedUntil = new Map<string, number>();
   readonly #records: { readonly record: JobRecord; readonly revision: number }[] = [];
@@ -127,7 +135,8 @@
   #now = 0;
 
   public constructor(random: () => number, options: SimulationOptions = {}) {
-    const { hasCaps = false, evacuationRandom } = options;
+    const { hasCaps = false, hasOutages = false, evacuationRandom } = options;
+    this.#hasOutages = hasOutages;
     this.#random = random;
     this.#evacuationRandom = evacuationRandom;
     this.#hasCaps = hasCaps;
@@ -190,6 +199,17 @@
     if (this.#random() < 0.0007) this.#moveQueueBeforeTakeover();
     if (this.#evacuationRandom !== undefined) this.#injectEvacuations(this.#evacuationRandom);
     if (this.#hasCaps && this.#random() < 0.0008) this.#cutOffLeader();
+    if (this.#hasOutages) this.#injectOutages();
+  }
+
+  #injectOutages(): void {
+    if (this.#random() < 0.0008) this.#outageUntil = this.#now + 1000 + this.#random() * 11_000;
+    if (this.#random() >= 0.0015) return;
+    const id = this.#chooseWorker();
+    this.#restartWorker(id);
+    this.#schedule(this.#random() * 3000, () => {
+      this.#partition(id, 9000);
+    });
   }
 
   #injectEvacuations(random: () => number): void {
@@ -264,6 +284,7 @@
   #partition(id: string, durationMs: number): void {
     const until = Math.max(this.#partitionedUntil.get(id) ?? 0, this.#now + durationMs);
     this.#partitionedUntil.set(id, until);
+    this.checker.reachableSince.set(id, until);
   }
 
   /** Restarts a worker under its id, which takes a moment; its entry follows later. */
@@ -420,6 +441,7 @@
     const { scheduler, supersededAt } = leader;
     const isGraceOver = this.#now > supersededAt + schedulingLimits.leaderGraceMs;
     if (isGraceOver || leader.isFenced || this.#now < leader.pausedUntil) return;
+    if (this.#now < this.#outageUntil) return;
     if (this.#evacuationRandom !== undefined)
       scheduler.evacuations.setConfirmed(this.#now - leader.viewConfirmedAt < maxViewAgeMs);
     const isCurrent = supersededAt === Infinity;
--- a/packages/jobs/__tests__/scheduler.random.test.ts
+++ b/packages/jobs/__tests__/scheduler.random.test.ts
@@ -47,6 +47,13 @@
       runSimulation(new SchedulerSimulation(createRandom(seed)), 40_000);
     });
 
+    // Guards against second runs of tasks whose ends a worker lists while the leader does not ask it. Faults: in addition, periods
+    // without commands that are longer than the leases, and workers that restart and are cut off soon after.
+    it(`read the ends of all runs with seed ${seed}`, function () {
+      this.timeout(60_000);
+      runSimulation(new SchedulerSimulation(createRandom(seed), { hasOutages: true }), 60_000);
+    });
+
     // Guards against an account above its cap over all leaders. Faults: in addition, a leader that is cut off with half
     // of the workers and continues to start tasks there, two changes of the leader in a row, and lost or late writes of
     // the allowances. Repeated takeovers leave a backlog.
--- a/packages/jobs/__tests__/takeover.test.ts
+++ b/packages/jobs/__tests__/takeover.test.ts
@@ -46,6 +46,20 @@
     expect(later).to.deep.equal(['old']);
   });
 
+  // Guards against log lines about missing run ends after each change of the leader: its predecessor has acknowledged them.
+  it('does not know the number of the next run end before it has processed one', () => {
+    for (const isInherited of [true, false]) {
+      const scheduler = new Scheduler(2, 100, 0, { maxStopMs: noStopMs, maxLeaseMs: 6000 });
+      const w1 = scheduler.updateWorker(worker('w1'), isInherited);
+      if (w1 === undefined) throw new Error('updateWorker returned no new worker');
+      scheduler.handleReport(w1, noRuns, 0, 1, 1);
+      expect(w1.isNumberingKnown).to.equal(!isInherited);
+      const end = { number: 14, task: 'a.0.0.0', run: 1, outcome: 'done', checkpoint: '' } as const;
+      scheduler.handleReport(w1, { ...noRuns, ended: [end] }, 2, 3, 3);
+      expect(w1.isNumberingKnown).to.equal(true);
+    }
+  });
+
   // Guards against runs that a worker refuses as old, because an earlier term has used the run numbers of this one.
   it('numbers runs above those of earlier terms, regardless of their number of planning passes', () => {
     const first = new Scheduler(1, 1, 0, { maxStopMs: 200, maxLeaseMs: 6000 });
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -355,6 +355,7 @@
     this.capAllowances.recordReport(worker, strays, isInherited, now);
     // The worker now fences stops of the previous leader, but earlier ones may still be in progress.
     if (isInherited) worker.confirmCapacityAt(now + this.#maxStopMs);
+    if (isInherited && worker.processedThrough === 0) worker.markNumberingUnknown();
     worker.markSurveyed();
     worker.recordReport(sentAt);
     this.#inheritedWorkers.remove(worker);
--- a/packages/jobs/src/Worker.ts
+++ b/packages/jobs/src/Worker.ts
@@ -39,6 +39,7 @@
   /** Consecutive starts that the worker has refused. */
   #refusedStarts = 0;
   #processedThrough = 0;
+  #isNumberingKnown = true;
   #acknowledgedThrough = 0;
   /** Number of the last run end in the latest report; 0 if it listed none. */
   #listedThrough = 0;
@@ -131,6 +132,19 @@
     return this.#processedThrough;
   }
 
+  /**
+   * Whether the number of the next run end is known. A new leader does not know how far its predecessor has acknowledged
+   * the ends.
+   */
+  public get isNumberingKnown(): boolean {
+    return this.#isNumberingKnown;
+  }
+
+  /** Records that the predecessor of this leader may have acknowledged run ends of the worker, and none is listed. */
+  public markNumberingUnknown(): void {
+    this.#isNumberingKnown = false;
+  }
+
   /** Number of the last run end that is written to the store. */
   public get acknowledgedThrough(): number {
     return this.#acknowledgedThrough;
@@ -507,6 +521,7 @@
    */
   public markProcessed(number: number): void {
     this.#processedThrough = Math.max(this.#processedThrough, number);
+    this.#isNumberingKnown = true;
   }
 
   /**
