Move the fencing of commands to a class of its own

Cause: Worker had grown by the fencing tokens and by what holds acknowledgements back. Change: CommandFence holds both; no behaviour changes.

--- a/packages/daemon/src/CommandDispatcher.ts
+++ b/packages/daemon/src/CommandDispatcher.ts
@@ -94,7 +94,7 @@
       return;
     }
     const sentAt = performance.now();
-    const fencingToken = worker.beginStart();
+    const fencingToken = worker.fence.beginStart();
     const { outcome, clockMs } = await workerClient.start(worker.entry, {
       task: task.name,
       run,
@@ -133,7 +133,7 @@
     const { task, worker, run } = command;
     const wasUnconfirmed = !task.isStartConfirmed;
     const reason = task.stopReason;
-    const { fencingToken } = worker;
+    const fencingToken = worker.fence.token;
     const outcome = await this.#dependencies.workerClient.stop(
       worker.entry,
       task.name,
--- a/packages/daemon/src/WorkerSession.ts
+++ b/packages/daemon/src/WorkerSession.ts
@@ -77,8 +77,8 @@
     if (!leaderLease.canIssueCommands || performance.now() - worker.lastContactAt < idleReportMs)
       return;
     const sentAt = performance.now();
-    const { entry, fencingToken } = worker;
-    const report = await workerClient.requestReport(entry, fencingToken, 0, undefined, 0);
+    const { entry, fence } = worker;
+    const report = await workerClient.requestReport(entry, fence.token, 0, undefined, 0);
     // A worker that is started again under its id is found out by the next call to it, as without this report.
     if (this.#hasStopped() || typeof report === 'string' || report.life !== worker.life) return;
     if (worker.lastContactAt < sentAt) worker.recordContact(report.clockMs, performance.now());
@@ -110,7 +110,8 @@
     if (worker.isAcknowledgementDelayed) await this.#sleep(hostLimits.startAnswerPauseMs);
     if (this.#hasStopped() || !leaderLease.canIssueCommands) return;
     const sentAt = performance.now();
-    const { acknowledgement, fencingToken } = worker;
+    const { acknowledgement } = worker;
+    const fencingToken = worker.fence.token;
     // A crash leaves a waiting request without a response. With an acknowledgement that is safe only while no start may be
     // executed late: both could be executed by an incarnation that this leader does not know yet.
     const mayWait =
@@ -159,7 +160,7 @@
     }
     for (const { task, run } of strays) {
       log.write('strayRunStopped', { task, run, worker: worker.id });
-      void workerClient.stop(worker.entry, task, run, worker.fencingToken);
+      void workerClient.stop(worker.entry, task, run, worker.fence.token);
     }
     this.#context.onChange();
     if (wasSurveyed) await this.#sleep(this.#context.pacing.pauseMs);
@@ -172,7 +173,7 @@
   ): ReturnType<WorkerClient['requestReport']> {
     const worker = this.#worker;
     const { entry, acknowledgement } = worker;
-    const token = acknowledgement > 0 ? worker.beginAcknowledgement() : worker.fencingToken;
+    const token = acknowledgement > 0 ? worker.fence.beginAcknowledgement() : worker.fence.token;
     const { workerClient } = this.#context;
     const report = await workerClient.requestReport(
       entry,
@@ -181,7 +182,7 @@
       leaseUntilMs,
       waitMs,
     );
-    if (acknowledgement > 0 && report !== 'unknown') worker.endAcknowledgement(token);
+    if (acknowledgement > 0 && report !== 'unknown') worker.fence.endAcknowledgement(token);
     return report;
   }
 
--- a/packages/jobs/__tests__/SchedulerSimulation.ts
+++ b/packages/jobs/__tests__/SchedulerSimulation.ts
@@ -503,7 +503,7 @@
     if (command.kind === 'advise') return;
     const { task, run, worker: target } = command;
     if (command.kind === 'stop') {
-      const { fencingToken } = target;
+      const fencingToken = target.fence.token;
       this.#call(
         leader,
         target,
@@ -524,7 +524,7 @@
     const durationMs = 100 + this.#random() * 1500;
     const outcome = this.#random() < 0.05 ? 'failed' : 'done';
     const sentAt = this.#now;
-    const token = target.beginStart();
+    const token = target.fence.beginStart();
     const start = { task: task.name, run, token };
     const isDelayed =
       this.#hasFaults && this.#evacuationRandom !== undefined && this.#evacuationRandom() < 0.002;
@@ -555,13 +555,13 @@
     const mayExtend = target.isSurveyed && !target.isSuspended;
     const lease = mayExtend ? target.extendLease(sentAt) : undefined;
     const { acknowledgement } = target;
-    const token = acknowledgement > 0 ? target.beginAcknowledgement() : target.fencingToken;
+    const token = acknowledgement > 0 ? target.fence.beginAcknowledgement() : target.fence.token;
     this.#call(
       leader,
       target,
       (model) => model.report(token, acknowledgement, lease, this.#now),
       (report) => {
-        if (report !== undefined && acknowledgement > 0) target.endAcknowledgement(token);
+        if (report !== undefined && acknowledgement > 0) target.fence.endAcknowledgement(token);
         if (report === 'fenced') {
           if (!scheduler.isOvertaken(target, token)) leader.isFenced = true;
           return;
@@ -572,7 +572,7 @@
         }
         const strays = scheduler.handleReport(target, report, sentAt, this.#now, this.#now);
         for (const { task, run } of strays) {
-          const { fencingToken } = target;
+          const fencingToken = target.fence.token;
           this.#call(
             leader,
             target,
--- a/packages/jobs/__tests__/restarts.test.ts
+++ b/packages/jobs/__tests__/restarts.test.ts
@@ -387,16 +387,16 @@
   it('gets tasks at once, with a higher fencing token than all commands for the earlier incarnation', () => {
     for (const isAnswered of [true, false]) {
       const { scheduler, command } = startTask();
-      const token = command.worker.beginAcknowledgement();
-      if (isAnswered) command.worker.endAcknowledgement(token);
-      const startToken = command.worker.beginStart();
+      const token = command.worker.fence.beginAcknowledgement();
+      if (isAnswered) command.worker.fence.endAcknowledgement(token);
+      const startToken = command.worker.fence.beginStart();
       expect(startToken > token).to.equal(!isAnswered);
       expect(startToken).to.be.at.least(token);
       scheduler.updateWorker(worker('w0', { life: 9 }), false);
       const next = findWorker(scheduler, 'w0');
-      expect(next.fencingToken).to.be.above(startToken);
+      expect(next.fence.token).to.be.above(startToken);
       expect(scheduler.isOvertaken(command.worker, startToken)).to.equal(true);
-      expect(scheduler.isOvertaken(next, next.fencingToken)).to.equal(false);
+      expect(scheduler.isOvertaken(next, next.fence.token)).to.equal(false);
       report(scheduler, 60, 9);
       expect(next.canAcceptTasks(61)).to.equal(true);
     }
@@ -411,13 +411,13 @@
     scheduler.handleReport(w0, acknowledgeable, 10, 20, 20);
     scheduler.progress.confirmBatch(scheduler.progress.takeBatch());
     expect(w0.acknowledgement).to.equal(1);
-    w0.beginStart();
+    w0.fence.beginStart();
     expect(w0.acknowledgement).to.equal(0);
     expect(w0.isAcknowledgementDelayed).to.equal(true);
     w0.endStart(50_100, 110, 130);
     expect(w0.acknowledgement).to.equal(1);
     for (const clockMs of [500, 90_000]) {
-      w0.beginStart();
+      w0.fence.beginStart();
       w0.endStart(clockMs, 200, 210);
       expect(w0.acknowledgement).to.equal(0);
       scheduler.handleReport(w0, { ...acknowledgeable, clockMs: 50_200 }, 205, 220, 220);
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -257,7 +257,7 @@
    * @returns whether this leader has issued a higher token for the worker
    */
   public isOvertaken(worker: Worker, token: number): boolean {
-    return (this.#pool.find(worker.id)?.fencingToken ?? Infinity) > token;
+    return (this.#pool.find(worker.id)?.fence.token ?? Infinity) > token;
   }
 
   /**
--- a/packages/jobs/src/Worker.ts
+++ b/packages/jobs/src/Worker.ts
@@ -1,6 +1,7 @@
 import type { Room, WorkerEntry } from '@toucanline/schema';
 import { resources } from './resources.js';
 import { formatIncarnation } from './formatIncarnation.js';
+import { CommandFence } from './membership/CommandFence.js';
 import type { FencingTokens } from './membership/FencingTokens.js';
 import { schedulingLimits } from './schedulingLimits.js';
 import type { Task } from './Task.js';
@@ -8,6 +9,8 @@
 
 /** One incarnation of a worker: its tasks, its clock, its leases and its health. */
 export class Worker {
+  /** Fencing tokens of the commands for this incarnation. */
+  public readonly fence: CommandFence;
   /** Estimated duration of tasks on this worker relative to the mean of the fleet. */
   public readonly speed = new WorkerSpeed();
   #entry: WorkerEntry;
@@ -43,13 +46,6 @@
   #acknowledgedThrough = 0;
   /** Number of the last run end in the latest report; 0 if it listed none. */
   #listedThrough = 0;
-  readonly #tokens: FencingTokens;
-  #fencingToken: number;
-  /** Acknowledgements with the current fencing token that have no response yet. */
-  #pendingAcknowledgements = 0;
-  #startsInFlight = 0;
-  /** Monotonic time in milliseconds at which a response showed the clock of another incarnation. */
-  #otherClockSeenAt: number | undefined;
   /** Resources of stray runs, which belong to no task and are being stopped. */
   #strayResources: Room = resources.none;
 
@@ -63,8 +59,7 @@
    */
   public constructor(entry: WorkerEntry, maxLeaseMs: number, tokens: FencingTokens) {
     this.#entry = entry;
-    this.#tokens = tokens;
-    this.#fencingToken = tokens.issue();
+    this.fence = new CommandFence(tokens);
     this.#maxLeaseMs = Math.min(maxLeaseMs, schedulingLimits.longestLeaseMs);
     this.incarnation = formatIncarnation(entry.id, entry.life);
   }
@@ -150,14 +145,6 @@
     return this.#acknowledgedThrough;
   }
 
-  /**
-   * Fencing token of the next command, which is higher than those of all commands for earlier incarnations: once the
-   * worker has seen it, it refuses what was meant for them.
-   */
-  public get fencingToken(): number {
-    return this.#fencingToken;
-  }
-
   /**
    * Number up to which the next report request acknowledges run ends; 0 if there is nothing to acknowledge. Only ends
    * that the latest report listed are acknowledged, and none while the worker may have started anew: it would discard
@@ -165,53 +152,20 @@
    * response, and if a response shows another clock.
    */
   public get acknowledgement(): number {
-    if (this.#callFailures > 0 || this.#otherClockSeenAt !== undefined) return 0;
-    return this.#startsInFlight > 0 ? 0 : this.#acknowledgeableThrough;
+    const { hasStartsInFlight, isRestartSuspected } = this.fence;
+    if (this.#callFailures > 0 || hasStartsInFlight || isRestartSuspected) return 0;
+    return this.#acknowledgeableThrough;
   }
 
   /** Whether run ends can be acknowledged as soon as the starts that were sent are answered. */
   public get isAcknowledgementDelayed(): boolean {
-    return this.#startsInFlight > 0 && this.#acknowledgeableThrough > 0;
+    return this.fence.hasStartsInFlight && this.#acknowledgeableThrough > 0;
   }
 
   get #acknowledgeableThrough(): number {
     return Math.min(this.#acknowledgedThrough, this.#listedThrough);
   }
 
-  /**
-   * Records that a request for a report acknowledges run ends.
-   *
-   * @returns fencing token of the request
-   */
-  public beginAcknowledgement(): number {
-    this.#pendingAcknowledgements += 1;
-    return this.#fencingToken;
-  }
-
-  /**
-   * Records that such a request was answered, so that it is not executed later.
-   *
-   * @param token - fencing token of the request
-   */
-  public endAcknowledgement(token: number): void {
-    if (token === this.#fencingToken) this.#pendingAcknowledgements -= 1;
-  }
-
-  /**
-   * Records that a start is being sent. It has a higher fencing token than every acknowledgement that may still be
-   * executed: also an incarnation that this leader does not know yet keeps the end of the run until it is seen.
-   *
-   * @returns fencing token of the start
-   */
-  public beginStart(): number {
-    if (this.#pendingAcknowledgements > 0) {
-      this.#fencingToken = this.#tokens.issue();
-      this.#pendingAcknowledgements = 0;
-    }
-    this.#startsInFlight += 1;
-    return this.#fencingToken;
-  }
-
   /**
    * Records the response of a start, or that there was none in time.
    *
@@ -220,10 +174,10 @@
    * @param now - monotonic time in milliseconds
    */
   public endStart(clockMs: number | undefined, sentAt: number, now: number): void {
-    this.#startsInFlight -= 1;
+    this.fence.endStart();
     if (clockMs === undefined) return;
     // The response names no incarnation, but each incarnation has a clock of its own.
-    if (this.#isOtherClock(clockMs, sentAt, now)) this.#otherClockSeenAt = now;
+    if (this.#isOtherClock(clockMs, sentAt, now)) this.fence.suspectRestart(now);
     else this.recordContact(clockMs, now);
   }
 
@@ -274,7 +228,7 @@
    */
   public recordReport(sentAt: number): void {
     if (sentAt >= (this.#reportRequiredSince ?? Infinity)) this.#reportRequiredSince = undefined;
-    if (sentAt >= (this.#otherClockSeenAt ?? Infinity)) this.#otherClockSeenAt = undefined;
+    this.fence.confirmIncarnation(sentAt);
   }
 
   /** Number of consecutive calls without a response. */
