Count the lease of a start by the clock of the incarnation that executed it

Cause: since incarnations have fencing tokens of their own, the response of a start that shows another clock was no longer recorded as contact. The lease then counted from when the start was sent, by the clock of the earlier incarnation, while the next one holds it for up to 6 s from when it executed the start: the task could start elsewhere before. Change: the clock is recorded, and the lease counts as granted for the longest time. Result: the new test in restarts.test.ts failed before (the lease expired before 6 s after the response) and passes.

--- a/packages/jobs/__tests__/restarts.test.ts
+++ b/packages/jobs/__tests__/restarts.test.ts
@@ -426,4 +426,18 @@
       expect(w0.acknowledgement).to.equal(1);
     }
   });
+
+  // Guards against a second run while the first is active: the next incarnation executed the start and holds its lease for the
+  // longest time from then on, but the leader computed the end of the lease by the clock of the earlier one.
+  it('holds the lease of a start that it has executed, counted from the response', () => {
+    for (const clockMs of [500, 90_000]) {
+      const { scheduler, command } = startTask();
+      const { worker: w0 } = command;
+      scheduler.handleReport(w0, { ...noRuns, clockMs: 50_000 }, 0, 1, 1);
+      w0.fence.beginStart();
+      w0.extendLease(10);
+      w0.endStart(clockMs, 10, 400);
+      expect(w0.leasesExpireAt).to.be.above(400 + 6000);
+    }
+  });
 });
--- a/packages/jobs/src/Worker.ts
+++ b/packages/jobs/src/Worker.ts
@@ -177,8 +177,11 @@
     this.fence.endStart();
     if (clockMs === undefined) return;
     // The response names no incarnation, but each incarnation has a clock of its own.
-    if (this.#isOtherClock(clockMs, sentAt, now)) this.fence.suspectRestart(now);
-    else this.recordContact(clockMs, now);
+    const isOtherClock = this.#isOtherClock(clockMs, sentAt, now);
+    if (isOtherClock) this.fence.suspectRestart(now);
+    this.recordContact(clockMs, now);
+    // That incarnation holds the lease of the start for the longest time from when it executed it.
+    if (isOtherClock) this.#leaseUntilMs = clockMs + this.#maxLeaseMs;
   }
 
   /** Checks whether a reading of the clock does not fit the last one. */
