Hold released tasks while their worker can be asked

What callers could see: a completed task runs a second time. Cause: the leader asked a worker whose tasks were released, but nothing held the tasks back meanwhile. They started elsewhere after a time without commands in which the worker was reachable again, after a single lost call or one from before that time, after the worker was unlisted and listed again, under a new leader that took a suspended worker without remaining leases for one that has nothing to report, and after the first of several full pages of ends. Change: UnreadWorkers keeps the jobs of released tasks until their worker reports; they wait while it can be asked. A worker counts as unreachable after two failed calls in a row, while the next one is pending or about to be sent. Unlisted workers are asked for 30 s more. A new leader asks each worker of the roster. A worker counts as surveyed only after a report that is not full.

--- a/packages/daemon/__tests__/RestartingWorkers.ts
+++ b/packages/daemon/__tests__/RestartingWorkers.ts
@@ -86,25 +86,25 @@
     { id }: WorkerEntry,
     task: string,
     _run: number,
-    term: number,
+    fencingToken: number,
   ): ReturnType<WorkerClient['stop']> {
     if (this.unreachable.has(id)) return Promise.resolve('unknown');
     const incarnation = this.#find(id);
-    if (!incarnation.accept(term)) return Promise.resolve('fenced');
+    if (!incarnation.accept(fencingToken)) return Promise.resolve('fenced');
     incarnation.runs.delete(task);
     return Promise.resolve('confirmed');
   }
 
   public override async requestReport(
     { id }: WorkerEntry,
-    term: number,
+    fencingToken: number,
     acknowledgedThrough: number,
   ): ReturnType<WorkerClient['requestReport']> {
     // The time of a call between two machines; without it the session would poll without a pause.
     await new Promise((resolve) => setTimeout(resolve, 2));
     const execute = (): WorkerReport | 'fenced' => {
       const incarnation = this.#find(id);
-      if (!incarnation.accept(term)) return 'fenced';
+      if (!incarnation.accept(fencingToken)) return 'fenced';
       const isForgotten = ({ number }: RunEnd): boolean => number <= acknowledgedThrough;
       for (const { task } of incarnation.ended.filter(isForgotten)) this.acknowledged.add(task);
       incarnation.ended = incarnation.ended.filter((end) => !isForgotten(end));
--- a/packages/daemon/__tests__/WorkerLeader.ts
+++ b/packages/daemon/__tests__/WorkerLeader.ts
@@ -87,9 +87,9 @@
     await waitUntil(isSurveyed, `${id} is surveyed`);
   }
 
-  /** Lists a worker as draining, so that it gets no further tasks. */
-  public drainWorker(id: string): void {
-    this.scheduler.updateWorker(this.#createEntry(id, 1, true), false);
+  /** Lists a worker as draining, so that it gets no further tasks, or as ready again. */
+  public setDraining(id: string, isDraining: boolean): void {
+    this.scheduler.updateWorker(this.#createEntry(id, 1, isDraining), false);
   }
 
   public submit(id: string): void {
--- a/packages/daemon/src/WorkerSession.ts
+++ b/packages/daemon/src/WorkerSession.ts
@@ -175,13 +175,12 @@
     const { entry, acknowledgement } = worker;
     const token = acknowledgement > 0 ? worker.fence.beginAcknowledgement() : worker.fence.token;
     const { workerClient } = this.#context;
-    const report = await workerClient.requestReport(
-      entry,
-      token,
-      acknowledgement,
-      leaseUntilMs,
-      waitMs,
-    );
+    worker.beginReportRequest(performance.now());
+    const report = await workerClient
+      .requestReport(entry, token, acknowledgement, leaseUntilMs, waitMs)
+      .finally(() => {
+        worker.endReportRequest();
+      });
     if (acknowledgement > 0 && report !== 'unknown') worker.fence.endAcknowledgement(token);
     return report;
   }
--- a/packages/jobs/__tests__/SchedulerSimulation.ts
+++ b/packages/jobs/__tests__/SchedulerSimulation.ts
@@ -267,6 +267,11 @@
     const workers = new Set([...this.#workers.keys()].filter(() => this.#random() < 0.5));
     const until = this.#now + 1000 + this.#random() * 6000;
     this.#zoneCut = { until, term: this.#term, workers };
+    // During the cut each leader reaches only one half of the workers.
+    for (const id of this.#workers.keys()) {
+      const since = Math.max(until, this.checker.reachableSince.get(id) ?? 0);
+      this.checker.reachableSince.set(id, since);
+    }
     this.#schedule(this.#random() * 1500, () => {
       this.#electLeader();
     });
--- a/packages/jobs/src/EndedWorkers.ts
+++ b/packages/jobs/src/EndedWorkers.ts
@@ -1,6 +1,7 @@
 import type { DurationEstimates } from './durations/DurationEstimates.js';
 import type { InheritedWorkers } from './InheritedWorkers.js';
 import type { LateStarts } from './membership/LateStarts.js';
+import type { UnreadWorkers } from './membership/UnreadWorkers.js';
 import type { Worker } from './Worker.js';
 import type { WorkerPool } from './WorkerPool.js';
 
@@ -10,6 +11,7 @@
   readonly #inheritedWorkers: InheritedWorkers;
   readonly #durations: DurationEstimates;
   readonly #lateStarts: LateStarts;
+  readonly #unreadWorkers: UnreadWorkers;
   /** Incarnations that have ended and whose tasks are not released yet. */
   readonly #ended = new Set<Worker>();
 
@@ -18,16 +20,19 @@
    * @param inheritedWorkers - unsurveyed workers on which the previous leader may have started runs
    * @param durations - learns from lost runs
    * @param lateStarts - starts that may still be executed
+   * @param unreadWorkers - workers whose tasks are released without a report
    */
   public constructor(
     pool: WorkerPool,
     inheritedWorkers: InheritedWorkers,
     durations: DurationEstimates,
     lateStarts: LateStarts,
+    unreadWorkers: UnreadWorkers,
   ) {
     this.#durations = durations;
     this.#pool = pool;
     this.#lateStarts = lateStarts;
+    this.#unreadWorkers = unreadWorkers;
     this.#inheritedWorkers = inheritedWorkers;
   }
 
@@ -82,6 +87,7 @@
       this.#removeWorker(ended, now);
     this.#ended.clear();
     this.#inheritedWorkers.removeExpired(now);
+    this.#unreadWorkers.prune();
     for (const worker of this.#pool.all) {
       const mayRun =
         worker.isSurveyed ||
@@ -91,11 +97,12 @@
       // A leader that could not issue commands for a while has not asked for the ends of the runs yet.
       const isLost =
         now > worker.leasesExpireAt && (worker.tasks.size === 0 || worker.isUnreachable(now));
-      if (!worker.isListed && (!mayRun || isLost)) this.#removeWorker(worker, now);
-      else if (isLost && worker.tasks.size > 0) {
-        worker.requireReport(now);
+      if (isLost && worker.tasks.size > 0) {
+        this.#unreadWorkers.add(worker, now);
         this.#releaseTasks(worker, now);
       }
+      const mustStay = (mayRun && !isLost) || this.#unreadWorkers.isAsked(worker, now);
+      if (!worker.isListed && !mustStay) this.#removeWorker(worker, now);
     }
   }
 
--- a/packages/jobs/src/InheritedWorkers.ts
+++ b/packages/jobs/src/InheritedWorkers.ts
@@ -49,7 +49,8 @@
    */
   public add(worker: Worker, remainingMs: number | undefined): void {
     const waitMs = Math.min(remainingMs ?? this.#longestWaitMs, this.#longestWaitMs);
-    if (waitMs > 0) this.#leaseExpiries.set(worker, this.#electedAt + waitMs);
+    // Also a worker without leases is asked first: the previous leader may not know how its last runs ended.
+    this.#leaseExpiries.set(worker, this.#electedAt + Math.max(0, waitMs));
   }
 
   /**
--- a/packages/jobs/src/ReportHandler.ts
+++ b/packages/jobs/src/ReportHandler.ts
@@ -3,6 +3,7 @@
 import type { JobRegistry } from './JobRegistry.js';
 import type { DurationEstimates } from './durations/DurationEstimates.js';
 import { resources } from './resources.js';
+import { schedulingLimits } from './schedulingLimits.js';
 import type { Task } from './Task.js';
 import type { Worker } from './Worker.js';
 
@@ -75,8 +76,9 @@
         resources.none,
       ),
     );
-    // A full page of 500 ends may hide later ones: a missing run then proves nothing.
-    if (report.ended.length < 500) this.#releaseMissingTasks(worker, report, sentAt, now);
+    // A full page of ends may hide later ones: a missing run then proves nothing.
+    if (report.ended.length < schedulingLimits.maxListedEnds)
+      this.#releaseMissingTasks(worker, report, sentAt, now);
     return strays.map(({ task, run }) => ({ task, run }));
   }
 
--- a/packages/jobs/src/Scheduler.ts
+++ b/packages/jobs/src/Scheduler.ts
@@ -15,6 +15,7 @@
 import { LearnedDurations } from './durations/LearnedDurations.js';
 import { FencingTokens } from './membership/FencingTokens.js';
 import { LateStarts } from './membership/LateStarts.js';
+import { UnreadWorkers } from './membership/UnreadWorkers.js';
 import { InheritedWorkers } from './InheritedWorkers.js';
 import type { Job } from './Job.js';
 import { JobRegistry } from './JobRegistry.js';
@@ -62,11 +63,14 @@
   readonly #reportHandler: ReportHandler;
   readonly #startOutcomeHandler: StartOutcomeHandler;
   readonly #lateStarts: LateStarts;
+  readonly #unreadWorkers: UnreadWorkers;
   readonly #planner: Planner;
   readonly #runStopper: RunStopper;
   readonly #inheritedWorkers: InheritedWorkers;
   readonly #endedWorkers: EndedWorkers;
   readonly #maxStopMs: number;
+  /** Monotonic time of the current planning pass, in milliseconds. */
+  #plannedAt = 0;
   /** Lowest run number of this term, higher than every run number of earlier terms. */
   readonly #firstRunNumber: number;
 
@@ -99,12 +103,14 @@
       this.#inheritedWorkers,
     );
     this.#lateStarts = new LateStarts(this.#pool, maxLeaseMs);
+    this.#unreadWorkers = new UnreadWorkers(this.#pool);
     this.#startOutcomeHandler = new StartOutcomeHandler(this.#permits, this.#lateStarts);
     this.#endedWorkers = new EndedWorkers(
       this.#pool,
       this.#inheritedWorkers,
       durations,
       this.#lateStarts,
+      this.#unreadWorkers,
     );
     this.#firstRunNumber = (term - 1) * schedulingLimits.runsPerTerm + 1;
     this.#reportHandler = new ReportHandler(
@@ -242,7 +248,7 @@
       hasStrays ||
       !isSurveyed ||
       isUnreachable ||
-      worker.isReportRequired ||
+      this.#unreadWorkers.has(worker) ||
       worker.processedThrough > worker.acknowledgedThrough ||
       acknowledgement > 0 ||
       this.hasLateStarts(worker)
@@ -356,8 +362,11 @@
     // The worker now fences stops of the previous leader, but earlier ones may still be in progress.
     if (isInherited) worker.confirmCapacityAt(now + this.#maxStopMs);
     if (isInherited && worker.processedThrough === 0) worker.markNumberingUnknown();
+    worker.fence.confirmIncarnation(sentAt);
+    // A full page of ends may hide the end of a run that this leader must not start again.
+    if (report.ended.length >= schedulingLimits.maxListedEnds) return strays;
     worker.markSurveyed();
-    worker.recordReport(sentAt);
+    this.#unreadWorkers.recordReport(worker, sentAt);
     this.#inheritedWorkers.remove(worker);
     return strays;
   }
@@ -464,6 +473,7 @@
    * @returns commands to carry out; started tasks are already placed
    */
   public plan(now: number, wallMs: number, isCurrent = true): readonly Command[] {
+    this.#plannedAt = now;
     if (isCurrent) this.#endedWorkers.releaseExpired(now);
     for (const job of [...this.#jobs.openJobs]) {
       job.openDueOccurrences(wallMs);
@@ -496,11 +506,12 @@
   }
 
   /**
-   * Checks whether no tasks of a job may start: the next leader would not know where, or tasks of the previous leader
-   * may still run.
+   * Checks whether no tasks of a job may start: the next leader would not know where, tasks of the previous leader may
+   * still run, or a worker that can be asked may list that they are done.
    */
   #isHeld(job: Job, queue: QueueTerms): boolean {
     return (
+      this.#unreadWorkers.mustWait(job, this.#plannedAt) ||
       !this.queueServices.isStored(queue) ||
       this.#inheritedWorkers.canStillRun(job, (service) =>
         this.queueServices.mayHaveRunOn(queue, service),
--- a/packages/jobs/src/Worker.ts
+++ b/packages/jobs/src/Worker.ts
@@ -37,8 +37,8 @@
   #consecutiveFailures = 0;
   #callFailures = 0;
   #lastFailureAt = -Infinity;
-  /** Monotonic time in milliseconds from which on the worker must report; undefined if nothing is unknown. */
-  #reportRequiredSince: number | undefined;
+  /** Monotonic time in milliseconds at which the pending request for a report was sent. */
+  #reportRequestedAt: number | undefined;
   /** Consecutive starts that the worker has refused. */
   #refusedStarts = 0;
   #processedThrough = 0;
@@ -200,38 +200,31 @@
   }
 
   /**
-   * Checks whether a recent call got no response. While a worker may be reachable, only its report tells how its runs
-   * ended, also after their leases have expired.
+   * Checks whether the worker is being asked and does not answer, so that nothing tells how its runs ended. A worker that
+   * has not been asked lately may be reachable again.
    *
    * @param now - monotonic time in milliseconds
-   * @returns whether the worker is known not to respond
+   * @returns whether the last two calls failed, and the next one is pending or about to be sent
    */
   public isUnreachable(now: number): boolean {
-    return this.#callFailures > 0 && now - this.#lastFailureAt <= schedulingLimits.recentFailureMs;
-  }
-
-  /** Whether runs of released tasks ended in a way that only the next report tells. */
-  public get isReportRequired(): boolean {
-    return this.#reportRequiredSince !== undefined;
+    const { minLostCalls, recentFailureMs, longestCallMs } = schedulingLimits;
+    if (this.#callFailures < minLostCalls) return false;
+    const pendingMs = now - (this.#reportRequestedAt ?? -Infinity);
+    return pendingMs <= longestCallMs || now - this.#lastFailureAt <= recentFailureMs;
   }
 
   /**
-   * Records that tasks were released without a report of their ends.
+   * Records that a report is being requested.
    *
    * @param now - monotonic time in milliseconds
    */
-  public requireReport(now: number): void {
-    this.#reportRequiredSince = now;
+  public beginReportRequest(now: number): void {
+    this.#reportRequestedAt = now;
   }
 
-  /**
-   * Records a report of this incarnation.
-   *
-   * @param sentAt - monotonic time at which it was requested, in milliseconds
-   */
-  public recordReport(sentAt: number): void {
-    if (sentAt >= (this.#reportRequiredSince ?? Infinity)) this.#reportRequiredSince = undefined;
-    this.fence.confirmIncarnation(sentAt);
+  /** Records that the request for a report was answered, or that there was no response in time. */
+  public endReportRequest(): void {
+    this.#reportRequestedAt = undefined;
   }
 
   /** Number of consecutive calls without a response. */
--- a/packages/jobs/src/schedulingLimits.ts
+++ b/packages/jobs/src/schedulingLimits.ts
@@ -16,11 +16,16 @@
   minClockRate: 0.98,
   /** Margin added to the computed expiry of a lease: covers the delivery of a command inside the worker. */
   leaseExpiryMarginMs: 150,
-  /**
-   * Time for which a call without a response shows that a worker cannot be reached: longer than the wait, the timeout
-   * and the pause of a report together.
-   */
-  recentFailureMs: 2000,
+  /** Consecutive calls without a response from which a worker counts as unreachable: single calls are lost. */
+  minLostCalls: 2,
+  /** Time after a call without a response within which the next one is sent: longer than the pause of a session. */
+  recentFailureMs: 500,
+  /** Longest time of a request for a report: covers its wait and its timeout. */
+  longestCallMs: 2000,
+  /** Time for which a worker that is no longer listed is asked for the ends of runs whose tasks were released. */
+  unreadRetentionMs: 30_000,
+  /** Run ends in one report: a report with as many may hide further ones. */
+  maxListedEnds: 500,
   /** Difference from the expected time beyond which a worker's clock is that of another incarnation: covers the delay of responses. */
   clockJumpMs: 1000,
   /** Longest time after which a command without a response is executed: the platform states 2 to 12 s. */
