--- a/packages/daemon/src/LeaderLease.ts
+++ b/packages/daemon/src/LeaderLease.ts
@@ -4,7 +4,7 @@
 
 /** Leader lease that this host holds for one term. */
 export class LeaderLease {
-  /** Term of the leader; serves as the term. */
+  /** Term of the leader; fencing tokens derive from it. */
   public readonly term: number;
   /** Store revision of the holder key, as written at the election. */
   public readonly holderRevision: number;
@@ -14,7 +14,7 @@
   #isLost = false;
 
   /**
-   * @param term - term of the leader; serves as the term
+   * @param term - term of the leader; fencing tokens derive from it
    * @param holderRevision - store revision of the holder key
    * @param leaseId - id of the store lease
    */
