--- a/packages-private/testkit/src/Abuse.ts
+++ b/packages-private/testkit/src/Abuse.ts
@@ -6,6 +6,8 @@
   readonly repeated: Buffer;
   /** Number of times for which `repeated` is sent. */
   readonly repeats: number;
+  /** Bytes that are sent once, at the end; nothing by default. */
+  readonly last?: Buffer;
   /** Whether the client leaves everything unread that it receives. */
   readonly isUnread: boolean;
 }
--- a/packages-private/testkit/src/abuses.ts
+++ b/packages-private/testkit/src/abuses.ts
@@ -34,6 +34,17 @@
     ),
     isUnread: false,
   }),
+  /**
+   * A whole body in one-byte chunks.
+   *
+   * @param path - path of the request
+   * @param totalBytes - size of all chunks together
+   * @returns the abuse
+   */
+  smallChunks: (path: string, totalBytes: number): Abuse => ({
+    ...abuses.unfinishedChunks(path, 1, totalBytes),
+    last: Buffer.from('0\r\n\r\n'),
+  }),
   /**
    * A body with a declared length that it never reaches.
    *
