--- a/packages-private/testkit/src/abuses.ts
+++ b/packages-private/testkit/src/abuses.ts
@@ -1,3 +1,5 @@
+import type { Frame, Hello } from '@toucanline/schema';
+import { encodeFrame } from '@toucanline/wire';
 import type { Abuse } from './Abuse.js';
 
 /** Size of one write, in bytes: small chunks and requests are sent together, as a fast client does. */
@@ -95,4 +97,33 @@
     ...repeat('x', sentBytes),
     isUnread: false,
   }),
+  /**
+   * Frames of a link without a body, and no hello.
+   *
+   * @param count - number of frames
+   * @returns the abuse
+   */
+  emptyFrames: (count: number): Abuse => ({
+    first: none,
+    ...repeat('\0\0\0\0', count),
+    isUnread: false,
+  }),
+  /**
+   * Small calls over a link after a valid hello.
+   *
+   * @param hello - the hello
+   * @param count - number of calls
+   * @returns the abuse
+   */
+  smallCalls: (hello: Hello, count: number): Abuse => {
+    const call: Frame = { type: 'call', id: 1, body: { call: 'jobState', id: 'a' } };
+    const encoded = encodeFrame(call)._unsafeUnwrap();
+    const perWrite = Math.floor(writeBytes / encoded.length);
+    return {
+      first: encodeFrame(hello)._unsafeUnwrap(),
+      repeated: Buffer.concat(Array.from({ length: perWrite }, () => encoded)),
+      repeats: Math.ceil(count / perWrite),
+      isUnread: false,
+    };
+  },
 } as const;
