Parse received bytes by turns and bodies only as fast as they are read

Cause: the parser of Node.js makes an object of some hundred bytes for each chunk of a body. The HTTP router hands a request to its handler in the next turn of the event loop, and until then all received chunks pile up: up to 22,000 objects for each connection that became readable in the same turn (the heap was full of array buffers from the parser's on_body callback). Then all bytes that were read were parsed at once, so that a connection held the loop while others waited. Reading a body also resumed a socket that had been paused, since Node.js resumes it for each part.

The socket stays paused while bytes wait, and these count as received bytes. While nobody reads a body, 1 KiB is parsed at a time, and then the connection waits for its reader.

The unit test of a late reader found 8,000 chunks stored, now at most 200.

--- a/packages/runtime/__tests__/connectionGuard.test.ts
+++ b/packages/runtime/__tests__/connectionGuard.test.ts
@@ -1,5 +1,5 @@
 import { connect, type AddressInfo, type Socket } from 'node:net';
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server } from 'node:http';
 import { expect } from 'chai';
 import { computeConnectionBudgets, ConnectionGuard, RefusalReporter } from '../src/index.js';
 import { findSliceEnd } from '../src/findSliceEnd.js';
@@ -52,6 +52,7 @@
   const reporter = new RecordingReporter();
   let server: Server;
   let sockets: Socket[];
+  let late: IncomingMessage | undefined;
 
   beforeEach(async () => {
     sockets = [];
@@ -62,6 +63,10 @@
     };
     server = new ConnectionGuard(budgets, reporter).createServer('callers', 'callers');
     server.on('request', (request, response) => {
+      if (request.url === '/late') {
+        late = request;
+        return;
+      }
       void readBody(request, 262_144).then((body) => {
         if (request.url !== '/wait') response.end(body.isOk() ? 'read' : body.error.kind);
       });
@@ -139,4 +144,19 @@
     });
     expect(text.split('HTTP/1.1 200')).to.have.length(1001);
   });
+
+  // Guards against the objects of chunks that pile up while nobody reads them, 300 bytes for each byte of the body.
+  it('parses a body in small chunks only as fast as it is read, and completely', async () => {
+    const chunks = 8000;
+    const head = 'POST /late HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n';
+    void send(`${head}${'1\r\nx\r\n'.repeat(chunks)}0\r\n\r\n`);
+    await pause();
+    expect(late?.readableLength).to.be.within(1, 200);
+    let length = 0;
+    await new Promise<void>((resolve) => {
+      late?.on('data', (chunk: Buffer) => (length += chunk.length));
+      late?.on('end', resolve);
+    });
+    expect(length).to.equal(chunks);
+  });
 });
--- a/packages/runtime/src/ConnectionGuard.ts
+++ b/packages/runtime/src/ConnectionGuard.ts
@@ -7,6 +7,7 @@
 import type { PortContext } from './PortContext.js';
 import type { RefusalReporter } from './RefusalReporter.js';
 import { ResourceLedger } from './ResourceLedger.js';
+import { TurnQueue } from './TurnQueue.js';
 
 /** Interval at which times of requests and responses are checked, in milliseconds. */
 const checkIntervalMs = 1000;
@@ -24,6 +25,7 @@
 export class ConnectionGuard {
   public readonly budgets: ConnectionBudgets;
   readonly #reporter: RefusalReporter;
+  readonly #turns = new TurnQueue();
 
   /**
    * @param budgets - budgets of the process
@@ -52,6 +54,7 @@
         isService ? budgets.maxServiceBytes : budgets.maxCallerBytes,
         'receivedBytes',
       ),
+      turns: this.#turns,
       report: (reason) => {
         this.#reporter.report(name, reason);
       },
--- a/packages/runtime/src/GuardedConnection.ts
+++ b/packages/runtime/src/GuardedConnection.ts
@@ -3,11 +3,17 @@
 import type { RefusalReason } from '@toucanline/schema';
 import { findSliceEnd } from './findSliceEnd.js';
 import type { PortContext } from './PortContext.js';
+import { TurnTask } from './TurnTask.js';
 
 /** Bytes that a request and its response are counted with, besides the body: their objects and headers. */
 const requestBytes = 8192;
 /** Received bytes that may wait to be parsed. Node.js reads 64 KiB at a time and reads on only in exceptional cases. */
 const maxHeldBytes = 262_144;
+/**
+ * Bytes that are parsed at once while no body is being read. The chunks of a body that is not read yet are stored as
+ * objects of some hundred bytes each, whatever they carry: 64 KiB of one-byte chunks would become 11,000 objects.
+ */
+const unreadBodyBytes = 1024;
 
 /** A request without a response, and the bytes that it is counted with. */
 interface OpenRequest {
@@ -17,9 +23,10 @@
 
 /**
  * An HTTP connection within the budgets of its port. Received bytes pass through it to the parser of Node.js, so that
- * requests are counted, and reading stops, before further requests are created.
+ * requests are counted, and reading stops, before further requests are created. They are parsed in slices, by turns
+ * with those of the other connections: the time for parsing depends on the number of chunks and not on their size.
  */
-export class GuardedConnection {
+export class GuardedConnection extends TurnTask {
   static readonly #connections = new WeakMap<Socket, GuardedConnection>();
   /** IP address of the peer. */
   public readonly address: string;
@@ -30,8 +37,9 @@
   #latestRequest: IncomingMessage | undefined;
   /** Received bytes that are not parsed yet. */
   #heldBytes: Buffer | undefined;
+  /** Bytes with which `#heldBytes` is counted. */
+  #countedBytes = 0;
   #isPaused = false;
-  #isFeeding = false;
   /** Whether bytes of a head arrived that is not complete yet; true for a connection without any request. */
   #hasPartialHead = true;
   /** Time since which the peer takes none of its responses. */
@@ -43,11 +51,15 @@
    * @param port - budgets and counters of the port
    */
   public constructor(socket: Socket, parse: (bytes: Buffer) => void, port: PortContext) {
+    super();
     this.#socket = socket;
     this.#parse = parse;
     this.#port = port;
     this.address = socket.remoteAddress ?? '';
     GuardedConnection.#connections.set(socket, this);
+    // Node.js resumes the socket whenever a part of a body is read, also while received bytes wait to be parsed.
+    const resume = socket.resume.bind(socket);
+    socket.resume = () => (this.#isPaused ? socket : resume());
     socket.on('data', (chunk: Buffer) => {
       this.#guard(() => {
         this.#receive(chunk);
@@ -97,6 +109,9 @@
         return;
       }
       this.#requests.set(request, { response, bytes: requestBytes });
+      request.on('resume', () => {
+        this.#continue();
+      });
       response.once('close', () => {
         this.#guard(() => {
           this.#removeRequest(request);
@@ -153,6 +168,15 @@
     });
   }
 
+  /** {@inheritDoc TurnTask.runSlice} */
+  public override runSlice(): boolean {
+    let isContinued = false;
+    this.#guard(() => {
+      isContinued = this.#parseSlice();
+    });
+    return isContinued;
+  }
+
   /** Number of complete requests without a response. */
   get #acceptedCount(): number {
     const isIncomplete =
@@ -168,7 +192,18 @@
   get #mustWait(): boolean {
     const { bytes, budgets } = this.#port;
     const count = this.#acceptedCount;
-    return count >= budgets.maxPipelinedRequests || (count > 0 && bytes.isHalfUsed);
+    return (
+      this.#hasUnreadBody ||
+      count >= budgets.maxPipelinedRequests ||
+      (count > 0 && bytes.isHalfUsed)
+    );
+  }
+
+  /** Whether the latest request has parts of its body that nobody reads yet. */
+  get #hasUnreadBody(): boolean {
+    const request = this.#latestRequest;
+    if (request === undefined || request.complete || !this.#requests.has(request)) return false;
+    return request.readableFlowing !== true && request.readableLength > 0;
   }
 
   #receive(chunk: Buffer): void {
@@ -178,31 +213,63 @@
       return;
     }
     this.#heldBytes = held === undefined ? chunk : Buffer.concat([held, chunk]);
-    this.#feed();
-  }
-
-  /** Parses held bytes until too many requests wait for their responses; then it stops reading. */
-  #feed(): void {
-    if (this.#isFeeding) return;
-    this.#isFeeding = true;
-    while (this.#heldBytes !== undefined && !this.#socket.destroyed) {
-      if (this.#mustWait) {
-        this.#isPaused = true;
-        this.#socket.pause();
-        break;
+    this.#port.turns.add(this);
+    this.#hold();
+  }
+
+  /** Stops reading, and counts the bytes that could not be parsed at once. */
+  #hold(): void {
+    if (this.#heldBytes === undefined || this.#socket.destroyed) return;
+    if (!this.#isPaused) {
+      this.#isPaused = true;
+      this.#socket.pause();
+    }
+    const amount = this.#heldBytes.length - this.#countedBytes;
+    if (amount <= 0) return;
+    const { bytes } = this.#port;
+    if (!bytes.reserve(this, amount)) {
+      // A connection that waits for a response must not be closed.
+      if (this.evictionRank !== undefined) {
+        this.refuse('receivedBytes');
+        return;
       }
-      const held: Buffer = this.#heldBytes;
-      const end = findSliceEnd(held);
-      this.#heldBytes = end < held.length ? held.subarray(end) : undefined;
-      if (this.#requests.size === 0) this.#hasPartialHead = true;
-      this.#parse(held.subarray(0, end));
+      bytes.add(this, amount);
     }
-    this.#isFeeding = false;
-    if (this.#heldBytes !== undefined || !this.#isPaused) return;
+    this.#countedBytes += amount;
+  }
+
+  /**
+   * Parses a slice of the held bytes, unless too many requests wait for their responses or a body is not read.
+   *
+   * @returns whether another slice can be parsed
+   */
+  #parseSlice(): boolean {
+    const held = this.#heldBytes;
+    if (held === undefined || this.#socket.destroyed || this.#mustWait) return false;
+    const request = this.#latestRequest;
+    const isBodyRead = request?.complete === false && request.readableFlowing === true;
+    const end = findSliceEnd(isBodyRead ? held : held.subarray(0, unreadBodyBytes));
+    this.#heldBytes = end < held.length ? held.subarray(end) : undefined;
+    if (this.#requests.size === 0) this.#hasPartialHead = true;
+    this.#parse(held.subarray(0, end));
+    if (this.#heldBytes === undefined) this.#resume();
+    return this.#heldBytes !== undefined;
+  }
+
+  /** Reads on, after all held bytes were parsed. */
+  #resume(): void {
+    if (!this.#isPaused) return;
+    this.#port.bytes.release(this, this.#countedBytes);
+    this.#countedBytes = 0;
     this.#isPaused = false;
     this.#socket.resume();
   }
 
+  /** Parses held bytes that had to wait for a response or for the reader of a body. */
+  #continue(): void {
+    if (this.#heldBytes !== undefined) this.#port.turns.add(this);
+  }
+
   #removeRequest(request: IncomingMessage): void {
     const known = this.#requests.get(request);
     if (known === undefined) return;
@@ -210,12 +277,14 @@
     this.#unreadSince = undefined;
     this.#port.bytes.release(this, known.bytes);
     if (this.#requests.size === 0) this.#port.connections.touch(this);
-    if (this.#heldBytes !== undefined) this.#feed();
+    this.#continue();
   }
 
   #release(): void {
     this.#requests.clear();
     this.#heldBytes = undefined;
+    this.#countedBytes = 0;
+    this.#port.turns.remove(this);
     this.#port.bytes.release(this);
     this.#port.connections.release(this);
   }
@@ -225,7 +294,6 @@
     try {
       run();
     } catch {
-      this.#isFeeding = false;
       this.refuse('accountingFailed');
     }
   }
