Collect garbage early in entries and schedulers with little memory

Cause: the limit of the heap of Node.js follows from the memory of the whole machine, and old garbage is collected only when the heap has grown to several times of what is in use. An entry does not size its heap by memoryMb, so garbage of requests took it above the memory of its machine.

Change: a daemon with memoryMb in its settings collects garbage whenever its heap has grown by 20%, if the limit of its heap is above its memory. The limit itself cannot be changed after the start; this was tried.

--- a/packages/runtime/src/DaemonCommand.ts
+++ b/packages/runtime/src/DaemonCommand.ts
@@ -1,6 +1,7 @@
 import { Command, Flags } from '@oclif/core';
 import { validators, type Hello } from '@toucanline/schema';
 import type { Daemon } from './Daemon.js';
+import { limitHeapGrowth } from './limitHeapGrowth.js';
 import { loadSettings } from './loadSettings.js';
 import { ProcessRuntime } from './ProcessRuntime.js';
 import { runDaemon } from './runDaemon.js';
@@ -24,6 +25,7 @@
     const { flags } = await this.parse(DaemonCommand);
     const settings = loadSettings(flags.settings, validators.ProcessSettings);
     if (settings.isErr()) this.error(settings.error.detail, { exit: invalidSettingsCode });
+    limitHeapGrowth(settings.value.limits);
     const runtime = new ProcessRuntime(settings.value, this.role);
     await runDaemon(runtime, this.createDaemon(runtime));
   }
