--- a/packages/runtime/src/ConnectionGuard.ts
+++ b/packages/runtime/src/ConnectionGuard.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server } from 'node:http';
 import { Socket } from 'node:net';
 import type { RefusalReason } from '@toucanline/schema';
-import type { LinkRefusal } from '@toucanline/wire';
+import { TurnQueue, type LinkRefusal } from '@toucanline/wire';
 import type { ConnectionBudgets } from './ConnectionBudgets.js';
 import { GuardedConnection } from './GuardedConnection.js';
 import type { PortContext } from './PortContext.js';
@@ -23,6 +23,8 @@
 /** Creates HTTP servers whose connections stay within the budgets of the process. */
 export class ConnectionGuard {
   public readonly budgets: ConnectionBudgets;
+  /** Shares the time of the event loop between the connections of all ports, links included. */
+  public readonly turns = new TurnQueue();
   readonly #reporter: RefusalReporter;
 
   /**
@@ -52,6 +54,7 @@
         isService ? budgets.maxServiceBytes : budgets.maxCallerBytes,
         'receivedBytes',
       ),
+      turns: this.turns,
       report: (reason) => {
         this.#reporter.report(name, reason);
       },
