Give the long calls of a service a turn of their own

Cause: a service none of whose requests for permits was sent for 1 s goes first with one. Its short calls, which use the leader's own channel as well, counted too, so its long calls waited without a bound behind those of another service. Change: AdviceQueue keeps the time of the last request for the short and for the long calls of a service.

--- a/packages/daemon/src/AdviceQueue.ts
+++ b/packages/daemon/src/AdviceQueue.ts
@@ -11,13 +11,14 @@
 
 /**
  * Queued requests for permits, by priority. Priorities order work that competes for the same workers, so a service of
- * which no request was sent for long gets a turn before those of other services.
+ * which no request was sent for long gets a turn before those of other services. Its short and its long calls take turns
+ * of their own: short ones that go through the leader's own channel do not show that a long one gets a channel.
  */
 export class AdviceQueue {
   #requests: readonly QueuedRequest[] = [];
   /** Keys of the steps that have a turn, the first one first. */
   #turnKeys: readonly string[] = [];
-  /** Monotonic time in milliseconds at which the last request was sent, by service. */
+  /** Monotonic time in milliseconds at which the last request was sent, by service and length of the call. */
   readonly #sentAt = new Map<string, number>();
 
   /** Number of queued requests. */
@@ -75,24 +76,24 @@
    */
   public takeSent(command: AdviceCommand, now: number): void {
     this.#requests = this.#requests.filter((each) => each.command !== command);
-    this.#sentAt.set(command.service, now);
+    this.#sentAt.set(findTurnGroup(command), now);
   }
 
   /**
-   * Lists the requests of services that must get a turn: the first one by priority of each service that has waited for
-   * the longest time.
+   * Lists the requests of services that must get a turn: the first one by priority among the short and among the long
+   * calls of each service, if these have waited for the longest time.
    *
    * @param now - monotonic time in milliseconds
-   * @returns at most one request of each service, the one that has waited longest first
+   * @returns at most one short and one long call of each service, the one that has waited longest first
    */
   public listOverdue(now: number): readonly AdviceCommand[] {
     const waits = new Map<string, { readonly command: AdviceCommand; readonly since: number }>();
     for (const { command, queuedAt } of this.#requests) {
-      const { service } = command;
-      const known = waits.get(service);
-      const since = Math.max(queuedAt, this.#sentAt.get(service) ?? 0);
+      const group = findTurnGroup(command);
+      const known = waits.get(group);
+      const since = Math.max(queuedAt, this.#sentAt.get(group) ?? 0);
       if (known === undefined || since < known.since)
-        waits.set(service, { command: known?.command ?? command, since });
+        waits.set(group, { command: known?.command ?? command, since });
     }
     return [...waits.values()]
       .filter(({ since }) => now - since >= hostLimits.adviceTurnMs)
@@ -109,3 +110,7 @@
     return this.#requests.map(({ command }) => command);
   }
 }
+
+/** Returns a name for the requests that share a turn: those of one service that may use the same channels. */
+const findTurnGroup = ({ service, expectedMs }: AdviceCommand): string =>
+  `${expectedMs < hostLimits.shortAdviceCallMs ? 'short' : 'long'} ${service}`;
