Soak the hosts of the platform under series of faults that overlap

Cause: the tests of the platform's hosts inject one or two faults at chosen times. Faults that overlap, and callers that keep their connections, were covered for the engine for requests only. The fake worker can restart under its id, notifies a monitor, and counts a run as lapsed if its lease expired before its completion, also if the expiry is noticed late.

--- a/packages-private/testkit/src/HttpFake.ts
+++ b/packages-private/testkit/src/HttpFake.ts
@@ -63,10 +63,15 @@
 
   /** Stops listening and closes all connections. */
   public stop(): void {
-    this.#server.closeAllConnections();
+    this.closeConnections();
     this.#server.close();
   }
 
+  /** Closes all connections; calls that are being handled get no response. */
+  public closeConnections(): void {
+    this.#server.closeAllConnections();
+  }
+
   /**
    * Handles one call.
    *
--- a/packages-private/testkit/src/PlatformSite.ts
+++ b/packages-private/testkit/src/PlatformSite.ts
@@ -1,12 +1,14 @@
-import { spawn, type ChildProcess } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
 import { mkdtempSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { request } from 'undici';
 import { findFreePort } from './findFreePort.js';
-import { findProgram } from './findProgram.js';
+import { isHostReady } from './isHostReady.js';
+import type { PlatformRunMonitor } from './PlatformRunMonitor.js';
 import { PlatformStoreFake } from './PlatformStoreFake.js';
 import { PlatformWorkerFake } from './PlatformWorkerFake.js';
+import { startHostProcess } from './startHostProcess.js';
 import { waitUntil } from './waitUntil.js';
 
 /** Process of a host, with its addresses as IP address and port. */
@@ -25,6 +27,12 @@
   readonly settingsLines?: readonly string[];
   /** Data centres of the workers, by turns; `dc1` by default. */
   readonly dataCentres?: readonly string[];
+  /** Data centres of the hosts, by turns; `dc1` by default. */
+  readonly hostDataCentres?: readonly string[];
+  /** Monitor that is notified of the runs of all workers. */
+  readonly monitor?: PlatformRunMonitor;
+  /** Whether the output of each host is written to a file of the folder of the site. */
+  readonly keepsOutput?: boolean;
   /** Options of Node.js for each host. */
   readonly nodeOptions?: string;
   /** Largest body of a call, in bytes; 100,000 by default. */
@@ -64,6 +72,11 @@
     this.#options = options;
   }
 
+  /** Folder with the settings files of the hosts and their output, if it is kept. */
+  public get folder(): string {
+    return this.#folder;
+  }
+
   /** Fakes of the workers. */
   public get workers(): readonly PlatformWorkerFake[] {
     return this.#workers;
@@ -93,7 +106,9 @@
       await this.#addHost(`host-${number}`, linkMbps[number - 1]);
     await waitUntil(
       async () =>
-        (await Promise.all(this.#hosts.map((host) => this.#isReady(host)))).every(Boolean),
+        (await Promise.all(this.#hosts.map((host) => isHostReady(host.readinessAddress)))).every(
+          Boolean,
+        ),
       20_000,
       'all hosts are ready',
     );
@@ -209,12 +224,27 @@
    */
   public async restartHost(host: SiteHost): Promise<SiteHost> {
     host.process.kill('SIGKILL');
-    const restarted = { ...host, process: this.#startProcess(host.name) };
-    this.#hosts.splice(this.#hosts.indexOf(host), 1, restarted);
-    await waitUntil(() => this.#isReady(restarted), 20_000, `${host.name} is ready again`);
+    const restarted = this.startAgain(host);
+    await waitUntil(
+      () => isHostReady(restarted.readinessAddress),
+      20_000,
+      `${host.name} is ready again`,
+    );
     return restarted;
   }
 
+  /**
+   * Starts a host that has ended again with the same settings, without waiting until it is ready.
+   *
+   * @param host - the host
+   * @returns the new process
+   */
+  public startAgain(host: SiteHost): SiteHost {
+    const started = { ...host, process: startHostProcess(this.#folder, host.name, this.#options) };
+    this.#hosts.splice(this.#hosts.indexOf(host), 1, started);
+    return started;
+  }
+
   /** Kills the hosts and stops the workers and the store. */
   public stop(): void {
     for (const { process: child } of this.#hosts) child.kill('SIGKILL');
@@ -225,7 +255,7 @@
   async #addWorker(id: string): Promise<void> {
     const { dataCentres = ['dc1'] } = this.#options;
     const dataCentre = dataCentres[this.#workers.length % dataCentres.length];
-    const worker = new PlatformWorkerFake(id, dataCentre);
+    const worker = new PlatformWorkerFake(id, dataCentre, this.#options.monitor);
     await worker.start();
     this.#workers.push(worker);
     this.store.put(`servers/${id}`, worker.serverRecord);
@@ -238,13 +268,15 @@
       await findFreePort(),
       await findFreePort(),
     ];
+    const { hostDataCentres = ['dc1'] } = this.#options;
+    const dataCentre = hostDataCentres[this.#hosts.length % hostDataCentres.length] ?? '';
     const file = join(this.#folder, `${name}.conf`);
     writeFileSync(
       file,
       [
         `NodeName=${name}`,
         'Ip=127.0.0.1',
-        'Zone=dc1',
+        `Zone=${dataCentre}`,
         `Listen.Front=127.0.0.1:${callerPort}`,
         `Listen.Readiness=127.0.0.1:${readinessPort}`,
         `PortRange=${linkPort},${metricsPort}`,
@@ -260,32 +292,7 @@
       readinessAddress: `127.0.0.1:${readinessPort}`,
       metricsAddress: `127.0.0.1:${metricsPort}`,
       linkAddress: `127.0.0.1:${linkPort}`,
-      process: this.#startProcess(name),
+      process: startHostProcess(this.#folder, name, this.#options),
     });
   }
-
-  #startProcess(name: string): ChildProcess {
-    const file = join(this.#folder, `${name}.conf`);
-    return spawn(process.execPath, [findProgram('platform', 'toucanline-host')], {
-      env: {
-        ...process.env,
-        TOUCANLINE_NODE_FILE: file,
-        ...(this.#options.nodeOptions === undefined
-          ? {}
-          : { NODE_OPTIONS: this.#options.nodeOptions }),
-      },
-      stdio: ['ignore', 'ignore', 'inherit'],
-    });
-  }
-
-  async #isReady(host: SiteHost): Promise<boolean> {
-    try {
-      const response = await request(`http://${host.readinessAddress}/ready`);
-      await response.body.dump();
-      return response.statusCode === 200;
-    } catch {
-      // The process is not listening yet.
-      return false;
-    }
-  }
 }
--- a/packages-private/testkit/src/PlatformWorkerFake.ts
+++ b/packages-private/testkit/src/PlatformWorkerFake.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import { HttpFake } from './HttpFake.js';
+import type { PlatformRunMonitor } from './PlatformRunMonitor.js';
 import { readJson } from './readJson.js';
 import { sleep } from './sleep.js';
 
@@ -38,27 +39,31 @@
   public readonly endedRuns: EndedRun[] = [];
   readonly #id: string;
   readonly #dataCentre: string;
-  readonly #incarnation = Date.now();
-  readonly #startedAt = performance.now();
+  readonly #monitor: PlatformRunMonitor | undefined;
   readonly #activeRuns = new Map<string, ActiveRun>();
   /** Highest run number seen, by task. */
   readonly #highestRuns = new Map<string, number>();
   readonly #timer: NodeJS.Timeout;
   /** Ends that the leader has not acknowledged: number, task, run, outcome and detail. */
   #unacknowledgedEnds: [number, string, number, string, string][] = [];
+  #incarnation = Date.now();
+  #startedAt = performance.now();
+  #lastEndNumber = 0;
   #fencingToken = 0;
   #leaseDeadlineMs = 0;
 
   /**
    * @param id - identifier in the list of workers
    * @param dataCentre - data centre of the worker
+   * @param monitor - monitor that is notified of the runs
    */
-  public constructor(id: string, dataCentre = 'dc1') {
+  public constructor(id: string, dataCentre = 'dc1', monitor?: PlatformRunMonitor) {
     super();
     this.#id = id;
     this.#dataCentre = dataCentre;
+    this.#monitor = monitor;
     this.#timer = setInterval(() => {
-      this.#endDueRuns();
+      this.endDueRuns();
     }, 5);
   }
 
@@ -91,11 +96,37 @@
     super.stop();
   }
 
+  /** Restarts the worker under its id: it loses all runs and ends, and its clock and numbers start anew. */
+  public restart(): void {
+    this.endDueRuns();
+    this.closeConnections();
+    for (const task of this.#activeRuns.keys()) this.#monitor?.endRun(task, this, 'lost');
+    this.#activeRuns.clear();
+    this.#highestRuns.clear();
+    this.#unacknowledgedEnds = [];
+    this.#lastEndNumber = 0;
+    this.#fencingToken = 0;
+    this.#leaseDeadlineMs = 0;
+    this.#startedAt = performance.now();
+    this.#incarnation = Math.max(Date.now(), this.#incarnation + 1);
+  }
+
+  /** Ends the runs that are complete and those whose lease has expired. */
+  public endDueRuns(): void {
+    const leaseEndsAt = this.#startedAt + this.#leaseDeadlineMs;
+    for (const run of [...this.#activeRuns.values()]) {
+      // A run whose lease expired before its completion is not done, even if this process saw the expiry late.
+      const isDone = run.endsAt <= leaseEndsAt && performance.now() >= run.endsAt;
+      if (isDone) this.#endRun(run, 'done');
+      else if (this.#now >= this.#leaseDeadlineMs) this.#endRun(run, 'lapsed');
+    }
+  }
+
   protected override async handle(request: IncomingMessage): Promise<JsonResponse> {
     const call = (await readJson(request)) as WorkerCall;
     const target = request.headers['x-target-instance'];
     if (target !== undefined && target !== this.#id) return { status: 421, body: {} };
-    this.#endDueRuns();
+    this.endDueRuns();
     if (call.FencingToken < this.#fencingToken) return this.#refuse('fence');
     this.#fencingToken = call.FencingToken;
     if (request.url === '/run-start') return this.#startRun(call);
@@ -120,6 +151,7 @@
     this.#highestRuns.set(Task, Run);
     const durationMs = Number(/ms=(\d+)/.exec(Spec)?.[1] ?? 50);
     const startedAt = performance.now();
+    this.#monitor?.startRun(Task, Run, this);
     this.#activeRuns.set(Task, { task: Task, run: Run, startedAt, endsAt: startedAt + durationMs });
     return this.#accept();
   }
@@ -137,6 +169,9 @@
     WaitMs = 0,
   }: WorkerCall): Promise<JsonResponse> {
     if (DeadlineMs !== undefined) this.#extendLease(DeadlineMs);
+    for (const [number, task, , outcome] of this.#unacknowledgedEnds) {
+      if (number <= AckedThrough && outcome === 'done') this.#monitor?.acknowledgeCompletion(task);
+    }
     this.#unacknowledgedEnds = this.#unacknowledgedEnds.filter(([number]) => number > AckedThrough);
     const endsAt = performance.now() + WaitMs;
     while (this.#unacknowledgedEnds.length === 0 && performance.now() < endsAt) await sleep(5);
@@ -162,17 +197,12 @@
     this.#leaseDeadlineMs = Math.max(this.#leaseDeadlineMs, Math.min(deadline, this.#now + 6000));
   }
 
-  #endDueRuns(): void {
-    for (const run of [...this.#activeRuns.values()]) {
-      if (performance.now() >= run.endsAt) this.#endRun(run, 'done');
-      else if (this.#now >= this.#leaseDeadlineMs) this.#endRun(run, 'lapsed');
-    }
-  }
-
   #endRun({ task, run, startedAt }: ActiveRun, outcome: string): void {
     this.#activeRuns.delete(task);
+    this.#monitor?.endRun(task, this, outcome);
     this.endedRuns.push({ task, run, startedAt, outcome });
-    this.#unacknowledgedEnds.push([this.endedRuns.length, task, run, outcome, '']);
+    this.#lastEndNumber += 1;
+    this.#unacknowledgedEnds.push([this.#lastEndNumber, task, run, outcome, '']);
   }
 
   #accept(): JsonResponse {
