Send requests for permits of tasks without room last

Cause: large tasks that wait for a full worker renew their permits whenever these expire, each 2 s on the users' platform, and steps far behind in the order request their first permits although nothing is free. These calls went by priority like all others and got turns. Lasting steps with a lower priority or longer calls had to wait, and so had steps that hold free capacity until their permits arrive. Change: a request is early if no waiting task has room now. Early requests are sent after all others and get no turn; one that is queued is replaced as soon as a task has room, and one that is in flight is not repeated. While the channels are idle nothing changes. The simulation sends early requests last as well.

--- a/packages/daemon/__tests__/AdviceDispatcher.test.ts
+++ b/packages/daemon/__tests__/AdviceDispatcher.test.ts
@@ -77,6 +77,7 @@
   expectedMs,
   validMs: 2000,
   priority,
+  isEarly: false,
 });
 
 describe('requests for permits', () => {
@@ -133,6 +134,13 @@
     expect(advisor.steps).to.deep.equal(['short']);
   });
 
+  // Guards against two calls for one step at a time, each of which takes a channel.
+  it('are not sent while an early call for the step has no answer', () => {
+    dispatcher.dispatch({ ...createCommand('s', 700, 1), isEarly: true });
+    dispatcher.dispatch(createCommand('s', 700, 1));
+    expect(countCalls()).to.deep.equal([0, 1, 0]);
+  });
+
   describe('that no host can make at first', () => {
     let link: FailingLink;
     let answers: number;
--- a/packages/daemon/__tests__/AdviceQueue.test.ts
+++ b/packages/daemon/__tests__/AdviceQueue.test.ts
@@ -4,7 +4,12 @@
 
 type AdviceCommand = Parameters<AdviceQueue['add']>[0];
 
-const createCommand = (stepKey: string, expectedMs: number, priority: number): AdviceCommand => ({
+const createCommand = (
+  stepKey: string,
+  expectedMs: number,
+  priority: number,
+  isEarly = false,
+): AdviceCommand => ({
   kind: 'advise',
   stepKey,
   service: 'desk',
@@ -12,6 +17,7 @@
   expectedMs,
   validMs: 2000,
   priority,
+  isEarly,
 });
 
 describe('the queue of requests for permits', () => {
@@ -32,4 +38,21 @@
     queue.takeSent(long, hostLimits.adviceTurnMs);
     expect(queue.listOverdue(hostLimits.adviceTurnMs)).to.deep.equal([]);
   });
+
+  // Guards against renewals for tasks without room that take all channels, and against tasks that wait on although they
+  // have room since.
+  it('puts early requests last, without a turn, until a later one replaces them', () => {
+    const queue = new AdviceQueue();
+    const early = createCommand('large', 600, 0, true);
+    const lasting = createCommand('lasting', 800, 2);
+    queue.add(early, 0);
+    queue.add(lasting, 0);
+    queue.setTurns(['large', 'lasting']);
+    expect(queue.list()).to.deep.equal([lasting, early]);
+    expect(queue.listTurns()).to.deep.equal([lasting]);
+    expect(queue.listOverdue(hostLimits.adviceTurnMs)).to.deep.equal([lasting]);
+    const due = createCommand('large', 600, 0);
+    queue.add(due, 1);
+    expect(queue.list()).to.deep.equal([due, lasting]);
+  });
 });
--- a/packages/daemon/src/AdviceDispatcher.ts
+++ b/packages/daemon/src/AdviceDispatcher.ts
@@ -29,6 +29,8 @@
   readonly #peerChannels = new Map<Link, AdviceChannel>();
   readonly #queue = new AdviceQueue();
   readonly #turnShare = new TurnShare();
+  /** Keys of the steps of early calls that have no answer yet. */
+  readonly #earlyCalls = new Set<string>();
   /** Monotonic time since which requests have been queued without a break, in milliseconds; undefined if none are. */
   #queuedSince: number | undefined;
   #reportedAt = -Infinity;
@@ -54,12 +56,13 @@
   }
 
   /**
-   * Requests permits as soon as a channel is available.
+   * Requests permits as soon as a channel is available. If an early call for the step has no answer yet, its answer is
+   * used instead.
    *
    * @param command - step and candidate workers
    */
   public dispatch(command: AdviceCommand): void {
-    if (this.#isStopped) return;
+    if (this.#isStopped || this.#earlyCalls.has(command.stepKey)) return;
     this.#queue.add(command, performance.now());
     this.#sendQueued();
   }
@@ -212,9 +215,11 @@
   async #send(channel: AdviceChannel, command: AdviceCommand, endTurn?: () => void): Promise<void> {
     const sentAt = performance.now();
     channel.begin(command.expectedMs, sentAt);
+    if (command.isEarly) this.#earlyCalls.add(command.stepKey);
     const workers = command.workers.map(({ id }) => id);
     const permits = await this.#requestPermits(channel.link, command, workers);
     channel.end(command.expectedMs, performance.now(), permits !== undefined);
+    if (command.isEarly) this.#earlyCalls.delete(command.stepKey);
     endTurn?.();
     this.#log.write('permitsAnswered', {
       step: command.stepKey,
--- a/packages/daemon/src/AdviceQueue.ts
+++ b/packages/daemon/src/AdviceQueue.ts
@@ -12,7 +12,8 @@
 /**
  * Queued requests for permits, by priority. Priorities order work that competes for the same workers, so a service of
  * which no request was sent for long gets a turn before those of other services. Its short and its long calls take turns
- * of their own: short ones that go through the leader's own channel do not show that a long one gets a channel.
+ * of their own: short ones that go through the leader's own channel do not show that a long one gets a channel. Early
+ * requests come after all others and get no turn, since their permits may expire before a task has room.
  */
 export class AdviceQueue {
   #requests: readonly QueuedRequest[] = [];
@@ -32,14 +33,20 @@
   }
 
   /**
-   * Adds a request.
+   * Adds a request. It replaces an early one for the same step.
    *
    * @param command - step and candidate workers
    * @param now - monotonic time in milliseconds
    */
   public add(command: AdviceCommand, now: number): void {
-    this.#requests = [...this.#requests, { command, queuedAt: now }].sort(
-      ({ command: a }, { command: b }) => a.priority - b.priority || a.expectedMs - b.expectedMs,
+    const others = this.#requests.filter(
+      ({ command: each }) => !each.isEarly || each.stepKey !== command.stepKey,
+    );
+    this.#requests = [...others, { command, queuedAt: now }].sort(
+      ({ command: a }, { command: b }) =>
+        Number(a.isEarly) - Number(b.isEarly) ||
+        a.priority - b.priority ||
+        a.expectedMs - b.expectedMs,
     );
   }
 
@@ -59,7 +66,8 @@
    */
   public listTurns(): readonly AdviceCommand[] {
     if (this.#turnKeys.length === 0 || this.#requests.length === 0) return [];
-    const byStep = new Map(this.#requests.map(({ command }) => [command.stepKey, command]));
+    const due = this.#requests.filter(({ command }) => !command.isEarly);
+    const byStep = new Map(due.map(({ command }) => [command.stepKey, command]));
     return this.#turnKeys.flatMap((key) => byStep.get(key) ?? []);
   }
 
@@ -89,6 +97,7 @@
   public listOverdue(now: number): readonly AdviceCommand[] {
     const waits = new Map<string, { readonly command: AdviceCommand; readonly since: number }>();
     for (const { command, queuedAt } of this.#requests) {
+      if (command.isEarly) continue;
       const group = findTurnGroup(command);
       const known = waits.get(group);
       const since = Math.max(queuedAt, this.#sentAt.get(group) ?? 0);
--- a/packages/jobs/__tests__/LoadSimulation.ts
+++ b/packages/jobs/__tests__/LoadSimulation.ts
@@ -192,7 +192,9 @@
     while (this.#responses.length < this.channels) {
       const turn = this.#turnShare.canTake(this.channels, this.#now)
         ? this.scheduler.turnKeys
-            .map((key) => this.#queuedAdvice.find(({ stepKey }) => stepKey === key))
+            .map((key) =>
+              this.#queuedAdvice.find(({ stepKey, isEarly }) => stepKey === key && !isEarly),
+            )
             .find((queued) => queued !== undefined)
         : undefined;
       const command = turn ?? this.#queuedAdvice[0];
@@ -226,8 +228,14 @@
 
   #execute(command: Command): void {
     if (command.kind === 'advise') {
-      this.#queuedAdvice = [...this.#queuedAdvice, command].sort(
-        (a, b) => a.priority - b.priority || a.expectedMs - b.expectedMs,
+      const { stepKey } = command;
+      if (this.#responses.some((each) => each.command.stepKey === stepKey)) return;
+      const others = this.#queuedAdvice.filter((each) => each.stepKey !== stepKey);
+      this.#queuedAdvice = [...others, command].sort(
+        (a, b) =>
+          Number(a.isEarly) - Number(b.isEarly) ||
+          a.priority - b.priority ||
+          a.expectedMs - b.expectedMs,
       );
       return;
     }
--- a/packages/jobs/__tests__/turns.test.ts
+++ b/packages/jobs/__tests__/turns.test.ts
@@ -87,6 +87,50 @@
   });
 });
 
+describe('lasting tasks beside a service that is full', () => {
+  // Guards against lasting tasks that do not start again in time (LOST): large tasks without room renewed their permits
+  // each 2 s, and their calls took the channels of both services.
+  it('start again within a bound after a failure', () => {
+    const lasting = { priority: 2, advice: { baseMs: 800, perWorkerMs: 8, validMs: 2000 } };
+    const large = { priority: 1, advice: { ...lasting.advice, baseMs: 650 }, objectiveMs: 20_000 };
+    const services = ['render', 'studio'].map((name) => ({
+      name,
+      enforcesCapacity: false,
+      isSpare: false,
+    }));
+    const queues = [queue('batch', lasting), queue('hot', { ...large, service: 'studio' })];
+    const studio = { service: 'studio', capacity: room(16_000, 2000) };
+    const workers = [
+      ...Array.from({ length: 8 }, (_, index) => worker(`w${index}`)),
+      ...Array.from({ length: 10 }, (_, index) => worker(`s${index}`, studio)),
+    ];
+    const simulation = new LoadSimulation({ ...site, queues, services }, workers, () => 1);
+    simulation.channels = 5;
+    simulation.isFailing = (task) => task.endsWith('.0.0.0');
+    let now = 0;
+    const starts = new Map<string, number>();
+    for (let number = 0; number < 12; number += 1) {
+      const steps = [step(2, 500, { isLongRunning: true })];
+      const record = job(`lasting${number}`, steps, {
+        account: names[number % names.length] ?? '',
+      });
+      simulation.submit(0, record, (task) => {
+        const failsAt = starts.has(task) || !simulation.isFailing(task) ? Infinity : 8000;
+        starts.set(task, now);
+        return failsAt - now;
+      });
+    }
+    for (let number = 0; number < 100; number += 1) {
+      const record = job(`large${number}`, [step(1, 8000)], { queue: 'hot', account: 'hot' });
+      simulation.submit(number * 200, record, () => 8000);
+    }
+    for (; now < 20_000; now += 50) simulation.run(now + 50);
+    const failing = [...starts].filter(([task]) => simulation.isFailing(task));
+    expect(failing).to.have.length(12);
+    for (const [, startedAt] of failing) expect(startedAt).to.be.within(8000, 12_500);
+  });
+});
+
 describe('the order of turns', () => {
   const createEligible = (use: number): unknown => ({
     measureUse: () => use,
--- a/packages/jobs/src/Command.ts
+++ b/packages/jobs/src/Command.ts
@@ -22,4 +22,6 @@
       /** Validity of the permits, by the settings that apply to the job, in milliseconds. */
       readonly validMs: number;
       readonly priority: number;
+      /** Whether no waiting task has room now, so that the permits are of no use yet. */
+      readonly isEarly: boolean;
     };
--- a/packages/jobs/src/PermitCache.ts
+++ b/packages/jobs/src/PermitCache.ts
@@ -13,7 +13,8 @@
 /** Caches placement permits by step and worker. */
 export class PermitCache {
   readonly #entriesByStep = new Map<string, Map<Worker, PermitEntry>>();
-  readonly #requestedSteps = new Set<string>();
+  /** Steps with an open request, and whether it is an early one. */
+  readonly #requestedSteps = new Map<string, boolean>();
   readonly #retryAt = new Map<string, number>();
 
   /**
@@ -60,29 +61,33 @@
    *
    * @param stepKey - key of the step
    * @param now - monotonic time in milliseconds
-   * @returns false while a request is in flight or has just failed
+   * @param isEarly - whether no waiting task has room now
+   * @returns false while a request is open or has just failed; an early one is replaced as soon as a task has room
    */
-  public canRequest(stepKey: string, now: number): boolean {
-    return !this.#requestedSteps.has(stepKey) && (this.#retryAt.get(stepKey) ?? 0) <= now;
+  public canRequest(stepKey: string, now: number, isEarly = false): boolean {
+    if ((this.#retryAt.get(stepKey) ?? 0) > now) return false;
+    const isOpenEarly = this.#requestedSteps.get(stepKey);
+    return isOpenEarly === undefined || (isOpenEarly && !isEarly);
   }
 
   /**
    * Checks whether a request for permits for a step has no answer yet.
    *
    * @param stepKey - key of the step
-   * @returns whether a request is queued or in flight
+   * @returns whether a request that is not an early one is queued or in flight
    */
   public isRequested(stepKey: string): boolean {
-    return this.#requestedSteps.has(stepKey);
+    return this.#requestedSteps.get(stepKey) === false;
   }
 
   /**
    * Records that permits for a step were requested.
    *
    * @param stepKey - key of the step
+   * @param isEarly - whether no waiting task has room now
    */
-  public markRequested(stepKey: string): void {
-    this.#requestedSteps.add(stepKey);
+  public markRequested(stepKey: string, isEarly = false): void {
+    this.#requestedSteps.set(stepKey, isEarly);
   }
 
   /**
--- a/packages/jobs/src/PermitRequests.ts
+++ b/packages/jobs/src/PermitRequests.ts
@@ -18,6 +18,8 @@
   readonly reserved: ReadonlySet<Worker>;
   /** Whether a task may fit on one of the workers now. */
   readonly mayFit: boolean;
+  /** Whether free capacity is reserved for the step. */
+  readonly hasRoom: boolean;
 }
 
 /** Decides for which steps and workers placement permits are requested, and when. */
@@ -36,7 +38,8 @@
 
   /**
    * Requests unknown verdicts, and renews expired permits of workers that have the capacity now. A request is filled up
-   * with expired permits of other allowed workers.
+   * with expired permits of other allowed workers. A request is early if no waiting task has room now: permits for tasks
+   * that wait for a full worker expire again and again, and their calls must not delay others.
    *
    * @param pending - step and its queue
    * @param candidates - workers of the step, and what is known about them
@@ -49,6 +52,8 @@
   ): void {
     const { advice } = queue;
     if (advice === undefined || !this.#permits.canRequest(step.key, pass.now)) return;
+    const isEarly = !candidates.hasRoom && !this.#hasRoomOnUnknown(step, candidates, pass);
+    if (!this.#permits.canRequest(step.key, pass.now, isEarly)) return;
     const needed = this.#listNeeded(step, candidates, pass);
     if (needed.length === 0) return;
     const extraCount = Math.min(
@@ -57,7 +62,7 @@
     );
     const renewable = this.#listRenewable(step, candidates.allowed, needed, pass.now);
     const requested = [...needed, ...renewable.slice(0, extraCount)];
-    this.#permits.markRequested(step.key);
+    this.#permits.markRequested(step.key, isEarly);
     pass.addCommand({
       kind: 'advise',
       stepKey: step.key,
@@ -66,9 +71,26 @@
       expectedMs: advice.baseMs + advice.perWorkerMs * requested.length,
       validMs: advice.validMs,
       priority: queue.priority,
+      isEarly,
     });
   }
 
+  /** Checks whether a task fits on a worker whose verdict is unknown. */
+  #hasRoomOnUnknown(
+    { key, description: { size } }: StepInstance,
+    { workers, mayFit }: PermitCandidates,
+    { reservations }: PlanningPass,
+  ): boolean {
+    return (
+      mayFit &&
+      workers.some(
+        (worker) =>
+          !this.#permits.hasVerdict(key, worker) &&
+          resources.fits(size, reservations.freeOn(worker)),
+      )
+    );
+  }
+
   /** Lists the workers whose permits are worth a request, those with the most free capacity first. */
   #listNeeded(
     step: StepInstance,
--- a/packages/jobs/src/Planner.ts
+++ b/packages/jobs/src/Planner.ts
@@ -225,7 +225,8 @@
     const missing = Math.min(waitingCount, maxTasks) - feasible.length;
     for (const worker of reserveCapacity(pending, allowed, missing, pass))
       reservedWorkers.add(worker);
-    const candidates = { workers, allowed, reserved: reservedWorkers, mayFit };
+    const hasRoom = feasible.length > 0;
+    const candidates = { workers, allowed, reserved: reservedWorkers, mayFit, hasRoom };
     this.#permitRequests.requestPermits(pending, candidates, pass);
   }
 
@@ -319,7 +320,14 @@
         } as const;
         const { workers, members } = eligible.find(pending);
         const allowed = this.#listAllowed(step, members);
-        const candidates = { workers, allowed, reserved: new Set<Worker>(), mayFit: false };
+        // Its dependencies are about to complete, so its permits will be of use when they arrive.
+        const candidates = {
+          workers,
+          allowed,
+          reserved: new Set<Worker>(),
+          mayFit: false,
+          hasRoom: true,
+        };
         this.#permitRequests.requestPermits(pending, candidates, pass);
       }
     }
