Show that progress is not written once the placements outgrow the store's largest value

Cause: the placements are one record with an entry for each worker and account, written along with the progress.

--- a/review/standins-3/runner.mjs
+++ b/review/standins-3/runner.mjs
@@ -31,6 +31,8 @@
   #waiters = new Set();
   #port = 0;
   isUp = false;
+  /** Ends of runs: when each was listed, and when it was taken note of; undefined until then. */
+  ends = [];
 
   constructor({ id, service, capacity, labels, zone, store, record, bounds }) {
     this.#id = id;
@@ -176,6 +178,8 @@
 
   async #hold({ DeadlineMs, AckedThrough = 0, WaitMs = 0 }) {
     if (DeadlineMs !== undefined) this.#extend(DeadlineMs);
+    for (const [number, , , , , end] of this.#ended)
+      if (number <= AckedThrough) end.notedAt = performance.now();
     this.#ended = this.#ended.filter(([number]) => number > AckedThrough);
     if (this.#ended.length === 0 && WaitMs > 0) {
       await new Promise((resolve) => {
@@ -196,7 +200,7 @@
         RunningCount: [...this.#runs.values()]
           .filter(({ stopsAt }) => stopsAt === undefined)
           .map((run) => [run.task, run.run, '', computePercent(run), 0]),
-        Ended: this.#ended.slice(0, 500),
+        Ended: this.#ended.slice(0, 500).map((row) => row.slice(0, 5)),
         born: this.#born,
       },
     ];
@@ -221,7 +225,9 @@
   #end(run, how) {
     this.#runs.delete(run.task);
     this.#lastEnd += 1;
-    this.#ended.push([this.#lastEnd, run.task, run.run, how, '']);
+    const end = { task: run.task, listedAt: performance.now(), notedAt: undefined };
+    this.ends.push(end);
+    this.#ended.push([this.#lastEnd, run.task, run.run, how, '', end]);
     this.#note('end', { task: run.task, run: run.run, how });
     for (const wake of [...this.#waiters]) wake();
   }
